--- /dev/null
+++ b/packages/clock/src/index.ts
@@ -0,0 +1,3 @@
+export * from './clock.js';
+export * from './manual-clock.js';
+export * from './random.js';
--- /dev/null
+++ b/packages/errors/src/index.ts
@@ -0,0 +1,3 @@
+export * from './kinds.js';
+export * from './request-error.js';
+export * from './body.js';
--- /dev/null
+++ b/packages/logger/src/index.ts
@@ -0,0 +1,2 @@
+export * from './logger.js';
+export * from './format-line.js';
--- /dev/null
+++ b/packages/metrics/src/index.ts
@@ -0,0 +1,1 @@
+export * from './metrics.js';
--- /dev/null
+++ b/packages/types/src/index.ts
@@ -0,0 +1,10 @@
+export type * from './ids.js';
+export * from './inventory.js';
+export * from './request.js';
+export type * from './engine.js';
+export type * from './key-value.js';
+export * from './membership.js';
+export * from './grant.js';
+export type * from './claim.js';
+export * from './peer.js';
+export type * from './settings.js';
--- /dev/null
+++ b/packages/types/src/peer.ts
@@ -0,0 +1,86 @@
+import type {
+	ClaimDecision, ClaimKey, ClaimOutcome,
+} from './claim.js';
+import type {GrantAnswer, GrantRequest} from './grant.js';
+import type {
+	HostId, Incarnation, Milliseconds, RequestId,
+} from './ids.js';
+import type {ConfigurationVersion} from './inventory.js';
+import type {Account} from './request.js';
+
+/** Outcome of a call to another host; `unknown` may have been carried out. */
+export type PeerOutcome<Answer>
+	= | {kind: 'answered'; answer: Answer}
+		| {kind: 'unreachable'; reason: string}
+		| {kind: 'unknown'; reason: string};
+
+/** Asks the owner of a claim's slot to store the claim. */
+export type ClaimRequest = {
+	key: ClaimKey;
+	digest: string;
+	request: RequestId;
+	host: HostId;
+	incarnation: Incarnation;
+};
+
+/** Tells the owner of a claim's slot how the claimed request ended. */
+export type ClaimSettlement = {
+	key: ClaimKey;
+	request: RequestId;
+	outcome: ClaimOutcome;
+};
+
+/** Outcome of a settlement at the owner. */
+export type SettlementOutcome = {stored: boolean};
+
+/** A host's use of a shared limit since its last message, and what it expects to use next. */
+export type QuotaRequest = {
+	host: HostId;
+	/** Name of the limit, such as `requests:<customer>` or `retries:<class>`. */
+	limits: Array<{limit: string; used: number; wanted: number}>;
+};
+
+/** Shares of shared limits that a host may use until they end. */
+export type QuotaAnswer = {
+	owner: boolean;
+	shares: Array<{limit: string; allowed: number; duration: Milliseconds}>;
+};
+
+/** Calls from one host to another; none throws. */
+export type PeerCalls = {
+	exchangeGrants: (to: HostId, message: GrantRequest) => Promise<PeerOutcome<GrantAnswer>>;
+	/** Pushes decisions from the owner of a group to a host that asked. */
+	pushGrants: (to: HostId, message: GrantAnswer) => Promise<PeerOutcome<{received: boolean}>>;
+	exchangeQuota: (to: HostId, message: QuotaRequest) => Promise<PeerOutcome<QuotaAnswer>>;
+	claim: (to: HostId, message: ClaimRequest) => Promise<PeerOutcome<ClaimDecision>>;
+	settleClaim: (to: HostId, message: ClaimSettlement) => Promise<PeerOutcome<SettlementOutcome>>;
+	/** The newest configuration of the host, if newer than `after`. */
+	readConfiguration: (to: HostId, message: {after: number}) => Promise<PeerOutcome<{newest?: ConfigurationVersion}>>;
+	readAccount: (to: HostId, message: {request: RequestId}) => Promise<PeerOutcome<{account?: Account}>>;
+};
+
+/** The functions that answer the calls of other hosts; `from` is the authenticated caller. */
+export type PeerHandlers = {
+	[Name in keyof PeerCalls]: (from: HostId, message: Parameters<PeerCalls[Name]>[1]) =>
+	Promise<Extract<Awaited<ReturnType<PeerCalls[Name]>>, {kind: 'answered'}>['answer']>;
+};
+
+/** What a note between all hosts is about. */
+export const noteTopics = ['upstream-leaving', 'upstream-failed', 'suspect-request', 'host-drain'] as const;
+/** One of `noteTopics`. */
+export type NoteTopic = typeof noteTopics[number];
+
+/** A short fact that reaches all hosts with the membership messages; the newest of a topic, key and host stands. */
+export type Note = {
+	topic: NoteTopic;
+	/** What the note is about, such as an upstream's name or a request's fingerprint. */
+	key: string;
+	/** Empty once the fact no longer holds. */
+	value: string;
+	/** Host that says so. */
+	host: HostId;
+	/** Rises with each note of the host. */
+	sequence: number;
+	/** How long the note stands after it arrives. */
+	duration: Milliseconds;
+};
--- /dev/null
+++ b/vitest.config.ts
@@ -0,0 +1,13 @@
+import {defineConfig} from 'vitest/config';
+
+const config = defineConfig({
+	resolve: {conditions: ['source']},
+	ssr: {resolve: {conditions: ['source']}},
+	test: {
+		include: ['packages/*/src/**/*.test.ts'],
+		testTimeout: 30_000,
+		maxWorkers: 4,
+	},
+});
+
+export default config;
