Add the decisions of order, choice, retry and limits as pure functions

Classification, order, floors, shares, estimates, choice of upstream and crash suspects have no I/O and no clock of their own, so that each can be checked for its invariants alone.

--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,1 +1,11 @@
-
+export * from './groups.js';
+export * from './targets.js';
+export * from './digests.js';
+export * from './classify.js';
+export * from './retry.js';
+export * from './suspects.js';
+export * from './estimate.js';
+export * from './choose.js';
+export * from './order.js';
+export * from './floors.js';
+export * from './shares.js';
--- a/packages/types/src/grant.ts
+++ b/packages/types/src/grant.ts
@@ -28,6 +28,8 @@
 	idempotent: boolean;
 	/** Same for resends of the request under other ids. */
 	fingerprint: string;
+	/** How often the request has yielded its slot; 0 if absent. */
+	yields?: number;
 };
 
 /** A ticket's end at the host that asked. */
@@ -39,6 +41,8 @@
 	tokens: number;
 	firstTokenAfter?: Milliseconds;
 	duration: Milliseconds;
+	/** True when the upstream crashed while it ran the request. */
+	crashed?: boolean;
 };
 
 /** One batch from a host to the owner of a group. */
@@ -51,7 +55,17 @@
 	asks: Ticket[];
 	ends: TicketEnd[];
 	/** Requests still waiting or running at the host, sent with a heartbeat so that lost messages heal. */
-	held?: Array<{request: RequestId; attempt: number; upstream?: UpstreamId; ticket: Ticket}>;
+	held?: HeldTicket[];
+};
+
+/** A request that waits or runs at the host that asked. */
+export type HeldTicket = {
+	request: RequestId;
+	attempt: number;
+	/** Where it runs; absent while it waits. */
+	upstream?: UpstreamId;
+	/** Sent when the owner doesn't know the ticket: after a change of owner, or on its wish. */
+	ticket?: Ticket;
 };
 
 /** The owner's decision on a ticket. */
@@ -62,7 +76,7 @@
 		| {kind: 'yield'; request: RequestId; attempt: number};
 
 /** Why a waiting request is refused. */
-export const shedReasons = ['deadline-unreachable', 'queue-full', 'queue-age', 'no-upstream', 'outranked'] as const;
+export const shedReasons = ['deadline-unreachable', 'queue-full', 'queue-age', 'no-upstream', 'outranked', 'crashes-upstreams'] as const;
 /** One of `shedReasons`. */
 export type ShedReason = typeof shedReasons[number];
 
@@ -72,4 +86,6 @@
 	owner: boolean;
 	group: GroupId;
 	decisions: Decision[];
+	/** Held requests whose tickets the owner doesn't know; the host sends them. */
+	wanted?: RequestId[];
 };
