--- /dev/null
+++ b/packages/scheduler/src/client/exchange.ts
@@ -0,0 +1,163 @@
+import type {
+	GrantAnswer, GrantRequest, HostId, Milliseconds, PeerOutcome,
+} from '@gentianlift/types';
+import {
+	createMessage, hasNews, prepareOwner, settleMessage,
+} from './line.js';
+import {getWithdrawal} from './tickets.js';
+import type {GrantClientOptions, Line} from './types.js';
+
+/** Exchanges that fail in a row before the host orders its own work. */
+export const failuresBeforeAlone = 2;
+const retryDelay: Milliseconds = 40;
+const recoveryDelay: Milliseconds = 1000;
+
+/** Exchanges batches with the owners of groups; while an owner can't be reached, with this host's own order. */
+export class Exchange {
+	readonly #options: GrantClientOptions;
+	readonly #apply: (answer: GrantAnswer) => void;
+
+	constructor(options: GrantClientOptions, apply: (answer: GrantAnswer) => void) {
+		this.#options = options;
+		this.#apply = apply;
+	}
+
+	/** Sends what there is, at once if no batch is under way. */
+	flush(line: Line): void {
+		const owner = this.#getOwner(line);
+		if (owner === undefined) {
+			this.#separate(line);
+		}
+
+		const mayCall = owner !== undefined && !line.inFlight && this.#options.clock.monotonic() >= line.notBefore;
+		if (line.mode === 'alone') {
+			this.#exchangeAlone(line);
+		}
+
+		if (mayCall) {
+			void (line.mode === 'alone' ? this.#probe(line, owner) : this.#exchange(line, owner));
+		}
+	}
+
+	#getOwner({group}: Line): HostId | undefined {
+		const {without, getOwnerOf} = this.#options;
+		return without?.includes('grants') === true ? undefined : getOwnerOf(group);
+	}
+
+	#exchangeAlone(line: Line): void {
+		const message = createMessage(line, this.#options);
+		this.#options.metrics.count('grants_degraded', {}, message.asks.length);
+		settleMessage(line, message);
+		this.#apply(this.#options.getLocalOwner().handleAlone(message));
+	}
+
+	async #exchange(line: Line, owner: HostId): Promise<void> {
+		prepareOwner(line, owner, this.#options.clock.monotonic());
+		const message = createMessage(line, this.#options);
+		if (owner === this.#options.self) {
+			this.#takeAnswer(line, message, this.#options.getLocalOwner().handle(owner, message));
+			return;
+		}
+
+		const outcome = await this.#call(line, owner, message);
+		this.#takeOutcome(line, message, outcome);
+		if (hasNews(line)) {
+			this.flush(line);
+		}
+	}
+
+	async #call(line: Line, owner: HostId, message: GrantRequest): Promise<PeerOutcome<GrantAnswer>> {
+		line.inFlight = true;
+		this.#options.metrics.count('grant_messages');
+		const outcome = await this.#options.peers.exchangeGrants(owner, message);
+		line.inFlight = false;
+		return outcome;
+	}
+
+	/** Asks the owner for nothing, to find out whether it can be reached again. */
+	async #probe(line: Line, owner: HostId): Promise<void> {
+		const {self, getLocalOwner} = this.#options;
+		const message: GrantRequest = {...createMessage(line, this.#options), asks: [], ends: []};
+		delete message.held;
+		const outcome: PeerOutcome<GrantAnswer> = owner === self
+			? {kind: 'answered', answer: getLocalOwner().handle(self, message)}
+			: await this.#call(line, owner, message);
+		if (outcome.kind === 'answered' && outcome.answer.owner) {
+			this.#rejoin(line);
+			this.flush(line);
+		} else {
+			this.#fail(line);
+		}
+	}
+
+	/** Moves a line back from this host's order to the owner's. */
+	#rejoin(line: Line): void {
+		const waiting = [...line.pending.values()].filter(pending => pending.upstream === undefined);
+		const ends = waiting.map(({ticket}) => getWithdrawal(ticket));
+		const message = createMessage(line, this.#options);
+		this.#options.getLocalOwner().handleAlone({...message, asks: [], ends: [...line.ends, ...ends]});
+		line.ends = [];
+		line.asks = new Set(waiting);
+		line.mode = 'owner';
+		line.owner = undefined;
+		line.failures = 0;
+		this.#options.metrics.count('grant_lines_recovered');
+	}
+
+	#takeOutcome(line: Line, message: GrantRequest, outcome: PeerOutcome<GrantAnswer>): void {
+		switch (outcome.kind) {
+			case 'answered': {
+				this.#takeAnswer(line, message, outcome.answer);
+				break;
+			}
+
+			case 'unreachable':
+			case 'unknown': {
+				this.#options.metrics.count('grant_exchange_failures', {kind: outcome.kind});
+				this.#fail(line);
+				break;
+			}
+		}
+	}
+
+	#takeAnswer(line: Line, message: GrantRequest, answer: GrantAnswer): void {
+		if (!answer.owner) {
+			this.#options.metrics.count('grant_exchange_failures', {kind: 'not-owner'});
+			this.#fail(line);
+			return;
+		}
+
+		settleMessage(line, message);
+		line.failures = 0;
+		line.sendsTickets = answer.wanted !== undefined && answer.wanted.length > 0;
+		if (line.sendsTickets) {
+			line.heartbeatAt = this.#options.clock.monotonic();
+		}
+
+		this.#apply(answer);
+	}
+
+	#fail(line: Line): void {
+		const {clock, random} = this.#options;
+		line.failures++;
+		line.owner = undefined;
+		const delay = line.failures < failuresBeforeAlone ? retryDelay : recoveryDelay;
+		line.notBefore = clock.monotonic() + (delay * (0.5 + random.next()));
+		if (line.failures >= failuresBeforeAlone) {
+			this.#separate(line);
+			this.#exchangeAlone(line);
+		}
+	}
+
+	/** Lets this host order the line's work on its share of the slots. */
+	#separate(line: Line): void {
+		if (line.mode === 'alone') {
+			return;
+		}
+
+		line.mode = 'alone';
+		line.heartbeatAt = this.#options.clock.monotonic();
+		line.asks = new Set([...line.pending.values()].filter(pending => pending.upstream === undefined));
+		this.#options.metrics.count('grant_lines_degraded');
+	}
+}
--- /dev/null
+++ b/packages/scheduler/src/owner/index.ts
@@ -0,0 +1,6 @@
+export {
+	mechanisms, standings, type Mechanism, type Standing,
+} from './state.js';
+export * from './create-group-owner.js';
+export type {GroupOverview, RankOverview} from './queries/overview.js';
+export {mostYields} from './commands/preempt.js';
--- a/packages/types/src/grant.ts
+++ b/packages/types/src/grant.ts
@@ -30,6 +30,8 @@
 	fingerprint: string;
 	/** How often the request has yielded its slot; 0 if absent. */
 	yields?: number;
+	/** True once part of the answer has reached the caller: such a request is no longer shed for its target. */
+	resumed?: boolean;
 };
 
 /** A ticket's end at the host that asked. */
