Add a key-value service in memory with write faults

Tests of claims, configuration and leases need a service whose writes can take effect while the reply is lost, now, later or never.

--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,1 +1,1 @@
-
+export * from './memory-key-value.js';
