--- /dev/null
+++ b/packages/peers/src/peer-server.ts
@@ -0,0 +1,73 @@
+import {WebSocketServer} from 'ws';
+import {TRPCError} from '@trpc/server';
+import {applyWSSHandler} from '@trpc/server/adapters/ws';
+import type {Clock} from '@gentianlift/clock';
+import type {Metrics} from '@gentianlift/metrics';
+import type {Address, HostId, PeerHandlers} from '@gentianlift/types';
+import {areValidCredentials} from './credentials.js';
+import {createPeerRouter, type PeerContext} from './peer-router.js';
+
+/** Parts that the listener for other hosts needs. */
+export type PeerServerOptions = {
+	self: HostId;
+	address: Address;
+	keys: readonly string[];
+	handlers: PeerHandlers;
+	clock: Clock;
+	metrics: Metrics;
+};
+
+/** The listener for other hosts. */
+export type PeerServer = {
+	close: () => Promise<void>;
+};
+
+/** Largest message between hosts: a configuration is up to a megabyte. */
+const longestMessageBytes = 4 * 1024 * 1024;
+
+/** Starts to listen for other hosts; rejects if the address can't be used. */
+export const startPeerServer = async ({self, address, keys, handlers, clock, metrics}: PeerServerOptions): Promise<PeerServer> => {
+	const {hostname, port} = new URL(`ws://${address}`);
+	const server = new WebSocketServer({host: hostname, port: Number(port), maxPayload: longestMessageBytes});
+
+	const createContext = ({info}: {info: {connectionParams: unknown}}): PeerContext => {
+		const credentials = info.connectionParams ?? {};
+		if (areValidCredentials(keys, credentials, self, clock.now())) {
+			return {from: credentials.from};
+		}
+
+		metrics.count('peer_strangers_total');
+		throw new TRPCError({code: 'UNAUTHORIZED'});
+	};
+
+	applyWSSHandler({
+		wss: server,
+		router: createPeerRouter(handlers),
+		createContext,
+		onError({error, path}) {
+			metrics.count('peer_handler_errors_total', {path: path ?? '', code: error.code});
+		},
+	});
+
+	await new Promise<void>((resolve, reject) => {
+		server.once('listening', resolve);
+		server.once('error', reject);
+	});
+	server.on('error', () => {
+		metrics.count('peer_server_errors_total');
+	});
+
+	return {
+		async close() {
+			for (const client of server.clients) {
+				client.terminate();
+			}
+
+			await new Promise<void>(resolve => {
+				server.close(() => {
+					resolve();
+				});
+			});
+		},
+	};
+};
