--- /dev/null
+++ b/packages/router/src/callers/caller-server.ts
@@ -0,0 +1,62 @@
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import type {Duplex} from 'node:stream';
+import {
+	createFailure, errorTable, getErrorBody, type ErrorKind,
+} from '@gentianlift/errors';
+import type {Metrics} from '@gentianlift/metrics';
+import type {Settings} from '@gentianlift/types';
+
+/** Answers one request of a caller. */
+export type CallerHandler = (request: IncomingMessage, response: ServerResponse) => void;
+
+const checkInterval = 1000;
+
+const kindsByCode: Record<string, ErrorKind> = {
+	HPE_HEADER_OVERFLOW: 'headers-too-large',
+	ERR_HTTP_REQUEST_TIMEOUT: 'body-timeout',
+};
+
+/** Answers on the bare connection, since a request that can't be parsed has no response object. */
+const answerParserError = (error: NodeJS.ErrnoException, socket: Duplex, metrics: Metrics): void => {
+	if (error.code === 'ECONNRESET' || !socket.writable) {
+		socket.destroy();
+		return;
+	}
+
+	const kind = kindsByCode[error.code ?? ''] ?? 'bad-request';
+	metrics.count('refusals_total', {reason: kind});
+	const body = JSON.stringify(getErrorBody(createFailure(kind), ''));
+	socket.end([
+		`HTTP/1.1 ${errorTable[kind].status} Refused`,
+		'content-type: application/json',
+		`content-length: ${body.length}`,
+		'x-ran: not-run',
+		`x-error-kind: ${kind}`,
+		'connection: close',
+		'',
+		body,
+	].join('\r\n'));
+};
+
+/** Creates the HTTP server for callers, with the limits of the settings; it isn't listening yet. */
+export const createCallerServer = (settings: Settings, metrics: Metrics, handle: CallerHandler): Server => {
+	const {callerLimits} = settings;
+	const server = createServer({
+		maxHeaderSize: callerLimits.headerBytes,
+		headersTimeout: callerLimits.headerTimeout,
+		requestTimeout: callerLimits.headerTimeout + callerLimits.bodyTimeout,
+		connectionsCheckingInterval: checkInterval,
+		keepAlive: true,
+		noDelay: true,
+	}, handle);
+	server.maxConnections = callerLimits.connections;
+	server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+		answerParserError(error, socket, metrics);
+	});
+	server.on('drop', () => {
+		metrics.count('refusals_total', {reason: 'connections'});
+	});
+	return server;
+};
--- /dev/null
+++ b/packages/router/src/callers/read-body.ts
@@ -0,0 +1,43 @@
+import {Buffer} from 'node:buffer';
+import type {IncomingMessage} from 'node:http';
+import type {Clock} from '@gentianlift/clock';
+import {createFailure} from '@gentianlift/errors';
+import type {CallerLimits} from '@gentianlift/types';
+
+/**
+Reads the whole body of a request.
+
+Throws `body-too-large` or `body-timeout`; nothing more is read then.
+*/
+export const readBody = async (request: IncomingMessage, limits: CallerLimits, clock: Clock): Promise<Uint8Array> => {
+	if (Number(request.headers['content-length'] ?? 0) > limits.bodyBytes) {
+		throw createFailure('body-too-large', {detail: `The limit is ${limits.bodyBytes} bytes.`});
+	}
+
+	return new Promise((resolve, reject) => {
+		const parts: Uint8Array[] = [];
+		let size = 0;
+		const cancel = clock.after(limits.bodyTimeout, () => {
+			request.pause();
+			reject(createFailure('body-timeout'));
+		});
+
+		request.on('data', (part: Uint8Array) => {
+			size += part.length;
+			parts.push(part);
+			if (size > limits.bodyBytes) {
+				cancel();
+				request.pause();
+				reject(createFailure('body-too-large', {detail: `The limit is ${limits.bodyBytes} bytes.`}));
+			}
+		});
+		request.on('end', () => {
+			cancel();
+			resolve(Buffer.concat(parts));
+		});
+		request.on('close', () => {
+			cancel();
+			reject(createFailure('bad-request', {detail: 'The connection closed before the body was complete.'}));
+		});
+	});
+};
--- /dev/null
+++ b/packages/router/src/callers/read-headers.ts
@@ -0,0 +1,56 @@
+import type {IncomingMessage} from 'node:http';
+import {createFailure} from '@gentianlift/errors';
+
+const singleHeaders = new Set(['authorization', 'content-type', 'content-length', 'idempotency-key', 'x-class', 'host']);
+
+/** Throws `repeated-header` if a header that may be given once was repeated. */
+export const checkHeaders = (request: IncomingMessage): void => {
+	const seen = new Set<string>();
+	for (const [index, text] of request.rawHeaders.entries()) {
+		const name = text.toLowerCase();
+		if (index % 2 === 1 || !singleHeaders.has(name)) {
+			continue;
+		}
+
+		if (seen.has(name)) {
+			throw createFailure('repeated-header', {detail: `Header: ${name}.`});
+		}
+
+		seen.add(name);
+	}
+};
+
+const bearer = /^Bearer +(?<key>\S+) *$/iv;
+
+/** Gets the caller's API key; throws `missing-key`. */
+export const getApiKey = (request: IncomingMessage): string => {
+	const key = bearer.exec(request.headers.authorization ?? '')?.groups?.key;
+	if (key === undefined) {
+		throw createFailure('missing-key');
+	}
+
+	return key;
+};
+
+const longestIdempotencyKey = 200;
+const printable = /^[!-~]+$/v;
+
+/** Gets the idempotency key, if one was given; throws `key-invalid`. */
+export const getIdempotencyKey = (request: IncomingMessage): string | undefined => {
+	const key = request.headers['idempotency-key'];
+	if (key === undefined) {
+		return undefined;
+	}
+
+	if (typeof key !== 'string' || key.length > longestIdempotencyKey || !printable.test(key)) {
+		throw createFailure('key-invalid', {detail: `It takes 1 to ${longestIdempotencyKey} printable characters without spaces.`});
+	}
+
+	return key;
+};
+
+/** Gets the class that the caller declares, if any. */
+export const getDeclaredClass = (request: IncomingMessage): string | undefined => {
+	const name = request.headers['x-class'];
+	return typeof name === 'string' && name !== '' ? name : undefined;
+};
