--- /dev/null
+++ b/packages/model/src/checks.ts
@@ -0,0 +1,5 @@
+import {claimChecks} from './claims/checks.js';
+import type {Check} from './specification.js';
+
+/** All checks of all specifications. A specification adds its own list here. */
+export const checks: Check[] = [...claimChecks];
--- /dev/null
+++ b/packages/model/src/explore.ts
@@ -0,0 +1,65 @@
+import {fromTransition} from 'xstate';
+import {getAdjacencyMap} from 'xstate/graph';
+import type {Exploration, Specification, Violation} from './specification.js';
+
+type Visit = {from: string; event: {type: string}};
+type Visits = Map<string, Visit>;
+
+/** Gets the events on a shortest path from the initial state to a state. */
+const getTrace = (visits: Visits, state: string): Array<{type: string}> => {
+	const trace: Array<{type: string}> = [];
+	for (let visit = visits.get(state); visit !== undefined; visit = visits.get(visit.from)) {
+		trace.unshift(visit.event);
+	}
+
+	return trace;
+};
+
+/** Everything reachable in a specification. */
+export type Graph<State> = {
+	/** States by their text, in the order of their distance from the initial one. */
+	states: Map<string, State>;
+	transitions: number;
+	/** Gets the events that lead to a state. */
+	getTrace: (state: string) => Array<{type: string}>;
+};
+
+/** Gets the graph of reachable states; throws if there are more transitions than the specification's limit. */
+export const getGraph = <State, Event extends {type: string}>(specification: Specification<State, Event>): Graph<State> => {
+	const logic = fromTransition<State, Event, never, undefined>(specification.apply, specification.initial);
+	const map = getAdjacencyMap(logic, {
+		serializeState: snapshot => JSON.stringify(snapshot.context),
+		events: snapshot => specification.getEvents(snapshot.context),
+		limit: specification.transitionLimit,
+	});
+	const states = new Map<string, State>();
+	const visits: Visits = new Map();
+	const initial = JSON.stringify(specification.initial);
+	let transitions = 0;
+	for (const [key, {state, transitions: outgoing}] of Object.entries(map)) {
+		states.set(key, state.context);
+		for (const {event, state: next} of Object.values(outgoing)) {
+			transitions++;
+			const target = JSON.stringify(next.context);
+			if (target !== initial && !visits.has(target)) {
+				visits.set(target, {from: key, event});
+			}
+		}
+	}
+
+	return {states, transitions, getTrace: state => getTrace(visits, state)};
+};
+
+/** Explores every reachable state of a specification and checks its invariants in each; gets the nearest violation of each. */
+export const explore = <State, Event extends {type: string}>(specification: Specification<State, Event>): Exploration => {
+	const graph = getGraph(specification);
+	const violations: Violation[] = [];
+	for (const {name, holds} of specification.invariants) {
+		const broken = [...graph.states].find(([, state]) => !holds(state));
+		if (broken !== undefined) {
+			violations.push({invariant: name, trace: graph.getTrace(broken[0])});
+		}
+	}
+
+	return {states: graph.states.size, transitions: graph.transitions, violations};
+};
