Add the client of model engines and application services

Hosts need one way to reach upstreams that says what each ending proves. The client streams whole events without decoding them, holds the engine back for a slow reader, and tells apart refused, unreachable, reset, silent, incomplete and finished.

--- /dev/null
+++ b/packages/upstream/src/client.ts
@@ -0,0 +1,50 @@
+import type {Clock} from '@gentianlift/clock';
+import type {
+	Address, FencedOrder, LoadReport, OrderOutcome, RequestId, SilenceLimits, UpstreamSighting,
+} from '@gentianlift/types';
+import {callService, type ServiceAnswer, type ServiceCall} from './commands/call-service.js';
+import {cancelGeneration} from './commands/cancel-generation.js';
+import {generate, type Generation, type GenerationCall} from './commands/generate.js';
+import {exportCache, importCache} from './commands/move-cache.js';
+import {sendOrder} from './commands/send-order.js';
+import type {CallFailure} from './outcome.js';
+import {checkHealth} from './queries/check-health.js';
+import {readCacheEvents, type CacheEventPage} from './queries/read-cache-events.js';
+import {readLoad} from './queries/read-load.js';
+import {createPool} from './wire/pool.js';
+
+/** Calls to upstreams. None throws, and none sends a request twice. */
+export type UpstreamClient = {
+	generate: (call: GenerationCall) => Promise<Generation | CallFailure>;
+	cancelGeneration: (address: Address, request: RequestId) => Promise<boolean>;
+	callService: (call: ServiceCall) => Promise<ServiceAnswer | CallFailure>;
+	sendOrder: (address: Address, order: FencedOrder) => Promise<OrderOutcome>;
+	exportCache: (address: Address, chunk: string) => Promise<boolean>;
+	importCache: (address: Address, wanted: {chunk: string; from: Address}) => Promise<boolean>;
+	readLoad: (address: Address) => Promise<LoadReport | undefined>;
+	readCacheEvents: (address: Address, after: number) => Promise<CacheEventPage | undefined>;
+	checkHealth: (address: Address) => Promise<UpstreamSighting['kind']>;
+	/** Closes all connections. */
+	close: () => void;
+};
+
+/** What the client needs. */
+export type UpstreamClientOptions = {clock: Clock; silenceLimits: SilenceLimits};
+
+/** Creates a client with its own pool of connections. */
+export const createUpstreamClient = ({clock, silenceLimits}: UpstreamClientOptions): UpstreamClient => {
+	const pool = createPool();
+	const context = {clock, pool};
+	return {
+		generate: async call => generate(context, silenceLimits, call),
+		cancelGeneration: async (address, request) => cancelGeneration(context, address, request),
+		callService: async call => callService(context, silenceLimits, call),
+		sendOrder: async (address, order) => sendOrder(context, address, order),
+		exportCache: async (address, chunk) => exportCache(context, address, chunk),
+		importCache: async (address, wanted) => importCache(context, address, wanted),
+		readLoad: async address => readLoad(context, address),
+		readCacheEvents: async (address, after) => readCacheEvents(context, address, after),
+		checkHealth: async address => checkHealth(context, address),
+		close: pool.close,
+	};
+};
