Add stand-ins for engine, application service, key-value service, host list and weight store

The thin path needs something to route to. Each stand-in is a function that listens on a loopback port and a sub-command of one process.

--- /dev/null
+++ b/packages/fakes/src/key-value/index.ts
@@ -0,0 +1,3 @@
+export * from './key-value.js';
+export * from './store.js';
+export * from './limit.js';
--- /dev/null
+++ b/packages/fakes/src/main.ts
@@ -0,0 +1,96 @@
+import process from 'node:process';
+import {defineCommand, runMain} from 'citty';
+import {createEngine} from './engine/index.js';
+import {createHostList} from './host-list.js';
+import {createKeyValue} from './key-value/index.js';
+import type {Listener} from './listener.js';
+import {createService} from './service.js';
+import {createWeightStore} from './weight-store.js';
+
+type Running = {listener: Listener; close: () => Promise<void>};
+
+const port = {type: 'string', description: 'Port to listen on; 0 lets the system choose', default: '0'} as const;
+
+const run = async ({listener, close}: Running): Promise<void> => {
+	process.stdout.write(`listening ${listener.address}\n`);
+	process.once('SIGTERM', () => {
+		void close();
+	});
+};
+
+const getList = (text: string): string[] => text.split(',').filter(item => item !== '');
+
+const engine = defineCommand({
+	meta: {name: 'engine', description: 'Model engine'},
+	args: {
+		port,
+		models: {type: 'string', description: 'Loaded models, separated by commas', default: 'chat'},
+		adapters: {type: 'string', description: 'Loaded adapters, separated by commas', default: ''},
+		slots: {type: 'string', description: 'Generations that run at once', default: '16'},
+		step: {type: 'string', description: 'Milliseconds of one token in an empty batch', default: '20'},
+		stepPerRunning: {type: 'string', description: 'Milliseconds that each running generation adds', default: '0.5'},
+		fencing: {
+			type: 'enum', options: ['checked', 'ignored'], description: 'Whether old fencing numbers are refused', default: 'checked',
+		},
+		weightStore: {type: 'string', description: 'URL of the weight store', default: ''},
+		timeFactor: {type: 'string', description: 'Speed of the engine against the clock', default: '1'},
+		seed: {type: 'string', description: 'Seed of random choices', default: '1'},
+	},
+	run: async ({args}) => run(await createEngine({
+		port: Number(args.port),
+		models: getList(args.models),
+		adapters: getList(args.adapters),
+		slots: Number(args.slots),
+		stepTime: Number(args.step),
+		stepTimePerRunning: Number(args.stepPerRunning),
+		fencing: args.fencing,
+		weightStoreUrl: args.weightStore === '' ? undefined : args.weightStore,
+		timeFactor: Number(args.timeFactor),
+		seed: Number(args.seed),
+	})),
+});
+
+const service = defineCommand({
+	meta: {name: 'service', description: 'Application service'},
+	args: {
+		port,
+		time: {type: 'string', description: 'Milliseconds of one call', default: '80'},
+		slots: {type: 'string', description: 'Calls at once', default: '8'},
+	},
+	run: async ({args}) => run(await createService({
+		port: Number(args.port), serviceTime: Number(args.time), slots: Number(args.slots),
+	})),
+});
+
+const keyValue = defineCommand({
+	meta: {name: 'key-value', description: 'Key-value service'},
+	args: {
+		port,
+		writes: {type: 'string', description: 'Writes a second', default: '400'},
+		reads: {type: 'string', description: 'Reads a second', default: '2000'},
+	},
+	run: async ({args}) => run(await createKeyValue({
+		port: Number(args.port), writesPerSecond: Number(args.writes), readsPerSecond: Number(args.reads),
+	})),
+});
+
+const hostList = defineCommand({
+	meta: {name: 'host-list', description: 'Host list'},
+	args: {port, lag: {type: 'string', description: 'Milliseconds until a change is shown', default: '1000'}},
+	run: async ({args}) => run(await createHostList({port: Number(args.port), lag: Number(args.lag)})),
+});
+
+const weightStore = defineCommand({
+	meta: {name: 'weight-store', description: 'Weight store'},
+	args: {port, rate: {type: 'string', description: 'Bytes a second that all loads share', default: '2000000000'}},
+	run: async ({args}) => run(await createWeightStore({port: Number(args.port), bytesPerSecond: Number(args.rate)})),
+});
+
+const main = defineCommand({
+	meta: {name: 'fakes', description: 'Stand-ins of the systems outside, each on a loopback port'},
+	subCommands: {
+		engine, service, 'key-value': keyValue, 'host-list': hostList, 'weight-store': weightStore,
+	},
+});
+
+await runMain(main);
