--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,1 +1,2 @@
-
+// Each bench has its own folder, whose index exports one command.
+export {overhead} from './overhead/index.js';
--- /dev/null
+++ b/packages/bench/src/overhead/index.ts
@@ -0,0 +1,1 @@
+export {overhead} from './command.js';
