--- a/packages/policy/src/floors.ts
+++ b/packages/policy/src/floors.ts
@@ -24,16 +24,18 @@
 	new Map(demands.map(demand => [demand.rank, getDebt(debts.get(demand.rank) ?? 0, demand, slots, elapsed)]));
 
 /**
- * Gets the ranks whose floor is due. At any moment all floors together take at most
+ * Gets the ranks whose floor is due, the most owed for its floor first. At any moment all floors together take at most
  * `getFloorSlots` slots ahead of a higher tier, and a rank's own floor at most its share rounded up.
  */
-export const getFloorsDue = (debts: FloorDebts, demands: readonly FloorDemand[], slots: number): ReadonlySet<Rank> => {
+export const getFloorsDue = (debts: FloorDebts, demands: readonly FloorDemand[], slots: number): Rank[] => {
 	const used = demands.reduce((sum, demand) => sum + Math.min(demand.running, Math.ceil(demand.floor * slots)), 0);
 	if (used >= getFloorSlots(demands, slots)) {
-		return new Set();
+		return [];
 	}
 
-	return new Set(demands.filter(demand => isDue(debts, demand, slots)).map(({rank}) => rank));
+	const due = demands.filter(demand => isDue(debts, demand, slots));
+	const getOwed = ({rank, floor}: FloorDemand): number => (debts.get(rank) ?? 0) / floor;
+	return due.toSorted((first, second) => getOwed(second) - getOwed(first)).map(({rank}) => rank);
 };
 
 /** Gets the most slots that floors of the lower tiers take together ahead of higher ones. */
--- /dev/null
+++ b/packages/policy/src/policy.test.ts
@@ -0,0 +1,168 @@
+import fc from 'fast-check';
+import {expect, test} from 'vitest';
+import {createRandom} from '@gentianlift/clock';
+import type {
+	Configuration, Customer, RequestClass, Ticket, Work,
+} from '@gentianlift/types';
+import {
+	applyCrash, applyFinish, applySample, type Candidate, chooseUpstream, classifyRequest, createEstimate, decideRetry, type Facts, type FailedAttempt, getBackoff,
+	getCautious, getFingerprint, getGroups, getLoad, getPrefixDigests, getSuspectStanding, getTargetsAt, groupSize, isTransferFaster, type Suspects,
+} from './index.js';
+
+const customer: Customer = {
+	id: 'yard', keyDigests: [], weight: 1, timeZone: 'Europe/Athens', limits: {requestsPerSecond: 1, tokensPerSecond: 1, concurrency: 1}, classes: ['quote', 'order'],
+};
+const quote: RequestClass = {
+	name: 'quote', tier: 'high', idempotent: true, match: {models: ['m']}, expectedTokens: 10, retryShare: 0.1,
+	hours: [{from: '08:00', to: '18:00', targets: {firstToken: 500}}, {from: '18:00', to: '08:00', targets: {firstToken: 5000}}],
+};
+const order: RequestClass = {
+	...quote, name: 'order', idempotent: false, match: {service: 'cuts', method: 'POST', pathPrefix: '/v1/services/cuts/orders'}, hours: [],
+};
+const engine = {
+	address: 'x', zone: 'a', models: ['m'], adapters: [], role: 'mixed' as const, accelerators: 1, slots: 4, fencing: 'checked' as const,
+};
+const configuration: Configuration = {
+	inventory: {
+		engines: Array.from({length: 19}, (_, index) => ({...engine, id: `e${index}`, models: index % 2 === 0 ? ['m'] : ['m', 'n']})),
+		models: [{name: 'm', bytes: 1, contextTokens: 1}], adapters: [], services: [{name: 'cuts', instances: []}], customers: [customer],
+	},
+	rules: {tiers: [{name: 'high', outranks: [], floor: 0}], classes: [quote, order]},
+};
+const generation: Work = {
+	kind: 'generation', model: 'm', promptTokens: 1, maxTokens: 1, stream: true, prefix: [],
+};
+const facts: Facts = {
+	id: 'r', customer, arrivedAt: Date.UTC(2026, 0, 5, 7), method: 'POST', path: '/v1/chat/completions', work: generation, digest: '', fingerprint: '',
+};
+
+test('reads hours on the clocks of the customer, across the change of clocks', () => {
+	const at = (text: string) => getTargetsAt(quote, customer, Date.parse(text)).firstToken;
+	expect(at('2026-03-28T06:30:00Z')).toBe(500);
+	expect(at('2026-03-28T05:30:00Z')).toBe(5000);
+	expect(at('2026-03-29T05:30:00Z')).toBe(500);
+	expect(at('2026-03-29T15:00:00Z')).toBe(5000);
+	expect(at('2026-10-25T05:30:00Z')).toBe(5000);
+});
+
+test('classifies by what is declared, allowed and matched', () => {
+	expect(classifyRequest(configuration, facts)).toMatchObject({kind: 'classified', request: {className: 'quote', rank: 0, deadline: facts.arrivedAt + 500}});
+	expect(classifyRequest(configuration, {...facts, declaredClass: 'x'})).toMatchObject({error: 'unknown-class'});
+	expect(classifyRequest(configuration, {...facts, declaredClass: 'order'})).toMatchObject({error: 'class-not-allowed'});
+	expect(classifyRequest(configuration, {...facts, work: {...generation, model: 'x'}})).toMatchObject({error: 'unknown-model'});
+	const call: Work = {
+		kind: 'call', service: 'cuts', method: 'POST', path: '/orders',
+	};
+	const path = '/v1/services/cuts/orders';
+	expect(classifyRequest(configuration, {...facts, work: call, path})).toMatchObject({error: 'key-missing'});
+	expect(classifyRequest(configuration, {
+		...facts, work: call, path, idempotencyKey: 'k',
+	})).toMatchObject({kind: 'classified', request: {className: 'order', idempotent: false}});
+});
+
+test('cuts upstreams into groups the same way in any order', () => {
+	const {inventory} = configuration;
+	fc.assert(fc.property(fc.shuffledSubarray(inventory.engines, {minLength: inventory.engines.length}), engines => {
+		const groups = getGroups({...configuration, inventory: {...inventory, engines}});
+		expect(groups).toEqual(getGroups(configuration));
+		expect(groups.flatMap(group => group.upstreams)).toHaveLength(19);
+		expect(groups.every(group => group.upstreams.length <= groupSize)).toBe(true);
+	}), {seed: 1, numRuns: 20});
+});
+
+const attemptArbitrary: fc.Arbitrary<FailedAttempt> = fc.record({
+	ran: fc.constantFrom('ran', 'not-run', 'unknown'), idempotent: fc.boolean(),
+	attempts: fc.integer({min: 1, max: 6}), slack: fc.integer({min: -100, max: 5000}), expectedDuration: fc.nat(2000), resumable: fc.boolean(), withinBudget: fc.boolean(),
+});
+
+test('retries only what is safe, within budget and deadline', () => {
+	fc.assert(fc.property(attemptArbitrary, fc.double({min: 0, max: 1, noNaN: true}), (attempt, chance) => {
+		const decision = decideRetry(attempt, chance);
+		if (decision.kind === 'retry') {
+			expect(attempt.idempotent || attempt.ran === 'not-run').toBe(true);
+			expect(attempt.withinBudget).toBe(true);
+			expect(decision.delay + attempt.expectedDuration).toBeLessThanOrEqual(attempt.slack);
+		}
+	}), {seed: 1, numRuns: 1000});
+});
+
+test('backs off further each time up to a bound', () => {
+	expect([1, 2, 3].map(attempts => getBackoff(attempts, 1))).toEqual([50, 100, 200]);
+	expect(getBackoff(30, 1)).toBe(2000);
+	expect(getBackoff(1, 0)).toBe(25);
+});
+
+test('finds the guilty by two crashes and clears who finishes', () => {
+	let suspects: Suspects = applyCrash(new Map(), 'e0', ['guilty', 'innocent', 'guilty'], 0);
+	expect(getSuspectStanding(suspects, 'guilty', 1)).toBe('suspected');
+	suspects = applyFinish(suspects, 'innocent');
+	suspects = applyCrash(suspects, 'e1', ['guilty'], 10);
+	expect(['guilty', 'innocent'].map(name => getSuspectStanding(suspects, name, 20))).toEqual(['guilty', 'clear']);
+	expect(getSuspectStanding(suspects, 'guilty', 10_000_000)).toBe('clear');
+});
+
+test('same fingerprint whatever the case and white space', () => {
+	expect(getFingerprint('m', 'Cut  the\nPLATE ')).toBe(getFingerprint('m', 'cut the plate'));
+	expect(getFingerprint('m', 'a')).not.toBe(getFingerprint('n', 'a'));
+});
+
+test('prefix digests agree as far as prompts do', () => {
+	const text = 'x'.repeat(3000);
+	const [first, second] = [`${text}a`, `${text.slice(0, 2500)}b`].map(prompt => getPrefixDigests('m', prompt));
+	expect(first!.slice(0, 2)).toEqual(second!.slice(0, 2));
+	expect(getPrefixDigests('n', text)[0]).not.toBe(first![0]);
+});
+
+const createCandidate = (id: string, change: Partial<Candidate> = {}): Candidate => ({
+	upstream: {
+		id, kind: 'engine', zone: 'a', role: 'mixed', slots: 8, holds: new Set(['model:m']),
+	}, available: true, load: 0, slots: 8, relativeSpeed: 1, prefixes: new Set(), hasSuspect: false, ...change,
+});
+const ticket: Ticket = {
+	request: 'r', attempt: 1, customer: 'c', weight: 1, className: 'k', rank: 0, slack: 0, waited: 0,
+	expectedTokens: 0, promptTokens: 0, needs: ['model:m'], prefix: ['p', 'q'], avoid: [], isolated: false, idempotent: true, fingerprint: '',
+};
+const choose = (candidates: Candidate[], change: Partial<Ticket> = {}) =>
+	chooseUpstream(candidates, {...ticket, ...change}, createRandom(1), {usePrefix: true, useSpeed: true});
+
+test('prefers the held prefix until load outweighs it', () => {
+	const held = {prefixes: new Set(['p', 'q'])};
+	expect(choose([createCandidate('a'), createCandidate('b', {...held, load: 3})])).toBe('b');
+	expect(choose([createCandidate('a'), createCandidate('b', {...held, load: 5})])).toBe('a');
+});
+
+test('never chooses the full, the avoided, the straggler or one with a suspect for a suspect', () => {
+	expect(choose([createCandidate('a', {load: 8}), createCandidate('b', {available: false})])).toBeUndefined();
+	expect(choose([createCandidate('a')], {avoid: ['a']})).toBeUndefined();
+	expect(choose([createCandidate('a')], {needs: ['model:x']})).toBeUndefined();
+	expect(choose([createCandidate('a', {hasSuspect: true})], {isolated: true})).toBeUndefined();
+	expect(choose([createCandidate('a', {relativeSpeed: 0.3}), createCandidate('b', {load: 6})])).toBe('b');
+});
+
+test('counts what others have by the report, but not twice what is ours', () => {
+	const report = {
+		at: 0, running: 6, waiting: 1, cacheUse: 0, tokensPerSecond: 0, models: [], adapters: [], role: 'mixed' as const, leaving: false,
+	};
+	expect(getLoad(5, 4, report)).toBe(8);
+	expect(getLoad(5, 9, report)).toBe(5);
+	expect(getLoad(5, 0, undefined)).toBe(5);
+});
+
+test('estimates follow the samples', () => {
+	let estimate = createEstimate(1000);
+	for (let index = 0; index < 100; index++) {
+		estimate = applySample(estimate, index % 2 === 0 ? 80 : 120);
+	}
+
+	expect(estimate.mean).toBeGreaterThan(90);
+	expect(estimate.mean).toBeLessThan(110);
+	expect(getCautious(estimate)).toBeGreaterThan(110);
+});
+
+test('moves a long prefix and computes a short one', () => {
+	const transfer = {
+		bytesPerToken: 100_000, bytesPerMillisecond: 1_000_000, overhead: 50, prefill: 0.3,
+	};
+	expect(isTransferFaster({...transfer, prefixTokens: 4000})).toBe(true);
+	expect(isTransferFaster({...transfer, prefixTokens: 100})).toBe(false);
+});
--- a/packages/policy/src/shares.ts
+++ b/packages/policy/src/shares.ts
@@ -1,7 +1,7 @@
 import type {CustomerId, Milliseconds, Rank} from '@gentianlift/types';
 
 /** Service by which a customer may be ahead of another before it is served after it. */
-export const shareStep: Milliseconds = 2000;
+export const shareStep: Milliseconds = 500;
 
 /** Weighted service that each customer has had inside each rank, as virtual times. */
 export type Shares = {
@@ -37,9 +37,9 @@
 	}
 };
 
-/** Gets how many steps each waiting customer of a rank is ahead of the one that had least. */
+/** Gets how far each waiting customer of a rank is ahead of the one that had least, in steps. */
 export const getLeads = (shares: Shares, rank: Rank, customers: ReadonlySet<CustomerId>): ReadonlyMap<CustomerId, number> => {
 	const times = [...customers].map(customer => [customer, getVirtualTime(shares, rank, customer)] as const);
 	const least = Math.min(...times.map(([, time]) => time));
-	return new Map(times.map(([customer, time]) => [customer, Math.floor((time - least) / shareStep)]));
+	return new Map(times.map(([customer, time]) => [customer, (time - least) / shareStep]));
 };
--- a/packages/scheduler/src/client/ordered-client.ts
+++ b/packages/scheduler/src/client/ordered-client.ts
@@ -1,7 +1,7 @@
 import type {Cancel} from '@gentianlift/clock';
 import {getGroupsFor} from '@gentianlift/policy';
 import type {
-	ClassifiedRequest, Decision, GrantAnswer, GroupId, Milliseconds, RequestId, TicketEnd,
+	ClassifiedRequest, Decision, GrantAnswer, GroupId, Milliseconds, Rank, RequestId, TicketEnd,
 } from '@gentianlift/types';
 import {chooseGroup, createWaitDigests} from './choose-group.js';
 import {Exchange} from './exchange.js';
@@ -46,7 +46,7 @@
 		const {clock} = this.#options;
 		const ticket = getTicket(request, options, clock.now());
 		const bytes = options.bytes ?? 0;
-		if (this.#waiting >= mostHostWaiting || this.#bytes + bytes > mostHostBytes) {
+		if (!this.#makeRoom(ticket.rank, bytes)) {
 			return this.#getRefusal('queue-full');
 		}
 
@@ -100,7 +100,33 @@
 		return {kind: 'shed', reason, retryAfter: defaultRetryAfter};
 	}
 
-	#chooseGroup(needs: readonly string[], rank: number, except?: GroupId): GroupId | undefined {
+	/** Refuses waiting requests of lower ranks, the newest of the lowest first, while the host holds too much. */
+	#makeRoom(rank: Rank, bytes: number): boolean {
+		while (this.#waiting >= mostHostWaiting || this.#bytes + bytes > mostHostBytes) {
+			const lowest = this.#getLowest(rank);
+			if (lowest === undefined) {
+				return false;
+			}
+
+			this.#settle(lowest, this.#getRefusal('queue-full'));
+			this.#sendEnd(lowest.group, getWithdrawal(lowest.ticket));
+		}
+
+		return true;
+	}
+
+	#getLowest(above: Rank): Pending | undefined {
+		let lowest: Pending | undefined;
+		for (const pending of this.#pendings.values()) {
+			if (pending.upstream === undefined && pending.rank > above && pending.rank >= (lowest?.rank ?? 0)) {
+				lowest = pending;
+			}
+		}
+
+		return lowest;
+	}
+
+	#chooseGroup(needs: readonly string[], rank: Rank, except?: GroupId): GroupId | undefined {
 		const {clock, random, getGroups} = this.#options;
 		const groups = getGroupsFor(getGroups(), needs).filter(({id}) => id !== except);
 		const now = clock.monotonic();
--- a/packages/scheduler/src/owner/commands/entries.ts
+++ b/packages/scheduler/src/owner/commands/entries.ts
@@ -1,11 +1,14 @@
-import {applyService, applyTurn, getSuspectStanding} from '@gentianlift/policy';
+import {
+	applyService, applyTurn, getSuspectStanding, hasNeeds,
+} from '@gentianlift/policy';
 import type {
 	Decision, HostId, ShedReason, Ticket, UpstreamId,
 } from '@gentianlift/types';
 import type {Pick} from '../grant-queue.js';
+import {getPrecedence} from '../queries/precedence.js';
 import {getExpectedService} from '../queries/times.js';
 import {
-	type Entry, getEntryKey, type GroupState, type UpstreamState,
+	type Entry, getEntryKey, getWaiting, type GroupState, type UpstreamState,
 } from '../state.js';
 import {advanceTime} from './time.js';
 
@@ -29,7 +32,7 @@
 	state.entries.set(ticket.request, entry);
 	const controller = new AbortController();
 	entry.finish = () => {
-		controller.abort();
+		controller.abort('ended');
 	};
 
 	void run(state, entry, controller.signal);
@@ -48,6 +51,7 @@
 /** Grants a slot to an entry that waits. */
 export const place = (state: GroupState, {entry, upstream}: Pick): void => {
 	const {ticket} = entry;
+	countOvertaking(state, entry, upstream);
 	setRunning(state, entry, upstream);
 	applyTurn(state.shares, ticket.rank, ticket.customer);
 	applyService(state.shares, ticket.rank, {customer: ticket.customer, weight: ticket.weight, service: getExpectedService(state, ticket)});
@@ -79,6 +83,10 @@
 /** Refuses a waiting entry for good. */
 export const shed = (state: GroupState, entry: Entry, reason: ShedReason, retryAfter: number): void => {
 	const {request, attempt, rank} = entry.ticket;
+	if (reason !== 'no-upstream' && getWaiting(state).some(other => other.ticket.rank > rank)) {
+		state.context.metrics.count('sheds_while_lower_waits', {reason, rank: String(rank)});
+	}
+
 	removeEntry(state, entry);
 	markEnded(state, request, attempt);
 	send(state, entry.host, {
@@ -114,6 +122,17 @@
 	}
 };
 
+/** Counts grants to an entry while a higher rank waits that could run there; only floors may do that. */
+const countOvertaking = (state: GroupState, {ticket}: Entry, id: UpstreamId): void => {
+	const upstream = state.upstreams.get(id)?.upstream;
+	const isOvertaken = ({ticket: other}: Entry): boolean =>
+		other.rank < ticket.rank && !other.isolated && !other.avoid.includes(id) && upstream !== undefined && hasNeeds(upstream, other.needs);
+	if (getWaiting(state).some(other => isOvertaken(other))) {
+		const isFloor = getPrecedence(state, []).floorsDue.includes(ticket.rank);
+		state.context.metrics.count('grants_past_higher', {by: isFloor ? 'floor' : 'other'});
+	}
+};
+
 const createEntry = (state: GroupState, ticket: Ticket, origin: Origin): Entry => {
 	const {clock, suspects} = state.context;
 	const now = clock.monotonic();
--- a/packages/scheduler/src/owner/commands/messages.ts
+++ b/packages/scheduler/src/owner/commands/messages.ts
@@ -17,11 +17,13 @@
 		applyEnd(state, end);
 	}
 
+	// What runs already takes its slots before new tickets can be granted them.
+	const unknown = message.held !== undefined && isNewest ? applyHeld(state, message.held, origin) : [];
 	for (const ticket of message.asks) {
 		applyAsk(state, ticket, origin);
 	}
 
-	return message.held !== undefined && isNewest ? applyHeld(state, message.held, origin) : [];
+	return unknown.filter(request => !message.asks.some(ticket => ticket.request === request));
 };
 
 const applySequence = (state: GroupState, {host, incarnation, sequence}: Origin): boolean => {
@@ -93,7 +95,9 @@
 		}
 	}
 
-	return held.filter(item => !applyHeldTicket(state, item, origin)).map(({request}) => request);
+	const running = held.filter(({upstream}) => upstream !== undefined);
+	const waiting = held.filter(({upstream}) => upstream === undefined);
+	return [...running, ...waiting].filter(item => !applyHeldTicket(state, item, origin)).map(({request}) => request);
 };
 
 const applyHeldTicket = (state: GroupState, {request, attempt, upstream, ticket}: HeldTicket, origin: Origin): boolean => {
--- a/packages/scheduler/src/owner/commands/preempt.ts
+++ b/packages/scheduler/src/owner/commands/preempt.ts
@@ -1,13 +1,11 @@
-import {compareWaiting, getFitting, hasNeeds} from '@gentianlift/policy';
+import {type Candidate, hasNeeds} from '@gentianlift/policy';
 import type {Milliseconds, Rank} from '@gentianlift/types';
-import {getCandidates, getLoaded} from '../queries/candidates.js';
-import {getPrecedence} from '../queries/precedence.js';
+import {getCandidates, hasSlot} from '../queries/candidates.js';
 import {
 	getEstimates, getRemaining, getTimeToTarget, isService,
 } from '../queries/times.js';
-import {
-	type Entry, getSlots, getWaiting, type GroupState,
-} from '../state.js';
+import {getInOrder} from '../queries/waits.js';
+import {type Entry, getSlots, type GroupState} from '../state.js';
 import {send} from './entries.js';
 
 /** How often one request may yield. */
@@ -23,14 +21,13 @@
 		return;
 	}
 
-	const waiting = getWaiting(state);
-	const precedence = getPrecedence(state, waiting);
-	const inOrder = waiting.toSorted((first, second) => compareWaiting(first, second, precedence)).slice(0, mostLooked);
+	const inOrder = getInOrder(state).slice(0, mostLooked);
+	const candidates = inOrder.length === 0 ? [] : getCandidates(state);
 	let underWay = [...state.entries.values()].filter(entry => entry.state.kind === 'running' && entry.state.yielding).length;
 	for (const entry of inOrder) {
 		if (underWay > 0) {
 			underWay--;
-		} else if (isTight(state, entry)) {
+		} else if (isTight(state, entry, candidates)) {
 			yieldTo(state, entry);
 		}
 	}
@@ -48,9 +45,8 @@
 };
 
 /** Whether the entry misses its target unless a slot comes free before its time. */
-const isTight = (state: GroupState, entry: Entry): boolean => {
-	const candidates = getLoaded(state, getCandidates(state), entry.ticket);
-	if (getFitting(candidates, entry.ticket).length > 0) {
+const isTight = (state: GroupState, entry: Entry, candidates: readonly Candidate[]): boolean => {
+	if (hasSlot(state, candidates, entry.ticket)) {
 		return false;
 	}
 
--- a/packages/scheduler/src/owner/commands/review.ts
+++ b/packages/scheduler/src/owner/commands/review.ts
@@ -10,9 +10,21 @@
 /** How long the end of an attempt is remembered. */
 const endedExpiry: Milliseconds = 60_000;
 
+/** Least time between two reviews of a group. */
+const leastInterval: Milliseconds = 20;
+
+/** Grants what has a slot now, and looks through the group unless that was done a moment ago. */
+export const reviewSoon = (state: GroupState): void => {
+	kick(state);
+	if (state.context.clock.monotonic() - state.reviewedAt >= leastInterval) {
+		review(state);
+	}
+};
+
 /** Looks through a group: drops what has expired, refuses what can't be served in time, and asks runs to yield. */
 export const review = (state: GroupState): void => {
 	advanceTime(state);
+	state.reviewedAt = state.context.clock.monotonic();
 	expire(state);
 	shedExcess(state);
 	shedLate(state);
--- a/packages/scheduler/src/owner/commands/shed.ts
+++ b/packages/scheduler/src/owner/commands/shed.ts
@@ -1,10 +1,11 @@
-import type {Milliseconds, ShedReason} from '@gentianlift/types';
+import {type Candidate, hasNeeds} from '@gentianlift/policy';
+import type {Milliseconds, ShedReason, Ticket} from '@gentianlift/types';
 import {getCandidates} from '../queries/candidates.js';
 import {
-	getCautiousTimeToTarget, getExpectedService, getTimeToTarget, getWaitBehind, isLearned,
+	getCautiousTimeToTarget, getExpectedService, getOutlook, getTimeToTarget, getWaitBehind, isLearned,
 } from '../queries/times.js';
-import {getInOrder, getWaitAfter} from '../queries/waits.js';
-import type {Entry, GroupState} from '../state.js';
+import {getInOrder, getWaits} from '../queries/waits.js';
+import {type Entry, getWaiting, type GroupState} from '../state.js';
 import {shed} from './entries.js';
 
 /** Most waiting tickets of a group. */
@@ -19,30 +20,37 @@
 
 /** Refuses the waiting entries that can't be served in time. */
 export const shedLate = (state: GroupState): void => {
-	const waiting = getInOrder(state);
-	if (waiting.length === 0) {
+	const inOrder = getInOrder(state);
+	if (inOrder.length === 0) {
 		return;
 	}
 
-	const hasAdmission = !state.context.without.has('admission');
-	for (const entry of waiting) {
-		const reason = getPlainReason(state, entry, hasAdmission);
+	const candidates = getCandidates(state);
+	const waits = getWaits(state, inOrder);
+	for (const entry of inOrder) {
+		const reason = getPlainReason(state, entry, candidates);
 		if (reason !== undefined) {
-			shed(state, entry, reason, getRetryTime(state, entry, getWaitAfter(state, entry, waiting)));
+			shed(state, entry, reason, getRetryTime(state, entry, waits.get(entry) ?? 0));
 		}
 	}
 
-	if (hasAdmission) {
-		shedUnreachable(state);
+	if (!state.context.without.has('admission')) {
+		shedUnreachable(state, inOrder.filter(({ticket}) => state.entries.has(ticket.request)));
 	}
 };
 
 /** Refuses the last of the lowest rank while more wait than the queue holds. */
 export const shedExcess = (state: GroupState): void => {
-	const waiting = getInOrder(state);
-	const excess = waiting.toSorted((first, second) => first.ticket.rank - second.ticket.rank).slice(mostWaiting);
-	for (const entry of excess) {
-		shed(state, entry, 'queue-full', getRetryTime(state, entry, getWaitAfter(state, entry, waiting)));
+	const waiting = getWaiting(state);
+	if (waiting.length <= mostWaiting) {
+		return;
+	}
+
+	const inOrder = getInOrder(state);
+	const waits = getWaits(state, inOrder);
+	const excess = inOrder.toSorted((first, second) => first.ticket.rank - second.ticket.rank).slice(mostWaiting);
+	for (const entry of excess.toReversed()) {
+		shed(state, entry, 'queue-full', getRetryTime(state, entry, waits.get(entry) ?? 0));
 	}
 };
 
@@ -50,43 +58,44 @@
  * Refuses, on the estimate alone, waiting entries of the lowest rank that waits: their wait is expected to
  * outlast their target. A higher rank is never refused this way while a lower one waits.
  */
-const shedUnreachable = (state: GroupState): void => {
-	const waiting = getInOrder(state);
-	const lowest = Math.max(...waiting.map(({ticket}) => ticket.rank));
-	const now = state.context.clock.monotonic();
+const shedUnreachable = (state: GroupState, inOrder: readonly Entry[]): void => {
+	const lowest = Math.max(...inOrder.map(({ticket}) => ticket.rank));
+	const outlook = getOutlook(state);
 	let ahead = 0;
-	let outranked = false;
-	for (const entry of waiting) {
-		const {ticket} = entry;
-		const wait = getWaitBehind(state, ticket, ahead);
-		const slack = entry.deadline - now - getCautiousTimeToTarget(state, ticket);
-		const isLate = ticket.rank === lowest && ticket.resumed !== true && isLearned(state, ticket) && wait > slack * admissionMargin;
-		if (isLate) {
-			shed(state, entry, outranked ? 'outranked' : 'deadline-unreachable', getRetryTime(state, entry, wait));
+	for (const entry of inOrder) {
+		const wait = getWaitBehind(outlook, entry.ticket.rank, ahead);
+		if (entry.ticket.rank === lowest && isUnreachable(state, entry, wait)) {
+			const isOutranked = inOrder[0] !== undefined && inOrder[0].ticket.rank < lowest;
+			shed(state, entry, isOutranked ? 'outranked' : 'deadline-unreachable', getRetryTime(state, entry, wait));
 		} else {
-			ahead += getExpectedService(state, ticket);
-			outranked ||= ticket.rank < lowest;
+			ahead += getExpectedService(state, entry.ticket);
 		}
 	}
 };
 
-const getPlainReason = (state: GroupState, entry: Entry, hasAdmission: boolean): ShedReason | undefined => {
+const isUnreachable = (state: GroupState, {ticket, deadline}: Entry, wait: Milliseconds): boolean => {
+	const slack = deadline - state.context.clock.monotonic() - getCautiousTimeToTarget(state, ticket);
+	return ticket.resumed !== true && isLearned(state, ticket) && wait > slack * admissionMargin;
+};
+
+const getPlainReason = (state: GroupState, entry: Entry, candidates: readonly Candidate[]): ShedReason | undefined => {
+	const {ticket, since, deadline} = entry;
 	const now = state.context.clock.monotonic();
-	if (now - entry.since > longestWait) {
+	if (now - since > longestWait) {
 		return 'queue-age';
 	}
 
-	if (now - entry.since > upstreamGrace && !hasUpstream(state, entry)) {
+	if (now - since > upstreamGrace && !candidates.some(candidate => mayServe(candidate, ticket))) {
 		return 'no-upstream';
 	}
 
-	const least = isLearned(state, entry.ticket) ? getTimeToTarget(state, entry.ticket) : 0;
-	const isLate = entry.deadline - now < least;
-	return hasAdmission && isLate && entry.ticket.resumed !== true ? 'deadline-unreachable' : undefined;
+	const least = isLearned(state, ticket) ? getTimeToTarget(state, ticket) : 0;
+	const isLate = !state.context.without.has('admission') && ticket.resumed !== true && deadline - now < least;
+	return isLate ? 'deadline-unreachable' : undefined;
 };
 
-const hasUpstream = (state: GroupState, {ticket}: Entry): boolean => getCandidates(state).some(candidate =>
-	candidate.available && ticket.needs.every(need => candidate.upstream.holds.has(need)) && !ticket.avoid.includes(candidate.upstream.id));
+const mayServe = ({available, upstream}: Candidate, ticket: Ticket): boolean =>
+	available && hasNeeds(upstream, ticket.needs) && !ticket.avoid.includes(upstream.id);
 
 /** Gets the time after which the same request, sent anew, is expected to meet its target. */
 const getRetryTime = (state: GroupState, entry: Entry, wait: Milliseconds): Milliseconds => {
--- a/packages/scheduler/src/owner/create-group-owner.ts
+++ b/packages/scheduler/src/owner/create-group-owner.ts
@@ -7,9 +7,9 @@
 import {recordCrash} from './commands/crash.js';
 import {send} from './commands/entries.js';
 import {applyMessage} from './commands/messages.js';
-import {kick, review} from './commands/review.js';
+import {kick, review, reviewSoon} from './commands/review.js';
 import {createGroup, updateGroup} from './create-group.js';
-import {getInOrder, getWaitAfter} from './queries/waits.js';
+import {getInOrder, getWaits} from './queries/waits.js';
 import {getGroupOverview, type GroupOverview} from './queries/overview.js';
 import type {
 	GroupState, Mechanism, OwnerContext, Standing, UpstreamState,
@@ -199,8 +199,8 @@
 
 const answer = (state: GroupState, from: HostId, message: GrantRequest, push: GroupOwnerOptions['push']): GrantAnswer => {
 	const wanted = applyMessage(state, message);
-	review(state);
-	addWaits(state, from, message);
+	reviewSoon(state);
+	sendWaits(state, from, message);
 	const decisions = state.outbox.get(from) ?? [];
 	state.outbox.delete(from);
 	flush(state, push);
@@ -209,14 +209,17 @@
 };
 
 /** Tells the host the expected wait of each ask that isn't granted at once. */
-const addWaits = (state: GroupState, from: HostId, {asks}: GrantRequest): void => {
+const sendWaits = (state: GroupState, from: HostId, {asks}: GrantRequest): void => {
 	const waiting = asks.flatMap(({request}) => state.entries.get(request) ?? []).filter(entry => entry.state.kind === 'waiting');
-	const inOrder = waiting.length === 0 ? [] : getInOrder(state);
+	if (waiting.length === 0) {
+		return;
+	}
+
+	const waits = getWaits(state, getInOrder(state));
 	for (const entry of waiting) {
 		const {request, attempt} = entry.ticket;
-		const expectedWait = Math.ceil(getWaitAfter(state, entry, inOrder));
 		send(state, from, {
-			kind: 'waiting', request, attempt, expectedWait,
+			kind: 'waiting', request, attempt, expectedWait: Math.ceil(waits.get(entry) ?? 0),
 		});
 	}
 };
--- a/packages/scheduler/src/owner/create-group.ts
+++ b/packages/scheduler/src/owner/create-group.ts
@@ -27,6 +27,7 @@
 		floorDebts: new Map(),
 		use: new Map(),
 		countedTo: now,
+		reviewedAt: now,
 		estimates: new Map(),
 		settledAt: now + settleTime,
 		slotShare,
--- a/packages/scheduler/src/owner/queries/candidates.ts
+++ b/packages/scheduler/src/owner/queries/candidates.ts
@@ -12,6 +12,8 @@
 const foreignTolerance = 2;
 /** Part of its slots that a straggler keeps, for probing it. */
 const stragglerSlots = 0.25;
+/** Part of its slots that an upstream without a load report gets while other owners' grants aren't known yet. */
+const unsettledSlots = 0.5;
 /** Most upstreams of a group that may be held as stragglers, as a part of all. */
 const mostStragglers = 0.34;
 const leastSamples = 5;
@@ -49,12 +51,13 @@
 	return !report.leaving && ticket.needs.every(need => need.startsWith('service:') || held.has(need));
 };
 
-const getUpstreamSlots = (state: GroupState, {standing, upstream}: UpstreamState, isStraggler: boolean): number => {
+const getUpstreamSlots = (state: GroupState, {standing, upstream, load}: UpstreamState, isStraggler: boolean): number => {
+	const isUnsettled = load === undefined && state.context.clock.monotonic() < state.settledAt;
 	if (standing === 'probing') {
 		return 1;
 	}
 
-	const share = state.slotShare * (isStraggler ? stragglerSlots : 1);
+	const share = state.slotShare * (isStraggler ? stragglerSlots : 1) * (isUnsettled ? unsettledSlots : 1);
 	return Math.max(1, Math.floor(upstream.slots * share));
 };
 
--- a/packages/scheduler/src/owner/queries/overview.ts
+++ b/packages/scheduler/src/owner/queries/overview.ts
@@ -1,8 +1,8 @@
 import type {
 	GroupId, Milliseconds, Rank, UpstreamId,
 } from '@gentianlift/types';
-import {getSlots, type GroupState, type Standing} from '../state.js';
-import {getNextFree} from './times.js';
+import type {GroupState, Standing} from '../state.js';
+import {getOutlook} from './times.js';
 
 /** How many tickets of a rank wait and run. */
 export type RankOverview = {rank: Rank; waiting: number; running: number};
@@ -21,8 +21,7 @@
 /** Gets the overview of a group. */
 export const getGroupOverview = (state: GroupState): GroupOverview => ({
 	group: state.group.id,
-	slots: getSlots(state),
-	nextFree: getNextFree(state),
+	...getTimes(state),
 	ranks: getRanks(state),
 	demand: getDemand(state),
 	upstreams: [...state.upstreams].map(([upstream, {standing, running, decode}]) => ({
@@ -30,6 +29,11 @@
 	})),
 });
 
+const getTimes = (state: GroupState): Pick<GroupOverview, 'slots' | 'nextFree'> => {
+	const {slots, nextFree} = getOutlook(state);
+	return {slots, nextFree};
+};
+
 const getRanks = (state: GroupState): RankOverview[] => {
 	const ranks = state.context.tiers.map((_, rank) => ({rank, waiting: 0, running: 0}));
 	for (const {ticket, state: {kind}} of state.entries.values()) {
--- a/packages/scheduler/src/owner/queries/precedence.ts
+++ b/packages/scheduler/src/owner/queries/precedence.ts
@@ -28,7 +28,7 @@
 /** Gets what the order of a group's waiting entries depends on. */
 export const getPrecedence = (state: GroupState, waiting: Iterable<Entry>): Precedence => {
 	const {without} = state.context;
-	const floorsDue = without.has('floor') ? new Set<Rank>() : getFloorsDue(state.floorDebts, getFloorDemands(state), getSlots(state));
+	const floorsDue = without.has('floor') ? [] : getFloorsDue(state.floorDebts, getFloorDemands(state), getSlots(state));
 	if (without.has('fairness')) {
 		return {floorsDue, getLead: () => 0};
 	}
--- a/packages/scheduler/src/owner/queries/times.ts
+++ b/packages/scheduler/src/owner/queries/times.ts
@@ -53,29 +53,49 @@
 	return Math.max(entry.state.expected - elapsed, elapsed * overrunShare);
 };
 
-/** Gets the time up to the first free slot of a group. */
-export const getNextFree = (state: GroupState): Milliseconds => {
+/** What a group looks like at one moment, for estimates of many waiting tickets. */
+export type Outlook = {
+	now: Milliseconds;
+	slots: number;
+	/** Time up to the first free slot. */
+	nextFree: Milliseconds;
+	/** Part of the slots that each rank can count on beside the ranks above it: what they leave, or its floor. */
+	rankShares: readonly number[];
+};
+
+/** Gets the outlook of a group now. */
+export const getOutlook = (state: GroupState): Outlook => {
 	const now = state.context.clock.monotonic();
-	const running = [...state.entries.values()].filter(entry => entry.state.kind === 'running');
-	if (running.length < Math.floor(getSlots(state))) {
-		return 0;
+	const slots = getSlots(state);
+	return {
+		now, slots, nextFree: getNextFree(state, slots, now), rankShares: state.context.tiers.map(({floor}, rank) => getRankShare(state, rank, floor)),
+	};
+};
+
+/** Gets the expected wait behind the service that is ahead. */
+export const getWaitBehind = ({slots, nextFree, rankShares}: Outlook, rank: Rank, ahead: Milliseconds): Milliseconds =>
+	getWait({
+		ahead, nextFree, slots, share: rankShares[rank] ?? 1,
+	});
+
+const getNextFree = (state: GroupState, slots: number, now: Milliseconds): Milliseconds => {
+	let running = 0;
+	let least = Number.POSITIVE_INFINITY;
+	for (const entry of state.entries.values()) {
+		if (entry.state.kind === 'running') {
+			running++;
+			least = Math.min(least, getRemaining(entry, now));
+		}
 	}
 
-	return Math.min(...running.map(entry => getRemaining(entry, now))) / Math.max(1, Math.sqrt(running.length));
+	return running < Math.floor(slots) ? 0 : least / Math.max(1, Math.sqrt(running));
 };
 
-/** Gets the part of the slots that a rank can count on beside the ranks above it: what they leave, or its floor. */
-export const getRankShare = (state: GroupState, rank: Rank): number => {
+const getRankShare = (state: GroupState, rank: Rank, floor: number): number => {
 	let above = 0;
 	for (const [other, use] of state.use) {
 		above += other < rank ? use : 0;
 	}
 
-	const floor = state.context.tiers[rank]?.floor ?? 0;
 	return Math.min(1, Math.max(floor, 1 - above, Number.EPSILON));
 };
-
-/** Gets the expected wait behind the service that is ahead. */
-export const getWaitBehind = (state: GroupState, ticket: Ticket, ahead: Milliseconds): Milliseconds => getWait({
-	ahead, nextFree: getNextFree(state), slots: getSlots(state), share: getRankShare(state, ticket.rank),
-});
--- a/packages/scheduler/src/owner/queries/waits.ts
+++ b/packages/scheduler/src/owner/queries/waits.ts
@@ -1,26 +1,26 @@
-import {compareWaiting} from '@gentianlift/policy';
+import {getServiceOrder, shareStep} from '@gentianlift/policy';
 import type {Milliseconds} from '@gentianlift/types';
 import {type Entry, getWaiting, type GroupState} from '../state.js';
 import {getPrecedence} from './precedence.js';
-import {getExpectedService, getWaitBehind} from './times.js';
+import {getExpectedService, getOutlook, getWaitBehind} from './times.js';
 
-/** Gets the waiting entries of a group in the order in which they are granted. */
+/** Gets the waiting entries of a group in the order in which they are expected to be granted. */
 export const getInOrder = (state: GroupState): Entry[] => {
 	const waiting = getWaiting(state);
 	const precedence = getPrecedence(state, waiting);
-	return waiting.toSorted((first, second) => compareWaiting(first, second, precedence));
+	const getSteps = ({ticket}: Entry): number => getExpectedService(state, ticket) / ticket.weight / shareStep;
+	return getServiceOrder(waiting, precedence, state.context.without.has('fairness') ? () => 0 : getSteps);
 };
 
-/** Gets the expected wait of an entry that stands among others in order. */
-export const getWaitAfter = (state: GroupState, entry: Entry, inOrder: readonly Entry[]): Milliseconds => {
+/** Gets the expected wait of each waiting entry, by the order in which they are granted. */
+export const getWaits = (state: GroupState, inOrder: readonly Entry[]): Map<Entry, Milliseconds> => {
+	const outlook = getOutlook(state);
+	const waits = new Map<Entry, Milliseconds>();
 	let ahead = 0;
-	for (const other of inOrder) {
-		if (other === entry) {
-			break;
-		}
-
-		ahead += getExpectedService(state, other.ticket);
+	for (const entry of inOrder) {
+		waits.set(entry, getWaitBehind(outlook, entry.ticket.rank, ahead));
+		ahead += getExpectedService(state, entry.ticket);
 	}
 
-	return getWaitBehind(state, entry.ticket, ahead);
+	return waits;
 };
--- a/packages/scheduler/src/owner/state.ts
+++ b/packages/scheduler/src/owner/state.ts
@@ -90,6 +90,8 @@
 	use: ReadonlyMap<Rank, number>;
 	/** Moment up to which debts and use are counted. */
 	countedTo: Milliseconds;
+	/** Moment of the last review. */
+	reviewedAt: Milliseconds;
 	readonly estimates: Map<string, ClassEstimates>;
 	/** Moment from which other owners' grants are taken to be known. */
 	settledAt: Milliseconds;
