--- /dev/null
+++ b/packages/router/src/callers/caller-stream.ts
@@ -0,0 +1,76 @@
+import type {OutgoingHttpHeaders, ServerResponse} from 'node:http';
+import type {Clock} from '@gentianlift/clock';
+import type {Milliseconds} from '@gentianlift/types';
+
+/** The caller's side of an answer under way. */
+export type CallerStream = {
+	/** Sends the head of the answer, once. */
+	begin: (status: number, headers: OutgoingHttpHeaders) => void;
+	/** Sends bytes; undefined if more may follow at once, else a promise of whether the caller still reads. */
+	write: (bytes: Uint8Array) => Promise<boolean> | undefined;
+	end: () => void;
+	hasBegun: () => boolean;
+	/** Aborted when the caller has gone, or has read nothing for too long. */
+	gone: AbortSignal;
+};
+
+/** Creates the caller's side of an answer. A caller that reads nothing for `silence` is taken as gone. */
+export const createCallerStream = (response: ServerResponse, clock: Clock, silence: Milliseconds): CallerStream => {
+	const gone = new AbortController();
+	response.once('close', () => {
+		if (!response.writableFinished) {
+			gone.abort();
+		}
+	});
+
+	const waitForDrain = async (): Promise<boolean> => new Promise(resolve => {
+		const finish = (isReading: boolean): void => {
+			cancel();
+			response.off('drain', onDrain);
+			gone.signal.removeEventListener('abort', onGone);
+			resolve(isReading);
+		};
+
+		const onDrain = (): void => {
+			finish(true);
+		};
+
+		const onGone = (): void => {
+			finish(false);
+		};
+
+		const cancel = clock.after(silence, () => {
+			response.destroy();
+			gone.abort();
+		});
+		response.once('drain', onDrain);
+		gone.signal.addEventListener('abort', onGone);
+	});
+
+	return {
+		gone: gone.signal,
+		hasBegun: () => response.headersSent,
+		begin(status, headers) {
+			if (!response.headersSent && !gone.signal.aborted) {
+				response.statusCode = status;
+				for (const [name, value] of Object.entries(headers)) {
+					if (value !== undefined) {
+						response.setHeader(name, value);
+					}
+				}
+
+				response.flushHeaders();
+			}
+		},
+		write(bytes) {
+			if (gone.signal.aborted) {
+				return Promise.resolve(false);
+			}
+
+			return response.write(bytes) ? undefined : waitForDrain();
+		},
+		end() {
+			response.end();
+		},
+	};
+};
--- /dev/null
+++ b/packages/router/src/callers/completion.ts
@@ -0,0 +1,26 @@
+import type {ClassifiedRequest, Milliseconds} from '@gentianlift/types';
+
+/** A finished generation, as the whole answer gives it. */
+export type FinishedGeneration = {
+	text: string;
+	tokens: number;
+	finishReason: string | undefined;
+	promptTokens: number | undefined;
+};
+
+const millisecondsPerSecond = 1000;
+
+/** Gets the OpenAI-style body of a whole answer. */
+export const getCompletion = (request: ClassifiedRequest, model: string, generation: FinishedGeneration, now: Milliseconds) => {
+	const {text, tokens, finishReason} = generation;
+	const estimate = request.work.kind === 'generation' ? request.work.promptTokens : 0;
+	const promptTokens = generation.promptTokens ?? estimate;
+	return {
+		id: request.id,
+		object: 'chat.completion',
+		created: Math.floor(now / millisecondsPerSecond),
+		model,
+		choices: [{index: 0, message: {role: 'assistant', content: text}, finish_reason: finishReason ?? 'stop'}],
+		usage: {prompt_tokens: promptTokens, completion_tokens: tokens, total_tokens: promptTokens + tokens},
+	};
+};
--- /dev/null
+++ b/packages/router/src/dispatch/attempt-end.ts
@@ -0,0 +1,57 @@
+import type {ErrorKind} from '@gentianlift/errors';
+import type {CallFailure} from '@gentianlift/upstream';
+import {getRunState} from '@gentianlift/upstream';
+import type {
+	AttemptOutcome, Milliseconds, RunState, UpstreamSighting,
+} from '@gentianlift/types';
+
+/** An attempt that gave no whole answer, in the words of accounts, errors and sightings. */
+export type LostAttempt = {
+	kind: 'lost';
+	error: ErrorKind;
+	outcome: AttemptOutcome;
+	sighting: UpstreamSighting['kind'] | undefined;
+	ran: RunState;
+	retryAfter?: Milliseconds;
+};
+
+const getSighting = (failure: CallFailure): UpstreamSighting['kind'] | undefined => {
+	switch (failure.kind) {
+		case 'refused': {
+			return failure.code === 'leaving' ? 'leaving' : 'refused';
+		}
+
+		case 'unreachable':
+		case 'reset':
+		case 'silent': {
+			return failure.kind;
+		}
+
+		case 'failed': {
+			return failure.status >= 500 ? 'error' : undefined;
+		}
+
+		case 'cancelled': {
+			return undefined;
+		}
+	}
+};
+
+const errorKindOf = {
+	refused: 'upstream-refused',
+	unreachable: 'upstream-unreachable',
+	reset: 'upstream-reset',
+	silent: 'upstream-silent',
+	failed: 'upstream-failed',
+	cancelled: 'outcome-unknown',
+} as const satisfies Record<CallFailure['kind'], ErrorKind>;
+
+/** Gets the end of an attempt whose call failed before its answer started. */
+export const getLostAttempt = (failure: CallFailure): LostAttempt => ({
+	kind: 'lost',
+	error: errorKindOf[failure.kind],
+	outcome: failure.kind,
+	sighting: getSighting(failure),
+	ran: getRunState(failure),
+	...(failure.kind === 'refused' && failure.retryAfter !== undefined && {retryAfter: failure.retryAfter}),
+});
--- /dev/null
+++ b/packages/router/src/dispatch/generation-attempt.ts
@@ -0,0 +1,102 @@
+import {getEngineBody, type GenerationOutcome, type Resume} from '@gentianlift/upstream';
+import type {Address, ClassifiedRequest, Milliseconds} from '@gentianlift/types';
+import type {HostParts} from '../parts.js';
+import {getLostAttempt, type LostAttempt} from './attempt-end.js';
+
+/** A generation to run at one engine. */
+export type GenerationAttempt = {
+	request: ClassifiedRequest;
+	address: Address;
+	priority: number;
+	/** The caller's body; the router always asks the engine for a stream. */
+	body: Record<string, unknown>;
+	resume: Resume | undefined;
+	/** Aborted when the caller has gone, or an operator forces the host to stop. */
+	stop: AbortSignal;
+	/** Aborted when a higher tier needs the slot. */
+	yielding: AbortSignal;
+	/** Takes whole events; undefined if more may follow at once, else a promise of whether the reader goes on. */
+	deliver: (bytes: Uint8Array) => Promise<boolean> | undefined;
+};
+
+/** How one attempt of a generation ended. */
+export type GenerationEnd = {
+	/** Output of this attempt alone. */
+	text: string;
+	tokens: number;
+	/** Time up to the first token, counted from the start of the attempt. */
+	firstTokenAfter: Milliseconds | undefined;
+	result:
+		| {kind: 'finished'; finishReason: string | undefined; promptTokens: number | undefined}
+		| {kind: 'yielded'}
+		| {kind: 'stopped'}
+		| LostAttempt;
+};
+
+const getPromptTokens = (usage: unknown): number | undefined => {
+	if (typeof usage !== 'object' || usage === null || !('prompt_tokens' in usage)) {
+		return undefined;
+	}
+
+	return typeof usage.prompt_tokens === 'number' ? usage.prompt_tokens : undefined;
+};
+
+const getLost = (outcome: Exclude<GenerationOutcome, {kind: 'finished'}>): LostAttempt => {
+	if (outcome.kind === 'incomplete') {
+		return {
+			kind: 'lost', error: 'answer-incomplete', outcome: 'failed', sighting: 'crashed', ran: 'ran',
+		};
+	}
+
+	const lost = getLostAttempt(outcome);
+	return {...lost, ran: 'ran', sighting: lost.sighting === 'reset' ? 'crashed' : lost.sighting};
+};
+
+const getResult = (outcome: GenerationOutcome, {stop, yielding}: GenerationAttempt): GenerationEnd['result'] => {
+	if (outcome.kind === 'finished') {
+		return {kind: 'finished', finishReason: outcome.finishReason, promptTokens: getPromptTokens(outcome.usage)};
+	}
+
+	if (stop.aborted) {
+		return {kind: 'stopped'};
+	}
+
+	return yielding.aborted ? {kind: 'yielded'} : getLost(outcome);
+};
+
+/** Runs a generation at one engine and hands its events to the reader. Never throws. */
+export const runGenerationAttempt = async (parts: HostParts, attempt: GenerationAttempt): Promise<GenerationEnd> => {
+	const {request, address, priority, body, resume, stop, yielding, deliver} = attempt;
+	const startedAt = parts.clock.monotonic();
+	const prefix = request.work.kind === 'generation' ? request.work.prefix : [];
+	const started = await parts.upstreams.generate({
+		address,
+		body: getEngineBody(body, resume),
+		headers: {
+			'x-request-id': request.id, 'x-priority': String(priority), ...(prefix.length > 0 && {'x-prefix': prefix.join(',')}),
+		},
+		signal: AbortSignal.any([stop, yielding]),
+	});
+	if (started.kind !== 'started') {
+		const result = started.kind === 'cancelled' ? getResult(started, attempt) : getLostAttempt(started);
+		return {
+			text: '', tokens: 0, firstTokenAfter: undefined, result,
+		};
+	}
+
+	let firstTokenAfter: Milliseconds | undefined;
+	for await (const {bytes, tokens} of started.chunks) {
+		if (tokens > 0) {
+			firstTokenAfter ??= parts.clock.monotonic() - startedAt;
+		}
+
+		const pending = deliver(bytes);
+		if (pending !== undefined && !(await pending)) {
+			break;
+		}
+	}
+
+	return {
+		text: started.getText(), tokens: started.getTokens(), firstTokenAfter, result: getResult(await started.outcome, attempt),
+	};
+};
--- /dev/null
+++ b/packages/router/src/dispatch/run-generation.ts
@@ -0,0 +1,168 @@
+import {createFailure, type RequestFailure} from '@gentianlift/errors';
+import {decideRetry} from '@gentianlift/policy';
+import type {Grant} from '@gentianlift/scheduler';
+import type {
+	ClassifiedRequest, Milliseconds, RunState, TicketEnd, UpstreamId,
+} from '@gentianlift/types';
+import type {HostParts} from '../parts.js';
+import type {LostAttempt} from './attempt-end.js';
+import {runGenerationAttempt, type GenerationEnd} from './generation-attempt.js';
+import {askForUpstream, joinRunStates, recordAttemptEnd} from './grants.js';
+
+/** A generation to run to its end, over as many engines as it takes. */
+export type GenerationRun = {
+	request: ClassifiedRequest;
+	body: Record<string, unknown>;
+	/** Bytes that the request holds while it waits. */
+	bytes: number;
+	stop: AbortSignal;
+	deliver: (bytes: Uint8Array) => Promise<boolean> | undefined;
+};
+
+/** Outcome of a generation. */
+export type GenerationResult =
+	| {kind: 'finished'; text: string; tokens: number; finishReason: string | undefined; promptTokens: number | undefined}
+	| {kind: 'stopped'; ran: RunState}
+	| {kind: 'failed'; failure: RequestFailure};
+
+/** What the attempts so far have come to. */
+type Progress = {
+	attempts: number;
+	/** Attempts that count against the limit of retries; those that yielded don't. */
+	tries: number;
+	yields: number;
+	text: string;
+	tokens: number;
+	ran: RunState;
+	avoid: UpstreamId[];
+};
+
+type Step = {kind: 'again'; progress: Progress} | {kind: 'done'; result: GenerationResult};
+
+const ticketEndKinds = {
+	finished: 'finished', yielded: 'preempted', stopped: 'cancelled', lost: 'failed',
+} as const satisfies Record<GenerationEnd['result']['kind'], TicketEnd['kind']>;
+
+const getSlack = ({request}: GenerationRun, progress: Progress, now: Milliseconds): Milliseconds => {
+	if (progress.tokens === 0) {
+		return request.deadline - now;
+	}
+
+	return request.targets.whole === undefined ? Number.POSITIVE_INFINITY : request.arrivedAt + request.targets.whole - now;
+};
+
+const addAttempt = (progress: Progress, end: GenerationEnd, ran: RunState): Progress => ({
+	...progress,
+	text: progress.text + end.text,
+	tokens: progress.tokens + end.tokens,
+	ran: joinRunStates(progress.ran, ran),
+});
+
+const stepAfterLoss = async (parts: HostParts, run: GenerationRun, progress: Progress, lost: LostAttempt): Promise<Step> => {
+	const {request} = run;
+	const decision = decideRetry({
+		ran: lost.ran,
+		idempotent: request.idempotent,
+		attempts: progress.tries,
+		slack: getSlack(run, progress, parts.clock.now()),
+		expectedDuration: 0,
+		resumable: true,
+		withinBudget: lost.ran === 'not-run' || parts.limits.takeRetry(request),
+	}, parts.random.next());
+	if (decision.kind === 'stop') {
+		parts.metrics.count('retries_denied_total', {reason: decision.reason, error: lost.error});
+		const failure = createFailure(lost.error, {ran: progress.ran, ...(lost.retryAfter !== undefined && {retryAfter: lost.retryAfter})});
+		return {kind: 'done', result: {kind: 'failed', failure}};
+	}
+
+	parts.metrics.count('retries_total', {reason: decision.reason, error: lost.error});
+	await parts.clock.sleep(decision.delay);
+	return {kind: 'again', progress};
+};
+
+const stepAfter = async (parts: HostParts, run: GenerationRun, progress: Progress, end: GenerationEnd): Promise<Step> => {
+	const {result} = end;
+	switch (result.kind) {
+		case 'finished': {
+			const {text, tokens} = progress;
+			return {kind: 'done', result: {...result, text, tokens}};
+		}
+
+		case 'stopped': {
+			parts.metrics.count('wasted_tokens_total', {cause: 'caller-gone'}, progress.tokens);
+			return {kind: 'done', result: {kind: 'stopped', ran: progress.ran}};
+		}
+
+		case 'yielded': {
+			parts.metrics.count('retries_total', {reason: 'preempted', error: 'none'});
+			return {kind: 'again', progress: {...progress, yields: progress.yields + 1, tries: progress.tries - 1}};
+		}
+
+		case 'lost': {
+			return stepAfterLoss(parts, run, progress, result);
+		}
+	}
+};
+
+const runOnce = async (parts: HostParts, run: GenerationRun, progress: Progress, grant: Extract<Grant, {kind: 'granted'}>): Promise<Step> => {
+	const {request} = run;
+	const startedAt = parts.clock.monotonic();
+	parts.accounts.apply({kind: 'attempt-started', request: request.id, upstream: grant.upstream});
+	const end = await runGenerationAttempt(parts, {
+		request,
+		address: parts.getDirectory().byId.get(grant.upstream)?.address ?? '',
+		priority: grant.priority,
+		body: run.body,
+		resume: progress.tokens === 0 ? undefined : {text: progress.text, tokens: progress.tokens},
+		stop: run.stop,
+		yielding: grant.yieldSignal,
+		deliver: run.deliver,
+	});
+	const ran = end.result.kind === 'lost' ? end.result.ran : 'ran';
+	recordAttemptEnd(parts, {
+		request,
+		upstream: grant.upstream,
+		attempt: progress.attempts,
+		kind: ticketEndKinds[end.result.kind],
+		lost: end.result.kind === 'lost' ? end.result : undefined,
+		tokens: end.tokens,
+		firstTokenAfter: end.firstTokenAfter,
+		duration: parts.clock.monotonic() - startedAt,
+		ran,
+	});
+	const next = addAttempt(progress, end, ran);
+	return stepAfter(parts, run, {...next, avoid: end.result.kind === 'lost' ? [...next.avoid, grant.upstream] : next.avoid}, end);
+};
+
+/** Runs a generation: asks for an engine, and after a loss or a preemption goes on at another where that is proven safe. */
+export const runGeneration = async (parts: HostParts, run: GenerationRun): Promise<GenerationResult> => {
+	let progress: Progress = {
+		attempts: 0, tries: 0, yields: 0, text: '', tokens: 0, ran: 'not-run', avoid: [],
+	};
+	for (;;) {
+		progress = {...progress, attempts: progress.attempts + 1, tries: progress.tries + 1};
+		// eslint-disable-next-line no-await-in-loop -- Attempts run one after another.
+		const grant = await askForUpstream(parts, run.request, run.stop, {
+			attempt: progress.attempts, avoid: progress.avoid, yields: progress.yields, resumed: progress.tokens > 0, bytes: run.bytes,
+		});
+		switch (grant.kind) {
+			case 'withdrawn': {
+				return {kind: 'stopped', ran: progress.ran};
+			}
+
+			case 'shed': {
+				return {kind: 'failed', failure: createFailure(grant.reason, {ran: progress.ran, retryAfter: grant.retryAfter})};
+			}
+
+			case 'granted': {
+				// eslint-disable-next-line no-await-in-loop -- Attempts run one after another.
+				const step = await runOnce(parts, run, progress, grant);
+				if (step.kind === 'done') {
+					return step.result;
+				}
+
+				progress = step.progress;
+			}
+		}
+	}
+};
--- a/packages/router/src/request-ids.ts
+++ b/packages/router/src/request-ids.ts
@@ -1,22 +1,21 @@
 import type {HostId, Incarnation, RequestId} from '@gentianlift/types';
 
-/** Creates the source of request ids of a host: `<host>.<incarnation>.<sequence>`, in base 36. */
+/** Creates the source of request ids of a host: `<host>.<incarnation>.<sequence>`. */
 export const createRequestIds = (host: HostId, incarnation: Incarnation): (() => RequestId) => {
 	let sequence = 0;
-	const start = incarnation.toString(36);
 	return () => {
 		sequence++;
-		return `${host}.${start}.${sequence.toString(36)}`;
+		return `${host}.${incarnation}.${sequence}`;
 	};
 };
 
-/** Gets the host and incarnation that gave a request its id; undefined if the text is no request id. */
-export const getRequestOrigin = (id: string): {host: HostId; incarnation: Incarnation} | undefined => {
-	const [sequence, start, ...host] = id.split('.').toReversed();
-	const incarnation = Number.parseInt(start ?? '', 36);
-	if (sequence === undefined || host.length === 0 || Number.isNaN(incarnation)) {
-		return undefined;
-	}
+/** Where a request id was given out. */
+export type RequestOrigin = {host: HostId; incarnation: Incarnation};
+
+const idPattern = /^(?<host>.+?)\.(?<incarnation>\d+)\.\d+(?:\.[tu][\d\-]+)?$/v;
 
-	return {host: host.toReversed().join('.'), incarnation};
+/** Gets the host and incarnation that gave a request its id; undefined if the text is no request id. */
+export const getRequestOrigin = (id: string): RequestOrigin | undefined => {
+	const groups = idPattern.exec(id)?.groups;
+	return groups?.host === undefined ? undefined : {host: groups.host, incarnation: Number(groups.incarnation)};
 };
