--- a/packages/model/src/explore.ts
+++ b/packages/model/src/explore.ts
@@ -1,8 +1,10 @@
-import {fromTransition} from 'xstate';
+import {fromTransition, type ActorSystem, type Snapshot} from 'xstate';
 import {getAdjacencyMap} from 'xstate/graph';
 import type {Exploration, Specification, Violation} from './specification.js';
 
 type Visit = {from: string; event: {type: string}};
+type Node<State> = Snapshot<undefined> & {context: State};
+type Found<State, Event> = {state: Node<State>; transitions: Record<string, {event: Event; state: Node<State>}>};
 type Visits = Map<string, Visit>;
 
 /** Gets the events on a shortest path from the initial state to a state. */
@@ -26,8 +28,8 @@
 
 /** Gets the graph of reachable states; throws if there are more transitions than the specification's limit. */
 export const getGraph = <State, Event extends {type: string}>(specification: Specification<State, Event>): Graph<State> => {
-	const logic = fromTransition<State, Event, never, undefined>(specification.apply, specification.initial);
-	const map = getAdjacencyMap(logic, {
+	const logic = fromTransition<State, Event, ActorSystem<never>, undefined>(specification.apply, specification.initial);
+	const map = getAdjacencyMap<Node<State>, Event, undefined>(logic, {
 		serializeState: snapshot => JSON.stringify(snapshot.context),
 		events: snapshot => specification.getEvents(snapshot.context),
 		limit: specification.transitionLimit,
@@ -36,7 +38,7 @@
 	const visits: Visits = new Map();
 	const initial = JSON.stringify(specification.initial);
 	let transitions = 0;
-	for (const [key, {state, transitions: outgoing}] of Object.entries(map)) {
+	for (const [key, {state, transitions: outgoing}] of Object.entries(map as Record<string, Found<State, Event>>)) {
 		states.set(key, state.context);
 		for (const {event, state: next} of Object.values(outgoing)) {
 			transitions++;
