Check sections of a configuration on their own

A fault of shape in one section hid the faults of all others: an operator had to publish again to see them. Each check now runs once the sections that it reads have the right shape.

--- a/packages/config/src/configuration-schema.ts
+++ b/packages/config/src/configuration-schema.ts
@@ -72,15 +72,24 @@
 	retryShare: shareField.default(0.1),
 });
 
-const inventory = z.strictObject({
+/** Shapes of the parts of a configuration that are checked on their own. */
+export const sectionSchemas = {
 	engines: z.array(engine),
 	models: z.array(model),
 	adapters: z.array(adapter).default([]),
 	services: z.array(service).default([]),
 	customers: z.array(customer).min(1),
-});
+	tiers: z.array(tier).min(1),
+	classes: z.array(requestClass).min(1),
+} as const;
+
+/** A part of a configuration that is checked on its own. */
+export type Section = keyof typeof sectionSchemas;
 
-const rules = z.strictObject({tiers: z.array(tier).min(1), classes: z.array(requestClass).min(1)});
+const {tiers, classes, ...inventory} = sectionSchemas;
 
 /** Shape and defaults of the operators' configuration. */
-export const configurationSchema: z.ZodType<Configuration> = z.strictObject({inventory, rules});
+export const configurationSchema: z.ZodType<Configuration> = z.strictObject({
+	inventory: z.strictObject(inventory),
+	rules: z.strictObject({tiers, classes}),
+});
--- a/packages/config/src/tiers.ts
+++ b/packages/config/src/tiers.ts
@@ -41,9 +41,13 @@
 	return faults.length === 0 ? checkPairs(tiers) : faults;
 };
 
+/** Steps to which a sum of floors is rounded, so that ten floors of 0.1 sum to 1. */
+const floorPrecision = 1e9;
+
 /** Checks that the floors of all tiers leave a part of the service free. */
 export const checkFloors = ({rules: {tiers}}: Configuration): Diagnostic[] => {
-	const total = tiers.reduce((sum, {floor}) => sum + floor, 0);
+	const sum = tiers.reduce((total, {floor}) => total + floor, 0);
+	const total = Math.round(sum * floorPrecision) / floorPrecision;
 	return total < 1 ? [] : [createDiagnostic(['rules', 'tiers'], `floors that sum to ${total}`, 'floors that sum to less than 1')];
 };
 
