--- a/packages/upstream/src/commands/generate.ts
+++ b/packages/upstream/src/commands/generate.ts
@@ -9,6 +9,7 @@
 	exchange, type Answer, type ExchangeContext, type ExchangeFailure,
 } from '../wire/exchange.js';
 import {readError} from '../wire/refusal.js';
+import {cancelGeneration} from './cancel-generation.js';
 
 /** A generation to run at an engine. */
 export type GenerationCall = {
@@ -100,11 +101,24 @@
 	});
 };
 
+/** An engine that lost track of the connection would go on generating for nobody. */
+const cancelIfSilent = (context: ExchangeContext, {address, headers}: GenerationCall, outcome: {kind: string}): void => {
+	const id = headers['x-request-id'];
+	if (outcome.kind === 'silent' && typeof id === 'string') {
+		void cancelGeneration(context, address, id);
+	}
+};
+
+const cancelWhenSilent = async (context: ExchangeContext, call: GenerationCall, outcome: Promise<GenerationOutcome>): Promise<void> => {
+	cancelIfSilent(context, call, await outcome);
+};
+
 /** Runs a generation: resolves once the engine starts to answer, or with why it didn't. Never throws. */
 export const generate = async (context: ExchangeContext, limits: SilenceLimits, call: GenerationCall): Promise<Generation | CallFailure> => {
 	const request = {...call, method: 'POST', path: '/v1/chat/completions'};
 	const answer = await exchange(context, request, limits.firstToken);
 	if (answer.kind !== 'answered') {
+		cancelIfSilent(context, call, answer);
 		return answer;
 	}
 
@@ -128,6 +142,7 @@
 		},
 	});
 	const outcome = connectReader(context, answer, {reader, delivery, limits});
+	void cancelWhenSilent(context, call, outcome);
 	return {
 		kind: 'started', chunks: delivery.chunks, outcome, getText: reader.getText, getTokens: reader.getTokens,
 	};
--- a/packages/upstream/src/wire/bytes.ts
+++ b/packages/upstream/src/wire/bytes.ts
@@ -17,13 +17,12 @@
 
 /** Whether the bytes at a position are the wanted ones. */
 export const hasBytesAt = (bytes: Uint8Array, wanted: Uint8Array, at: number): boolean => {
-	for (const [offset, byte] of wanted.entries()) {
-		if (bytes[at + offset] !== byte) {
-			return false;
-		}
+	let offset = 0;
+	while (offset < wanted.length && bytes[at + offset] === wanted[offset]) {
+		offset++;
 	}
 
-	return true;
+	return offset === wanted.length;
 };
 
 /** Joins pieces into one. */
--- a/packages/upstream/src/wire/event-reader.ts
+++ b/packages/upstream/src/wire/event-reader.ts
@@ -34,6 +34,9 @@
 	usage?: Record<string, unknown> | undefined;
 };
 
+/** Where an event lies, without a view on it, which would cost more than the rest of the reading. */
+type Place = {bytes: Uint8Array; start: number; end: number};
+
 const boundary = encodeText('\n\n');
 const terminalEvent = encodeText('data: [DONE]');
 const dataPrefix = encodeText('data:');
@@ -67,16 +70,18 @@
 	return bytes[at] === quote ? at + 1 : undefined;
 };
 
-const parseCompletion = (event: Uint8Array): Completion | undefined => {
+const parseCompletion = ({bytes, start, end}: Place): Completion | undefined => {
 	try {
-		return JSON.parse(decodeText(event.subarray(dataPrefix.length))) as Completion;
+		return JSON.parse(decodeText(bytes.subarray(start + dataPrefix.length, end))) as Completion;
 	} catch {
 		return undefined;
 	}
 };
 
-const getGenerationEnd = (events: Uint8Array[]): GenerationEnd => {
-	const completions = events.map(event => parseCompletion(event)).filter(completion => completion !== undefined);
+const getGenerationEnd = (last: Place[], count: number): GenerationEnd => {
+	const oldest = count % keptEvents;
+	const places = [...last.slice(oldest), ...last.slice(0, oldest)];
+	const completions = places.map(place => parseCompletion(place)).filter(completion => completion !== undefined);
 	const reasons = completions.map(completion => completion.choices?.[0]?.finish_reason);
 	const usages = completions.map(completion => completion.usage);
 	return {
@@ -88,7 +93,8 @@
 /** Creates a reader for one generation. */
 export const createEventReader = (): EventReader => {
 	const text = createTextBuffer();
-	let last: Uint8Array[] = [];
+	const last: Place[] = [];
+	let count = 0;
 	let partial: Uint8Array | undefined;
 	let total = 0;
 
@@ -97,10 +103,8 @@
 			return 0;
 		}
 
-		last.push(bytes.subarray(start, end));
-		if (last.length > keptEvents) {
-			last = last.slice(1);
-		}
+		last[count % keptEvents] = {bytes, start, end};
+		count++;
 
 		const from = getContentStart(bytes, start, end);
 		const to = from === undefined ? 0 : getStringEnd(bytes, from, end);
@@ -130,7 +134,7 @@
 		},
 		getText: text.getText,
 		getTokens: () => total,
-		getEnd: () => getGenerationEnd(last),
+		getEnd: () => getGenerationEnd(last, count),
 		getPartialBytes: () => partial?.length ?? 0,
 	};
 };
--- a/packages/upstream/src/wire/silence.ts
+++ b/packages/upstream/src/wire/silence.ts
@@ -14,31 +14,43 @@
 	stop: () => void;
 };
 
+/** How late a timer may be before this process counts as having been paused. */
+const longestLateness: Milliseconds = 500;
+
 /** Creates a watch that calls `onSilent` once when no bytes arrive within the limit. */
 export const createSilenceWatch = (clock: Clock, firstLimit: Milliseconds, onSilent: (limit: Milliseconds) => void): SilenceWatch => {
 	let limit = firstLimit;
 	let touchedAt = clock.monotonic();
 	let isPaused = false;
 	let isStopped = false;
+	let dueAt = 0;
 	let cancel: Cancel | undefined;
 
+	const wait = (delay: Milliseconds): void => {
+		cancel?.();
+		dueAt = clock.monotonic() + delay;
+		cancel = clock.after(delay, check);
+	};
+
 	const check = (): void => {
-		cancel = undefined;
 		if (isPaused || isStopped) {
 			return;
 		}
 
-		const left = touchedAt + limit - clock.monotonic();
+		const now = clock.monotonic();
+		// After a pause of this process, bytes may be waiting that it hasn't read.
+		const wasPaused = now - dueAt > longestLateness;
+		touchedAt = wasPaused ? now : touchedAt;
+		const left = touchedAt + limit - now;
 		if (left > 0) {
-			cancel = clock.after(left, check);
+			wait(left);
 		} else {
 			onSilent(limit);
 		}
 	};
 
 	const restart = (): void => {
-		cancel?.();
-		cancel = clock.after(limit, check);
+		wait(Math.max(0, touchedAt + limit - clock.monotonic()));
 	};
 
 	restart();
--- a/packages/upstream/src/wire/text-buffer.ts
+++ b/packages/upstream/src/wire/text-buffer.ts
@@ -26,7 +26,10 @@
 				grow(needed);
 			}
 
-			bytes.set(source.subarray(start, end), length);
+			for (let at = start; at < end; at++) {
+				bytes[length + at - start] = source[at] ?? 0;
+			}
+
 			length = needed;
 		},
 		getText: () => JSON.parse(`"${decodeText(bytes.subarray(0, length))}"`) as string,
