Add the trial: a deployment on loopback under a seeded open-loop load

Arrivals and answer lengths follow from the seed; each answer is compared token by token with the one that the prompt determines. The whole of it has not been run against router processes yet.

--- a/packages/fakes/src/engine/options.ts
+++ b/packages/fakes/src/engine/options.ts
@@ -25,8 +25,8 @@
 	/** Whether orders with an old fencing number are refused. */
 	fencing: 'checked' | 'ignored';
 	weightStoreUrl: string | undefined;
-	/** Bytes of a model that an order loads. */
-	modelBytes: number;
+	/** Bytes of each model and adapter. */
+	bytes: Record<ModelName, number>;
 	/** Speed of the engine's time against the clock's. */
 	timeFactor: number;
 	seed: number;
@@ -53,7 +53,7 @@
 	eventLoss: 0.05,
 	fencing: 'checked',
 	weightStoreUrl: undefined,
-	modelBytes: 1e9,
+	bytes: {},
 	timeFactor: 1,
 	seed: 1,
 	clock: createSystemClock(),
--- a/packages/fakes/src/engine/orders.ts
+++ b/packages/fakes/src/engine/orders.ts
@@ -32,8 +32,7 @@
 	return answer.ok;
 };
 
-/** Share of a model's bytes that an adapter has. */
-const adapterShare = 0.02;
+const defaultBytes = 1e9;
 
 /** Creates the part of an engine that takes orders. */
 export const createOrders = (settings: EngineSettings): Orders => {
@@ -41,11 +40,12 @@
 	const records: OrderRecord[] = [];
 	const known = new Set<string>();
 	let highest = 0;
+	const getBytes = (name: ModelName): number => settings.bytes[name] ?? defaultBytes;
 
 	const carryOut = async (order: EngineOrder): Promise<void> => {
 		switch (order.kind) {
 			case 'load': {
-				if (await loadBytes(settings.weightStoreUrl, settings.modelBytes)) {
+				if (await loadBytes(settings.weightStoreUrl, getBytes(order.model))) {
 					holdings.models.add(order.model);
 				}
 
@@ -58,7 +58,7 @@
 			}
 
 			case 'load-adapter': {
-				if (await loadBytes(settings.weightStoreUrl, settings.modelBytes * adapterShare)) {
+				if (await loadBytes(settings.weightStoreUrl, getBytes(order.adapter))) {
 					holdings.adapters.add(order.adapter);
 				}
 
--- /dev/null
+++ b/packages/trial/src/commands/publish-configuration.ts
@@ -0,0 +1,16 @@
+import type {FakeKeyValue} from '@gentianlift/fakes';
+import type {Configuration, ConfigurationVersion, Milliseconds} from '@gentianlift/types';
+
+/** Key of the configuration in force. */
+export const currentKey = 'configuration/current';
+
+/** Writes the first configuration into an empty key-value service. */
+export const publishConfiguration = (keyValue: FakeKeyValue, configuration: Configuration, now: Milliseconds): ConfigurationVersion => {
+	const first: ConfigurationVersion = {
+		version: 1, token: 'trial-1', author: 'trial', acceptedAt: now, note: 'First configuration of the trial', configuration,
+	};
+	const value = JSON.stringify(first);
+	keyValue.store.write(currentKey, {value, expected: 0});
+	keyValue.store.write('configuration/history/1', {value, expected: 0});
+	return first;
+};
--- /dev/null
+++ b/packages/trial/src/commands/start-standins.ts
@@ -0,0 +1,57 @@
+import {
+	createEngine, createHostList, createKeyValue, createService, createWeightStore,
+	type EngineOptions, type FakeEngine, type FakeHostList, type FakeKeyValue, type FakeService, type FakeWeightStore,
+} from '@gentianlift/fakes';
+import type {
+	Address, Engine, Inventory, UpstreamId,
+} from '@gentianlift/types';
+
+/** The systems outside, as stand-ins inside this process. */
+export type Standins = {
+	engines: Map<UpstreamId, FakeEngine>;
+	services: Map<UpstreamId, FakeService>;
+	keyValue: FakeKeyValue;
+	hostList: FakeHostList;
+	weightStore: FakeWeightStore;
+	addresses: Map<UpstreamId, Address>;
+	close: () => Promise<void>;
+};
+
+const startEngine = async (engine: Engine, inventory: Inventory, options: EngineOptions): Promise<[UpstreamId, FakeEngine]> => {
+	const sizes = [...inventory.models, ...inventory.adapters].map(({name, bytes}) => [name, bytes]);
+	const fake = await createEngine({
+		models: engine.models,
+		adapters: engine.adapters,
+		role: engine.role,
+		slots: engine.slots,
+		fencing: engine.fencing,
+		bytes: Object.fromEntries(sizes) as Record<string, number>,
+		...options,
+	});
+	return [engine.id, fake];
+};
+
+const getAddresses = (fakes: Map<UpstreamId, FakeEngine | FakeService>): Map<UpstreamId, Address> =>
+	new Map([...fakes].map(([id, {listener}]) => [id, listener.address]));
+
+/** Starts stand-ins for all upstreams of an inventory and for the platform. */
+export const startStandins = async (inventory: Inventory, options: EngineOptions = {}): Promise<Standins> => {
+	const [keyValue, hostList, weightStore] = await Promise.all([createKeyValue(), createHostList(), createWeightStore()]);
+	const engines = new Map(await Promise.all(inventory.engines.map(async (engine, index) =>
+		startEngine(engine, inventory, {weightStoreUrl: weightStore.listener.url, seed: index + 1, ...options}))));
+	const instances = inventory.services.flatMap(service => service.instances);
+	const services = new Map(await Promise.all(instances.map(async ({id, slots}): Promise<[UpstreamId, FakeService]> =>
+		[id, await createService({slots})])));
+	const all = [...engines.values(), ...services.values(), keyValue, hostList, weightStore];
+	return {
+		engines,
+		services,
+		keyValue,
+		hostList,
+		weightStore,
+		addresses: new Map([...getAddresses(engines), ...getAddresses(services)]),
+		async close() {
+			await Promise.all(all.map(async fake => fake.close()));
+		},
+	};
+};
--- /dev/null
+++ b/packages/trial/src/main.ts
@@ -0,0 +1,77 @@
+import process from 'node:process';
+import {defineCommand, runMain} from 'citty';
+import {
+	deploymentNames, getArrivals, getFlows, getReport, getReportText, runLoad, startDeployment, type Deployment, type LoadProgress,
+} from './index.js';
+
+const hour = 9;
+const time = `0${hour}:00`;
+
+const print = (line: string): void => {
+	process.stdout.write(`${line}\n`);
+};
+
+const printProgress = ({seconds, sent, open, complete, failed}: LoadProgress): void => {
+	print(`${seconds} s: ${sent} sent, ${open} open, ${complete} complete, ${failed} failed`);
+};
+
+const printAddresses = ({routers, keys}: Deployment): void => {
+	for (const {settings} of routers) {
+		print(`${settings.host}: callers ${settings.callerAddress}, operators ${settings.operatorAddress}`);
+	}
+
+	const [customer, key] = [...keys][0] ?? ['', ''];
+	print(`Key of ${customer}: ${key}`);
+};
+
+const waitForSignal = async (): Promise<void> => new Promise(resolve => {
+	// A pending promise alone does not keep the process alive; the stand-ins' listeners do.
+	process.once('SIGINT', resolve);
+	process.once('SIGTERM', resolve);
+});
+
+const runTrial = async (deployment: Deployment, {rate, seconds, seed}: {rate: number; seconds: number; seed: number}): Promise<void> => {
+	const arrivals = getArrivals({
+		flows: getFlows(deployment.name), rate, seconds, seed,
+	});
+	print(`Sending ${arrivals.length} requests in ${seconds} s`);
+	const records = await runLoad({
+		deployment, arrivals, seed, onProgress: printProgress,
+	});
+	print(`\n${getReportText(getReport({
+		records, configuration: deployment.configuration, standins: deployment, time,
+	}))}`);
+};
+
+const main = defineCommand({
+	meta: {name: 'trial', description: 'Starts seven hosts and their stand-ins on loopback, under load'},
+	args: {
+		deployment: {
+			type: 'enum', options: [...deploymentNames], description: 'Deployment to start', default: 'kopi',
+		},
+		serve: {type: 'boolean', description: 'Stay up without load, until interrupted', default: false},
+		rate: {type: 'string', description: 'Factor on the rate of arrivals', default: '1'},
+		seconds: {type: 'string', description: 'Seconds in which requests arrive', default: '25'},
+		seed: {type: 'string', description: 'Seed of arrivals and answers', default: '1'},
+		order: {
+			type: 'enum', options: ['policy', 'first-in-first-out', 'least-outstanding'], description: 'Way of ordering work', default: 'policy',
+		},
+		hosts: {type: 'string', description: 'Entry hosts', default: '7'},
+	},
+	async run({args}) {
+		print(`Starting ${args.hosts} hosts of ${args.deployment}`);
+		const deployment = await startDeployment({
+			deployment: args.deployment, hosts: Number(args.hosts), hour, settings: {order: args.order},
+		});
+		printAddresses(deployment);
+		await (args.serve
+			? waitForSignal()
+			: runTrial(deployment, {
+				rate: Number(args.rate), seconds: Number(args.seconds), seed: Number(args.seed),
+			}));
+		print('Stopping');
+		process.exitCode = await deployment.stop() ? 0 : 1;
+	},
+});
+
+await runMain(main);
--- /dev/null
+++ b/packages/trial/src/queries/queries.test.ts
@@ -0,0 +1,53 @@
+import {expect, test} from 'vitest';
+import {
+	getArrivals, getFlows, getReport, getTable, getTimeZone, readExample, type CallRecord,
+} from '../index.js';
+
+const shape = {
+	flows: getFlows('kopi'), rate: 1, seconds: 20, seed: 1,
+};
+
+test('arrivals repeat with the seed and come in order', () => {
+	const arrivals = getArrivals(shape);
+	expect(getArrivals(shape)).toEqual(arrivals);
+	expect(arrivals.map(({at}) => at)).toEqual(arrivals.map(({at}) => at).toSorted((left, right) => left - right));
+	expect(getArrivals({...shape, seed: 2})).not.toEqual(arrivals);
+});
+
+test('flows name customers and classes of the examples', async () => {
+	for (const name of ['kopi', 'alfoldi'] as const) {
+		// eslint-disable-next-line no-await-in-loop -- Two small files.
+		const {configuration, keys} = await readExample(name);
+		const {customers} = configuration.inventory;
+		const allowed = getFlows(name).flatMap(flow => flow.customers.map(id =>
+			customers.find(customer => customer.id === id)?.classes.includes(flow.className) === true && keys.has(id)));
+		expect(allowed).not.toContain(false);
+	}
+});
+
+test('finds a time zone for an hour', () => {
+	const noon = 12 * 3_600_000;
+	const getHour = (timeZone: string) => new Intl.DateTimeFormat('en', {hour: 'numeric', hourCycle: 'h23', timeZone}).format(noon);
+	expect(Array.from({length: 24}, (_, hour) => Number(getHour(getTimeZone(noon, hour)))))
+		.toEqual(Array.from({length: 24}, (_, hour) => hour));
+});
+
+test('judges answers by all targets and counts waste', async () => {
+	const {configuration} = await readExample('kopi');
+	const record: CallRecord = {
+		className: 'quote', customer: 'a', at: 0, outcome: 'complete', errors: [], retries: 0, status: 200, ran: 'ran', request: 'r', firstAfter: 700, wholeAfter: 5000, betweenTokens: 50, tokens: 80,
+	};
+	const engines = new Map([['e', {getState: () => ({tokensByTag: {quote: 200}})}]]) as never;
+	const report = getReport({
+		records: [record, {...record, firstAfter: 900}, {...record, betweenTokens: 80}, {...record, outcome: 'failed', errors: ['queue-full']}],
+		configuration, standins: {engines, services: new Map()}, time: '09:00',
+	});
+	expect(report.classes[0]).toMatchObject({
+		className: 'quote', sent: 4, complete: 3, attainment: 0.25, goodput: 0.2, wasted: 0, refused: 1,
+	});
+	expect(report.errors).toEqual({'queue-full': 1});
+});
+
+test('aligns columns', () => {
+	expect(getTable([['class', 'n'], ['a', '10']])).toBe('class   n\na      10');
+});
