--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,1 +1,2 @@
-
+export * from './ownership.js';
+export * from './host-answer.js';
--- a/packages/router/src/callers/admission.ts
+++ b/packages/router/src/callers/admission.ts
@@ -32,6 +32,7 @@
 /** What a request brings to its classification. */
 export type Arrival = {
 	method: string;
+	/** Path that the rules match: of a call, the path at the service. */
 	path: string;
 	body: Uint8Array;
 	/** Text by which resends under other ids are recognised. */
@@ -39,11 +40,11 @@
 	work: Work;
 };
 
-const getDigest = ({method, path, body}: Arrival): string =>
-	createHash('sha256').update(`${method} ${path}\n`).update(body).digest('hex');
-
 const getName = (work: Work): string => work.kind === 'generation' ? work.model : work.service;
 
+const getDigest = ({method, path, body, work}: Arrival): string =>
+	createHash('sha256').update(`${getName(work)} ${method} ${path}\n`).update(body).digest('hex');
+
 /** Classifies a request, opens its account and notes both in the exchange; throws the refusal's error kind. */
 export const admitRequest = (parts: HostParts, {customer, configuration}: Caller, exchange: Exchange, arrival: Arrival): ClassifiedRequest => {
 	const declaredClass = getDeclaredClass(exchange.request);
@@ -74,13 +75,13 @@
 };
 
 /** Takes the customer's limits and the host's own into account; throws the refusal's error kind. */
-export const takeLimits = (parts: HostParts, customer: Customer, request: ClassifiedRequest): ((tokens: number) => void) => {
+export const takeLimits = async (parts: HostParts, customer: Customer, request: ClassifiedRequest): Promise<(tokens: number) => void> => {
 	const rankLimit = parts.getRankLimit();
 	if (rankLimit !== undefined && request.rank > rankLimit) {
 		throw createFailure('host-overloaded', {retryAfter: 1000});
 	}
 
-	const decision = parts.limits.take(customer, request);
+	const decision = await parts.limits.take(customer, request);
 	if (decision.kind === 'refused') {
 		throw createFailure(decision.error, {retryAfter: decision.retryAfter});
 	}
--- a/packages/router/src/callers/caller-stream.ts
+++ b/packages/router/src/callers/caller-stream.ts
@@ -62,9 +62,9 @@
 				response.flushHeaders();
 			}
 		},
-		write(bytes) {
+		async write(bytes) {
 			if (gone.signal.aborted) {
-				return Promise.resolve(false);
+				return false;
 			}
 
 			return response.write(bytes) ? undefined : waitForDrain();
--- a/packages/router/src/callers/commands/chat.ts
+++ b/packages/router/src/callers/commands/chat.ts
@@ -62,7 +62,7 @@
 		};
 	}
 
-	return (bytes: Uint8Array) => {
+	return async (bytes: Uint8Array) => {
 		if (!stream.hasBegun()) {
 			stream.begin(200, {'content-type': 'text/event-stream', 'cache-control': 'no-cache', ...getAccountHeaders(request.id, 'ran')});
 		}
@@ -129,7 +129,7 @@
 };
 
 const serveChat = async (parts: HostParts, chat: Chat): Promise<void> => {
-	const release = takeLimits(parts, chat.caller.customer, chat.request);
+	const release = await takeLimits(parts, chat.caller.customer, chat.request);
 	let tokens = 0;
 	try {
 		const result = await runChat(parts, chat);
@@ -143,7 +143,7 @@
 /** Runs a claimed chat; a failure becomes the claim's outcome before the caller is told. */
 const runClaimedChat = async (parts: HostParts, chat: Chat): Promise<ClaimedEnd> => {
 	try {
-		const release = takeLimits(parts, chat.caller.customer, chat.request);
+		const release = await takeLimits(parts, chat.caller.customer, chat.request);
 		const result = await runChat(parts, chat);
 		release(result.kind === 'finished' ? result.tokens : 0);
 		if (result.kind !== 'failed') {
--- a/packages/router/src/callers/commands/service.ts
+++ b/packages/router/src/callers/commands/service.ts
@@ -100,7 +100,7 @@
 };
 
 const serveCall = async (parts: HostParts, call: Call): Promise<void> => {
-	const release = takeLimits(parts, call.caller.customer, call.request);
+	const release = await takeLimits(parts, call.caller.customer, call.request);
 	try {
 		endCall(parts, call, await runServiceCall(parts, call));
 	} finally {
@@ -111,7 +111,7 @@
 /** Runs a claimed call; a failure becomes the claim's outcome before the caller is told. */
 const runClaimedCall = async (parts: HostParts, call: Call): Promise<ClaimedEnd> => {
 	try {
-		const release = takeLimits(parts, call.caller.customer, call.request);
+		const release = await takeLimits(parts, call.caller.customer, call.request);
 		const result = await runServiceCall(parts, call);
 		release(0);
 		if (result.kind !== 'failed') {
@@ -140,7 +140,7 @@
 	const body = await readBody(exchange.request, parts.settings.callerLimits, parts.clock);
 	const request = admitRequest(parts, caller, exchange, {
 		method,
-		path: exchange.request.url ?? '/',
+		path,
 		body,
 		prompt: `${method} ${path}`,
 		work: {
--- a/packages/router/src/callers/queries/index.ts
+++ b/packages/router/src/callers/queries/index.ts
@@ -16,7 +16,11 @@
 export const handleModels = (parts: HostParts, {request, response}: Exchange): void => {
 	const {configuration: {inventory}} = authenticate(parts, request);
 	const names = [...inventory.models, ...inventory.adapters].map(({name}) => name);
-	sendJson(response, 200, {object: 'list', data: names.map(id => ({id, object: 'model', created: 0, owned_by: 'gentianlift'}))});
+	sendJson(response, 200, {
+		object: 'list', data: names.map(id => ({
+			id, object: 'model', created: 0, owned_by: 'gentianlift',
+		})),
+	});
 };
 
 const requestPath = /^\/v1\/requests\/(?<id>[^\/?]+)/v;
@@ -26,7 +30,7 @@
 	const {customer} = authenticate(parts, request);
 	const id = decodeURIComponent(requestPath.exec(request.url ?? '')?.groups?.id ?? '');
 	const account = await parts.readAccount(id);
-	if (account === undefined || account.customer !== customer.id) {
+	if (account?.customer !== customer.id) {
 		throw createFailure('unknown-request');
 	}
 
--- a/packages/router/src/dispatch/attempt-end.ts
+++ b/packages/router/src/dispatch/attempt-end.ts
@@ -1,6 +1,5 @@
 import type {ErrorKind} from '@gentianlift/errors';
-import type {CallFailure} from '@gentianlift/upstream';
-import {getRunState} from '@gentianlift/upstream';
+import {type CallFailure, getRunState} from '@gentianlift/upstream';
 import type {
 	AttemptOutcome, Milliseconds, RunState, UpstreamSighting,
 } from '@gentianlift/types';
--- a/packages/router/src/dispatch/call-attempt.ts
+++ b/packages/router/src/dispatch/call-attempt.ts
@@ -12,11 +12,11 @@
 };
 
 /** How one attempt of a call ended. */
-export type CallEnd =
-	| {kind: 'finished'; status: number; contentType: string | undefined; body: string | undefined}
+export type CallEnd
+	= | {kind: 'finished'; status: number; contentType: string | undefined; body: string | undefined}
 	/** The answer had begun; what has reached the caller can't be taken back. */
-	| {kind: 'cut'; lost: LostAttempt}
-	| LostAttempt;
+		| {kind: 'cut'; lost: LostAttempt}
+		| LostAttempt;
 
 /** Longest body of an answer that is kept for resends, in bytes. */
 export const longestKeptBody = 4096;
--- a/packages/router/src/dispatch/run-call.ts
+++ b/packages/router/src/dispatch/run-call.ts
@@ -25,10 +25,10 @@
 };
 
 /** Outcome of a call. */
-export type CallResult =
-	| {kind: 'finished'; status: number; contentType: string | undefined; body: string | undefined; upstream: UpstreamId}
-	| {kind: 'stopped'; ran: RunState}
-	| {kind: 'failed'; failure: RequestFailure};
+export type CallResult
+	= | {kind: 'finished'; status: number; contentType: string | undefined; body: string | undefined; upstream: UpstreamId}
+		| {kind: 'stopped'; ran: RunState}
+		| {kind: 'failed'; failure: RequestFailure};
 
 type Progress = {attempts: number; ran: RunState; avoid: UpstreamId[]};
 
--- a/packages/router/src/dispatch/run-claimed.ts
+++ b/packages/router/src/dispatch/run-claimed.ts
@@ -5,25 +5,27 @@
 import type {HostParts} from '../parts.js';
 
 /** How a claimed request ended, for its claim and for its caller. */
-export type ClaimedEnd =
-	| {kind: 'finished'; upstream?: UpstreamId; status: number; contentType?: string; body?: string}
-	| {kind: 'failed'; upstream?: UpstreamId; failure: RequestFailure};
+export type ClaimedEnd
+	= | {kind: 'finished'; upstream?: UpstreamId; status: number; contentType?: string; body?: string}
+		| {kind: 'failed'; upstream?: UpstreamId; failure: RequestFailure};
 
 /** What the caller of a non-idempotent request gets. */
-export type ClaimedResult =
+export type ClaimedResult
 	/** The request ran now; its answer has been relayed. */
-	| {kind: 'relayed'}
+	= | {kind: 'relayed'}
 	/** The request had ended before; this is its stored outcome. */
-	| {kind: 'stored'; claim: Claim; outcome: Extract<ClaimOutcome, {kind: 'finished'}>}
-	| {kind: 'failed'; failure: RequestFailure};
+		| {kind: 'stored'; claim: Claim; outcome: Extract<ClaimOutcome, {kind: 'finished'}>}
+		| {kind: 'failed'; failure: RequestFailure};
 
 /** Longest wait of a resend for the request that is under way. */
 const joinLimit: Milliseconds = 10_000;
 
 const getOutcome = (end: ClaimedEnd): ClaimOutcome => {
 	if (end.kind === 'finished') {
-		const {upstream: _, ...outcome} = end;
-		return outcome;
+		const {status, contentType, body} = end;
+		return {
+			kind: 'finished', status, ...(contentType !== undefined && {contentType}), ...(body !== undefined && {body}),
+		};
 	}
 
 	return end.failure.ran === 'not-run' ? {kind: 'not-run'} : {kind: 'unknown', reason: end.failure.kind};
@@ -96,7 +98,13 @@
 			return getDone(decision.claim);
 		}
 
-		default: {
+		case 'in-progress':
+		case 'unknown':
+		case 'mismatch':
+		case 'expired':
+		case 'full':
+		case 'invalid':
+		case 'unavailable': {
 			return {kind: 'failed', failure: getFailure(decision)};
 		}
 	}
--- a/packages/router/src/dispatch/run-generation.ts
+++ b/packages/router/src/dispatch/run-generation.ts
@@ -20,10 +20,10 @@
 };
 
 /** Outcome of a generation. */
-export type GenerationResult =
-	| {kind: 'finished'; text: string; tokens: number; finishReason: string | undefined; promptTokens: number | undefined}
-	| {kind: 'stopped'; ran: RunState}
-	| {kind: 'failed'; failure: RequestFailure};
+export type GenerationResult
+	= | {kind: 'finished'; text: string; tokens: number; finishReason: string | undefined; promptTokens: number | undefined}
+		| {kind: 'stopped'; ran: RunState}
+		| {kind: 'failed'; failure: RequestFailure};
 
 /** What the attempts so far have come to. */
 type Progress = {
--- /dev/null
+++ b/packages/router/src/host/orderers.ts
@@ -0,0 +1,85 @@
+import type {Clock, Random} from '@gentianlift/clock';
+import type {Metrics} from '@gentianlift/metrics';
+import {getGroups, type Group} from '@gentianlift/policy';
+import {
+	createGrantClient, createGroupOwner, createQuotaClient, createQuotaOwner, createRetryBudgets, getLimits, mechanisms, type GrantClient, type GroupOwner, type Limit, type Mechanism, type QuotaClient, type QuotaOwner,
+} from '@gentianlift/scheduler';
+import type {
+	ConfigurationVersion, HostId, Incarnation, PeerCalls, Settings,
+} from '@gentianlift/types';
+import {createLimits, type Limits} from '../limits.js';
+import type {Fleet} from './fleet.js';
+
+/** The parts of a host that order work and share limits out. */
+export type Orderers = {
+	groupOwner: GroupOwner;
+	grants: GrantClient;
+	quotaOwner: QuotaOwner;
+	quota: QuotaClient;
+	limits: Limits;
+	getGroups: () => readonly Group[];
+	applyConfiguration: (version: ConfigurationVersion) => void;
+	stop: () => void;
+};
+
+/** What the orderers take. */
+export type OrderersOptions = {
+	settings: Settings;
+	incarnation: Incarnation;
+	clock: Clock;
+	random: Random;
+	metrics: Metrics;
+	fleet: Fleet;
+	peers: PeerCalls;
+};
+
+const getMechanisms = (names: readonly string[]): Mechanism[] => mechanisms.filter(name => names.includes(name));
+
+const createPush = (self: HostId, peers: PeerCalls, metrics: Metrics, getGrants: () => GrantClient) =>
+	(host: HostId, answer: Parameters<GrantClient['receive']>[0]): void => {
+		if (host === self) {
+			getGrants().receive(answer);
+			return;
+		}
+
+		metrics.count('grant_pushes_total');
+		// A push that is lost is healed by the heartbeat of the host that asked.
+		void peers.pushGrants(host, answer);
+	};
+
+/** Creates the parts of a host that order work and share limits out. */
+export const createOrderers = ({settings, incarnation, clock, random, metrics, fleet, peers}: OrderersOptions): Orderers => {
+	const {host: self} = settings;
+	const without = getMechanisms(settings.without);
+	let groups: readonly Group[] = [];
+	let limits: ReadonlyMap<string, Limit> = new Map();
+	let current: ConfigurationVersion | undefined;
+	const shared = {
+		clock, random, metrics, self, peers, getHosts: fleet.getHosts, getOwnerOf: fleet.getOwnerOf, getLimits: () => limits,
+	};
+	const groupOwner = createGroupOwner({...shared, without, push: createPush(self, peers, metrics, () => grants)});
+	const grants: GrantClient = createGrantClient({
+		...shared, incarnation, without, order: settings.order, getLocalOwner: () => groupOwner, getGroups: () => groups,
+	});
+	const quotaOwner = createQuotaOwner(shared);
+	const quota = createQuotaClient({...shared, getLocalOwner: () => quotaOwner});
+	return {
+		groupOwner,
+		grants,
+		quotaOwner,
+		quota,
+		limits: createLimits({quota, budgets: createRetryBudgets(), getConfiguration: () => current?.configuration}),
+		getGroups: () => groups,
+		applyConfiguration(version) {
+			current = version;
+			groups = getGroups(version.configuration);
+			limits = getLimits(version.configuration);
+			groupOwner.applyConfiguration(version);
+		},
+		stop() {
+			groupOwner.stop();
+			grants.stop();
+			quota.stop();
+		},
+	};
+};
