--- a/packages/claims/src/slots/commit.ts
+++ b/packages/claims/src/slots/commit.ts
@@ -125,6 +125,7 @@
 			if (floor.before > view.slot.bucket) {
 				view.known = undefined;
 				answerAll(waiting, ({operation}) => getClosedAnswer(operation));
+				await calls.remove(view.slot, known.revision);
 				return '';
 			}
 
--- a/packages/claims/src/slots/floor.ts
+++ b/packages/claims/src/slots/floor.ts
@@ -1,4 +1,4 @@
-import type {KeyValueService} from '@gentianlift/types';
+import type {KeyValueService, WriteOutcome} from '@gentianlift/types';
 import {z} from 'zod';
 
 /** Key of the floor in the key-value service. */
@@ -49,3 +49,7 @@
 		}
 	}
 };
+
+/** Writes the floor if its revision is `expected`. */
+export const writeFloor = async (keyValue: KeyValueService, floor: Floor, expected: number): Promise<WriteOutcome> =>
+	keyValue.compareAndSwap({key: floorKey, value: JSON.stringify(floor), expected});
--- a/packages/claims/src/slots/slot-calls.ts
+++ b/packages/claims/src/slots/slot-calls.ts
@@ -17,6 +17,8 @@
 	read: (slot: Slot) => Promise<SlotRead>;
 	/** Writes a slot's state if its revision is `expected`. */
 	write: (slot: Slot, state: SlotState, expected: number) => Promise<WriteOutcome>;
+	/** Removes a slot's value if its revision is `expected`. */
+	remove: (slot: Slot, expected: number) => Promise<WriteOutcome>;
 	readFloor: () => Promise<FloorRead>;
 };
 
@@ -58,6 +60,7 @@
 			metrics.count('claim_write_bytes', {}, value.length);
 			return call('write', async () => keyValue.compareAndSwap({key: getSlotKey(slot), value, expected}));
 		},
+		remove: async (slot, expected) => call('remove', async () => keyValue.remove(getSlotKey(slot), expected)),
 		readFloor: async () => call('floor', async () => readFloor(keyValue)),
 	};
 };
