--- a/packages/trial/src/commands/run-load.test.ts
+++ b/packages/trial/src/commands/run-load.test.ts
@@ -1,7 +1,7 @@
 import {expect, test} from 'vitest';
 import {createSystemClock} from '@gentianlift/clock';
 import {createEngine} from '@gentianlift/fakes';
-import {type Arrival, type RunningRouter, runLoad} from '../index.js';
+import {runLoad, type Arrival} from '../index.js';
 
 const getChat = (content: string): Arrival => {
 	const prompt = {model: 'chat', messages: [{role: 'user', content}]};
@@ -12,7 +12,7 @@
 
 const run = async (address: string, arrivals: Arrival[]) => runLoad({
 	deployment: {
-		routers: [{settings: {callerAddress: address}} as RunningRouter], keys: new Map(), clock: createSystemClock(),
+		routers: [{settings: {callerAddress: address}}], keys: new Map(), clock: createSystemClock(),
 	},
 	arrivals,
 	seed: 1,
--- a/packages/trial/src/commands/run-load.ts
+++ b/packages/trial/src/commands/run-load.ts
@@ -2,7 +2,7 @@
 import {createRandom, type Clock, type Random} from '@gentianlift/clock';
 import {getAnswer, getAnswerText} from '@gentianlift/fakes';
 import type {
-	ClassName, CustomerId, Milliseconds, RequestId, RunState,
+	Address, ClassName, CustomerId, Milliseconds, RequestId, RunState,
 } from '@gentianlift/types';
 import type {Arrival} from '../queries/get-arrivals.js';
 import {createAddressBook, type AddressBook} from './create-address-book.js';
@@ -35,7 +35,7 @@
 
 /** How a load is run. */
 export type LoadOptions = {
-	deployment: Pick<Deployment, 'routers' | 'keys' | 'clock'>;
+	deployment: Pick<Deployment, 'keys' | 'clock'> & {routers: Array<{settings: {callerAddress: Address}}>};
 	arrivals: Arrival[];
 	seed: number;
 	/** Attempts after the first. */
--- a/packages/trial/src/commands/send-request.ts
+++ b/packages/trial/src/commands/send-request.ts
@@ -74,6 +74,8 @@
 			applyData(reply, line.slice(dataField.length), clock);
 		}
 	});
+	// The reader repeats the errors of its input, which are handled below.
+	lines.on('error', () => undefined);
 	await finished(message);
 };
 
