--- a/packages/router/src/callers/caller-stream.ts
+++ b/packages/router/src/callers/caller-stream.ts
@@ -2,12 +2,18 @@
 import type {Clock} from '@gentianlift/clock';
 import type {Milliseconds} from '@gentianlift/types';
 
+/** Where the bytes of an answer go. */
+export type AnswerWriter = {
+	/** Takes bytes; false if no more may follow before `drained`. */
+	write: (bytes: Uint8Array) => boolean;
+	/** Waits until more may follow; false if the reader has gone. */
+	drained: () => Promise<boolean>;
+};
+
 /** The caller's side of an answer under way. */
-export type CallerStream = {
+export type CallerStream = AnswerWriter & {
 	/** Sends the head of the answer, once. */
 	begin: (status: number, headers: OutgoingHttpHeaders) => void;
-	/** Sends bytes; undefined if more may follow at once, else a promise of whether the caller still reads. */
-	write: (bytes: Uint8Array) => Promise<boolean> | undefined;
 	end: () => void;
 	hasBegun: () => boolean;
 	/** Aborted when the caller has gone, or has read nothing for too long. */
@@ -62,13 +68,8 @@
 				response.flushHeaders();
 			}
 		},
-		async write(bytes) {
-			if (gone.signal.aborted) {
-				return false;
-			}
-
-			return response.write(bytes) ? undefined : waitForDrain();
-		},
+		write: bytes => !gone.signal.aborted && response.write(bytes),
+		drained: async () => gone.signal.aborted ? false : waitForDrain(),
 		end() {
 			response.end();
 		},
--- a/packages/router/src/callers/commands/chat.ts
+++ b/packages/router/src/callers/commands/chat.ts
@@ -10,7 +10,7 @@
 	admitRequest, authenticate, takeLimits, type Caller,
 } from '../admission.js';
 import {getAccountHeaders, sendJson} from '../answer.js';
-import {createCallerStream, type CallerStream} from '../caller-stream.js';
+import {createCallerStream, type AnswerWriter, type CallerStream} from '../caller-stream.js';
 import {parseChatBody, type ChatBody} from '../chat-body.js';
 import type {Exchange} from '../exchange.js';
 import {getCompletion} from '../completion.js';
@@ -54,21 +54,27 @@
 	}
 };
 
-const createDeliver = ({request, body, stream}: Chat, onToken: () => void) => {
+const createWriter = ({request, body, stream}: Chat, mark: () => void): AnswerWriter => {
 	if (body.stream !== true) {
-		return () => {
-			onToken();
-			return undefined;
+		return {
+			write() {
+				mark();
+				return true;
+			},
+			drained: async () => true,
 		};
 	}
 
-	return async (bytes: Uint8Array) => {
-		if (!stream.hasBegun()) {
-			stream.begin(200, {'content-type': 'text/event-stream', 'cache-control': 'no-cache', ...getAccountHeaders(request.id, 'ran')});
-		}
+	return {
+		write(bytes) {
+			if (!stream.hasBegun()) {
+				stream.begin(200, {'content-type': 'text/event-stream', 'cache-control': 'no-cache', ...getAccountHeaders(request.id, 'ran')});
+			}
 
-		onToken();
-		return stream.write(bytes);
+			mark();
+			return stream.write(bytes);
+		},
+		drained: stream.drained,
 	};
 };
 
@@ -80,7 +86,7 @@
 		body,
 		bytes,
 		stop: request.idempotent ? stream.gone : new AbortController().signal,
-		deliver: createDeliver(chat, latencies.mark),
+		writer: createWriter(chat, latencies.mark),
 	});
 	latencies.end(result.kind === 'finished');
 	return result;
--- a/packages/router/src/callers/commands/service.ts
+++ b/packages/router/src/callers/commands/service.ts
@@ -53,6 +53,7 @@
 				stream.begin(status, {...headers, ...getAccountHeaders(request.id, 'ran')});
 			},
 			write: stream.write,
+			drained: stream.drained,
 		},
 	});
 	latencies.end(result.kind === 'finished');
--- a/packages/router/src/dispatch/call-attempt.ts
+++ b/packages/router/src/dispatch/call-attempt.ts
@@ -1,14 +1,13 @@
 import {Buffer} from 'node:buffer';
 import type {OutgoingHttpHeaders} from 'node:http';
 import type {ServiceCall} from '@gentianlift/upstream';
+import type {AnswerWriter} from '../callers/caller-stream.js';
 import type {HostParts} from '../parts.js';
 import {getLostAttempt, type LostAttempt} from './attempt-end.js';
 
 /** Where a service's answer goes. */
-export type AnswerReader = {
+export type AnswerReader = AnswerWriter & {
 	begin: (status: number, headers: OutgoingHttpHeaders) => void;
-	/** Undefined if more may follow at once, else a promise of whether the reader goes on. */
-	write: (bytes: Uint8Array) => Promise<boolean> | undefined;
 };
 
 /** How one attempt of a call ended. */
@@ -50,8 +49,7 @@
 	const keeper = createKeeper();
 	for await (const {bytes} of answer.chunks) {
 		keeper.add(bytes);
-		const pending = reader.write(bytes);
-		if (pending !== undefined && !(await pending) && !outlivesReader) {
+		if (!reader.write(bytes) && !(await reader.drained()) && !outlivesReader) {
 			break;
 		}
 	}
--- a/packages/router/src/dispatch/generation-attempt.ts
+++ b/packages/router/src/dispatch/generation-attempt.ts
@@ -1,5 +1,6 @@
 import {getEngineBody, type GenerationOutcome, type Resume} from '@gentianlift/upstream';
 import type {Address, ClassifiedRequest, Milliseconds} from '@gentianlift/types';
+import type {AnswerWriter} from '../callers/caller-stream.js';
 import type {HostParts} from '../parts.js';
 import {getLostAttempt, type LostAttempt} from './attempt-end.js';
 
@@ -15,8 +16,8 @@
 	stop: AbortSignal;
 	/** Aborted when a higher tier needs the slot. */
 	yielding: AbortSignal;
-	/** Takes whole events; undefined if more may follow at once, else a promise of whether the reader goes on. */
-	deliver: (bytes: Uint8Array) => Promise<boolean> | undefined;
+	/** Takes whole events. */
+	writer: AnswerWriter;
 };
 
 /** How one attempt of a generation ended. */
@@ -66,7 +67,7 @@
 
 /** Runs a generation at one engine and hands its events to the reader. Never throws. */
 export const runGenerationAttempt = async (parts: HostParts, attempt: GenerationAttempt): Promise<GenerationEnd> => {
-	const {request, address, priority, body, resume, stop, yielding, deliver} = attempt;
+	const {request, address, priority, body, resume, stop, yielding, writer} = attempt;
 	const startedAt = parts.clock.monotonic();
 	const prefix = request.work.kind === 'generation' ? request.work.prefix : [];
 	const started = await parts.upstreams.generate({
@@ -90,8 +91,7 @@
 			firstTokenAfter ??= parts.clock.monotonic() - startedAt;
 		}
 
-		const pending = deliver(bytes);
-		if (pending !== undefined && !(await pending)) {
+		if (!writer.write(bytes) && !(await writer.drained())) {
 			break;
 		}
 	}
--- a/packages/router/src/dispatch/run-generation.ts
+++ b/packages/router/src/dispatch/run-generation.ts
@@ -4,6 +4,7 @@
 import type {
 	ClassifiedRequest, Milliseconds, RunState, TicketEnd, UpstreamId,
 } from '@gentianlift/types';
+import type {AnswerWriter} from '../callers/caller-stream.js';
 import type {HostParts} from '../parts.js';
 import type {LostAttempt} from './attempt-end.js';
 import {runGenerationAttempt, type GenerationEnd} from './generation-attempt.js';
@@ -16,7 +17,7 @@
 	/** Bytes that the request holds while it waits. */
 	bytes: number;
 	stop: AbortSignal;
-	deliver: (bytes: Uint8Array) => Promise<boolean> | undefined;
+	writer: AnswerWriter;
 };
 
 /** Outcome of a generation. */
@@ -116,7 +117,7 @@
 		resume: progress.tokens === 0 ? undefined : {text: progress.text, tokens: progress.tokens},
 		stop: run.stop,
 		yielding: grant.yieldSignal,
-		deliver: run.deliver,
+		writer: run.writer,
 	});
 	const ran = end.result.kind === 'lost' ? end.result.ran : 'ran';
 	recordAttemptEnd(parts, {
