Spread accepted configurations to every host

A write whose reply was lost is settled by a further compare-and-swap: 200 seeded runs of overlapping operators with lost, late and dropped writes report applied or conflict as the service's history has it.

A starting host takes its version from peers during an outage only if more than half of those asked answer and none is said to have held a higher one.

--- /dev/null
+++ b/packages/distribution/src/publish.test.ts
@@ -0,0 +1,148 @@
+import {createManualClock, createRandom} from '@gentianlift/clock';
+import type {Parsed} from '@gentianlift/config';
+import {createMemoryKeyValue} from '@gentianlift/platform';
+import type {Configuration, ConfigurationVersion} from '@gentianlift/types';
+import fc from 'fast-check';
+import {expect, test} from 'vitest';
+import {
+	currentKey, publishConfiguration, readHistory, readVersion, removeOldVersion, type PublishOutcome,
+} from './index.js';
+
+const parse = (document: unknown): Parsed<Configuration> =>
+	document === 'bad' ? {kind: 'invalid', faults: []} : {kind: 'valid', value: document as Configuration};
+
+const createService = (seed = 1) => {
+	const clock = createManualClock();
+	const service = createMemoryKeyValue({clock, random: createRandom(seed)});
+	let sequence = 0;
+	const publish = async (document: unknown, base: number, token = `token-${++sequence}`): Promise<PublishOutcome> =>
+		publishConfiguration({clock, keyValue: service, parse}, {
+			document, base, token, author: 'test', note: '',
+		});
+	const publishNow = async (document: unknown, base: number): Promise<PublishOutcome> => {
+		const outcome = publish(document, base);
+		await clock.advance(10_000);
+		return outcome;
+	};
+
+	const getAccepted = (): ConfigurationVersion[] => service.getHistory()
+		.filter(({key}) => key === currentKey)
+		.map(({value}) => JSON.parse(value!) as ConfigurationVersion);
+	return {
+		clock, service, publish, publishNow, getAccepted,
+	};
+};
+
+test('accepts versions one after another and keeps them', async () => {
+	const {service, publishNow} = createService();
+	expect(await publishNow('a', 0)).toMatchObject({kind: 'applied', version: {version: 1}});
+	expect(await publishNow('b', 1)).toMatchObject({kind: 'applied', version: {version: 2}});
+	expect(await publishNow('b', 1)).toMatchObject({kind: 'unchanged', version: {version: 2}});
+	const history = await readHistory(service, 10);
+	expect(history.map(reading => reading.kind === 'found' && reading.stored.version.configuration)).toEqual(['b', 'a']);
+	expect(await readVersion(service, 1)).toMatchObject({kind: 'found', stored: {version: {version: 1}}});
+	expect(await readVersion(service, 7)).toEqual({kind: 'absent'});
+});
+
+test('refuses an invalid configuration without a call', async () => {
+	const {service, publishNow} = createService();
+	expect(await publishNow('bad', 0)).toMatchObject({kind: 'invalid'});
+	expect(service.getCalls().writes).toBe(0);
+});
+
+test('shows the difference to another operator\'s change', async () => {
+	const {publishNow} = createService();
+	await publishNow({limit: 1}, 0);
+	await publishNow({limit: 2}, 1);
+	expect(await publishNow({limit: 3}, 1)).toMatchObject({kind: 'conflict', current: {version: 2}, changes: [{path: '$.limit', before: 2, after: 3}]});
+	expect(await publishNow({limit: 3}, 9)).toMatchObject({kind: 'conflict'});
+});
+
+test('settles a lost reply', async () => {
+	const {service, publishNow, getAccepted} = createService();
+	service.failWrites('lost-reply');
+	expect(await publishNow('a', 0)).toMatchObject({kind: 'applied', version: {token: 'token-1'}});
+	expect(getAccepted()).toHaveLength(1);
+});
+
+test('settles a write that lands late', async () => {
+	const {service, publishNow, getAccepted} = createService();
+	service.failWrites('late');
+	expect(await publishNow('a', 0)).toMatchObject({kind: 'applied'});
+	expect(getAccepted()).toHaveLength(1);
+});
+
+test('finds its write behind the one of another operator', async () => {
+	const {clock, service, publish, getAccepted} = createService();
+	service.failWrites('lost-reply');
+	const first = publish('a', 0);
+	await clock.advance(0);
+	const second = publish('b', 1);
+	await clock.advance(10_000);
+	expect(await first).toMatchObject({kind: 'applied', version: {version: 1}});
+	expect(await second).toMatchObject({kind: 'applied', version: {version: 2}});
+	expect(getAccepted().map(({configuration}) => configuration)).toEqual(['a', 'b']);
+});
+
+test('tells unavailable from unknown', async () => {
+	const {service, publishNow} = createService();
+	service.setFaults({outage: true});
+	expect(await publishNow('a', 0)).toEqual({kind: 'unavailable', reason: 'outage'});
+	service.setFaults({
+		outage: false, chances: {
+			'lost-reply': 0, late: 0, dropped: 1, refused: 0,
+		},
+	});
+	expect(await publishNow('a', 0)).toEqual({kind: 'unknown', token: 'token-2', reason: 'dropped'});
+});
+
+test('replaces a current version that is no longer valid', async () => {
+	const {service, publishNow} = createService();
+	const value = JSON.stringify({
+		version: 4, token: 'x', author: '', acceptedAt: 0, note: '', configuration: 'bad',
+	});
+	await service.compareAndSwap({key: currentKey, value, expected: 0});
+	expect(await publishNow('a', 4)).toMatchObject({kind: 'applied', version: {version: 5}});
+});
+
+test('removes versions that are too old', async () => {
+	const {service} = createService();
+	await service.compareAndSwap({key: 'configuration/history/5', value: '', expected: 0});
+	await removeOldVersion(service, 205);
+	expect(service.peek('configuration/history/5')).toBeUndefined();
+});
+
+const chances = fc.record({
+	'lost-reply': fc.constantFrom(0, 0.2), late: fc.constantFrom(0, 0.2, 0.5), dropped: fc.constantFrom(0, 0.2), refused: fc.constantFrom(0, 0.2),
+});
+
+test('tells every operator the truth under faults', async () => {
+	await fc.assert(fc.asyncProperty(fc.integer(), chances, fc.array(fc.tuple(fc.nat(3000), fc.nat(4)), {maxLength: 8}), async (seed, faults, plan) => {
+		const {clock, service, publish, getAccepted} = createService(seed);
+		service.setFaults({chances: faults, lateLimit: 4000});
+		const outcomes = new Map<string, Promise<PublishOutcome>>();
+		for (const [index, [wait, back]] of plan.entries()) {
+			const newest = getAccepted().at(-1)?.version ?? 0;
+			outcomes.set(`t${index}`, publish(`c${index}`, Math.max(0, newest - (back === 0 ? 1 : 0)), `t${index}`));
+			// eslint-disable-next-line no-await-in-loop -- Operators act one after another, their calls overlap.
+			await clock.advance(wait);
+		}
+
+		await clock.advance(30_000);
+		const accepted = getAccepted();
+		expect(accepted.map(({version}) => version)).toEqual(accepted.map((_, index) => index + 1));
+		for (const {version} of accepted.slice(0, -1)) {
+			expect(service.peek(`configuration/history/${version}`)).toBeDefined();
+		}
+
+		for (const [token, outcome] of outcomes) {
+			// eslint-disable-next-line no-await-in-loop -- All outcomes have settled.
+			const {kind} = await outcome;
+			const count = accepted.filter(version => version.token === token).length;
+			expect(count).toBeLessThanOrEqual(1);
+			if (kind !== 'unknown') {
+				expect(count).toBe(kind === 'applied' ? 1 : 0);
+			}
+		}
+	}), {seed: 11, numRuns: 200});
+});
--- a/packages/types/src/peer.ts
+++ b/packages/types/src/peer.ts
@@ -53,6 +53,9 @@
 	shares: Array<{limit: string; allowed: number; duration: Milliseconds}>;
 };
 
+/** What a host tells another of its configuration. */
+export type ConfigurationAnswer = {newest?: ConfigurationVersion; version?: number; age?: Milliseconds};
+
 /** Calls from one host to another; none throws. */
 export type PeerCalls = {
 	exchangeGrants: (to: HostId, message: GrantRequest) => Promise<PeerOutcome<GrantAnswer>>;
@@ -61,8 +64,11 @@
 	exchangeQuota: (to: HostId, message: QuotaRequest) => Promise<PeerOutcome<QuotaAnswer>>;
 	claim: (to: HostId, message: ClaimRequest) => Promise<PeerOutcome<ClaimDecision>>;
 	settleClaim: (to: HostId, message: ClaimSettlement) => Promise<PeerOutcome<SettlementOutcome>>;
-	/** The newest configuration of the host, if newer than `after`. */
-	readConfiguration: (to: HostId, message: {after: number}) => Promise<PeerOutcome<{newest?: ConfigurationVersion}>>;
+	/**
+	The newest configuration of the host, if newer than `after`.
+	`version` is the number in force there, `age` the time since it was known to be the newest, if ever.
+	*/
+	readConfiguration: (to: HostId, message: {after: number}) => Promise<PeerOutcome<ConfigurationAnswer>>;
 	readAccount: (to: HostId, message: {request: RequestId}) => Promise<PeerOutcome<{account?: Account}>>;
 };
 
