--- /dev/null
+++ b/packages/membership/src/membership.test.ts
@@ -0,0 +1,240 @@
+import {createManualClock, type ManualClock} from '@gentianlift/clock';
+import type {HostState} from '@gentianlift/types';
+import {expect, test} from 'vitest';
+import {createFleet, getGossipAddress, type Fleet} from './fleet.js';
+import {getSuspicionTimeout} from './protocol/timing.js';
+
+const quiet = 20_000;
+
+const createStarted = async (count: number, seed = 1): Promise<{clock: ManualClock; fleet: Fleet}> => {
+	const clock = createManualClock(1_000_000);
+	const fleet = createFleet({clock, seed});
+	for (let index = 0; index < count; index++) {
+		// eslint-disable-next-line no-await-in-loop -- Hosts start one after another.
+		await fleet.start(`h${index}`);
+	}
+
+	await clock.advance(quiet);
+	return {clock, fleet};
+};
+
+const getViews = (fleet: Fleet, host: string): Array<HostState | undefined> =>
+	fleet.getRunning().filter(viewer => viewer !== host).map(viewer => fleet.getState(viewer, host));
+
+const expectAll = (fleet: Fleet, state: HostState): void => {
+	for (const host of fleet.getRunning()) {
+		expect(new Set(getViews(fleet, host)), host).toEqual(new Set([state]));
+	}
+};
+
+test('all hosts find each other', async () => {
+	const {fleet} = await createStarted(7);
+	expectAll(fleet, 'alive');
+});
+
+test('a killed host is gone everywhere within 10 s', async () => {
+	const {clock, fleet} = await createStarted(7);
+	fleet.kill('h3');
+	await clock.advance(10_000);
+	expect(new Set(getViews(fleet, 'h3'))).toEqual(new Set(['gone']));
+	expectAll(fleet, 'alive');
+});
+
+test('a host that stops is gone within 2 s', async () => {
+	const {clock, fleet} = await createStarted(7);
+	fleet.get('h3').stop();
+	await clock.advance(2000);
+	expect(new Set(getViews(fleet, 'h3'))).toEqual(new Set(['gone']));
+});
+
+test('a replaced process is not taken for the old one', async () => {
+	const {clock, fleet} = await createStarted(7);
+	const before = fleet.get('h0').getMembers().find(({host}) => host === 'h3');
+	fleet.kill('h3');
+	await fleet.start('h3');
+	await clock.advance(5000);
+	expectAll(fleet, 'alive');
+	const after = fleet.get('h0').getMembers().find(({host}) => host === 'h3');
+	expect(after?.incarnation).toBeGreaterThan(before?.incarnation ?? 0);
+});
+
+test('draining is told and taken back', async () => {
+	const {clock, fleet} = await createStarted(7);
+	fleet.get('h3').setDraining(true);
+	await clock.advance(2000);
+	expect(new Set(getViews(fleet, 'h3'))).toEqual(new Set(['draining']));
+	fleet.get('h3').setDraining(false);
+	await clock.advance(2000);
+	expectAll(fleet, 'alive');
+});
+
+test('a host that hears nothing is gone and condemns nobody soon', async () => {
+	const {clock, fleet} = await createStarted(7);
+	fleet.network.setCut((_from, to) => to === getGossipAddress('h3'));
+	await clock.advance(10_000);
+	expect(new Set(getViews(fleet, 'h3'))).toEqual(new Set(['gone']));
+	expect(fleet.get('h3').getMembers().filter(({state}) => state === 'gone')).toEqual([]);
+	fleet.network.setCut(() => false);
+	await clock.advance(15_000);
+	expectAll(fleet, 'alive');
+});
+
+test('one lost direction between two hosts harms nobody', async () => {
+	const {clock, fleet} = await createStarted(7);
+	const seen = new Set<HostState>();
+	for (const host of fleet.getRunning()) {
+		fleet.get(host).onChange(({after}) => {
+			seen.add(after.state);
+		});
+	}
+
+	fleet.network.setCut((from, to) => from === getGossipAddress('h2') && to === getGossipAddress('h5'));
+	await clock.advance(60_000);
+	expect([...seen]).toEqual([]);
+});
+
+test('a tenth of all datagrams lost leaves nobody gone', async () => {
+	const {clock, fleet} = await createStarted(7);
+	const seen = new Set<HostState>();
+	for (const host of fleet.getRunning()) {
+		fleet.get(host).onChange(({after}) => {
+			seen.add(after.state);
+		});
+	}
+
+	fleet.network.setLoss(0.1);
+	await clock.advance(120_000);
+	expect(seen.has('gone')).toBe(false);
+});
+
+test('halves that lost each other heal', async () => {
+	const {clock, fleet} = await createStarted(8);
+	const isLow = (address: string): boolean => Number(address.slice(1, 2)) < 4;
+	fleet.network.setCut((from, to) => isLow(from) !== isLow(to));
+	await clock.advance(600_000);
+	expect(fleet.getState('h0', 'h7')).toBe('gone');
+	fleet.network.setCut(() => false);
+	await clock.advance(30_000);
+	expectAll(fleet, 'alive');
+});
+
+test('a zone lost at once is gone and the rest stands', async () => {
+	const {clock, fleet} = await createStarted(9);
+	for (const host of ['h2', 'h5', 'h8']) {
+		fleet.kill(host);
+	}
+
+	await clock.advance(12_000);
+	expect(new Set(getViews(fleet, 'h5'))).toEqual(new Set(['gone']));
+	expectAll(fleet, 'alive');
+});
+
+test('a pause of all processes condemns nobody', async () => {
+	const {clock, fleet} = await createStarted(7);
+	const seen = new Set<HostState>();
+	for (const host of fleet.getRunning()) {
+		fleet.get(host).onChange(({after}) => {
+			seen.add(after.state);
+		});
+	}
+
+	clock.pause(12_000);
+	await clock.advance(20_000);
+	expect(seen.has('gone')).toBe(false);
+	expectAll(fleet, 'alive');
+});
+
+test('a version reaches all hosts within 2 s', async () => {
+	const {clock, fleet} = await createStarted(7);
+	fleet.get('h4').setConfigurationVersion(9);
+	await clock.advance(2000);
+	const versions = fleet.getRunning().map(viewer => fleet.get(viewer).getMembers().find(({host}) => host === 'h4')?.configurationVersion);
+	expect(new Set(versions)).toEqual(new Set([9]));
+});
+
+test('a note reaches all hosts, late ones included, and ends', async () => {
+	const {clock, fleet} = await createStarted(7);
+	fleet.get('h4').publishNote({
+		topic: 'upstream-failed', key: 'e1', value: 'reset', duration: 20_000,
+	});
+	await clock.advance(2000);
+	await fleet.start('h7');
+	await clock.advance(3000);
+	for (const host of fleet.getRunning()) {
+		expect(fleet.get(host).getNotes('upstream-failed'), host).toMatchObject([{key: 'e1', value: 'reset', host: 'h4'}]);
+	}
+
+	await clock.advance(20_000);
+	expect(fleet.get('h0').getNotes('upstream-failed')).toEqual([]);
+});
+
+test('a stranger, a replay and garbage are counted and dropped', async () => {
+	const {clock, fleet} = await createStarted(3);
+	const sent: Uint8Array[] = [];
+	fleet.network.onSend((_from, to, bytes) => {
+		if (to === getGossipAddress('h0')) {
+			sent.push(bytes);
+		}
+	});
+	await clock.advance(2000);
+	const [replay = new Uint8Array(0)] = sent;
+	const garbage = replay.map((byte, index) => index === 40 ? byte + 1 : byte);
+	for (const bytes of [replay, garbage, new Uint8Array(3)]) {
+		fleet.network.inject(getGossipAddress('h0'), bytes);
+	}
+
+	const getDropped = (reason: string): number => fleet.getMetrics('h0').getValue('membership_messages_dropped', {reason});
+	expect(getDropped('replayed')).toBe(1);
+	expect(getDropped('signature')).toBe(2);
+});
+
+test('keys rotate without a break', async () => {
+	const clock = createManualClock(1_000_000);
+	const fleet = createFleet({clock, seed: 1, keys: {h0: ['old', 'new'], h1: ['new', 'old'], h2: ['stranger']}});
+	for (const host of ['h0', 'h1', 'h2']) {
+		// eslint-disable-next-line no-await-in-loop -- Hosts start one after another.
+		await fleet.start(host);
+	}
+
+	await clock.advance(quiet);
+	expect(fleet.getState('h0', 'h1')).toBe('alive');
+	expect(fleet.getState('h1', 'h0')).toBe('alive');
+	expect(fleet.getState('h0', 'h2')).toBeUndefined();
+});
+
+test('a host that the list has as leaving is draining', async () => {
+	const {clock, fleet} = await createStarted(3);
+	await clock.advance(60_000);
+	fleet.list.push({
+		id: 'h2', kind: 'entry', address: 'h2:80', zone: 'z2', state: 'leaving',
+	});
+	await clock.advance(11_000);
+	expect(fleet.getState('h0', 'h2')).toBe('draining');
+	fleet.kill('h2');
+	await fleet.start('h2');
+	await clock.advance(15_000);
+	expect(fleet.getState('h0', 'h2')).toBe('alive');
+});
+
+test('the suspicion time grows slowly with the fleet', () => {
+	expect(getSuspicionTimeout(480) / getSuspicionTimeout(7)).toBeLessThan(3);
+});
+
+test('a datagram is bounded and traffic stays flat', async () => {
+	const getTraffic = async (count: number): Promise<{largest: number; bytesPerSecond: number}> => {
+		const {clock, fleet} = await createStarted(count);
+		let [largest, bytes] = [0, 0];
+		await clock.advance(30_000);
+		fleet.network.onSend((_from, _to, datagram) => {
+			largest = Math.max(largest, datagram.length);
+			bytes += datagram.length + 28;
+		});
+		await clock.advance(10_000);
+		return {largest, bytesPerSecond: bytes / count / 10};
+	};
+
+	const [small, large] = [await getTraffic(7), await getTraffic(40)];
+	expect(Math.max(small.largest, large.largest)).toBeLessThan(1100);
+	expect(large.bytesPerSecond).toBeLessThan(3000);
+	expect(large.bytesPerSecond / small.bytesPerSecond).toBeLessThan(1.5);
+});
--- /dev/null
+++ b/packages/membership/src/transport/udp-transport.ts
@@ -0,0 +1,49 @@
+import {createSocket} from 'node:dgram';
+import type {Address} from '@gentianlift/types';
+import type {Transport} from './transport.js';
+
+const splitAddress = (address: Address): {host: string; port: number} => {
+	const at = address.lastIndexOf(':');
+	return {host: address.slice(0, at).replaceAll(/[\[\]]/gv, ''), port: Number(address.slice(at + 1))};
+};
+
+const ignoreError = (): void => undefined;
+
+/** Creates a transport over UDP that listens at an address. */
+export const createUdpTransport = (address: Address): Transport => {
+	const {host, port} = splitAddress(address);
+	const socket = createSocket(host.includes(':') ? 'udp6' : 'udp4');
+	let pending = 0;
+	let isStopping = false;
+
+	const finishSend = (): void => {
+		pending--;
+		if (isStopping && pending === 0) {
+			socket.close();
+		}
+	};
+
+	return {
+		start: async onDatagram => new Promise((resolve, reject) => {
+			socket.once('error', reject);
+			socket.bind(port, host, () => {
+				socket.off('error', reject);
+				socket.on('error', ignoreError);
+				resolve();
+			});
+			socket.on('message', onDatagram);
+		}),
+		send(to, bytes) {
+			const target = splitAddress(to);
+			// A datagram that can't be sent is as good as lost.
+			pending++;
+			socket.send(bytes, target.port, target.host, finishSend);
+		},
+		stop() {
+			isStopping = true;
+			if (pending === 0) {
+				socket.close();
+			}
+		},
+	};
+};
