Judge upstreams by sightings of this and other hosts

An owner of a group has to stop using an upstream that fails, without one host's broken network condemning it for all.

--- a/packages/upstream/src/index.ts
+++ b/packages/upstream/src/index.ts
@@ -12,3 +12,6 @@
 export {
 	getRunState, refusalCodes, type CallFailure, type Failure, type Refusal, type RefusalCode,
 } from './outcome.js';
+export {createUpstreamHealth, type UpstreamHealth, type UpstreamHealthOptions} from './health/upstream-health.js';
+export type {Standing} from './health/ejection.js';
+export {leavingSources, type LeavingSource} from './health/leaving.js';
