Add placement: lease, fencing numbers and a plan with hysteresis

Two hosts must not order engines about. The fencing number is read before the holder's entry is taken and raised after it, so the later holder has the higher number; a write of unknown outcome is never relied on. Engines that ignore numbers get orders only once earlier ones have ended.

--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -1,1 +1,9 @@
-
+export * from './placement.js';
+export * from './dispatch.js';
+export * from './timing.js';
+export * from './lease/acquire-term.js';
+export * from './lease/holder.js';
+export * from './lease/term.js';
+export * from './plan/plan-orders.js';
+export * from './plan/supply.js';
+export * from './plan/types.js';
--- /dev/null
+++ b/packages/placement/src/placement.test.ts
@@ -0,0 +1,87 @@
+import {expect, test} from 'vitest';
+import {createManualClock, createRandom} from '@gentianlift/clock';
+import {createMetrics} from '@gentianlift/metrics';
+import {createMemoryKeyValue} from '@gentianlift/platform';
+import type {
+	Configuration, Engine, FencedOrder, LoadReport, OrderOutcome,
+} from '@gentianlift/types';
+import {createPlacement, defaultTiming, type SendOrder} from './index.js';
+
+const engine: Engine = {
+	id: 'e1', address: '127.0.0.1:1', zone: 'a', models: ['small'], adapters: [], role: 'mixed', accelerators: 1, slots: 8, fencing: 'checked',
+};
+
+const getConfiguration = (fencing: Engine['fencing']): Configuration => ({
+	inventory: {
+		engines: [{...engine, fencing}], models: [{name: 'small', bytes: 1, contextTokens: 1}], adapters: [], services: [], customers: [],
+	},
+	rules: {tiers: [], classes: []},
+});
+
+const createTrial = (outcomes: OrderOutcome[], fencing: Engine['fencing'] = 'checked') => {
+	const clock = createManualClock();
+	const keyValue = createMemoryKeyValue({clock, random: createRandom(1)});
+	const sent: FencedOrder[] = [];
+	const report: LoadReport = {
+		at: 0, running: 0, waiting: 0, cacheUse: 0, tokensPerSecond: 0, models: [], adapters: [], role: 'mixed', leaving: false,
+	};
+	const sendOrder: SendOrder = async (_, order) => {
+		sent.push(order);
+		return outcomes.shift() ?? {kind: 'accepted'};
+	};
+
+	const create = (host: string) => createPlacement({
+		clock, keyValue, sendOrder, random: createRandom(3), metrics: createMetrics(), self: {host, incarnation: 1},
+		weightStore: {readRate: async () => ({bytesPerSecond: 1e9, bytesUnderWay: 0})},
+		getDemand: () => [],
+		getConfiguration: () => getConfiguration(fencing),
+		getLoadReports: () => new Map([['e1', report]]),
+	});
+	return {
+		clock, sent, report, create,
+	};
+};
+
+test('repeats an order of unknown outcome under the same id, then sends it no more', async () => {
+	const {clock, sent, create} = createTrial([{kind: 'unknown', reason: 'silent'}]);
+	const placement = create('a');
+	placement.start();
+	await clock.advance(20_000);
+	expect(sent.map(({id}) => id)).toEqual(['1.1', '1.1']);
+	await placement.stop();
+});
+
+test('a stale answer ends the term, and the next has a higher number', async () => {
+	const {clock, sent, create} = createTrial([{kind: 'stale', highest: 7}]);
+	const placement = create('a');
+	placement.start();
+	await clock.advance(20_000);
+	expect(sent.map(({fencingNumber}) => fencingNumber)).toEqual([1, 2]);
+	await placement.stop();
+});
+
+test('waits out earlier orders for an engine that ignores numbers', async () => {
+	const {clock, sent, create} = createTrial([], 'ignored');
+	const placement = create('a');
+	placement.start();
+	await clock.advance(defaultTiming.orderLifetime - 1);
+	expect(sent).toEqual([]);
+	await clock.advance(3 * defaultTiming.plan);
+	expect(sent).toHaveLength(1);
+	await placement.stop();
+});
+
+test('sends nothing after a pause past the lease, until it holds a new one', async () => {
+	const {clock, sent, report, create} = createTrial([]);
+	const placement = create('a');
+	report.models.push('small');
+	placement.start();
+	await clock.advance(3000);
+	report.models.pop();
+	clock.pause(defaultTiming.lease);
+	await clock.advance(0);
+	expect(sent).toEqual([]);
+	await clock.advance(20_000);
+	expect(sent.map(({fencingNumber}) => fencingNumber)).toEqual([2]);
+	await placement.stop();
+});
