--- a/packages/router/src/callers/commands/chat.ts
+++ b/packages/router/src/callers/commands/chat.ts
@@ -9,6 +9,7 @@
 import {
 	admitRequest, authenticate, takeLimits, type Caller,
 } from '../admission.js';
+import {checkForcedStop} from '../forced-stop.js';
 import {getAccountHeaders, sendJson} from '../answer.js';
 import {createCallerStream, type AnswerWriter, type CallerStream} from '../caller-stream.js';
 import {parseChatBody, type ChatBody} from '../chat-body.js';
@@ -85,7 +86,7 @@
 		request,
 		body,
 		bytes,
-		stop: request.idempotent ? stream.gone : new AbortController().signal,
+		stop: request.idempotent ? AbortSignal.any([stream.gone, parts.open.cut.signal]) : new AbortController().signal,
 		writer: createWriter(chat, latencies.mark),
 	});
 	latencies.end(result.kind === 'finished');
@@ -106,6 +107,7 @@
 		}
 
 		case 'stopped': {
+			checkForcedStop(parts, result.ran);
 			parts.accounts.apply({kind: 'cancelled', request: request.id, ran: result.ran});
 			parts.metrics.count('cancelled_total', {class: request.className});
 			response.destroy();
--- a/packages/router/src/callers/commands/service.ts
+++ b/packages/router/src/callers/commands/service.ts
@@ -8,6 +8,7 @@
 import {
 	admitRequest, authenticate, takeLimits, type Caller,
 } from '../admission.js';
+import {checkForcedStop} from '../forced-stop.js';
 import {getAccountHeaders} from '../answer.js';
 import {createCallerStream, type CallerStream} from '../caller-stream.js';
 import type {Exchange} from '../exchange.js';
@@ -46,7 +47,7 @@
 		path,
 		headers: getServiceHeaders(exchange.request, request.id, body.length),
 		body,
-		gone: stream.gone,
+		gone: AbortSignal.any([stream.gone, parts.open.cut.signal]),
 		reader: {
 			begin(status, headers) {
 				latencies.mark();
@@ -69,6 +70,7 @@
 		}
 
 		case 'stopped': {
+			checkForcedStop(parts, result.ran);
 			parts.accounts.apply({kind: 'cancelled', request: request.id, ran: result.ran});
 			parts.metrics.count('cancelled_total', {class: request.className});
 			exchange.response.destroy();
--- a/packages/router/src/callers/handle-request.ts
+++ b/packages/router/src/callers/handle-request.ts
@@ -60,11 +60,18 @@
 	};
 	// A connection that fails is seen where the answer is written.
 	response.on('error', () => undefined);
+	if (parts.isDraining()) {
+		response.setHeader('connection', 'close');
+	}
+
+	const close = parts.open.open();
 	try {
 		await route(parts, exchange);
 	} catch (error) {
 		const failure = getFailure(error);
 		recordFailure(parts, exchange, failure);
 		sendFailure(response, failure, exchange.id);
+	} finally {
+		close();
 	}
 };
--- a/packages/router/src/callers/queries/index.ts
+++ b/packages/router/src/callers/queries/index.ts
@@ -29,7 +29,7 @@
 export const handleRequestQuery = async (parts: HostParts, {request, response}: Exchange): Promise<void> => {
 	const {customer} = authenticate(parts, request);
 	const id = decodeURIComponent(requestPath.exec(request.url ?? '')?.groups?.id ?? '');
-	const account = await parts.readAccount(id);
+	const account = await parts.readAccount(id, customer.id);
 	if (account?.customer !== customer.id) {
 		throw createFailure('unknown-request');
 	}
--- a/packages/router/src/dispatch/grants.ts
+++ b/packages/router/src/dispatch/grants.ts
@@ -58,6 +58,7 @@
 		kind: record.kind,
 		tokens,
 		duration: record.duration,
+		...(lost?.sighting === 'crashed' && {crashed: true}),
 		...(record.firstTokenAfter !== undefined && {firstTokenAfter: record.firstTokenAfter}),
 	});
 	parts.accounts.apply({
--- /dev/null
+++ b/packages/router/src/host/base.ts
@@ -0,0 +1,30 @@
+import {createRandom, createSystemClock} from '@gentianlift/clock';
+import {createLogger} from '@gentianlift/logger';
+import {createMetrics} from '@gentianlift/metrics';
+import {createHostListClient, createKeyValueClient, createWeightStoreClient} from '@gentianlift/platform';
+import type {Settings} from '@gentianlift/types';
+import {createUpstreamClient} from '@gentianlift/upstream';
+import {createOpenRequests} from '../open-requests.js';
+
+/** Creates what needs no other part: time, chance, records, and the clients of the platform and of upstreams. */
+export const createBase = (settings: Settings) => {
+	const clock = createSystemClock();
+	const incarnation = clock.now();
+	const platform = {clock, timeout: settings.silenceLimits.platform};
+	return {
+		settings,
+		incarnation,
+		clock,
+		random: createRandom(settings.seed ?? incarnation),
+		metrics: createMetrics(),
+		logger: createLogger(settings.logLevel),
+		keyValue: createKeyValueClient({...platform, url: settings.keyValueUrl}),
+		hostList: createHostListClient({...platform, url: settings.hostListUrl}),
+		weightStore: createWeightStoreClient({...platform, url: settings.weightStoreUrl}),
+		upstreams: createUpstreamClient({clock, silenceLimits: settings.silenceLimits}),
+		open: createOpenRequests(),
+	};
+};
+
+/** Parts that need no other part. */
+export type Base = ReturnType<typeof createBase>;
--- a/packages/router/src/host/fleet.ts
+++ b/packages/router/src/host/fleet.ts
@@ -27,9 +27,14 @@
 
 	const refresh = (): void => {
 		const list = getList();
-		if (list !== members) {
-			members = list;
-			eligible = getEligibleHosts(list);
+		if (list === members) {
+			return;
+		}
+
+		members = list;
+		const next = getEligibleHosts(list);
+		if (next.join(' ') !== eligible.join(' ')) {
+			eligible = next;
 			owners.clear();
 		}
 	};
--- /dev/null
+++ b/packages/router/src/host/network.ts
@@ -0,0 +1,55 @@
+import {parseConfiguration} from '@gentianlift/config';
+import {createConfigurationFollower} from '@gentianlift/distribution';
+import {createMembership, createUdpTransport} from '@gentianlift/membership';
+import {createPeerCalls} from '@gentianlift/peers';
+import type {Base} from './base.js';
+import {createFleet} from './fleet.js';
+
+/** Creates what a host shares with the others: membership, calls, and the configuration that they pass on. */
+export const createNetwork = (base: Base) => {
+	const {
+		settings, incarnation, clock, random, metrics, keyValue,
+	} = base;
+	const {
+		host, zone, callerAddress, peerAddress, gossipAddress,
+	} = settings;
+	const membership = createMembership({
+		clock,
+		random,
+		metrics,
+		self: {
+			host, incarnation, zone, callerAddress, peerAddress, gossipAddress,
+		},
+		seeds: settings.seeds,
+		keys: settings.peerKeys,
+		transport: createUdpTransport(gossipAddress),
+		hostList: base.hostList,
+	});
+	const fleet = createFleet(membership.getMembers, settings.addressTimeToLive, random);
+	const peers = createPeerCalls({
+		self: host,
+		keys: settings.peerKeys,
+		getAddress: other => fleet.getMember(other)?.peerAddress,
+		clock,
+		metrics,
+		timeout: settings.silenceLimits.peer,
+	});
+	const follower = createConfigurationFollower({
+		clock, random, metrics, keyValue, peers, self: host, parse: parseConfiguration, getMembers: fleet.getMembers, getOwners: fleet.getOwners,
+	});
+	membership.onChange(({after}) => {
+		follower.applyRumour(after.host, after.configurationVersion);
+		if (after.state === 'gone') {
+			peers.retain(fleet.getMembers().filter(({state}) => state !== 'gone').map(member => member.host));
+		}
+	});
+	follower.onChange(({version}) => {
+		membership.setConfigurationVersion(version);
+	});
+	return {
+		membership, fleet, peers, follower,
+	};
+};
+
+/** Parts that a host shares with the others. */
+export type Network = ReturnType<typeof createNetwork>;
--- a/packages/router/src/host/orderers.ts
+++ b/packages/router/src/host/orderers.ts
@@ -2,7 +2,8 @@
 import type {Metrics} from '@gentianlift/metrics';
 import {getGroups, type Group} from '@gentianlift/policy';
 import {
-	createGrantClient, createGroupOwner, createQuotaClient, createQuotaOwner, createRetryBudgets, getLimits, mechanisms, type GrantClient, type GroupOwner, type Limit, type Mechanism, type QuotaClient, type QuotaOwner,
+	createGrantClient, createGroupOwner, createQuotaClient, createQuotaOwner, createRetryBudgets, getLimits, mechanisms,
+	type GrantClient, type GroupOwner, type Limit, type Mechanism, type QuotaClient, type QuotaOwner,
 } from '@gentianlift/scheduler';
 import type {
 	ConfigurationVersion, HostId, Incarnation, PeerCalls, Settings,
--- /dev/null
+++ b/packages/router/src/host/peer-handlers.ts
@@ -0,0 +1,29 @@
+import type {Accounts, ClaimOwner} from '@gentianlift/claims';
+import type {ConfigurationFollower} from '@gentianlift/distribution';
+import type {PeerHandlers} from '@gentianlift/types';
+import type {Orderers} from './orderers.js';
+
+/** What answers the calls of other hosts. */
+export type PeerHandlersOptions = {
+	orderers: Orderers;
+	claimOwner: ClaimOwner;
+	follower: ConfigurationFollower;
+	accounts: Accounts;
+};
+
+/** Creates the functions that answer the calls of other hosts. */
+export const createPeerHandlers = ({orderers, claimOwner, follower, accounts}: PeerHandlersOptions): PeerHandlers => ({
+	exchangeGrants: async (from, message) => orderers.groupOwner.handle(from, message),
+	async pushGrants(_from, message) {
+		orderers.grants.receive(message);
+		return {received: true};
+	},
+	exchangeQuota: async (from, message) => orderers.quotaOwner.handle(from, message),
+	claim: claimOwner.claim,
+	settleClaim: claimOwner.settle,
+	readConfiguration: follower.readConfiguration,
+	async readAccount(_from, {request}) {
+		const account = accounts.getAccount(request);
+		return account === undefined ? {} : {account};
+	},
+});
--- a/packages/router/src/host/start-host.ts
+++ b/packages/router/src/host/start-host.ts
@@ -1,129 +1,114 @@
-import {createAccounts, createClaimClient, createClaimOwner} from '@gentianlift/claims';
-import {createRandom, createSystemClock} from '@gentianlift/clock';
-import {parseVersionText} from '@gentianlift/config';
-import {createLogger} from '@gentianlift/logger';
-import {createMetrics} from '@gentianlift/metrics';
-import {createPeerCalls, startPeerServer} from '@gentianlift/peers';
-import {createKeyValueClient} from '@gentianlift/platform';
-import type {ConfigurationVersion, Member, Settings} from '@gentianlift/types';
-import {createUpstreamClient} from '@gentianlift/upstream';
+import process from 'node:process';
+import {startPeerServer} from '@gentianlift/peers';
+import type {Settings} from '@gentianlift/types';
 import {createCallerServer} from '../callers/caller-server.js';
 import {handleRequest} from '../callers/handle-request.js';
-import {getDirectory, type Directory} from '../directory.js';
-import {listen} from '../listen.js';
+import {closeServer, listen} from '../listen.js';
+import {createOperatorServer} from '../operators/operator-server.js';
 import type {HostParts} from '../parts.js';
 import {createRequestIds} from '../request-ids.js';
-import {createOperatorServer} from '../operators/operator-server.js';
-import {createFleet} from './fleet.js';
-import {createOrderers} from './orderers.js';
-import {startPolls} from './poll-upstreams.js';
+import {createBase, type Base} from './base.js';
+import {createGracefulStop, type GracefulStop, type StopSteps} from './graceful-stop.js';
+import {createNetwork, type Network} from './network.js';
+import {createOperatorActions, getReadiness} from './operator-actions.js';
+import {startOverload, type Overload} from './overload.js';
+import {createPeerHandlers} from './peer-handlers.js';
+import {createWork, type Work} from './work.js';
+
+/** A host that listens. */
+export type RunningHost = {
+	/** Begins a graceful shutdown; a second call is refused and logged. */
+	stop: (reason: string) => void;
+};
+
+type Exit = (status: number) => void;
+
+const loadInterval = 1000;
+
+const createOverload = ({clock, metrics, settings, open}: Base, {follower}: Network): Overload => startOverload({
+	clock,
+	metrics,
+	getTiers: () => follower.getCurrent()?.configuration.rules.tiers.length ?? 1,
+	getConnections: () => open.getCount() / settings.callerLimits.connections,
+	getHeapBytes: () => process.memoryUsage.rss(),
+});
 
-/** Starts a host by its settings; rejects if one of its addresses can't be used. */
-export const startHost = async (settings: Settings): Promise<void> => {
-	const clock = createSystemClock();
-	const incarnation = clock.now();
-	const random = createRandom(settings.seed ?? incarnation);
-	const metrics = createMetrics();
-	const logger = createLogger(settings.logLevel);
-	const members = [settings, ...settings.seeds.filter(({host}) => host !== settings.host)].map((seed): Member => ({
-		host: seed.host, incarnation, zone: settings.zone, callerAddress: settings.callerAddress, peerAddress: seed.peerAddress, gossipAddress: seed.gossipAddress, state: 'alive', configurationVersion: 0, load: 0,
-	}));
-	const fleet = createFleet(() => members, settings.addressTimeToLive, random);
-	const peers = createPeerCalls({
-		self: settings.host, keys: settings.peerKeys, getAddress: host => fleet.getMember(host)?.peerAddress, clock, metrics, timeout: settings.silenceLimits.peer,
+const createParts = (base: Base, network: Network, work: Work, {overload, graceful}: {overload: Overload; graceful: () => GracefulStop}): HostParts => ({
+	...base,
+	grants: work.orderers.grants,
+	limits: work.orderers.limits,
+	claims: work.claims.client,
+	accounts: work.accounts,
+	createRequestId: createRequestIds(base.settings.host, base.incarnation),
+	getConfiguration: () => network.follower.getStanding() === 'isolated' ? undefined : network.follower.getCurrent(),
+	getDirectory: work.getDirectory,
+	getHostAnswer: network.fleet.getHostAnswer,
+	readAccount: work.readAccount,
+	recordSighting: work.watch.recordSighting,
+	getRankLimit: overload.getRankLimit,
+	isDraining: () => graceful().getState().kind !== 'serving',
+});
+
+const createStopSteps = (base: Base, network: Network, work: Work, {closeListener, exit}: {closeListener: () => Promise<void>; exit: Exit}): StopSteps => ({
+	setDraining: network.membership.setDraining,
+	closeListener() {
+		void closeListener();
+	},
+	getOpenRequests: base.open.getCount,
+	cutRequests() {
+		base.open.cut.abort();
+	},
+	async finish() {
+		const left = await work.claims.client.drain();
+		if (left > 0) {
+			base.logger.error('settlements-not-stored', {left});
+		}
+
+		network.follower.stop();
+		network.membership.stop();
+		network.peers.close();
+		work.orderers.stop();
+	},
+	exit,
+});
+
+const startLoadReports = ({clock}: Base, {membership}: Network, {getLoad}: Overload): void => {
+	const {every} = clock;
+	every(loadInterval, () => {
+		membership.setLoad(getLoad());
 	});
-	const keyValue = createKeyValueClient({url: settings.keyValueUrl, clock, timeout: settings.silenceLimits.platform});
-	const upstreams = createUpstreamClient({clock, silenceLimits: settings.silenceLimits});
-	const orderers = createOrderers({
-		settings, incarnation, clock, random, metrics, fleet, peers,
+};
+
+/** Starts a host by its settings; rejects if one of its addresses can't be used. `exit` ends the process after a shutdown. */
+export const startHost = async (settings: Settings, exit: Exit): Promise<RunningHost> => {
+	const base = createBase(settings);
+	const network = createNetwork(base);
+	const work = createWork(base, network);
+	const overload = createOverload(base, network);
+	const {clock, logger, metrics} = base;
+	const parts = createParts(base, network, work, {overload, graceful: () => graceful});
+	const callers = createCallerServer(settings, metrics, (request, response) => {
+		void handleRequest(parts, request, response);
 	});
-	const claimOwner = createClaimOwner({
-		clock, random, metrics, keyValue, isGone: fleet.isGone,
+	const graceful = createGracefulStop({
+		clock, logger, timeToLive: settings.addressTimeToLive, steps: createStopSteps(base, network, work, {closeListener: async () => closeServer(callers), exit}),
 	});
-	const claims = createClaimClient({
-		clock, random, metrics, self: settings.host, keyValue, peers, getOwner: fleet.getOwnerOf, owner: claimOwner, isGone: fleet.isGone,
+	const actions = createOperatorActions({
+		...base, ...network, ...work, overload, graceful, readAccount: async id => work.readAccount(id, ''),
 	});
-	const accounts = createAccounts({clock, capacity: 10_000});
-	let current: ConfigurationVersion | undefined;
-	let directory: Directory = {byId: new Map(), byAddress: new Map()};
-	const parts: HostParts = {
-		settings, incarnation, clock, random, logger, metrics, grants: orderers.grants, limits: orderers.limits, claims, accounts, upstreams,
-		createRequestId: createRequestIds(settings.host, incarnation),
-		getConfiguration: () => current,
-		getDirectory: () => directory,
-		getHostAnswer: fleet.getHostAnswer,
-		readAccount: async id => accounts.getAccount(id),
-		recordSighting: orderers.groupOwner.applySighting,
-		getRankLimit: () => undefined,
-	};
+	await listen(createOperatorServer(actions), settings.operatorAddress);
 	await startPeerServer({
-		self: settings.host, address: settings.peerAddress, keys: settings.peerKeys, clock, metrics, handlers: {
-			exchangeGrants: async (from, message) => orderers.groupOwner.handle(from, message),
-			async pushGrants(_from, message) {
-				orderers.grants.receive(message);
-				return {received: true};
-			},
-			exchangeQuota: async (from, message) => orderers.quotaOwner.handle(from, message),
-			claim: claimOwner.claim,
-			settleClaim: claimOwner.settle,
-			readConfiguration: async () => ({}),
-			async readAccount(_from, {request}) {
-				const account = accounts.getAccount(request);
-				return account === undefined ? {} : {account};
-			},
-		},
-	});
-	startPolls({
-		clock, random, upstreams,
-		getOwnEngines: () => orderers.getGroups().filter(({id}) => fleet.getOwnerOf(id) === settings.host).flatMap(({upstreams: items}) => items.flatMap(({id}) => directory.byId.get(id) ?? [])),
-		applyLoadReport: orderers.groupOwner.applyLoadReport,
-		applyCacheEvents: orderers.groupOwner.applyCacheEvents,
+		self: settings.host, address: settings.peerAddress, keys: settings.peerKeys, clock, metrics,
+		handlers: createPeerHandlers({...network, ...work, claimOwner: work.claims.owner}),
 	});
-	for (;;) {
-		const outcome = await keyValue.read('configuration/current');
-		if (outcome.kind === 'found') {
-			const parsed = parseVersionText(outcome.entry.value);
-			if (parsed.kind === 'valid') {
-				current = parsed.value;
-				directory = getDirectory(current.configuration);
-				orderers.applyConfiguration(current);
-				break;
-			}
-		}
-
-		await clock.sleep(500);
-	}
-
-	const operators = createOperatorServer({
-		queries: {
-			getHealth: () => ({healthy: true}),
-			getReadiness: () => ({ready: true}),
-			getMetrics: metrics.getPage,
-			getStatus() {
-				throw new Error('not wired');
-			},
-			getHosts: () => ({hosts: members}),
-			getUpstreams: () => ({upstreams: []}),
-			async readAccount(id) {
-				const account = accounts.getAccount(id);
-				if (account === undefined) {
-					throw new Error('not known');
-				}
-
-				return account;
-			},
-		},
-		commands: {
-			drain: () => ({state: 'draining'}),
-			undrain: () => ({state: 'alive'}),
-			setUpstreamDrain: upstream => ({upstream, leaving: true}),
-			setLogLevel: () => ({level: logger.getLevel()}),
+	await network.membership.start();
+	await listen(callers, settings.callerAddress);
+	startLoadReports(base, network, overload);
+	await network.follower.start();
+	logger.info('started', {host: settings.host, callers: settings.callerAddress, ready: getReadiness({...network, graceful}).ready});
+	return {
+		stop(reason) {
+			graceful.begin(reason);
 		},
-	});
-	const server = createCallerServer(settings, metrics, (request, response) => {
-		void handleRequest(parts, request, response);
-	});
-	await listen(server, settings.callerAddress);
-	await listen(operators, settings.operatorAddress);
-	logger.info('listening', {address: settings.callerAddress});
+	};
 };
--- /dev/null
+++ b/packages/router/src/host/upstream-watch.ts
@@ -0,0 +1,196 @@
+import type {Cancel, Clock, Random} from '@gentianlift/clock';
+import type {Logger} from '@gentianlift/logger';
+import type {Membership} from '@gentianlift/membership';
+import type {Metrics} from '@gentianlift/metrics';
+import type {Group} from '@gentianlift/policy';
+import type {GroupOwner} from '@gentianlift/scheduler';
+import {
+	createUpstreamHealth, type LeavingSource, type Standing, type UpstreamClient, type UpstreamHealth,
+} from '@gentianlift/upstream';
+import type {
+	HostId, HostList, LoadReport, Milliseconds, Note, UpstreamId, UpstreamSighting,
+} from '@gentianlift/types';
+import type {Directory} from '../directory.js';
+
+/** What this host makes of upstreams, from its own traffic, other hosts, load reports, the host list and operators. */
+export type UpstreamWatch = {
+	/** Takes in what an attempt of this host has shown. */
+	recordSighting: (sighting: UpstreamSighting) => void;
+	/** Takes in a load report; one that says the engine is leaving is told to all hosts. */
+	applyLoadReport: (upstream: UpstreamId, report: LoadReport) => void;
+	/** Tells all hosts that an operator wants an upstream to leave, or takes it back. */
+	setOperatorDrain: (upstream: UpstreamId, isLeaving: boolean) => void;
+	getStanding: (upstream: UpstreamId) => Standing;
+	stop: Cancel;
+};
+
+/** What the watch takes. */
+export type UpstreamWatchOptions = {
+	clock: Clock;
+	random: Random;
+	metrics: Metrics;
+	logger: Logger;
+	self: HostId;
+	membership: Membership;
+	hostList: HostList;
+	upstreams: Pick<UpstreamClient, 'checkHealth'>;
+	groupOwner: GroupOwner;
+	getGroups: () => readonly Group[];
+	getDirectory: () => Directory;
+};
+
+const reviewInterval: Milliseconds = 200;
+const listInterval: Milliseconds = 1000;
+const failureNoteDuration: Milliseconds = 10_000;
+const leavingNoteDuration: Milliseconds = 30_000;
+const operatorNoteDuration: Milliseconds = 24 * 60 * 60 * 1000;
+
+const sightingKinds = ['success', 'refused', 'unreachable', 'reset', 'silent', 'error', 'leaving', 'crashed'] as const satisfies ReadonlyArray<UpstreamSighting['kind']>;
+
+/** Applies the notes of other hosts to the health of upstreams. */
+const applyNote = (health: UpstreamHealth, clock: Clock, note: Note): void => {
+	switch (note.topic) {
+		case 'upstream-failed': {
+			const kind = sightingKinds.find(name => name === note.value);
+			if (kind !== undefined) {
+				health.record({upstream: note.key, at: clock.monotonic(), kind}, note.host);
+			}
+
+			return;
+		}
+
+		case 'upstream-leaving': {
+			const source: LeavingSource = note.value.startsWith('operator') ? 'operator' : 'upstream';
+			health.setLeaving(note.key, source, !note.value.endsWith('back') && note.value !== '');
+			return;
+		}
+
+		case 'suspect-request':
+		case 'host-drain': {
+			// Other parts take these in.
+			break;
+		}
+	}
+};
+
+/** Passes changes of standing on to the owner of groups. */
+const createReview = (health: UpstreamHealth, {groupOwner, getDirectory, logger}: UpstreamWatchOptions) => {
+	const told = new Map<UpstreamId, Standing>();
+	return (): void => {
+		for (const id of getDirectory().byId.keys()) {
+			const standing = health.getStanding(id);
+			if (standing !== (told.get(id) ?? 'available')) {
+				told.set(id, standing);
+				groupOwner.applyStanding(id, standing);
+				logger.info('upstream-standing', {upstream: id, standing});
+			}
+		}
+	};
+};
+
+const startHostListReads = (health: UpstreamHealth, {clock, hostList, getDirectory}: UpstreamWatchOptions): Cancel => {
+	const {every} = clock;
+	const read = async (): Promise<void> => {
+		const hosts = await hostList.readHosts();
+		const {byAddress} = getDirectory();
+		for (const {kind, address, state} of hosts ?? []) {
+			const entry = kind === 'upstream' ? byAddress.get(address) : undefined;
+			if (entry !== undefined) {
+				health.setLeaving(entry.id, 'list', state === 'leaving');
+			}
+		}
+	};
+
+	return every(listInterval, () => {
+		void read();
+	});
+};
+
+const startProbes = (health: UpstreamHealth, {clock, self, upstreams, getDirectory}: UpstreamWatchOptions): Cancel => {
+	const {every} = clock;
+	const underWay = new Set<UpstreamId>();
+	const probe = async (id: UpstreamId): Promise<void> => {
+		const address = getDirectory().byId.get(id)?.address;
+		if (address === undefined || underWay.has(id)) {
+			return;
+		}
+
+		underWay.add(id);
+		const kind = await upstreams.checkHealth(address);
+		underWay.delete(id);
+		health.record({upstream: id, at: clock.monotonic(), kind}, self);
+	};
+
+	return every(listInterval, () => {
+		for (const id of health.getProbing()) {
+			void probe(id);
+		}
+	});
+};
+
+/** Starts to watch upstreams. */
+export const startUpstreamWatch = (options: UpstreamWatchOptions): UpstreamWatch => {
+	const {
+		clock, random, metrics, self, membership, groupOwner, getGroups,
+	} = options;
+	const {every} = clock;
+	const health = createUpstreamHealth({
+		clock, random, metrics, self, getPeers: id => getGroups().find(group => group.upstreams.some(item => item.id === id))?.upstreams.map(item => item.id) ?? [id],
+	});
+	const review = createReview(health, options);
+
+	const tellLeaving = (upstream: UpstreamId): void => {
+		health.setLeaving(upstream, 'upstream', true);
+		membership.publishNote({
+			topic: 'upstream-leaving', key: upstream, value: 'upstream', duration: leavingNoteDuration,
+		});
+		review();
+	};
+
+	health.onEject(({upstream, kind}) => {
+		membership.publishNote({
+			topic: 'upstream-failed', key: upstream, value: kind, duration: failureNoteDuration,
+		});
+	});
+	const cancels = [
+		membership.onNote(note => {
+			if (note.host !== self) {
+				applyNote(health, clock, note);
+			}
+		}),
+		every(reviewInterval, review),
+		startHostListReads(health, options),
+		startProbes(health, options),
+	];
+	return {
+		recordSighting(sighting) {
+			metrics.count('upstream_sightings_total', {kind: sighting.kind});
+			health.record({...sighting, at: clock.monotonic()}, self);
+			if (sighting.kind === 'leaving') {
+				tellLeaving(sighting.upstream);
+			}
+		},
+		applyLoadReport(upstream, report) {
+			if (report.leaving && health.getStanding(upstream) !== 'leaving') {
+				tellLeaving(upstream);
+			} else if (!report.leaving) {
+				health.setLeaving(upstream, 'upstream', false);
+			}
+
+			groupOwner.applyLoadReport(upstream, report);
+		},
+		setOperatorDrain(upstream, isLeaving) {
+			health.setLeaving(upstream, 'operator', isLeaving);
+			membership.publishNote({
+				topic: 'upstream-leaving', key: upstream, value: isLeaving ? 'operator' : 'operator-back', duration: operatorNoteDuration,
+			});
+			review();
+		},
+		getStanding: health.getStanding,
+		stop() {
+			for (const cancel of cancels) {
+				cancel();
+			}
+		},
+	};
+};
--- /dev/null
+++ b/packages/router/src/host/work.ts
@@ -0,0 +1,60 @@
+import {createAccounts, createClaimClient, createClaimOwner} from '@gentianlift/claims';
+import {getDirectory, type Directory} from '../directory.js';
+import {createAccountReader} from './account-reader.js';
+import type {Base} from './base.js';
+import type {Network} from './network.js';
+import {createOrderers} from './orderers.js';
+import {startPolls} from './poll-upstreams.js';
+import {startUpstreamWatch} from './upstream-watch.js';
+
+const rememberedRequests = 10_000;
+const emptyDirectory: Directory = {byId: new Map(), byAddress: new Map()};
+
+const createClaims = ({clock, random, metrics, keyValue, settings}: Base, {fleet, peers}: Network) => {
+	const owner = createClaimOwner({
+		clock, random, metrics, keyValue, isGone: fleet.isGone,
+	});
+	const client = createClaimClient({
+		clock, random, metrics, self: settings.host, keyValue, peers, getOwner: fleet.getOwnerOf, owner, isGone: fleet.isGone,
+	});
+	return {owner, client};
+};
+
+/** Creates what handles requests: order of work, claims, accounts, and the watch over upstreams. */
+export const createWork = (base: Base, network: Network) => {
+	const {settings, clock, random, upstreams} = base;
+	const {fleet, follower, membership, peers} = network;
+	let directory = emptyDirectory;
+	const getCurrentDirectory = (): Directory => directory;
+	const orderers = createOrderers({...base, fleet, peers});
+	const claims = createClaims(base, network);
+	const accounts = createAccounts({clock, capacity: rememberedRequests});
+	const watch = startUpstreamWatch({
+		...base, self: settings.host, membership, groupOwner: orderers.groupOwner, getGroups: orderers.getGroups, getDirectory: getCurrentDirectory,
+	});
+	const stopPolls = startPolls({
+		clock,
+		random,
+		upstreams,
+		getOwnEngines() {
+			const groups = orderers.getGroups().filter(({id}) => fleet.getOwnerOf(id) === settings.host);
+			const entries = groups.flatMap(group => group.upstreams.flatMap(({id}) => directory.byId.get(id) ?? []));
+			return entries.filter(({kind}) => kind === 'engine');
+		},
+		applyLoadReport: watch.applyLoadReport,
+		applyCacheEvents: orderers.groupOwner.applyCacheEvents,
+	});
+	follower.onChange(version => {
+		directory = getDirectory(version.configuration);
+		orderers.applyConfiguration(version);
+	});
+	const readAccount = createAccountReader({
+		self: settings.host, accounts, claims: claims.client, peers, fleet, now: clock.now,
+	});
+	return {
+		orderers, claims, accounts, watch, readAccount, getDirectory: getCurrentDirectory, stopPolls,
+	};
+};
+
+/** Parts that handle requests. */
+export type Work = ReturnType<typeof createWork>;
--- a/packages/router/src/main.ts
+++ b/packages/router/src/main.ts
@@ -25,7 +25,14 @@
 			return;
 		}
 
-		await startHost(parsed.value);
+		const host = await startHost(parsed.value, status => {
+			process.exit(status);
+		});
+		for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+			process.on(signal, () => {
+				host.stop(signal);
+			});
+		}
 	},
 });
 
