--- a/packages/membership/src/fleet.ts
+++ b/packages/membership/src/fleet.ts
@@ -1,9 +1,10 @@
-import {createRandom, type ManualClock} from '@gentianlift/clock';
+import {createRandom, type Clock, type ManualClock} from '@gentianlift/clock';
 import {createMetrics, type Metrics} from '@gentianlift/metrics';
 import type {
 	HostId, HostList, HostState, ListedHost, Milliseconds,
 } from '@gentianlift/types';
 import {createMembership, type Membership} from './membership.js';
+import type {Transport} from './transport/transport.js';
 import {createMemoryNetwork, type MemoryNetwork} from './transport/memory-network.js';
 
 /** Hosts in one process over a network in memory, for tests. */
@@ -15,6 +16,8 @@
 	getMetrics: (host: HostId) => Metrics;
 	/** Ends a process without a word. */
 	kill: (host: HostId) => void;
+	/** Stops a process as a signal does: its timers and datagrams wait until it goes on. */
+	setPaused: (host: HostId, isPaused: boolean) => void;
 	/** Hosts whose processes run. */
 	getRunning: () => HostId[];
 	/** State of a host as another sees it; undefined if it doesn't know it. */
@@ -32,7 +35,57 @@
 	zones?: number;
 };
 
-type Running = {membership: Membership; metrics: Metrics};
+type Running = {membership: Membership; metrics: Metrics; pauses: Pauses};
+
+/** Work of a process that waits while it is paused. */
+type Pauses = {
+	run: (work: () => void) => void;
+	setPaused: (isPaused: boolean) => void;
+};
+
+const createPauses = (): Pauses => {
+	let isPaused = false;
+	let waiting: Array<() => void> = [];
+	return {
+		run(work) {
+			if (isPaused) {
+				waiting.push(work);
+			} else {
+				work();
+			}
+		},
+		setPaused(next) {
+			isPaused = next;
+			const due = isPaused ? [] : waiting;
+			waiting = isPaused ? waiting : [];
+			for (const work of due) {
+				work();
+			}
+		},
+	};
+};
+
+const createHostClock = (clock: Clock, pauses: Pauses): Clock => {
+	const {after, every} = clock;
+	const guard = (run: () => void) => () => {
+		pauses.run(run);
+	};
+
+	return {
+		...clock,
+		after: (delay, run) => after(delay, guard(run)),
+		every: (interval, run) => every(interval, guard(run)),
+	};
+};
+
+const createHostTransport = (transport: Transport, pauses: Pauses): Transport => ({
+	...transport,
+	start: async onDatagram => transport.start(bytes => {
+		pauses.run(() => {
+			onDatagram(bytes);
+		});
+	}),
+});
 
 const defaultZones = 3;
 const firstIncarnation: Milliseconds = 1_000_000;
@@ -65,9 +118,10 @@
 			incarnation++;
 			const metrics = createMetrics();
 			network.setMuted(getGossipAddress(host), false);
-			const transport = network.createTransport(getGossipAddress(host));
+			const pauses = createPauses();
+			const transport = createHostTransport(network.createTransport(getGossipAddress(host)), pauses);
 			const membership = createMembership({
-				clock,
+				clock: createHostClock(clock, pauses),
 				random: createRandom(seed + incarnation),
 				metrics,
 				self: {
@@ -79,7 +133,7 @@
 				hostList,
 			});
 			await membership.start();
-			running.set(host, {membership, metrics});
+			running.set(host, {membership, metrics, pauses});
 			return membership;
 		},
 		get: host => find(host).membership,
@@ -90,6 +144,9 @@
 			membership.stop();
 			running.delete(host);
 		},
+		setPaused(host, isPaused) {
+			find(host).pauses.setPaused(isPaused);
+		},
 		getRunning: () => [...running.keys()],
 		getState: (viewer, host) => find(viewer).membership.getMembers().find(member => member.host === host)?.state,
 	};
