--- a/packages/trial/src/commands/start-deployment.ts
+++ b/packages/trial/src/commands/start-deployment.ts
@@ -29,6 +29,9 @@
 	change?: (configuration: Configuration) => Configuration;
 };
 
+/** How a router's process ended. */
+export type RouterEnd = {host: string; outcome: number | string; logFile: string};
+
 /** A whole deployment on loopback: stand-ins inside this process, and router processes. */
 export type Deployment = Standins & {
 	name: DeploymentName;
@@ -39,8 +42,8 @@
 	routers: RunningRouter[];
 	/** Starts a host again after it was stopped or killed. */
 	restartRouter: (host: string) => Promise<RunningRouter>;
-	/** Stops the routers, then the stand-ins; false if a router didn't end by itself. */
-	stop: () => Promise<boolean>;
+	/** Stops the routers, then the stand-ins; gets the routers that didn't end with code 0. */
+	stop: () => Promise<RouterEnd[]>;
 };
 
 const defaultHosts = 7;
@@ -103,15 +106,18 @@
 	const folder = await mkdtemp(path.join(tmpdir(), 'gentianlift-'));
 	const routers = await Promise.all(settings.map(async document => startRouter(document, folder, clock)));
 
-	const stop = async (): Promise<boolean> => {
-		const outcomes = await Promise.all(routers.map(async router => router.stop()));
+	const stop = async (): Promise<RouterEnd[]> => {
+		const ends = await Promise.all(routers.map(async (router): Promise<RouterEnd> => {
+			const {settings: {host}, logFile} = router;
+			return {host, logFile, outcome: await router.stop()};
+		}));
 		await standins.close();
-		const isClean = outcomes.every(outcome => outcome === 0);
-		if (isClean) {
+		const unclean = ends.filter(({outcome}) => outcome !== 0);
+		if (unclean.length === 0) {
 			await rm(folder, {recursive: true, force: true});
 		}
 
-		return isClean;
+		return unclean;
 	};
 
 	const restartRouter = async (host: string): Promise<RunningRouter> => {
--- a/packages/trial/src/main.ts
+++ b/packages/trial/src/main.ts
@@ -70,7 +70,12 @@
 				rate: Number(args.rate), seconds: Number(args.seconds), seed: Number(args.seed),
 			}));
 		print('Stopping');
-		process.exitCode = await deployment.stop() ? 0 : 1;
+		const unclean = await deployment.stop();
+		for (const {host, outcome, logFile} of unclean) {
+			print(`${host} ended with ${outcome}; its log is ${logFile}`);
+		}
+
+		process.exitCode = unclean.length === 0 ? 0 : 1;
 	},
 });
 
