--- a/packages/router/src/host/start-host.ts
+++ b/packages/router/src/host/start-host.ts
@@ -19,6 +19,8 @@
 export type RunningHost = {
 	/** Begins a graceful shutdown; a second call is refused and logged. */
 	stop: (reason: string) => void;
+	/** Logs and counts a fault that nothing handled; one failed task must not cut all other requests. */
+	reportFault: (fault: unknown) => void;
 };
 
 type Exit = (status: number) => void;
@@ -110,5 +112,9 @@
 		stop(reason) {
 			graceful.begin(reason);
 		},
+		reportFault(fault) {
+			metrics.count('unhandled_faults_total');
+			logger.error('unhandled-fault', {detail: fault instanceof Error ? fault.stack : String(fault)});
+		},
 	};
 };
--- a/packages/router/src/host/upstream-watch.ts
+++ b/packages/router/src/host/upstream-watch.ts
@@ -62,7 +62,6 @@
 		case 'upstream-leaving': {
 			const source: LeavingSource = note.value.startsWith('operator') ? 'operator' : 'upstream';
 			health.setLeaving(note.key, source, !note.value.endsWith('back') && note.value !== '');
-			return;
 		}
 
 		case 'suspect-request':
--- a/packages/router/src/host/work.ts
+++ b/packages/router/src/host/work.ts
@@ -42,7 +42,9 @@
 			return entries.filter(({kind}) => kind === 'engine');
 		},
 		applyLoadReport: watch.applyLoadReport,
-		applyCacheEvents: orderers.groupOwner.applyCacheEvents,
+		applyCacheEvents(upstream, events) {
+			orderers.groupOwner.applyCacheEvents(upstream, events);
+		},
 	});
 	follower.onChange(version => {
 		directory = getDirectory(version.configuration);
--- a/packages/router/src/main.ts
+++ b/packages/router/src/main.ts
@@ -28,6 +28,9 @@
 		const host = await startHost(parsed.value, status => {
 			process.exit(status);
 		});
+		process.on('unhandledRejection', reason => {
+			host.reportFault(reason);
+		});
 		for (const signal of ['SIGTERM', 'SIGINT'] as const) {
 			process.on(signal, () => {
 				host.stop(signal);
