--- a/packages/router/src/callers/chat-body.ts
+++ b/packages/router/src/callers/chat-body.ts
@@ -25,7 +25,7 @@
 	try {
 		return JSON.parse(decoder.decode(body)) as unknown;
 	} catch (error) {
-		throw createFailure('bad-json', {cause: error});
+		throw createFailure('bad-json', {detail: error instanceof Error ? error.message : ''});
 	}
 };
 
--- a/packages/router/src/dispatch/run-claimed.ts
+++ b/packages/router/src/dispatch/run-claimed.ts
@@ -58,7 +58,9 @@
 		}
 
 		case 'unavailable': {
-			return createFailure('claims-unavailable', {detail: decision.reason});
+			return createFailure('claims-unavailable', {
+				detail: `Nothing was sent upstream for this request; whether an earlier one under the same key ran is not known (${decision.reason}).`,
+			});
 		}
 	}
 };
--- a/packages/router/src/host/start-host.ts
+++ b/packages/router/src/host/start-host.ts
@@ -69,7 +69,7 @@
 		network.follower.stop();
 		network.membership.stop();
 		network.peers.close();
-		work.orderers.stop();
+		work.stop();
 	},
 	exit,
 });
--- a/packages/router/src/host/upstream-watch.ts
+++ b/packages/router/src/host/upstream-watch.ts
@@ -56,12 +56,13 @@
 				health.record({upstream: note.key, at: clock.monotonic(), kind}, note.host);
 			}
 
-			return;
+			break;
 		}
 
 		case 'upstream-leaving': {
 			const source: LeavingSource = note.value.startsWith('operator') ? 'operator' : 'upstream';
 			health.setLeaving(note.key, source, !note.value.endsWith('back') && note.value !== '');
+			break;
 		}
 
 		case 'suspect-request':
--- a/packages/router/src/host/work.ts
+++ b/packages/router/src/host/work.ts
@@ -5,6 +5,7 @@
 import type {Network} from './network.js';
 import {createOrderers} from './orderers.js';
 import {startPolls} from './poll-upstreams.js';
+import {startSuspectNotes} from './suspect-notes.js';
 import {startUpstreamWatch} from './upstream-watch.js';
 
 const rememberedRequests = 10_000;
@@ -32,6 +33,9 @@
 	const watch = startUpstreamWatch({
 		...base, self: settings.host, membership, groupOwner: orderers.groupOwner, getGroups: orderers.getGroups, getDirectory: getCurrentDirectory,
 	});
+	const stopSuspectNotes = startSuspectNotes({
+		clock, self: settings.host, membership, groupOwner: orderers.groupOwner,
+	});
 	const stopPolls = startPolls({
 		clock,
 		random,
@@ -53,8 +57,15 @@
 	const readAccount = createAccountReader({
 		self: settings.host, accounts, claims: claims.client, peers, fleet, now: clock.now,
 	});
+	const stop = (): void => {
+		stopPolls();
+		stopSuspectNotes();
+		watch.stop();
+		orderers.stop();
+	};
+
 	return {
-		orderers, claims, accounts, watch, readAccount, getDirectory: getCurrentDirectory, stopPolls,
+		orderers, claims, accounts, watch, readAccount, getDirectory: getCurrentDirectory, stop,
 	};
 };
 
--- a/packages/router/src/operators/operator-server.ts
+++ b/packages/router/src/operators/operator-server.ts
@@ -48,7 +48,7 @@
 	try {
 		return JSON.parse(text) as unknown;
 	} catch (error) {
-		throw createFailure('bad-json', {cause: error});
+		throw createFailure('bad-json', {detail: error instanceof Error ? error.message : ''});
 	}
 };
 
