--- a/packages/scheduler/src/client/baseline-client.ts
+++ b/packages/scheduler/src/client/baseline-client.ts
@@ -21,7 +21,7 @@
 		this.#baseline = createBaseline(order, options.random);
 	}
 
-	async ask(request: ClassifiedRequest, options: AskOptions = {}): Promise<Grant> {
+	readonly ask = async (request: ClassifiedRequest, options: AskOptions = {}): Promise<Grant> => {
 		const ticket = getTicket(request, options, this.#options.clock.now());
 		const groups = getGroupsFor(this.#options.getGroups(), ticket.needs);
 		const upstream = this.#baseline.choose(groups, ticket);
@@ -33,29 +33,27 @@
 		return {
 			kind: 'granted', upstream, priority: 0, yieldSignal: new AbortController().signal,
 		};
-	}
+	};
 
-	end({request}: TicketEnd): void {
+	readonly end = ({request}: TicketEnd): void => {
 		const upstream = this.#running.get(request);
 		this.#running.delete(request);
 		if (upstream !== undefined) {
 			this.#baseline.end(upstream);
 		}
-	}
+	};
 
-	withdraw(): void {
+	readonly withdraw = (): void => {
 		// Nothing waits.
-	}
+	};
 
-	receive(): void {
+	readonly receive = (): void => {
 		// Nothing was asked of an owner.
-	}
+	};
 
-	getCounts(): {waiting: number; running: number; bytes: number} {
-		return {waiting: 0, running: this.#running.size, bytes: 0};
-	}
+	readonly getCounts = (): {waiting: number; running: number; bytes: number} => ({waiting: 0, running: this.#running.size, bytes: 0});
 
-	stop(): void {
+	readonly stop = (): void => {
 		// No timer runs.
-	}
+	};
 }
--- a/packages/scheduler/src/client/ordered-client.ts
+++ b/packages/scheduler/src/client/ordered-client.ts
@@ -42,7 +42,7 @@
 		});
 	}
 
-	async ask(request: ClassifiedRequest, options: AskOptions = {}): Promise<Grant> {
+	readonly ask = async (request: ClassifiedRequest, options: AskOptions = {}): Promise<Grant> => {
 		const {clock} = this.#options;
 		const ticket = getTicket(request, options, clock.now());
 		const bytes = options.bytes ?? 0;
@@ -63,37 +63,35 @@
 				ticket, group, bytes, askedAt, resolve, rank: ticket.rank, deadline: askedAt + ticket.slack, moved: false, yielding: new AbortController(),
 			});
 		});
-	}
+	};
 
-	end(end: TicketEnd): void {
+	readonly end = (end: TicketEnd): void => {
 		const pending = this.#pendings.get(end.request);
 		if (pending?.ticket.attempt === end.attempt && pending.upstream !== undefined) {
 			this.#remove(pending);
 			this.#sendEnd(pending.group, end);
 		}
-	}
+	};
 
-	withdraw(request: RequestId): void {
+	readonly withdraw = (request: RequestId): void => {
 		const pending = this.#pendings.get(request);
 		if (pending !== undefined && pending.upstream === undefined) {
 			this.#settle(pending, {kind: 'withdrawn'});
 			this.#sendEnd(pending.group, getWithdrawal(pending.ticket));
 		}
-	}
+	};
 
-	receive(answer: GrantAnswer): void {
+	readonly receive = (answer: GrantAnswer): void => {
 		for (const decision of answer.decisions) {
 			this.#applyDecision(answer.group, decision);
 		}
-	}
+	};
 
-	getCounts(): {waiting: number; running: number; bytes: number} {
-		return {waiting: this.#waiting, running: this.#pendings.size - this.#waiting, bytes: this.#bytes};
-	}
+	readonly getCounts = (): {waiting: number; running: number; bytes: number} => ({waiting: this.#waiting, running: this.#pendings.size - this.#waiting, bytes: this.#bytes});
 
-	stop(): void {
+	readonly stop = (): void => {
 		this.#cancel();
-	}
+	};
 
 	#getRefusal(reason: 'queue-full' | 'no-upstream'): Grant {
 		this.#options.metrics.count('host_sheds', {reason});
--- a/packages/scheduler/src/grants.test.ts
+++ b/packages/scheduler/src/grants.test.ts
@@ -157,3 +157,15 @@
 	await fleet.clock.advance(20);
 	expect(grants.map(({grant}) => grant?.kind === 'granted' ? grant.upstream : undefined)).toEqual(['e1', undefined]);
 });
+
+test('its functions stand alone', async () => {
+	const {fleet, a} = createPair([1]);
+	const {ask, end, getCounts} = a.client;
+	const {applyCacheEvents, getOverview} = a.owner;
+	applyCacheEvents('e0', [{sequence: 1, kind: 'stored', chunk: 'x'}]);
+	void ask(createTestRequest(fleet, 'first'));
+	await fleet.clock.advance(20);
+	expect(getCounts().running).toBe(1);
+	end(getEnd('first'));
+	expect(getOverview()[0]!.ranks[0]!.running).toBe(0);
+});
--- a/packages/scheduler/src/owner/create-group-owner.ts
+++ b/packages/scheduler/src/owner/create-group-owner.ts
@@ -77,43 +77,43 @@
 		});
 	}
 
-	handle(from: HostId, message: GrantRequest): GrantAnswer {
+	readonly handle = (from: HostId, message: GrantRequest): GrantAnswer => {
 		const {group} = message;
 		const state = this.#isOwned(group) ? this.#getState(this.#owned, group, 1) : undefined;
 		return state === undefined ? {owner: false, group, decisions: []} : answer(state, from, message, this.#options.push);
-	}
+	};
 
-	handleAlone(message: GrantRequest): GrantAnswer {
+	readonly handleAlone = (message: GrantRequest): GrantAnswer => {
 		const {group} = message;
 		const share = 1 / Math.max(1, this.#options.getHosts().length);
 		const state = this.#getState(this.#alone, group, share);
 		return state === undefined ? {owner: false, group, decisions: []} : answer(state, this.#options.self, message, this.#options.push);
-	}
+	};
 
-	applyConfiguration({configuration}: ConfigurationVersion): void {
+	readonly applyConfiguration = ({configuration}: ConfigurationVersion): void => {
 		this.#context.tiers = configuration.rules.tiers;
 		this.#groups = new Map(getGroups(configuration).map(group => [group.id, group]));
 		for (const state of this.#getAll()) {
 			updateGroup(state, this.#groups.get(state.group.id));
 			this.#fill(state);
 		}
-	}
+	};
 
-	applyLoadReport(upstream: UpstreamId, report: LoadReport): void {
+	readonly applyLoadReport = (upstream: UpstreamId, report: LoadReport): void => {
 		this.#news.applyLoadReport(upstream, report, this.#getUpstreams(upstream));
 		this.#grant();
-	}
+	};
 
-	applyStanding(upstream: UpstreamId, standing: Standing): void {
+	readonly applyStanding = (upstream: UpstreamId, standing: Standing): void => {
 		this.#news.applyStanding(upstream, standing, this.#getUpstreams(upstream));
 		this.#grant();
-	}
+	};
 
-	applyCacheEvents(upstream: UpstreamId, events: readonly CacheEvent[]): void {
+	readonly applyCacheEvents = (upstream: UpstreamId, events: readonly CacheEvent[]): void => {
 		this.#news.applyCacheEvents(events, this.#getUpstreams(upstream));
-	}
+	};
 
-	applySighting({upstream, kind}: UpstreamSighting): void {
+	readonly applySighting = ({upstream, kind}: UpstreamSighting): void => {
 		if (kind === 'leaving') {
 			this.applyStanding(upstream, 'leaving');
 		}
@@ -121,23 +121,19 @@
 		for (const state of kind === 'crashed' ? this.#getAll() : []) {
 			recordCrash(state, upstream);
 		}
-	}
+	};
 
-	getSuspects(): Suspects {
-		return this.#context.suspects;
-	}
+	readonly getSuspects = (): Suspects => this.#context.suspects;
 
-	applySuspects(suspects: Suspects): void {
+	readonly applySuspects = (suspects: Suspects): void => {
 		this.#context.suspects = mergeSuspects(this.#context.suspects, suspects);
-	}
+	};
 
-	getOverview(): GroupOverview[] {
-		return [...this.#owned.values()].map(state => getGroupOverview(state));
-	}
+	readonly getOverview = (): GroupOverview[] => [...this.#owned.values()].map(state => getGroupOverview(state));
 
-	stop(): void {
+	readonly stop = (): void => {
 		this.#cancel();
-	}
+	};
 
 	#isOwned(group: GroupId): boolean {
 		return this.#options.getOwnerOf(group) === this.#options.self;
--- a/packages/scheduler/src/quota/create-quota-client.ts
+++ b/packages/scheduler/src/quota/create-quota-client.ts
@@ -63,7 +63,7 @@
 		});
 	}
 
-	async acquire(amounts: readonly Amount[]): Promise<QuotaDecision> {
+	readonly acquire = async (amounts: readonly Amount[]): Promise<QuotaDecision> => {
 		await this.#prepare(amounts);
 		const refused = this.#getRefused(amounts);
 		if (refused !== undefined) {
@@ -77,20 +77,20 @@
 		}
 
 		return {kind: 'allowed'};
-	}
+	};
 
-	use(limit: string, amount: number): void {
+	readonly use = (limit: string, amount: number): void => {
 		take(this.#getMeter(limit), amount);
-	}
+	};
 
-	release(limit: string, amount: number): void {
+	readonly release = (limit: string, amount: number): void => {
 		const meter = this.#getMeter(limit);
 		meter.held = Math.max(0, meter.held - amount);
-	}
+	};
 
-	stop(): void {
+	readonly stop = (): void => {
 		this.#cancel();
-	}
+	};
 
 	/** Gets a larger share for what this host has no share of yet, or too small a one. */
 	async #prepare(amounts: readonly Amount[]): Promise<void> {
