Tell a crash from a lost connection by a probe, and bound the engines that one request takes down

Cause: an engine that crashed before the first byte was seen as 'reset', so the request was no suspect and was tried at a third engine. The host now probes after a reset; two crashes end the request as crashes-upstreams. Before: faults.test.ts 'takes down at most two' failed with upstream-reset; after: it passes.

--- a/packages/router/src/callers/commands/service.ts
+++ b/packages/router/src/callers/commands/service.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import type {IncomingMessage, OutgoingHttpHeaders} from 'node:http';
 import {createFailure, getFailure} from '@gentianlift/errors';
 import {getEndToEndHeaders} from '@gentianlift/upstream';
@@ -145,7 +146,7 @@
 		method,
 		path,
 		body,
-		prompt: `${method} ${path}`,
+		prompt: `${method} ${path}\n${Buffer.from(body).toString('latin1')}`,
 		work: {
 			kind: 'call', service: decodeURIComponent(service), method, path,
 		},
--- a/packages/router/src/dispatch/attempt-end.ts
+++ b/packages/router/src/dispatch/attempt-end.ts
@@ -1,7 +1,7 @@
 import type {ErrorKind} from '@gentianlift/errors';
-import {type CallFailure, getRunState} from '@gentianlift/upstream';
+import {type CallFailure, getRunState, type UpstreamClient} from '@gentianlift/upstream';
 import type {
-	AttemptOutcome, Milliseconds, RunState, UpstreamSighting,
+	Address, AttemptOutcome, Milliseconds, RunState, UpstreamSighting,
 } from '@gentianlift/types';
 
 /** An attempt that gave no whole answer, in the words of accounts, errors and sightings. */
@@ -54,3 +54,13 @@
 	ran: getRunState(failure),
 	...(failure.kind === 'refused' && failure.retryAfter !== undefined && {retryAfter: failure.retryAfter}),
 });
+
+/** Tells a crash from a lost connection: after a reset, an upstream that crashed refuses new connections. */
+export const probeLoss = async (upstreams: Pick<UpstreamClient, 'checkHealth'>, address: Address, lost: LostAttempt): Promise<LostAttempt> => {
+	if (lost.sighting !== 'reset') {
+		return lost;
+	}
+
+	const health = await upstreams.checkHealth(address);
+	return health === 'unreachable' ? {...lost, sighting: 'crashed'} : lost;
+};
--- a/packages/router/src/dispatch/generation-attempt.ts
+++ b/packages/router/src/dispatch/generation-attempt.ts
@@ -45,12 +45,11 @@
 const getLost = (outcome: Exclude<GenerationOutcome, {kind: 'finished'}>): LostAttempt => {
 	if (outcome.kind === 'incomplete') {
 		return {
-			kind: 'lost', error: 'answer-incomplete', outcome: 'failed', sighting: 'crashed', ran: 'ran',
+			kind: 'lost', error: 'answer-incomplete', outcome: 'failed', sighting: 'reset', ran: 'ran',
 		};
 	}
 
-	const lost = getLostAttempt(outcome);
-	return {...lost, ran: 'ran', sighting: lost.sighting === 'reset' ? 'crashed' : lost.sighting};
+	return {...getLostAttempt(outcome), ran: 'ran'};
 };
 
 const getResult = (outcome: GenerationOutcome, {stop, yielding}: GenerationAttempt): GenerationEnd['result'] => {
--- a/packages/router/src/dispatch/run-call.ts
+++ b/packages/router/src/dispatch/run-call.ts
@@ -5,7 +5,7 @@
 import type {Grant} from '@gentianlift/scheduler';
 import type {ClassifiedRequest, RunState, UpstreamId} from '@gentianlift/types';
 import type {HostParts} from '../parts.js';
-import type {LostAttempt} from './attempt-end.js';
+import {probeLoss, type LostAttempt} from './attempt-end.js';
 import {
 	runCallAttempt, type AnswerReader, type CallEnd,
 } from './call-attempt.js';
@@ -78,14 +78,16 @@
 	const {request, method, path, headers, body, gone, reader} = run;
 	const startedAt = parts.clock.monotonic();
 	parts.accounts.apply({kind: 'attempt-started', request: request.id, upstream});
-	const end = await runCallAttempt(parts, {
-		address: parts.getDirectory().byId.get(upstream)?.address ?? '',
+	const address = parts.getDirectory().byId.get(upstream)?.address ?? '';
+	const attempt = await runCallAttempt(parts, {
+		address,
 		method,
 		path,
 		headers,
 		body: Buffer.from(body.buffer, body.byteOffset, body.byteLength),
 		...(request.idempotent && {signal: gone}),
 	}, reader, !request.idempotent);
+	const end = attempt.kind === 'lost' ? await probeLoss(parts.upstreams, address, attempt) : attempt;
 	const lost = getLost(end);
 	recordAttemptEnd(parts, {
 		request,
--- a/packages/router/src/dispatch/run-generation.ts
+++ b/packages/router/src/dispatch/run-generation.ts
@@ -1,12 +1,12 @@
 import {createFailure, type RequestFailure} from '@gentianlift/errors';
-import {decideRetry} from '@gentianlift/policy';
+import {decideRetry, guiltyCrashes} from '@gentianlift/policy';
 import type {Grant} from '@gentianlift/scheduler';
 import type {
 	ClassifiedRequest, Milliseconds, RunState, TicketEnd, UpstreamId,
 } from '@gentianlift/types';
 import type {AnswerWriter} from '../callers/caller-stream.js';
 import type {HostParts} from '../parts.js';
-import type {LostAttempt} from './attempt-end.js';
+import {probeLoss, type LostAttempt} from './attempt-end.js';
 import {runGenerationAttempt, type GenerationEnd} from './generation-attempt.js';
 import {askForUpstream, joinRunStates, recordAttemptEnd} from './grants.js';
 
@@ -35,6 +35,8 @@
 	text: string;
 	tokens: number;
 	ran: RunState;
+	/** Attempts whose upstream crashed. */
+	crashes: number;
 	avoid: UpstreamId[];
 };
 
@@ -52,8 +54,10 @@
 	return request.targets.whole === undefined ? Number.POSITIVE_INFINITY : request.arrivedAt + request.targets.whole - now;
 };
 
-const addAttempt = (progress: Progress, end: GenerationEnd, ran: RunState): Progress => ({
+const addAttempt = (progress: Progress, upstream: UpstreamId, end: GenerationEnd, ran: RunState): Progress => ({
 	...progress,
+	crashes: progress.crashes + (end.result.kind === 'lost' && end.result.sighting === 'crashed' ? 1 : 0),
+	avoid: end.result.kind === 'lost' ? [...progress.avoid, upstream] : progress.avoid,
 	text: progress.text + end.text,
 	tokens: progress.tokens + end.tokens,
 	ran: joinRunStates(progress.ran, ran),
@@ -61,6 +65,10 @@
 
 const stepAfterLoss = async (parts: HostParts, run: GenerationRun, progress: Progress, lost: LostAttempt): Promise<Step> => {
 	const {request} = run;
+	if (progress.crashes >= guiltyCrashes) {
+		return {kind: 'done', result: {kind: 'failed', failure: createFailure('crashes-upstreams', {ran: progress.ran})}};
+	}
+
 	const decision = decideRetry({
 		ran: lost.ran,
 		idempotent: request.idempotent,
@@ -109,9 +117,10 @@
 	const {request} = run;
 	const startedAt = parts.clock.monotonic();
 	parts.accounts.apply({kind: 'attempt-started', request: request.id, upstream: grant.upstream});
-	const end = await runGenerationAttempt(parts, {
+	const address = parts.getDirectory().byId.get(grant.upstream)?.address ?? '';
+	const attempt = await runGenerationAttempt(parts, {
 		request,
-		address: parts.getDirectory().byId.get(grant.upstream)?.address ?? '',
+		address,
 		priority: grant.priority,
 		body: run.body,
 		resume: progress.tokens === 0 ? undefined : {text: progress.text, tokens: progress.tokens},
@@ -119,6 +128,7 @@
 		yielding: grant.yieldSignal,
 		writer: run.writer,
 	});
+	const end = attempt.result.kind === 'lost' ? {...attempt, result: await probeLoss(parts.upstreams, address, attempt.result)} : attempt;
 	const ran = end.result.kind === 'lost' ? end.result.ran : 'ran';
 	recordAttemptEnd(parts, {
 		request,
@@ -131,14 +141,13 @@
 		duration: parts.clock.monotonic() - startedAt,
 		ran,
 	});
-	const next = addAttempt(progress, end, ran);
-	return stepAfter(parts, run, {...next, avoid: end.result.kind === 'lost' ? [...next.avoid, grant.upstream] : next.avoid}, end);
+	return stepAfter(parts, run, addAttempt(progress, grant.upstream, end, ran), end);
 };
 
 /** Runs a generation: asks for an engine, and after a loss or a preemption goes on at another where that is proven safe. */
 export const runGeneration = async (parts: HostParts, run: GenerationRun): Promise<GenerationResult> => {
 	let progress: Progress = {
-		attempts: 0, tries: 0, yields: 0, text: '', tokens: 0, ran: 'not-run', avoid: [],
+		attempts: 0, tries: 0, yields: 0, text: '', tokens: 0, ran: 'not-run', crashes: 0, avoid: [],
 	};
 	for (;;) {
 		progress = {...progress, attempts: progress.attempts + 1, tries: progress.tries + 1};
--- /dev/null
+++ b/packages/router/src/faults.test.ts
@@ -0,0 +1,84 @@
+import {
+	afterAll, beforeAll, expect, test,
+} from 'vitest';
+import {startFleet, type TestFleet} from './testing/start-fleet.js';
+
+let fleet: TestFleet;
+
+beforeAll(async () => {
+	fleet = await startFleet(2);
+});
+
+afterAll(async () => {
+	await fleet.close();
+});
+
+const ask = async (content: string, maxTokens: number, {host = 0, model = 'counter-8b'} = {}): Promise<Response> =>
+	fetch(`http://${fleet.hosts[host]?.settings.callerAddress}/v1/chat/completions`, {
+		method: 'POST',
+		headers: {authorization: `Bearer ${fleet.key}`},
+		body: JSON.stringify({
+			model, max_tokens: maxTokens, stream: true, messages: [{role: 'user', content}],
+		}),
+	});
+
+const getText = (stream: string): string => stream.split('\n\n')
+	.filter(event => event.startsWith('data: {') && !event.includes('"error"'))
+	.map(event => (JSON.parse(event.slice(6)) as {choices: Array<{delta: {content?: string}}>}).choices[0]?.delta.content ?? '')
+	.join('');
+
+const getEngines = () => [...fleet.standins.engines.values()];
+
+type Engine = ReturnType<typeof getEngines>[number];
+
+const setFaults = async (engine: Engine | undefined, faults: Engine['faults']): Promise<void> => {
+	await fetch(`${engine?.listener.url}/fake/faults`, {method: 'POST', body: JSON.stringify(faults)});
+};
+
+const findRunning = () => getEngines().find(engine => engine.getState().running > 0);
+
+test('an answer whose engine crashes goes on at another without a gap or a repeat', async () => {
+	const undisturbed = getText(await (await ask('crash in the middle', 120)).text());
+	const response = await ask('crash in the middle', 120, {host: 1});
+	await expect.poll(() => findRunning()?.getState().running).toBe(1);
+	const engine = findRunning();
+	await setFaults(engine, {crash: true, restartAfterMs: 300});
+	const stream = await response.text();
+	expect(getText(stream)).toBe(undisturbed);
+	expect(stream.endsWith('data: [DONE]\n\n')).toBe(true);
+});
+
+test('a request that crashes each engine takes down at most two', async () => {
+	for (const engine of getEngines()) {
+		Object.assign(engine.faults, {crashOnPrompt: 'poison', restartAfterMs: 200});
+	}
+
+	const before = getEngines().reduce((sum, engine) => sum + engine.getState().crashes, 0);
+	const first = await ask('poison here', 50);
+	expect(first.headers.get('x-error-kind') ?? (await first.text())).toContain('crashes-upstreams');
+	const resend = await ask('  Poison  HERE ', 50, {host: 1});
+	expect(resend.status).toBe(422);
+	await resend.text();
+	const after = getEngines().reduce((sum, engine) => sum + engine.getState().crashes, 0);
+	expect(after - before).toBe(2);
+});
+
+test('a leaving engine gets nothing new and comes back', async () => {
+	const serving = getEngines().find(engine => engine.getState().holdings.models.includes('reader-14b'));
+	const leaving = serving;
+	const id = [...fleet.standins.engines].find(([, engine]) => engine === leaving)?.[0] ?? '';
+	const operators = `http://${fleet.hosts[0]?.settings.operatorAddress}/operator`;
+	await fetch(`${operators}/upstreams/${id}/drain`, {method: 'POST'});
+	const readStandings = async (host: number): Promise<string[]> => {
+		const answer = await fetch(`http://${fleet.hosts[host]?.settings.operatorAddress}/operator/upstreams`);
+		const {upstreams} = await answer.json() as {upstreams: Array<{id: string; standing: string}>};
+		return upstreams.filter(upstream => upstream.id === id).map(({standing}) => standing);
+	};
+
+	await expect.poll(async () => readStandings(1), {timeout: 3000}).toEqual(['leaving']);
+	const before = leaving?.getState().received;
+	await Promise.all(Array.from({length: 8}, async (_, index) => (await ask(`read ${index}`, 5, {model: 'reader-14b', host: index % 2})).text()));
+	expect(leaving?.getState().received).toBe(before);
+	await fetch(`${operators}/upstreams/${id}/undrain`, {method: 'POST'});
+	await expect.poll(async () => readStandings(1), {timeout: 3000}).toEqual(['available']);
+});
--- /dev/null
+++ b/packages/router/src/host.test.ts
@@ -0,0 +1,173 @@
+import {connect} from 'node:net';
+import {
+	afterAll, beforeAll, expect, test,
+} from 'vitest';
+import type {Account} from '@gentianlift/types';
+import {startFleet, type TestFleet} from './testing/start-fleet.js';
+
+let fleet: TestFleet;
+
+beforeAll(async () => {
+	fleet = await startFleet(2, {
+		callerLimits: {
+			headerBytes: 16_384, bodyBytes: 100_000, headerTimeout: 500, bodyTimeout: 300, connections: 1000,
+		},
+	});
+});
+
+afterAll(async () => {
+	await fleet.close();
+});
+
+type Options = {
+	host?: number; method?: string; body?: string; headers?: Record<string, string>; key?: string; signal?: AbortSignal;
+};
+
+const call = async (path: string, {host = 0, method, body, headers, key = fleet.key, signal}: Options = {}): Promise<Response> =>
+	fetch(`http://${fleet.hosts[host]?.settings.callerAddress}${path}`, {
+		method: method ?? (body === undefined ? 'GET' : 'POST'),
+		headers: {...(key !== '' && {authorization: `Bearer ${key}`}), ...headers},
+		...(body !== undefined && {body}),
+		...(signal !== undefined && {signal}),
+	});
+
+const chat = (content: string, rest: Record<string, unknown> = {}): string =>
+	JSON.stringify({model: 'counter-8b', messages: [{role: 'user', content}], ...rest});
+
+const readKind = async (response: Response): Promise<string | undefined> => {
+	await response.text();
+	return response.headers.get('x-error-kind');
+};
+
+const getGenerated = (): number => [...fleet.standins.engines.values()].reduce((sum, engine) => sum + engine.getState().received, 0);
+
+const getCalls = () => [...fleet.standins.services.values()].flatMap(({calls}) => calls);
+
+test('a whole answer and a stream hold the same text', async () => {
+	const whole = await call('/v1/chat/completions', {body: chat('same text')});
+	const {choices} = await whole.json() as {choices: Array<{message: {content: string}}>};
+	const stream = await call('/v1/chat/completions', {body: chat('same text', {stream: true}), host: 1});
+	const events = (await stream.text()).split('\n\n').filter(event => event.startsWith('data: {'));
+	const pieces = events.map(event => (JSON.parse(event.slice(6)) as {choices: Array<{delta: {content?: string}}>}).choices[0]?.delta.content ?? '');
+	expect(pieces.join('')).toBe(choices[0]?.message.content);
+	expect(stream.headers.get('x-ran')).toBe('ran');
+});
+
+test('each bad request has its kind, and nothing goes upstream', async () => {
+	const before = getGenerated() + getCalls().length;
+	const path = '/v1/chat/completions';
+	const cases: Array<[string, Promise<Response>]> = [
+		['missing-key', call('/v1/models', {key: ''})],
+		['wrong-key', call('/v1/models', {key: 'nobody'})],
+		['bad-json', call(path, {body: '{'})],
+		['bad-request', call(path, {body: '{"model":"counter-8b"}'})],
+		['bad-request', call(path, {body: chat('a', {tools: []})})],
+		['unknown-model', call(path, {body: chat('a', {model: 'none'})})],
+		['unknown-class', call(path, {body: chat('a'), headers: {'x-class': 'none'}})],
+		['body-too-large', call(path, {body: chat('a'.repeat(200_000))})],
+		['key-missing', call('/v1/services/orders/cut-orders', {body: '{}'})],
+		['key-invalid', call('/v1/services/orders/cut-orders', {body: '{}', headers: {'idempotency-key': 'a b'}})],
+		['unknown-service', call('/v1/services/none/x')],
+		['unknown-path', call('/none')],
+		['unknown-request', call('/v1/requests/none')],
+	];
+	for (const [kind, pending] of cases) {
+		// eslint-disable-next-line no-await-in-loop -- The cases are under way together; this only reads the answers.
+		expect(await readKind(await pending)).toBe(kind);
+	}
+
+	expect(getGenerated() + getCalls().length).toBe(before);
+});
+
+const sendRaw = async (text: string): Promise<string> => new Promise(resolve => {
+	const {hostname, port} = new URL(`http://${fleet.hosts[0]?.settings.callerAddress}`);
+	const socket = connect(Number(port), hostname);
+	let answer = '';
+	socket.on('data', part => {
+		answer += String(part);
+	});
+	socket.on('close', () => {
+		resolve(answer);
+	});
+	socket.write(text);
+});
+
+test('slow and malformed requests are refused by kind', async () => {
+	const head = `POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\nauthorization: Bearer ${fleet.key}\r\ncontent-length: 100\r\nconnection: close\r\n\r\n{`;
+	expect(await sendRaw(head)).toContain('x-error-kind: body-timeout');
+	expect(await sendRaw('GET /v1/models HTTP/1.1\r\nhost: a\r\n')).toContain('x-error-kind: body-timeout');
+	expect(await sendRaw('nonsense\r\n\r\n')).toContain('x-error-kind: bad-request');
+	expect(await sendRaw(`GET / HTTP/1.1\r\nx: ${'a'.repeat(20_000)}\r\n\r\n`)).toContain('x-error-kind: headers-too-large');
+	expect(await sendRaw('GET /v1/models HTTP/1.1\r\nhost: a\r\nauthorization: Bearer a\r\nauthorization: Bearer b\r\nconnection: close\r\n\r\n')).toContain('x-error-kind: repeated-header');
+});
+
+const book = async (key: string, body: string, host = 0): Promise<Response> =>
+	call('/v1/services/orders/cut-orders', {body, host, headers: {'idempotency-key': key}});
+
+test('the same booking at two hosts at once runs once', async () => {
+	const answers = await Promise.all([book('twice', '{"bar":1}', 0), book('twice', '{"bar":1}', 1), book('twice', '{"bar":1}', 0)]);
+	const bodies = new Set(await Promise.all(answers.map(async answer => answer.text())));
+	expect(bodies.size).toBe(1);
+	expect(answers.map(({status}) => status)).toEqual([200, 200, 200]);
+	expect(getCalls().filter(({idempotencyKey}) => idempotencyKey === 'twice')).toHaveLength(1);
+	expect(await readKind(await book('twice', '{"bar":2}'))).toBe('key-mismatch');
+});
+
+test('a booking whose caller leaves still runs, and its account tells', async () => {
+	const aborting = new AbortController();
+	const pending = call('/v1/services/orders/cut-orders', {body: '{"bar":9}', headers: {'idempotency-key': 'left'}, signal: aborting.signal});
+	await expect.poll(() => fleet.standins.keyValue.store.list('claims/').length).toBeGreaterThan(0);
+	aborting.abort();
+	await pending.catch(() => undefined);
+	const again = await book('left', '{"bar":9}', 1);
+	expect(again.status).toBe(200);
+	expect(getCalls().filter(({idempotencyKey}) => idempotencyKey === 'left')).toHaveLength(1);
+	const id = again.headers.get('x-original-request-id') ?? again.headers.get('x-request-id') ?? '';
+	const account = await (await call(`/v1/requests/${id}`, {host: 1})).json() as Account;
+	expect(account).toMatchObject({ran: 'ran', state: {kind: 'finished'}});
+});
+
+test('a question whose caller leaves is cancelled at the engine', async () => {
+	const aborting = new AbortController();
+	const response = await call('/v1/chat/completions', {body: chat('long', {stream: true, max_tokens: 2000}), signal: aborting.signal});
+	const id = response.headers.get('x-request-id') ?? '';
+	aborting.abort();
+	await expect.poll(async () => (await call(`/v1/requests/${id}`)).json()).toMatchObject({state: {kind: 'cancelled'}});
+});
+
+test('another customer\'s request is not shown', async () => {
+	const response = await call('/v1/chat/completions', {body: chat('mine')});
+	const id = response.headers.get('x-request-id') ?? '';
+	expect((await call(`/v1/requests/${id}`, {host: 1})).status).toBe(200);
+	expect(await readKind(await call(`/v1/requests/${id}`, {key: fleet.otherKey}))).toBe('unknown-request');
+});
+
+test('in an outage of the service questions go on and bookings are refused as not run', async () => {
+	Object.assign(fleet.standins.keyValue.faults, {outage: true});
+	const question = await call('/v1/chat/completions', {body: chat('still there')});
+	const booking = await book('outage', '{"bar":3}');
+	expect(question.status).toBe(200);
+	expect(booking.headers.get('x-ran')).toBe('not-run');
+	expect(await readKind(booking)).toBe('claims-unavailable');
+	Object.assign(fleet.standins.keyValue.faults, {outage: false});
+	expect(getCalls().filter(({idempotencyKey}) => idempotencyKey === 'outage')).toHaveLength(0);
+	await expect.poll(async () => (await book('outage', '{"bar":3}', 1)).status, {timeout: 10_000}).toBe(200);
+});
+
+test('a booking whose upstream resets is unknown and isn\'t sent again', async () => {
+	const instances = [...fleet.standins.services.entries()].filter(([id]) => id.includes('orders'));
+	for (const [, {faults}] of instances) {
+		Object.assign(faults, {loseReplies: 1});
+	}
+
+	const response = await book('reset', '{"bar":4}');
+	expect(response.headers.get('x-ran')).toBe('unknown');
+	await response.text();
+	for (const [, {faults}] of instances) {
+		Object.assign(faults, {loseReplies: 0});
+	}
+
+	const again = await book('reset', '{"bar":4}', 1);
+	expect(again.headers.get('x-ran')).toBe('unknown');
+	expect(getCalls().filter(({idempotencyKey}) => idempotencyKey === 'reset')).toHaveLength(1);
+});
--- a/packages/router/src/host/start-host.ts
+++ b/packages/router/src/host/start-host.ts
@@ -25,6 +25,15 @@
 
 type Exit = (status: number) => void;
 
+/** What ends a host beside its parts. */
+type Ending = {
+	/** Stops to listen for callers. */
+	closeListener: () => Promise<void>;
+	/** Stops to listen for operators and other hosts. */
+	closeOthers: () => Promise<void>;
+	exit: Exit;
+};
+
 const loadInterval = 1000;
 
 const createOverload = ({clock, metrics, settings, open}: Base, {follower}: Network): Overload => startOverload({
@@ -51,7 +60,7 @@
 	isDraining: () => graceful().getState().kind !== 'serving',
 });
 
-const createStopSteps = (base: Base, network: Network, work: Work, {closeListener, exit}: {closeListener: () => Promise<void>; exit: Exit}): StopSteps => ({
+const createStopSteps = (base: Base, network: Network, work: Work, {closeListener, closeOthers, exit}: Ending): StopSteps => ({
 	setDraining: network.membership.setDraining,
 	closeListener() {
 		void closeListener();
@@ -70,6 +79,8 @@
 		network.membership.stop();
 		network.peers.close();
 		work.stop();
+		base.upstreams.close();
+		await closeOthers();
 	},
 	exit,
 });
@@ -93,13 +104,22 @@
 		void handleRequest(parts, request, response);
 	});
 	const graceful = createGracefulStop({
-		clock, logger, timeToLive: settings.addressTimeToLive, steps: createStopSteps(base, network, work, {closeListener: async () => closeServer(callers), exit}),
+		clock, logger, timeToLive: settings.addressTimeToLive, steps: createStopSteps(base, network, work, {
+			closeListener: async () => closeServer(callers),
+			async closeOthers() {
+				operators.close();
+				operators.closeAllConnections();
+				await peerServer.close();
+			},
+			exit,
+		}),
 	});
 	const actions = createOperatorActions({
 		...base, ...network, ...work, overload, graceful, readAccount: async id => work.readAccount(id, ''),
 	});
-	await listen(createOperatorServer(actions), settings.operatorAddress);
-	await startPeerServer({
+	const operators = createOperatorServer(actions);
+	await listen(operators, settings.operatorAddress);
+	const peerServer = await startPeerServer({
 		self: settings.host, address: settings.peerAddress, keys: settings.peerKeys, clock, metrics,
 		handlers: createPeerHandlers({...network, ...work, claimOwner: work.claims.owner}),
 	});
--- /dev/null
+++ b/packages/router/src/stopping.test.ts
@@ -0,0 +1,58 @@
+import {expect, test} from 'vitest';
+import {startFleet} from './testing/start-fleet.js';
+
+test('a drained host leaves the addresses, finishes its streams, and ends with 0', async () => {
+	const fleet = await startFleet(2);
+	const [leaving, staying] = fleet.hosts;
+	const callers = `http://${leaving?.settings.callerAddress}`;
+	const operators = `http://${leaving?.settings.operatorAddress}`;
+	const ask = async () => fetch(`${callers}/v1/chat/completions`, {
+		method: 'POST',
+		headers: {authorization: `Bearer ${fleet.key}`},
+		body: JSON.stringify({
+			model: 'counter-8b', max_tokens: 200, stream: true, messages: [{role: 'user', content: 'long answer'}],
+		}),
+	});
+	const running = await ask();
+	leaving?.stop('test');
+	leaving?.stop('again');
+	expect((await fetch(`${operators}/ready`)).status).toBe(503);
+	const late = await ask();
+	expect(late.headers.get('connection')).toBe('close');
+	const readHosts = async (): Promise<string[]> => {
+		const answer = await fetch(`http://${staying?.settings.callerAddress}/v1/hosts`);
+		return (await answer.json() as {hosts: Array<{host: string}>}).hosts.map(({host}) => host);
+	};
+
+	await expect.poll(readHosts).toEqual([staying?.settings.host]);
+	expect(await running.text()).toContain('data: [DONE]');
+	expect(await late.text()).toContain('data: [DONE]');
+	expect(await leaving?.ended).toBe(0);
+	await fleet.close();
+});
+
+test('a forced stop tells the caller and ends with 1', async () => {
+	const fleet = await startFleet(1);
+	const [host] = fleet.hosts;
+	const response = await fetch(`http://${host?.settings.callerAddress}/v1/chat/completions`, {
+		method: 'POST',
+		headers: {authorization: `Bearer ${fleet.key}`},
+		body: JSON.stringify({
+			model: 'counter-8b', max_tokens: 2000, stream: true, messages: [{role: 'user', content: 'endless'}],
+		}),
+	});
+	await fetch(`http://${host?.settings.operatorAddress}/operator/drain`, {method: 'POST', body: '{"force":true}'});
+	expect(await response.text()).toContain('forced-stop');
+	expect(await host?.ended).toBe(1);
+	await fleet.close();
+});
+
+test('a drained host can be taken back while it listens', async () => {
+	const fleet = await startFleet(1, {addressTimeToLive: 60_000});
+	const operators = `http://${fleet.hosts[0]?.settings.operatorAddress}`;
+	await fetch(`${operators}/operator/drain`, {method: 'POST'});
+	expect((await fetch(`${operators}/ready`)).status).toBe(503);
+	await fetch(`${operators}/operator/undrain`, {method: 'POST'});
+	expect((await fetch(`${operators}/ready`)).status).toBe(200);
+	await fleet.close();
+});
--- /dev/null
+++ b/packages/router/src/testing/start-fleet.ts
@@ -0,0 +1,82 @@
+import {parseSettings} from '@gentianlift/config';
+import {
+	countPorts, findPorts, getFleetSettings, getStandinConfiguration, publishConfiguration, readExample, startStandins, type Standins,
+} from '@gentianlift/trial';
+import type {Configuration, Settings} from '@gentianlift/types';
+import {startHost, type RunningHost} from '../host/start-host.js';
+
+/** A host in this process, for tests. */
+export type TestHost = RunningHost & {
+	settings: Settings;
+	/** Resolves with the exit status once the host has ended. */
+	ended: Promise<number>;
+};
+
+/** Stand-ins and hosts in this process, for tests. */
+export type TestFleet = {
+	standins: Standins;
+	configuration: Configuration;
+	hosts: TestHost[];
+	/** Key of a customer that may use all classes of the Kopi example. */
+	key: string;
+	/** Key of another customer. */
+	otherKey: string;
+	close: () => Promise<void>;
+};
+
+const parse = (document: unknown): Settings => {
+	const parsed = parseSettings(document);
+	if (parsed.kind === 'invalid') {
+		throw new TypeError(JSON.stringify(parsed.faults));
+	}
+
+	return parsed.value;
+};
+
+const start = async (settings: Settings): Promise<TestHost> => {
+	let host: RunningHost | undefined;
+	const ended = new Promise<number>(resolve => {
+		void startHost(settings, resolve).then(running => {
+			host = running;
+			return running;
+		});
+	});
+	while (host === undefined) {
+		// eslint-disable-next-line no-await-in-loop -- Waits until the host listens.
+		await new Promise(resolve => {
+			setTimeout(resolve, 5);
+		});
+	}
+
+	return {...host, settings, ended};
+};
+
+/** Starts the Kopi example with some hosts; `extra` settings are shared by all. */
+export const startFleet = async (count: number, extra: Partial<Settings> = {}): Promise<TestFleet> => {
+	const {configuration: example, keys} = await readExample('kopi');
+	const standins = await startStandins(example.inventory, {stepTime: 5, meanTokens: 20, eventLoss: 0});
+	const configuration = getStandinConfiguration(example, standins.addresses);
+	publishConfiguration(standins.keyValue, configuration, Date.now());
+	const documents = getFleetSettings({
+		zones: ['attica-a', 'attica-b', 'attica-c'],
+		keyValueUrl: standins.keyValue.listener.url,
+		hostListUrl: standins.hostList.listener.url,
+		weightStoreUrl: standins.weightStore.listener.url,
+		ports: await findPorts(countPorts(count)),
+	}, {addressTimeToLive: 100, logLevel: 'error', ...extra});
+	const hosts = await Promise.all(documents.map(async document => start(parse(document))));
+	return {
+		standins,
+		configuration,
+		hosts,
+		key: keys.get('faros-steel') ?? '',
+		otherKey: [...keys].find(([customer]) => customer !== 'faros-steel')?.[1] ?? '',
+		async close() {
+			await Promise.all(hosts.map(async ({settings, ended}) => {
+				await fetch(`http://${settings.operatorAddress}/operator/drain`, {method: 'POST', body: '{"force":true}'}).catch(() => undefined);
+				await ended;
+			}));
+			await standins.close();
+		},
+	};
+};
