--- a/packages/router/src/testing/start-fleet.ts
+++ b/packages/router/src/testing/start-fleet.ts
@@ -34,20 +34,13 @@
 };
 
 const start = async (settings: Settings): Promise<TestHost> => {
-	let host: RunningHost | undefined;
+	const exits: Array<(status: number) => void> = [];
 	const ended = new Promise<number>(resolve => {
-		void startHost(settings, resolve).then(running => {
-			host = running;
-			return running;
-		});
+		exits.push(resolve);
+	});
+	const host = await startHost(settings, status => {
+		exits[0]?.(status);
 	});
-	while (host === undefined) {
-		// eslint-disable-next-line no-await-in-loop -- Waits until the host listens.
-		await new Promise(resolve => {
-			setTimeout(resolve, 5);
-		});
-	}
-
 	return {...host, settings, ended};
 };
 
