Give rates out of one bucket at the owner of a limit

A host now takes what it needs from the owner's bucket, and gives back what it doesn't need of small levels.

--- a/packages/scheduler/src/quota/create-quota-client.ts
+++ b/packages/scheduler/src/quota/create-quota-client.ts
@@ -6,15 +6,17 @@
 import type {QuotaOwner} from './create-quota-owner.js';
 import {getLimitKey, type Limit} from './limits.js';
 import {
-	applyElapsed, createMeter, getWaitFor, hasRoom, type Meter, take,
+	applyAlone, applyShare, applyTime, createMeter, getRetryAfter, getWish, hasRoom, type Meter, take,
 } from './meter.js';
 
-/** Interval of exchanges with the owner of limits in use. */
-export const quotaInterval: Milliseconds = 2000;
-/** Least time between two exchanges that ask for more. */
-const leastInterval: Milliseconds = 100;
-/** How long the last share stands while the owner can't be reached. */
-const lastShareDuration: Milliseconds = 10_000;
+/** Interval of exchanges with the owner of levels in use. */
+export const renewInterval: Milliseconds = 2000;
+/** Interval at which a host gives back what it doesn't need of small levels. */
+const returnInterval: Milliseconds = 500;
+/** Exchanges of others that a request waits for before its own. */
+const mostTurns = 4;
+/** A level with fewer for each host than this is small. */
+const smallShare = 4;
 const unusedExpiry: Milliseconds = 30_000;
 
 /** What a client of limits needs. */
@@ -58,29 +60,29 @@
 	constructor(options: QuotaClientOptions) {
 		this.#options = options;
 		const {every} = options.clock;
-		this.#cancel = every(quotaInterval, () => {
+		this.#cancel = every(returnInterval, () => {
 			this.#renew();
 		});
 	}
 
 	readonly acquire = async (amounts: readonly Amount[]): Promise<QuotaDecision> => {
 		await this.#prepare(amounts);
-		const refused = this.#getRefused(amounts);
+		const now = this.#now();
+		const refused = amounts.find(({limit, amount}) => !hasRoom(this.#getMeter(limit), amount, now));
 		if (refused !== undefined) {
-			const meter = this.#getMeter(refused.limit);
 			this.#options.metrics.count('quota_refusals', {limit: refused.limit.split(':')[0] ?? ''});
-			return {kind: 'refused', limit: refused.limit, retryAfter: getWaitFor(meter, refused.amount)};
+			return {kind: 'refused', limit: refused.limit, retryAfter: getRetryAfter(this.#getMeter(refused.limit), now)};
 		}
 
 		for (const {limit, amount} of amounts) {
-			take(this.#getMeter(limit), amount);
+			take(this.#getMeter(limit), amount, now);
 		}
 
 		return {kind: 'allowed'};
 	};
 
 	readonly use = (limit: string, amount: number): void => {
-		take(this.#getMeter(limit), amount);
+		take(this.#getMeter(limit), amount, this.#now());
 	};
 
 	readonly release = (limit: string, amount: number): void => {
@@ -92,68 +94,67 @@
 		this.#cancel();
 	};
 
-	/** Gets a larger share for what this host has no share of yet, or too small a one. */
+	#now(): Milliseconds {
+		return this.#options.clock.monotonic();
+	}
+
+	#getMeter(limit: string): Meter {
+		const now = this.#now();
+		const meter = this.#meters.get(limit) ?? createMeter(this.#getLimit(limit), now);
+		this.#meters.set(limit, meter);
+		applyTime(meter, now);
+		return meter;
+	}
+
+	#getLimit(limit: string): Limit {
+		return this.#options.getLimits().get(limit) ?? {name: limit, kind: 'rate', amount: 0};
+	}
+
+	/** Gets a larger share of what this host lacks; the limits of one owner go in one message. */
 	async #prepare(amounts: readonly Amount[]): Promise<void> {
-		const now = this.#options.clock.monotonic();
+		const now = this.#now();
 		const lacking = amounts.filter(({limit, amount}) => {
 			const meter = this.#getMeter(limit);
-			const mayAsk = now - meter.askedAt >= leastInterval;
-			return meter.askedAt === 0 || (mayAsk && !hasRoom(meter, amount));
+			return now >= meter.emptyUntil && !hasRoom(meter, amount, now);
 		});
-		for (const {limit, amount} of lacking) {
-			this.#getMeter(limit).denied += amount;
-		}
-
 		const keys = new Set(lacking.map(({limit}) => getLimitKey(limit)));
-		await Promise.all([...keys].map(async key => this.#exchangeOnce(key)));
+		await Promise.all([...keys].map(async key => this.#exchangeInTurn(key, lacking)));
 	}
 
-	#getRefused(amounts: readonly Amount[]): Amount | undefined {
-		return amounts.find(({limit, amount}) => !hasRoom(this.#getMeter(limit), amount));
-	}
-
-	#getMeter(limit: string): Meter {
-		const now = this.#options.clock.monotonic();
-		const known = this.#meters.get(limit);
-		const configured = this.#options.getLimits().get(limit) ?? {name: limit, kind: 'rate', amount: 0};
-		const meter = known ?? createMeter(configured, this.#getEvenShare(configured), now);
-		this.#meters.set(limit, meter);
-		meter.amount = configured.amount;
-		if (now > meter.expiresAt + lastShareDuration) {
-			meter.allowed = this.#getEvenShare(configured);
+	/** Waits for exchanges under way for the same owner's key, then asks for what is still lacking. */
+	async #exchangeInTurn(key: string, amounts: readonly Amount[]): Promise<void> {
+		for (let turns = 0; this.#underWay.has(key) && turns < mostTurns; turns++) {
+			// eslint-disable-next-line no-await-in-loop -- One exchange after another.
+			await this.#underWay.get(key);
 		}
 
-		applyElapsed(meter, now);
-		return meter;
-	}
-
-	#getEvenShare({amount}: Limit): number {
-		return amount / Math.max(1, this.#options.getHosts().length);
-	}
+		const now = this.#now();
+		const lacking = amounts.filter(({limit, amount}) => getLimitKey(limit) === key && !hasRoom(this.#getMeter(limit), amount, now));
+		if (lacking.length === 0 || this.#underWay.has(key)) {
+			return;
+		}
 
-	/** Joins an exchange that is under way for the same owner's key. */
-	async #exchangeOnce(key: string): Promise<void> {
-		const known = this.#underWay.get(key) ?? this.#exchange(key);
-		this.#underWay.set(key, known);
-		await known;
+		const exchange = this.#exchange(key, lacking);
+		this.#underWay.set(key, exchange);
+		await exchange;
 		this.#underWay.delete(key);
 	}
 
-	async #exchange(key: string): Promise<void> {
-		const now = this.#options.clock.monotonic();
-		const meters = [...this.#meters.values()].filter(meter => getLimitKey(meter.name) === key);
-		const limits = meters.map(meter => getWish(meter, now));
-		for (const meter of meters) {
-			meter.askedAt = now;
-			meter.denied = 0;
-			meter.usedSince = 0;
+	async #exchange(key: string, amounts: readonly Amount[]): Promise<void> {
+		const wishes = amounts.map(({limit, amount}) => getWish(this.#getMeter(limit), amount));
+		const outcome = await this.#call(key, {host: this.#options.self, limits: wishes});
+		const now = this.#now();
+		if (outcome.kind === 'answered' && outcome.answer.owner) {
+			for (const share of outcome.answer.shares) {
+				applyShare(this.#getMeter(share.limit), share, wishes.find(({limit}) => limit === share.limit) ?? {used: 0, wanted: 0}, now);
+			}
+
+			return;
 		}
 
-		const outcome = await this.#call(key, {host: this.#options.self, limits});
-		if (outcome.kind === 'answered') {
-			this.#applyShares(outcome.answer);
-		} else {
-			this.#options.metrics.count('quota_exchange_failures', {kind: outcome.kind});
+		this.#options.metrics.count('quota_exchange_failures', {kind: outcome.kind === 'answered' ? 'not-owner' : outcome.kind});
+		for (const {limit} of amounts) {
+			applyAlone(this.#getMeter(limit), this.#getEvenShare(limit), now);
 		}
 	}
 
@@ -167,36 +168,36 @@
 		return owner === self ? {kind: 'answered', answer: getLocalOwner().handle(self, message)} : peers.exchangeQuota(owner, message);
 	}
 
-	#applyShares({shares}: QuotaAnswer): void {
-		const now = this.#options.clock.monotonic();
-		for (const {limit, allowed, duration} of shares) {
-			const meter = this.#getMeter(limit);
-			meter.allowed = allowed;
-			meter.expiresAt = now + duration;
-			applyElapsed(meter, now);
-		}
-	}
-
-	/** Renews shares in use and forgets those that aren't. */
+	/** Renews the levels in use, gives back, tells debts, and forgets what isn't used. */
 	#renew(): void {
-		const now = this.#options.clock.monotonic();
-		const keys = new Set<string>();
+		const now = this.#now();
+		const due = new Map<string, Amount[]>();
 		for (const [limit, meter] of this.#meters) {
 			if (meter.held === 0 && now - meter.usedAt > unusedExpiry) {
 				this.#meters.delete(limit);
-			} else if (meter.held > 0 || meter.usedSince > 0 || meter.denied > 0) {
-				keys.add(getLimitKey(limit));
+			} else if (this.#isDue(meter, now)) {
+				due.set(getLimitKey(limit), [...due.get(getLimitKey(limit)) ?? [], {limit, amount: 0}]);
 			}
 		}
 
-		for (const key of keys) {
-			void this.#exchangeOnce(key);
+		for (const [key, amounts] of due) {
+			if (!this.#underWay.has(key)) {
+				void this.#exchange(key, amounts);
+			}
 		}
 	}
-}
 
-const getWish = (meter: Meter, now: Milliseconds): {limit: string; used: number; wanted: number} => {
-	const seconds = Math.max(1, (now - meter.askedAt) / 1000);
-	const wanted = meter.kind === 'level' ? meter.held + meter.denied : (meter.usedSince + meter.denied) / seconds;
-	return {limit: meter.name, used: meter.kind === 'level' ? meter.held : meter.usedSince, wanted};
-};
+	#isDue(meter: Meter, now: Milliseconds): boolean {
+		if (meter.kind === 'rate') {
+			return meter.allowed < 0 && now - meter.answeredAt >= renewInterval;
+		}
+
+		const isSmall = this.#getEvenShare(meter.name) < smallShare;
+		const isSpare = isSmall && meter.allowed > meter.held && now < meter.expiresAt;
+		return isSpare || (meter.held > 0 && now - meter.answeredAt >= renewInterval);
+	}
+
+	#getEvenShare(limit: string): number {
+		return this.#getLimit(limit).amount / Math.max(1, this.#options.getHosts().length);
+	}
+}
--- a/packages/scheduler/src/quota/create-quota-owner.ts
+++ b/packages/scheduler/src/quota/create-quota-owner.ts
@@ -3,7 +3,9 @@
 	HostId, Milliseconds, QuotaAnswer, QuotaRequest,
 } from '@gentianlift/types';
 import {getLimitKey, type Limit} from './limits.js';
-import {getShare} from './share-out.js';
+import {
+	type Bucket, createBucket, getLevelShare, getRefillTime, takeFromBucket,
+} from './share-out.js';
 
 /** How long a host may use a share without a new exchange. */
 export const shareDuration: Milliseconds = 5000;
@@ -23,58 +25,67 @@
 	handle: (from: HostId, message: QuotaRequest) => QuotaAnswer;
 };
 
-type Lease = {wanted: number; used: number; allowed: number; expiresAt: Milliseconds};
-type Ledger = {since: Milliseconds; leases: Map<HostId, Lease>};
+type Wish = QuotaRequest['limits'][number];
+type Share = QuotaAnswer['shares'][number];
+type Reservation = {amount: number; expiresAt: Milliseconds};
 
-/** Creates the owner of limits. In its first lease time it gives each host an even share, as earlier leases aren't known to it. */
+type Ledger = {
+	buckets: Map<string, Bucket>;
+	/** Reservations of levels by limit and host. */
+	reservations: Map<string, Map<HostId, Reservation>>;
+};
+
+/**
+ * Creates the owner of limits. After a change of owner, a rate is exceeded by at most one second's worth,
+ * and a level by what the hosts had reserved, for at most one lease.
+ */
 export const createQuotaOwner = (options: QuotaOwnerOptions): QuotaOwner => {
-	const ledgers = new Map<string, Ledger>();
+	const ledger: Ledger = {buckets: new Map(), reservations: new Map()};
 	return {
 		handle(from, {limits}) {
 			const owned = limits.filter(({limit}) => options.getOwnerOf(getLimitKey(limit)) === options.self);
-			return {
-				owner: owned.length === limits.length,
-				shares: owned.map(({limit, used, wanted}) => ({
-					limit, allowed: shareOut(ledgers, options, {
-						limit, from, used, wanted,
-					}), duration: shareDuration,
-				})),
-			};
+			return {owner: owned.length === limits.length, shares: owned.flatMap(wish => shareOut(ledger, options, from, wish) ?? [])};
 		},
 	};
 };
 
-type Wish = {limit: string; from: HostId; used: number; wanted: number};
+const shareOut = (ledger: Ledger, options: QuotaOwnerOptions, from: HostId, wish: Wish): Share | undefined => {
+	const limit = options.getLimits().get(wish.limit);
+	switch (limit?.kind) {
+		case undefined: {
+			return undefined;
+		}
 
-const shareOut = (ledgers: Map<string, Ledger>, options: QuotaOwnerOptions, {limit, from, used, wanted}: Wish): number => {
-	const now = options.clock.monotonic();
-	const known = options.getLimits().get(limit);
-	if (known === undefined) {
-		ledgers.delete(limit);
-		return 0;
-	}
+		case 'rate': {
+			return shareRate(ledger, limit, wish, options.clock.monotonic());
+		}
 
-	const ledger = ledgers.get(limit) ?? {since: now, leases: new Map<HostId, Lease>()};
-	ledgers.set(limit, ledger);
-	dropExpired(ledger, now);
-	const even = known.amount / Math.max(1, options.getHosts().length);
-	const isSettled = now - ledger.since >= shareDuration;
-	const others = [...ledger.leases].filter(([host]) => host !== from).map(([, lease]) => getHolding(lease, known));
-	const share = getShare(known.amount, {wanted, reserved: 0}, others);
-	const allowed = isSettled ? share : Math.min(share, Math.max(even, Math.min(1, share)));
-	ledger.leases.set(from, {
-		wanted, used, allowed, expiresAt: now + shareDuration,
-	});
-	return allowed;
+		case 'level': {
+			return shareLevel(ledger, limit, {...wish, from, hosts: options.getHosts().length}, options.clock.monotonic());
+		}
+	}
 };
 
-const getHolding = ({wanted, used, allowed}: Lease, {kind}: Limit): {wanted: number; reserved: number} =>
-	({wanted, reserved: kind === 'level' ? Math.max(allowed, used) : allowed});
+const shareRate = ({buckets}: Ledger, {name, amount}: Limit, wish: Wish, now: Milliseconds): Share => {
+	const {bucket, taken} = takeFromBucket(buckets.get(name) ?? createBucket(amount, now), amount, wish, now);
+	buckets.set(name, bucket);
+	return {limit: name, allowed: taken, duration: taken > 0 ? shareDuration : getRefillTime(bucket, amount)};
+};
 
-const dropExpired = ({leases}: Ledger, now: Milliseconds): void => {
-	for (const [host, {expiresAt}] of leases) {
-		if (expiresAt <= now) {
-			leases.delete(host);
+const shareLevel = ({reservations}: Ledger, {name, amount}: Limit, {from, hosts, used, wanted}: Wish & {from: HostId; hosts: number}, now: Milliseconds): Share => {
+	const own = reservations.get(name) ?? new Map<HostId, Reservation>();
+	reservations.set(name, own);
+	own.delete(from);
+	let reserved = 0;
+	for (const [host, reservation] of own) {
+		if (reservation.expiresAt <= now) {
+			own.delete(host);
+		} else {
+			reserved += reservation.amount;
 		}
 	}
+
+	const allowed = getLevelShare(amount, wanted, reserved, hosts);
+	own.set(from, {amount: Math.max(allowed, used), expiresAt: now + shareDuration});
+	return {limit: name, allowed, duration: shareDuration};
 };
--- a/packages/scheduler/src/quota/meter.ts
+++ b/packages/scheduler/src/quota/meter.ts
@@ -3,60 +3,105 @@
 
 const second: Milliseconds = 1000;
 const leastWait: Milliseconds = 1000;
+/** Use over this time is asked for in advance. */
+const horizon: Milliseconds = 1000;
+/** Time before a host asks again for a level of which nothing was left. */
+const levelPause: Milliseconds = 20;
+/** How long the last rate stands while the owner can't be reached. */
+const lastRateDuration: Milliseconds = 10_000;
 
 /** A host's use of its share of a limit. */
 export type Meter = {
 	name: string;
 	kind: Limit['kind'];
-	/** The whole limit, over all hosts. */
-	amount: number;
-	/** This host's share: a rate a second, or a level. */
+	/** What the host may use: of a rate, the amount left; of a level, all that may be under way. */
 	allowed: number;
 	expiresAt: Milliseconds;
-	/** What a rate may use now; negative after use that was not known before. */
-	level: number;
-	/** Moment up to which the level is counted. */
-	countedTo: Milliseconds;
-	/** Things under way. */
+	/** Things under way, of a level. */
 	held: number;
-	/** Moment of the last exchange; 0 before the first. */
-	askedAt: Milliseconds;
+	/** Use a second, as a moving mean. */
+	rate: number;
+	/** Moment up to which the rate is counted. */
+	countedTo: Milliseconds;
+	/** Use since then. */
+	used: number;
+	/** The owner has none left before this moment. */
+	emptyUntil: Milliseconds;
+	/** Moment of the last answer of the owner; 0 before the first. */
+	answeredAt: Milliseconds;
 	usedAt: Milliseconds;
-	/** Use and refusals since the last exchange. */
-	usedSince: number;
-	denied: number;
 };
 
-/** Creates a meter with a share that the owner hasn't confirmed. */
-export const createMeter = ({name, kind, amount}: Limit, allowed: number, now: Milliseconds): Meter => ({
-	name, kind, amount, allowed, expiresAt: now, level: allowed, countedTo: now, held: 0, askedAt: 0, usedAt: now, usedSince: 0, denied: 0,
+/** Creates a meter of which the owner hasn't heard yet. */
+export const createMeter = ({name, kind}: Limit, now: Milliseconds): Meter => ({
+	name, kind, allowed: 0, expiresAt: 0, held: 0, rate: 0, countedTo: now, used: 0, emptyUntil: 0, answeredAt: 0, usedAt: now,
 });
 
-/** Fills a rate for the elapsed time, up to one second's worth or one request. */
-export const applyElapsed = (meter: Meter, now: Milliseconds): void => {
-	const most = Math.max(1, meter.allowed);
-	meter.level = Math.min(most, meter.level + (meter.allowed * (now - meter.countedTo) / second));
-	meter.countedTo = now;
+/** Drops a share that has ended. A debt stays, and so does a level's share: what is under way is under way. */
+export const applyTime = (meter: Meter, now: Milliseconds): void => {
+	const elapsed = now - meter.countedTo;
+	if (elapsed >= horizon) {
+		meter.rate = (meter.rate + (meter.used / elapsed * second)) / 2;
+		meter.used = 0;
+		meter.countedTo = now;
+	}
+
+	if (now >= meter.expiresAt && meter.kind === 'rate') {
+		meter.allowed = Math.min(0, meter.allowed);
+	}
 };
 
-/** Whether an amount stays within the share. A rate may go into debt by one large amount, which later ones wait for. */
-export const hasRoom = (meter: Meter, amount: number): boolean =>
-	meter.kind === 'level' ? meter.held + amount <= Math.max(meter.allowed, 0) : meter.level >= Math.min(amount, Math.max(1, meter.allowed));
+/** Whether an amount stays within the share. Asking for nothing needs a share that isn't used up. */
+export const hasRoom = (meter: Meter, amount: number, now: Milliseconds): boolean =>
+	meter.kind === 'level' ? meter.held + amount <= meter.allowed && now < meter.expiresAt : meter.allowed >= Math.max(1, amount);
 
-/** Counts use. */
-export const take = (meter: Meter, amount: number): void => {
-	meter.level -= amount;
-	meter.usedSince += amount;
-	meter.usedAt = meter.countedTo;
-	meter.held += meter.kind === 'level' ? amount : 0;
+/** Counts use; a rate may go into debt, which the owner then takes from everybody's. */
+export const take = (meter: Meter, amount: number, now: Milliseconds): void => {
+	meter.used += amount;
+	meter.usedAt = now;
+	if (meter.kind === 'level') {
+		meter.held += amount;
+	} else {
+		meter.allowed -= amount;
+	}
 };
 
-/** Gets the time after which an amount is expected to be free. */
-export const getWaitFor = (meter: Meter, amount: number): Milliseconds => {
-	if (meter.kind === 'level' || meter.allowed <= 0) {
-		return leastWait;
+/** Gets what to ask the owner for. */
+export const getWish = (meter: Meter, amount: number): {limit: string; used: number; wanted: number} => meter.kind === 'level'
+	? {limit: meter.name, used: meter.held, wanted: meter.held + amount}
+	: {limit: meter.name, used: Math.max(0, -meter.allowed), wanted: Math.ceil(Math.max(1, amount, meter.rate * horizon / second) - Math.max(0, meter.allowed))};
+
+/** Takes in the owner's answer. An answer of nothing says when to ask again. */
+export const applyShare = (meter: Meter, share: {allowed: number; duration: Milliseconds}, asked: {used: number; wanted: number}, now: Milliseconds): void => {
+	meter.answeredAt = now;
+	if (meter.kind === 'level') {
+		meter.allowed = share.allowed;
+		meter.expiresAt = now + share.duration;
+		meter.emptyUntil = share.allowed < asked.wanted ? now + levelPause : 0;
+		return;
 	}
 
-	const lacking = Math.min(amount, Math.max(1, meter.allowed)) - meter.level;
-	return Math.max(leastWait, Math.ceil(lacking / meter.allowed * second));
+	meter.allowed += share.allowed + asked.used;
+	if (share.allowed > 0) {
+		meter.expiresAt = now + share.duration;
+	} else {
+		meter.emptyUntil = now + share.duration;
+	}
+};
+
+/** Lets a host go on without the owner: at its last rate for a while, then at an even share of the limit. */
+export const applyAlone = (meter: Meter, evenShare: number, now: Milliseconds): void => {
+	if (meter.kind === 'level') {
+		meter.allowed = Math.max(1, Math.floor(evenShare));
+		meter.expiresAt = now + horizon;
+		return;
+	}
+
+	const rate = now - meter.answeredAt < lastRateDuration ? Math.max(meter.rate, evenShare) : evenShare;
+	meter.allowed = Math.min(0, meter.allowed) + (rate * horizon / second);
+	meter.expiresAt = now + horizon;
+	meter.emptyUntil = now + horizon;
 };
+
+/** Gets the time after which a refused amount may be free. */
+export const getRetryAfter = (meter: Meter, now: Milliseconds): Milliseconds => Math.max(leastWait, meter.emptyUntil - now);
--- a/packages/scheduler/src/quota/quota.test.ts
+++ b/packages/scheduler/src/quota/quota.test.ts
@@ -1,9 +1,9 @@
 import fc from 'fast-check';
 import {expect, test} from 'vitest';
-import {createManualClock, type ManualClock} from '@gentianlift/clock';
+import {createManualClock, createRandom, type ManualClock} from '@gentianlift/clock';
 import {createMetrics} from '@gentianlift/metrics';
 import type {HostId} from '@gentianlift/types';
-import {getShare} from './share-out.js';
+import {createBucket, getLevelShare, takeFromBucket} from './share-out.js';
 import {
 	createQuotaClient, createQuotaOwner, createRetryBudgets, type Limit, type QuotaClient, type QuotaOwner,
 } from './index.js';
@@ -134,23 +134,54 @@
 	expect(await acquire()).toEqual({kind: 'allowed'});
 });
 
-test('shares never add up to more than the limit', () => {
+test('what a rate gives out is never more than the limit and what it saves up', () => {
+	const wishes = fc.array(fc.record({after: fc.nat(500), used: fc.nat(20), wanted: fc.nat(50)}), {minLength: 1, maxLength: 40});
+	fc.assert(fc.property(wishes, fc.integer({min: 1, max: 100}), (list, amount) => {
+		let [bucket, now, given] = [createBucket(amount, 0), 0, 0];
+		for (const {after, used, wanted} of list) {
+			now += after;
+			const outcome = takeFromBucket(bucket, amount, {used, wanted}, now);
+			bucket = outcome.bucket;
+			given += outcome.taken;
+			expect(given).toBeLessThanOrEqual(amount + (amount * now / 1000) + 1e-6);
+		}
+	}), {seed: 1});
+});
+
+test('shares of a level never add up to more than the limit', () => {
 	const wishes = fc.array(fc.record({host: fc.nat(4), wanted: fc.nat(100)}), {minLength: 1, maxLength: 40});
 	fc.assert(fc.property(wishes, fc.integer({min: 1, max: 100}), (list, amount) => {
-		const held = new Map<number, {wanted: number; reserved: number}>();
+		const shares = new Map<number, number>();
+		const getReserved = (): number => [...shares.values()].reduce((sum, share) => sum + share, 0);
 		for (const {host, wanted} of list) {
-			const others = [...held].filter(([other]) => other !== host).map(([, holding]) => holding);
-			held.set(host, {wanted, reserved: getShare(amount, {wanted, reserved: 0}, others)});
-			let sum = 0;
-			for (const {reserved} of held.values()) {
-				sum += reserved;
-			}
-
-			expect(sum).toBeLessThanOrEqual(amount + 1e-6);
+			shares.delete(host);
+			shares.set(host, getLevelShare(amount, wanted, getReserved(), 5));
+			expect(getReserved()).toBeLessThanOrEqual(amount);
 		}
 	}), {seed: 1});
 });
 
+test('a small limit over many hosts refuses nothing below it', async () => {
+	const fleet = createFleet([{name: 'requests:c', kind: 'rate', amount: 8}, {name: 'concurrency:c', kind: 'level', amount: 15}]);
+	const random = createRandom(5);
+	let refused = 0;
+	const runOne = async (): Promise<void> => {
+		const {client} = random.pick(fleet.hosts)!;
+		const decision = await client.acquire([{limit: 'requests:c', amount: 1}, {limit: 'concurrency:c', amount: 1}]);
+		refused += decision.kind === 'refused' ? 1 : 0;
+		await fleet.clock.sleep(1500);
+		client.release('concurrency:c', decision.kind === 'refused' ? 0 : 1);
+	};
+
+	for (let index = 0; index < 200; index++) {
+		void runOne();
+		// eslint-disable-next-line no-await-in-loop -- Time moves step by step.
+		await fleet.clock.advance(100 + (200 * random.next()));
+	}
+
+	expect(refused).toBe(0);
+});
+
 test('retries stay within their share of the requests', () => {
 	fc.assert(fc.property(fc.array(fc.boolean(), {maxLength: 200}), fc.double({min: 0, max: 0.5, noNaN: true}), (events, share) => {
 		const budgets = createRetryBudgets();
--- a/packages/scheduler/src/quota/share-out.ts
+++ b/packages/scheduler/src/quota/share-out.ts
@@ -1,33 +1,38 @@
-/** What a host has of a limit. */
-export type Holding = {
-	/** What the host asks for. */
-	wanted: number;
-	/** What it may still use by its last lease, or uses beyond it. */
-	reserved: number;
-};
+import type {Milliseconds} from '@gentianlift/types';
 
-/**
- * Gets the share of one host: an even split in which hosts that want less leave the rest to others,
- * and never more than the others' reservations leave.
- */
-export const getShare = (amount: number, own: Holding, others: readonly Holding[]): number => {
-	const reserved = others.reduce((sum, holding) => sum + holding.reserved, 0);
-	const fair = getFairShare(amount, own.wanted, others.map(({wanted}) => wanted));
-	return Math.max(0, Math.min(fair, amount - reserved));
+const second: Milliseconds = 1000;
+/** Use that a rate saves up at most. */
+const savedTime: Milliseconds = 1000;
+/** Debt of a rate is remembered up to this much. */
+const longestDebt: Milliseconds = 60_000;
+
+/** What is left of a rate. */
+export type Bucket = {left: number; countedTo: Milliseconds};
+
+/** Creates a bucket with as much as a rate saves up. */
+export const createBucket = (amount: number, now: Milliseconds): Bucket => ({left: amount * savedTime / second, countedTo: now});
+
+/** Fills a bucket for the elapsed time and takes what a host has used beyond its share, then what it wants as far as there is. */
+export const takeFromBucket = (bucket: Bucket, amount: number, wish: {used: number; wanted: number}, now: Milliseconds): {bucket: Bucket; taken: number} => {
+	const most = Math.max(1, amount * savedTime / second);
+	const filled = Math.min(most, bucket.left + (amount * (now - bucket.countedTo) / second));
+	const left = Math.max(-amount * longestDebt / second, filled - wish.used);
+	const taken = Math.max(0, Math.min(wish.wanted, Math.floor(left)));
+	return {bucket: {left: left - taken, countedTo: now}, taken};
 };
 
-/** Gets what one of several gets in a max-min fair split; what nobody wants is split evenly on top. */
-const getFairShare = (amount: number, own: number, others: readonly number[]): number => {
-	const sorted = [...others, own].toSorted((first, second) => first - second);
-	let left = amount;
-	for (const [index, wanted] of sorted.entries()) {
-		const even = left / (sorted.length - index);
-		if (wanted >= even) {
-			return Math.min(own, even);
-		}
+/** Gets the time after which a bucket has one again. */
+export const getRefillTime = ({left}: Bucket, amount: number): Milliseconds => Math.ceil(Math.max(0, 1 - left) / Math.max(amount, Number.EPSILON) * second);
 
-		left -= wanted;
-	}
+/** Parts of what is free, for each host, of which a host gets one beyond what it wants. */
+const spareParts = 4;
 
-	return own + (left / sorted.length);
+/**
+ * Gets a host's share of a level: what it wants, and a little more while much is free,
+ * but never more than what the others have reserved leaves.
+ */
+export const getLevelShare = (amount: number, wanted: number, reserved: number, hosts: number): number => {
+	const free = Math.max(0, amount - reserved);
+	const spare = Math.floor(Math.max(0, free - wanted) / (spareParts * Math.max(1, hosts)));
+	return Math.min(free, wanted + spare);
 };
