--- a/packages/model/src/explore.ts
+++ b/packages/model/src/explore.ts
@@ -4,7 +4,6 @@
 
 type Visit = {from: string; event: {type: string}};
 type Node<State> = Snapshot<undefined> & {context: State};
-type Found<State, Event> = {state: Node<State>; transitions: Record<string, {event: Event; state: Node<State>}>};
 type Visits = Map<string, Visit>;
 
 /** Gets the events on a shortest path from the initial state to a state. */
@@ -26,29 +25,34 @@
 	getTrace: (state: string) => Array<{type: string}>;
 };
 
-/** Gets the graph of reachable states; throws if there are more transitions than the specification's limit. */
+/** Gets the graph of reachable states; throws if there are more than the specification's limit. */
 export const getGraph = <State, Event extends {type: string}>(specification: Specification<State, Event>): Graph<State> => {
 	const logic = fromTransition<State, Event, ActorSystem<never>, undefined>(specification.apply, specification.initial);
-	const map = getAdjacencyMap<Node<State>, Event, undefined>(logic, {
-		serializeState: snapshot => JSON.stringify(snapshot.context),
-		events: snapshot => specification.getEvents(snapshot.context),
-		limit: specification.transitionLimit,
-	});
-	const states = new Map<string, State>();
 	const visits: Visits = new Map();
-	const initial = JSON.stringify(specification.initial);
+	const seen = new Set([JSON.stringify(specification.initial)]);
 	let transitions = 0;
-	for (const [key, {state, transitions: outgoing}] of Object.entries(map as Record<string, Found<State, Event>>)) {
-		states.set(key, state.context);
-		for (const {event, state: next} of Object.values(outgoing)) {
-			transitions++;
-			const target = JSON.stringify(next.context);
-			if (target !== initial && !visits.has(target)) {
-				visits.set(target, {from: key, event});
-			}
+
+	/** Follows an event only if it leads to a state not seen before, which keeps the queue of the exploration short. */
+	const isNew = ({context}: Node<State>, event: Event): boolean => {
+		transitions++;
+		const target = JSON.stringify(specification.apply(context, event));
+		if (seen.has(target)) {
+			return false;
 		}
-	}
 
+		seen.add(target);
+		visits.set(target, {from: JSON.stringify(context), event});
+		return true;
+	};
+
+	const map = getAdjacencyMap<Node<State>, Event, undefined>(logic, {
+		serializeState: snapshot => JSON.stringify(snapshot.context),
+		events: snapshot => specification.getEvents(snapshot.context),
+		filterEvents: isNew,
+		limit: specification.stateLimit,
+	});
+	const found = Object.entries(map as unknown as Record<string, {state: Node<State>}>);
+	const states = new Map(found.map(([key, {state}]) => [key, state.context]));
 	return {states, transitions, getTrace: state => getTrace(visits, state)};
 };
 
--- a/packages/model/src/specification.ts
+++ b/packages/model/src/specification.ts
@@ -11,8 +11,8 @@
 	getEvents: (state: State) => Event[];
 	apply: (state: State, event: Event) => State;
 	invariants: Array<Invariant<State>>;
-	/** Most transitions to explore; a specification that has more fails its check. */
-	transitionLimit: number;
+	/** Most states to explore; a specification that has more fails its check. */
+	stateLimit: number;
 };
 
 /** A check to run: a specification that has to hold, or one with a fault in it that has to be caught. */
