Measure what membership costs a node, and probe twice a second

`bench -- membership` runs real nodes over UDP on loopback and counts processor time, bytes and heap for each, and the time until a killed node is out of all answers. Its first run found a crash: a timer that fires after the stop sent on a closed socket.

--- /dev/null
+++ b/packages/bench/src/membership/index.ts
@@ -0,0 +1,1 @@
+export {membership} from './command.js';
--- a/packages/membership/src/protocol/timing.ts
+++ b/packages/membership/src/protocol/timing.ts
@@ -1,9 +1,9 @@
 import type {Milliseconds} from '@gentianlift/types';
 
 /** Time between two probes of a host. */
-export const probePeriod: Milliseconds = 1000;
+export const probePeriod: Milliseconds = 500;
 /** Time for a direct answer before other hosts are asked to probe. */
-export const directTimeout: Milliseconds = 300;
+export const directTimeout: Milliseconds = 200;
 /** Hosts asked to probe in one's place. */
 export const indirectProbes = 3;
 /** Shortest time from suspicion to gone. */
--- a/packages/membership/src/transport/udp-transport.ts
+++ b/packages/membership/src/transport/udp-transport.ts
@@ -34,6 +34,10 @@
 			socket.on('message', onDatagram);
 		}),
 		send(to, bytes) {
+			if (isStopping) {
+				return;
+			}
+
 			const target = splitAddress(to);
 			// A datagram that can't be sent is as good as lost.
 			pending++;
