--- a/packages/scheduler/src/client/ordered-client.ts
+++ b/packages/scheduler/src/client/ordered-client.ts
@@ -1,7 +1,7 @@
 import type {Cancel} from '@gentianlift/clock';
 import {getGroupsFor} from '@gentianlift/policy';
 import type {
-	ClassifiedRequest, Decision, GrantAnswer, GroupId, Milliseconds, RequestId, TicketEnd,
+	ClassifiedRequest, Decision, GrantAnswer, GroupId, Milliseconds, Rank, RequestId, TicketEnd,
 } from '@gentianlift/types';
 import {chooseGroup, createWaitDigests} from './choose-group.js';
 import {Exchange} from './exchange.js';
@@ -42,11 +42,11 @@
 		});
 	}
 
-	async ask(request: ClassifiedRequest, options: AskOptions = {}): Promise<Grant> {
+	readonly ask = async (request: ClassifiedRequest, options: AskOptions = {}): Promise<Grant> => {
 		const {clock} = this.#options;
 		const ticket = getTicket(request, options, clock.now());
 		const bytes = options.bytes ?? 0;
-		if (this.#waiting >= mostHostWaiting || this.#bytes + bytes > mostHostBytes) {
+		if (!this.#makeRoom(ticket.rank, bytes)) {
 			return this.#getRefusal('queue-full');
 		}
 
@@ -63,44 +63,68 @@
 				ticket, group, bytes, askedAt, resolve, rank: ticket.rank, deadline: askedAt + ticket.slack, moved: false, yielding: new AbortController(),
 			});
 		});
-	}
+	};
 
-	end(end: TicketEnd): void {
+	readonly end = (end: TicketEnd): void => {
 		const pending = this.#pendings.get(end.request);
 		if (pending?.ticket.attempt === end.attempt && pending.upstream !== undefined) {
 			this.#remove(pending);
 			this.#sendEnd(pending.group, end);
 		}
-	}
+	};
 
-	withdraw(request: RequestId): void {
+	readonly withdraw = (request: RequestId): void => {
 		const pending = this.#pendings.get(request);
 		if (pending !== undefined && pending.upstream === undefined) {
 			this.#settle(pending, {kind: 'withdrawn'});
 			this.#sendEnd(pending.group, getWithdrawal(pending.ticket));
 		}
-	}
+	};
 
-	receive(answer: GrantAnswer): void {
+	readonly receive = (answer: GrantAnswer): void => {
 		for (const decision of answer.decisions) {
 			this.#applyDecision(answer.group, decision);
 		}
-	}
+	};
 
-	getCounts(): {waiting: number; running: number; bytes: number} {
-		return {waiting: this.#waiting, running: this.#pendings.size - this.#waiting, bytes: this.#bytes};
-	}
+	readonly getCounts = (): {waiting: number; running: number; bytes: number} => ({waiting: this.#waiting, running: this.#pendings.size - this.#waiting, bytes: this.#bytes});
 
-	stop(): void {
+	readonly stop = (): void => {
 		this.#cancel();
-	}
+	};
 
 	#getRefusal(reason: 'queue-full' | 'no-upstream'): Grant {
 		this.#options.metrics.count('host_sheds', {reason});
 		return {kind: 'shed', reason, retryAfter: defaultRetryAfter};
 	}
 
-	#chooseGroup(needs: readonly string[], rank: number, except?: GroupId): GroupId | undefined {
+	/** Refuses waiting requests of lower ranks, the newest of the lowest first, while the host holds too much. */
+	#makeRoom(rank: Rank, bytes: number): boolean {
+		while (this.#waiting >= mostHostWaiting || this.#bytes + bytes > mostHostBytes) {
+			const lowest = this.#getLowest(rank);
+			if (lowest === undefined) {
+				return false;
+			}
+
+			this.#settle(lowest, this.#getRefusal('queue-full'));
+			this.#sendEnd(lowest.group, getWithdrawal(lowest.ticket));
+		}
+
+		return true;
+	}
+
+	#getLowest(above: Rank): Pending | undefined {
+		let lowest: Pending | undefined;
+		for (const pending of this.#pendings.values()) {
+			if (pending.upstream === undefined && pending.rank > above && pending.rank >= (lowest?.rank ?? 0)) {
+				lowest = pending;
+			}
+		}
+
+		return lowest;
+	}
+
+	#chooseGroup(needs: readonly string[], rank: Rank, except?: GroupId): GroupId | undefined {
 		const {clock, random, getGroups} = this.#options;
 		const groups = getGroupsFor(getGroups(), needs).filter(({id}) => id !== except);
 		const now = clock.monotonic();
--- a/packages/scheduler/src/owner/create-group-owner.ts
+++ b/packages/scheduler/src/owner/create-group-owner.ts
@@ -7,9 +7,9 @@
 import {recordCrash} from './commands/crash.js';
 import {send} from './commands/entries.js';
 import {applyMessage} from './commands/messages.js';
-import {kick, review} from './commands/review.js';
+import {kick, review, reviewSoon} from './commands/review.js';
 import {createGroup, updateGroup} from './create-group.js';
-import {getInOrder, getWaitAfter} from './queries/waits.js';
+import {getInOrder, getWaits} from './queries/waits.js';
 import {getGroupOverview, type GroupOverview} from './queries/overview.js';
 import type {
 	GroupState, Mechanism, OwnerContext, Standing, UpstreamState,
@@ -77,43 +77,43 @@
 		});
 	}
 
-	handle(from: HostId, message: GrantRequest): GrantAnswer {
+	readonly handle = (from: HostId, message: GrantRequest): GrantAnswer => {
 		const {group} = message;
 		const state = this.#isOwned(group) ? this.#getState(this.#owned, group, 1) : undefined;
 		return state === undefined ? {owner: false, group, decisions: []} : answer(state, from, message, this.#options.push);
-	}
+	};
 
-	handleAlone(message: GrantRequest): GrantAnswer {
+	readonly handleAlone = (message: GrantRequest): GrantAnswer => {
 		const {group} = message;
 		const share = 1 / Math.max(1, this.#options.getHosts().length);
 		const state = this.#getState(this.#alone, group, share);
 		return state === undefined ? {owner: false, group, decisions: []} : answer(state, this.#options.self, message, this.#options.push);
-	}
+	};
 
-	applyConfiguration({configuration}: ConfigurationVersion): void {
+	readonly applyConfiguration = ({configuration}: ConfigurationVersion): void => {
 		this.#context.tiers = configuration.rules.tiers;
 		this.#groups = new Map(getGroups(configuration).map(group => [group.id, group]));
 		for (const state of this.#getAll()) {
 			updateGroup(state, this.#groups.get(state.group.id));
 			this.#fill(state);
 		}
-	}
+	};
 
-	applyLoadReport(upstream: UpstreamId, report: LoadReport): void {
+	readonly applyLoadReport = (upstream: UpstreamId, report: LoadReport): void => {
 		this.#news.applyLoadReport(upstream, report, this.#getUpstreams(upstream));
 		this.#grant();
-	}
+	};
 
-	applyStanding(upstream: UpstreamId, standing: Standing): void {
+	readonly applyStanding = (upstream: UpstreamId, standing: Standing): void => {
 		this.#news.applyStanding(upstream, standing, this.#getUpstreams(upstream));
 		this.#grant();
-	}
+	};
 
-	applyCacheEvents(upstream: UpstreamId, events: readonly CacheEvent[]): void {
+	readonly applyCacheEvents = (upstream: UpstreamId, events: readonly CacheEvent[]): void => {
 		this.#news.applyCacheEvents(events, this.#getUpstreams(upstream));
-	}
+	};
 
-	applySighting({upstream, kind}: UpstreamSighting): void {
+	readonly applySighting = ({upstream, kind}: UpstreamSighting): void => {
 		if (kind === 'leaving') {
 			this.applyStanding(upstream, 'leaving');
 		}
@@ -121,23 +121,19 @@
 		for (const state of kind === 'crashed' ? this.#getAll() : []) {
 			recordCrash(state, upstream);
 		}
-	}
+	};
 
-	getSuspects(): Suspects {
-		return this.#context.suspects;
-	}
+	readonly getSuspects = (): Suspects => this.#context.suspects;
 
-	applySuspects(suspects: Suspects): void {
+	readonly applySuspects = (suspects: Suspects): void => {
 		this.#context.suspects = mergeSuspects(this.#context.suspects, suspects);
-	}
+	};
 
-	getOverview(): GroupOverview[] {
-		return [...this.#owned.values()].map(state => getGroupOverview(state));
-	}
+	readonly getOverview = (): GroupOverview[] => [...this.#owned.values()].map(state => getGroupOverview(state));
 
-	stop(): void {
+	readonly stop = (): void => {
 		this.#cancel();
-	}
+	};
 
 	#isOwned(group: GroupId): boolean {
 		return this.#options.getOwnerOf(group) === this.#options.self;
@@ -199,8 +195,8 @@
 
 const answer = (state: GroupState, from: HostId, message: GrantRequest, push: GroupOwnerOptions['push']): GrantAnswer => {
 	const wanted = applyMessage(state, message);
-	review(state);
-	addWaits(state, from, message);
+	reviewSoon(state);
+	sendWaits(state, from, message);
 	const decisions = state.outbox.get(from) ?? [];
 	state.outbox.delete(from);
 	flush(state, push);
@@ -209,14 +205,17 @@
 };
 
 /** Tells the host the expected wait of each ask that isn't granted at once. */
-const addWaits = (state: GroupState, from: HostId, {asks}: GrantRequest): void => {
+const sendWaits = (state: GroupState, from: HostId, {asks}: GrantRequest): void => {
 	const waiting = asks.flatMap(({request}) => state.entries.get(request) ?? []).filter(entry => entry.state.kind === 'waiting');
-	const inOrder = waiting.length === 0 ? [] : getInOrder(state);
+	if (waiting.length === 0) {
+		return;
+	}
+
+	const waits = getWaits(state, getInOrder(state));
 	for (const entry of waiting) {
 		const {request, attempt} = entry.ticket;
-		const expectedWait = Math.ceil(getWaitAfter(state, entry, inOrder));
 		send(state, from, {
-			kind: 'waiting', request, attempt, expectedWait,
+			kind: 'waiting', request, attempt, expectedWait: Math.ceil(waits.get(entry) ?? 0),
 		});
 	}
 };
