Add the measurement of faults on real processes

`bench -- faults` starts a deployment for each case, causes the fault under load and counts lost and cut answers, doubled bookings, failures falsely told as not run, and the time until requests are free of trouble; `--pairs` causes two at once.

--- /dev/null
+++ b/packages/bench/src/faults/command.ts
@@ -0,0 +1,65 @@
+import {defineCommand} from 'citty';
+import {
+	getArrivals, getFlows, runLoad, startDeployment,
+} from '@gentianlift/trial';
+import type {Milliseconds} from '@gentianlift/types';
+import {
+	faults as allFaults, getPairs, singleCases, type Fault,
+} from './faults.js';
+import {getFigures, type Figures} from './get-figures.js';
+
+const causedAt: Milliseconds = 8000;
+const header = '| fault | sent | lost | cut | wrong | doubled | false not-run | unknown | retried | recovered s | failed attempts |';
+const rule = '| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |';
+
+const formatRow = (name: string, figures: Figures): string => {
+	const {
+		sent, lost, cut, wrong, doubled, falseNotRun, unknown, retried, recoveredAfter, errors,
+	} = figures;
+	const kinds = Object.entries(errors).map(([kind, count]) => `${kind} ${count}`).join(', ');
+	const cells = [name, sent, lost, cut, wrong, doubled, falseNotRun, unknown, retried, (recoveredAfter / 1000).toFixed(1), kinds];
+	return `| ${cells.join(' | ')} |`;
+};
+
+const getCases = (only: string, isPaired: boolean): Fault[] => {
+	const cases = isPaired ? getPairs() : [...singleCases, ...allFaults];
+	return cases.filter(({name}) => name.includes(only));
+};
+
+const runCase = async ({cause, seconds}: Fault, rate: number, seed: number): Promise<Figures> => {
+	const deployment = await startDeployment({deployment: 'kopi'});
+	try {
+		const arrivals = getArrivals({
+			flows: getFlows(deployment.name), rate, seconds, seed,
+		});
+		const [records] = await Promise.all([
+			runLoad({
+				deployment, arrivals, seed, retries: 4,
+			}),
+			deployment.clock.sleep(causedAt).then(async () => cause(deployment)),
+		]);
+		const calls = [...deployment.services.values()].flatMap(service => service.calls);
+		return getFigures(records, calls, causedAt);
+	} finally {
+		await deployment.stop();
+	}
+};
+
+/** Causes faults under load on real processes, alone or in pairs, and counts what they cost. */
+export const faults = defineCommand({
+	meta: {name: 'faults', description: 'What each fault costs under load, on real processes'},
+	args: {
+		pairs: {type: 'boolean', description: 'Two faults at once', default: false},
+		only: {type: 'string', description: 'Part of the names of the cases to run', default: ''},
+		rate: {type: 'string', description: 'Factor on the rate of arrivals', default: '0.5'},
+		seed: {type: 'string', description: 'Seed of the load', default: '1'},
+	},
+	async run({args}) {
+		console.log(`${header}\n${rule}`);
+		for (const item of getCases(args.only, args.pairs)) {
+			// eslint-disable-next-line no-await-in-loop -- One deployment at a time.
+			const figures = await runCase(item, Number(args.rate), Number(args.seed));
+			console.log(formatRow(item.name, figures));
+		}
+	},
+});
--- /dev/null
+++ b/packages/bench/src/faults/index.ts
@@ -0,0 +1,1 @@
+export {faults} from './command.js';
