--- a/packages/router/src/callers/commands/service.ts
+++ b/packages/router/src/callers/commands/service.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import type {IncomingMessage, OutgoingHttpHeaders} from 'node:http';
 import {createFailure, getFailure} from '@gentianlift/errors';
 import {getEndToEndHeaders} from '@gentianlift/upstream';
@@ -8,6 +9,7 @@
 import {
 	admitRequest, authenticate, takeLimits, type Caller,
 } from '../admission.js';
+import {checkForcedStop} from '../forced-stop.js';
 import {getAccountHeaders} from '../answer.js';
 import {createCallerStream, type CallerStream} from '../caller-stream.js';
 import type {Exchange} from '../exchange.js';
@@ -46,7 +48,7 @@
 		path,
 		headers: getServiceHeaders(exchange.request, request.id, body.length),
 		body,
-		gone: stream.gone,
+		gone: AbortSignal.any([stream.gone, parts.open.cut.signal]),
 		reader: {
 			begin(status, headers) {
 				latencies.mark();
@@ -69,6 +71,7 @@
 		}
 
 		case 'stopped': {
+			checkForcedStop(parts, result.ran);
 			parts.accounts.apply({kind: 'cancelled', request: request.id, ran: result.ran});
 			parts.metrics.count('cancelled_total', {class: request.className});
 			exchange.response.destroy();
@@ -143,7 +146,7 @@
 		method,
 		path,
 		body,
-		prompt: `${method} ${path}`,
+		prompt: `${method} ${path}\n${Buffer.from(body).toString('latin1')}`,
 		work: {
 			kind: 'call', service: decodeURIComponent(service), method, path,
 		},
--- a/packages/router/src/main.ts
+++ b/packages/router/src/main.ts
@@ -25,7 +25,17 @@
 			return;
 		}
 
-		await startHost(parsed.value);
+		const host = await startHost(parsed.value, status => {
+			process.exit(status);
+		});
+		process.on('unhandledRejection', reason => {
+			host.reportFault(reason);
+		});
+		for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+			process.on(signal, () => {
+				host.stop(signal);
+			});
+		}
 	},
 });
 
