--- a/packages/peers/src/peer-calls.ts
+++ b/packages/peers/src/peer-calls.ts
@@ -104,6 +104,7 @@
 		claim: async (to, message) => call('claim', to, async ({client}, signal) => client.claim.mutate(message, {signal})),
 		settleClaim: async (to, message) => call('settleClaim', to, async ({client}, signal) => client.settleClaim.mutate(message, {signal})),
 		readConfiguration: async (to, message) => call('readConfiguration', to, async ({client}, signal) => client.readConfiguration.mutate(message, {signal})),
+		readPlacementFacts: async (to, message) => call('readPlacementFacts', to, async ({client}, signal) => client.readPlacementFacts.mutate(message, {signal})),
 		readAccount: async (to, message) => call('readAccount', to, async ({client}, signal) => client.readAccount.mutate(message, {signal})),
 		retain(hosts) {
 			const kept = new Set(hosts);
--- a/packages/peers/src/peer-router.ts
+++ b/packages/peers/src/peer-router.ts
@@ -25,6 +25,7 @@
 	claim: trpc.procedure.input(getMessage<ClaimRequest>).mutation(async ({ctx, input}) => handlers.claim(ctx.from, input)),
 	settleClaim: trpc.procedure.input(getMessage<ClaimSettlement>).mutation(async ({ctx, input}) => handlers.settleClaim(ctx.from, input)),
 	readConfiguration: trpc.procedure.input(getMessage<{after: number}>).mutation(async ({ctx, input}) => handlers.readConfiguration(ctx.from, input)),
+	readPlacementFacts: trpc.procedure.input(getMessage<Record<string, never>>).mutation(async ({ctx, input}) => handlers.readPlacementFacts(ctx.from, input)),
 	readAccount: trpc.procedure.input(getMessage<{request: RequestId}>).mutation(async ({ctx, input}) => handlers.readAccount(ctx.from, input)),
 });
 
--- a/packages/peers/src/peers.test.ts
+++ b/packages/peers/src/peers.test.ts
@@ -29,6 +29,7 @@
 		},
 	}),
 	readAccount: unused,
+	readPlacementFacts: unused,
 };
 
 const createCalls = (keys: string[], to: Address = address) => createPeerCalls({
--- a/packages/placement/src/plan/types.ts
+++ b/packages/placement/src/plan/types.ts
@@ -1,20 +1,8 @@
 import type {
-	Adapter, ClassName, Engine, EngineOrder, LoadReport, Milliseconds, Model, ModelName, Rank, UpstreamId,
+	Adapter, Demand, Engine, EngineOrder, LoadReport, Milliseconds, Model, ModelName, UpstreamId,
 } from '@gentianlift/types';
 
-/** What one class asks of one model or adapter now, over all hosts. */
-export type Demand = {
-	className: ClassName;
-	/** Model or adapter. */
-	needs: ModelName;
-	rank: Rank;
-	running: number;
-	waiting: number;
-	/** Time that one request keeps a slot. */
-	serviceTime: Milliseconds;
-	/** Time within which a waiting request has to start. */
-	target: Milliseconds;
-};
+export type {Demand} from '@gentianlift/types';
 
 /** How long conditions have lasted, so that a plan doesn't follow each swing of demand. */
 export type Pressure = {
--- a/packages/router/src/host/peer-handlers.ts
+++ b/packages/router/src/host/peer-handlers.ts
@@ -1,6 +1,7 @@
 import type {Accounts, ClaimOwner} from '@gentianlift/claims';
 import type {ConfigurationFollower} from '@gentianlift/distribution';
 import type {PeerHandlers} from '@gentianlift/types';
+import type {ModelPlacing} from './place-models.js';
 import type {Orderers} from './orderers.js';
 
 /** What answers the calls of other hosts. */
@@ -9,10 +10,11 @@
 	claimOwner: ClaimOwner;
 	follower: ConfigurationFollower;
 	accounts: Accounts;
+	placing: Pick<ModelPlacing, 'getOwnFacts'>;
 };
 
 /** Creates the functions that answer the calls of other hosts. */
-export const createPeerHandlers = ({orderers, claimOwner, follower, accounts}: PeerHandlersOptions): PeerHandlers => ({
+export const createPeerHandlers = ({orderers, claimOwner, follower, accounts, placing}: PeerHandlersOptions): PeerHandlers => ({
 	exchangeGrants: async (from, message) => orderers.groupOwner.handle(from, message),
 	async pushGrants(_from, message) {
 		orderers.grants.receive(message);
@@ -22,6 +24,7 @@
 	claim: claimOwner.claim,
 	settleClaim: claimOwner.settle,
 	readConfiguration: follower.readConfiguration,
+	readPlacementFacts: async () => placing.getOwnFacts(),
 	async readAccount(_from, {request}) {
 		const account = accounts.getAccount(request);
 		return account === undefined ? {} : {account};
--- a/packages/router/src/host/start-host.ts
+++ b/packages/router/src/host/start-host.ts
@@ -75,10 +75,10 @@
 			base.logger.error('settlements-not-stored', {left});
 		}
 
+		await work.stop();
 		network.follower.stop();
 		network.membership.stop();
 		network.peers.close();
-		work.stop();
 		base.upstreams.close();
 		await closeOthers();
 	},
--- a/packages/router/src/host/work.ts
+++ b/packages/router/src/host/work.ts
@@ -2,8 +2,10 @@
 import {getDirectory, type Directory} from '../directory.js';
 import {createAccountReader} from './account-reader.js';
 import type {Base} from './base.js';
+import {createDemandRecord} from './demand.js';
 import type {Network} from './network.js';
 import {createOrderers} from './orderers.js';
+import {startPlacing} from './place-models.js';
 import {startPolls} from './poll-upstreams.js';
 import {startSuspectNotes} from './suspect-notes.js';
 import {startUpstreamWatch} from './upstream-watch.js';
@@ -29,7 +31,9 @@
 	const getCurrentDirectory = (): Directory => directory;
 	const orderers = createOrderers({...base, fleet, peers});
 	const claims = createClaims(base, network);
-	const accounts = createAccounts({clock, capacity: rememberedRequests});
+	const demand = createDemandRecord(createAccounts({clock, capacity: rememberedRequests}), clock);
+	const {accounts} = demand;
+	const placing = startPlacing(base, network, demand);
 	const watch = startUpstreamWatch({
 		...base, self: settings.host, membership, groupOwner: orderers.groupOwner, getGroups: orderers.getGroups, getDirectory: getCurrentDirectory,
 	});
@@ -45,7 +49,10 @@
 			const entries = groups.flatMap(group => group.upstreams.flatMap(({id}) => directory.byId.get(id) ?? []));
 			return entries.filter(({kind}) => kind === 'engine');
 		},
-		applyLoadReport: watch.applyLoadReport,
+		applyLoadReport(upstream, report) {
+			watch.applyLoadReport(upstream, report);
+			placing.applyLoadReport(upstream, report);
+		},
 		applyCacheEvents(upstream, events) {
 			orderers.groupOwner.applyCacheEvents(upstream, events);
 		},
@@ -57,15 +64,16 @@
 	const readAccount = createAccountReader({
 		self: settings.host, accounts, claims: claims.client, peers, fleet, now: clock.now,
 	});
-	const stop = (): void => {
+	const stop = async (): Promise<void> => {
 		stopPolls();
 		stopSuspectNotes();
 		watch.stop();
 		orderers.stop();
+		await placing.stop();
 	};
 
 	return {
-		orderers, claims, accounts, watch, readAccount, getDirectory: getCurrentDirectory, stop,
+		orderers, claims, accounts, placing, watch, readAccount, getDirectory: getCurrentDirectory, stop,
 	};
 };
 
--- a/packages/types/src/peer.ts
+++ b/packages/types/src/peer.ts
@@ -1,9 +1,10 @@
 import type {
 	ClaimDecision, ClaimKey, ClaimOutcome,
 } from './claim.js';
+import type {LoadReport} from './engine.js';
 import type {GrantAnswer, GrantRequest} from './grant.js';
 import type {
-	ClassName, HostId, Incarnation, Milliseconds, RequestId, UpstreamId,
+	ClassName, HostId, Incarnation, Milliseconds, ModelName, Rank, RequestId, UpstreamId,
 } from './ids.js';
 import type {ConfigurationVersion} from './inventory.js';
 import type {Account} from './request.js';
@@ -56,6 +57,28 @@
 /** What a host tells another of its configuration. */
 export type ConfigurationAnswer = {newest?: ConfigurationVersion; version?: number; age?: Milliseconds};
 
+/** What one class asks of one model or adapter now. */
+export type Demand = {
+	className: ClassName;
+	/** Model or adapter. */
+	needs: ModelName;
+	rank: Rank;
+	running: number;
+	waiting: number;
+	/** Time that one request keeps a slot. */
+	serviceTime: Milliseconds;
+	/** Time within which a waiting request has to start. */
+	target: Milliseconds;
+};
+
+/** What a host knows that decides which models engines should hold. */
+export type PlacementFacts = {
+	/** Demand of the host's own callers. */
+	demands: Demand[];
+	/** Newest reports of the engines whose work the host orders. */
+	reports: Array<{upstream: UpstreamId; report: LoadReport}>;
+};
+
 /** Calls from one host to another; none throws. */
 export type PeerCalls = {
 	exchangeGrants: (to: HostId, message: GrantRequest) => Promise<PeerOutcome<GrantAnswer>>;
@@ -70,6 +93,7 @@
 	*/
 	readConfiguration: (to: HostId, message: {after: number}) => Promise<PeerOutcome<ConfigurationAnswer>>;
 	readAccount: (to: HostId, message: {request: RequestId}) => Promise<PeerOutcome<{account?: Account}>>;
+	readPlacementFacts: (to: HostId, message: Record<string, never>) => Promise<PeerOutcome<PlacementFacts>>;
 };
 
 /** The functions that answer the calls of other hosts; `from` is the authenticated caller. */
