--- /dev/null
+++ b/packages/bench/src/policy/index.ts
@@ -0,0 +1,1 @@
+export {policy} from './command.js';
--- a/packages/scheduler/src/client/exchange.ts
+++ b/packages/scheduler/src/client/exchange.ts
@@ -1,6 +1,7 @@
 import type {
 	GrantAnswer, GrantRequest, HostId, Milliseconds, PeerOutcome,
 } from '@gentianlift/types';
+import {countMessage} from '../count-message.js';
 import {
 	createMessage, hasNews, prepareOwner, settleMessage,
 } from './line.js';
@@ -68,9 +69,13 @@
 
 	async #call(line: Line, owner: HostId, message: GrantRequest): Promise<PeerOutcome<GrantAnswer>> {
 		line.inFlight = true;
-		this.#options.metrics.count('grant_messages');
 		const outcome = await this.#options.peers.exchangeGrants(owner, message);
 		line.inFlight = false;
+		countMessage(this.#options.metrics, 'ask', message);
+		if (outcome.kind === 'answered') {
+			countMessage(this.#options.metrics, 'answer', outcome.answer);
+		}
+
 		return outcome;
 	}
 
--- a/packages/scheduler/src/owner/commands/preempt.ts
+++ b/packages/scheduler/src/owner/commands/preempt.ts
@@ -11,7 +11,7 @@
 /** How often one request may yield. */
 export const mostYields = 2;
 /** Waiting entries looked at in one review. */
-const mostLooked = 16;
+const mostLooked = 32;
 /** A run yields only if it has more left than this many times what starting again costs. */
 const restartFactor = 2;
 
@@ -23,18 +23,19 @@
 
 	const inOrder = getInOrder(state).slice(0, mostLooked);
 	const candidates = inOrder.length === 0 ? [] : getCandidates(state);
+	const now = state.context.clock.monotonic();
 	let underWay = [...state.entries.values()].filter(entry => entry.state.kind === 'running' && entry.state.yielding).length;
-	for (const entry of inOrder) {
+	for (const [place, entry] of inOrder.entries()) {
 		if (underWay > 0) {
 			underWay--;
-		} else if (isTight(state, entry, candidates)) {
-			yieldTo(state, entry);
+		} else if (isTight(state, entry, candidates, place)) {
+			yieldTo(state, entry, now);
 		}
 	}
 };
 
-const yieldTo = (state: GroupState, entry: Entry): void => {
-	const victim = getVictim(state, entry);
+const yieldTo = (state: GroupState, entry: Entry, now: Milliseconds): void => {
+	const victim = getVictim(state, entry, now);
 	if (victim?.state.kind !== 'running') {
 		return;
 	}
@@ -44,20 +45,20 @@
 	state.context.metrics.count('yields', {rank: String(victim.ticket.rank)});
 };
 
-/** Whether the entry misses its target unless a slot comes free before its time. */
-const isTight = (state: GroupState, entry: Entry, candidates: readonly Candidate[]): boolean => {
+/** Whether the entry, at its place in the order, misses its target unless a slot comes free before its time. */
+const isTight = (state: GroupState, entry: Entry, candidates: readonly Candidate[], place: number): boolean => {
 	if (hasSlot(state, candidates, entry.ticket)) {
 		return false;
 	}
 
 	const now = state.context.clock.monotonic();
-	const ends = getRunning(state, entry).map(running => getRemaining(running, now));
-	return entry.deadline - now - getTimeToTarget(state, entry.ticket) < Math.min(...ends);
+	const ends = getRunning(state, entry).map(running => getRemaining(running, now)).toSorted((first, second) => first - second);
+	const turn = ends[place] ?? ends.at(-1) ?? 0;
+	return entry.deadline - now - getTimeToTarget(state, entry.ticket) < turn;
 };
 
 /** Gets the run whose yielding costs least: of the lowest rank, with the most left to do. */
-const getVictim = (state: GroupState, entry: Entry): Entry | undefined => {
-	const now = state.context.clock.monotonic();
+const getVictim = (state: GroupState, entry: Entry, now: Milliseconds): Entry | undefined => {
 	const counts = getCounts(state);
 	const victims = getRunning(state, entry).filter(running =>
 		running.ticket.rank > entry.ticket.rank && mayYield(state, running, counts) && pays(state, running, now));
--- a/packages/scheduler/src/owner/create-group-owner.ts
+++ b/packages/scheduler/src/owner/create-group-owner.ts
@@ -4,6 +4,7 @@
 import type {
 	CacheEvent, ConfigurationVersion, GrantAnswer, GrantRequest, GroupId, HostId, LoadReport, Milliseconds, UpstreamId, UpstreamSighting, Zone,
 } from '@gentianlift/types';
+import {countMessage} from '../count-message.js';
 import {recordCrash} from './commands/crash.js';
 import {send} from './commands/entries.js';
 import {applyMessage} from './commands/messages.js';
@@ -69,7 +70,16 @@
 
 	constructor(options: GroupOwnerOptions) {
 		const {every} = options.clock;
-		this.#options = options;
+		this.#options = {
+			...options,
+			push(host, message) {
+				if (host !== options.self) {
+					countMessage(options.metrics, 'push', message);
+				}
+
+				options.push(host, message);
+			},
+		};
 		this.#context = createContext(options);
 		this.#news = createUpstreamNews(options.clock);
 		this.#cancel = every(reviewInterval, () => {
