Count a request of the test load once

A run that yielded right after its first token was counted in both of its attempts (48 outcomes of 47 requests); the token now counts as made.

--- a/packages/scheduler/src/testing/load.ts
+++ b/packages/scheduler/src/testing/load.ts
@@ -105,7 +105,7 @@
 		result[clock.now() <= request.deadline ? 'met' : 'late']++;
 	}
 
-	let made = 0;
+	let made = 1;
 	while (made + done < tokens && !yieldSignal.aborted) {
 		const batch = Math.min(10, tokens - done - made);
 		// eslint-disable-next-line no-await-in-loop -- Tokens come one after another.
