--- a/packages/bench/src/policy/command.ts
+++ b/packages/bench/src/policy/command.ts
@@ -2,7 +2,7 @@
 import {defineCommand} from 'citty';
 import {deploymentNames, type DeploymentName} from '@gentianlift/trial';
 import {runOnce, type Run, type RunResult} from './run.js';
-import {getMarkdown, getRunName} from './summary.js';
+import {getErrors, getMarkdown, getRunName} from './summary.js';
 
 /** What is run, by name of the set. */
 export const sets = ['orders', 'hosts', 'faults', 'ablations'] as const;
@@ -48,7 +48,7 @@
 		print(getRunName({run}));
 		// eslint-disable-next-line no-await-in-loop -- Runs share one machine, so they come one after another.
 		const result = await runOnce(run);
-		print(getMarkdown([result]));
+		print(`${getMarkdown([result])}\n${getErrors(result.records)}`);
 		results.push(result);
 	}
 
--- a/packages/bench/src/policy/summary.ts
+++ b/packages/bench/src/policy/summary.ts
@@ -90,3 +90,15 @@
 	]);
 	return [head, head.map(() => '---'), ...rows].map(cells => `| ${cells.join(' | ')} |`).join('\n');
 };
+
+/** Gets a line of how often each class failed and why. */
+export const getErrors = (records: RunResult['records']): string => {
+	const counts = new Map<string, number>();
+	for (const {className, errors} of records) {
+		for (const error of errors) {
+			counts.set(`${className} ${error}`, (counts.get(`${className} ${error}`) ?? 0) + 1);
+		}
+	}
+
+	return [...counts].map(([name, count]) => `${name}: ${count}`).join(', ');
+};
--- a/packages/scheduler/src/grants.test.ts
+++ b/packages/scheduler/src/grants.test.ts
@@ -150,6 +150,20 @@
 	expect(innocent.grant?.kind).toBe('granted');
 });
 
+test('resends of a suspect run one after another, and fall with it', async () => {
+	const {fleet, a} = createPair([1, 1, 1, 1]);
+	const guilty = {fingerprint: 'guilty', deadline: fleet.clock.now() + 60_000};
+	watch(a, createTestRequest(fleet, 'first', guilty));
+	await fleet.clock.advance(1100);
+	a.client.end(getEnd('first', {kind: 'failed', crashed: true}));
+	const resends = ['r1', 'r2', 'r3'].map(id => watch(a, createTestRequest(fleet, id, guilty)));
+	await fleet.clock.advance(50);
+	expect(resends.map(({grant}) => grant?.kind)).toEqual(['granted', undefined, undefined]);
+	a.client.end(getEnd('r1', {kind: 'failed', crashed: true}));
+	await fleet.clock.advance(200);
+	expect(resends.slice(1).map(({grant}) => grant)).toMatchObject([{reason: 'crashes-upstreams'}, {reason: 'crashes-upstreams'}]);
+});
+
 test('sends nothing to an upstream that is leaving', async () => {
 	const {fleet, a} = createPair([1, 1]);
 	a.owner.applyStanding('e0', 'leaving');
--- a/packages/scheduler/src/owner/commands/crash.ts
+++ b/packages/scheduler/src/owner/commands/crash.ts
@@ -1,6 +1,7 @@
 import {applyCrash, applyFinish, getSuspectStanding} from '@gentianlift/policy';
 import type {Milliseconds, TicketEnd, UpstreamId} from '@gentianlift/types';
-import type {Entry, GroupState} from '../state.js';
+import {type Entry, getWaiting, type GroupState} from '../state.js';
+import {shed} from './entries.js';
 
 /** Reports of a crash within this time are of the same one. */
 const crashWindow: Milliseconds = 5000;
@@ -37,7 +38,20 @@
 	const fresh = [...failed, ...running].filter(fingerprint => !counted.has(fingerprint));
 	state.context.suspects = applyCrash(state.context.suspects, id, fresh, clock.now());
 	upstream.crash = {at: isSame ? upstream.crash?.at ?? now : now, fingerprints: new Set([...counted, ...fresh])};
+	isolateWaiting(state);
 	if (!isSame) {
 		metrics.count('upstream_crashes');
 	}
 };
+
+/** Lets waiting suspects run alone, and refuses those that were found guilty meanwhile. */
+const isolateWaiting = (state: GroupState): void => {
+	const {suspects, clock} = state.context;
+	for (const entry of getWaiting(state)) {
+		const standing = getSuspectStanding(suspects, entry.ticket.fingerprint, clock.now());
+		entry.ticket.isolated ||= standing === 'suspected';
+		if (standing === 'guilty') {
+			shed(state, entry, 'crashes-upstreams', 0);
+		}
+	}
+};
--- a/packages/scheduler/src/owner/commands/entries.ts
+++ b/packages/scheduler/src/owner/commands/entries.ts
@@ -83,7 +83,7 @@
 /** Refuses a waiting entry for good. */
 export const shed = (state: GroupState, entry: Entry, reason: ShedReason, retryAfter: number): void => {
 	const {request, attempt, rank} = entry.ticket;
-	if (reason !== 'no-upstream' && getWaiting(state).some(other => other.ticket.rank > rank)) {
+	if (reason !== 'no-upstream' && reason !== 'crashes-upstreams' && getWaiting(state).some(other => other.ticket.rank > rank)) {
 		state.context.metrics.count('sheds_while_lower_waits', {reason, rank: String(rank)});
 	}
 
--- a/packages/scheduler/src/owner/queries/next.ts
+++ b/packages/scheduler/src/owner/queries/next.ts
@@ -33,13 +33,17 @@
 const createFit = (state: GroupState, candidates: readonly Candidate[]): (ticket: Ticket) => boolean => {
 	const known = new Map<string, boolean>();
 	return ticket => {
-		const key = `${ticket.needs.join('+')}|${ticket.avoid.join('+')}|${String(ticket.isolated)}`;
-		const fits = known.get(key) ?? hasSlot(state, candidates, ticket);
+		const key = `${ticket.needs.join('+')}|${ticket.avoid.join('+')}|${ticket.isolated ? ticket.fingerprint : ''}`;
+		const fits = known.get(key) ?? (hasSlot(state, candidates, ticket) && !hasRunningTwin(state, ticket));
 		known.set(key, fits);
 		return fits;
 	};
 };
 
+/** Whether a suspect's fingerprint runs already, so that its resends crash one upstream after another and not several at once. */
+const hasRunningTwin = (state: GroupState, {isolated, fingerprint}: Ticket): boolean => isolated
+	&& [...state.entries.values()].some(entry => entry.state.kind === 'running' && entry.ticket.fingerprint === fingerprint);
+
 const getOptions = (state: GroupState, entry: Entry): ChoiceOptions => {
 	const {without, zoneOf} = state.context;
 	const options: ChoiceOptions = {usePrefix: !without.has('prefix'), useSpeed: !without.has('straggler')};
