--- a/packages/model/src/claims/checks.ts
+++ b/packages/model/src/claims/checks.ts
@@ -25,7 +25,7 @@
 const createFaultCheck = (fault: Fault, bounds: Bounds, caughtBy: string): Check => ({
 	name: `claims with fault ${fault}`,
 	caughtBy,
-	explore: () => explore(createClaimSpecification(bounds, fault, stateLimit)),
+	explore: () => explore(createClaimSpecification(bounds, fault, stateLimit), caughtBy),
 });
 
 /** Checks of the claims. */
--- a/packages/model/src/explore.ts
+++ b/packages/model/src/explore.ts
@@ -25,23 +25,26 @@
 	getTrace: (state: string) => Array<{type: string}>;
 };
 
-/** Gets the graph of reachable states; throws if there are more than the specification's limit. */
-export const getGraph = <State, Event extends {type: string}>(specification: Specification<State, Event>): Graph<State> => {
+/** Gets the graph of reachable states, up to the first in which `isEnd` holds if there is one; throws if there are more than the specification's limit. */
+export const getGraph = <State, Event extends {type: string}>(specification: Specification<State, Event>, isEnd: (state: State) => boolean = () => false): Graph<State> => {
 	const logic = fromTransition<State, Event, ActorSystem<never>, undefined>(specification.apply, specification.initial);
 	const visits: Visits = new Map();
 	const seen = new Set([JSON.stringify(specification.initial)]);
 	let transitions = 0;
+	let hasEnded = false;
 
 	/** Follows an event only if it leads to a state not seen before, which keeps the queue of the exploration short. */
 	const isNew = ({context}: Node<State>, event: Event): boolean => {
 		transitions++;
-		const target = JSON.stringify(specification.apply(context, event));
-		if (seen.has(target)) {
+		const next = specification.apply(context, event);
+		const target = JSON.stringify(next);
+		if (hasEnded || seen.has(target)) {
 			return false;
 		}
 
 		seen.add(target);
 		visits.set(target, {from: JSON.stringify(context), event});
+		hasEnded = isEnd(next);
 		return true;
 	};
 
@@ -56,9 +59,13 @@
 	return {states, transitions, getTrace: state => getTrace(visits, state)};
 };
 
-/** Explores every reachable state of a specification and checks its invariants in each; gets the nearest violation of each. */
-export const explore = <State, Event extends {type: string}>(specification: Specification<State, Event>): Exploration => {
-	const graph = getGraph(specification);
+/**
+Explores every reachable state of a specification and checks its invariants in each; gets the nearest violation of each.
+Stops at the first state that breaks the invariant named by `caughtBy`.
+*/
+export const explore = <State, Event extends {type: string}>(specification: Specification<State, Event>, caughtBy?: string): Exploration => {
+	const expected = specification.invariants.find(({name}) => name === caughtBy);
+	const graph = getGraph(specification, state => expected !== undefined && !expected.holds(state));
 	const violations: Violation[] = [];
 	for (const {name, holds} of specification.invariants) {
 		const broken = [...graph.states].find(([, state]) => !holds(state));
