--- a/packages/model/src/leases/specification.ts
+++ b/packages/model/src/leases/specification.ts
@@ -25,14 +25,14 @@
 	return phase === 'held' && (state.leases[lease]?.isBelieved ?? false);
 }).length;
 
-const transitionLimit = 3_000_000;
+const stateLimit = 3_000_000;
 
 /** Creates the specification of leases with fencing, for one kind of engine, with a fault in it if named. */
 export const createLeaseSpecification = (variant: LeaseVariant): Specification<LeaseState, LeaseEvent> => ({
 	initial: getInitial(variant.faults),
 	getEvents: state => getLeaseEvents(state, variant),
 	apply: (state, event) => applyLeaseEvent(state, event, variant),
-	transitionLimit,
+	stateLimit,
 	invariants: [
 		{name: leaseInvariants.unique, holds: state => new Set(getTerms(state).map(({number}) => number)).size === getTerms(state).length},
 		{name: leaseInvariants.rising, holds: isRising},
