--- /dev/null
+++ b/packages/bench/src/histories/index.ts
@@ -0,0 +1,1 @@
+export {histories} from './command.js';
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,9 +1,13 @@
 import {defineCommand, runMain} from 'citty';
-import {faults, membership, overhead} from './index.js';
+import {
+	faults, histories, membership, overhead,
+} from './index.js';
 
 const main = defineCommand({
 	meta: {name: 'bench', description: 'Measurements, each with baselines in the same run'},
-	subCommands: {faults, membership, overhead},
+	subCommands: {
+		faults, histories, membership, overhead,
+	},
 });
 
 await runMain(main);
