Rest every answer on a fresh state and remember released attempts

The specification with a resend after a crash showed that a claim of a released attempt that arrives late could take the key from under a later release. Attempts that were given up are now kept beside the claim; the old way stays in the specification as a fault that is caught.

--- a/packages/bench/src/histories/checker.ts
+++ b/packages/bench/src/histories/checker.ts
@@ -98,9 +98,10 @@
 };
 
 const checkSettled = (history: History): PromiseCount => {
-	const last = new Map(getClaims(history.writes).map(({claim}) => [claim.request, claim.outcome.kind]));
+	const last = new Map(getClaims(history.writes).map(({identity, claim}) => [identity, claim]));
+	const open = new Set([...last.values()].filter(({outcome}) => outcome.kind === 'claimed').map(({request}) => request));
 	return count('an end that its host saw is stored', history.settled, ({request}) =>
-		last.get(request) === 'claimed' ? `${request} is still claimed` : undefined);
+		open.has(request) ? `${request} is still claimed` : undefined);
 };
 
 /** Checks a history against the promises about bookings. */
--- a/packages/claims/src/commands/claim-client.test.ts
+++ b/packages/claims/src/commands/claim-client.test.ts
@@ -162,3 +162,39 @@
 	expect(decisions.every(({kind}) => kind === 'start')).toBe(true);
 	expect(keyValue.getCalls().writes).toBeLessThan(100);
 });
+
+test('an answer never rests on an old state', async () => {
+	let owner = 'a';
+	const {a, b, keyValue, finish} = createFleet(() => owner);
+	const {key} = createRequest('a', 1);
+	owner = 'b';
+	keyValue.setFaults({
+		chances: {
+			'lost-reply': 0, late: 0, dropped: 0, refused: 1,
+		},
+	});
+	expect(await finish(b.claim(createRequest('b', 1)))).toMatchObject({kind: 'unavailable', undetermined: false});
+	keyValue.setFaults({
+		chances: {
+			'lost-reply': 0, late: 0, dropped: 0, refused: 0,
+		},
+	});
+	owner = 'a';
+	expect(await finish(a.claim(createRequest('a', 1)))).toMatchObject({kind: 'start'});
+	owner = 'b';
+	a.settle({key, request: 'a.1.1', outcome: {kind: 'finished', status: 200}});
+	await finish(a.drain());
+	expect(await finish(a.readClaim(key))).toMatchObject({claim: {outcome: {kind: 'finished'}}});
+});
+
+test('a late claim of a released attempt takes no key', async () => {
+	const {a, b, finish} = createFleet();
+	const {key} = createRequest('a', 1);
+	a.settle({key, request: 'a.1.1', outcome: {kind: 'not-run'}});
+	await finish(a.drain());
+	await finish(a.claim(createRequest('a', 2)));
+	a.settle({key, request: 'a.1.2', outcome: {kind: 'not-run'}});
+	await finish(a.drain());
+	expect(await finish(b.claim(createRequest('a', 1)))).toMatchObject({kind: 'unavailable'});
+	expect(await finish(b.claim(createRequest('b', 1)))).toMatchObject({kind: 'start'});
+});
--- a/packages/claims/src/slots/apply-claim.ts
+++ b/packages/claims/src/slots/apply-claim.ts
@@ -1,6 +1,7 @@
 import type {
 	Claim, ClaimDecision, ClaimKey, ClaimRequest, HostId, Incarnation, Milliseconds,
 } from '@gentianlift/types';
+import {addGivenUp, isGivenUp} from './given-up.js';
 import {getKeyTime} from './key-time.js';
 import type {ClaimLimits} from './limits.js';
 import type {CompactClaim, SlotState} from './slot-state.js';
@@ -45,16 +46,18 @@
 	return time > now + limits.aheadLimit ? {kind: 'invalid', reason: 'the time in the key is ahead'} : undefined;
 };
 
-const createStart = (request: ClaimRequest, {now, limits}: ClaimContext): ClaimStep => {
+const createStart = (request: ClaimRequest, {now, limits}: ClaimContext, before?: Claim): ClaimStep => {
 	const refusal = getTimeRefusal(request.key, now, limits);
 	if (refusal !== undefined) {
 		return {decision: refusal};
 	}
 
-	const claim = createClaim(request, now);
+	const claim: Claim = {...createClaim(request, now), ...(before !== undefined && {givenUp: addGivenUp(before, before.request)})};
 	return {decision: {kind: 'start', claim}, change: {identity: getIdentity(request.key), claim}};
 };
 
+const givenUpDecision: ClaimDecision = {kind: 'unavailable', reason: 'the attempt was given up'};
+
 const getOwnDecision = (claim: Claim): ClaimDecision => {
 	switch (claim.outcome.kind) {
 		case 'claimed': {
@@ -66,7 +69,7 @@
 		}
 
 		case 'not-run': {
-			return {kind: 'unavailable', reason: 'the attempt was given up'};
+			return givenUpDecision;
 		}
 
 		case 'unknown': {
@@ -86,7 +89,7 @@
 		}
 
 		case 'not-run': {
-			return createStart(request, context);
+			return createStart(request, context, claim);
 		}
 
 		case 'unknown': {
@@ -126,6 +129,10 @@
 		return {decision: getOwnDecision(claim)};
 	}
 
+	if (claim !== undefined && isGivenUp(claim, request.request)) {
+		return {decision: givenUpDecision};
+	}
+
 	if (claim !== undefined) {
 		return isSameWork(claim, request) ? applyToOther(claim, request, context) : {decision: {kind: 'mismatch'}};
 	}
--- a/packages/claims/src/slots/apply-settlement.ts
+++ b/packages/claims/src/slots/apply-settlement.ts
@@ -2,6 +2,7 @@
 	Claim, ClaimOutcome, ClaimSettlement, Milliseconds, SettlementOutcome,
 } from '@gentianlift/types';
 import {getTimeRefusal, type SlotChange} from './apply-claim.js';
+import {addGivenUp, isGivenUp} from './given-up.js';
 import type {ClaimLimits} from './limits.js';
 import type {SlotState} from './slot-state.js';
 import {getIdentity} from './slot.js';
@@ -46,6 +47,19 @@
 	return {outcome: {stored: true}, change: {identity: getIdentity(settlement.key), claim}};
 };
 
+/** Notes under the claim of another attempt that this one was given up, in case its own claim is still on its way. */
+const applyReleaseBeside = (claim: Claim, settlement: ClaimSettlement, identity: string): SettlementStep => {
+	if (settlement.outcome.kind !== 'not-run') {
+		return {outcome: {stored: false}};
+	}
+
+	if (isGivenUp(claim, settlement.request)) {
+		return {outcome: {stored: true}};
+	}
+
+	return {outcome: {stored: true}, change: {identity, claim: {...claim, givenUp: addGivenUp(claim, settlement.request)}}};
+};
+
 /** Settles a claim. Only the claim's own attempt can, and only once: an outcome that is stored stays. */
 export const applySettlement = (state: SlotState, settlement: ClaimSettlement, context: SettlementContext): SettlementStep => {
 	const identity = getIdentity(settlement.key);
@@ -55,7 +69,7 @@
 	}
 
 	if (claim.request !== settlement.request) {
-		return {outcome: {stored: false}};
+		return applyReleaseBeside(claim, settlement, identity);
 	}
 
 	if (claim.outcome.kind !== 'claimed') {
--- a/packages/claims/src/slots/commit.ts
+++ b/packages/claims/src/slots/commit.ts
@@ -132,7 +132,6 @@
 			known.state.checked = true;
 		}
 
-		known.isFresh = false;
 		answerAll(waiting, (item, index) => answers[index]);
 		return '';
 	};
@@ -166,6 +165,10 @@
 	};
 
 	return async (view: SlotView, batch: readonly Waiting[]): Promise<void> => {
+		if (view.known !== undefined) {
+			view.known.isFresh = false;
+		}
+
 		let waiting = [...batch];
 		let reason = 'timeout';
 		for (let round = 0; waiting.length > 0;) {
--- a/packages/claims/src/slots/slot-state.ts
+++ b/packages/claims/src/slots/slot-state.ts
@@ -40,6 +40,7 @@
 	claimedAt: z.number(),
 	settledAt: z.number().exactOptional(),
 	upstream: z.string().exactOptional(),
+	givenUp: z.array(z.string()).exactOptional(),
 	outcome: outcomeSchema,
 });
 
--- a/packages/model/src/claims/checks.ts
+++ b/packages/model/src/claims/checks.ts
@@ -37,6 +37,7 @@
 	createFaultCheck('start-on-unknown', shortBounds, 'a request starts only while its claim is stored'),
 	createFaultCheck('answer-without-write', {...shortBounds, writes: 2}, 'a request starts only while its claim is stored'),
 	createFaultCheck('write-without-compare', {...shortBounds, writes: 2}, 'a booking runs at most once'),
+	createFaultCheck('forget-given-up', {...resendAfterCrash}, 'a stored outcome never changes'),
 	createFaultCheck('settle-for-gone', {...resendAfterCrash}, 'a booking runs at most once'),
 	createFaultCheck('start-after-giving-up', shortBounds, 'what was told not run never runs'),
 	createFaultCheck('settle-twice', {...shortBounds, writes: 3}, 'a stored outcome never changes'),
--- a/packages/model/src/claims/claims.ts
+++ b/packages/model/src/claims/claims.ts
@@ -23,6 +23,7 @@
 	{name: 'what was told not run never runs', holds: ({attempts}) => attempts.every(({told, ran}) => told !== 'not-run' || !ran)},
 	{name: 'a stored outcome never changes', holds: ({hasChangedOutcome}) => !hasChangedOutcome},
 	{name: 'a request starts only while its claim is stored', holds: isStillClaimed},
+	{name: 'an attempt that was released is not claimed', holds: ({slot}) => !slot.claim?.givenUp.includes(slot.claim.attempt)},
 	{name: 'done is told only after a run', holds: isDoneTrue},
 ];
 
--- a/packages/model/src/claims/replay.ts
+++ b/packages/model/src/claims/replay.ts
@@ -11,6 +11,7 @@
 type Call
 	= | {kind: 'read'; resolve: (outcome: Awaited<ReturnType<KeyValueService['read']>>) => void}
 		| {kind: 'write'; swap: Swap; resolve: (outcome: WriteOutcome) => void};
+type StoredClaim = {request: string; givenUp?: string[]; outcome: {kind: ClaimRecord['outcome']}};
 type Flight = {call: Extract<Call, {kind: 'write'}>; outcome?: WriteOutcome};
 type Host = {owner: ClaimOwner; call?: Call | undefined; flight?: Flight | undefined};
 
@@ -32,6 +33,8 @@
 
 const getRequestId = (attempt: number): string => `a.1.${attempt}`;
 
+const getAttempt = (request: string): number => Number(request.split('.').at(-1));
+
 const outcomeOfSettled = {
 	finished: {kind: 'finished', status: 200}, 'not-run': {kind: 'not-run'}, unknown: {kind: 'unknown', reason: 'cut'},
 } as const satisfies Record<Settled, ClaimOutcome>;
@@ -202,9 +205,15 @@
 				return undefined;
 			}
 
-			const {claims} = JSON.parse(store.value) as {claims: Record<string, {request: string; outcome: {kind: ClaimRecord['outcome']}}>};
+			const {claims} = JSON.parse(store.value) as {claims: Record<string, StoredClaim>};
 			const [claim] = Object.values(claims);
-			return claim === undefined ? undefined : {attempt: Number(claim.request.split('.').at(-1)), outcome: claim.outcome.kind};
+			return claim === undefined
+				? undefined
+				: {
+					attempt: getAttempt(claim.request),
+					outcome: claim.outcome.kind,
+					givenUp: (claim.givenUp ?? []).map(request => getAttempt(request)).toSorted((left, right) => left - right),
+				};
 		},
 	};
 };
--- a/packages/model/src/claims/slot.ts
+++ b/packages/model/src/claims/slot.ts
@@ -25,9 +25,20 @@
 	}
 };
 
+const addGivenUp = ({givenUp}: ClaimRecord, attempt: number): number[] => [...new Set([...givenUp, attempt])].toSorted((left, right) => left - right);
+
+const createStart = (before: ClaimRecord | undefined, attempt: number, fault: Fault): Step => {
+	const givenUp = before?.outcome === 'not-run' && fault !== 'forget-given-up' ? addGivenUp(before, before.attempt) : [];
+	return {claim: {attempt, outcome: 'claimed', givenUp}, decision: 'start'};
+};
+
 const applyClaim = (state: State, claim: ClaimRecord | undefined, attempt: number, fault: Fault): Step => {
 	if (claim === undefined) {
-		return {claim: {attempt, outcome: 'claimed'}, decision: 'start'};
+		return createStart(claim, attempt, fault);
+	}
+
+	if (claim.givenUp.includes(attempt)) {
+		return {claim};
 	}
 
 	if (claim.attempt === attempt) {
@@ -39,7 +50,7 @@
 	switch (claim.outcome) {
 		case 'claimed': {
 			return isHolderGone && fault === 'settle-for-gone'
-				? {claim: {attempt, outcome: 'claimed'}, decision: 'start'}
+				? createStart(claim, attempt, fault)
 				: {claim, decision: isHolderGone ? 'unknown' : 'in-progress'};
 		}
 
@@ -52,18 +63,22 @@
 		}
 
 		case 'not-run': {
-			return {claim: {attempt, outcome: 'claimed'}, decision: 'start'};
+			return createStart(claim, attempt, fault);
 		}
 	}
 };
 
 const applySettlement = (claim: ClaimRecord | undefined, {attempt, outcome}: Extract<Operation, {kind: 'settle'}>, fault: Fault): Step => {
 	if (claim === undefined) {
-		return outcome === 'not-run' ? {claim: {attempt, outcome}} : {};
+		return outcome === 'not-run' ? {claim: {attempt, outcome, givenUp: []}} : {};
+	}
+
+	if (claim.attempt !== attempt && outcome === 'not-run' && fault === 'none') {
+		return {claim: {...claim, givenUp: addGivenUp(claim, attempt)}};
 	}
 
 	const isOpen = claim.attempt === attempt && claim.outcome === 'claimed';
-	return {claim: isOpen || fault === 'settle-twice' ? {attempt, outcome} : claim};
+	return {claim: isOpen || fault === 'settle-twice' ? {...claim, attempt, outcome} : claim};
 };
 
 /** Applies an operation to the claim of the key. */
--- a/packages/model/src/claims/state.ts
+++ b/packages/model/src/claims/state.ts
@@ -2,7 +2,12 @@
 export type Settled = 'finished' | 'not-run' | 'unknown';
 
 /** Claim of the one key. */
-export type ClaimRecord = {attempt: number; outcome: 'claimed' | Settled};
+export type ClaimRecord = {
+	attempt: number;
+	outcome: 'claimed' | Settled;
+	/** Other attempts that were given up, in order of number. */
+	givenUp: number[];
+};
 
 /** Value of the slot in the service; revision 0 without a claim means absent. */
 export type SlotRecord = {revision: number; claim?: ClaimRecord | undefined};
@@ -77,7 +82,7 @@
 export type Bounds = {writes: number; crashes: number; deliveries: number; attempts: Array<{host: number; run: number}>};
 
 /** A fault of the specification, to show that the check can fail. */
-export type Fault = 'none' | 'start-on-unknown' | 'answer-without-write' | 'write-without-compare' | 'settle-for-gone' | 'start-after-giving-up' | 'settle-twice';
+export type Fault = 'none' | 'start-on-unknown' | 'answer-without-write' | 'write-without-compare' | 'settle-for-gone' | 'forget-given-up' | 'start-after-giving-up' | 'settle-twice';
 
 /** Adds an item to a set that is kept as a sorted list, so that equal sets have equal texts. */
 export const addTo = <Item>(items: readonly Item[], item: Item): Item[] => {
--- a/packages/model/src/claims/writer.ts
+++ b/packages/model/src/claims/writer.ts
@@ -15,7 +15,7 @@
 type Applied = {claim?: ClaimRecord | undefined; replies: Reply[]};
 
 const isSameClaim = (left: ClaimRecord | undefined, right: ClaimRecord | undefined): boolean =>
-	left?.attempt === right?.attempt && left?.outcome === right?.outcome;
+	left?.attempt === right?.attempt && left?.outcome === right?.outcome && left?.givenUp.length === right?.givenUp.length;
 
 /** Applies a writer's batch to the slot as it is in the service. */
 const applyBatch = (state: State, host: number, fault: Fault): Applied => {
@@ -106,7 +106,8 @@
 		return false;
 	}
 
-	return before.outcome === 'not-run' ? before.attempt === after.attempt && after.outcome !== 'not-run' : !isSameClaim(before, after);
+	const isOther = before.attempt !== after.attempt || before.outcome !== after.outcome;
+	return before.outcome === 'not-run' ? before.attempt === after.attempt && after.outcome !== 'not-run' : isOther;
 };
 
 const land = (state: State, id: number, fault: Fault): State => {
--- a/packages/types/src/claim.ts
+++ b/packages/types/src/claim.ts
@@ -26,6 +26,8 @@
 	claimedAt: Milliseconds;
 	settledAt?: Milliseconds;
 	upstream?: UpstreamId;
+	/** Earlier attempts under the key that did not run, and never will; the latest few. */
+	givenUp?: RequestId[];
 	outcome: ClaimOutcome;
 };
 
