--- a/packages/distribution/src/publish.test.ts
+++ b/packages/distribution/src/publish.test.ts
@@ -84,6 +84,23 @@
 	expect(getAccepted().map(({configuration}) => configuration)).toEqual(['a', 'b']);
 });
 
+test('finds its write that reached the service twice', async () => {
+	const {clock, service, publish} = createService();
+	const {compareAndSwap} = service;
+	service.compareAndSwap = async write => {
+		await compareAndSwap(write);
+		await clock.sleep(100);
+		return compareAndSwap(write);
+	};
+
+	const first = publish('a', 0);
+	await clock.advance(0);
+	const second = publish('b', 1);
+	await clock.advance(10_000);
+	expect(await first).toMatchObject({kind: 'applied', version: {version: 1}});
+	expect(await second).toMatchObject({kind: 'applied', version: {version: 2}});
+});
+
 test('tells unavailable from unknown', async () => {
 	const {service, publishNow} = createService();
 	service.setFaults({outage: true});
--- a/packages/distribution/src/publish.ts
+++ b/packages/distribution/src/publish.ts
@@ -79,7 +79,9 @@
 			return undefined;
 		}
 
+		// The rejection may be of a second arrival of a write that took effect.
 		case 'rejected': {
+			attempt.isWritten = true;
 			return undefined;
 		}
 
