--- /dev/null
+++ b/packages/cli/src/commands/index.ts
@@ -0,0 +1,2 @@
+export * from './drain.js';
+export * from './publish.js';
--- /dev/null
+++ b/packages/cli/src/host-status.ts
@@ -0,0 +1,50 @@
+import {z} from 'zod';
+import type {Session} from './session.js';
+import type {OperatorTarget} from './targets.js';
+
+/** What a host says of itself, or that it can't be reached. */
+export type HostStatus = {
+	host: string;
+	zone?: string;
+	state: string;
+	ready?: boolean;
+	version?: number;
+	confirmed?: boolean;
+	waiting?: number;
+	running?: number;
+	/** Delay of the event loop in milliseconds. */
+	lag?: number;
+};
+
+const statusSchema = z.looseObject({
+	host: z.string(),
+	zone: z.string(),
+	state: z.string(),
+	ready: z.boolean(),
+	configurationVersion: z.number(),
+	configurationConfirmed: z.boolean(),
+	requests: z.looseObject({waiting: z.number(), running: z.number()}),
+	eventLoopLag: z.number(),
+});
+
+/** Reads the status of a host. */
+export const readHostStatus = async ({call}: Session, target: OperatorTarget): Promise<HostStatus> => {
+	const outcome = await call(target, {method: 'GET', path: '/operator/status'});
+	if (outcome.kind === 'unreachable') {
+		return {host: target.host, state: 'unreachable'};
+	}
+
+	const parsed = statusSchema.safeParse(outcome.body);
+	if (!parsed.success) {
+		return {host: target.host, state: `answered ${outcome.status} without a status`};
+	}
+
+	const {host, zone, state, ready, configurationVersion, configurationConfirmed, requests, eventLoopLag} = parsed.data;
+	return {
+		host, zone, state, ready, version: configurationVersion, confirmed: configurationConfirmed, ...requests, lag: Math.round(eventLoopLag),
+	};
+};
+
+/** Reads the status of every host. */
+export const readHostStatuses = async (session: Session): Promise<HostStatus[]> =>
+	Promise.all(session.operators.map(async target => readHostStatus(session, target)));
--- /dev/null
+++ b/packages/cli/src/queries/index.ts
@@ -0,0 +1,3 @@
+export * from './check.js';
+export * from './configuration.js';
+export * from './fleet.js';
--- /dev/null
+++ b/packages/cli/src/session.ts
@@ -0,0 +1,72 @@
+import type {Clock} from '@gentianlift/clock';
+import {formatDiagnostic, parseJson, type Parsed} from '@gentianlift/config';
+import type {KeyValueService} from '@gentianlift/types';
+import type {Environment} from './environment.js';
+import {exitCodes} from './exit-codes.js';
+import type {OperatorCall, OperatorOutcome} from './operator-client.js';
+import {createFailed, createFaulty, type Result} from './result.js';
+import {mergeTargets, type OperatorTarget, type TargetFlags} from './targets.js';
+
+/** What a command works with. */
+export type Session = {
+	clock: Clock;
+	author: string;
+	createToken: () => string;
+	operators: OperatorTarget[];
+	/** Undefined if no URL was given. */
+	keyValue?: KeyValueService;
+	call: (target: OperatorTarget, call: OperatorCall) => Promise<OperatorOutcome>;
+	/** Reads a JSON file, or gives the result that tells what is wrong with it. */
+	readDocument: (file: string) => Promise<{kind: 'read'; document: unknown} | {kind: 'failed'; result: Result}>;
+	close: () => void;
+};
+
+/** Message for a command that needs the key-value service. */
+export const missingUrl = 'The URL of the key-value service is missing: give --key-value-url, GENTIANLIFT_KEY_VALUE_URL or keyValueUrl in --settings.';
+
+/** Message for a command that needs the hosts. */
+export const missingOperators = 'The operators\' addresses of the hosts are missing: give --operators, GENTIANLIFT_OPERATORS or operators in --settings.';
+
+const createReadDocument = ({readFile}: Environment): Session['readDocument'] => async file => {
+	const text = await readFile(file);
+	if (text === undefined) {
+		return {kind: 'failed', result: createFailed(exitCodes.usage, `${file} can't be read.`)};
+	}
+
+	const parsed = parseJson(text);
+	return parsed.kind === 'valid' ? {kind: 'read', document: parsed.value} : {kind: 'failed', result: createFaulty(file, parsed.faults)};
+};
+
+/** Opens a session from flags, environment and settings file. */
+export const openSession = async (environment: Environment, flags: TargetFlags): Promise<Parsed<Session>> => {
+	const {variables, clock, createToken, createKeyValue, callOperator} = environment;
+	const path = flags.settings ?? variables.GENTIANLIFT_SETTINGS;
+	const text = path === undefined ? undefined : await environment.readFile(path);
+	if (path !== undefined && text === undefined) {
+		return {kind: 'invalid', faults: [{path: '--settings', found: path, expected: 'a file that can be read'}]};
+	}
+
+	const targets = mergeTargets(text, flags, variables);
+	if (targets.kind === 'invalid') {
+		return targets;
+	}
+
+	const {keyValueUrl, operators} = targets.value;
+	const keyValue = keyValueUrl === undefined ? undefined : createKeyValue(keyValueUrl);
+	const session: Session = {
+		clock,
+		author: variables.USER ?? 'unknown',
+		createToken,
+		operators,
+		call: callOperator,
+		readDocument: createReadDocument(environment),
+		close() {
+			keyValue?.close();
+		},
+	};
+	return {kind: 'valid', value: keyValue === undefined ? session : {...session, keyValue}};
+};
+
+/** Creates the result for settings of the command line that are wrong. */
+export const createUsageFailure = (faults: Array<Parameters<typeof formatDiagnostic>[0]>): Result =>
+	createFailed(exitCodes.usage, faults.map(fault => formatDiagnostic(fault)).join('\n'));
