Pass whole entries on less often

A hundred nodes started at once sent 3.4 KB/s each for a minute, as each new entry of 80 bytes was passed on 21 times by every node. Seven times is enough, since whoever misses an entry asks for it. At most four hosts at once get a whole table from one.

--- a/packages/bench/src/membership/command.ts
+++ b/packages/bench/src/membership/command.ts
@@ -26,7 +26,7 @@
 		Math.round(figures.mostPerSecond),
 		Math.round(figures.heapBytes / 1024),
 		formatSeconds(figures.suspectedAfter),
-		formatSeconds(figures.unnamedAfter),
+		formatSeconds(figures.goneAfter),
 	];
 	return `| ${cells.join(' | ')} |`;
 };
--- a/packages/bench/src/membership/messages.ts
+++ b/packages/bench/src/membership/messages.ts
@@ -40,4 +40,4 @@
 		| {kind: 'counted'; fewest: number}
 		| {kind: 'killed'}
 		/** A node sees another in a new state, at a moment of the machine's clock. */
-		| {kind: 'changed'; viewer: HostId; host: HostId; state: HostState; isNamed: boolean; at: Milliseconds};
+		| {kind: 'changed'; viewer: HostId; host: HostId; state: HostState; at: Milliseconds};
--- a/packages/membership/src/protocol/packing.ts
+++ b/packages/membership/src/protocol/packing.ts
@@ -5,7 +5,9 @@
 import type {Table} from '../state/table.js';
 import {getEntrySize, getNoteSize, getUpdateSize} from '../wire/codec.js';
 import type {Packet} from '../wire/packet.js';
-import {getSendLimit, maxDatagram, repeatedUpdates} from './timing.js';
+import {
+	getEntrySendLimit, getSendLimit, maxDatagram, repeatedUpdates,
+} from './timing.js';
 
 /** What a message takes along beside its content. */
 export type Cargo = Pick<Packet, 'updates' | 'entries' | 'wants' | 'notes'>;
@@ -65,7 +67,8 @@
 /** Takes the news that fit into one message, and fills it up with a part of the table. */
 export const takeCargo = (knowledge: Knowledge, wants: Set<HostId>): Cargo => {
 	const {table, notes, entryRumours, updateRumours, noteRumours} = knowledge;
-	const limit = getSendLimit(table.getPresent().length);
+	const present = table.getPresent().length;
+	const limit = getSendLimit(present);
 	const getItem = (host: HostId): Entry | undefined => table.get(host);
 	const updates = takeItems<Update>(updateRumours, {
 		room: maxDatagram - reservedBytes, limit, getItem, getSize: getUpdateSize,
@@ -74,7 +77,7 @@
 		room: updates.left, limit, getItem: key => notes.get(key), getSize: getNoteSize,
 	});
 	const entries = takeItems<Entry>(entryRumours, {
-		room: taken.left, limit, getItem, getSize: getEntrySize,
+		room: taken.left, limit: getEntrySendLimit(present), getItem, getSize: getEntrySize,
 	});
 	const known = new Set([...updates.items, ...entries.items].map(({host}) => host));
 	const wanted = [...wants].slice(0, maxWants);
--- a/packages/membership/src/protocol/spreader.ts
+++ b/packages/membership/src/protocol/spreader.ts
@@ -20,6 +20,8 @@
 
 /** Hosts that are told of a stop directly. */
 const lastFanOut = 8;
+/** Hosts that get the whole table at once; others ask again, or someone else. */
+const maxReceiving = 4;
 const millisecondsPerSecond = 1000;
 
 /** Creates a spreader. */
@@ -54,7 +56,7 @@
 			}
 		},
 		sendTable(target) {
-			if (receiving.has(target.host)) {
+			if (receiving.has(target.host) || receiving.size >= maxReceiving) {
 				return;
 			}
 
--- a/packages/membership/src/protocol/timing.ts
+++ b/packages/membership/src/protocol/timing.ts
@@ -45,5 +45,8 @@
 export const getSuspicionTimeout = (present: number): Milliseconds =>
 	Math.round(suspicionTimeout * Math.max(1, Math.log10(Math.max(1, present))));
 
-/** Gets how often a fact is passed on by one host. */
+/** Gets how often a change is passed on by one host. */
 export const getSendLimit = (present: number): number => 3 * Math.ceil(Math.log2(present + 1));
+
+/** Gets how often a whole entry is passed on by one host; whoever misses it asks for it when it sees a change. */
+export const getEntrySendLimit = (present: number): number => Math.ceil(Math.log2(present + 1));
