--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -3,21 +3,21 @@
 import type {
 	HostList, Member, Note, NoteTopic, Settings,
 } from '@gentianlift/types';
-import {createOutbox, type Target} from './protocol/outbox.js';
+import {createNoteBoard, type NoteBoard, type NoteContent} from './protocol/note-board.js';
+import {createOutbox} from './protocol/outbox.js';
+import {createPeriod, type Period} from './protocol/period.js';
 import {createProber} from './protocol/prober.js';
-import {createReceiver} from './protocol/receiver.js';
-import {createSpreader} from './protocol/spreader.js';
-import {spreadNote} from './protocol/packing.js';
+import {readList} from './protocol/read-list.js';
+import {createReceiver, type Receiver} from './protocol/receiver.js';
+import {createSearch, type Search} from './protocol/search.js';
+import {createSpreader, type Spreader} from './protocol/spreader.js';
 import {
-	forgetAfter, gossipInterval, healInterval, joinInterval, listInterval, longestLateness, probePeriod,
+	gossipInterval, healInterval, joinInterval, listInterval, probePeriod,
 } from './protocol/timing.js';
-import {createView, type MemberChange} from './protocol/view.js';
+import {createView, type MemberChange, type View} from './protocol/view.js';
 import type {Transport} from './transport/transport.js';
 import {createSeal} from './wire/seal.js';
 
-/** What a note says, without who says it. */
-export type NoteContent = Pick<Note, 'topic' | 'key' | 'value' | 'duration'>;
-
 /** The hosts of the fleet as this one sees them. */
 export type Membership = {
 	/** Starts to receive and looks for the other hosts; resolves once it listens. */
@@ -52,123 +52,73 @@
 	hostList?: HostList;
 };
 
-/** Longest key and value of a note together, in characters. */
-const maxNoteLength = 400;
 /** Smallest change of the load that is told. */
 const loadStep = 0.02;
 
-/** Creates the membership of this host. */
-export const createMembership = (options: MembershipOptions): Membership => {
-	const {clock, random, metrics, transport, hostList} = options;
+type Parts = MembershipOptions & {view: View; period: Period; spreader: Spreader; search: Search; board: NoteBoard; receiver: Receiver};
+
+const createParts = (options: MembershipOptions): Parts => {
+	const {clock, metrics, self, transport, random, seeds} = options;
 	const view = createView(clock, {
-		...options.self, revision: 0, standing: 'alive', isDraining: false, beat: 0, configurationVersion: 0, load: 0,
+		...self, revision: 0, standing: 'alive', isDraining: false, beat: 0, configurationVersion: 0, load: 0,
 	});
 	const seal = createSeal(options.keys);
 	const outbox = createOutbox({
 		view, seal, transport, metrics,
 	});
-	const parts = {
+	const common = {
 		clock, random, view, outbox,
 	};
-	const prober = createProber(parts);
-	const spreader = createSpreader(parts);
-	const noteListeners = new Set<(note: Note) => void>();
-	const timers: Cancel[] = [];
-	let noteSequence = options.self.incarnation;
-	let periodAt = clock.monotonic();
-
-	const onNote = (note: Note): void => {
-		for (const listener of noteListeners) {
-			listener(note);
-		}
-	};
-
+	const prober = createProber(common);
+	const spreader = createSpreader(common);
+	const board = createNoteBoard(view, self.host, self.incarnation);
 	const receiver = createReceiver({
-		view, seal, outbox, prober, metrics, onNote, sendTable: spreader.sendTable, askTable: spreader.askTable,
+		view, seal, outbox, prober, metrics, board, spreader,
 	});
-
-	const forgetOld = (): void => {
-		const now = clock.monotonic();
-		for (const {host} of view.table.getAll()) {
-			const since = view.getGoneSince(host);
-			if (since !== undefined && now - since > forgetAfter) {
-				view.forget(host);
-			}
-		}
-	};
-
-	const startPeriod = (): void => {
-		const now = clock.monotonic();
-		const lateness = now - periodAt - probePeriod;
-		periodAt = now;
-		if (lateness > longestLateness) {
-			metrics.count('membership_pauses');
-			prober.dropProbe();
-			view.suspicions.postpone(lateness + (2 * probePeriod));
-		}
-
-		prober.sweep();
-		prober.startPeriod();
-		view.notes.sweep();
-		forgetOld();
-	};
-
-	const getAbsent = (): Target[] => {
-		const gone = view.table.getAll().filter(({standing}) => standing === 'gone');
-		const unknown = options.seeds.filter(({host}) => view.table.get(host) === undefined && host !== options.self.host);
-		return [...gone, ...unknown];
-	};
-
-	const lookForOthers = (): void => {
-		const target = random.pick(getAbsent());
-		if (target !== undefined && view.table.getPresent().length === 1) {
-			spreader.askTable(target);
-		}
+	return {
+		...options,
+		view,
+		spreader,
+		board,
+		receiver,
+		period: createPeriod({
+			clock, metrics, view, prober,
+		}),
+		search: createSearch({
+			random, view, outbox, spreader, seeds,
+		}),
 	};
+};
 
-	const heal = (): void => {
-		const target = random.pick(getAbsent());
-		if (target === undefined) {
-			return;
-		}
-
-		if (view.table.get(target.host) === undefined) {
-			spreader.askTable(target);
-		} else {
-			outbox.send(target, {kind: 'ping'});
+const startTimers = ({clock, period, spreader, search, hostList, view}: Parts): Cancel[] => {
+	const {every} = clock;
+	const read = (): void => {
+		if (hostList !== undefined) {
+			void readList(hostList, view, clock);
 		}
 	};
 
-	const readList = async (): Promise<void> => {
-		const list = await hostList?.readHosts();
-		if (list === undefined) {
-			return;
-		}
-
-		view.refreshListed(() => {
-			view.listed.update(list, clock.now(), host => view.table.get(host)?.incarnation);
-		});
-		for (const {host} of view.table.getAll().filter(entry => view.listed.isMissing(entry.host))) {
-			view.suspicions.shorten(host, probePeriod);
-		}
-	};
+	period.reset();
+	search.joinFleet();
+	read();
+	return [
+		every(probePeriod, period.run),
+		every(gossipInterval, spreader.sendUrgent),
+		every(joinInterval, search.joinFleet),
+		every(healInterval, search.heal),
+		every(listInterval, read),
+	];
+};
 
+/** Creates the membership of this host. */
+export const createMembership = (options: MembershipOptions): Membership => {
+	const parts = createParts(options);
+	const {view, spreader, board, transport, receiver} = parts;
+	let timers: Cancel[] = [];
 	return {
 		async start() {
 			await transport.start(receiver.receive);
-			periodAt = clock.monotonic();
-			const {every} = clock;
-			timers.push(
-				every(probePeriod, startPeriod),
-				every(gossipInterval, spreader.sendUrgent),
-				every(joinInterval, lookForOthers),
-				every(healInterval, heal),
-				every(listInterval, () => {
-					void readList();
-				}),
-			);
-			lookForOthers();
-			void readList();
+			timers = startTimers(parts);
 		},
 		stop() {
 			for (const cancel of timers.splice(0)) {
@@ -195,24 +145,11 @@
 			}
 		},
 		publishNote(content) {
-			if (content.key.length + content.value.length > maxNoteLength) {
-				return false;
-			}
-
-			noteSequence++;
-			const note: Note = {...content, host: options.self.host, sequence: noteSequence};
-			view.notes.add(note);
-			spreadNote(view, note);
+			const isPublished = board.publish(content);
 			spreader.sendUrgent();
-			onNote(note);
-			return true;
-		},
-		onNote(listener) {
-			noteListeners.add(listener);
-			return () => {
-				noteListeners.delete(listener);
-			};
+			return isPublished;
 		},
-		getNotes: view.notes.getByTopic,
+		onNote: board.onNote,
+		getNotes: board.getByTopic,
 	};
 };
--- a/packages/membership/src/protocol/receiver.ts
+++ b/packages/membership/src/protocol/receiver.ts
@@ -1,12 +1,14 @@
 import type {Metrics} from '@gentianlift/metrics';
-import type {HostId, Note} from '@gentianlift/types';
+import type {HostId} from '@gentianlift/types';
 import {decodePacket} from '../wire/codec.js';
 import type {Packet} from '../wire/packet.js';
 import {createReplayWindow} from '../wire/replay-window.js';
 import type {Seal} from '../wire/seal.js';
-import {getPages, spreadNote} from './packing.js';
+import type {NoteBoard} from './note-board.js';
+import {getPages} from './packing.js';
 import type {Outbox, Target} from './outbox.js';
 import type {Prober} from './prober.js';
+import type {Spreader} from './spreader.js';
 import type {View} from './view.js';
 
 /** What the receiver works on. */
@@ -16,11 +18,8 @@
 	outbox: Outbox;
 	prober: Prober;
 	metrics: Metrics;
-	onNote: (note: Note) => void;
-	/** Sends the whole table to a host, in pages. */
-	sendTable: (target: Target) => void;
-	/** Asks a host that knows more hosts than this one for its table. */
-	askTable: (target: Target) => void;
+	board: NoteBoard;
+	spreader: Spreader;
 };
 
 /** Receives datagrams. */
@@ -36,7 +35,7 @@
 
 /** Creates a receiver. A datagram that isn't signed, whole, for this host and new is counted and dropped. */
 export const createReceiver = (context: ReceiverContext): Receiver => {
-	const {view, seal, outbox, prober, metrics} = context;
+	const {view, seal, outbox, prober, metrics, board, spreader} = context;
 	const window = createReplayWindow();
 	const {host: self} = view.getSelf();
 
@@ -68,10 +67,7 @@
 			view.applyUpdate(update);
 		}
 
-		for (const note of notes.filter(item => view.notes.add(item))) {
-			spreadNote(view, note);
-			context.onNote(note);
-		}
+		board.receive(notes);
 	};
 
 	const sendEntries = (target: Target, hosts: HostId[]): void => {
@@ -99,7 +95,7 @@
 			}
 
 			case 'join': {
-				context.sendTable(sender);
+				spreader.sendTable(sender);
 				break;
 			}
 
@@ -132,7 +128,7 @@
 			}
 
 			if (packet.present > (view.table.getPresent().length * largerShare) + 1) {
-				context.askTable(sender);
+				spreader.askTable(sender);
 			}
 		},
 	};
