--- /dev/null
+++ b/packages/bench/src/addresses/index.ts
@@ -0,0 +1,1 @@
+export {addresses} from './command.js';
