Ask for all requests that wait for a share at once; shorten messages

Of fifty requests that arrived together 49 were refused far below the limit, as those behind an exchange looked at its share before the first had taken it. A host now asks for all that wait.

--- a/packages/policy/src/digests.ts
+++ b/packages/policy/src/digests.ts
@@ -6,8 +6,8 @@
 /** Most digests that are kept of one prompt. */
 export const longestPrefix = 8;
 
-const prefixDigits = 12;
-const fingerprintDigits = 24;
+const prefixDigits = 10;
+const fingerprintDigits = 16;
 
 const getHash = (text: string, digits: number): string => createHash('sha256').update(text).digest('hex').slice(0, digits);
 
--- a/packages/scheduler/src/client/ordered-client.ts
+++ b/packages/scheduler/src/client/ordered-client.ts
@@ -6,7 +6,7 @@
 import {chooseGroup, createWaitDigests} from './choose-group.js';
 import {Exchange} from './exchange.js';
 import {createLine, hasNews, isIdle} from './line.js';
-import {getTicket, getWithdrawal} from './tickets.js';
+import {getRoundedEnd, getTicket, getWithdrawal} from './tickets.js';
 import type {
 	AskOptions, Grant, GrantClient, GrantClientOptions, Line, Pending,
 } from './types.js';
@@ -69,7 +69,7 @@
 		const pending = this.#pendings.get(end.request);
 		if (pending?.ticket.attempt === end.attempt && pending.upstream !== undefined) {
 			this.#remove(pending);
-			this.#sendEnd(pending.group, end);
+			this.#sendEnd(pending.group, getRoundedEnd(end));
 		}
 	};
 
--- a/packages/scheduler/src/client/tickets.ts
+++ b/packages/scheduler/src/client/tickets.ts
@@ -4,6 +4,9 @@
 } from '@gentianlift/types';
 import type {AskOptions, Pending} from './types.js';
 
+/** Digests of the longest prefixes that go with a ticket. */
+const mostPrefixDigests = 4;
+
 /** Gets the ticket of a request. */
 export const getTicket = (request: ClassifiedRequest, options: AskOptions, now: Milliseconds): Ticket => {
 	const ticket: Ticket = {
@@ -18,7 +21,7 @@
 		expectedTokens: request.work.kind === 'generation' ? request.expectedTokens : 0,
 		promptTokens: request.work.kind === 'generation' ? request.work.promptTokens : 0,
 		needs: getNeeds(request.work),
-		prefix: request.work.kind === 'generation' ? request.work.prefix : [],
+		prefix: request.work.kind === 'generation' ? request.work.prefix.slice(-mostPrefixDigests) : [],
 		avoid: options.avoid ?? [],
 		isolated: options.isolated ?? false,
 		idempotent: request.idempotent,
@@ -59,3 +62,13 @@
 export const getWithdrawal = ({request, attempt}: Pick<Ticket, 'request' | 'attempt'>): TicketEnd => ({
 	request, attempt, kind: 'withdrawn', tokens: 0, duration: 0,
 });
+
+/** Gets an end with whole numbers, which are shorter on the wire. */
+export const getRoundedEnd = (end: TicketEnd): TicketEnd => {
+	const rounded: TicketEnd = {...end, duration: Math.round(end.duration)};
+	if (end.firstTokenAfter !== undefined) {
+		rounded.firstTokenAfter = Math.round(end.firstTokenAfter);
+	}
+
+	return rounded;
+};
--- a/packages/scheduler/src/owner/create-group-owner.ts
+++ b/packages/scheduler/src/owner/create-group-owner.ts
@@ -20,6 +20,9 @@
 /** Interval at which an owner looks through its groups. */
 export const reviewInterval: Milliseconds = 100;
 
+/** Part of its time that a request's expected wait must take for its host to be told. */
+const toldWait = 0.5;
+
 /** What an owner of groups needs. */
 export type GroupOwnerOptions = {
 	clock: Clock;
@@ -214,7 +217,7 @@
 	return wanted.length === 0 ? reply : {...reply, wanted};
 };
 
-/** Tells the host the expected wait of each ask that isn't granted at once. */
+/** Tells the host the expected wait of each ask that may not be granted in time. */
 const sendWaits = (state: GroupState, from: HostId, {asks}: GrantRequest): void => {
 	const waiting = asks.flatMap(({request}) => state.entries.get(request) ?? []).filter(entry => entry.state.kind === 'waiting');
 	if (waiting.length === 0) {
@@ -223,10 +226,13 @@
 
 	const waits = getWaits(state, getInOrder(state));
 	for (const entry of waiting) {
-		const {request, attempt} = entry.ticket;
-		send(state, from, {
-			kind: 'waiting', request, attempt, expectedWait: Math.ceil(waits.get(entry) ?? 0),
-		});
+		const {request, attempt, slack} = entry.ticket;
+		const expectedWait = Math.ceil(waits.get(entry) ?? 0);
+		if (expectedWait > slack * toldWait) {
+			send(state, from, {
+				kind: 'waiting', request, attempt, expectedWait,
+			});
+		}
 	}
 };
 
--- a/packages/scheduler/src/quota/create-quota-client.ts
+++ b/packages/scheduler/src/quota/create-quota-client.ts
@@ -66,8 +66,9 @@
 	}
 
 	readonly acquire = async (amounts: readonly Amount[]): Promise<QuotaDecision> => {
-		await this.#prepare(amounts);
+		const waitedFor = await this.#prepare(amounts);
 		const now = this.#now();
+		this.#addPending(waitedFor, -1);
 		const refused = amounts.find(({limit, amount}) => !hasRoom(this.#getMeter(limit), amount, now));
 		if (refused !== undefined) {
 			this.#options.metrics.count('quota_refusals', {limit: refused.limit.split(':')[0] ?? ''});
@@ -110,15 +111,31 @@
 		return this.#options.getLimits().get(limit) ?? {name: limit, kind: 'rate', amount: 0};
 	}
 
-	/** Gets a larger share of what this host lacks; the limits of one owner go in one message. */
-	async #prepare(amounts: readonly Amount[]): Promise<void> {
+	/** Gets a larger share of what this host lacks, and returns that; the limits of one owner go in one message. */
+	async #prepare(amounts: readonly Amount[]): Promise<Amount[]> {
 		const now = this.#now();
 		const lacking = amounts.filter(({limit, amount}) => {
 			const meter = this.#getMeter(limit);
 			return now >= meter.emptyUntil && !hasRoom(meter, amount, now);
 		});
 		const keys = new Set(lacking.map(({limit}) => getLimitKey(limit)));
+		this.#addPending(lacking, 1);
 		await Promise.all([...keys].map(async key => this.#exchangeInTurn(key, lacking)));
+		return lacking;
+	}
+
+	/** Counts what requests wait for, so that one exchange asks for all of them. */
+	#addPending(amounts: readonly Amount[], sign: 1 | -1): void {
+		for (const {limit, amount} of amounts) {
+			this.#getMeter(limit).pending += sign * amount;
+		}
+	}
+
+	/** Whether the share is too small for all requests that wait for it. */
+	#lacksPending(limit: string): boolean {
+		const now = this.#now();
+		const meter = this.#getMeter(limit);
+		return now >= meter.emptyUntil && !hasRoom(meter, meter.pending, now);
 	}
 
 	/** Waits for exchanges under way for the same owner's key, then asks for what is still lacking. */
@@ -128,8 +145,7 @@
 			await this.#underWay.get(key);
 		}
 
-		const now = this.#now();
-		const lacking = amounts.filter(({limit, amount}) => getLimitKey(limit) === key && !hasRoom(this.#getMeter(limit), amount, now));
+		const lacking = amounts.filter(({limit}) => getLimitKey(limit) === key && this.#lacksPending(limit));
 		if (lacking.length === 0 || this.#underWay.has(key)) {
 			return;
 		}
@@ -141,7 +157,7 @@
 	}
 
 	async #exchange(key: string, amounts: readonly Amount[]): Promise<void> {
-		const wishes = amounts.map(({limit, amount}) => getWish(this.#getMeter(limit), amount));
+		const wishes = amounts.map(({limit}) => getWish(this.#getMeter(limit)));
 		const outcome = await this.#call(key, {host: this.#options.self, limits: wishes});
 		const now = this.#now();
 		if (outcome.kind === 'answered' && outcome.answer.owner) {
--- a/packages/scheduler/src/quota/meter.ts
+++ b/packages/scheduler/src/quota/meter.ts
@@ -19,6 +19,8 @@
 	expiresAt: Milliseconds;
 	/** Things under way, of a level. */
 	held: number;
+	/** Amounts that requests wait for. */
+	pending: number;
 	/** Use a second, as a moving mean. */
 	rate: number;
 	/** Moment up to which the rate is counted. */
@@ -34,7 +36,7 @@
 
 /** Creates a meter of which the owner hasn't heard yet. */
 export const createMeter = ({name, kind}: Limit, now: Milliseconds): Meter => ({
-	name, kind, allowed: 0, expiresAt: 0, held: 0, rate: 0, countedTo: now, used: 0, emptyUntil: 0, answeredAt: 0, usedAt: now,
+	name, kind, allowed: 0, expiresAt: 0, held: 0, pending: 0, rate: 0, countedTo: now, used: 0, emptyUntil: 0, answeredAt: 0, usedAt: now,
 });
 
 /** Drops a share that has ended. A debt stays, and so does a level's share: what is under way is under way. */
@@ -67,9 +69,9 @@
 };
 
 /** Gets what to ask the owner for. */
-export const getWish = (meter: Meter, amount: number): {limit: string; used: number; wanted: number} => meter.kind === 'level'
-	? {limit: meter.name, used: meter.held, wanted: meter.held + amount}
-	: {limit: meter.name, used: Math.max(0, -meter.allowed), wanted: Math.ceil(Math.max(1, amount, meter.rate * horizon / second) - Math.max(0, meter.allowed))};
+export const getWish = (meter: Meter): {limit: string; used: number; wanted: number} => meter.kind === 'level'
+	? {limit: meter.name, used: meter.held, wanted: meter.held + meter.pending}
+	: {limit: meter.name, used: Math.max(0, -meter.allowed), wanted: Math.ceil(Math.max(1, meter.pending + (meter.rate * horizon / second)) - Math.max(0, meter.allowed))};
 
 /** Takes in the owner's answer. An answer of nothing says when to ask again. */
 export const applyShare = (meter: Meter, share: {allowed: number; duration: Milliseconds}, asked: {used: number; wanted: number}, now: Milliseconds): void => {
--- a/packages/scheduler/src/quota/quota.test.ts
+++ b/packages/scheduler/src/quota/quota.test.ts
@@ -134,6 +134,16 @@
 	expect(await acquire()).toEqual({kind: 'allowed'});
 });
 
+test('requests that arrive together are all let through', async () => {
+	const fleet = createFleet([{name: 'requests:c', kind: 'rate', amount: 1000}, {name: 'concurrency:c', kind: 'level', amount: 1000}]);
+	const {client} = fleet.hosts[1]!;
+	const amounts = [{limit: 'requests:c', amount: 1}, {limit: 'concurrency:c', amount: 1}];
+	const decided = Promise.all(Array.from({length: 50}, async () => client.acquire(amounts)));
+	await fleet.clock.advance(100);
+	const decisions = await decided;
+	expect(decisions.filter(({kind}) => kind === 'refused')).toEqual([]);
+});
+
 test('what a rate gives out is never more than the limit and what it saves up', () => {
 	const wishes = fc.array(fc.record({after: fc.nat(500), used: fc.nat(20), wanted: fc.nat(50)}), {minLength: 1, maxLength: 40});
 	fc.assert(fc.property(wishes, fc.integer({min: 1, max: 100}), (list, amount) => {
