--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,9 +1,13 @@
 import {defineCommand, runMain} from 'citty';
-import {overhead, policy} from './index.js';
+import {
+	faults, membership, overhead, policy, histories,
+} from './index.js';
 
 const main = defineCommand({
 	meta: {name: 'bench', description: 'Measurements, each with baselines in the same run'},
-	subCommands: {overhead, policy},
+	subCommands: {
+		faults, membership, overhead, policy, histories,
+	},
 });
 
 await runMain(main);
--- a/packages/membership/src/protocol/timing.ts
+++ b/packages/membership/src/protocol/timing.ts
@@ -1,9 +1,9 @@
 import type {Milliseconds} from '@gentianlift/types';
 
 /** Time between two probes of a host. */
-export const probePeriod: Milliseconds = 1000;
+export const probePeriod: Milliseconds = 500;
 /** Time for a direct answer before other hosts are asked to probe. */
-export const directTimeout: Milliseconds = 300;
+export const directTimeout: Milliseconds = 200;
 /** Hosts asked to probe in one's place. */
 export const indirectProbes = 3;
 /** Shortest time from suspicion to gone. */
@@ -45,5 +45,8 @@
 export const getSuspicionTimeout = (present: number): Milliseconds =>
 	Math.round(suspicionTimeout * Math.max(1, Math.log10(Math.max(1, present))));
 
-/** Gets how often a fact is passed on by one host. */
+/** Gets how often a change is passed on by one host. */
 export const getSendLimit = (present: number): number => 3 * Math.ceil(Math.log2(present + 1));
+
+/** Gets how often a whole entry is passed on by one host; whoever misses it asks for it when it sees a change. */
+export const getEntrySendLimit = (present: number): number => Math.ceil(Math.log2(present + 1));
