--- a/packages/bench/src/histories/command.ts
+++ b/packages/bench/src/histories/command.ts
@@ -1,6 +1,7 @@
 import process from 'node:process';
 import {defineCommand} from 'citty';
 import {addCounts, checkHistory, type PromiseCount} from './checker.js';
+import {runProcesses} from './processes.js';
 import {runSchedule} from './schedule.js';
 import {seededFaults, type SeededFault} from './world.js';
 
@@ -19,6 +20,8 @@
 	args: {
 		schedules: {type: 'string', description: 'Schedules to run', default: '500'},
 		seed: {type: 'string', description: 'Seed of the first schedule; the others follow', default: '1'},
+		processes: {type: 'boolean', description: 'Run each schedule as a round of bookings over router processes', default: false},
+		hosts: {type: 'string', description: 'Router processes', default: '5'},
 		fault: {type: 'string', description: `Fault put into the system on purpose: ${seededFaults.join(', ')}`, default: 'none'},
 	},
 	async run({args}) {
@@ -26,6 +29,14 @@
 			throw new TypeError(`unknown fault ${args.fault}`);
 		}
 
+		if (args.processes) {
+			const history = await runProcesses({rounds: Number(args.schedules), seed: Number(args.seed), hosts: Number(args.hosts)});
+			const promises = checkHistory(history);
+			console.log(promises.flatMap(promise => getLines(promise)).join('\n'));
+			process.exitCode = promises.some(({violations}) => violations.length > 0) ? 1 : 0;
+			return;
+		}
+
 		const counts: PromiseCount[][] = [];
 		const failedSeeds: number[] = [];
 		for (let index = 0; index < Number(args.schedules); index++) {
