--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -4,3 +4,4 @@
 export {overhead} from './overhead/index.js';
 export {policy} from './policy/index.js';
 export {histories} from './histories/index.js';
+export {claims} from './claims/index.js';
