Keep a mass start from spreading every entry by everyone

Three hundred nodes started at once filled every message for more than a minute: each passed on all 300 entries nine times, also those it had just got in a table. Entries of a page are no news now, and an entry is passed on four times.

--- a/packages/membership/src/protocol/packing.ts
+++ b/packages/membership/src/protocol/packing.ts
@@ -6,7 +6,7 @@
 import {getEntrySize, getNoteSize, getUpdateSize} from '../wire/codec.js';
 import type {Packet} from '../wire/packet.js';
 import {
-	getEntrySendLimit, getSendLimit, maxDatagram, repeatedUpdates,
+	entrySends, getSendLimit, maxDatagram, repeatedUpdates,
 } from './timing.js';
 
 /** What a message takes along beside its content. */
@@ -67,8 +67,7 @@
 /** Takes the news that fit into one message, and fills it up with a part of the table. */
 export const takeCargo = (knowledge: Knowledge, wants: Set<HostId>): Cargo => {
 	const {table, notes, entryRumours, updateRumours, noteRumours} = knowledge;
-	const present = table.getPresent().length;
-	const limit = getSendLimit(present);
+	const limit = getSendLimit(table.getPresent().length);
 	const getItem = (host: HostId): Entry | undefined => table.get(host);
 	const updates = takeItems<Update>(updateRumours, {
 		room: maxDatagram - reservedBytes, limit, getItem, getSize: getUpdateSize,
@@ -77,7 +76,7 @@
 		room: updates.left, limit, getItem: key => notes.get(key), getSize: getNoteSize,
 	});
 	const entries = takeItems<Entry>(entryRumours, {
-		room: taken.left, limit: getEntrySendLimit(present), getItem, getSize: getEntrySize,
+		room: taken.left, limit: entrySends, getItem, getSize: getEntrySize,
 	});
 	const known = new Set([...updates.items, ...entries.items].map(({host}) => host));
 	const wanted = [...wants].slice(0, maxWants);
--- a/packages/membership/src/protocol/receiver.ts
+++ b/packages/membership/src/protocol/receiver.ts
@@ -58,9 +58,9 @@
 		return window.accept(from.host, from.incarnation, sequence) ? packet : 'replayed';
 	};
 
-	const learn = ({from, entries, updates, notes}: Packet): void => {
+	const learn = ({from, content, entries, updates, notes}: Packet): void => {
 		for (const entry of entries) {
-			view.applyEntry(entry);
+			view.applyEntry(entry, content.kind !== 'page');
 		}
 
 		for (const update of [from, ...updates]) {
@@ -73,7 +73,7 @@
 	const sendEntries = (target: Target, hosts: HostId[]): void => {
 		const entries = hosts.map(host => view.table.get(host)).filter(entry => entry !== undefined);
 		for (const page of getPages(entries, [])) {
-			outbox.send(target, {kind: 'gossip'}, page);
+			outbox.send(target, {kind: 'page'}, page);
 		}
 	};
 
@@ -99,6 +99,7 @@
 				break;
 			}
 
+			case 'page':
 			case 'gossip': {
 				break;
 			}
--- a/packages/membership/src/protocol/spreader.ts
+++ b/packages/membership/src/protocol/spreader.ts
@@ -65,7 +65,7 @@
 			const pages = getPages(view.table.getPresent(), notes);
 			for (const [index, page] of pages.entries()) {
 				clock.after(index * pageInterval, () => {
-					outbox.send(target, {kind: 'gossip'}, page);
+					outbox.send(target, {kind: 'page'}, page);
 				});
 			}
 
--- a/packages/membership/src/protocol/timing.ts
+++ b/packages/membership/src/protocol/timing.ts
@@ -38,6 +38,8 @@
 export const listInterval: Milliseconds = 10_000;
 /** Largest datagram, in bytes. */
 export const maxDatagram = 1000;
+/** Times that a whole entry is passed on by one host; whoever misses it asks for it when it sees an update. */
+export const entrySends = 4;
 /** Table entries repeated in each message, whether new or not, so that lost news heals. */
 export const repeatedUpdates = 8;
 
@@ -47,6 +49,3 @@
 
 /** Gets how often a change is passed on by one host. */
 export const getSendLimit = (present: number): number => 3 * Math.ceil(Math.log2(present + 1));
-
-/** Gets how often a whole entry is passed on by one host; whoever misses it asks for it when it sees a change. */
-export const getEntrySendLimit = (present: number): number => Math.ceil(Math.log2(present + 1));
--- a/packages/membership/src/protocol/view.ts
+++ b/packages/membership/src/protocol/view.ts
@@ -22,7 +22,8 @@
 	/** Changes this host's own entry; `isClaim` raises its revision, and its beat is raised otherwise. */
 	setSelf: (change: Partial<Update>, isClaim: boolean) => void;
 	applyUpdate: (update: Update) => void;
-	applyEntry: (entry: Entry) => void;
+	/** Takes in a whole entry; `isNews` passes it on. */
+	applyEntry: (entry: Entry, isNews: boolean) => void;
 	getMembers: () => Member[];
 	onChange: (listener: (change: MemberChange) => void) => () => void;
 	/** Tells listeners of members that the host list has changed. */
@@ -62,11 +63,13 @@
 		}
 	};
 
-	const spread = (before: Entry | undefined, after: Entry): void => {
+	const spread = (before: Entry | undefined, after: Entry, isNews: boolean): void => {
 		const isNewVersion = after.configurationVersion > newestVersion;
 		newestVersion = Math.max(newestVersion, after.configurationVersion);
 		if (before?.incarnation !== after.incarnation) {
-			entryRumours.add(after.host, true);
+			if (isNews) {
+				entryRumours.add(after.host, true);
+			}
 		} else if (before.revision !== after.revision || before.standing !== after.standing) {
 			updateRumours.add(after.host, true);
 		} else if (before.configurationVersion !== after.configurationVersion) {
@@ -95,11 +98,11 @@
 		}
 	};
 
-	const finish = (merge: Merge, host: HostId): void => {
+	const finish = (merge: Merge, host: HostId, isNews = true): void => {
 		switch (merge.kind) {
 			case 'changed': {
 				const {before, after} = merge;
-				spread(before, after);
+				spread(before, after, isNews);
 				follow(after);
 				tell(before && toMember(before), toMember(after));
 				break;
@@ -151,12 +154,12 @@
 		getSelf,
 		setSelf,
 		applyUpdate,
-		applyEntry(entry) {
+		applyEntry(entry, isNews) {
 			if (entry.host === self.host) {
 				refute(entry);
 			} else {
 				wants.delete(entry.host);
-				finish(table.applyEntry(entry), entry.host);
+				finish(table.applyEntry(entry), entry.host, isNews);
 			}
 		},
 		getMembers() {
--- a/packages/membership/src/wire/codec.ts
+++ b/packages/membership/src/wire/codec.ts
@@ -13,7 +13,7 @@
 
 const loadSteps = 255;
 const drainingOffset = standings.length;
-const contentKinds = ['ping', 'ack', 'ping-request', 'join', 'gossip'] as const satisfies Array<Content['kind']>;
+const contentKinds = ['ping', 'ack', 'ping-request', 'join', 'page', 'gossip'] as const satisfies Array<Content['kind']>;
 
 const getUpdateFields = (update: Update): UpdateFields => [
 	update.host,
@@ -46,6 +46,7 @@
 
 		case 'ping':
 		case 'join':
+		case 'page':
 		case 'gossip': {
 			return [kind];
 		}
@@ -89,6 +90,7 @@
 
 		case 'ping':
 		case 'join':
+		case 'page':
 		case 'gossip': {
 			return {kind};
 		}
--- a/packages/membership/src/wire/packet.ts
+++ b/packages/membership/src/wire/packet.ts
@@ -10,6 +10,8 @@
 		| {kind: 'ping-request'; target: HostId}
 		/** Asks the receiver for its whole table. */
 		| {kind: 'join'}
+		/** A page of the table or entries that were asked for: nothing to pass on. */
+		| {kind: 'page'}
 		| {kind: 'gossip'};
 
 /** One datagram between two hosts. */
