--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,5 +1,7 @@
 // Each bench has its own folder, whose index exports one command.
-export {overhead} from './overhead/index.js';
-export {membership} from './membership/index.js';
-export {faults} from './faults/index.js';
 export {addresses} from './addresses/index.js';
+export {faults} from './faults/index.js';
+export {membership} from './membership/index.js';
+export {overhead} from './overhead/index.js';
+export {policy} from './policy/index.js';
+export {histories} from './histories/index.js';
