Keep an engine that goes on leaving out of use

Its own word stands for a minute, and only a change renewed it: after that minute the engine counted as available until the next report, and got new work. Each report renews it now, and the note to the other hosts is sent again before it ends. The new test fails without the change.

--- /dev/null
+++ b/packages/router/src/host/upstream-watch.test.ts
@@ -0,0 +1,49 @@
+import {createManualClock, createRandom} from '@gentianlift/clock';
+import {createLogger} from '@gentianlift/logger';
+import {createMetrics} from '@gentianlift/metrics';
+import type {GroupOwner} from '@gentianlift/scheduler';
+import type {LoadReport, Note} from '@gentianlift/types';
+import {expect, test} from 'vitest';
+import {startUpstreamWatch, type UpstreamWatchOptions} from './upstream-watch.js';
+
+const leavingReport: LoadReport = {
+	at: 0, running: 1, waiting: 0, cacheUse: 0, tokensPerSecond: 0, models: [], adapters: [], role: 'mixed', leaving: true,
+};
+
+test('an engine that goes on leaving stays out, and the note of it is renewed', async () => {
+	const clock = createManualClock();
+	const published: Array<Pick<Note, 'key' | 'value'>> = [];
+	const options = {
+		clock,
+		random: createRandom(1),
+		metrics: createMetrics(),
+		logger: createLogger('error'),
+		self: 'h0',
+		membership: {
+			onNote: () => () => undefined,
+			publishNote(note: Pick<Note, 'key' | 'value'>) {
+				published.push(note);
+				return true;
+			},
+		},
+		hostList: {readHosts: async () => []},
+		upstreams: {checkHealth: async () => 'success' as const},
+		groupOwner: {applyLoadReport: () => undefined, applyStanding: () => undefined} as unknown as GroupOwner,
+		getGroups: () => [],
+		getDirectory: () => ({byId: new Map(), byAddress: new Map()}),
+	};
+	const watch = startUpstreamWatch(options as unknown as UpstreamWatchOptions);
+	const standings = new Set<string>();
+	for (let second = 0; second < 150; second++) {
+		watch.applyLoadReport('e1', leavingReport);
+		// eslint-disable-next-line no-await-in-loop -- Time passes between reports.
+		await clock.advance(1000);
+		standings.add(watch.getStanding('e1'));
+	}
+
+	expect([...standings]).toEqual(['leaving']);
+	expect(published.length).toBe(10);
+	watch.applyLoadReport('e1', {...leavingReport, leaving: false});
+	expect(watch.getStanding('e1')).toBe('available');
+	watch.stop();
+});
--- a/packages/router/src/host/upstream-watch.ts
+++ b/packages/router/src/host/upstream-watch.ts
@@ -139,7 +139,9 @@
 	});
 	const review = createReview(health, options);
 
+	const toldAt = new Map<UpstreamId, Milliseconds>();
 	const tellLeaving = (upstream: UpstreamId): void => {
+		toldAt.set(upstream, clock.monotonic());
 		health.setLeaving(upstream, 'upstream', true);
 		membership.publishNote({
 			topic: 'upstream-leaving', key: upstream, value: 'upstream', duration: leavingNoteDuration,
@@ -147,6 +149,14 @@
 		review();
 	};
 
+	/** The note of an upstream that goes on leaving is renewed before it ends. */
+	const tellLeavingAgain = (upstream: UpstreamId): void => {
+		const age = clock.monotonic() - (toldAt.get(upstream) ?? Number.NEGATIVE_INFINITY);
+		if (age >= leavingNoteDuration / 2) {
+			tellLeaving(upstream);
+		}
+	};
+
 	health.onEject(({upstream, kind}) => {
 		membership.publishNote({
 			topic: 'upstream-failed', key: upstream, value: kind, duration: failureNoteDuration,
@@ -171,10 +181,12 @@
 			}
 		},
 		applyLoadReport(upstream, report) {
-			if (report.leaving && health.getStanding(upstream) !== 'leaving') {
-				tellLeaving(upstream);
-			} else if (!report.leaving) {
+			if (report.leaving) {
+				health.setLeaving(upstream, 'upstream', true);
+				tellLeavingAgain(upstream);
+			} else {
 				health.setLeaving(upstream, 'upstream', false);
+				toldAt.delete(upstream);
 			}
 
 			groupOwner.applyLoadReport(upstream, report);
