--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,12 +1,12 @@
 import {defineCommand, runMain} from 'citty';
 import {
-	claims, faults, histories, membership, overhead, policy,
+	faults, membership, overhead, policy, claims, histories,
 } from './index.js';
 
 const main = defineCommand({
 	meta: {name: 'bench', description: 'Measurements, each with baselines in the same run'},
 	subCommands: {
-		claims, faults, histories, membership, overhead, policy,
+		faults, membership, overhead, policy, claims, histories,
 	},
 });
 
