Measure what the router adds: latency, throughput and memory

The stand-in's KV cache and prefill rate can be set on its command line; with the defaults a single endless answer filled the cache.

--- /dev/null
+++ b/packages/bench/src/overhead/drive-main.ts
@@ -0,0 +1,5 @@
+import process from 'node:process';
+import {drive, type DriveOptions} from './drive.js';
+
+const options = JSON.parse(process.argv[2] ?? '{}') as DriveOptions;
+process.stdout.write(`${JSON.stringify(await drive(options))}\n`);
--- a/packages/fakes/src/main.ts
+++ b/packages/fakes/src/main.ts
@@ -29,6 +29,8 @@
 		slots: {type: 'string', description: 'Generations that run at once', default: '16'},
 		step: {type: 'string', description: 'Milliseconds of one token in an empty batch', default: '20'},
 		stepPerRunning: {type: 'string', description: 'Milliseconds that each running generation adds', default: '0.5'},
+		prefill: {type: 'string', description: 'Prompt tokens a second', default: '8000'},
+		cacheTokens: {type: 'string', description: 'Tokens of running generations that the KV cache holds', default: '200000'},
 		fencing: {
 			type: 'enum', options: ['checked', 'ignored'], description: 'Whether old fencing numbers are refused', default: 'checked',
 		},
@@ -43,6 +45,8 @@
 		slots: Number(args.slots),
 		stepTime: Number(args.step),
 		stepTimePerRunning: Number(args.stepPerRunning),
+		prefillTokensPerSecond: Number(args.prefill),
+		cacheTokens: Number(args.cacheTokens),
 		fencing: args.fencing,
 		weightStoreUrl: args.weightStore === '' ? undefined : args.weightStore,
 		timeFactor: Number(args.timeFactor),
