--- a/packages/trial/src/commands/start-deployment.ts
+++ b/packages/trial/src/commands/start-deployment.ts
@@ -46,6 +46,8 @@
 	stop: () => Promise<RouterEnd[]>;
 };
 
+/** Speed of the engines, at which the bursts of a trial are beyond their capacity. */
+const trialEngine: EngineOptions = {stepTime: 35, stepTimePerRunning: 1.5};
 const defaultHosts = 7;
 const defaultHour = 9;
 const readyLimit: Milliseconds = 20_000;
@@ -97,7 +99,7 @@
 	const clock = createSystemClock();
 	const example = await readExample(options.deployment);
 	const change = options.change ?? (configuration => configuration);
-	const standins = await startStandins(example.configuration.inventory, options.engine);
+	const standins = await startStandins(example.configuration.inventory, {...trialEngine, ...options.engine});
 	const timeZone = getTimeZone(clock.now(), options.hour ?? defaultHour);
 	const configuration = change(getStandinConfiguration(example.configuration, standins.addresses, timeZone));
 	publishConfiguration(standins.keyValue, configuration, clock.now());
--- a/packages/trial/src/queries/get-arrivals.ts
+++ b/packages/trial/src/queries/get-arrivals.ts
@@ -31,6 +31,8 @@
 const burstStart = 0.6;
 const burstPeriod: Milliseconds = 10_000;
 const lengthSpread = 0.6;
+/** Longest answer as a multiple of the mean. */
+const longestShare = 2.5;
 const words = ['bar', 'coil', 'plate', 'tube', 'cut', 'length', 'grade', 'heat', 'mill', 'sheet', 'ton', 'order', 'zone', 'quay', 'load', 'term'];
 
 const isBurst = (at: Milliseconds): boolean => at % burstPeriod >= burstStart * burstPeriod;
@@ -42,7 +44,7 @@
 	Math.sqrt(-2 * Math.log(1 - random.next())) * Math.cos(2 * Math.PI * random.next());
 
 const drawLength = (random: Random, mean: number): number =>
-	Math.max(1, Math.round(mean * Math.exp((lengthSpread * drawNormal(random)) - ((lengthSpread ** 2) / 2))));
+	Math.max(1, Math.round(mean * Math.min(longestShare, Math.exp((lengthSpread * drawNormal(random)) - ((lengthSpread ** 2) / 2)))));
 
 const drawText = (random: Random, count: number): string =>
 	Array.from({length: count}, () => random.pick(words)).join(' ');
