--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,12 +1,12 @@
 import {defineCommand, runMain} from 'citty';
 import {
-	faults, membership, overhead, policy, claims, histories,
+	addresses, claims, faults, histories, membership, overhead, policy, slopes,
 } from './index.js';
 
 const main = defineCommand({
 	meta: {name: 'bench', description: 'Measurements, each with baselines in the same run'},
 	subCommands: {
-		faults, membership, overhead, policy, claims, histories,
+		addresses, claims, faults, histories, membership, overhead, policy, slopes,
 	},
 });
 
--- /dev/null
+++ b/packages/bench/src/slopes/roles.ts
@@ -0,0 +1,152 @@
+import {createAccounts} from '@gentianlift/claims';
+import {createRandom, createSystemClock} from '@gentianlift/clock';
+import {parseVersionText} from '@gentianlift/config';
+import {createMetrics} from '@gentianlift/metrics';
+import {getGroups} from '@gentianlift/policy';
+import {
+	createGrantClient, createGroupOwner, createQuotaClient, createQuotaOwner, getLimits, getRequestLimit,
+} from '@gentianlift/scheduler';
+import type {Configuration, ConfigurationVersion} from '@gentianlift/types';
+import {measure, type Cost} from './measure.js';
+import {getConfiguration, getRequest} from './synthetic.js';
+
+/** What one role took at one size. */
+export type Sample = {size: number; cost: Cost; messages: number; bytes: number};
+
+const clock = createSystemClock();
+
+const getVersion = (configuration: Configuration): ConfigurationVersion => ({
+	version: 1, token: 'bench', author: 'bench', acceptedAt: 0, note: '', configuration,
+});
+
+const createCounter = () => {
+	let messages = 0;
+	let bytes = 0;
+	return {
+		/** Passes a message on as the wire would: as a copy, counted in bytes of JSON. */
+		pass<Message>(message: Message): Message {
+			const text = JSON.stringify(message);
+			messages++;
+			bytes += text.length;
+			return JSON.parse(text) as Message;
+		},
+		read: () => ({messages, bytes}),
+	};
+};
+
+/** A host that asks and a host that owns, joined by counted messages. */
+const createPair = (configuration: Configuration) => {
+	const counter = createCounter();
+	const groups = getGroups(configuration);
+	const shared = {
+		clock, random: createRandom(1), metrics: createMetrics(), getOwnerOf: () => 'owner', getHosts: () => [{host: 'owner', zone: 'zone-0'}, {host: 'asker', zone: 'zone-0'}],
+	};
+	const owner = createGroupOwner({
+		...shared, self: 'owner', push(_host, answer) {
+			client.receive(counter.pass(answer));
+		},
+	});
+	const client = createGrantClient({
+		...shared,
+		self: 'asker',
+		incarnation: 1,
+		getLocalOwner: () => owner,
+		getGroups: () => groups,
+		peers: {exchangeGrants: async (_to, message) => ({kind: 'answered', answer: counter.pass(owner.handle('asker', counter.pass(message)))})},
+	});
+	owner.applyConfiguration(getVersion(configuration));
+	return {owner, client, counter};
+};
+
+/** Grants that are asked for and ended one after another: both sides of the exchange in one process. */
+export const measureGrants = async (requests: number): Promise<Sample> => {
+	const {owner, client, counter} = createPair(getConfiguration({engines: 8, models: 1, customers: 100}));
+	const cost = await measure(async () => {
+		for (let index = 0; index < requests; index++) {
+			const request = getRequest(index, clock.now());
+			// eslint-disable-next-line no-await-in-loop -- One request follows another.
+			const grant = await client.ask(request);
+			if (grant.kind === 'granted') {
+				client.end({
+					request: request.id, attempt: 1, kind: 'finished', tokens: 380, firstTokenAfter: 100, duration: 20_000,
+				});
+			}
+		}
+	});
+	owner.stop();
+	client.stop();
+	return {size: requests, cost, ...counter.read()};
+};
+
+/** Requests that wait: the state that they hold at both sides, with all slots taken. */
+export const measureWaiting = async (waiting: number): Promise<Sample> => {
+	const {owner, client, counter} = createPair(getConfiguration({engines: 1, models: 1, customers: 100}));
+	const cost = await measure(async () => {
+		for (let index = 0; index < waiting; index++) {
+			void client.ask(getRequest(index, clock.now() + 3_600_000));
+		}
+
+		await clock.sleep(500);
+		return {owner, client};
+	});
+	owner.stop();
+	client.stop();
+	return {size: waiting, cost, ...counter.read()};
+};
+
+/** Limits of customers in use at one host: one exchange for each customer. */
+export const measureQuota = async (customers: number): Promise<Sample> => {
+	const counter = createCounter();
+	const limits = getLimits(getConfiguration({engines: 1, models: 1, customers}));
+	const shared = {
+		clock, metrics: createMetrics(), getHosts: () => [{host: 'owner'}, {host: 'asker'}], getOwnerOf: () => 'owner', getLimits: () => limits,
+	};
+	const owner = createQuotaOwner({...shared, self: 'owner'});
+	const client = createQuotaClient({
+		...shared,
+		self: 'asker',
+		getLocalOwner: () => owner,
+		peers: {exchangeQuota: async (_to, message) => ({kind: 'answered', answer: counter.pass(owner.handle('asker', counter.pass(message)))})},
+	});
+	const cost = await measure(async () => {
+		await Promise.all(Array.from({length: customers}, async (_, index) => client.acquire([{limit: getRequestLimit(`customer-${index}`), amount: 1}])));
+		return {owner, client};
+	});
+	client.stop();
+	return {size: customers, cost, ...counter.read()};
+};
+
+/** A configuration as it arrives: its text parsed, checked, and cut into groups. */
+export const measureConfiguration = async (engines: number): Promise<Sample> => {
+	const configuration = getConfiguration({engines, models: Math.max(1, Math.round(engines / 74)), customers: Math.round(engines / 2)});
+	const text = JSON.stringify(getVersion(configuration));
+	const cost = await measure(() => {
+		const parsed = parseVersionText(text);
+		if (parsed.kind === 'invalid') {
+			throw new TypeError(JSON.stringify(parsed.faults[0]));
+		}
+
+		return {parsed, groups: getGroups(parsed.value.configuration)};
+	});
+	return {
+		size: engines, cost, messages: 1, bytes: text.length,
+	};
+};
+
+/** Accounts of requests that a host remembers. */
+export const measureAccounts = async (count: number): Promise<Sample> => {
+	const cost = await measure(() => {
+		const accounts = createAccounts({clock, capacity: count});
+		for (let index = 0; index < count; index++) {
+			const request = getRequest(index, clock.now());
+			accounts.open(request);
+			accounts.apply({kind: 'attempt-started', request: request.id, upstream: 'engine-0'});
+			accounts.apply({kind: 'finished', request: request.id, status: 200});
+		}
+
+		return accounts;
+	});
+	return {
+		size: count, cost, messages: 0, bytes: 0,
+	};
+};
