--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,6 +1,7 @@
 // Each bench has its own folder, whose index exports one command.
 export {addresses} from './addresses/index.js';
 export {claims} from './claims/index.js';
+export {configuration} from './configuration/index.js';
 export {faults} from './faults/index.js';
 export {histories} from './histories/index.js';
 export {membership} from './membership/index.js';
