Spare each request an unused error and a reading of the process's memory

Cause, from the profile in docs/measurements/overhead.md: 7% of the processor time went into an error made when a connection closed after its body was complete, 3% into process.memoryUsage for each request.

--- a/packages/router/src/callers/read-body.ts
+++ b/packages/router/src/callers/read-body.ts
@@ -37,7 +37,9 @@
 		});
 		request.on('close', () => {
 			cancel();
-			reject(createFailure('bad-request', {detail: 'The connection closed before the body was complete.'}));
+			if (!request.complete) {
+				reject(createFailure('bad-request', {detail: 'The connection closed before the body was complete.'}));
+			}
 		});
 	});
 };
--- a/packages/router/src/host/overload.ts
+++ b/packages/router/src/host/overload.ts
@@ -41,12 +41,14 @@
 	const {every} = clock;
 	const gauge = createEventLoopGauge();
 	let lag: Milliseconds = 0;
+	let heapBytes = getHeapBytes();
 	const cancel = every(interval, () => {
 		lag = (lag * smoothing) + (gauge.readLag() * (1 - smoothing));
 		metrics.setGauge('event_loop_lag_milliseconds', lag);
-		metrics.setGauge('heap_bytes', getHeapBytes());
+		heapBytes = getHeapBytes();
+		metrics.setGauge('heap_bytes', heapBytes);
 	});
-	const getHeapShare = (): number => getHeapBytes() / heapLimitBytes;
+	const getHeapShare = (): number => heapBytes / heapLimitBytes;
 	return {
 		getRankLimit: () => getRankLimitAt(lag, getHeapShare(), getTiers()),
 		getLag: () => lag,
