--- a/packages/scheduler/src/owner/commands/learn.ts
+++ b/packages/scheduler/src/owner/commands/learn.ts
@@ -3,6 +3,8 @@
 import {assumedDecode, getEstimates, getExpectedService} from '../queries/times.js';
 import type {Entry, GroupState} from '../state.js';
 
+/** Longest time of messages that counts, as a multiple of the run. */
+export const mostTransit = 1.5;
 const mostEnded = 256;
 const longestRemembered: Milliseconds = 10_000;
 
@@ -21,6 +23,7 @@
 	}
 
 	learnSpeed(state, entry, end);
+	learnTransit(state, entry, end);
 };
 
 const keepEnded = (state: GroupState, entry: Entry, end: TicketEnd): void => {
@@ -47,6 +50,14 @@
 	});
 };
 
+const learnTransit = (state: GroupState, {state: standing}: Entry, {duration}: TicketEnd): void => {
+	const upstream = standing.kind === 'running' ? state.upstreams.get(standing.upstream) : undefined;
+	if (upstream !== undefined && standing.kind === 'running' && duration > 0) {
+		const ratio = (state.context.clock.monotonic() - standing.startedAt) / duration;
+		upstream.transit = applySample(upstream.transit, Math.min(mostTransit, Math.max(1, ratio)));
+	}
+};
+
 const learnSpeed = (state: GroupState, entry: Entry, end: TicketEnd): void => {
 	if (entry.state.kind !== 'running' || end.firstTokenAfter === undefined || end.tokens < 2) {
 		return;
--- a/packages/scheduler/src/owner/create-group.ts
+++ b/packages/scheduler/src/owner/create-group.ts
@@ -55,6 +55,7 @@
 	ended: [],
 	prefixes: new Set(),
 	decode: createEstimate(assumedDecode),
+	transit: createEstimate(1),
 });
 
 /** Takes in a new configuration: runs go on, new upstreams join, removed ones get no more work. */
--- a/packages/scheduler/src/owner/queries/candidates.ts
+++ b/packages/scheduler/src/owner/queries/candidates.ts
@@ -51,14 +51,15 @@
 	return !report.leaving && ticket.needs.every(need => need.startsWith('service:') || held.has(need));
 };
 
-const getUpstreamSlots = (state: GroupState, {standing, upstream, load}: UpstreamState, isStraggler: boolean): number => {
+const getUpstreamSlots = (state: GroupState, {standing, upstream, load, transit}: UpstreamState, isStraggler: boolean): number => {
 	const isUnsettled = load === undefined && state.context.clock.monotonic() < state.settledAt;
 	if (standing === 'probing') {
 		return 1;
 	}
 
 	const share = state.slotShare * (isStraggler ? stragglerSlots : 1) * (isUnsettled ? unsettledSlots : 1);
-	return Math.max(1, Math.floor(upstream.slots * share));
+	// A slot is free at the upstream while messages about it are under way, so a few more grants may be out.
+	return Math.max(1, Math.floor(upstream.slots * share * transit.mean));
 };
 
 const getUpstreamLoad = (state: GroupState, {running, ended, load}: UpstreamState): number => {
--- a/packages/scheduler/src/owner/state.ts
+++ b/packages/scheduler/src/owner/state.ts
@@ -52,6 +52,8 @@
 	prefixes: Set<string>;
 	/** Milliseconds for each output token. */
 	decode: Estimate;
+	/** How many times as long a grant is out as its run takes at the host; more than 1 by the time of messages. */
+	transit: Estimate;
 	/** The last crash, and the fingerprints that count as its suspects. */
 	crash?: {at: Milliseconds; fingerprints: Set<string>};
 };
--- a/packages/scheduler/src/quota/create-quota-client.ts
+++ b/packages/scheduler/src/quota/create-quota-client.ts
@@ -6,7 +6,7 @@
 import type {QuotaOwner} from './create-quota-owner.js';
 import {getLimitKey, type Limit} from './limits.js';
 import {
-	applyAlone, applyShare, applyTime, createMeter, getRetryAfter, getWish, hasRoom, type Meter, take,
+	applyAlone, applyShare, applyTime, createMeter, getRetryAfter, getWish, hasRoom, isRefused, type Meter, take,
 } from './meter.js';
 
 /** Interval of exchanges with the owner of levels in use. */
@@ -66,20 +66,19 @@
 	}
 
 	readonly acquire = async (amounts: readonly Amount[]): Promise<QuotaDecision> => {
-		const waitedFor = await this.#prepare(amounts);
-		const now = this.#now();
-		this.#addPending(waitedFor, -1);
-		const refused = amounts.find(({limit, amount}) => !hasRoom(this.#getMeter(limit), amount, now));
-		if (refused !== undefined) {
-			this.#options.metrics.count('quota_refusals', {limit: refused.limit.split(':')[0] ?? ''});
-			return {kind: 'refused', limit: refused.limit, retryAfter: getRetryAfter(this.#getMeter(refused.limit), now)};
-		}
+		for (let turns = 1; ; turns++) {
+			// eslint-disable-next-line no-await-in-loop -- Another request may have taken what this one waited for.
+			const refused = await this.#tryAcquire(amounts);
+			if (refused === undefined) {
+				return {kind: 'allowed'};
+			}
 
-		for (const {limit, amount} of amounts) {
-			take(this.#getMeter(limit), amount, now);
+			const meter = this.#getMeter(refused.limit);
+			if (turns >= mostTurns || this.#now() < meter.emptyUntil) {
+				this.#options.metrics.count('quota_refusals', {limit: refused.limit.split(':')[0] ?? ''});
+				return {kind: 'refused', limit: refused.limit, retryAfter: getRetryAfter(meter, this.#now())};
+			}
 		}
-
-		return {kind: 'allowed'};
 	};
 
 	readonly use = (limit: string, amount: number): void => {
@@ -95,6 +94,19 @@
 		this.#cancel();
 	};
 
+	/** Takes all amounts, or returns one that there is no room for. */
+	async #tryAcquire(amounts: readonly Amount[]): Promise<Amount | undefined> {
+		const waitedFor = await this.#prepare(amounts);
+		this.#addPending(waitedFor, -1);
+		const now = this.#now();
+		const refused = amounts.find(({limit, amount}) => isRefused(this.#getMeter(limit), amount, now));
+		for (const {limit, amount} of refused === undefined ? amounts : []) {
+			take(this.#getMeter(limit), amount, now);
+		}
+
+		return refused;
+	}
+
 	#now(): Milliseconds {
 		return this.#options.clock.monotonic();
 	}
--- a/packages/scheduler/src/quota/meter.ts
+++ b/packages/scheduler/src/quota/meter.ts
@@ -57,6 +57,10 @@
 export const hasRoom = (meter: Meter, amount: number, now: Milliseconds): boolean =>
 	meter.kind === 'level' ? meter.held + amount <= meter.allowed && now < meter.expiresAt : meter.allowed >= Math.max(1, amount);
 
+/** Whether an amount can't be taken. Nothing can be taken from a rate until its owner has none left, whatever this host's share. */
+export const isRefused = (meter: Meter, amount: number, now: Milliseconds): boolean =>
+	meter.kind === 'rate' && amount === 0 ? now < meter.emptyUntil && meter.allowed < 1 : !hasRoom(meter, amount, now);
+
 /** Counts use; a rate may go into debt, which the owner then takes from everybody's. */
 export const take = (meter: Meter, amount: number, now: Milliseconds): void => {
 	meter.used += amount;
