--- a/packages/scheduler/src/load.test.ts
+++ b/packages/scheduler/src/load.test.ts
@@ -96,3 +96,10 @@
 	expect(fleet.hosts.map(host => host.client.getCounts())).toEqual(ids.map(() => ({waiting: 0, running: 0, bytes: 0})));
 	expect(fleet.hosts[0]!.owner.getOverview()[0]!.ranks.every(({waiting, running}) => waiting + running === 0)).toBe(true);
 });
+
+test('slow messages leave few slots idle', async () => {
+	const fleet = createTestFleet(createTestConfiguration([4, 4], 0), ids);
+	fleet.links.delay = 80;
+	const results = await runLoad(fleet, [{...quote, rate: 50, tokens: 3}], 10_000);
+	expect(getAttainment(results, 'quote')).toBeGreaterThan(0.95);
+});
