Check streamed answers in histories over processes

Questions run beside the bookings while engines crash; an answer has to be its own and whole, or a beginning of it and marked as cut.

--- a/packages/bench/src/histories/checker.ts
+++ b/packages/bench/src/histories/checker.ts
@@ -8,6 +8,7 @@
 type Told = Extract<HistoryEvent, {kind: 'told'}>;
 type ClaimWrite = {at: number; identity: string; claim: Claim};
 
+const shownText = 60;
 const slotPattern = /^claims\/[tu]\//v;
 
 const getRuns = ({events}: History): Ran[] => events.filter(event => event.kind === 'ran');
@@ -104,6 +105,15 @@
 		open.has(request) ? `${request} is still claimed` : undefined);
 };
 
+/** An answer that was cut short is a beginning of the right one: without a gap, a repeat, or anything of another's. */
+const checkStreams = (history: History): PromiseCount => {
+	const answers = history.events.filter(event => event.kind === 'answered');
+	return count('a streamed answer is its own, whole or marked as cut', answers, ({request, isWhole, text, expected}) => {
+		const isRight = isWhole ? text === expected : expected.startsWith(text);
+		return isRight ? undefined : `${request} got "${text.slice(0, shownText)}" of ${text.length} characters for ${expected.length}`;
+	});
+};
+
 /** Checks a history against the promises about bookings. */
 export const checkHistory = (history: History): PromiseCount[] => [
 	checkOnce(history),
@@ -115,6 +125,9 @@
 	checkSettled(history),
 ];
 
+/** Checks a history that has questions beside bookings. */
+export const checkMixedHistory = (history: History): PromiseCount[] => [...checkHistory(history), checkStreams(history)];
+
 /** Adds the counts of several histories. */
 export const addCounts = (all: PromiseCount[][]): PromiseCount[] => {
 	const totals = new Map<string, PromiseCount>();
--- a/packages/bench/src/histories/command.ts
+++ b/packages/bench/src/histories/command.ts
@@ -1,6 +1,8 @@
 import process from 'node:process';
 import {defineCommand} from 'citty';
-import {addCounts, checkHistory, type PromiseCount} from './checker.js';
+import {
+	addCounts, checkHistory, checkMixedHistory, type PromiseCount,
+} from './checker.js';
 import {runProcesses} from './processes.js';
 import {runSchedule} from './schedule.js';
 import {seededFaults, type SeededFault} from './world.js';
@@ -31,7 +33,7 @@
 
 		if (args.processes) {
 			const history = await runProcesses({rounds: Number(args.schedules), seed: Number(args.seed), hosts: Number(args.hosts)});
-			const promises = checkHistory(history);
+			const promises = checkMixedHistory(history);
 			console.log(promises.flatMap(promise => getLines(promise)).join('\n'));
 			process.exitCode = promises.some(({violations}) => violations.length > 0) ? 1 : 0;
 			return;
--- a/packages/bench/src/histories/histories.test.ts
+++ b/packages/bench/src/histories/histories.test.ts
@@ -1,5 +1,5 @@
 import {expect, test} from 'vitest';
-import {addCounts, checkHistory} from './checker.js';
+import {addCounts, checkHistory, checkMixedHistory} from './checker.js';
 import {runSchedule} from './schedule.js';
 import type {SeededFault} from './world.js';
 
@@ -41,3 +41,13 @@
 		'a booking runs at most once', 'what was told not run did not run',
 	]));
 });
+
+test('finds a gap, a repeat and an answer of another', () => {
+	const check = (text: string, isWhole: boolean) => checkMixedHistory({
+		events: [{
+			kind: 'answered', at: 0, request: 'a.1.1', isWhole, text, expected: 'one two three',
+		}], writes: [], settled: [],
+	}).at(-1)?.violations.length;
+	expect([check('one two three', true), check('one two', false)]).toEqual([0, 0]);
+	expect([check('one three', true), check('one one', false), check('four', false), check('one two', true)]).toEqual([1, 1, 1, 1]);
+});
--- a/packages/bench/src/histories/history.ts
+++ b/packages/bench/src/histories/history.ts
@@ -15,6 +15,8 @@
 export type HistoryEvent
 	= | {kind: 'sent'; at: Milliseconds; booking: string; digest: string; request: RequestId; host: HostId}
 		| {kind: 'told'; at: Milliseconds; booking: string; request: RequestId; answer: Answer}
+	/** A streamed answer as it arrived, and the answer that its prompt has. */
+		| {kind: 'answered'; at: Milliseconds; request: RequestId; isWhole: boolean; text: string; expected: string}
 		| {kind: 'ran'; at: Milliseconds; booking: string; digest: string; request: RequestId; body: string};
 
 /** A write that took effect in the key-value service. */
--- a/packages/bench/src/histories/processes.ts
+++ b/packages/bench/src/histories/processes.ts
@@ -1,6 +1,6 @@
 import {Agent} from 'node:http';
 import {createRandom, type Random} from '@gentianlift/clock';
-import type {Faults} from '@gentianlift/fakes';
+import {getAnswer as getRightAnswer, getAnswerText, type Faults} from '@gentianlift/fakes';
 import {
 	sendRequest, startDeployment, type Deployment, type Reply,
 } from '@gentianlift/trial';
@@ -26,6 +26,10 @@
 
 const customer = 'faros-steel';
 const path = '/v1/services/orders/cut-orders';
+const questionPath = '/v1/chat/completions';
+const questionModel = 'counter-8b';
+const questionsPerRound = 24;
+const longestAnswer = 120;
 const bookingsPerRound = 12;
 const sendsPerBooking = 3;
 const sendSpread = 2500;
@@ -92,6 +96,25 @@
 	}
 };
 
+/** Asks a question whose answer follows from its text. */
+const ask = async ({deployment, random, agent, events}: Run, name: string): Promise<void> => {
+	const {clock, routers, keys} = deployment;
+	await clock.sleep(random.below(sendSpread));
+	const prompt = {model: questionModel, messages: [{role: 'user', content: `${name} #tokens=${1 + random.below(longestAnswer)}`}]};
+	const {callerAddress} = random.pick(routers)!.settings;
+	const reply = await sendRequest({
+		at: 0, className: 'yard-question', customer, method: 'POST', path: questionPath, body: JSON.stringify({...prompt, stream: true}),
+	}, {
+		address: callerAddress, key: keys.get(customer) ?? '', agent, clock, timeout: callerTimeout,
+	});
+	if (reply.status === 200) {
+		const answer = getRightAnswer(prompt, 1);
+		events.push({
+			kind: 'answered', at: clock.now(), request: reply.request, isWhole: reply.whole, text: reply.text, expected: getAnswerText(answer, answer.length),
+		});
+	}
+};
+
 const sendOften = async (run: Run, booking: string): Promise<void> => {
 	const {clock} = run.deployment;
 	const sends = Array.from({length: sendsPerBooking}, async () => {
@@ -128,6 +151,14 @@
 	Object.assign(faults, faultsOff);
 };
 
+const crashEngine = async ({deployment: {clock, engines}, random}: Run): Promise<void> => {
+	await clock.sleep(random.below(sendSpread));
+	const {listener} = random.pick([...engines.values()])!;
+	await listener.crash();
+	await clock.sleep(random.below(sendSpread));
+	await listener.restart();
+};
+
 const runFaults = async (run: Run): Promise<void> => {
 	const {random, deployment: {keyValue, services}} = run;
 	const service = random.pick([...services.values()])!;
@@ -135,6 +166,8 @@
 		{chance: 0.4, start: async () => killRouter(run)},
 		{chance: 0.4, start: async () => pauseRouter(run)},
 		{chance: 0.6, start: async () => disturb(run, keyValue.faults, random.pick(keyValueFaults)!)},
+		{chance: 0.7, start: async () => crashEngine(run)},
+		{chance: 0.7, start: async () => crashEngine(run)},
 		{chance: 0.6, start: async () => disturb(run, service.faults, random.pick(serviceFaults)!)},
 	];
 	await Promise.all(faults.filter(({chance}) => random.next() < chance).map(async ({start}) => start()));
@@ -143,7 +176,12 @@
 const runRound = async (run: Run, round: number): Promise<void> => {
 	const bookings = Array.from({length: bookingsPerRound}, (_, index) => `booking-${round}-${index}`);
 	const startedAt = run.deployment.clock.monotonic();
-	await Promise.all([runFaults(run), ...bookings.map(async booking => sendOften(run, booking))]);
+	const questions = Array.from({length: questionsPerRound}, (_, index) => `question ${round} ${index}`);
+	await Promise.all([
+		runFaults(run),
+		...bookings.map(async booking => sendOften(run, booking)),
+		...questions.map(async question => ask(run, question)),
+	]);
 	const left = startedAt + roundDuration - run.deployment.clock.monotonic();
 	if (left > 0) {
 		await run.deployment.clock.sleep(left);
--- a/packages/claims/src/commands/settlement-queue.ts
+++ b/packages/claims/src/commands/settlement-queue.ts
@@ -22,7 +22,7 @@
 	getSize: () => number;
 };
 
-const sendsAtOnce = 4;
+const sendsAtOnce = 64;
 const retryDelay = {first: 250, longest: 8000};
 const longestExponent = 6;
 const drainInterval = 20;
