--- a/packages/membership/src/fleet.ts
+++ b/packages/membership/src/fleet.ts
@@ -37,27 +37,35 @@
 
 type Running = {membership: Membership; metrics: Metrics; pauses: Pauses};
 
-/** Work of a process that waits while it is paused. */
+/** Work of a process that waits while it is paused; when it goes on, timers run before datagrams are read. */
 type Pauses = {
-	run: (work: () => void) => void;
+	runTimer: (work: () => void) => void;
+	runDatagram: (work: () => void) => void;
 	setPaused: (isPaused: boolean) => void;
 };
 
 const createPauses = (): Pauses => {
+	const timers: Array<() => void> = [];
+	const datagrams: Array<() => void> = [];
 	let isPaused = false;
-	let waiting: Array<() => void> = [];
+	const run = (waiting: Array<() => void>, work: () => void): void => {
+		if (isPaused) {
+			waiting.push(work);
+		} else {
+			work();
+		}
+	};
+
 	return {
-		run(work) {
-			if (isPaused) {
-				waiting.push(work);
-			} else {
-				work();
-			}
+		runTimer(work) {
+			run(timers, work);
+		},
+		runDatagram(work) {
+			run(datagrams, work);
 		},
 		setPaused(next) {
 			isPaused = next;
-			const due = isPaused ? [] : waiting;
-			waiting = isPaused ? waiting : [];
+			const due = isPaused ? [] : [...timers.splice(0), ...datagrams.splice(0)];
 			for (const work of due) {
 				work();
 			}
@@ -68,7 +76,7 @@
 const createHostClock = (clock: Clock, pauses: Pauses): Clock => {
 	const {after, every} = clock;
 	const guard = (run: () => void) => () => {
-		pauses.run(run);
+		pauses.runTimer(run);
 	};
 
 	return {
@@ -81,7 +89,7 @@
 const createHostTransport = (transport: Transport, pauses: Pauses): Transport => ({
 	...transport,
 	start: async onDatagram => transport.start(bytes => {
-		pauses.run(() => {
+		pauses.runDatagram(() => {
 			onDatagram(bytes);
 		});
 	}),
