--- a/packages/scheduler/src/client/exchange.ts
+++ b/packages/scheduler/src/client/exchange.ts
@@ -12,6 +12,8 @@
 const mostInFlight = 4;
 /** Exchanges that fail in a row before the host orders its own work. */
 export const failuresBeforeAlone = 2;
+/** The same for answers of hosts that don't take themselves for the owner: views agree again within moments. */
+const refusalsBeforeAlone = 8;
 const retryDelay: Milliseconds = 40;
 const recoveryDelay: Milliseconds = 1000;
 
@@ -133,7 +135,7 @@
 		if (!answer.owner) {
 			this.#options.metrics.count('grant_exchange_failures', {kind: 'not-owner'});
 			restoreMessage(line, message);
-			this.#fail(line);
+			this.#fail(line, refusalsBeforeAlone);
 			return;
 		}
 
@@ -146,13 +148,13 @@
 		this.#apply(answer);
 	}
 
-	#fail(line: Line): void {
+	#fail(line: Line, mostFailures = failuresBeforeAlone): void {
 		const {clock, random} = this.#options;
 		line.failures++;
 		line.owner = undefined;
-		const delay = line.failures < failuresBeforeAlone ? retryDelay : recoveryDelay;
+		const delay = line.failures < mostFailures ? retryDelay : recoveryDelay;
 		line.notBefore = clock.monotonic() + (delay * (0.5 + random.next()));
-		if (line.failures >= failuresBeforeAlone) {
+		if (line.failures >= mostFailures) {
 			this.#separate(line);
 			this.#exchangeAlone(line);
 		}
--- a/packages/scheduler/src/owner/commands/shed.ts
+++ b/packages/scheduler/src/owner/commands/shed.ts
@@ -34,7 +34,8 @@
 		}
 	}
 
-	if (!state.context.without.has('admission')) {
+	// A host on its share of the slots knows too little of the rest to refuse by estimate.
+	if (!state.context.without.has('admission') && state.slotShare === 1) {
 		shedUnreachable(state, inOrder.filter(({ticket}) => state.entries.has(ticket.request)));
 	}
 };
