--- a/packages/config/src/parse-configuration.test.ts
+++ b/packages/config/src/parse-configuration.test.ts
@@ -1,5 +1,6 @@
 import {readFileSync} from 'node:fs';
 import type {Configuration} from '@gentianlift/types';
+import fc from 'fast-check';
 import {expect, test} from 'vitest';
 import {formatDiagnostic, parseConfiguration} from './index.js';
 
@@ -93,3 +94,23 @@
 test.each([undefined, null, 3, 'x', [], {}, {inventory: [], rules: 3}])('refuses %j', document => {
 	expect(parseConfiguration(document).kind).toBe('invalid');
 });
+
+const replaceAt = (value: unknown, picks: number[], replacement: unknown): unknown => {
+	const [pick, ...rest] = picks;
+	if (pick === undefined || typeof value !== 'object' || value === null) {
+		return replacement;
+	}
+
+	const keys = Object.keys(value);
+	const key = keys[pick % Math.max(1, keys.length)] ?? 'added';
+	const entries = {...value as Record<string, unknown>};
+	const changed = {...entries, [key]: replaceAt(entries[key], rest, replacement)};
+	return Array.isArray(value) ? Object.values(changed) : changed;
+};
+
+test('answers any damaged document without an error', () => {
+	fc.assert(fc.property(fc.array(fc.nat(20), {maxLength: 6}), fc.jsonValue({maxDepth: 2}), (picks, replacement) => {
+		const parsed = parseConfiguration(replaceAt(JSON.parse(text), picks, replacement));
+		expect(parsed.kind === 'valid' || parsed.faults.length > 0).toBe(true);
+	}), {seed: 3, numRuns: 500});
+});
