--- a/packages/distribution/src/follower.test.ts
+++ b/packages/distribution/src/follower.test.ts
@@ -77,7 +77,7 @@
 test('starts from peers during an outage', async () => {
 	const fleet = await startFleet(3);
 	fleet.service.setFaults({outage: true});
-	const host = await fleet.startHost('h2');
+	const host = fleet.startHost('h2');
 	await fleet.clock.advance(2000);
 	expect(host.follower.getCurrent()?.version).toBe(1);
 	expect(host.follower.getStanding()).toBe('confirmed');
@@ -95,7 +95,7 @@
 	expect(first.follower.getCurrent()?.version).toBe(2);
 	fleet.service.setFaults({outage: true});
 	fleet.hosts.get('h1')!.isCut = false;
-	const again = await fleet.startHost('h0');
+	const again = fleet.startHost('h0');
 	fleet.hosts.get('h2')!.isCut = false;
 	await fleet.clock.advance(5000);
 	expect(again.follower.getStanding()).toBe('none');
@@ -131,7 +131,7 @@
 		}
 
 		case 'restart': {
-			await fleet.startHost(name);
+			fleet.startHost(name);
 			break;
 		}
 
