--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,4 +1,3 @@
-#!/usr/bin/env node
 import {readFile} from 'node:fs/promises';
 import {hostname} from 'node:os';
 import process from 'node:process';
