--- a/packages/fakes/src/engine/engine.test.ts
+++ b/packages/fakes/src/engine/engine.test.ts
@@ -84,3 +84,14 @@
 	expect(checked.getState().holdings.models).toContain('m2');
 	await Promise.all([checked.close(), ignored.close()]);
 });
+
+test('a crash starts nothing that waited', async () => {
+	const engine = await createEngine({...fast, slots: 1});
+	const running = send(engine.listener.url, {...getPrompt('a #tokens=100000'), stream: true});
+	const waiting = send(engine.listener.url, {...getPrompt('b #tokens=100000'), stream: true});
+	await expect.poll(() => [engine.getState().running, engine.getState().waiting]).toEqual([1, 1]);
+	await fetch(`${engine.listener.url}/fake/faults`, {method: 'POST', body: '{"crash":true,"restartAfterMs":0}'}).catch(() => undefined);
+	await Promise.allSettled([running, waiting]);
+	expect(engine.getState().started).toBe(1);
+	await engine.close();
+});
--- a/packages/fakes/src/engine/generations.ts
+++ b/packages/fakes/src/engine/generations.ts
@@ -213,11 +213,10 @@
 		/** Drops everything, as a crash does. */
 		abandon(): void {
 			counts.crashes++;
+			batch.clear();
 			for (const id of live.keys()) {
 				drop(id);
 			}
-
-			batch.clear();
 		},
 		/** Sends nothing more on the answers under way. */
 		silence(): void {
