--- a/packages/fakes/src/engine/generations.ts
+++ b/packages/fakes/src/engine/generations.ts
@@ -2,19 +2,15 @@
 import type {Milliseconds} from '@gentianlift/types';
 import type {Faults} from '../faults.js';
 import {readJson, sendJson, type Exchange} from '../listener.js';
-import {
-	getAnswer, getAnswerText, type Answer, type Prompt,
-} from './answer.js';
-import {createAnswerStream, type AnswerStream} from './answer-stream.js';
-import type {Batch, Generation} from './batch.js';
+import {getAnswer, getAnswerText} from './answer.js';
+import type {Batch} from './batch.js';
 import type {PrefixCache} from './cache.js';
+import {
+	createLive, getHeader, type Body, type Live,
+} from './live.js';
 import type {EngineSettings} from './options.js';
 import type {Holdings} from './orders.js';
 
-type Body = Prompt & {stream?: boolean; resume?: {text: string; tokens: number}};
-
-type Live = {generation: Generation; answer: Answer; from: number; response: ServerResponse; silenced: boolean};
-
 /** What generations need of their engine. */
 export type GenerationParts = {
 	settings: EngineSettings;
@@ -42,11 +38,6 @@
 const millisecondsPerSecond = 1000;
 const rateWindow: Milliseconds = 2000;
 
-const getHeader = (exchange: Exchange, name: string): string => {
-	const value = exchange.request.headers[name];
-	return typeof value === 'string' ? value : '';
-};
-
 const refuse = (response: ServerResponse, code: string): void => {
 	sendJson(response, 503, {error: {code}}, {'x-ran': 'not-run'});
 };
@@ -117,55 +108,28 @@
 		return holdings.models.has(body.model) || holdings.adapters.has(body.model) ? undefined : 'model-not-loaded';
 	};
 
-	const createLive = (id: string, body: Body, exchange: Exchange): Live => {
-		const {response} = exchange;
-		const answer = getAnswer(body, settings.meanTokens);
-		const prefix = getHeader(exchange, 'x-prefix').split(',').filter(chunk => chunk !== '');
-		const cachedShare = prefix.length === 0 ? 0 : cache.countCached(prefix) / prefix.length;
-		const from = body.resume?.tokens ?? 0;
-		const cachedTokens = Math.floor(answer.promptTokens * cachedShare);
+	const create = (id: string, body: Body, exchange: Exchange): Live => {
 		const isCrasher = faults.crashOnPrompt !== undefined && JSON.stringify(body.messages).includes(faults.crashOnPrompt);
-		let stream: AnswerStream | undefined;
-		const generation: Generation = {
-			id,
-			priority: Number(getHeader(exchange, 'x-priority')) || 0,
-			order: order++,
-			prefillTokens: answer.promptTokens - cachedTokens + from,
-			cacheTokens: answer.promptTokens + answer.length,
-			index: from,
-			length: answer.length,
-			readyAt: 0,
-			canSend: () => stream?.canSend() ?? false,
-			onStart() {
+		return createLive({
+			id, body, exchange, order: order++, meanTokens: settings.meanTokens, countCached: cache.countCached,
+			onStart(prefix) {
 				counts.started++;
 				cache.store(prefix);
-				stream = createAnswerStream({
-					id, model: body.model, answer, from, cachedTokens, response, stream: body.stream ?? false,
-				});
 			},
-			onToken(index) {
+			onToken(tag) {
 				if (isCrasher) {
 					void crash();
-					return;
+				} else {
+					countToken(tag);
 				}
 
-				countToken(answer.tag);
-				if (!entry.silenced) {
-					stream?.writeToken(index);
-				}
+				return !isCrasher;
 			},
 			onEnd() {
 				live.delete(id);
 				counts.finished++;
-				if (!entry.silenced) {
-					stream?.writeEnd();
-				}
 			},
-		};
-		const entry: Live = {
-			generation, answer, from, response, silenced: false,
-		};
-		return entry;
+		});
 	};
 
 	const isResumable = (body: Body): boolean => {
@@ -196,7 +160,7 @@
 
 			const id = getHeader(exchange, 'x-request-id') || `fake-${order}`;
 			drop(id);
-			const entry = createLive(id, body, exchange);
+			const entry = create(id, body, exchange);
 			live.set(id, entry);
 			response.on('close', () => {
 				if (live.get(id) === entry) {
