--- /dev/null
+++ b/packages/router/src/host/demand.test.ts
@@ -0,0 +1,44 @@
+import {createAccounts} from '@gentianlift/claims';
+import {createManualClock} from '@gentianlift/clock';
+import type {ClassifiedRequest} from '@gentianlift/types';
+import {expect, test} from 'vitest';
+import {createDemandRecord} from './demand.js';
+
+const getRequest = (id: string): ClassifiedRequest => ({
+	id,
+	customer: 'c',
+	weight: 1,
+	className: 'quote',
+	tier: 'top',
+	rank: 0,
+	idempotent: true,
+	arrivedAt: 0,
+	targets: {firstToken: 1000},
+	deadline: 1000,
+	expectedTokens: 10,
+	work: {
+		kind: 'generation', model: 'm', adapter: 'a', promptTokens: 1, maxTokens: 1, stream: false, prefix: [],
+	},
+	digest: '',
+	fingerprint: '',
+});
+
+test('counts what waits and runs, and what was refused for a while', async () => {
+	const clock = createManualClock();
+	const record = createDemandRecord(createAccounts({clock, capacity: 10}), clock);
+	for (const id of ['waits', 'runs', 'refused', 'done']) {
+		record.accounts.open(getRequest(id));
+	}
+
+	record.accounts.apply({kind: 'attempt-started', request: 'runs', upstream: 'e'});
+	record.accounts.apply({
+		kind: 'refused', request: 'refused', error: 'no-upstream', ran: 'not-run',
+	});
+	record.accounts.apply({kind: 'finished', request: 'done', status: 200});
+	expect(record.getDemands()).toMatchObject([{
+		className: 'quote', needs: 'a', running: 1, waiting: 2, target: 1000,
+	}]);
+	await clock.advance(10_000);
+	expect(record.getDemands()).toMatchObject([{running: 1, waiting: 1}]);
+	expect(record.accounts.getAccount('done')).toMatchObject({state: {kind: 'finished'}});
+});
--- /dev/null
+++ b/packages/router/src/host/placement-facts.test.ts
@@ -0,0 +1,61 @@
+import {createManualClock} from '@gentianlift/clock';
+import type {HostId, LoadReport, PlacementFacts} from '@gentianlift/types';
+import {expect, test} from 'vitest';
+import {startFactsOfFleet} from './placement-facts.js';
+
+const report: LoadReport = {
+	at: 0, running: 0, waiting: 0, cacheUse: 0, tokensPerSecond: 0, models: [], adapters: [], role: 'mixed', leaving: false,
+};
+
+const getFacts = (host: HostId): PlacementFacts => ({
+	demands: [{
+		className: 'c', needs: 'm', rank: 0, running: 0, waiting: 1, serviceTime: 1, target: 1,
+	}],
+	reports: [{upstream: `engine-of-${host}`, report}],
+});
+
+const startFacts = (hosts: number, isHolder: () => boolean) => {
+	const clock = createManualClock();
+	const asked: HostId[] = [];
+	const silent = new Set<HostId>();
+	const facts = startFactsOfFleet({
+		clock,
+		self: 'host-0',
+		fleet: {getHosts: () => Array.from({length: hosts}, (_, index) => ({host: `host-${index}`, zone: 'a'}))},
+		peers: {
+			async readPlacementFacts(to) {
+				asked.push(to);
+				return silent.has(to) ? {kind: 'unreachable', reason: ''} : {kind: 'answered', answer: getFacts(to)};
+			},
+		},
+		getOwnFacts: () => getFacts('host-0'),
+		isHolder,
+	});
+	return {
+		clock, asked, silent, facts,
+	};
+};
+
+test('the holder knows the demand of all hosts after asking them in turn', async () => {
+	const {clock, asked, facts} = startFacts(100, () => true);
+	await clock.advance(1000);
+	expect(asked).toHaveLength(32);
+	await clock.advance(3000);
+	expect(facts.getDemands()).toHaveLength(100);
+	expect(facts.getReports().size).toBe(100);
+});
+
+test('a host that no longer answers is forgotten', async () => {
+	const {clock, silent, facts} = startFacts(3, () => true);
+	await clock.advance(1000);
+	silent.add('host-2');
+	await clock.advance(7000);
+	expect([...facts.getReports().keys()]).toEqual(['engine-of-host-0', 'engine-of-host-1']);
+});
+
+test('a host that doesn\'t plan asks nobody', async () => {
+	const {clock, asked, facts} = startFacts(3, () => false);
+	await clock.advance(5000);
+	expect(asked).toEqual([]);
+	expect(facts.getDemands()).toHaveLength(1);
+});
--- /dev/null
+++ b/packages/router/src/host/suspect-notes.test.ts
@@ -0,0 +1,55 @@
+import {createManualClock} from '@gentianlift/clock';
+import type {NoteContent} from '@gentianlift/membership';
+import type {Suspects} from '@gentianlift/policy';
+import type {Note} from '@gentianlift/types';
+import {expect, test} from 'vitest';
+import {startSuspectNotes} from './suspect-notes.js';
+
+test('suspects reach another host once, and aren\'t told back', async () => {
+	const clock = createManualClock();
+	const listeners: Array<(note: Note) => void> = [];
+	const told: string[] = [];
+	const createHost = (self: string) => {
+		let suspects: Suspects = new Map();
+		startSuspectNotes({
+			clock,
+			self,
+			membership: {
+				onNote(listener) {
+					listeners.push(listener);
+					return () => undefined;
+				},
+				publishNote(content: NoteContent) {
+					told.push(`${self} ${content.key} ${content.value}`);
+					for (const listener of listeners) {
+						listener({...content, host: self, sequence: told.length});
+					}
+
+					return true;
+				},
+			},
+			groupOwner: {
+				getSuspects: () => suspects,
+				applySuspects(others) {
+					suspects = new Map([...suspects, ...others]);
+				},
+			},
+		});
+		return {
+			getSuspects: () => suspects,
+			add(fingerprint: string, crashes: string[]) {
+				suspects = new Map([...suspects, [fingerprint, {fingerprint, crashes, expiresAt: 60_000}]]);
+			},
+		};
+	};
+
+	const one = createHost('one');
+	const two = createHost('two');
+	one.add('f', ['e1']);
+	await clock.advance(2000);
+	expect(two.getSuspects().get('f')?.crashes).toEqual(['e1']);
+	two.add('f', ['e1', 'e2']);
+	await clock.advance(2000);
+	expect(one.getSuspects().get('f')?.crashes).toEqual(['e1', 'e2']);
+	expect(told).toEqual(['one f e1', 'two f e1,e2']);
+});
