--- a/packages/router/src/callers/commands/chat.ts
+++ b/packages/router/src/callers/commands/chat.ts
@@ -1,22 +1,20 @@
-import {createFailure, getFailure} from '@gentianlift/errors';
+import {createFailure} from '@gentianlift/errors';
 import {getPrefixDigests} from '@gentianlift/policy';
 import type {
 	ClassifiedRequest, Configuration, Work,
 } from '@gentianlift/types';
-import {runClaimed, type ClaimedEnd} from '../../dispatch/run-claimed.js';
 import {runGeneration, type GenerationResult} from '../../dispatch/run-generation.js';
 import type {HostParts} from '../../parts.js';
 import {
 	admitRequest, authenticate, takeLimits, type Caller,
 } from '../admission.js';
-import {checkForcedStop} from '../forced-stop.js';
 import {getAccountHeaders, sendJson} from '../answer.js';
 import {createCallerStream, type AnswerWriter, type CallerStream} from '../caller-stream.js';
 import {parseChatBody, type ChatBody} from '../chat-body.js';
+import {endUnfinished, getUnfinishedEnd, serveClaimed} from '../ending.js';
 import type {Exchange} from '../exchange.js';
 import {getCompletion} from '../completion.js';
 import {readBody} from '../read-body.js';
-import {sendClaimed} from '../stored-answer.js';
 import {recordLatencies} from '../latencies.js';
 
 /** A chat completion that has been classified. */
@@ -93,81 +91,38 @@
 	return result;
 };
 
-const sendResult = (parts: HostParts, {request, body, exchange: {response}, stream}: Chat, result: GenerationResult): void => {
-	switch (result.kind) {
-		case 'finished': {
-			parts.accounts.apply({kind: 'finished', request: request.id, status: 200});
-			if (body.stream === true) {
-				stream.end();
-			} else {
-				sendJson(response, 200, getCompletion(request, body.model, result, parts.clock.now()), getAccountHeaders(request.id, 'ran'));
-			}
-
-			return;
-		}
-
-		case 'stopped': {
-			checkForcedStop(parts, result.ran);
-			parts.accounts.apply({kind: 'cancelled', request: request.id, ran: result.ran});
-			parts.metrics.count('cancelled_total', {class: request.className});
-			response.destroy();
-			return;
-		}
-
-		case 'failed': {
-			throw result.failure;
-		}
+const sendResult = (parts: HostParts, {request, body, exchange, stream}: Chat, result: GenerationResult): void => {
+	if (result.kind !== 'finished') {
+		endUnfinished(parts, exchange, request, result);
+		return;
 	}
-};
-
-const getClaimedEnd = (result: GenerationResult): ClaimedEnd => {
-	switch (result.kind) {
-		case 'finished': {
-			return {kind: 'finished', status: 200};
-		}
-
-		case 'stopped': {
-			return {kind: 'failed', failure: createFailure('outcome-unknown', {ran: result.ran})};
-		}
 
-		case 'failed': {
-			return {kind: 'failed', failure: result.failure};
-		}
+	parts.accounts.apply({kind: 'finished', request: request.id, status: 200});
+	if (body.stream === true) {
+		stream.end();
+	} else {
+		sendJson(exchange.response, 200, getCompletion(request, body.model, result, parts.clock.now()), getAccountHeaders(request.id, 'ran'));
 	}
 };
 
-const serveChat = async (parts: HostParts, chat: Chat): Promise<void> => {
+/** Runs a chat within its customer's limits and answers. */
+const serveChat = async (parts: HostParts, chat: Chat): Promise<GenerationResult> => {
 	const release = await takeLimits(parts, chat.caller.customer, chat.request);
 	let tokens = 0;
 	try {
 		const result = await runChat(parts, chat);
 		tokens = result.kind === 'finished' ? result.tokens : 0;
 		sendResult(parts, chat, result);
+		return result;
 	} finally {
 		release(tokens);
 	}
 };
 
-/** Runs a claimed chat; a failure becomes the claim's outcome before the caller is told. */
-const runClaimedChat = async (parts: HostParts, chat: Chat): Promise<ClaimedEnd> => {
-	try {
-		const release = await takeLimits(parts, chat.caller.customer, chat.request);
-		const result = await runChat(parts, chat);
-		release(result.kind === 'finished' ? result.tokens : 0);
-		if (result.kind !== 'failed') {
-			sendResult(parts, chat, result);
-		}
-
-		return getClaimedEnd(result);
-	} catch (error) {
-		return {kind: 'failed', failure: getFailure(error)};
-	}
-};
-
-const serveClaimedChat = async (parts: HostParts, chat: Chat): Promise<void> => {
-	const result = await runClaimed(parts, chat.request, async () => runClaimedChat(parts, chat));
-	sendClaimed(chat.exchange, result);
-};
+const serveClaimedChat = async (parts: HostParts, chat: Chat): Promise<void> => serveClaimed(parts, chat.exchange, chat.request, async () => {
+	const result = await serveChat(parts, chat);
+	return result.kind === 'finished' ? {kind: 'finished', status: 200} : getUnfinishedEnd(result);
+});
 
 /** Answers `POST /v1/chat/completions`, as a stream or whole; throws the failure to report. */
 export const handleChat = async (parts: HostParts, exchange: Exchange): Promise<void> => {
--- a/packages/router/src/callers/commands/service.ts
+++ b/packages/router/src/callers/commands/service.ts
@@ -1,21 +1,19 @@
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage, OutgoingHttpHeaders} from 'node:http';
-import {createFailure, getFailure} from '@gentianlift/errors';
 import {getEndToEndHeaders} from '@gentianlift/upstream';
 import type {ClassifiedRequest} from '@gentianlift/types';
 import {runCall, type CallResult} from '../../dispatch/run-call.js';
-import {runClaimed, type ClaimedEnd} from '../../dispatch/run-claimed.js';
+import type {ClaimedEnd} from '../../dispatch/run-claimed.js';
 import type {HostParts} from '../../parts.js';
 import {
 	admitRequest, authenticate, takeLimits, type Caller,
 } from '../admission.js';
-import {checkForcedStop} from '../forced-stop.js';
 import {getAccountHeaders} from '../answer.js';
 import {createCallerStream, type CallerStream} from '../caller-stream.js';
+import {endUnfinished, getUnfinishedEnd, serveClaimed} from '../ending.js';
 import type {Exchange} from '../exchange.js';
 import {recordLatencies} from '../latencies.js';
 import {readBody} from '../read-body.js';
-import {sendClaimed} from '../stored-answer.js';
 
 type Call = {
 	caller: Caller;
@@ -63,75 +61,40 @@
 };
 
 const endCall = (parts: HostParts, {request, exchange, stream}: Call, result: CallResult): void => {
-	switch (result.kind) {
-		case 'finished': {
-			parts.accounts.apply({kind: 'finished', request: request.id, status: result.status});
-			stream.end();
-			return;
-		}
-
-		case 'stopped': {
-			checkForcedStop(parts, result.ran);
-			parts.accounts.apply({kind: 'cancelled', request: request.id, ran: result.ran});
-			parts.metrics.count('cancelled_total', {class: request.className});
-			exchange.response.destroy();
-			return;
-		}
-
-		case 'failed': {
-			throw result.failure;
-		}
+	if (result.kind !== 'finished') {
+		endUnfinished(parts, exchange, request, result);
+		return;
 	}
+
+	parts.accounts.apply({kind: 'finished', request: request.id, status: result.status});
+	stream.end();
 };
 
 const getClaimedEnd = (result: CallResult): ClaimedEnd => {
-	switch (result.kind) {
-		case 'finished': {
-			const {status, contentType, body, upstream} = result;
-			return {
-				kind: 'finished', upstream, status, ...(contentType !== undefined && {contentType}), ...(body !== undefined && {body}),
-			};
-		}
-
-		case 'stopped': {
-			return {kind: 'failed', failure: createFailure('outcome-unknown', {ran: result.ran})};
-		}
-
-		case 'failed': {
-			return {kind: 'failed', failure: result.failure};
-		}
+	if (result.kind !== 'finished') {
+		return getUnfinishedEnd(result);
 	}
-};
 
-const serveCall = async (parts: HostParts, call: Call): Promise<void> => {
-	const release = await takeLimits(parts, call.caller.customer, call.request);
-	try {
-		endCall(parts, call, await runServiceCall(parts, call));
-	} finally {
-		release(0);
-	}
+	const {status, contentType, body, upstream} = result;
+	return {
+		kind: 'finished', upstream, status, ...(contentType !== undefined && {contentType}), ...(body !== undefined && {body}),
+	};
 };
 
-/** Runs a claimed call; a failure becomes the claim's outcome before the caller is told. */
-const runClaimedCall = async (parts: HostParts, call: Call): Promise<ClaimedEnd> => {
+/** Makes a call within its customer's limits and answers. */
+const serveCall = async (parts: HostParts, call: Call): Promise<CallResult> => {
+	const release = await takeLimits(parts, call.caller.customer, call.request);
 	try {
-		const release = await takeLimits(parts, call.caller.customer, call.request);
 		const result = await runServiceCall(parts, call);
+		endCall(parts, call, result);
+		return result;
+	} finally {
 		release(0);
-		if (result.kind !== 'failed') {
-			endCall(parts, call, result);
-		}
-
-		return getClaimedEnd(result);
-	} catch (error) {
-		return {kind: 'failed', failure: getFailure(error)};
 	}
 };
 
-const serveClaimedCall = async (parts: HostParts, call: Call): Promise<void> => {
-	const result = await runClaimed(parts, call.request, async () => runClaimedCall(parts, call));
-	sendClaimed(call.exchange, result);
-};
+const serveClaimedCall = async (parts: HostParts, call: Call): Promise<void> =>
+	serveClaimed(parts, call.exchange, call.request, async () => getClaimedEnd(await serveCall(parts, call)));
 
 const servicePath = /^\/v1\/services\/(?<service>[^\/?]+)(?<path>.*)$/v;
 
