--- a/packages/bench/src/histories/processes.ts
+++ b/packages/bench/src/histories/processes.ts
@@ -151,12 +151,17 @@
 	Object.assign(faults, faultsOff);
 };
 
-const crashEngine = async ({deployment: {clock, engines}, random}: Run): Promise<void> => {
-	await clock.sleep(random.below(sendSpread));
-	const {listener} = random.pick([...engines.values()])!;
-	await listener.crash();
-	await clock.sleep(random.below(sendSpread));
-	await listener.restart();
+/** Crashes two engines, which may be down at the same time. */
+const crashEngines = async ({deployment: {clock, engines}, random}: Run): Promise<void> => {
+	const all = [...engines.values()];
+	const first = random.below(all.length);
+	const chosen = [all[first]!, all[(first + 1) % all.length]!];
+	await Promise.all(chosen.map(async ({listener}) => {
+		await clock.sleep(random.below(sendSpread));
+		await listener.crash();
+		await clock.sleep(random.below(sendSpread));
+		await listener.restart();
+	}));
 };
 
 const runFaults = async (run: Run): Promise<void> => {
@@ -166,8 +171,7 @@
 		{chance: 0.4, start: async () => killRouter(run)},
 		{chance: 0.4, start: async () => pauseRouter(run)},
 		{chance: 0.6, start: async () => disturb(run, keyValue.faults, random.pick(keyValueFaults)!)},
-		{chance: 0.7, start: async () => crashEngine(run)},
-		{chance: 0.7, start: async () => crashEngine(run)},
+		{chance: 0.8, start: async () => crashEngines(run)},
 		{chance: 0.6, start: async () => disturb(run, service.faults, random.pick(serviceFaults)!)},
 	];
 	await Promise.all(faults.filter(({chance}) => random.next() < chance).map(async ({start}) => start()));
@@ -220,13 +224,15 @@
 	const run: Run = {
 		deployment, random: createRandom(seed), agent: new Agent(), events: [], writes: recordWrites(deployment), sent: new Map(), killedAt: new Map(),
 	};
-	for (let round = 0; round < rounds; round++) {
-		// eslint-disable-next-line no-await-in-loop -- Rounds follow each other.
-		await runRound(run, round);
-	}
+	try {
+		for (let round = 0; round < rounds; round++) {
+			// eslint-disable-next-line no-await-in-loop -- Rounds follow each other.
+			await runRound(run, round);
+		}
 
-	await deployment.clock.sleep(recovery);
-	const history: History = {events: [...getRuns(run), ...run.events], writes: run.writes, settled: getSettled(run)};
-	await deployment.stop();
-	return history;
+		await deployment.clock.sleep(recovery);
+		return {events: [...getRuns(run), ...run.events], writes: run.writes, settled: getSettled(run)};
+	} finally {
+		await deployment.stop();
+	}
 };
