--- /dev/null
+++ b/packages/router/bin/gentianlift-router.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+await import('../dist/main.js');
