--- a/packages/router/src/main.ts
+++ b/packages/router/src/main.ts
@@ -2,32 +2,57 @@
 import {readFile} from 'node:fs/promises';
 import process from 'node:process';
 import {formatDiagnostic, parseJson, parseSettings} from '@gentianlift/config';
-import {defineCommand, runMain} from 'citty';
-import {startHost} from './host/start-host.js';
+import type {Settings} from '@gentianlift/types';
+import {defineCommand, runMain, type ArgsDef} from 'citty';
+import {startHost, type RunningHost} from './host/start-host.js';
 
-const usageStatus = 2;
+const exitStatuses = {failed: 1, usage: 2};
+const commandArguments = {
+	settings: {type: 'string', description: 'File of the settings, in JSON.', required: true},
+} as const satisfies ArgsDef;
 
-const exitWith = (lines: string[]): never => {
+const exitWith = (status: number, lines: string[]): never => {
 	process.stderr.write(`${lines.join('\n')}\n`);
-	process.exit(usageStatus);
+	process.exit(status);
 };
 
-const main = defineCommand({
-	meta: {name: 'gentianlift-router', version: '0.1.0', description: 'The process of an entry host.'},
-	args: {
-		settings: {type: 'string', description: 'File of the settings, in JSON.', required: true},
-	},
-	async run({args}) {
-		const document = parseJson(await readFile(args.settings, 'utf8'));
-		const parsed = document.kind === 'valid' ? parseSettings(document.value) : document;
-		if (parsed.kind === 'invalid') {
-			exitWith(parsed.faults.map(fault => formatDiagnostic(fault)));
-			return;
-		}
+const checkFlags = (names: string[]): void => {
+	const unknown = names.filter(name => name !== '_' && !(name in commandArguments));
+	if (unknown.length > 0) {
+		exitWith(exitStatuses.usage, unknown.map(name => `Unknown flag --${name}.`));
+	}
+};
+
+const readText = async (file: string): Promise<string> => {
+	try {
+		return await readFile(file, 'utf8');
+	} catch (error) {
+		return exitWith(exitStatuses.usage, [`The settings can't be read: ${error instanceof Error ? error.message : String(error)}`]);
+	}
+};
 
-		const host = await startHost(parsed.value, status => {
+const readSettings = async (file: string): Promise<Settings> => {
+	const document = parseJson(await readText(file));
+	const parsed = document.kind === 'valid' ? parseSettings(document.value) : document;
+	return parsed.kind === 'valid' ? parsed.value : exitWith(exitStatuses.usage, parsed.faults.map(fault => formatDiagnostic(fault)));
+};
+
+const start = async (settings: Settings): Promise<RunningHost> => {
+	try {
+		return await startHost(settings, status => {
 			process.exit(status);
 		});
+	} catch (error) {
+		return exitWith(exitStatuses.failed, [`The host can't start: ${error instanceof Error ? error.message : String(error)}`]);
+	}
+};
+
+const main = defineCommand({
+	meta: {name: 'gentianlift-router', version: '0.1.0', description: 'The process of an entry host.'},
+	args: commandArguments,
+	async run({args}) {
+		checkFlags(Object.keys(args));
+		const host = await start(await readSettings(args.settings));
 		process.on('unhandledRejection', reason => {
 			host.reportFault(reason);
 		});
