--- a/packages/bench/src/histories/processes.ts
+++ b/packages/bench/src/histories/processes.ts
@@ -194,7 +194,7 @@
 
 /** Gets the runs at the services, each after the send that it stems from if a caller sent that body under that key. */
 const getRuns = ({deployment: {services}, sent}: Run): HistoryEvent[] => [...services.values()].flatMap(service =>
-	service.calls.flatMap((call): HistoryEvent[] => {
+	service.calls.filter(({method}) => method === 'POST').flatMap((call): HistoryEvent[] => {
 		const {idempotencyKey: booking, body: digest, request, at} = call;
 		const ran: HistoryEvent = {
 			kind: 'ran', at, booking, digest, request, body: JSON.stringify(call),
