--- a/packages/router/src/host/work.ts
+++ b/packages/router/src/host/work.ts
@@ -1,4 +1,6 @@
-import {createAccounts, createClaimClient, createClaimOwner} from '@gentianlift/claims';
+import {
+	createAccounts, createClaimClient, createClaimOwner, createClaimRemoval,
+} from '@gentianlift/claims';
 import {getDirectory, type Directory} from '../directory.js';
 import {createAccountReader} from './account-reader.js';
 import type {Base} from './base.js';
@@ -20,7 +22,10 @@
 	const client = createClaimClient({
 		clock, random, metrics, self: settings.host, keyValue, peers, getOwner: fleet.getOwnerOf, owner, isGone: fleet.isGone,
 	});
-	return {owner, client};
+	const removal = createClaimRemoval({
+		clock, metrics, self: settings.host, keyValue, getOwner: fleet.getOwnerOf,
+	});
+	return {owner, client, stopRemoval: removal.start()};
 };
 
 /** Creates what handles requests: order of work, claims, accounts, and the watch over upstreams. */
@@ -67,6 +72,7 @@
 	const stop = async (): Promise<void> => {
 		stopPolls();
 		stopSuspectNotes();
+		claims.stopRemoval();
 		watch.stop();
 		orderers.stop();
 		await placing.stop();
