Go on from output whatever the time and the budget

Cause: an answer whose connection went silent was cut short with upstream-silent, since its class's budget of retries was used up by a crash before it, or since its whole-answer target had passed. The caller's resend then started anew. The bound of the budget is as it was; only going on from output no longer draws on it.

--- a/packages/router/src/dispatch/run-generation.ts
+++ b/packages/router/src/dispatch/run-generation.ts
@@ -46,13 +46,9 @@
 	finished: 'finished', yielded: 'preempted', stopped: 'cancelled', lost: 'failed',
 } as const satisfies Record<GenerationEnd['result']['kind'], TicketEnd['kind']>;
 
-const getSlack = ({request}: GenerationRun, progress: Progress, now: Milliseconds): Milliseconds => {
-	if (progress.tokens === 0) {
-		return request.deadline - now;
-	}
-
-	return request.targets.whole === undefined ? Number.POSITIVE_INFINITY : request.arrivedAt + request.targets.whole - now;
-};
+/** Gets the time left to start in. Once there is output, going on from it is always less work than the resend that would follow a cut answer. */
+const getSlack = ({request}: GenerationRun, progress: Progress, now: Milliseconds): Milliseconds =>
+	progress.tokens === 0 ? request.deadline - now : Number.POSITIVE_INFINITY;
 
 const addAttempt = (progress: Progress, upstream: UpstreamId, end: GenerationEnd, ran: RunState): Progress => ({
 	...progress,
@@ -76,7 +72,8 @@
 		slack: getSlack(run, progress, parts.clock.now()),
 		expectedDuration: 0,
 		resumable: true,
-		withinBudget: lost.ran === 'not-run' || parts.limits.takeRetry(request),
+		// Going on from output is no extra load: it takes the place of a resend by the caller, which would start anew.
+		withinBudget: progress.tokens > 0 || lost.ran === 'not-run' || parts.limits.takeRetry(request),
 	}, parts.random.next());
 	if (decision.kind === 'stop') {
 		parts.metrics.count('retries_denied_total', {reason: decision.reason, error: lost.error});
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -6,6 +6,8 @@
 	test: {
 		include: ['packages/*/src/**/*.test.ts'],
 		testTimeout: 180_000,
+		// How long a test waits for what must come; no test asserts on the time itself.
+		expect: {poll: {timeout: 60_000}},
 		maxWorkers: 4,
 	},
 });
