--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -8,3 +8,4 @@
 export {overhead} from './overhead/index.js';
 export {policy} from './policy/index.js';
 export {slopes} from './slopes/index.js';
+export {timeline} from './timeline/index.js';
--- a/packages/trial/src/queries/get-report.ts
+++ b/packages/trial/src/queries/get-report.ts
@@ -47,7 +47,8 @@
 const isWithin = (value: Milliseconds | undefined, target: Milliseconds | undefined): boolean =>
 	target === undefined || (value !== undefined && value <= target);
 
-const isAttained = (record: CallRecord, targets: Targets): boolean => record.outcome === 'complete'
+/** Whether an answer met all targets of its class. */
+export const isAttained = (record: CallRecord, targets: Targets): boolean => record.outcome === 'complete'
 	&& isWithin(record.firstAfter, targets.firstToken)
 	&& (record.tokens < 2 || isWithin(record.betweenTokens, targets.betweenTokens))
 	&& isWithin(record.wholeAfter, targets.whole);
