--- a/packages/peers/src/peer-calls.ts
+++ b/packages/peers/src/peer-calls.ts
@@ -16,6 +16,8 @@
 	metrics: Metrics;
 	/** Longest time that a call takes. */
 	timeout: Milliseconds;
+	/** Time without a call after which a connection is closed, so that a large fleet keeps few open. */
+	idleLimit?: Milliseconds;
 };
 
 /** Calls to other hosts, over connections that are opened when first used. */
@@ -27,12 +29,15 @@
 
 /** Time before a host that couldn't be reached is tried again. */
 const retryDelay: Milliseconds = 250;
+const defaultIdleLimit: Milliseconds = 30_000;
 
 type Call<Answer> = (link: PeerLink, signal: AbortSignal) => Promise<Answer>;
 
 /** Creates the calls to other hosts. */
-export const createPeerCalls = ({self, keys, getAddress, clock, metrics, timeout}: PeerCallsOptions): PeerConnections => {
+export const createPeerCalls = ({self, keys, getAddress, clock, metrics, timeout, idleLimit = defaultIdleLimit}: PeerCallsOptions): PeerConnections => {
+	const {every} = clock;
 	const links = new Map<HostId, PeerLink>();
+	const usedAt = new Map<HostId, Milliseconds>();
 	const failedAt = new Map<HostId, Milliseconds>();
 
 	const drop = (link: PeerLink): void => {
@@ -53,6 +58,25 @@
 		return link;
 	};
 
+	const countLinks = (): void => {
+		metrics.setGauge('peer_connections', links.size);
+	};
+
+	const closeIdle = (): void => {
+		for (const link of links.values()) {
+			if (clock.monotonic() - (usedAt.get(link.to) ?? 0) > idleLimit) {
+				// It is taken out first, so that its end doesn't count as a failure of the host.
+				links.delete(link.to);
+				usedAt.delete(link.to);
+				link.close();
+			}
+		}
+
+		countLinks();
+	};
+
+	const cancelIdle = every(idleLimit, closeIdle);
+
 	const getLink = (to: HostId): PeerLink | undefined => {
 		const address = getAddress(to);
 		const link = links.get(to);
@@ -79,6 +103,8 @@
 		}
 
 		metrics.count('peer_calls_total', {call: name});
+		usedAt.set(to, clock.monotonic());
+		countLinks();
 		const deadline = new AbortController();
 		const cancel = clock.after(timeout, () => {
 			deadline.abort();
@@ -115,6 +141,7 @@
 			}
 		},
 		close() {
+			cancelIdle();
 			for (const link of links.values()) {
 				link.close();
 			}
--- a/packages/peers/src/peers.test.ts
+++ b/packages/peers/src/peers.test.ts
@@ -68,6 +68,22 @@
 	calls.close();
 });
 
+test('closes a connection without calls and opens it again', async () => {
+	const server = await startPeerServer({
+		self: 'b', address, keys: ['k'], handlers, clock, metrics: createMetrics(),
+	});
+	const metrics = createMetrics();
+	const calls = createPeerCalls({
+		self: 'a', keys: ['k'], getAddress: () => address, clock, metrics, timeout: 2000, idleLimit: 30,
+	});
+	expect(await calls.readConfiguration('b', {after: 0})).toMatchObject({kind: 'answered'});
+	expect(metrics.getValue('peer_connections')).toBe(1);
+	await expect.poll(() => metrics.getValue('peer_connections')).toBe(0);
+	expect(await calls.readConfiguration('b', {after: 0})).toMatchObject({kind: 'answered'});
+	calls.close();
+	await server.close();
+});
+
 test('refuses credentials for another host, old ones and forged ones', () => {
 	const credentials = createCredentials(['k'], 'a', 'b', 1_000_000);
 	expect(areValidCredentials(['k'], credentials, 'b', 1_000_000)).toBe(true);
