--- a/packages/router/src/callers/commands/service.ts
+++ b/packages/router/src/callers/commands/service.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage, OutgoingHttpHeaders} from 'node:http';
+import {createFailure} from '@gentianlift/errors';
 import {getEndToEndHeaders} from '@gentianlift/upstream';
 import type {ClassifiedRequest} from '@gentianlift/types';
 import {runCall, type CallResult} from '../../dispatch/run-call.js';
@@ -96,6 +97,17 @@
 const serveClaimedCall = async (parts: HostParts, call: Call): Promise<void> =>
 	serveClaimed(parts, call.exchange, call.request, async () => getClaimedEnd(await serveCall(parts, call)));
 
+const dotSegment = /(?:^|[\/\\])(?:\.|%2e){1,2}(?:$|[\/\\])/iv;
+const encodedSlash = /%2f|%5c/iv;
+
+/** Throws `bad-request` for a path that the service may read as another one than the rules match. */
+const checkPath = (path: string): void => {
+	const [place = ''] = path.split('?');
+	if (dotSegment.test(place) || encodedSlash.test(place)) {
+		throw createFailure('bad-request', {detail: 'The path has dot segments or encoded slashes.'});
+	}
+};
+
 const servicePath = /^\/v1\/services\/(?<service>[^\/?]+)(?<path>.*)$/v;
 
 /** Passes a call under `/v1/services/<name>/` on to the service; throws the failure to report. */
@@ -104,6 +116,7 @@
 	const {service = '', path: rest = ''} = servicePath.exec(exchange.request.url ?? '')?.groups ?? {};
 	const method = exchange.request.method ?? 'GET';
 	const path = rest.startsWith('/') ? rest : `/${rest}`;
+	checkPath(path);
 	const body = await readBody(exchange.request, parts.settings.callerLimits, parts.clock);
 	const request = admitRequest(parts, caller, exchange, {
 		method,
--- a/packages/router/src/host.test.ts
+++ b/packages/router/src/host.test.ts
@@ -73,6 +73,7 @@
 		['body-too-large', call(path, {body: chat('a'.repeat(200_000))})],
 		['key-missing', call('/v1/services/orders/cut-orders', {body: '{}'})],
 		['key-invalid', call('/v1/services/orders/cut-orders', {body: '{}', headers: {'idempotency-key': 'a b'}})],
+		['bad-request', call('/v1/services/orders/stock%2F..%2Fcut-orders')],
 		['unknown-service', call('/v1/services/none/x')],
 		['unknown-path', call('/none')],
 		['unknown-request', call('/v1/requests/none')],
@@ -98,6 +99,19 @@
 	socket.write(text);
 });
 
+test('a path that a service may read as another is refused', async () => {
+	for (const path of ['stock/../cut-orders', 'stock/%2e%2E/cut-orders', 'stock/.', String.raw`stock\..\cut-orders`]) {
+		// eslint-disable-next-line no-await-in-loop -- One after another.
+		const answer = await sendRaw(`POST /v1/services/orders/${path} HTTP/1.1\r\nhost: a\r\nauthorization: Bearer ${fleet.key}\r\ncontent-length: 0\r\nconnection: close\r\n\r\n`);
+		expect(answer).toContain('x-error-kind: bad-request');
+	}
+});
+
+test('a query may hold what a path may not', async () => {
+	const answer = await call('/v1/services/orders/stock/3?place=a%2F..%2Fb');
+	expect(answer.status).toBe(200);
+});
+
 test('slow and malformed requests are refused by kind', async () => {
 	const head = `POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\nauthorization: Bearer ${fleet.key}\r\ncontent-length: 100\r\nconnection: close\r\n\r\n{`;
 	expect(await sendRaw(head)).toContain('x-error-kind: body-timeout');
