--- a/packages/errors/src/kinds.ts
+++ b/packages/errors/src/kinds.ts
@@ -66,6 +66,7 @@
 	'upstream-unreachable': {
 		status: 502, ran: 'not-run', retry: 'later', type: 'server_error', message: 'The upstream could not be reached.',
 	},
+	'upstream-rejected': getInvalid(400, 'The upstream rejected the request.'),
 	'upstream-failed': {
 		status: 502, ran: 'ran', retry: 'later', type: 'server_error', message: 'The upstream failed.',
 	},
--- a/packages/router/src/dispatch/attempt-end.ts
+++ b/packages/router/src/dispatch/attempt-end.ts
@@ -12,6 +12,8 @@
 	sighting: UpstreamSighting['kind'] | undefined;
 	ran: RunState;
 	retryAfter?: Milliseconds;
+	/** What the upstream says to the caller of a request that it rejects; another upstream would say the same. */
+	rejection?: string;
 };
 
 const getSighting = (failure: CallFailure): UpstreamSighting['kind'] | undefined => {
@@ -45,15 +47,28 @@
 	cancelled: 'outcome-unknown',
 } as const satisfies Record<CallFailure['kind'], ErrorKind>;
 
+const longestRejection = 500;
+/** Statuses that tell of the upstream's state and not of the request. */
+const passingStatuses = new Set([408, 425, 429]);
+
+const getRejection = (failure: CallFailure): string | undefined => {
+	const isRejection = failure.kind === 'failed' && failure.status >= 400 && failure.status < 500 && !passingStatuses.has(failure.status);
+	return isRejection ? failure.text.slice(0, longestRejection) : undefined;
+};
+
 /** Gets the end of an attempt whose call failed before its answer started. */
-export const getLostAttempt = (failure: CallFailure): LostAttempt => ({
-	kind: 'lost',
-	error: errorKindOf[failure.kind],
-	outcome: failure.kind,
-	sighting: getSighting(failure),
-	ran: getRunState(failure),
-	...(failure.kind === 'refused' && failure.retryAfter !== undefined && {retryAfter: failure.retryAfter}),
-});
+export const getLostAttempt = (failure: CallFailure): LostAttempt => {
+	const rejection = getRejection(failure);
+	return {
+		kind: 'lost',
+		error: rejection === undefined ? errorKindOf[failure.kind] : 'upstream-rejected',
+		outcome: failure.kind,
+		sighting: getSighting(failure),
+		ran: getRunState(failure),
+		...(rejection !== undefined && {rejection}),
+		...(failure.kind === 'refused' && failure.retryAfter !== undefined && {retryAfter: failure.retryAfter}),
+	};
+};
 
 /** Tells a crash from a lost connection: after a reset, an upstream that crashed refuses new connections. */
 export const probeLoss = async (upstreams: Pick<UpstreamClient, 'checkHealth'>, address: Address, lost: LostAttempt): Promise<LostAttempt> => {
--- a/packages/router/src/dispatch/run-generation.ts
+++ b/packages/router/src/dispatch/run-generation.ts
@@ -61,6 +61,10 @@
 
 const stepAfterLoss = async (parts: HostParts, run: GenerationRun, progress: Progress, lost: LostAttempt): Promise<Step> => {
 	const {request} = run;
+	if (lost.rejection !== undefined) {
+		return {kind: 'done', result: {kind: 'failed', failure: createFailure(lost.error, {ran: progress.ran, detail: lost.rejection})}};
+	}
+
 	if (progress.crashes >= guiltyCrashes) {
 		return {kind: 'done', result: {kind: 'failed', failure: createFailure('crashes-upstreams', {ran: progress.ran})}};
 	}
