--- a/packages/errors/src/errors.test.ts
+++ b/packages/errors/src/errors.test.ts
@@ -1,3 +1,4 @@
+import {readFileSync} from 'node:fs';
 import {expect, test} from 'vitest';
 import {
 	createFailure, errorKinds, errorTable, getErrorBody, getFailure,
@@ -17,3 +18,12 @@
 		expect(errorTable[kind].status).toBeGreaterThanOrEqual(400);
 	}
 });
+
+test('the page of errors holds the table', () => {
+	const page = readFileSync(new URL('../../../docs/ERRORS.md', import.meta.url), 'utf8');
+	const rows = errorKinds.map(kind => {
+		const {status, ran, retry, message} = errorTable[kind];
+		return `| \`${kind}\` | ${status} | ${ran} | ${retry} | ${message} |`;
+	});
+	expect(page.split('\n').filter(line => line.startsWith('| `'))).toEqual(rows);
+});
