--- a/packages/router/src/dispatch/run-generation.ts
+++ b/packages/router/src/dispatch/run-generation.ts
@@ -81,6 +81,7 @@
 	}, parts.random.next());
 	if (decision.kind === 'stop') {
 		parts.metrics.count('retries_denied_total', {reason: decision.reason, error: lost.error});
+		parts.metrics.count('wasted_tokens_total', {cause: lost.error}, progress.tokens);
 		const failure = createFailure(lost.error, {ran: progress.ran, ...(lost.retryAfter !== undefined && {retryAfter: lost.retryAfter})});
 		return {kind: 'done', result: {kind: 'failed', failure}};
 	}
