--- a/packages/bench/src/slopes/roles.ts
+++ b/packages/bench/src/slopes/roles.ts
@@ -2,6 +2,7 @@
 import {createRandom, createSystemClock} from '@gentianlift/clock';
 import {parseVersionText} from '@gentianlift/config';
 import {createMetrics} from '@gentianlift/metrics';
+import {compactCodec} from '@gentianlift/peers';
 import {getGroups} from '@gentianlift/policy';
 import {
 	createGrantClient, createGroupOwner, createQuotaClient, createQuotaOwner, getLimits, getRequestLimit,
@@ -25,10 +26,10 @@
 	return {
 		/** Passes a message on as the wire would: as a copy, counted in bytes of JSON. */
 		pass<Message>(message: Message): Message {
-			const text = JSON.stringify(message);
+			const text = JSON.stringify(compactCodec.serialize(message));
 			messages++;
 			bytes += text.length;
-			return JSON.parse(text) as Message;
+			return compactCodec.deserialize(JSON.parse(text)) as Message;
 		},
 		read: () => ({messages, bytes}),
 	};
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -1,3 +1,4 @@
+export {compactCodec} from './compact.js';
 export * from './credentials.js';
 export * from './peer-router.js';
 export * from './peer-server.js';
--- a/packages/peers/src/peer-link.ts
+++ b/packages/peers/src/peer-link.ts
@@ -1,6 +1,7 @@
 import {WebSocket} from 'ws';
 import {createTRPCClient, createWSClient, wsLink} from '@trpc/client';
 import type {Address, HostId, Milliseconds} from '@gentianlift/types';
+import {compactCodec} from './compact.js';
 import type {Credentials} from './credentials.js';
 import type {PeerRouter} from './peer-router.js';
 
@@ -54,7 +55,7 @@
 	return {
 		to,
 		address,
-		client: createTRPCClient<PeerRouter>({links: [wsLink({client: connection})]}),
+		client: createTRPCClient<PeerRouter>({links: [wsLink({client: connection, transformer: compactCodec})]}),
 		lost: lost.signal,
 		wasOpen: () => open,
 		close,
--- a/packages/peers/src/peer-router.ts
+++ b/packages/peers/src/peer-router.ts
@@ -2,11 +2,12 @@
 import type {
 	ClaimRequest, ClaimSettlement, GrantAnswer, GrantRequest, HostId, PeerHandlers, QuotaRequest, RequestId,
 } from '@gentianlift/types';
+import {compactCodec} from './compact.js';
 
 /** What a procedure knows of its caller. */
 export type PeerContext = {from: HostId};
 
-const trpc = initTRPC.context<PeerContext>().create();
+const trpc = initTRPC.context<PeerContext>().create({transformer: compactCodec});
 
 /** Accepts an object from an authenticated host as the message it claims to be. */
 const getMessage = <Message>(value: unknown): Message => {
--- a/packages/router/src/dispatch/grants.ts
+++ b/packages/router/src/dispatch/grants.ts
@@ -57,9 +57,9 @@
 		attempt: record.attempt,
 		kind: record.kind,
 		tokens,
-		duration: record.duration,
+		duration: Math.round(record.duration),
 		...(lost?.sighting === 'crashed' && {crashed: true}),
-		...(record.firstTokenAfter !== undefined && {firstTokenAfter: record.firstTokenAfter}),
+		...(record.firstTokenAfter !== undefined && {firstTokenAfter: Math.round(record.firstTokenAfter)}),
 	});
 	parts.accounts.apply({
 		kind: 'attempt-ended', request: request.id, upstream, outcome: lost?.outcome ?? outcomeOf[record.kind], tokens, ran: record.ran,
