Take a service without a health page as alive

Cause: a probe counted any status from 300 on as an error, so a plain service that answers 404 to GET /health would never have come back after an ejection.

--- a/packages/fakes/src/service.ts
+++ b/packages/fakes/src/service.ts
@@ -122,12 +122,17 @@
 			return;
 		}
 
-		received++;
 		const fate = await control.applyFaults(exchange);
 		if (fate === 'answered') {
 			return;
 		}
 
+		if (exchange.method === 'GET' && exchange.url.pathname === '/health') {
+			sendJson(exchange.response, 200, {status: 'ok'});
+			return;
+		}
+
+		received++;
 		const refusal = getRefusal(faults, running, slots);
 		if (refusal !== undefined) {
 			refused++;
--- a/packages/upstream/src/client.test.ts
+++ b/packages/upstream/src/client.test.ts
@@ -285,3 +285,10 @@
 	const order = {id: 'o1', fencingNumber: 1, order: {kind: 'unload', model: 'm'}} as const;
 	expect(await createClient().sendOrder(address, order)).toEqual({kind: 'stale', highest: 7});
 });
+
+test('a service without a health page is alive, and one in trouble is not', async () => {
+	const plain = await serve((_request, response) => response.writeHead(404).end());
+	const troubled = await serve((_request, response) => response.writeHead(503).end());
+	expect(await createClient().checkHealth(plain)).toBe('success');
+	expect(await createClient().checkHealth(troubled)).toBe('error');
+});
--- a/packages/upstream/src/queries/check-health.ts
+++ b/packages/upstream/src/queries/check-health.ts
@@ -5,7 +5,8 @@
 const getSightingKind = (answer: JsonAnswer): UpstreamSighting['kind'] => {
 	switch (answer.kind) {
 		case 'answered': {
-			return answer.status < 300 ? 'success' : 'error';
+			// A plain service need not know the path; that it answers is what counts.
+			return answer.status < 500 ? 'success' : 'error';
 		}
 
 		case 'unreachable':
