--- a/packages/upstream/src/client.test.ts
+++ b/packages/upstream/src/client.test.ts
@@ -287,8 +287,12 @@
 });
 
 test('a service without a health page is alive, and one in trouble is not', async () => {
-	const plain = await serve((_request, response) => response.writeHead(404).end());
-	const troubled = await serve((_request, response) => response.writeHead(503).end());
+	const plain = await serve((_request, response) => {
+		response.writeHead(404).end();
+	});
+	const troubled = await serve((_request, response) => {
+		response.writeHead(503).end();
+	});
 	expect(await createClient().checkHealth(plain)).toBe('success');
 	expect(await createClient().checkHealth(troubled)).toBe('error');
 });
