--- a/packages/router/src/callers/caller-stream.ts
+++ b/packages/router/src/callers/caller-stream.ts
@@ -20,10 +20,25 @@
 	gone: AbortSignal;
 };
 
-/** Creates the caller's side of an answer. A caller that reads nothing for `silence` is taken as gone. */
-export const createCallerStream = (response: ServerResponse, clock: Clock, silence: Milliseconds): CallerStream => {
+/** What the caller's side takes. */
+export type CallerStreamOptions = {
+	clock: Clock;
+	/** Time after which a caller that reads nothing is taken as gone. */
+	silence: Milliseconds;
+	/** Aborted when an operator cuts all open requests; the stream counts as gone then. */
+	cut: AbortSignal;
+};
+
+/** Creates the caller's side of an answer. */
+export const createCallerStream = (response: ServerResponse, {clock, silence, cut}: CallerStreamOptions): CallerStream => {
 	const gone = new AbortController();
+	const onCut = (): void => {
+		gone.abort();
+	};
+
+	cut.addEventListener('abort', onCut, {once: true});
 	response.once('close', () => {
+		cut.removeEventListener('abort', onCut);
 		if (!response.writableFinished) {
 			gone.abort();
 		}
--- a/packages/router/src/callers/commands/chat.ts
+++ b/packages/router/src/callers/commands/chat.ts
@@ -84,7 +84,7 @@
 		request,
 		body,
 		bytes,
-		stop: request.idempotent ? AbortSignal.any([stream.gone, parts.open.cut.signal]) : new AbortController().signal,
+		stop: request.idempotent ? stream.gone : new AbortController().signal,
 		writer: createWriter(chat, latencies.mark),
 	});
 	latencies.end(result.kind === 'finished');
@@ -134,7 +134,9 @@
 	const request = admitRequest(parts, caller, exchange, {
 		method: 'POST', path: '/v1/chat/completions', body: bytes, prompt, work: getWork(caller.configuration, body, prompt),
 	});
-	const stream = createCallerStream(exchange.response, parts.clock, parts.settings.silenceLimits.caller);
+	const stream = createCallerStream(exchange.response, {
+		clock: parts.clock, silence: parts.settings.silenceLimits.caller, cut: parts.open.cut.signal,
+	});
 	const chat: Chat = {
 		caller, request, body, bytes: bytes.length, exchange, stream,
 	};
--- a/packages/router/src/callers/commands/service.ts
+++ b/packages/router/src/callers/commands/service.ts
@@ -47,7 +47,7 @@
 		path,
 		headers: getServiceHeaders(exchange.request, request.id, body.length),
 		body,
-		gone: AbortSignal.any([stream.gone, parts.open.cut.signal]),
+		gone: stream.gone,
 		reader: {
 			begin(status, headers) {
 				latencies.mark();
@@ -127,7 +127,9 @@
 			kind: 'call', service: decodeURIComponent(service), method, path,
 		},
 	});
-	const stream = createCallerStream(exchange.response, parts.clock, parts.settings.silenceLimits.caller);
+	const stream = createCallerStream(exchange.response, {
+		clock: parts.clock, silence: parts.settings.silenceLimits.caller, cut: parts.open.cut.signal,
+	});
 	const call: Call = {
 		caller, request, exchange, stream, path, body,
 	};
--- a/packages/router/src/dispatch/generation-attempt.ts
+++ b/packages/router/src/dispatch/generation-attempt.ts
@@ -64,10 +64,36 @@
 	return yielding.aborted ? {kind: 'yielded'} : getLost(outcome);
 };
 
+/** Joins signals that outlive an attempt; `release` lets go of them, which a composite signal would do only with the garbage collector. */
+const joinSignals = (signals: readonly AbortSignal[]) => {
+	const controller = new AbortController();
+	const abort = (): void => {
+		controller.abort();
+	};
+
+	for (const signal of signals) {
+		signal.addEventListener('abort', abort, {once: true});
+	}
+
+	if (signals.some(({aborted}) => aborted)) {
+		abort();
+	}
+
+	return {
+		signal: controller.signal,
+		release() {
+			for (const signal of signals) {
+				signal.removeEventListener('abort', abort);
+			}
+		},
+	};
+};
+
 /** Runs a generation at one engine and hands its events to the reader. Never throws. */
 export const runGenerationAttempt = async (parts: HostParts, attempt: GenerationAttempt): Promise<GenerationEnd> => {
 	const {request, address, priority, body, resume, stop, yielding, writer} = attempt;
 	const startedAt = parts.clock.monotonic();
+	const joined = joinSignals([stop, yielding]);
 	const prefix = request.work.kind === 'generation' ? request.work.prefix : [];
 	const started = await parts.upstreams.generate({
 		address,
@@ -75,9 +101,10 @@
 		headers: {
 			'x-request-id': request.id, 'x-priority': String(priority), ...(prefix.length > 0 && {'x-prefix': prefix.join(',')}),
 		},
-		signal: AbortSignal.any([stop, yielding]),
+		signal: joined.signal,
 	});
 	if (started.kind !== 'started') {
+		joined.release();
 		const result = started.kind === 'cancelled' ? getResult(started, attempt) : getLostAttempt(started);
 		return {
 			text: '', tokens: 0, firstTokenAfter: undefined, result,
@@ -95,7 +122,9 @@
 		}
 	}
 
+	const outcome = await started.outcome;
+	joined.release();
 	return {
-		text: started.getText(), tokens: started.getTokens(), firstTokenAfter, result: getResult(await started.outcome, attempt),
+		text: started.getText(), tokens: started.getTokens(), firstTokenAfter, result: getResult(outcome, attempt),
 	};
 };
