--- a/packages/router/src/testing/start-fleet.ts
+++ b/packages/router/src/testing/start-fleet.ts
@@ -1,3 +1,4 @@
+import {createSystemClock} from '@gentianlift/clock';
 import {parseSettings} from '@gentianlift/config';
 import {
 	countPorts, findPorts, getFleetSettings, getStandinConfiguration, publishConfiguration, readExample, startStandins, type Standins,
@@ -49,7 +50,7 @@
 	const {configuration: example, keys} = await readExample('kopi');
 	const standins = await startStandins(example.inventory, {stepTime: 5, meanTokens: 20, eventLoss: 0});
 	const configuration = getStandinConfiguration(example, standins.addresses);
-	publishConfiguration(standins.keyValue, configuration, Date.now());
+	publishConfiguration(standins.keyValue, configuration, createSystemClock().now());
 	const documents = getFleetSettings({
 		zones: ['attica-a', 'attica-b', 'attica-c'],
 		keyValueUrl: standins.keyValue.listener.url,
