--- a/packages/router/src/callers/commands/chat.ts
+++ b/packages/router/src/callers/commands/chat.ts
@@ -9,7 +9,8 @@
 	admitRequest, authenticate, takeLimits, type Caller,
 } from '../admission.js';
 import {getAccountHeaders, sendJson} from '../answer.js';
-import {createCallerStream, type AnswerWriter, type CallerStream} from '../caller-stream.js';
+import {createCallerStream, type CallerStream} from '../caller-stream.js';
+import {createStreamWriter, createWholeWriter} from '../chat-writer.js';
 import {parseChatBody, type ChatBody} from '../chat-body.js';
 import {endUnfinished, getUnfinishedEnd, serveClaimed} from '../ending.js';
 import type {Exchange} from '../exchange.js';
@@ -53,30 +54,6 @@
 	}
 };
 
-const createWriter = ({request, body, stream}: Chat, mark: () => void): AnswerWriter => {
-	if (body.stream !== true) {
-		return {
-			write() {
-				mark();
-				return true;
-			},
-			drained: async () => true,
-		};
-	}
-
-	return {
-		write(bytes) {
-			if (!stream.hasBegun()) {
-				stream.begin(200, {'content-type': 'text/event-stream', 'cache-control': 'no-cache', ...getAccountHeaders(request.id, 'ran')});
-			}
-
-			mark();
-			return stream.write(bytes);
-		},
-		drained: stream.drained,
-	};
-};
-
 const runChat = async (parts: HostParts, chat: Chat): Promise<GenerationResult> => {
 	const {request, body, bytes, stream} = chat;
 	const latencies = recordLatencies(parts, request);
@@ -85,7 +62,7 @@
 		body,
 		bytes,
 		stop: request.idempotent ? stream.gone : new AbortController().signal,
-		writer: createWriter(chat, latencies.mark),
+		writer: body.stream === true ? createStreamWriter(request, stream, latencies.mark) : createWholeWriter(latencies.mark),
 	});
 	latencies.end(result.kind === 'finished');
 	return result;
