--- a/packages/router/src/callers/commands/chat.ts
+++ b/packages/router/src/callers/commands/chat.ts
@@ -88,7 +88,7 @@
 	let tokens = 0;
 	try {
 		const result = await runChat(parts, chat);
-		tokens = result.kind === 'finished' ? result.tokens : 0;
+		tokens = result.tokens;
 		sendResult(parts, chat, result);
 		return result;
 	} finally {
--- a/packages/router/src/dispatch/run-generation.ts
+++ b/packages/router/src/dispatch/run-generation.ts
@@ -62,11 +62,11 @@
 const stepAfterLoss = async (parts: HostParts, run: GenerationRun, progress: Progress, lost: LostAttempt): Promise<Step> => {
 	const {request} = run;
 	if (lost.rejection !== undefined) {
-		return {kind: 'done', result: {kind: 'failed', failure: createFailure(lost.error, {ran: progress.ran, detail: lost.rejection})}};
+		return {kind: 'done', result: {kind: 'failed', failure: createFailure(lost.error, {ran: progress.ran, detail: lost.rejection}), tokens: progress.tokens}};
 	}
 
 	if (progress.crashes >= guiltyCrashes) {
-		return {kind: 'done', result: {kind: 'failed', failure: createFailure('crashes-upstreams', {ran: progress.ran})}};
+		return {kind: 'done', result: {kind: 'failed', failure: createFailure('crashes-upstreams', {ran: progress.ran}), tokens: progress.tokens}};
 	}
 
 	const decision = decideRetry({
@@ -83,7 +83,7 @@
 		parts.metrics.count('retries_denied_total', {reason: decision.reason, error: lost.error});
 		parts.metrics.count('wasted_tokens_total', {cause: lost.error}, progress.tokens);
 		const failure = createFailure(lost.error, {ran: progress.ran, ...(lost.retryAfter !== undefined && {retryAfter: lost.retryAfter})});
-		return {kind: 'done', result: {kind: 'failed', failure}};
+		return {kind: 'done', result: {kind: 'failed', failure, tokens: progress.tokens}};
 	}
 
 	parts.metrics.count('retries_total', {reason: decision.reason, error: lost.error});
@@ -101,7 +101,7 @@
 
 		case 'stopped': {
 			parts.metrics.count('wasted_tokens_total', {cause: 'caller-gone'}, progress.tokens);
-			return {kind: 'done', result: {kind: 'stopped', ran: progress.ran}};
+			return {kind: 'done', result: {kind: 'stopped', ran: progress.ran, tokens: progress.tokens}};
 		}
 
 		case 'yielded': {
@@ -159,11 +159,11 @@
 		});
 		switch (grant.kind) {
 			case 'withdrawn': {
-				return {kind: 'stopped', ran: progress.ran};
+				return {kind: 'stopped', ran: progress.ran, tokens: progress.tokens};
 			}
 
 			case 'shed': {
-				return {kind: 'failed', failure: createFailure(grant.reason, {ran: progress.ran, retryAfter: grant.retryAfter})};
+				return {kind: 'failed', failure: createFailure(grant.reason, {ran: progress.ran, retryAfter: grant.retryAfter}), tokens: progress.tokens};
 			}
 
 			case 'granted': {
