--- a/packages/router/src/dispatch/run-generation.ts
+++ b/packages/router/src/dispatch/run-generation.ts
@@ -23,8 +23,8 @@
 /** Outcome of a generation. */
 export type GenerationResult
 	= | {kind: 'finished'; text: string; tokens: number; finishReason: string | undefined; promptTokens: number | undefined}
-		| {kind: 'stopped'; ran: RunState}
-		| {kind: 'failed'; failure: RequestFailure};
+		| {kind: 'stopped'; ran: RunState; tokens: number}
+		| {kind: 'failed'; failure: RequestFailure; tokens: number};
 
 /** What the attempts so far have come to. */
 type Progress = {
