--- a/packages/upstream/src/commands/call-service.ts
+++ b/packages/upstream/src/commands/call-service.ts
@@ -2,7 +2,8 @@
 import type {OutgoingHttpHeaders} from 'node:http';
 import type {Address, SilenceLimits} from '@gentianlift/types';
 import type {CallFailure} from '../outcome.js';
-import {createDelivery, type Chunk, type Delivery} from '../wire/delivery.js';
+import {createAnswerDelivery} from '../wire/deliver-answer.js';
+import type {Chunk, Delivery} from '../wire/delivery.js';
 import {
 	exchange, type Answer, type ExchangeContext, type ExchangeFailure,
 } from '../wire/exchange.js';
@@ -55,24 +56,12 @@
 		return answer;
 	}
 
-	const {response, silence} = answer;
+	const {response} = answer;
 	if (isRefusal(response)) {
 		return readError(answer);
 	}
 
-	const delivery = createDelivery({
-		pause() {
-			response.pause();
-			silence.pause();
-		},
-		resume() {
-			response.resume();
-			silence.resume();
-		},
-		cancel() {
-			answer.abandon({kind: 'cancelled'});
-		},
-	});
+	const delivery = createAnswerDelivery(answer);
 	const outcome = connectBody(answer, delivery);
 	return {
 		kind: 'answered', status: response.statusCode ?? 0, headers: getEndToEndHeaders(response.headers), chunks: delivery.chunks, outcome,
--- a/packages/upstream/src/commands/generate.ts
+++ b/packages/upstream/src/commands/generate.ts
@@ -3,7 +3,8 @@
 import type {Cancel} from '@gentianlift/clock';
 import type {Address, Milliseconds, SilenceLimits} from '@gentianlift/types';
 import type {CallFailure} from '../outcome.js';
-import {createDelivery, type Chunk, type Delivery} from '../wire/delivery.js';
+import {createAnswerDelivery} from '../wire/deliver-answer.js';
+import type {Chunk, Delivery} from '../wire/delivery.js';
 import {createEventReader, type EventReader, type GenerationEnd} from '../wire/event-reader.js';
 import {
 	exchange, type Answer, type ExchangeContext, type ExchangeFailure,
@@ -126,21 +127,8 @@
 		return readError(answer);
 	}
 
-	const {response, silence} = answer;
 	const reader = createEventReader();
-	const delivery = createDelivery({
-		pause() {
-			response.pause();
-			silence.pause();
-		},
-		resume() {
-			response.resume();
-			silence.resume();
-		},
-		cancel() {
-			answer.abandon({kind: 'cancelled'});
-		},
-	});
+	const delivery = createAnswerDelivery(answer);
 	const outcome = connectReader(context, answer, {reader, delivery, limits});
 	void cancelWhenSilent(context, call, outcome);
 	return {
