--- a/packages/bench/src/claims/fleet.ts
+++ b/packages/bench/src/claims/fleet.ts
@@ -32,7 +32,7 @@
 const uuidTail = 14;
 
 const createKey = (): string => {
-	const time = Date.now().toString(16).padStart(uuidTimeLength, '0');
+	const time = createSystemClock().now().toString(16).padStart(uuidTimeLength, '0');
 	return `${time.slice(0, 8)}-${time.slice(8)}-7${randomUUID().slice(uuidTail + 1)}`;
 };
 
--- a/packages/bench/src/membership/process.ts
+++ b/packages/bench/src/membership/process.ts
@@ -46,7 +46,7 @@
 	});
 	membership.onChange(({after}) => {
 		report({
-			kind: 'changed', viewer: settings.host, host: after.host, state: after.state, at: Date.now(),
+			kind: 'changed', viewer: settings.host, host: after.host, state: after.state, at: clock.now(),
 		});
 	});
 	await membership.start();
--- a/packages/router/src/host/upstream-watch.ts
+++ b/packages/router/src/host/upstream-watch.ts
@@ -65,9 +65,8 @@
 			break;
 		}
 
-		case 'suspect-request':
-		case 'host-drain': {
-			// Other parts take these in.
+		case 'suspect-request': {
+			// The suspects' own notes take these in.
 			break;
 		}
 	}
--- a/packages/types/src/peer.ts
+++ b/packages/types/src/peer.ts
@@ -103,7 +103,7 @@
 };
 
 /** What a note between all hosts is about. */
-export const noteTopics = ['upstream-leaving', 'upstream-failed', 'suspect-request', 'host-drain'] as const;
+export const noteTopics = ['upstream-leaving', 'upstream-failed', 'suspect-request'] as const;
 /** One of `noteTopics`. */
 export type NoteTopic = typeof noteTopics[number];
 
