--- /dev/null
+++ b/packages/discovery/src/exchange-notes.ts
@@ -0,0 +1,186 @@
+import {createSocket} from 'node:dgram';
+import type {Clock} from '@gentianlift/clock';
+import type {Logger} from '@gentianlift/logger';
+import type {
+	Crash, CrashSuspects, UpstreamKey, UpstreamLoad,
+} from '@gentianlift/routing';
+import type {
+	Address, HostId, Incarnation, Milliseconds,
+} from '@gentianlift/types';
+import type {LoadBook} from './load-book.js';
+import {
+	decodeNote, encodeNote, type Note, type Reading,
+} from './note.js';
+
+/** A host that notes come from and go to. */
+export type Peer = {host: HostId; address: Address};
+
+/** Exchanges notes with the other hosts. */
+export type NoteExchange = {
+	/** Adds to the load that this host causes and tells the others soon. */
+	addLoad: (upstream: UpstreamKey, change: UpstreamLoad) => void;
+	addReading: (reading: Reading) => void;
+	addCrash: (crash: Crash) => void;
+	markStopping: () => void;
+	/** Time since a host was heard; infinite if never. */
+	getSilence: (host: HostId) => Milliseconds;
+	/** Tells whether a host says that it is stopping. */
+	isStopping: (host: HostId) => boolean;
+	close: () => void;
+};
+
+/** What an exchange works with. */
+export type NoteExchangeOptions = {
+	address: Address;
+	host: HostId;
+	incarnation: Incarnation;
+	clock: Clock;
+	logger: Logger;
+	loads: LoadBook;
+	suspects: CrashSuspects;
+	getPeers: () => Peer[];
+	getRevision: () => number;
+	/** Takes in what another host sent an upstream to read. */
+	onReading: (reading: Reading) => void;
+};
+
+/** Delay in which changes are gathered into one note. */
+const gatherDelay: Milliseconds = 15;
+/** Interval of notes that tell all loads. */
+const fullInterval: Milliseconds = 500;
+/** Number of notes in which a crash is told again, as datagrams get lost. */
+const crashRepeats = 6;
+
+type HeardHost = {incarnation: Incarnation; sequence: number; heardAt: Milliseconds; isStopping: boolean};
+type PendingCrash = {crash: Crash; left: number};
+
+const splitAddress = (address: Address): {ip: string; port: number} => {
+	const at = address.lastIndexOf(':');
+	return {ip: address.slice(0, at), port: Number(address.slice(at + 1))};
+};
+
+/** Opens the socket and starts to exchange notes. */
+export const exchangeNotes = (options: NoteExchangeOptions): NoteExchange => {
+	const {
+		clock, logger, loads, suspects, host, incarnation,
+	} = options;
+	const socket = createSocket('udp4');
+	const heard = new Map<HostId, HeardHost>();
+	const changed = new Set<UpstreamKey>();
+	let readings: Reading[] = [];
+	let crashes: PendingCrash[] = [];
+	let isStopping = false;
+	let isScheduled = false;
+	let sequence = 0;
+
+	const buildNote = (isFull: boolean): Note => {
+		sequence += 1;
+		const own = loads.getOwn();
+		return {
+			host,
+			incarnation,
+			sequence,
+			revision: options.getRevision(),
+			isStopping,
+			loads: isFull ? own : own.filter(({upstream}) => changed.has(upstream)),
+			readings,
+			crashes: crashes.map(({crash}) => crash),
+		};
+	};
+
+	const send = (isFull: boolean): void => {
+		const text = encodeNote(buildNote(isFull));
+		changed.clear();
+		readings = [];
+		crashes = crashes.map(({crash, left}) => ({crash, left: left - 1})).filter(({left}) => left > 0);
+		for (const {address} of options.getPeers()) {
+			const {ip, port} = splitAddress(address);
+			socket.send(text, port, ip, error => {
+				if (error !== null) {
+					logger.debug('note-not-sent', {address, reason: error.message});
+				}
+			});
+		}
+	};
+
+	const schedule = (): void => {
+		if (isScheduled) {
+			return;
+		}
+
+		isScheduled = true;
+		clock.after(gatherDelay, () => {
+			isScheduled = false;
+			send(false);
+		});
+	};
+
+	const applyNote = (note: Note): void => {
+		const known = heard.get(note.host);
+		const isOlder = known !== undefined && (note.incarnation < known.incarnation
+			|| (note.incarnation === known.incarnation && note.sequence <= known.sequence));
+		if (isOlder || note.host === host) {
+			return;
+		}
+
+		const now = clock.monotonic();
+		heard.set(note.host, {
+			incarnation: note.incarnation, sequence: note.sequence, heardAt: now, isStopping: note.isStopping,
+		});
+		loads.setOther(note.host, note.incarnation, note.loads, now);
+		for (const reading of note.readings) {
+			options.onReading(reading);
+		}
+
+		for (const crash of note.crashes) {
+			if (suspects.add(crash, now)) {
+				logger.info('crash-told', {from: note.host, fingerprint: crash.fingerprint, upstream: crash.upstream});
+			}
+		}
+	};
+
+	socket.on('message', bytes => {
+		const note = decodeNote(bytes.toString('utf8'));
+		if (note === undefined) {
+			logger.warn('note-unreadable', {length: bytes.length});
+			return;
+		}
+
+		applyNote(note);
+	});
+	socket.on('error', error => {
+		logger.warn('note-socket-failed', {reason: error.message});
+	});
+	const {ip, port} = splitAddress(options.address);
+	socket.bind(port, ip);
+	const cancel = clock.every(fullInterval, () => {
+		loads.dropSilent(clock.monotonic());
+		send(true);
+	});
+
+	return {
+		addLoad(upstream, change) {
+			loads.addOwn(upstream, change);
+			changed.add(upstream);
+			schedule();
+		},
+		addReading(reading) {
+			readings.push(reading);
+			schedule();
+		},
+		addCrash(crash) {
+			crashes.push({crash, left: crashRepeats});
+			schedule();
+		},
+		markStopping() {
+			isStopping = true;
+			send(true);
+		},
+		getSilence: id => clock.monotonic() - (heard.get(id)?.heardAt ?? Number.NEGATIVE_INFINITY),
+		isStopping: id => heard.get(id)?.isStopping ?? false,
+		close() {
+			cancel();
+			socket.close();
+		},
+	};
+};
--- /dev/null
+++ b/packages/discovery/src/follow-fleet.ts
@@ -0,0 +1,126 @@
+import type {Clock} from '@gentianlift/clock';
+import type {Logger} from '@gentianlift/logger';
+import type {ChangeFeed, Milliseconds, Snapshot} from '@gentianlift/types';
+import type {FleetView} from './fleet-view.js';
+
+/** Keeps a view up to date. */
+export type FleetFollower = {
+	/** Reads the newest state now, from the key-value service or another host; resolves when that was tried. */
+	refresh: () => Promise<void>;
+	stop: () => void;
+};
+
+/** What a follower works with. */
+export type FleetFollowerOptions = {
+	feed: ChangeFeed;
+	view: FleetView;
+	clock: Clock;
+	logger: Logger;
+	/** Asks another host for what changed after the revision; undefined if there is none, or nothing newer. */
+	askPeer: (revision: number) => Promise<Snapshot | undefined>;
+};
+
+/** Longest wait of one call for changes; bounds how long a connection that went silent hides them. */
+const watchLimit: Milliseconds = 900;
+/** Pause after a failed call. */
+const failurePause: Milliseconds = 200;
+/** Silence of the service after which other hosts are asked. */
+const peerSilence: Milliseconds = 600;
+/** Pause between questions to other hosts. */
+const peerInterval: Milliseconds = 250;
+
+/** Starts to follow the service, and other hosts while it is out of reach. */
+export const followFleet = ({feed, view, clock, logger, askPeer}: FleetFollowerOptions): FleetFollower => {
+	let isStopped = false;
+	let needsSnapshot = true;
+
+	const applySnapshot = (snapshot: Snapshot): void => {
+		view.applySnapshot(snapshot, clock.monotonic());
+	};
+
+	const readAll = async (): Promise<boolean> => {
+		const outcome = await feed.readAll();
+		view.applyContact(outcome.kind === 'found', clock.monotonic());
+		if (outcome.kind === 'unavailable') {
+			logger.debug('store-read-failed', {reason: outcome.reason});
+			return false;
+		}
+
+		if (outcome.snapshot.revision >= view.getRevision()) {
+			applySnapshot(outcome.snapshot);
+		}
+
+		needsSnapshot = false;
+		return true;
+	};
+
+	const waitForChanges = async (): Promise<boolean> => {
+		const outcome = await feed.waitForChanges(view.getRevision(), watchLimit);
+		switch (outcome.kind) {
+			case 'changed': {
+				view.applyContact(true, clock.monotonic());
+				view.applyChanges(outcome.changes, outcome.revision, clock.monotonic());
+				return true;
+			}
+
+			case 'compacted': {
+				logger.info('store-history-lost', {revision: view.getRevision()});
+				needsSnapshot = true;
+				return true;
+			}
+
+			case 'unavailable': {
+				logger.debug('store-watch-failed', {reason: outcome.reason});
+				view.applyContact(false, clock.monotonic());
+				needsSnapshot = true;
+				return false;
+			}
+		}
+	};
+
+	const run = async (): Promise<void> => {
+		while (!isStopped) {
+			// eslint-disable-next-line no-await-in-loop -- Each call starts where the one before ended.
+			const isAnswered = await (needsSnapshot ? readAll() : waitForChanges());
+			view.dropLapsed(clock.monotonic());
+			if (!isAnswered) {
+				// eslint-disable-next-line no-await-in-loop -- A pause between calls.
+				await clock.sleep(failurePause);
+			}
+		}
+	};
+
+	const readFromPeer = async (): Promise<void> => {
+		const snapshot = await askPeer(view.getRevision());
+		if (snapshot !== undefined && snapshot.revision > view.getRevision()) {
+			logger.info('view-from-peer', {revision: snapshot.revision, known: view.getRevision()});
+			applySnapshot(snapshot);
+		}
+	};
+
+	const askPeers = async (): Promise<void> => {
+		while (!isStopped) {
+			if (view.getSilence(clock.monotonic()) > peerSilence) {
+				// eslint-disable-next-line no-await-in-loop -- One question at a time.
+				await readFromPeer();
+			}
+
+			// eslint-disable-next-line no-await-in-loop -- A pause between questions.
+			await clock.sleep(peerInterval);
+		}
+	};
+
+	void run();
+	void askPeers();
+	return {
+		async refresh() {
+			const hasRead = await readAll();
+			if (!hasRead) {
+				await readFromPeer();
+			}
+		},
+		stop() {
+			isStopped = true;
+		},
+	};
+};
--- a/packages/errors/src/kinds.ts
+++ b/packages/errors/src/kinds.ts
@@ -91,6 +91,12 @@
 	'in-progress': {
 		status: 409, ran: 'unknown', retry: 'same-key', type: 'server_error', message: 'A request with this idempotency key is under way.',
 	},
+	'suspected-of-crashes': {
+		status: 500, ran: 'not-run', retry: 'never', type: 'server_error', message: 'Copies of this request crashed several upstreams.',
+	},
+	'request-timeout': {
+		status: 504, ran: 'unknown', retry: 'later', type: 'server_error', message: 'The request reached the time limit of its route.',
+	},
 	'key-mismatch': getInvalid(422, 'The idempotency key belongs to another request.'),
 	'key-missing': getInvalid(400, 'A non-idempotent request needs an Idempotency-Key header.'),
 	'key-invalid': getInvalid(400, 'The Idempotency-Key header is not valid.'),
--- /dev/null
+++ b/packages/forwarder/src/attempt.ts
@@ -0,0 +1,275 @@
+import {
+	getUpstreamKey, type Candidate, type Upstream, type UpstreamKey,
+} from '@gentianlift/routing';
+import type {Milliseconds} from '@gentianlift/types';
+import {getFingerprint, type Call, type Progress} from './call.js';
+import {deliverStream, writeAnswerHead} from './deliver.js';
+import type {AnswerHead} from './protocol.js';
+import {readBody} from './read-body.js';
+import {send, type Outgoing, type SendOutcome} from './send.js';
+import type {Tools} from './tools.js';
+import type {Exchange} from './upstream-board.js';
+
+/** A whole answer of an upstream that may still go to the caller. */
+export type HeldAnswer = {head: AnswerHead; bytes: Uint8Array};
+
+/** How an attempt at one upstream ended. */
+export type AttemptEnd
+	/** The answer has gone to the caller. */
+	= | {kind: 'delivered'; status: number}
+	/** No connection was made. */
+		| {kind: 'unreachable'; reason: string}
+		| {kind: 'rejected'; reason: string}
+	/** It may have run; `held` is the upstream's own word of the failure. */
+		| {kind: 'failed'; reason: string; held?: HeldAnswer}
+	/** Part of the answer has gone to the caller; the rest can't come from another upstream. */
+		| {kind: 'spoiled'; reason: string};
+
+/** Most bytes of an answer that is held until it is whole. */
+const mostHeldBytes = 16 * 1024 * 1024;
+/** Time without an answer after which a request that may be repeated goes to another upstream. */
+const patience: Milliseconds = 300;
+/** Share of the time left that the first of two tries may take. */
+const patienceShare = 0.4;
+/** Silence of an upstream after which a stream goes on at another, beside the time for reading its prompt. */
+const streamSilence: Milliseconds = 1000;
+/** Speed at which the slowest engines read prompts, in tokens per millisecond. */
+const leastReadingSpeed = 15;
+const silenceCheckInterval: Milliseconds = 200;
+
+/** Counts what the request adds to the load of its upstream. */
+type LoadEntry = {finishReading: () => void; end: () => void};
+
+const startLoad = (tools: Tools, key: UpstreamKey, unreadTokens: number, urgent: number): LoadEntry => {
+	let unread = unreadTokens;
+	tools.notes.addLoad(key, {running: 1, unreadTokens, urgent});
+	const finishReading = (): void => {
+		if (unread > 0) {
+			tools.notes.addLoad(key, {running: 0, unreadTokens: -unread, urgent: 0});
+			unread = 0;
+		}
+	};
+
+	return {
+		finishReading,
+		end() {
+			finishReading();
+			tools.notes.addLoad(key, {running: -1, unreadTokens: 0, urgent: -urgent});
+		},
+	};
+};
+
+const getHeadLimit = (call: Call, progress: Progress, timeLeft: Milliseconds): Milliseconds => {
+	const mayGoElsewhere = call.route.kind === 'idempotent' && progress.upstreamsRun + 1 < call.route.mostUpstreams;
+	return mayGoElsewhere ? Math.min(timeLeft, Math.max(patience, timeLeft * patienceShare)) : timeLeft;
+};
+
+const buildOutgoing = (call: Call, progress: Progress, upstream: Upstream, tools: Tools): Outgoing => {
+	const timeLeft = Math.max(1, Math.floor(call.endsAt - tools.clock.monotonic()));
+	const headers = tools.protocol.writeUpstreamHead({
+		caller: call.head,
+		upstream,
+		customer: call.customer?.name,
+		timeLeft,
+		rank: call.rank,
+		resumeAfter: progress.lastEvent,
+		bodyLength: call.body.length,
+	});
+	return {
+		upstream,
+		method: call.method,
+		target: call.target,
+		headers,
+		body: call.body,
+		attempt: call.head.attempt,
+		headLimit: getHeadLimit(call, progress, timeLeft),
+	};
+};
+
+/** Records which requests an upstream ran when it crashed, and tells the other hosts. */
+const reportCrash = async (call: Call, upstream: Upstream, tools: Tools): Promise<void> => {
+	const hasCrashed = await tools.crashes.checkCrash(upstream);
+	if (!hasCrashed) {
+		return;
+	}
+
+	const crash = {fingerprint: getFingerprint(call), upstream: getUpstreamKey(upstream)};
+	tools.suspects.add(crash, tools.clock.monotonic());
+	tools.notes.addCrash(crash);
+	tools.board.applyUnreachable(upstream, 'crashed');
+	tools.logger.info('upstream-crashed', {request: call.head.attempt, upstream: crash.upstream, fingerprint: crash.fingerprint});
+};
+
+const isOwnFailure = (status: number): boolean => status >= 500;
+const promisesNotRun = (status: number): boolean => [408, 421, 429, 503].includes(status);
+
+const deliverWhole = async (call: Call, {head, message}: Extract<SendOutcome, {kind: 'answered'}>, isLast: boolean): Promise<AttemptEnd> => {
+	const body = await readBody(message, mostHeldBytes);
+	if (body.kind !== 'whole') {
+		return {kind: 'failed', reason: body.kind === 'broken' ? body.reason : body.kind};
+	}
+
+	if (promisesNotRun(head.status)) {
+		// The upstream doesn't say that the request wasn't run, so its status must not say so to the caller.
+		return {kind: 'failed', reason: `status-${head.status}`};
+	}
+
+	const held = {head, bytes: body.bytes};
+	if (isOwnFailure(head.status) && call.isRepeatable) {
+		return {kind: 'failed', reason: `status-${head.status}`, held};
+	}
+
+	writeHeldAnswer(call, held, isLast);
+	return {kind: 'delivered', status: head.status};
+};
+
+/** Writes a whole answer to the caller. */
+export const writeHeldAnswer = ({response}: Call, {head, bytes}: HeldAnswer, isLast: boolean): void => {
+	const hasLength = head.forwarded.some((name, index) => index % 2 === 0 && name.toLowerCase() === 'content-length');
+	const length = hasLength ? [] : ['Content-Length', String(bytes.length)];
+	writeAnswerHead(response, {...head, forwarded: [...head.forwarded, ...length]}, isLast);
+	response.end(bytes);
+};
+
+/** One try of a call at one upstream. */
+type Try = {call: Call; progress: Progress; upstream: Upstream; tools: Tools; load: LoadEntry; exchange: Exchange};
+
+const deliverEvents = async (
+	{call, progress, tools, load, exchange}: Try, {head, message}: Extract<SendOutcome, {kind: 'answered'}>,
+): Promise<AttemptEnd> => {
+	message.on('data', exchange.applyBytes);
+	const delivery = await deliverStream({
+		head, message, response: call.response, progress,
+		keepsEvents: call.isRepeatable,
+		isLast: tools.isStopping(),
+		onFirst: load.finishReading,
+	});
+	switch (delivery.kind) {
+		case 'complete': {
+			if (!call.response.headersSent) {
+				writeAnswerHead(call.response, head, tools.isStopping());
+			}
+
+			call.response.end();
+			return {kind: 'delivered', status: head.status};
+		}
+
+		case 'cut': {
+			const mayGoOn = call.isRepeatable || !call.response.headersSent;
+			return mayGoOn ? {kind: 'failed', reason: delivery.reason} : {kind: 'spoiled', reason: delivery.reason};
+		}
+
+		case 'broken': {
+			return {kind: 'spoiled', reason: delivery.reason};
+		}
+	}
+};
+
+const deliver = async (attempt: Try, outcome: SendOutcome): Promise<AttemptEnd> => {
+	switch (outcome.kind) {
+		case 'unreachable': {
+			return outcome;
+		}
+
+		case 'rejected': {
+			return {kind: 'rejected', reason: `status-${outcome.status}`};
+		}
+
+		case 'broken': {
+			return {kind: 'failed', reason: outcome.reason};
+		}
+
+		case 'silent': {
+			return {kind: 'failed', reason: 'silent'};
+		}
+
+		case 'answered': {
+			attempt.exchange.applyBytes();
+			const isStream = outcome.head.isEventStream && outcome.head.status < 300;
+			return isStream ? deliverEvents(attempt, outcome) : deliverWhole(attempt.call, outcome, attempt.tools.isStopping());
+		}
+	}
+};
+
+/** Moves a resumable stream away from an upstream that went silent. */
+const watchSilence = ({call, upstream, tools}: Try, unreadTokens: number, cancel: () => void): (() => void) => {
+	if (!call.isRepeatable || call.route.kind !== 'streaming') {
+		return () => undefined;
+	}
+
+	const limit = streamSilence + (unreadTokens / leastReadingSpeed);
+	return tools.clock.every(silenceCheckInterval, () => {
+		if (tools.board.getSilence(upstream) > limit) {
+			tools.logger.info('upstream-silent', {request: call.head.attempt, upstream: getUpstreamKey(upstream), limit: Math.round(limit)});
+			cancel();
+		}
+	});
+};
+
+const applyEnd = ({call, upstream, tools}: Try, end: AttemptEnd, duration: Milliseconds): void => {
+	switch (end.kind) {
+		case 'delivered': {
+			const isTypical = call.route.kind !== 'streaming';
+			tools.board.applyResult(upstream, isOwnFailure(end.status), isTypical ? duration : undefined);
+			break;
+		}
+
+		case 'unreachable': {
+			tools.board.applyUnreachable(upstream, end.reason);
+			break;
+		}
+
+		case 'rejected': {
+			tools.board.applyResult(upstream, true, undefined);
+			break;
+		}
+
+		case 'failed':
+		case 'spoiled': {
+			tools.board.applyResult(upstream, true, undefined);
+			break;
+		}
+	}
+};
+
+const isBreak = (end: AttemptEnd): boolean =>
+	(end.kind === 'spoiled' || end.kind === 'failed') && ['ECONNRESET', 'EPIPE', 'closed', 'cut'].includes(end.reason);
+
+/** Sends a call to one upstream and delivers what it answers. */
+export const attemptUpstream = async (call: Call, progress: Progress, candidate: Candidate, tools: Tools): Promise<AttemptEnd> => {
+	const {upstream, uncachedTokens} = candidate;
+	const key = getUpstreamKey(upstream);
+	const {prompt} = call.head;
+	const load = startLoad(tools, key, uncachedTokens, call.rank === 0 ? 1 : 0);
+	const exchange = tools.board.startExchange(upstream);
+	const attempt: Try = {
+		call, progress, upstream, tools, load, exchange,
+	};
+	if (prompt !== undefined) {
+		tools.board.addReading(key, prompt);
+		tools.notes.addReading({upstream: key, model: prompt.model, parts: prompt.parts});
+	}
+
+	const startedAt = tools.clock.monotonic();
+	const service = tools.view.getRoutes()?.services.get(call.service);
+	const connections = Math.max(4, Math.floor((service?.mostConnections ?? 64) * 0.9 / tools.countHosts()));
+	const {outcome, cancel} = send(buildOutgoing(call, progress, upstream, tools), {
+		agent: tools.board.getAgent(upstream, connections), protocol: tools.protocol, clock: tools.clock,
+	});
+	progress.cancel = cancel;
+	const stopWatching = watchSilence(attempt, candidate.load.unreadTokens + uncachedTokens, cancel);
+	const end = await deliver(attempt, await outcome);
+	stopWatching();
+	exchange.end();
+	load.end();
+	const isEnded = progress.isOver || progress.isCallerGone;
+	if (!isEnded) {
+		applyEnd(attempt, end, tools.clock.monotonic() - startedAt);
+	}
+
+	if (!isEnded && isBreak(end)) {
+		void reportCrash(call, upstream, tools);
+	}
+
+	return end;
+};
--- /dev/null
+++ b/packages/forwarder/src/deliver.ts
@@ -0,0 +1,100 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {createEventSplitter, type StreamEvent} from './event-splitter.js';
+import type {Progress} from './call.js';
+import type {AnswerHead} from './protocol.js';
+
+/** How the delivery of a stream ended: `cut` before its end, `broken` if it can't go on without a gap or repeat. */
+export type Delivery = {kind: 'complete'} | {kind: 'cut'; reason: string} | {kind: 'broken'; reason: string};
+
+/** A stream on its way from an upstream to a caller. */
+export type StreamDelivery = {
+	head: AnswerHead;
+	message: IncomingMessage;
+	response: ServerResponse;
+	progress: Progress;
+	/** Whether only whole events go on, so that another upstream can continue after the last. */
+	keepsEvents: boolean;
+	/** Whether the connection is closed after the answer. */
+	isLast: boolean;
+	/** Called once, with the first bytes. */
+	onFirst: () => void;
+};
+
+/** Writes the head of an upstream's answer to the caller. */
+export const writeAnswerHead = (response: ServerResponse, {status, forwarded}: AnswerHead, isLast: boolean): void => {
+	response.writeHead(status, [...forwarded, ...(isLast ? ['Connection', 'close'] : [])]);
+};
+
+/** Events that go on to the caller: those it has not had. Undefined if one is missing before them. */
+const getNewEvents = (events: readonly StreamEvent[], progress: Progress): StreamEvent[] | undefined => {
+	const fresh: StreamEvent[] = [];
+	for (const event of events) {
+		const last = progress.lastEvent;
+		if (event.id === undefined || last === undefined || event.id === last + 1) {
+			fresh.push(event);
+			progress.lastEvent = event.id ?? last;
+		} else if (event.id > last) {
+			return undefined;
+		}
+	}
+
+	return fresh;
+};
+
+/** Delivers a stream as it comes, no faster than the caller reads. */
+export const deliverStream = async (delivery: StreamDelivery): Promise<Delivery> => new Promise(resolve => {
+	const {
+		head, message, response, progress, keepsEvents,
+	} = delivery;
+	const splitter = createEventSplitter();
+	let hasStarted = false;
+
+	const write = (bytes: Uint8Array): void => {
+		if (!response.headersSent) {
+			writeAnswerHead(response, head, delivery.isLast);
+		}
+
+		if (!response.write(bytes)) {
+			message.pause();
+			response.once('drain', () => {
+				message.resume();
+			});
+		}
+	};
+
+	const writeEvents = (chunk: Uint8Array): void => {
+		const events = getNewEvents(splitter.push(chunk), progress);
+		if (events === undefined) {
+			message.destroy();
+			resolve({kind: 'broken', reason: 'event-missing'});
+			return;
+		}
+
+		for (const {bytes} of events) {
+			write(bytes);
+		}
+	};
+
+	message.on('data', (chunk: Uint8Array) => {
+		if (!hasStarted) {
+			hasStarted = true;
+			delivery.onFirst();
+		}
+
+		if (keepsEvents) {
+			writeEvents(chunk);
+		} else {
+			write(chunk);
+		}
+	});
+	message.once('end', () => {
+		const isWhole = message.complete && !(keepsEvents && splitter.hasPartial());
+		resolve(isWhole ? {kind: 'complete'} : {kind: 'cut', reason: 'incomplete'});
+	});
+	message.once('error', (error: Error & {code?: string}) => {
+		resolve({kind: 'cut', reason: error.code ?? error.message});
+	});
+	message.once('close', () => {
+		resolve({kind: 'cut', reason: 'closed'});
+	});
+});
--- /dev/null
+++ b/packages/forwarder/src/event-splitter.ts
@@ -0,0 +1,37 @@
+import {Buffer} from 'node:buffer';
+
+/** A whole event of a stream, as it came. */
+export type StreamEvent = {id: number | undefined; bytes: Uint8Array};
+
+/** Splits the bytes of an event stream at the ends of events. */
+export type EventSplitter = {
+	/** Takes bytes and gets the events that they complete. */
+	push: (chunk: Uint8Array) => StreamEvent[];
+	/** Whether bytes of an event without its end are held. */
+	hasPartial: () => boolean;
+};
+
+const boundary = '\n\n';
+const idLine = /^id:\s?(?<id>\d+)\s*$/mv;
+
+/** Creates a splitter for one answer. */
+export const createEventSplitter = (): EventSplitter => {
+	let held = Buffer.alloc(0);
+	return {
+		push(chunk) {
+			held = held.length === 0 ? Buffer.from(chunk) : Buffer.concat([held, chunk]);
+			const events: StreamEvent[] = [];
+			let start = 0;
+			for (let end = held.indexOf(boundary); end !== -1; end = held.indexOf(boundary, start)) {
+				const bytes = held.subarray(start, end + boundary.length);
+				const id = idLine.exec(bytes.toString('latin1'))?.groups?.['id'];
+				events.push({id: id === undefined ? undefined : Number(id), bytes});
+				start = end + boundary.length;
+			}
+
+			held = held.subarray(start);
+			return events;
+		},
+		hasPartial: () => held.length > 0,
+	};
+};
--- /dev/null
+++ b/packages/forwarder/src/read-body.ts
@@ -0,0 +1,32 @@
+import {Buffer} from 'node:buffer';
+import type {IncomingMessage} from 'node:http';
+
+/** How reading a body ended. `isWhole` false: the connection broke off before its end. */
+export type Body
+	= | {kind: 'whole'; bytes: Buffer}
+		| {kind: 'too-large'}
+		| {kind: 'broken'; reason: string};
+
+/** Reads a body of at most `limit` bytes. A body whose end is its connection's counts as whole only on an orderly close. */
+export const readBody = async (message: IncomingMessage, limit: number): Promise<Body> => new Promise(resolve => {
+	const chunks: Uint8Array[] = [];
+	let length = 0;
+	message.on('data', (chunk: Uint8Array) => {
+		length += chunk.length;
+		if (length > limit) {
+			resolve({kind: 'too-large'});
+			return;
+		}
+
+		chunks.push(chunk);
+	});
+	message.once('end', () => {
+		resolve(message.complete ? {kind: 'whole', bytes: Buffer.concat(chunks)} : {kind: 'broken', reason: 'cut'});
+	});
+	message.once('error', (error: Error & {code?: string}) => {
+		resolve({kind: 'broken', reason: error.code ?? error.message});
+	});
+	message.once('close', () => {
+		resolve({kind: 'broken', reason: 'closed'});
+	});
+});
--- /dev/null
+++ b/packages/forwarder/src/serve-callers.ts
@@ -0,0 +1,217 @@
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import type {Socket} from 'node:net';
+import {
+	drawDestination, findCaller, findRoute, type CallerLimits, type KeyHolder, type Route, type RouteTable,
+} from '@gentianlift/routing';
+import type {ErrorKind} from '@gentianlift/errors';
+import type {Milliseconds} from '@gentianlift/types';
+import {createCall} from './call.js';
+import type {Forwarder} from './forward.js';
+import {writeOwnAnswer, type OwnAnswer} from './own-answer.js';
+import type {CallerHead} from './protocol.js';
+import {readBody, type Body} from './read-body.js';
+import type {Tools} from './tools.js';
+
+/** The listener of callers. */
+export type CallerServer = {
+	server: Server;
+	/** Number of requests without a final answer. */
+	countOpen: () => number;
+};
+
+/** What the listener works with. */
+export type CallerServerOptions = {
+	tools: Tools;
+	forwarder: Forwarder;
+	/** Reads the newest state of the fleet, where it can be reached. */
+	refresh: () => Promise<void>;
+};
+
+/** Where a request goes, or why it is refused. */
+type Admission
+	= | {kind: 'admitted'; table: RouteTable; route: Route; service: string; customer: KeyHolder | undefined}
+		| {kind: 'refused'; error: Extract<ErrorKind, 'not-configured' | 'unknown-path' | 'wrong-key' | 'missing-key'>};
+
+/** Size of headers above which a connection is refused before the configured limit is looked at. */
+const mostHeaderBytes = 64 * 1024;
+/** Time beyond the configured idle limit for which a connection is kept. */
+const idleMargin: Milliseconds = 2000;
+const connectionsCheck: Milliseconds = 1000;
+/** When to come back to a host without a configuration. */
+const notConfiguredDelay: Milliseconds = 500;
+/** Longest wait for the newest state before a refusal that it might lift. */
+const refreshLimit: Milliseconds = 400;
+/** Age up to which the state counts as the newest. */
+const freshFor: Milliseconds = 200;
+
+const clientErrors: Record<string, string> = {
+	HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+	ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
+};
+
+const answerClientError = (error: Error & {code?: string}, socket: Socket): void => {
+	if (socket.writable && error.code !== 'ECONNRESET') {
+		socket.end(`HTTP/1.1 ${clientErrors[error.code ?? ''] ?? '400 Bad Request'}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+	} else {
+		socket.destroy();
+	}
+};
+
+const getHeaderBytes = (headers: readonly string[]): number => headers.reduce((sum, text) => sum + text.length + 2, 0);
+
+/** Creates the listener; it listens when told to. */
+export const createCallerServer = ({tools, forwarder, refresh}: CallerServerOptions): CallerServer => {
+	const {clock, view, protocol, logger, metrics} = tools;
+	let open = 0;
+	let refreshing: Promise<void> | undefined;
+	let refreshedAt = Number.NEGATIVE_INFINITY;
+
+	const admit = (head: CallerHead, target: string): Admission => {
+		const table = view.getRoutes();
+		if (table === undefined) {
+			return {kind: 'refused', error: 'not-configured'};
+		}
+
+		const route = findRoute(table, head.hostname, target);
+		if (route === undefined) {
+			return {kind: 'refused', error: 'unknown-path'};
+		}
+
+		const caller = findCaller(table, route, head.key);
+		if (caller.kind === 'unknown') {
+			return {kind: 'refused', error: head.key === undefined ? 'missing-key' : 'wrong-key'};
+		}
+
+		const destination = drawDestination(route.destinations, tools.random);
+		const customer = caller.kind === 'customer' ? caller.customer : undefined;
+		return destination === undefined
+			? {kind: 'refused', error: 'unknown-path'}
+			: {
+				kind: 'admitted', table, route, service: destination.service, customer,
+			};
+	};
+
+	const refreshOnce = async (): Promise<void> => {
+		if (clock.monotonic() - refreshedAt < freshFor) {
+			return;
+		}
+
+		refreshing ??= (async () => {
+			await refresh();
+			refreshedAt = clock.monotonic();
+			refreshing = undefined;
+		})();
+		await Promise.race([refreshing, clock.sleep(refreshLimit)]);
+	};
+
+	/** A refusal is final for the caller, so that the newest configuration is asked for before it. */
+	const admitSurely = async (head: CallerHead, target: string): Promise<Admission> => {
+		const first = admit(head, target);
+		if (first.kind === 'admitted' || first.error === 'not-configured') {
+			return first;
+		}
+
+		await refreshOnce();
+		return admit(head, target);
+	};
+
+	const refuse = (request: IncomingMessage, response: ServerResponse, head: CallerHead, own: OwnAnswer): void => {
+		metrics.count('refusals_total', {reason: own.kind});
+		logger.info('call-refused', {
+			request: head.attempt, reason: own.kind, target: request.url, version: view.getRoutes()?.configuration.version, revision: view.getRevision(),
+			age: Math.round(view.getSilence(clock.monotonic())),
+		});
+		writeOwnAnswer({
+			response, protocol, caller: head, isLast: tools.isStopping() || own.kind === 'body-too-large',
+		}, own);
+	};
+
+	const getRefusal = (body: Body, admission: Admission, headers: readonly string[], limits: CallerLimits | undefined): OwnAnswer | undefined => {
+		if (body.kind === 'too-large') {
+			return {kind: 'body-too-large'};
+		}
+
+		if (getHeaderBytes(headers) > (limits?.mostHeaderBytes ?? mostHeaderBytes)) {
+			return {kind: 'headers-too-large'};
+		}
+
+		if (admission.kind === 'admitted') {
+			return undefined;
+		}
+
+		return {kind: admission.error, ...(admission.error === 'not-configured' && {retryAfter: notConfiguredDelay})};
+	};
+
+	const applyLimits = (server: Server, limits: CallerLimits): void => {
+		server.headersTimeout = limits.headerTimeout;
+		server.keepAliveTimeout = limits.idleTimeout + idleMargin;
+	};
+
+	const handle = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+		const arrivedAt = clock.monotonic();
+		const head = protocol.readCallerHead(request.rawHeaders);
+		const target = request.url ?? '/';
+		const limits = view.getRoutes()?.configuration.limits;
+		const reading = readBody(request, limits?.mostBodyBytes ?? Number.POSITIVE_INFINITY);
+		const admission = await admitSurely(head, target);
+		const body = await reading;
+		if (body.kind === 'broken') {
+			logger.info('call-broken', {request: head.attempt, reason: body.reason});
+			response.destroy();
+			return;
+		}
+
+		const refusal = getRefusal(body, admission, request.rawHeaders, limits);
+		if (refusal !== undefined || body.kind !== 'whole' || admission.kind !== 'admitted') {
+			refuse(request, response, head, refusal ?? {kind: 'internal'});
+			return;
+		}
+
+		const {route, service, customer, table} = admission;
+		await forwarder.forward(createCall({
+			method: request.method ?? 'GET',
+			target,
+			head,
+			body: body.bytes,
+			route,
+			service,
+			customer,
+			response,
+			version: table.configuration.version,
+			arrivedAt,
+		}));
+	};
+
+	const handleSafely = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+		open += 1;
+		response.on('error', error => {
+			logger.debug('caller-write-failed', {reason: error.message});
+		});
+		try {
+			const limits = view.getRoutes()?.configuration.limits;
+			if (limits !== undefined) {
+				applyLimits(server, limits);
+			}
+
+			await handle(request, response);
+		} catch (error) {
+			logger.error('call-failed', {target: request.url, reason: (error as Error).stack ?? String(error)});
+			response.destroy();
+		} finally {
+			open -= 1;
+		}
+	};
+
+	const server = createServer({
+		maxHeaderSize: mostHeaderBytes, connectionsCheckingInterval: connectionsCheck, requestTimeout: 0, noDelay: true,
+	}, (request, response) => {
+		void handleSafely(request, response);
+	});
+	server.keepAliveTimeout = 60_000;
+	server.on('clientError', (error: Error & {code?: string}, socket) => {
+		answerClientError(error, socket as Socket);
+	});
+	return {server, countOpen: () => open};
+};
--- /dev/null
+++ b/packages/forwarder/src/upstream-agent.ts
@@ -0,0 +1,84 @@
+import {Agent, type AgentOptions, type ClientRequest, type IncomingMessage} from 'node:http';
+import {connect, type NetConnectOpts, type Socket} from 'node:net';
+import type {Duplex} from 'node:stream';
+import type {Milliseconds} from '@gentianlift/types';
+
+/** Idle time after which a connection isn't used again, unless the upstream names a shorter one. */
+const idleLimit: Milliseconds = 8000;
+/** Time before the upstream's own limit at which an idle connection is closed, so that no request crosses its close. */
+const idleMargin: Milliseconds = 1000;
+const keepAliveTimeout = /timeout=(?<seconds>\d+)/v;
+
+/** The answer under way on a connection; undefined while a request waits for one. */
+type Progress = {message: IncomingMessage | undefined; isIdle: boolean; idleTimer: NodeJS.Timeout | undefined};
+
+const getIdleLimit = (message: IncomingMessage | undefined): Milliseconds => {
+	const header = message?.headers['keep-alive'];
+	const seconds = typeof header === 'string' ? keepAliveTimeout.exec(header)?.groups?.['seconds'] : undefined;
+	return seconds === undefined ? idleLimit : Math.min(idleLimit, (Number(seconds) * 1000) - idleMargin);
+};
+
+/**
+ * Connections to one upstream. A connection that delivers bytes that no request waits for is closed:
+ * what follows on it could be taken for the answer to another request.
+ */
+export class UpstreamAgent extends Agent {
+	readonly #progress = new WeakMap<Duplex, Progress>();
+
+	constructor(options: AgentOptions = {}) {
+		super({
+			keepAlive: true, scheduling: 'lifo', maxFreeSockets: 64, ...options,
+		});
+	}
+
+	/** Tells which answer came on the request's connection, so that bytes after its end are found. */
+	noteAnswer(socket: Socket, message: IncomingMessage): void {
+		const progress = this.#progress.get(socket);
+		if (progress !== undefined) {
+			progress.message = message;
+		}
+	}
+
+	override createConnection(options: NetConnectOpts): Socket {
+		const socket = connect({...options, noDelay: true});
+		const progress: Progress = {message: undefined, isIdle: false, idleTimer: undefined};
+		this.#progress.set(socket, progress);
+		socket.on('data', () => {
+			if (progress.isIdle || progress.message?.complete === true) {
+				socket.destroy();
+			}
+		});
+		socket.once('close', () => {
+			clearTimeout(progress.idleTimer);
+		});
+		return socket;
+	}
+
+	override keepSocketAlive(socket: Duplex): boolean {
+		const progress = this.#progress.get(socket);
+		const limit = getIdleLimit(progress?.message);
+		if (progress === undefined || limit <= 0 || socket.destroyed) {
+			return false;
+		}
+
+		progress.isIdle = true;
+		progress.idleTimer = setTimeout(() => {
+			socket.destroy();
+		}, limit);
+		progress.idleTimer.unref();
+		// Bytes that come while the connection is idle are to be seen at once.
+		socket.resume();
+		return true;
+	}
+
+	override reuseSocket(socket: Duplex, request: ClientRequest): void {
+		const progress = this.#progress.get(socket);
+		if (progress !== undefined) {
+			clearTimeout(progress.idleTimer);
+			progress.message = undefined;
+			progress.isIdle = false;
+		}
+
+		super.reuseSocket(socket, request);
+	}
+}
--- a/packages/logger/src/index.ts
+++ b/packages/logger/src/index.ts
@@ -1,2 +1,3 @@
 export * from './logger.js';
 export * from './format-line.js';
+export * from './output.js';
--- /dev/null
+++ b/packages/routing/src/prompt-cache.ts
@@ -0,0 +1,69 @@
+import type {Prompt, PromptPart} from './prompt.js';
+
+/** Share of an upstream's memory that parts of earlier prompts are taken to fill. */
+const usableShare = 0.8;
+
+/** What an upstream is believed to keep of the prompts that it has read. The least recently used parts go first. */
+export type PromptCache = {
+	/** Adds the parts of a prompt that the upstream reads. */
+	add: (prompt: Pick<Prompt, 'model' | 'parts'>) => void;
+	/** Gets how many tokens of the prompt the upstream has to read. */
+	getUncachedTokens: (prompt: Prompt) => number;
+	/** Tells whether the part is kept. */
+	has: (model: string, part: string) => boolean;
+};
+
+const getKey = (model: string, part: string): string => `${model}/${part}`;
+
+/** Creates the belief about an upstream with memory for `capacity` tokens. */
+export const createPromptCache = (capacity: number): PromptCache => {
+	const kept = new Map<string, number>();
+	const limit = capacity * usableShare;
+	let total = 0;
+
+	const drop = (key: string): void => {
+		total -= kept.get(key) ?? 0;
+		kept.delete(key);
+	};
+
+	const dropOldest = (): void => {
+		for (const key of kept.keys()) {
+			if (total <= limit) {
+				return;
+			}
+
+			drop(key);
+		}
+	};
+
+	const addPart = (model: string, {id, tokens}: PromptPart): void => {
+		const key = getKey(model, id);
+		drop(key);
+		kept.set(key, tokens);
+		total += tokens;
+	};
+
+	return {
+		add({model, parts}) {
+			// The last part is added first, as a part is of no use without those before it.
+			for (const part of parts.toReversed()) {
+				addPart(model, part);
+			}
+
+			dropOldest();
+		},
+		getUncachedTokens({model, parts, inputTokens}) {
+			let cached = 0;
+			for (const {id, tokens} of parts) {
+				if (!kept.has(getKey(model, id))) {
+					break;
+				}
+
+				cached += tokens;
+			}
+
+			return Math.max(0, inputTokens - cached);
+		},
+		has: (model, part) => kept.has(getKey(model, part)),
+	};
+};
--- a/packages/types/src/key-value.ts
+++ b/packages/types/src/key-value.ts
@@ -52,3 +52,29 @@
 	renewLease: (lease: string) => Promise<LeaseOutcome>;
 	endLease: (lease: string) => Promise<LeaseOutcome>;
 };
+
+/** A change of an entry. */
+export type Change
+	= | {kind: 'written'; entry: Entry}
+		| {kind: 'removed'; key: string; revision: number};
+
+/** All entries, and the revision after which changes are still to be read. */
+export type Snapshot = {entries: Entry[]; revision: number};
+
+/** Outcome of reading all entries. */
+export type SnapshotOutcome
+	= | {kind: 'found'; snapshot: Snapshot}
+		| {kind: 'unavailable'; reason: string};
+
+/** Outcome of waiting for changes; `compacted` if the changes after the revision are no longer known. */
+export type ChangesOutcome
+	= | {kind: 'changed'; changes: Change[]; revision: number}
+		| {kind: 'compacted'}
+		| {kind: 'unavailable'; reason: string};
+
+/** The port to a key-value service whose entries are all followed. No call throws. */
+export type ChangeFeed = {
+	readAll: () => Promise<SnapshotOutcome>;
+	/** Resolves when there are changes after `revision`, or after `limit` with none. */
+	waitForChanges: (revision: number, limit: Milliseconds) => Promise<ChangesOutcome>;
+};
--- /dev/null
+++ b/scripts/bundle.js
@@ -0,0 +1,17 @@
+import {build} from 'esbuild';
+
+// One file for each program that runs on the users' platform, so that a start reads and compiles little.
+await build({
+	entryPoints: {gentianlift: 'platform/main.ts'},
+	bundle: true,
+	outdir: 'target',
+	outExtension: {'.js': '.mjs'},
+	format: 'esm',
+	platform: 'node',
+	target: 'node20',
+	conditions: ['source'],
+	minifySyntax: true,
+	minifyWhitespace: true,
+	banner: {js: 'import {createRequire as createBundleRequire} from "node:module";const require=createBundleRequire(import.meta.url);'},
+	logLevel: 'warning',
+});
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -4,7 +4,7 @@
 	resolve: {conditions: ['source']},
 	ssr: {resolve: {conditions: ['source']}},
 	test: {
-		include: ['packages/*/src/**/*.test.ts'],
+		include: ['packages/*/src/**/*.test.ts', 'platform/**/*.test.ts'],
 		testTimeout: 180_000,
 		// How long a test waits for what must come; no test asserts on the time itself.
 		expect: {poll: {timeout: 60_000}},
