Take the reset of an answer without a length for a cut

Ruled out: engines closing in an orderly way, their runs ended as crashed. Change: an answer without a length is whole only if its connection did not fail; watches wait 2 s.

--- a/packages/discovery/src/follow-fleet.ts
+++ b/packages/discovery/src/follow-fleet.ts
@@ -21,7 +21,7 @@
 };
 
 /** Longest wait of one call for changes; bounds how long a connection that went silent hides them. */
-const watchLimit: Milliseconds = 900;
+const watchLimit: Milliseconds = 2000;
 /** Pause after a failed call. */
 const failurePause: Milliseconds = 200;
 /** Silence of the service after which other hosts are asked. */
--- a/packages/forwarder/src/attempt.ts
+++ b/packages/forwarder/src/attempt.ts
@@ -103,8 +103,8 @@
 const isOwnFailure = (status: number): boolean => status >= 500;
 const promisesNotRun = (status: number): boolean => [408, 421, 429, 503].includes(status);
 
-const deliverWhole = async (call: Call, {head, message}: Extract<SendOutcome, {kind: 'answered'}>, isLast: boolean): Promise<AttemptEnd> => {
-	const body = await readBody(message, mostHeldBytes);
+const deliverWhole = async (call: Call, {head, answer}: Extract<SendOutcome, {kind: 'answered'}>, isLast: boolean): Promise<AttemptEnd> => {
+	const body = await readBody(answer, mostHeldBytes);
 	if (body.kind !== 'whole') {
 		return {kind: 'failed', reason: body.kind === 'broken' ? body.reason : body.kind};
 	}
@@ -135,11 +135,11 @@
 type Try = {call: Call; progress: Progress; upstream: Upstream; tools: Tools; load: LoadEntry; exchange: Exchange};
 
 const deliverEvents = async (
-	{call, progress, tools, load, exchange}: Try, {head, message}: Extract<SendOutcome, {kind: 'answered'}>,
+	{call, progress, tools, load, exchange}: Try, {head, answer}: Extract<SendOutcome, {kind: 'answered'}>,
 ): Promise<AttemptEnd> => {
-	message.on('data', exchange.applyBytes);
+	answer.message.on('data', exchange.applyBytes);
 	const delivery = await deliverStream({
-		head, message, response: call.response, progress,
+		head, answer, response: call.response, progress,
 		keepsEvents: call.isRepeatable,
 		isLast: tools.isStopping(),
 		onFirst: load.finishReading,
--- a/packages/forwarder/src/deliver.ts
+++ b/packages/forwarder/src/deliver.ts
@@ -1,6 +1,7 @@
-import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {ServerResponse} from 'node:http';
 import {createEventSplitter, type StreamEvent} from './event-splitter.js';
 import type {Progress} from './call.js';
+import {isWhole, type Incoming} from './incoming.js';
 import type {AnswerHead} from './protocol.js';
 
 /** How the delivery of a stream ended: `cut` before its end, `broken` if it can't go on without a gap or repeat. */
@@ -9,7 +10,7 @@
 /** A stream on its way from an upstream to a caller. */
 export type StreamDelivery = {
 	head: AnswerHead;
-	message: IncomingMessage;
+	answer: Incoming;
 	response: ServerResponse;
 	progress: Progress;
 	/** Whether only whole events go on, so that another upstream can continue after the last. */
@@ -44,8 +45,9 @@
 /** Delivers a stream as it comes, no faster than the caller reads. */
 export const deliverStream = async (delivery: StreamDelivery): Promise<Delivery> => new Promise(resolve => {
 	const {
-		head, message, response, progress, keepsEvents,
+		head, answer, response, progress, keepsEvents,
 	} = delivery;
+	const {message} = answer;
 	const splitter = createEventSplitter();
 	let hasStarted = false;
 
@@ -88,8 +90,8 @@
 		}
 	});
 	message.once('end', () => {
-		const isWhole = message.complete && !(keepsEvents && splitter.hasPartial());
-		resolve(isWhole ? {kind: 'complete'} : {kind: 'cut', reason: 'incomplete'});
+		const hasEnded = isWhole(answer) && !(keepsEvents && splitter.hasPartial());
+		resolve(hasEnded ? {kind: 'complete'} : {kind: 'cut', reason: 'incomplete'});
 	});
 	message.once('error', (error: Error & {code?: string}) => {
 		resolve({kind: 'cut', reason: error.code ?? error.message});
--- a/packages/forwarder/src/read-body.ts
+++ b/packages/forwarder/src/read-body.ts
@@ -1,14 +1,15 @@
 import {Buffer} from 'node:buffer';
-import type {IncomingMessage} from 'node:http';
+import {isWhole, type Incoming} from './incoming.js';
 
-/** How reading a body ended. `isWhole` false: the connection broke off before its end. */
+/** How reading a body ended; `broken` if its connection broke off before its end. */
 export type Body
 	= | {kind: 'whole'; bytes: Buffer}
 		| {kind: 'too-large'}
 		| {kind: 'broken'; reason: string};
 
-/** Reads a body of at most `limit` bytes. A body whose end is its connection's counts as whole only on an orderly close. */
-export const readBody = async (message: IncomingMessage, limit: number): Promise<Body> => new Promise(resolve => {
+/** Reads a body of at most `limit` bytes. */
+export const readBody = async (incoming: Incoming, limit: number): Promise<Body> => new Promise(resolve => {
+	const {message} = incoming;
 	const chunks: Uint8Array[] = [];
 	let length = 0;
 	message.on('data', (chunk: Uint8Array) => {
@@ -21,7 +22,7 @@
 		chunks.push(chunk);
 	});
 	message.once('end', () => {
-		resolve(message.complete ? {kind: 'whole', bytes: Buffer.concat(chunks)} : {kind: 'broken', reason: 'cut'});
+		resolve(isWhole(incoming) ? {kind: 'whole', bytes: Buffer.concat(chunks)} : {kind: 'broken', reason: 'cut'});
 	});
 	message.once('error', (error: Error & {code?: string}) => {
 		resolve({kind: 'broken', reason: error.code ?? error.message});
--- a/packages/forwarder/src/send.ts
+++ b/packages/forwarder/src/send.ts
@@ -2,6 +2,7 @@
 import type {Clock} from '@gentianlift/clock';
 import type {Upstream} from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
+import type {Incoming} from './incoming.js';
 import type {AnswerHead, Protocol, RawHeaders} from './protocol.js';
 import type {UpstreamAgent} from './upstream-agent.js';
 
@@ -28,7 +29,7 @@
 	/** It may have run; no answer to it will come. */
 		| {kind: 'broken'; reason: string}
 		| {kind: 'silent'}
-		| {kind: 'answered'; head: AnswerHead; message: IncomingMessage};
+		| {kind: 'answered'; head: AnswerHead; answer: Incoming};
 
 /** A request under way at an upstream. */
 export type Send = {
@@ -60,7 +61,8 @@
 };
 
 /** Gets the meaning of an answer's head; closes connections whose answer can't be the request's. */
-const judge = (message: IncomingMessage, head: AnswerHead, attempt: string | undefined): SendOutcome => {
+const judge = (answer: Incoming, head: AnswerHead, attempt: string | undefined): SendOutcome => {
+	const {message} = answer;
 	const isForeign = head.attempt !== undefined && attempt !== undefined && head.attempt !== attempt;
 	if (isForeign) {
 		message.destroy();
@@ -78,13 +80,14 @@
 		return {kind: 'broken', reason: 'answer-unsigned'};
 	}
 
-	return {kind: 'answered', head, message};
+	return {kind: 'answered', head, answer};
 };
 
 /** Sends a request to an upstream. */
 export const send = (outgoing: Outgoing, {agent, protocol, clock}: SendTools): Send => {
 	const exchange = open(outgoing, agent);
 	let isConnected = false;
+	let hasFailed = false;
 	const outcome = new Promise<SendOutcome>(resolve => {
 		const cancelConnect = clock.after(connectLimit, () => {
 			if (!isConnected) {
@@ -112,9 +115,11 @@
 		});
 		exchange.once('response', message => {
 			agent.noteAnswer(message.socket, message);
-			finish(judge(message, protocol.readAnswerHead(message.statusCode ?? 0, message.rawHeaders), outgoing.attempt));
+			const answer = {message, hasFailed: () => hasFailed};
+			finish(judge(answer, protocol.readAnswerHead(message.statusCode ?? 0, message.rawHeaders), outgoing.attempt));
 		});
 		exchange.on('error', error => {
+			hasFailed = true;
 			finish({kind: isConnected ? 'broken' : 'unreachable', reason: getReason(error)});
 		});
 		exchange.once('close', () => {
--- a/packages/forwarder/src/serve-callers.ts
+++ b/packages/forwarder/src/serve-callers.ts
@@ -154,7 +154,7 @@
 		const head = protocol.readCallerHead(request.rawHeaders);
 		const target = request.url ?? '/';
 		const limits = view.getRoutes()?.configuration.limits;
-		const reading = readBody(request, limits?.mostBodyBytes ?? Number.POSITIVE_INFINITY);
+		const reading = readBody({message: request, hasFailed: () => false}, limits?.mostBodyBytes ?? Number.POSITIVE_INFINITY);
 		const admission = await admitSurely(head, target);
 		const body = await reading;
 		if (body.kind === 'broken') {
