Hold low ranks back until an upstream has read its prompts, and keep prompts where their parts are

Ruled out: the priority header, which the engines' reading ignores. Change: a waiting line at each host (rank, then who can still be on time), backlog limits from the targets of higher ranks, shared load notes each 3 ms, cost of reading again, engines set apart for streams that long prompts make late.

--- a/packages/discovery/src/exchange-notes.ts
+++ b/packages/discovery/src/exchange-notes.ts
@@ -2,12 +2,12 @@
 import type {Clock} from '@gentianlift/clock';
 import type {Logger} from '@gentianlift/logger';
 import type {
-	Crash, CrashSuspects, UpstreamKey, UpstreamLoad,
+	Crash, CrashSuspects, UpstreamKey,
 } from '@gentianlift/routing';
 import type {
 	Address, HostId, Incarnation, Milliseconds,
 } from '@gentianlift/types';
-import type {LoadBook} from './load-book.js';
+import type {CausedLoad, LoadBook} from './load-book.js';
 import {
 	decodeNote, encodeNote, type Note, type Reading,
 } from './note.js';
@@ -18,7 +18,7 @@
 /** Exchanges notes with the other hosts. */
 export type NoteExchange = {
 	/** Adds to the load that this host causes and tells the others soon. */
-	addLoad: (upstream: UpstreamKey, change: UpstreamLoad) => void;
+	addLoad: (upstream: UpstreamKey, change: CausedLoad) => void;
 	addReading: (reading: Reading) => void;
 	addCrash: (crash: Crash) => void;
 	markStopping: () => void;
@@ -42,10 +42,12 @@
 	getRevision: () => number;
 	/** Takes in what another host sent an upstream to read. */
 	onReading: (reading: Reading) => void;
+	/** Called after the load of other hosts has changed. */
+	onLoad: () => void;
 };
 
 /** Delay in which changes are gathered into one note. */
-const gatherDelay: Milliseconds = 15;
+const gatherDelay: Milliseconds = 3;
 /** Interval of notes that tell all loads. */
 const fullInterval: Milliseconds = 500;
 /** Number of notes in which a crash is told again, as datagrams get lost. */
@@ -128,6 +130,7 @@
 			incarnation: note.incarnation, sequence: note.sequence, heardAt: now, isStopping: note.isStopping,
 		});
 		loads.setOther(note.host, note.incarnation, note.loads, now);
+		options.onLoad();
 		for (const reading of note.readings) {
 			options.onReading(reading);
 		}
@@ -160,7 +163,7 @@
 
 	return {
 		addLoad(upstream, change) {
-			loads.addOwn(upstream, change);
+			loads.addOwn(upstream, change, clock.monotonic());
 			changed.add(upstream);
 			schedule();
 		},
--- a/packages/discovery/src/load-book.ts
+++ b/packages/discovery/src/load-book.ts
@@ -1,13 +1,16 @@
 import type {UpstreamKey, UpstreamLoad} from '@gentianlift/routing';
 import type {HostId, Incarnation, Milliseconds} from '@gentianlift/types';
 
+/** Work that one host causes at an upstream, or a change of it. */
+export type CausedLoad = Omit<UpstreamLoad, 'progressAt'>;
+
 /** Load of one upstream as one host causes it. */
-export type LoadShare = UpstreamLoad & {upstream: UpstreamKey};
+export type LoadShare = CausedLoad & {upstream: UpstreamKey};
 
 /** Work at each upstream, by host. */
 export type LoadBook = {
 	/** Adds to what this host causes. */
-	addOwn: (upstream: UpstreamKey, change: UpstreamLoad) => void;
+	addOwn: (upstream: UpstreamKey, change: CausedLoad, now: Milliseconds) => void;
 	getOwn: () => LoadShare[];
 	/** Takes in what another host causes; `shares` replace those known of the same upstreams. */
 	setOther: (host: HostId, incarnation: Incarnation, shares: readonly LoadShare[], now: Milliseconds) => void;
@@ -19,56 +22,81 @@
 	dropUpstream: (upstream: UpstreamKey) => void;
 };
 
-type OtherHost = {incarnation: Incarnation; heardAt: Milliseconds; shares: Map<UpstreamKey, UpstreamLoad>};
+type OtherHost = {incarnation: Incarnation; heardAt: Milliseconds; shares: Map<UpstreamKey, CausedLoad>};
 
 /** Silence after which the load that a host told no longer counts. */
 const longestSilence: Milliseconds = 2000;
-const noLoad: UpstreamLoad = {running: 0, unreadTokens: 0, urgent: 0};
+const noLoad: CausedLoad = {running: 0, unreadTokens: 0, delicate: 0};
+const noTotal: UpstreamLoad = {...noLoad, progressAt: 0};
+
+const addLoads = (one: CausedLoad, other: CausedLoad, sign: 1 | -1 = 1): CausedLoad => ({
+	running: one.running + (sign * other.running),
+	unreadTokens: one.unreadTokens + (sign * other.unreadTokens),
+	delicate: one.delicate + (sign * other.delicate),
+});
 
-const addLoads = (one: UpstreamLoad, other: UpstreamLoad): UpstreamLoad => ({
-	running: one.running + other.running,
-	unreadTokens: one.unreadTokens + other.unreadTokens,
-	urgent: one.urgent + other.urgent,
+/** A request may end after its upstream was forgotten. */
+const getClamped = ({running, unreadTokens, delicate}: CausedLoad): CausedLoad => ({
+	running: Math.max(0, running),
+	unreadTokens: Math.max(0, unreadTokens),
+	delicate: Math.max(0, delicate),
 });
 
 /** Creates an empty book. */
 export const createLoadBook = (): LoadBook => {
-	const own = new Map<UpstreamKey, UpstreamLoad>();
+	const own = new Map<UpstreamKey, CausedLoad>();
 	const others = new Map<HostId, OtherHost>();
+	const totals = new Map<UpstreamKey, UpstreamLoad>();
+
+	const changeTotal = (upstream: UpstreamKey, before: CausedLoad, after: CausedLoad, now: Milliseconds): void => {
+		const known = totals.get(upstream) ?? noTotal;
+		const next = addLoads(addLoads(known, after), before, -1);
+		// Fewer unread tokens mean that a prompt was read; the first ones that reading starts.
+		const hasProgress = after.unreadTokens < before.unreadTokens || known.unreadTokens === 0;
+		totals.set(upstream, {...next, progressAt: hasProgress ? now : known.progressAt});
+	};
+
+	const forget = ({shares}: OtherHost, now: Milliseconds): void => {
+		for (const [upstream, load] of shares) {
+			changeTotal(upstream, load, noLoad, now);
+		}
+	};
 
 	return {
-		addOwn(upstream, change) {
-			own.set(upstream, addLoads(own.get(upstream) ?? noLoad, change));
+		addOwn(upstream, change, now) {
+			const before = own.get(upstream) ?? noLoad;
+			const after = getClamped(addLoads(before, change));
+			own.set(upstream, after);
+			changeTotal(upstream, before, after, now);
 		},
 		getOwn: () => [...own].map(([upstream, load]) => ({upstream, ...load})),
 		setOther(host, incarnation, shares, now) {
 			const known = others.get(host);
-			const record = known?.incarnation === incarnation ? known : {incarnation, heardAt: now, shares: new Map<UpstreamKey, UpstreamLoad>()};
+			if (known !== undefined && known.incarnation !== incarnation) {
+				forget(known, now);
+			}
+
+			const record = known?.incarnation === incarnation ? known : {incarnation, heardAt: now, shares: new Map<UpstreamKey, CausedLoad>()};
 			record.heardAt = now;
 			for (const {upstream, ...load} of shares) {
+				changeTotal(upstream, record.shares.get(upstream) ?? noLoad, load, now);
 				record.shares.set(upstream, load);
 			}
 
 			others.set(host, record);
 		},
 		dropSilent(now) {
-			for (const [host, {heardAt}] of others) {
-				if (now - heardAt > longestSilence) {
+			for (const [host, record] of others) {
+				if (now - record.heardAt > longestSilence) {
+					forget(record, now);
 					others.delete(host);
 				}
 			}
 		},
-		getTotal(upstream) {
-			let total = own.get(upstream) ?? noLoad;
-			for (const {shares} of others.values()) {
-				const share = shares.get(upstream);
-				total = share === undefined ? total : addLoads(total, share);
-			}
-
-			return total;
-		},
+		getTotal: upstream => totals.get(upstream) ?? noTotal,
 		dropUpstream(upstream) {
 			own.delete(upstream);
+			totals.delete(upstream);
 			for (const {shares} of others.values()) {
 				shares.delete(upstream);
 			}
--- a/packages/forwarder/src/attempt.ts
+++ b/packages/forwarder/src/attempt.ts
@@ -1,14 +1,14 @@
-import {
-	getUpstreamKey, type Candidate, type Upstream, type UpstreamKey,
-} from '@gentianlift/routing';
+import {getUpstreamKey, type Upstream} from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
 import {getFingerprint, type Call, type Progress} from './call.js';
 import {deliverStream, writeAnswerHead} from './deliver.js';
+import type {LoadEntry} from './load-entry.js';
 import type {AnswerHead} from './protocol.js';
 import {readBody} from './read-body.js';
 import {send, type Outgoing, type SendOutcome} from './send.js';
 import type {Tools} from './tools.js';
 import type {Exchange} from './upstream-board.js';
+import type {Place} from './waiting-line.js';
 
 /** A whole answer of an upstream that may still go to the caller. */
 export type HeldAnswer = {head: AnswerHead; bytes: Uint8Array};
@@ -37,28 +37,6 @@
 const leastReadingSpeed = 15;
 const silenceCheckInterval: Milliseconds = 200;
 
-/** Counts what the request adds to the load of its upstream. */
-type LoadEntry = {finishReading: () => void; end: () => void};
-
-const startLoad = (tools: Tools, key: UpstreamKey, unreadTokens: number, urgent: number): LoadEntry => {
-	let unread = unreadTokens;
-	tools.notes.addLoad(key, {running: 1, unreadTokens, urgent});
-	const finishReading = (): void => {
-		if (unread > 0) {
-			tools.notes.addLoad(key, {running: 0, unreadTokens: -unread, urgent: 0});
-			unread = 0;
-		}
-	};
-
-	return {
-		finishReading,
-		end() {
-			finishReading();
-			tools.notes.addLoad(key, {running: -1, unreadTokens: 0, urgent: -urgent});
-		},
-	};
-};
-
 const getHeadLimit = (call: Call, progress: Progress, timeLeft: Milliseconds): Milliseconds => {
 	const mayGoElsewhere = call.route.kind === 'idempotent' && progress.upstreamsRun + 1 < call.route.mostUpstreams;
 	return mayGoElsewhere ? Math.min(timeLeft, Math.max(patience, timeLeft * patienceShare)) : timeLeft;
@@ -132,17 +110,28 @@
 };
 
 /** One try of a call at one upstream. */
-type Try = {call: Call; progress: Progress; upstream: Upstream; tools: Tools; load: LoadEntry; exchange: Exchange};
+type Try = {call: Call; progress: Progress; upstream: Upstream; tools: Tools; load: LoadEntry; exchange: Exchange; startedAt: Milliseconds};
+
+/** Takes in the first token: the prompt was read, and those before it. */
+const applyFirst = ({call, progress, upstream, tools, load, startedAt}: Try): void => {
+	const now = tools.clock.monotonic();
+	progress.firstAt = now;
+	load.finishReading();
+	if (call.head.prompt !== undefined && progress.choice !== undefined) {
+		tools.board.applyFirst(upstream, progress.choice.unreadTokens + progress.choice.uncachedTokens, now - startedAt);
+	}
+};
 
-const deliverEvents = async (
-	{call, progress, tools, load, exchange}: Try, {head, answer}: Extract<SendOutcome, {kind: 'answered'}>,
-): Promise<AttemptEnd> => {
+const deliverEvents = async (attempt: Try, {head, answer}: Extract<SendOutcome, {kind: 'answered'}>): Promise<AttemptEnd> => {
+	const {call, progress, tools, exchange} = attempt;
 	answer.message.on('data', exchange.applyBytes);
 	const delivery = await deliverStream({
 		head, answer, response: call.response, progress,
 		keepsEvents: call.isRepeatable,
 		isLast: tools.isStopping(),
-		onFirst: load.finishReading,
+		onFirst() {
+			applyFirst(attempt);
+		},
 	});
 	switch (delivery.kind) {
 		case 'complete': {
@@ -236,21 +225,20 @@
 	(end.kind === 'spoiled' || end.kind === 'failed') && ['ECONNRESET', 'EPIPE', 'closed', 'cut'].includes(end.reason);
 
 /** Sends a call to one upstream and delivers what it answers. */
-export const attemptUpstream = async (call: Call, progress: Progress, candidate: Candidate, tools: Tools): Promise<AttemptEnd> => {
+export const attemptUpstream = async (call: Call, progress: Progress, {candidate, load}: Place, tools: Tools): Promise<AttemptEnd> => {
 	const {upstream, uncachedTokens} = candidate;
 	const key = getUpstreamKey(upstream);
 	const {prompt} = call.head;
-	const load = startLoad(tools, key, uncachedTokens, call.rank === 0 ? 1 : 0);
+	progress.choice = {running: candidate.load.running, unreadTokens: candidate.load.unreadTokens, uncachedTokens};
 	const exchange = tools.board.startExchange(upstream);
 	const attempt: Try = {
-		call, progress, upstream, tools, load, exchange,
+		call, progress, upstream, tools, load, exchange, startedAt: tools.clock.monotonic(),
 	};
 	if (prompt !== undefined) {
 		tools.board.addReading(key, prompt);
 		tools.notes.addReading({upstream: key, model: prompt.model, parts: prompt.parts});
 	}
 
-	const startedAt = tools.clock.monotonic();
 	const service = tools.view.getRoutes()?.services.get(call.service);
 	const connections = Math.max(4, Math.floor((service?.mostConnections ?? 64) * 0.9 / tools.countHosts()));
 	const {outcome, cancel} = send(buildOutgoing(call, progress, upstream, tools), {
@@ -264,7 +252,7 @@
 	load.end();
 	const isEnded = progress.isOver || progress.isCallerGone;
 	if (!isEnded) {
-		applyEnd(attempt, end, tools.clock.monotonic() - startedAt);
+		applyEnd(attempt, end, tools.clock.monotonic() - attempt.startedAt);
 	}
 
 	if (!isEnded && isBreak(end)) {
--- a/packages/forwarder/src/call.ts
+++ b/packages/forwarder/src/call.ts
@@ -37,6 +37,10 @@
 	lastEvent: number | undefined;
 	isCallerGone: boolean;
 	isOver: boolean;
+	/** What decided the last choice of an upstream. */
+	choice: {running: number; unreadTokens: number; uncachedTokens: number} | undefined;
+	/** When the last upstream's first bytes came. */
+	firstAt: Milliseconds | undefined;
 	/** Ends the send under way. */
 	cancel: (() => void) | undefined;
 };
@@ -66,5 +70,7 @@
 	lastEvent: undefined,
 	isCallerGone: false,
 	isOver: false,
+	choice: undefined,
+	firstAt: undefined,
 	cancel: undefined,
 });
--- a/packages/forwarder/src/forward.ts
+++ b/packages/forwarder/src/forward.ts
@@ -1,6 +1,6 @@
 import type {ErrorKind} from '@gentianlift/errors';
 import {
-	chooseUpstream, createRetryBudget, decideResend, getUpstreamKey, type Candidate, type RetryBudget,
+	createRetryBudget, decideResend, getUpstreamKey, type RetryBudget,
 } from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
 import {attemptUpstream, writeHeldAnswer, type AttemptEnd} from './attempt.js';
@@ -9,11 +9,14 @@
 } from './call.js';
 import {writeOwnAnswer, type OwnAnswer} from './own-answer.js';
 import type {Tools} from './tools.js';
+import {createWaitingLine} from './waiting-line.js';
 
 /** Sends calls to upstreams until one answers or nothing more may be tried. */
 export type Forwarder = {
 	/** Resolves when the caller has its final answer, or has gone. */
 	forward: (call: Call) => Promise<void>;
+	/** Takes in that the load of upstreams has changed. */
+	applyLoad: () => void;
 };
 
 /** When a caller may come back after no upstream could take its request. */
@@ -24,7 +27,8 @@
 
 /** Creates a forwarder. */
 export const createForwarder = (tools: Tools): Forwarder => {
-	const {clock, view, board, logger, metrics} = tools;
+	const {clock, logger, metrics} = tools;
+	const line = createWaitingLine(tools);
 	const budgets = new Map<string, RetryBudget>();
 
 	const getBudget = (service: string): RetryBudget => {
@@ -38,14 +42,6 @@
 		return budget;
 	};
 
-	const choose = (call: Call, progress: Progress): Candidate | undefined => {
-		const service = view.getRoutes()?.services.get(call.service);
-		const upstreams = view.getUpstreams(call.service).filter(upstream => !progress.tried.has(getUpstreamKey(upstream)));
-		const candidates = service === undefined ? [] : board.getCandidates(upstreams, service, call.head.prompt);
-		const {prompt} = call.head;
-		return chooseUpstream(candidates, {zone: tools.zone, rank: call.rank, ...(prompt !== undefined && {prompt})}, tools.random);
-	};
-
 	const answer = (call: Call, own: OwnAnswer): CallEnd => {
 		const {response, head} = call;
 		if (response.headersSent) {
@@ -112,14 +108,17 @@
 				return answer(call, {kind: 'suspected-of-crashes'});
 			}
 
-			const candidate = choose(call, progress);
-			if (candidate === undefined) {
-				return giveUp(call, progress, last);
+			// eslint-disable-next-line no-await-in-loop -- One upstream after the other.
+			const place = await line.enter(call, progress);
+			if (place === undefined) {
+				const isEnded = progress.isOver || progress.isCallerGone;
+				return isEnded ? {outcome: progress.isOver ? 'timeout' : 'caller-gone'} : giveUp(call, progress, last);
 			}
 
-			progress.tried.add(getUpstreamKey(candidate.upstream));
+			progress.tried.add(getUpstreamKey(place.candidate.upstream));
 			// eslint-disable-next-line no-await-in-loop -- One upstream after the other.
-			last = await attemptUpstream(call, progress, candidate, tools);
+			last = await attemptUpstream(call, progress, place, tools);
+			line.advance();
 			countSend(progress, last);
 			if (last.kind === 'delivered') {
 				return {outcome: 'delivered', reason: String(last.status)};
@@ -137,7 +136,8 @@
 
 	const endOnTime = (call: Call, progress: Progress): void => {
 		progress.isOver = true;
-		answer(call, {kind: 'request-timeout', ran: 'unknown'});
+		const isUnsent = progress.tried.size === 0;
+		answer(call, isUnsent ? {kind: 'deadline-unreachable', retryAfter: retryDelay} : {kind: 'request-timeout', ran: 'unknown'});
 		progress.cancel?.();
 	};
 
@@ -160,6 +160,8 @@
 			customer: call.customer?.name,
 			version: call.version,
 			upstream: [...progress.tried].at(-1),
+			...progress.choice,
+			first: progress.firstAt === undefined ? undefined : Math.round(progress.firstAt - call.arrivedAt),
 			sends: progress.sends,
 			outcome: end.outcome,
 			reason: end.reason,
@@ -168,6 +170,7 @@
 	};
 
 	return {
+		applyLoad: line.advance,
 		async forward(call) {
 			const progress = createProgress();
 			progress.lastEvent = call.head.lastEvent;
--- a/packages/forwarder/src/upstream-board.ts
+++ b/packages/forwarder/src/upstream-board.ts
@@ -2,8 +2,8 @@
 import type {LoadBook} from '@gentianlift/discovery';
 import type {Logger} from '@gentianlift/logger';
 import {
-	addResult, createFailureRate, createPromptCache, getFailureShare, getUpstreamKey,
-	type Candidate, type FailureRate, type Prompt, type PromptCache, type Service, type Upstream, type UpstreamKey,
+	addResult, chooseQuietUpstreams, createFailureRate, createPromptCache, createReadingSpeed, defaultReadingSpeed, getBacklog, getFailureShare, getUpstreamKey,
+	type Candidate, type FailureRate, type KeptTokens, type Prompt, type PromptCache, type ReadingSpeed, type Service, type Upstream, type UpstreamKey,
 } from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
 import {UpstreamAgent} from './upstream-agent.js';
@@ -13,6 +13,10 @@
 	getAgent: (upstream: Upstream, connections: number) => UpstreamAgent;
 	/** Gets the upstreams that may take a request, those out of reach only if there are no others. */
 	getCandidates: (upstreams: readonly Upstream[], service: Service, prompt: Prompt | undefined) => Candidate[];
+	/** Gets how fast the upstreams read prompts, in tokens per millisecond. */
+	getReadingSpeed: (upstreams: readonly Upstream[]) => number;
+	/** Takes in the time to a first token, with the tokens that were read for it. */
+	applyFirst: (upstream: Upstream, tokens: number, duration: Milliseconds) => void;
 	addReading: (upstream: UpstreamKey, prompt: Pick<Prompt, 'model' | 'parts'>) => void;
 	/** Takes in that no connection could be established. */
 	applyUnreachable: (upstream: Upstream, reason: string) => void;
@@ -35,6 +39,7 @@
 type Record = {
 	agent: UpstreamAgent;
 	cache: PromptCache | undefined;
+	speed: ReadingSpeed;
 	failures: FailureRate;
 	/** Moving mean of the duration of answers. */
 	duration: Milliseconds | undefined;
@@ -59,6 +64,8 @@
 /** Memory in tokens that is assumed where a service doesn't tell it. */
 const defaultCacheTokens = 200_000;
 
+const nothingKept: KeptTokens = {all: 0, shared: 0};
+
 const getMedian = (values: readonly number[]): number | undefined => {
 	const sorted = values.toSorted((one, other) => one - other);
 	return sorted[Math.floor(sorted.length / 2)];
@@ -85,6 +92,7 @@
 		const record: Record = {
 			agent: new UpstreamAgent(),
 			cache: undefined,
+			speed: createReadingSpeed(),
 			failures: createFailureRate(clock.monotonic()),
 			duration: undefined,
 			avoidUntil: 0,
@@ -110,7 +118,19 @@
 		return record.cache;
 	};
 
+	const getQuiet = (upstreams: readonly Upstream[]): ReadonlySet<UpstreamKey> => {
+		const streams = upstreams.reduce((sum, upstream) => sum + loads.getTotal(getUpstreamKey(upstream)).delicate, 0);
+		return chooseQuietUpstreams(upstreams, streams);
+	};
+
 	return {
+		getReadingSpeed(upstreams) {
+			const speeds = upstreams.map(upstream => getRecord(getUpstreamKey(upstream)).speed.get());
+			return getMedian(speeds) ?? defaultReadingSpeed;
+		},
+		applyFirst(upstream, tokens, duration) {
+			getRecord(getUpstreamKey(upstream)).speed.addSample(tokens, duration);
+		},
 		getAgent(upstream, connections) {
 			const {agent} = getRecord(getUpstreamKey(upstream));
 			agent.maxSockets = connections;
@@ -122,13 +142,24 @@
 			const usable = reachable.length === 0 ? upstreams : reachable;
 			const found = usable.map(upstream => ({upstream, key: getUpstreamKey(upstream), record: getRecord(getUpstreamKey(upstream))}));
 			const median = getMedian(found.map(({record}) => record.duration).filter(duration => duration !== undefined));
-			return found.map(({upstream, key, record}) => ({
-				upstream,
-				load: loads.getTotal(key),
-				uncachedTokens: prompt === undefined ? 0 : getCache(key, service.engine?.cacheTokens).getUncachedTokens(prompt),
-				failureShare: getFailureShare(record.failures, now),
-				slowness: getSlowness(record.duration, median),
-			}));
+			const kept = found.map(({key}) => prompt === undefined ? nothingKept : getCache(key, service.engine?.cacheTokens).getKept(prompt));
+			const mostShared = Math.max(...kept.map(({shared}) => shared));
+			const quiet = getQuiet(upstreams);
+			return found.map(({upstream, key, record}, index) => {
+				const load = loads.getTotal(key);
+				const {all, shared} = kept[index] ?? nothingKept;
+				return {
+					upstream,
+					load,
+					backlog: getBacklog(load, record.speed.get(), now),
+					uncachedTokens: Math.max(0, (prompt?.inputTokens ?? 0) - all),
+					rereadTokens: mostShared - shared,
+					readingSpeed: record.speed.get(),
+					isQuiet: quiet.has(key),
+					failureShare: getFailureShare(record.failures, now),
+					slowness: getSlowness(record.duration, median),
+				};
+			});
 		},
 		addReading(upstream, prompt) {
 			getCache(upstream).add(prompt);
--- /dev/null
+++ b/packages/forwarder/src/waiting-line.ts
@@ -0,0 +1,146 @@
+import {
+	chooseUpstream, compareWaiting, getBacklogLimit, getUpstreamKey, isDelicateRoute, type Candidate, type Placement, type Service,
+} from '@gentianlift/routing';
+import type {Milliseconds} from '@gentianlift/types';
+import type {Call, Progress} from './call.js';
+import {startLoad, type LoadEntry} from './load-entry.js';
+import type {Tools} from './tools.js';
+
+/** An upstream for a call; the call counts in its load from now on. */
+export type Place = {candidate: Candidate; load: LoadEntry};
+
+/** Calls of this host that wait until an upstream can take them without delaying higher ranks. */
+export type WaitingLine = {
+	/** Resolves with a place, or without one if no upstream can take the call or it has ended. */
+	enter: (call: Call, progress: Progress) => Promise<Place | undefined>;
+	/** Looks whether calls can go on, after a load has become less. */
+	advance: () => void;
+	/** Number of calls that wait. */
+	getLength: () => number;
+};
+
+/** Interval at which the line is looked at, as backlogs shrink with time. */
+const checkInterval: Milliseconds = 15;
+
+type Entry = {
+	call: Call;
+	progress: Progress;
+	enteredAt: Milliseconds;
+	resolve: (place: Place | undefined) => void;
+};
+
+type Decision = {kind: 'placed'; candidate: Candidate; isDelicate: boolean} | {kind: 'waits'} | {kind: 'impossible'};
+
+/** Creates an empty line. */
+export const createWaitingLine = (tools: Tools): WaitingLine => {
+	const {clock, view, board, metrics} = tools;
+	let entries: Entry[] = [];
+	let isScheduled = false;
+
+	const getSlack = ({call}: Entry): Milliseconds => call.arrivedAt + call.route.target - clock.monotonic();
+
+	const getWaiting = (entry: Entry) => ({
+		rank: entry.call.rank,
+		dueAt: entry.call.arrivedAt + entry.call.route.target,
+		isLate: getSlack(entry) <= 0,
+	});
+
+	const getPlacement = (entry: Entry, isDelicate: boolean): Placement => ({
+		zone: tools.zone,
+		hasPrompt: entry.call.head.prompt !== undefined,
+		isDelicate,
+		slack: getSlack(entry),
+	});
+
+	const getCandidates = ({call, progress}: Entry, service: Service): Candidate[] => {
+		const upstreams = view.getUpstreams(call.service).filter(upstream => !progress.tried.has(getUpstreamKey(upstream)));
+		return board.getCandidates(upstreams, service, call.head.prompt);
+	};
+
+	const decide = (entry: Entry): Decision => {
+		const {call} = entry;
+		const table = view.getRoutes();
+		const service = table?.services.get(call.service);
+		const candidates = service === undefined ? [] : getCandidates(entry, service);
+		const isDelicate = isDelicateRoute(call.route, service, board.getReadingSpeed(candidates.map(({upstream}) => upstream)));
+		const candidate = chooseUpstream(candidates, getPlacement(entry, isDelicate), tools.random);
+		if (candidate === undefined) {
+			return {kind: 'impossible'};
+		}
+
+		const limit = getBacklogLimit(table?.configuration.routes ?? [], call.service, call.rank);
+		const mayGo = call.head.prompt === undefined || candidate.backlog <= limit;
+		return mayGo ? {kind: 'placed', candidate, isDelicate} : {kind: 'waits'};
+	};
+
+	const place = ({call, enteredAt, resolve}: Entry, candidate: Candidate, isDelicate: boolean): void => {
+		metrics.record('waiting_duration', clock.monotonic() - enteredAt, {route: call.route.name});
+		const load = startLoad(tools.notes, getUpstreamKey(candidate.upstream), candidate.uncachedTokens, isDelicate ? 1 : 0);
+		resolve({candidate, load});
+	};
+
+	/** Tells whether the entry goes on waiting. */
+	const advanceEntry = (entry: Entry): boolean => {
+		if (entry.progress.isOver || entry.progress.isCallerGone) {
+			entry.resolve(undefined);
+			return false;
+		}
+
+		const decision = decide(entry);
+		switch (decision.kind) {
+			case 'placed': {
+				place(entry, decision.candidate, decision.isDelicate);
+				return false;
+			}
+
+			case 'impossible': {
+				entry.resolve(undefined);
+				return false;
+			}
+
+			case 'waits': {
+				return true;
+			}
+		}
+	};
+
+	const schedule = (): void => {
+		if (isScheduled || entries.length === 0) {
+			return;
+		}
+
+		isScheduled = true;
+		clock.after(checkInterval, () => {
+			isScheduled = false;
+			advance();
+		});
+	};
+
+	const advance = (): void => {
+		entries = entries
+			.map(entry => ({entry, order: getWaiting(entry)}))
+			.toSorted((one, other) => compareWaiting(one.order, other.order))
+			.map(({entry}) => entry)
+			.filter(entry => advanceEntry(entry));
+		schedule();
+	};
+
+	return {
+		async enter(call, progress) {
+			return new Promise(resolve => {
+				const entry = {
+					call, progress, enteredAt: clock.monotonic(), resolve,
+				};
+				progress.cancel = advance;
+				entries.push(entry);
+				advance();
+			});
+		},
+		advance() {
+			if (entries.length > 0) {
+				advance();
+			}
+		},
+		getLength: () => entries.length,
+	};
+};
--- a/packages/routing/src/choose-upstream.ts
+++ b/packages/routing/src/choose-upstream.ts
@@ -1,6 +1,5 @@
 import type {Random} from '@gentianlift/clock';
-import type {Rank, Zone} from '@gentianlift/types';
-import type {Prompt} from './prompt.js';
+import type {Milliseconds, Zone} from '@gentianlift/types';
 import type {Upstream} from './upstream.js';
 
 /** Work at an upstream, from all hosts. */
@@ -9,16 +8,26 @@
 	running: number;
 	/** Prompt tokens of requests that have not answered with their first token. */
 	unreadTokens: number;
-	/** Of the running ones, those of the highest rank. */
-	urgent: number;
+	/** Of the running ones, streams that long prompts beside them make late. */
+	delicate: number;
+	/** When the upstream was last seen to start or finish reading a prompt. */
+	progressAt: Milliseconds;
 };
 
 /** An upstream with what is known of it. */
 export type Candidate = {
 	upstream: Upstream;
 	load: UpstreamLoad;
-	/** Tokens of the prompt that the upstream doesn't keep from earlier prompts; 0 without a prompt. */
+	/** Time until it has read the prompts that it was sent. */
+	backlog: Milliseconds;
+	/** Tokens of the prompt that it has to read. */
 	uncachedTokens: number;
+	/** Of these, tokens of shared parts that another candidate keeps. */
+	rereadTokens: number;
+	/** Prompt tokens that it reads in a millisecond. */
+	readingSpeed: number;
+	/** Whether it is set apart for delicate streams. */
+	isQuiet: boolean;
 	/** Recent share of failures, from 0 to 1. */
 	failureShare: number;
 	/** Time of an answer against the median of its peers; 1 is the same. */
@@ -26,27 +35,58 @@
 };
 
 /** What is to be placed. */
-export type Placement = {zone: Zone; rank: Rank; prompt?: Prompt};
+export type Placement = {
+	zone: Zone;
+	/** Whether the request names the parts of its prompt. */
+	hasPrompt: boolean;
+	isDelicate: boolean;
+	/** Time left in which the first token is on time. */
+	slack: Milliseconds;
+};
+
+/** Milliseconds that one more running request is worth. */
+const costForRunning: Milliseconds = 2;
+/** Milliseconds that a call to another availability zone is worth. */
+const costForZone: Milliseconds = 12;
+/** Milliseconds that a certain failure is worth. */
+const costForFailure: Milliseconds = 3000;
+/** Milliseconds that a first token beyond its time is worth. */
+const costForLateness: Milliseconds = 1500;
+/** Factor on the time for reading what another upstream keeps, as it is work for nothing. */
+const rereadFactor = 4;
+/** Milliseconds that are added where a long prompt meets delicate streams. */
+const costForDisturbance: Milliseconds = 1200;
+/** Prompt tokens that an upstream reads between two events of a delicate stream without making it late. */
+export const harmlessTokens = 5000;
 
-/** Tokens of prompts that are read in the time that one more running request adds to the answers beside it. */
-const tokensForRunning = 250;
-/** Tokens that a call to another availability zone is worth. */
-const tokensForZone = 600;
-/** Tokens that a certain failure is worth. */
-const tokensForFailure = 60_000;
-/** Part of the tokens to read that each urgent request beside it adds, since reading delays its events. */
-const shareForUrgent = 0.06;
 /** Part of a slot that a call to another availability zone is worth to a service without prompts. */
 const slotsForZone = 0.25;
 /** Slots that a certain failure is worth. */
 const slotsForFailure = 20;
 
-const getGenerationCost = ({upstream, load, uncachedTokens, failureShare, slowness}: Candidate, {zone, rank}: Placement): number => {
-	const reading = (load.unreadTokens + uncachedTokens) * slowness;
-	const decoding = load.running * tokensForRunning * slowness;
-	const harm = rank === 0 ? 0 : uncachedTokens * load.urgent * shareForUrgent;
-	const distance = upstream.zone === zone ? 0 : tokensForZone;
-	return reading + decoding + harm + distance + (failureShare * tokensForFailure);
+/** Gets the cost of a long prompt beside delicate streams, and the reverse. */
+const getDisturbance = ({isQuiet, load, uncachedTokens}: Candidate, {isDelicate}: Placement): Milliseconds => {
+	if (isDelicate) {
+		return isQuiet ? 0 : costForDisturbance / 4;
+	}
+
+	if (uncachedTokens < harmlessTokens) {
+		return 0;
+	}
+
+	return isQuiet ? costForDisturbance : Math.min(costForDisturbance, load.delicate * costForDisturbance / 8);
+};
+
+const getGenerationCost = (candidate: Candidate, placement: Placement): number => {
+	const {
+		upstream, load, backlog, uncachedTokens, rereadTokens, readingSpeed, failureShare,
+	} = candidate;
+	const first = backlog + (uncachedTokens / readingSpeed);
+	const reread = rereadFactor * rereadTokens / readingSpeed;
+	const lateness = first > placement.slack ? costForLateness : 0;
+	const distance = upstream.zone === placement.zone ? 0 : costForZone;
+	return first + reread + lateness + distance
+		+ (load.running * costForRunning) + (failureShare * costForFailure) + getDisturbance(candidate, placement);
 };
 
 const getCallCost = ({upstream, load, failureShare, slowness}: Candidate, {zone}: Placement): number => {
@@ -56,7 +96,7 @@
 
 /** Gets the cost of placing the request at the candidate; comparable only between candidates of one service. */
 export const getCost = (candidate: Candidate, placement: Placement): number =>
-	placement.prompt === undefined ? getCallCost(candidate, placement) : getGenerationCost(candidate, placement);
+	placement.hasPrompt ? getGenerationCost(candidate, placement) : getCallCost(candidate, placement);
 
 /** Chooses the candidate of the least cost, one of them at random where several have it. */
 export const chooseUpstream = (candidates: readonly Candidate[], placement: Placement, random: Random): Candidate | undefined => {
--- a/packages/routing/src/configuration.ts
+++ b/packages/routing/src/configuration.ts
@@ -24,6 +24,8 @@
 	timeout: Milliseconds;
 	/** Time within which an answer, or the first event of a stream, is of full value. */
 	target: Milliseconds;
+	/** Longest pause between events for which a stream is of full value. */
+	pauseTarget?: Milliseconds;
 	rank: Rank;
 	/** Upstreams on which one request may run. */
 	mostUpstreams: number;
@@ -36,7 +38,7 @@
 	/** Connections that one upstream takes from all hosts together. */
 	mostConnections: number;
 	/** Present for model engines. */
-	engine?: {slots: number; cacheTokens: number};
+	engine?: {slots: number; cacheTokens: number; tokensForEvent: number};
 };
 
 /** What callers may send, and how slowly. */
--- a/packages/routing/src/prompt-cache.ts
+++ b/packages/routing/src/prompt-cache.ts
@@ -3,16 +3,21 @@
 /** Share of an upstream's memory that parts of earlier prompts are taken to fill. */
 const usableShare = 0.8;
 
+/** Tokens at the beginning of a prompt that are kept: all, and those of parts that other requests share. */
+export type KeptTokens = {all: number; shared: number};
+
 /** What an upstream is believed to keep of the prompts that it has read. The least recently used parts go first. */
 export type PromptCache = {
 	/** Adds the parts of a prompt that the upstream reads. */
 	add: (prompt: Pick<Prompt, 'model' | 'parts'>) => void;
-	/** Gets how many tokens of the prompt the upstream has to read. */
-	getUncachedTokens: (prompt: Prompt) => number;
+	/** Gets how many tokens at the beginning of the prompt are kept, and how many of these belong to shared parts. */
+	getKept: (prompt: Prompt) => KeptTokens;
 	/** Tells whether the part is kept. */
 	has: (model: string, part: string) => boolean;
 };
 
+const sumTokens = (parts: readonly PromptPart[]): number => parts.reduce((sum, {tokens}) => sum + tokens, 0);
+
 const getKey = (model: string, part: string): string => `${model}/${part}`;
 
 /** Creates the belief about an upstream with memory for `capacity` tokens. */
@@ -52,17 +57,10 @@
 
 			dropOldest();
 		},
-		getUncachedTokens({model, parts, inputTokens}) {
-			let cached = 0;
-			for (const {id, tokens} of parts) {
-				if (!kept.has(getKey(model, id))) {
-					break;
-				}
-
-				cached += tokens;
-			}
-
-			return Math.max(0, inputTokens - cached);
+		getKept({model, parts}) {
+			const missing = parts.findIndex(({id}) => !kept.has(getKey(model, id)));
+			const leading = missing === -1 ? parts : parts.slice(0, missing);
+			return {all: sumTokens(leading), shared: sumTokens(leading.slice(0, parts.length - 1))};
 		},
 		has: (model, part) => kept.has(getKey(model, part)),
 	};
