Tell a reset that comes with the last bytes from an orderly end

Ruled out: the order of the request's error and the message's end, which a test with a later reset shows to be right. Change: connections stay half open at their end, and one without a peer was reset.

--- a/packages/forwarder/src/send.ts
+++ b/packages/forwarder/src/send.ts
@@ -115,7 +115,8 @@
 		});
 		exchange.once('response', message => {
 			agent.noteAnswer(message.socket, message);
-			const answer = {message, hasFailed: () => hasFailed};
+			const {socket} = message;
+			const answer = {message, hasFailed: () => hasFailed || agent.wasReset(socket)};
 			finish(judge(answer, protocol.readAnswerHead(message.statusCode ?? 0, message.rawHeaders), outgoing.attempt));
 		});
 		exchange.on('error', error => {
--- a/packages/forwarder/src/upstream-agent.ts
+++ b/packages/forwarder/src/upstream-agent.ts
@@ -10,7 +10,13 @@
 const keepAliveTimeout = /timeout=(?<seconds>\d+)/v;
 
 /** The answer under way on a connection; undefined while a request waits for one. */
-type Progress = {message: IncomingMessage | undefined; isIdle: boolean; idleTimer: NodeJS.Timeout | undefined};
+type Progress = {
+	message: IncomingMessage | undefined;
+	isIdle: boolean;
+	idleTimer: NodeJS.Timeout | undefined;
+	/** Whether the connection was found to be reset when it ended. */
+	isReset: boolean;
+};
 
 const getIdleLimit = (message: IncomingMessage | undefined): Milliseconds => {
 	const header = message?.headers['keep-alive'];
@@ -39,15 +45,27 @@
 		}
 	}
 
+	/** Tells whether a connection that has ended was reset. */
+	wasReset(socket: Socket): boolean {
+		return this.#progress.get(socket)?.isReset ?? false;
+	}
+
 	override createConnection(options: NetConnectOpts): Socket {
-		const socket = connect({...options, noDelay: true});
-		const progress: Progress = {message: undefined, isIdle: false, idleTimer: undefined};
+		const socket = connect({...options, noDelay: true, allowHalfOpen: true});
+		const progress: Progress = {message: undefined, isIdle: false, idleTimer: undefined, isReset: false};
 		this.#progress.set(socket, progress);
 		socket.on('data', () => {
 			if (progress.isIdle || progress.message?.complete === true) {
 				socket.destroy();
 			}
 		});
+		socket.once('end', () => {
+			// A reset that comes together with data looks like an orderly end, but leaves the socket without a peer.
+			progress.isReset = socket.remoteAddress === undefined;
+			if (progress.isIdle) {
+				socket.destroy();
+			}
+		});
 		socket.once('close', () => {
 			clearTimeout(progress.idleTimer);
 		});
