Place prompts by hash where no host remembers them, and let other hosts confirm what a watch says

Cause: after a restart of all hosts nothing was known of the engines' caches, and parts were read again at other engines; each host looked at the store every 2 s and before each 404, and notes made half of the bytes between zones. Change: a home by hash for each prompt, notes as lists with repeats in place of all loads, watches of 2.5 s, other hosts' revisions compared each 150 ms, no look before a refusal that others confirm, lapse grace of 2 s ended by a timer.

--- a/packages/discovery/src/exchange-notes.ts
+++ b/packages/discovery/src/exchange-notes.ts
@@ -22,6 +22,10 @@
 	addReading: (reading: Reading) => void;
 	addCrash: (crash: Crash) => void;
 	markStopping: () => void;
+	/** Newest revision of the key-value service that a host heard lately knows; 0 if none was heard. */
+	getNewestRevision: () => number;
+	/** Time since any other host was heard; infinite if never. */
+	getShortestSilence: () => Milliseconds;
 	/** Time since a host was heard; infinite if never. */
 	getSilence: (host: HostId) => Milliseconds;
 	/** Tells whether a host says that it is stopping. */
@@ -50,10 +54,14 @@
 const gatherDelay: Milliseconds = 3;
 /** Interval of notes that tell all loads. */
 const fullInterval: Milliseconds = 500;
+/** Full notes in which a load is told again after it has changed. */
+const loadRepeats = 3;
+/** Silence up to which what a host knows counts as current. */
+const recentSilence: Milliseconds = 2000;
 /** Number of notes in which a crash is told again, as datagrams get lost. */
 const crashRepeats = 6;
 
-type HeardHost = {incarnation: Incarnation; sequence: number; heardAt: Milliseconds; isStopping: boolean};
+type HeardHost = Pick<Note, 'incarnation' | 'sequence' | 'revision' | 'isStopping'> & {heardAt: Milliseconds};
 type PendingCrash = {crash: Crash; left: number};
 
 const splitAddress = (address: Address): {ip: string; port: number} => {
@@ -69,12 +77,19 @@
 	const socket = createSocket('udp4');
 	const heard = new Map<HostId, HeardHost>();
 	const changed = new Set<UpstreamKey>();
+	/** Full notes in which a load is still to be told. */
+	const repeats = new Map<UpstreamKey, number>();
 	let readings: Reading[] = [];
 	let crashes: PendingCrash[] = [];
 	let isStopping = false;
 	let isScheduled = false;
 	let sequence = 0;
 
+	const getRecent = (): HeardHost[] => {
+		const now = clock.monotonic();
+		return [...heard.values()].filter(({heardAt}) => now - heardAt < recentSilence);
+	};
+
 	const buildNote = (isFull: boolean): Note => {
 		sequence += 1;
 		const own = loads.getOwn();
@@ -84,7 +99,7 @@
 			sequence,
 			revision: options.getRevision(),
 			isStopping,
-			loads: isFull ? own : own.filter(({upstream}) => changed.has(upstream)),
+			loads: own.filter(({upstream}) => isFull ? (repeats.get(upstream) ?? 0) > 0 : changed.has(upstream)),
 			readings,
 			crashes: crashes.map(({crash}) => crash),
 		};
@@ -126,8 +141,11 @@
 		}
 
 		const now = clock.monotonic();
+		const {
+			incarnation: from, sequence: number, revision, isStopping: hasStopped,
+		} = note;
 		heard.set(note.host, {
-			incarnation: note.incarnation, sequence: note.sequence, heardAt: now, isStopping: note.isStopping,
+			incarnation: from, sequence: number, revision, isStopping: hasStopped, heardAt: now,
 		});
 		loads.setOther(note.host, note.incarnation, note.loads, now);
 		options.onLoad();
@@ -156,15 +174,27 @@
 	});
 	const {ip, port} = splitAddress(options.address);
 	socket.bind(port, ip);
+	const sendFull = (): void => {
+		send(true);
+		for (const [upstream, left] of repeats) {
+			if (left > 1) {
+				repeats.set(upstream, left - 1);
+			} else {
+				repeats.delete(upstream);
+			}
+		}
+	};
+
 	const cancel = clock.every(fullInterval, () => {
 		loads.dropSilent(clock.monotonic());
-		send(true);
+		sendFull();
 	});
 
 	return {
 		addLoad(upstream, change) {
 			loads.addOwn(upstream, change, clock.monotonic());
 			changed.add(upstream);
+			repeats.set(upstream, loadRepeats);
 			schedule();
 		},
 		addReading(reading) {
@@ -179,6 +209,11 @@
 			isStopping = true;
 			send(true);
 		},
+		getNewestRevision: () => Math.max(0, ...getRecent().map(({revision}) => revision)),
+		getShortestSilence() {
+			const latest = Math.max(Number.NEGATIVE_INFINITY, ...[...heard.values()].map(({heardAt}) => heardAt));
+			return clock.monotonic() - latest;
+		},
 		getSilence: id => clock.monotonic() - (heard.get(id)?.heardAt ?? Number.NEGATIVE_INFINITY),
 		isStopping: id => heard.get(id)?.isStopping ?? false,
 		close() {
--- a/packages/discovery/src/fleet-view.ts
+++ b/packages/discovery/src/fleet-view.ts
@@ -25,6 +25,8 @@
 	dropLapsed: (now: Milliseconds) => void;
 	/** Revision of the service up to which changes are known; 0 before the first. */
 	getRevision: () => number;
+	/** Whether the last call to the service was answered. */
+	isReached: () => boolean;
 	/** Time since the service last answered. */
 	getSilence: (now: Milliseconds) => Milliseconds;
 	getSnapshot: () => Snapshot;
@@ -46,7 +48,7 @@
 };
 
 /** Time after an outage in which upstreams whose entries lapsed in it may register again. */
-const returnGrace: Milliseconds = 2500;
+const returnGrace: Milliseconds = 2000;
 
 /** Creates an empty view. */
 export const createFleetView = ({decode, logger, onRemoved}: FleetViewOptions): FleetView => {
@@ -213,6 +215,7 @@
 			}
 		},
 		getRevision: () => revision,
+		isReached: () => isReached,
 		getSilence: now => now - lastContact,
 		getSnapshot: () => ({entries: [...entries.values()], revision}),
 		getRoutes: () => table,
--- a/packages/discovery/src/follow-fleet.ts
+++ b/packages/discovery/src/follow-fleet.ts
@@ -18,19 +18,21 @@
 	logger: Logger;
 	/** Asks another host for what changed after the revision; undefined if there is none, or nothing newer. */
 	askPeer: (revision: number) => Promise<Snapshot | undefined>;
+	/** Newest revision that another host tells to know. */
+	getNewestRevision: () => number;
 };
 
-/** Longest wait of one call for changes; bounds how long a connection that went silent hides them. */
-const watchLimit: Milliseconds = 2000;
+/** Longest wait of one call for changes; bounds how long a watch that went silent hides them. */
+const watchLimit: Milliseconds = 2500;
 /** Pause after a failed call. */
 const failurePause: Milliseconds = 200;
-/** Silence of the service after which other hosts are asked. */
-const peerSilence: Milliseconds = 600;
-/** Pause between questions to other hosts. */
-const peerInterval: Milliseconds = 250;
+/** Interval at which this host's revision is compared with that of others. */
+const compareInterval: Milliseconds = 150;
 
 /** Starts to follow the service, and other hosts while it is out of reach. */
-export const followFleet = ({feed, view, clock, logger, askPeer}: FleetFollowerOptions): FleetFollower => {
+export const followFleet = ({
+	feed, view, clock, logger, askPeer, getNewestRevision,
+}: FleetFollowerOptions): FleetFollower => {
 	let isStopped = false;
 	let needsSnapshot = true;
 
@@ -82,7 +84,6 @@
 		while (!isStopped) {
 			// eslint-disable-next-line no-await-in-loop -- Each call starts where the one before ended.
 			const isAnswered = await (needsSnapshot ? readAll() : waitForChanges());
-			view.dropLapsed(clock.monotonic());
 			if (!isAnswered) {
 				// eslint-disable-next-line no-await-in-loop -- A pause between calls.
 				await clock.sleep(failurePause);
@@ -98,20 +99,35 @@
 		}
 	};
 
-	const askPeers = async (): Promise<void> => {
+	/** Reads what other hosts know already: a watch may have gone silent, or the service turns this host away. */
+	const catchUp = async (): Promise<void> => {
+		const isRead = view.isReached() && await readAll();
+		if (!isRead) {
+			await readFromPeer();
+		}
+	};
+
+	const comparePeers = async (): Promise<void> => {
+		let wasBehind = false;
 		while (!isStopped) {
-			if (view.getSilence(clock.monotonic()) > peerSilence) {
+			view.dropLapsed(clock.monotonic());
+			const isBehind = getNewestRevision() > view.getRevision();
+			if (isBehind && (wasBehind || !view.isReached())) {
+				// eslint-disable-next-line no-await-in-loop -- One question at a time.
+				await catchUp();
+			} else if (view.getRevision() === 0) {
 				// eslint-disable-next-line no-await-in-loop -- One question at a time.
 				await readFromPeer();
 			}
 
-			// eslint-disable-next-line no-await-in-loop -- A pause between questions.
-			await clock.sleep(peerInterval);
+			wasBehind = isBehind;
+			// eslint-disable-next-line no-await-in-loop -- A pause between comparisons.
+			await clock.sleep(compareInterval);
 		}
 	};
 
 	void run();
-	void askPeers();
+	void comparePeers();
 	return {
 		async refresh() {
 			const hasRead = await readAll();
--- a/packages/discovery/src/note.ts
+++ b/packages/discovery/src/note.ts
@@ -19,18 +19,71 @@
 	crashes: Crash[];
 };
 
+/** A note as it is sent: lists in place of records, as most bytes between hosts are notes. */
+type Packet = [
+	host: HostId,
+	incarnation: Incarnation,
+	sequence: number,
+	revision: number,
+	isStopping: 0 | 1,
+	loads: Array<[upstream: UpstreamKey, running: number, unreadTokens: number, delicate: number]>,
+	readings: Array<[upstream: UpstreamKey, model: string, parts: Array<[id: string, tokens: number]>]>,
+	crashes: Array<[fingerprint: string, upstream: UpstreamKey]>,
+];
+
 /** Writes a note. */
-export const encodeNote = (note: Note): string => JSON.stringify(note);
+export const encodeNote = (note: Note): string => {
+	const packet: Packet = [
+		note.host,
+		note.incarnation,
+		note.sequence,
+		note.revision,
+		note.isStopping ? 1 : 0,
+		note.loads.map(load => [load.upstream, load.running, load.unreadTokens, load.delicate]),
+		note.readings.map(({upstream, model, parts}) => [upstream, model, parts.map(({id, tokens}) => [id, tokens])]),
+		note.crashes.map(({fingerprint, upstream}) => [fingerprint, upstream]),
+	];
+	return JSON.stringify(packet);
+};
 
-/** Reads a note; undefined if it isn't one. */
-export const decodeNote = (text: string): Note | undefined => {
+const isPacket = (value: unknown): value is Packet => {
+	if (!Array.isArray(value)) {
+		return false;
+	}
+
+	const [host, incarnation, sequence, revision, , loads, readings, crashes] = value as unknown[];
+	return typeof host === 'string'
+		&& [incarnation, sequence, revision].every(number => typeof number === 'number')
+		&& [loads, readings, crashes].every(list => Array.isArray(list) && list.every(item => Array.isArray(item)));
+};
+
+const parsePacket = (text: string): Packet | undefined => {
 	try {
-		const note = JSON.parse(text) as Partial<Note> | null;
-		const {host, incarnation, sequence, loads, readings, crashes} = note ?? {};
-		const hasLists = Array.isArray(loads) && Array.isArray(readings) && Array.isArray(crashes);
-		const hasOrigin = typeof host === 'string' && typeof incarnation === 'number' && typeof sequence === 'number';
-		return hasLists && hasOrigin ? note as Note : undefined;
+		const value: unknown = JSON.parse(text);
+		return isPacket(value) ? value : undefined;
 	} catch {
 		return undefined;
 	}
 };
+
+/** Reads a note; undefined if it isn't one. */
+export const decodeNote = (text: string): Note | undefined => {
+	const packet = parsePacket(text);
+	if (packet === undefined) {
+		return undefined;
+	}
+
+	const [host, incarnation, sequence, revision, isStopping, loads, readings, crashes] = packet;
+	return {
+		host,
+		incarnation,
+		sequence,
+		revision,
+		isStopping: isStopping === 1,
+		loads: loads.map(([upstream, running, unreadTokens, delicate]) => ({
+			upstream, running, unreadTokens, delicate,
+		})),
+		readings: readings.map(([upstream, model, parts]) => ({upstream, model, parts: parts.map(([id, tokens]) => ({id, tokens}))})),
+		crashes: crashes.map(([fingerprint, upstream]) => ({fingerprint, upstream})),
+	};
+};
--- a/packages/forwarder/src/serve-callers.ts
+++ b/packages/forwarder/src/serve-callers.ts
@@ -45,6 +45,8 @@
 const refreshLimit: Milliseconds = 400;
 /** Age up to which the state counts as the newest. */
 const freshFor: Milliseconds = 200;
+/** Age of other hosts' word up to which it confirms the state. */
+const confirmedFor: Milliseconds = 600;
 
 const clientErrors: Record<string, string> = {
 	HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
@@ -93,8 +95,15 @@
 			};
 	};
 
+	/** Whether the state was confirmed lately, by the key-value service or by other hosts that know no newer one. */
+	const isFresh = (): boolean => {
+		const now = clock.monotonic();
+		const isConfirmed = tools.notes.getNewestRevision() <= view.getRevision() && tools.notes.getShortestSilence() < confirmedFor;
+		return isConfirmed || now - refreshedAt < freshFor || view.getSilence(now) < freshFor;
+	};
+
 	const refreshOnce = async (): Promise<void> => {
-		if (clock.monotonic() - refreshedAt < freshFor) {
+		if (isFresh()) {
 			return;
 		}
 
--- a/packages/forwarder/src/upstream-board.ts
+++ b/packages/forwarder/src/upstream-board.ts
@@ -2,7 +2,7 @@
 import type {LoadBook} from '@gentianlift/discovery';
 import type {Logger} from '@gentianlift/logger';
 import {
-	addResult, chooseQuietUpstreams, createFailureRate, createPromptCache, createReadingSpeed, defaultReadingSpeed, getBacklog, getFailureShare, getUpstreamKey,
+	addResult, chooseQuietUpstreams, createFailureRate, createPromptCache, createReadingSpeed, defaultReadingSpeed, getBacklog, getFailureShare, getPromptHome, getUpstreamKey,
 	type Candidate, type FailureRate, type KeptTokens, type Prompt, type PromptCache, type ReadingSpeed, type Service, type Upstream, type UpstreamKey,
 } from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
@@ -66,6 +66,17 @@
 
 const nothingKept: KeptTokens = {all: 0, shared: 0};
 
+/** Chance that the home of a prompt keeps its shared parts though no host remembers it. */
+const homeChance = 0.5;
+
+/** Shared tokens that the home of a prompt may keep beyond what any upstream is known to keep. */
+type KeptGuess = {home: UpstreamKey | undefined; tokens: number};
+
+const guessKept = (prompt: Prompt, mostShared: number, upstreams: readonly Upstream[]): KeptGuess => {
+	const shared = prompt.parts.slice(0, -1).reduce((sum, {tokens}) => sum + tokens, 0);
+	return {home: getPromptHome(prompt, upstreams), tokens: homeChance * (shared - mostShared)};
+};
+
 const getMedian = (values: readonly number[]): number | undefined => {
 	const sorted = values.toSorted((one, other) => one - other);
 	return sorted[Math.floor(sorted.length / 2)];
@@ -144,6 +155,7 @@
 			const median = getMedian(found.map(({record}) => record.duration).filter(duration => duration !== undefined));
 			const kept = found.map(({key}) => prompt === undefined ? nothingKept : getCache(key, service.engine?.cacheTokens).getKept(prompt));
 			const mostShared = Math.max(...kept.map(({shared}) => shared));
+			const guess = prompt === undefined ? undefined : guessKept(prompt, mostShared, usable);
 			const quiet = getQuiet(upstreams);
 			return found.map(({upstream, key, record}, index) => {
 				const load = loads.getTotal(key);
@@ -153,7 +165,7 @@
 					load,
 					backlog: getBacklog(load, record.speed.get(), now),
 					uncachedTokens: Math.max(0, (prompt?.inputTokens ?? 0) - all),
-					rereadTokens: mostShared - shared,
+					rereadTokens: mostShared - shared + (guess === undefined || guess.home === key ? 0 : guess.tokens),
 					readingSpeed: record.speed.get(),
 					isQuiet: quiet.has(key),
 					failureShare: getFailureShare(record.failures, now),
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -4,6 +4,7 @@
 export * from './crash-suspects.js';
 export * from './failure-rate.js';
 export * from './prompt.js';
+export * from './prompt-home.js';
 export * from './prompt-cache.js';
 export * from './reading-speed.js';
 export * from './resend.js';
--- a/packages/routing/src/separation.ts
+++ b/packages/routing/src/separation.ts
@@ -1,4 +1,5 @@
 import type {Route, Service} from './configuration.js';
+import {getHash} from './hash.js';
 import {getUpstreamKey, type Upstream, type UpstreamKey} from './upstream.js';
 
 /** Prompt tokens that an engine reads in one step beside the tokens of running streams. */
@@ -22,17 +23,6 @@
 	return pause > route.pauseTarget * (1 - marginShare);
 };
 
-const getHash = (text: string): number => {
-	let hash = 2_166_136_261;
-	for (let index = 0; index < text.length; index++) {
-		// eslint-disable-next-line no-bitwise, unicorn/prefer-code-point -- FNV-1a over ASCII names.
-		hash = Math.imul(hash ^ text.charCodeAt(index), 16_777_619);
-	}
-
-	// eslint-disable-next-line no-bitwise -- To an unsigned number.
-	return hash >>> 0;
-};
-
 /** Chooses the upstreams that long prompts leave to delicate streams; all hosts choose the same for the same load. */
 export const chooseQuietUpstreams = (upstreams: readonly Upstream[], delicateStreams: number): ReadonlySet<UpstreamKey> => {
 	const most = Math.floor(upstreams.length * mostShare);
