--- a/packages/discovery/src/exchange-notes.ts
+++ b/packages/discovery/src/exchange-notes.ts
@@ -185,7 +185,8 @@
 		}
 	};
 
-	const cancel = clock.every(fullInterval, () => {
+	const {every} = clock;
+	const cancel = every(fullInterval, () => {
 		loads.dropSilent(clock.monotonic());
 		sendFull();
 	});
--- a/packages/discovery/src/follow-fleet.ts
+++ b/packages/discovery/src/follow-fleet.ts
@@ -33,7 +33,7 @@
 export const followFleet = ({
 	feed, view, clock, logger, askPeer, getNewestRevision,
 }: FleetFollowerOptions): FleetFollower => {
-	let isStopped = false;
+	const state = {isStopped: false};
 	let needsSnapshot = true;
 
 	const applySnapshot = (snapshot: Snapshot): void => {
@@ -81,7 +81,7 @@
 	};
 
 	const run = async (): Promise<void> => {
-		while (!isStopped) {
+		while (!state.isStopped) {
 			// eslint-disable-next-line no-await-in-loop -- Each call starts where the one before ended.
 			const isAnswered = await (needsSnapshot ? readAll() : waitForChanges());
 			if (!isAnswered) {
@@ -109,7 +109,7 @@
 
 	const comparePeers = async (): Promise<void> => {
 		let wasBehind = false;
-		while (!isStopped) {
+		while (!state.isStopped) {
 			view.dropLapsed(clock.monotonic());
 			const isBehind = getNewestRevision() > view.getRevision();
 			if (isBehind && (wasBehind || !view.isReached())) {
@@ -136,7 +136,7 @@
 			}
 		},
 		stop() {
-			isStopped = true;
+			state.isStopped = true;
 		},
 	};
 };
--- a/packages/discovery/src/host-record.ts
+++ b/packages/discovery/src/host-record.ts
@@ -1,4 +1,6 @@
-import type {Address, HostId, Incarnation, Zone} from '@gentianlift/types';
+import type {
+	Address, HostId, Incarnation, Zone,
+} from '@gentianlift/types';
 
 /** What a host tells the others of itself in the key-value service. */
 export type HostRecord = {
--- a/packages/discovery/src/register-host.ts
+++ b/packages/discovery/src/register-host.ts
@@ -29,7 +29,7 @@
 	let current = record;
 	let lease: string | undefined;
 	let expected = 0;
-	let isEnded = false;
+	const state = {isEnded: false};
 
 	/** Writes the record over whatever an earlier process of this host left. */
 	const write = async (): Promise<boolean> => {
@@ -84,7 +84,7 @@
 	};
 
 	const run = async (): Promise<void> => {
-		while (!isEnded) {
+		while (!state.isEnded) {
 			// eslint-disable-next-line no-await-in-loop -- A lease is renewed after it was acquired.
 			const isDone = await (lease === undefined ? acquire() : renew(lease));
 			// eslint-disable-next-line no-await-in-loop -- A pause between calls.
@@ -101,7 +101,7 @@
 			}
 		},
 		async end() {
-			isEnded = true;
+			state.isEnded = true;
 			if (lease !== undefined) {
 				await store.endLease(lease);
 			}
--- a/packages/forwarder/src/attempt.ts
+++ b/packages/forwarder/src/attempt.ts
@@ -187,7 +187,8 @@
 	}
 
 	const limit = streamSilence + (unreadTokens / leastReadingSpeed);
-	return tools.clock.every(silenceCheckInterval, () => {
+	const {every} = tools.clock;
+	return every(silenceCheckInterval, () => {
 		if (tools.board.getSilence(upstream) > limit) {
 			tools.logger.info('upstream-silent', {request: call.head.attempt, upstream: getUpstreamKey(upstream), limit: Math.round(limit)});
 			cancel();
--- a/packages/forwarder/src/event-splitter.ts
+++ b/packages/forwarder/src/event-splitter.ts
@@ -24,7 +24,7 @@
 			let start = 0;
 			for (let end = held.indexOf(boundary); end !== -1; end = held.indexOf(boundary, start)) {
 				const bytes = held.subarray(start, end + boundary.length);
-				const id = idLine.exec(bytes.toString('latin1'))?.groups?.['id'];
+				const id = idLine.exec(bytes.toString('latin1'))?.groups?.id;
 				events.push({id: id === undefined ? undefined : Number(id), bytes});
 				start = end + boundary.length;
 			}
--- a/packages/forwarder/src/forward.ts
+++ b/packages/forwarder/src/forward.ts
@@ -50,7 +50,9 @@
 			return {outcome: 'cut', reason: own.kind};
 		}
 
-		writeOwnAnswer({response, protocol: tools.protocol, caller: head, isLast: tools.isStopping()}, own);
+		writeOwnAnswer({
+			response, protocol: tools.protocol, caller: head, isLast: tools.isStopping(),
+		}, own);
 		return {outcome: 'own-answer', reason: own.kind};
 	};
 
--- a/packages/forwarder/src/own-answer.ts
+++ b/packages/forwarder/src/own-answer.ts
@@ -1,6 +1,8 @@
 import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
-import {createFailure, errorTable, getErrorBody, type ErrorKind} from '@gentianlift/errors';
+import {
+	createFailure, errorTable, getErrorBody, type ErrorKind,
+} from '@gentianlift/errors';
 import type {Milliseconds, RunState} from '@gentianlift/types';
 import type {CallerHead, Protocol} from './protocol.js';
 
@@ -33,8 +35,10 @@
 	const detail = {...(ran !== undefined && {ran}), ...(retryAfter !== undefined && {retryAfter})};
 	const body = Buffer.from(JSON.stringify(getErrorBody(createFailure(kind, detail), caller?.attempt ?? '')));
 	const headers = [
-		'Content-Type', 'application/json',
-		'Content-Length', String(body.length),
+		'Content-Type',
+		'application/json',
+		'Content-Length',
+		String(body.length),
 		...getRetryHeader(retryAfter),
 		...protocol.writeOwnHead(caller),
 		...(isLast ? ['Connection', 'close'] : []),
--- a/packages/forwarder/src/read-body.ts
+++ b/packages/forwarder/src/read-body.ts
@@ -3,7 +3,7 @@
 
 /** How reading a body ended; `broken` if its connection broke off before its end. */
 export type Body
-	= | {kind: 'whole'; bytes: Buffer}
+	= | {kind: 'whole'; bytes: Uint8Array}
 		| {kind: 'too-large'}
 		| {kind: 'broken'; reason: string};
 
--- a/packages/forwarder/src/send.test.ts
+++ b/packages/forwarder/src/send.test.ts
@@ -1,4 +1,7 @@
-import {createServer, type AddressInfo, type Server, type Socket} from 'node:net';
+import {Buffer} from 'node:buffer';
+import {
+	createServer, type AddressInfo, type Server, type Socket,
+} from 'node:net';
 import {createSystemClock} from '@gentianlift/clock';
 import {expect, onTestFinished, test} from 'vitest';
 import type {Protocol} from './protocol.js';
@@ -107,10 +110,10 @@
 	});
 	const agent = new UpstreamAgent();
 	const first = await readAnswer(await call(server, agent));
-	expect(first?.kind === 'whole' ? first.bytes.toString() : first).toBe('ok');
+	expect(first?.kind === 'whole' ? Buffer.from(first.bytes).toString() : first).toBe('ok');
 	await pause();
 	const second = await readAnswer(await call(server, agent));
-	expect(second?.kind === 'whole' ? second.bytes.toString() : second).toBe('ok');
+	expect(second?.kind === 'whole' ? Buffer.from(second.bytes).toString() : second).toBe('ok');
 });
 
 test('the answer to another request is not taken', async () => {
--- a/packages/forwarder/src/upstream-agent.ts
+++ b/packages/forwarder/src/upstream-agent.ts
@@ -1,4 +1,6 @@
-import {Agent, type AgentOptions, type ClientRequest, type IncomingMessage} from 'node:http';
+import {
+	Agent, type AgentOptions, type ClientRequest, type IncomingMessage,
+} from 'node:http';
 import {connect, type NetConnectOpts, type Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
 import type {Milliseconds} from '@gentianlift/types';
@@ -20,7 +22,7 @@
 
 const getIdleLimit = (message: IncomingMessage | undefined): Milliseconds => {
 	const header = message?.headers['keep-alive'];
-	const seconds = typeof header === 'string' ? keepAliveTimeout.exec(header)?.groups?.['seconds'] : undefined;
+	const seconds = typeof header === 'string' ? keepAliveTimeout.exec(header)?.groups?.seconds : undefined;
 	return seconds === undefined ? idleLimit : Math.min(idleLimit, (Number(seconds) * 1000) - idleMargin);
 };
 
@@ -52,7 +54,9 @@
 
 	override createConnection(options: NetConnectOpts): Socket {
 		const socket = connect({...options, noDelay: true, allowHalfOpen: true});
-		const progress: Progress = {message: undefined, isIdle: false, idleTimer: undefined, isReset: false};
+		const progress: Progress = {
+			message: undefined, isIdle: false, idleTimer: undefined, isReset: false,
+		};
 		this.#progress.set(socket, progress);
 		socket.on('data', () => {
 			if (progress.isIdle || progress.message?.complete === true) {
@@ -72,6 +76,7 @@
 		return socket;
 	}
 
+	// eslint-disable-next-line @typescript-eslint/strict-void-return -- Node reads the value, as its pages say.
 	override keepSocketAlive(socket: Duplex): boolean {
 		const progress = this.#progress.get(socket);
 		const limit = getIdleLimit(progress?.message);
--- /dev/null
+++ b/packages/logger/src/output.test.ts
@@ -0,0 +1,37 @@
+import {
+	closeSync, mkdtempSync, openSync, readFileSync,
+} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {expect, onTestFinished, test} from 'vitest';
+import {createOutput} from './output.js';
+
+const openLog = (): {path: string; file: number} => {
+	const path = join(mkdtempSync(join(tmpdir(), 'log-')), 'out');
+	const file = openSync(path, 'w');
+	onTestFinished(() => {
+		closeSync(file);
+	});
+	return {path, file};
+};
+
+test('writes lines in order', async () => {
+	const {path, file} = openLog();
+	const output = createOutput({file, now: () => 0});
+	output.write('a\n');
+	output.write('b\n');
+	await expect.poll(() => readFileSync(path, 'utf8')).toBe('a\nb\n');
+});
+
+test('drops lines beyond what is held and tells how many', () => {
+	const {path, file} = openLog();
+	const output = createOutput({file, now: () => 0});
+	const line = `${'x'.repeat(400 * 1024)}\n`;
+	output.write(line);
+	output.write(line);
+	output.write(line);
+	output.flush();
+	const text = readFileSync(path, 'utf8');
+	expect(text.length).toBeLessThan(500 * 1024);
+	expect(text).toContain('event=log-lines-dropped count=2');
+});
--- a/packages/logger/src/output.ts
+++ b/packages/logger/src/output.ts
@@ -1,4 +1,6 @@
+import {Buffer} from 'node:buffer';
 import {write, writeSync} from 'node:fs';
+import {formatLine} from './format-line.js';
 
 /** Where log lines go. Lines are gathered and written without waiting for the reader. */
 export type Output = {
@@ -7,13 +9,23 @@
 	flush: () => void;
 };
 
+/** What an output works with. */
+export type OutputOptions = {
+	/** Number of the file to write to; standard output by default. */
+	file?: number;
+	/** Time of day in milliseconds since the epoch. */
+	now: () => number;
+};
+
 /** Most characters held for a slow reader; further lines are dropped and counted. */
 const mostHeld = 512 * 1024;
+/** Delay in which lines are gathered, in milliseconds. */
 const gatherDelay = 100;
 const standardOutput = 1;
+const fullPipe = 'EAGAIN';
 
-/** Creates an output on standard output. */
-export const createOutput = (file: number = standardOutput): Output => {
+/** Creates an output. */
+export const createOutput = ({file = standardOutput, now}: OutputOptions): Output => {
 	let held = '';
 	let dropped = 0;
 	let isWriting = false;
@@ -28,38 +40,42 @@
 		setTimeout(writeHeld, gatherDelay).unref();
 	};
 
-	const finish = (error: NodeJS.ErrnoException | null, text: string, written: number): void => {
-		isWriting = false;
-		if (error !== null && error.code !== 'EAGAIN') {
-			// There is nowhere to report that standard output is gone.
-			return;
-		}
-
-		const bytes = Buffer.from(text);
-		held = bytes.subarray(error === null ? written : 0).toString('utf8') + held;
+	/** Keeps what the reader did not take. */
+	const keep = (bytes: Uint8Array): void => {
+		held = Buffer.from(bytes).toString('utf8') + held;
 		if (held !== '') {
 			schedule();
 		}
 	};
 
-	const takeHeld = (): string => {
-		const note = dropped > 0 ? `time=${new Date().toISOString()} level=warn event=log-lines-dropped count=${dropped}\n` : '';
+	const takeHeld = (): Uint8Array => {
+		const note = dropped === 0
+			? ''
+			: formatLine({
+				time: now(), level: 'warn', event: 'log-lines-dropped', count: dropped,
+			});
 		const text = held + note;
 		held = '';
 		dropped = 0;
-		return text;
+		return Buffer.from(text);
 	};
 
 	const writeHeld = (): void => {
 		isScheduled = false;
-		const text = takeHeld();
-		if (text === '') {
+		const bytes = takeHeld();
+		if (bytes.length === 0) {
 			return;
 		}
 
 		isWriting = true;
-		write(file, text, (error, written) => {
-			finish(error, text, written);
+		write(file, bytes, (error, written) => {
+			isWriting = false;
+			if (error === null) {
+				keep(bytes.subarray(written));
+			} else if (error.code === fullPipe) {
+				keep(bytes);
+			}
+			// Otherwise the reader has gone, and there is nowhere to report it.
 		});
 	};
 
@@ -74,9 +90,9 @@
 			schedule();
 		},
 		flush() {
-			const text = takeHeld();
-			if (text !== '') {
-				writeSync(file, text);
+			const bytes = takeHeld();
+			if (bytes.length > 0) {
+				writeSync(file, bytes);
 			}
 		},
 	};
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,5 +1,7 @@
 export {createHostListClient, type HostListClient} from './host-list-client.js';
-export {createJsonClient, type JsonCall, type JsonClient, type JsonOutcome, type PlatformClientOptions} from './json-client.js';
+export {
+	createJsonClient, type JsonCall, type JsonClient, type JsonOutcome, type PlatformClientOptions,
+} from './json-client.js';
 export {createKeyValueClient, type KeyValueClient} from './key-value-client.js';
 export * from './memory-key-value.js';
 export {createWeightStoreClient, type WeightStoreClient} from './weight-store-client.js';
--- a/packages/routing/src/upstream.ts
+++ b/packages/routing/src/upstream.ts
@@ -1,4 +1,6 @@
-import type {Address, Milliseconds, UpstreamId, Zone} from '@gentianlift/types';
+import type {
+	Address, Milliseconds, UpstreamId, Zone,
+} from '@gentianlift/types';
 
 /** One instance of a service. Its address may later belong to an instance of another service. */
 export type Upstream = {
