Set engines apart for delicate streams and tell other hosts what waits

Cause: on atke events of quick questions need four steps, each with a piece of a long prompt beside it, 210 ms against a target of 200 (pauses of 250 ms in the log); calls that waited at hosts were in no engine's cost, so that hot engines drew more and others read their parts again. Change: long prompts keep out of up to a quarter of the engines while delicate streams run, waiting tokens are told in the notes and count in the cost, reading again costs eightfold.

--- a/packages/discovery/src/load-book.ts
+++ b/packages/discovery/src/load-book.ts
@@ -16,6 +16,8 @@
 	setOther: (host: HostId, incarnation: Incarnation, shares: readonly LoadShare[], now: Milliseconds) => void;
 	/** Forgets hosts that were not heard for a while. */
 	dropSilent: (now: Milliseconds) => void;
+	/** Prompt tokens of this host's requests that wait for the upstream. */
+	getOwnAwaited: (upstream: UpstreamKey) => number;
 	/** Sum over all hosts. */
 	getTotal: (upstream: UpstreamKey) => UpstreamLoad;
 	/** Forgets an upstream that is gone. */
@@ -26,20 +28,26 @@
 
 /** Silence after which the load that a host told no longer counts. */
 const longestSilence: Milliseconds = 2000;
-const noLoad: CausedLoad = {running: 0, unreadTokens: 0, delicate: 0};
+const noLoad: CausedLoad = {
+	running: 0, unreadTokens: 0, delicate: 0, awaitedTokens: 0,
+};
 const noTotal: UpstreamLoad = {...noLoad, progressAt: 0};
 
 const addLoads = (one: CausedLoad, other: CausedLoad, sign: 1 | -1 = 1): CausedLoad => ({
 	running: one.running + (sign * other.running),
 	unreadTokens: one.unreadTokens + (sign * other.unreadTokens),
 	delicate: one.delicate + (sign * other.delicate),
+	awaitedTokens: one.awaitedTokens + (sign * other.awaitedTokens),
 });
 
 /** A request may end after its upstream was forgotten. */
-const getClamped = ({running, unreadTokens, delicate}: CausedLoad): CausedLoad => ({
+const getClamped = ({
+	running, unreadTokens, delicate, awaitedTokens,
+}: CausedLoad): CausedLoad => ({
 	running: Math.max(0, running),
 	unreadTokens: Math.max(0, unreadTokens),
 	delicate: Math.max(0, delicate),
+	awaitedTokens: Math.max(0, awaitedTokens),
 });
 
 /** Creates an empty book. */
@@ -93,6 +101,7 @@
 				}
 			}
 		},
+		getOwnAwaited: upstream => own.get(upstream)?.awaitedTokens ?? 0,
 		getTotal: upstream => totals.get(upstream) ?? noTotal,
 		dropUpstream(upstream) {
 			own.delete(upstream);
--- a/packages/discovery/src/note.ts
+++ b/packages/discovery/src/note.ts
@@ -26,7 +26,7 @@
 	sequence: number,
 	revision: number,
 	isStopping: 0 | 1,
-	loads: Array<[upstream: UpstreamKey, running: number, unreadTokens: number, delicate: number]>,
+	loads: Array<[upstream: UpstreamKey, running: number, unreadTokens: number, delicate: number, awaitedTokens: number]>,
 	readings: Array<[upstream: UpstreamKey, model: string, parts: Array<[id: string, tokens: number]>]>,
 	crashes: Array<[fingerprint: string, upstream: UpstreamKey]>,
 ];
@@ -39,7 +39,7 @@
 		note.sequence,
 		note.revision,
 		note.isStopping ? 1 : 0,
-		note.loads.map(load => [load.upstream, load.running, load.unreadTokens, load.delicate]),
+		note.loads.map(load => [load.upstream, load.running, load.unreadTokens, load.delicate, load.awaitedTokens]),
 		note.readings.map(({upstream, model, parts}) => [upstream, model, parts.map(({id, tokens}) => [id, tokens])]),
 		note.crashes.map(({fingerprint, upstream}) => [fingerprint, upstream]),
 	];
@@ -80,8 +80,8 @@
 		sequence,
 		revision,
 		isStopping: isStopping === 1,
-		loads: loads.map(([upstream, running, unreadTokens, delicate]) => ({
-			upstream, running, unreadTokens, delicate,
+		loads: loads.map(([upstream, running, unreadTokens, delicate, awaitedTokens]) => ({
+			upstream, running, unreadTokens, delicate, awaitedTokens,
 		})),
 		readings: readings.map(([upstream, model, parts]) => ({upstream, model, parts: parts.map(([id, tokens]) => ({id, tokens}))})),
 		crashes: crashes.map(([fingerprint, upstream]) => ({fingerprint, upstream})),
--- a/packages/forwarder/src/attempt.ts
+++ b/packages/forwarder/src/attempt.ts
@@ -122,9 +122,18 @@
 	}
 };
 
+/** Notes when a piece of a stream came. */
+const applyPiece = (progress: Progress, now: Milliseconds): void => {
+	progress.longestPause = Math.max(progress.longestPause, now - (progress.lastAt ?? now));
+	progress.lastAt = now;
+};
+
 const deliverEvents = async (attempt: Try, {head, answer}: Extract<SendOutcome, {kind: 'answered'}>): Promise<AttemptEnd> => {
 	const {call, progress, tools, exchange} = attempt;
-	answer.message.on('data', exchange.applyBytes);
+	answer.message.on('data', () => {
+		exchange.applyBytes();
+		applyPiece(progress, tools.clock.monotonic());
+	});
 	const delivery = await deliverStream({
 		head, answer, response: call.response, progress,
 		keepsEvents: call.isRepeatable,
@@ -230,7 +239,14 @@
 	const {upstream, uncachedTokens} = candidate;
 	const key = getUpstreamKey(upstream);
 	const {prompt} = call.head;
-	progress.choice = {running: candidate.load.running, unreadTokens: candidate.load.unreadTokens, uncachedTokens};
+	progress.choice = {
+		waited: Math.round(tools.clock.monotonic() - call.arrivedAt),
+		backlog: Math.round(candidate.backlog),
+		running: candidate.load.running,
+		unreadTokens: candidate.load.unreadTokens,
+		uncachedTokens,
+		rereadTokens: candidate.rereadTokens,
+	};
 	const exchange = tools.board.startExchange(upstream);
 	const attempt: Try = {
 		call, progress, upstream, tools, load, exchange, startedAt: tools.clock.monotonic(),
--- a/packages/forwarder/src/call.ts
+++ b/packages/forwarder/src/call.ts
@@ -38,9 +38,12 @@
 	isCallerGone: boolean;
 	isOver: boolean;
 	/** What decided the last choice of an upstream. */
-	choice: {running: number; unreadTokens: number; uncachedTokens: number} | undefined;
-	/** When the last upstream's first bytes came. */
+	choice: {waited: Milliseconds; backlog: Milliseconds; running: number; unreadTokens: number; uncachedTokens: number; rereadTokens: number} | undefined;
+	/** When the last upstream's first bytes came, and its last ones. */
 	firstAt: Milliseconds | undefined;
+	lastAt: Milliseconds | undefined;
+	/** Longest time between pieces of a stream. */
+	longestPause: Milliseconds;
 	/** Ends the send under way. */
 	cancel: (() => void) | undefined;
 };
@@ -72,5 +75,7 @@
 	isOver: false,
 	choice: undefined,
 	firstAt: undefined,
+	lastAt: undefined,
+	longestPause: 0,
 	cancel: undefined,
 });
--- a/packages/forwarder/src/forward.ts
+++ b/packages/forwarder/src/forward.ts
@@ -164,6 +164,7 @@
 			upstream: [...progress.tried].at(-1),
 			...progress.choice,
 			first: progress.firstAt === undefined ? undefined : Math.round(progress.firstAt - call.arrivedAt),
+			pause: progress.lastAt === undefined ? undefined : Math.round(progress.longestPause),
 			sends: progress.sends,
 			outcome: end.outcome,
 			reason: end.reason,
--- a/packages/forwarder/src/load-entry.ts
+++ b/packages/forwarder/src/load-entry.ts
@@ -1,4 +1,4 @@
-import type {NoteExchange} from '@gentianlift/discovery';
+import type {CausedLoad, NoteExchange} from '@gentianlift/discovery';
 import type {UpstreamKey} from '@gentianlift/routing';
 
 /** What a request adds to the load of its upstream. */
@@ -9,13 +9,26 @@
 	end: () => void;
 };
 
+const noChange: CausedLoad = {
+	running: 0, unreadTokens: 0, delicate: 0, awaitedTokens: 0,
+};
+
+/** Tells the other hosts how many prompt tokens wait at this host for an upstream. */
+export const addAwaitedTokens = (notes: Pick<NoteExchange, 'addLoad'>, upstream: UpstreamKey, awaitedTokens: number): void => {
+	notes.addLoad(upstream, {...noChange, awaitedTokens});
+};
+
 /** Starts to count a request; `delicate` is 1 if long prompts beside it make it late. */
 export const startLoad = (notes: Pick<NoteExchange, 'addLoad'>, upstream: UpstreamKey, unreadTokens: number, delicate: 0 | 1): LoadEntry => {
 	let unread = unreadTokens;
-	notes.addLoad(upstream, {running: 1, unreadTokens, delicate});
+	const add = (change: Partial<CausedLoad>): void => {
+		notes.addLoad(upstream, {...noChange, ...change});
+	};
+
+	add({running: 1, unreadTokens, delicate});
 	const finishReading = (): void => {
 		if (unread > 0) {
-			notes.addLoad(upstream, {running: 0, unreadTokens: -unread, delicate: 0});
+			add({unreadTokens: -unread});
 			unread = 0;
 		}
 	};
@@ -24,7 +37,7 @@
 		finishReading,
 		end() {
 			finishReading();
-			notes.addLoad(upstream, {running: -1, unreadTokens: 0, delicate: -delicate});
+			add({running: -1, delicate: -delicate});
 		},
 	};
 };
--- a/packages/forwarder/src/upstream-board.ts
+++ b/packages/forwarder/src/upstream-board.ts
@@ -2,8 +2,8 @@
 import type {LoadBook} from '@gentianlift/discovery';
 import type {Logger} from '@gentianlift/logger';
 import {
-	addResult, chooseQuietUpstreams, createFailureRate, createPromptCache, createReadingSpeed, defaultReadingSpeed, getBacklog, getFailureShare, getPromptHome, getUpstreamKey,
-	type Candidate, type FailureRate, type KeptTokens, type Prompt, type PromptCache, type ReadingSpeed, type Service, type Upstream, type UpstreamKey,
+	addResult, chooseQuietUpstreams, createFailureRate, createPromptCache, createReadingSpeed, defaultReadingSpeed, getBacklog, getFailureShare, getPromptHome, getUpstreamKey, updateSeparation,
+	type Candidate, type FailureRate, type KeptTokens, type Prompt, type PromptCache, type ReadingSpeed, type Separation, type Service, type Upstream, type UpstreamKey,
 } from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
 import {UpstreamAgent} from './upstream-agent.js';
@@ -11,8 +11,10 @@
 /** What this host knows of each incarnation of an upstream, beside what is listed. */
 export type UpstreamBoard = {
 	getAgent: (upstream: Upstream, connections: number) => UpstreamAgent;
-	/** Gets the upstreams that may take a request, those out of reach only if there are no others. */
-	getCandidates: (upstreams: readonly Upstream[], service: Service, prompt: Prompt | undefined) => Candidate[];
+	/** Gets the upstreams that may take a request, those out of reach only if there are no others. `awaitedTokens` wait at this host for them. */
+	getCandidates: (upstreams: readonly Upstream[], service: Service, prompt: Prompt | undefined, awaitedTokens?: ReadonlyMap<UpstreamKey, number>) => Candidate[];
+	/** Prompt tokens of this host's requests that wait for the upstream, as the other hosts know. */
+	getToldAwaited: (upstream: UpstreamKey) => number;
 	/** Gets how fast the upstreams read prompts, in tokens per millisecond. */
 	getReadingSpeed: (upstreams: readonly Upstream[]) => number;
 	/** Takes in the time to a first token, with the tokens that were read for it. */
@@ -93,6 +95,7 @@
 /** Creates an empty board. */
 export const createUpstreamBoard = ({clock, logger, loads}: UpstreamBoardOptions): UpstreamBoard => {
 	const records = new Map<UpstreamKey, Record>();
+	const separations = new Map<string, Separation>();
 
 	const getRecord = (key: UpstreamKey): Record => {
 		const known = records.get(key);
@@ -129,12 +132,15 @@
 		return record.cache;
 	};
 
-	const getQuiet = (upstreams: readonly Upstream[]): ReadonlySet<UpstreamKey> => {
+	const getQuiet = (service: string, upstreams: readonly Upstream[]): ReadonlySet<UpstreamKey> => {
 		const streams = upstreams.reduce((sum, upstream) => sum + loads.getTotal(getUpstreamKey(upstream)).delicate, 0);
-		return chooseQuietUpstreams(upstreams, streams);
+		const separation = updateSeparation(separations.get(service), streams, clock.monotonic());
+		separations.set(service, separation);
+		return chooseQuietUpstreams(upstreams, separation.count);
 	};
 
 	return {
+		getToldAwaited: loads.getOwnAwaited,
 		getReadingSpeed(upstreams) {
 			const speeds = upstreams.map(upstream => getRecord(getUpstreamKey(upstream)).speed.get());
 			return getMedian(speeds) ?? defaultReadingSpeed;
@@ -147,7 +153,7 @@
 			agent.maxSockets = connections;
 			return agent;
 		},
-		getCandidates(upstreams, service, prompt) {
+		getCandidates(upstreams, service, prompt, awaitedTokens) {
 			const now = clock.monotonic();
 			const reachable = upstreams.filter(upstream => isReachable(upstream, now));
 			const usable = reachable.length === 0 ? upstreams : reachable;
@@ -155,8 +161,9 @@
 			const median = getMedian(found.map(({record}) => record.duration).filter(duration => duration !== undefined));
 			const kept = found.map(({key}) => prompt === undefined ? nothingKept : getCache(key, service.engine?.cacheTokens).getKept(prompt));
 			const mostShared = Math.max(...kept.map(({shared}) => shared));
-			const guess = prompt === undefined ? undefined : guessKept(prompt, mostShared, usable);
-			const quiet = getQuiet(upstreams);
+			const quiet = getQuiet(service.name, upstreams);
+			const homes = usable.filter(upstream => !quiet.has(getUpstreamKey(upstream)));
+			const guess = prompt === undefined ? undefined : guessKept(prompt, mostShared, homes);
 			return found.map(({upstream, key, record}, index) => {
 				const load = loads.getTotal(key);
 				const {all, shared} = kept[index] ?? nothingKept;
@@ -164,6 +171,7 @@
 					upstream,
 					load,
 					backlog: getBacklog(load, record.speed.get(), now),
+					awaited: (load.awaitedTokens - loads.getOwnAwaited(key) + (awaitedTokens?.get(key) ?? 0)) / record.speed.get(),
 					uncachedTokens: Math.max(0, (prompt?.inputTokens ?? 0) - all),
 					rereadTokens: mostShared - shared + (guess === undefined || guess.home === key ? 0 : guess.tokens),
 					readingSpeed: record.speed.get(),
--- a/packages/forwarder/src/waiting-line.ts
+++ b/packages/forwarder/src/waiting-line.ts
@@ -1,9 +1,9 @@
 import {
-	chooseUpstream, compareWaiting, getBacklogLimit, getUpstreamKey, isDelicateRoute, type Candidate, type Placement, type Service,
+	chooseUpstream, compareWaiting, getBacklogLimit, getUpstreamKey, isDelicateRoute, type Candidate, type Placement, type Service, type UpstreamKey,
 } from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
 import type {Call, Progress} from './call.js';
-import {startLoad, type LoadEntry} from './load-entry.js';
+import {addAwaitedTokens, startLoad, type LoadEntry} from './load-entry.js';
 import type {Tools} from './tools.js';
 
 /** An upstream for a call; the call counts in its load from now on. */
@@ -22,6 +22,9 @@
 /** Interval at which the line is looked at, as backlogs shrink with time. */
 const checkInterval: Milliseconds = 15;
 
+/** Change of the waiting tokens for an upstream that other hosts are told of. */
+const leastTold = 3000;
+
 type Entry = {
 	call: Call;
 	progress: Progress;
@@ -29,13 +32,18 @@
 	resolve: (place: Place | undefined) => void;
 };
 
-type Decision = {kind: 'placed'; candidate: Candidate; isDelicate: boolean} | {kind: 'waits'} | {kind: 'impossible'};
+type Decision = {kind: 'placed'; candidate: Candidate; isDelicate: boolean} | {kind: 'waits'; candidate: Candidate} | {kind: 'impossible'};
+
+/** Prompt tokens of calls that wait for an upstream, at this host. */
+type AwaitedTokens = Map<UpstreamKey, number>;
 
 /** Creates an empty line. */
 export const createWaitingLine = (tools: Tools): WaitingLine => {
 	const {clock, view, board, metrics} = tools;
 	let entries: Entry[] = [];
 	let isScheduled = false;
+	/** Upstreams for which other hosts were told of waiting calls. */
+	let told = new Set<UpstreamKey>();
 
 	const getSlack = ({call}: Entry): Milliseconds => call.arrivedAt + call.route.target - clock.monotonic();
 
@@ -52,16 +60,16 @@
 		slack: getSlack(entry),
 	});
 
-	const getCandidates = ({call, progress}: Entry, service: Service): Candidate[] => {
+	const getCandidates = ({call, progress}: Entry, service: Service, awaited: AwaitedTokens): Candidate[] => {
 		const upstreams = view.getUpstreams(call.service).filter(upstream => !progress.tried.has(getUpstreamKey(upstream)));
-		return board.getCandidates(upstreams, service, call.head.prompt);
+		return board.getCandidates(upstreams, service, call.head.prompt, awaited);
 	};
 
-	const decide = (entry: Entry): Decision => {
+	const decide = (entry: Entry, awaited: AwaitedTokens): Decision => {
 		const {call} = entry;
 		const table = view.getRoutes();
 		const service = table?.services.get(call.service);
-		const candidates = service === undefined ? [] : getCandidates(entry, service);
+		const candidates = service === undefined ? [] : getCandidates(entry, service, awaited);
 		const isDelicate = isDelicateRoute(call.route, service, board.getReadingSpeed(candidates.map(({upstream}) => upstream)));
 		const candidate = chooseUpstream(candidates, getPlacement(entry, isDelicate), tools.random);
 		if (candidate === undefined) {
@@ -70,7 +78,7 @@
 
 		const limit = getBacklogLimit(table?.configuration.routes ?? [], call.service, call.rank);
 		const mayGo = call.head.prompt === undefined || candidate.backlog <= limit;
-		return mayGo ? {kind: 'placed', candidate, isDelicate} : {kind: 'waits'};
+		return mayGo ? {kind: 'placed', candidate, isDelicate} : {kind: 'waits', candidate};
 	};
 
 	const place = ({call, enteredAt, resolve}: Entry, candidate: Candidate, isDelicate: boolean): void => {
@@ -79,14 +87,19 @@
 		resolve({candidate, load});
 	};
 
+	const addAwaited = (awaited: AwaitedTokens, {upstream, uncachedTokens}: Candidate): void => {
+		const key = getUpstreamKey(upstream);
+		awaited.set(key, (awaited.get(key) ?? 0) + uncachedTokens);
+	};
+
 	/** Tells whether the entry goes on waiting. */
-	const advanceEntry = (entry: Entry): boolean => {
+	const advanceEntry = (entry: Entry, awaited: AwaitedTokens): boolean => {
 		if (entry.progress.isOver || entry.progress.isCallerGone) {
 			entry.resolve(undefined);
 			return false;
 		}
 
-		const decision = decide(entry);
+		const decision = decide(entry, awaited);
 		switch (decision.kind) {
 			case 'placed': {
 				place(entry, decision.candidate, decision.isDelicate);
@@ -99,6 +112,7 @@
 			}
 
 			case 'waits': {
+				addAwaited(awaited, decision.candidate);
 				return true;
 			}
 		}
@@ -116,12 +130,25 @@
 		});
 	};
 
+	const tellAwaited = (awaited: AwaitedTokens): void => {
+		for (const key of new Set([...told, ...awaited.keys()])) {
+			const change = (awaited.get(key) ?? 0) - board.getToldAwaited(key);
+			if (Math.abs(change) >= leastTold || (change !== 0 && !awaited.has(key))) {
+				addAwaitedTokens(tools.notes, key, change);
+			}
+		}
+
+		told = new Set(awaited.keys());
+	};
+
 	const advance = (): void => {
+		const awaited: AwaitedTokens = new Map();
 		entries = entries
 			.map(entry => ({entry, order: getWaiting(entry)}))
 			.toSorted((one, other) => compareWaiting(one.order, other.order))
 			.map(({entry}) => entry)
-			.filter(entry => advanceEntry(entry));
+			.filter(entry => advanceEntry(entry, awaited));
+		tellAwaited(awaited);
 		schedule();
 	};
 
--- a/packages/routing/src/choose-upstream.ts
+++ b/packages/routing/src/choose-upstream.ts
@@ -10,6 +10,8 @@
 	unreadTokens: number;
 	/** Of the running ones, streams that long prompts beside them make late. */
 	delicate: number;
+	/** Prompt tokens of requests that wait at hosts for this upstream. */
+	awaitedTokens: number;
 	/** When the upstream was last seen to start or finish reading a prompt. */
 	progressAt: Milliseconds;
 };
@@ -20,6 +22,8 @@
 	load: UpstreamLoad;
 	/** Time until it has read the prompts that it was sent. */
 	backlog: Milliseconds;
+	/** Time that it will read prompts which wait at the hosts for it and go before this one. */
+	awaited: Milliseconds;
 	/** Tokens of the prompt that it has to read. */
 	uncachedTokens: number;
 	/** Of these, tokens of shared parts that another candidate keeps. */
@@ -53,11 +57,15 @@
 /** Milliseconds that a first token beyond its time is worth. */
 const costForLateness: Milliseconds = 1500;
 /** Factor on the time for reading what another upstream keeps, as it is work for nothing. */
-const rereadFactor = 4;
-/** Milliseconds that are added where a long prompt meets delicate streams. */
-const costForDisturbance: Milliseconds = 1200;
+const rereadFactor = 8;
+/** Milliseconds that a delicate stream is worth that becomes late. */
+const costForDisturbance: Milliseconds = 250;
+/** Milliseconds that are added where a long prompt would go to an upstream that is set apart. */
+const costForIntrusion: Milliseconds = 4000;
+/** Milliseconds that are added where a delicate stream would go beside long prompts. */
+const costForExposure: Milliseconds = 300;
 /** Prompt tokens that an upstream reads between two events of a delicate stream without making it late. */
-export const harmlessTokens = 5000;
+export const harmlessTokens = 5500;
 
 /** Part of a slot that a call to another availability zone is worth to a service without prompts. */
 const slotsForZone = 0.25;
@@ -65,23 +73,21 @@
 const slotsForFailure = 20;
 
 /** Gets the cost of a long prompt beside delicate streams, and the reverse. */
-const getDisturbance = ({isQuiet, load, uncachedTokens}: Candidate, {isDelicate}: Placement): Milliseconds => {
+const getDisturbance = ({isQuiet, load, backlog, uncachedTokens, readingSpeed}: Candidate, {isDelicate}: Placement): Milliseconds => {
+	const isHarmful = (backlog * readingSpeed) + uncachedTokens > harmlessTokens;
+	const harm = isHarmful ? load.delicate * costForDisturbance : 0;
 	if (isDelicate) {
-		return isQuiet ? 0 : costForDisturbance / 4;
+		return Math.min(harm, costForIntrusion) + (isQuiet ? 0 : costForExposure);
 	}
 
-	if (uncachedTokens < harmlessTokens) {
-		return 0;
-	}
-
-	return isQuiet ? costForDisturbance : Math.min(costForDisturbance, load.delicate * costForDisturbance / 8);
+	return isQuiet && isHarmful ? costForIntrusion : Math.min(harm, costForIntrusion);
 };
 
 const getGenerationCost = (candidate: Candidate, placement: Placement): number => {
 	const {
-		upstream, load, backlog, uncachedTokens, rereadTokens, readingSpeed, failureShare,
+		upstream, load, backlog, awaited, uncachedTokens, rereadTokens, readingSpeed, failureShare,
 	} = candidate;
-	const first = backlog + (uncachedTokens / readingSpeed);
+	const first = backlog + awaited + (uncachedTokens / readingSpeed);
 	const reread = rereadFactor * rereadTokens / readingSpeed;
 	const lateness = first > placement.slack ? costForLateness : 0;
 	const distance = upstream.zone === placement.zone ? 0 : costForZone;
--- a/packages/routing/src/separation.ts
+++ b/packages/routing/src/separation.ts
@@ -1,3 +1,4 @@
+import type {Milliseconds} from '@gentianlift/types';
 import type {Route, Service} from './configuration.js';
 import {getHash} from './hash.js';
 import {getUpstreamKey, type Upstream, type UpstreamKey} from './upstream.js';
@@ -9,9 +10,9 @@
 /** Part of a pause's target that is left for the network. */
 const marginShare = 0.05;
 /** Delicate streams for each upstream that is set apart. */
-const streamsForUpstream = 14;
+const streamsForUpstream = 12;
 /** Part of the upstreams that may be set apart. */
-const mostShare = 0.4;
+const mostShare = 0.25;
 
 /** Tells whether reading a long prompt makes the streams of a route beside it late: an event needs several steps, each with a piece of the prompt. */
 export const isDelicateRoute = (route: Route, service: Service | undefined, readingSpeed: number): boolean => {
@@ -23,10 +24,25 @@
 	return pause > route.pauseTarget * (1 - marginShare);
 };
 
-/** Chooses the upstreams that long prompts leave to delicate streams; all hosts choose the same for the same load. */
-export const chooseQuietUpstreams = (upstreams: readonly Upstream[], delicateStreams: number): ReadonlySet<UpstreamKey> => {
+/** How many upstreams of a service are set apart, and since when fewer would do. */
+export type Separation = {count: number; neededAt: Milliseconds};
+
+/** Time after which an upstream that is no longer needed is given back; taking it away again makes others read its prompts anew. */
+const holdTime: Milliseconds = 10_000;
+
+/** Updates the number of upstreams that are set apart: up at once, down one at a time. */
+export const updateSeparation = (known: Separation | undefined, delicateStreams: number, now: Milliseconds): Separation => {
+	const needed = Math.ceil(delicateStreams / streamsForUpstream);
+	if (known === undefined || needed >= known.count) {
+		return {count: needed, neededAt: now};
+	}
+
+	return now - known.neededAt > holdTime ? {count: known.count - 1, neededAt: now} : known;
+};
+
+/** Chooses the upstreams that long prompts leave to delicate streams; all hosts choose the same for the same count. */
+export const chooseQuietUpstreams = (upstreams: readonly Upstream[], count: number): ReadonlySet<UpstreamKey> => {
 	const most = Math.floor(upstreams.length * mostShare);
-	const count = delicateStreams === 0 ? 0 : Math.min(most, Math.ceil(delicateStreams / streamsForUpstream));
-	const keys = upstreams.map(upstream => getUpstreamKey(upstream));
-	return new Set(keys.toSorted((one, other) => getHash(one) - getHash(other)).slice(0, count));
+	const ordered = upstreams.toSorted((one, other) => getHash(one.id) - getHash(other.id));
+	return new Set(ordered.slice(0, Math.min(most, count)).map(upstream => getUpstreamKey(upstream)));
 };
