--- a/packages/forwarder/src/serve-callers.ts
+++ b/packages/forwarder/src/serve-callers.ts
@@ -5,7 +5,7 @@
 import {
 	drawDestination, findCaller, findRoute, type CallerLimits, type KeyHolder, type Route, type RouteTable,
 } from '@gentianlift/routing';
-import type {ErrorKind} from '@gentianlift/errors';
+import {errorTable, type ErrorKind} from '@gentianlift/errors';
 import type {Milliseconds} from '@gentianlift/types';
 import {createCall} from './call.js';
 import type {Forwarder} from './forward.js';
@@ -32,15 +32,15 @@
 /** Where a request goes, or why it is refused. */
 type Admission
 	= | {kind: 'admitted'; table: RouteTable; route: Route; service: string; customer: KeyHolder | undefined}
-		| {kind: 'refused'; error: Extract<ErrorKind, 'not-configured' | 'unknown-path' | 'wrong-key' | 'missing-key'>};
+		| {kind: 'refused'; error: Extract<ErrorKind, 'not-configured' | 'host-stopping' | 'unknown-path' | 'wrong-key' | 'missing-key'>};
 
 /** Size of headers above which a connection is refused before the configured limit is looked at. */
 const mostHeaderBytes = 64 * 1024;
 /** Time beyond the configured idle limit for which a connection is kept. */
 const idleMargin: Milliseconds = 2000;
 const connectionsCheck: Milliseconds = 1000;
-/** When to come back to a host without a configuration. */
-const notConfiguredDelay: Milliseconds = 500;
+/** When to come back, to a host without a configuration or to another host. */
+const retryDelays: Partial<Record<ErrorKind, Milliseconds>> = {'not-configured': 500, 'host-stopping': 20};
 /** Longest wait for the newest state before a refusal that it might lift. */
 const refreshLimit: Milliseconds = 400;
 /** Age up to which the state counts as the newest. */
@@ -81,6 +81,10 @@
 			return {kind: 'refused', error: 'unknown-path'};
 		}
 
+		if (!tools.mayTake(route.timeout)) {
+			return {kind: 'refused', error: 'host-stopping'};
+		}
+
 		const caller = findCaller(table, route, head.key);
 		if (caller.kind === 'unknown') {
 			return {kind: 'refused', error: head.key === undefined ? 'missing-key' : 'wrong-key'};
@@ -118,7 +122,7 @@
 	/** A refusal is final for the caller, so that the newest configuration is asked for before it. */
 	const admitSurely = async (head: CallerHead, target: string): Promise<Admission> => {
 		const first = admit(head, target);
-		if (first.kind === 'admitted' || first.error === 'not-configured') {
+		if (first.kind === 'admitted' || errorTable[first.error].status === 503) {
 			return first;
 		}
 
@@ -150,7 +154,8 @@
 			return undefined;
 		}
 
-		return {kind: admission.error, ...(admission.error === 'not-configured' && {retryAfter: notConfiguredDelay})};
+		const retryAfter = retryDelays[admission.error];
+		return {kind: admission.error, ...(retryAfter !== undefined && {retryAfter})};
 	};
 
 	const applyLimits = (server: Server, limits: CallerLimits): void => {
--- a/packages/forwarder/src/stop-host.ts
+++ b/packages/forwarder/src/stop-host.ts
@@ -22,6 +22,16 @@
 const releaseTime: Milliseconds = 300;
 const checkInterval: Milliseconds = 50;
 
+/** Time after the signal in which callers may not have noticed it, and each request is taken. */
+const noticeTime: Milliseconds = 2500;
+
+/**
+ * Tells whether a host that was told to stop `elapsed` ago takes a request. Callers that come late are better off
+ * at another host than with an answer that is cut when the process is killed.
+ */
+export const mayTakeRequest = (elapsed: Milliseconds, grace: Milliseconds, timeout: Milliseconds): boolean =>
+	elapsed <= noticeTime || timeout <= grace - releaseTime - elapsed;
+
 /** Serves until callers have stopped to come and all requests are answered, then releases what the host holds. */
 export const stopHost = async ({
 	clock, logger, grace, addressLife, countOpen, announce, release,
--- a/packages/forwarder/src/tools.ts
+++ b/packages/forwarder/src/tools.ts
@@ -3,7 +3,7 @@
 import type {Logger} from '@gentianlift/logger';
 import type {Metrics} from '@gentianlift/metrics';
 import type {CrashSuspects, RetryBound} from '@gentianlift/routing';
-import type {Zone} from '@gentianlift/types';
+import type {Milliseconds, Zone} from '@gentianlift/types';
 import type {CrashWatch} from './crash-watch.js';
 import type {Protocol} from './protocol.js';
 import type {UpstreamBoard} from './upstream-board.js';
@@ -26,4 +26,6 @@
 	countHosts: () => number;
 	/** Whether the host is in a graceful shutdown. */
 	isStopping: () => boolean;
+	/** Whether the host takes a request that may last for `timeout`. */
+	mayTake: (timeout: Milliseconds) => boolean;
 };
--- a/packages/routing/src/backlog.ts
+++ b/packages/routing/src/backlog.ts
@@ -2,7 +2,7 @@
 import type {UpstreamLoad} from './choose-upstream.js';
 
 /** Part of the unread tokens that is taken as unread however long ago the last progress was seen. */
-const leastShare = 0.1;
+const leastShare = 0.25;
 
 /**
  * Gets the time until an upstream has read the prompts that it was sent. It reads them in the order of arrival,
