--- a/packages/discovery/src/exchange-notes.ts
+++ b/packages/discovery/src/exchange-notes.ts
@@ -21,6 +21,8 @@
 	addLoad: (upstream: UpstreamKey, change: CausedLoad) => void;
 	addReading: (reading: Reading) => void;
 	addCrash: (crash: Crash) => void;
+	/** Tells the others that a suspected request ran to its end. */
+	addCleared: (fingerprint: string) => void;
 	markStopping: () => void;
 	/** Newest revision of the key-value service that a host heard lately knows; 0 if none was heard. */
 	getNewestRevision: () => number;
@@ -81,6 +83,7 @@
 	const repeats = new Map<UpstreamKey, number>();
 	let readings: Reading[] = [];
 	let crashes: PendingCrash[] = [];
+	let cleared: string[] = [];
 	let isStopping = false;
 	let isScheduled = false;
 	let sequence = 0;
@@ -102,6 +105,7 @@
 			loads: own.filter(({upstream}) => isFull ? (repeats.get(upstream) ?? 0) > 0 : changed.has(upstream)),
 			readings,
 			crashes: crashes.map(({crash}) => crash),
+			cleared,
 		};
 	};
 
@@ -109,6 +113,7 @@
 		const text = encodeNote(buildNote(isFull));
 		changed.clear();
 		readings = [];
+		cleared = [];
 		crashes = crashes.map(({crash, left}) => ({crash, left: left - 1})).filter(({left}) => left > 0);
 		for (const {address} of options.getPeers()) {
 			const {ip, port} = splitAddress(address);
@@ -153,6 +158,10 @@
 			options.onReading(reading);
 		}
 
+		for (const fingerprint of note.cleared) {
+			suspects.clear(fingerprint);
+		}
+
 		for (const crash of note.crashes) {
 			if (suspects.add(crash, now)) {
 				logger.info('crash-told', {from: note.host, fingerprint: crash.fingerprint, upstream: crash.upstream});
@@ -202,6 +211,11 @@
 			readings.push(reading);
 			schedule();
 		},
+		addCleared(fingerprint) {
+			crashes = crashes.filter(({crash}) => crash.fingerprint !== fingerprint);
+			cleared.push(fingerprint);
+			schedule();
+		},
 		addCrash(crash) {
 			crashes.push({crash, left: crashRepeats});
 			schedule();
--- /dev/null
+++ b/packages/discovery/src/fleet-view.test.ts
@@ -0,0 +1,133 @@
+import {createLogger} from '@gentianlift/logger';
+import {buildRouteTable} from '@gentianlift/routing';
+import type {Entry} from '@gentianlift/types';
+import {expect, test} from 'vitest';
+import {createFleetView, type FleetItem} from './fleet-view.js';
+import {getHostKey} from './host-record.js';
+
+/** Entries of tests: `c:VERSION`, `u:STARTED:ready|leaving`, or anything unreadable. */
+const decode = ({key, value}: Entry): FleetItem => {
+	const [kind, number = '', phase] = value.split(':');
+	if (kind === 'c') {
+		return {
+			kind: 'configuration',
+			configuration: {
+				version: Number(number), routes: [], services: [], limits: {
+					mostHeaderBytes: 1, mostBodyBytes: 1, headerTimeout: 1, idleTimeout: 1,
+				},
+			},
+		};
+	}
+
+	if (kind === 'u') {
+		return {
+			kind: 'upstream',
+			upstream: {
+				id: key, service: 's', address: '127.0.0.1:1', zone: 'a', isLeaving: phase === 'leaving', slots: 1, startedAt: Number(number),
+			},
+		};
+	}
+
+	return {kind: 'unreadable', reason: 'test'};
+};
+
+const entry = (key: string, value: string, revision: number): Entry => ({key, value, revision});
+
+const createView = (): {view: ReturnType<typeof createFleetView>; removed: string[]; lines: string[]} => {
+	const removed: string[] = [];
+	const lines: string[] = [];
+	const logger = createLogger('info', line => {
+		lines.push(line);
+	});
+	const view = createFleetView({
+		decode,
+		logger,
+		onRemoved(key) {
+			removed.push(key);
+		},
+	});
+	return {view, removed, lines};
+};
+
+const getIds = (view: ReturnType<typeof createFleetView>): string[] => view.getUpstreams('s').map(({id}) => id);
+
+test('versions of the configuration only rise', () => {
+	const {view} = createView();
+	view.applyChanges([{kind: 'written', entry: entry('op', 'c:7', 5)}], 5, 0);
+	view.applyChanges([{kind: 'written', entry: entry('op', 'c:4', 6)}], 6, 0);
+	expect(view.getRoutes()?.configuration.version).toBe(7);
+	view.applySnapshot({entries: [], revision: 7}, 0);
+	expect(view.getRoutes()?.configuration.version).toBe(7);
+	expect(view.getRoutes()).toEqual(buildRouteTable(view.getRoutes()!.configuration));
+});
+
+test('an upstream that leaves takes no new work', () => {
+	const {view} = createView();
+	view.applyChanges([{kind: 'written', entry: entry('u1', 'u:1:ready', 1)}], 1, 0);
+	expect(getIds(view)).toEqual(['u1']);
+	view.applyChanges([{kind: 'written', entry: entry('u1', 'u:1:leaving', 2)}], 2, 0);
+	expect(getIds(view)).toEqual([]);
+});
+
+test('a restart under the same id is another incarnation', () => {
+	const {view, removed} = createView();
+	view.applyChanges([{kind: 'written', entry: entry('u1', 'u:1:ready', 1)}], 1, 0);
+	view.applyChanges([{kind: 'written', entry: entry('u1', 'u:2:ready', 2)}], 2, 0);
+	expect(removed).toEqual(['u1@1']);
+	expect(view.isUsable('u1@2')).toBe(true);
+	expect(view.isUsable('u1@1')).toBe(false);
+});
+
+test('an entry that becomes unreadable names no upstream, the others hold', () => {
+	const {view, lines} = createView();
+	view.applyChanges([
+		{kind: 'written', entry: entry('u1', 'u:1:ready', 1)},
+		{kind: 'written', entry: entry('u2', 'u:1:ready', 2)},
+		{kind: 'written', entry: entry('u1', '?', 3)},
+	], 3, 0);
+	expect(getIds(view)).toEqual(['u2']);
+	expect(lines.join('')).toContain('event=entry-unreadable key=u1');
+});
+
+test('an entry that is removed while the service is well is gone at once', () => {
+	const {view, removed} = createView();
+	view.applyChanges([{kind: 'written', entry: entry('u1', 'u:1:ready', 1)}], 1, 10_000);
+	view.applyChanges([{kind: 'removed', key: 'u1', revision: 2}], 2, 10_000);
+	expect(getIds(view)).toEqual([]);
+	expect(removed).toEqual(['u1@1']);
+});
+
+test('entries that lapsed in an outage are kept for two seconds after it', () => {
+	const {view} = createView();
+	view.applyContact(true, 0);
+	view.applyChanges([{kind: 'written', entry: entry('u1', 'u:1:ready', 1)}, {kind: 'written', entry: entry('u2', 'u:1:ready', 2)}], 2, 0);
+	view.applyContact(false, 1000);
+	view.applyContact(true, 9000);
+	view.applySnapshot({entries: [], revision: 9}, 9000);
+	expect(getIds(view)).toEqual(['u1', 'u2']);
+	view.applyChanges([{kind: 'written', entry: entry('u2', 'u:1:ready', 10)}], 10, 10_000);
+	view.dropLapsed(10_900);
+	expect(getIds(view)).toEqual(['u1', 'u2']);
+	view.dropLapsed(11_000);
+	expect(getIds(view)).toEqual(['u2']);
+});
+
+test('a late removal does not undo a newer entry', () => {
+	const {view} = createView();
+	view.applyChanges([{kind: 'written', entry: entry('u1', 'u:1:ready', 5)}], 5, 0);
+	view.applyChanges([{kind: 'removed', key: 'u1', revision: 4}], 5, 0);
+	expect(getIds(view)).toEqual(['u1']);
+});
+
+test('host records are read, and odd ones ignored', () => {
+	const {view, lines} = createView();
+	const record = {
+		host: 'h1', incarnation: 1, zone: 'a', callers: 'x:1', peers: 'x:2', notes: 'x:3', isStopping: false,
+	};
+	view.applyChanges([
+		{kind: 'written', entry: entry(getHostKey('h1'), JSON.stringify(record), 1)},
+		{kind: 'written', entry: entry(getHostKey('h2'), '{}', 2)},
+	], 2, 0);
+	expect(view.getHosts()).toEqual([record]);
+	expect(lines.join('')).toContain('event=entry-unreadable');
+});
--- a/packages/discovery/src/note.ts
+++ b/packages/discovery/src/note.ts
@@ -17,6 +17,8 @@
 	loads: LoadShare[];
 	readings: Reading[];
 	crashes: Crash[];
+	/** Fingerprints of requests that ran to their end after all. */
+	cleared: string[];
 };
 
 /** A note as it is sent: lists in place of records, as most bytes between hosts are notes. */
@@ -29,6 +31,7 @@
 	loads: Array<[upstream: UpstreamKey, running: number, unreadTokens: number, delicate: number, awaitedTokens: number]>,
 	readings: Array<[upstream: UpstreamKey, model: string, parts: Array<[id: string, tokens: number]>]>,
 	crashes: Array<[fingerprint: string, upstream: UpstreamKey]>,
+	cleared: string[],
 ];
 
 /** Writes a note. */
@@ -42,6 +45,7 @@
 		note.loads.map(load => [load.upstream, load.running, load.unreadTokens, load.delicate, load.awaitedTokens]),
 		note.readings.map(({upstream, model, parts}) => [upstream, model, parts.map(({id, tokens}) => [id, tokens])]),
 		note.crashes.map(({fingerprint, upstream}) => [fingerprint, upstream]),
+		note.cleared,
 	];
 	return JSON.stringify(packet);
 };
@@ -51,9 +55,10 @@
 		return false;
 	}
 
-	const [host, incarnation, sequence, revision, , loads, readings, crashes] = value as unknown[];
+	const [host, incarnation, sequence, revision, , loads, readings, crashes, cleared] = value as unknown[];
 	return typeof host === 'string'
 		&& [incarnation, sequence, revision].every(number => typeof number === 'number')
+		&& Array.isArray(cleared)
 		&& [loads, readings, crashes].every(list => Array.isArray(list) && list.every(item => Array.isArray(item)));
 };
 
@@ -73,7 +78,7 @@
 		return undefined;
 	}
 
-	const [host, incarnation, sequence, revision, isStopping, loads, readings, crashes] = packet;
+	const [host, incarnation, sequence, revision, isStopping, loads, readings, crashes, cleared] = packet;
 	return {
 		host,
 		incarnation,
@@ -85,5 +90,6 @@
 		})),
 		readings: readings.map(([upstream, model, parts]) => ({upstream, model, parts: parts.map(([id, tokens]) => ({id, tokens}))})),
 		crashes: crashes.map(([fingerprint, upstream]) => ({fingerprint, upstream})),
+		cleared,
 	};
 };
--- a/packages/forwarder/src/forward.ts
+++ b/packages/forwarder/src/forward.ts
@@ -99,6 +99,18 @@
 	const isBlocked = (call: Call): boolean =>
 		!tools.suspects.isEmpty() && tools.suspects.isBlocked(getFingerprint(call), clock.monotonic());
 
+	/** A request that ran to its end did not crash its upstream. */
+	const clearSuspect = (call: Call): void => {
+		if (tools.suspects.isEmpty()) {
+			return;
+		}
+
+		const fingerprint = getFingerprint(call);
+		if (tools.suspects.clear(fingerprint)) {
+			tools.notes.addCleared(fingerprint);
+		}
+	};
+
 	const run = async (call: Call, progress: Progress): Promise<CallEnd> => {
 		let last: AttemptEnd | undefined;
 		for (;;) {
@@ -123,6 +135,7 @@
 			line.advance();
 			countSend(progress, last);
 			if (last.kind === 'delivered') {
+				clearSuspect(call);
 				return {outcome: 'delivered', reason: String(last.status)};
 			}
 
--- /dev/null
+++ b/packages/forwarder/src/testing.ts
@@ -0,0 +1,200 @@
+import {
+	createServer, request, type IncomingMessage, type RequestListener, type Server,
+} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {createRandom, createSystemClock} from '@gentianlift/clock';
+import {
+	createFleetView, createLoadBook, type FleetView, type LoadBook, type NoteExchange,
+} from '@gentianlift/discovery';
+import {createLogger} from '@gentianlift/logger';
+import {createMetrics} from '@gentianlift/metrics';
+import {
+	createCrashSuspects, type RoutingConfiguration, type Upstream,
+} from '@gentianlift/routing';
+import {createCrashWatch} from './crash-watch.js';
+import {createForwarder} from './forward.js';
+import type {Protocol, RawHeaders} from './protocol.js';
+import {createCallerServer} from './serve-callers.js';
+import type {Tools} from './tools.js';
+import {createUpstreamBoard} from './upstream-board.js';
+
+/** A host with its listener of callers, for tests. */
+export type TestHost = {
+	port: number;
+	tools: Tools;
+	lines: string[];
+	loads: LoadBook;
+	/** Replaces the upstreams that the host knows. */
+	setUpstreams: (upstreams: readonly Upstream[]) => void;
+	setStopping: (isStopping: boolean) => void;
+	close: () => void;
+};
+
+/** An answer as a caller sees it. */
+export type TestAnswer = {status: number; headers: IncomingMessage['headers']; body: string; isWhole: boolean};
+
+const getValue = (headers: RawHeaders, name: string): string | undefined => {
+	const index = headers.findIndex((item, position) => position % 2 === 0 && item.toLowerCase() === name);
+	return index === -1 ? undefined : headers[index + 1];
+};
+
+/** A wire of few words: `attempt`, `key`, `patience`, `last-event`, `not-run`, `signed`. */
+const protocol: Protocol = {
+	readCallerHead(headers) {
+		const patience = getValue(headers, 'patience');
+		const lastEvent = getValue(headers, 'last-event');
+		return {
+			attempt: getValue(headers, 'attempt'),
+			hostname: 'a.example',
+			key: getValue(headers, 'key'),
+			patience: patience === undefined ? undefined : Number(patience),
+			prompt: undefined,
+			lastEvent: lastEvent === undefined ? undefined : Number(lastEvent),
+			declaresBody: getValue(headers, 'content-length') !== undefined,
+			forwarded: [],
+		};
+	},
+	writeUpstreamHead: ({caller, upstream, timeLeft, resumeAfter, bodyLength}) => [
+		'Host', 'a.example',
+		'Attempt', caller.attempt ?? '',
+		'Instance', upstream.id,
+		'Patience', String(timeLeft),
+		...(resumeAfter === undefined ? [] : ['Last-Event', String(resumeAfter)]),
+		'Content-Length', String(bodyLength),
+	],
+	readAnswerHead: (status, headers) => ({
+		status,
+		attempt: getValue(headers, 'attempt'),
+		isNotRun: getValue(headers, 'not-run') !== undefined,
+		isSigned: getValue(headers, 'signed') !== undefined,
+		isEventStream: getValue(headers, 'content-type') === 'text/event-stream',
+		forwarded: headers.filter((_, index) => !['connection', 'keep-alive', 'transfer-encoding'].includes((headers[index - (index % 2)] ?? '').toLowerCase())),
+	}),
+	writeOwnHead: () => [],
+};
+
+const listenOnAnyPort = async (server: Server): Promise<number> => {
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	return (server.address() as AddressInfo).port;
+};
+
+/** Starts a stand-in of an upstream; it closes with the test. */
+export const startUpstream = async (id: string, answer: RequestListener): Promise<{upstream: Upstream; server: Server}> => {
+	const server = createServer(answer);
+	const port = await listenOnAnyPort(server);
+	return {
+		server,
+		upstream: {
+			id, service: 's', address: `127.0.0.1:${port}`, zone: 'a', isLeaving: false, slots: 8, startedAt: 1,
+		},
+	};
+};
+
+const createNotes = (loads: LoadBook): NoteExchange => ({
+	addLoad(upstream, change) {
+		loads.addOwn(upstream, change, performance.now());
+	},
+	addReading: () => undefined,
+	addCrash: () => undefined,
+	addCleared: () => undefined,
+	markStopping: () => undefined,
+	getNewestRevision: () => 0,
+	getShortestSilence: () => Number.POSITIVE_INFINITY,
+	getSilence: () => Number.POSITIVE_INFINITY,
+	isStopping: () => false,
+	close: () => undefined,
+});
+
+const createView = (tools: Pick<Tools, 'logger'>, configuration: RoutingConfiguration, upstreams: Map<string, Upstream>): FleetView => createFleetView({
+	logger: tools.logger,
+	decode({key}) {
+		const upstream = upstreams.get(key);
+		return upstream === undefined ? {kind: 'configuration', configuration} : {kind: 'upstream', upstream};
+	},
+});
+
+/** Starts a host that serves callers by the configuration. */
+export const startTestHost = async (configuration: RoutingConfiguration, refresh = async () => undefined): Promise<TestHost> => {
+	const clock = createSystemClock();
+	const lines: string[] = [];
+	const logger = createLogger('info', line => {
+		lines.push(line);
+	});
+	const loads = createLoadBook();
+	const upstreams = new Map<string, Upstream>();
+	const view = createView({logger}, configuration, upstreams);
+	let revision = 1;
+	let isStopping = false;
+	const setEntries = (): void => {
+		revision += 1;
+		const entries = ['configuration', ...upstreams.keys()].map(key => ({key, value: '', revision}));
+		view.applySnapshot({entries, revision}, clock.monotonic());
+	};
+
+	setEntries();
+	const tools: Tools = {
+		clock,
+		random: createRandom(1),
+		logger,
+		metrics: createMetrics(),
+		protocol,
+		zone: 'a',
+		view,
+		notes: createNotes(loads),
+		board: createUpstreamBoard({clock, logger, loads}),
+		suspects: createCrashSuspects(),
+		crashes: createCrashWatch(clock),
+		retryBound: {ratio: 0.2, minimum: 54, window: 10_000},
+		countHosts: () => 1,
+		isStopping: () => isStopping,
+		mayTake: () => !isStopping,
+	};
+	const {server} = createCallerServer({tools, forwarder: createForwarder(tools), refresh});
+	const port = await listenOnAnyPort(server);
+	return {
+		port,
+		tools,
+		lines,
+		loads,
+		setUpstreams(next) {
+			upstreams.clear();
+			for (const upstream of next) {
+				upstreams.set(upstream.id, upstream);
+			}
+
+			setEntries();
+		},
+		setStopping(next) {
+			isStopping = next;
+		},
+		close() {
+			server.close();
+			server.closeAllConnections();
+		},
+	};
+};
+
+/** Sends a request as a caller and reads its answer. */
+export const sendRequest = async (port: number, {path, method = 'POST', headers = {}, body = ''}: {
+	path: string; method?: string; headers?: Record<string, string>; body?: string;
+}): Promise<TestAnswer> => new Promise((resolve, reject) => {
+	const outgoing = request({
+		port, host: '127.0.0.1', path, method, headers, agent: false,
+	}, message => {
+		let text = '';
+		message.setEncoding('utf8');
+		message.on('data', chunk => {
+			text += chunk;
+		});
+		message.on('error', () => undefined);
+		message.on('close', () => {
+			resolve({
+				status: message.statusCode ?? 0, headers: message.headers, body: text, isWhole: message.complete,
+			});
+		});
+	});
+	outgoing.on('error', reject);
+	outgoing.end(body);
+});
--- a/packages/routing/src/crash-suspects.ts
+++ b/packages/routing/src/crash-suspects.ts
@@ -18,8 +18,8 @@
 export type CrashSuspects = {
 	/** Records a crash; false if it was known. */
 	add: (crash: Crash, now: Milliseconds) => boolean;
-	/** Clears a request that ran to its end. */
-	clear: (fingerprint: string) => void;
+	/** Clears a request that ran to its end; false if it wasn't recorded. */
+	clear: (fingerprint: string) => boolean;
 	isBlocked: (fingerprint: string, now: Milliseconds) => boolean;
 	/** Tells whether any fingerprint is recorded, so that others need not be worked out. */
 	isEmpty: () => boolean;
@@ -47,9 +47,7 @@
 			dropOld(now);
 			return isNew;
 		},
-		clear(fingerprint) {
-			suspects.delete(fingerprint);
-		},
+		clear: fingerprint => suspects.delete(fingerprint),
 		isBlocked(fingerprint, now) {
 			const suspect = suspects.get(fingerprint);
 			return suspect !== undefined && suspect.expiresAt > now && suspect.upstreams.size >= mostCrashes;
--- /dev/null
+++ b/packages/routing/src/route-table.test.ts
@@ -0,0 +1,56 @@
+import {createRandom} from '@gentianlift/clock';
+import {expect, test} from 'vitest';
+import {
+	buildRouteTable, drawDestination, findCaller, findRoute, getHostname,
+} from './route-table.js';
+import {buildConfiguration, buildRoute} from './testing.js';
+
+const table = buildRouteTable(buildConfiguration({
+	routes: [
+		buildRoute({name: 'short', pathPrefix: '/a/'}),
+		buildRoute({name: 'long', pathPrefix: '/a/b/'}),
+		buildRoute({name: 'other', hostname: 'b.example', isPublic: true}),
+	],
+	customers: [{name: 'c', keys: ['k1', 'k2'], rank: 3}],
+}));
+
+test('the longest prefix wins', () => {
+	expect(findRoute(table, 'a.example', '/a/b/c?x=/')?.name).toBe('long');
+	expect(findRoute(table, 'a.example', '/a/x')?.name).toBe('short');
+});
+
+test('a prefix ends at its slash', () => {
+	expect(findRoute(table, 'a.example', '/ab')).toBeUndefined();
+	expect(findRoute(table, 'a.example', '/x?/a/')).toBeUndefined();
+});
+
+test('the host name counts without its port and case', () => {
+	expect(findRoute(table, getHostname('B.Example:80'), '/a/')?.name).toBe('other');
+	expect(findRoute(table, 'c.example', '/a/')).toBeUndefined();
+});
+
+test('keys name their customer, and an unknown one nobody', () => {
+	const route = buildRoute();
+	expect(findCaller(table, route, 'k2')).toMatchObject({kind: 'customer', customer: {name: 'c'}});
+	expect(findCaller(table, route, 'k3')).toEqual({kind: 'unknown'});
+	expect(findCaller(table, route, undefined)).toEqual({kind: 'unknown'});
+});
+
+test('public routes need no key, nor does a configuration without customers', () => {
+	expect(findCaller(table, buildRoute({isPublic: true}), undefined)).toEqual({kind: 'anonymous'});
+	expect(findCaller(buildRouteTable(buildConfiguration()), buildRoute(), 'k')).toEqual({kind: 'anonymous'});
+});
+
+test('destinations are drawn by weight', () => {
+	const random = createRandom(1);
+	const destinations = [{service: 'x', weight: 90}, {service: 'y', weight: 10}, {service: 'z', weight: 0}];
+	const drawn = Array.from({length: 1000}, () => drawDestination(destinations, random)?.service);
+	const share = drawn.filter(service => service === 'y').length / drawn.length;
+	expect(share).toBeGreaterThan(0.07);
+	expect(share).toBeLessThan(0.13);
+	expect(drawn).not.toContain('z');
+});
+
+test('nothing is drawn without a weight', () => {
+	expect(drawDestination([{service: 'x', weight: 0}], createRandom(1))).toBeUndefined();
+});
