--- a/packages/discovery/src/follow-fleet.test.ts
+++ b/packages/discovery/src/follow-fleet.test.ts
@@ -11,7 +11,9 @@
 const unavailable = {kind: 'unavailable', reason: 'test'} as const;
 
 /** A service whose answers a test sets; a watch without a prepared answer goes silent until its limit. */
-const createFeed = (snapshot: SnapshotOutcome = {kind: 'found', snapshot: {entries: [], revision: 1}}) => {
+const emptyService: SnapshotOutcome = {kind: 'found', snapshot: {entries: [], revision: 1}};
+
+const createFeed = (snapshot: SnapshotOutcome = emptyService) => {
 	const clock = createManualClock();
 	const view = createFleetView({decode: () => ({kind: 'other'}), logger: createSilentLogger()});
 	const state: {snapshot: SnapshotOutcome; changes: ChangesOutcome[]; peer: Snapshot | undefined; newest: number; reads: number} = {
--- a/packages/discovery/src/load.test.ts
+++ b/packages/discovery/src/load.test.ts
@@ -36,7 +36,11 @@
 
 const note: Note = {
 	host: 'h', incarnation: 3, sequence: 4, revision: 5, isStopping: true,
-	loads: [{upstream: 'u@1', ...load({running: 1, unreadTokens: 2, delicate: 3, awaitedTokens: 4})}],
+	loads: [{
+		upstream: 'u@1', ...load({
+			running: 1, unreadTokens: 2, delicate: 3, awaitedTokens: 4,
+		}),
+	}],
 	readings: [{upstream: 'u@1', model: 'm', parts: [{id: 'p', tokens: 6}]}],
 	crashes: [{fingerprint: 'f', upstream: 'u@1'}],
 	cleared: ['g'],
--- a/packages/forwarder/src/forward.test.ts
+++ b/packages/forwarder/src/forward.test.ts
@@ -1,4 +1,4 @@
-import type {IncomingMessage, ServerResponse} from 'node:http';
+import {request, type IncomingMessage, type ServerResponse} from 'node:http';
 import {buildConfiguration, buildRoute} from '@gentianlift/routing/testing';
 import {expect, onTestFinished, test} from 'vitest';
 import {
@@ -24,7 +24,7 @@
 
 const signed = {signed: '1'};
 const answerOk: Answer = (request, response) => {
-	response.writeHead(200, {...signed, attempt: request.headers['attempt'] ?? ''});
+	response.writeHead(200, {...signed, attempt: request.headers.attempt ?? ''});
 	response.end('ok');
 };
 
@@ -138,7 +138,7 @@
 test('the time handed on is what is left', async () => {
 	let handed = Number.NaN;
 	const {host} = await start((request, response) => {
-		handed = Number(request.headers['patience']);
+		handed = Number(request.headers.patience);
 		answerOk(request, response);
 	});
 	await sendRequest(host.port, {path: '/book/1', headers: {attempt: 'a1', patience: '700'}});
@@ -199,16 +199,27 @@
 
 test('a caller that leaves ends its stream at the upstream', async () => {
 	let isClosed = false;
-	const {host} = await start((request, response) => {
+	const {host} = await start((received, response) => {
 		response.writeHead(200, stream);
 		response.write('id: 1\ndata: 1\n\n');
-		request.socket.once('close', () => {
+		received.socket.once('close', () => {
 			isClosed = true;
 		});
 	});
-	const leaving = sendRequest(host.port, {path: '/once/1', headers: {attempt: 'a1', patience: '100'}});
-	expect(await leaving).toMatchObject({isWhole: false});
-	await expect.poll(() => isClosed).toBe(true);
+	await new Promise<void>(resolve => {
+		const leaving = request({
+			port: host.port, host: '127.0.0.1', path: '/once/1', method: 'POST', headers: {attempt: 'a1'},
+		}, message => {
+			message.once('data', () => {
+				leaving.destroy();
+				resolve();
+			});
+			message.on('error', () => undefined);
+		});
+		leaving.on('error', () => undefined);
+		leaving.end();
+	});
+	await expect.poll(() => isClosed, {timeout: 1000}).toBe(true);
 });
 
 test('an unknown path is refused only after a look at the newest state', async () => {
--- a/packages/forwarder/src/testing.ts
+++ b/packages/forwarder/src/testing.ts
@@ -55,12 +55,17 @@
 		};
 	},
 	writeUpstreamHead: ({caller, upstream, timeLeft, resumeAfter, bodyLength}) => [
-		'Host', 'a.example',
-		'Attempt', caller.attempt ?? '',
-		'Instance', upstream.id,
-		'Patience', String(timeLeft),
+		'Host',
+		'a.example',
+		'Attempt',
+		caller.attempt ?? '',
+		'Instance',
+		upstream.id,
+		'Patience',
+		String(timeLeft),
 		...(resumeAfter === undefined ? [] : ['Last-Event', String(resumeAfter)]),
-		'Content-Length', String(bodyLength),
+		'Content-Length',
+		String(bodyLength),
 	],
 	readAnswerHead: (status, headers) => ({
 		status,
@@ -185,7 +190,7 @@
 	}, message => {
 		let text = '';
 		message.setEncoding('utf8');
-		message.on('data', chunk => {
+		message.on('data', (chunk: string) => {
 			text += chunk;
 		});
 		message.on('error', () => undefined);
--- a/packages/forwarder/src/waiting-line.ts
+++ b/packages/forwarder/src/waiting-line.ts
@@ -1,5 +1,5 @@
 import {
-	chooseUpstream, compareWaiting, getBacklogLimit, getUpstreamKey, isDelicateRoute, type Candidate, type Placement, type Service, type UpstreamKey,
+	chooseUpstream, compareWaiting, getBacklogLimit, getUpstreamKey, isDelicateRoute, type Candidate, type Placement, type RouteTable, type Service, type UpstreamKey,
 } from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
 import type {Call, Progress} from './call.js';
@@ -45,6 +45,18 @@
 	/** Upstreams for which other hosts were told of waiting calls. */
 	let told = new Set<UpstreamKey>();
 
+	/** Limits by service and rank of the newest configuration. */
+	const limits = new WeakMap<RouteTable, Map<string, Milliseconds>>();
+
+	const getLimit = (table: RouteTable, {service, rank}: Call): Milliseconds => {
+		const known = limits.get(table) ?? new Map<string, Milliseconds>();
+		limits.set(table, known);
+		const key = `${service}/${rank}`;
+		const limit = known.get(key) ?? getBacklogLimit(table.configuration.routes, service, rank);
+		known.set(key, limit);
+		return limit;
+	};
+
 	const getSlack = ({call}: Entry): Milliseconds => call.arrivedAt + call.route.target - clock.monotonic();
 
 	const getWaiting = (entry: Entry) => ({
@@ -72,12 +84,11 @@
 		const candidates = service === undefined ? [] : getCandidates(entry, service, awaited);
 		const isDelicate = isDelicateRoute(call.route, service, board.getReadingSpeed(candidates.map(({upstream}) => upstream)));
 		const candidate = chooseUpstream(candidates, getPlacement(entry, isDelicate), tools.random);
-		if (candidate === undefined) {
+		if (table === undefined || candidate === undefined) {
 			return {kind: 'impossible'};
 		}
 
-		const limit = getBacklogLimit(table?.configuration.routes ?? [], call.service, call.rank);
-		const mayGo = call.head.prompt === undefined || candidate.backlog <= limit;
+		const mayGo = call.head.prompt === undefined || candidate.backlog <= getLimit(table, call);
 		return mayGo ? {kind: 'placed', candidate, isDelicate} : {kind: 'waits', candidate};
 	};
 
--- a/packages/routing/src/load.test.ts
+++ b/packages/routing/src/load.test.ts
@@ -72,11 +72,21 @@
 
 test('higher ranks go first, then what can be on time, then what is due first', () => {
 	const waiting = [
-		{name: 'late', rank: 1, dueAt: 10, isLate: true},
-		{name: 'low', rank: 2, dueAt: 1, isLate: false},
-		{name: 'second', rank: 1, dueAt: 30, isLate: false},
-		{name: 'first', rank: 1, dueAt: 20, isLate: false},
-		{name: 'high', rank: 0, dueAt: 90, isLate: true},
+		{
+			name: 'late', rank: 1, dueAt: 10, isLate: true,
+		},
+		{
+			name: 'low', rank: 2, dueAt: 1, isLate: false,
+		},
+		{
+			name: 'second', rank: 1, dueAt: 30, isLate: false,
+		},
+		{
+			name: 'first', rank: 1, dueAt: 20, isLate: false,
+		},
+		{
+			name: 'high', rank: 0, dueAt: 90, isLate: true,
+		},
 	];
 	expect(waiting.toSorted(compareWaiting).map(({name}) => name)).toEqual(['high', 'first', 'second', 'late', 'low']);
 });
