Hear a host that restarted with an earlier time of day, bound open requests, split addresses in one place

Cause: notes of a restarted host were taken as old where its time of day had stepped back; nothing bounded the requests held; the same split of an address stood in six modules. Change: incarnations are compared for being the same only; at most 1,500 open requests and 30 s for one to arrive; splitAddress in types.

--- a/packages/discovery/src/exchange-notes.ts
+++ b/packages/discovery/src/exchange-notes.ts
@@ -4,9 +4,10 @@
 import type {
 	Crash, CrashSuspects, UpstreamKey,
 } from '@gentianlift/routing';
-import type {
-	Address, HostId, Incarnation, Milliseconds,
+import {
+	splitAddress, type Address, type HostId, type Incarnation, type Milliseconds,
 } from '@gentianlift/types';
+import {createHeardHosts, type HeardHost} from './heard-hosts.js';
 import type {CausedLoad, LoadBook} from './load-book.js';
 import {
 	decodeNote, encodeNote, type Note, type Reading,
@@ -63,21 +64,15 @@
 /** Number of notes in which a crash is told again, as datagrams get lost. */
 const crashRepeats = 6;
 
-type HeardHost = Pick<Note, 'incarnation' | 'sequence' | 'revision' | 'isStopping'> & {heardAt: Milliseconds};
 type PendingCrash = {crash: Crash; left: number};
 
-const splitAddress = (address: Address): {ip: string; port: number} => {
-	const at = address.lastIndexOf(':');
-	return {ip: address.slice(0, at), port: Number(address.slice(at + 1))};
-};
-
 /** Opens the socket and starts to exchange notes. */
 export const exchangeNotes = (options: NoteExchangeOptions): NoteExchange => {
 	const {
 		clock, logger, loads, suspects, host, incarnation,
 	} = options;
 	const socket = createSocket('udp4');
-	const heard = new Map<HostId, HeardHost>();
+	const heard = createHeardHosts();
 	const changed = new Set<UpstreamKey>();
 	/** Full notes in which a load is still to be told. */
 	const repeats = new Map<UpstreamKey, number>();
@@ -90,7 +85,7 @@
 
 	const getRecent = (): HeardHost[] => {
 		const now = clock.monotonic();
-		return [...heard.values()].filter(({heardAt}) => now - heardAt < recentSilence);
+		return heard.getAll().filter(({heardAt}) => now - heardAt < recentSilence);
 	};
 
 	const buildNote = (isFull: boolean): Note => {
@@ -116,7 +111,7 @@
 		cleared = [];
 		crashes = crashes.map(({crash, left}) => ({crash, left: left - 1})).filter(({left}) => left > 0);
 		for (const {address} of options.getPeers()) {
-			const {ip, port} = splitAddress(address);
+			const {host: ip, port} = splitAddress(address);
 			socket.send(text, port, ip, error => {
 				if (error !== null) {
 					logger.debug('note-not-sent', {address, reason: error.message});
@@ -138,20 +133,11 @@
 	};
 
 	const applyNote = (note: Note): void => {
-		const known = heard.get(note.host);
-		const isOlder = known !== undefined && (note.incarnation < known.incarnation
-			|| (note.incarnation === known.incarnation && note.sequence <= known.sequence));
-		if (isOlder || note.host === host) {
+		const now = clock.monotonic();
+		if (note.host === host || !heard.apply(note, now)) {
 			return;
 		}
 
-		const now = clock.monotonic();
-		const {
-			incarnation: from, sequence: number, revision, isStopping: hasStopped,
-		} = note;
-		heard.set(note.host, {
-			incarnation: from, sequence: number, revision, isStopping: hasStopped, heardAt: now,
-		});
 		loads.setOther(note.host, note.incarnation, note.loads, now);
 		options.onLoad();
 		for (const reading of note.readings) {
@@ -181,7 +167,7 @@
 	socket.on('error', error => {
 		logger.warn('note-socket-failed', {reason: error.message});
 	});
-	const {ip, port} = splitAddress(options.address);
+	const {host: ip, port} = splitAddress(options.address);
 	socket.bind(port, ip);
 	const sendFull = (): void => {
 		send(true);
@@ -226,7 +212,7 @@
 		},
 		getNewestRevision: () => Math.max(0, ...getRecent().map(({revision}) => revision)),
 		getShortestSilence() {
-			const latest = Math.max(Number.NEGATIVE_INFINITY, ...[...heard.values()].map(({heardAt}) => heardAt));
+			const latest = Math.max(Number.NEGATIVE_INFINITY, ...heard.getAll().map(({heardAt}) => heardAt));
 			return clock.monotonic() - latest;
 		},
 		getSilence: id => clock.monotonic() - (heard.get(id)?.heardAt ?? Number.NEGATIVE_INFINITY),
--- a/packages/discovery/src/index.ts
+++ b/packages/discovery/src/index.ts
@@ -1,6 +1,7 @@
 export * from './exchange-notes.js';
 export * from './fleet-view.js';
 export * from './follow-fleet.js';
+export * from './heard-hosts.js';
 export * from './host-list.js';
 export * from './host-record.js';
 export * from './load-book.js';
--- a/packages/discovery/src/load.test.ts
+++ b/packages/discovery/src/load.test.ts
@@ -1,4 +1,5 @@
 import {expect, test} from 'vitest';
+import {createHeardHosts} from './heard-hosts.js';
 import {getOfferedHosts} from './host-list.js';
 import type {HostRecord} from './host-record.js';
 import {createLoadBook, type CausedLoad} from './load-book.js';
@@ -56,6 +57,15 @@
 	}
 });
 
+test('a host that restarted with an earlier time of day is heard, late notes of its former process are not', () => {
+	const heard = createHeardHosts();
+	expect(heard.apply({...note, incarnation: 100, sequence: 50}, 0)).toBe(true);
+	expect(heard.apply({...note, incarnation: 100, sequence: 50}, 1)).toBe(false);
+	expect(heard.apply({...note, incarnation: 90, sequence: 1}, 2)).toBe(true);
+	expect(heard.apply({...note, incarnation: 100, sequence: 51}, 3)).toBe(false);
+	expect(heard.get('h')).toMatchObject({incarnation: 90, heardAt: 2});
+});
+
 const host = (name: string, isStopping = false): HostRecord => ({
 	host: name, incarnation: 1, zone: 'a', callers: `${name}:1`, peers: `${name}:2`, notes: `${name}:3`, isStopping,
 });
--- a/packages/forwarder/src/crash-watch.ts
+++ b/packages/forwarder/src/crash-watch.ts
@@ -1,7 +1,7 @@
 import {connect} from 'node:net';
 import type {Clock} from '@gentianlift/clock';
 import {getUpstreamKey, type Upstream, type UpstreamKey} from '@gentianlift/routing';
-import type {Milliseconds} from '@gentianlift/types';
+import {splitAddress, type Address, type Milliseconds} from '@gentianlift/types';
 
 /** Tells whether an upstream has crashed, after a connection to it broke. */
 export type CrashWatch = {
@@ -13,9 +13,8 @@
 const checkDelay: Milliseconds = 20;
 const checkLimit: Milliseconds = 300;
 
-const isRefused = async (address: string, clock: Clock): Promise<boolean> => new Promise(resolve => {
-	const at = address.lastIndexOf(':');
-	const socket = connect({host: address.slice(0, at), port: Number(address.slice(at + 1))});
+const isRefused = async (address: Address, clock: Clock): Promise<boolean> => new Promise(resolve => {
+	const socket = connect(splitAddress(address));
 	const cancel = clock.after(checkLimit, () => {
 		finish(false);
 	});
--- a/packages/forwarder/src/send.ts
+++ b/packages/forwarder/src/send.ts
@@ -1,7 +1,7 @@
 import {request, type ClientRequest, type IncomingMessage} from 'node:http';
 import type {Clock} from '@gentianlift/clock';
 import type {Upstream} from '@gentianlift/routing';
-import type {Milliseconds} from '@gentianlift/types';
+import {splitAddress, type Milliseconds} from '@gentianlift/types';
 import type {Incoming} from './incoming.js';
 import type {AnswerHead, Protocol, RawHeaders} from './protocol.js';
 import type {UpstreamAgent} from './upstream-agent.js';
@@ -46,13 +46,10 @@
 
 const getReason = (error: Error & {code?: string}): string => error.code ?? error.message;
 
-const open = ({upstream, method, target, headers}: Outgoing, agent: UpstreamAgent): ClientRequest => {
-	const at = upstream.address.lastIndexOf(':');
-	return request({
-		agent, method, path: target, headers: [...headers],
-		host: upstream.address.slice(0, at), port: Number(upstream.address.slice(at + 1)),
+const open = ({upstream, method, target, headers}: Outgoing, agent: UpstreamAgent): ClientRequest =>
+	request({
+		...splitAddress(upstream.address), agent, method, path: target, headers: [...headers],
 	});
-};
 
 /** Drains an answer that isn't used, so that its connection can be. */
 const discard = (message: IncomingMessage): void => {
--- a/packages/forwarder/src/serve-callers.ts
+++ b/packages/forwarder/src/serve-callers.ts
@@ -32,15 +32,19 @@
 /** Where a request goes, or why it is refused. */
 type Admission
 	= | {kind: 'admitted'; table: RouteTable; route: Route; service: string; customer: KeyHolder | undefined}
-		| {kind: 'refused'; error: Extract<ErrorKind, 'not-configured' | 'host-stopping' | 'unknown-path' | 'wrong-key' | 'missing-key'>};
+		| {kind: 'refused'; error: Extract<ErrorKind, 'not-configured' | 'host-overloaded' | 'host-stopping' | 'unknown-path' | 'wrong-key' | 'missing-key'>};
 
 /** Size of headers above which a connection is refused before the configured limit is looked at. */
 const mostHeaderBytes = 64 * 1024;
 /** Time beyond the configured idle limit for which a connection is kept. */
 const idleMargin: Milliseconds = 2000;
 const connectionsCheck: Milliseconds = 1000;
+/** Longest time for a request with its body to arrive. */
+const arrivalLimit: Milliseconds = 30_000;
+/** Requests without a final answer; each takes two connections and its body's memory. */
+const mostOpen = 1500;
 /** When to come back, to a host without a configuration or to another host. */
-const retryDelays: Partial<Record<ErrorKind, Milliseconds>> = {'not-configured': 500, 'host-stopping': 20};
+const retryDelays: Partial<Record<ErrorKind, Milliseconds>> = {'not-configured': 500, 'host-overloaded': 200, 'host-stopping': 20};
 /** Longest wait for the newest state before a refusal that it might lift. */
 const refreshLimit: Milliseconds = 400;
 /** Age up to which the state counts as the newest. */
@@ -71,6 +75,10 @@
 	let refreshedAt = Number.NEGATIVE_INFINITY;
 
 	const admit = (head: CallerHead, target: string): Admission => {
+		if (open > mostOpen) {
+			return {kind: 'refused', error: 'host-overloaded'};
+		}
+
 		const table = view.getRoutes();
 		if (table === undefined) {
 			return {kind: 'refused', error: 'not-configured'};
@@ -219,7 +227,7 @@
 	};
 
 	const server = createServer({
-		maxHeaderSize: mostHeaderBytes, connectionsCheckingInterval: connectionsCheck, requestTimeout: 0, noDelay: true,
+		maxHeaderSize: mostHeaderBytes, connectionsCheckingInterval: connectionsCheck, requestTimeout: arrivalLimit, noDelay: true,
 	}, (request, response) => {
 		void handleSafely(request, response);
 	});
--- a/packages/membership/src/transport/udp-transport.ts
+++ b/packages/membership/src/transport/udp-transport.ts
@@ -1,12 +1,7 @@
 import {createSocket} from 'node:dgram';
-import type {Address} from '@gentianlift/types';
+import {splitAddress, type Address} from '@gentianlift/types';
 import type {Transport} from './transport.js';
 
-const splitAddress = (address: Address): {host: string; port: number} => {
-	const at = address.lastIndexOf(':');
-	return {host: address.slice(0, at).replaceAll(/[\[\]]/gv, ''), port: Number(address.slice(at + 1))};
-};
-
 const ignoreError = (): void => undefined;
 
 /** Creates a transport over UDP that listens at an address. */
--- a/packages/router/src/listen.ts
+++ b/packages/router/src/listen.ts
@@ -1,16 +1,10 @@
 import type {Server} from 'node:http';
-import type {Address} from '@gentianlift/types';
-
-/** Splits an address into the parts that listening takes. */
-export const getListenOptions = (address: Address): {host: string; port: number} => {
-	const {hostname, port} = new URL(`http://${address}`);
-	return {host: hostname, port: Number(port)};
-};
+import {splitAddress, type Address} from '@gentianlift/types';
 
 /** Starts to listen; rejects if the address can't be used. */
 export const listen = async (server: Server, address: Address): Promise<void> => new Promise((resolve, reject) => {
 	server.once('error', reject);
-	server.listen(getListenOptions(address), () => {
+	server.listen(splitAddress(address), () => {
 		server.off('error', reject);
 		resolve();
 	});
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -1,3 +1,4 @@
+export * from './address.js';
 export type * from './ids.js';
 export * from './inventory.js';
 export * from './request.js';
--- a/packages/upstream/src/wire/exchange.ts
+++ b/packages/upstream/src/wire/exchange.ts
@@ -4,7 +4,7 @@
 } from 'node:http';
 import type {Socket} from 'node:net';
 import type {Clock} from '@gentianlift/clock';
-import type {Address, Milliseconds} from '@gentianlift/types';
+import {splitAddress, type Address, type Milliseconds} from '@gentianlift/types';
 import type {Pool} from './pool.js';
 import {createSilenceWatch, type SilenceWatch} from './silence.js';
 
@@ -49,11 +49,6 @@
 
 const ignoreError = (): void => undefined;
 
-const splitAddress = (address: Address): {host: string; port: number} => {
-	const at = address.lastIndexOf(':');
-	return {host: address.slice(0, at).replaceAll(/[\[\]]/gv, ''), port: Number(address.slice(at + 1))};
-};
-
 const open = (context: ExchangeContext, {address, method, path, headers, body}: UpstreamRequest): ClientRequest => {
 	const length = body === undefined ? {} : {'content-length': Buffer.byteLength(body)};
 	const request = createRequest({
