Move the start of a host from the adapter into the product

Cause: the adapter held state (a host's shutdown, which addresses it offers) and all wiring in one function of 110 lines. Change: joinFleet in discovery and startHost in forwarder, the adapter opens the platform's listeners and translates.

--- a/packages/discovery/src/index.ts
+++ b/packages/discovery/src/index.ts
@@ -4,6 +4,7 @@
 export * from './heard-hosts.js';
 export * from './host-list.js';
 export * from './host-record.js';
+export * from './join-fleet.js';
 export * from './load-book.js';
 export * from './note.js';
 export * from './peer-views.js';
--- /dev/null
+++ b/packages/forwarder/src/start-host.ts
@@ -0,0 +1,167 @@
+import {createRandom, type Clock} from '@gentianlift/clock';
+import {
+	createLoadBook, createViewServer, joinFleet, type Fleet, type FleetItem, type FleetStore, type HostRecord,
+} from '@gentianlift/discovery';
+import type {Logger} from '@gentianlift/logger';
+import {createMetrics} from '@gentianlift/metrics';
+import {createCrashSuspects, type RetryBound} from '@gentianlift/routing';
+import type {
+	Address, Entry, HostId, Milliseconds, Zone,
+} from '@gentianlift/types';
+import {createCrashWatch} from './crash-watch.js';
+import {createForwarder} from './forward.js';
+import {listen} from './listen.js';
+import type {Protocol} from './protocol.js';
+import {createCallerServer} from './serve-callers.js';
+import {mayTakeRequest, stopHost} from './stop-host.js';
+import type {Tools} from './tools.js';
+import {createUpstreamBoard} from './upstream-board.js';
+
+/** Settings of a host. */
+export type HostSettings = {
+	host: HostId;
+	zone: Zone;
+	/** Listener of callers' requests. */
+	callers: Address;
+	/** Listener of other hosts' questions. */
+	peers: Address;
+	/** Where load notes of other hosts come in, over UDP. */
+	notes: Address;
+	/** Listeners for hosts of some other hosts, which may be gone. */
+	knownPeers: Address[];
+	/** Time between the signal to stop and the kill. */
+	grace: Milliseconds;
+	/** How long callers may keep a list of addresses. */
+	addressLife: Milliseconds;
+	retryBound: RetryBound;
+};
+
+/** What a host works with, beside its settings. */
+export type HostParts = {
+	clock: Clock;
+	logger: Logger;
+	store: FleetStore;
+	/** Reads an entry of the operators or of an upstream. */
+	decode: (entry: Entry) => FleetItem;
+	protocol: Protocol;
+};
+
+/** A running host. */
+export type Host = {
+	/** Whether it takes requests. */
+	isReady: () => boolean;
+	/** Hosts that callers may be sent to, and how long they are to keep the answer. */
+	getOffered: () => HostRecord[];
+	offerLife: Milliseconds;
+	getMetricsPage: () => string;
+	/** Takes over the grace and the life of addresses; the addresses of listeners stay until the next start. */
+	reload: (settings: HostSettings) => void;
+	/** Shuts the host down gracefully; resolves when its process may end. */
+	stop: () => Promise<void>;
+};
+
+/** Longest time for which callers are told to keep a list of addresses; short, so that they leave a host soon. */
+const longestOfferLife: Milliseconds = 1000;
+/** Callers may keep a list for this many times its life. */
+const lifeFactor = 3;
+/** Seeds of random numbers are below this. */
+const seedRange = 2 ** 31;
+
+const getRecord = (settings: HostSettings, incarnation: number): HostRecord => ({
+	host: settings.host,
+	incarnation,
+	zone: settings.zone,
+	callers: settings.callers,
+	peers: settings.peers,
+	notes: settings.notes,
+	isStopping: false,
+});
+
+/** Says how far a graceful shutdown has come. */
+type Shutdown = {since: Milliseconds | undefined; grace: Milliseconds};
+
+const createTools = (settings: HostSettings, {clock, logger, store, decode, protocol}: HostParts, shutdown: Shutdown, onLoad: () => void): {tools: Tools; fleet: Fleet} => {
+	const random = createRandom(clock.now() % seedRange);
+	const loads = createLoadBook();
+	const board = createUpstreamBoard({clock, logger, loads});
+	const suspects = createCrashSuspects();
+	const isStopping = (): boolean => shutdown.since !== undefined;
+	const fleet = joinFleet({
+		record: getRecord(settings, clock.now()),
+		knownPeers: settings.knownPeers,
+		store,
+		decode,
+		clock,
+		random,
+		logger,
+		loads,
+		suspects,
+		isStopping,
+		onLoad,
+		onReading({upstream, model, parts}) {
+			board.addReading(upstream, {model, parts});
+		},
+		onRemoved: board.drop,
+	});
+	const tools: Tools = {
+		clock,
+		random,
+		logger,
+		metrics: createMetrics(),
+		protocol,
+		zone: settings.zone,
+		view: fleet.view,
+		notes: fleet.notes,
+		board,
+		suspects,
+		crashes: createCrashWatch(clock),
+		retryBound: settings.retryBound,
+		countHosts: fleet.countHosts,
+		isStopping,
+		mayTake: timeout => shutdown.since === undefined || mayTakeRequest(clock.monotonic() - shutdown.since, shutdown.grace, timeout),
+	};
+	return {tools, fleet};
+};
+
+/** Starts a host: joins the fleet and listens to callers and other hosts. Rejects if an address can't be used. */
+export const startHost = async (settings: HostSettings, parts: HostParts): Promise<Host> => {
+	const {clock, logger} = parts;
+	const shutdown: Shutdown = {since: undefined, grace: settings.grace};
+	let offerLife = Math.min(settings.addressLife, longestOfferLife);
+	const {tools, fleet} = createTools(settings, parts, shutdown, () => {
+		forwarder.applyLoad();
+	});
+	const forwarder = createForwarder(tools);
+	const callers = createCallerServer({tools, forwarder, refresh: fleet.refresh});
+	await Promise.all([listen(callers.server, settings.callers), listen(createViewServer(fleet.view), settings.peers)]);
+	logger.info('started', {host: settings.host, zone: settings.zone, callers: settings.callers});
+
+	const announce = async (): Promise<void> => {
+		fleet.notes.markStopping();
+		await fleet.registration.markStopping();
+	};
+
+	return {
+		isReady: () => shutdown.since === undefined && fleet.view.getRoutes() !== undefined,
+		getOffered: fleet.getOffered,
+		get offerLife() {
+			return offerLife;
+		},
+		getMetricsPage: tools.metrics.getPage,
+		reload(next) {
+			shutdown.grace = next.grace;
+			offerLife = Math.min(next.addressLife, longestOfferLife);
+			logger.info('reloaded', {grace: next.grace, offerLife, movedAddress: next.callers !== settings.callers});
+		},
+		async stop() {
+			if (shutdown.since !== undefined) {
+				return;
+			}
+
+			shutdown.since = clock.monotonic();
+			await stopHost({
+				clock, logger, grace: shutdown.grace, addressLife: offerLife * lifeFactor, countOpen: callers.countOpen, announce, release: fleet.registration.end,
+			});
+		},
+	};
+};
