--- a/packages/forwarder/src/attempt.ts
+++ b/packages/forwarder/src/attempt.ts
@@ -1,32 +1,16 @@
 import {getUpstreamKey, type Upstream} from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
-import {getFingerprint, type Call, type Progress} from './call.js';
+import type {AttemptEnd} from './attempt-end.js';
+import type {Call, Progress} from './call.js';
 import {deliverStream, writeAnswerHead} from './deliver.js';
+import {deliverWhole, isOwnFailure} from './deliver-whole.js';
 import type {LoadEntry} from './load-entry.js';
-import type {AnswerHead} from './protocol.js';
-import {readBody} from './read-body.js';
+import {reportCrash} from './report-crash.js';
 import {send, type Outgoing, type SendOutcome} from './send.js';
 import type {Tools} from './tools.js';
 import type {Exchange} from './upstream-board.js';
 import type {Place} from './waiting-line.js';
 
-/** A whole answer of an upstream that may still go to the caller. */
-export type HeldAnswer = {head: AnswerHead; bytes: Uint8Array};
-
-/** How an attempt at one upstream ended. */
-export type AttemptEnd
-	/** The answer has gone to the caller. */
-	= | {kind: 'delivered'; status: number}
-	/** No connection was made. */
-		| {kind: 'unreachable'; reason: string}
-		| {kind: 'rejected'; reason: string}
-	/** It may have run; `held` is the upstream's own word of the failure. */
-		| {kind: 'failed'; reason: string; held?: HeldAnswer}
-	/** Part of the answer has gone to the caller; the rest can't come from another upstream. */
-		| {kind: 'spoiled'; reason: string};
-
-/** Most bytes of an answer that is held until it is whole. */
-const mostHeldBytes = 16 * 1024 * 1024;
 /** Time without an answer after which a request that may be repeated goes to another upstream. */
 const patience: Milliseconds = 300;
 /** Share of the time left that the first of two tries may take. */
@@ -64,51 +48,6 @@
 	};
 };
 
-/** Records which requests an upstream ran when it crashed, and tells the other hosts. */
-const reportCrash = async (call: Call, upstream: Upstream, tools: Tools): Promise<void> => {
-	const hasCrashed = await tools.crashes.checkCrash(upstream);
-	if (!hasCrashed) {
-		return;
-	}
-
-	const crash = {fingerprint: getFingerprint(call), upstream: getUpstreamKey(upstream)};
-	tools.suspects.add(crash, tools.clock.monotonic());
-	tools.notes.addCrash(crash);
-	tools.board.applyUnreachable(upstream, 'crashed');
-	tools.logger.info('upstream-crashed', {request: call.head.attempt, upstream: crash.upstream, fingerprint: crash.fingerprint});
-};
-
-const isOwnFailure = (status: number): boolean => status >= 500;
-const promisesNotRun = (status: number): boolean => [408, 421, 429, 503].includes(status);
-
-const deliverWhole = async (call: Call, {head, answer}: Extract<SendOutcome, {kind: 'answered'}>, isLast: boolean): Promise<AttemptEnd> => {
-	const body = await readBody(answer, mostHeldBytes);
-	if (body.kind !== 'whole') {
-		return {kind: 'failed', reason: body.kind === 'broken' ? body.reason : body.kind};
-	}
-
-	if (promisesNotRun(head.status)) {
-		// The upstream doesn't say that the request wasn't run, so its status must not say so to the caller.
-		return {kind: 'failed', reason: `status-${head.status}`};
-	}
-
-	const held = {head, bytes: body.bytes};
-	if (isOwnFailure(head.status) && call.isRepeatable) {
-		return {kind: 'failed', reason: `status-${head.status}`, held};
-	}
-
-	writeHeldAnswer(call, held, isLast);
-	return {kind: 'delivered', status: head.status};
-};
-
-/** Writes a whole answer to the caller. */
-export const writeHeldAnswer = ({response}: Call, {head, bytes}: HeldAnswer, isLast: boolean): void => {
-	const hasLength = head.forwarded.some((name, index) => index % 2 === 0 && name.toLowerCase() === 'content-length');
-	const length = hasLength ? [] : ['Content-Length', String(bytes.length)];
-	writeAnswerHead(response, {...head, forwarded: [...head.forwarded, ...length]}, isLast);
-	response.end(bytes);
-};
-
 /** One try of a call at one upstream. */
 type Try = {call: Call; progress: Progress; upstream: Upstream; tools: Tools; load: LoadEntry; exchange: Exchange; startedAt: Milliseconds};
 
--- a/packages/forwarder/src/forward.ts
+++ b/packages/forwarder/src/forward.ts
@@ -3,10 +3,12 @@
 	createRetryBudget, decideResend, getUpstreamKey, type RetryBudget,
 } from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
-import {attemptUpstream, writeHeldAnswer, type AttemptEnd} from './attempt.js';
+import {attemptUpstream} from './attempt.js';
+import type {AttemptEnd} from './attempt-end.js';
 import {
 	createProgress, getFingerprint, type Call, type Progress,
 } from './call.js';
+import {writeHeldAnswer} from './deliver-whole.js';
 import {writeOwnAnswer, type OwnAnswer} from './own-answer.js';
 import type {Tools} from './tools.js';
 import {createWaitingLine} from './waiting-line.js';
