--- /dev/null
+++ b/packages/forwarder/src/waiting-line.test.ts
@@ -0,0 +1,167 @@
+import {createManualClock, createRandom, type ManualClock} from '@gentianlift/clock';
+import {createFleetView, createLoadBook, type LoadBook, type NoteExchange} from '@gentianlift/discovery';
+import {createSilentLogger} from '@gentianlift/logger';
+import {createMetrics} from '@gentianlift/metrics';
+import type {Route, Upstream} from '@gentianlift/routing';
+import {buildConfiguration, buildRoute, buildUpstream} from '@gentianlift/routing/testing';
+import {expect, test} from 'vitest';
+import {createCall, createProgress, type Call, type Progress} from './call.js';
+import type {Tools} from './tools.js';
+import {createUpstreamBoard, type UpstreamBoard} from './upstream-board.js';
+import {createWaitingLine, type Place, type WaitingLine} from './waiting-line.js';
+
+const question = buildRoute({name: 'question', rank: 0, target: 300});
+const review = buildRoute({name: 'review', rank: 2, target: 1500, timeout: 10_000});
+const configuration = buildConfiguration({
+	routes: [question, review],
+	services: [{name: 's', mostConnections: 100, engine: {slots: 64, cacheTokens: 500_000, tokensForEvent: 3}}],
+});
+
+type Bench = {clock: ManualClock; loads: LoadBook; board: UpstreamBoard; line: WaitingLine};
+
+const createBench = (upstreams: readonly Upstream[]): Bench => {
+	const clock = createManualClock(1000);
+	const loads = createLoadBook();
+	const logger = createSilentLogger();
+	const board = createUpstreamBoard({clock, logger, loads});
+	const view = createFleetView({
+		logger,
+		decode({key}) {
+			const upstream = upstreams.find(({id}) => id === key);
+			return upstream === undefined ? {kind: 'configuration', configuration} : {kind: 'upstream', upstream};
+		},
+	});
+	view.applySnapshot({entries: ['c', ...upstreams.map(({id}) => id)].map(key => ({key, value: '', revision: 1})), revision: 1}, 0);
+	const notes: Pick<NoteExchange, 'addLoad'> = {
+		addLoad(upstream, change) {
+			loads.addOwn(upstream, change, clock.monotonic());
+		},
+	};
+	const tools: Pick<Tools, 'clock' | 'view' | 'board' | 'metrics' | 'notes' | 'random' | 'zone'> = {
+		clock, view, board, metrics: createMetrics(), notes: notes as NoteExchange, random: createRandom(1), zone: 'a',
+	};
+	return {
+		clock, loads, board, line: createWaitingLine(tools as Tools),
+	};
+};
+
+const buildCall = (clock: ManualClock, route: Route, name: string, tokens: number): Call => createCall({
+	method: 'POST',
+	target: '/a/',
+	head: {
+		attempt: name, hostname: 'a.example', key: undefined, patience: undefined, lastEvent: undefined, declaresBody: true, forwarded: [],
+		prompt: {
+			model: 'm', parts: [{id: name, tokens}], inputTokens: tokens, outputTokens: 10,
+		},
+	},
+	body: new Uint8Array(),
+	route,
+	service: 's',
+	customer: undefined,
+	// The line never writes to the caller.
+	response: undefined as unknown as Call['response'],
+	version: 1,
+	arrivedAt: clock.monotonic(),
+});
+
+/** Enters a call and notes its name once it is placed. */
+const enter = ({clock, line}: Bench, {route, name, tokens}: {route: Route; name: string; tokens: number}, placed: string[]): {progress: Progress; place: Promise<Place | undefined>} => {
+	const progress = createProgress();
+	const waiting = async (): Promise<Place | undefined> => {
+		const place = await line.enter(buildCall(clock, route, name, tokens), progress);
+		placed.push(place === undefined ? `no ${name}` : name);
+		return place;
+	};
+
+	return {progress, place: waiting()};
+};
+
+const manyReviews = Array.from({length: 6}, (_, index) => ({route: review, name: `review-${index}`, tokens: 16_000}));
+
+test('a burst of reviews leaves room for quick questions', async () => {
+	const bench = createBench([buildUpstream({id: 'u1'}), buildUpstream({id: 'u2'})]);
+	const placed: string[] = [];
+	for (const item of manyReviews) {
+		enter(bench, item, placed);
+	}
+
+	await bench.clock.advance(0);
+	expect(placed).toEqual(['review-0', 'review-1']);
+	enter(bench, {route: question, name: 'question', tokens: 1000}, placed);
+	await bench.clock.advance(0);
+	expect(placed).toEqual(['review-0', 'review-1', 'question']);
+});
+
+test('the next review goes when an engine has read the one before', async () => {
+	const bench = createBench([buildUpstream()]);
+	const placed: string[] = [];
+	const first = enter(bench, manyReviews[0]!, placed);
+	enter(bench, manyReviews[1]!, placed);
+	await bench.clock.advance(50);
+	expect(placed).toEqual(['review-0']);
+	const place = await first.place;
+	place?.load.finishReading();
+	await bench.clock.advance(20);
+	expect(placed).toEqual(['review-0', 'review-1']);
+});
+
+test('a call whose caller has gone, or whose time is over, leaves the line', async () => {
+	const bench = createBench([buildUpstream()]);
+	const placed: string[] = [];
+	enter(bench, manyReviews[0]!, placed);
+	const second = enter(bench, manyReviews[1]!, placed);
+	await bench.clock.advance(5);
+	second.progress.isCallerGone = true;
+	second.progress.cancel?.();
+	await bench.clock.advance(0);
+	expect(placed).toEqual(['review-0', 'no review-1']);
+	expect(bench.line.getLength()).toBe(0);
+});
+
+test('without an upstream a call does not wait', async () => {
+	const bench = createBench([]);
+	const placed: string[] = [];
+	enter(bench, manyReviews[0]!, placed);
+	await bench.clock.advance(0);
+	expect(placed).toEqual(['no review-0']);
+});
+
+test('other hosts are told what waits, and that it waits no more', async () => {
+	const bench = createBench([buildUpstream()]);
+	const placed: string[] = [];
+	const first = enter(bench, manyReviews[0]!, placed);
+	enter(bench, manyReviews[1]!, placed);
+	await bench.clock.advance(20);
+	expect(bench.loads.getTotal('u1@1').awaitedTokens).toBe(16_000);
+	(await first.place)?.load.end();
+	await bench.clock.advance(20);
+	expect(bench.loads.getTotal('u1@1').awaitedTokens).toBe(0);
+});
+
+const service = configuration.services[0]!;
+const upstreams = [buildUpstream({id: 'u1'}), buildUpstream({id: 'u2'})];
+const getCandidateIds = (board: UpstreamBoard): string[] => board.getCandidates(upstreams, service, undefined).map(({upstream}) => upstream.id);
+
+test('an upstream that can not be reached gets nothing for a while, unless all are so', async () => {
+	const {clock, board} = createBench(upstreams);
+	board.applyUnreachable(upstreams[0]!, 'test');
+	expect(getCandidateIds(board)).toEqual(['u2']);
+	board.applyUnreachable(upstreams[1]!, 'test');
+	expect(getCandidateIds(board)).toEqual(['u1', 'u2']);
+	await clock.advance(500);
+	board.applyUnreachable(upstreams[0]!, 'test');
+	await clock.advance(500);
+	expect(getCandidateIds(board)).toEqual(['u2']);
+});
+
+test('an upstream that went silent while requests wait there gets nothing new', async () => {
+	const {clock, board} = createBench(upstreams);
+	const exchange = board.startExchange(upstreams[0]!);
+	await clock.advance(800);
+	expect(getCandidateIds(board)).toEqual(['u2']);
+	exchange.applyBytes();
+	expect(getCandidateIds(board)).toEqual(['u1', 'u2']);
+	await clock.advance(800);
+	exchange.end();
+	expect(getCandidateIds(board)).toEqual(['u1', 'u2']);
+});
