--- a/packages/forwarder/src/waiting-line.test.ts
+++ b/packages/forwarder/src/waiting-line.test.ts
@@ -1,17 +1,23 @@
 import {createManualClock, createRandom, type ManualClock} from '@gentianlift/clock';
-import {createFleetView, createLoadBook, type LoadBook, type NoteExchange} from '@gentianlift/discovery';
+import {
+	createFleetView, createLoadBook, type LoadBook, type NoteExchange,
+} from '@gentianlift/discovery';
 import {createSilentLogger} from '@gentianlift/logger';
 import {createMetrics} from '@gentianlift/metrics';
 import type {Route, Upstream} from '@gentianlift/routing';
 import {buildConfiguration, buildRoute, buildUpstream} from '@gentianlift/routing/testing';
 import {expect, test} from 'vitest';
-import {createCall, createProgress, type Call, type Progress} from './call.js';
+import {
+	createCall, createProgress, type Call, type Progress,
+} from './call.js';
 import type {Tools} from './tools.js';
 import {createUpstreamBoard, type UpstreamBoard} from './upstream-board.js';
 import {createWaitingLine, type Place, type WaitingLine} from './waiting-line.js';
 
 const question = buildRoute({name: 'question', rank: 0, target: 300});
-const review = buildRoute({name: 'review', rank: 2, target: 1500, timeout: 10_000});
+const review = buildRoute({
+	name: 'review', rank: 2, target: 1500, timeout: 10_000,
+});
 const configuration = buildConfiguration({
 	routes: [question, review],
 	services: [{name: 's', mostConnections: 100, engine: {slots: 64, cacheTokens: 500_000, tokensForEvent: 3}}],
@@ -133,7 +139,8 @@
 	enter(bench, manyReviews[1]!, placed);
 	await bench.clock.advance(20);
 	expect(bench.loads.getTotal('u1@1').awaitedTokens).toBe(16_000);
-	(await first.place)?.load.end();
+	const place = await first.place;
+	place?.load.end();
 	await bench.clock.advance(20);
 	expect(bench.loads.getTotal('u1@1').awaitedTokens).toBe(0);
 });
