--- a/packages/forwarder/src/forward.test.ts
+++ b/packages/forwarder/src/forward.test.ts
@@ -1,62 +1,11 @@
-import {request, type IncomingMessage, type ServerResponse} from 'node:http';
-import {buildConfiguration, buildRoute} from '@gentianlift/routing/testing';
+import {request, type ServerResponse} from 'node:http';
 import {expect, onTestFinished, test} from 'vitest';
 import {
-	sendRequest, startTestHost, startUpstream, type TestHost,
-} from './testing.js';
-
-const configuration = buildConfiguration({
-	routes: [
-		buildRoute({name: 'read', pathPrefix: '/read/', timeout: 1500}),
-		buildRoute({
-			name: 'book', pathPrefix: '/book/', kind: 'non-idempotent', mostUpstreams: 1, timeout: 1500,
-		}),
-		buildRoute({
-			name: 'stream', pathPrefix: '/stream/', kind: 'streaming', isResumable: true, timeout: 5000,
-		}),
-		buildRoute({
-			name: 'once', pathPrefix: '/once/', kind: 'streaming', timeout: 1500,
-		}),
-	],
-});
-
-type Answer = (request: IncomingMessage, response: ServerResponse) => void;
-
-const signed = {signed: '1'};
-const answerOk: Answer = (request, response) => {
-	response.writeHead(200, {...signed, attempt: request.headers.attempt ?? ''});
-	response.end('ok');
-};
-
-const reject: Answer = (_, response) => {
-	response.writeHead(503, {'not-run': '1'});
-	response.end();
-};
-
-const breakOff: Answer = request => {
-	request.socket.resetAndDestroy();
-};
-
-/** Starts a host with one upstream for each way to answer; counts the requests that each got. */
-const start = async (...answers: Answer[]): Promise<{host: TestHost; counts: number[]}> => {
-	const host = await startTestHost(configuration);
-	const counts = answers.map(() => 0);
-	const started = await Promise.all(answers.map(async (answer, index) => startUpstream(`u${index}`, (request, response) => {
-		counts[index] = (counts[index] ?? 0) + 1;
-		answer(request, response);
-	})));
-	host.setUpstreams(started.map(({upstream}) => upstream));
-	onTestFinished(() => {
-		host.close();
-		for (const {server} of started) {
-			server.close();
-			server.closeAllConnections();
-		}
-	});
-	return {host, counts};
-};
+	answerOk, breakOff, configuration, reject, signed, createStart, sum, type Answer,
+} from './test-deployment.js';
+import {sendRequest, startTestHost} from './testing.js';
 
-const sum = (counts: readonly number[]): number => counts.reduce((total, count) => total + count, 0);
+const start = createStart(onTestFinished);
 
 test('an answer goes back as the upstream gave it', async () => {
 	const {host} = await start(answerOk);
--- /dev/null
+++ b/packages/forwarder/src/test-deployment.ts
@@ -0,0 +1,63 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {buildConfiguration, buildRoute} from '@gentianlift/routing/testing';
+import {startTestHost, startUpstream, type TestHost} from './testing.js';
+
+/** Routes of each kind to one service. */
+export const configuration = buildConfiguration({
+	routes: [
+		buildRoute({name: 'read', pathPrefix: '/read/', timeout: 1500}),
+		buildRoute({
+			name: 'book', pathPrefix: '/book/', kind: 'non-idempotent', mostUpstreams: 1, timeout: 1500,
+		}),
+		buildRoute({
+			name: 'stream', pathPrefix: '/stream/', kind: 'streaming', isResumable: true, timeout: 5000,
+		}),
+		buildRoute({
+			name: 'once', pathPrefix: '/once/', kind: 'streaming', timeout: 1500,
+		}),
+	],
+});
+
+/** How an upstream answers. */
+export type Answer = (request: IncomingMessage, response: ServerResponse) => void;
+
+/** Headers of an answer that bears the upstream mark. */
+export const signed = {signed: '1'};
+/** Answers with the id of the attempt. */
+export const answerOk: Answer = (request, response) => {
+	response.writeHead(200, {...signed, attempt: request.headers.attempt ?? ''});
+	response.end('ok');
+};
+
+/** Says that the request was not run. */
+export const reject: Answer = (_, response) => {
+	response.writeHead(503, {'not-run': '1'});
+	response.end();
+};
+
+/** Resets the connection. */
+export const breakOff: Answer = request => {
+	request.socket.resetAndDestroy();
+};
+
+/** Creates a function that starts a host with one upstream for each way to answer, and counts the requests that each got. */
+export const createStart = (onFinished: (close: () => void) => void) => async (...answers: Answer[]): Promise<{host: TestHost; counts: number[]}> => {
+	const host = await startTestHost(configuration);
+	const counts = answers.map(() => 0);
+	const started = await Promise.all(answers.map(async (answer, index) => startUpstream(`u${index}`, (request, response) => {
+		counts[index] = (counts[index] ?? 0) + 1;
+		answer(request, response);
+	})));
+	host.setUpstreams(started.map(({upstream}) => upstream));
+	onFinished(() => {
+		host.close();
+		for (const {server} of started) {
+			server.close();
+			server.closeAllConnections();
+		}
+	});
+	return {host, counts};
+};
+
+/** Adds up counts. */
+export const sum = (counts: readonly number[]): number => counts.reduce((total, count) => total + count, 0);
