Check for the key-value service of a command in one place

Five commands of the cli each tested whether a URL of the key-value service was given, and built the same failure. withKeyValue does it for all of them; the message, the exit code and the order of the checks stay.

Ran: tsc, xo on the changed files, the tests of packages/cli (25 pass).

--- a/packages/cli/src/commands/publish.ts
+++ b/packages/cli/src/commands/publish.ts
@@ -6,8 +6,9 @@
 import {exitCodes} from '../exit-codes.js';
 import {createReadFailure, readConfigurationFile} from '../queries/index.js';
 import {createFailure, createInvalidFileFailure, type Result} from '../result.js';
-import {missingKeyValueUrlMessage, type Session} from '../session.js';
+import type {Session} from '../session.js';
 import {formatTable} from '../table.js';
+import {withKeyValue} from '../with-key-value.js';
 import {waitUntilInForce} from './wait-until-in-force.js';
 
 /** Options of a publication that the operator gives as flags. */
@@ -92,43 +93,35 @@
 };
 
 /** Publishes a file as the version that follows its base, and reports which hosts have it in force. */
-export const publishFile = async (session: Session, file: string, flags: PublishFlags): Promise<Result> => {
-	const {keyValue} = session;
-	if (keyValue === undefined) {
-		return createFailure(exitCodes.usage, missingKeyValueUrlMessage);
-	}
-
-	const read = await readConfigurationFile(session, file);
-	if (read.kind === 'failed') {
-		return read.result;
-	}
+export const publishFile = async (session: Session, file: string, flags: PublishFlags): Promise<Result> =>
+	withKeyValue(session, async keyValue => {
+		const read = await readConfigurationFile(session, file);
+		if (read.kind === 'failed') {
+			return read.result;
+		}
 
-	const context = {
-		session, keyValue, name: file, base: flags.base ?? read.base ?? 0,
-	};
-	return publish(context, read.configuration, flags);
-};
+		const context = {
+			session, keyValue, name: file, base: flags.base ?? read.base ?? 0,
+		};
+		return publish(context, read.configuration, flags);
+	});
 
 /** Publishes the configuration of an older version as a new version. */
-export const rollBack = async (session: Session, version: number, flags: PublishFlags): Promise<Result> => {
-	const {keyValue} = session;
-	if (keyValue === undefined) {
-		return createFailure(exitCodes.usage, missingKeyValueUrlMessage);
-	}
-
-	const older = await readVersion(keyValue, version);
-	if (older.kind !== 'found') {
-		return createReadFailure(older, `version ${version}`);
-	}
+export const rollBack = async (session: Session, version: number, flags: PublishFlags): Promise<Result> =>
+	withKeyValue(session, async keyValue => {
+		const older = await readVersion(keyValue, version);
+		if (older.kind !== 'found') {
+			return createReadFailure(older, `version ${version}`);
+		}
 
-	const current = await readCurrentVersion(keyValue);
-	if (current.kind !== 'found') {
-		return createReadFailure(current, 'accepted version yet');
-	}
+		const current = await readCurrentVersion(keyValue);
+		if (current.kind !== 'found') {
+			return createReadFailure(current, 'accepted version yet');
+		}
 
-	const base = flags.base ?? current.stored.version.version;
-	const note = flags.note === '' ? `back to version ${version}` : flags.note;
-	return publish({
-		session, keyValue, name: `version ${version}`, base,
-	}, older.stored.version.configuration, {...flags, note});
-};
+		const base = flags.base ?? current.stored.version.version;
+		const note = flags.note === '' ? `back to version ${version}` : flags.note;
+		return publish({
+			session, keyValue, name: `version ${version}`, base,
+		}, older.stored.version.configuration, {...flags, note});
+	});
--- a/packages/cli/src/session.ts
+++ b/packages/cli/src/session.ts
@@ -21,9 +21,6 @@
 	close: () => void;
 };
 
-/** Error message of commands that need the key-value service. */
-export const missingKeyValueUrlMessage = 'The URL of the key-value service is missing: give --key-value-url, GENTIANLIFT_KEY_VALUE_URL or keyValueUrl in --settings.';
-
 /** Error message of commands that need the hosts. */
 export const missingOperatorsMessage = 'The operators\' addresses of the hosts are missing: give --operators, GENTIANLIFT_OPERATORS or operators in --settings.';
 
