Keep one type of a request to an upstream

ServiceCall of upstream was UpstreamRequest letter for letter; the latter is now exported and used by both. The name also stood for two other things: in fakes a call that a service has executed, which keeps it, and in the claims replay of the model a call to the key-value service that waits for its answer, now PendingCall. Types only; behaviour stays.

--- a/packages/model/src/claims/replay.ts
+++ b/packages/model/src/claims/replay.ts
@@ -8,12 +8,13 @@
 } from './state.js';
 
 type CompareAndSwap = Parameters<KeyValueService['compareAndSwap']>[0];
-type ServiceCall
+/** A call to the key-value service that no event of the trace has answered yet. */
+type PendingCall
 	= | {kind: 'read'; resolve: (outcome: Awaited<ReturnType<KeyValueService['read']>>) => void}
 		| {kind: 'write'; swap: CompareAndSwap; resolve: (outcome: WriteOutcome) => void};
 type StoredClaim = {request: string; givenUp?: string[]; outcome: {kind: ClaimRecord['outcome']}};
-type InFlightWrite = {call: Extract<ServiceCall, {kind: 'write'}>; outcome?: WriteOutcome};
-type Host = {owner: ClaimStore; call?: ServiceCall | undefined; inFlightWrite?: InFlightWrite | undefined};
+type InFlightWrite = {call: Extract<PendingCall, {kind: 'write'}>; outcome?: WriteOutcome};
+type Host = {owner: ClaimStore; call?: PendingCall | undefined; inFlightWrite?: InFlightWrite | undefined};
 
 /** The code of the claims package, driven by the events of a trace. */
 export type Replay = {
@@ -94,7 +95,7 @@
 	};
 
 	/** Answers a read, or rejects a write that expects an older revision. */
-	const answerCall = async (host: Host, call: ServiceCall): Promise<void> => {
+	const answerCall = async (host: Host, call: PendingCall): Promise<void> => {
 		const {revision, value} = storedSlot;
 		host.call = undefined;
 		if (call.kind === 'read') {
@@ -106,7 +107,7 @@
 		await clock.advance(maxBackoff);
 	};
 
-	const isCurrentWrite = (call: ServiceCall): boolean => call.kind === 'write' && call.swap.expected === storedSlot.revision;
+	const isCurrentWrite = (call: PendingCall): boolean => call.kind === 'write' && call.swap.expected === storedSlot.revision;
 
 	/** Lets the writer of a host run up to its next write. The code may need no write, as it answers at once if it knows a final outcome. */
 	const step = async (host: Host, id: number | undefined): Promise<void> => {
--- a/packages/router/src/dispatch/call-attempt.ts
+++ b/packages/router/src/dispatch/call-attempt.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
 import type {OutgoingHttpHeaders} from 'node:http';
-import type {ServiceCall} from '@gentianlift/upstream';
+import type {UpstreamRequest} from '@gentianlift/upstream';
 import type {ResponseWriter} from '../callers/caller-stream.js';
 import type {HostContext} from '../host-context.js';
 import {describeCallFailure, type AttemptFailure} from './attempt-failure.js';
@@ -39,7 +39,7 @@
 
 With `readsToEnd` the response is read to its end even if the receiver no longer accepts data.
 */
-export const runCallAttempt = async (context: HostContext, call: ServiceCall, receiver: ResponseReceiver, readsToEnd: boolean): Promise<CallAttemptEnd> => {
+export const runCallAttempt = async (context: HostContext, call: UpstreamRequest, receiver: ResponseReceiver, readsToEnd: boolean): Promise<CallAttemptEnd> => {
 	const response = await context.upstreams.callService(call);
 	if (response.kind !== 'answered') {
 		return describeCallFailure(response);
--- a/packages/upstream/src/client.ts
+++ b/packages/upstream/src/client.ts
@@ -2,7 +2,7 @@
 import type {
 	Address, FencedOrder, EngineLoadReport, OrderOutcome, RequestId, SilenceTimeouts, UpstreamObservation,
 } from '@gentianlift/types';
-import {callService, type ServiceResponse, type ServiceCall} from './commands/call-service.js';
+import {callService, type ServiceResponse} from './commands/call-service.js';
 import {cancelGeneration} from './commands/cancel-generation.js';
 import {generate, type Generation, type GenerationCall} from './commands/generate.js';
 import {exportCache, importCache} from './commands/move-cache.js';
@@ -12,12 +12,13 @@
 import {readCacheEvents, type CacheEventPage} from './queries/read-cache-events.js';
 import {readLoad} from './queries/read-load.js';
 import {createConnectionPool} from './wire/connection-pool.js';
+import type {UpstreamRequest} from './wire/exchange.js';
 
 /** HTTP client for upstreams. No method throws, and none retries a request. */
 export type UpstreamClient = {
 	generate: (call: GenerationCall) => Promise<Generation | CallFailure>;
 	cancelGeneration: (address: Address, request: RequestId) => Promise<boolean>;
-	callService: (call: ServiceCall) => Promise<ServiceResponse | CallFailure>;
+	callService: (call: UpstreamRequest) => Promise<ServiceResponse | CallFailure>;
 	sendOrder: (address: Address, order: FencedOrder) => Promise<OrderOutcome>;
 	exportCache: (address: Address, chunk: string) => Promise<boolean>;
 	importCache: (address: Address, transfer: {chunk: string; from: Address}) => Promise<boolean>;
--- a/packages/upstream/src/commands/call-service.ts
+++ b/packages/upstream/src/commands/call-service.ts
@@ -1,26 +1,15 @@
 import {finished} from 'node:stream';
 import type {OutgoingHttpHeaders} from 'node:http';
-import type {Address, SilenceTimeouts} from '@gentianlift/types';
+import type {SilenceTimeouts} from '@gentianlift/types';
 import type {CallFailure} from '../call-failure.js';
 import {createResponseStream} from '../wire/response-stream.js';
 import type {StreamChunk, ChunkStream} from '../wire/chunk-stream.js';
 import {
-	exchange, type UpstreamResponse, type ExchangeContext, type ExchangeFailure,
+	exchange, type UpstreamRequest, type UpstreamResponse, type ExchangeContext, type ExchangeFailure,
 } from '../wire/exchange.js';
 import {getEndToEndHeaders} from '../wire/headers.js';
 import {isRefusal, readError} from '../wire/error-response.js';
 
-/** A request to an application service. */
-export type ServiceCall = {
-	address: Address;
-	method: string;
-	path: string;
-	headers: OutgoingHttpHeaders;
-	body?: Uint8Array | string;
-	/** Aborting closes the connection. Omit it for a call that must not be interrupted. */
-	signal?: AbortSignal;
-};
-
 /** How the body of a service's response ended. */
 export type ServiceOutcome = {kind: 'finished'} | ExchangeFailure;
 
@@ -50,7 +39,7 @@
 });
 
 /** Calls a service. Resolves when the head of the response arrives, or with the reason why there is none. Never retries and never throws. */
-export const callService = async (context: ExchangeContext, limits: SilenceTimeouts, call: ServiceCall): Promise<ServiceResponse | CallFailure> => {
+export const callService = async (context: ExchangeContext, limits: SilenceTimeouts, call: UpstreamRequest): Promise<ServiceResponse | CallFailure> => {
 	const response = await exchange(context, call, limits.service);
 	if (response.kind !== 'answered') {
 		return response;
--- a/packages/upstream/src/wire/exchange.ts
+++ b/packages/upstream/src/wire/exchange.ts
@@ -15,7 +15,7 @@
 	path: string;
 	headers: OutgoingHttpHeaders;
 	body?: Uint8Array | string;
-	/** Aborting closes the connection. */
+	/** Aborting closes the connection. Omit it for a request that must not be interrupted. */
 	signal?: AbortSignal;
 };
 
