Share the counts of errors and bookings, and options that stood twice

trial and bench each counted failed attempts by error kind and the repeated executions of bookings; bench now uses the functions of trial, of which countDuplicateBookings takes the calls in place of the fakes. The options of a batch in fakes repeated seven settings of the engine, and a run of the soak repeated five of its fleet (FleetSettings). Behaviour stays.

--- a/packages/bench/src/faults/fault-impact.ts
+++ b/packages/bench/src/faults/fault-impact.ts
@@ -1,5 +1,5 @@
 import type {ServiceCall} from '@gentianlift/fakes';
-import type {CallRecord} from '@gentianlift/trial';
+import {countDuplicateBookings, countErrors, type CallRecord} from '@gentianlift/trial';
 import type {Milliseconds} from '@gentianlift/types';
 
 /** Effect of a fault on the requests of a run, as counts of requests where not said otherwise. */
@@ -28,19 +28,9 @@
 /** Excluded from the recovery time, because customers' limits refuse requests with or without a fault. */
 const customerLimitErrorKinds = new Set(['customer-rate', 'customer-tokens', 'customer-concurrency']);
 
-const countErrorKinds = (records: CallRecord[]): Record<string, number> => {
-	const counts: Record<string, number> = {};
-	for (const kind of records.flatMap(({errors}) => errors)) {
-		counts[kind] = (counts[kind] ?? 0) + 1;
-	}
-
-	return counts;
-};
-
 /** Computes the effect of a fault from the callers' records and the calls that the services executed. */
 export const getFaultImpact = (records: CallRecord[], calls: ServiceCall[], injectedAt: Milliseconds): FaultImpact => {
 	const failed = records.filter(({outcome}) => outcome === 'failed');
-	const bookingKeys = calls.map(({idempotencyKey}) => idempotencyKey).filter(key => key !== '');
 	const executedRequests = new Set(calls.map(({request}) => request));
 	const affected = records.filter(({errors, scheduledAt}) => errors.some(kind => !customerLimitErrorKinds.has(kind)) && scheduledAt >= injectedAt);
 	return {
@@ -48,11 +38,11 @@
 		lost: failed.length,
 		cut: records.filter(({errors}) => errors.some(kind => truncationErrorKinds.has(kind))).length,
 		wrong: records.filter(({outcome}) => outcome === 'wrong').length,
-		duplicated: bookingKeys.length - new Set(bookingKeys).size,
+		duplicated: countDuplicateBookings(calls),
 		falseNotRun: failed.filter(({ran, request}) => ran === 'not-run' && executedRequests.has(request)).length,
 		unknown: failed.filter(({ran, idempotencyKey}) => ran === 'unknown' && idempotencyKey !== undefined).length,
 		retried: records.filter(({outcome, retries}) => outcome !== 'failed' && retries > 0).length,
 		recoveredAfter: Math.max(0, ...affected.map(({scheduledAt}) => scheduledAt - injectedAt)),
-		errors: countErrorKinds(records),
+		errors: countErrors(records),
 	};
 };
--- a/packages/fakes/src/engine/batch.ts
+++ b/packages/fakes/src/engine/batch.ts
@@ -1,5 +1,5 @@
 import type {Milliseconds} from '@gentianlift/types';
-import type {Clock} from '@gentianlift/clock';
+import type {EngineSettings} from './options.js';
 
 /** A generation in an engine's queue or in its running batch. */
 export type Generation = {
@@ -25,19 +25,7 @@
 };
 
 /** Speeds and limits of a batch. Times are in simulated milliseconds, which `timeFactor` scales. */
-export type BatchOptions = {
-	/** Maximum number of running generations. */
-	slots: number;
-	/** Base time of a step. */
-	stepTime: Milliseconds;
-	/** Additional time of a step for each running generation. */
-	stepTimePerRunning: Milliseconds;
-	prefillTokensPerSecond: number;
-	/** Capacity of the KV cache, in tokens. */
-	cacheTokens: number;
-	/** Factor by which simulated time runs faster than the clock. */
-	timeFactor: number;
-	clock: Clock;
+export type BatchOptions = Pick<EngineSettings, 'slots' | 'stepTime' | 'stepTimePerRunning' | 'prefillTokensPerSecond' | 'cacheTokens' | 'timeFactor' | 'clock'> & {
 	/** Returns the factor by which prefill and steps are slowed down. */
 	getSlowFactor: () => number;
 };
--- a/packages/soak/src/fleet.ts
+++ b/packages/soak/src/fleet.ts
@@ -15,15 +15,21 @@
 /** All processes, fakes and links of one run. */
 export type Fleet = {store: FakeStore; hosts: SoakHost[]; upstreams: SoakUpstream[]; close: () => Promise<void>};
 
-/** Options of a fleet. */
-export type FleetOptions = {
+/** Settings of a fleet. */
+export type FleetSettings = {
 	deployment: Deployment;
-	/** First three octets of the loopback addresses. */
+	/** First three octets of loopback addresses that no other process uses. */
 	network: string;
+	/** Directory to which logs and settings are written. */
 	folder: string;
 	hosts: number;
 	/** Number of upstreams of each service. */
 	upstreams: number;
+};
+
+/** Options of a fleet. */
+export type FleetOptions = FleetSettings & {
+	/** Called for each request that an upstream executes. */
 	onExecute: (execution: Execution) => void;
 };
 
--- a/packages/soak/src/run-seed.ts
+++ b/packages/soak/src/run-seed.ts
@@ -2,26 +2,20 @@
 import {join} from 'node:path';
 import {createRandom, type Clock} from '@gentianlift/clock';
 import type {Milliseconds} from '@gentianlift/types';
-import type {Callers, Deployment} from './deployment.js';
-import {startFleet, type Fleet, type SoakHost} from './fleet.js';
+import type {Callers} from './deployment.js';
+import {
+	startFleet, type Fleet, type FleetSettings, type SoakHost,
+} from './fleet.js';
 import {createInjector, type Injector} from './injector.js';
 import {findViolations, type Violation, type Observations} from './guarantees.js';
 import {drawSchedule, type ScheduledFault} from './schedule.js';
 import {startTraffic} from './traffic.js';
 
 /** Options of one run of the soak. */
-export type SeedRunOptions = {
-	deployment: Deployment;
+export type SeedRunOptions = FleetSettings & {
 	clock: Clock;
 	/** Seed of the faults and the traffic. */
 	seed: number;
-	/** First three octets of loopback addresses that no other process uses. */
-	network: string;
-	/** Directory to which logs and settings are written. */
-	folder: string;
-	hosts: number;
-	/** Number of upstreams of each service. */
-	upstreams: number;
 	/** Time from the start of the traffic within which faults begin. */
 	faultPeriod: Milliseconds;
 	/** Faults to inject instead of those drawn from the seed. */
--- a/packages/trial/src/queries/get-report.ts
+++ b/packages/trial/src/queries/get-report.ts
@@ -1,3 +1,4 @@
+import type {ServiceCall} from '@gentianlift/fakes';
 import type {
 	Milliseconds, ClassName, Configuration, Targets,
 } from '@gentianlift/types';
@@ -87,11 +88,10 @@
 	return work;
 };
 
-/** Counts the repeated executions of bookings, over all instances of the services. */
-export const countDuplicateBookings = (fakes: Pick<Fakes, 'services'>): number => {
-	const keys = [...fakes.services.values()].flatMap(({calls}) => calls.map(({idempotencyKey}) => idempotencyKey));
-	const present = keys.filter(key => key !== '');
-	return present.length - new Set(present).size;
+/** Counts the executions of bookings beyond the first of each. */
+export const countDuplicateBookings = (calls: readonly ServiceCall[]): number => {
+	const keys = calls.map(({idempotencyKey}) => idempotencyKey).filter(key => key !== '');
+	return keys.length - new Set(keys).size;
 };
 
 type ClassReportSource = {className: ClassName; records: CallRecord[]; targets: Targets; seconds: number; work: number};
@@ -119,7 +119,8 @@
 	};
 };
 
-const countErrors = (records: CallRecord[]): Record<string, number> => {
+/** Counts the failed attempts by error kind. */
+export const countErrors = (records: readonly CallRecord[]): Record<string, number> => {
 	const counts: Record<string, number> = {};
 	for (const kind of records.flatMap(({errors}) => errors)) {
 		counts[kind] = (counts[kind] ?? 0) + 1;
@@ -152,6 +153,6 @@
 			work: work.get(name) ?? 0,
 		})),
 		errors: countErrors(records),
-		duplicateBookings: countDuplicateBookings(fakes),
+		duplicateBookings: countDuplicateBookings([...fakes.services.values()].flatMap(({calls}) => calls)),
 	};
 };
