Share steps that tests of membership, distribution and router repeated

membership: the states in which all hosts see one, and the recording of state changes (four copies). distribution: two publications of which the second starts before the first has its outcome. router: reading the text of a stream. All assertions stay. In faults.test the reader left out events with an error; it no longer does, so such an event fails these tests too, as it did in host.test.

--- a/packages/distribution/src/publish.test.ts
+++ b/packages/distribution/src/publish.test.ts
@@ -25,11 +25,20 @@
 		return outcome;
 	};
 
+	/** Publishes a first version, and a second on it while the outcome of the first is open. */
+	const publishTwoVersions = async (): Promise<PublishOutcome[]> => {
+		const first = publish('a', 0);
+		await clock.advance(0);
+		const second = publish('b', 1);
+		await clock.advance(10_000);
+		return Promise.all([first, second]);
+	};
+
 	const getAccepted = (): ConfigurationVersion[] => service.getAppliedWrites()
 		.filter(({key}) => key === currentVersionKey)
 		.map(({value}) => JSON.parse(value!) as ConfigurationVersion);
 	return {
-		clock, service, publish, publishAndWait, getAccepted,
+		clock, service, publish, publishAndWait, publishTwoVersions, getAccepted,
 	};
 };
 
@@ -73,19 +82,14 @@
 });
 
 test('finds its accepted write in the history after another operator published a newer version', async () => {
-	const {clock, service, publish, getAccepted} = createService();
+	const {service, publishTwoVersions, getAccepted} = createService();
 	service.injectWriteFaults('lost-reply');
-	const first = publish('a', 0);
-	await clock.advance(0);
-	const second = publish('b', 1);
-	await clock.advance(10_000);
-	expect(await first).toMatchObject({kind: 'applied', version: {version: 1}});
-	expect(await second).toMatchObject({kind: 'applied', version: {version: 2}});
+	expect(await publishTwoVersions()).toMatchObject([{kind: 'applied', version: {version: 1}}, {kind: 'applied', version: {version: 2}}]);
 	expect(getAccepted().map(({configuration}) => configuration)).toEqual(['a', 'b']);
 });
 
 test('recognises its own write that was delivered twice', async () => {
-	const {clock, service, publish} = createService();
+	const {clock, service, publishTwoVersions} = createService();
 	const {compareAndSwap} = service;
 	service.compareAndSwap = async write => {
 		await compareAndSwap(write);
@@ -93,12 +97,7 @@
 		return compareAndSwap(write);
 	};
 
-	const first = publish('a', 0);
-	await clock.advance(0);
-	const second = publish('b', 1);
-	await clock.advance(10_000);
-	expect(await first).toMatchObject({kind: 'applied', version: {version: 1}});
-	expect(await second).toMatchObject({kind: 'applied', version: {version: 2}});
+	expect(await publishTwoVersions()).toMatchObject([{kind: 'applied', version: {version: 1}}, {kind: 'applied', version: {version: 2}}]);
 });
 
 test('distinguishes an unavailable service from an unknown outcome', async () => {
--- a/packages/membership/src/membership.test.ts
+++ b/packages/membership/src/membership.test.ts
@@ -21,12 +21,28 @@
 const getObservedStates = (fleet: TestFleet, host: string): Array<HostState | undefined> =>
 	fleet.getRunningHosts().filter(viewer => viewer !== host).map(viewer => fleet.getState(viewer, host));
 
+const expectState = (fleet: TestFleet, host: string, state: HostState): void => {
+	expect(new Set(getObservedStates(fleet, host)), host).toEqual(new Set([state]));
+};
+
 const expectAllInState = (fleet: TestFleet, state: HostState): void => {
 	for (const host of fleet.getRunningHosts()) {
-		expect(new Set(getObservedStates(fleet, host)), host).toEqual(new Set([state]));
+		expectState(fleet, host, state);
 	}
 };
 
+/** Returns a set that fills with the states into which the given hosts see others change. */
+const recordStateChanges = (fleet: TestFleet, viewers: string[]): Set<HostState> => {
+	const states = new Set<HostState>();
+	for (const viewer of viewers) {
+		fleet.getMembership(viewer).onChange(({after}) => {
+			states.add(after.state);
+		});
+	}
+
+	return states;
+};
+
 test('all hosts find each other', async () => {
 	const {fleet} = await startFleet(7);
 	expectAllInState(fleet, 'alive');
@@ -36,7 +52,7 @@
 	const {clock, fleet} = await startFleet(7);
 	fleet.kill('h3');
 	await clock.advance(10_000);
-	expect(new Set(getObservedStates(fleet, 'h3'))).toEqual(new Set(['gone']));
+	expectState(fleet, 'h3', 'gone');
 	expectAllInState(fleet, 'alive');
 });
 
@@ -44,7 +60,7 @@
 	const {clock, fleet} = await startFleet(7);
 	fleet.getMembership('h3').stop();
 	await clock.advance(2000);
-	expect(new Set(getObservedStates(fleet, 'h3'))).toEqual(new Set(['gone']));
+	expectState(fleet, 'h3', 'gone');
 });
 
 test('a new process of a host is not mistaken for the old one', async () => {
@@ -62,7 +78,7 @@
 	const {clock, fleet} = await startFleet(7);
 	fleet.getMembership('h3').setDraining(true);
 	await clock.advance(2000);
-	expect(new Set(getObservedStates(fleet, 'h3'))).toEqual(new Set(['draining']));
+	expectState(fleet, 'h3', 'draining');
 	fleet.getMembership('h3').setDraining(false);
 	await clock.advance(2000);
 	expectAllInState(fleet, 'alive');
@@ -72,7 +88,7 @@
 	const {clock, fleet} = await startFleet(7);
 	fleet.network.setPartition((_from, to) => to === getGossipAddress('h3'));
 	await clock.advance(10_000);
-	expect(new Set(getObservedStates(fleet, 'h3'))).toEqual(new Set(['gone']));
+	expectState(fleet, 'h3', 'gone');
 	expect(fleet.getMembership('h3').getMembers().filter(({state}) => state === 'gone')).toEqual([]);
 	fleet.network.setPartition(() => false);
 	await clock.advance(15_000);
@@ -81,13 +97,7 @@
 
 test('a one-way loss between two hosts changes no state', async () => {
 	const {clock, fleet} = await startFleet(7);
-	const observedStates = new Set<HostState>();
-	for (const host of fleet.getRunningHosts()) {
-		fleet.getMembership(host).onChange(({after}) => {
-			observedStates.add(after.state);
-		});
-	}
-
+	const observedStates = recordStateChanges(fleet, fleet.getRunningHosts());
 	fleet.network.setPartition((from, to) => from === getGossipAddress('h2') && to === getGossipAddress('h5'));
 	await clock.advance(60_000);
 	expect([...observedStates]).toEqual([]);
@@ -95,13 +105,7 @@
 
 test('with a tenth of all datagrams lost, no host is declared gone', async () => {
 	const {clock, fleet} = await startFleet(7);
-	const observedStates = new Set<HostState>();
-	for (const host of fleet.getRunningHosts()) {
-		fleet.getMembership(host).onChange(({after}) => {
-			observedStates.add(after.state);
-		});
-	}
-
+	const observedStates = recordStateChanges(fleet, fleet.getRunningHosts());
 	fleet.network.setLossRate(0.1);
 	await clock.advance(120_000);
 	expect(observedStates.has('gone')).toBe(false);
@@ -125,19 +129,16 @@
 	}
 
 	await clock.advance(12_000);
-	expect(new Set(getObservedStates(fleet, 'h5'))).toEqual(new Set(['gone']));
+	expectState(fleet, 'h5', 'gone');
 	expectAllInState(fleet, 'alive');
 });
 
 test('a host paused for 12 s declares no host gone, and rejoins', async () => {
 	const {clock, fleet} = await startFleet(7);
-	const observedStates = new Set<HostState>();
-	fleet.getMembership('h3').onChange(({after}) => {
-		observedStates.add(after.state);
-	});
+	const observedStates = recordStateChanges(fleet, ['h3']);
 	fleet.setPaused('h3', true);
 	await clock.advance(12_000);
-	expect(new Set(getObservedStates(fleet, 'h3'))).toEqual(new Set(['gone']));
+	expectState(fleet, 'h3', 'gone');
 	fleet.setPaused('h3', false);
 	await clock.advance(10_000);
 	expect(observedStates.has('gone')).toBe(false);
@@ -146,10 +147,7 @@
 
 test('a host with a late event loop suspects no host whose acknowledgement it has not read yet', async () => {
 	const {clock, fleet} = await startFleet(7);
-	const observedStates = new Set<HostState>();
-	fleet.getMembership('h3').onChange(({after}) => {
-		observedStates.add(after.state);
-	});
+	const observedStates = recordStateChanges(fleet, ['h3']);
 	for (let round = 0; round < 40; round++) {
 		fleet.setPaused('h3', true);
 		// eslint-disable-next-line no-await-in-loop -- Pauses follow each other.
--- a/packages/router/src/faults.test.ts
+++ b/packages/router/src/faults.test.ts
@@ -1,6 +1,7 @@
 import {
 	afterAll, beforeAll, expect, test,
 } from 'vitest';
+import {getStreamedText} from './testing/get-streamed-text.js';
 import {startFleet, type TestFleet} from './testing/start-fleet.js';
 
 let fleet: TestFleet;
@@ -31,11 +32,6 @@
 	return response.text();
 };
 
-const getText = (stream: string): string => stream.split('\n\n')
-	.filter(event => event.startsWith('data: {') && !event.includes('"error"'))
-	.map(event => (JSON.parse(event.slice(6)) as {choices: Array<{delta: {content?: string}}>}).choices[0]?.delta.content ?? '')
-	.join('');
-
 const getEngines = () => [...fleet.fakes.engines.values()];
 
 type Engine = ReturnType<typeof getEngines>[number];
@@ -47,24 +43,24 @@
 const findRunning = () => getEngines().find(engine => engine.getState().running > 0);
 
 test('a response whose engine crashes is resumed on another one without a gap or repeated text', async () => {
-	const expectedText = getText(await readStream(sendChat('crash in the middle #tokens=120', 200)));
+	const expectedText = getStreamedText(await readStream(sendChat('crash in the middle #tokens=120', 200)));
 	const response = await sendChat('crash in the middle #tokens=120', 200, {host: 1});
 	await expect.poll(() => findRunning()?.getState().running).toBe(1);
 	const engine = findRunning();
 	await setFaults(engine, {crash: true, restartAfterMs: 300});
 	const stream = await response.text();
-	expect(getText(stream)).toBe(expectedText);
+	expect(getStreamedText(stream)).toBe(expectedText);
 	expect(stream.endsWith('data: [DONE]\n\n')).toBe(true);
 });
 
 test('a response whose connection goes silent is resumed on another engine without a gap or repeated text', async () => {
-	const expectedText = getText(await readStream(sendChat('silent in the middle #tokens=120', 200)));
+	const expectedText = getStreamedText(await readStream(sendChat('silent in the middle #tokens=120', 200)));
 	const response = await sendChat('silent in the middle #tokens=120', 200, {host: 1});
 	await expect.poll(() => findRunning()?.getState().running).toBe(1);
 	const engine = findRunning();
 	await setFaults(engine, {silent: 'open'});
 	const stream = await response.text();
-	expect(getText(stream)).toBe(expectedText);
+	expect(getStreamedText(stream)).toBe(expectedText);
 	expect(stream.endsWith('data: [DONE]\n\n')).toBe(true);
 });
 
--- a/packages/router/src/host.test.ts
+++ b/packages/router/src/host.test.ts
@@ -3,6 +3,7 @@
 	afterAll, beforeAll, expect, test,
 } from 'vitest';
 import type {Account} from '@gentianlift/types';
+import {getStreamedText} from './testing/get-streamed-text.js';
 import {startFleet, type TestFleet} from './testing/start-fleet.js';
 
 let fleet: TestFleet;
@@ -52,10 +53,7 @@
 	const whole = await call('/v1/chat/completions', {body: createChatBody('same text')});
 	const {choices} = await whole.json() as {choices: Array<{message: {content: string}}>};
 	const stream = await call('/v1/chat/completions', {body: createChatBody('same text', {stream: true}), host: 1});
-	const text = await stream.text();
-	const events = text.split('\n\n').filter(event => event.startsWith('data: {'));
-	const deltas = events.map(event => (JSON.parse(event.slice(6)) as {choices: Array<{delta: {content?: string}}>}).choices[0]?.delta.content ?? '');
-	expect(deltas.join('')).toBe(choices[0]?.message.content);
+	expect(getStreamedText(await stream.text())).toBe(choices[0]?.message.content);
 	expect(stream.headers.get('x-ran')).toBe('ran');
 });
 
