Split the in-memory key-value service by job

One file of 269 lines held the entries, leases, watches, faults, call counts and the service itself. Each is now a module of its own in memory-key-value/; the duration and the expiry of a lease, which stood in two maps, are one record. The exports of the package and the behaviour stay; the test only moved.

--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -3,5 +3,5 @@
 	createJsonClient, type JsonCall, type JsonClient, type JsonOutcome, type PlatformClientOptions,
 } from './json-client.js';
 export {createKeyValueClient, type KeyValueClient} from './key-value-client.js';
-export * from './memory-key-value.js';
+export * from './memory-key-value/index.js';
 export {createWeightStoreClient, type WeightStoreClient} from './weight-store-client.js';
