Split the grant client by job

policy-client.ts (271 lines) held the requests and their counts, the sessions with the owners, the choice of a group and the decisions. The first three are classes of their own: HeldRequests, Sessions, GroupChoice. Three places ended a waiting request and withdrew its ticket, and the count and outcome of a request that the host sheds stood twice; both are one function now.

--- a/packages/scheduler/src/client/policy-client.ts
+++ b/packages/scheduler/src/client/policy-client.ts
@@ -1,22 +1,18 @@
 import type {Cancel} from '@gentianlift/clock';
-import {getGroupsFor} from '@gentianlift/policy';
 import type {
 	ClassifiedRequest, GrantDecision, GrantResponse, GroupId, Milliseconds, Rank, RequestId, TicketEnd,
 } from '@gentianlift/types';
-import {chooseGroup, createWaitEstimates} from './choose-group.js';
 import {Exchange} from './exchange.js';
-import {createSession, hasUnsent, isIdle} from './session.js';
+import {GroupChoice} from './group-choice.js';
+import {HeldRequests} from './held-requests.js';
+import {Sessions} from './sessions.js';
 import {createTicket, createWithdrawal, roundEnd} from './tickets.js';
 import type {
-	GrantOptions, GrantOutcome, GrantClient, GrantClientOptions, GroupSession, HeldRequest,
+	GrantOptions, GrantOutcome, GrantClient, GrantClientOptions, HeldRequest,
 } from './types.js';
 
 /** Interval at which overdue requests are shed and sessions are checked for messages to send. */
 const tickInterval: Milliseconds = 50;
-/** Maximum number of waiting requests of one host. */
-export const maxHostWaiting = 2000;
-/** Maximum memory that the waiting requests of one host take up. */
-export const maxHostWaitingBytes = 67_108_864;
 /** How long after its deadline a request still waits for the owner's decision. */
 const decisionGracePeriod: Milliseconds = 1000;
 /** Retry delay given to requests that the host sheds itself, without an estimate of the owner. */
@@ -25,19 +21,17 @@
 /** The grant client for the setting `order: policy`. Requests slots from the owners of groups, and tracks the requests that wait and run at this host. */
 export class PolicyClient implements GrantClient {
 	readonly #options: GrantClientOptions;
-	readonly #exchange: Exchange;
-	readonly #sessions = new Map<GroupId, GroupSession>();
-	readonly #heldRequests = new Map<RequestId, HeldRequest>();
-	readonly #waitEstimates = createWaitEstimates();
+	readonly #sessions: Sessions;
+	readonly #groupChoice: GroupChoice;
+	readonly #heldRequests = new HeldRequests();
 	readonly #cancel: Cancel;
-	#waiting = 0;
-	#bytes = 0;
 
 	constructor(options: GrantClientOptions) {
 		this.#options = options;
-		this.#exchange = new Exchange(options, answer => {
+		this.#sessions = new Sessions(options, new Exchange(options, answer => {
 			this.applyDecisions(answer);
-		});
+		}));
+		this.#groupChoice = new GroupChoice(options);
 		const {every} = options.clock;
 		this.#cancel = every(tickInterval, () => {
 			this.#tick();
@@ -52,18 +46,18 @@
 			return this.#createRefusal('queue-full');
 		}
 
-		const group = this.#chooseGroup(ticket.needs, ticket.rank);
+		const group = this.#groupChoice.choose(ticket.needs, ticket.rank);
 		if (group === undefined) {
 			return this.#createRefusal('no-upstream');
 		}
 
 		const requestedAt = clock.monotonic();
 		return new Promise(resolve => {
-			this.#waiting++;
-			this.#bytes += bytes;
-			this.#enqueue({
+			const held: HeldRequest = {
 				ticket, group, bytes, requestedAt, resolve, rank: ticket.rank, deadline: requestedAt + ticket.slack, hasMoved: false, preemptionController: new AbortController(),
-			});
+			};
+			this.#heldRequests.beginWait(held);
+			this.#enqueue(held);
 		});
 	};
 
@@ -71,15 +65,14 @@
 		const held = this.#heldRequests.get(end.request);
 		if (held?.ticket.attempt === end.attempt && held.upstream !== undefined) {
 			this.#remove(held);
-			this.#sendEnd(held.group, roundEnd(end));
+			this.#sessions.sendEnd(held.group, roundEnd(end));
 		}
 	};
 
 	readonly withdraw = (request: RequestId): void => {
 		const held = this.#heldRequests.get(request);
 		if (held !== undefined && held.upstream === undefined) {
-			this.#resolveWaiting(held, {kind: 'withdrawn'});
-			this.#sendEnd(held.group, createWithdrawal(held.ticket));
+			this.#endWaiting(held, {kind: 'withdrawn'});
 		}
 	};
 
@@ -89,77 +82,47 @@
 		}
 	};
 
-	readonly getCounts = (): {waiting: number; running: number; bytes: number} => ({waiting: this.#waiting, running: this.#heldRequests.size - this.#waiting, bytes: this.#bytes});
+	readonly getCounts = (): {waiting: number; running: number; bytes: number} => this.#heldRequests.getCounts();
 
 	readonly stop = (): void => {
 		this.#cancel();
 	};
 
-	#createRefusal(reason: 'queue-full' | 'no-upstream'): GrantOutcome {
+	/** Counts and creates the outcome of a request that the host sheds itself. */
+	#createRefusal(reason: 'queue-full' | 'no-upstream' | 'deadline-unreachable'): Exclude<GrantOutcome, {kind: 'granted'}> {
 		this.#options.metrics.count('host_sheds', {reason});
 		return {kind: 'shed', reason, retryAfter: defaultRetryAfter};
 	}
 
 	/** Sheds waiting requests of lower ranks, the newest of the lowest rank first, until a new request fits the limits of the host. */
 	#makeRoom(rank: Rank, bytes: number): boolean {
-		while (this.#waiting >= maxHostWaiting || this.#bytes + bytes > maxHostWaitingBytes) {
-			const lowest = this.#getLowestRanked(rank);
+		while (!this.#heldRequests.hasRoom(bytes)) {
+			const lowest = this.#heldRequests.getLowestRanked(rank);
 			if (lowest === undefined) {
 				return false;
 			}
 
-			this.#resolveWaiting(lowest, this.#createRefusal('queue-full'));
-			this.#sendEnd(lowest.group, createWithdrawal(lowest.ticket));
+			this.#endWaiting(lowest, this.#createRefusal('queue-full'));
 		}
 
 		return true;
 	}
 
-	#getLowestRanked(above: Rank): HeldRequest | undefined {
-		let lowest: HeldRequest | undefined;
-		for (const held of this.#heldRequests.values()) {
-			if (held.upstream === undefined && held.rank > above && held.rank >= (lowest?.rank ?? 0)) {
-				lowest = held;
-			}
-		}
-
-		return lowest;
-	}
-
-	#chooseGroup(needs: readonly string[], rank: Rank, except?: GroupId): GroupId | undefined {
-		const {clock, random, getGroups} = this.#options;
-		const groups = getGroupsFor(getGroups(), needs).filter(({id}) => id !== except);
-		const now = clock.monotonic();
-		return chooseGroup(groups, id => this.#waitEstimates.getWait(id, rank, now), random)?.id;
-	}
-
-	#getSession(group: GroupId): GroupSession {
-		const session = this.#sessions.get(group) ?? createSession(group);
-		this.#sessions.set(group, session);
-		return session;
-	}
-
 	#enqueue(held: HeldRequest): void {
-		const session = this.#getSession(held.group);
-		this.#heldRequests.set(held.ticket.request, held);
-		session.heldRequests.set(held.ticket.request, held);
-		session.unsentRequests.add(held);
-		this.#exchange.flush(session);
+		this.#heldRequests.add(held);
+		this.#sessions.sendTicket(held);
 	}
 
 	#remove(held: HeldRequest): void {
-		const session = this.#getSession(held.group);
-		this.#heldRequests.delete(held.ticket.request);
-		session.heldRequests.delete(held.ticket.request);
-		session.unsentRequests.delete(held);
+		this.#heldRequests.remove(held);
+		this.#sessions.remove(held);
 	}
 
 	/** Resolves a waiting request with its grant, and removes it unless it was granted a slot. */
 	#resolveWaiting(held: HeldRequest, grant: GrantOutcome): void {
-		this.#waiting--;
-		this.#bytes -= held.bytes;
+		this.#heldRequests.endWait(held);
 		if (grant.kind === 'granted') {
-			this.#getSession(held.group).unsentRequests.delete(held);
+			this.#sessions.dropTicket(held);
 		} else {
 			this.#remove(held);
 		}
@@ -167,10 +130,10 @@
 		held.resolve(grant);
 	}
 
-	#sendEnd(group: GroupId, end: TicketEnd): void {
-		const session = this.#getSession(group);
-		session.unsentEnds.push(end);
-		this.#exchange.flush(session);
+	/** Resolves a waiting request without a decision of the owner, and withdraws its ticket. */
+	#endWaiting(held: HeldRequest, grant: Exclude<GrantOutcome, {kind: 'granted'}>): void {
+		this.#resolveWaiting(held, grant);
+		this.#sessions.sendEnd(held.group, createWithdrawal(held.ticket));
 	}
 
 	#applyDecision(group: GroupId, decision: GrantDecision): void {
@@ -179,7 +142,7 @@
 			this.#applyToCurrentAttempt(held, decision);
 		} else if (decision.kind === 'granted') {
 			// The request has ended or has moved to another group, so the slot is returned.
-			this.#sendEnd(group, createWithdrawal(decision));
+			this.#sessions.sendEnd(group, createWithdrawal(decision));
 		}
 	}
 
@@ -214,22 +177,24 @@
 		}
 	}
 
-	/** Records the wait that the owner expects. If that is too long, moves the request, at most once, to a group with a shorter estimated wait. */
+	/** Records the wait that the owner expects, and moves the request, at most once, if that is too long and another group's is shorter. */
 	#applyWait(held: HeldRequest, expectedWait: Milliseconds): void {
 		const now = this.#options.clock.monotonic();
-		this.#waitEstimates.apply(held.group, held.rank, expectedWait, now);
-		const alternative = this.#chooseGroup(held.ticket.needs, held.rank, held.group);
-		const isTooLate = expectedWait > held.deadline - now;
-		if (alternative === undefined || held.hasMoved || !isTooLate || this.#waitEstimates.getWait(alternative, held.rank, now) >= expectedWait) {
-			return;
+		this.#groupChoice.recordWait(held, expectedWait, now);
+		const alternative = this.#groupChoice.chooseMove(held, expectedWait, now);
+		if (alternative !== undefined) {
+			this.#move(held, alternative);
 		}
+	}
 
+	/** Moves a waiting request to another group. */
+	#move(held: HeldRequest, alternative: GroupId): void {
 		const {group} = held;
 		this.#remove(held);
 		held.group = alternative;
 		held.hasMoved = true;
 		this.#options.metrics.count('grant_moves');
-		this.#sendEnd(group, createWithdrawal(held.ticket));
+		this.#sessions.sendEnd(group, createWithdrawal(held.ticket));
 		this.#enqueue(held);
 	}
 
@@ -241,16 +206,7 @@
 	#tick(): void {
 		const now = this.#options.clock.monotonic();
 		this.#shedOverdue(now);
-		for (const [group, session] of this.#sessions) {
-			const hasOwnerChanged = session.mode === 'owner' && session.owner !== this.#options.getOwnerOf(group);
-			const isDue = session.heldRequests.size > 0 && (hasOwnerChanged || now >= session.nextHeartbeatAt);
-			const canProbe = session.mode === 'alone' && now >= session.notBefore;
-			if (hasUnsent(session) || isDue || canProbe) {
-				this.#exchange.flush(session);
-			} else if (isIdle(session)) {
-				this.#sessions.delete(group);
-			}
-		}
+		this.#sessions.flushDue(now);
 	}
 
 	/** Sheds requests that have no decision of the owner when the grace period after their deadline is over. */
@@ -262,9 +218,7 @@
 		for (const held of this.#heldRequests.values()) {
 			const isOverdue = held.upstream === undefined && held.ticket.resumed !== true && now > held.deadline + decisionGracePeriod;
 			if (isOverdue) {
-				this.#options.metrics.count('host_sheds', {reason: 'deadline-unreachable'});
-				this.#resolveWaiting(held, {kind: 'shed', reason: 'deadline-unreachable', retryAfter: defaultRetryAfter});
-				this.#sendEnd(held.group, createWithdrawal(held.ticket));
+				this.#endWaiting(held, this.#createRefusal('deadline-unreachable'));
 			}
 		}
 	}
