Split the replay of leases by job

replay.ts (254 lines) held the blocking key-value service, the hosts and the replay, mostly as closures of one function of 130 lines. They are modules now: blocking-key-value.ts, replay-host.ts, flush-promises.ts. The number of a lease and its index, which two places converted by hand, have a function each way. The test and the behaviour stay.

--- a/packages/model/src/leases/replay.ts
+++ b/packages/model/src/leases/replay.ts
@@ -1,30 +1,10 @@
-import {createManualClock, type ManualClock, createRandom} from '@gentianlift/clock';
+import {createManualClock, createRandom} from '@gentianlift/clock';
 import {createOrderExecutor, getEngineSettings, type OrderExecutor} from '@gentianlift/fakes';
-import {
-	acquireTerm, defaultTiming, fencingKey, getValidUntil, holderKey, isOrderAllowed, type AcquireOutcome, type Term,
-} from '@gentianlift/placement';
-import {createMemoryKeyValue, type MemoryKeyValue} from '@gentianlift/platform';
-import type {
-	EngineOrder, FencingSupport, KeyValueService, WriteOutcome,
-} from '@gentianlift/types';
-import {
-	hosts, type HostName, type LeaseEvent, type Order, type ReplyKind,
-} from './state.js';
-
-type CompareAndSwap = Parameters<KeyValueService['compareAndSwap']>[0];
-
-/** Host that runs the code of the placement package; each of its service calls blocks until an event of the trace releases it. */
-type Host = {
-	clock: ManualClock;
-	blockedCalls: Array<() => void>;
-	reply: ReplyKind;
-	isEndLost: boolean;
-	outcome: Promise<AcquireOutcome> | undefined;
-	term: Term | undefined;
-	approvedOrders: Order[];
-	/** Incremented at each crash, so that a call from before the crash never continues. */
-	incarnation: number;
-};
+import {fencingKey, holderKey} from '@gentianlift/placement';
+import {createMemoryKeyValue} from '@gentianlift/platform';
+import type {EngineOrder, FencingSupport} from '@gentianlift/types';
+import {getLeaseId, ReplayHost, type ReplayContext} from './replay-host.js';
+import type {HostName, LeaseEvent, Order} from './state.js';
 
 /** The code of the placement package, driven by the events of a trace. */
 export type Replay = {
@@ -37,218 +17,92 @@
 export type ReplayView = {fencingNumber: number; isHolderTaken: boolean; fencingNumbers: Record<HostName, number>; isOrderAllowed: Record<HostName, boolean>; executedLeases: number[]};
 
 const engineOrder: EngineOrder = {kind: 'change-role', role: 'mixed'};
-const flushRounds = 50;
 
-const flushPromises = async (): Promise<void> => {
-	for (let round = 0; round < flushRounds; round++) {
-		// eslint-disable-next-line no-await-in-loop -- Each round runs one more step of a promise chain.
-		await Promise.resolve();
+/** Two hosts, a key-value service and an engine that follow the events of a trace. */
+class TraceReplay implements Replay {
+	readonly #context: ReplayContext;
+	readonly #hosts: Record<HostName, ReplayHost>;
+	readonly #engine: OrderExecutor;
+	readonly #ordersInFlight: Order[] = [];
+	readonly #executedLeases: number[] = [];
+
+	constructor(fencing: FencingSupport) {
+		this.#context = {fencing, memory: createMemoryKeyValue({clock: createManualClock(), random: createRandom(1)}), lateWrites: []};
+		this.#hosts = {a: new ReplayHost('a', this.#context), b: new ReplayHost('b', this.#context)};
+		this.#engine = createOrderExecutor(getEngineSettings({fencing}));
 	}
-};
-
-const createBlockingKeyValue = (memory: MemoryKeyValue, host: Host, lateWrites: CompareAndSwap[]): KeyValueService => {
-	const waitForRelease = async (): Promise<void> => {
-		const {incarnation} = host;
-		await new Promise<void>(resolve => {
-			host.blockedCalls.push(resolve);
-		});
-		if (host.incarnation !== incarnation) {
-			await new Promise<never>(() => {
-				// A call of a crashed host never continues.
-			});
-		}
-	};
-
-	const write = async (change: CompareAndSwap): Promise<WriteOutcome> => {
-		switch (host.reply) {
-			case 'arrives': {
-				return memory.compareAndSwap(change);
-			}
-
-			case 'lost-applied': {
-				await memory.compareAndSwap(change);
-				break;
-			}
-
-			case 'lost-late': {
-				lateWrites.push(change);
-				break;
-			}
-
-			case 'lost-dropped': {
-				break;
-			}
-		}
-
-		return {kind: 'unknown', reason: host.reply};
-	};
-
-	return {
-		...memory,
-		async grantLease(duration) {
-			await waitForRelease();
-			return memory.grantLease(duration);
-		},
-		async compareAndSwap(change) {
-			await waitForRelease();
-			return write(change);
-		},
-		async endLease(lease) {
-			await waitForRelease();
-			return host.isEndLost ? {kind: 'unknown', reason: 'lost'} : memory.endLease(lease);
-		},
-	};
-};
-
-const createHost = (): Host => ({
-	clock: createManualClock(), blockedCalls: [], reply: 'arrives', isEndLost: false, outcome: undefined, term: undefined, approvedOrders: [], incarnation: 0,
-});
-
-/** Releases the next blocked call of a host, and runs what follows from it. */
-const releaseNextCall = async (host: Host): Promise<void> => {
-	host.blockedCalls.shift()?.();
-	await flushPromises();
-};
-
-const stopHost = (host: Host): void => {
-	host.incarnation++;
-	host.blockedCalls = [];
-	host.term = undefined;
-};
-
-/** Creates two hosts, a key-value service and an engine that follow the events of a trace. */
-export const createReplay = (fencing: FencingSupport): Replay => {
-	const memory = createMemoryKeyValue({clock: createManualClock(), random: createRandom(1)});
-	const lateWrites: CompareAndSwap[] = [];
-	const ordersInFlight: Order[] = [];
-	const hostStates: Record<HostName, Host> = {a: createHost(), b: createHost()};
-	const keyValues: Record<HostName, KeyValueService> = {a: createBlockingKeyValue(memory, hostStates.a, lateWrites), b: createBlockingKeyValue(memory, hostStates.b, lateWrites)};
-	const engine: OrderExecutor = createOrderExecutor(getEngineSettings({fencing}));
-	const executedLeases: number[] = [];
-
-	const read = async (name: HostName): Promise<void> => {
-		const host = hostStates[name];
-		host.outcome = acquireTerm({
-			keyValue: keyValues[name], clock: host.clock, self: {host: name, incarnation: host.incarnation}, timing: defaultTiming,
-		});
-		void host.outcome.then(outcome => {
-			host.term = outcome.kind === 'acquired' ? outcome.term : undefined;
-		});
-		await flushPromises();
-	};
-
-	const deliver = async (index: number): Promise<void> => {
-		const next = ordersInFlight[index];
-		if (next === undefined) {
-			return;
-		}
-
-		const answer = await engine.apply({id: String(next.lease), fencingNumber: next.fencingNumber, order: engineOrder});
-		if (answer.status === 200 && !executedLeases.includes(next.lease)) {
-			executedLeases.push(next.lease);
-		}
-	};
-
-	/** Advances the host's clock until orders of earlier terms have expired, and renews the lease. */
-	const waitOutOrders = (host: Host): void => {
-		host.clock.pause(defaultTiming.maxOrderLifetime);
-		if (host.term !== undefined) {
-			host.term = {...host.term, validUntil: getValidUntil(host.clock.monotonic(), defaultTiming)};
-		}
-	};
 
-	const isOrderAllowedOn = ({term, clock}: Host): boolean =>
-		term !== undefined && isOrderAllowed(term, fencing, clock.monotonic(), defaultTiming);
-
-	const approveOrder = (host: Host): void => {
-		if (isOrderAllowedOn(host) && host.term !== undefined) {
-			host.approvedOrders.push({lease: Number(host.term.leaseId.replace('lease-', '')) - 1, fencingNumber: host.term.fencingNumber});
-		}
-	};
-
-	const apply = async (event: LeaseEvent): Promise<void> => {
+	readonly apply = async (event: LeaseEvent): Promise<void> => {
 		switch (event.type) {
-			case 'read': {
-				return read(event.host);
-			}
-
-			case 'grant': {
-				return releaseNextCall(hostStates[event.host]);
-			}
-
+			case 'read':
+			case 'grant':
 			case 'take':
-			case 'raise': {
-				hostStates[event.host].reply = event.reply;
-				return releaseNextCall(hostStates[event.host]);
-			}
-
-			case 'end': {
-				hostStates[event.host].isEndLost = event.isLost;
-				return releaseNextCall(hostStates[event.host]);
-			}
-
-			case 'expire': {
-				hostStates[event.host].clock.pause(defaultTiming.leaseDuration);
-				return;
-			}
-
-			case 'crash': {
-				stopHost(hostStates[event.host]);
-				hostStates[event.host].approvedOrders = [];
-				return;
+			case 'raise':
+			case 'end':
+			case 'expire':
+			case 'crash':
+			case 'wait':
+			case 'check': {
+				return this.#hosts[event.host].apply(event);
 			}
 
 			case 'lapse': {
-				await memory.endLease(`lease-${event.lease + 1}`);
+				await this.#context.memory.endLease(getLeaseId(event.lease));
 				return;
 			}
 
 			case 'late': {
-				const [write] = lateWrites.splice(event.index, 1);
-				await (write === undefined ? undefined : memory.compareAndSwap(write));
-				return;
-			}
-
-			case 'wait': {
-				waitOutOrders(hostStates[event.host]);
-				return;
-			}
-
-			case 'check': {
-				approveOrder(hostStates[event.host]);
-				return;
+				return this.#applyLateWrite(event.index);
 			}
 
 			case 'send': {
-				ordersInFlight.push(...hostStates[event.host].approvedOrders.splice(event.index, 1));
+				this.#ordersInFlight.push(...this.#hosts[event.host].takeApprovedOrder(event.index));
 				return;
 			}
 
 			case 'deliver': {
-				await deliver(event.index);
-				ordersInFlight.splice(event.index, event.isRepeated ? 0 : 1);
+				await this.#deliver(event.index);
+				this.#ordersInFlight.splice(event.index, event.isRepeated ? 0 : 1);
 				return;
 			}
 
 			case 'lose': {
-				ordersInFlight.splice(event.index, 1);
+				this.#ordersInFlight.splice(event.index, 1);
 			}
 		}
 	};
 
-	return {
-		apply,
-		async getView() {
-			const fencingEntry = memory.peek(fencingKey);
-			const entries = hosts.map(name => [name, hostStates[name]] as const);
-			return {
-				fencingNumber: Number(fencingEntry?.value ?? 0),
-				isHolderTaken: memory.peek(holderKey) !== undefined,
-				fencingNumbers: Object.fromEntries(entries.map(([name, {term, clock}]) =>
-					[name, term !== undefined && clock.monotonic() < term.validUntil ? term.fencingNumber : 0])) as Record<HostName, number>,
-				isOrderAllowed: Object.fromEntries(entries.map(([name, host]) => [name, isOrderAllowedOn(host)])) as Record<HostName, boolean>,
-				executedLeases,
-			};
-		},
+	readonly getView = async (): Promise<ReplayView> => {
+		const {memory} = this.#context;
+		const {a, b} = this.#hosts;
+		return {
+			fencingNumber: Number(memory.peek(fencingKey)?.value ?? 0),
+			isHolderTaken: memory.peek(holderKey) !== undefined,
+			fencingNumbers: {a: a.getFencingNumber(), b: b.getFencingNumber()},
+			isOrderAllowed: {a: a.isOrderAllowed(), b: b.isOrderAllowed()},
+			executedLeases: this.#executedLeases,
+		};
 	};
-};
+
+	async #applyLateWrite(index: number): Promise<void> {
+		const {memory, lateWrites} = this.#context;
+		const [write] = lateWrites.splice(index, 1);
+		await (write === undefined ? undefined : memory.compareAndSwap(write));
+	}
+
+	/** Delivers an order in flight to the engine, and records the lease if the engine executes its first order. */
+	async #deliver(index: number): Promise<void> {
+		const next = this.#ordersInFlight[index];
+		if (next === undefined) {
+			return;
+		}
+
+		const answer = await this.#engine.apply({id: String(next.lease), fencingNumber: next.fencingNumber, order: engineOrder});
+		if (answer.status === 200 && !this.#executedLeases.includes(next.lease)) {
+			this.#executedLeases.push(next.lease);
+		}
+	}
+}
+
+/** Creates two hosts, a key-value service and an engine that follow the events of a trace. */
+export const createReplay = (fencing: FencingSupport): Replay => new TraceReplay(fencing);
