Add a failing test: waiting in the connection pool counts as unreachable

What callers saw: nothing by itself.

The test sends two requests to an upstream through a pool of one connection; the first is answered after a second on the test's clock. Without the marker `test.fails`, on this code:

× a request that waits for a connection of its pool does not make its upstream unreachable expected { kind: 'unreachable', …(1) } to match object { kind: 'answered' }

The first answer closes its connection, so that the fault of connections taken over from others plays no part.

--- a/packages/forwarder/src/send.test.ts
+++ b/packages/forwarder/src/send.test.ts
@@ -2,7 +2,7 @@
 import {
 	createServer, type AddressInfo, type Server, type Socket,
 } from 'node:net';
-import {createSystemClock} from '@gentianlift/clock';
+import {createManualClock, createSystemClock, type Clock} from '@gentianlift/clock';
 import {expect, onTestFinished, test} from 'vitest';
 import type {Protocol} from './protocol.js';
 import {readBody, type Body} from './read-body.js';
@@ -39,14 +39,14 @@
 	return server;
 };
 
-const call = async (server: Server, agent = new UpstreamAgent(), attempt = 'a1'): Promise<SendOutcome> => {
+const call = async (server: Server, agent = new UpstreamAgent(), attempt = 'a1', clock: Clock = createSystemClock()): Promise<SendOutcome> => {
 	const {port} = server.address() as AddressInfo;
 	const {outcome} = send({
 		upstream: {
 			id: 'u', service: 's', address: `127.0.0.1:${port}`, zone: 'z', isLeaving: false, slots: 1, startedAt: 1,
 		},
 		method: 'GET', target: '/', headers: ['Host', 'h'], body: new Uint8Array(), callerRequestId: attempt, headTimeout: 5000,
-	}, {agent, protocol: protocol as Protocol, clock: createSystemClock()});
+	}, {agent, protocol: protocol as Protocol, clock});
 	return outcome;
 };
 
@@ -144,3 +144,42 @@
 	});
 	expect(await call(server)).toMatchObject({kind: 'broken'});
 });
+
+/** Starts a stub upstream that answers each request and closes its connection, the first one only when `answerFirst` is called. */
+const startBusyUpstream = async (): Promise<{server: Server; answerFirst: () => void; countRequests: () => number}> => {
+	let requests = 0;
+	let firstSocket: Socket | undefined;
+	const answerAndClose = (socket: Socket | undefined): void => {
+		socket?.end('HTTP/1.1 200 OK\r\nAttempt: a1\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok');
+	};
+
+	const server = await startUpstream((socket, count) => {
+		requests = count;
+		if (count === 1) {
+			firstSocket = socket;
+		} else {
+			answerAndClose(socket);
+		}
+	});
+	return {
+		server,
+		countRequests: () => requests,
+		answerFirst() {
+			answerAndClose(firstSocket);
+		},
+	};
+};
+
+// Guards against: a healthy upstream is avoided as unreachable because its requests waited for this host's own connections.
+test.fails('a request that waits for a connection of its pool does not make its upstream unreachable', async () => {
+	const clock = createManualClock();
+	const {server, answerFirst, countRequests} = await startBusyUpstream();
+	const agent = new UpstreamAgent({maxSockets: 1});
+	const first = call(server, agent, 'a1', clock);
+	await expect.poll(countRequests).toBe(1);
+	const second = call(server, agent, 'a1', clock);
+	await clock.advance(1000);
+	answerFirst();
+	expect(await readAnswer(await first)).toMatchObject({kind: 'whole'});
+	expect(await second).toMatchObject({kind: 'answered'});
+});
