Don't count waiting in the connection pool as a failure of the upstream

Cause: the timers for the connection and for the head of the answer started with the request, also when it first had to wait for one of the pool's connections. Node tells nothing of a destroyed request that waits, so such a request ended only when a connection became free. An idempotent one whose head timer fired in the pool was recorded as possibly executed and as a failure of the upstream.

Evidence: the new tests on the code before:

× a request that waits for a connection of its pool does not make its upstream unreachable expected { kind: 'unreachable', …(1) } to match object { kind: 'answered' } × a request that gets no connection within its limit is reported as unsent at once Test timed out in 8000ms. × a request that is cancelled while it waits for a connection is reported as unsent at once expected { kind: 'unreachable', …(1) } to deeply equal { kind: 'unsent', reason: 'cancelled' } × the limit for the head of an answer counts from the sending of the request expected 1 to be 2 × a request that gets no connection goes to another upstream, and the busy one is not avoided expected [] to have a length of 1 but got +0

(The second with a time limit of 8 s for a test.) `an upstream with which no connection is established in time is unreachable` passed before too: it guards what stays.

Ruled out: that the upstream was slow to accept. In the tests it accepts at once.

Change: `send` has three phases, `waiting`, `connecting` and `sent`, each with its own limit. A request that gets no connection ends as `unsent`: nothing was sent, nothing is recorded of the upstream, and any kind of request may go elsewhere. It waits for the part of its time that is also the limit for the head of an answer while there is another upstream, else until its deadline.

Why it works: each timer starts when what it measures begins, and the phase alone decides what a failure says about the request and about the upstream.

--- a/packages/forwarder/src/attempt.ts
+++ b/packages/forwarder/src/attempt.ts
@@ -11,10 +11,10 @@
 import type {RequestActivity} from './upstream-tracker.js';
 import type {Assignment} from './request-queue.js';
 
-/** Minimum wait for the head of an answer before an idempotent request, if another execution is allowed, is retried on another upstream. */
-const minHeadTimeout: Milliseconds = 300;
-/** Fraction of the remaining time that an attempt may wait for the head of an answer while another execution is allowed. */
-const headTimeoutFraction = 0.4;
+/** Minimum wait for a connection or for the head of an answer before a request is retried on another upstream. */
+const minAttemptTimeout: Milliseconds = 300;
+/** Fraction of the remaining time that an attempt may wait for the head of an answer while another execution is allowed, or for a connection while there is another upstream. */
+const attemptTimeoutFraction = 0.4;
 /** Silence of an upstream after which a stream that it runs resumes on another one, in addition to the prefill time. */
 const resumeSilence: Milliseconds = 1000;
 /** Prefill rate of the slowest engines, in tokens per millisecond. */
@@ -22,10 +22,20 @@
 /** Interval at which the silence of an upstream is checked. */
 const silenceCheckInterval: Milliseconds = 200;
 
+/** Returns the part of the remaining time after which a request is retried on another upstream. */
+const getAttemptTimeout = (remainingTime: Milliseconds): Milliseconds =>
+	Math.min(remainingTime, Math.max(minAttemptTimeout, remainingTime * attemptTimeoutFraction));
+
 /** Returns the longest wait for the head of an answer; while another execution is allowed, part of the remaining time is left for it. */
 const getHeadTimeout = (call: Call, progress: Progress, remainingTime: Milliseconds): Milliseconds => {
 	const mayRetryElsewhere = call.route.kind === 'idempotent' && progress.possibleExecutions + 1 < call.route.maxUpstreams;
-	return mayRetryElsewhere ? Math.min(remainingTime, Math.max(minHeadTimeout, remainingTime * headTimeoutFraction)) : remainingTime;
+	return mayRetryElsewhere ? getAttemptTimeout(remainingTime) : remainingTime;
+};
+
+/** Returns the longest wait for a connection; while there is another upstream, part of the remaining time is left for it. Nothing has been sent, so this holds for requests of all kinds. */
+const getConnectionWait = (call: Call, progress: Progress, context: ForwarderContext, remainingTime: Milliseconds): Milliseconds => {
+	const hasOtherUpstream = context.view.getUpstreams(call.service).some(upstream => !progress.tried.has(getUpstreamKey(upstream)));
+	return hasOtherUpstream ? getAttemptTimeout(remainingTime) : remainingTime;
 };
 
 /** Builds the request to an upstream; a stream resumes after the last event that was delivered. */
@@ -47,6 +57,7 @@
 		headers,
 		body: call.body,
 		callerRequestId: call.head.callerRequestId,
+		connectionWait: getConnectionWait(call, progress, context, remainingTime),
 		headTimeout: getHeadTimeout(call, progress, remainingTime),
 	};
 };
@@ -109,6 +120,7 @@
 /** Delivers the answer, if there is one, and maps the outcome of the request to that of the attempt. */
 const handleSendOutcome = async (attempt: Attempt, outcome: SendOutcome): Promise<ForwardOutcome> => {
 	switch (outcome.kind) {
+		case 'unsent':
 		case 'unreachable': {
 			return outcome;
 		}
@@ -158,6 +170,10 @@
 			break;
 		}
 
+		case 'unsent': {
+			break;
+		}
+
 		case 'unreachable': {
 			context.tracker.recordUnreachable(upstream, outcome.reason);
 			break;
--- /dev/null
+++ b/packages/forwarder/src/connection-wait.test.ts
@@ -0,0 +1,59 @@
+import type {ServerResponse} from 'node:http';
+import {expect, onTestFinished, test} from 'vitest';
+import {
+	answerOk, createHostStarter, sum, upstreamMark, type AnswerHandler,
+} from './test-deployment.js';
+import {sendRequest, type TestHost} from './testing.js';
+
+const start = createHostStarter(onTestFinished);
+
+/** Size of a fleet in which a host may use `connectionCount` connections to an upstream. */
+const hostCount = 75;
+const connectionCount = 4;
+
+/** Creates an upstream that answers the request `a1` at once, and the others when `release` is called. */
+const createBusyUpstream = (): {answer: AnswerHandler; release: () => void} => {
+	const held: ServerResponse[] = [];
+	return {
+		answer(received, response) {
+			if (received.headers.attempt === 'a1') {
+				answerOk(received, response);
+			} else {
+				held.push(response);
+			}
+		},
+		release() {
+			for (const response of held) {
+				response.writeHead(200, {...upstreamMark, connection: 'close'});
+				response.end();
+			}
+		},
+	};
+};
+
+/** Sends requests that their upstream holds, so that they use all connections to it. */
+const useAllConnections = async (host: TestHost, counts: readonly number[]): Promise<void> => {
+	host.context.countHosts = () => hostCount;
+	for (let count = 0; count < connectionCount; count++) {
+		void sendRequest(host.port, {path: '/book/1', headers: {attempt: `held${count}`}}).catch(() => undefined);
+	}
+
+	await expect.poll(() => sum(counts)).toBe(connectionCount);
+};
+
+// Guards against: a booking waits until its deadline for connections to one upstream while another one is free, and the busy one is avoided.
+test('a request that gets no connection goes to another upstream, and the busy one is not avoided', async () => {
+	const {host, counts} = await start(createBusyUpstream().answer, answerOk);
+	const [busy, free] = host.context.view.getUpstreams('s');
+	host.setUpstreams([busy!]);
+	await useAllConnections(host, counts);
+	host.setUpstreams([busy!, free!]);
+	for (let failures = 0; failures < 4; failures++) {
+		host.context.tracker.recordUnreachable(free!, 'test');
+	}
+
+	expect(await sendRequest(host.port, {path: '/book/1', headers: {attempt: 'a1'}})).toMatchObject({status: 200});
+	expect(counts).toEqual([connectionCount, 1]);
+	expect(host.logLines.filter(line => line.includes('kind=unsent reason=pool-timeout'))).toHaveLength(1);
+	expect(host.logLines.filter(line => line.includes('event=upstream-avoided') && line.includes(busy!.id))).toEqual([]);
+});
--- a/packages/forwarder/src/forward-outcome.ts
+++ b/packages/forwarder/src/forward-outcome.ts
@@ -10,6 +10,8 @@
 export type ForwardOutcome
 	/** The answer was delivered to the caller. */
 	= | {kind: 'delivered'; status: number}
+	/** No connection of this host's pool was free for the request, so nothing was sent; this says nothing about the upstream. */
+		| {kind: 'unsent'; reason: string}
 	/** No connection was established. */
 		| {kind: 'unreachable'; reason: string}
 	/** The upstream states that it has not executed the request. */
--- a/packages/forwarder/src/forward.ts
+++ b/packages/forwarder/src/forward.ts
@@ -106,7 +106,7 @@
 
 	/** Counts an attempt by its outcome. */
 	const countAttempt = (progress: Progress, lastOutcome: ForwardOutcome): void => {
-		progress.attempts += lastOutcome.kind === 'unreachable' ? 0 : 1;
+		progress.attempts += lastOutcome.kind === 'unsent' || lastOutcome.kind === 'unreachable' ? 0 : 1;
 		progress.possibleExecutions += lastOutcome.kind === 'failed' || lastOutcome.kind === 'spoiled' ? 1 : 0;
 	};
 
--- a/packages/forwarder/src/send.test.ts
+++ b/packages/forwarder/src/send.test.ts
@@ -1,12 +1,12 @@
 import {Buffer} from 'node:buffer';
 import {
-	createServer, type AddressInfo, type Server, type Socket,
+	createServer, type AddressInfo, type NetConnectOpts, type Server, type Socket,
 } from 'node:net';
 import {createManualClock, createSystemClock, type Clock} from '@gentianlift/clock';
 import {expect, onTestFinished, test} from 'vitest';
 import type {Protocol} from './protocol.js';
 import {readBody, type Body} from './read-body.js';
-import {send, type SendOutcome} from './send.js';
+import {send, type InFlightRequest, type SendOutcome} from './send.js';
 import {UpstreamAgent} from './upstream-agent.js';
 
 const protocol: Pick<Protocol, 'readAnswerHead'> = {
@@ -39,17 +39,18 @@
 	return server;
 };
 
-const call = async (server: Server, agent = new UpstreamAgent(), attempt = 'a1', clock: Clock = createSystemClock()): Promise<SendOutcome> => {
+const startCall = (server: Server, agent = new UpstreamAgent(), attempt = 'a1', clock: Clock = createSystemClock()): InFlightRequest => {
 	const {port} = server.address() as AddressInfo;
-	const {outcome} = send({
+	return send({
 		upstream: {
 			id: 'u', service: 's', address: `127.0.0.1:${port}`, zone: 'z', isLeaving: false, slots: 1, startedAt: 1,
 		},
-		method: 'GET', target: '/', headers: ['Host', 'h'], body: new Uint8Array(), callerRequestId: attempt, headTimeout: 5000,
+		method: 'GET', target: '/', headers: ['Host', 'h'], body: new Uint8Array(), callerRequestId: attempt, connectionWait: 2000, headTimeout: 5000,
 	}, {agent, protocol: protocol as Protocol, clock});
-	return outcome;
 };
 
+const call = async (...parameters: Parameters<typeof startCall>): Promise<SendOutcome> => startCall(...parameters).outcome;
+
 const readAnswer = async (outcome: SendOutcome): Promise<Body | undefined> =>
 	outcome.kind === 'answered' ? readBody(outcome.answer, 1000) : undefined;
 
@@ -133,7 +134,7 @@
 		upstream: {
 			id: 'u', service: 's', address: `127.0.0.1:${port}`, zone: 'z', isLeaving: false, slots: 1, startedAt: 1,
 		},
-		method: 'GET', target: '/', headers: ['Host', 'h'], body: new Uint8Array(), callerRequestId: 'a1', headTimeout: 5000,
+		method: 'GET', target: '/', headers: ['Host', 'h'], body: new Uint8Array(), callerRequestId: 'a1', connectionWait: 5000, headTimeout: 5000,
 	}, {agent: new UpstreamAgent(), protocol: protocol as Protocol, clock: createSystemClock()});
 	expect(await outcome).toMatchObject({kind: 'unreachable'});
 });
@@ -171,7 +172,7 @@
 };
 
 // Guards against: a healthy upstream is avoided as unreachable because its requests waited for this host's own connections.
-test.fails('a request that waits for a connection of its pool does not make its upstream unreachable', async () => {
+test('a request that waits for a connection of its pool does not make its upstream unreachable', async () => {
 	const clock = createManualClock();
 	const {server, answerFirst, countRequests} = await startBusyUpstream();
 	const agent = new UpstreamAgent({maxSockets: 1});
@@ -183,3 +184,71 @@
 	expect(await readAnswer(await first)).toMatchObject({kind: 'whole'});
 	expect(await second).toMatchObject({kind: 'answered'});
 });
+
+// Guards against: a request that was never sent is reported as possibly executed, or not at all until a connection is free.
+test('a request that gets no connection within its limit is reported as unsent at once', async () => {
+	const clock = createManualClock();
+	const {server, answerFirst, countRequests} = await startBusyUpstream();
+	const agent = new UpstreamAgent({maxSockets: 1});
+	const first = call(server, agent, 'a1', clock);
+	await expect.poll(countRequests).toBe(1);
+	const second = call(server, agent, 'a1', clock);
+	await clock.advance(2000);
+	expect(await second).toEqual({kind: 'unsent', reason: 'pool-timeout'});
+	answerFirst();
+	expect(await readAnswer(await first)).toMatchObject({kind: 'whole'});
+	await waitForClose();
+	expect(countRequests()).toBe(1);
+});
+
+// Guards against: a cancelled request that waits for a connection holds its caller until one is free.
+test('a request that is cancelled while it waits for a connection is reported as unsent at once', async () => {
+	const {server, answerFirst, countRequests} = await startBusyUpstream();
+	const agent = new UpstreamAgent({maxSockets: 1});
+	const first = call(server, agent);
+	await expect.poll(countRequests).toBe(1);
+	const second = startCall(server, agent);
+	second.cancel();
+	expect(await second.outcome).toEqual({kind: 'unsent', reason: 'cancelled'});
+	answerFirst();
+	expect(await readAnswer(await first)).toMatchObject({kind: 'whole'});
+	await waitForClose();
+	expect(countRequests()).toBe(1);
+});
+
+// Guards against: an upstream counts as silent for the time that a request waited for this host's own connections.
+test('the limit for the head of an answer counts from the sending of the request', async () => {
+	const clock = createManualClock();
+	const held: Socket[] = [];
+	const server = await startUpstream(socket => {
+		held.push(socket);
+	});
+	const agent = new UpstreamAgent({maxSockets: 1});
+	const first = call(server, agent, 'a1', clock);
+	await expect.poll(() => held.length).toBe(1);
+	const second = call(server, agent, 'a1', clock);
+	await clock.advance(1900);
+	held[0]?.end('HTTP/1.1 200 OK\r\nAttempt: a1\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok');
+	expect(await readAnswer(await first)).toMatchObject({kind: 'whole'});
+	await expect.poll(() => held.length).toBe(2);
+	await clock.advance(4900);
+	held[1]?.end('HTTP/1.1 200 OK\r\nAttempt: a1\r\nContent-Length: 2\r\n\r\nok');
+	expect(await second).toMatchObject({kind: 'answered'});
+});
+
+/** Connection pool whose connections are never established. */
+class UnconnectedAgent extends UpstreamAgent {
+	override createConnection(options: NetConnectOpts): Socket {
+		return super.createConnection({...options, host: 'upstream.example', lookup: () => undefined});
+	}
+}
+
+// Guards against: an upstream that accepts no connection holds its requests up to the limit for an answer.
+test('an upstream with which no connection is established in time is unreachable', async () => {
+	const clock = createManualClock();
+	const server = await startUpstream(() => undefined);
+	const first = call(server, new UnconnectedAgent(), 'a1', clock);
+	await waitForClose();
+	await clock.advance(400);
+	expect(await first).toEqual({kind: 'unreachable', reason: 'connect-timeout'});
+});
--- a/packages/forwarder/src/send.ts
+++ b/packages/forwarder/src/send.ts
@@ -1,5 +1,5 @@
 import {request, type ClientRequest, type IncomingMessage} from 'node:http';
-import type {Clock} from '@gentianlift/clock';
+import type {Cancel, Clock} from '@gentianlift/clock';
 import type {Upstream} from '@gentianlift/routing';
 import {splitAddress, type Milliseconds} from '@gentianlift/types';
 import type {Incoming} from './incoming.js';
@@ -16,14 +16,18 @@
 	body: Uint8Array;
 	/** Caller's id of the request; an answer that names another one is not accepted. */
 	callerRequestId: string | undefined;
-	/** Longest wait for the head of the answer. */
+	/** Longest wait for one of the pool's connections. */
+	connectionWait: Milliseconds;
+	/** Longest wait for the head of the answer after the request was sent. */
 	headTimeout: Milliseconds;
 };
 
 /** Outcome of a request up to the head of its answer. */
 export type SendOutcome
+	/** The request didn't get one of the pool's connections, so nothing was sent; this says nothing about the upstream. */
+	= | {kind: 'unsent'; reason: string}
 	/** No connection was established, so the upstream has received nothing. */
-	= | {kind: 'unreachable'; reason: string}
+		| {kind: 'unreachable'; reason: string}
 	/** The upstream states that it has not executed the request. */
 		| {kind: 'rejected'; status: number}
 	/** The connection failed or the answer is invalid; the request may have executed. */
@@ -81,54 +85,122 @@
 	return {kind: 'answered', head, answer};
 };
 
-/** Sends a request to an upstream; it counts as unreachable until the connection is established. */
+/** Phase of a request up to the head of its answer; each has its own time limit. */
+type SendPhase
+	/** All connections of the pool are in use by other requests of this host. */
+	= | 'waiting'
+		| 'connecting'
+	/** The request is sent, and may execute. */
+		| 'sent';
+
+/** Returns the outcome of a request that failed in a phase. */
+const getFailure = (phase: SendPhase, reason: string): SendOutcome => {
+	switch (phase) {
+		case 'waiting': {
+			return {kind: 'unsent', reason};
+		}
+
+		case 'connecting': {
+			return {kind: 'unreachable', reason};
+		}
+
+		case 'sent': {
+			return {kind: 'broken', reason};
+		}
+	}
+};
+
+/** Returns the outcome of a request that exceeded the time limit of a phase. */
+const getTimeoutOutcome = (phase: SendPhase): SendOutcome => {
+	switch (phase) {
+		case 'waiting': {
+			return getFailure(phase, 'pool-timeout');
+		}
+
+		case 'connecting': {
+			return getFailure(phase, 'connect-timeout');
+		}
+
+		case 'sent': {
+			return {kind: 'silent'};
+		}
+	}
+};
+
+const createDeferred = <Value>(): {promise: Promise<Value>; resolve: (value: Value) => void} => {
+	let resolve: (value: Value) => void = () => undefined;
+	const promise = new Promise<Value>(resolvePromise => {
+		resolve = resolvePromise;
+	});
+	return {promise, resolve};
+};
+
+/** Calls back when a request gets one of the pool's connections, and when that connection is established. */
+const watchConnection = (clientRequest: ClientRequest, {onConnecting, onConnected}: {onConnecting: () => void; onConnected: () => void}): void => {
+	clientRequest.once('socket', socket => {
+		if (socket.connecting) {
+			onConnecting();
+			socket.once('connect', onConnected);
+		} else {
+			onConnected();
+		}
+	});
+};
+
+/** Sends a request to an upstream as soon as the pool has a connection for it. */
 export const send = (upstreamRequest: UpstreamRequest, {agent, protocol, clock}: SendOptions): InFlightRequest => {
+	const {callerRequestId, connectionWait, headTimeout} = upstreamRequest;
 	const clientRequest = openRequest(upstreamRequest, agent);
-	let isConnected = false;
+	const {promise: outcome, resolve} = createDeferred<SendOutcome>();
+	let phase: SendPhase = 'waiting';
 	let hasFailed = false;
-	const outcome = new Promise<SendOutcome>(resolve => {
-		const cancelConnectTimer = clock.after(connectTimeout, () => {
-			if (!isConnected) {
-				clientRequest.destroy(new Error('connect-timeout'));
-			}
-		});
-		const cancelHeadTimer = clock.after(upstreamRequest.headTimeout, () => {
-			resolve({kind: 'silent'});
+	let cancelTimer: Cancel | undefined;
+
+	const finish = (result: SendOutcome): void => {
+		cancelTimer?.();
+		resolve(result);
+	};
+
+	const enterPhase = (nextPhase: SendPhase, limit: Milliseconds): void => {
+		phase = nextPhase;
+		cancelTimer?.();
+		cancelTimer = clock.after(limit, () => {
+			finish(getTimeoutOutcome(nextPhase));
 			clientRequest.destroy();
 		});
-		const finish = (result: SendOutcome): void => {
-			cancelConnectTimer();
-			cancelHeadTimer();
-			resolve(result);
-		};
-
-		clientRequest.once('socket', socket => {
-			if (socket.connecting) {
-				socket.once('connect', () => {
-					isConnected = true;
-				});
-			} else {
-				isConnected = true;
-			}
-		});
-		clientRequest.once('response', message => {
-			agent.recordAnswer(message.socket, message);
-			const {socket} = message;
-			const answer = {message, hasFailed: () => hasFailed || agent.wasReset(socket)};
-			finish(classifyAnswer(answer, protocol.readAnswerHead(message.statusCode ?? 0, message.rawHeaders), upstreamRequest.callerRequestId));
-		});
-		clientRequest.on('error', error => {
-			hasFailed = true;
-			finish({kind: isConnected ? 'broken' : 'unreachable', reason: getErrorReason(error)});
-		});
-		clientRequest.once('close', () => {
-			finish({kind: isConnected ? 'broken' : 'unreachable', reason: 'closed'});
-		});
+	};
+
+	enterPhase('waiting', connectionWait);
+	watchConnection(clientRequest, {
+		onConnecting() {
+			enterPhase('connecting', connectTimeout);
+		},
+		onConnected() {
+			enterPhase('sent', headTimeout);
+		},
+	});
+	clientRequest.once('response', message => {
+		agent.recordAnswer(message.socket, message);
+		const {socket} = message;
+		const answer = {message, hasFailed: () => hasFailed || agent.wasReset(socket)};
+		finish(classifyAnswer(answer, protocol.readAnswerHead(message.statusCode ?? 0, message.rawHeaders), callerRequestId));
+	});
+	clientRequest.on('error', error => {
+		hasFailed = true;
+		finish(getFailure(phase, getErrorReason(error)));
+	});
+	clientRequest.once('close', () => {
+		finish(getFailure(phase, 'closed'));
 	});
 	clientRequest.end(upstreamRequest.body);
 	return {
 		outcome,
 		cancel() {
+			// Node reports nothing about a destroyed request that waits until a connection is free.
+			if (phase === 'waiting') {
+				finish(getFailure(phase, 'cancelled'));
+			}
+
 			clientRequest.destroy();
 		},
 	};
