Answer a request that was never sent as not executed at its deadline

What callers saw: a 504 for a request that had waited until its deadline for one of its host's connections. It promises nothing, so that a booking must not be repeated although it can't have run.

Cause: at the deadline a request counted as possibly executed as soon as an upstream had been chosen for it, not when it was sent.

Evidence, on the code before:

× a request that waits for a connection until its deadline is answered as not executed expected { Object (status, headers, ...) } to match object { status: 503, headers: { …(1) } } - "status": 503 + "status": 504

Ruled out: that such a request is sent later. The test counts what reaches the upstream after the answer.

Change: an attempt records when it is sent. A deadline is answered with 503 and `not-run` if the attempt in progress wasn't sent and none before may have executed the request. This also holds for a request that upstreams have only rejected or that found none reachable.

Why it works: the callback comes in the same turn in which Node writes the request, so a deadline falls either before it, and then the request is destroyed unsent, or after it.

--- a/packages/forwarder/src/attempt.ts
+++ b/packages/forwarder/src/attempt.ts
@@ -226,7 +226,12 @@
 	// In each of the two connection pools of an upstream, a host uses an equal part of the service's connection limit, less 10 %, but at least 4 connections.
 	const connections = Math.max(4, Math.floor((service?.maxConnections ?? 64) * 0.9 / context.countHosts()));
 	const {outcome, cancel} = send(buildUpstreamRequest(call, progress, upstream, context), {
-		agent: context.tracker.getAgent(upstream, call.route.kind, connections), protocol: context.protocol, clock: context.clock,
+		agent: context.tracker.getAgent(upstream, call.route.kind, connections),
+		protocol: context.protocol,
+		clock: context.clock,
+		onSent() {
+			progress.isSent = true;
+		},
 	});
 	progress.cancel = cancel;
 	const stopWatching = watchForSilence(attempt, candidate.load.unreadTokens + uncachedTokens, cancel);
--- a/packages/forwarder/src/call.ts
+++ b/packages/forwarder/src/call.ts
@@ -35,6 +35,8 @@
 	tried: Set<UpstreamKey>;
 	/** Attempts that may have executed the request. */
 	possibleExecutions: number;
+	/** Whether the attempt in progress was sent, so that it may execute the request. */
+	isSent: boolean;
 	/** Id of the last stream event delivered to the caller. */
 	lastEventId: number | undefined;
 	isCallerGone: boolean;
@@ -72,6 +74,7 @@
 	attempts: 0,
 	tried: new Set(),
 	possibleExecutions: 0,
+	isSent: false,
 	lastEventId: undefined,
 	isCallerGone: false,
 	hasTimedOut: false,
--- a/packages/forwarder/src/connection-wait.test.ts
+++ b/packages/forwarder/src/connection-wait.test.ts
@@ -41,6 +41,8 @@
 	await expect.poll(() => sum(counts)).toBe(connectionCount);
 };
 
+const getRunning = (host: TestHost): number => host.loads.getTotalLoad('u0@1').running;
+
 // Guards against: a booking waits until its deadline for connections to one upstream while another one is free, and the busy one is avoided.
 test('a request that gets no connection goes to another upstream, and the busy one is not avoided', async () => {
 	const {host, counts} = await start(createBusyUpstream().answer, answerOk);
@@ -57,3 +59,16 @@
 	expect(host.logLines.filter(line => line.includes('kind=unsent reason=pool-timeout'))).toHaveLength(1);
 	expect(host.logLines.filter(line => line.includes('event=upstream-avoided') && line.includes(busy!.id))).toEqual([]);
 });
+
+// Guards against: a booking that was never sent ends with a 504, after which its caller must not repeat it.
+test('a request that waits for a connection until its deadline is answered as not executed', async () => {
+	const {answer, release} = createBusyUpstream();
+	const {host, counts} = await start(answer);
+	await useAllConnections(host, counts);
+	const received = await sendRequest(host.port, {path: '/book/1', headers: {attempt: 'a1', timeout: '200'}});
+	expect(received).toMatchObject({status: 503, headers: {'retry-after': '0.500'}});
+	expect(received.body).toContain('"ran":"not-run"');
+	release();
+	await expect.poll(() => getRunning(host)).toBe(0);
+	expect(sum(counts)).toBe(connectionCount);
+});
--- a/packages/forwarder/src/forward.ts
+++ b/packages/forwarder/src/forward.ts
@@ -104,8 +104,9 @@
 		return isAllowed;
 	};
 
-	/** Counts an attempt by its outcome. */
+	/** Counts an attempt that has ended by its outcome. */
 	const countAttempt = (progress: Progress, lastOutcome: ForwardOutcome): void => {
+		progress.isSent = false;
 		progress.attempts += lastOutcome.kind === 'unsent' || lastOutcome.kind === 'unreachable' ? 0 : 1;
 		progress.possibleExecutions += lastOutcome.kind === 'failed' || lastOutcome.kind === 'spoiled' ? 1 : 0;
 	};
@@ -168,8 +169,8 @@
 	/** Answers a call that has reached its deadline, and cancels its queueing or its attempt. */
 	const endOnTimeout = (call: Call, progress: Progress): void => {
 		progress.hasTimedOut = true;
-		const isUnsent = progress.tried.size === 0;
-		answerWithError(call, isUnsent ? {kind: 'deadline-unreachable', retryAfter: retryAfterDelay} : {kind: 'request-timeout', ran: 'unknown'});
+		const isNotExecuted = progress.possibleExecutions === 0 && !progress.isSent;
+		answerWithError(call, isNotExecuted ? {kind: 'deadline-unreachable', retryAfter: retryAfterDelay} : {kind: 'request-timeout', ran: 'unknown'});
 		progress.cancel?.();
 	};
 
--- a/packages/forwarder/src/send.ts
+++ b/packages/forwarder/src/send.ts
@@ -43,8 +43,8 @@
 	cancel: () => void;
 };
 
-/** Dependencies of `send`. */
-export type SendOptions = {agent: UpstreamAgent; protocol: Protocol; clock: Clock};
+/** Dependencies of `send`, and a listener that is called when a connection is established and the request is sent on it. */
+export type SendOptions = {agent: UpstreamAgent; protocol: Protocol; clock: Clock; onSent?: () => void};
 
 /** Longest time to establish a connection within a region. */
 const connectTimeout: Milliseconds = 400;
@@ -148,7 +148,7 @@
 };
 
 /** Sends a request to an upstream as soon as the pool has a connection for it. */
-export const send = (upstreamRequest: UpstreamRequest, {agent, protocol, clock}: SendOptions): InFlightRequest => {
+export const send = (upstreamRequest: UpstreamRequest, {agent, protocol, clock, onSent}: SendOptions): InFlightRequest => {
 	const {callerRequestId, connectionWait, headTimeout} = upstreamRequest;
 	const clientRequest = openRequest(upstreamRequest, agent);
 	const {promise: outcome, resolve} = createDeferred<SendOutcome>();
@@ -177,6 +177,7 @@
 		},
 		onConnected() {
 			enterPhase('sent', headTimeout);
+			onSent?.();
 		},
 	});
 	clientRequest.once('response', message => {
