Don't send a request whose caller has left while it waited for a connection

What callers saw: a booking was executed although its caller had left before the host could send it, as it waited for one of the host's connections.

Cause: an attempt of a non-idempotent call isn't cancelled when its caller leaves, as it can't be repeated. That held also for an attempt that wasn't sent yet.

Evidence, on the code before:

× a request whose caller leaves while it waits for a connection is not sent expected 5 to be 4

Ruled out: queued calls. The queue drops those whose callers have left in its next pass.

Change: an attempt that wasn't sent is cancelled, whatever its kind.

Why it works: a cancelled request that waits in the pool is destroyed, and Node writes nothing of a destroyed request.

--- a/packages/forwarder/src/connection-wait.test.ts
+++ b/packages/forwarder/src/connection-wait.test.ts
@@ -1,4 +1,4 @@
-import type {ServerResponse} from 'node:http';
+import {request, type ServerResponse} from 'node:http';
 import {expect, onTestFinished, test} from 'vitest';
 import {
 	answerOk, createHostStarter, sum, upstreamMark, type AnswerHandler,
@@ -72,3 +72,22 @@
 	await expect.poll(() => getRunning(host)).toBe(0);
 	expect(sum(counts)).toBe(connectionCount);
 });
+
+// Guards against: a booking is executed long after its caller has left, as it still waited for a connection.
+test('a request whose caller leaves while it waits for a connection is not sent', async () => {
+	const {answer, release} = createBusyUpstream();
+	const {host, counts} = await start(answer);
+	await useAllConnections(host, counts);
+	const outgoing = request({
+		port: host.port, host: '127.0.0.1', path: '/book/1', method: 'POST', headers: {attempt: 'a1'},
+	});
+	outgoing.on('error', () => undefined);
+	outgoing.end();
+	await expect.poll(() => getRunning(host)).toBe(connectionCount + 1);
+	outgoing.destroy();
+	await host.context.clock.sleep(50);
+	release();
+	await expect.poll(() => getRunning(host)).toBe(0);
+	expect(sum(counts)).toBe(connectionCount);
+	expect(host.logLines.filter(line => line.includes('request=a1 ') && line.includes('outcome=caller-gone'))).toHaveLength(1);
+});
--- a/packages/forwarder/src/forward.ts
+++ b/packages/forwarder/src/forward.ts
@@ -174,10 +174,10 @@
 		progress.cancel?.();
 	};
 
-	/** Cancels the attempt of a caller that has disconnected. An attempt of a non-idempotent call goes on, as it can't be repeated. */
+	/** Cancels the queueing or the attempt of a caller that has disconnected. An attempt of a non-idempotent call that was sent goes on, as it can't be repeated. */
 	const handleCallerDisconnect = (call: Call, progress: Progress): void => {
 		progress.isCallerGone = true;
-		if (call.mayExecuteAgain || call.route.kind === 'streaming') {
+		if (call.mayExecuteAgain || call.route.kind === 'streaming' || !progress.isSent) {
 			progress.cancel?.();
 		}
 	};
