--- a/packages/forwarder/src/forward.ts
+++ b/packages/forwarder/src/forward.ts
@@ -104,9 +104,10 @@
 		return isAllowed;
 	};
 
-	/** Counts an attempt by its outcome. */
+	/** Counts an attempt that has ended by its outcome. */
 	const countAttempt = (progress: Progress, lastOutcome: ForwardOutcome): void => {
-		progress.attempts += lastOutcome.kind === 'unreachable' ? 0 : 1;
+		progress.isSent = false;
+		progress.attempts += lastOutcome.kind === 'unsent' || lastOutcome.kind === 'unreachable' ? 0 : 1;
 		progress.possibleExecutions += lastOutcome.kind === 'failed' || lastOutcome.kind === 'spoiled' ? 1 : 0;
 	};
 
@@ -168,15 +169,15 @@
 	/** Answers a call that has reached its deadline, and cancels its queueing or its attempt. */
 	const endOnTimeout = (call: Call, progress: Progress): void => {
 		progress.hasTimedOut = true;
-		const isUnsent = progress.tried.size === 0;
-		answerWithError(call, isUnsent ? {kind: 'deadline-unreachable', retryAfter: retryAfterDelay} : {kind: 'request-timeout', ran: 'unknown'});
+		const isNotExecuted = progress.possibleExecutions === 0 && !progress.isSent;
+		answerWithError(call, isNotExecuted ? {kind: 'deadline-unreachable', retryAfter: retryAfterDelay} : {kind: 'request-timeout', ran: 'unknown'});
 		progress.cancel?.();
 	};
 
-	/** Cancels the attempt of a caller that has disconnected. An attempt of a non-idempotent call goes on, as it can't be repeated. */
+	/** Cancels the queueing or the attempt of a caller that has disconnected. An attempt of a non-idempotent call that was sent goes on, as it can't be repeated. */
 	const handleCallerDisconnect = (call: Call, progress: Progress): void => {
 		progress.isCallerGone = true;
-		if (call.mayExecuteAgain || call.route.kind === 'streaming') {
+		if (call.mayExecuteAgain || call.route.kind === 'streaming' || !progress.isSent) {
 			progress.cancel?.();
 		}
 	};
