Measure the age of load reports at their arrival

A report carries the wall-clock time at which it was built, at the end of its tuple; a report without it is accepted as before. gentianlift_report_age tells old reports from new ones, and gentianlift_reports_total{outcome} tells those that are applied from those that are rejected as out of order.

--- a/packages/discovery/src/exchange-reports.ts
+++ b/packages/discovery/src/exchange-reports.ts
@@ -38,6 +38,9 @@
 	close: () => void;
 };
 
+/** Arrival of another host's report: whether it was applied, or ignored as a newer one was known; `age` is undefined for a report that doesn't say when it was built. */
+export type ReportArrival = {outcome: 'applied' | 'out-of-order'; age: Milliseconds | undefined};
+
 /** Options of the exchange. */
 export type ReportExchangeOptions = {
 	/** This host. */
@@ -54,6 +57,8 @@
 	onPrefill: (prefill: Prefill) => void;
 	/** Called after the load of other hosts has changed. */
 	onLoad: () => void;
+	/** Called with the arrival of each report of another host, applied or not, for metrics. */
+	onReport?: (arrival: ReportArrival) => void;
 	/** Called with the changes of the store that a relay has sent. */
 	onChanges: (batch: ChangeBatch) => void;
 };
@@ -111,6 +116,7 @@
 			prefills,
 			crashes: pendingCrashes.map(({crash}) => crash),
 			cleared,
+			builtAt: clock.now(),
 		};
 	};
 
@@ -141,9 +147,20 @@
 		});
 	};
 
+	/** Returns the age of a report; at least 0, as the wall clocks of hosts differ and a new report may seem to come from the future. */
+	const getAge = ({builtAt}: LoadReport): Milliseconds | undefined =>
+		builtAt === undefined ? undefined : Math.max(0, clock.now() - builtAt);
+
+	/** Records the arrival of another host's report in its status; returns false if a newer report of that host is known. */
+	const acceptReport = (report: LoadReport, now: Milliseconds): boolean => {
+		const isAccepted = statuses.apply(report, now);
+		options.onReport?.({outcome: isAccepted ? 'applied' : 'out-of-order', age: getAge(report)});
+		return isAccepted;
+	};
+
 	const applyReport = (report: LoadReport): void => {
 		const now = clock.monotonic();
-		if (report.host === host || !statuses.apply(report, now)) {
+		if (report.host === host || !acceptReport(report, now)) {
 			return;
 		}
 
--- a/packages/discovery/src/join-fleet.ts
+++ b/packages/discovery/src/join-fleet.ts
@@ -4,7 +4,7 @@
 import type {
 	Address, ChangeFeed, Entry, HostId, KeyValueService, Zone,
 } from '@gentianlift/types';
-import {exchangeReports, type LoadReportExchange} from './exchange-reports.js';
+import {exchangeReports, type LoadReportExchange, type ReportArrival} from './exchange-reports.js';
 import {createFleetView, type DecodedEntry, type FleetView} from './fleet-view.js';
 import {followFleet, type FleetFollower} from './follow-fleet.js';
 import {getAvailableHosts, selectHostsForCaller} from './host-list.js';
@@ -49,6 +49,8 @@
 	onLoad: () => void;
 	/** Called with each prompt that another host has sent to an upstream. */
 	onPrefill: (prefill: Prefill) => void;
+	/** Called with the arrival of each report of another host, applied or not, for metrics. */
+	onReport: (arrival: ReportArrival) => void;
 	/** Called with each incarnation of an upstream that is no longer listed. */
 	onRemoved: (upstreamKey: UpstreamKey) => void;
 };
@@ -68,6 +70,7 @@
 		isStoreReached: () => view.isStoreReached() && view.getRevision() > 0,
 		onLoad: options.onLoad,
 		onPrefill: options.onPrefill,
+		onReport: options.onReport,
 		onChanges({after, revision, changes}) {
 			const now = options.clock.monotonic();
 			// A batch that starts after this host's revision would leave a gap; `followFleet` catches up once the revisions in load reports show that this host is behind.
--- a/packages/discovery/src/load-report.ts
+++ b/packages/discovery/src/load-report.ts
@@ -1,5 +1,5 @@
 import type {SuspectedCrash, PromptPart, UpstreamKey} from '@gentianlift/routing';
-import type {HostId, Incarnation} from '@gentianlift/types';
+import type {HostId, Incarnation, Milliseconds} from '@gentianlift/types';
 import type {ReportedLoad} from './load-tracker.js';
 
 /** Prompt that a host has sent to an upstream, so that the upstream holds its parts in the prompt cache. */
@@ -19,6 +19,8 @@
 	crashes: SuspectedCrash[];
 	/** Fingerprints of requests that were suspected of a crash and have since run to completion. */
 	cleared: string[];
+	/** Wall-clock time at which the host built the report; absent in reports of older versions. */
+	builtAt?: Milliseconds;
 };
 
 /** Load report in the form in which it is sent: a tuple, which omits the field names. */
@@ -32,6 +34,7 @@
 	prefills: Array<[upstream: UpstreamKey, model: string, parts: Array<[id: string, tokens: number]>]>,
 	crashes: Array<[fingerprint: string, upstream: UpstreamKey]>,
 	cleared: string[],
+	builtAt?: Milliseconds,
 ];
 
 /** Converts a report into its wire form. */
@@ -45,6 +48,7 @@
 	report.prefills.map(({upstream, model, parts}) => [upstream, model, parts.map(({id, tokens}) => [id, tokens])]),
 	report.crashes.map(({fingerprint, upstream}) => [fingerprint, upstream]),
 	report.cleared,
+	report.builtAt,
 ];
 
 const isPackedLoadReport = (value: unknown): value is PackedLoadReport => {
@@ -65,7 +69,7 @@
 		return undefined;
 	}
 
-	const [host, incarnation, sequence, revision, isStopping, loads, prefills, crashes, cleared] = value;
+	const [host, incarnation, sequence, revision, isStopping, loads, prefills, crashes, cleared, builtAt] = value;
 	return {
 		host,
 		incarnation,
@@ -78,5 +82,6 @@
 		prefills: prefills.map(([upstream, model, parts]) => ({upstream, model, parts: parts.map(([id, tokens]) => ({id, tokens}))})),
 		crashes: crashes.map(([fingerprint, upstream]) => ({fingerprint, upstream})),
 		cleared,
+		builtAt: typeof builtAt === 'number' ? builtAt : undefined,
 	};
 };
--- a/packages/discovery/src/load.test.ts
+++ b/packages/discovery/src/load.test.ts
@@ -46,6 +46,7 @@
 	prefills: [{upstream: 'u@1', model: 'm', parts: [{id: 'p', tokens: 6}]}],
 	crashes: [{fingerprint: 'f', upstream: 'u@1'}],
 	cleared: ['g'],
+	builtAt: 7,
 };
 
 const packet: Packet = {
@@ -56,6 +57,13 @@
 	expect(decodePacket(encodePacket(packet))).toEqual(packet);
 });
 
+test('a report without the time at which it was built is accepted', () => {
+	for (const builtAt of ['', ',null', ',"7"']) {
+		const decoded = decodePacket(`["s",0,[["h",1,2,3,0,[],[],[],[]${builtAt}]],[]]`);
+		expect(decoded?.reports).toMatchObject([{host: 'h', sequence: 2, builtAt: undefined}]);
+	}
+});
+
 test('a malformed packet is rejected', () => {
 	for (const text of ['', '{}', '[]', 'null', '["s",3,[],[]]', '["s",1,[]]', '[1,2]']) {
 		expect(decodePacket(text)).toBeUndefined();
--- /dev/null
+++ b/packages/discovery/src/report-arrival.test.ts
@@ -0,0 +1,94 @@
+import {createSocket, type Socket} from 'node:dgram';
+import process from 'node:process';
+import {createManualClock} from '@gentianlift/clock';
+import {createSilentLogger} from '@gentianlift/logger';
+import {createCrashSuspects} from '@gentianlift/routing';
+import type {Milliseconds} from '@gentianlift/types';
+import {expect, onTestFinished, test} from 'vitest';
+import {exchangeReports, type ReportArrival} from './exchange-reports.js';
+import type {HostRecord} from './host-record.js';
+import type {LoadReport} from './load-report.js';
+import {createLoadTracker} from './load-tracker.js';
+import {encodePacket, forwardScope} from './packet.js';
+
+/** Loopback address derived from the process id, as test processes may run in parallel. */
+const loopback = `127.2.${process.pid % 250}.${1 + (Math.floor(process.pid / 250) % 250)}`;
+const port = 19_900;
+/** Time on the clock of the receiving host. */
+const currentTime: Milliseconds = 1000;
+
+const own: HostRecord = {
+	host: 'own', incarnation: 1, zone: 'a', callers: `${loopback}:1`, peers: `${loopback}:2`, notes: `${loopback}:${port}`, strength: 1, isStopping: false,
+};
+
+/** Starts a host that receives load reports, and returns the list of their arrivals. */
+const startReceiver = (): ReportArrival[] => {
+	const arrivals: ReportArrival[] = [];
+	const exchange = exchangeReports({
+		own,
+		getOthers: () => [],
+		clock: createManualClock(currentTime),
+		logger: createSilentLogger(),
+		loads: createLoadTracker(),
+		suspects: createCrashSuspects(),
+		getRevision: () => 1,
+		isStoreReached: () => false,
+		onPrefill: () => undefined,
+		onLoad: () => undefined,
+		onReport(arrival) {
+			arrivals.push(arrival);
+		},
+		onChanges: () => undefined,
+	});
+	onTestFinished(exchange.close);
+	return arrivals;
+};
+
+const openSender = (): Socket => {
+	const sender = createSocket('udp4');
+	onTestFinished(() => {
+		sender.close();
+	});
+	return sender;
+};
+
+const createReport = (change: Partial<LoadReport>): LoadReport => ({
+	host: 'h', incarnation: 1, sequence: 1, revision: 1, isStopping: false, loads: [], prefills: [], crashes: [], cleared: [], ...change,
+});
+
+const sendReports = (sender: Socket, reports: LoadReport[]): void => {
+	sender.send(encodePacket({
+		sender: 'h', forwardTo: forwardScope.none, reports, batches: [],
+	}), port, loopback);
+};
+
+test('the age of a report is known when it arrives, and is 0 if the clock of its host is ahead', async () => {
+	const arrivals = startReceiver();
+	sendReports(openSender(), [
+		createReport({sequence: 1, builtAt: currentTime - 30}),
+		createReport({sequence: 2, builtAt: currentTime + 5000}),
+		createReport({sequence: 3}),
+	]);
+	await expect.poll(() => arrivals).toEqual([
+		{outcome: 'applied', age: 30},
+		{outcome: 'applied', age: 0},
+		{outcome: 'applied', age: undefined},
+	]);
+});
+
+test('reports that arrive out of order are told apart from those that are applied', async () => {
+	const arrivals = startReceiver();
+	sendReports(openSender(), [
+		createReport({sequence: 2, builtAt: currentTime - 10}),
+		createReport({sequence: 1, builtAt: currentTime - 90}),
+		createReport({sequence: 2}),
+		createReport({host: own.host}),
+		createReport({sequence: 3}),
+	]);
+	await expect.poll(() => arrivals).toEqual([
+		{outcome: 'applied', age: 10},
+		{outcome: 'out-of-order', age: 90},
+		{outcome: 'out-of-order', age: undefined},
+		{outcome: 'applied', age: undefined},
+	]);
+});
--- a/packages/forwarder/src/start-host.ts
+++ b/packages/forwarder/src/start-host.ts
@@ -1,9 +1,9 @@
 import {createRandom, type Clock} from '@gentianlift/clock';
 import {
-	createLoadTracker, createViewServer, joinFleet, type Fleet, type DecodedEntry, type FleetStore, type HostRecord,
+	createLoadTracker, createViewServer, joinFleet, type Fleet, type DecodedEntry, type FleetStore, type HostRecord, type ReportArrival,
 } from '@gentianlift/discovery';
 import type {Logger} from '@gentianlift/logger';
-import {createMetrics} from '@gentianlift/metrics';
+import {createMetrics, type Metrics} from '@gentianlift/metrics';
 import {createCrashSuspects, type RetryLimit} from '@gentianlift/routing';
 import type {
 	Address, Entry, HostId, Milliseconds, Zone,
@@ -85,9 +85,17 @@
 /** State of a graceful shutdown; `since` is undefined until it begins. */
 type Shutdown = {since: Milliseconds | undefined; gracePeriod: Milliseconds};
 
+const recordReportArrival = (metrics: Metrics, {outcome, age}: ReportArrival): void => {
+	metrics.count('reports_total', {outcome});
+	if (age !== undefined) {
+		metrics.record('report_age', age);
+	}
+};
+
 /** Joins the fleet and creates the dependencies that the forwarder's modules share. */
 const createContext = (settings: HostSettings, {clock, logger, store, decode, protocol}: HostDependencies, shutdown: Shutdown, onLoad: () => void): {context: ForwarderContext; fleet: Fleet} => {
 	const random = createRandom(clock.now() % seedRange);
+	const metrics = createMetrics();
 	const loads = createLoadTracker();
 	const tracker = createUpstreamTracker({clock, logger, loads});
 	const suspects = createCrashSuspects();
@@ -107,13 +115,16 @@
 		onPrefill({upstream, model, parts}) {
 			tracker.recordPrefill(upstream, {model, parts});
 		},
+		onReport(arrival) {
+			recordReportArrival(metrics, arrival);
+		},
 		onRemoved: tracker.remove,
 	});
 	const context: ForwarderContext = {
 		clock,
 		random,
 		logger,
-		metrics: createMetrics(),
+		metrics,
 		protocol,
 		zone: settings.zone,
 		view: fleet.view,
