Log how much of an answer a caller got, and the last failure

answer=none|partial|whole in call-ended tells a caller whose stream was cut at the deadline or after a failure from one that got a whole error answer, and a disconnected caller that had a part from one that had nothing. lastFailure names the failure of the last attempt, which no line named for an attempt that can't be continued (kind spoiled).

--- a/packages/forwarder/src/call.ts
+++ b/packages/forwarder/src/call.ts
@@ -5,6 +5,7 @@
 } from '@gentianlift/routing';
 import type {Milliseconds, Rank} from '@gentianlift/types';
 import type {CallerHead} from './protocol.js';
+import type {ReceivedAnswer} from './received-answer.js';
 
 /** An admitted request whose body was read completely. */
 export type Call = {
@@ -38,6 +39,8 @@
 	/** Id of the last stream event delivered to the caller. */
 	lastEventId: number | undefined;
 	isCallerGone: boolean;
+	/** How much of the answer the caller had got when its connection closed; undefined while it is open. */
+	receivedAnswer: ReceivedAnswer | undefined;
 	hasTimedOut: boolean;
 	/** Factors of the last choice of an upstream, as logged. */
 	choice: {waited: Milliseconds; backlog: Milliseconds; running: number; unreadTokens: number; uncachedTokens: number; rereadTokens: number} | undefined;
@@ -74,6 +77,7 @@
 	possibleExecutions: 0,
 	lastEventId: undefined,
 	isCallerGone: false,
+	receivedAnswer: undefined,
 	hasTimedOut: false,
 	choice: undefined,
 	firstBytesAt: undefined,
--- a/packages/forwarder/src/forward.ts
+++ b/packages/forwarder/src/forward.ts
@@ -11,6 +11,7 @@
 import {writeBufferedAnswer} from './deliver-buffered.js';
 import {writeErrorAnswer, type ErrorAnswer} from './error-answer.js';
 import type {ForwarderContext} from './context.js';
+import {getReceivedAnswer} from './received-answer.js';
 import {createRequestQueue} from './request-queue.js';
 
 /** Sends each call to upstreams until one answers or no further attempt is allowed. */
@@ -33,7 +34,15 @@
  * - `timeout`: the deadline passed
  * - `caller-gone`: the caller disconnected
  */
-type CallEnd = {outcome: string; reason?: string};
+type CallEnd = {
+	outcome: string;
+	reason?: string;
+	/** How the last attempt failed, if the call ended for that. */
+	lastFailure?: string;
+};
+
+const getFailureReason = (outcome: ForwardOutcome | undefined): string | undefined =>
+	outcome === undefined || outcome.kind === 'delivered' ? undefined : outcome.reason;
 
 /** Creates a forwarder. */
 export const createForwarder = (context: ForwarderContext): Forwarder => {
@@ -78,7 +87,8 @@
 			return {outcome: 'upstream-failure', reason: lastOutcome.reason};
 		}
 
-		return answerWithError(call, getFinalError(progress, lastOutcome === undefined ? 'no-upstream' : 'upstream-refused'));
+		const end = answerWithError(call, getFinalError(progress, lastOutcome === undefined ? 'no-upstream' : 'upstream-refused'));
+		return {...end, lastFailure: getFailureReason(lastOutcome)};
 	};
 
 	/** Decides whether to try another upstream; while no attempt has reached an upstream, the retry budget isn't charged. */
@@ -176,6 +186,7 @@
 	/** Cancels the attempt of a caller that has disconnected. An attempt of a non-idempotent call goes on, as it can't be repeated. */
 	const handleCallerDisconnect = (call: Call, progress: Progress): void => {
 		progress.isCallerGone = true;
+		progress.receivedAnswer = getReceivedAnswer(call.response);
 		if (call.mayExecuteAgain || call.route.kind === 'streaming') {
 			progress.cancel?.();
 		}
@@ -198,6 +209,8 @@
 			sends: progress.attempts,
 			outcome: end.outcome,
 			reason: end.reason,
+			answer: progress.receivedAnswer ?? getReceivedAnswer(call.response),
+			lastFailure: end.lastFailure,
 			duration: Math.round(duration),
 		});
 	};
