Measure expected and actual times to first token, and the queue's length

gentianlift_expected_first_token{route} and gentianlift_first_token_duration {route} cover the same requests, so that one scrape shows how much of the load of the engines the choices did not know. gentianlift_queue_length and queuedTokens in call-ended tell requests that wait at the hosts from those that wait at the engine. One test route of a lower rank is added, whose requests wait for a busy upstream.

--- a/packages/forwarder/src/attempt.ts
+++ b/packages/forwarder/src/attempt.ts
@@ -52,15 +52,28 @@
 };
 
 /** One attempt to run a call on an upstream. */
-type Attempt = {call: Call; progress: Progress; upstream: Upstream; context: ForwarderContext; load: RequestLoad; activity: RequestActivity; startedAt: Milliseconds};
+type Attempt = {
+	call: Call;
+	progress: Progress;
+	upstream: Upstream;
+	context: ForwarderContext;
+	load: RequestLoad;
+	activity: RequestActivity;
+	startedAt: Milliseconds;
+	/** Time to first token that was expected when the upstream was chosen. */
+	expectedFirstToken: Milliseconds;
+};
 
 /** Records the time to first token: the prefill of this prompt and of those queued before it is complete. */
-const recordFirstToken = ({call, progress, upstream, context, load, startedAt}: Attempt): void => {
+const recordFirstToken = ({call, progress, upstream, context, load, startedAt, expectedFirstToken}: Attempt): void => {
 	const now = context.clock.monotonic();
 	progress.firstBytesAt = now;
 	load.finishPrefill();
 	if (call.head.prompt !== undefined && progress.choice !== undefined) {
 		context.tracker.recordFirstToken(upstream, progress.choice.unreadTokens + progress.choice.uncachedTokens, now - startedAt);
+		// Both are recorded here, so that they cover the same requests.
+		context.metrics.record('first_token_duration', now - startedAt, {route: call.route.name});
+		context.metrics.record('expected_first_token', expectedFirstToken, {route: call.route.name});
 	}
 };
 
@@ -194,12 +207,14 @@
 		backlog: Math.round(candidate.backlog),
 		running: candidate.load.running,
 		unreadTokens: candidate.load.unreadTokens,
+		queuedTokens: candidate.load.queuedTokens,
 		uncachedTokens,
 		rereadTokens: candidate.rereadTokens,
 	};
 	const activity = context.tracker.trackRequest(upstream);
 	const attempt: Attempt = {
 		call, progress, upstream, context, load, activity, startedAt: context.clock.monotonic(),
+		expectedFirstToken: candidate.backlog + (uncachedTokens / candidate.prefillRate),
 	};
 	if (prompt !== undefined) {
 		context.tracker.recordPrefill(key, prompt);
--- a/packages/forwarder/src/call.ts
+++ b/packages/forwarder/src/call.ts
@@ -28,6 +28,19 @@
 	deadline: Milliseconds;
 };
 
+/** Factors of the choice of an upstream, as logged. */
+export type Choice = {
+	/** Time from the arrival of the call to the choice. */
+	waited: Milliseconds;
+	backlog: Milliseconds;
+	running: number;
+	unreadTokens: number;
+	/** Uncached prompt tokens queued for the upstream at this host, as last reported to the others, and at the other hosts. */
+	queuedTokens: number;
+	uncachedTokens: number;
+	rereadTokens: number;
+};
+
 /** State of a call while it is forwarded. */
 export type Progress = {
 	/** Attempts that reached an upstream. */
@@ -42,8 +55,8 @@
 	/** How much of the answer the caller had got when its connection closed; undefined while it is open. */
 	receivedAnswer: ReceivedAnswer | undefined;
 	hasTimedOut: boolean;
-	/** Factors of the last choice of an upstream, as logged. */
-	choice: {waited: Milliseconds; backlog: Milliseconds; running: number; unreadTokens: number; uncachedTokens: number; rereadTokens: number} | undefined;
+	/** Factors of the last choice of an upstream. */
+	choice: Choice | undefined;
 	/** When the last upstream's first and last chunks of a stream arrived. */
 	firstBytesAt: Milliseconds | undefined;
 	lastBytesAt: Milliseconds | undefined;
--- a/packages/forwarder/src/forward.ts
+++ b/packages/forwarder/src/forward.ts
@@ -20,6 +20,8 @@
 	forward: (call: Call) => Promise<void>;
 	/** Rechecks queued calls after the load of upstreams has changed. */
 	onLoadChange: () => void;
+	/** Returns the number of calls that are queued at this host. */
+	getQueueLength: () => number;
 };
 
 /** Retry-After of answers to requests that no upstream could take. */
@@ -217,6 +219,7 @@
 
 	return {
 		onLoadChange: queue.requestDispatch,
+		getQueueLength: queue.getLength,
 		async forward(call) {
 			const progress = createProgress();
 			progress.lastEventId = call.head.lastEventId;
--- a/packages/forwarder/src/start-host.ts
+++ b/packages/forwarder/src/start-host.ts
@@ -164,7 +164,10 @@
 		get addressTtl() {
 			return addressListTtl;
 		},
-		getMetricsPage: context.metrics.renderPrometheusText,
+		getMetricsPage() {
+			context.metrics.setGauge('queue_length', forwarder.getQueueLength());
+			return context.metrics.renderPrometheusText();
+		},
 		reload(next) {
 			shutdown.gracePeriod = next.gracePeriod;
 			addressListTtl = Math.min(next.addressTtl, maxAddressListTtl);
--- a/packages/forwarder/src/test-deployment.ts
+++ b/packages/forwarder/src/test-deployment.ts
@@ -2,7 +2,7 @@
 import {buildConfiguration, buildRoute} from '@gentianlift/routing/testing';
 import {startTestHost, startUpstream, type TestHost} from './testing.js';
 
-/** Configuration with one route of each kind, all to one service. */
+/** Configuration with one route of each kind and one of a lower rank, all to one service. */
 export const configuration = buildConfiguration({
 	routes: [
 		buildRoute({name: 'read', pathPrefix: '/read/', timeout: 1500}),
@@ -15,6 +15,9 @@
 		buildRoute({
 			name: 'once', pathPrefix: '/once/', kind: 'streaming', timeout: 1500,
 		}),
+		buildRoute({
+			name: 'background', pathPrefix: '/background/', kind: 'streaming', rank: 2, timeout: 20_000,
+		}),
 	],
 });
 
--- a/packages/forwarder/src/testing.ts
+++ b/packages/forwarder/src/testing.ts
@@ -9,10 +9,10 @@
 import {createLogger} from '@gentianlift/logger';
 import {createMetrics} from '@gentianlift/metrics';
 import {
-	createCrashSuspects, type RoutingConfiguration, type Upstream,
+	createCrashSuspects, type Prompt, type RoutingConfiguration, type Upstream,
 } from '@gentianlift/routing';
 import {createCrashDetector} from './crash-detector.js';
-import {createForwarder} from './forward.js';
+import {createForwarder, type Forwarder} from './forward.js';
 import type {Protocol, RawHeaders} from './protocol.js';
 import {createCallerServer} from './serve-callers.js';
 import type {ForwarderContext} from './context.js';
@@ -25,6 +25,7 @@
 	/** Lines that the host has logged. */
 	logLines: string[];
 	loads: LoadTracker;
+	forwarder: Forwarder;
 	/** Replaces the upstreams that are listed at the host. */
 	setUpstreams: (upstreams: readonly Upstream[]) => void;
 	setStopping: (isStopping: boolean) => void;
@@ -39,17 +40,22 @@
 	return index === -1 ? undefined : headers[index + 1];
 };
 
-/** Minimal protocol with the headers `attempt`, `instance`, `key`, `timeout`, `last-event`, `not-run` and `signed`. */
+const buildPrompt = (tokens: number): Prompt => ({
+	model: 'm', parts: [{id: 'p', tokens}], inputTokens: tokens, outputTokens: 10,
+});
+
+/** Minimal protocol with the headers `attempt`, `instance`, `key`, `timeout`, `last-event`, `prompt-tokens`, `not-run` and `signed`. */
 const protocol: Protocol = {
 	readCallerHead(headers) {
 		const timeout = getValue(headers, 'timeout');
 		const lastEvent = getValue(headers, 'last-event');
+		const promptTokens = getValue(headers, 'prompt-tokens');
 		return {
 			callerRequestId: getValue(headers, 'attempt'),
 			hostname: 'a.example',
 			key: getValue(headers, 'key'),
 			clientTimeout: timeout === undefined ? undefined : Number(timeout),
-			prompt: undefined,
+			prompt: promptTokens === undefined ? undefined : buildPrompt(Number(promptTokens)),
 			lastEventId: lastEvent === undefined ? undefined : Number(lastEvent),
 			declaresBody: getValue(headers, 'content-length') !== undefined,
 			forwarded: [],
@@ -159,13 +165,15 @@
 		isStopping: () => isStopping,
 		canAccept: () => !isStopping,
 	};
-	const {server} = createCallerServer({context, forwarder: createForwarder(context), refresh});
+	const forwarder = createForwarder(context);
+	const {server} = createCallerServer({context, forwarder, refresh});
 	const port = await listenOnAnyPort(server);
 	return {
 		port,
 		context,
 		logLines,
 		loads,
+		forwarder,
 		setUpstreams(next) {
 			upstreams.clear();
 			for (const upstream of next) {
