--- a/packages/forwarder/src/forward.ts
+++ b/packages/forwarder/src/forward.ts
@@ -11,6 +11,7 @@
 import {writeBufferedAnswer} from './deliver-buffered.js';
 import {writeErrorAnswer, type ErrorAnswer} from './error-answer.js';
 import type {ForwarderContext} from './context.js';
+import {getReceivedAnswer} from './received-answer.js';
 import {createRequestQueue} from './request-queue.js';
 
 /** Sends each call to upstreams until one answers or no further attempt is allowed. */
@@ -19,6 +20,8 @@
 	forward: (call: Call) => Promise<void>;
 	/** Rechecks queued calls after the load of upstreams has changed. */
 	onLoadChange: () => void;
+	/** Returns the number of calls that are queued at this host. */
+	getQueueLength: () => number;
 };
 
 /** Retry-After of answers to requests that no upstream could take. */
@@ -33,7 +36,15 @@
  * - `timeout`: the deadline passed
  * - `caller-gone`: the caller disconnected
  */
-type CallEnd = {outcome: string; reason?: string};
+type CallEnd = {
+	outcome: string;
+	reason?: string;
+	/** How the last attempt failed, if the call ended for that. */
+	lastFailure?: string;
+};
+
+const getFailureReason = (outcome: ForwardOutcome | undefined): string | undefined =>
+	outcome === undefined || outcome.kind === 'delivered' ? undefined : outcome.reason;
 
 /** Creates a forwarder. */
 export const createForwarder = (context: ForwarderContext): Forwarder => {
@@ -78,7 +89,8 @@
 			return {outcome: 'upstream-failure', reason: lastOutcome.reason};
 		}
 
-		return answerWithError(call, getFinalError(progress, lastOutcome === undefined ? 'no-upstream' : 'upstream-refused'));
+		const end = answerWithError(call, getFinalError(progress, lastOutcome === undefined ? 'no-upstream' : 'upstream-refused'));
+		return {...end, lastFailure: getFailureReason(lastOutcome)};
 	};
 
 	/** Decides whether to try another upstream; while no attempt has reached an upstream, the retry budget isn't charged. */
@@ -177,6 +189,7 @@
 	/** Cancels the queueing or the attempt of a caller that has disconnected. An attempt of a non-idempotent call that was sent goes on, as it can't be repeated. */
 	const handleCallerDisconnect = (call: Call, progress: Progress): void => {
 		progress.isCallerGone = true;
+		progress.receivedAnswer = getReceivedAnswer(call.response);
 		if (call.mayExecuteAgain || call.route.kind === 'streaming' || !progress.isSent) {
 			progress.cancel?.();
 		}
@@ -199,12 +212,15 @@
 			sends: progress.attempts,
 			outcome: end.outcome,
 			reason: end.reason,
+			answer: progress.receivedAnswer ?? getReceivedAnswer(call.response),
+			lastFailure: end.lastFailure,
 			duration: Math.round(duration),
 		});
 	};
 
 	return {
 		onLoadChange: queue.requestDispatch,
+		getQueueLength: queue.getLength,
 		async forward(call) {
 			const progress = createProgress();
 			progress.lastEventId = call.head.lastEventId;
