Tell an upstream the time that remains when the request is sent

What callers saw: nothing. An upstream worked on after its caller had been answered, for as long as the request had waited for one of its host's connections.

Cause: the head of a request, with the remaining time, was written before the wait. The limit for the head of the answer was computed then too.

Ruled out: the queue. Its waits are over before an attempt begins.

Change: `send` asks for the headers and the limit when the connection is established, and writes the request then. A header that Node rejects ends the request as `unsent`, as the error would now reach no caller; a test checks it.

Why it works: nothing of a request is fixed before it is sent.

--- a/packages/forwarder/src/attempt.ts
+++ b/packages/forwarder/src/attempt.ts
@@ -6,7 +6,9 @@
 import {deliverBuffered, isServerError} from './deliver-buffered.js';
 import type {RequestLoad} from './request-load.js';
 import {reportCrash} from './report-crash.js';
-import {send, type UpstreamRequest, type SendOutcome} from './send.js';
+import {
+	send, type RequestHead, type UpstreamRequest, type SendOutcome,
+} from './send.js';
 import type {ForwarderContext} from './context.js';
 import type {RequestActivity} from './upstream-tracker.js';
 import type {Assignment} from './request-queue.js';
@@ -38,9 +40,12 @@
 	return hasOtherUpstream ? getAttemptTimeout(remainingTime) : remainingTime;
 };
 
-/** Builds the request to an upstream; a stream resumes after the last event that was delivered. */
-const buildUpstreamRequest = (call: Call, progress: Progress, upstream: Upstream, context: ForwarderContext): UpstreamRequest => {
-	const remainingTime = Math.max(1, Math.floor(call.deadline - context.clock.monotonic()));
+const getRemainingTime = (call: Call, {clock}: ForwarderContext): Milliseconds =>
+	Math.max(1, Math.floor(call.deadline - clock.monotonic()));
+
+/** Builds the head of the request to an upstream; a stream resumes after the last event that was delivered. */
+const buildRequestHead = (call: Call, progress: Progress, upstream: Upstream, context: ForwarderContext): RequestHead => {
+	const remainingTime = getRemainingTime(call, context);
 	const headers = context.protocol.buildUpstreamHeaders({
 		caller: call.head,
 		upstream,
@@ -50,18 +55,19 @@
 		resumeAfter: progress.lastEventId,
 		bodyLength: call.body.length,
 	});
-	return {
-		upstream,
-		method: call.method,
-		target: call.target,
-		headers,
-		body: call.body,
-		callerRequestId: call.head.callerRequestId,
-		connectionWait: getConnectionWait(call, progress, context, remainingTime),
-		headTimeout: getHeadTimeout(call, progress, remainingTime),
-	};
+	return {headers, headTimeout: getHeadTimeout(call, progress, remainingTime)};
 };
 
+const buildUpstreamRequest = (call: Call, progress: Progress, upstream: Upstream, context: ForwarderContext): UpstreamRequest => ({
+	upstream,
+	method: call.method,
+	target: call.target,
+	body: call.body,
+	callerRequestId: call.head.callerRequestId,
+	connectionWait: getConnectionWait(call, progress, context, getRemainingTime(call, context)),
+	buildHead: () => buildRequestHead(call, progress, upstream, context),
+});
+
 /** One attempt to run a call on an upstream. */
 type Attempt = {call: Call; progress: Progress; upstream: Upstream; context: ForwarderContext; load: RequestLoad; activity: RequestActivity; startedAt: Milliseconds};
 
--- a/packages/forwarder/src/connection-wait.test.ts
+++ b/packages/forwarder/src/connection-wait.test.ts
@@ -91,3 +91,20 @@
 	expect(sum(counts)).toBe(connectionCount);
 	expect(host.logLines.filter(line => line.includes('request=a1 ') && line.includes('outcome=caller-gone'))).toHaveLength(1);
 });
+
+// Guards against: an upstream works on for the time that a request waited for a connection, after its caller was answered.
+test('an upstream receives the time that remains after the wait for a connection', async () => {
+	const {answer, release} = createBusyUpstream();
+	let remainingTime = Number.NaN;
+	const {host, counts} = await start((received, response) => {
+		remainingTime = Number(received.headers.timeout);
+		answer(received, response);
+	});
+	await useAllConnections(host, counts);
+	const pending = sendRequest(host.port, {path: '/book/1', headers: {attempt: 'a1', timeout: '1000'}});
+	await expect.poll(() => getRunning(host)).toBe(connectionCount + 1);
+	await host.context.clock.sleep(300);
+	release();
+	expect(await pending).toMatchObject({status: 200});
+	expect(remainingTime).toBeLessThan(750);
+});
--- a/packages/forwarder/src/send.test.ts
+++ b/packages/forwarder/src/send.test.ts
@@ -45,7 +45,7 @@
 		upstream: {
 			id: 'u', service: 's', address: `127.0.0.1:${port}`, zone: 'z', isLeaving: false, slots: 1, startedAt: 1,
 		},
-		method: 'GET', target: '/', headers: ['Host', 'h'], body: new Uint8Array(), callerRequestId: attempt, connectionWait: 2000, headTimeout: 5000,
+		method: 'GET', target: '/', body: new Uint8Array(), callerRequestId: attempt, connectionWait: 2000, buildHead: () => ({headers: ['Host', 'h'], headTimeout: 5000}),
 	}, {agent, protocol: protocol as Protocol, clock});
 };
 
@@ -134,7 +134,7 @@
 		upstream: {
 			id: 'u', service: 's', address: `127.0.0.1:${port}`, zone: 'z', isLeaving: false, slots: 1, startedAt: 1,
 		},
-		method: 'GET', target: '/', headers: ['Host', 'h'], body: new Uint8Array(), callerRequestId: 'a1', connectionWait: 5000, headTimeout: 5000,
+		method: 'GET', target: '/', body: new Uint8Array(), callerRequestId: 'a1', connectionWait: 5000, buildHead: () => ({headers: ['Host', 'h'], headTimeout: 5000}),
 	}, {agent: new UpstreamAgent(), protocol: protocol as Protocol, clock: createSystemClock()});
 	expect(await outcome).toMatchObject({kind: 'unreachable'});
 });
@@ -252,3 +252,16 @@
 	await clock.advance(400);
 	expect(await first).toEqual({kind: 'unreachable', reason: 'connect-timeout'});
 });
+
+// Guards against: the process ends because of a header that Node rejects.
+test('a request with an invalid header is reported as unsent', async () => {
+	const server = await startUpstream(() => undefined);
+	const {port} = server.address() as AddressInfo;
+	const {outcome} = send({
+		upstream: {
+			id: 'u', service: 's', address: `127.0.0.1:${port}`, zone: 'z', isLeaving: false, slots: 1, startedAt: 1,
+		},
+		method: 'GET', target: '/', body: new Uint8Array(), callerRequestId: 'a1', connectionWait: 5000, buildHead: () => ({headers: ['not a name', 'h'], headTimeout: 5000}),
+	}, {agent: new UpstreamAgent(), protocol: protocol as Protocol, clock: createSystemClock()});
+	expect(await outcome).toEqual({kind: 'unsent', reason: 'ERR_INVALID_HTTP_TOKEN'});
+});
--- a/packages/forwarder/src/send.ts
+++ b/packages/forwarder/src/send.ts
@@ -6,20 +6,26 @@
 import type {AnswerHead, Protocol, RawHeaders} from './protocol.js';
 import type {UpstreamAgent} from './upstream-agent.js';
 
+/** The part of a request that depends on the time that remains when it is sent. */
+export type RequestHead = {
+	headers: RawHeaders;
+	/** Longest wait for the head of the answer. */
+	headTimeout: Milliseconds;
+};
+
 /** A request as it is sent to one upstream. */
 export type UpstreamRequest = {
 	upstream: Upstream;
 	method: string;
 	/** Path with query, as the caller sent it. */
 	target: string;
-	headers: RawHeaders;
 	body: Uint8Array;
 	/** Caller's id of the request; an answer that names another one is not accepted. */
 	callerRequestId: string | undefined;
 	/** Longest wait for one of the pool's connections. */
 	connectionWait: Milliseconds;
-	/** Longest wait for the head of the answer after the request was sent. */
-	headTimeout: Milliseconds;
+	/** Called when the request is sent. */
+	buildHead: () => RequestHead;
 };
 
 /** Outcome of a request up to the head of its answer. */
@@ -51,11 +57,20 @@
 
 const getErrorReason = (error: Error & {code?: string}): string => error.code ?? error.message;
 
-const openRequest = ({upstream, method, target, headers}: UpstreamRequest, agent: UpstreamAgent): ClientRequest =>
+const openRequest = ({upstream, method, target}: UpstreamRequest, agent: UpstreamAgent): ClientRequest =>
 	request({
-		...splitAddress(upstream.address), agent, method, path: target, headers: [...headers],
+		...splitAddress(upstream.address), agent, method, path: target, setHost: false,
 	});
 
+/** Writes a request to its connection. Throws before anything is written if a header is invalid. */
+const writeRequest = (clientRequest: ClientRequest, headers: RawHeaders, body: Uint8Array): void => {
+	for (let index = 0; index + 1 < headers.length; index += 2) {
+		clientRequest.appendHeader(headers[index] ?? '', headers[index + 1] ?? '');
+	}
+
+	clientRequest.end(body);
+};
+
 /** Drains an unused answer, so that its connection can be reused. */
 const discard = (message: IncomingMessage): void => {
 	message.on('error', () => undefined);
@@ -149,7 +164,7 @@
 
 /** Sends a request to an upstream as soon as the pool has a connection for it. */
 export const send = (upstreamRequest: UpstreamRequest, {agent, protocol, clock, onSent}: SendOptions): InFlightRequest => {
-	const {callerRequestId, connectionWait, headTimeout} = upstreamRequest;
+	const {callerRequestId, connectionWait, body, buildHead} = upstreamRequest;
 	const clientRequest = openRequest(upstreamRequest, agent);
 	const {promise: outcome, resolve} = createDeferred<SendOutcome>();
 	let phase: SendPhase = 'waiting';
@@ -170,15 +185,26 @@
 		});
 	};
 
+	const sendNow = (): void => {
+		const {headers, headTimeout} = buildHead();
+		try {
+			writeRequest(clientRequest, headers, body);
+		} catch (error) {
+			finish({kind: 'unsent', reason: getErrorReason(error as Error)});
+			clientRequest.destroy();
+			return;
+		}
+
+		enterPhase('sent', headTimeout);
+		onSent?.();
+	};
+
 	enterPhase('waiting', connectionWait);
 	watchConnection(clientRequest, {
 		onConnecting() {
 			enterPhase('connecting', connectTimeout);
 		},
-		onConnected() {
-			enterPhase('sent', headTimeout);
-			onSent?.();
-		},
+		onConnected: sendNow,
 	});
 	clientRequest.once('response', message => {
 		agent.recordAnswer(message.socket, message);
@@ -193,7 +219,6 @@
 	clientRequest.once('close', () => {
 		finish(getFailure(phase, 'closed'));
 	});
-	clientRequest.end(upstreamRequest.body);
 	return {
 		outcome,
 		cancel() {
