Don't count the wait for a connection in the durations of an upstream

Cause: the duration of an answer, which is compared with those of other upstreams, counted from the choice of the upstream and so included the wait for a connection of this host's pool.

Evidence, on the code before (a wait of 100 ms or longer, and then an answer at once):

Change: the duration counts from the sending.

Why it works: the upstream has no part in what lies before. The sample of the prefill rate still counts from the choice, as its number of tokens is that of the choice; this is unchanged.

--- a/packages/forwarder/src/attempt.ts
+++ b/packages/forwarder/src/attempt.ts
@@ -69,7 +69,17 @@
 });
 
 /** One attempt to run a call on an upstream. */
-type Attempt = {call: Call; progress: Progress; upstream: Upstream; context: ForwarderContext; load: RequestLoad; activity: RequestActivity; startedAt: Milliseconds};
+type Attempt = {
+	call: Call;
+	progress: Progress;
+	upstream: Upstream;
+	context: ForwarderContext;
+	load: RequestLoad;
+	activity: RequestActivity;
+	startedAt: Milliseconds;
+	/** When the request was sent; undefined while it waits for a connection. */
+	sentAt: Milliseconds | undefined;
+};
 
 /** Records the time to first token: the prefill of this prompt and of those queued before it is complete. */
 const recordFirstToken = ({call, progress, upstream, context, load, startedAt}: Attempt): void => {
@@ -221,7 +231,7 @@
 	};
 	const activity = context.tracker.trackRequest(upstream);
 	const attempt: Attempt = {
-		call, progress, upstream, context, load, activity, startedAt: context.clock.monotonic(),
+		call, progress, upstream, context, load, activity, startedAt: context.clock.monotonic(), sentAt: undefined,
 	};
 	if (prompt !== undefined) {
 		context.tracker.recordPrefill(key, prompt);
@@ -237,6 +247,7 @@
 		clock: context.clock,
 		onSent() {
 			progress.isSent = true;
+			attempt.sentAt = context.clock.monotonic();
 		},
 	});
 	progress.cancel = cancel;
@@ -247,7 +258,7 @@
 	load.end();
 	const isAbandoned = progress.hasTimedOut || progress.isCallerGone;
 	if (!isAbandoned) {
-		recordOutcome(attempt, attemptOutcome, context.clock.monotonic() - attempt.startedAt);
+		recordOutcome(attempt, attemptOutcome, context.clock.monotonic() - (attempt.sentAt ?? attempt.startedAt));
 	}
 
 	if (!isAbandoned && isConnectionLoss(attemptOutcome)) {
--- a/packages/forwarder/src/connection-wait.test.ts
+++ b/packages/forwarder/src/connection-wait.test.ts
@@ -1,5 +1,7 @@
 import {request, type ServerResponse} from 'node:http';
-import {expect, onTestFinished, test} from 'vitest';
+import {
+	expect, onTestFinished, test, vi,
+} from 'vitest';
 import {
 	answerOk, createHostStarter, sum, upstreamMark, type AnswerHandler,
 } from './test-deployment.js';
@@ -108,3 +110,22 @@
 	expect(await pending).toMatchObject({status: 200});
 	expect(remainingTime).toBeLessThan(750);
 });
+
+// Guards against: an upstream counts as slow for the time that requests waited for this host's own connections.
+test('the duration of a request counts from its sending', async () => {
+	const {answer, release} = createBusyUpstream();
+	const {host, counts} = await start(answer);
+	await useAllConnections(host, counts);
+	const pending = sendRequest(host.port, {path: '/book/1', headers: {attempt: 'a1'}});
+	await expect.poll(() => getRunning(host)).toBe(connectionCount + 1);
+	await host.context.clock.sleep(100);
+	const durations: Array<number | undefined> = [];
+	vi.spyOn(host.context.tracker, 'recordResult').mockImplementation((_upstream, _hasFailed, duration) => {
+		durations.push(duration);
+	});
+	const releasedAt = host.context.clock.monotonic();
+	release();
+	expect(await pending).toMatchObject({status: 200});
+	await expect.poll(() => durations.length).toBe(connectionCount + 1);
+	expect(durations.at(-1)).toBeLessThanOrEqual(host.context.clock.monotonic() - releasedAt);
+});
