End a call to a platform service at its timeout while it waits in the pool

What callers saw: nothing that was traced.

Cause: Node reports nothing about a destroyed request that waits until a connection is free, so the call ended only then.

Evidence, on the code before (with a time limit of 6 s for a test):

× a call that gets no connection within its timeout fails as not sent Test timed out in 6000ms.

Ruled out: that a waiting call is told as possibly executed. It was, and is, `unavailable`.

Change: the timeout ends the call itself, beside destroying the request.

Why it works: the timer doesn't depend on the connection. A late error of the destroyed request has a listener.

--- /dev/null
+++ b/packages/platform/src/json-client.test.ts
@@ -0,0 +1,43 @@
+import {createServer} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {createManualClock} from '@gentianlift/clock';
+import {expect, onTestFinished, test} from 'vitest';
+import {createJsonClient, type JsonClient} from './json-client.js';
+
+/** Connections that a client may have. */
+const connectionCount = 64;
+const timeout = 200;
+
+/** Starts a service that answers no call, and a client of it on a manual clock. */
+const startSilentService = async () => {
+	let calls = 0;
+	const server = createServer(() => {
+		calls += 1;
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const {port} = server.address() as AddressInfo;
+	const clock = createManualClock();
+	const client: JsonClient = createJsonClient({url: `http://127.0.0.1:${port}`, clock, timeout});
+	onTestFinished(() => {
+		client.close();
+		server.close();
+		server.closeAllConnections();
+	});
+	return {client, clock, countCalls: () => calls};
+};
+
+// Guards against: a call outlives its timeout by the time that other calls of this host use all connections.
+test('a call that gets no connection within its timeout fails as not sent', async () => {
+	const {client, clock, countCalls} = await startSilentService();
+	for (let index = 0; index < connectionCount; index++) {
+		void client.call({method: 'GET', path: '/watch', timeoutExtension: 10_000});
+	}
+
+	await expect.poll(countCalls).toBe(connectionCount);
+	const outcome = client.call({method: 'POST', path: '/write', body: {}});
+	await clock.advance(timeout);
+	expect(await outcome).toEqual({kind: 'unavailable', reason: 'timeout'});
+	expect(countCalls()).toBe(connectionCount);
+});
--- a/packages/platform/src/json-client.ts
+++ b/packages/platform/src/json-client.ts
@@ -2,7 +2,7 @@
 import {
 	Agent, request, type ClientRequest, type IncomingMessage,
 } from 'node:http';
-import type {Clock} from '@gentianlift/clock';
+import type {Cancel, Clock} from '@gentianlift/clock';
 import type {Metrics} from '@gentianlift/metrics';
 import type {Milliseconds} from '@gentianlift/types';
 
@@ -94,9 +94,22 @@
 
 const waitForReply = async (outgoing: ClientRequest): Promise<IncomingMessage> => new Promise((resolve, reject) => {
 	outgoing.once('response', resolve);
-	outgoing.once('error', reject);
+	outgoing.on('error', reject);
 });
 
+/** Destroys a request after a timeout, and rejects then: Node reports nothing about a destroyed request that waits until a connection is free. */
+const startTimeout = (outgoing: ClientRequest, clock: Clock, timeout: Milliseconds): {expired: Promise<never>; cancel: Cancel} => {
+	let cancel: Cancel = () => undefined;
+	const expired = new Promise<never>((_resolve, reject) => {
+		cancel = clock.after(timeout, () => {
+			const error = new Error('timeout');
+			outgoing.destroy(error);
+			reject(error);
+		});
+	});
+	return {expired, cancel};
+};
+
 /** Creates a client of a service with a JSON API. */
 export const createJsonClient = ({
 	url, clock, timeout, idleTimeout = timeout, metrics,
@@ -120,11 +133,9 @@
 		const writeProgress: WriteProgress = {isWritten: false};
 		const outgoing = startRequest(call);
 		trackRequestWritten(outgoing, writeProgress);
-		const cancel = clock.after(timeout + (call.timeoutExtension ?? 0), () => {
-			outgoing.destroy(new Error('timeout'));
-		});
+		const {expired, cancel} = startTimeout(outgoing, clock, timeout + (call.timeoutExtension ?? 0));
 		try {
-			const message = await waitForReply(outgoing);
+			const message = await Promise.race([waitForReply(outgoing), expired]);
 			return {kind: 'answered', status: message.statusCode ?? 0, body: parseBody(await readBody(message))};
 		} catch (error) {
 			closeIdleConnections(agent);
