Measure the time that requests wait for a connection to their upstream

gentianlift_connection_wait{service} and connectionWait in call-ended tell a request that waited for one of this host's connections, or for its establishment, from one that waited for the engine. A request that ended before it got a connection counts too.

--- a/packages/forwarder/src/attempt.ts
+++ b/packages/forwarder/src/attempt.ts
@@ -88,6 +88,12 @@
 	}
 };
 
+/** Records how long the request has waited for a connection. */
+const recordConnectionWait = ({call, progress, context, startedAt}: Attempt): void => {
+	progress.connectionWait = context.clock.monotonic() - startedAt;
+	context.metrics.record('connection_wait', progress.connectionWait, {service: call.service});
+};
+
 /** Records the arrival of a chunk of a stream. */
 const recordChunk = (progress: Progress, now: Milliseconds): void => {
 	progress.maxChunkGap = Math.max(progress.maxChunkGap, now - (progress.lastBytesAt ?? now));
@@ -133,7 +139,11 @@
 /** Delivers the answer, if there is one, and maps the outcome of the request to that of the attempt. */
 const handleSendOutcome = async (attempt: Attempt, outcome: SendOutcome): Promise<ForwardOutcome> => {
 	switch (outcome.kind) {
-		case 'unsent':
+		case 'unsent': {
+			recordConnectionWait(attempt);
+			return outcome;
+		}
+
 		case 'unreachable': {
 			return outcome;
 		}
@@ -227,6 +237,7 @@
 		uncachedTokens,
 		rereadTokens: candidate.rereadTokens,
 	};
+	progress.connectionWait = undefined;
 	const activity = context.tracker.trackRequest(upstream);
 	const attempt: Attempt = {
 		call, progress, upstream, context, load, activity, startedAt: context.clock.monotonic(),
@@ -246,6 +257,7 @@
 		clock: context.clock,
 		onSent() {
 			progress.isSent = true;
+			recordConnectionWait(attempt);
 		},
 	});
 	progress.cancel = cancel;
--- a/packages/forwarder/src/call.ts
+++ b/packages/forwarder/src/call.ts
@@ -59,6 +59,8 @@
 	hasTimedOut: boolean;
 	/** Factors of the last choice of an upstream. */
 	choice: Choice | undefined;
+	/** Time that the last attempt waited until one of the pool's connections was free and established, or until it ended without one. */
+	connectionWait: Milliseconds | undefined;
 	/** When the last upstream's first and last chunks of a stream arrived. */
 	firstBytesAt: Milliseconds | undefined;
 	lastBytesAt: Milliseconds | undefined;
@@ -96,6 +98,7 @@
 	receivedAnswer: undefined,
 	hasTimedOut: false,
 	choice: undefined,
+	connectionWait: undefined,
 	firstBytesAt: undefined,
 	lastBytesAt: undefined,
 	maxChunkGap: 0,
--- a/packages/forwarder/src/connection-wait.test.ts
+++ b/packages/forwarder/src/connection-wait.test.ts
@@ -91,3 +91,19 @@
 	expect(sum(counts)).toBe(connectionCount);
 	expect(host.logLines.filter(line => line.includes('request=a1 ') && line.includes('outcome=caller-gone'))).toHaveLength(1);
 });
+
+test('the wait for a connection is recorded and logged, also of a request that gets none', async () => {
+	const {answer, release} = createBusyUpstream();
+	const {host, counts} = await start(answer);
+	await useAllConnections(host, counts);
+	await sendRequest(host.port, {path: '/book/1', headers: {attempt: 'late', timeout: '600'}});
+	const waiting = sendRequest(host.port, {path: '/book/1', headers: {attempt: 'a1', timeout: '1500'}});
+	await expect.poll(() => getRunning(host)).toBe(connectionCount + 1);
+	release();
+	expect(await waiting).toMatchObject({status: 200});
+	const summary = host.context.metrics.getSummary('connection_wait', {service: 's'});
+	expect(summary?.count).toBe(connectionCount + 2);
+	expect(summary?.max).toBeGreaterThanOrEqual(150);
+	await expect.poll(() => host.logLines.find(line => line.includes('event=call-ended request=late '))).toMatch(/connectionWait=(?:1[5-9]|[2-9]\d)\d .*outcome=/v);
+	await expect.poll(() => host.logLines.find(line => line.includes('event=call-ended request=a1 '))).toMatch(/connectionWait=\d+ .*outcome=delivered/v);
+});
--- a/packages/forwarder/src/forward.ts
+++ b/packages/forwarder/src/forward.ts
@@ -207,6 +207,7 @@
 			version: call.version,
 			upstream: [...progress.tried].at(-1),
 			...progress.choice,
+			connectionWait: progress.connectionWait === undefined ? undefined : Math.round(progress.connectionWait),
 			first: progress.firstBytesAt === undefined ? undefined : Math.round(progress.firstBytesAt - call.arrivedAt),
 			pause: progress.lastBytesAt === undefined ? undefined : Math.round(progress.maxChunkGap),
 			sends: progress.attempts,
