--- a/packages/forwarder/src/attempt.ts
+++ b/packages/forwarder/src/attempt.ts
@@ -96,6 +96,12 @@
 	}
 };
 
+/** Records how long the request has waited for a connection. */
+const recordConnectionWait = ({call, progress, context, startedAt}: Attempt): void => {
+	progress.connectionWait = context.clock.monotonic() - startedAt;
+	context.metrics.record('connection_wait', progress.connectionWait, {service: call.service});
+};
+
 /** Records the arrival of a chunk of a stream. */
 const recordChunk = (progress: Progress, now: Milliseconds): void => {
 	progress.maxChunkGap = Math.max(progress.maxChunkGap, now - (progress.lastBytesAt ?? now));
@@ -141,7 +147,11 @@
 /** Delivers the answer, if there is one, and maps the outcome of the request to that of the attempt. */
 const handleSendOutcome = async (attempt: Attempt, outcome: SendOutcome): Promise<ForwardOutcome> => {
 	switch (outcome.kind) {
-		case 'unsent':
+		case 'unsent': {
+			recordConnectionWait(attempt);
+			return outcome;
+		}
+
 		case 'unreachable': {
 			return outcome;
 		}
@@ -235,6 +245,7 @@
 		uncachedTokens,
 		rereadTokens: candidate.rereadTokens,
 	};
+	progress.connectionWait = undefined;
 	const activity = context.tracker.trackRequest(upstream);
 	const attempt: Attempt = {
 		call, progress, upstream, context, load, activity, startedAt: context.clock.monotonic(), sentAt: undefined,
@@ -255,6 +266,7 @@
 		onSent() {
 			progress.isSent = true;
 			attempt.sentAt = context.clock.monotonic();
+			recordConnectionWait(attempt);
 		},
 	});
 	progress.cancel = cancel;
