Keep one type of the availability of an upstream

scheduler and upstream each declared UpstreamAvailability with the same four values; it stands in types now, with the meaning of each value. The constant list of scheduler had no other use and is gone. Types only; behaviour stays.

--- a/packages/router/src/host/upstream-monitor.ts
+++ b/packages/router/src/host/upstream-monitor.ts
@@ -5,10 +5,10 @@
 import type {Group} from '@gentianlift/policy';
 import type {GroupOwner} from '@gentianlift/scheduler';
 import {
-	createUpstreamHealth, type LeavingSource, type UpstreamAvailability, type UpstreamClient, type UpstreamHealth,
+	createUpstreamHealth, type LeavingSource, type UpstreamClient, type UpstreamHealth,
 } from '@gentianlift/upstream';
 import type {
-	HostId, HostList, EngineLoadReport, Milliseconds, Announcement, UpstreamId, UpstreamObservation,
+	HostId, HostList, EngineLoadReport, Milliseconds, Announcement, UpstreamAvailability, UpstreamId, UpstreamObservation,
 } from '@gentianlift/types';
 import type {UpstreamDirectory} from '../upstream-directory.js';
 
--- a/packages/scheduler/src/owner/create-group-owner.ts
+++ b/packages/scheduler/src/owner/create-group-owner.ts
@@ -1,7 +1,7 @@
 import type {Cancel} from '@gentianlift/clock';
 import {getGroups, type Suspects} from '@gentianlift/policy';
 import type {
-	CacheEvent, ConfigurationVersion, GrantResponse, GrantRequest, GroupId, HostId, EngineLoadReport, Milliseconds, UpstreamId, UpstreamObservation,
+	CacheEvent, ConfigurationVersion, GrantResponse, GrantRequest, GroupId, HostId, EngineLoadReport, Milliseconds, UpstreamAvailability, UpstreamId, UpstreamObservation,
 } from '@gentianlift/types';
 import {countMessage} from '../count-message.js';
 import {recordCrash} from './commands/crash.js';
@@ -12,7 +12,7 @@
 import {GroupStates} from './group-states.js';
 import {mergeSuspects} from './queries/merge-suspects.js';
 import {getGroupOverview, type GroupOverview} from './queries/overview.js';
-import type {GroupState, OwnerContext, UpstreamAvailability} from './state.js';
+import type {GroupState, OwnerContext} from './state.js';
 import {createUpstreamRegistry, type UpstreamRegistry} from './upstream-registry.js';
 
 /** Interval between the scheduling passes of an owner over its groups. */
--- a/packages/scheduler/src/owner/group-owner.ts
+++ b/packages/scheduler/src/owner/group-owner.ts
@@ -2,11 +2,11 @@
 import type {Metrics} from '@gentianlift/metrics';
 import type {Suspects} from '@gentianlift/policy';
 import type {
-	CacheEvent, ConfigurationVersion, GrantResponse, GrantRequest, GroupId, HostId, EngineLoadReport, UpstreamId, UpstreamObservation, Zone,
+	CacheEvent, ConfigurationVersion, GrantResponse, GrantRequest, GroupId, HostId, EngineLoadReport, UpstreamAvailability, UpstreamId, UpstreamObservation, Zone,
 } from '@gentianlift/types';
 import type {DecisionSender} from './commands/flush-outbox.js';
 import type {GroupOverview} from './queries/overview.js';
-import type {Mechanism, UpstreamAvailability} from './state.js';
+import type {Mechanism} from './state.js';
 
 /** Options of an owner of groups. */
 export type GroupOwnerOptions = {
--- a/packages/scheduler/src/owner/index.ts
+++ b/packages/scheduler/src/owner/index.ts
@@ -1,5 +1,5 @@
 export {
-	mechanisms, upstreamAvailabilities, type Mechanism, type UpstreamAvailability,
+	mechanisms, type Mechanism,
 } from './state.js';
 export * from './create-group-owner.js';
 export type {GroupOwner, GroupOwnerOptions} from './group-owner.js';
--- a/packages/scheduler/src/owner/queries/overview.ts
+++ b/packages/scheduler/src/owner/queries/overview.ts
@@ -1,7 +1,7 @@
 import type {
-	GroupId, Milliseconds, Rank, UpstreamId,
+	GroupId, Milliseconds, Rank, UpstreamAvailability, UpstreamId,
 } from '@gentianlift/types';
-import type {GroupState, UpstreamAvailability} from '../state.js';
+import type {GroupState} from '../state.js';
 import {getCapacityForecast} from './forecast.js';
 
 /** Numbers of waiting and running tickets of a tier. */
--- a/packages/scheduler/src/owner/state.ts
+++ b/packages/scheduler/src/owner/state.ts
@@ -5,21 +5,10 @@
 	Estimate, FloorDebts, Group, GroupUpstream, FairShares, Suspects, QueuedTicket,
 } from '@gentianlift/policy';
 import type {
-	GrantDecision, HostId, Incarnation, EngineLoadReport, Milliseconds, Rank, RequestId, Tier, UpstreamId, Zone,
+	GrantDecision, HostId, Incarnation, EngineLoadReport, Milliseconds, Rank, RequestId, Tier, UpstreamAvailability, UpstreamId, Zone,
 } from '@gentianlift/types';
 import type {GrantQueue, GrantQueueOptions} from './grant-queue.js';
 
-/**
- * Availabilities of an upstream as this host sees it:
- * - `available`: it gets requests.
- * - `probing`: its ejection has expired, and it gets one request at a time until it counts as available.
- * - `ejected`: it has failed, and gets no requests.
- * - `leaving`: it drains or shuts down, and gets no new requests.
- */
-export const upstreamAvailabilities = ['available', 'probing', 'ejected', 'leaving'] as const;
-/** One of the availabilities above. */
-export type UpstreamAvailability = typeof upstreamAvailabilities[number];
-
 /**
  * Mechanisms that can be switched off, for measurements with one mechanism switched off:
  * - `fairness`: fair sharing among the customers of a tier.
--- a/packages/scheduler/src/owner/upstream-registry.ts
+++ b/packages/scheduler/src/owner/upstream-registry.ts
@@ -1,9 +1,9 @@
 import type {Clock} from '@gentianlift/clock';
 import type {
-	CacheEvent, EngineLoadReport, Milliseconds, UpstreamId,
+	CacheEvent, EngineLoadReport, Milliseconds, UpstreamAvailability, UpstreamId,
 } from '@gentianlift/types';
 import {recordCachedPrefixes} from './commands/entries.js';
-import type {UpstreamAvailability, UpstreamState} from './state.js';
+import type {UpstreamState} from './state.js';
 
 /** Maximum age of a load report whose timestamp is used; otherwise the report counts as taken on arrival. */
 const maxReportLag: Milliseconds = 10_000;
--- a/packages/types/src/engine.ts
+++ b/packages/types/src/engine.ts
@@ -49,6 +49,15 @@
 		| {kind: 'refused'; reason: string}
 		| {kind: 'unknown'; reason: string};
 
+/**
+ * Availability of an upstream as a host sees it:
+ * - `available`: it gets requests.
+ * - `probing`: its ejection has expired, and it gets one request at a time until it counts as available.
+ * - `ejected`: it has failed, and gets no requests.
+ * - `leaving`: it drains or shuts down, and gets no new requests.
+ */
+export type UpstreamAvailability = 'available' | 'probing' | 'ejected' | 'leaving';
+
 /** One observation of an upstream by a host, apart from load reports, such as the end of a request or of a probe. */
 export type UpstreamObservation = {
 	upstream: UpstreamId;
--- a/packages/upstream/src/health/ejection.ts
+++ b/packages/upstream/src/health/ejection.ts
@@ -1,9 +1,6 @@
 import type {Random} from '@gentianlift/clock';
 import type {Milliseconds} from '@gentianlift/types';
 
-/** Health status of an upstream; a `probing` upstream is given one request at a time. */
-export type UpstreamAvailability = 'available' | 'probing' | 'ejected' | 'leaving';
-
 /** State of one upstream between its ejection and its return to full traffic. `level` is the exponent of the next ejection's backoff. */
 export type EjectionState
 	= | {kind: 'available'; since: Milliseconds; level: number}
--- a/packages/upstream/src/health/upstream-health.ts
+++ b/packages/upstream/src/health/upstream-health.ts
@@ -1,8 +1,10 @@
 import type {Clock, Random} from '@gentianlift/clock';
 import type {Metrics} from '@gentianlift/metrics';
-import type {HostId, UpstreamId, UpstreamObservation} from '@gentianlift/types';
+import type {
+	HostId, UpstreamAvailability, UpstreamId, UpstreamObservation,
+} from '@gentianlift/types';
 import {
-	addSuccess, eject, startProbingWhenDue, getTrafficFraction, type EjectionState, type UpstreamAvailability,
+	addSuccess, eject, startProbingWhenDue, getTrafficFraction, type EjectionState,
 } from './ejection.js';
 import {createObservationLog, type ObservationLog, type Verdict} from './observation-log.js';
 import {createLeavingUpstreams, type LeavingSource} from './leaving-upstreams.js';
--- a/packages/upstream/src/index.ts
+++ b/packages/upstream/src/index.ts
@@ -13,5 +13,4 @@
 	getRunState, refusalCodes, type CallFailure, type ErrorResponse, type Refusal, type RefusalCode,
 } from './call-failure.js';
 export {createUpstreamHealth, type UpstreamHealth, type UpstreamHealthOptions} from './health/upstream-health.js';
-export type {UpstreamAvailability} from './health/ejection.js';
 export {leavingSources, type LeavingSource} from './health/leaving-upstreams.js';
