Give four types a name that stands for one thing

Entry was an entry of the key-value service (types) and one of the member table (now MemberEntry); Change was a change of such an entry (types) and a difference between two configurations (now FieldChange); Targets was the latencies that a class expects (types) and the addresses that the command line calls (now Endpoints, with OperatorEndpoint and EndpointFlags; targets.ts -> endpoints.ts, locals follow). Flags, variables, settings and output keep their names.

--- a/packages/cli/src/call-host.ts
+++ b/packages/cli/src/call-host.ts
@@ -2,10 +2,10 @@
 import type {OperatorCall, OperatorOutcome} from './operator-client.js';
 import {createFailure, type Result} from './result.js';
 import {missingOperatorsMessage, type Session} from './session.js';
-import type {OperatorTarget} from './targets.js';
+import type {OperatorEndpoint} from './endpoints.js';
 
 /** Successful answer with the host that gave it, or the result of the command if there is none. */
-export type HostAnswer = {kind: 'answered'; target: OperatorTarget; body: unknown} | {kind: 'failed'; result: Result};
+export type HostAnswer = {kind: 'answered'; endpoint: OperatorEndpoint; body: unknown} | {kind: 'failed'; result: Result};
 
 /** Returns the message of an error answer, or the whole body as JSON if it has none. */
 export const getErrorMessage = (body: unknown): string => {
@@ -17,18 +17,18 @@
 const okStatus = 200;
 const notFoundStatus = 404;
 
-const createRefusal = ({host}: OperatorTarget, status: number, body: unknown): Result =>
+const createRefusal = ({host}: OperatorEndpoint, status: number, body: unknown): Result =>
 	createFailure(exitCodes.failed, `${host} answered ${status}: ${getErrorMessage(body)}`, {host, status});
 
 /** Calls one host. */
-export const callHost = async (session: Session, target: OperatorTarget, call: OperatorCall): Promise<HostAnswer> => {
-	const outcome = await session.call(target, call);
+export const callHost = async (session: Session, endpoint: OperatorEndpoint, call: OperatorCall): Promise<HostAnswer> => {
+	const outcome = await session.call(endpoint, call);
 	if (outcome.kind === 'unreachable') {
-		return {kind: 'failed', result: createFailure(exitCodes.unavailable, `${target.host} can't be reached: ${outcome.reason}`)};
+		return {kind: 'failed', result: createFailure(exitCodes.unavailable, `${endpoint.host} can't be reached: ${outcome.reason}`)};
 	}
 
 	const {status, body} = outcome;
-	return status === okStatus ? {kind: 'answered', target, body} : {kind: 'failed', result: createRefusal(target, status, body)};
+	return status === okStatus ? {kind: 'answered', endpoint, body} : {kind: 'failed', result: createRefusal(endpoint, status, body)};
 };
 
 const isFinal = (outcome: OperatorOutcome): boolean => outcome.kind === 'answered' && outcome.status !== notFoundStatus;
@@ -36,14 +36,14 @@
 /** Calls one host after another until one gives an answer other than 404. If none does, returns the last failure, where a 404 outweighs an unreachable host. */
 export const callAnyHost = async (session: Session, call: OperatorCall): Promise<HostAnswer> => {
 	let answer: HostAnswer = {kind: 'failed', result: createFailure(exitCodes.usage, missingOperatorsMessage)};
-	for (const target of session.operators) {
+	for (const endpoint of session.operators) {
 		// eslint-disable-next-line no-await-in-loop -- The next host is called only if this one has no final answer.
-		const outcome = await session.call(target, call);
+		const outcome = await session.call(endpoint, call);
 		if (outcome.kind === 'answered') {
 			const {status, body} = outcome;
-			answer = status === okStatus ? {kind: 'answered', target, body} : {kind: 'failed', result: createRefusal(target, status, body)};
+			answer = status === okStatus ? {kind: 'answered', endpoint, body} : {kind: 'failed', result: createRefusal(endpoint, status, body)};
 		} else if (answer.kind === 'failed' && answer.result.exitCode !== exitCodes.failed) {
-			answer = {kind: 'failed', result: createFailure(exitCodes.unavailable, `${target.host} can't be reached: ${outcome.reason}`)};
+			answer = {kind: 'failed', result: createFailure(exitCodes.unavailable, `${endpoint.host} can't be reached: ${outcome.reason}`)};
 		}
 
 		if (isFinal(outcome)) {
--- a/packages/cli/src/commands/drain.ts
+++ b/packages/cli/src/commands/drain.ts
@@ -4,12 +4,12 @@
 import type {Session} from '../session.js';
 
 const changeHost = async (session: Session, host: string, path: string, body: unknown): Promise<Result> => {
-	const target = session.operators.find(operator => operator.host === host);
-	if (target === undefined) {
+	const endpoint = session.operators.find(operator => operator.host === host);
+	if (endpoint === undefined) {
 		return createFailure(exitCodes.usage, `${host} is not among the hosts given: ${session.operators.map(operator => operator.host).join(', ')}.`);
 	}
 
-	const answer = await callHost(session, target, {method: 'POST', path, body});
+	const answer = await callHost(session, endpoint, {method: 'POST', path, body});
 	return answer.kind === 'failed' ? answer.result : createSuccess([`${host}: ${path.split('/').at(-1)} accepted.`], {host, answer: answer.body});
 };
 
@@ -26,5 +26,5 @@
 	const answer = await callAnyHost(session, {method: 'POST', path, body: {}});
 	return answer.kind === 'failed'
 		? answer.result
-		: createSuccess([`${upstream}: ${action} accepted by ${answer.target.host}.`], {upstream, host: answer.target.host});
+		: createSuccess([`${upstream}: ${action} accepted by ${answer.endpoint.host}.`], {upstream, host: answer.endpoint.host});
 };
--- a/packages/cli/src/commands/publish.ts
+++ b/packages/cli/src/commands/publish.ts
@@ -1,4 +1,4 @@
-import {formatChange, type Change} from '@gentianlift/config';
+import {formatChange, type FieldChange} from '@gentianlift/config';
 import {
 	publishConfiguration, readCurrentVersion, readVersion, updateHistory, type PublishOutcome,
 } from '@gentianlift/distribution';
@@ -31,7 +31,7 @@
 	};
 };
 
-const reportConflict = ({base, name}: PublishContext, current: ConfigurationVersion | undefined, changes: Change[]): Result => {
+const reportConflict = ({base, name}: PublishContext, current: ConfigurationVersion | undefined, changes: FieldChange[]): Result => {
 	const version = current?.version ?? 0;
 	const author = current === undefined ? '' : ` by ${current.author}`;
 	return {
--- a/packages/cli/src/targets.ts
+++ b/packages/cli/src/endpoints.ts
@@ -5,13 +5,13 @@
 import {z} from 'zod';
 
 /** Operator listener of a host. */
-export type OperatorTarget = {host: HostId; address: Address};
+export type OperatorEndpoint = {host: HostId; address: Address};
 
 /** Addresses of the key-value service and of the hosts' operator listeners. */
-export type Targets = {keyValueUrl?: string; operators: OperatorTarget[]};
+export type Endpoints = {keyValueUrl?: string; operators: OperatorEndpoint[]};
 
-/** Flags that set the targets. Each overrides its environment variable, and both override the settings file. */
-export type TargetFlags = {settings?: string; keyValueUrl?: string; operators?: string};
+/** Flags that set the endpoints. Each overrides its environment variable, and both override the settings file. */
+export type EndpointFlags = {settings?: string; keyValueUrl?: string; operators?: string};
 
 const settingsSchema = z.strictObject({
 	keyValueUrl: z.string().optional(),
@@ -21,7 +21,7 @@
 const getDiagnostics = (error: z.ZodError): Diagnostic[] =>
 	error.issues.map(({path, message}) => ({path: ['$', ...path].join('.'), found: 'another value', expected: message}));
 
-const parseTargets = (text: string): ParseResult<Targets> => {
+const parseEndpoints = (text: string): ParseResult<Endpoints> => {
 	const document = parseJson(text);
 	if (document.kind === 'invalid') {
 		return document;
@@ -32,15 +32,15 @@
 };
 
 /** Parses comma-separated `host=address` pairs; returns undefined if one is malformed. */
-export const parseOperators = (text: string): OperatorTarget[] | undefined => {
+export const parseOperators = (text: string): OperatorEndpoint[] | undefined => {
 	const pairs = text.split(',').filter(pair => pair !== '').map(pair => pair.split('='));
-	const targets = pairs.flatMap(([host, address]) => host === undefined || address === undefined || address === '' ? [] : [{host, address}]);
-	return targets.length === pairs.length ? targets : undefined;
+	const endpoints = pairs.flatMap(([host, address]) => host === undefined || address === undefined || address === '' ? [] : [{host, address}]);
+	return endpoints.length === pairs.length ? endpoints : undefined;
 };
 
-/** Merges the targets of the settings file, the environment variables and the flags. */
-export const mergeTargets = (fileText: string | undefined, flags: TargetFlags, environment: Record<string, string | undefined>): ParseResult<Targets> => {
-	const file: ParseResult<Targets> = fileText === undefined ? {kind: 'valid', value: {operators: []}} : parseTargets(fileText);
+/** Merges the endpoints of the settings file, the environment variables and the flags. */
+export const mergeEndpoints = (fileText: string | undefined, flags: EndpointFlags, environment: Record<string, string | undefined>): ParseResult<Endpoints> => {
+	const file: ParseResult<Endpoints> = fileText === undefined ? {kind: 'valid', value: {operators: []}} : parseEndpoints(fileText);
 	if (file.kind === 'invalid') {
 		return file;
 	}
@@ -51,7 +51,7 @@
 		return {kind: 'invalid', faults: [{path: '--operators', found: operatorList ?? '', expected: 'host=address pairs with commas between them'}]};
 	}
 
-	const targets: Targets = {...file.value, operators};
+	const endpoints: Endpoints = {...file.value, operators};
 	const keyValueUrl = flags.keyValueUrl ?? environment.GENTIANLIFT_KEY_VALUE_URL;
-	return {kind: 'valid', value: keyValueUrl === undefined ? targets : {...targets, keyValueUrl}};
+	return {kind: 'valid', value: keyValueUrl === undefined ? endpoints : {...endpoints, keyValueUrl}};
 };
--- a/packages/cli/src/host-status.ts
+++ b/packages/cli/src/host-status.ts
@@ -1,6 +1,6 @@
 import {z} from 'zod';
 import type {Session} from './session.js';
-import type {OperatorTarget} from './targets.js';
+import type {OperatorEndpoint} from './endpoints.js';
 
 /** Status that a host reports; only `host` and `state` are set if the host gave none. */
 export type HostStatus = {
@@ -28,15 +28,15 @@
 });
 
 /** Reads the status of a host from its operator listener. */
-export const readHostStatus = async ({call}: Session, target: OperatorTarget): Promise<HostStatus> => {
-	const outcome = await call(target, {method: 'GET', path: '/operator/status'});
+export const readHostStatus = async ({call}: Session, endpoint: OperatorEndpoint): Promise<HostStatus> => {
+	const outcome = await call(endpoint, {method: 'GET', path: '/operator/status'});
 	if (outcome.kind === 'unreachable') {
-		return {host: target.host, state: 'unreachable'};
+		return {host: endpoint.host, state: 'unreachable'};
 	}
 
 	const parsed = statusSchema.safeParse(outcome.body);
 	if (!parsed.success) {
-		return {host: target.host, state: `answered ${outcome.status} without a status`};
+		return {host: endpoint.host, state: `answered ${outcome.status} without a status`};
 	}
 
 	const {host, zone, state, ready, configurationVersion, configurationConfirmed, requests, eventLoopLag} = parsed.data;
@@ -47,4 +47,4 @@
 
 /** Reads the status of every host. */
 export const readHostStatuses = async (session: Session): Promise<HostStatus[]> =>
-	Promise.all(session.operators.map(async target => readHostStatus(session, target)));
+	Promise.all(session.operators.map(async endpoint => readHostStatus(session, endpoint)));
--- a/packages/cli/src/operator-client.ts
+++ b/packages/cli/src/operator-client.ts
@@ -1,6 +1,6 @@
 import {request, type IncomingMessage} from 'node:http';
 import type {Milliseconds} from '@gentianlift/types';
-import type {OperatorTarget} from './targets.js';
+import type {OperatorEndpoint} from './endpoints.js';
 
 /** Call to the operator listener of a host. */
 export type OperatorCall = {method: 'GET' | 'POST'; path: string; body?: unknown};
@@ -11,7 +11,7 @@
 		| {kind: 'unreachable'; reason: string};
 
 /** Calls the operator listener of a host; never rejects. */
-export type OperatorClient = (target: OperatorTarget, call: OperatorCall) => Promise<OperatorOutcome>;
+export type OperatorClient = (endpoint: OperatorEndpoint, call: OperatorCall) => Promise<OperatorOutcome>;
 
 const timeout: Milliseconds = 3000;
 
--- a/packages/cli/src/queries/fleet.ts
+++ b/packages/cli/src/queries/fleet.ts
@@ -33,10 +33,10 @@
 	const parsed = z.record(z.string(), z.array(rowSchema)).safeParse(answer.body);
 	const rows = parsed.success ? parsed.data[field] : undefined;
 	if (rows === undefined) {
-		return createFailure(exitCodes.failed, `${answer.target.host} answered without a list of ${field}.`);
+		return createFailure(exitCodes.failed, `${answer.endpoint.host} answered without a list of ${field}.`);
 	}
 
-	return createSuccess([`As ${answer.target.host} sees them:`, ...formatTable(rows, columns)], rows);
+	return createSuccess([`As ${answer.endpoint.host} sees them:`, ...formatTable(rows, columns)], rows);
 };
 
 /** Lists the hosts in the view of the first host that answers. */
--- a/packages/cli/src/session.ts
+++ b/packages/cli/src/session.ts
@@ -5,17 +5,17 @@
 import {exitCodes} from './exit-codes.js';
 import type {OperatorCall, OperatorOutcome} from './operator-client.js';
 import {createFailure, createInvalidFileFailure, type Result} from './result.js';
-import {mergeTargets, type OperatorTarget, type TargetFlags} from './targets.js';
+import {mergeEndpoints, type OperatorEndpoint, type EndpointFlags} from './endpoints.js';
 
 /** Dependencies of a command. */
 export type Session = {
 	clock: Clock;
 	author: string;
 	createToken: () => string;
-	operators: OperatorTarget[];
+	operators: OperatorEndpoint[];
 	/** Undefined if no URL of the key-value service was given. */
 	keyValue?: KeyValueService;
-	call: (target: OperatorTarget, call: OperatorCall) => Promise<OperatorOutcome>;
+	call: (endpoint: OperatorEndpoint, call: OperatorCall) => Promise<OperatorOutcome>;
 	/** Reads a JSON file; returns a failed result if it can't be read or parsed. */
 	readDocument: (file: string) => Promise<{kind: 'read'; document: unknown} | {kind: 'failed'; result: Result}>;
 	close: () => void;
@@ -35,7 +35,7 @@
 };
 
 /** Opens a session from the flags, the environment variables and the settings file. */
-export const openSession = async (environment: Environment, flags: TargetFlags): Promise<ParseResult<Session>> => {
+export const openSession = async (environment: Environment, flags: EndpointFlags): Promise<ParseResult<Session>> => {
 	const {variables, clock, createToken, createKeyValue, callOperator} = environment;
 	const path = flags.settings ?? variables.GENTIANLIFT_SETTINGS;
 	const text = path === undefined ? undefined : await environment.readFile(path);
@@ -43,12 +43,12 @@
 		return {kind: 'invalid', faults: [{path: '--settings', found: path, expected: 'a file that can be read'}]};
 	}
 
-	const targets = mergeTargets(text, flags, variables);
-	if (targets.kind === 'invalid') {
-		return targets;
+	const endpoints = mergeEndpoints(text, flags, variables);
+	if (endpoints.kind === 'invalid') {
+		return endpoints;
 	}
 
-	const {keyValueUrl, operators} = targets.value;
+	const {keyValueUrl, operators} = endpoints.value;
 	const keyValue = keyValueUrl === undefined ? undefined : createKeyValue(keyValueUrl);
 	const session: Session = {
 		clock,
--- a/packages/config/src/difference.ts
+++ b/packages/config/src/difference.ts
@@ -1,7 +1,7 @@
 import {formatFound, formatPath, type Path} from './diagnostic.js';
 
 /** A difference between two documents; a missing value is undefined. */
-export type Change = {
+export type FieldChange = {
 	/** JSON path of the value; list items that have names are identified by their name instead of their index. */
 	path: string;
 	before: unknown;
@@ -37,7 +37,7 @@
 	return isObject(before) && isObject(after) && !Array.isArray(before) && !Array.isArray(after) ? [before, after] : undefined;
 };
 
-const getChanges = (before: unknown, after: unknown, path: Path): Change[] => {
+const getChanges = (before: unknown, after: unknown, path: Path): FieldChange[] => {
 	const parts = getComparableParts(before, after);
 	if (parts === undefined) {
 		return JSON.stringify(before) === JSON.stringify(after) ? [] : [{path: formatPath(path), before, after}];
@@ -49,10 +49,10 @@
 };
 
 /** Returns the differences between two documents; the order of list items that have names is ignored. */
-export const getDifference = (before: unknown, after: unknown): Change[] => getChanges(before, after, []);
+export const getDifference = (before: unknown, after: unknown): FieldChange[] => getChanges(before, after, []);
 
 /** Formats a change as a single line. */
-export const formatChange = ({path, before, after}: Change): string => {
+export const formatChange = ({path, before, after}: FieldChange): string => {
 	if (before === undefined) {
 		return `+ ${path}: ${formatFound(after)}`;
 	}
--- a/packages/distribution/src/publish-state.ts
+++ b/packages/distribution/src/publish-state.ts
@@ -1,4 +1,4 @@
-import {getDifference, type Change} from '@gentianlift/config';
+import {getDifference, type FieldChange} from '@gentianlift/config';
 import type {Configuration, ConfigurationVersion} from '@gentianlift/types';
 
 /** A configuration that an operator submits for acceptance. */
@@ -27,7 +27,7 @@
 		| {kind: 'read-successor'; version: number}
 		| {kind: 'accepted'; version: ConfigurationVersion}
 		| {kind: 'unchanged'; version: ConfigurationVersion}
-		| {kind: 'conflict'; current?: ConfigurationVersion; changes: Change[]};
+		| {kind: 'conflict'; current?: ConfigurationVersion; changes: FieldChange[]};
 
 const getConflictStep = (publication: Publication, current: ConfigurationVersion | undefined): PublishStep => {
 	const changes = getDifference(current?.configuration, publication.configuration);
--- a/packages/distribution/src/publish.ts
+++ b/packages/distribution/src/publish.ts
@@ -1,6 +1,6 @@
 import type {Clock} from '@gentianlift/clock';
 import {
-	parseConfiguration, type Change, type ConfigurationParser, type Diagnostic,
+	parseConfiguration, type FieldChange, type ConfigurationParser, type Diagnostic,
 } from '@gentianlift/config';
 import type {
 	ConfigurationVersion, KeyValueService, Milliseconds, WriteOutcome,
@@ -27,7 +27,7 @@
 export type PublishOutcome
 	= | {kind: 'applied'; version: ConfigurationVersion}
 		| {kind: 'unchanged'; version: ConfigurationVersion}
-		| {kind: 'conflict'; current?: ConfigurationVersion; changes: Change[]}
+		| {kind: 'conflict'; current?: ConfigurationVersion; changes: FieldChange[]}
 		| {kind: 'invalid'; faults: Diagnostic[]}
 		| {kind: 'unavailable'; reason: string}
 		| {kind: 'unknown'; token: string; reason: string};
--- a/packages/membership/src/protocol/piggyback.ts
+++ b/packages/membership/src/protocol/piggyback.ts
@@ -1,5 +1,5 @@
 import type {HostId, Announcement} from '@gentianlift/types';
-import type {Entry, Update} from '../state/entry.js';
+import type {MemberEntry, Update} from '../state/entry.js';
 import {getAnnouncementKey, type AnnouncementStore} from '../state/announcement-store.js';
 import type {DisseminationQueue} from '../state/dissemination-queue.js';
 import type {MemberTable} from '../state/member-table.js';
@@ -72,14 +72,14 @@
 export const takePiggyback = (state: DisseminationState, entryRequests: Set<HostId>): Piggyback => {
 	const {table, announcements, entryQueue, updateQueue, announcementQueue} = state;
 	const limit = getTransmissionLimit(table.getPresentEntries().length);
-	const getItem = (host: HostId): Entry | undefined => table.get(host);
+	const getItem = (host: HostId): MemberEntry | undefined => table.get(host);
 	const updates = takeItems<Update>(updateQueue, {
 		availableBytes: maxDatagramBytes - reservedBytes, limit, getItem, getSize: getUpdateSize,
 	});
 	const takenAnnouncements = takeItems<Announcement>(announcementQueue, {
 		availableBytes: updates.remainingBytes, limit, getItem: key => announcements.get(key), getSize: getAnnouncementSize,
 	});
-	const entries = takeItems<Entry>(entryQueue, {
+	const entries = takeItems<MemberEntry>(entryQueue, {
 		availableBytes: takenAnnouncements.remainingBytes, limit: entryTransmissions, getItem, getSize: getEntrySize,
 	});
 	const included = new Set([...updates.items, ...entries.items].map(({host}) => host));
@@ -94,7 +94,7 @@
 };
 
 /** Splits entries and announcements into as many pages as they need, each small enough for one packet. */
-export const createPages = (entries: Entry[], announcements: Announcement[]): Piggyback[] => {
+export const createPages = (entries: MemberEntry[], announcements: Announcement[]): Piggyback[] => {
 	const pages: Piggyback[] = [];
 	let remainingBytes = 0;
 	const getPageWithRoom = (size: number): Piggyback => {
--- a/packages/membership/src/protocol/view.ts
+++ b/packages/membership/src/protocol/view.ts
@@ -1,6 +1,6 @@
 import type {Clock} from '@gentianlift/clock';
 import type {HostId, Member, Milliseconds} from '@gentianlift/types';
-import {getMember, type Entry, type Update} from '../state/entry.js';
+import {getMember, type MemberEntry, type Update} from '../state/entry.js';
 import {createAnnouncementStore} from '../state/announcement-store.js';
 import {createDisseminationQueue} from '../state/dissemination-queue.js';
 import {createMemberTable, type MergeResult} from '../state/member-table.js';
@@ -18,12 +18,12 @@
 	listedHosts: ListedHosts;
 	/** Hosts whose full entries have to be requested from others, as only an update about them was received. */
 	entryRequests: Set<HostId>;
-	getSelf: () => Entry;
+	getSelf: () => MemberEntry;
 	/** Changes this host's own entry and increments its revision if `isClaim`, its attribute revision otherwise. */
 	updateSelf: (change: Partial<Update>, isClaim: boolean) => void;
 	applyUpdate: (update: Update) => void;
 	/** Applies a full entry; if `isForwarded`, an entry of a new incarnation is queued for dissemination. */
-	applyEntry: (entry: Entry, isForwarded: boolean) => void;
+	applyEntry: (entry: MemberEntry, isForwarded: boolean) => void;
 	getMembers: () => Member[];
 	onChange: (listener: (change: MemberChange) => void) => () => void;
 	/** Runs a change of the listed hosts and notifies listeners of the members whose state it changed. */
@@ -37,7 +37,7 @@
 	before?.state === after.state && before.incarnation === after.incarnation && before.configurationVersion === after.configurationVersion;
 
 /** Creates the view of a host that knows only itself. */
-export const createView = (clock: Clock, self: Entry): View => {
+export const createView = (clock: Clock, self: MemberEntry): View => {
 	const table = createMemberTable(self);
 	const announcements = createAnnouncementStore(clock);
 	const [entryQueue, updateQueue, announcementQueue] = [createDisseminationQueue(), createDisseminationQueue(), createDisseminationQueue()];
@@ -49,8 +49,8 @@
 	let newestVersion = self.configurationVersion;
 	let members: Member[] | undefined;
 
-	const toMember = (entry: Entry): Member => getMember(entry, listedHosts.isLeaving(entry.host, entry.incarnation));
-	const getSelf = (): Entry => table.get(self.host) ?? self;
+	const toMember = (entry: MemberEntry): Member => getMember(entry, listedHosts.isLeaving(entry.host, entry.incarnation));
+	const getSelf = (): MemberEntry => table.get(self.host) ?? self;
 
 	const notifyListeners = (before: Member | undefined, after: Member): void => {
 		members = undefined;
@@ -63,7 +63,7 @@
 		}
 	};
 
-	const queueForDissemination = (before: Entry | undefined, after: Entry, isForwarded: boolean): void => {
+	const queueForDissemination = (before: MemberEntry | undefined, after: MemberEntry, isForwarded: boolean): void => {
 		const isNewVersion = after.configurationVersion > newestVersion;
 		newestVersion = Math.max(newestVersion, after.configurationVersion);
 		if (before?.incarnation !== after.incarnation) {
@@ -77,7 +77,7 @@
 		}
 	};
 
-	const trackSuspicion = ({host, liveness}: Entry): void => {
+	const trackSuspicion = ({host, liveness}: MemberEntry): void => {
 		switch (liveness) {
 			case 'alive': {
 				suspicions.cancel(host);
--- a/packages/membership/src/state/entry.ts
+++ b/packages/membership/src/state/entry.ts
@@ -23,7 +23,7 @@
 };
 
 /** An entry of the member table: the state of a host with its zone and addresses, which are fixed for one incarnation. */
-export type Entry = Update & Pick<Member, 'zone' | 'callerAddress' | 'peerAddress' | 'gossipAddress'>;
+export type MemberEntry = Update & Pick<Member, 'zone' | 'callerAddress' | 'peerAddress' | 'gossipAddress'>;
 
 const getSeverity = (liveness: Liveness): number => livenessStates.indexOf(liveness);
 
@@ -32,7 +32,7 @@
 	next.revision === known.revision ? getSeverity(next.liveness) > getSeverity(known.liveness) : next.revision > known.revision;
 
 /** Merges an update of the same incarnation into an entry. Merging is commutative, so hosts that receive updates in different orders converge. */
-export const mergeUpdate = (known: Entry, next: Update): Entry => {
+export const mergeUpdate = (known: MemberEntry, next: Update): MemberEntry => {
 	const claim = isOverridingClaim(next, known) ? next : known;
 	const attributes = next.attributeRevision > known.attributeRevision ? next : known;
 	return {
@@ -55,7 +55,7 @@
 };
 
 /** Returns the member for an entry; `isLeaving` is whether the host list has the host as leaving. */
-export const getMember = (entry: Entry, isLeaving: boolean): Member => ({
+export const getMember = (entry: MemberEntry, isLeaving: boolean): Member => ({
 	host: entry.host,
 	incarnation: entry.incarnation,
 	zone: entry.zone,
--- a/packages/membership/src/state/member-table.ts
+++ b/packages/membership/src/state/member-table.ts
@@ -1,35 +1,35 @@
 import type {HostId} from '@gentianlift/types';
-import {mergeUpdate, type Entry, type Update} from './entry.js';
+import {mergeUpdate, type MemberEntry, type Update} from './entry.js';
 
 /** Result of applying an update; `unknown` means that the full entry has to be requested. */
 export type MergeResult
-	= | {kind: 'changed'; before: Entry | undefined; after: Entry}
+	= | {kind: 'changed'; before: MemberEntry | undefined; after: MemberEntry}
 		| {kind: 'unchanged'}
 		| {kind: 'unknown'};
 
 /** All hosts known to this one, with what is known of each. */
 export type MemberTable = {
-	get: (host: HostId) => Entry | undefined;
-	getAll: () => Entry[];
+	get: (host: HostId) => MemberEntry | undefined;
+	getAll: () => MemberEntry[];
 	/** Returns the entries of hosts that aren't gone. */
-	getPresentEntries: () => Entry[];
+	getPresentEntries: () => MemberEntry[];
 	applyUpdate: (update: Update) => MergeResult;
-	applyEntry: (entry: Entry) => MergeResult;
+	applyEntry: (entry: MemberEntry) => MergeResult;
 	remove: (host: HostId) => void;
 	/** Returns up to `count` entries, round-robin, so that repeated calls cover the whole table. */
-	getNextEntries: (count: number) => Entry[];
+	getNextEntries: (count: number) => MemberEntry[];
 };
 
-const isUnchanged = (before: Entry, after: Entry): boolean =>
+const isUnchanged = (before: MemberEntry, after: MemberEntry): boolean =>
 	before.revision === after.revision && before.liveness === after.liveness && before.attributeRevision === after.attributeRevision;
 
 /** Creates a table that contains only this host. */
-export const createMemberTable = (self: Entry): MemberTable => {
-	const entries = new Map<HostId, Entry>([[self.host, self]]);
+export const createMemberTable = (self: MemberEntry): MemberTable => {
+	const entries = new Map<HostId, MemberEntry>([[self.host, self]]);
 	let order: HostId[] = [self.host];
 	let position = 0;
 
-	const set = (before: Entry | undefined, after: Entry): MergeResult => {
+	const set = (before: MemberEntry | undefined, after: MemberEntry): MergeResult => {
 		if (before === undefined) {
 			order.push(after.host);
 		}
@@ -70,7 +70,7 @@
 			order = order.filter(other => other !== host);
 		},
 		getNextEntries(count) {
-			const chosen: Entry[] = [];
+			const chosen: MemberEntry[] = [];
 			for (let step = 0; step < Math.min(count, order.length); step++) {
 				position = (position + 1) % order.length;
 				const entry = entries.get(order[position] ?? '');
--- a/packages/membership/src/wire/codec.ts
+++ b/packages/membership/src/wire/codec.ts
@@ -1,6 +1,6 @@
 import {decode, encode} from '@msgpack/msgpack';
 import {announcementTopics, type HostId, type Announcement} from '@gentianlift/types';
-import {livenessStates, type Entry, type Update} from '../state/entry.js';
+import {livenessStates, type MemberEntry, type Update} from '../state/entry.js';
 import type {Message, Packet} from './packet.js';
 
 type PackedUpdate = [host: HostId, incarnation: number, revision: number, state: number, attributeRevision: number, version: number, load: number];
@@ -28,7 +28,7 @@
 	Math.round(update.load * loadSteps),
 ];
 
-const packEntry = (entry: Entry): PackedEntry => [
+const packEntry = (entry: MemberEntry): PackedEntry => [
 	...packUpdate(entry), entry.zone, entry.callerAddress, entry.peerAddress, entry.gossipAddress,
 ];
 
@@ -64,7 +64,7 @@
 	};
 };
 
-const unpackEntry = (fields: PackedEntry): Entry => {
+const unpackEntry = (fields: PackedEntry): MemberEntry => {
 	const [zone, callerAddress, peerAddress, gossipAddress] = fields.slice(7) as [string, string, string, string];
 	return {
 		...unpackUpdate(fields.slice(0, 7) as PackedUpdate), zone, callerAddress, peerAddress, gossipAddress,
@@ -140,7 +140,7 @@
 export const getUpdateSize = (update: Update): number => encode(packUpdate(update)).length;
 
 /** Returns the encoded size of an entry, in bytes. */
-export const getEntrySize = (entry: Entry): number => encode(packEntry(entry)).length;
+export const getEntrySize = (entry: MemberEntry): number => encode(packEntry(entry)).length;
 
 /** Returns the encoded size of an announcement, in bytes. */
 export const getAnnouncementSize = (announcement: Announcement): number => encode(packAnnouncement(announcement)).length;
--- a/packages/membership/src/wire/packet.ts
+++ b/packages/membership/src/wire/packet.ts
@@ -1,5 +1,5 @@
 import type {HostId, Announcement} from '@gentianlift/types';
-import type {Entry, Update} from '../state/entry.js';
+import type {MemberEntry, Update} from '../state/entry.js';
 
 /** The protocol message that a packet carries. */
 export type Message
@@ -26,7 +26,7 @@
 	presentCount: number;
 	message: Message;
 	updates: Update[];
-	entries: Entry[];
+	entries: MemberEntry[];
 	/** Hosts whose full entries the sender requests. */
 	entryRequests: HostId[];
 	announcements: Announcement[];
