--- a/packages/claims/src/commands/claim-client.test.ts
+++ b/packages/claims/src/commands/claim-client.test.ts
@@ -1,7 +1,7 @@
 import {expect, test} from 'vitest';
 import {createManualClock, createRandom} from '@gentianlift/clock';
 import {createMetrics} from '@gentianlift/metrics';
-import {createMemoryKeyValue} from '@gentianlift/platform';
+import {createMemoryKeyValue, noWriteFaults} from '@gentianlift/platform';
 import type {ClaimRequest, PeerCalls} from '@gentianlift/types';
 import {
 	appendSlotToRequestId, createClaimClient, createClaimStore, claimLimits,
@@ -90,17 +90,9 @@
 
 test('a withdrawn request never starts and frees its key', async () => {
 	const {a, b, keyValue, runUntilSettled, clock} = createFleet();
-	keyValue.setFaults({
-		probabilities: {
-			'lost-reply': 0, late: 0, dropped: 1, refused: 0,
-		},
-	});
+	keyValue.setFaults({probabilities: {...noWriteFaults, dropped: 1}});
 	expect(await runUntilSettled(a.claim(createRequest('a', 1)))).toMatchObject({kind: 'unavailable', undetermined: true});
-	keyValue.setFaults({
-		probabilities: {
-			'lost-reply': 0, late: 0, dropped: 0, refused: 0,
-		},
-	});
+	keyValue.setFaults({probabilities: noWriteFaults});
 	await clock.advance(20_000);
 	expect(await runUntilSettled(a.claim(createRequest('a', 1)))).toMatchObject({kind: 'unavailable'});
 	expect(await runUntilSettled(b.claim(createRequest('b', 1)))).toMatchObject({kind: 'start'});
@@ -168,17 +160,9 @@
 	const {a, b, keyValue, runUntilSettled} = createFleet(() => owner);
 	const {key} = createRequest('a', 1);
 	owner = 'b';
-	keyValue.setFaults({
-		probabilities: {
-			'lost-reply': 0, late: 0, dropped: 0, refused: 1,
-		},
-	});
+	keyValue.setFaults({probabilities: {...noWriteFaults, refused: 1}});
 	expect(await runUntilSettled(b.claim(createRequest('b', 1)))).toMatchObject({kind: 'unavailable', undetermined: false});
-	keyValue.setFaults({
-		probabilities: {
-			'lost-reply': 0, late: 0, dropped: 0, refused: 0,
-		},
-	});
+	keyValue.setFaults({probabilities: noWriteFaults});
 	owner = 'a';
 	expect(await runUntilSettled(a.claim(createRequest('a', 1)))).toMatchObject({kind: 'start'});
 	owner = 'b';
--- a/packages/cli/src/run.test.ts
+++ b/packages/cli/src/run.test.ts
@@ -1,5 +1,6 @@
 import {readFileSync} from 'node:fs';
 import {createManualClock} from '@gentianlift/clock';
+import {noWriteFaults} from '@gentianlift/platform';
 import type {Configuration} from '@gentianlift/types';
 import {expect, test} from 'vitest';
 import {createFakeEnvironment} from './fake-environment.js';
@@ -93,11 +94,7 @@
 	const {environment, run} = createShell();
 	environment.service.setFaults({outage: true});
 	expect(await run('config publish kopi.json')).toMatchObject({exitCode: exitCodes.unavailable, errors: expect.stringContaining('Not published') as string});
-	environment.service.setFaults({
-		outage: false, probabilities: {
-			dropped: 1, late: 0, refused: 0, 'lost-reply': 0,
-		},
-	});
+	environment.service.setFaults({outage: false, probabilities: {...noWriteFaults, dropped: 1}});
 	expect(await run('config publish kopi.json')).toMatchObject({exitCode: exitCodes.unavailable, errors: expect.stringContaining('Unknown') as string});
 });
 
--- a/packages/distribution/src/publish.test.ts
+++ b/packages/distribution/src/publish.test.ts
@@ -1,6 +1,6 @@
 import {createManualClock, createRandom} from '@gentianlift/clock';
 import type {ParseResult} from '@gentianlift/config';
-import {createMemoryKeyValue} from '@gentianlift/platform';
+import {createMemoryKeyValue, noWriteFaults} from '@gentianlift/platform';
 import type {Configuration, ConfigurationVersion} from '@gentianlift/types';
 import fc from 'fast-check';
 import {expect, test} from 'vitest';
@@ -104,11 +104,7 @@
 	const {service, publishAndWait} = createService();
 	service.setFaults({outage: true});
 	expect(await publishAndWait('a', 0)).toEqual({kind: 'unavailable', reason: 'outage'});
-	service.setFaults({
-		outage: false, probabilities: {
-			'lost-reply': 0, late: 0, dropped: 1, refused: 0,
-		},
-	});
+	service.setFaults({outage: false, probabilities: {...noWriteFaults, dropped: 1}});
 	expect(await publishAndWait('a', 0)).toEqual({kind: 'unknown', token: 'token-2', reason: 'dropped'});
 });
 
--- a/packages/platform/src/memory-key-value/faults.ts
+++ b/packages/platform/src/memory-key-value/faults.ts
@@ -19,13 +19,16 @@
 	maxLateDelay: Milliseconds;
 };
 
+/** Probabilities with which no write has a fault. */
+export const noWriteFaults: Readonly<Record<WriteFault, number>> = {
+	'lost-reply': 0, late: 0, dropped: 0, refused: 0,
+};
+
 /** Faults of a new service. */
 export const noFaults: MemoryFaults = {
 	outage: false,
 	latency: 0,
-	probabilities: {
-		'lost-reply': 0, late: 0, dropped: 0, refused: 0,
-	},
+	probabilities: noWriteFaults,
 	maxLateDelay: 1000,
 };
 
--- a/packages/platform/src/memory-key-value/index.ts
+++ b/packages/platform/src/memory-key-value/index.ts
@@ -1,4 +1,6 @@
-export {writeFaults, type MemoryFaults, type WriteFault} from './faults.js';
+export {
+	noWriteFaults, writeFaults, type MemoryFaults, type WriteFault,
+} from './faults.js';
 export type {CallCounts} from './calls.js';
 export type {AppliedWrite} from './entries.js';
 export * from './create-memory-key-value.js';
