--- /dev/null
+++ b/packages/forwarder/src/simulated-host.ts
@@ -0,0 +1,128 @@
+import type {ServerResponse} from 'node:http';
+import {createManualClock, createRandom, type ManualClock} from '@gentianlift/clock';
+import {
+	createFleetView, createLoadTracker, type LoadTracker, type LoadReportExchange,
+} from '@gentianlift/discovery';
+import {createLogger} from '@gentianlift/logger';
+import {createMetrics, type Metrics} from '@gentianlift/metrics';
+import {
+	createCrashSuspects, type Route, type RoutingConfiguration, type Upstream,
+} from '@gentianlift/routing';
+import type {Milliseconds} from '@gentianlift/types';
+import {createCall, type Call} from './call.js';
+import {createForwarder} from './forward.js';
+import type {ForwarderContext} from './context.js';
+import {createUpstreamTracker} from './upstream-tracker.js';
+
+/** A host on a simulated clock, for tests of calls that wait in its queue. */
+export type SimulatedHost = {
+	clock: ManualClock;
+	context: ForwarderContext;
+	loads: LoadTracker;
+	metrics: Metrics;
+	/** Lines that the host has logged. */
+	logLines: string[];
+	/** Sends a request as a caller; the returned answer is filled in when the host writes it. */
+	send: (request: SimulatedRequest) => SimulatedAnswer;
+};
+
+/** A request with a prompt of one part; `clientTimeout` is how long its caller waits for the final answer. */
+export type SimulatedRequest = {route: Route; name: string; tokens: number; clientTimeout?: Milliseconds};
+
+/** An answer of the host; without a status until it is written. */
+export type SimulatedAnswer = {status?: number; retryAfter?: Milliseconds; body: string; answeredAt?: Milliseconds};
+
+const millisecondsPerSecond = 1000;
+
+/** Creates a response that records what is written to it. */
+const createResponse = (clock: ManualClock, answer: SimulatedAnswer): ServerResponse => {
+	const response = {
+		headersSent: false,
+		writableFinished: false,
+		once: () => undefined,
+		writeHead(status: number, headers: string[]) {
+			const retryAfter = headers[headers.indexOf('Retry-After') + 1];
+			response.headersSent = true;
+			answer.status = status;
+			answer.answeredAt = clock.monotonic();
+			if (headers.includes('Retry-After')) {
+				answer.retryAfter = Number(retryAfter) * millisecondsPerSecond;
+			}
+		},
+		end(body: Uint8Array) {
+			answer.body = new TextDecoder().decode(body);
+			response.writableFinished = true;
+		},
+		destroy: () => undefined,
+	};
+	return response as unknown as ServerResponse;
+};
+
+/** Creates a host that knows the configuration and the upstreams, at which nothing listens. */
+export const createSimulatedHost = (configuration: RoutingConfiguration, upstreams: readonly Upstream[]): SimulatedHost => {
+	const clock = createManualClock(1000);
+	const loads = createLoadTracker();
+	const logLines: string[] = [];
+	const logger = createLogger('info', line => {
+		logLines.push(line);
+	});
+	const metrics = createMetrics();
+	const view = createFleetView({
+		logger,
+		decode({key}) {
+			const upstream = upstreams.find(({id}) => id === key);
+			return upstream === undefined ? {kind: 'configuration', configuration} : {kind: 'upstream', upstream};
+		},
+	});
+	view.applySnapshot({entries: ['c', ...upstreams.map(({id}) => id)].map(key => ({key, value: '', revision: 1})), revision: 1}, 0);
+	const reportExchange: Pick<LoadReportExchange, 'addLoad'> = {
+		addLoad(upstream, change) {
+			loads.addOwnLoad(upstream, change, clock.monotonic());
+		},
+	};
+	const context = {
+		clock,
+		random: createRandom(1),
+		logger,
+		metrics,
+		protocol: {buildErrorHeaders: () => []},
+		zone: 'a',
+		view,
+		reportExchange,
+		tracker: createUpstreamTracker({clock, logger, loads}),
+		suspects: createCrashSuspects(),
+		retryLimit: {ratio: 0.2, minimum: 54, window: 10_000},
+		countHosts: () => 1,
+		isStopping: () => false,
+	} as unknown as ForwarderContext;
+	const forwarder = createForwarder(context);
+	const createSimulatedCall = ({route, name, tokens, clientTimeout}: SimulatedRequest, response: ServerResponse): Call => createCall({
+		method: 'POST',
+		target: '/a/',
+		head: {
+			callerRequestId: name, hostname: 'a.example', key: undefined, clientTimeout, lastEventId: undefined, declaresBody: true, forwarded: [],
+			prompt: {
+				model: 'm', parts: [{id: name, tokens}], inputTokens: tokens, outputTokens: 10,
+			},
+		},
+		body: new Uint8Array(),
+		route,
+		service: 's',
+		customer: undefined,
+		response,
+		version: 1,
+		arrivedAt: clock.monotonic(),
+	});
+	return {
+		clock,
+		context,
+		loads,
+		metrics,
+		logLines,
+		send(request) {
+			const answer: SimulatedAnswer = {body: ''};
+			void forwarder.forward(createSimulatedCall(request, createResponse(clock, answer)));
+			return answer;
+		},
+	};
+};
