Refuse waiting calls that can't be served before their callers leave

A client retries a stream after a 503, but not after it has left by itself.

Cause: a call waited in a host's queue until its deadline, though a client abandons a stream after a silence that is much shorter; nothing compared the expected first token with either.

Change: the longest silence that a caller of a stream accepts is decoded once (Route.maxSilence). In each dispatch pass the expected time of the first token of a waiting call is compared with the time at which its caller leaves: all upstreams take the queued tokens ahead of it, the shortest backlogs first, and then prefill its uncached tokens. If that exceeds the remaining time by half in the passes of 100 to 200 ms, the call is answered with deadline-unreachable, 503 and a Retry-After. Not if it may have executed, and not if its turn comes within the backlog limit of its rank. Log line call-refused with the inputs, metric early_refusals_total{route}.

Ranks: own calls count in queue order. Other hosts report queued tokens without ranks. They are taken to be mixed like the own queue, and where a call stands within its own part is drawn once. Error: a host with only one waiting call of a middle rank may refuse it too early.

--- a/packages/forwarder/src/call.ts
+++ b/packages/forwarder/src/call.ts
@@ -1,7 +1,7 @@
 import {createHash} from 'node:crypto';
 import type {ServerResponse} from 'node:http';
 import {
-	mayExecuteAgain, type ConfiguredCustomer, type Route, type UpstreamKey,
+	mayExecuteAgain, type ConfiguredCustomer, type EarlyRefusal, type Route, type UpstreamKey,
 } from '@gentianlift/routing';
 import type {Milliseconds, Rank} from '@gentianlift/types';
 import type {CallerHead} from './protocol.js';
@@ -25,6 +25,8 @@
 	arrivedAt: Milliseconds;
 	/** Latest time of the final answer, from the route's timeout and the caller's; on the monotonic clock, as `arrivedAt`. */
 	deadline: Milliseconds;
+	/** When the caller leaves if it has received nothing: at the deadline, or after the longest silence that a caller of a stream accepts. */
+	leavesAt: Milliseconds;
 };
 
 /** State of a call while it is forwarded. */
@@ -39,6 +41,8 @@
 	lastEventId: number | undefined;
 	isCallerGone: boolean;
 	hasTimedOut: boolean;
+	/** Set once the queue has refused the call. */
+	refusal: EarlyRefusal | undefined;
 	/** Factors of the last choice of an upstream, as logged. */
 	choice: {waited: Milliseconds; backlog: Milliseconds; running: number; unreadTokens: number; uncachedTokens: number; rereadTokens: number} | undefined;
 	/** When the last upstream's first and last chunks of a stream arrived. */
@@ -57,15 +61,20 @@
 	createHash('sha256').update(`${method} ${target}\n${head.key ?? ''}\n`).update(body).digest('hex').slice(0, fingerprintHexDigits);
 
 /** Fields of a call, without those derived from them. */
-export type CallParts = Omit<Call, 'rank' | 'mayExecuteAgain' | 'deadline'>;
+export type CallParts = Omit<Call, 'rank' | 'mayExecuteAgain' | 'deadline' | 'leavesAt'>;
 
 /** Creates a call with its derived fields. */
-export const createCall = (parts: CallParts): Call => ({
-	...parts,
-	rank: parts.customer?.rank ?? parts.route.rank,
-	mayExecuteAgain: mayExecuteAgain(parts.route),
-	deadline: parts.arrivedAt + Math.min(parts.route.timeout, parts.head.clientTimeout ?? parts.route.timeout),
-});
+export const createCall = (parts: CallParts): Call => {
+	const {route, head, customer, arrivedAt} = parts;
+	const deadline = arrivedAt + Math.min(route.timeout, head.clientTimeout ?? route.timeout);
+	return {
+		...parts,
+		rank: customer?.rank ?? route.rank,
+		mayExecuteAgain: mayExecuteAgain(route),
+		deadline,
+		leavesAt: Math.min(deadline, arrivedAt + (route.maxSilence ?? Number.POSITIVE_INFINITY)),
+	};
+};
 
 /** Creates the state of a call without attempts. */
 export const createProgress = (): Progress => ({
@@ -75,6 +84,7 @@
 	lastEventId: undefined,
 	isCallerGone: false,
 	hasTimedOut: false,
+	refusal: undefined,
 	choice: undefined,
 	firstBytesAt: undefined,
 	lastBytesAt: undefined,
--- /dev/null
+++ b/packages/forwarder/src/early-refusals.ts
@@ -0,0 +1,120 @@
+import {
+	drawRetryAfter, getOtherHostsTokens, getTimeToFirstToken, getTimeToTurn, isLastingMiss, isMissed, startMissBalance, updateMissBalance,
+	type Candidate, type EarlyRefusal, type MissBalance, type UpstreamKey,
+} from '@gentianlift/routing';
+import type {Milliseconds} from '@gentianlift/types';
+import type {Call, Progress} from './call.js';
+import type {ForwarderContext} from './context.js';
+
+/** A call that its chosen upstream can't take yet, as a dispatch pass sees it. */
+export type WaitingCall = {
+	call: Call;
+	progress: Progress;
+	/** The upstream that the call waits for. */
+	chosen: Candidate;
+	candidates: readonly Candidate[];
+	/** Maximum backlog at which an upstream may receive the call. */
+	backlogLimit: Milliseconds;
+	/** Uncached prompt tokens of this host's calls that go before this one, by the upstream that they wait for. */
+	tokensAhead: ReadonlyMap<UpstreamKey, number>;
+};
+
+/** Decides which waiting calls are refused because their callers would leave before the first token. */
+export type EarlyRefusals = {
+	/** Counts a dispatch pass, and returns a refusal if no upstream is expected to return the first token in time, and none has been for a while. */
+	check: (waiting: WaitingCall) => EarlyRefusal | undefined;
+	/** Records the uncached prompt tokens that stay queued at this host after a dispatch pass. */
+	endPass: (queuedTokens: ReadonlyMap<UpstreamKey, number>) => void;
+};
+
+/** Time in which a queue that has shrunk counts half as much; the other hosts' reports follow later, and they refuse calls at other moments. */
+const queueMemoryHalfLife: Milliseconds = 1000;
+
+/** What is kept of a waiting call between passes. */
+type CallState = {
+	/** Position of the call among other hosts' calls, from 0 to 1, within what its position in this host's queue leaves open. */
+	relativePosition: number;
+	balance: MissBalance;
+};
+
+/** Expected times of a waiting call, with the queued tokens that they follow from. */
+type Prediction = {turn: Milliseconds; firstToken: Milliseconds; tokensAhead: number; otherHostsTokens: number};
+
+const sumTokens = (tokens: ReadonlyMap<UpstreamKey, number>): number => {
+	let sum = 0;
+	for (const value of tokens.values()) {
+		sum += value;
+	}
+
+	return sum;
+};
+
+/** Creates the decisions of a host without waiting calls. */
+export const createEarlyRefusals = ({clock, random}: Pick<ForwarderContext, 'clock' | 'random'>): EarlyRefusals => {
+	const states = new WeakMap<Call, CallState>();
+	/** Uncached prompt tokens of this host's calls after the last passes; falls slowly. */
+	let recentQueuedTokens = 0;
+	let lastPassAt = clock.monotonic();
+
+	const getState = (call: Call): CallState => {
+		const state = states.get(call) ?? {relativePosition: random.next(), balance: startMissBalance(clock.monotonic(), random)};
+		states.set(call, state);
+		return state;
+	};
+
+	/**
+	 * Estimates the fraction of the other hosts' queued tokens that goes before a call. Their queues are taken to be mixed
+	 * like that of this host, so that its calls divide them into parts; where a call stands within its part is drawn once.
+	 */
+	const getOtherHostsFraction = (ownTokensAhead: number, uncachedTokens: number, {relativePosition}: CallState): number => {
+		const queueLength = Math.max(recentQueuedTokens, ownTokensAhead + uncachedTokens, 1);
+		return (ownTokensAhead + (relativePosition * uncachedTokens)) / queueLength;
+	};
+
+	const predict = ({chosen, candidates, tokensAhead}: WaitingCall, state: CallState): Prediction => {
+		const ownTokensAhead = sumTokens(tokensAhead);
+		const otherHostsTokens = getOtherHostsTokens(candidates, tokensAhead);
+		const allTokensAhead = ownTokensAhead + (getOtherHostsFraction(ownTokensAhead, chosen.uncachedTokens, state) * otherHostsTokens);
+		const turn = getTimeToTurn(candidates, allTokensAhead);
+		return {
+			turn, firstToken: getTimeToFirstToken(candidates, turn), tokensAhead: allTokensAhead, otherHostsTokens,
+		};
+	};
+
+	const createRefusal = ({call, candidates}: WaitingCall, {firstToken, tokensAhead, otherHostsTokens}: Prediction): EarlyRefusal => {
+		const now = clock.monotonic();
+		return {
+			expected: firstToken,
+			remaining: call.leavesAt - now,
+			backlog: Math.min(...candidates.map(({backlog}) => backlog)),
+			otherHostsTokens,
+			tokensAhead: Math.round(tokensAhead),
+			retryAfter: drawRetryAfter({expected: firstToken, patience: call.leavesAt - call.arrivedAt, remainingUntilDeadline: call.deadline - now}, random),
+		};
+	};
+
+	return {
+		check(waiting) {
+			const {call, progress, backlogLimit} = waiting;
+			// A refusal says that the request has not run.
+			if (progress.possibleExecutions > 0) {
+				return undefined;
+			}
+
+			const state = getState(call);
+			const prediction = predict(waiting, state);
+			const now = clock.monotonic();
+			const remaining = call.leavesAt - now;
+			// A call whose turn comes within the limit could go to an upstream now.
+			const hasMissed = prediction.turn > backlogLimit && isMissed(prediction.firstToken, remaining);
+			state.balance = updateMissBalance(state.balance, hasMissed, now);
+			return hasMissed && isLastingMiss(state.balance, remaining) ? createRefusal(waiting, prediction) : undefined;
+		},
+		endPass(queuedTokens) {
+			const now = clock.monotonic();
+			const remembered = recentQueuedTokens * (0.5 ** ((now - lastPassAt) / queueMemoryHalfLife));
+			recentQueuedTokens = Math.max(sumTokens(queuedTokens), remembered);
+			lastPassAt = now;
+		},
+	};
+};
--- a/packages/forwarder/src/forward.ts
+++ b/packages/forwarder/src/forward.ts
@@ -1,6 +1,6 @@
 import type {ErrorKind} from '@gentianlift/errors';
 import {
-	createRetryBudget, decideRetry, getUpstreamKey, type RetryBudget,
+	createRetryBudget, decideRetry, getUpstreamKey, type EarlyRefusal, type RetryBudget,
 } from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
 import {attemptUpstream} from './attempt.js';
@@ -81,6 +81,36 @@
 		return answerWithError(call, getFinalError(progress, lastOutcome === undefined ? 'no-upstream' : 'upstream-refused'));
 	};
 
+	/** Refuses a call whose caller would leave before the first token, and says when a retry is useful. */
+	const refuseEarly = (call: Call, refusal: EarlyRefusal): CallEnd => {
+		const {expected, remaining, backlog, otherHostsTokens, tokensAhead, retryAfter} = refusal;
+		const kind = 'deadline-unreachable';
+		metrics.count('refusals_total', {reason: kind});
+		metrics.count('early_refusals_total', {route: call.route.name});
+		logger.info('call-refused', {
+			request: call.head.callerRequestId,
+			reason: kind,
+			route: call.route.name,
+			rank: call.rank,
+			expected: Math.round(expected),
+			remaining: Math.round(remaining),
+			backlog: Math.round(backlog),
+			otherHostsTokens,
+			tokensAhead,
+			retryAfter,
+		});
+		return answerWithError(call, {kind, retryAfter});
+	};
+
+	/** Ends a call that got no upstream from the queue. */
+	const endUnassigned = (call: Call, progress: Progress, lastOutcome: ForwardOutcome | undefined): CallEnd => {
+		if (progress.hasTimedOut || progress.isCallerGone) {
+			return {outcome: progress.hasTimedOut ? 'timeout' : 'caller-gone'};
+		}
+
+		return progress.refusal === undefined ? giveUp(call, progress, lastOutcome) : refuseEarly(call, progress.refusal);
+	};
+
 	/** Decides whether to try another upstream; while no attempt has reached an upstream, the retry budget isn't charged. */
 	const decideNextAttempt = (call: Call, progress: Progress, lastOutcome: Exclude<ForwardOutcome, {kind: 'delivered'}>): boolean => {
 		if (lastOutcome.kind === 'spoiled') {
@@ -141,8 +171,7 @@
 			// eslint-disable-next-line no-await-in-loop -- Upstreams are tried one at a time.
 			const assignment = await queue.enqueue(call, progress);
 			if (assignment === undefined) {
-				const hasEnded = progress.hasTimedOut || progress.isCallerGone;
-				return hasEnded ? {outcome: progress.hasTimedOut ? 'timeout' : 'caller-gone'} : giveUp(call, progress, lastOutcome);
+				return endUnassigned(call, progress, lastOutcome);
 			}
 
 			progress.tried.add(getUpstreamKey(assignment.candidate.upstream));
--- a/packages/forwarder/src/request-queue.ts
+++ b/packages/forwarder/src/request-queue.ts
@@ -1,8 +1,9 @@
 import {
-	chooseUpstream, compareQueued, getBacklogLimit, getUpstreamKey, isLatencySensitiveRoute, type Candidate, type RequestProfile, type RouteTable, type Service, type UpstreamKey,
+	chooseUpstream, compareQueued, getBacklogLimit, getUpstreamKey, isLatencySensitiveRoute, type Candidate, type EarlyRefusal, type RequestProfile, type RouteTable, type Service, type UpstreamKey,
 } from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
 import type {Call, Progress} from './call.js';
+import {createEarlyRefusals} from './early-refusals.js';
 import {addQueuedTokens, startRequestLoad, type RequestLoad} from './request-load.js';
 import type {ForwarderContext} from './context.js';
 
@@ -11,7 +12,7 @@
 
 /** Queue of this host for calls that no upstream can take yet without delaying calls of higher ranks. */
 export type RequestQueue = {
-	/** Resolves with an assignment, or with undefined if there is no upstream for the call or the call has ended. */
+	/** Resolves with an assignment, or with undefined if there is no upstream for the call, the call has ended, or it is refused (`progress.refusal`). */
 	enqueue: (call: Call, progress: Progress) => Promise<Assignment | undefined>;
 	/** Requests a dispatch pass, which begins as soon as the pacing allows, after the load of an upstream has changed. */
 	requestDispatch: () => void;
@@ -37,7 +38,7 @@
 };
 
 /** Result of trying to dispatch a queued call; `candidate` of a call that stays queued is the upstream it waits for in this pass; the next pass chooses again. */
-type Decision = {kind: 'placed'; candidate: Candidate; isLatencySensitive: boolean} | {kind: 'waits'; candidate: Candidate} | {kind: 'impossible'};
+type Decision = {kind: 'placed'; candidate: Candidate; isLatencySensitive: boolean} | {kind: 'waits'; candidate: Candidate} | {kind: 'refused'; refusal: EarlyRefusal} | {kind: 'impossible'};
 
 /** Uncached prompt tokens of this host's queued calls, by the upstream that they wait for. */
 type QueuedTokens = Map<UpstreamKey, number>;
@@ -45,6 +46,7 @@
 /** Creates an empty queue. */
 export const createRequestQueue = (context: ForwarderContext): RequestQueue => {
 	const {clock, view, tracker, metrics} = context;
+	const refusals = createEarlyRefusals(context);
 	let entries: QueueEntry[] = [];
 	/** The next dispatch pass; undefined if none is scheduled. */
 	let nextDispatch: {at: Milliseconds; cancel: () => void} | undefined;
@@ -98,8 +100,15 @@
 			return {kind: 'impossible'};
 		}
 
-		const isAdmissible = call.head.prompt === undefined || candidate.backlog <= getRankBacklogLimit(table, call);
-		return isAdmissible ? {kind: 'placed', candidate, isLatencySensitive} : {kind: 'waits', candidate};
+		const backlogLimit = getRankBacklogLimit(table, call);
+		if (call.head.prompt === undefined || candidate.backlog <= backlogLimit) {
+			return {kind: 'placed', candidate, isLatencySensitive};
+		}
+
+		const refusal = refusals.check({
+			call, progress: entry.progress, chosen: candidate, candidates, backlogLimit, tokensAhead,
+		});
+		return refusal === undefined ? {kind: 'waits', candidate} : {kind: 'refused', refusal};
 	};
 
 	const assign = ({call, enqueuedAt, resolve}: QueueEntry, candidate: Candidate, isLatencySensitive: boolean): void => {
@@ -132,6 +141,12 @@
 				return false;
 			}
 
+			case 'refused': {
+				entry.progress.refusal = decision.refusal;
+				entry.resolve(undefined);
+				return false;
+			}
+
 			case 'waits': {
 				countQueuedTokens(queuedTokens, decision.candidate);
 				return true;
@@ -161,6 +176,7 @@
 			.toSorted((one, other) => compareQueued(one.order, other.order))
 			.map(({entry}) => entry)
 			.filter(entry => processEntry(entry, queuedTokens));
+		refusals.endPass(queuedTokens);
 		reportQueuedTokens(queuedTokens);
 		const endedAt = clock.monotonic();
 		earliestDispatch = endedAt + Math.max(minDispatchInterval, (endedAt - startedAt) * dispatchPauseFactor);
--- a/packages/forwarder/src/simulated-host.ts
+++ b/packages/forwarder/src/simulated-host.ts
@@ -22,10 +22,15 @@
 	metrics: Metrics;
 	/** Lines that the host has logged. */
 	logLines: string[];
+	/** Creates a call that arrives now, for tests of a queue without a forwarder. */
+	createCall: (request: SimulatedRequest) => Call;
 	/** Sends a request as a caller; the returned answer is filled in when the host writes it. */
 	send: (request: SimulatedRequest) => SimulatedAnswer;
 };
 
+/** Options of a simulated host; hosts of one fleet share a clock and have different seeds. */
+export type SimulatedHostOptions = {clock?: ManualClock; seed?: number};
+
 /** A request with a prompt of one part; `clientTimeout` is how long its caller waits for the final answer. */
 export type SimulatedRequest = {route: Route; name: string; tokens: number; clientTimeout?: Milliseconds};
 
@@ -59,8 +64,7 @@
 };
 
 /** Creates a host that knows the configuration and the upstreams, at which nothing listens. */
-export const createSimulatedHost = (configuration: RoutingConfiguration, upstreams: readonly Upstream[]): SimulatedHost => {
-	const clock = createManualClock(1000);
+export const createSimulatedHost = (configuration: RoutingConfiguration, upstreams: readonly Upstream[], {clock = createManualClock(1000), seed = 1}: SimulatedHostOptions = {}): SimulatedHost => {
 	const loads = createLoadTracker();
 	const logLines: string[] = [];
 	const logger = createLogger('info', line => {
@@ -82,7 +86,7 @@
 	};
 	const context = {
 		clock,
-		random: createRandom(1),
+		random: createRandom(seed),
 		logger,
 		metrics,
 		protocol: {buildErrorHeaders: () => []},
@@ -119,6 +123,7 @@
 		loads,
 		metrics,
 		logLines,
+		createCall: request => createSimulatedCall(request, createResponse(clock, {body: ''})),
 		send(request) {
 			const answer: SimulatedAnswer = {body: ''};
 			void forwarder.forward(createSimulatedCall(request, createResponse(clock, answer)));
--- a/packages/routing/src/configuration.ts
+++ b/packages/routing/src/configuration.ts
@@ -26,6 +26,8 @@
 	latencyTarget: Milliseconds;
 	/** Target for the longest interval between two events of a stream, each of which may carry several tokens. */
 	eventIntervalTarget?: Milliseconds;
+	/** Longest silence that a caller of a stream accepts, also before the first event; it leaves after that. */
+	maxSilence?: Milliseconds;
 	/** Default priority of the requests; 0 is the highest. */
 	rank: Rank;
 	/** Maximum number of upstreams that may execute one request. */
