--- a/packages/forwarder/src/call.ts
+++ b/packages/forwarder/src/call.ts
@@ -1,7 +1,7 @@
 import {createHash} from 'node:crypto';
 import type {ServerResponse} from 'node:http';
 import {
-	mayExecuteAgain, type ConfiguredCustomer, type Route, type UpstreamKey,
+	mayExecuteAgain, type ConfiguredCustomer, type EarlyRefusal, type Route, type UpstreamKey,
 } from '@gentianlift/routing';
 import type {Milliseconds, Rank} from '@gentianlift/types';
 import type {CallerHead} from './protocol.js';
@@ -26,6 +26,8 @@
 	arrivedAt: Milliseconds;
 	/** Latest time of the final answer, from the route's timeout and the caller's; on the monotonic clock, as `arrivedAt`. */
 	deadline: Milliseconds;
+	/** When the caller leaves if it has received nothing: at the deadline, or after the longest silence that a caller of a stream accepts. */
+	leavesAt: Milliseconds;
 };
 
 /** Factors of the choice of an upstream, as logged. */
@@ -57,6 +59,8 @@
 	/** How much of the answer the caller had got when its connection closed; undefined while it is open. */
 	receivedAnswer: ReceivedAnswer | undefined;
 	hasTimedOut: boolean;
+	/** Set once the queue has refused the call. */
+	refusal: EarlyRefusal | undefined;
 	/** Factors of the last choice of an upstream. */
 	choice: Choice | undefined;
 	/** Time that the last attempt waited until one of the pool's connections was free and established, or until it ended without one. */
@@ -77,15 +81,20 @@
 	createHash('sha256').update(`${method} ${target}\n${head.key ?? ''}\n`).update(body).digest('hex').slice(0, fingerprintHexDigits);
 
 /** Fields of a call, without those derived from them. */
-export type CallParts = Omit<Call, 'rank' | 'mayExecuteAgain' | 'deadline'>;
+export type CallParts = Omit<Call, 'rank' | 'mayExecuteAgain' | 'deadline' | 'leavesAt'>;
 
 /** Creates a call with its derived fields. */
-export const createCall = (parts: CallParts): Call => ({
-	...parts,
-	rank: parts.customer?.rank ?? parts.route.rank,
-	mayExecuteAgain: mayExecuteAgain(parts.route),
-	deadline: parts.arrivedAt + Math.min(parts.route.timeout, parts.head.clientTimeout ?? parts.route.timeout),
-});
+export const createCall = (parts: CallParts): Call => {
+	const {route, head, customer, arrivedAt} = parts;
+	const deadline = arrivedAt + Math.min(route.timeout, head.clientTimeout ?? route.timeout);
+	return {
+		...parts,
+		rank: customer?.rank ?? route.rank,
+		mayExecuteAgain: mayExecuteAgain(route),
+		deadline,
+		leavesAt: Math.min(deadline, arrivedAt + (route.maxSilence ?? Number.POSITIVE_INFINITY)),
+	};
+};
 
 /** Creates the state of a call without attempts. */
 export const createProgress = (): Progress => ({
@@ -97,6 +106,7 @@
 	isCallerGone: false,
 	receivedAnswer: undefined,
 	hasTimedOut: false,
+	refusal: undefined,
 	choice: undefined,
 	connectionWait: undefined,
 	firstBytesAt: undefined,
