--- a/packages/forwarder/src/attempt.ts
+++ b/packages/forwarder/src/attempt.ts
@@ -84,14 +84,14 @@
 };
 
 /** Records the time to first token: the prefill of this prompt and of those queued before it is complete. */
-const recordFirstToken = ({call, progress, upstream, context, load, startedAt, expectedFirstToken}: Attempt): void => {
+const recordFirstToken = ({call, progress, upstream, context, load, startedAt, sentAt, expectedFirstToken}: Attempt): void => {
 	const now = context.clock.monotonic();
 	progress.firstBytesAt = now;
 	load.finishPrefill();
 	if (call.head.prompt !== undefined && progress.choice !== undefined) {
 		context.tracker.recordFirstToken(upstream, progress.choice.unreadTokens + progress.choice.uncachedTokens, now - startedAt);
 		// Both are recorded here, so that they cover the same requests.
-		context.metrics.record('first_token_duration', now - startedAt, {route: call.route.name});
+		context.metrics.record('first_token_duration', now - (sentAt ?? startedAt), {route: call.route.name});
 		context.metrics.record('expected_first_token', expectedFirstToken, {route: call.route.name});
 	}
 };
