Don't eject an upstream for waiting in the router's own connection pool

What callers saw: nothing that was traced. It needs more than 512 calls of one host to one upstream, which an inventory with that many slots allows.

Cause: the timer for the connection started with the call, also when it first had to wait for one of the pool's 512 connections. After 2 s the call failed as `unreachable`; two in a row eject the upstream. A cancelled or timed-out call that waited ended only when a connection became free, as Node tells nothing of it.

Ruled out: state that one request leaves to the next on a connection. The router's clients keep none.

Change: `exchange` has the phases `waiting`, `connecting` and `sent`, as `send` of the forwarder. A call that gets no connection is `unsent`: known not to have run, without an observation of the upstream, and without a new pool.

Why it works: the connection's timer starts when one begins to be established, and the phase decides what a failure says.

--- a/packages/router/src/dispatch/attempt-failure.test.ts
+++ b/packages/router/src/dispatch/attempt-failure.test.ts
@@ -13,3 +13,8 @@
 	expect(await probe('success')).toMatchObject({observation: 'reset'});
 	expect(await probe('unreachable')).toMatchObject({observation: 'crashed'});
 });
+
+// Guards against: an upstream is ejected for the wait for this host's own connections.
+test('a request that was not sent says nothing about its upstream', () => {
+	expect(describeCallFailure({kind: 'unsent'})).toMatchObject({error: 'host-overloaded', ran: 'not-run', observation: undefined});
+});
--- a/packages/router/src/dispatch/attempt-failure.ts
+++ b/packages/router/src/dispatch/attempt-failure.ts
@@ -35,6 +35,7 @@
 			return failure.status >= 500 ? 'error' : undefined;
 		}
 
+		case 'unsent':
 		case 'cancelled': {
 			return undefined;
 		}
@@ -43,6 +44,7 @@
 
 const errorKinds = {
 	refused: 'upstream-refused',
+	unsent: 'host-overloaded',
 	unreachable: 'upstream-unreachable',
 	reset: 'upstream-reset',
 	silent: 'upstream-silent',
--- a/packages/router/src/host/upstream-monitor.ts
+++ b/packages/router/src/host/upstream-monitor.ts
@@ -118,7 +118,9 @@
 		inFlight.add(id);
 		const kind = await upstreams.checkHealth(address);
 		inFlight.delete(id);
-		health.record({upstream: id, at: clock.monotonic(), kind}, self);
+		if (kind !== undefined) {
+			health.record({upstream: id, at: clock.monotonic(), kind}, self);
+		}
 	};
 
 	return every(pollInterval, () => {
--- a/packages/types/src/request.ts
+++ b/packages/types/src/request.ts
@@ -49,7 +49,7 @@
 };
 
 /** States and outcomes of an attempt. */
-export const attemptOutcomes = ['running', 'finished', 'refused', 'unreachable', 'reset', 'silent', 'cancelled', 'preempted', 'failed'] as const;
+export const attemptOutcomes = ['running', 'finished', 'refused', 'unsent', 'unreachable', 'reset', 'silent', 'cancelled', 'preempted', 'failed'] as const;
 /** One of `attemptOutcomes`. */
 export type AttemptOutcome = typeof attemptOutcomes[number];
 
--- a/packages/upstream/src/call-failure.ts
+++ b/packages/upstream/src/call-failure.ts
@@ -18,6 +18,7 @@
 /** Returns whether the upstream executed the request of a failed call, or `unknown` if the failure doesn't tell. */
 export const getRunState = (failure: CallFailure): RunState => {
 	switch (failure.kind) {
+		case 'unsent':
 		case 'unreachable':
 		case 'refused': {
 			return 'not-run';
--- a/packages/upstream/src/client.ts
+++ b/packages/upstream/src/client.ts
@@ -23,7 +23,7 @@
 	importCache: (address: Address, transfer: {chunk: string; from: Address}) => Promise<boolean>;
 	readLoad: (address: Address) => Promise<EngineLoadReport | undefined>;
 	readCacheEvents: (address: Address, after: number) => Promise<CacheEventPage | undefined>;
-	checkHealth: (address: Address) => Promise<UpstreamObservation['kind']>;
+	checkHealth: (address: Address) => Promise<UpstreamObservation['kind'] | undefined>;
 	/** Closes all connections, including those in use. */
 	close: () => void;
 };
--- a/packages/upstream/src/commands/send-order.ts
+++ b/packages/upstream/src/commands/send-order.ts
@@ -13,6 +13,10 @@
 		address, method: 'POST', path: '/v1/orders', value: order,
 	});
 	switch (response.kind) {
+		case 'unsent': {
+			return {kind: 'refused', reason: response.kind};
+		}
+
 		case 'unreachable': {
 			return {kind: 'refused', reason: response.reason};
 		}
--- a/packages/upstream/src/wire/exchange.ts
+++ b/packages/upstream/src/wire/exchange.ts
@@ -19,9 +19,13 @@
 	signal?: AbortSignal;
 };
 
-/** Why an exchange failed. After `unreachable` the request is known not to have executed; after `reset` and `silent` it may have. */
+/**
+Why an exchange failed. After `unsent` and `unreachable` the request is known not to have executed; after `reset` and `silent` it may have.
+`unsent` means that no connection of this host's pool was free, which says nothing about the upstream.
+*/
 export type ExchangeFailure
-	= | {kind: 'unreachable'; reason: string}
+	= | {kind: 'unsent'}
+		| {kind: 'unreachable'; reason: string}
 		| {kind: 'reset'; reason: string}
 		| {kind: 'silent'; after: Milliseconds}
 		| {kind: 'cancelled'};
@@ -42,7 +46,9 @@
 /** Dependencies of an exchange. */
 export type ExchangeContext = {clock: Clock; pool: ConnectionPool};
 
-/** Timeout for getting a connection, new or from the pool. */
+/** Longest wait for a connection of the pool while all of them are in use. */
+const poolTimeout: Milliseconds = 2000;
+/** Timeout for establishing a connection. */
 const connectTimeout: Milliseconds = 2000;
 /** Idle time after which the kernel sends TCP keep-alive probes. */
 const keepAliveProbeDelay: Milliseconds = 5000;
@@ -58,17 +64,60 @@
 	return request;
 };
 
-const onConnected = (request: ClientRequest, callback: () => void): void => {
+/** Phase of an exchange up to the head of its response. */
+type ExchangePhase
+	/** All connections of the pool are in use by other requests of this host. */
+	= | 'waiting'
+		| 'connecting'
+		| 'sent';
+
+/** Calls back when a request gets a connection of the pool, and when that connection is established. */
+const watchConnection = (request: ClientRequest, {onConnecting, onConnected}: {onConnecting: () => void; onConnected: () => void}): void => {
 	request.once('socket', (socket: Socket) => {
 		socket.setKeepAlive(true, keepAliveProbeDelay);
 		if (socket.connecting) {
-			socket.once('connect', callback);
+			onConnecting();
+			socket.once('connect', onConnected);
 		} else {
-			callback();
+			onConnected();
 		}
 	});
 };
 
+/** Returns the failure of an exchange that exceeded the time limit of a phase. */
+const getTimeoutFailure = (phase: ExchangePhase, after: Milliseconds): ExchangeFailure => {
+	switch (phase) {
+		case 'waiting': {
+			return {kind: 'unsent'};
+		}
+
+		case 'connecting': {
+			return {kind: 'unreachable', reason: 'connect-timeout'};
+		}
+
+		case 'sent': {
+			return {kind: 'silent', after};
+		}
+	}
+};
+
+/** Returns the failure of an exchange whose request failed in a phase. */
+const getRequestFailure = (phase: ExchangePhase, reason: string): ExchangeFailure => {
+	switch (phase) {
+		case 'waiting': {
+			return {kind: 'unsent'};
+		}
+
+		case 'connecting': {
+			return {kind: 'unreachable', reason};
+		}
+
+		case 'sent': {
+			return {kind: 'reset', reason};
+		}
+	}
+};
+
 /** Sends a request and resolves when the head of the response arrives, or with the reason why there is none. Never throws. */
 export const exchange = async (context: ExchangeContext, options: UpstreamRequest, silenceTimeout: Milliseconds): Promise<UpstreamResponse | ExchangeFailure> => new Promise(resolve => {
 	if (options.signal?.aborted) {
@@ -76,18 +125,25 @@
 		return;
 	}
 
-	let isConnected = false;
+	let phase: ExchangePhase = 'waiting';
 	let failure: ExchangeFailure | undefined;
 	const request = openRequest(context, options);
 	const fail = (newFailure: ExchangeFailure): void => {
 		failure ??= newFailure;
 		request.destroy();
+		// Node reports nothing about a destroyed request that waits until a connection is free.
+		if (phase === 'waiting') {
+			release();
+			resolve(failure);
+		}
 	};
 
-	const silenceTimer = createSilenceTimer(context.clock, connectTimeout, after => {
-		const {address} = options;
-		context.pool.replaceAgent(address);
-		fail(isConnected ? {kind: 'silent', after} : {kind: 'unreachable', reason: 'connect-timeout'});
+	const silenceTimer = createSilenceTimer(context.clock, poolTimeout, after => {
+		if (phase !== 'waiting') {
+			context.pool.replaceAgent(options.address);
+		}
+
+		fail(getTimeoutFailure(phase, after));
 	});
 	const onAbort = (): void => {
 		fail({kind: 'cancelled'});
@@ -99,10 +155,19 @@
 	};
 
 	options.signal?.addEventListener('abort', onAbort, {once: true});
-	onConnected(request, () => {
-		isConnected = true;
+	const enterPhase = (nextPhase: ExchangePhase, limit: Milliseconds): void => {
+		phase = nextPhase;
 		silenceTimer.recordActivity();
-		silenceTimer.setLimit(silenceTimeout);
+		silenceTimer.setLimit(limit);
+	};
+
+	watchConnection(request, {
+		onConnecting() {
+			enterPhase('connecting', connectTimeout);
+		},
+		onConnected() {
+			enterPhase('sent', silenceTimeout);
+		},
 	});
 	request.once('response', message => {
 		silenceTimer.recordActivity();
@@ -113,8 +178,7 @@
 		});
 	});
 	request.on('error', (error: NodeJS.ErrnoException) => {
-		const reason = error.code ?? error.message;
-		failure ??= isConnected ? {kind: 'reset', reason} : {kind: 'unreachable', reason};
+		failure ??= getRequestFailure(phase, error.code ?? error.message);
 	});
 	request.once('close', () => {
 		release();
