Seed a host's random numbers with its name too

Hosts that start in the same millisecond, as after a loss of power, seeded their random numbers alike, with the wall clock only, and so broke ties between equal upstreams for the same one. Seeds of neighbouring milliseconds gave close first draws as well. Seen while the early refusals were tested; its part in the users' incident isn't measured.

Change: the seed is a hash of the host's name and the time.

--- a/packages/forwarder/src/start-host.ts
+++ b/packages/forwarder/src/start-host.ts
@@ -13,6 +13,7 @@
 import {listen} from './listen.js';
 import type {Protocol} from './protocol.js';
 import {createCallerServer} from './serve-callers.js';
+import {getRandomSeed} from './random-seed.js';
 import {canAcceptRequest, stopHost} from './stop-host.js';
 import type {ForwarderContext} from './context.js';
 import {createUpstreamTracker} from './upstream-tracker.js';
@@ -68,8 +69,6 @@
 const maxAddressListTtl: Milliseconds = 1000;
 /** Callers may use a list for up to this multiple of its time to live. */
 const staleUseFactor = 3;
-/** Exclusive upper bound of seeds for random numbers. */
-const seedRange = 2 ** 31;
 
 const buildHostRecord = (settings: HostSettings, incarnation: number): HostRecord => ({
 	host: settings.host,
@@ -94,7 +93,7 @@
 
 /** Joins the fleet and creates the dependencies that the forwarder's modules share. */
 const createContext = (settings: HostSettings, {clock, logger, store, decode, protocol}: HostDependencies, shutdown: Shutdown, onLoad: () => void): {context: ForwarderContext; fleet: Fleet} => {
-	const random = createRandom(clock.now() % seedRange);
+	const random = createRandom(getRandomSeed(settings.host, clock.now()));
 	const metrics = createMetrics();
 	const loads = createLoadTracker();
 	const tracker = createUpstreamTracker({clock, logger, loads});
