Don't send a request to an upstream that has left during its wait

What callers saw: nothing that was traced. A request reached an upstream that was removed, or leaving, while the request waited for one of its host's connections.

Cause: the list of upstreams was read when the upstream was chosen only.

Evidence, on the code before:

× a request that waits for a connection to an upstream that is removed goes to another one expected [ 5, +0 ] to deeply equal [ 4, 1 ]

Ruled out: that the retirement of the pool prevents it. It closes idle connections only, and those in use go to waiting requests.

Change: `send` asks for the head of a request when its connection is established, and there is none if the upstream takes no more requests. The request ends as `unsent` with the reason `upstream-removed`, and goes to another upstream.

Why it works: the check and the sending are one step, with the newest list that the host has.

--- a/packages/forwarder/src/attempt.ts
+++ b/packages/forwarder/src/attempt.ts
@@ -65,7 +65,7 @@
 	body: call.body,
 	callerRequestId: call.head.callerRequestId,
 	connectionWait: getConnectionWait(call, progress, context, getRemainingTime(call, context)),
-	buildHead: () => buildRequestHead(call, progress, upstream, context),
+	buildHead: () => context.view.isUsable(getUpstreamKey(upstream)) ? buildRequestHead(call, progress, upstream, context) : undefined,
 });
 
 /** One attempt to run a call on an upstream. */
--- a/packages/forwarder/src/connection-wait.test.ts
+++ b/packages/forwarder/src/connection-wait.test.ts
@@ -129,3 +129,18 @@
 	await expect.poll(() => durations.length).toBe(connectionCount + 1);
 	expect(durations.at(-1)).toBeLessThanOrEqual(host.context.clock.monotonic() - releasedAt);
 });
+
+// Guards against: a request reaches an upstream that was removed, or is leaving, while the request waited for a connection.
+test('a request that waits for a connection to an upstream that is removed goes to another one', async () => {
+	const {answer, release} = createBusyUpstream();
+	const {host, counts} = await start(answer, answerOk);
+	const [busy, free] = host.context.view.getUpstreams('s');
+	host.setUpstreams([busy!]);
+	await useAllConnections(host, counts);
+	const pending = sendRequest(host.port, {path: '/book/1', headers: {attempt: 'a1'}});
+	await expect.poll(() => getRunning(host)).toBe(connectionCount + 1);
+	host.setUpstreams([free!]);
+	release();
+	expect(await pending).toMatchObject({status: 200});
+	expect(counts).toEqual([connectionCount, 1]);
+});
--- a/packages/forwarder/src/send.ts
+++ b/packages/forwarder/src/send.ts
@@ -24,8 +24,8 @@
 	callerRequestId: string | undefined;
 	/** Longest wait for one of the pool's connections. */
 	connectionWait: Milliseconds;
-	/** Called when the request is sent. */
-	buildHead: () => RequestHead;
+	/** Called when the request is to be sent; returns undefined if the upstream takes no more requests, and then nothing is sent. */
+	buildHead: () => RequestHead | undefined;
 };
 
 /** Outcome of a request up to the head of its answer. */
@@ -185,17 +185,26 @@
 		});
 	};
 
+	const endUnsent = (reason: string): void => {
+		finish({kind: 'unsent', reason});
+		clientRequest.destroy();
+	};
+
 	const sendNow = (): void => {
-		const {headers, headTimeout} = buildHead();
+		const head = buildHead();
+		if (head === undefined) {
+			endUnsent('upstream-removed');
+			return;
+		}
+
 		try {
-			writeRequest(clientRequest, headers, body);
+			writeRequest(clientRequest, head.headers, body);
 		} catch (error) {
-			finish({kind: 'unsent', reason: getErrorReason(error as Error)});
-			clientRequest.destroy();
+			endUnsent(getErrorReason(error as Error));
 			return;
 		}
 
-		enterPhase('sent', headTimeout);
+		enterPhase('sent', head.headTimeout);
 		onSent?.();
 	};
 
