Name the mechanisms that a run of the bench switches off by their type

Mechanism of bench was any string, and that of scheduler the closed list that it meant; bench uses the latter, so that a misspelt name fails the type checker. Types only; behaviour stays.

--- a/packages/bench/src/policy/command.ts
+++ b/packages/bench/src/policy/command.ts
@@ -1,5 +1,6 @@
 import process from 'node:process';
 import {defineCommand} from 'citty';
+import type {Mechanism} from '@gentianlift/scheduler';
 import {deploymentNames, type DeploymentName} from '@gentianlift/trial';
 import {runOnce, type RunOptions, type RunResult} from './run.js';
 import {formatErrors, formatTable, formatRunName} from './summary.js';
@@ -10,7 +11,7 @@
 export type RunSetName = typeof runSets[number];
 
 const orders = ['policy', 'first-in-first-out', 'least-outstanding'] as const;
-const ablatedMechanisms = ['fairness', 'floor', 'prefix', 'straggler', 'admission', 'preemption', 'grants'];
+const ablatedMechanisms: readonly Mechanism[] = ['fairness', 'floor', 'prefix', 'straggler', 'admission', 'preemption', 'grants'];
 const topTierClasses: Record<DeploymentName, string[]> = {kopi: ['quote', 'cut-order'], alfoldi: ['farmer-question', 'allocation-booking', 'shipment-status']};
 const ablationLoad = 1.5;
 
--- a/packages/bench/src/policy/run.ts
+++ b/packages/bench/src/policy/run.ts
@@ -1,3 +1,4 @@
+import type {Mechanism} from '@gentianlift/scheduler';
 import {
 	getArrivals, getFlows, getReport, runLoad, startDeployment, type Arrival, type CallRecord, type Deployment, type DeploymentName, type Flow, type Report,
 } from '@gentianlift/trial';
@@ -6,9 +7,6 @@
 } from '@gentianlift/types';
 import {readCounters, type Counters} from './counters.js';
 
-/** Name of a scheduler mechanism that a run can switch off. */
-export type Mechanism = string;
-
 /** Parameters of a run. */
 export type RunOptions = {
 	deployment: DeploymentName;
@@ -20,6 +18,7 @@
 	seed: number;
 	/** Faults injected into the run. */
 	faults: 'none' | 'straggler-and-crash' | 'flood';
+	/** Mechanisms that are switched off. */
 	without: Mechanism[];
 	/** Classes whose requests are sent; all if undefined. */
 	only?: ClassName[];
