Name the write of a compare-and-swap in types

The model took its type from the parameters of KeyValueService in two places. Types only; behaviour stays.

Ran: tsc, xo on types and model, the tests of model, claims and platform (51 pass).

--- a/packages/model/src/claims/replay.ts
+++ b/packages/model/src/claims/replay.ts
@@ -1,13 +1,14 @@
 import {createManualClock, createRandom, type ManualClock} from '@gentianlift/clock';
 import {claimLimits, createClaimStore, type ClaimStore} from '@gentianlift/claims';
 import {createMetrics} from '@gentianlift/metrics';
-import type {ClaimOutcome, KeyValueService, WriteOutcome} from '@gentianlift/types';
+import type {
+	ClaimOutcome, CompareAndSwap, KeyValueService, WriteOutcome,
+} from '@gentianlift/types';
 import type {ClaimEvent} from './specification.js';
 import type {
 	ClaimRecord, Message, Reply, SettledOutcome, State,
 } from './state.js';
 
-type CompareAndSwap = Parameters<KeyValueService['compareAndSwap']>[0];
 /** A call to the key-value service that no event of the trace has answered yet. */
 type PendingCall
 	= | {kind: 'read'; resolve: (outcome: Awaited<ReturnType<KeyValueService['read']>>) => void}
--- a/packages/model/src/leases/blocking-key-value.ts
+++ b/packages/model/src/leases/blocking-key-value.ts
@@ -1,10 +1,9 @@
 import type {MemoryKeyValue} from '@gentianlift/platform';
-import type {KeyValueService, LeaseOutcome, WriteOutcome} from '@gentianlift/types';
+import type {
+	CompareAndSwap, KeyValueService, LeaseOutcome, WriteOutcome,
+} from '@gentianlift/types';
 import type {ReplyKind} from './state.js';
 
-/** Compare-and-swap of the key-value service. */
-export type CompareAndSwap = Parameters<KeyValueService['compareAndSwap']>[0];
-
 /** State of a host's calls to the key-value service. */
 export type CallState = {
 	/** Functions that release the blocked calls, oldest first. */
--- a/packages/model/src/leases/replay-host.ts
+++ b/packages/model/src/leases/replay-host.ts
@@ -3,8 +3,8 @@
 	acquireTerm, defaultTiming, getValidUntil, isOrderAllowed, type Term,
 } from '@gentianlift/placement';
 import type {MemoryKeyValue} from '@gentianlift/platform';
-import type {FencingSupport, KeyValueService} from '@gentianlift/types';
-import {createBlockingKeyValue, type CallState, type CompareAndSwap} from './blocking-key-value.js';
+import type {CompareAndSwap, FencingSupport, KeyValueService} from '@gentianlift/types';
+import {createBlockingKeyValue, type CallState} from './blocking-key-value.js';
 import {flushPromises} from './flush-promises.js';
 import type {HostName, LeaseEvent, Order} from './state.js';
 
--- a/packages/types/src/key-value.ts
+++ b/packages/types/src/key-value.ts
@@ -38,12 +38,15 @@
 		| {kind: 'unavailable'; reason: string}
 		| {kind: 'unknown'; reason: string};
 
+/** Write of a value on condition that the key has the expected revision; 0 means absent. */
+export type CompareAndSwap = {key: string; value: string; expected: number; lease?: string};
+
 /** Port of the platform's key-value service. Every call resolves within the client's timeout, and none throws. */
 export type KeyValueService = {
 	read: (key: string) => Promise<ReadOutcome>;
 	list: (prefix: string) => Promise<ListOutcome>;
 	/** Writes `value` if the key's revision is `expected`, where 0 means absent. If a `lease` is given, the entry is removed when the lease ends. */
-	compareAndSwap: (write: {key: string; value: string; expected: number; lease?: string}) => Promise<WriteOutcome>;
+	compareAndSwap: (write: CompareAndSwap) => Promise<WriteOutcome>;
 	/** Removes the entry if its revision is `expected`. */
 	remove: (key: string, expected: number) => Promise<WriteOutcome>;
 	/** Resolves when the revision of the key exceeds `after`, or when `limit` has elapsed. */
