Learn the prefill rate from the sending of a stream

What callers saw: nothing by itself; a host with many streams at one engine took the engine for slower than it is, and so for more loaded.

Cause: the time to first token counted from the choice of the upstream, with the wait for one of this host's connections.

Evidence: the test with four connections and twelve streams, before: expected 373.4 to be less than or equal to 135 (ms). Found while the other places were looked for in which waiting in the own pool counts against an upstream.

Change: the time counts from the sending.

--- a/packages/forwarder/src/attempt.ts
+++ b/packages/forwarder/src/attempt.ts
@@ -88,10 +88,11 @@
 	const now = context.clock.monotonic();
 	progress.firstBytesAt = now;
 	load.finishPrefill();
+	const duration = now - (sentAt ?? startedAt);
 	if (call.head.prompt !== undefined && progress.choice !== undefined) {
-		context.tracker.recordFirstToken(upstream, progress.choice.unreadTokens + progress.choice.uncachedTokens, now - startedAt);
+		context.tracker.recordFirstToken(upstream, progress.choice.unreadTokens + progress.choice.uncachedTokens, duration);
 		// Both are recorded here, so that they cover the same requests.
-		context.metrics.record('first_token_duration', now - (sentAt ?? startedAt), {route: call.route.name});
+		context.metrics.record('first_token_duration', duration, {route: call.route.name});
 		context.metrics.record('expected_first_token', expectedFirstToken, {route: call.route.name});
 	}
 };
--- a/packages/forwarder/src/load-metrics.test.ts
+++ b/packages/forwarder/src/load-metrics.test.ts
@@ -1,6 +1,8 @@
 import type {LoadContribution} from '@gentianlift/discovery';
 import {defaultPrefillRate} from '@gentianlift/routing';
-import {expect, onTestFinished, test} from 'vitest';
+import {
+	expect, onTestFinished, test, vi,
+} from 'vitest';
 import {
 	createHostStarter, upstreamMark, type AnswerHandler,
 } from './test-deployment.js';
@@ -8,6 +10,9 @@
 
 const start = createHostStarter(onTestFinished);
 const route = 'once';
+/** Size of a fleet in which a host may use `connectionCount` connections to an upstream. */
+const hostCount = 75;
+const connectionCount = 4;
 
 /** Time after which the stub upstream sends its first event. */
 const firstTokenDelay = 120;
@@ -57,3 +62,25 @@
 	expect(await answer).toMatchObject({status: 200, isComplete: true});
 	expect(host.forwarder.getQueueLength()).toBe(0);
 });
+
+/** Returns the time from the arrival of each logged call to its first token, without its wait for a connection. */
+const getTimesAfterSending = ({logLines}: TestHost): number[] => logLines
+	.map(line => /connectionWait=(?<wait>\d+) first=(?<first>\d+)/v.exec(line)?.groups)
+	.filter(groups => groups !== undefined)
+	.map(({wait, first}) => Number(first) - Number(wait));
+
+// Guards against: an upstream counts as slow to prefill for the time that streams waited for this host's own connections.
+test('the time to first token counts from the sending of a stream', async () => {
+	const {host} = await start(streamSlowly);
+	host.context.countHosts = () => hostCount;
+	const durations: number[] = [];
+	vi.spyOn(host.context.tracker, 'recordFirstToken').mockImplementation((_upstream, _tokens, duration) => {
+		durations.push(duration);
+	});
+	const sent = Array.from({length: 3 * connectionCount}, async (_, index) =>
+		sendRequest(host.port, {path: `/once/${index}`, headers: {attempt: `a${index}`, 'prompt-tokens': '5000'}}));
+	await Promise.all(sent);
+	await expect.poll(() => getTimesAfterSending(host)).toHaveLength(3 * connectionCount);
+	expect(durations).toHaveLength(3 * connectionCount);
+	expect(Math.max(...durations)).toBeLessThanOrEqual(Math.max(...getTimesAfterSending(host)) + 1);
+});
