Read the clock once in a dispatch pass

A pass over the queue read the clock up to six times for each waiting call, for its order, its slack, the candidates, the reserved upstreams and the early refusal. Now a pass has one time, which its decisions share, and which makes them agree on what is late.

No decision changes. The candidates are asked for with one object.

--- a/packages/forwarder/src/early-refusal.test.ts
+++ b/packages/forwarder/src/early-refusal.test.ts
@@ -248,7 +248,7 @@
 	const runPasses = async (candidates: Candidate[]): Promise<Array<EarlyRefusal | undefined>> => {
 		const results: Array<EarlyRefusal | undefined> = [];
 		for (let pass = 0; pass < 20; pass++) {
-			results.push(refusals.check({...waiting, candidates}));
+			results.push(refusals.check({...waiting, candidates, now: host.clock.monotonic()}));
 			// eslint-disable-next-line no-await-in-loop -- Passes come one after the other.
 			await host.clock.advance(15);
 		}
--- a/packages/forwarder/src/early-refusals.ts
+++ b/packages/forwarder/src/early-refusals.ts
@@ -17,6 +17,8 @@
 	backlogLimit: Milliseconds;
 	/** Uncached prompt tokens of this host's calls that go before this one, by the upstream that they wait for. */
 	tokensAhead: ReadonlyMap<UpstreamKey, number>;
+	/** When the pass began. */
+	now: Milliseconds;
 };
 
 /** Decides which waiting calls are refused because their callers would leave before the first token. */
@@ -24,7 +26,7 @@
 	/** Counts a dispatch pass, and returns a refusal if no upstream is expected to return the first token in time, and none has been for a while. */
 	check: (waiting: WaitingCall) => EarlyRefusal | undefined;
 	/** Records the uncached prompt tokens that stay queued at this host after a dispatch pass. */
-	endPass: (queuedTokens: ReadonlyMap<UpstreamKey, number>) => void;
+	endPass: (queuedTokens: ReadonlyMap<UpstreamKey, number>, now: Milliseconds) => void;
 };
 
 /** Time in which a queue that has shrunk counts half as much; the other hosts' reports follow later, and they refuse calls at other moments. */
@@ -56,8 +58,8 @@
 	let recentQueuedTokens = 0;
 	let lastPassAt = clock.monotonic();
 
-	const getState = (call: Call): CallState => {
-		const state = states.get(call) ?? {relativePosition: random.next(), balance: startMissBalance(clock.monotonic(), random)};
+	const getState = ({call, now}: WaitingCall): CallState => {
+		const state = states.get(call) ?? {relativePosition: random.next(), balance: startMissBalance(now, random)};
 		states.set(call, state);
 		return state;
 	};
@@ -81,37 +83,34 @@
 		};
 	};
 
-	const createRefusal = ({call, candidates}: WaitingCall, {firstToken, tokensAhead, otherHostsTokens}: Prediction): EarlyRefusal => {
-		const now = clock.monotonic();
-		return {
-			expected: firstToken,
-			remaining: call.leavesAt - now,
-			backlog: Math.min(...candidates.map(({backlog}) => backlog)),
-			otherHostsTokens,
-			tokensAhead: Math.round(tokensAhead),
-			retryAfter: drawRetryAfter({expected: firstToken, patience: call.leavesAt - call.arrivedAt, remainingUntilDeadline: call.deadline - now}, random),
-		};
-	};
+	const createRefusal = ({call, candidates, now}: WaitingCall, {firstToken, tokensAhead, otherHostsTokens}: Prediction): EarlyRefusal => ({
+		expected: firstToken,
+		remaining: call.leavesAt - now,
+		backlog: Math.min(...candidates.map(({backlog}) => backlog)),
+		otherHostsTokens,
+		tokensAhead: Math.round(tokensAhead),
+		retryAfter: drawRetryAfter({expected: firstToken, patience: call.leavesAt - call.arrivedAt, remainingUntilDeadline: call.deadline - now}, random),
+	});
 
 	return {
 		check(waiting) {
-			const {call, progress, backlogLimit} = waiting;
+			const {
+				call, progress, backlogLimit, now,
+			} = waiting;
 			// A refusal says that the request has not run.
 			if (progress.possibleExecutions > 0) {
 				return undefined;
 			}
 
-			const state = getState(call);
+			const state = getState(waiting);
 			const prediction = predict(waiting, state);
-			const now = clock.monotonic();
 			const remaining = call.leavesAt - now;
 			// A call whose turn comes within the limit could go to an upstream now.
 			const hasMissed = prediction.turn > backlogLimit && isMissed(prediction.firstToken, remaining);
 			state.balance = updateMissBalance(state.balance, hasMissed, now);
 			return hasMissed && isLastingMiss(state.balance, remaining) ? createRefusal(waiting, prediction) : undefined;
 		},
-		endPass(queuedTokens) {
-			const now = clock.monotonic();
+		endPass(queuedTokens, now) {
 			const remembered = recentQueuedTokens * (0.5 ** ((now - lastPassAt) / queueMemoryHalfLife));
 			recentQueuedTokens = Math.max(sumTokens(queuedTokens), remembered);
 			lastPassAt = now;
--- a/packages/forwarder/src/request-queue.test.ts
+++ b/packages/forwarder/src/request-queue.test.ts
@@ -203,28 +203,33 @@
 
 const service = configuration.services[0]!;
 const upstreams = [buildUpstream({id: 'u1'}), buildUpstream({id: 'u2'})];
-const getCandidateIds = (tracker: UpstreamTracker): string[] => tracker.getCandidates(upstreams, service, undefined).map(({upstream}) => upstream.id);
+const getCandidateIds = ({clock, tracker}: TestSetup): string[] =>
+	tracker.getCandidates({
+		upstreams, service, prompt: undefined, now: clock.monotonic(),
+	}).map(({upstream}) => upstream.id);
 
 test('an unreachable upstream is avoided for a growing backoff period, unless all upstreams are unreachable', async () => {
-	const {clock, tracker} = createTestSetup(upstreams);
+	const setup = createTestSetup(upstreams);
+	const {clock, tracker} = setup;
 	tracker.recordUnreachable(upstreams[0]!, 'test');
-	expect(getCandidateIds(tracker)).toEqual(['u2']);
+	expect(getCandidateIds(setup)).toEqual(['u2']);
 	tracker.recordUnreachable(upstreams[1]!, 'test');
-	expect(getCandidateIds(tracker)).toEqual(['u1', 'u2']);
+	expect(getCandidateIds(setup)).toEqual(['u1', 'u2']);
 	await clock.advance(500);
 	tracker.recordUnreachable(upstreams[0]!, 'test');
 	await clock.advance(500);
-	expect(getCandidateIds(tracker)).toEqual(['u2']);
+	expect(getCandidateIds(setup)).toEqual(['u2']);
 });
 
 test('an upstream that is silent while requests are in flight there gets no new ones', async () => {
-	const {clock, tracker} = createTestSetup(upstreams);
+	const setup = createTestSetup(upstreams);
+	const {clock, tracker} = setup;
 	const activity = tracker.trackRequest(upstreams[0]!);
 	await clock.advance(800);
-	expect(getCandidateIds(tracker)).toEqual(['u2']);
+	expect(getCandidateIds(setup)).toEqual(['u2']);
 	activity.recordBytes();
-	expect(getCandidateIds(tracker)).toEqual(['u1', 'u2']);
+	expect(getCandidateIds(setup)).toEqual(['u1', 'u2']);
 	await clock.advance(800);
 	activity.end();
-	expect(getCandidateIds(tracker)).toEqual(['u1', 'u2']);
+	expect(getCandidateIds(setup)).toEqual(['u1', 'u2']);
 });
--- a/packages/forwarder/src/request-queue.ts
+++ b/packages/forwarder/src/request-queue.ts
@@ -1,5 +1,6 @@
 import {
-	chooseUpstream, compareQueued, getBacklogLimit, getUpstreamKey, isLatencySensitiveRoute, type Candidate, type EarlyRefusal, type RequestProfile, type RouteTable, type Service, type UpstreamKey,
+	chooseUpstream, compareQueued, getBacklogLimit, getUpstreamKey, isLatencySensitiveRoute,
+	type Candidate, type EarlyRefusal, type QueuePosition, type RequestProfile, type RouteTable, type Service, type UpstreamKey,
 } from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
 import type {Call, Progress} from './call.js';
@@ -43,6 +44,17 @@
 /** Uncached prompt tokens of this host's queued calls, by the upstream that they wait for. */
 type QueuedTokens = Map<UpstreamKey, number>;
 
+/** A pass over queued calls, which reads the clock once: `now` is when it began, `queuedTokens` those of the calls that it has left in the queue. */
+type DispatchPass = {now: Milliseconds; queuedTokens: QueuedTokens};
+
+/** Returns when the call's target for the first token is missed. */
+const getDueTime = ({call}: QueueEntry): Milliseconds => call.arrivedAt + call.route.latencyTarget;
+
+const getPosition = (entry: QueueEntry, now: Milliseconds): QueuePosition => {
+	const dueAt = getDueTime(entry);
+	return {rank: entry.call.rank, dueAt, isLate: dueAt <= now};
+};
+
 /** Creates an empty queue. */
 export const createRequestQueue = (context: ForwarderContext): RequestQueue => {
 	const {clock, view, tracker, metrics} = context;
@@ -67,35 +79,28 @@
 		return limit;
 	};
 
-	/** Returns the remaining time until the route's latency target. */
-	const getSlack = ({call}: QueueEntry): Milliseconds => call.arrivedAt + call.route.latencyTarget - clock.monotonic();
-
-	const getQueueOrder = (entry: QueueEntry) => ({
-		rank: entry.call.rank,
-		dueAt: entry.call.arrivedAt + entry.call.route.latencyTarget,
-		isLate: getSlack(entry) <= 0,
-	});
-
-	const getRequestProfile = (entry: QueueEntry, isLatencySensitive: boolean): RequestProfile => ({
+	const getRequestProfile = (entry: QueueEntry, isLatencySensitive: boolean, now: Milliseconds): RequestProfile => ({
 		zone: context.zone,
 		hasPrompt: entry.call.head.prompt !== undefined,
 		isLatencySensitive,
-		slack: getSlack(entry),
+		slack: getDueTime(entry) - now,
 	});
 
-	const getCandidates = ({call, progress}: QueueEntry, service: Service, tokensAhead: QueuedTokens): Candidate[] => {
+	const getCandidates = ({call, progress}: QueueEntry, service: Service, {now, queuedTokens}: DispatchPass): Candidate[] => {
 		const upstreams = view.getUpstreams(call.service).filter(upstream => !progress.tried.has(getUpstreamKey(upstream)));
-		return tracker.getCandidates(upstreams, service, call.head.prompt, tokensAhead);
+		return tracker.getCandidates({
+			upstreams, service, prompt: call.head.prompt, now, tokensAhead: queuedTokens,
+		});
 	};
 
 	/** Chooses an upstream for a call, and decides whether the call may go to it now; calls without a prompt are exempt from the backlog limit. */
-	const decide = (entry: QueueEntry, tokensAhead: QueuedTokens): Decision => {
+	const decide = (entry: QueueEntry, pass: DispatchPass): Decision => {
 		const {call} = entry;
 		const table = view.getRoutes();
 		const service = table?.services.get(call.service);
-		const candidates = service === undefined ? [] : getCandidates(entry, service, tokensAhead);
+		const candidates = service === undefined ? [] : getCandidates(entry, service, pass);
 		const isLatencySensitive = isLatencySensitiveRoute(call.route, service, tracker.getPrefillRate(candidates.map(({upstream}) => upstream)));
-		const candidate = chooseUpstream(candidates, getRequestProfile(entry, isLatencySensitive), context.random);
+		const candidate = chooseUpstream(candidates, getRequestProfile(entry, isLatencySensitive, pass.now), context.random);
 		if (table === undefined || candidate === undefined) {
 			return {kind: 'impossible'};
 		}
@@ -106,13 +111,13 @@
 		}
 
 		const refusal = refusals.check({
-			call, progress: entry.progress, chosen: candidate, candidates, backlogLimit, tokensAhead,
+			call, progress: entry.progress, chosen: candidate, candidates, backlogLimit, tokensAhead: pass.queuedTokens, now: pass.now,
 		});
 		return refusal === undefined ? {kind: 'waits', candidate} : {kind: 'refused', refusal};
 	};
 
-	const assign = ({call, enqueuedAt, resolve}: QueueEntry, candidate: Candidate, isLatencySensitive: boolean): void => {
-		metrics.record('waiting_duration', clock.monotonic() - enqueuedAt, {route: call.route.name});
+	const assign = ({call, enqueuedAt, resolve}: QueueEntry, {candidate, isLatencySensitive}: Extract<Decision, {kind: 'placed'}>, now: Milliseconds): void => {
+		metrics.record('waiting_duration', now - enqueuedAt, {route: call.route.name});
 		const load = startRequestLoad(context.reportExchange, getUpstreamKey(candidate.upstream), candidate.uncachedTokens, isLatencySensitive ? 1 : 0);
 		resolve({candidate, load});
 	};
@@ -123,16 +128,16 @@
 	};
 
 	/** Dispatches the entry or drops an ended one; returns whether it stays queued. */
-	const processEntry = (entry: QueueEntry, queuedTokens: QueuedTokens): boolean => {
+	const processEntry = (entry: QueueEntry, pass: DispatchPass): boolean => {
 		if (entry.progress.hasTimedOut || entry.progress.isCallerGone) {
 			entry.resolve(undefined);
 			return false;
 		}
 
-		const decision = decide(entry, queuedTokens);
+		const decision = decide(entry, pass);
 		switch (decision.kind) {
 			case 'placed': {
-				assign(entry, decision.candidate, decision.isLatencySensitive);
+				assign(entry, decision, pass.now);
 				return false;
 			}
 
@@ -148,7 +153,7 @@
 			}
 
 			case 'waits': {
-				countQueuedTokens(queuedTokens, decision.candidate);
+				countQueuedTokens(pass.queuedTokens, decision.candidate);
 				return true;
 			}
 		}
@@ -170,14 +175,14 @@
 	const dispatch = (): void => {
 		nextDispatch = undefined;
 		const startedAt = clock.monotonic();
-		const queuedTokens: QueuedTokens = new Map();
+		const pass: DispatchPass = {now: startedAt, queuedTokens: new Map()};
 		entries = entries
-			.map(entry => ({entry, order: getQueueOrder(entry)}))
-			.toSorted((one, other) => compareQueued(one.order, other.order))
+			.map(entry => ({entry, position: getPosition(entry, startedAt)}))
+			.toSorted((one, other) => compareQueued(one.position, other.position))
 			.map(({entry}) => entry)
-			.filter(entry => processEntry(entry, queuedTokens));
-		refusals.endPass(queuedTokens);
-		reportQueuedTokens(queuedTokens);
+			.filter(entry => processEntry(entry, pass));
+		refusals.endPass(pass.queuedTokens, startedAt);
+		reportQueuedTokens(pass.queuedTokens);
 		const endedAt = clock.monotonic();
 		earliestDispatch = endedAt + Math.max(minDispatchInterval, (endedAt - startedAt) * dispatchPauseFactor);
 		scheduleDispatch(dispatchInterval);
@@ -203,18 +208,19 @@
 	};
 
 	/** Whether no queued call goes before the entry. */
-	const isFirstInOrder = (entry: QueueEntry): boolean => {
-		const order = getQueueOrder(entry);
-		return entries.every(other => compareQueued(order, getQueueOrder(other)) < 0);
+	const isFirstInOrder = (entry: QueueEntry, now: Milliseconds): boolean => {
+		const position = getPosition(entry, now);
+		return entries.every(other => compareQueued(position, getPosition(other, now)) < 0);
 	};
 
 	return {
 		async enqueue(call, progress) {
 			return new Promise(resolve => {
+				const now = clock.monotonic();
 				const entry = {
-					call, progress, enqueuedAt: clock.monotonic(), resolve,
+					call, progress, enqueuedAt: now, resolve,
 				};
-				const isWaiting = !isFirstInOrder(entry) || processEntry(entry, new Map());
+				const isWaiting = !isFirstInOrder(entry, now) || processEntry(entry, {now, queuedTokens: new Map()});
 				if (isWaiting) {
 					progress.cancel = () => {
 						removeEntry(entry);
--- a/packages/forwarder/src/upstream-tracker.ts
+++ b/packages/forwarder/src/upstream-tracker.ts
@@ -10,16 +10,22 @@
 import type {Milliseconds} from '@gentianlift/types';
 import {idleTimeouts, UpstreamAgent} from './upstream-agent.js';
 
+/** A request for which an upstream is chosen. */
+export type CandidateQuery = {
+	upstreams: readonly Upstream[];
+	service: Service;
+	prompt: Prompt | undefined;
+	now: Milliseconds;
+	/** For each upstream, the uncached prompt tokens of this host's calls that the current dispatch pass has processed before this one and that wait for it. */
+	tokensAhead?: ReadonlyMap<UpstreamKey, number>;
+};
+
 /** Tracks the state that this host observes for each incarnation of an upstream: connections, failures, latencies and cached prefixes. */
 export type UpstreamTracker = {
 	/** Returns the connection pool for requests of a route kind; non-idempotent requests get a pool that reuses only recently used connections. */
 	getAgent: (upstream: Upstream, kind: RouteKind, connections: number) => UpstreamAgent;
-	/**
-	 * Returns the upstreams that may run a request, unreachable or silent ones only if there are no others.
-	 * `tokensAhead` are, for each upstream, the uncached prompt tokens of this host's calls that the current dispatch pass
-	 * has processed before this one and that wait for it.
-	 */
-	getCandidates: (upstreams: readonly Upstream[], service: Service, prompt: Prompt | undefined, tokensAhead?: ReadonlyMap<UpstreamKey, number>) => Candidate[];
+	/** Returns the upstreams that may run a request, unreachable or silent ones only if there are no others. */
+	getCandidates: (query: CandidateQuery) => Candidate[];
 	/** Returns the uncached prompt tokens queued at this host for an upstream, as last reported to the other hosts. */
 	getReportedQueuedTokens: (upstream: UpstreamKey) => number;
 	/** Returns the median prefill rate of the upstreams, in tokens per millisecond. */
@@ -148,9 +154,9 @@
 	};
 
 	/** Returns the upstreams that are reserved for latency-sensitive streams. */
-	const getReserved = (service: string, upstreams: readonly Upstream[]): ReadonlySet<UpstreamKey> => {
+	const getReserved = (service: string, upstreams: readonly Upstream[], now: Milliseconds): ReadonlySet<UpstreamKey> => {
 		const streams = upstreams.reduce((sum, upstream) => sum + loads.getTotalLoad(getUpstreamKey(upstream)).latencySensitiveStreams, 0);
-		const reservation = updateReservation(reservations.get(service), streams, clock.monotonic());
+		const reservation = updateReservation(reservations.get(service), streams, now);
 		reservations.set(service, reservation);
 		return chooseReservedUpstreams(upstreams, reservation.count);
 	};
@@ -170,15 +176,16 @@
 			agent.maxSockets = connections;
 			return agent;
 		},
-		getCandidates(upstreams, service, prompt, tokensAhead) {
-			const now = clock.monotonic();
+		getCandidates({
+			upstreams, service, prompt, now, tokensAhead,
+		}) {
 			const reachable = upstreams.filter(upstream => isReachable(upstream, now));
 			const usable = reachable.length === 0 ? upstreams : reachable;
 			const usableStates = usable.map(upstream => ({upstream, key: getUpstreamKey(upstream), state: getState(getUpstreamKey(upstream))}));
 			const median = getMedian(usableStates.map(({state}) => state.meanDuration).filter(duration => duration !== undefined));
 			const cachedTokens = usableStates.map(({key}) => prompt === undefined ? noCachedTokens : getCache(key, service.engine?.cacheTokens).getCachedTokens(prompt));
 			const maxSharedTokens = Math.max(...cachedTokens.map(({shared}) => shared));
-			const reserved = getReserved(service.name, upstreams);
+			const reserved = getReserved(service.name, upstreams, now);
 			const unreservedUpstreams = usable.filter(upstream => !reserved.has(getUpstreamKey(upstream)));
 			const preferredCache = prompt === undefined ? undefined : estimatePreferredCache(prompt, maxSharedTokens, unreservedUpstreams);
 			return usableStates.map(({upstream, key, state}, index) => {
