Send only a host's share of what an engine has room for

Cause: all hosts learn at the same moment that an engine's backlog has fallen below the limit, and each sends a call before it knows of the others' calls. Many of these calls waited for another engine just before, so the tokens queued for this engine don't tell of them.

Once the backlog is below the limit, a host now draws at most once per upstream and mean report delay, and sends with the probability of its share of the tokens that bring the backlog back to the limit after that delay. Its share is counted against the tokens that other hosts have queued for the upstream; against those queued for all upstreams of the service until the host has waited for this one for a report delay, as the hosts don't yet know of each other there. If no other host has queued tokens, it sends at once, as before. No new messages or fields. The mean report delay follows from the number of hosts: 10 ms without relays, 46 ms with 40 hosts, 60 ms with 75.

The queue's test setup gets the number of hosts, which the queue now reads; its checks are unchanged. The burst is also played with 7 hosts.

--- a/packages/discovery/src/exchange-reports.ts
+++ b/packages/discovery/src/exchange-reports.ts
@@ -64,6 +64,8 @@
 const maxUnspacedHosts = 16;
 /** Minimum spacing of one host's reports of changes, multiplied by the number of hosts, so that the total rate of these reports doesn't depend on the fleet's size. */
 const reportSpacingPerHost: Milliseconds = 0.8;
+/** Time in which a report reaches the other hosts of a fleet without relays, and with relays, in milliseconds. */
+const transferDelays = {direct: 10, relayed: 30} as const;
 /** Interval of full reports, which repeat loads that have changed lately. */
 const fullReportInterval: Milliseconds = 500;
 /** Number of full reports that repeat a load after a change, as datagrams get lost. */
@@ -73,6 +75,13 @@
 /** Number of reports that carry a crash, as datagrams get lost. */
 const crashRepeats = 6;
 
+/** Returns the minimum spacing of one host's reports of changes. */
+const getReportSpacing = (hosts: number): Milliseconds => hosts > maxUnspacedHosts ? hosts * reportSpacingPerHost : 0;
+
+/** Returns the mean time after which the other hosts of a fleet know a change of a host's load. */
+export const getMeanReportDelay = (hosts: number): Milliseconds =>
+	(hosts > maxUnspacedHosts ? transferDelays.relayed : transferDelays.direct) + (getReportSpacing(hosts) / 2);
+
 type PendingCrash = {crash: SuspectedCrash; remainingReports: number};
 
 /** Starts to exchange load reports with the other hosts. */
@@ -124,8 +133,7 @@
 	};
 
 	const getDelay = (): Milliseconds => {
-		const hosts = options.getOthers().length + 1;
-		const spacing = hosts > maxUnspacedHosts ? hosts * reportSpacingPerHost : 0;
+		const spacing = getReportSpacing(options.getOthers().length + 1);
 		return Math.max(batchDelay, sentAt + spacing - clock.monotonic());
 	};
 
--- a/packages/discovery/src/load.test.ts
+++ b/packages/discovery/src/load.test.ts
@@ -1,4 +1,5 @@
 import {expect, test} from 'vitest';
+import {getMeanReportDelay} from './exchange-reports.js';
 import {getAvailableHosts} from './host-list.js';
 import type {HostRecord} from './host-record.js';
 import {createHostStatusTracker} from './host-status.js';
@@ -95,3 +96,7 @@
 	const stopping = [{record: host('own'), silence: 0, isStopping: true}];
 	expect(getAvailableHosts(stopping, 'own')).toEqual([]);
 });
+
+test('the mean report delay grows with a fleet that has relays', () => {
+	expect([1, 16, 40, 75].map(hosts => getMeanReportDelay(hosts))).toEqual([10, 10, 46, 60]);
+});
--- a/packages/forwarder/src/dispatch-fleet.test.ts
+++ b/packages/forwarder/src/dispatch-fleet.test.ts
@@ -11,6 +11,11 @@
 	hosts: 40, engines: 8, reportDelay: 30, reportSpacing: 32,
 };
 
+/** Fleet in which hosts send their load reports to each other. */
+const smallFleet: FleetSize = {
+	hosts: 7, engines: 8, reportDelay: 3, reportSpacing: 0,
+};
+
 const result = await playBurst(largeFleet, 1);
 console.log(JSON.stringify(result));
 
@@ -20,7 +25,14 @@
 });
 
 // Guards against hosts that all send a waiting review to the same engine once load reports say that it has room.
-// Known to fail, see KNOWN-RED.txt.
-test.fails('questions meet their target while reviews wait', () => {
+test('questions meet their target while reviews wait', () => {
 	expect(result.questionsInTarget).toBeGreaterThanOrEqual(minQuestionsInTarget);
 });
+
+test('questions meet their target in a small fleet too', async () => {
+	const smallFleetResult = await playBurst(smallFleet, 1);
+	console.log(JSON.stringify(smallFleetResult));
+	expect(smallFleetResult.served).toBe(1);
+	expect(smallFleetResult.reviewUtilization).toBeGreaterThanOrEqual(minReviewUtilization);
+	expect(smallFleetResult.questionsInTarget).toBeGreaterThanOrEqual(minQuestionsInTarget);
+});
--- a/packages/forwarder/src/request-queue.test.ts
+++ b/packages/forwarder/src/request-queue.test.ts
@@ -60,8 +60,8 @@
 			return tracker.getCandidates(...parameters);
 		},
 	};
-	const context: Pick<ForwarderContext, 'clock' | 'view' | 'tracker' | 'metrics' | 'reportExchange' | 'random' | 'zone'> = {
-		clock, view, tracker: countingTracker, metrics: createMetrics(), reportExchange: reportExchange as LoadReportExchange, random: createRandom(1), zone: 'a',
+	const context: Pick<ForwarderContext, 'clock' | 'view' | 'tracker' | 'metrics' | 'reportExchange' | 'random' | 'zone' | 'countHosts'> = {
+		clock, view, tracker: countingTracker, metrics: createMetrics(), reportExchange: reportExchange as LoadReportExchange, random: createRandom(1), zone: 'a', countHosts: () => 1,
 	};
 	return {
 		clock, loads, tracker, lookups, queue: createRequestQueue(context as ForwarderContext),
--- a/packages/forwarder/src/request-queue.ts
+++ b/packages/forwarder/src/request-queue.ts
@@ -1,8 +1,10 @@
 import {
-	chooseUpstream, compareQueued, getBacklogLimit, getUpstreamKey, isLatencySensitiveRoute, type Candidate, type RequestProfile, type RouteTable, type Service, type UpstreamKey,
+	chooseUpstream, compareQueued, getUpstreamKey, isLatencySensitiveRoute, type Candidate, type RequestProfile, type Service, type UpstreamKey,
 } from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
+import {createBacklogLimits} from './backlog-limits.js';
 import type {Call, Progress} from './call.js';
+import {createDispatchTurns} from './dispatch-turns.js';
 import {addQueuedTokens, startRequestLoad, type RequestLoad} from './request-load.js';
 import type {ForwarderContext} from './context.js';
 
@@ -53,17 +55,8 @@
 	/** Upstreams for which queued tokens were reported to other hosts. */
 	let reportedUpstreams = new Set<UpstreamKey>();
 
-	/** Cached backlog limits by service and rank, for each route table. */
-	const backlogLimits = new WeakMap<RouteTable, Map<string, Milliseconds>>();
-
-	const getRankBacklogLimit = (table: RouteTable, {service, rank}: Call): Milliseconds => {
-		const rankLimits = backlogLimits.get(table) ?? new Map<string, Milliseconds>();
-		backlogLimits.set(table, rankLimits);
-		const key = `${service}/${rank}`;
-		const limit = rankLimits.get(key) ?? getBacklogLimit(table.configuration.routes, service, rank);
-		rankLimits.set(key, limit);
-		return limit;
-	};
+	const backlogLimits = createBacklogLimits();
+	const turns = createDispatchTurns(context);
 
 	/** Returns the remaining time until the route's latency target. */
 	const getSlack = ({call}: QueueEntry): Milliseconds => call.arrivedAt + call.route.latencyTarget - clock.monotonic();
@@ -86,19 +79,20 @@
 		return tracker.getCandidates(upstreams, service, call.head.prompt, tokensAhead);
 	};
 
-	/** Chooses an upstream for a call, and decides whether the call may go to it now; calls without a prompt are exempt from the backlog limit. */
+	/** Chooses an upstream for a call, and decides whether the call may go to it now; calls without a prompt are exempt from the backlog limit and take no turns. */
 	const decide = (entry: QueueEntry, tokensAhead: QueuedTokens): Decision => {
 		const {call} = entry;
 		const table = view.getRoutes();
 		const service = table?.services.get(call.service);
+		const backlogLimit = table === undefined ? 0 : backlogLimits.get(table, call);
 		const candidates = service === undefined ? [] : getCandidates(entry, service, tokensAhead);
 		const isLatencySensitive = isLatencySensitiveRoute(call.route, service, tracker.getPrefillRate(candidates.map(({upstream}) => upstream)));
 		const candidate = chooseUpstream(candidates, getRequestProfile(entry, isLatencySensitive), context.random);
-		if (table === undefined || candidate === undefined) {
+		if (candidate === undefined) {
 			return {kind: 'impossible'};
 		}
 
-		const isAdmissible = call.head.prompt === undefined || candidate.backlog <= getRankBacklogLimit(table, call);
+		const isAdmissible = call.head.prompt === undefined || (candidate.backlog <= backlogLimit && turns.take(candidate, candidates, backlogLimit));
 		return isAdmissible ? {kind: 'placed', candidate, isLatencySensitive} : {kind: 'waits', candidate};
 	};
 
@@ -162,6 +156,7 @@
 			.map(({entry}) => entry)
 			.filter(entry => processEntry(entry, queuedTokens));
 		reportQueuedTokens(queuedTokens);
+		turns.setWaiting(queuedTokens.keys());
 		const endedAt = clock.monotonic();
 		earliestDispatch = endedAt + Math.max(minDispatchInterval, (endedAt - startedAt) * dispatchPauseFactor);
 		scheduleDispatch(dispatchInterval);
--- a/packages/forwarder/src/testing-fleet.ts
+++ b/packages/forwarder/src/testing-fleet.ts
@@ -115,8 +115,8 @@
 	const reportExchange = createReportExchange(options, loads, report => {
 		send({sender: host, ...report});
 	});
-	const context: Pick<ForwarderContext, 'clock' | 'view' | 'tracker' | 'metrics' | 'reportExchange' | 'random' | 'zone'> = {
-		clock, view, tracker, metrics: createMetrics(), reportExchange: reportExchange as LoadReportExchange, random: createRandom(seed + index), zone: 'a',
+	const context: Pick<ForwarderContext, 'clock' | 'view' | 'tracker' | 'metrics' | 'reportExchange' | 'random' | 'zone' | 'countHosts'> = {
+		clock, view, tracker, metrics: createMetrics(), reportExchange: reportExchange as LoadReportExchange, random: createRandom(seed + index), zone: 'a', countHosts: () => options.hosts,
 	};
 	const host: TestHost = {
 		id: `h${index}`, loads, tracker, reportExchange, queue: createRequestQueue(context as ForwarderContext),
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -14,3 +14,4 @@
 export * from './reserved-upstreams.js';
 export * from './upstream.js';
 export * from './queue-order.js';
+export * from './dispatch-share.js';
