--- a/packages/forwarder/src/request-queue.ts
+++ b/packages/forwarder/src/request-queue.ts
@@ -1,9 +1,11 @@
 import {
-	chooseUpstream, compareQueued, getBacklogLimit, getUpstreamKey, isLatencySensitiveRoute,
-	type Candidate, type EarlyRefusal, type QueuePosition, type RequestProfile, type RouteTable, type Service, type UpstreamKey,
+	chooseUpstream, compareQueued, getUpstreamKey, isLatencySensitiveRoute,
+	type Candidate, type EarlyRefusal, type QueuePosition, type RequestProfile, type Service, type UpstreamKey,
 } from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
+import {createBacklogLimits} from './backlog-limits.js';
 import type {Call, Progress} from './call.js';
+import {createDispatchTurns} from './dispatch-turns.js';
 import {createEarlyRefusals} from './early-refusals.js';
 import {addQueuedTokens, startRequestLoad, type RequestLoad} from './request-load.js';
 import type {ForwarderContext} from './context.js';
@@ -67,17 +69,8 @@
 	/** Upstreams for which queued tokens were reported to other hosts. */
 	let reportedUpstreams = new Set<UpstreamKey>();
 
-	/** Cached backlog limits by service and rank, for each route table. */
-	const backlogLimits = new WeakMap<RouteTable, Map<string, Milliseconds>>();
-
-	const getRankBacklogLimit = (table: RouteTable, {service, rank}: Call): Milliseconds => {
-		const rankLimits = backlogLimits.get(table) ?? new Map<string, Milliseconds>();
-		backlogLimits.set(table, rankLimits);
-		const key = `${service}/${rank}`;
-		const limit = rankLimits.get(key) ?? getBacklogLimit(table.configuration.routes, service, rank);
-		rankLimits.set(key, limit);
-		return limit;
-	};
+	const backlogLimits = createBacklogLimits();
+	const turns = createDispatchTurns(context);
 
 	const getRequestProfile = (entry: QueueEntry, isLatencySensitive: boolean, now: Milliseconds): RequestProfile => ({
 		zone: context.zone,
@@ -93,7 +86,7 @@
 		});
 	};
 
-	/** Chooses an upstream for a call, and decides whether the call may go to it now; calls without a prompt are exempt from the backlog limit. */
+	/** Chooses an upstream for a call, and decides whether the call may go to it now; calls without a prompt are exempt from the backlog limit and take no turns. */
 	const decide = (entry: QueueEntry, pass: DispatchPass): Decision => {
 		const {call} = entry;
 		const table = view.getRoutes();
@@ -105,8 +98,10 @@
 			return {kind: 'impossible'};
 		}
 
-		const backlogLimit = getRankBacklogLimit(table, call);
-		if (call.head.prompt === undefined || candidate.backlog <= backlogLimit) {
+		const backlogLimit = backlogLimits.get(table, call);
+		if (call.head.prompt === undefined || (candidate.backlog <= backlogLimit && turns.take({
+			candidate, candidates, backlogLimit, now: pass.now,
+		}))) {
 			return {kind: 'placed', candidate, isLatencySensitive};
 		}
 
@@ -183,6 +178,7 @@
 			.filter(entry => processEntry(entry, pass));
 		refusals.endPass(pass.queuedTokens, startedAt);
 		reportQueuedTokens(pass.queuedTokens);
+		turns.setWaiting(pass.queuedTokens.keys(), startedAt);
 		const endedAt = clock.monotonic();
 		earliestDispatch = endedAt + Math.max(minDispatchInterval, (endedAt - startedAt) * dispatchPauseFactor);
 		scheduleDispatch(dispatchInterval);
