Add failing tests: requests are sent on connections that were closed

An upstream may close a connection after an answer without announcing it. If that arrives while the end of the answer waits to be read (a slow caller of a stream), the pool misses it, and hands the connection to a waiting request or keeps it as an idle one. Without the marker `test.fails`:

× a connection that was closed before its answer was read is not handed over to a waiting request AssertionError: expected 'none' to be 'answered' × a connection that was closed before its answer was read is not kept as an idle one AssertionError: expected 'none' to be 'answered'

--- a/packages/forwarder/src/send.test.ts
+++ b/packages/forwarder/src/send.test.ts
@@ -1,62 +1,17 @@
 import {Buffer} from 'node:buffer';
-import {
-	createServer, type AddressInfo, type NetConnectOpts, type Server, type Socket,
+import type {
+	AddressInfo, NetConnectOpts, Server, Socket,
 } from 'node:net';
-import {createManualClock, createSystemClock, type Clock} from '@gentianlift/clock';
+import {createManualClock, createSystemClock} from '@gentianlift/clock';
 import {expect, onTestFinished, test} from 'vitest';
 import type {Protocol} from './protocol.js';
-import {readBody, type Body} from './read-body.js';
-import {send, type InFlightRequest, type SendOutcome} from './send.js';
+import {send} from './send.js';
+import {
+	call, createSocketServerStarter, protocol, readAnswer, startCall, waitForClose,
+} from './testing-send.js';
 import {UpstreamAgent} from './upstream-agent.js';
 
-const protocol: Pick<Protocol, 'readAnswerHead'> = {
-	readAnswerHead: (status, headers) => ({
-		status,
-		callerRequestId: headers[headers.indexOf('Attempt') + 1],
-		isNotExecuted: status === 421,
-		hasUpstreamMark: true,
-		isEventStream: false,
-		forwarded: headers,
-	}),
-};
-
-/** Starts a stub upstream that calls `answer` with the socket and a count for each request. */
-const startUpstream = async (answer: (socket: Socket, count: number) => void): Promise<Server> => {
-	let count = 0;
-	const server = createServer(socket => {
-		socket.on('error', () => undefined);
-		socket.on('data', () => {
-			count += 1;
-			answer(socket, count);
-		});
-	});
-	await new Promise<void>(resolve => {
-		server.listen(0, '127.0.0.1', resolve);
-	});
-	onTestFinished(() => {
-		server.close();
-	});
-	return server;
-};
-
-const startCall = (server: Server, agent = new UpstreamAgent(), attempt = 'a1', clock: Clock = createSystemClock()): InFlightRequest => {
-	const {port} = server.address() as AddressInfo;
-	return send({
-		upstream: {
-			id: 'u', service: 's', address: `127.0.0.1:${port}`, zone: 'z', isLeaving: false, slots: 1, startedAt: 1,
-		},
-		method: 'GET', target: '/', body: new Uint8Array(), callerRequestId: attempt, connectionWait: 2000, buildHead: () => ({headers: ['Host', 'h'], headTimeout: 5000}),
-	}, {agent, protocol: protocol as Protocol, clock});
-};
-
-const call = async (...parameters: Parameters<typeof startCall>): Promise<SendOutcome> => startCall(...parameters).outcome;
-
-const readAnswer = async (outcome: SendOutcome): Promise<Body | undefined> =>
-	outcome.kind === 'answered' ? readBody(outcome.answer, 1000) : undefined;
-
-const waitForClose = async (): Promise<void> => new Promise(resolve => {
-	setTimeout(resolve, 30);
-});
+const startUpstream = createSocketServerStarter(onTestFinished);
 
 test('an answer without a length is complete after an orderly close', async () => {
 	const server = await startUpstream(socket => {
