--- a/packages/forwarder/src/testing-send.ts
+++ b/packages/forwarder/src/testing-send.ts
@@ -7,11 +7,11 @@
 import {send, type InFlightRequest, type SendOutcome} from './send.js';
 import {UpstreamAgent} from './upstream-agent.js';
 
-/** Protocol of the stub upstreams, whose answers name the caller's id of the request in the header `Attempt`. */
+/** Protocol of the stub upstreams, whose answers name the caller's id of the request in the header `Attempt`, if at all. */
 export const protocol: Pick<Protocol, 'readAnswerHead'> = {
 	readAnswerHead: (status, headers) => ({
 		status,
-		callerRequestId: headers[headers.indexOf('Attempt') + 1],
+		callerRequestId: headers.includes('Attempt') ? headers[headers.indexOf('Attempt') + 1] : undefined,
 		isNotExecuted: status === 421,
 		hasUpstreamMark: true,
 		isEventStream: false,
