End the wait for a connection when its upstream is removed

The pool of a removed upstream tells the requests that wait for its connections, and they end as not sent, so that their calls go to another upstream or are refused at once.

--- a/packages/forwarder/src/retired-pool.test.ts
+++ b/packages/forwarder/src/retired-pool.test.ts
@@ -9,7 +9,7 @@
 const maxNoticeTime = 500;
 
 // Guards against: callers are held for an upstream that was removed, until its other answers end and free their connections.
-test.fails('requests that wait for a connection of a removed upstream end at once', async () => {
+test('requests that wait for a connection of a removed upstream end at once', async () => {
 	let requests = 0;
 	const server = await startUpstream((_socket, count) => {
 		requests = count;
--- a/packages/forwarder/src/send.ts
+++ b/packages/forwarder/src/send.ts
@@ -174,6 +174,7 @@
 
 	const finish = (result: SendOutcome): void => {
 		cancelTimer?.();
+		agent.off('retire', endIfWaiting);
 		resolve(result);
 	};
 
@@ -191,6 +192,12 @@
 		clientRequest.destroy();
 	};
 
+	const endIfWaiting = (): void => {
+		if (phase === 'waiting') {
+			endUnsent('upstream-removed');
+		}
+	};
+
 	const sendNow = (): void => {
 		const head = buildHead();
 		if (head === undefined) {
@@ -210,6 +217,7 @@
 	};
 
 	enterPhase('waiting', connectionWait);
+	agent.once('retire', endIfWaiting);
 	watchConnection(clientRequest, agent, {
 		onConnecting() {
 			enterPhase('connecting', connectTimeout);
--- a/packages/forwarder/src/upstream-agent.ts
+++ b/packages/forwarder/src/upstream-agent.ts
@@ -45,11 +45,14 @@
 			keepAlive: true, scheduling: 'lifo', maxFreeSockets: 64, ...options,
 		});
 		this.#idleTimeout = idleTimeout;
+		// Each waiting request listens for `retire`.
+		this.setMaxListeners(0);
 	}
 
-	/** Closes idle connections now, and those in use after their answers. */
+	/** Closes idle connections now, and those in use after their answers; emits `retire`, as requests that wait for a connection should wait no longer. */
 	retire(): void {
 		this.maxFreeSockets = 0;
+		this.emit('retire');
 		for (const socket of Object.values(this.freeSockets).flat()) {
 			socket?.destroy();
 		}
