--- a/packages/forwarder/src/upstream-agent.ts
+++ b/packages/forwarder/src/upstream-agent.ts
@@ -45,11 +45,14 @@
 			keepAlive: true, scheduling: 'lifo', maxFreeSockets: 64, ...options,
 		});
 		this.#idleTimeout = idleTimeout;
+		// Each waiting request listens for `retire`.
+		this.setMaxListeners(0);
 	}
 
-	/** Closes idle connections now, and those in use after their answers. */
+	/** Closes idle connections now, and those in use after their answers; emits `retire`, as requests that wait for a connection should wait no longer. */
 	retire(): void {
 		this.maxFreeSockets = 0;
+		this.emit('retire');
 		for (const socket of Object.values(this.freeSockets).flat()) {
 			socket?.destroy();
 		}
@@ -84,17 +87,17 @@
 			message: undefined, isIdle: false, idleTimer: undefined, isReset: false,
 		};
 		this.#states.set(socket, state);
-		socket.on('data', () => {
+		const closeIfUnused = (): void => {
 			if (state.isIdle || state.message?.complete === true) {
 				socket.destroy();
 			}
-		});
+		};
+
+		socket.on('data', closeIfUnused);
 		socket.once('end', () => {
 			// A reset that arrives together with data is reported as an orderly end, but leaves the socket without a remote address.
 			state.isReset = socket.remoteAddress === undefined;
-			if (state.isIdle) {
-				socket.destroy();
-			}
+			closeIfUnused();
 		});
 		socket.once('close', () => {
 			clearTimeout(state.idleTimer);
