Send the share of the room below the backlog limit only

The test had one burst of 48 questions, in which one question is two hundredths; it now takes the mean of four bursts, with the same bounds.

--- a/packages/forwarder/src/dispatch-fleet.test.ts
+++ b/packages/forwarder/src/dispatch-fleet.test.ts
@@ -1,5 +1,5 @@
 import {expect, test} from 'vitest';
-import {playBurst, type FleetSize} from './testing-burst.js';
+import {playBurst, type BurstResult, type FleetSize} from './testing-burst.js';
 
 /** Fraction of the questions that get their first token within their target. */
 const minQuestionsInTarget = 0.9;
@@ -16,22 +16,31 @@
 	hosts: 7, engines: 8, reportDelay: 3, reportSpacing: 0,
 };
 
-const result = await playBurst(largeFleet, 1);
-console.log(JSON.stringify(result));
+/** Several bursts, as the questions of one are few. */
+const seeds = [1, 2, 3, 4];
+
+const results = await Promise.all(seeds.map(async seed => playBurst(largeFleet, seed)));
+
+const getMean = (values: readonly number[]): number => values.reduce((sum, value) => sum + value, 0) / values.length;
+
+/** Fails with the summaries of all bursts. */
+const expectMean = (name: 'questionsInTarget' | 'reviewUtilization', minimum: number): void => {
+	const values = results.map((result: BurstResult) => result[name]);
+	expect(getMean(values), JSON.stringify(results)).toBeGreaterThanOrEqual(minimum);
+};
 
 test('all calls of a burst are served, and reviews use the engines', () => {
-	expect(result.served).toBe(1);
-	expect(result.reviewUtilization).toBeGreaterThanOrEqual(minReviewUtilization);
+	expect(results.map(({served}) => served)).toEqual(seeds.map(() => 1));
+	expectMean('reviewUtilization', minReviewUtilization);
 });
 
 // Guards against hosts that all send a waiting review to the same engine once load reports say that it has room.
 test('questions meet their target while reviews wait', () => {
-	expect(result.questionsInTarget).toBeGreaterThanOrEqual(minQuestionsInTarget);
+	expectMean('questionsInTarget', minQuestionsInTarget);
 });
 
 test('questions meet their target in a small fleet too', async () => {
 	const smallFleetResult = await playBurst(smallFleet, 1);
-	console.log(JSON.stringify(smallFleetResult));
 	expect(smallFleetResult.served).toBe(1);
 	expect(smallFleetResult.reviewUtilization).toBeGreaterThanOrEqual(minReviewUtilization);
 	expect(smallFleetResult.questionsInTarget).toBeGreaterThanOrEqual(minQuestionsInTarget);
--- a/packages/forwarder/src/dispatch-turns.ts
+++ b/packages/forwarder/src/dispatch-turns.ts
@@ -66,9 +66,7 @@
 
 			nextDraws.set(key, now + reportDelay);
 			const ownTokens = Math.max(candidate.uncachedTokens, tracker.getReportedQueuedTokens(key));
-			const probability = getSendProbability(candidate, {
-				backlogLimit, reportDelay, ownTokens, otherTokens,
-			});
+			const probability = getSendProbability(candidate, {backlogLimit, ownTokens, otherTokens});
 			return random.next() < probability;
 		},
 		setWaiting(upstreams, now) {
--- a/packages/routing/src/dispatch-share.ts
+++ b/packages/routing/src/dispatch-share.ts
@@ -5,8 +5,6 @@
 export type DispatchShare = {
 	/** Maximum backlog at which the upstream may receive the request. */
 	backlogLimit: Milliseconds;
-	/** Mean time until the other hosts know that a request was sent. */
-	reportDelay: Milliseconds;
 	/** Prompt tokens of this host's queued requests for the upstream, including the request. */
 	ownTokens: number;
 	/** Prompt tokens of the other hosts' queued requests that may be sent to the upstream at the same time. */
@@ -14,22 +12,22 @@
 };
 
 /** Multiple of its share that a host may send, as many of the other hosts' requests go to another upstream in the end. */
-const shareFactor = 3;
+const shareFactor = 2;
 
 /**
  * Returns the probability with which a host sends a queued request to an upstream in one report delay. All hosts learn at
- * the same time that the backlog has fallen below the limit, so each sends only its share of the tokens that bring the
- * backlog back to the limit after the delay.
+ * the same time that the backlog has fallen below the limit, so each sends only its share of the tokens that bring it back
+ * to the limit.
  */
 export const getSendProbability = (
 	{backlog, prefillRate, uncachedTokens}: Pick<Candidate, 'backlog' | 'prefillRate' | 'uncachedTokens'>,
-	{backlogLimit, reportDelay, ownTokens, otherTokens}: DispatchShare,
+	{backlogLimit, ownTokens, otherTokens}: DispatchShare,
 ): number => {
 	if (otherTokens <= 0) {
 		return 1;
 	}
 
-	const missingTokens = Math.max(0, backlogLimit - backlog + reportDelay) * prefillRate;
+	const missingTokens = Math.max(0, backlogLimit - backlog) * prefillRate;
 	const ownShare = ownTokens / (ownTokens + otherTokens);
 	return Math.min(1, shareFactor * missingTokens * ownShare / Math.max(1, uncachedTokens));
 };
