Take an engine's configured cache size whatever a host learns first

Cause: the estimate of an engine's prompt cache was created at its first use, with the service's size if that was the choice for a call of this host, and with 200,000 tokens if it was a report of another host's prompt; that size stayed. Found by reading, in the simulated fleet.

Change: the size is that of the service as soon as the engine is listed; the estimate evicts what is beyond it.

--- a/packages/discovery/src/fleet-view.ts
+++ b/packages/discovery/src/fleet-view.ts
@@ -1,6 +1,6 @@
 import type {Logger} from '@gentianlift/logger';
 import {
-	buildRouteTable, getUpstreamKey, type RouteTable, type RoutingConfiguration, type Upstream, type UpstreamKey,
+	buildRouteTable, getUpstreamKey, type RouteTable, type RoutingConfiguration, type Service, type Upstream, type UpstreamKey,
 } from '@gentianlift/routing';
 import type {
 	Change, Entry, HostId, Milliseconds, Snapshot,
@@ -36,6 +36,8 @@
 	getRoutes: () => RouteTable | undefined;
 	/** Returns the upstreams that run a service and accept new requests. */
 	getUpstreams: (service: string) => Upstream[];
+	/** Returns the service that the incarnation of an upstream runs; undefined if it isn't listed. */
+	getService: (upstreamKey: UpstreamKey) => Service | undefined;
 	/** Returns whether the incarnation of an upstream is listed and accepts new requests. */
 	isUsable: (upstreamKey: UpstreamKey) => boolean;
 	/** Returns the records of all listed hosts, this one included. */
@@ -227,6 +229,10 @@
 		getSnapshot: () => ({entries: [...entries.values()], revision}),
 		getRoutes: () => routeTable,
 		getUpstreams: service => [...upstreams.values()].filter(upstream => upstream.service === service && !upstream.isLeaving),
+		getService(upstreamKey) {
+			const listed = [...upstreams.values()].find(upstream => getUpstreamKey(upstream) === upstreamKey);
+			return listed === undefined ? undefined : routeTable?.services.get(listed.service);
+		},
 		isUsable: upstreamKey => [...upstreams.values()].some(upstream => getUpstreamKey(upstream) === upstreamKey && !upstream.isLeaving),
 		getHosts: () => [...hosts.values()],
 	};
--- a/packages/forwarder/src/request-queue.test.ts
+++ b/packages/forwarder/src/request-queue.test.ts
@@ -37,7 +37,6 @@
 	const clock = createManualClock(1000);
 	const loads = createLoadTracker();
 	const logger = createSilentLogger();
-	const tracker = createUpstreamTracker({clock, logger, loads});
 	const view = createFleetView({
 		logger,
 		decode({key}) {
@@ -46,6 +45,9 @@
 		},
 	});
 	view.applySnapshot({entries: ['c', ...upstreams.map(({id}) => id)].map(key => ({key, value: '', revision: 1})), revision: 1}, 0);
+	const tracker = createUpstreamTracker({
+		clock, logger, loads, getService: view.getService,
+	});
 	const reportExchange: Pick<LoadReportExchange, 'addLoad'> = {
 		addLoad(upstream, change) {
 			loads.addOwnLoad(upstream, change, clock.monotonic());
--- a/packages/forwarder/src/simulated-host.ts
+++ b/packages/forwarder/src/simulated-host.ts
@@ -93,7 +93,9 @@
 		zone: 'a',
 		view,
 		reportExchange,
-		tracker: createUpstreamTracker({clock, logger, loads}),
+		tracker: createUpstreamTracker({
+			clock, logger, loads, getService: view.getService,
+		}),
 		suspects: createCrashSuspects(),
 		retryLimit: {ratio: 0.2, minimum: 54, window: 10_000},
 		countHosts: () => 1,
--- a/packages/forwarder/src/start-host.ts
+++ b/packages/forwarder/src/start-host.ts
@@ -96,7 +96,9 @@
 	const random = createRandom(getRandomSeed(settings.host, clock.now()));
 	const metrics = createMetrics();
 	const loads = createLoadTracker();
-	const tracker = createUpstreamTracker({clock, logger, loads});
+	const tracker = createUpstreamTracker({
+		clock, logger, loads, getService: upstream => fleet.view.getService(upstream),
+	});
 	const suspects = createCrashSuspects();
 	const isStopping = (): boolean => shutdown.since !== undefined;
 	const fleet = joinFleet({
--- a/packages/forwarder/src/testing-fleet.ts
+++ b/packages/forwarder/src/testing-fleet.ts
@@ -111,7 +111,9 @@
 const createHost = (options: TestFleetOptions, index: number, view: FleetView, send: (report: TestReport) => void): TestHost => {
 	const {clock, seed} = options;
 	const loads = createLoadTracker();
-	const tracker = createUpstreamTracker({clock, logger: createSilentLogger(), loads});
+	const tracker = createUpstreamTracker({
+		clock, logger: createSilentLogger(), loads, getService: view.getService,
+	});
 	const reportExchange = createReportExchange(options, loads, report => {
 		send({sender: host, ...report});
 	});
--- a/packages/forwarder/src/testing.ts
+++ b/packages/forwarder/src/testing.ts
@@ -157,7 +157,9 @@
 		zone: 'a',
 		view,
 		reportExchange: createReportExchange(loads),
-		tracker: createUpstreamTracker({clock, logger, loads}),
+		tracker: createUpstreamTracker({
+			clock, logger, loads, getService: view.getService,
+		}),
 		suspects: createCrashSuspects(),
 		crashDetector: createCrashDetector(clock),
 		retryLimit: {ratio: 0.2, minimum: 54, window: 10_000},
--- a/packages/forwarder/src/upstream-tracker.ts
+++ b/packages/forwarder/src/upstream-tracker.ts
@@ -50,12 +50,20 @@
 export type RequestActivity = {recordBytes: () => void; end: () => void};
 
 /** Dependencies of a tracker. */
-export type UpstreamTrackerOptions = {clock: Clock; logger: Logger; loads: LoadTracker};
+export type UpstreamTrackerOptions = {
+	clock: Clock;
+	logger: Logger;
+	loads: LoadTracker;
+	/** Returns the service that an upstream runs; undefined while the upstream isn't listed. */
+	getService: (upstream: UpstreamKey) => Service | undefined;
+};
 
 type UpstreamState = {
 	agent: UpstreamAgent;
 	nonIdempotentAgent: UpstreamAgent;
 	cache: PromptCacheEstimate | undefined;
+	/** Whether the estimate of the prompt cache has the capacity that the service configures. */
+	hasCacheCapacity: boolean;
 	prefillRate: PrefillRateEstimate;
 	failures: FailureCounts;
 	/** Exponential moving average of the durations of answers. */
@@ -112,7 +120,9 @@
 };
 
 /** Creates a tracker without state. */
-export const createUpstreamTracker = ({clock, logger, loads}: UpstreamTrackerOptions): UpstreamTracker => {
+export const createUpstreamTracker = ({
+	clock, logger, loads, getService,
+}: UpstreamTrackerOptions): UpstreamTracker => {
 	const states = new Map<UpstreamKey, UpstreamState>();
 	const reservations = new Map<string, Reservation>();
 
@@ -126,6 +136,7 @@
 			agent: new UpstreamAgent(),
 			nonIdempotentAgent: new UpstreamAgent({idleTimeout: idleTimeouts.short}),
 			cache: undefined,
+			hasCacheCapacity: false,
 			prefillRate: createPrefillRateEstimate(),
 			failures: createFailureCounts(clock.monotonic()),
 			meanDuration: undefined,
@@ -147,9 +158,16 @@
 		return (state?.avoidedUntil ?? 0) <= now && getStateSilence(state, now) <= avoidanceSilence;
 	};
 
-	const getCache = (key: UpstreamKey, capacity = defaultCacheTokens): PromptCacheEstimate => {
+	/** Returns the estimate of an upstream's prompt cache, with its capacity once that is known. */
+	const getCache = (key: UpstreamKey): PromptCacheEstimate => {
 		const state = getState(key);
-		state.cache ??= createPromptCacheEstimate(capacity);
+		state.cache ??= createPromptCacheEstimate(defaultCacheTokens);
+		const service = state.hasCacheCapacity ? undefined : getService(key);
+		if (service !== undefined) {
+			state.cache.setCapacity(service.engine?.cacheTokens ?? defaultCacheTokens);
+			state.hasCacheCapacity = true;
+		}
+
 		return state.cache;
 	};
 
@@ -183,7 +201,7 @@
 			const usable = reachable.length === 0 ? upstreams : reachable;
 			const usableStates = usable.map(upstream => ({upstream, key: getUpstreamKey(upstream), state: getState(getUpstreamKey(upstream))}));
 			const median = getMedian(usableStates.map(({state}) => state.meanDuration).filter(duration => duration !== undefined));
-			const cachedTokens = usableStates.map(({key}) => prompt === undefined ? noCachedTokens : getCache(key, service.engine?.cacheTokens).getCachedTokens(prompt));
+			const cachedTokens = usableStates.map(({key}) => prompt === undefined ? noCachedTokens : getCache(key).getCachedTokens(prompt));
 			const maxSharedTokens = Math.max(...cachedTokens.map(({shared}) => shared));
 			const reserved = getReserved(service.name, upstreams, now);
 			const unreservedUpstreams = usable.filter(upstream => !reserved.has(getUpstreamKey(upstream)));
--- a/packages/routing/src/prompt-cache.ts
+++ b/packages/routing/src/prompt-cache.ts
@@ -10,6 +10,8 @@
 export type PromptCacheEstimate = {
 	/** Adds the parts of a prompt that the upstream prefills. */
 	add: (prompt: Pick<Prompt, 'model' | 'parts'>) => void;
+	/** Sets the capacity, and evicts parts beyond it. */
+	setCapacity: (capacityTokens: number) => void;
 	/** Returns how many tokens at the beginning of the prompt are assumed to be cached, and how many of these belong to shared parts. */
 	getCachedTokens: (prompt: Prompt) => CachedTokens;
 	/** Returns whether the part is assumed to be cached. */
@@ -37,7 +39,7 @@
 /** Creates the estimate for an empty cache of `capacityTokens` tokens. */
 export const createPromptCacheEstimate = (capacityTokens: number): PromptCacheEstimate => {
 	const cachedParts = new Map<string, number>();
-	const maxTokens = capacityTokens * usableFraction;
+	let maxTokens = capacityTokens * usableFraction;
 	let totalTokens = 0;
 
 	const remove = (key: string): void => {
@@ -71,6 +73,10 @@
 
 			evictOldest();
 		},
+		setCapacity(nextCapacityTokens) {
+			maxTokens = nextCapacityTokens * usableFraction;
+			evictOldest();
+		},
 		getCachedTokens(prompt) {
 			const {parts} = prompt;
 			const firstMissing = getPartKeys(prompt).findIndex(key => !cachedParts.has(key));
