End the wait for a connection when its upstream begins to leave

Cause: the pool learnt of removals only; the view of the fleet didn't tell it of an upstream that is listed as leaving.

Change: the view tells of that too, and the pool is retired: idle connections are closed, those in use after their answers, and waiting requests end as unsent.

--- a/packages/discovery/src/fleet-view.ts
+++ b/packages/discovery/src/fleet-view.ts
@@ -51,13 +51,17 @@
 	logger: Logger;
 	/** Called with each incarnation of an upstream that is no longer listed. */
 	onRemoved?: (upstreamKey: UpstreamKey) => void;
+	/** Called with each incarnation of an upstream that is listed as leaving, when it was not before. */
+	onLeaving?: (upstreamKey: UpstreamKey) => void;
 };
 
 /** Time after an outage of the store in which upstreams whose leases expired during it can register again. */
 const reregistrationGrace: Milliseconds = 2000;
 
 /** Creates an empty view. */
-export const createFleetView = ({decode, logger, onRemoved}: FleetViewOptions): FleetView => {
+export const createFleetView = ({
+	decode, logger, onRemoved, onLeaving,
+}: FleetViewOptions): FleetView => {
 	const entries = new Map<string, Entry>();
 	const upstreams = new Map<string, Upstream>();
 	const hosts = new Map<HostId, HostRecord>();
@@ -104,6 +108,9 @@
 			logger.info('upstream-listed', {
 				upstream: getUpstreamKey(upstream), service: upstream.service, address: upstream.address, leaving: upstream.isLeaving, revision,
 			});
+			if (upstream.isLeaving) {
+				onLeaving?.(getUpstreamKey(upstream));
+			}
 		}
 	};
 
--- a/packages/discovery/src/join-fleet.ts
+++ b/packages/discovery/src/join-fleet.ts
@@ -53,6 +53,8 @@
 	onReport: (arrival: ReportArrival) => void;
 	/** Called with each incarnation of an upstream that is no longer listed. */
 	onRemoved: (upstreamKey: UpstreamKey) => void;
+	/** Called with each incarnation of an upstream that begins to leave. */
+	onLeaving: (upstreamKey: UpstreamKey) => void;
 };
 
 type GetOtherHosts = () => HostRecord[];
@@ -95,7 +97,9 @@
 	const {
 		record, knownPeers, store, clock, random, logger,
 	} = options;
-	const view = createFleetView({decode: options.decode, logger, onRemoved: options.onRemoved});
+	const view = createFleetView({
+		decode: options.decode, logger, onRemoved: options.onRemoved, onLeaving: options.onLeaving,
+	});
 	const getOthers: GetOtherHosts = () => view.getHosts().filter(({host}) => host !== record.host);
 	const reportExchange = startReportExchange(options, view, getOthers);
 	const getPeerAddresses = (): Address[] => {
--- a/packages/forwarder/src/leaving-upstream.test.ts
+++ b/packages/forwarder/src/leaving-upstream.test.ts
@@ -14,7 +14,7 @@
 const holdRequest: AnswerHandler = () => undefined;
 
 // Guards against: a call is held for an upstream that is leaving, until another answer ends and frees its connection.
-test.fails('a call that waits for a connection of a leaving upstream is refused at once', async () => {
+test('a call that waits for a connection of a leaving upstream is refused at once', async () => {
 	const {host, counts} = await start(holdRequest);
 	host.context.countHosts = () => hostCount;
 	const send = async (id: string) => sendRequest(host.port, {path: `/once/${id}`, headers: {attempt: id}});
--- a/packages/forwarder/src/start-host.ts
+++ b/packages/forwarder/src/start-host.ts
@@ -120,6 +120,7 @@
 			recordReportArrival(metrics, arrival);
 		},
 		onRemoved: tracker.remove,
+		onLeaving: tracker.retire,
 	});
 	const context: ForwarderContext = {
 		clock,
--- a/packages/forwarder/src/testing.ts
+++ b/packages/forwarder/src/testing.ts
@@ -4,7 +4,7 @@
 import type {AddressInfo} from 'node:net';
 import {createRandom, createSystemClock} from '@gentianlift/clock';
 import {
-	createFleetView, createLoadTracker, type FleetView, type LoadTracker, type LoadReportExchange,
+	createFleetView, createLoadTracker, type FleetView, type FleetViewOptions, type LoadTracker, type LoadReportExchange,
 } from '@gentianlift/discovery';
 import {createLogger} from '@gentianlift/logger';
 import {createMetrics} from '@gentianlift/metrics';
@@ -121,8 +121,8 @@
 	close: () => undefined,
 });
 
-const createView = (context: Pick<ForwarderContext, 'logger'>, configuration: RoutingConfiguration, upstreams: Map<string, Upstream>): FleetView => createFleetView({
-	logger: context.logger,
+const createView = (options: Pick<FleetViewOptions, 'logger' | 'onLeaving'>, configuration: RoutingConfiguration, upstreams: Map<string, Upstream>): FleetView => createFleetView({
+	...options,
 	decode({key}) {
 		const upstream = upstreams.get(key);
 		return upstream === undefined ? {kind: 'configuration', configuration} : {kind: 'upstream', upstream};
@@ -138,7 +138,12 @@
 	});
 	const loads = createLoadTracker();
 	const upstreams = new Map<string, Upstream>();
-	const view = createView({logger}, configuration, upstreams);
+	const view = createView({
+		logger,
+		onLeaving(upstream) {
+			context.tracker.retire(upstream);
+		},
+	}, configuration, upstreams);
 	let revision = 1;
 	let isStopping = false;
 	const setEntries = (): void => {
--- a/packages/forwarder/src/upstream-tracker.ts
+++ b/packages/forwarder/src/upstream-tracker.ts
@@ -42,7 +42,9 @@
 	getSilence: (upstream: Upstream) => Milliseconds;
 	/** Records the result of a request, and its duration if durations of its kind are comparable. */
 	recordResult: (upstream: Upstream, hasFailed: boolean, duration: Milliseconds | undefined) => void;
-	/** Forgets an incarnation that was removed, and closes its connections once their requests have ended. */
+	/** Closes the connections of an incarnation once their requests have ended, and ends the wait for them. */
+	retire: (key: UpstreamKey) => void;
+	/** Forgets an incarnation that was removed, and retires its connections. */
 	remove: (key: UpstreamKey) => void;
 };
 
@@ -179,6 +181,12 @@
 		return chooseReservedUpstreams(upstreams, reservation.count);
 	};
 
+	const retire = (key: UpstreamKey): void => {
+		const state = states.get(key);
+		state?.agent.retire();
+		state?.nonIdempotentAgent.retire();
+	};
+
 	return {
 		getReportedQueuedTokens: loads.getOwnQueuedTokens,
 		getPrefillRate(upstreams) {
@@ -257,13 +265,11 @@
 				state.meanDuration = state.meanDuration === undefined ? duration : (state.meanDuration * (1 - durationWeight)) + (duration * durationWeight);
 			}
 		},
+		retire,
 		remove(key) {
-			const state = states.get(key);
+			retire(key);
 			states.delete(key);
 			loads.removeUpstream(key);
-			// Connections with a request in flight close after its answer.
-			state?.agent.retire();
-			state?.nonIdempotentAgent.retire();
 		},
 	};
 };
