Let small calls pass, and share the room among the engines that have some

Cause: the customers' ranks there go before the routes', so that quick calls wait among long prompts of their rank, and a call had to wait for its turn however small it was.

Change: a call of up to a quarter of the room takes no turn. All queued calls compete for the engines that have room, so that each gets its part of them.

--- /dev/null
+++ b/packages/forwarder/src/dispatch-turns.test.ts
@@ -0,0 +1,42 @@
+import {createRandom} from '@gentianlift/clock';
+import {buildCandidate, buildLoad, buildUpstream} from '@gentianlift/routing/testing';
+import {expect, test} from 'vitest';
+import {createDispatchTurns, type DispatchTurn, type DispatchTurns} from './dispatch-turns.js';
+
+const backlogLimit = 150;
+const attempts = 2000;
+
+const createTurns = (): DispatchTurns => createDispatchTurns({
+	random: createRandom(1), countHosts: () => 75, tracker: {getReportedQueuedTokens: () => 0},
+});
+
+/** Candidates with half of their room, for which other hosts have queued calls. */
+const candidates = Array.from({length: 20}, (_, index) => buildCandidate({
+	upstream: buildUpstream({id: `u${index}`}), backlog: 75, uncachedTokens: 5000, load: buildLoad({queuedTokens: 30_000}),
+}));
+
+/** Returns the fraction of draws that let a call be sent. */
+const getSentFraction = (turn: Partial<DispatchTurn>): number => {
+	const turns = createTurns();
+	let sent = 0;
+	for (let index = 0; index < attempts; index++) {
+		const isSent = turns.take({
+			candidate: candidates[0]!, candidates, backlogLimit, now: index * 1000, ...turn,
+		});
+		sent += isSent ? 1 : 0;
+	}
+
+	return sent / attempts;
+};
+
+// Quick calls of a customer's rank waited for their turn among long prompts, though they add next to nothing to a backlog.
+test('a small call takes no turn', () => {
+	expect(getSentFraction({candidate: {...candidates[0]!, uncachedTokens: 1000}})).toBe(1);
+});
+
+// Engines idled in a fleet with many of them, as each waiting call was taken to compete for each engine.
+test('waiting calls compete for one of the upstreams that have room', () => {
+	const full = candidates.slice(1).map(candidate => ({...candidate, backlog: 500}));
+	expect(getSentFraction({})).toBeGreaterThan(0.08);
+	expect(getSentFraction({candidates: [candidates[0]!, ...full]})).toBeLessThan(0.02);
+});
--- a/packages/forwarder/src/dispatch-turns.ts
+++ b/packages/forwarder/src/dispatch-turns.ts
@@ -4,6 +4,7 @@
 } from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
 import type {ForwarderContext} from './context.js';
+import type {UpstreamTracker} from './upstream-tracker.js';
 
 /** A queued call that its upstream has room for. */
 export type DispatchTurn = {
@@ -19,14 +20,26 @@
 
 /** Decides when this host sends its queued calls, so that all hosts together don't send more than an upstream has room for. */
 export type DispatchTurns = {
-	/** Returns whether a call may be sent to its candidate now; draws at most once per upstream and report delay. */
+	/** Returns whether a call may be sent to its candidate now; small calls always, others by a draw at most once per upstream and report delay. */
 	take: (turn: DispatchTurn) => boolean;
 	/** Records the upstreams for which calls of this host are queued after a dispatch pass. */
 	setWaiting: (upstreams: Iterable<UpstreamKey>, now: Milliseconds) => void;
 };
 
+/** Dependencies of the decisions on turns. */
+export type DispatchTurnsOptions = Pick<ForwarderContext, 'random' | 'countHosts'> & {tracker: Pick<UpstreamTracker, 'getReportedQueuedTokens'>};
+
+/** Tokens of a call that takes no turn, as a fraction of those that an upstream prefills in the time of the backlog limit. */
+const smallCallFraction = 0.25;
+
+const isSmall = ({candidate, backlogLimit}: DispatchTurn): boolean =>
+	candidate.uncachedTokens <= smallCallFraction * backlogLimit * candidate.prefillRate;
+
+const countWithRoom = (candidates: readonly Candidate[], backlogLimit: Milliseconds): number =>
+	Math.max(1, candidates.filter(({backlog}) => backlog <= backlogLimit).length);
+
 /** Creates the state of a host without queued calls. */
-export const createDispatchTurns = ({random, tracker, countHosts}: Pick<ForwarderContext, 'random' | 'tracker' | 'countHosts'>): DispatchTurns => {
+export const createDispatchTurns = ({random, tracker, countHosts}: DispatchTurnsOptions): DispatchTurns => {
 	/** When calls of this host began to wait for an upstream, without a break since. */
 	let waitingSince = new Map<UpstreamKey, Milliseconds>();
 	const nextDraws = new Map<UpstreamKey, Milliseconds>();
@@ -34,12 +47,20 @@
 	const countOtherTokens = ({upstream, load}: Candidate): number =>
 		load.queuedTokens - tracker.getReportedQueuedTokens(getUpstreamKey(upstream));
 
-	/** Returns the other hosts' queued tokens that may go to the upstream too: until they know of each other's calls there, hosts that have just chosen it may all send theirs. */
-	const countCompetingTokens = ({candidate, candidates, now}: DispatchTurn, reportDelay: Milliseconds): number => {
+	/**
+	 * Returns the other hosts' queued tokens that may go to the upstream too. Until they know of each other's calls there,
+	 * hosts that have just chosen it may all send theirs: all queued calls choose among the upstreams that have room.
+	 */
+	const countCompetingTokens = ({
+		candidate, candidates, backlogLimit, now,
+	}: DispatchTurn, reportDelay: Milliseconds): number => {
 		const since = waitingSince.get(getUpstreamKey(candidate.upstream)) ?? now;
-		return now - since >= reportDelay
-			? countOtherTokens(candidate)
-			: candidates.reduce((sum, other) => sum + countOtherTokens(other), 0);
+		if (now - since >= reportDelay) {
+			return countOtherTokens(candidate);
+		}
+
+		const otherTokens = candidates.reduce((sum, other) => sum + countOtherTokens(other), 0);
+		return otherTokens / countWithRoom(candidates, backlogLimit);
 	};
 
 	const dropPastDraws = (now: Milliseconds): void => {
@@ -53,6 +74,10 @@
 	return {
 		take(turn) {
 			const {candidate, backlogLimit, now} = turn;
+			if (isSmall(turn)) {
+				return true;
+			}
+
 			const key = getUpstreamKey(candidate.upstream);
 			const reportDelay = getMeanReportDelay(countHosts());
 			const otherTokens = countCompetingTokens(turn, reportDelay);
--- a/packages/routing/src/dispatch-share.ts
+++ b/packages/routing/src/dispatch-share.ts
@@ -12,7 +12,7 @@
 };
 
 /** Multiple of its share that a host may send, as many of the other hosts' requests go to another upstream in the end. */
-const shareFactor = 2;
+const shareFactor = 1.2;
 
 /**
  * Returns the probability with which a host sends a queued request to an upstream in one report delay. All hosts learn at
