--- /dev/null
+++ b/packages/forwarder/src/build-upstream-request.ts
@@ -0,0 +1,55 @@
+import {getUpstreamKey, type Upstream} from '@gentianlift/routing';
+import type {Milliseconds} from '@gentianlift/types';
+import type {Call, Progress} from './call.js';
+import type {ForwarderContext} from './context.js';
+import type {RequestHead, UpstreamRequest} from './send.js';
+
+/** Minimum wait for a connection or for the head of an answer before a request is retried on another upstream. */
+const minAttemptTimeout: Milliseconds = 300;
+/** Fraction of the remaining time that an attempt may wait for the head of an answer while another execution is allowed, or for a connection while there is another upstream. */
+const attemptTimeoutFraction = 0.4;
+
+/** Returns the part of the remaining time after which a request is retried on another upstream. */
+const getAttemptTimeout = (remainingTime: Milliseconds): Milliseconds =>
+	Math.min(remainingTime, Math.max(minAttemptTimeout, remainingTime * attemptTimeoutFraction));
+
+/** Returns the longest wait for the head of an answer; while another execution is allowed, part of the remaining time is left for it. */
+const getHeadTimeout = (call: Call, progress: Progress, remainingTime: Milliseconds): Milliseconds => {
+	const mayRetryElsewhere = call.route.kind === 'idempotent' && progress.possibleExecutions + 1 < call.route.maxUpstreams;
+	return mayRetryElsewhere ? getAttemptTimeout(remainingTime) : remainingTime;
+};
+
+/** Returns the longest wait for a connection; while there is another upstream, part of the remaining time is left for it. Nothing has been sent, so this holds for requests of all kinds. */
+const getConnectionWait = (call: Call, progress: Progress, context: ForwarderContext, remainingTime: Milliseconds): Milliseconds => {
+	const hasOtherUpstream = context.view.getUpstreams(call.service).some(upstream => !progress.tried.has(getUpstreamKey(upstream)));
+	return hasOtherUpstream ? getAttemptTimeout(remainingTime) : remainingTime;
+};
+
+const getRemainingTime = (call: Call, {clock}: ForwarderContext): Milliseconds =>
+	Math.max(1, Math.floor(call.deadline - clock.monotonic()));
+
+/** Builds the head of the request to an upstream; a stream resumes after the last event that was delivered. */
+const buildRequestHead = (call: Call, progress: Progress, upstream: Upstream, context: ForwarderContext): RequestHead => {
+	const remainingTime = getRemainingTime(call, context);
+	const headers = context.protocol.buildUpstreamHeaders({
+		caller: call.head,
+		upstream,
+		customer: call.customer?.name,
+		remainingTime,
+		rank: call.rank,
+		resumeAfter: progress.lastEventId,
+		bodyLength: call.body.length,
+	});
+	return {headers, headTimeout: getHeadTimeout(call, progress, remainingTime)};
+};
+
+/** Builds the request to an upstream. Its head is built when it is sent, as the remaining time goes into it, and not at all if the upstream is no longer usable then. */
+export const buildUpstreamRequest = (call: Call, progress: Progress, upstream: Upstream, context: ForwarderContext): UpstreamRequest => ({
+	upstream,
+	method: call.method,
+	target: call.target,
+	body: call.body,
+	callerRequestId: call.head.callerRequestId,
+	connectionWait: getConnectionWait(call, progress, context, getRemainingTime(call, context)),
+	buildHead: () => context.view.isUsable(getUpstreamKey(upstream)) ? buildRequestHead(call, progress, upstream, context) : undefined,
+});
