--- a/packages/forwarder/src/dispatch-fleet.test.ts
+++ b/packages/forwarder/src/dispatch-fleet.test.ts
@@ -39,6 +39,11 @@
 	expectMean('questionsInTarget', minQuestionsInTarget);
 });
 
+test('questions of the first burst meet their target by themselves', () => {
+	expect(results[0]?.questionsInTarget).toBeGreaterThanOrEqual(minQuestionsInTarget);
+	expect(results[0]?.reviewUtilization).toBeGreaterThanOrEqual(minReviewUtilization);
+});
+
 test('questions meet their target in a small fleet too', async () => {
 	const smallFleetResult = await playBurst(smallFleet, 1);
 	expect(smallFleetResult.served).toBe(1);
