Observe a service's upstreams once in a dispatch pass

For each queued call a pass sorted durations and rates of 42 upstreams, chose the reserved ones and decayed the failures, and hashed the prompt against each upstream.

--- a/packages/discovery/src/load-tracker.ts
+++ b/packages/discovery/src/load-tracker.ts
@@ -33,11 +33,11 @@
 };
 const zeroTotal: UpstreamLoad = {...zeroLoad, progressAt: 0};
 
-const addLoads = (one: LoadContribution, other: LoadContribution, sign: 1 | -1 = 1): LoadContribution => ({
-	running: one.running + (sign * other.running),
-	unreadTokens: one.unreadTokens + (sign * other.unreadTokens),
-	latencySensitiveStreams: one.latencySensitiveStreams + (sign * other.latencySensitiveStreams),
-	queuedTokens: one.queuedTokens + (sign * other.queuedTokens),
+const addLoads = (one: LoadContribution, other: LoadContribution): LoadContribution => ({
+	running: one.running + other.running,
+	unreadTokens: one.unreadTokens + other.unreadTokens,
+	latencySensitiveStreams: one.latencySensitiveStreams + other.latencySensitiveStreams,
+	queuedTokens: one.queuedTokens + other.queuedTokens,
 });
 
 /** Limits loads to 0 or more: a request may end after its upstream was removed, which subtracts load that is no longer counted. */
@@ -58,10 +58,15 @@
 
 	const updateTotal = (upstream: UpstreamKey, before: LoadContribution, after: LoadContribution, now: Milliseconds): void => {
 		const known = totals.get(upstream) ?? zeroTotal;
-		const next = addLoads(addLoads(known, after), before, -1);
 		// Fewer unread tokens mean that a prefill has finished; the first ones mean that a prefill starts.
 		const hasProgress = after.unreadTokens < before.unreadTokens || known.unreadTokens === 0;
-		totals.set(upstream, {...next, progressAt: hasProgress ? now : known.progressAt});
+		totals.set(upstream, {
+			running: known.running + after.running - before.running,
+			unreadTokens: known.unreadTokens + after.unreadTokens - before.unreadTokens,
+			latencySensitiveStreams: known.latencySensitiveStreams + after.latencySensitiveStreams - before.latencySensitiveStreams,
+			queuedTokens: known.queuedTokens + after.queuedTokens - before.queuedTokens,
+			progressAt: hasProgress ? now : known.progressAt,
+		});
 	};
 
 	const removeLoads = ({loads}: ReportingHost, now: Milliseconds): void => {
@@ -86,9 +91,9 @@
 
 			const record = known?.incarnation === incarnation ? known : {incarnation, reportedAt: now, loads: new Map<UpstreamKey, LoadContribution>()};
 			record.reportedAt = now;
-			for (const {upstream, ...load} of loads) {
-				updateTotal(upstream, record.loads.get(upstream) ?? zeroLoad, load, now);
-				record.loads.set(upstream, load);
+			for (const load of loads) {
+				updateTotal(load.upstream, record.loads.get(load.upstream) ?? zeroLoad, load, now);
+				record.loads.set(load.upstream, load);
 			}
 
 			reportingHosts.set(host, record);
--- a/packages/forwarder/src/cache-capacity.test.ts
+++ b/packages/forwarder/src/cache-capacity.test.ts
@@ -15,9 +15,7 @@
 });
 
 const countUncached = (tracker: UpstreamTracker, prompt: Prompt): number | undefined =>
-	tracker.getCandidates({
-		upstreams: [upstream], service, prompt, now: 0,
-	})[0]?.uncachedTokens;
+	tracker.getCandidates({service: tracker.observe(service, [upstream], 0), prompt})[0]?.uncachedTokens;
 
 const createTracker = (getService: () => Service | undefined): UpstreamTracker => createUpstreamTracker({
 	clock: createManualClock(), logger: createSilentLogger(), loads: createLoadTracker(), getService,
--- /dev/null
+++ b/packages/forwarder/src/observed-service.ts
@@ -0,0 +1,81 @@
+import type {LoadTracker} from '@gentianlift/discovery';
+import {
+	getBacklog, getPreferredUpstream, type CachedTokens, type Candidate, type Prompt, type PromptCacheEstimate, type Upstream, type UpstreamKey,
+} from '@gentianlift/routing';
+import type {Milliseconds} from '@gentianlift/types';
+
+/** An upstream as this host sees it during a dispatch pass, without its load, which the calls of the pass change. */
+export type ObservedUpstream = {
+	upstream: Upstream;
+	key: UpstreamKey;
+	/** Estimate of its prompt cache. */
+	cache: PromptCacheEstimate;
+} & Pick<Candidate, 'prefillRate' | 'isReserved' | 'failureRatio' | 'relativeLatency'>;
+
+/** The upstreams of a service as this host sees them during a dispatch pass. */
+export type ObservedService = {
+	/** When the pass began. */
+	now: Milliseconds;
+	all: readonly ObservedUpstream[];
+	/** Those that are neither in their backoff period nor silent. */
+	reachable: readonly ObservedUpstream[];
+	/** Median prefill rate of the reachable upstreams, in tokens per millisecond. */
+	prefillRate: number;
+};
+
+/** A call for which an upstream is chosen. */
+export type CandidateQuery = {
+	service: ObservedService;
+	prompt: Prompt | undefined;
+	/** Upstreams that the call was sent to already. */
+	tried?: ReadonlySet<UpstreamKey>;
+	/** For each upstream, the uncached prompt tokens of this host's calls that the pass has processed before this one and that wait for it. */
+	tokensAhead?: ReadonlyMap<UpstreamKey, number>;
+};
+
+const noCachedTokens: CachedTokens = {all: 0, shared: 0};
+
+/** Probability that the preferred upstream of a prompt has its shared prefix cached although this host has no record of it. */
+const preferredHitProbability = 0.5;
+
+/** Expected number of shared tokens that the preferred upstream of a prompt has cached beyond the maximum that any upstream is known to have. */
+type PreferredCacheEstimate = {preferred: UpstreamKey | undefined; tokens: number};
+
+/** Estimates what the preferred upstream has cached, where `maxSharedTokens` is the maximum that any upstream is known to have. */
+const estimatePreferredCache = (prompt: Prompt, maxSharedTokens: number, upstreams: readonly Upstream[]): PreferredCacheEstimate => {
+	const shared = prompt.parts.slice(0, -1).reduce((sum, {tokens}) => sum + tokens, 0);
+	return {preferred: getPreferredUpstream(prompt, upstreams), tokens: preferredHitProbability * (shared - maxSharedTokens)};
+};
+
+/** Returns the upstreams that a call may be sent to: unreachable ones only if there are no others. */
+const getUsable = ({all, reachable}: ObservedService, tried: ReadonlySet<UpstreamKey> | undefined): readonly ObservedUpstream[] => {
+	const isUntried = ({key}: ObservedUpstream): boolean => tried?.has(key) !== true;
+	const hasTried = tried !== undefined && tried.size > 0;
+	const untriedReachable = hasTried ? reachable.filter(observed => isUntried(observed)) : reachable;
+	return untriedReachable.length > 0 ? untriedReachable : all.filter(observed => isUntried(observed));
+};
+
+/** Returns the upstreams that a call may be sent to, with their present loads and what they have cached of its prompt. */
+export const buildCandidates = ({service, prompt, tried, tokensAhead}: CandidateQuery, loads: LoadTracker): Candidate[] => {
+	const usable = getUsable(service, tried);
+	const cachedTokens = usable.map(({cache}) => prompt === undefined ? noCachedTokens : cache.getCachedTokens(prompt));
+	const maxSharedTokens = Math.max(...cachedTokens.map(({shared}) => shared));
+	const unreservedUpstreams = usable.filter(({isReserved}) => !isReserved).map(({upstream}) => upstream);
+	const preferredCache = prompt === undefined ? undefined : estimatePreferredCache(prompt, maxSharedTokens, unreservedUpstreams);
+	return usable.map(({key, upstream, prefillRate, isReserved, failureRatio, relativeLatency}, index) => {
+		const load = loads.getTotalLoad(key);
+		const {all, shared} = cachedTokens[index] ?? noCachedTokens;
+		return {
+			upstream,
+			load,
+			backlog: getBacklog(load, prefillRate, service.now),
+			queueDelay: (load.queuedTokens - loads.getOwnQueuedTokens(key) + (tokensAhead?.get(key) ?? 0)) / prefillRate,
+			uncachedTokens: Math.max(0, (prompt?.inputTokens ?? 0) - all),
+			rereadTokens: maxSharedTokens - shared + (preferredCache === undefined || preferredCache.preferred === key ? 0 : preferredCache.tokens),
+			prefillRate,
+			isReserved,
+			failureRatio,
+			relativeLatency,
+		};
+	});
+};
--- a/packages/forwarder/src/request-queue.test.ts
+++ b/packages/forwarder/src/request-queue.test.ts
@@ -206,9 +206,7 @@
 const service = configuration.services[0]!;
 const upstreams = [buildUpstream({id: 'u1'}), buildUpstream({id: 'u2'})];
 const getCandidateIds = ({clock, tracker}: TestSetup): string[] =>
-	tracker.getCandidates({
-		upstreams, service, prompt: undefined, now: clock.monotonic(),
-	}).map(({upstream}) => upstream.id);
+	tracker.getCandidates({service: tracker.observe(service, upstreams, clock.monotonic()), prompt: undefined}).map(({upstream}) => upstream.id);
 
 test('an unreachable upstream is avoided for a growing backoff period, unless all upstreams are unreachable', async () => {
 	const setup = createTestSetup(upstreams);
--- a/packages/forwarder/src/request-queue.ts
+++ b/packages/forwarder/src/request-queue.ts
@@ -9,6 +9,7 @@
 import {createEarlyRefusals} from './early-refusals.js';
 import {addQueuedTokens, startRequestLoad, type RequestLoad} from './request-load.js';
 import type {ForwarderContext} from './context.js';
+import type {ObservedService} from './observed-service.js';
 
 /** The upstream chosen for a call, and the load that the call adds to it. */
 export type Assignment = {candidate: Candidate; load: RequestLoad};
@@ -46,8 +47,17 @@
 /** Uncached prompt tokens of this host's queued calls, by the upstream that they wait for. */
 type QueuedTokens = Map<UpstreamKey, number>;
 
-/** A pass over queued calls, which reads the clock once: `now` is when it began, `queuedTokens` those of the calls that it has left in the queue. */
-type DispatchPass = {now: Milliseconds; queuedTokens: QueuedTokens};
+/** A pass over queued calls, which reads the clock and observes each service once. */
+type DispatchPass = {
+	/** When the pass began. */
+	now: Milliseconds;
+	/** Services that it has observed, by name. */
+	services: Map<string, ObservedService>;
+	/** Tokens of the calls that it has left in the queue. */
+	queuedTokens: QueuedTokens;
+};
+
+const createPass = (now: Milliseconds): DispatchPass => ({now, services: new Map(), queuedTokens: new Map()});
 
 /** Returns when the call's target for the first token is missed. */
 const getDueTime = ({call}: QueueEntry): Milliseconds => call.arrivedAt + call.route.latencyTarget;
@@ -79,11 +89,10 @@
 		slack: getDueTime(entry) - now,
 	});
 
-	const getCandidates = ({call, progress}: QueueEntry, service: Service, {now, queuedTokens}: DispatchPass): Candidate[] => {
-		const upstreams = view.getUpstreams(call.service).filter(upstream => !progress.tried.has(getUpstreamKey(upstream)));
-		return tracker.getCandidates({
-			upstreams, service, prompt: call.head.prompt, now, tokensAhead: queuedTokens,
-		});
+	const observe = (service: Service, {now, services}: DispatchPass): ObservedService => {
+		const observed = services.get(service.name) ?? tracker.observe(service, view.getUpstreams(service.name), now);
+		services.set(service.name, observed);
+		return observed;
 	};
 
 	/** Chooses an upstream for a call, and decides whether the call may go to it now; calls without a prompt are exempt from the backlog limit and take no turns. */
@@ -91,10 +100,17 @@
 		const {call} = entry;
 		const table = view.getRoutes();
 		const service = table?.services.get(call.service);
-		const candidates = service === undefined ? [] : getCandidates(entry, service, pass);
-		const isLatencySensitive = isLatencySensitiveRoute(call.route, service, tracker.getPrefillRate(candidates.map(({upstream}) => upstream)));
+		if (table === undefined || service === undefined) {
+			return {kind: 'impossible'};
+		}
+
+		const observed = observe(service, pass);
+		const candidates = tracker.getCandidates({
+			service: observed, prompt: call.head.prompt, tried: entry.progress.tried, tokensAhead: pass.queuedTokens,
+		});
+		const isLatencySensitive = isLatencySensitiveRoute(call.route, service, observed.prefillRate);
 		const candidate = chooseUpstream(candidates, getRequestProfile(entry, isLatencySensitive, pass.now), context.random);
-		if (table === undefined || candidate === undefined) {
+		if (candidate === undefined) {
 			return {kind: 'impossible'};
 		}
 
@@ -170,7 +186,7 @@
 	const dispatch = (): void => {
 		nextDispatch = undefined;
 		const startedAt = clock.monotonic();
-		const pass: DispatchPass = {now: startedAt, queuedTokens: new Map()};
+		const pass = createPass(startedAt);
 		entries = entries
 			.map(entry => ({entry, position: getPosition(entry, startedAt)}))
 			.toSorted((one, other) => compareQueued(one.position, other.position))
@@ -220,7 +236,7 @@
 				const entry = {
 					call, progress, enqueuedAt: now, resolve,
 				};
-				const isWaiting = !isFirstInOrder(entry, now) || processEntry(entry, {now, queuedTokens: new Map()});
+				const isWaiting = !isFirstInOrder(entry, now) || processEntry(entry, createPass(now));
 				if (isWaiting) {
 					progress.cancel = () => {
 						removeEntry(entry);
--- a/packages/forwarder/src/upstream-tracker.ts
+++ b/packages/forwarder/src/upstream-tracker.ts
@@ -3,33 +3,24 @@
 import type {Logger} from '@gentianlift/logger';
 import {
 	addResult, chooseReservedUpstreams, createFailureCounts, createPromptCacheEstimate, createPrefillRateEstimate, defaultPrefillRate,
-	getBacklog, getFailureRatio, getPreferredUpstream, getUpstreamKey, updateReservation,
-	type Candidate, type FailureCounts, type CachedTokens, type Prompt, type PromptCacheEstimate, type PrefillRateEstimate,
+	getFailureRatio, getUpstreamKey, updateReservation,
+	type Candidate, type FailureCounts, type Prompt, type PromptCacheEstimate, type PrefillRateEstimate,
 	type RouteKind, type Reservation, type Service, type Upstream, type UpstreamKey,
 } from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
+import {buildCandidates, type CandidateQuery, type ObservedService} from './observed-service.js';
 import {idleTimeouts, UpstreamAgent} from './upstream-agent.js';
 
-/** A request for which an upstream is chosen. */
-export type CandidateQuery = {
-	upstreams: readonly Upstream[];
-	service: Service;
-	prompt: Prompt | undefined;
-	now: Milliseconds;
-	/** For each upstream, the uncached prompt tokens of this host's calls that the current dispatch pass has processed before this one and that wait for it. */
-	tokensAhead?: ReadonlyMap<UpstreamKey, number>;
-};
-
 /** Tracks the state that this host observes for each incarnation of an upstream: connections, failures, latencies and cached prefixes. */
 export type UpstreamTracker = {
 	/** Returns the connection pool for requests of a route kind; non-idempotent requests get a pool that reuses only recently used connections. */
 	getAgent: (upstream: Upstream, kind: RouteKind, connections: number) => UpstreamAgent;
-	/** Returns the upstreams that may run a request, unreachable or silent ones only if there are no others. */
+	/** Observes the upstreams of a service for a dispatch pass that begins at `now`. */
+	observe: (service: Service, upstreams: readonly Upstream[], now: Milliseconds) => ObservedService;
+	/** Returns the upstreams that may run a call, unreachable or silent ones only if there are no others. */
 	getCandidates: (query: CandidateQuery) => Candidate[];
 	/** Returns the uncached prompt tokens queued at this host for an upstream, as last reported to the other hosts. */
 	getReportedQueuedTokens: (upstream: UpstreamKey) => number;
-	/** Returns the median prefill rate of the upstreams, in tokens per millisecond. */
-	getPrefillRate: (upstreams: readonly Upstream[]) => number;
 	/** Records a time to first token and the number of tokens that were prefilled in it. */
 	recordFirstToken: (upstream: Upstream, tokens: number, duration: Milliseconds) => void;
 	/** Records that an upstream prefills a prompt and has its prefix cached afterwards. */
@@ -93,20 +84,6 @@
 /** Capacity of the prompt cache that is assumed where a service doesn't configure one. */
 const defaultCacheTokens = 200_000;
 
-const noCachedTokens: CachedTokens = {all: 0, shared: 0};
-
-/** Probability that the preferred upstream of a prompt has its shared prefix cached although this host has no record of it. */
-const preferredHitProbability = 0.5;
-
-/** Expected number of shared tokens that the preferred upstream of a prompt has cached beyond the maximum that any upstream is known to have. */
-type PreferredCacheEstimate = {preferred: UpstreamKey | undefined; tokens: number};
-
-/** Estimates what the preferred upstream has cached, where `maxSharedTokens` is the maximum that any upstream is known to have. */
-const estimatePreferredCache = (prompt: Prompt, maxSharedTokens: number, upstreams: readonly Upstream[]): PreferredCacheEstimate => {
-	const shared = prompt.parts.slice(0, -1).reduce((sum, {tokens}) => sum + tokens, 0);
-	return {preferred: getPreferredUpstream(prompt, upstreams), tokens: preferredHitProbability * (shared - maxSharedTokens)};
-};
-
 const getMedian = (values: readonly number[]): number | undefined => {
 	const sorted = values.toSorted((one, other) => one - other);
 	return sorted[Math.floor(sorted.length / 2)];
@@ -189,10 +166,6 @@
 
 	return {
 		getReportedQueuedTokens: loads.getOwnQueuedTokens,
-		getPrefillRate(upstreams) {
-			const rates = upstreams.map(upstream => getState(getUpstreamKey(upstream)).prefillRate.get());
-			return getMedian(rates) ?? defaultPrefillRate;
-		},
 		recordFirstToken(upstream, tokens, duration) {
 			getState(getUpstreamKey(upstream)).prefillRate.addSample(tokens, duration);
 		},
@@ -202,35 +175,35 @@
 			agent.maxSockets = connections;
 			return agent;
 		},
-		getCandidates({
-			upstreams, service, prompt, now, tokensAhead,
-		}) {
-			const reachable = upstreams.filter(upstream => isReachable(upstream, now));
-			const usable = reachable.length === 0 ? upstreams : reachable;
-			const usableStates = usable.map(upstream => ({upstream, key: getUpstreamKey(upstream), state: getState(getUpstreamKey(upstream))}));
-			const median = getMedian(usableStates.map(({state}) => state.meanDuration).filter(duration => duration !== undefined));
-			const cachedTokens = usableStates.map(({key}) => prompt === undefined ? noCachedTokens : getCache(key).getCachedTokens(prompt));
-			const maxSharedTokens = Math.max(...cachedTokens.map(({shared}) => shared));
+		observe(service, upstreams, now) {
 			const reserved = getReserved(service.name, upstreams, now);
-			const unreservedUpstreams = usable.filter(upstream => !reserved.has(getUpstreamKey(upstream)));
-			const preferredCache = prompt === undefined ? undefined : estimatePreferredCache(prompt, maxSharedTokens, unreservedUpstreams);
-			return usableStates.map(({upstream, key, state}, index) => {
-				const load = loads.getTotalLoad(key);
-				const {all, shared} = cachedTokens[index] ?? noCachedTokens;
+			const states = upstreams.map(upstream => ({upstream, state: getState(getUpstreamKey(upstream)), isReachable: isReachable(upstream, now)}));
+			const reachableStates = states.filter(({isReachable: reachable}) => reachable);
+			const usableStates = (reachableStates.length === 0 ? states : reachableStates).map(({state}) => state);
+			const medianDuration = getMedian(usableStates.map(({meanDuration}) => meanDuration).filter(duration => duration !== undefined));
+			const all = states.map(({upstream, state, isReachable: reachable}) => {
+				const key = getUpstreamKey(upstream);
 				return {
-					upstream,
-					load,
-					backlog: getBacklog(load, state.prefillRate.get(), now),
-					queueDelay: (load.queuedTokens - loads.getOwnQueuedTokens(key) + (tokensAhead?.get(key) ?? 0)) / state.prefillRate.get(),
-					uncachedTokens: Math.max(0, (prompt?.inputTokens ?? 0) - all),
-					rereadTokens: maxSharedTokens - shared + (preferredCache === undefined || preferredCache.preferred === key ? 0 : preferredCache.tokens),
-					prefillRate: state.prefillRate.get(),
-					isReserved: reserved.has(key),
-					failureRatio: getFailureRatio(state.failures, now),
-					relativeLatency: getRelativeLatency(state.meanDuration, median),
+					reachable,
+					observed: {
+						upstream,
+						key,
+						cache: getCache(key),
+						prefillRate: state.prefillRate.get(),
+						isReserved: reserved.has(key),
+						failureRatio: getFailureRatio(state.failures, now),
+						relativeLatency: getRelativeLatency(state.meanDuration, medianDuration),
+					},
 				};
 			});
+			return {
+				now,
+				all: all.map(({observed}) => observed),
+				reachable: all.filter(({reachable}) => reachable).map(({observed}) => observed),
+				prefillRate: getMedian(usableStates.map(({prefillRate}) => prefillRate.get())) ?? defaultPrefillRate,
+			};
 		},
+		getCandidates: query => buildCandidates(query, loads),
 		recordPrefill(upstream, prompt) {
 			getCache(upstream).add(prompt);
 		},
--- a/packages/routing/src/prompt-cache.ts
+++ b/packages/routing/src/prompt-cache.ts
@@ -18,8 +18,6 @@
 	has: (model: string, part: string) => boolean;
 };
 
-const sumTokens = (parts: readonly PromptPart[]): number => parts.reduce((sum, {tokens}) => sum + tokens, 0);
-
 const getPartKey = (model: string, part: string): string => `${model}/${part}`;
 
 /** Keys of a prompt's parts, cached because each decision looks them up for all upstreams of a service. */
@@ -78,10 +76,21 @@
 			evictOldest();
 		},
 		getCachedTokens(prompt) {
-			const {parts} = prompt;
-			const firstMissing = getPartKeys(prompt).findIndex(key => !cachedParts.has(key));
-			const leading = firstMissing === -1 ? parts : parts.slice(0, firstMissing);
-			return {all: sumTokens(leading), shared: sumTokens(leading.slice(0, parts.length - 1))};
+			const keys = getPartKeys(prompt);
+			let all = 0;
+			let shared = 0;
+			let index = 0;
+			for (const {tokens} of prompt.parts) {
+				if (!cachedParts.has(keys[index] ?? '')) {
+					break;
+				}
+
+				all += tokens;
+				index += 1;
+				shared += index < prompt.parts.length ? tokens : 0;
+			}
+
+			return {all, shared};
 		},
 		has: (model, part) => cachedParts.has(getPartKey(model, part)),
 	};
