Build the views and calls of the queue's tests in one place

The simulated host, the simulated fleet and the queue's test each built a view of fixed upstreams, and two of them the same call. Checks are unchanged.

--- a/packages/forwarder/src/request-queue.test.ts
+++ b/packages/forwarder/src/request-queue.test.ts
@@ -1,6 +1,6 @@
 import {createManualClock, createRandom, type ManualClock} from '@gentianlift/clock';
 import {
-	createFleetView, createLoadTracker, type LoadTracker, type LoadReportExchange,
+	createLoadTracker, type LoadTracker, type LoadReportExchange,
 } from '@gentianlift/discovery';
 import {createSilentLogger} from '@gentianlift/logger';
 import {createMetrics} from '@gentianlift/metrics';
@@ -9,11 +9,13 @@
 import type {Milliseconds} from '@gentianlift/types';
 import {expect, test} from 'vitest';
 import {
-	createCall, createProgress, type Call, type Progress,
+	createProgress, type Progress,
 } from './call.js';
 import type {ForwarderContext} from './context.js';
 import {createUpstreamTracker, type UpstreamTracker} from './upstream-tracker.js';
 import {createRequestQueue, type Assignment, type RequestQueue} from './request-queue.js';
+import {buildTestCall, buildTestPrompt} from './testing-call.js';
+import {createTestView} from './testing-view.js';
 
 const question = buildRoute({name: 'question', rank: 0, latencyTarget: 300});
 const review = buildRoute({
@@ -37,14 +39,7 @@
 	const clock = createManualClock(1000);
 	const loads = createLoadTracker();
 	const logger = createSilentLogger();
-	const view = createFleetView({
-		logger,
-		decode({key}) {
-			const upstream = upstreams.find(({id}) => id === key);
-			return upstream === undefined ? {kind: 'configuration', configuration} : {kind: 'upstream', upstream};
-		},
-	});
-	view.applySnapshot({entries: ['c', ...upstreams.map(({id}) => id)].map(key => ({key, value: '', revision: 1})), revision: 1}, 0);
+	const view = createTestView(logger, configuration, upstreams);
 	const tracker = createUpstreamTracker({
 		clock, logger, loads, getService: view.getService,
 	});
@@ -70,25 +65,6 @@
 	};
 };
 
-const buildCall = (clock: ManualClock, route: Route, name: string, tokens: number): Call => createCall({
-	method: 'POST',
-	target: '/a/',
-	head: {
-		callerRequestId: name, hostname: 'a.example', key: undefined, clientTimeout: undefined, lastEventId: undefined, declaresBody: true, forwarded: [],
-		prompt: {
-			model: 'm', parts: [{id: name, tokens}], inputTokens: tokens, outputTokens: 10,
-		},
-	},
-	body: new Uint8Array(),
-	route,
-	service: 's',
-	customer: undefined,
-	// The queue never writes to the caller.
-	response: undefined as unknown as Call['response'],
-	version: 1,
-	arrivedAt: clock.monotonic(),
-});
-
 /** Enqueues a call and records its name once it is dispatched, or its name after `no` if it leaves the queue otherwise. */
 const enqueue = ({clock, queue}: TestSetup, {route, name, tokens}: {route: Route; name: string; tokens: number}, dispatched: string[]): {
 	progress: Progress;
@@ -96,7 +72,9 @@
 } => {
 	const progress = createProgress();
 	const waitForAssignment = async (): Promise<Assignment | undefined> => {
-		const assignment = await queue.enqueue(buildCall(clock, route, name, tokens), progress);
+		const assignment = await queue.enqueue(buildTestCall({
+			route, arrivedAt: clock.monotonic(), prompt: buildTestPrompt(name, tokens), name,
+		}), progress);
 		dispatched.push(assignment === undefined ? `no ${name}` : name);
 		return assignment;
 	};
--- a/packages/forwarder/src/simulated-host.ts
+++ b/packages/forwarder/src/simulated-host.ts
@@ -1,7 +1,7 @@
 import type {ServerResponse} from 'node:http';
 import {createManualClock, createRandom, type ManualClock} from '@gentianlift/clock';
 import {
-	createFleetView, createLoadTracker, type LoadTracker, type LoadReportExchange,
+	createLoadTracker, type LoadTracker, type LoadReportExchange,
 } from '@gentianlift/discovery';
 import {createLogger} from '@gentianlift/logger';
 import {createMetrics, type Metrics} from '@gentianlift/metrics';
@@ -9,10 +9,12 @@
 	createCrashSuspects, type Route, type RoutingConfiguration, type Upstream,
 } from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
-import {createCall, type Call} from './call.js';
+import {type Call} from './call.js';
 import {createForwarder} from './forward.js';
 import type {ForwarderContext} from './context.js';
 import {createUpstreamTracker} from './upstream-tracker.js';
+import {buildTestCall, buildTestPrompt} from './testing-call.js';
+import {createTestView} from './testing-view.js';
 
 /** A host on a simulated clock, for tests of calls that wait in its queue. */
 export type SimulatedHost = {
@@ -71,14 +73,7 @@
 		logLines.push(line);
 	});
 	const metrics = createMetrics();
-	const view = createFleetView({
-		logger,
-		decode({key}) {
-			const upstream = upstreams.find(({id}) => id === key);
-			return upstream === undefined ? {kind: 'configuration', configuration} : {kind: 'upstream', upstream};
-		},
-	});
-	view.applySnapshot({entries: ['c', ...upstreams.map(({id}) => id)].map(key => ({key, value: '', revision: 1})), revision: 1}, 0);
+	const view = createTestView(logger, configuration, upstreams);
 	const reportExchange: Pick<LoadReportExchange, 'addLoad'> = {
 		addLoad(upstream, change) {
 			loads.addOwnLoad(upstream, change, clock.monotonic());
@@ -102,22 +97,8 @@
 		isStopping: () => false,
 	} as unknown as ForwarderContext;
 	const forwarder = createForwarder(context);
-	const createSimulatedCall = ({route, name, tokens, clientTimeout}: SimulatedRequest, response: ServerResponse): Call => createCall({
-		method: 'POST',
-		target: '/a/',
-		head: {
-			callerRequestId: name, hostname: 'a.example', key: undefined, clientTimeout, lastEventId: undefined, declaresBody: true, forwarded: [],
-			prompt: {
-				model: 'm', parts: [{id: name, tokens}], inputTokens: tokens, outputTokens: 10,
-			},
-		},
-		body: new Uint8Array(),
-		route,
-		service: 's',
-		customer: undefined,
-		response,
-		version: 1,
-		arrivedAt: clock.monotonic(),
+	const createSimulatedCall = ({route, name, tokens, clientTimeout}: SimulatedRequest, response: ServerResponse): Call => buildTestCall({
+		route, name, response, arrivedAt: clock.monotonic(), prompt: buildTestPrompt(name, tokens), ...(clientTimeout !== undefined && {clientTimeout}),
 	});
 	return {
 		clock,
--- a/packages/forwarder/src/testing-burst.ts
+++ b/packages/forwarder/src/testing-burst.ts
@@ -1,12 +1,12 @@
 import {
-	createManualClock, createRandom, type ManualClock, type Random,
+	createManualClock, createRandom, type Random,
 } from '@gentianlift/clock';
 import type {Prompt, Route} from '@gentianlift/routing';
 import {buildConfiguration, buildRoute} from '@gentianlift/routing/testing';
 import type {Milliseconds} from '@gentianlift/types';
-import {createCall, type Call} from './call.js';
 import {engineCacheTokens, enginePrefillRate} from './testing-engine.js';
 import {createTestFleet, type ForwardedCall, type TestFleetOptions} from './testing-fleet.js';
+import {buildTestCall} from './testing-call.js';
 
 const question = buildRoute({
 	name: 'question', rank: 0, latencyTarget: 500, timeout: 15_000,
@@ -81,22 +81,6 @@
 	return arrivals.toSorted((one, other) => one.arrivesAt - other.arrivesAt);
 };
 
-const buildCall = (clock: ManualClock, {route, prompt}: Arrival): Call => createCall({
-	method: 'POST',
-	target: '/a/',
-	head: {
-		callerRequestId: undefined, hostname: 'a.example', key: undefined, clientTimeout: undefined, lastEventId: undefined, declaresBody: true, forwarded: [], prompt,
-	},
-	body: new Uint8Array(),
-	route,
-	service: 's',
-	customer: undefined,
-	// The queue never writes to the caller.
-	response: undefined as unknown as Call['response'],
-	version: 1,
-	arrivedAt: clock.monotonic(),
-});
-
 /** Forwards the calls of a burst and waits until their timeouts have passed. */
 const forwardBurst = async (fleetSize: FleetSize, seed: number): Promise<BurstCall[]> => {
 	const clock = createManualClock();
@@ -105,7 +89,7 @@
 	});
 	const calls: BurstCall[] = buildBurst(fleetSize, createRandom(seed)).map(arrival => ({arrival, forwarded: undefined}));
 	const forward = async (call: BurstCall): Promise<void> => {
-		call.forwarded = await fleet.forward(call.arrival.hostIndex, buildCall(clock, call.arrival));
+		call.forwarded = await fleet.forward(call.arrival.hostIndex, buildTestCall({...call.arrival, arrivedAt: clock.monotonic()}));
 	};
 
 	for (const call of calls) {
--- a/packages/forwarder/src/testing-fleet.ts
+++ b/packages/forwarder/src/testing-fleet.ts
@@ -1,11 +1,11 @@
 import {createRandom, type ManualClock} from '@gentianlift/clock';
 import {
-	createFleetView, createLoadTracker, type FleetView, type LoadReportExchange, type LoadTracker, type Prefill,
+	createLoadTracker, type FleetView, type LoadReportExchange, type LoadTracker, type Prefill,
 } from '@gentianlift/discovery';
 import {createSilentLogger} from '@gentianlift/logger';
 import {createMetrics} from '@gentianlift/metrics';
 import {
-	getUpstreamKey, type Prompt, type RoutingConfiguration, type Upstream, type UpstreamKey,
+	getUpstreamKey, type Prompt, type RoutingConfiguration, type UpstreamKey,
 } from '@gentianlift/routing';
 import {buildUpstream} from '@gentianlift/routing/testing';
 import type {HostId, Milliseconds} from '@gentianlift/types';
@@ -14,6 +14,7 @@
 import {createRequestQueue, type Assignment, type RequestQueue} from './request-queue.js';
 import {createTestEngine, type TestEngine} from './testing-engine.js';
 import {createUpstreamTracker, type UpstreamTracker} from './upstream-tracker.js';
+import {createTestView} from './testing-view.js';
 
 /** A simulated fleet, whose hosts exchange load reports in memory. */
 export type TestFleet = {
@@ -61,18 +62,6 @@
 /** Time from the first token of a stream to its end. */
 const streamDuration: Milliseconds = 500;
 
-const createView = (configuration: RoutingConfiguration, upstreams: readonly Upstream[]): FleetView => {
-	const view = createFleetView({
-		logger: createSilentLogger(),
-		decode({key}) {
-			const upstream = upstreams.find(({id}) => id === key);
-			return upstream === undefined ? {kind: 'configuration', configuration} : {kind: 'upstream', upstream};
-		},
-	});
-	view.applySnapshot({entries: ['c', ...upstreams.map(({id}) => id)].map(key => ({key, value: '', revision: 1})), revision: 1}, 0);
-	return view;
-};
-
 /** Creates a host's exchange of load reports; `send` delivers a report to the other hosts. */
 const createReportExchange = ({clock, reportSpacing}: TestFleetOptions, loads: LoadTracker, send: (report: Omit<TestReport, 'sender'>) => void): TestHost['reportExchange'] => {
 	const changed = new Set<UpstreamKey>();
@@ -167,7 +156,7 @@
 	const {clock, configuration, reportDelay} = options;
 	const upstreams = Array.from({length: options.engines}, (_, index) => buildUpstream({id: `u${index}`}));
 	const engines = new Map(upstreams.map(upstream => [getUpstreamKey(upstream), createTestEngine(clock)]));
-	const view = createView(configuration, upstreams);
+	const view = createTestView(createSilentLogger(), configuration, upstreams);
 	const send = (report: TestReport): void => {
 		clock.after(reportDelay, () => {
 			for (const host of hosts.filter(other => other !== report.sender)) {
