Log how an answer was framed and how it ended

The four hypotheses on the unframed answers differ in the framing, in the end of the connection, and in what is left over after the last event. No line said so: a cut answer and a whole one had the same call-ended line. It now has framing, ending and partialBytes, and answers_total counts the first two by outcome. What is decided stays as it was; the splitter runs beside streams that may not be resumed, to count what is left over.

--- a/packages/forwarder/src/attempt.ts
+++ b/packages/forwarder/src/attempt.ts
@@ -123,7 +123,7 @@
 		case 'answered': {
 			attempt.activity.recordBytes();
 			const isStream = outcome.head.isEventStream && outcome.head.status < 300;
-			return isStream ? deliverEvents(attempt, outcome) : deliverBuffered(attempt.call, outcome, attempt.context.isStopping());
+			return isStream ? deliverEvents(attempt, outcome) : deliverBuffered(attempt.call, attempt.progress, outcome, attempt.context.isStopping());
 		}
 	}
 };
@@ -198,6 +198,7 @@
 		rereadTokens: candidate.rereadTokens,
 	};
 	progress.connectionWait = undefined;
+	progress.answerEnd = undefined;
 	const activity = context.tracker.trackRequest(upstream);
 	const attempt: Attempt = {
 		call, progress, upstream, context, load, activity, startedAt: context.clock.monotonic(), sentAt: undefined,
--- a/packages/forwarder/src/call-ended.test.ts
+++ b/packages/forwarder/src/call-ended.test.ts
@@ -3,17 +3,10 @@
 import {
 	answerOk, createHostStarter, resetConnection, upstreamMark, type AnswerHandler,
 } from './test-deployment.js';
-import {sendRequest, type TestHost} from './testing.js';
+import {sendRequest, waitForEnd, type TestHost} from './testing.js';
 
 const start = createHostStarter(onTestFinished);
 
-/** Returns the line that the host logs at the end of a request. */
-const waitForEnd = async (host: TestHost, callerRequestId: string): Promise<string> => {
-	const findEnd = (): string | undefined => host.logLines.find(line => line.includes(`event=call-ended request=${callerRequestId} `));
-	await expect.poll(findEnd).toBeDefined();
-	return findEnd() ?? '';
-};
-
 const failWithBody: AnswerHandler = (_, response) => {
 	response.writeHead(500, upstreamMark);
 	response.end('failed');
--- a/packages/forwarder/src/call.ts
+++ b/packages/forwarder/src/call.ts
@@ -4,6 +4,7 @@
 	mayExecuteAgain, type ConfiguredCustomer, type EarlyRefusal, type Route, type UpstreamKey,
 } from '@gentianlift/routing';
 import type {Milliseconds, Rank} from '@gentianlift/types';
+import type {AnswerEnd} from './answer-end.js';
 import type {CallerHead} from './protocol.js';
 import type {ReceivedAnswer} from './received-answer.js';
 
@@ -70,6 +71,8 @@
 	lastBytesAt: Milliseconds | undefined;
 	/** Longest time between chunks of a stream. */
 	maxChunkGap: Milliseconds;
+	/** How the last answer ended; undefined without one, or while it is being received. */
+	answerEnd: AnswerEnd | undefined;
 	/** Cancels the queueing or the attempt in progress. */
 	cancel: (() => void) | undefined;
 };
@@ -112,5 +115,6 @@
 	firstBytesAt: undefined,
 	lastBytesAt: undefined,
 	maxChunkGap: 0,
+	answerEnd: undefined,
 	cancel: undefined,
 });
--- a/packages/forwarder/src/deliver-buffered.ts
+++ b/packages/forwarder/src/deliver-buffered.ts
@@ -1,5 +1,6 @@
 import type {ForwardOutcome, BufferedAnswer} from './forward-outcome.js';
-import type {Call} from './call.js';
+import {getAnswerEnd} from './answer-end.js';
+import type {Call, Progress} from './call.js';
 import {writeAnswerHead} from './deliver.js';
 import {readBody} from './read-body.js';
 import type {SendOutcome} from './send.js';
@@ -13,8 +14,9 @@
 const impliesNotExecuted = (status: number): boolean => [408, 421, 429, 503].includes(status);
 
 /** Buffers an answer until it is complete, and delivers it unless the request may be retried after a server error. */
-export const deliverBuffered = async (call: Call, {head, answer}: Extract<SendOutcome, {kind: 'answered'}>, isClosing: boolean): Promise<ForwardOutcome> => {
+export const deliverBuffered = async (call: Call, progress: Progress, {head, answer}: Extract<SendOutcome, {kind: 'answered'}>, isClosing: boolean): Promise<ForwardOutcome> => {
 	const body = await readBody(answer, maxBufferedBytes);
+	progress.answerEnd = getAnswerEnd(answer);
 	if (body.kind !== 'whole') {
 		return {kind: 'failed', reason: body.kind === 'broken' ? body.reason : body.kind};
 	}
--- a/packages/forwarder/src/deliver.ts
+++ b/packages/forwarder/src/deliver.ts
@@ -1,5 +1,6 @@
 import type {ServerResponse} from 'node:http';
 import {createEventSplitter, type StreamEvent} from './event-splitter.js';
+import {getAnswerEnd} from './answer-end.js';
 import type {Progress} from './call.js';
 import {isComplete, type Incoming} from './incoming.js';
 import type {AnswerHead} from './protocol.js';
@@ -86,17 +87,27 @@
 		if (isResumable) {
 			writeEvents(chunk);
 		} else {
+			splitter.push(chunk);
 			write(chunk);
 		}
 	});
+	let isFinished = false;
+	const finish = (outcome: DeliveryOutcome): void => {
+		if (!isFinished) {
+			isFinished = true;
+			progress.answerEnd = getAnswerEnd(answer, splitter.getPartialBytes());
+			resolve(outcome);
+		}
+	};
+
 	message.once('end', () => {
-		const hasEnded = isComplete(answer) && !(isResumable && splitter.hasPartial());
-		resolve(hasEnded ? {kind: 'complete'} : {kind: 'cut', reason: 'incomplete'});
+		const hasEnded = isComplete(answer) && !(isResumable && splitter.getPartialBytes() > 0);
+		finish(hasEnded ? {kind: 'complete'} : {kind: 'cut', reason: 'incomplete'});
 	});
 	message.once('error', (error: Error & {code?: string}) => {
-		resolve({kind: 'cut', reason: error.code ?? error.message});
+		finish({kind: 'cut', reason: error.code ?? error.message});
 	});
 	message.once('close', () => {
-		resolve({kind: 'cut', reason: 'closed'});
+		finish({kind: 'cut', reason: 'closed'});
 	});
 });
--- a/packages/forwarder/src/event-splitter.ts
+++ b/packages/forwarder/src/event-splitter.ts
@@ -7,8 +7,8 @@
 export type EventSplitter = {
 	/** Appends bytes and returns the events that they complete. */
 	push: (chunk: Uint8Array) => StreamEvent[];
-	/** Whether bytes of an incomplete event are buffered. */
-	hasPartial: () => boolean;
+	/** Returns the number of bytes after the last complete event. */
+	getPartialBytes: () => number;
 };
 
 /** Empty line that ends an event; lines that end with `\r\n` are not recognised. */
@@ -33,6 +33,6 @@
 			buffered = buffered.subarray(start);
 			return events;
 		},
-		hasPartial: () => buffered.length > 0,
+		getPartialBytes: () => buffered.length,
 	};
 };
--- a/packages/forwarder/src/forward.ts
+++ b/packages/forwarder/src/forward.ts
@@ -228,6 +228,13 @@
 		const duration = clock.monotonic() - call.arrivedAt;
 		metrics.count('calls_total', {route: call.route.name, outcome: end.outcome});
 		metrics.record('call_duration', duration, {route: call.route.name});
+		if (progress.answerEnd !== undefined) {
+			const {framing, ending} = progress.answerEnd;
+			metrics.count('answers_total', {
+				route: call.route.name, framing, ending, outcome: end.outcome,
+			});
+		}
+
 		logger.info('call-ended', {
 			request: call.head.callerRequestId,
 			route: call.route.name,
@@ -239,6 +246,9 @@
 			connectionWait: progress.connectionWait === undefined ? undefined : Math.round(progress.connectionWait),
 			first: progress.firstBytesAt === undefined ? undefined : Math.round(progress.firstBytesAt - call.arrivedAt),
 			pause: progress.lastBytesAt === undefined ? undefined : Math.round(progress.maxChunkGap),
+			framing: progress.answerEnd?.framing,
+			ending: progress.answerEnd?.ending,
+			partialBytes: progress.answerEnd?.partialBytes,
 			sends: progress.attempts,
 			outcome: end.outcome,
 			reason: end.reason,
--- a/packages/forwarder/src/incoming.ts
+++ b/packages/forwarder/src/incoming.ts
@@ -7,11 +7,18 @@
 	hasFailed: () => boolean;
 };
 
-/**
- * Whether a message that has ended is complete. Without a declared length or chunked encoding it ends with its connection,
- * and Node reports a reset as an end too.
- */
-export const isComplete = ({message, hasFailed}: Incoming): boolean => {
-	const hasLength = message.headers['content-length'] !== undefined || message.headers['transfer-encoding'] !== undefined;
-	return message.complete && (hasLength || !hasFailed());
+/** What marks the end of a message's body: its declared length, its last chunk, or the close of its connection. */
+export type Framing = 'length' | 'chunks' | 'close';
+
+/** Returns the framing of a message's body. */
+export const getFraming = ({headers}: IncomingMessage): Framing => {
+	if (headers['transfer-encoding'] !== undefined) {
+		return 'chunks';
+	}
+
+	return headers['content-length'] === undefined ? 'close' : 'length';
 };
+
+/** Whether a message that has ended is complete; Node reports a reset as an end too if its connection's close marks the end of its body. */
+export const isComplete = ({message, hasFailed}: Incoming): boolean =>
+	message.complete && (getFraming(message) !== 'close' || !hasFailed());
--- a/packages/forwarder/src/testing.ts
+++ b/packages/forwarder/src/testing.ts
@@ -2,6 +2,7 @@
 	createServer, request, type IncomingMessage, type RequestListener, type Server,
 } from 'node:http';
 import type {AddressInfo} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {createRandom, createSystemClock} from '@gentianlift/clock';
 import {
 	createFleetView, createLoadTracker, type FleetView, type FleetViewOptions, type LoadTracker, type LoadReportExchange,
@@ -221,3 +222,19 @@
 	outgoing.on('error', reject);
 	outgoing.end(body);
 });
+
+/** Interval at which a log is read while a line is awaited, in milliseconds. */
+const logInterval = 10;
+
+/** Waits for the line that a host logs at the end of a request. */
+export const waitForEnd = async ({logLines}: TestHost, callerRequestId: string): Promise<string> => {
+	for (;;) {
+		const end = logLines.find(line => line.includes(`event=call-ended request=${callerRequestId} `));
+		if (end !== undefined) {
+			return end;
+		}
+
+		// eslint-disable-next-line no-await-in-loop -- The log is read until it has the line.
+		await sleep(logInterval);
+	}
+};
