Add failing tests: streams that are broken off look whole

A table of framing (length, chunks, close), ending (framed, closed, reset) and path (stream that may be resumed, one that may not, buffered answer), with what the caller's connection must show.

--- /dev/null
+++ b/packages/forwarder/src/unframed-answer.test.ts
@@ -0,0 +1,77 @@
+import {expect, onTestFinished, test} from 'vitest';
+import {createHostStarter} from './test-deployment.js';
+import {sendRequest} from './testing.js';
+import {answerRaw, type RawAnswer} from './testing-answers.js';
+
+const start = createHostStarter(onTestFinished);
+
+const events = 'id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n';
+const partialEvent = 'id: 3\nda';
+
+/** What a caller's connection shows of an answer. */
+type Seen = 'whole' | 'cut' | 'error';
+
+/** Returns what a caller sees of an upstream's answer. */
+const getSeen = async (path: string, answer: RawAnswer): Promise<Seen> => {
+	const {host} = await start(answerRaw(answer));
+	const {status, isComplete} = await sendRequest(host.port, {path, headers: {attempt: 'a1'}});
+	if (status !== 200) {
+		return 'error';
+	}
+
+	return isComplete ? 'whole' : 'cut';
+};
+
+type Case = readonly [RawAnswer['framing'], RawAnswer['ending']];
+
+/** Returns what a caller sees of a stream by its framing and its ending. */
+const getSeenOfStream = async (path: string, body: string, cases: readonly Case[]): Promise<Seen[]> => Promise.all(cases.map(async ([framing, ending]) => getSeen(path, {
+	framing, contentType: 'text/event-stream', body, ending,
+})));
+
+const endings = [['length', 'framed'], ['chunks', 'framed'], ['close', 'closed']] as const;
+const losses = [['length', 'closed'], ['chunks', 'closed'], ['length', 'reset'], ['chunks', 'reset'], ['close', 'reset']] as const;
+const streamPaths = ['/once/1', '/stream/1'];
+
+test.each(streamPaths)('a stream that ends after its last event is whole: %s', async path => {
+	expect(await getSeenOfStream(path, events, endings)).toEqual(['whole', 'whole', 'whole']);
+});
+
+// Guards against: a stream that may not be resumed and is broken off inside an event reaches its caller as complete.
+test.fails('a stream that ends inside an event is cut, whatever marks its end: /once/1', async () => {
+	expect(await getSeenOfStream('/once/1', events + partialEvent, endings)).toEqual(['cut', 'cut', 'cut']);
+});
+
+test('a stream that ends inside an event is cut, whatever marks its end: /stream/1', async () => {
+	expect(await getSeenOfStream('/stream/1', events + partialEvent, endings)).toEqual(['cut', 'cut', 'cut']);
+});
+
+test.each(streamPaths)('a stream whose connection is lost is cut: %s', async path => {
+	expect(await getSeenOfStream(path, events, losses)).toEqual(['cut', 'cut', 'cut', 'cut', 'cut']);
+	expect(await getSeenOfStream(path, events + partialEvent, losses)).toEqual(['cut', 'cut', 'cut', 'cut', 'cut']);
+});
+
+// Guards against: a stream that is broken off before its first event reaches its caller as an empty one that is complete.
+test.fails.each(streamPaths)('a stream without length or chunks that ends before its first event is not whole: %s', async path => {
+	expect(await getSeenOfStream(path, '', [['close', 'closed'], ['close', 'reset']])).toEqual(['error', 'error']);
+});
+
+// Guards against: the events of a stream with other line ends aren't recognized, so that a whole stream is taken for a cut one.
+test.fails.each(['\r\n', '\r'])('a stream with other line ends is whole after its last event, and cut inside one (%j)', async lineEnd => {
+	const stream = events.replaceAll('\n', lineEnd);
+	const partial = stream + partialEvent.replaceAll('\n', lineEnd);
+	for (const path of streamPaths) {
+		// eslint-disable-next-line no-await-in-loop -- Few cases, one host at a time.
+		expect(await getSeenOfStream(path, stream, endings)).toEqual(['whole', 'whole', 'whole']);
+		// eslint-disable-next-line no-await-in-loop -- As above.
+		expect(await getSeenOfStream(path, partial, endings)).toEqual(['cut', 'cut', 'cut']);
+	}
+});
+
+test.each(['/read/1', '/book/1'])('an answer that is no stream is whole at its end, also with its connection, and an error if the connection is lost: %s', async path => {
+	const getSeenOfAnswer = async ([framing, ending]: Case): Promise<Seen> => getSeen(path, {
+		framing, contentType: 'application/json', body: '{"a":1}', ending,
+	});
+	expect(await Promise.all(endings.map(async item => getSeenOfAnswer(item)))).toEqual(['whole', 'whole', 'whole']);
+	expect(await Promise.all(losses.map(async item => getSeenOfAnswer(item)))).toEqual(['error', 'error', 'error', 'error', 'error']);
+});
