Take an unframed response whose connection was reset as broken off

A booking's response that was reset in the middle reached its caller with a last chunk, as complete. Chat isn't affected: it ends with its terminal event.

--- a/packages/upstream/src/commands/call-service.ts
+++ b/packages/upstream/src/commands/call-service.ts
@@ -2,6 +2,7 @@
 import type {OutgoingHttpHeaders} from 'node:http';
 import type {SilenceTimeouts} from '@gentianlift/types';
 import type {CallFailure} from '../call-failure.js';
+import {getBodyFailure} from '../wire/body-failure.js';
 import {createResponseStream} from '../wire/response-stream.js';
 import type {StreamChunk, ChunkStream} from '../wire/chunk-stream.js';
 import {
@@ -33,8 +34,7 @@
 	finished(message, error => {
 		response.release();
 		stream.end();
-		const failure: ExchangeFailure = response.getFailure() ?? {kind: 'reset', reason: 'mid-answer'};
-		resolve(error ? failure : {kind: 'finished'});
+		resolve(getBodyFailure(response, error, 'mid-answer') ?? {kind: 'finished'});
 	});
 });
 
--- a/packages/upstream/src/commands/generate.ts
+++ b/packages/upstream/src/commands/generate.ts
@@ -3,6 +3,7 @@
 import type {Cancel} from '@gentianlift/clock';
 import type {Address, Milliseconds, SilenceTimeouts} from '@gentianlift/types';
 import type {CallFailure} from '../call-failure.js';
+import {getBodyFailure} from '../wire/body-failure.js';
 import {createResponseStream} from '../wire/response-stream.js';
 import type {StreamChunk, ChunkStream} from '../wire/chunk-stream.js';
 import {createEventReader, type EventReader, type GenerationEnd} from '../wire/event-reader.js';
@@ -55,12 +56,7 @@
 		return {kind: 'finished', ...reader.getEnd()};
 	}
 
-	const failure = response.getFailure();
-	if (failure !== undefined) {
-		return failure;
-	}
-
-	return error ? {kind: 'reset', reason: 'mid-answer'} : {kind: 'incomplete'};
+	return getBodyFailure(response, error, 'mid-answer') ?? {kind: 'incomplete'};
 };
 
 const streamGeneration = async (context: ExchangeContext, response: UpstreamResponse, generationStream: GenerationStream): Promise<GenerationOutcome> => {
--- a/packages/upstream/src/wire/read-body.ts
+++ b/packages/upstream/src/wire/read-body.ts
@@ -1,4 +1,5 @@
 import {finished} from 'node:stream';
+import {getBodyFailure} from './body-failure.js';
 import {decodeText, joinBytes} from './bytes.js';
 import type {UpstreamResponse, ExchangeFailure} from './exchange.js';
 
@@ -22,7 +23,6 @@
 	});
 	finished(message, error => {
 		release();
-		const failure: ExchangeFailure = getFailure() ?? {kind: 'reset', reason: 'body'};
-		resolve(error ? failure : {kind: 'read', text: decodeText(joinBytes(pieces))});
+		resolve(getBodyFailure({getFailure}, error, 'body') ?? {kind: 'read', text: decodeText(joinBytes(pieces))});
 	});
 });
