Reset the connection of an HTTP/1.0 caller whose answer is cut

The caller's side of the same fault: HTTP/1.0 has no chunks, so the close of the connection is the end of the body, and an answer that the router cut looked complete. Failing test first in the same commit (the connection ended in order before, with a reset now); a whole answer still ends in order. cutResponse in errors is the one place for both routers.

--- a/packages/errors/src/index.ts
+++ b/packages/errors/src/index.ts
@@ -1,3 +1,4 @@
 export * from './kinds.js';
 export * from './request-error.js';
 export * from './body.js';
+export * from './cut-response.js';
--- a/packages/forwarder/src/forward.ts
+++ b/packages/forwarder/src/forward.ts
@@ -1,4 +1,4 @@
-import type {ErrorKind} from '@gentianlift/errors';
+import {cutResponse, type ErrorKind} from '@gentianlift/errors';
 import {
 	createRetryBudget, decideRetry, getUpstreamKey, type EarlyRefusal, type RetryBudget,
 } from '@gentianlift/routing';
@@ -72,7 +72,7 @@
 		const {response, head} = call;
 		if (response.headersSent) {
 			// Closing the connection is the only way to signal that the answer is incomplete.
-			response.destroy();
+			cutResponse(response);
 			return {outcome: 'cut', reason: errorAnswer.kind};
 		}
 
--- a/packages/forwarder/src/serve-callers.ts
+++ b/packages/forwarder/src/serve-callers.ts
@@ -5,7 +5,7 @@
 import {
 	pickDestination, findCaller, findRoute, type RequestLimits, type ConfiguredCustomer, type Route, type RouteTable,
 } from '@gentianlift/routing';
-import {errorTable, type ErrorKind} from '@gentianlift/errors';
+import {cutResponse, errorTable, type ErrorKind} from '@gentianlift/errors';
 import type {Milliseconds} from '@gentianlift/types';
 import {createCall} from './call.js';
 import type {Forwarder} from './forward.js';
@@ -225,7 +225,7 @@
 			await handle(request, response);
 		} catch (error) {
 			logger.error('call-failed', {target: request.url, reason: (error as Error).stack ?? String(error)});
-			response.destroy();
+			cutResponse(response);
 		} finally {
 			openRequests -= 1;
 		}
--- a/packages/forwarder/src/unframed-answer.test.ts
+++ b/packages/forwarder/src/unframed-answer.test.ts
@@ -1,3 +1,4 @@
+import {connect} from 'node:net';
 import {expect, onTestFinished, test} from 'vitest';
 import {createHostStarter} from './test-deployment.js';
 import {sendRequest} from './testing.js';
@@ -71,3 +72,28 @@
 	expect(await Promise.all(endings.map(async item => getSeenOfAnswer(item)))).toEqual(['whole', 'whole', 'whole']);
 	expect(await Promise.all(losses.map(async item => getSeenOfAnswer(item)))).toEqual(['error', 'error', 'error', 'error', 'error']);
 });
+
+/** Requests a path with HTTP/1.0, and returns whether the connection ended with a reset. */
+const isResetForOldCaller = async (port: number, path: string): Promise<boolean> => new Promise(resolve => {
+	const socket = connect(port, '127.0.0.1');
+	socket.write(`POST ${path} HTTP/1.0\r\nHost: a.example\r\nAttempt: a1\r\nContent-Length: 0\r\n\r\n`);
+	socket.resume();
+	socket.once('error', () => {
+		resolve(true);
+	});
+	socket.once('close', () => {
+		resolve(false);
+	});
+});
+
+// Guards against: a cut answer looks complete to a caller of HTTP/1.0, for which the close of the connection is the end of a body.
+test('a cut answer ends with a reset for a caller that knows no chunks', async () => {
+	const {host: cut} = await start(answerRaw({
+		framing: 'chunks', contentType: 'text/event-stream', body: events + partialEvent, ending: 'closed',
+	}));
+	expect(await isResetForOldCaller(cut.port, '/once/1')).toBe(true);
+	const {host: whole} = await start(answerRaw({
+		framing: 'chunks', contentType: 'text/event-stream', body: events, ending: 'framed',
+	}));
+	expect(await isResetForOldCaller(whole.port, '/once/1')).toBe(false);
+});
--- a/packages/router/src/callers/send-response.ts
+++ b/packages/router/src/callers/send-response.ts
@@ -1,6 +1,8 @@
 import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
-import {errorTable, getErrorBody, type RequestFailure} from '@gentianlift/errors';
+import {
+	cutResponse, errorTable, getErrorBody, type RequestFailure,
+} from '@gentianlift/errors';
 import type {RequestId, RunState} from '@gentianlift/types';
 
 /** Returns the headers that every response to a request carries. */
@@ -48,5 +50,5 @@
 		return;
 	}
 
-	response.destroy();
+	cutResponse(response);
 };
