Close connections that deliver bytes without end

Change: named bounds, in bytes and for rejections also in time, where each kind of bytes is read; the splitter joins the chunks of an event only once it is complete.

--- a/packages/forwarder/src/deliver-buffered.ts
+++ b/packages/forwarder/src/deliver-buffered.ts
@@ -16,6 +16,7 @@
 export const deliverBuffered = async (call: Call, progress: Progress, {head, answer}: Extract<SendOutcome, {kind: 'answered'}>, isClosing: boolean): Promise<ForwardOutcome> => {
 	const body = await readBody(answer, maxBufferedBytes);
 	if (body.kind === 'too-large') {
+		answer.message.destroy();
 		return {kind: 'failed', reason: body.kind};
 	}
 
--- a/packages/forwarder/src/deliver.ts
+++ b/packages/forwarder/src/deliver.ts
@@ -22,6 +22,9 @@
 	onFirstBytes: () => void;
 };
 
+/** Size limit of one event of a stream; beyond it the bytes are no answer. */
+const maxEventBytes = 1024 * 1024;
+
 /** Writes the head of an upstream's answer to the caller. */
 export const writeAnswerHead = (response: ServerResponse, {status, forwarded}: AnswerHead, isClosing: boolean): void => {
 	response.writeHead(status, [...forwarded, ...(isClosing ? ['Connection', 'close'] : [])]);
@@ -58,6 +61,7 @@
 	const splitter = createEventSplitter();
 	let hasStarted = false;
 	let isEventMissing = false;
+	let isTooLong = false;
 
 	const write = (bytes: Uint8Array): void => {
 		if (!response.headersSent) {
@@ -85,6 +89,13 @@
 		}
 	};
 
+	const closeIfTooLong = (): void => {
+		if (splitter.getPartialBytes() > maxEventBytes) {
+			isTooLong = true;
+			message.destroy();
+		}
+	};
+
 	const read = (chunk: Uint8Array): void => {
 		if (!hasStarted) {
 			hasStarted = true;
@@ -97,6 +108,8 @@
 		} else {
 			write(chunk);
 		}
+
+		closeIfTooLong();
 	};
 
 	const {end, error} = await receiveBody(answer, {read, getContent: splitter.getContent});
@@ -105,5 +118,9 @@
 		return {kind: 'broken', reason: 'event-missing'};
 	}
 
+	if (isTooLong) {
+		return {kind: 'cut', reason: 'event-too-long'};
+	}
+
 	return end.verdict.kind === 'whole' ? {kind: 'complete'} : {kind: 'cut', reason: error ?? end.verdict.reason};
 };
--- a/packages/forwarder/src/event-splitter.ts
+++ b/packages/forwarder/src/event-splitter.ts
@@ -8,61 +8,78 @@
 export type EventSplitter = {
 	/** Appends bytes and returns the events that they complete. */
 	push: (chunk: Uint8Array) => StreamEvent[];
-	/** Returns the number of events so far, and of the bytes after the last one. */
+	/** Returns the number of bytes after the last complete event. */
+	getPartialBytes: () => number;
+	/** Returns what the stream so far tells of its end. */
 	getContent: () => BodyContent;
 };
 
 /** End of an event: an empty line, so two line ends in a row. */
 const eventEnd = /(?:\r\n|\n|\r(?!\n)){2}/gv;
+/** Bytes of a longest end of an event that may have arrived without its last byte. */
+const maxPartialEndBytes = 3;
 const idLine = /^id:\s?(?<id>\d+)\s*$/mv;
 const lineFeed = 0x0A;
 const carriageReturn = 0x0D;
 
+/** Returns bytes as text of as many characters. */
+const toText = (bytes: Uint8Array): string => Buffer.from(bytes.buffer, bytes.byteOffset, bytes.length).toString('latin1');
+
+const splitEvents = (bytes: Uint8Array): {events: StreamEvent[]; rest: Uint8Array} => {
+	const events: StreamEvent[] = [];
+	const text = toText(bytes);
+	let start = 0;
+	for (const {0: separator, index} of text.matchAll(eventEnd)) {
+		const end = index + separator.length;
+		const id = idLine.exec(text.slice(start, end))?.groups?.id;
+		events.push({id: id === undefined ? undefined : Number(id), bytes: bytes.subarray(start, end)});
+		start = end;
+	}
+
+	return {events, rest: bytes.subarray(start)};
+};
+
 /** Creates a splitter for the body of one answer. */
 export const createEventSplitter = (): EventSplitter => {
-	let buffered = Buffer.alloc(0);
+	/** Bytes after the last complete event, joined only when their event is complete. */
+	let partial: Uint8Array[] = [];
+	let partialBytes = 0;
+	/** Last bytes of `partial`, which the next chunk may complete to the end of an event. */
+	let tail = '';
 	let eventCount = 0;
-	/** Whether the last event ended with a carriage return, to which a line feed at the start of the next bytes belongs. */
+	/** Whether the last event ended with a carriage return, to which a line feed at the start of the next chunk belongs. */
 	let isLineFeedPending = false;
 
-	/** Takes a line feed that belongs to the end of the last event; it is returned as an event without id. */
-	const takePendingLineFeed = (): StreamEvent[] => {
-		if (!isLineFeedPending || buffered.length === 0) {
-			return [];
-		}
-
-		isLineFeedPending = false;
-		if (buffered[0] !== lineFeed) {
-			return [];
-		}
-
-		const bytes = buffered.subarray(0, 1);
-		buffered = buffered.subarray(1);
-		return [{id: undefined, bytes}];
+	const setPartial = (chunks: Uint8Array[], bytes: number, text: string): void => {
+		partial = chunks;
+		partialBytes = bytes;
+		tail = text.slice(-maxPartialEndBytes);
 	};
 
-	const takeEvents = (): StreamEvent[] => {
-		const events: StreamEvent[] = [];
-		const text = buffered.toString('latin1');
-		let start = 0;
-		for (const {0: separator, index} of text.matchAll(eventEnd)) {
-			const end = index + separator.length;
-			const id = idLine.exec(text.slice(start, end))?.groups?.id;
-			events.push({id: id === undefined ? undefined : Number(id), bytes: buffered.subarray(start, end)});
-			start = end;
+	const takeEvents = (chunk: Uint8Array): StreamEvent[] => {
+		const text = tail + toText(chunk);
+		if (text.search(eventEnd) === -1) {
+			partial.push(chunk);
+			setPartial(partial, partialBytes + chunk.length, text);
+			return [];
 		}
 
-		isLineFeedPending ||= start > 0 && start === buffered.length && buffered[start - 1] === carriageReturn;
-		buffered = buffered.subarray(start);
+		const {events, rest} = splitEvents(Buffer.concat([...partial, chunk]));
+		setPartial(rest.length === 0 ? [] : [rest], rest.length, toText(rest));
+		isLineFeedPending = rest.length === 0 && chunk.at(-1) === carriageReturn;
 		eventCount += events.length;
 		return events;
 	};
 
 	return {
 		push(chunk) {
-			buffered = buffered.length === 0 ? Buffer.from(chunk) : Buffer.concat([buffered, chunk]);
-			return [...takePendingLineFeed(), ...takeEvents()];
+			const isEndContinued = isLineFeedPending && chunk[0] === lineFeed;
+			isLineFeedPending = false;
+			return isEndContinued
+				? [{id: undefined, bytes: chunk.subarray(0, 1)}, ...takeEvents(chunk.subarray(1))]
+				: takeEvents(chunk);
 		},
-		getContent: () => ({kind: 'events', events: eventCount, partialBytes: buffered.length}),
+		getPartialBytes: () => partialBytes,
+		getContent: () => ({kind: 'events', events: eventCount, partialBytes}),
 	};
 };
--- a/packages/forwarder/src/send.ts
+++ b/packages/forwarder/src/send.ts
@@ -55,6 +55,10 @@
 /** Longest time to establish a connection within a region. */
 const connectTimeout: Milliseconds = 400;
 
+/** Limits on an answer that is drained unused; a new connection is cheaper beyond them. */
+const maxDiscardedBytes = 64 * 1024;
+const maxDiscardTime: Milliseconds = 500;
+
 const getErrorReason = (error: Error & {code?: string}): string => error.code ?? error.message;
 
 const openRequest = ({upstream, method, target}: UpstreamRequest, agent: UpstreamAgent): ClientRequest =>
@@ -71,14 +75,24 @@
 	clientRequest.end(body);
 };
 
-/** Drains an unused answer, so that its connection can be reused. */
-const discard = (message: IncomingMessage): void => {
+/** Drains an unused answer, so that its connection can be reused, and closes the connection if the answer is long or doesn't end. */
+const discard = (message: IncomingMessage, clock: Clock): void => {
+	let length = 0;
+	const cancel = clock.after(maxDiscardTime, () => {
+		message.destroy();
+	});
 	message.on('error', () => undefined);
-	message.resume();
+	message.once('close', cancel);
+	message.on('data', (chunk: Uint8Array) => {
+		length += chunk.length;
+		if (length > maxDiscardedBytes) {
+			message.destroy();
+		}
+	});
 };
 
 /** Classifies an answer by its head; closes the connection of an answer to another request and of a success without the mark of an upstream. */
-const classifyAnswer = (answer: Incoming, head: AnswerHead, callerRequestId: string | undefined): SendOutcome => {
+const classifyAnswer = (answer: Incoming, head: AnswerHead, callerRequestId: string | undefined, clock: Clock): SendOutcome => {
 	const {message} = answer;
 	const isMismatched = head.callerRequestId !== undefined && callerRequestId !== undefined && head.callerRequestId !== callerRequestId;
 	if (isMismatched) {
@@ -87,7 +101,7 @@
 	}
 
 	if (head.isNotExecuted) {
-		discard(message);
+		discard(message, clock);
 		return {kind: 'rejected', status: head.status};
 	}
 
@@ -228,7 +242,7 @@
 		agent.recordAnswer(message.socket, message);
 		const {socket} = message;
 		const answer = {message, hasFailed: () => hasFailed || agent.wasReset(socket)};
-		finish(classifyAnswer(answer, protocol.readAnswerHead(message.statusCode ?? 0, message.rawHeaders), callerRequestId));
+		finish(classifyAnswer(answer, protocol.readAnswerHead(message.statusCode ?? 0, message.rawHeaders), callerRequestId, clock));
 	});
 	clientRequest.on('error', error => {
 		hasFailed = true;
--- a/packages/forwarder/src/upstream-agent.ts
+++ b/packages/forwarder/src/upstream-agent.ts
@@ -13,6 +13,8 @@
 } as const;
 /** Time before the upstream's own idle timeout at which a connection is closed, so that no request is sent while the upstream closes it. */
 const idleCloseMargin: Milliseconds = 1000;
+/** Limit on the bytes up to the end of an answer's head, informational answers and blank lines included. One read may bring 64 KB of the body with it. */
+const maxHeadBytes = 128 * 1024;
 const keepAliveTimeoutPattern = /timeout=(?<seconds>\d+)/v;
 
 /** State of a connection. */
@@ -21,6 +23,8 @@
 	message: IncomingMessage | undefined;
 	isIdle: boolean;
 	idleTimer: NodeJS.Timeout | undefined;
+	/** Bytes received since the request was sent, up to those with the end of the answer's head. */
+	headBytes: number;
 	/** Whether the connection ended with a reset. */
 	isReset: boolean;
 };
@@ -64,6 +68,7 @@
 		if (state !== undefined) {
 			clearTimeout(state.idleTimer);
 			state.message = undefined;
+			state.headBytes = 0;
 			state.isIdle = false;
 		}
 	}
@@ -84,7 +89,7 @@
 	override createConnection(options: NetConnectOpts): Socket {
 		const socket = connect({...options, noDelay: true, allowHalfOpen: true});
 		const state: ConnectionState = {
-			message: undefined, isIdle: false, idleTimer: undefined, isReset: false,
+			message: undefined, isIdle: false, idleTimer: undefined, headBytes: 0, isReset: false,
 		};
 		this.#states.set(socket, state);
 		const closeIfUnused = (): void => {
@@ -93,7 +98,13 @@
 			}
 		};
 
-		socket.on('data', closeIfUnused);
+		socket.on('data', (chunk: Uint8Array) => {
+			closeIfUnused();
+			state.headBytes += state.message === undefined ? chunk.length : 0;
+			if (state.headBytes > maxHeadBytes) {
+				socket.destroy(new Error('head-too-long'));
+			}
+		});
 		socket.once('end', () => {
 			// A reset that arrives together with data is reported as an orderly end, but leaves the socket without a remote address.
 			state.isReset = socket.remoteAddress === undefined;
