Play answers without length or chunks in the soak

Why the soak missed the broken-off answers: its upstreams always framed what they sent, and cut streams between two events. In the new mode they answer without length or chunks and break off half of their streams inside an event, with an orderly close.

--- a/packages/soak/src/fake-upstream.ts
+++ b/packages/soak/src/fake-upstream.ts
@@ -44,6 +44,9 @@
 /** Start time in the entry of an upstream's first incarnation; later incarnations count up from it. */
 const firstStartTime = 1_000_000;
 
+/** Whether a request is one of the half whose streams are broken off. */
+const isEvenAttempt = (attempt: string): boolean => (attempt.codePointAt(attempt.length - 1) ?? 0) % 2 === 0;
+
 const listen = async (server: Server, ip: string, port: number): Promise<number> => {
 	await new Promise<void>(resolve => {
 		server.listen(port, ip, resolve);
@@ -77,7 +80,13 @@
 
 	const writeStream = async (attempt: string, response: ServerResponse): Promise<void> => {
 		response.setHeader('content-type', 'text/event-stream');
+		const isBrokenOff = failureMode === 'unframed' && isEvenAttempt(attempt);
 		for (let number = 1; number <= eventsPerStream && !response.destroyed; number++) {
+			if (isBrokenOff && number > eventsPerStream / 2) {
+				response.end(getEvent(attempt, number).trimEnd());
+				return;
+			}
+
 			response.write(getEvent(attempt, number));
 			if (failureMode === 'truncating' && number === eventsPerStream / 2) {
 				response.destroy();
@@ -93,7 +102,10 @@
 
 	const writeBody = (attempt: string, response: ServerResponse): void => {
 		const body = getBody(attempt);
-		response.setHeader('content-length', body.length);
+		if (failureMode !== 'unframed') {
+			response.setHeader('content-length', body.length);
+		}
+
 		if (failureMode === 'truncating') {
 			response.write(body.slice(0, body.length / 2));
 			runAfter(1, () => {
@@ -119,6 +131,7 @@
 
 		response.statusCode = failureMode === 'failing' ? 500 : 200;
 		response.setHeaders(new Map(Object.entries(protocol.getAnswerHeaders(id, attempt))));
+		response.useChunkedEncodingByDefault = failureMode !== 'unframed';
 		if (protocol.isStream(request) && response.statusCode === 200) {
 			await writeStream(attempt, response);
 		} else {
--- a/packages/soak/src/kept-cases.ts
+++ b/packages/soak/src/kept-cases.ts
@@ -16,4 +16,20 @@
 			{at: 1500, fault: {kind: 'host-reload', host: 1, isSignalled: true}},
 		],
 	},
+	{
+		seed: 7000,
+		cause: 'A stream without length or chunks that ended inside an event reached its caller as a complete one',
+		schedule: [
+			{
+				at: 300, fault: {
+					kind: 'upstream', upstream: 3, mode: 'unframed', duration: 2000,
+				},
+			},
+			{
+				at: 600, fault: {
+					kind: 'upstream', upstream: 4, mode: 'unframed', duration: 2000,
+				},
+			},
+		],
+	},
 ];
--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -7,8 +7,8 @@
 /** One of `storeFailureModes`. */
 export type StoreFailureMode = typeof storeFailureModes[number];
 
-/** Failure modes of an upstream. After `return-as-other` it restarts under another id, after `crash` under the same one; `mute` executes requests without answering, `extra-bytes` sends an unsolicited answer. */
-export const upstreamFailureModes = ['crash', 'return-as-other', 'leave', 'slow', 'extra-bytes', 'truncating', 'full', 'failing', 'mute', 'idle-resets'] as const;
+/** Failure modes of an upstream. After `return-as-other` it restarts under another id, after `crash` under the same one; `mute` executes requests without answering, `extra-bytes` sends an unsolicited answer, `unframed` answers without length or chunks and breaks off half of its streams inside an event. */
+export const upstreamFailureModes = ['crash', 'return-as-other', 'leave', 'slow', 'extra-bytes', 'truncating', 'full', 'failing', 'mute', 'idle-resets', 'unframed'] as const;
 /** One of `upstreamFailureModes`. */
 export type UpstreamFailureMode = typeof upstreamFailureModes[number];
 
