--- a/packages/discovery/src/fleet-view.ts
+++ b/packages/discovery/src/fleet-view.ts
@@ -106,7 +106,7 @@
 		upstreams.set(storeKey, upstream);
 		if (!isSame || known.isLeaving !== upstream.isLeaving) {
 			logger.info('upstream-listed', {
-				upstream: getUpstreamKey(upstream), service: upstream.service, address: upstream.address, leaving: upstream.isLeaving, revision,
+				upstream: getUpstreamKey(upstream), service: upstream.service, address: upstream.address, leaving: upstream.isLeaving, software: upstream.softwareVersion, revision,
 			});
 			if (upstream.isLeaving) {
 				onLeaving?.(getUpstreamKey(upstream));
--- a/packages/forwarder/src/call.ts
+++ b/packages/forwarder/src/call.ts
@@ -56,6 +56,8 @@
 	isSent: boolean;
 	/** Id of the last stream event delivered to the caller. */
 	lastEventId: number | undefined;
+	/** Software versions of the upstreams whose events were delivered to the caller, in order. */
+	streamVersions: string[];
 	isCallerGone: boolean;
 	/** How much of the answer the caller had got when its connection closed; undefined while it is open. */
 	receivedAnswer: ReceivedAnswer | undefined;
@@ -106,6 +108,7 @@
 	possibleExecutions: 0,
 	isSent: false,
 	lastEventId: undefined,
+	streamVersions: [],
 	isCallerGone: false,
 	receivedAnswer: undefined,
 	hasTimedOut: false,
--- a/packages/forwarder/src/deliver.ts
+++ b/packages/forwarder/src/deliver.ts
@@ -20,6 +20,8 @@
 	isClosing: boolean;
 	/** Called once, when the first bytes arrive. */
 	onFirstBytes: () => void;
+	/** Called once, when the first bytes of this upstream are about to be written to the caller. */
+	onFirstWrite: () => void;
 };
 
 /** Size limit of one event of a stream; beyond it the bytes are no answer. */
@@ -60,10 +62,16 @@
 	const head = removeLength(delivery.head);
 	const splitter = createEventSplitter();
 	let hasStarted = false;
+	let hasWritten = false;
 	let isEventMissing = false;
 	let isTooLong = false;
 
 	const write = (bytes: Uint8Array): void => {
+		if (!hasWritten) {
+			hasWritten = true;
+			delivery.onFirstWrite();
+		}
+
 		if (!response.headersSent) {
 			writeAnswerHead(response, head, delivery.isClosing);
 		}
--- a/packages/forwarder/src/protocol.ts
+++ b/packages/forwarder/src/protocol.ts
@@ -16,6 +16,8 @@
 	prompt: Prompt | undefined;
 	/** Id of the last event that the caller has received, if it resumes a stream. */
 	lastEventId: number | undefined;
+	/** Id of the caller's request that brought the first event of the stream, if it resumes one. */
+	resumedRequestId: string | undefined;
 	/** Whether the request declares a body, which may be empty. */
 	declaresBody: boolean;
 	/** Headers that are forwarded to the upstream unchanged. */
--- a/packages/forwarder/src/test-deployment.ts
+++ b/packages/forwarder/src/test-deployment.ts
@@ -1,4 +1,5 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Upstream} from '@gentianlift/routing';
 import {buildConfiguration, buildRoute} from '@gentianlift/routing/testing';
 import {startTestHost, startUpstream, type TestHost} from './testing.js';
 
@@ -43,15 +44,35 @@
 	request.socket.resetAndDestroy();
 };
 
-/** Creates a function that starts a host with one stub upstream for each handler, and counts the requests that each receives. */
-export const createHostStarter = (onFinished: (close: () => void) => void) => async (...answers: AnswerHandler[]): Promise<{host: TestHost; counts: number[]}> => {
+/** A stub upstream: its handler, and its software version if it has one. */
+export type StubUpstream = AnswerHandler | {answer: AnswerHandler; softwareVersion: string};
+
+/** A host with its stub upstreams. */
+export type TestDeployment = {
+	host: TestHost;
+	/** Numbers of requests that the upstreams have received. */
+	counts: number[];
+	upstreams: Upstream[];
+};
+
+const startStubUpstream = async (id: string, stub: StubUpstream, onRequest: () => void): ReturnType<typeof startUpstream> => {
+	const answer = typeof stub === 'function' ? stub : stub.answer;
+	const {upstream, server} = await startUpstream(id, (request, response) => {
+		onRequest();
+		answer(request, response);
+	});
+	return {server, upstream: typeof stub === 'function' ? upstream : {...upstream, softwareVersion: stub.softwareVersion}};
+};
+
+/** Creates a function that starts a host with stub upstreams. */
+export const createHostStarter = (onFinished: (close: () => void) => void) => async (...stubs: StubUpstream[]): Promise<TestDeployment> => {
 	const host = await startTestHost(configuration);
-	const counts = answers.map(() => 0);
-	const started = await Promise.all(answers.map(async (answer, index) => startUpstream(`u${index}`, (request, response) => {
+	const counts = stubs.map(() => 0);
+	const started = await Promise.all(stubs.map(async (stub, index) => startStubUpstream(`u${index}`, stub, () => {
 		counts[index] = (counts[index] ?? 0) + 1;
-		answer(request, response);
 	})));
-	host.setUpstreams(started.map(({upstream}) => upstream));
+	const upstreams = started.map(({upstream}) => upstream);
+	host.setUpstreams(upstreams);
 	onFinished(() => {
 		host.close();
 		for (const {server} of started) {
@@ -59,7 +80,7 @@
 			server.closeAllConnections();
 		}
 	});
-	return {host, counts};
+	return {host, counts, upstreams};
 };
 
 /** Adds up counts. */
--- a/packages/forwarder/src/testing-call.ts
+++ b/packages/forwarder/src/testing-call.ts
@@ -19,7 +19,7 @@
 	method: 'POST',
 	target: '/a/',
 	head: {
-		callerRequestId: name, hostname: 'a.example', key: undefined, clientTimeout, lastEventId: undefined, declaresBody: true, forwarded: [], prompt,
+		callerRequestId: name, hostname: 'a.example', key: undefined, clientTimeout, lastEventId: undefined, resumedRequestId: undefined, declaresBody: true, forwarded: [], prompt,
 	},
 	body: new Uint8Array(),
 	route,
--- a/packages/forwarder/src/testing.ts
+++ b/packages/forwarder/src/testing.ts
@@ -58,6 +58,7 @@
 			clientTimeout: timeout === undefined ? undefined : Number(timeout),
 			prompt: promptTokens === undefined ? undefined : buildPrompt(Number(promptTokens)),
 			lastEventId: lastEvent === undefined ? undefined : Number(lastEvent),
+			resumedRequestId: getValue(headers, 'resumes'),
 			declaresBody: getValue(headers, 'content-length') !== undefined,
 			forwarded: [],
 		};
--- a/packages/routing/src/upstream.ts
+++ b/packages/routing/src/upstream.ts
@@ -14,6 +14,8 @@
 	slots: number;
 	/** Start time in milliseconds since the epoch; a new value with the same id means a new incarnation. */
 	startedAt: Milliseconds;
+	/** Version of its software, an opaque name; absent if its entry names none. Streams of two versions of a service don't fit together. */
+	softwareVersion?: string;
 };
 
 /** Identifies one incarnation of an upstream. */
