Add failing tests: streams go on at another software version

The others guard what must stay: going on at the same version, and any version before the first event.

--- a/packages/forwarder/src/stream-version.test.ts
+++ b/packages/forwarder/src/stream-version.test.ts
@@ -1,6 +1,8 @@
 import {expect, onTestFinished, test} from 'vitest';
-import {createHostStarter, upstreamMark, type AnswerHandler} from './test-deployment.js';
-import {sendRequest, waitForEnd} from './testing.js';
+import {
+	createHostStarter, resetConnection, sum, upstreamMark, type AnswerHandler, type StubUpstream,
+} from './test-deployment.js';
+import {sendRequest, waitForEnd, type TestHost} from './testing.js';
 
 const start = createHostStarter(onTestFinished);
 
@@ -23,11 +25,69 @@
 	});
 };
 
+const atVersion = (softwareVersion: string, answer: AnswerHandler): StubUpstream => ({softwareVersion, answer});
+
+/** Sends a request that takes up the stream of another after its event 2. */
+const takeUp = async (host: TestHost, attempt: string, resumes: string) => sendRequest(host.port, {path: '/stream/1', headers: {attempt, 'last-event': '2', resumes}});
+
 test('the software versions of a stream and the request that it resumes are logged', async () => {
-	const {host} = await start({softwareVersion: 'v1', answer: breakOff});
+	const {host} = await start(atVersion('v1', finishStream));
 	await sendRequest(host.port, {path: '/stream/1', headers: {attempt: 'a1'}});
 	expect(await waitForEnd(host, 'a1')).toMatch(/ software=v1 /v);
-	const {host: other} = await start({softwareVersion: 'v2', answer: finishStream});
-	await sendRequest(other.port, {path: '/stream/1', headers: {attempt: 'a2', 'last-event': '2', resumes: 'a1'}});
-	expect(await waitForEnd(other, 'a2')).toMatch(/ resumes=a1 after=2 software=v2 /v);
+	await takeUp(host, 'a2', 'a1');
+	expect(await waitForEnd(host, 'a2')).toMatch(/ resumes=a1 after=2 software=v1 /v);
+});
+
+// Guards against: the events of two software versions in one answer.
+test.fails('a stream isn\'t resumed on an upstream of another version: its answer is cut', async () => {
+	const {host, counts} = await start(atVersion('v1', breakOff), atVersion('v1', breakOff), atVersion('v2', finishStream));
+	const answers = await Promise.all(Array.from({length: 12}, async (_, index) => sendRequest(host.port, {path: '/stream/1', headers: {attempt: `a${index}`}})));
+	const lines = await Promise.all(answers.map(async (_, index) => waitForEnd(host, `a${index}`)));
+	expect(lines.filter(line => /software=v1,v2|software=v2,v1/v.test(line))).toEqual([]);
+	expect(answers.filter(({body, isComplete}) => isComplete && body !== getEvents(1, 4))).toEqual([]);
+	expect(sum(counts)).toBeGreaterThan(12);
+});
+
+test('a stream is resumed on another upstream of its version', async () => {
+	const {host, counts} = await start(atVersion('v1', breakOff), atVersion('v1', finishStream));
+	const answers = await Promise.all(Array.from({length: 6}, async (_, index) => sendRequest(host.port, {path: '/stream/1', headers: {attempt: `a${index}`}})));
+	expect(answers.map(({body, isComplete}) => isComplete ? body : 'cut')).toEqual(answers.map(() => getEvents(1, 4)));
+	expect(counts.every(count => count > 0)).toBe(true);
+});
+
+test('a stream whose first event has not been delivered may begin at any version', async () => {
+	const {host} = await start(atVersion('v1', resetConnection), atVersion('v2', finishStream));
+	const answers = await Promise.all(Array.from({length: 6}, async (_, index) => sendRequest(host.port, {path: '/stream/1', headers: {attempt: `a${index}`}})));
+	expect(answers.filter(({status, body}) => status === 200 && body !== getEvents(1, 4))).toEqual([]);
+	expect(answers.some(({status}) => status === 200)).toBe(true);
+});
+
+// Guards against: a caller that takes its stream up again gets events of another version than it has.
+test.fails('a caller that takes up a stream gets events of its version, or at once the answer that nothing has run', async () => {
+	const {host, upstreams, counts} = await start(atVersion('v1', breakOff), atVersion('v2', finishStream), atVersion('v1', finishStream));
+	host.setUpstreams(upstreams.slice(0, 1));
+	expect(await sendRequest(host.port, {path: '/stream/1', headers: {attempt: 'a1'}})).toMatchObject({isComplete: false});
+	host.setUpstreams(upstreams.slice(1, 2));
+	const refused = await takeUp(host, 'a2', 'a1');
+	expect(refused.status).toBe(503);
+	expect(refused.body).toContain('"ran":"not-run"');
+	expect(counts[1]).toBe(0);
+	host.setUpstreams(upstreams.slice(1));
+	// Its first event came with a1, however often the caller has tried since.
+	expect(await takeUp(host, 'a3', 'a1')).toMatchObject({status: 200, body: getEvents(3, 4), isComplete: true});
+	expect(counts).toEqual([1, 0, 1]);
+});
+
+// Guards against: a stream of which a host knows nothing goes on at any version.
+test.fails('a stream of an unknown version isn\'t taken up while two versions serve', async () => {
+	const {host, counts} = await start(atVersion('v1', finishStream), atVersion('v2', finishStream));
+	const refused = await takeUp(host, 'a2', 'unknown');
+	expect(refused).toMatchObject({status: 503});
+	expect(refused.body).toContain('"ran":"not-run"');
+	expect(sum(counts)).toBe(0);
+});
+
+test('a stream of an unknown version is taken up while only one version has served', async () => {
+	const {host} = await start(atVersion('v1', finishStream), atVersion('v1', finishStream));
+	expect(await takeUp(host, 'a2', 'unknown')).toMatchObject({status: 200, body: getEvents(3, 4)});
 });
