Take a stream up only at the version that began it

Change: that host names the stream, its service and its version in its next load report and once more in the next full one; all hosts keep the last 60 s of them, bounded. A host that doesn't know a stream asks three others. If none knows, it goes on only where one version has served for 60 s and the view of the fleet is confirmed; else it is refused at once, as nothing has run. A stream also stays at its service, whose name is part of its origin: another service may name its versions alike. The check of the view's freshness has a module of its own now, as both the refusals and this need it.

Streams are applied from reports that arrive out of order too, as where one began stays true; a test has it.

--- a/packages/discovery/src/exchange-reports.ts
+++ b/packages/discovery/src/exchange-reports.ts
@@ -1,7 +1,7 @@
 import type {Clock} from '@gentianlift/clock';
 import type {Logger} from '@gentianlift/logger';
 import type {
-	SuspectedCrash, CrashSuspects, UpstreamKey,
+	SuspectedCrash, CrashSuspects, StartedStream, UpstreamKey,
 } from '@gentianlift/routing';
 import type {HostId, Milliseconds} from '@gentianlift/types';
 import type {HostRecord} from './host-record.js';
@@ -17,6 +17,8 @@
 	addLoad: (upstream: UpstreamKey, change: LoadContribution) => void;
 	/** Reports that a prompt was sent to an upstream. */
 	addPrefill: (prefill: Prefill) => void;
+	/** Reports that a stream has begun. */
+	addStream: (stream: StartedStream) => void;
 	/** Reports a crash of an upstream that a request may have caused. */
 	addCrash: (crash: SuspectedCrash) => void;
 	/** Reports that a suspected request has run to completion. */
@@ -55,6 +57,8 @@
 	isStoreReached: () => boolean;
 	/** Called with each prompt that another host has sent to an upstream. */
 	onPrefill: (prefill: Prefill) => void;
+	/** Called with each stream that has begun at another host. */
+	onStream: (stream: StartedStream) => void;
 	/** Called after the load of other hosts has changed. */
 	onLoad: () => void;
 	/** Called with the arrival of each report of another host, applied or not, for metrics. */
@@ -77,6 +81,8 @@
 const loadRepeats = 3;
 /** Age of a host's last report up to which its status counts as current. */
 const statusLifetime: Milliseconds = 2000;
+/** Maximum number of streams in one report, which bounds its datagram. */
+const maxReportedStreams = 400;
 /** Number of reports that carry a crash, as datagrams get lost. */
 const crashRepeats = 6;
 
@@ -100,6 +106,10 @@
 	/** Number of full reports that have yet to repeat the load of an upstream. */
 	const remainingRepeats = new Map<UpstreamKey, number>();
 	let prefills: Prefill[] = [];
+	/** Streams that no report has named yet. */
+	let newStreams: StartedStream[] = [];
+	/** Streams that the next full report names again, as datagrams get lost. */
+	let repeatedStreams: StartedStream[] = [];
 	let pendingCrashes: PendingCrash[] = [];
 	let cleared: string[] = [];
 	let isStopping = false;
@@ -126,13 +136,21 @@
 			crashes: pendingCrashes.map(({crash}) => crash),
 			cleared,
 			builtAt: clock.now(),
+			streams: [...newStreams, ...(isFull ? repeatedStreams : [])].slice(0, maxReportedStreams),
 		};
 	};
 
+	/** Records that a report has named the new streams, and a full one also those to repeat. */
+	const markStreamsReported = (isFull: boolean): void => {
+		repeatedStreams = [...(isFull ? [] : repeatedStreams), ...newStreams].slice(-maxReportedStreams);
+		newStreams = [];
+	};
+
 	const send = (isFull: boolean): void => {
 		sentAt = clock.monotonic();
 		broadcaster.send(buildReport(isFull));
 		changedUpstreams.clear();
+		markStreamsReported(isFull);
 		prefills = [];
 		cleared = [];
 		pendingCrashes = pendingCrashes.map(({crash, remainingReports}) => ({crash, remainingReports: remainingReports - 1})).filter(({remainingReports}) => remainingReports > 0);
@@ -168,7 +186,16 @@
 
 	const applyReport = (report: LoadReport): void => {
 		const now = clock.monotonic();
-		if (report.host === host || !acceptReport(report, now)) {
+		if (report.host === host) {
+			return;
+		}
+
+		// Where a stream began stays true, however late the report comes.
+		for (const stream of report.streams) {
+			options.onStream(stream);
+		}
+
+		if (!acceptReport(report, now)) {
 			return;
 		}
 
@@ -225,6 +252,10 @@
 			prefills.push(prefill);
 			schedule();
 		},
+		addStream(stream) {
+			newStreams.push(stream);
+			schedule();
+		},
 		addClearedSuspect(fingerprint) {
 			pendingCrashes = pendingCrashes.filter(({crash}) => crash.fingerprint !== fingerprint);
 			cleared.push(fingerprint);
--- a/packages/discovery/src/fleet-view.ts
+++ b/packages/discovery/src/fleet-view.ts
@@ -49,6 +49,8 @@
 	/** Decodes an entry that isn't a host record. */
 	decode: (entry: Entry) => DecodedEntry;
 	logger: Logger;
+	/** Called with each incarnation of an upstream that is listed for the first time. */
+	onListed?: (upstream: Upstream) => void;
 	/** Called with each incarnation of an upstream that is no longer listed. */
 	onRemoved?: (upstreamKey: UpstreamKey) => void;
 	/** Called with each incarnation of an upstream that is listed as leaving, when it was not before. */
@@ -60,7 +62,7 @@
 
 /** Creates an empty view. */
 export const createFleetView = ({
-	decode, logger, onRemoved, onLeaving,
+	decode, logger, onListed, onRemoved, onLeaving,
 }: FleetViewOptions): FleetView => {
 	const entries = new Map<string, Entry>();
 	const upstreams = new Map<string, Upstream>();
@@ -104,6 +106,10 @@
 		}
 
 		upstreams.set(storeKey, upstream);
+		if (!isSame) {
+			onListed?.(upstream);
+		}
+
 		if (!isSame || known.isLeaving !== upstream.isLeaving) {
 			logger.info('upstream-listed', {
 				upstream: getUpstreamKey(upstream), service: upstream.service, address: upstream.address, leaving: upstream.isLeaving, software: upstream.softwareVersion, revision,
--- a/packages/discovery/src/join-fleet.ts
+++ b/packages/discovery/src/join-fleet.ts
@@ -1,6 +1,8 @@
 import type {Clock, Random} from '@gentianlift/clock';
 import type {Logger} from '@gentianlift/logger';
-import type {CrashSuspects, UpstreamKey} from '@gentianlift/routing';
+import type {
+	CrashSuspects, StartedStream, Upstream, UpstreamKey,
+} from '@gentianlift/routing';
 import type {
 	Address, ChangeFeed, Entry, HostId, KeyValueService, Zone,
 } from '@gentianlift/types';
@@ -12,6 +14,7 @@
 import type {Prefill} from './load-report.js';
 import type {LoadTracker} from './load-tracker.js';
 import {createPeerViewClient} from './peer-views.js';
+import {createStreamOriginClient, type StreamOriginClient} from './stream-origin-calls.js';
 import {registerHost, type HostRegistration} from './register-host.js';
 
 /** The operations of the store, the key-value service, that a host of the fleet uses. */
@@ -22,6 +25,8 @@
 	view: FleetView;
 	reportExchange: LoadReportExchange;
 	refresh: FleetFollower['refresh'];
+	/** Asks other hosts for the origin of a stream. */
+	askForStreamOrigin: StreamOriginClient['find'];
 	registration: HostRegistration;
 	/** Returns the number of hosts that share limits, this one included. */
 	countHosts: () => number;
@@ -49,8 +54,12 @@
 	onLoad: () => void;
 	/** Called with each prompt that another host has sent to an upstream. */
 	onPrefill: (prefill: Prefill) => void;
+	/** Called with each stream that has begun at another host. */
+	onStream: (stream: StartedStream) => void;
 	/** Called with the arrival of each report of another host, applied or not, for metrics. */
 	onReport: (arrival: ReportArrival) => void;
+	/** Called with each incarnation of an upstream that is listed for the first time. */
+	onListed: (upstream: Upstream) => void;
 	/** Called with each incarnation of an upstream that is no longer listed. */
 	onRemoved: (upstreamKey: UpstreamKey) => void;
 	/** Called with each incarnation of an upstream that begins to leave. */
@@ -72,6 +81,7 @@
 		isStoreReached: () => view.isStoreReached() && view.getRevision() > 0,
 		onLoad: options.onLoad,
 		onPrefill: options.onPrefill,
+		onStream: options.onStream,
 		onReport: options.onReport,
 		onChanges({after, revision, changes}) {
 			const now = options.clock.monotonic();
@@ -98,7 +108,7 @@
 		record, knownPeers, store, clock, random, logger,
 	} = options;
 	const view = createFleetView({
-		decode: options.decode, logger, onRemoved: options.onRemoved, onLeaving: options.onLeaving,
+		decode: options.decode, logger, onListed: options.onListed, onRemoved: options.onRemoved, onLeaving: options.onLeaving,
 	});
 	const getOthers: GetOtherHosts = () => view.getHosts().filter(({host}) => host !== record.host);
 	const reportExchange = startReportExchange(options, view, getOthers);
@@ -123,6 +133,7 @@
 		view,
 		reportExchange,
 		refresh,
+		askForStreamOrigin: createStreamOriginClient({getAddresses: getPeerAddresses, clock, random}).find,
 		registration: registerHost({
 			store, record, clock, logger,
 		}),
--- a/packages/discovery/src/load-report.ts
+++ b/packages/discovery/src/load-report.ts
@@ -1,4 +1,6 @@
-import type {SuspectedCrash, PromptPart, UpstreamKey} from '@gentianlift/routing';
+import type {
+	SuspectedCrash, PromptPart, StartedStream, UpstreamKey,
+} from '@gentianlift/routing';
 import type {HostId, Incarnation, Milliseconds} from '@gentianlift/types';
 import type {ReportedLoad} from './load-tracker.js';
 
@@ -21,6 +23,8 @@
 	cleared: string[];
 	/** Wall-clock time at which the host built the report; absent in reports of older versions. */
 	builtAt?: Milliseconds;
+	/** Streams that have begun at the host. */
+	streams: StartedStream[];
 };
 
 /** Load report in the form in which it is sent: a tuple, which omits the field names. */
@@ -35,6 +39,8 @@
 	crashes: Array<[fingerprint: string, upstream: UpstreamKey]>,
 	cleared: string[],
 	builtAt?: Milliseconds,
+	/** Absent in reports of older versions. */
+	streams?: Array<[request: string, service: string, softwareVersion: string]>,
 ];
 
 /** Converts a report into its wire form. */
@@ -49,6 +55,7 @@
 	report.crashes.map(({fingerprint, upstream}) => [fingerprint, upstream]),
 	report.cleared,
 	report.builtAt,
+	report.streams.map(({request, service, softwareVersion}) => [request, service, softwareVersion]),
 ];
 
 const isPackedLoadReport = (value: unknown): value is PackedLoadReport => {
@@ -63,13 +70,22 @@
 		&& [loads, prefills, crashes].every(list => Array.isArray(list) && list.every(item => Array.isArray(item)));
 };
 
+/** Reads the streams of a report; malformed ones are skipped. */
+const unpackStreams = (value: unknown): StartedStream[] => {
+	const items: unknown[] = Array.isArray(value) ? value : [];
+	return items.flatMap(item => {
+		const [request, service, softwareVersion] = Array.isArray(item) ? item as unknown[] : [];
+		return typeof request === 'string' && typeof service === 'string' && typeof softwareVersion === 'string' ? [{request, service, softwareVersion}] : [];
+	});
+};
+
 /** Reads a report from its wire form; returns undefined if the value is malformed. */
 export const unpackLoadReport = (value: unknown): LoadReport | undefined => {
 	if (!isPackedLoadReport(value)) {
 		return undefined;
 	}
 
-	const [host, incarnation, sequence, revision, isStopping, loads, prefills, crashes, cleared, builtAt] = value;
+	const [host, incarnation, sequence, revision, isStopping, loads, prefills, crashes, cleared, builtAt, streams] = value;
 	return {
 		host,
 		incarnation,
@@ -83,5 +99,6 @@
 		crashes: crashes.map(([fingerprint, upstream]) => ({fingerprint, upstream})),
 		cleared,
 		builtAt: typeof builtAt === 'number' ? builtAt : undefined,
+		streams: unpackStreams(streams),
 	};
 };
--- a/packages/discovery/src/load.test.ts
+++ b/packages/discovery/src/load.test.ts
@@ -48,6 +48,7 @@
 	crashes: [{fingerprint: 'f', upstream: 'u@1'}],
 	cleared: ['g'],
 	builtAt: 7,
+	streams: [{request: 'a1', service: 's', softwareVersion: 'v1'}],
 };
 
 const packet: Packet = {
@@ -61,10 +62,17 @@
 test('a report without the time at which it was built is accepted', () => {
 	for (const builtAt of ['', ',null', ',"7"']) {
 		const decoded = decodePacket(`["s",0,[["h",1,2,3,0,[],[],[],[]${builtAt}]],[]]`);
-		expect(decoded?.reports).toMatchObject([{host: 'h', sequence: 2, builtAt: undefined}]);
+		expect(decoded?.reports).toMatchObject([{
+			host: 'h', sequence: 2, builtAt: undefined, streams: [],
+		}]);
 	}
 });
 
+test('malformed streams of a report are skipped', () => {
+	const decoded = decodePacket('["s",0,[["h",1,2,3,0,[],[],[],[],7,[["a1","s","v1"],["a2","s"],7,null,["a3",1,"v1"]]]],[]]');
+	expect(decoded?.reports).toMatchObject([{host: 'h', streams: [{request: 'a1', service: 's', softwareVersion: 'v1'}]}]);
+});
+
 test('a malformed packet is rejected', () => {
 	for (const text of ['', '{}', '[]', 'null', '["s",3,[],[]]', '["s",1,[]]', '[1,2]']) {
 		expect(decodePacket(text)).toBeUndefined();
--- a/packages/discovery/src/peer-views.ts
+++ b/packages/discovery/src/peer-views.ts
@@ -1,8 +1,10 @@
-import {createServer, type Server} from 'node:http';
+import {createServer, type Server, type ServerResponse} from 'node:http';
 import type {Clock, Random} from '@gentianlift/clock';
-import {createJsonClient, type JsonClient} from '@gentianlift/platform';
+import type {StreamOrigin} from '@gentianlift/routing';
 import type {Address, Milliseconds, Snapshot} from '@gentianlift/types';
 import type {FleetView} from './fleet-view.js';
+import {createPeerClients} from './peer-clients.js';
+import {decodeOriginQuery, streamOriginPath, type OriginQuery} from './stream-origin-calls.js';
 
 /** Client that reads the view of the fleet from other hosts. */
 export type PeerViewClient = {
@@ -30,19 +32,7 @@
 
 /** Creates a client that keeps one connection pool for each other host. */
 export const createPeerViewClient = ({getAddresses, clock, random}: PeerViewClientOptions): PeerViewClient => {
-	const clients = new Map<Address, JsonClient>();
-
-	const getClient = (address: Address): JsonClient => {
-		const known = clients.get(address);
-		if (known !== undefined) {
-			return known;
-		}
-
-		const client = createJsonClient({url: `http://${address}`, clock, timeout});
-		clients.set(address, client);
-		return client;
-	};
-
+	const clients = createPeerClients(clock, timeout);
 	return {
 		async fetchNewer(revision) {
 			const address = random.pick(getAddresses());
@@ -50,22 +40,47 @@
 				return undefined;
 			}
 
-			const outcome = await getClient(address).call({method: 'GET', path: `${viewPath}?after=${revision}`});
+			const outcome = await clients.get(address).call({method: 'GET', path: `${viewPath}?after=${revision}`});
 			return outcome.kind === 'answered' && isSnapshot(outcome.body) ? outcome.body : undefined;
 		},
 	};
 };
 
-/** Creates the server that answers other hosts with this host's view, or with no content if it isn't newer than theirs. */
-export const createViewServer = (view: FleetView): Server => createServer((request, response) => {
-	const {pathname, searchParams} = new URL(request.url ?? '/', 'http://host');
-	const after = Number(searchParams.get('after') ?? 0);
-	if (pathname !== viewPath || view.getRevision() <= after) {
+/** What other hosts may ask for. */
+export type PeerServerOptions = {
+	view: FleetView;
+	/** Returns the origin of a stream if this host knows it. */
+	findStreamOrigin: (query: OriginQuery) => StreamOrigin | undefined;
+};
+
+const sendJson = (response: ServerResponse, body: unknown): void => {
+	if (body === undefined) {
 		response.writeHead(noContent);
 		response.end();
 		return;
 	}
 
 	response.writeHead(200, {'content-type': 'application/json'});
-	response.end(JSON.stringify(view.getSnapshot()));
+	response.end(JSON.stringify(body));
+};
+
+/** Creates the server for other hosts: it answers with this host's view if that is newer than theirs, and with the origins of streams. */
+export const createPeerServer = ({view, findStreamOrigin}: PeerServerOptions): Server => createServer((request, response) => {
+	const {pathname, searchParams} = new URL(request.url ?? '/', 'http://host');
+	switch (pathname) {
+		case viewPath: {
+			const after = Number(searchParams.get('after') ?? 0);
+			sendJson(response, view.getRevision() > after ? view.getSnapshot() : undefined);
+			break;
+		}
+
+		case streamOriginPath: {
+			sendJson(response, findStreamOrigin(decodeOriginQuery(searchParams)));
+			break;
+		}
+
+		default: {
+			sendJson(response, undefined);
+		}
+	}
 });
--- a/packages/discovery/src/report-arrival.test.ts
+++ b/packages/discovery/src/report-arrival.test.ts
@@ -2,14 +2,14 @@
 import process from 'node:process';
 import {createManualClock} from '@gentianlift/clock';
 import {createSilentLogger} from '@gentianlift/logger';
-import {createCrashSuspects} from '@gentianlift/routing';
+import {createCrashSuspects, type StartedStream} from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
 import {expect, onTestFinished, test} from 'vitest';
 import {exchangeReports, type ReportArrival} from './exchange-reports.js';
 import type {HostRecord} from './host-record.js';
 import type {LoadReport} from './load-report.js';
 import {createLoadTracker} from './load-tracker.js';
-import {encodePacket, forwardScope} from './packet.js';
+import {decodePacket, encodePacket, forwardScope} from './packet.js';
 
 /** Loopback address derived from the process id, as test processes may run in parallel. */
 const loopback = `127.2.${process.pid % 250}.${1 + (Math.floor(process.pid / 250) % 250)}`;
@@ -21,9 +21,10 @@
 	host: 'own', incarnation: 1, zone: 'a', callers: `${loopback}:1`, peers: `${loopback}:2`, notes: `${loopback}:${port}`, strength: 1, isStopping: false,
 };
 
-/** Starts a host that receives load reports, and returns the list of their arrivals. */
-const startReceiver = (): ReportArrival[] => {
+/** Starts a host that receives load reports, and returns the lists of their arrivals and of the streams that they name. */
+const startReceiver = (): {arrivals: ReportArrival[]; streams: StartedStream[]} => {
 	const arrivals: ReportArrival[] = [];
+	const streams: StartedStream[] = [];
 	const exchange = exchangeReports({
 		own,
 		getOthers: () => [],
@@ -38,10 +39,13 @@
 		onReport(arrival) {
 			arrivals.push(arrival);
 		},
+		onStream(stream) {
+			streams.push(stream);
+		},
 		onChanges: () => undefined,
 	});
 	onTestFinished(exchange.close);
-	return arrivals;
+	return {arrivals, streams};
 };
 
 const openSender = (): Socket => {
@@ -53,7 +57,7 @@
 };
 
 const createReport = (change: Partial<LoadReport>): LoadReport => ({
-	host: 'h', incarnation: 1, sequence: 1, revision: 1, isStopping: false, loads: [], prefills: [], crashes: [], cleared: [], ...change,
+	host: 'h', incarnation: 1, sequence: 1, revision: 1, isStopping: false, loads: [], prefills: [], crashes: [], cleared: [], streams: [], ...change,
 });
 
 const sendReports = (sender: Socket, reports: LoadReport[]): void => {
@@ -63,7 +67,7 @@
 };
 
 test('the age of a report is known when it arrives, and is 0 if the clock of its host is ahead', async () => {
-	const arrivals = startReceiver();
+	const {arrivals} = startReceiver();
 	sendReports(openSender(), [
 		createReport({sequence: 1, builtAt: currentTime - 30}),
 		createReport({sequence: 2, builtAt: currentTime + 5000}),
@@ -77,7 +81,7 @@
 });
 
 test('reports that arrive out of order are told apart from those that are applied', async () => {
-	const arrivals = startReceiver();
+	const {arrivals} = startReceiver();
 	sendReports(openSender(), [
 		createReport({sequence: 2, builtAt: currentTime - 10}),
 		createReport({sequence: 1, builtAt: currentTime - 90}),
@@ -92,3 +96,49 @@
 		{outcome: 'applied', age: undefined},
 	]);
 });
+
+// Guards against: a host doesn't know where a stream began, because the report that says so was overtaken by a later one.
+test('the streams of a report count even if it arrives out of order', async () => {
+	const {streams} = startReceiver();
+	const stream = {request: 'a1', service: 's', softwareVersion: 'v1'};
+	sendReports(openSender(), [createReport({sequence: 2}), createReport({sequence: 1, streams: [stream]})]);
+	await expect.poll(() => streams).toEqual([stream]);
+});
+
+// Guards against: a lost datagram leaves the other hosts without the origin of a stream.
+test('a stream is named in the next report, and once more in a full one', async () => {
+	const receiver = createSocket('udp4');
+	const named: string[][] = [];
+	receiver.on('message', bytes => {
+		named.push((decodePacket(bytes.toString())?.reports ?? []).flatMap(({streams}) => streams.map(({request}) => request)));
+	});
+	await new Promise<void>(resolve => {
+		receiver.bind(port + 1, loopback, resolve);
+	});
+	const clock = createManualClock(currentTime);
+	const exchange = exchangeReports({
+		own: {...own, notes: `${loopback}:${port + 2}`},
+		getOthers: () => [{...own, host: 'other', notes: `${loopback}:${port + 1}`}],
+		clock,
+		logger: createSilentLogger(),
+		loads: createLoadTracker(),
+		suspects: createCrashSuspects(),
+		getRevision: () => 1,
+		isStoreReached: () => false,
+		onPrefill: () => undefined,
+		onLoad: () => undefined,
+		onStream: () => undefined,
+		onChanges: () => undefined,
+	});
+	onTestFinished(() => {
+		exchange.close();
+		receiver.close();
+	});
+	exchange.addStream({request: 'a1', service: 's', softwareVersion: 'v1'});
+	await clock.advance(10);
+	await expect.poll(() => named).toEqual([['a1']]);
+	await clock.advance(500);
+	await expect.poll(() => named).toEqual([['a1'], ['a1']]);
+	await clock.advance(500);
+	await expect.poll(() => named).toEqual([['a1'], ['a1'], []]);
+});
--- /dev/null
+++ b/packages/discovery/src/stream-origin-calls.ts
@@ -0,0 +1,83 @@
+import type {Clock, Random} from '@gentianlift/clock';
+import type {StreamOrigin} from '@gentianlift/routing';
+import type {Address, Milliseconds} from '@gentianlift/types';
+import {createPeerClients} from './peer-clients.js';
+
+/** A stream whose origin is asked for: the request that brought its first event, if its caller names one, and the services that its route leads to. */
+export type OriginQuery = {request: string | undefined; services: readonly string[]};
+
+/** Client that asks other hosts for the origin of a stream. */
+export type StreamOriginClient = {
+	/** Asks a few randomly chosen hosts; resolves with the first origin that one of them knows, or with undefined. */
+	find: (query: OriginQuery) => Promise<StreamOrigin | undefined>;
+};
+
+/** Options of the client. */
+export type StreamOriginClientOptions = {
+	/** Addresses of other hosts. */
+	getAddresses: () => Address[];
+	clock: Clock;
+	random: Random;
+};
+
+/** Path of the call on the address for other hosts. */
+export const streamOriginPath = '/v1/stream-origin';
+/** Timeout of a call; the caller of the stream waits meanwhile. */
+const timeout: Milliseconds = 150;
+/** Number of hosts that are asked: each of them should know, so that a few make up for lost reports and restarts. */
+const askedHosts = 3;
+
+const isStreamOrigin = (body: unknown): body is StreamOrigin => {
+	const {service, softwareVersion} = (body ?? {}) as Partial<StreamOrigin>;
+	return typeof service === 'string' && typeof softwareVersion === 'string';
+};
+
+/** Returns the query as parameters of a URL. */
+const encodeQuery = ({request, services}: OriginQuery): string => {
+	const parameters = new URLSearchParams(request === undefined ? {} : {request});
+	for (const service of services) {
+		parameters.append('service', service);
+	}
+
+	return parameters.toString();
+};
+
+/** Reads a query from the parameters of a URL. */
+export const decodeOriginQuery = (parameters: URLSearchParams): OriginQuery => ({
+	request: parameters.get('request') ?? undefined, services: parameters.getAll('service'),
+});
+
+const pickAddresses = (addresses: Address[], random: Random): Address[] => {
+	const remaining = [...addresses];
+	const picked: Address[] = [];
+	while (picked.length < askedHosts && remaining.length > 0) {
+		picked.push(...remaining.splice(Math.floor(random.next() * remaining.length), 1));
+	}
+
+	return picked;
+};
+
+/** Creates a client that keeps one connection pool for each other host. */
+export const createStreamOriginClient = ({getAddresses, clock, random}: StreamOriginClientOptions): StreamOriginClient => {
+	const clients = createPeerClients(clock, timeout);
+
+	const ask = async (address: Address, query: OriginQuery): Promise<StreamOrigin> => {
+		const outcome = await clients.get(address).call({method: 'GET', path: `${streamOriginPath}?${encodeQuery(query)}`});
+		if (outcome.kind === 'answered' && isStreamOrigin(outcome.body)) {
+			return outcome.body;
+		}
+
+		throw new Error('The host doesn\'t know the origin.');
+	};
+
+	return {
+		async find(query) {
+			try {
+				return await Promise.any(pickAddresses(getAddresses(), random).map(async address => ask(address, query)));
+			} catch {
+				// None of the hosts knows the origin.
+				return undefined;
+			}
+		},
+	};
+};
--- a/packages/errors/src/kinds.ts
+++ b/packages/errors/src/kinds.ts
@@ -51,6 +51,12 @@
 	'no-upstream': {
 		status: 503, ran: 'not-run', retry: 'later', type: 'server_error', message: 'No upstream can take the request.',
 	},
+	'stream-unknown': {
+		status: 503, ran: 'not-run', retry: 'later', type: 'server_error', message: 'It is not known which version began the stream.',
+	},
+	'stream-version-gone': {
+		status: 503, ran: 'not-run', retry: 'later', type: 'server_error', message: 'No upstream of the version that began the stream can take it.',
+	},
 	'host-overloaded': {
 		status: 503, ran: 'not-run', retry: 'now', type: 'server_error', message: 'This host is overloaded.',
 	},
--- a/packages/forwarder/src/attempt.ts
+++ b/packages/forwarder/src/attempt.ts
@@ -1,4 +1,4 @@
-import {getUpstreamKey, type Upstream} from '@gentianlift/routing';
+import {getUpstreamKey, isResumableStream, type Upstream} from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
 import {buildUpstreamRequest} from './build-upstream-request.js';
 import type {CutReason} from './body-end.js';
@@ -61,11 +61,21 @@
 	progress.lastBytesAt = now;
 };
 
+/** Records which upstream begins a stream, and reports it to the other hosts, as its caller may take it up at any of them. */
+const recordStart = ({call, progress, upstream, context}: Attempt): void => {
+	const hasBegun = progress.streamVersion !== undefined;
+	progress.streamVersion = upstream.softwareVersion;
+	const request = call.head.callerRequestId;
+	if (!hasBegun && request !== undefined && isResumableStream(call.route)) {
+		const stream = {request, service: call.service, softwareVersion: upstream.softwareVersion};
+		context.streamOrigins.add(stream, context.clock.monotonic());
+		context.reportExchange.addStream(stream);
+	}
+};
+
 /** Delivers a streamed answer to the caller. */
 const deliverEvents = async (attempt: Attempt, {head, answer}: Extract<SendOutcome, {kind: 'answered'}>): Promise<ForwardOutcome> => {
-	const {
-		call, progress, context, activity, upstream,
-	} = attempt;
+	const {call, progress, context, activity} = attempt;
 	answer.message.on('data', () => {
 		activity.recordBytes();
 		recordChunk(progress, context.clock.monotonic());
@@ -78,7 +88,7 @@
 			recordFirstToken(attempt);
 		},
 		onFirstWrite() {
-			progress.streamVersion = upstream.softwareVersion;
+			recordStart(attempt);
 		},
 	});
 	switch (delivery.kind) {
--- a/packages/forwarder/src/call.ts
+++ b/packages/forwarder/src/call.ts
@@ -22,6 +22,8 @@
 	/** Whether another upstream may run the request again, or resume its stream, after one may have executed it; a request that is known not to have executed is retried anyway. */
 	mayExecuteAgain: boolean;
 	response: ServerResponse;
+	/** Software version that began the stream which the request takes up; undefined if it takes up none. */
+	streamVersion: string | undefined;
 	/** Version of the configuration that the route was taken from. */
 	version: number;
 	arrivedAt: Milliseconds;
--- a/packages/forwarder/src/context.ts
+++ b/packages/forwarder/src/context.ts
@@ -1,8 +1,10 @@
 import type {Clock, Random} from '@gentianlift/clock';
-import type {FleetView, LoadReportExchange} from '@gentianlift/discovery';
+import type {FleetView, LoadReportExchange, StreamOriginClient} from '@gentianlift/discovery';
 import type {Logger} from '@gentianlift/logger';
 import type {Metrics} from '@gentianlift/metrics';
-import type {CrashSuspects, RetryLimit} from '@gentianlift/routing';
+import type {
+	CrashSuspects, RetryLimit, StreamOrigins, VersionHistory,
+} from '@gentianlift/routing';
 import type {Milliseconds, Zone} from '@gentianlift/types';
 import type {CrashDetector} from './crash-detector.js';
 import type {Protocol} from './protocol.js';
@@ -23,6 +25,12 @@
 	/** Requests that were running on upstreams when these crashed. */
 	suspects: CrashSuspects;
 	crashDetector: CrashDetector;
+	/** Services and software versions that began the streams of the fleet. */
+	streamOrigins: StreamOrigins;
+	/** Software versions that have served lately. */
+	versions: VersionHistory;
+	/** Asks other hosts for the origin of a stream. */
+	askForStreamOrigin: StreamOriginClient['find'];
 	/** Limit on retries; updated in place when the settings are reloaded. */
 	retryLimit: RetryLimit;
 	/** Returns the number of hosts that share fleet-wide limits, including this one. */
--- a/packages/forwarder/src/forward.ts
+++ b/packages/forwarder/src/forward.ts
@@ -50,6 +50,15 @@
 /** Returns the number of bytes after the last complete event; undefined for an answer that isn't a stream. */
 const getPartialBytes = (end: BodyEnd | undefined): number | undefined => end?.content.kind === 'events' ? end.content.partialBytes : undefined;
 
+/** Returns the error for a call that has not run and gets no further attempt. */
+const getRefusalKind = ({streamVersion}: Call, lastOutcome: ForwardOutcome | undefined): ErrorKind => {
+	if (lastOutcome !== undefined) {
+		return 'upstream-refused';
+	}
+
+	return streamVersion === undefined ? 'no-upstream' : 'stream-version-gone';
+};
+
 /** Creates a forwarder. */
 export const createForwarder = (context: ForwarderContext): Forwarder => {
 	const {clock, logger, metrics} = context;
@@ -93,7 +102,7 @@
 			return {outcome: 'upstream-failure', reason: lastOutcome.reason};
 		}
 
-		const end = answerWithError(call, getFinalError(progress, lastOutcome === undefined ? 'no-upstream' : 'upstream-refused'));
+		const end = answerWithError(call, getFinalError(progress, getRefusalKind(call, lastOutcome)));
 		return {...end, lastFailure: getFailureReason(lastOutcome)};
 	};
 
@@ -271,6 +280,7 @@
 		async forward(call) {
 			const progress = createProgress();
 			progress.lastEventId = call.head.lastEventId;
+			progress.streamVersion = call.streamVersion;
 			getRetryBudget(call.service).addRequest(clock.monotonic());
 			const cancelTimer = clock.after(Math.max(0, call.deadline - clock.monotonic()), () => {
 				endOnTimeout(call, progress);
--- /dev/null
+++ b/packages/forwarder/src/resumption.test.ts
@@ -0,0 +1,85 @@
+import {
+	createStreamOrigins, createVersionHistory, type StreamOrigin,
+} from '@gentianlift/routing';
+import {buildRoute, buildUpstream} from '@gentianlift/routing/testing';
+import {createLogger} from '@gentianlift/logger';
+import {createMetrics} from '@gentianlift/metrics';
+import {expect, test} from 'vitest';
+import {createManualClock} from '@gentianlift/clock';
+import type {ForwarderContext} from './context.js';
+import type {CallerHead} from './protocol.js';
+import {createResumptionResolver} from './resumption.js';
+
+const route = buildRoute({kind: 'streaming', isResumable: true});
+const historyLength = 1000;
+
+const getHead = (changes: Partial<CallerHead> = {}): CallerHead => ({
+	callerRequestId: 'a2', hostname: 'a.example', key: undefined, clientTimeout: undefined, prompt: undefined, lastEventId: 2, resumedRequestId: 'a1', declaresBody: false, forwarded: [], ...changes,
+});
+
+type HostState = {
+	/** Versions that are listed from time 0 on. */
+	listed?: string[];
+	now?: number;
+	isConfirmed?: boolean;
+	/** What other hosts answer. */
+	told?: StreamOrigin;
+};
+
+/** Creates the resolver of a host, and its memory of streams. */
+const createHost = ({listed = ['v1'], now = historyLength, isConfirmed = true, told}: HostState = {}) => {
+	const streamOrigins = createStreamOrigins();
+	const versions = createVersionHistory(historyLength);
+	for (const [index, softwareVersion] of listed.entries()) {
+		versions.list(buildUpstream({id: `u${index}`, softwareVersion}), 0);
+	}
+
+	const context: Partial<ForwarderContext> = {
+		clock: createManualClock(now), logger: createLogger('info', () => undefined), metrics: createMetrics(), streamOrigins, versions, askForStreamOrigin: async () => told,
+	};
+	const resolve = createResumptionResolver(context as ForwarderContext, {isConfirmed: () => isConfirmed, refreshIfStale: async () => undefined});
+	return {resolve, streamOrigins};
+};
+
+const unknown = {kind: 'refused', error: {kind: 'stream-unknown', retryAfter: 300}};
+
+test('a request without events, or of a route whose streams can\'t go on, takes up no stream', async () => {
+	const {resolve} = createHost();
+	expect(await resolve(getHead({lastEventId: undefined}), route)).toEqual({kind: 'none'});
+	expect(await resolve(getHead({lastEventId: 0}), route)).toEqual({kind: 'none'});
+	expect(await resolve(getHead(), buildRoute({kind: 'streaming', isResumable: false}))).toEqual({kind: 'none'});
+});
+
+test('a stream goes on at the service and the version that began it', async () => {
+	const {resolve, streamOrigins} = createHost({listed: ['v1', 'v2']});
+	streamOrigins.add({request: 'a1', service: 's', softwareVersion: 'v2'}, 0);
+	expect(await resolve(getHead(), route)).toEqual({kind: 'resumed', origin: {service: 's', softwareVersion: 'v2'}});
+});
+
+test('a stream can\'t go on at another service, even if that names its versions alike', async () => {
+	const {resolve, streamOrigins} = createHost();
+	streamOrigins.add({request: 'a1', service: 'other', softwareVersion: 'v1'}, 0);
+	expect(await resolve(getHead(), route)).toEqual({kind: 'refused', error: {kind: 'stream-version-gone'}});
+});
+
+test('what a host doesn\'t know it asks others, and remembers', async () => {
+	const origin = {service: 's', softwareVersion: 'v2'};
+	const {resolve, streamOrigins} = createHost({listed: ['v1', 'v2'], told: origin});
+	expect(await resolve(getHead(), route)).toEqual({kind: 'resumed', origin});
+	expect(streamOrigins.get('a1', historyLength)).toEqual(origin);
+});
+
+test('an unknown stream began at the only version that has served for long', async () => {
+	const {resolve} = createHost();
+	expect(await resolve(getHead(), route)).toEqual({kind: 'resumed', origin: {service: 's', softwareVersion: 'v1'}});
+	expect(await resolve(getHead({resumedRequestId: undefined}), route)).toMatchObject({kind: 'resumed'});
+});
+
+// Guards against: a host that has just started, or is cut off from the fleet, takes the only version that it knows for the only one there was.
+test('an unknown stream is refused if another version may have begun it', async () => {
+	expect(await createHost({listed: ['v1', 'v2']}).resolve(getHead(), route)).toEqual(unknown);
+	expect(await createHost({now: historyLength - 1}).resolve(getHead(), route)).toEqual(unknown);
+	expect(await createHost({isConfirmed: false}).resolve(getHead(), route)).toEqual(unknown);
+	const severalServices = buildRoute({...route, destinations: [{service: 's', weight: 1}, {service: 't', weight: 1}]});
+	expect(await createHost().resolve(getHead(), severalServices)).toEqual(unknown);
+});
--- /dev/null
+++ b/packages/forwarder/src/resumption.ts
@@ -0,0 +1,80 @@
+import type {OriginQuery} from '@gentianlift/discovery';
+import {isResumableStream, type Route, type StreamOrigin} from '@gentianlift/routing';
+import type {Milliseconds} from '@gentianlift/types';
+import type {ForwarderContext} from './context.js';
+import type {ErrorAnswer} from './error-answer.js';
+import type {CallerHead} from './protocol.js';
+import type {ViewFreshness} from './view-freshness.js';
+
+/** Whether a request takes up a stream, and at which upstreams that can go on. */
+export type Resumption
+	/** The request begins anew. */
+	= | {kind: 'none'}
+		| {kind: 'resumed'; origin: StreamOrigin}
+		/** Nothing has run, and the stream can't go on now. */
+		| {kind: 'refused'; error: ErrorAnswer};
+
+/** Time in which a report of the stream's beginning may still arrive. */
+const unknownRetryDelay: Milliseconds = 300;
+
+/** Whether a request continues after events that its caller has received. */
+const takesUpStream = ({lastEventId}: CallerHead, route: Route): boolean =>
+	isResumableStream(route) && lastEventId !== undefined && lastEventId > 0;
+
+/** Returns the only version that can have begun a stream: while one version of the only service has served for longer than streams last. */
+const inferOrigin = ({services}: OriginQuery, {versions}: ForwarderContext, now: Milliseconds): StreamOrigin | undefined => {
+	const [service] = services;
+	if (service === undefined || services.length > 1 || !versions.isComplete(now)) {
+		return undefined;
+	}
+
+	const [softwareVersion, ...others] = versions.getVersions(service, now);
+	return softwareVersion === undefined || others.length > 0 ? undefined : {service, softwareVersion};
+};
+
+/** Returns the origin of a stream as far as this host knows it; only a confirmed view of the fleet allows to infer one. */
+export const findStreamOrigin = (query: OriginQuery, context: ForwarderContext, isConfirmed: () => boolean): StreamOrigin | undefined => {
+	const now = context.clock.monotonic();
+	const {streamOrigins} = context;
+	const known = query.request === undefined ? undefined : streamOrigins.get(query.request, now);
+	return known ?? (isConfirmed() ? inferOrigin(query, context, now) : undefined);
+};
+
+/** Creates the function that decides where a request's stream can go on; it asks other hosts about a stream that this one doesn't know. */
+export const createResumptionResolver = (context: ForwarderContext, freshness: ViewFreshness): ((head: CallerHead, route: Route) => Promise<Resumption>) => {
+	const {clock, logger, metrics, streamOrigins} = context;
+
+	const locate = async (query: OriginQuery): Promise<{origin: StreamOrigin | undefined; source: 'own' | 'host'}> => {
+		const known = findStreamOrigin(query, context, freshness.isConfirmed);
+		if (known !== undefined) {
+			return {origin: known, source: 'own'};
+		}
+
+		const [told] = await Promise.all([context.askForStreamOrigin(query), freshness.refreshIfStale()]);
+		return {origin: told ?? findStreamOrigin(query, context, freshness.isConfirmed), source: told === undefined ? 'own' : 'host'};
+	};
+
+	return async (head, route) => {
+		if (!takesUpStream(head, route)) {
+			return {kind: 'none'};
+		}
+
+		const services = route.destinations.map(({service}) => service);
+		const {origin, source} = await locate({request: head.resumedRequestId, services});
+		const isServed = origin !== undefined && services.includes(origin.service);
+		const outcome = origin === undefined ? 'unknown' : (isServed ? 'known' : 'other-service');
+		metrics.count('resumptions_total', {outcome, source});
+		logger.info('stream-taken-up', {
+			request: head.callerRequestId, resumes: head.resumedRequestId, after: head.lastEventId, service: origin?.service, software: origin?.softwareVersion, outcome, source,
+		});
+		if (origin === undefined) {
+			return {kind: 'refused', error: {kind: 'stream-unknown', retryAfter: unknownRetryDelay}};
+		}
+
+		if (head.resumedRequestId !== undefined) {
+			streamOrigins.add({request: head.resumedRequestId, ...origin}, clock.monotonic());
+		}
+
+		return isServed ? {kind: 'resumed', origin} : {kind: 'refused', error: {kind: 'stream-version-gone'}};
+	};
+};
--- a/packages/forwarder/src/serve-callers.ts
+++ b/packages/forwarder/src/serve-callers.ts
@@ -13,6 +13,8 @@
 import type {CallerHead} from './protocol.js';
 import {readBody, type Body} from './read-body.js';
 import type {ForwarderContext} from './context.js';
+import {createResumptionResolver} from './resumption.js';
+import type {ViewFreshness} from './view-freshness.js';
 
 /** HTTP server for callers. */
 export type CallerServer = {
@@ -25,8 +27,7 @@
 export type CallerServerOptions = {
 	context: ForwarderContext;
 	forwarder: Forwarder;
-	/** Reads the newest state of the fleet, if a source is reachable. */
-	refresh: () => Promise<void>;
+	freshness: ViewFreshness;
 };
 
 /** Route and service of an admitted request, or the error of a refused one. */
@@ -46,12 +47,6 @@
 const maxOpenRequests = 1500;
 /** Retry-After of refusals: until this host has a configuration, or for a retry on another host. */
 const retryAfterDelays: Partial<Record<ErrorKind, Milliseconds>> = {'not-configured': 500, 'host-overloaded': 200, 'host-stopping': 20};
-/** Longest wait for the newest state before a refusal that it might change. */
-const refreshTimeout: Milliseconds = 400;
-/** Age up to which the state counts as current. */
-const maxFreshAge: Milliseconds = 200;
-/** Age up to which a report of another host confirms the state. */
-const maxConfirmationAge: Milliseconds = 600;
 
 /** Status lines for errors of Node's HTTP parser, by error code. */
 const clientErrorStatuses: Record<string, string> = {
@@ -71,11 +66,10 @@
 const getHeaderBytes = (headers: readonly string[]): number => headers.reduce((sum, text) => sum + text.length + 2, 0);
 
 /** Creates the server; it doesn't listen yet. */
-export const createCallerServer = ({context, forwarder, refresh}: CallerServerOptions): CallerServer => {
+export const createCallerServer = ({context, forwarder, freshness}: CallerServerOptions): CallerServer => {
 	const {clock, view, protocol, logger, metrics} = context;
 	let openRequests = 0;
-	let pendingRefresh: Promise<void> | undefined;
-	let refreshedAt = Number.NEGATIVE_INFINITY;
+	const resolveResumption = createResumptionResolver(context, freshness);
 
 	const admit = (head: CallerHead, target: string): Admission => {
 		if (openRequests > maxOpenRequests) {
@@ -110,27 +104,6 @@
 			};
 	};
 
-	/** Whether the state was confirmed recently, by the key-value service or by other hosts that know of no newer revision. */
-	const isFresh = (): boolean => {
-		const now = clock.monotonic();
-		const isConfirmed = context.reportExchange.getNewestRevision() <= view.getRevision() && context.reportExchange.getShortestSilence() < maxConfirmationAge;
-		return isConfirmed || now - refreshedAt < maxFreshAge || view.getTimeSinceStoreContact(now) < maxFreshAge;
-	};
-
-	/** Refreshes a stale state; concurrent calls share one refresh. */
-	const refreshIfStale = async (): Promise<void> => {
-		if (isFresh()) {
-			return;
-		}
-
-		pendingRefresh ??= (async () => {
-			await refresh();
-			refreshedAt = clock.monotonic();
-			pendingRefresh = undefined;
-		})();
-		await Promise.race([pendingRefresh, clock.sleep(refreshTimeout)]);
-	};
-
 	/** Admits a request, and before a final refusal checks once more with the newest state, because callers don't retry after it. */
 	const admitWithRefresh = async (head: CallerHead, target: string): Promise<Admission> => {
 		const admission = admit(head, target);
@@ -138,7 +111,7 @@
 			return admission;
 		}
 
-		await refreshIfStale();
+		await freshness.refreshIfStale();
 		return admit(head, target);
 	};
 
@@ -196,16 +169,24 @@
 			return;
 		}
 
-		const {route, service, customer, table} = admission;
+		const {route, customer, table} = admission;
+		const resumption = await resolveResumption(head, route);
+		if (resumption.kind === 'refused') {
+			refuse(request, response, head, resumption.error);
+			return;
+		}
+
+		const origin = resumption.kind === 'resumed' ? resumption.origin : undefined;
 		await forwarder.forward(createCall({
 			method: request.method ?? 'GET',
 			target,
 			head,
 			body: body.bytes,
 			route,
-			service,
+			service: origin?.service ?? admission.service,
 			customer,
 			response,
+			streamVersion: origin?.softwareVersion,
 			version: table.configuration.version,
 			arrivedAt,
 		}));
--- a/packages/forwarder/src/start-host.ts
+++ b/packages/forwarder/src/start-host.ts
@@ -1,10 +1,12 @@
 import {createRandom, type Clock} from '@gentianlift/clock';
 import {
-	createLoadTracker, createViewServer, joinFleet, type Fleet, type DecodedEntry, type FleetStore, type HostRecord, type ReportArrival,
+	createLoadTracker, createPeerServer, joinFleet, type Fleet, type DecodedEntry, type FleetStore, type HostRecord, type ReportArrival,
 } from '@gentianlift/discovery';
 import type {Logger} from '@gentianlift/logger';
 import {createMetrics, type Metrics} from '@gentianlift/metrics';
-import {createCrashSuspects, type RetryLimit} from '@gentianlift/routing';
+import {
+	createCrashSuspects, createStreamOrigins, createVersionHistory, streamLifetime, type RetryLimit,
+} from '@gentianlift/routing';
 import type {
 	Address, Entry, HostId, Milliseconds, Zone,
 } from '@gentianlift/types';
@@ -15,6 +17,8 @@
 import {createCallerServer} from './serve-callers.js';
 import {getRandomSeed} from './random-seed.js';
 import {canAcceptRequest, stopHost} from './stop-host.js';
+import {findStreamOrigin} from './resumption.js';
+import {createViewFreshness} from './view-freshness.js';
 import type {ForwarderContext} from './context.js';
 import {createUpstreamTracker} from './upstream-tracker.js';
 
@@ -100,6 +104,8 @@
 		clock, logger, loads, getService: upstream => fleet.view.getService(upstream),
 	});
 	const suspects = createCrashSuspects();
+	const streamOrigins = createStreamOrigins();
+	const versions = createVersionHistory(streamLifetime);
 	const isStopping = (): boolean => shutdown.since !== undefined;
 	const fleet = joinFleet({
 		record: buildHostRecord(settings, clock.now()),
@@ -116,10 +122,19 @@
 		onPrefill({upstream, model, parts}) {
 			tracker.recordPrefill(upstream, {model, parts});
 		},
+		onStream(stream) {
+			streamOrigins.add(stream, clock.monotonic());
+		},
 		onReport(arrival) {
 			recordReportArrival(metrics, arrival);
 		},
-		onRemoved: tracker.remove,
+		onListed(upstream) {
+			versions.list(upstream, clock.monotonic());
+		},
+		onRemoved(upstream) {
+			versions.remove(upstream, clock.monotonic());
+			tracker.remove(upstream);
+		},
 		onLeaving: tracker.retire,
 	});
 	const context: ForwarderContext = {
@@ -134,6 +149,9 @@
 		tracker,
 		suspects,
 		crashDetector: createCrashDetector(clock),
+		streamOrigins,
+		versions,
+		askForStreamOrigin: fleet.askForStreamOrigin,
 		retryLimit: {...settings.retryLimit},
 		countHosts: fleet.countHosts,
 		isStopping,
@@ -151,8 +169,12 @@
 		forwarder.onLoadChange();
 	});
 	const forwarder = createForwarder(context);
-	const callers = createCallerServer({context, forwarder, refresh: fleet.refresh});
-	await Promise.all([listen(callers.server, settings.callers), listen(createViewServer(fleet.view), settings.peers)]);
+	const freshness = createViewFreshness(context, fleet.refresh);
+	const callers = createCallerServer({context, forwarder, freshness});
+	const peers = createPeerServer({
+		view: fleet.view, findStreamOrigin: query => findStreamOrigin(query, context, freshness.isConfirmed),
+	});
+	await Promise.all([listen(callers.server, settings.callers), listen(peers, settings.peers)]);
 	logger.info('started', {host: settings.host, zone: settings.zone, callers: settings.callers});
 
 	const announce = async (): Promise<void> => {
--- a/packages/forwarder/src/stream-version.test.ts
+++ b/packages/forwarder/src/stream-version.test.ts
@@ -69,7 +69,7 @@
 });
 
 // Guards against: a caller that takes its stream up again gets events of another version than it has.
-test.fails('a caller that takes up a stream gets events of its version, or at once the answer that nothing has run', async () => {
+test('a caller that takes up a stream gets events of its version, or at once the answer that nothing has run', async () => {
 	const {host, upstreams, counts} = await start(breakOff('v1'), finishStream('v2'), finishStream('v1'));
 	host.setUpstreams(upstreams.slice(0, 1));
 	expect(await sendRequest(host.port, {path: '/stream/1', headers: {attempt: 'a1'}})).toMatchObject({isComplete: false});
@@ -85,7 +85,7 @@
 });
 
 // Guards against: a stream of which a host knows nothing goes on at any version.
-test.fails('a stream of an unknown version isn\'t taken up while two versions serve', async () => {
+test('a stream of an unknown version isn\'t taken up while two versions serve', async () => {
 	const {host, counts} = await start(finishStream('v1'), finishStream('v2'));
 	const refused = await takeUp(host, 'a2', 'unknown');
 	expect(refused).toMatchObject({status: 503});
--- a/packages/forwarder/src/testing-call.ts
+++ b/packages/forwarder/src/testing-call.ts
@@ -26,6 +26,6 @@
 	service: 's',
 	customer: undefined,
 	response: response!,
-	version: 1,
+	version: 1, streamVersion: undefined,
 	arrivedAt,
 });
--- a/packages/forwarder/src/testing.ts
+++ b/packages/forwarder/src/testing.ts
@@ -10,7 +10,7 @@
 import {createLogger} from '@gentianlift/logger';
 import {createMetrics} from '@gentianlift/metrics';
 import {
-	createCrashSuspects, type Prompt, type RoutingConfiguration, type Upstream,
+	createCrashSuspects, createStreamOrigins, createVersionHistory, type Prompt, type RoutingConfiguration, type Upstream,
 } from '@gentianlift/routing';
 import {createCrashDetector} from './crash-detector.js';
 import {createForwarder, type Forwarder} from './forward.js';
@@ -18,6 +18,7 @@
 import {createCallerServer} from './serve-callers.js';
 import type {ForwarderContext} from './context.js';
 import {createUpstreamTracker} from './upstream-tracker.js';
+import {createViewFreshness} from './view-freshness.js';
 
 /** A host with its server for callers, for tests. */
 export type TestHost = {
@@ -112,6 +113,7 @@
 	},
 	addPrefill: () => undefined,
 	addCrash: () => undefined,
+	addStream: () => undefined,
 	addClearedSuspect: () => undefined,
 	markStopping: () => undefined,
 	getNewestRevision: () => 0,
@@ -123,7 +125,7 @@
 	close: () => undefined,
 });
 
-const createView = (options: Pick<FleetViewOptions, 'logger' | 'onLeaving'>, configuration: RoutingConfiguration, upstreams: Map<string, Upstream>): FleetView => createFleetView({
+const createView = (options: Omit<FleetViewOptions, 'decode'>, configuration: RoutingConfiguration, upstreams: Map<string, Upstream>): FleetView => createFleetView({
 	...options,
 	decode({key}) {
 		const upstream = upstreams.get(key);
@@ -132,7 +134,7 @@
 });
 
 /** Starts a host that serves callers with the configuration. */
-export const startTestHost = async (configuration: RoutingConfiguration, refresh = async () => undefined): Promise<TestHost> => {
+export const startTestHost = async (configuration: RoutingConfiguration, refresh?: () => Promise<void>): Promise<TestHost> => {
 	const clock = createSystemClock();
 	const logLines: string[] = [];
 	const logger = createLogger('info', line => {
@@ -140,8 +142,16 @@
 	});
 	const loads = createLoadTracker();
 	const upstreams = new Map<string, Upstream>();
+	// Without a length, the history is complete from the start and forgets a version with its last upstream.
+	const versions = createVersionHistory(0);
 	const view = createView({
 		logger,
+		onListed(upstream) {
+			versions.list(upstream, clock.monotonic());
+		},
+		onRemoved(upstream) {
+			versions.remove(upstream, clock.monotonic());
+		},
 		onLeaving(upstream) {
 			context.tracker.retire(upstream);
 		},
@@ -169,13 +179,20 @@
 		}),
 		suspects: createCrashSuspects(),
 		crashDetector: createCrashDetector(clock),
+		streamOrigins: createStreamOrigins(),
+		versions,
+		askForStreamOrigin: async () => undefined,
 		retryLimit: {ratio: 0.2, minimum: 54, window: 10_000},
 		countHosts: () => 1,
 		isStopping: () => isStopping,
 		canAccept: () => !isStopping,
 	};
 	const forwarder = createForwarder(context);
-	const {server} = createCallerServer({context, forwarder, refresh});
+	const {server} = createCallerServer({
+		context, forwarder, freshness: createViewFreshness(context, refresh ?? (async () => {
+			view.recordContact(true, clock.monotonic());
+		})),
+	});
 	const port = await listenOnAnyPort(server);
 	return {
 		port,
--- a/packages/routing/src/configuration.ts
+++ b/packages/routing/src/configuration.ts
@@ -65,6 +65,9 @@
 	customers?: ConfiguredCustomer[];
 };
 
+/** Whether requests of a route are streams that may go on at another upstream. */
+export const isResumableStream = ({kind, isResumable}: Route): boolean => kind === 'streaming' && isResumable;
+
 /** Returns whether a request of the route may execute again after an upstream may have executed it. */
 export const mayExecuteAgain = (route: Route): boolean =>
 	route.kind === 'idempotent' || (route.kind === 'streaming' && route.isResumable);
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -17,3 +17,5 @@
 export * from './upstream.js';
 export * from './queue-order.js';
 export * from './dispatch-share.js';
+export * from './stream-origins.js';
+export * from './version-history.js';
--- /dev/null
+++ b/packages/routing/src/version-history.ts
@@ -0,0 +1,46 @@
+import type {Milliseconds} from '@gentianlift/types';
+import {getUpstreamKey, type Upstream, type UpstreamKey} from './upstream.js';
+
+/** Software versions of each service that a host has known to serve lately. */
+export type VersionHistory = {
+	/** Records that an upstream is listed. */
+	list: (upstream: Upstream, now: Milliseconds) => void;
+	/** Records that an upstream is no longer listed. */
+	remove: (key: UpstreamKey, now: Milliseconds) => void;
+	/** Returns the versions of a service that are listed or were so within the history's length. */
+	getVersions: (service: string, now: Milliseconds) => ReadonlySet<string>;
+	/** Whether upstreams have been listed for the history's length, so that no other version can have served in it. */
+	isComplete: (now: Milliseconds) => boolean;
+};
+
+type ServiceVersion = {service: string; softwareVersion: string; removedAt: Milliseconds};
+
+/** Creates a history of a length. */
+export const createVersionHistory = (length: Milliseconds): VersionHistory => {
+	const listed = new Map<UpstreamKey, Upstream>();
+	let removed: ServiceVersion[] = [];
+	let since = Number.POSITIVE_INFINITY;
+
+	return {
+		list(upstream, now) {
+			since = Math.min(since, now);
+			listed.set(getUpstreamKey(upstream), upstream);
+		},
+		remove(key, now) {
+			const upstream = listed.get(key);
+			if (upstream === undefined) {
+				return;
+			}
+
+			const {service, softwareVersion} = upstream;
+			listed.delete(key);
+			removed = removed.filter(item => now - item.removedAt <= length && (item.service !== service || item.softwareVersion !== softwareVersion));
+			removed.push({service, softwareVersion, removedAt: now});
+		},
+		getVersions(service, now) {
+			const recent = [...listed.values(), ...removed.filter(({removedAt}) => now - removedAt <= length)];
+			return new Set(recent.filter(item => item.service === service).map(({softwareVersion}) => softwareVersion));
+		},
+		isComplete: now => now - since >= length,
+	};
+};
