Don't trust the version of an upstream that may have started again

Two tests failed before: an entry with another version and the same start time kept its incarnation (fleet-view.test); a caller took its stream up at the only upstream of its version right after that had crashed and come back as another (stream-version.test).

Change: another version is another incarnation, so that its connections and what waits for them end. For 2 s after a failed connection an upstream gets no stream that needs a version: its new entry arrives within that time if the store can be reached. New streams aren't affected.

Left: the store is away, the engine starts again unseen by this host, and a stream is taken up there. Answers don't name the version, so that the host can't tell.

--- a/packages/discovery/src/fleet-view.test.ts
+++ b/packages/discovery/src/fleet-view.test.ts
@@ -5,9 +5,9 @@
 import {createFleetView, type DecodedEntry} from './fleet-view.js';
 import {getHostKey} from './host-record.js';
 
-/** Decodes the entries of these tests: `c:VERSION`, `u:STARTED:ready|leaving`; anything else is unreadable. */
+/** Decodes the entries of these tests: `c:VERSION`, `u:STARTED:ready|leaving:SOFTWARE`, `v1` if absent; anything else is unreadable. */
 const decode = ({key, value}: Entry): DecodedEntry => {
-	const [kind, number = '', phase] = value.split(':');
+	const [kind, number = '', phase, softwareVersion = 'v1'] = value.split(':');
 	if (kind === 'c') {
 		return {
 			kind: 'configuration',
@@ -23,7 +23,7 @@
 		return {
 			kind: 'upstream',
 			upstream: {
-				id: key, service: 's', address: '127.0.0.1:1', zone: 'a', isLeaving: phase === 'leaving', slots: 1, startedAt: Number(number), softwareVersion: 'v1',
+				id: key, service: 's', address: '127.0.0.1:1', zone: 'a', isLeaving: phase === 'leaving', slots: 1, startedAt: Number(number), softwareVersion,
 			},
 		};
 	}
@@ -49,6 +49,17 @@
 	return {view, removed, lines};
 };
 
+// Guards against: an upstream counts as of its earlier software version after it has started again under its id.
+test('an upstream whose entry names another software version has restarted, whatever its start time', () => {
+	const {view, removed} = createView();
+	view.applyChanges([{kind: 'written', entry: entry('a', 'u:1:ready:v1', 2)}], 2, 0);
+	view.applyChanges([{kind: 'written', entry: entry('a', 'u:1:leaving:v1', 3)}], 3, 0);
+	expect(removed).toEqual([]);
+	view.applyChanges([{kind: 'written', entry: entry('a', 'u:1:ready:v2', 4)}], 4, 0);
+	expect(removed).toEqual(['a@1']);
+	expect(view.getUpstreams('s').map(({softwareVersion}) => softwareVersion)).toEqual(['v2']);
+});
+
 const getIds = (view: ReturnType<typeof createFleetView>): string[] => view.getUpstreams('s').map(({id}) => id);
 
 test('a configuration with a lower version is ignored, and a snapshot without one keeps the current one', () => {
--- a/packages/discovery/src/fleet-view.ts
+++ b/packages/discovery/src/fleet-view.ts
@@ -100,7 +100,7 @@
 
 	const applyUpstream = (storeKey: string, upstream: Upstream): void => {
 		const known = upstreams.get(storeKey);
-		const isSame = known !== undefined && getUpstreamKey(known) === getUpstreamKey(upstream);
+		const isSame = known !== undefined && getUpstreamKey(known) === getUpstreamKey(upstream) && known.softwareVersion === upstream.softwareVersion;
 		if (!isSame) {
 			removeUpstream(storeKey, 'restarted');
 		}
--- a/packages/forwarder/src/observed-service.ts
+++ b/packages/forwarder/src/observed-service.ts
@@ -10,6 +10,8 @@
 	key: UpstreamKey;
 	/** Estimate of its prompt cache. */
 	cache: PromptCacheEstimate;
+	/** Whether it may have started again, with another software version than is known. */
+	isDoubted: boolean;
 } & Pick<Candidate, 'prefillRate' | 'isReserved' | 'failureRatio' | 'relativeLatency'>;
 
 /** The upstreams of a service as this host sees them during a dispatch pass. */
@@ -51,7 +53,8 @@
 
 /** Returns the upstreams that a call may be sent to: unreachable ones only if there are no others. */
 const getUsable = ({service: {all, reachable}, tried, softwareVersion}: CandidateQuery): readonly ObservedUpstream[] => {
-	const isUsable = ({key, upstream}: ObservedUpstream): boolean => tried?.has(key) !== true && (softwareVersion === undefined || upstream.softwareVersion === softwareVersion);
+	const hasVersion = ({upstream, isDoubted}: ObservedUpstream): boolean => softwareVersion === undefined || (upstream.softwareVersion === softwareVersion && !isDoubted);
+	const isUsable = (observed: ObservedUpstream): boolean => tried?.has(observed.key) !== true && hasVersion(observed);
 	const isUnrestricted = (tried === undefined || tried.size === 0) && softwareVersion === undefined;
 	const usable = isUnrestricted ? reachable : reachable.filter(observed => isUsable(observed));
 	return usable.length > 0 ? usable : all.filter(observed => isUsable(observed));
--- a/packages/forwarder/src/stream-version.test.ts
+++ b/packages/forwarder/src/stream-version.test.ts
@@ -97,3 +97,27 @@
 	const {host} = await start(finishStream('v1'), finishStream('v1'));
 	expect(await takeUp(host, 'a2', 'unknown')).toMatchObject({status: 200, body: getEvents('v1', 3, 4)});
 });
+
+// Guards against: a stream goes on at an upstream that has started again under its id with another version, before its new entry is known.
+test('a stream isn\'t taken up at an upstream that has just crashed', async () => {
+	let version = 'v1';
+	const {host, upstreams, counts} = await start({
+		softwareVersion: 'v1',
+		answer(request, response) {
+			response.writeHead(200, stream);
+			response.write(getEvents(version, 1, 2));
+			if (version === 'v1') {
+				version = 'v2';
+				setTimeout(() => {
+					request.socket.resetAndDestroy();
+				}, 20);
+			} else {
+				response.end();
+			}
+		},
+	});
+	await sendRequest(host.port, {path: '/stream/1', headers: {attempt: 'a1'}});
+	host.context.tracker.recordUnreachable(upstreams[0]!, 'crashed');
+	expect(await takeUp(host, 'a2', 'a1')).toMatchObject({status: 503});
+	expect(counts).toEqual([1]);
+});
--- a/packages/forwarder/src/upstream-tracker.ts
+++ b/packages/forwarder/src/upstream-tracker.ts
@@ -63,6 +63,8 @@
 	meanDuration: Milliseconds | undefined;
 	/** Time on the monotonic clock before which the upstream gets no requests. */
 	avoidedUntil: Milliseconds;
+	/** Time on the monotonic clock before which it may have started again, with another software version than its entry says. */
+	doubtedUntil: Milliseconds;
 	/** Connection failures in a row. */
 	connectFailures: number;
 	/** Number of requests of this host in flight. */
@@ -77,6 +79,8 @@
 /** First backoff period of an unreachable upstream; doubles with each failure in a row. */
 const minBackoff: Milliseconds = 400;
 const maxBackoff: Milliseconds = 3200;
+/** Time after a connection failure in which the entry of an upstream that has started again may still be that of before. */
+const restartDoubt: Milliseconds = 2000;
 /** Weight of the newest duration in the moving average. */
 const durationWeight = 0.15;
 /** Bounds of the ratio of an upstream's mean duration to the median of all upstreams. */
@@ -120,6 +124,7 @@
 			failures: createFailureCounts(clock.monotonic()),
 			meanDuration: undefined,
 			avoidedUntil: 0,
+			doubtedUntil: 0,
 			connectFailures: 0,
 			openRequests: 0,
 			lastByteAt: 0,
@@ -191,6 +196,7 @@
 						cache: getCache(key),
 						prefillRate: state.prefillRate.get(),
 						isReserved: reserved.has(key),
+						isDoubted: state.doubtedUntil > now,
 						failureRatio: getFailureRatio(state.failures, now),
 						relativeLatency: getRelativeLatency(state.meanDuration, medianDuration),
 					},
@@ -212,6 +218,7 @@
 			const backoff = Math.min(maxBackoff, minBackoff * (2 ** state.connectFailures));
 			state.connectFailures += 1;
 			state.avoidedUntil = clock.monotonic() + backoff;
+			state.doubtedUntil = clock.monotonic() + restartDoubt;
 			logger.info('upstream-avoided', {upstream: getUpstreamKey(upstream), reason, for: backoff});
 		},
 		trackRequest(upstream) {
