--- a/packages/forwarder/src/send.ts
+++ b/packages/forwarder/src/send.ts
@@ -259,6 +259,8 @@
 				finish(getFailure(phase, 'cancelled'));
 			}
 
+			// Node reports the end of a body without length or chunks, as if its upstream had closed the connection.
+			hasFailed = true;
 			clientRequest.destroy();
 		},
 	};
--- a/packages/forwarder/src/unframed-answer.test.ts
+++ b/packages/forwarder/src/unframed-answer.test.ts
@@ -97,3 +97,11 @@
 	}));
 	expect(await isResetForOldCaller(whole.port, '/once/1')).toBe(false);
 });
+
+// Guards against: a stream without length or chunks that the host itself gives up on, as its upstream is silent, reaches its caller as complete.
+test('a stream that the host ends after a silence is cut', async () => {
+	const {host} = await start(({socket, headers}) => {
+		socket.write(`HTTP/1.1 200 OK\r\nSigned: 1\r\nAttempt: ${headers.attempt as string}\r\nContent-Type: text/event-stream\r\n\r\n${events}`);
+	});
+	expect(await sendRequest(host.port, {path: '/stream/1', headers: {attempt: 'a1'}})).toMatchObject({body: events, isComplete: false});
+});
