Trust the versions of upstreams only in a current view of the fleet

Cause: that an upstream is still of its listed version was never asked. Reports that waited in the socket's buffer during the suspension even seem to confirm the old view.

Change: a view is current if the store has answered within the length of a quiet watch or another host confirms it, no host is known to be ahead, and the process hasn't been suspended within the last 500 ms (the time between ticks tells). A stream that begins otherwise, or at an incarnation that is no longer listed, has no certain version: it isn't told to other hosts, and nobody goes on with it. Before a stream goes on, its host waits up to 800 ms for a current view, which it reads, and else answers at once: cut, or 503 as nothing has run.

--- a/packages/forwarder/src/attempt.ts
+++ b/packages/forwarder/src/attempt.ts
@@ -61,12 +61,21 @@
 	progress.lastBytesAt = now;
 };
 
-/** Records which upstream begins a stream, and reports it to the other hosts, as its caller may take it up at any of them. */
+/** Whether an upstream is known to have the version that it is listed with, and not to have started again since. */
+const isVersionCertain = (upstream: Upstream, {freshness, view}: ForwarderContext): boolean =>
+	freshness.isCurrent() && view.getService(getUpstreamKey(upstream)) !== undefined;
+
+/** Records which upstream begins a stream, and reports it to the other hosts, as its caller may take it up at any of them. Nobody can go on with a stream whose version isn't certain. */
 const recordStart = ({call, progress, upstream, context}: Attempt): void => {
-	const hasBegun = progress.streamVersion !== undefined;
-	progress.streamVersion = upstream.softwareVersion;
+	if (progress.hasBegun) {
+		return;
+	}
+
+	const isCertain = isVersionCertain(upstream, context);
+	progress.hasBegun = true;
+	progress.streamVersion ??= isCertain ? upstream.softwareVersion : undefined;
 	const request = call.head.callerRequestId;
-	if (!hasBegun && request !== undefined && isResumableStream(call.route)) {
+	if (isCertain && call.streamVersion === undefined && request !== undefined && isResumableStream(call.route)) {
 		const stream = {request, service: call.service, softwareVersion: upstream.softwareVersion};
 		context.streamOrigins.add(stream, context.clock.monotonic());
 		context.reportExchange.addStream(stream);
--- /dev/null
+++ b/packages/forwarder/src/call-end.ts
@@ -0,0 +1,76 @@
+import type {ErrorKind} from '@gentianlift/errors';
+import type {BodyEnd} from './body-end.js';
+import type {Call, Progress} from './call.js';
+import type {ForwarderContext} from './context.js';
+import type {ForwardOutcome} from './forward-outcome.js';
+import {getReceivedAnswer} from './received-answer.js';
+
+/**
+ * How a call ended, as logged. Outcomes:
+ * - `delivered`: an upstream's answer was delivered, whose status is the reason
+ * - `upstream-failure`: the last upstream's own error answer was delivered
+ * - `own-answer`: the router answered with the error that is the reason
+ * - `cut`: the connection was closed for the error that is the reason, as the answer had begun
+ * - `timeout`: the deadline passed
+ * - `caller-gone`: the caller disconnected
+ */
+export type CallEnd = {
+	outcome: string;
+	reason?: string;
+	/** How the last attempt failed, if the call ended for that. */
+	lastFailure?: string;
+};
+
+/** Returns how an attempt failed; undefined if it didn't. */
+export const getFailureReason = (outcome: ForwardOutcome | undefined): string | undefined =>
+	outcome === undefined || outcome.kind === 'delivered' ? undefined : outcome.reason;
+
+/** Returns the number of bytes after the last complete event; undefined for an answer that isn't a stream. */
+const getPartialBytes = (end: BodyEnd | undefined): number | undefined => end?.content.kind === 'events' ? end.content.partialBytes : undefined;
+
+/** Returns the error for a call that has not run and gets no further attempt. */
+export const getRefusalKind = ({streamVersion}: Call, lastOutcome: ForwardOutcome | undefined): ErrorKind => {
+	if (lastOutcome !== undefined) {
+		return 'upstream-refused';
+	}
+
+	return streamVersion === undefined ? 'no-upstream' : 'stream-version-gone';
+};
+
+/** Logs the end of a call and counts it in the metrics. */
+export const reportEnd = (call: Call, progress: Progress, end: CallEnd, {clock, logger, metrics}: ForwarderContext): void => {
+	const duration = clock.monotonic() - call.arrivedAt;
+	metrics.count('calls_total', {route: call.route.name, outcome: end.outcome});
+	metrics.record('call_duration', duration, {route: call.route.name});
+	if (progress.answerEnd !== undefined) {
+		const {framing, ending} = progress.answerEnd;
+		metrics.count('answers_total', {
+			route: call.route.name, framing, ending, outcome: end.outcome,
+		});
+	}
+
+	logger.info('call-ended', {
+		request: call.head.callerRequestId,
+		route: call.route.name,
+		service: call.service,
+		customer: call.customer?.name,
+		version: call.version,
+		upstream: [...progress.tried].at(-1),
+		...progress.choice,
+		connectionWait: progress.connectionWait === undefined ? undefined : Math.round(progress.connectionWait),
+		first: progress.firstBytesAt === undefined ? undefined : Math.round(progress.firstBytesAt - call.arrivedAt),
+		pause: progress.lastBytesAt === undefined ? undefined : Math.round(progress.maxChunkGap),
+		resumes: call.head.resumedRequestId,
+		after: call.head.lastEventId,
+		software: progress.streamVersion,
+		framing: progress.answerEnd?.framing,
+		ending: progress.answerEnd?.ending,
+		partialBytes: getPartialBytes(progress.answerEnd),
+		sends: progress.attempts,
+		outcome: end.outcome,
+		reason: end.reason,
+		answer: progress.receivedAnswer ?? getReceivedAnswer(call.response),
+		lastFailure: end.lastFailure,
+		duration: Math.round(duration),
+	});
+};
--- a/packages/forwarder/src/call.ts
+++ b/packages/forwarder/src/call.ts
@@ -58,7 +58,9 @@
 	isSent: boolean;
 	/** Id of the last stream event delivered to the caller. */
 	lastEventId: number | undefined;
-	/** Software version that began the stream, once its caller has events of it; only upstreams of this version can go on with it. */
+	/** Whether the caller has received the first bytes of a stream in this answer. */
+	hasBegun: boolean;
+	/** Software version that began the stream, once its caller has events of it; only upstreams of this version can go on with it. Undefined if it isn't known for certain. */
 	streamVersion: string | undefined;
 	isCallerGone: boolean;
 	/** How much of the answer the caller had got when its connection closed; undefined while it is open. */
@@ -110,6 +112,7 @@
 	possibleExecutions: 0,
 	isSent: false,
 	lastEventId: undefined,
+	hasBegun: false,
 	streamVersion: undefined,
 	isCallerGone: false,
 	receivedAnswer: undefined,
--- a/packages/forwarder/src/context.ts
+++ b/packages/forwarder/src/context.ts
@@ -9,6 +9,7 @@
 import type {CrashDetector} from './crash-detector.js';
 import type {Protocol} from './protocol.js';
 import type {UpstreamTracker} from './upstream-tracker.js';
+import type {ViewFreshness} from './view-freshness.js';
 
 /** Dependencies shared by the modules of the forwarder. */
 export type ForwarderContext = {
@@ -19,6 +20,7 @@
 	protocol: Protocol;
 	zone: Zone;
 	view: FleetView;
+	freshness: ViewFreshness;
 	/** Exchange of load reports and events with the other hosts. */
 	reportExchange: LoadReportExchange;
 	tracker: UpstreamTracker;
--- a/packages/forwarder/src/forward.ts
+++ b/packages/forwarder/src/forward.ts
@@ -3,8 +3,10 @@
 	createRetryBudget, decideRetry, getUpstreamKey, type EarlyRefusal, type RetryBudget,
 } from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
-import type {BodyEnd} from './body-end.js';
 import {attemptUpstream} from './attempt.js';
+import {
+	getFailureReason, getRefusalKind, reportEnd, type CallEnd,
+} from './call-end.js';
 import type {ForwardOutcome} from './forward-outcome.js';
 import {
 	createProgress, getFingerprint, type Call, type Progress,
@@ -28,37 +30,6 @@
 /** Retry-After of answers to requests that no upstream could take. */
 const retryAfterDelay: Milliseconds = 500;
 
-/**
- * How a call ended, as logged. Outcomes:
- * - `delivered`: an upstream's answer was delivered, whose status is the reason
- * - `upstream-failure`: the last upstream's own error answer was delivered
- * - `own-answer`: the router answered with the error that is the reason
- * - `cut`: the connection was closed for the error that is the reason, as the answer had begun
- * - `timeout`: the deadline passed
- * - `caller-gone`: the caller disconnected
- */
-type CallEnd = {
-	outcome: string;
-	reason?: string;
-	/** How the last attempt failed, if the call ended for that. */
-	lastFailure?: string;
-};
-
-const getFailureReason = (outcome: ForwardOutcome | undefined): string | undefined =>
-	outcome === undefined || outcome.kind === 'delivered' ? undefined : outcome.reason;
-
-/** Returns the number of bytes after the last complete event; undefined for an answer that isn't a stream. */
-const getPartialBytes = (end: BodyEnd | undefined): number | undefined => end?.content.kind === 'events' ? end.content.partialBytes : undefined;
-
-/** Returns the error for a call that has not run and gets no further attempt. */
-const getRefusalKind = ({streamVersion}: Call, lastOutcome: ForwardOutcome | undefined): ErrorKind => {
-	if (lastOutcome !== undefined) {
-		return 'upstream-refused';
-	}
-
-	return streamVersion === undefined ? 'no-upstream' : 'stream-version-gone';
-};
-
 /** Creates a forwarder. */
 export const createForwarder = (context: ForwarderContext): Forwarder => {
 	const {clock, logger, metrics} = context;
@@ -182,6 +153,15 @@
 		}
 	};
 
+	/** Whether a stream of which the caller has events can go on: its version is known, and so are those of the upstreams. */
+	const canGoOn = async ({hasBegun, streamVersion}: Progress): Promise<boolean> => {
+		if (streamVersion === undefined) {
+			return !hasBegun;
+		}
+
+		return context.freshness.ensureCurrent();
+	};
+
 	/** Makes attempts until the call has ended. */
 	const makeAttempts = async (call: Call, progress: Progress): Promise<CallEnd> => {
 		let lastOutcome: ForwardOutcome | undefined;
@@ -195,6 +175,11 @@
 			}
 
 			// eslint-disable-next-line no-await-in-loop -- Upstreams are tried one at a time.
+			if (!await canGoOn(progress)) {
+				return endUnassigned(call, progress, lastOutcome);
+			}
+
+			// eslint-disable-next-line no-await-in-loop -- As above.
 			const assignment = await queue.enqueue(call, progress);
 			if (assignment === undefined) {
 				return endUnassigned(call, progress, lastOutcome);
@@ -237,43 +222,6 @@
 		}
 	};
 
-	const logEnd = (call: Call, progress: Progress, end: CallEnd): void => {
-		const duration = clock.monotonic() - call.arrivedAt;
-		metrics.count('calls_total', {route: call.route.name, outcome: end.outcome});
-		metrics.record('call_duration', duration, {route: call.route.name});
-		if (progress.answerEnd !== undefined) {
-			const {framing, ending} = progress.answerEnd;
-			metrics.count('answers_total', {
-				route: call.route.name, framing, ending, outcome: end.outcome,
-			});
-		}
-
-		logger.info('call-ended', {
-			request: call.head.callerRequestId,
-			route: call.route.name,
-			service: call.service,
-			customer: call.customer?.name,
-			version: call.version,
-			upstream: [...progress.tried].at(-1),
-			...progress.choice,
-			connectionWait: progress.connectionWait === undefined ? undefined : Math.round(progress.connectionWait),
-			first: progress.firstBytesAt === undefined ? undefined : Math.round(progress.firstBytesAt - call.arrivedAt),
-			pause: progress.lastBytesAt === undefined ? undefined : Math.round(progress.maxChunkGap),
-			resumes: call.head.resumedRequestId,
-			after: call.head.lastEventId,
-			software: progress.streamVersion,
-			framing: progress.answerEnd?.framing,
-			ending: progress.answerEnd?.ending,
-			partialBytes: getPartialBytes(progress.answerEnd),
-			sends: progress.attempts,
-			outcome: end.outcome,
-			reason: end.reason,
-			answer: progress.receivedAnswer ?? getReceivedAnswer(call.response),
-			lastFailure: end.lastFailure,
-			duration: Math.round(duration),
-		});
-	};
-
 	return {
 		onLoadChange: queue.requestDispatch,
 		getQueueLength: queue.getLength,
@@ -292,7 +240,7 @@
 			});
 			const end = await makeAttempts(call, progress);
 			cancelTimer();
-			logEnd(call, progress, end);
+			reportEnd(call, progress, end, context);
 		},
 	};
 };
--- a/packages/forwarder/src/resumption.test.ts
+++ b/packages/forwarder/src/resumption.test.ts
@@ -34,10 +34,13 @@
 		versions.list(buildUpstream({id: `u${index}`, softwareVersion}), 0);
 	}
 
+	const freshness: ForwarderContext['freshness'] = {
+		isConfirmed: () => isConfirmed, isCurrent: () => isConfirmed, ensureCurrent: async () => isConfirmed, refreshIfStale: async () => undefined,
+	};
 	const context: Partial<ForwarderContext> = {
-		clock: createManualClock(now), logger: createLogger('info', () => undefined), metrics: createMetrics(), streamOrigins, versions, askForStreamOrigin: async () => told,
+		freshness, clock: createManualClock(now), logger: createLogger('info', () => undefined), metrics: createMetrics(), streamOrigins, versions, askForStreamOrigin: async () => told,
 	};
-	const resolve = createResumptionResolver(context as ForwarderContext, {isConfirmed: () => isConfirmed, refreshIfStale: async () => undefined});
+	const resolve = createResumptionResolver(context as ForwarderContext);
 	return {resolve, streamOrigins};
 };
 
--- a/packages/forwarder/src/resumption.ts
+++ b/packages/forwarder/src/resumption.ts
@@ -4,7 +4,6 @@
 import type {ForwarderContext} from './context.js';
 import type {ErrorAnswer} from './error-answer.js';
 import type {CallerHead} from './protocol.js';
-import type {ViewFreshness} from './view-freshness.js';
 
 /** Whether a request takes up a stream, and at which upstreams that can go on. */
 export type Resumption
@@ -33,25 +32,25 @@
 };
 
 /** Returns the origin of a stream as far as this host knows it; only a confirmed view of the fleet allows to infer one. */
-export const findStreamOrigin = (query: OriginQuery, context: ForwarderContext, isConfirmed: () => boolean): StreamOrigin | undefined => {
-	const now = context.clock.monotonic();
-	const {streamOrigins} = context;
+export const findStreamOrigin = (query: OriginQuery, context: ForwarderContext): StreamOrigin | undefined => {
+	const {clock, streamOrigins, freshness} = context;
+	const now = clock.monotonic();
 	const known = query.request === undefined ? undefined : streamOrigins.get(query.request, now);
-	return known ?? (isConfirmed() ? inferOrigin(query, context, now) : undefined);
+	return known ?? (freshness.isConfirmed() && freshness.isCurrent() ? inferOrigin(query, context, now) : undefined);
 };
 
 /** Creates the function that decides where a request's stream can go on; it asks other hosts about a stream that this one doesn't know. */
-export const createResumptionResolver = (context: ForwarderContext, freshness: ViewFreshness): ((head: CallerHead, route: Route) => Promise<Resumption>) => {
+export const createResumptionResolver = (context: ForwarderContext): ((head: CallerHead, route: Route) => Promise<Resumption>) => {
 	const {clock, logger, metrics, streamOrigins} = context;
 
 	const locate = async (query: OriginQuery): Promise<{origin: StreamOrigin | undefined; source: 'own' | 'host'}> => {
-		const known = findStreamOrigin(query, context, freshness.isConfirmed);
+		const known = findStreamOrigin(query, context);
 		if (known !== undefined) {
 			return {origin: known, source: 'own'};
 		}
 
-		const [told] = await Promise.all([context.askForStreamOrigin(query), freshness.refreshIfStale()]);
-		return {origin: told ?? findStreamOrigin(query, context, freshness.isConfirmed), source: told === undefined ? 'own' : 'host'};
+		const [told] = await Promise.all([context.askForStreamOrigin(query), context.freshness.refreshIfStale()]);
+		return {origin: told ?? findStreamOrigin(query, context), source: told === undefined ? 'own' : 'host'};
 	};
 
 	return async (head, route) => {
--- a/packages/forwarder/src/serve-callers.ts
+++ b/packages/forwarder/src/serve-callers.ts
@@ -14,7 +14,6 @@
 import {readBody, type Body} from './read-body.js';
 import type {ForwarderContext} from './context.js';
 import {createResumptionResolver} from './resumption.js';
-import type {ViewFreshness} from './view-freshness.js';
 
 /** HTTP server for callers. */
 export type CallerServer = {
@@ -27,7 +26,6 @@
 export type CallerServerOptions = {
 	context: ForwarderContext;
 	forwarder: Forwarder;
-	freshness: ViewFreshness;
 };
 
 /** Route and service of an admitted request, or the error of a refused one. */
@@ -66,10 +64,10 @@
 const getHeaderBytes = (headers: readonly string[]): number => headers.reduce((sum, text) => sum + text.length + 2, 0);
 
 /** Creates the server; it doesn't listen yet. */
-export const createCallerServer = ({context, forwarder, freshness}: CallerServerOptions): CallerServer => {
+export const createCallerServer = ({context, forwarder}: CallerServerOptions): CallerServer => {
 	const {clock, view, protocol, logger, metrics} = context;
 	let openRequests = 0;
-	const resolveResumption = createResumptionResolver(context, freshness);
+	const resolveResumption = createResumptionResolver(context);
 
 	const admit = (head: CallerHead, target: string): Admission => {
 		if (openRequests > maxOpenRequests) {
@@ -111,7 +109,7 @@
 			return admission;
 		}
 
-		await freshness.refreshIfStale();
+		await context.freshness.refreshIfStale();
 		return admit(head, target);
 	};
 
--- a/packages/forwarder/src/start-host.ts
+++ b/packages/forwarder/src/start-host.ts
@@ -145,6 +145,7 @@
 		protocol,
 		zone: settings.zone,
 		view: fleet.view,
+		freshness: createViewFreshness({clock, view: fleet.view, reportExchange: fleet.reportExchange}, fleet.refresh),
 		reportExchange: fleet.reportExchange,
 		tracker,
 		suspects,
@@ -169,11 +170,8 @@
 		forwarder.onLoadChange();
 	});
 	const forwarder = createForwarder(context);
-	const freshness = createViewFreshness(context, fleet.refresh);
-	const callers = createCallerServer({context, forwarder, freshness});
-	const peers = createPeerServer({
-		view: fleet.view, findStreamOrigin: query => findStreamOrigin(query, context, freshness.isConfirmed),
-	});
+	const callers = createCallerServer({context, forwarder});
+	const peers = createPeerServer({view: fleet.view, findStreamOrigin: query => findStreamOrigin(query, context)});
 	await Promise.all([listen(callers.server, settings.callers), listen(peers, settings.peers)]);
 	logger.info('started', {host: settings.host, zone: settings.zone, callers: settings.callers});
 
--- a/packages/forwarder/src/stream-version.test.ts
+++ b/packages/forwarder/src/stream-version.test.ts
@@ -121,3 +121,13 @@
 	expect(await takeUp(host, 'a2', 'a1')).toMatchObject({status: 503});
 	expect(counts).toEqual([1]);
 });
+
+// Guards against: a host whose view is old takes an upstream that has started again for one of its earlier version, and tells others so.
+test('a stream whose version isn\'t certain when it begins can\'t go on', async () => {
+	const {host, counts} = await start(breakOff('v1'), finishStream('v2'), finishStream('v1'));
+	host.context.freshness.isCurrent = () => false;
+	const answers = await Promise.all(Array.from({length: 12}, async (_, index) => sendRequest(host.port, {path: '/stream/1', headers: {attempt: `a${index}`}})));
+	expect(answers.some(({isComplete}) => !isComplete)).toBe(true);
+	expect(sum(counts)).toBe(12);
+	expect(await takeUp(host, 'b1', 'a0')).toMatchObject({status: 503});
+});
--- a/packages/forwarder/src/testing.ts
+++ b/packages/forwarder/src/testing.ts
@@ -165,6 +165,13 @@
 	};
 
 	setEntries();
+	// The store has answered, but not just now.
+	view.recordContact(true, clock.monotonic() - 500);
+	const reportExchange = createReportExchange(loads);
+	const recordContact = async (): Promise<void> => {
+		view.recordContact(true, clock.monotonic());
+	};
+
 	const context: ForwarderContext = {
 		clock,
 		random: createRandom(1),
@@ -173,7 +180,8 @@
 		protocol,
 		zone: 'a',
 		view,
-		reportExchange: createReportExchange(loads),
+		freshness: createViewFreshness({clock, view, reportExchange}, refresh ?? recordContact),
+		reportExchange,
 		tracker: createUpstreamTracker({
 			clock, logger, loads, getService: view.getService,
 		}),
@@ -188,11 +196,7 @@
 		canAccept: () => !isStopping,
 	};
 	const forwarder = createForwarder(context);
-	const {server} = createCallerServer({
-		context, forwarder, freshness: createViewFreshness(context, refresh ?? (async () => {
-			view.recordContact(true, clock.monotonic());
-		})),
-	});
+	const {server} = createCallerServer({context, forwarder});
 	const port = await listenOnAnyPort(server);
 	return {
 		port,
--- /dev/null
+++ b/packages/forwarder/src/view-freshness.test.ts
@@ -0,0 +1,66 @@
+import {createManualClock} from '@gentianlift/clock';
+import type {FleetView, LoadReportExchange} from '@gentianlift/discovery';
+import {expect, test} from 'vitest';
+import {createViewFreshness} from './view-freshness.js';
+
+/** Creates the freshness of a host's view at revision 5, whose store has answered at time 0 and whose other hosts report what `reported` says. */
+const createHost = () => {
+	const clock = createManualClock(0);
+	const reported = {revision: 5, silence: Number.POSITIVE_INFINITY};
+	const state = {contactAt: 0, refreshes: 0};
+	const view: Partial<FleetView> = {getRevision: () => 5, getTimeSinceStoreContact: now => now - state.contactAt};
+	const reportExchange: Partial<LoadReportExchange> = {getNewestRevision: () => reported.revision, getShortestSilence: () => reported.silence};
+	const freshness = createViewFreshness({clock, view: view as FleetView, reportExchange: reportExchange as LoadReportExchange}, async () => {
+		state.refreshes += 1;
+		state.contactAt = clock.monotonic();
+	});
+	return {
+		clock, reported, state, freshness,
+	};
+};
+
+test('a view is current while the store has answered within a quiet watch, or another host confirms it', async () => {
+	const {clock, reported, freshness} = createHost();
+	await clock.advance(2900);
+	expect(freshness.isCurrent()).toBe(true);
+	await clock.advance(200);
+	expect(freshness.isCurrent()).toBe(false);
+	reported.silence = 100;
+	expect(freshness.isCurrent()).toBe(true);
+});
+
+test('a view that is behind that of another host isn\'t current', () => {
+	const {reported, freshness} = createHost();
+	reported.revision = 6;
+	expect(freshness.isCurrent()).toBe(false);
+});
+
+// Guards against: right after a suspension, a host acts on what it believed before, which old reports seem to confirm.
+test('a view isn\'t current right after a suspension, even if reports that waited meanwhile confirm it', async () => {
+	const {clock, reported, freshness} = createHost();
+	reported.silence = 0;
+	await clock.advance(100);
+	expect(freshness.isCurrent()).toBe(true);
+	clock.pause(3000);
+	expect(freshness.isCurrent()).toBe(false);
+	await clock.advance(400);
+	expect(freshness.isCurrent()).toBe(false);
+	await clock.advance(200);
+	expect(freshness.isCurrent()).toBe(true);
+});
+
+test('a view that isn\'t current is read again, and awaited for a bounded time', async () => {
+	const {clock, state, freshness} = createHost();
+	await clock.advance(5000);
+	const isCurrent = freshness.ensureCurrent();
+	await clock.advance(100);
+	expect(await isCurrent).toBe(true);
+	expect(state.refreshes).toBe(1);
+	expect(await freshness.ensureCurrent()).toBe(true);
+	expect(state.refreshes).toBe(1);
+	const {clock: lostClock, reported, freshness: lost} = createHost();
+	reported.revision = 6;
+	const isLost = lost.ensureCurrent();
+	await lostClock.advance(1000);
+	expect(await isLost).toBe(false);
+});
