Play software versions and callers that come back in the soak

Why the soak missed the mixed versions: its engines had one version, its streams couldn't be resumed, and its callers never came back. Neighbours now have different versions, each restart brings another one, and callers take up a broken stream at any host, up to twice, naming the request that brought its first event. No caller may ever see events of two versions.

--- a/packages/soak/src/deployment.ts
+++ b/packages/soak/src/deployment.ts
@@ -57,11 +57,16 @@
 	address: Address;
 	/** Time after which the caller gives up. */
 	timeout: Milliseconds;
+	/** Returns the address at which to take up a resumable stream that broke. */
+	pickAddress: () => Address | undefined;
 };
 
+/** What a caller received. */
+export type CallResult = Pick<Call, 'outcome' | 'versions'>;
+
 /** Client of the hosts that keeps its connections open. */
 export type Callers = {
-	send: (call: CallOptions) => Promise<Call['outcome']>;
+	send: (call: CallOptions) => Promise<CallResult>;
 	/** Returns the status of the answer on the route that exists only in this version of the configuration; undefined without an answer. */
 	probe: (address: Address, version: number) => Promise<number | undefined>;
 	/** Returns the addresses of hosts that a host tells callers to connect to; empty without an answer. */
--- a/packages/soak/src/exchange.ts
+++ b/packages/soak/src/exchange.ts
@@ -4,11 +4,12 @@
 import type {Milliseconds} from '@gentianlift/types';
 import type {Outcome} from './guarantees.js';
 
-const readText = async (message: IncomingMessage): Promise<string> => {
+const readText = async (message: IncomingMessage, onText: TextListener): Promise<string> => {
 	message.setEncoding('utf8');
 	let text = '';
 	for await (const chunk of message) {
 		text += String(chunk);
+		onText(String(chunk));
 	}
 
 	return text;
@@ -19,8 +20,11 @@
 /** A complete answer. */
 export type CompleteResponse = {status: number; text: string};
 
-/** Sends a request and reads its answer; resolves with an outcome instead if no complete answer arrives within the timeout. */
-export const sendAndReceive = async (options: RequestOptions, body: string, timeout: Milliseconds): Promise<CompleteResponse | Outcome> => new Promise(resolve => {
+/** Called with each piece of a body. */
+export type TextListener = (text: string) => void;
+
+/** Sends a request and reads its answer; resolves with an outcome instead if no complete answer arrives within the timeout. `onText` is called with each piece of the body, also of one that isn't completed. */
+export const sendAndReceive = async (options: RequestOptions, body: string, timeout: Milliseconds, onText: TextListener = () => undefined): Promise<CompleteResponse | Outcome> => new Promise(resolve => {
 	let isConnected = false;
 	const outgoing: ClientRequest = request(options);
 	const timer = setTimeout(() => {
@@ -45,7 +49,7 @@
 	});
 	const readResponse = async (message: IncomingMessage): Promise<void> => {
 		try {
-			finish({status: message.statusCode ?? 0, text: await readText(message)});
+			finish({status: message.statusCode ?? 0, text: await readText(message, onText)});
 		} catch (error) {
 			finish({kind: 'broken', reason: getReason(error as Error)});
 		}
--- a/packages/soak/src/fake-upstream.ts
+++ b/packages/soak/src/fake-upstream.ts
@@ -4,12 +4,14 @@
 import type {AddressInfo, Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Address, Milliseconds} from '@gentianlift/types';
-import {eventsPerStream, getBody, getEvent} from './answers.js';
+import {
+	eventsPerStream, getBody, getEvent, getVersionedEvent,
+} from './answers.js';
 import type {FakeUpstreamOptions, FakeUpstream} from './deployment.js';
 import type {UpstreamFailureMode} from './schedule.js';
 
 /** Entry of an upstream in the key-value service. */
-export type UpstreamEntry = {service: string; address: Address; id: string; slots: number; isLeaving: boolean; startedAt: number};
+export type UpstreamEntry = {service: string; address: Address; id: string; slots: number; isLeaving: boolean; startedAt: number; softwareVersion: string};
 
 /** The parts of a fake upstream that depend on the deployment's protocol. */
 export type UpstreamProtocol = {
@@ -21,6 +23,10 @@
 	/** Returns the unique id of the request, which its headers carry. */
 	getAttempt: (request: IncomingMessage) => string;
 	isStream: (request: IncomingMessage) => boolean;
+	/** Whether the stream that is requested may be resumed. */
+	isResumable: (request: IncomingMessage) => boolean;
+	/** Returns the number of the event after which a stream goes on; 0 from its beginning. */
+	getResumeAfter: (request: IncomingMessage) => number;
 	/** Headers of an answer that states that the request was not executed. */
 	notExecutedHeaders: Record<string, string>;
 	getAnswerHeaders: (id: string, attempt: string) => Record<string, string>;
@@ -78,16 +84,21 @@
 		response.end();
 	};
 
-	const writeStream = async (attempt: string, response: ServerResponse): Promise<void> => {
+	/** Neighbours have different software versions, and each restart brings another one. */
+	const getSoftwareVersion = (): string => `v${((Number(name.at(-1)) + incarnation) % 2) + 1}`;
+
+	const writeStream = async (request: IncomingMessage, attempt: string, response: ServerResponse): Promise<void> => {
+		const softwareVersion = getSoftwareVersion();
+		const buildEvent = (number: number): string => protocol.isResumable(request) ? getVersionedEvent(softwareVersion, number) : getEvent(attempt, number);
 		response.setHeader('content-type', 'text/event-stream');
 		const isBrokenOff = failureMode === 'unframed' && isEvenAttempt(attempt);
-		for (let number = 1; number <= eventsPerStream && !response.destroyed; number++) {
+		for (let number = protocol.getResumeAfter(request) + 1; number <= eventsPerStream && !response.destroyed; number++) {
 			if (isBrokenOff && number > eventsPerStream / 2) {
-				response.end(getEvent(attempt, number).trimEnd());
+				response.end(buildEvent(number).trimEnd());
 				return;
 			}
 
-			response.write(getEvent(attempt, number));
+			response.write(buildEvent(number));
 			if (failureMode === 'truncating' && number === eventsPerStream / 2) {
 				response.destroy();
 				return;
@@ -133,7 +144,7 @@
 		response.setHeaders(new Map(Object.entries(protocol.getAnswerHeaders(id, attempt))));
 		response.useChunkedEncodingByDefault = failureMode !== 'unframed';
 		if (protocol.isStream(request) && response.statusCode === 200) {
-			await writeStream(attempt, response);
+			await writeStream(request, attempt, response);
 		} else {
 			writeBody(attempt, response);
 		}
@@ -171,7 +182,7 @@
 	const getKey = (): string => protocol.getKey(id);
 	const publishEntry = (isLeaving: boolean): void => {
 		store.put(getKey(), protocol.encodeEntry({
-			service, address, id, slots, isLeaving, startedAt: firstStartTime + incarnation,
+			service, address, id, slots, isLeaving, startedAt: firstStartTime + incarnation, softwareVersion: getSoftwareVersion(),
 		}));
 	};
 
--- a/packages/soak/src/guarantees.test.ts
+++ b/packages/soak/src/guarantees.test.ts
@@ -6,7 +6,7 @@
 
 const call = (changes: Partial<Call> = {}): Call => ({
 	attempt: 'a', kind: 'booking', service: 's', host: 0, startedAt: 10_000, endedAt: 10_100, timeout: 1000,
-	outcome: {kind: 'answered', status: 200, isOwn: true}, ...changes,
+	outcome: {kind: 'answered', status: 200, isOwn: true}, versions: [], ...changes,
 });
 
 const execution = (changes: Partial<Execution> = {}): Execution => ({
@@ -26,6 +26,7 @@
 	expect(find({calls: [call()], executions})).toEqual(['a booking or a stream runs at most once']);
 	expect(find({calls: [call({kind: 'stream'})], executions})).toEqual(['a booking or a stream runs at most once']);
 	expect(find({calls: [call({kind: 'lookup'})], executions})).toEqual([]);
+	expect(find({calls: [call({kind: 'resumable'})], executions})).toEqual([]);
 });
 
 test('reports a status that denies an execution that took place, but not a 502', () => {
@@ -42,6 +43,12 @@
 	expect(find({calls: [call({outcome: {kind: 'answered', status: 200, isOwn: false}})], executions: [execution()]})).toEqual(['an answer is whole and belongs to its request']);
 });
 
+test('reports a stream with events of two software versions, also if it broke', () => {
+	const outcome = {kind: 'broken', reason: 'reset'} as const;
+	expect(find({calls: [call({kind: 'resumable', versions: ['v1', 'v2'], outcome})]})).toEqual(['a stream has events of one software version']);
+	expect(find({calls: [call({kind: 'resumable', versions: ['v1', 'v1'], outcome})]})).toEqual([]);
+});
+
 test('reports an execution at another service', () => {
 	expect(find({calls: [call()], executions: [execution({service: 't'})]})).toEqual(['a request runs at its own service']);
 });
--- a/packages/soak/src/guarantees.ts
+++ b/packages/soak/src/guarantees.ts
@@ -1,7 +1,7 @@
 import type {Milliseconds} from '@gentianlift/types';
 
-/** Kinds of requests that a soak's callers send. */
-export const requestKinds = ['booking', 'lookup', 'stream'] as const;
+/** Kinds of requests that a soak's callers send. Callers take up a `resumable` stream again when it breaks. */
+export const requestKinds = ['booking', 'lookup', 'stream', 'resumable'] as const;
 /** One of `requestKinds`. */
 export type RequestKind = typeof requestKinds[number];
 
@@ -29,6 +29,8 @@
 	/** Time after which the caller gives up. */
 	timeout: Milliseconds;
 	outcome: Outcome;
+	/** Software versions of the upstreams whose events the caller of a resumable stream received. */
+	versions: readonly string[];
 };
 
 /** The start of a request's execution at an upstream. */
@@ -99,7 +101,7 @@
 	const detail = describeCall(call);
 	const executedAt = executions.map(({upstream, at}) => `${upstream}@${Math.round(at)}`).join(', ');
 	const violations: Array<Omit<Violation, 'attempt'>> = [];
-	if (call.kind !== 'lookup' && executions.length > 1) {
+	if ((call.kind === 'booking' || call.kind === 'stream') && executions.length > 1) {
 		violations.push({guarantee: 'a booking or a stream runs at most once', detail: `${detail}; ran at ${executedAt}`});
 	}
 
@@ -111,6 +113,10 @@
 		violations.push({guarantee: 'an answer is whole and belongs to its request', detail});
 	}
 
+	if (new Set(call.versions).size > 1) {
+		violations.push({guarantee: 'a stream has events of one software version', detail: `${detail}; versions ${call.versions.join(', ')}`});
+	}
+
 	if (executions.some(({service}) => service !== call.service)) {
 		violations.push({guarantee: 'a request runs at its own service', detail: `${detail}; ran at ${executedAt}`});
 	}
--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -6,6 +6,7 @@
 export * from './injector.js';
 export * from './kept-cases.js';
 export * from './link.js';
+export * from './resumable-stream.js';
 export * from './run-seed.js';
 export * from './host-process.js';
 export * from './guarantees.js';
--- a/packages/soak/src/kept-cases.ts
+++ b/packages/soak/src/kept-cases.ts
@@ -32,4 +32,44 @@
 			},
 		],
 	},
+	{
+		seed: 7100,
+		cause: 'A stream went on at an upstream of another software version, within one answer and when its caller took it up',
+		schedule: [
+			{
+				at: 300, fault: {
+					kind: 'upstream', upstream: 3, mode: 'truncating', duration: 1500,
+				},
+			},
+			{
+				at: 900, fault: {
+					kind: 'upstream', upstream: 4, mode: 'crash', duration: 1000,
+				},
+			},
+			{at: 1400, fault: {kind: 'host-kill', host: 1, down: 500}},
+		],
+	},
+	{
+		seed: 7102,
+		cause: 'A host that was suspended while an upstream started again with another version mixed both; and a stream without length or chunks that its host gave up on looked complete',
+		schedule: [
+			{
+				at: 300, fault: {
+					kind: 'upstream', upstream: 3, mode: 'crash', duration: 2600,
+				},
+			},
+			{at: 900, fault: {kind: 'host-pause', host: 4, duration: 2800}},
+			{at: 900, fault: {kind: 'host-pause', host: 2, duration: 2800}},
+			{
+				at: 3000, fault: {
+					kind: 'upstream', upstream: 3, mode: 'unframed', duration: 2800,
+				},
+			},
+			{
+				at: 4200, fault: {
+					kind: 'upstream-link', upstream: 3, state: {kind: 'silent'}, duration: 2500,
+				},
+			},
+		],
+	},
 ];
--- a/packages/soak/src/run-seed.ts
+++ b/packages/soak/src/run-seed.ts
@@ -51,8 +51,8 @@
 const isServing = async ({callerAddress: address}: SoakHost, callers: Callers, version: number, attemptPrefix: string): Promise<boolean> => {
 	for (let number = 0; number < recoveryLookups; number++) {
 		// eslint-disable-next-line no-await-in-loop -- Lookups are sent one at a time, so that they put no load on the host.
-		const outcome = await callers.send({
-			attempt: `${attemptPrefix}-${number}`, kind: 'lookup', address, timeout: lookupTimeout,
+		const {outcome} = await callers.send({
+			attempt: `${attemptPrefix}-${number}`, kind: 'lookup', address, timeout: lookupTimeout, pickAddress: () => address,
 		});
 		if (outcome.kind !== 'answered' || outcome.status !== 200 || !outcome.isOwn) {
 			return false;
--- a/packages/soak/src/traffic.ts
+++ b/packages/soak/src/traffic.ts
@@ -32,7 +32,9 @@
 /** Time after which callers ask again which hosts to connect to. */
 const resolveInterval: Milliseconds = 1000;
 
-const requestTimeouts: Record<RequestKind, Milliseconds> = {booking: 1500, lookup: 1500, stream: 5000};
+const requestTimeouts: Record<RequestKind, Milliseconds> = {
+	booking: 1500, lookup: 1500, stream: 5000, resumable: 5000,
+};
 
 /** Picks a random address among those that a host last returned to callers, or any host's while none has answered. */
 const createAddressPicker = ({fleet, callers, clock, random}: TrafficOptions) => {
@@ -74,11 +76,11 @@
 		sent += 1;
 		const attempt = `${attemptPrefix}-${sent}`;
 		const startedAt = clock.monotonic();
-		const outcome = await callers.send({
-			attempt, kind, address, timeout: requestTimeouts[kind],
+		const result = await callers.send({
+			attempt, kind, address, timeout: requestTimeouts[kind], pickAddress,
 		});
 		onCall({
-			attempt, kind, service: deployment.services[kind], host, startedAt, endedAt: clock.monotonic(), timeout: requestTimeouts[kind], outcome,
+			attempt, kind, service: deployment.services[kind], host, startedAt, endedAt: clock.monotonic(), timeout: requestTimeouts[kind], ...result,
 		});
 	};
 
