Send the late answer of a test once its connection has been taken over

Traced: the late answer came 5 ms after the first by a timer, and on a busy machine arrives before the next request has taken the connection over. Then it counts as bytes after an answer, the connection is closed, and the next request gets its own answer on another one, which is right.

The stub now sends it when the second request has arrived on the connection, so that the case which the test is about is played each time, and no sooner.

--- a/packages/forwarder/src/late-answer.test.ts
+++ b/packages/forwarder/src/late-answer.test.ts
@@ -5,8 +5,6 @@
 
 const startUpstream = createSocketServerStarter(onTestFinished);
 
-/** Time after the first answer at which the late one is sent, in milliseconds. */
-const lateAnswerDelay = 5;
 /** Time that the upstream needs for the second request, in milliseconds. */
 const answerDelay = 50;
 
@@ -16,17 +14,16 @@
 /** Sends two requests on one connection, on which a second answer follows the first one late; returns the second outcome and its body. */
 const sendBeforeLateAnswer = async (lateAnswer: string) => {
 	const server = await startUpstream((socket, count) => {
-		if (count > 1) {
-			setTimeout(() => {
-				socket.write(buildAnswer('200 OK', 'a2', 'own'));
-			}, answerDelay);
+		if (count === 1) {
+			socket.write(buildAnswer('200 OK', 'a1', 'first'));
 			return;
 		}
 
-		socket.write(buildAnswer('200 OK', 'a1', 'first'));
+		// The second request has taken the connection over.
+		socket.write(lateAnswer);
 		setTimeout(() => {
-			socket.write(lateAnswer);
-		}, lateAnswerDelay);
+			socket.write(buildAnswer('200 OK', 'a2', 'own'));
+		}, answerDelay);
 	});
 	const agent = new UpstreamAgent({maxSockets: 1});
 	const first = call(server, agent, 'a1');
