Infer a stream's version from twice its route's timeout

A trial of atke (release, crashes, kills, a freeze) refused both streams that callers took up: the fleet was younger than the 60 s for which one version had to have served, and the callers of that site don't name the first request, so that no report helps. Callers' deadlines are about the timeout of their route (5,000 of 5,000 ms, 6,000 of 6,000 on the sites), so that twice the timeout is as safe: a stream that is older has no caller left.

The question to other hosts carries that age, so that they infer by the same.

--- a/packages/discovery/src/stream-origin-calls.ts
+++ b/packages/discovery/src/stream-origin-calls.ts
@@ -3,8 +3,15 @@
 import type {Address, Milliseconds} from '@gentianlift/types';
 import {createPeerClients} from './peer-clients.js';
 
-/** A stream whose origin is asked for: the request that brought its first event, if its caller names one, and the services that its route leads to. */
-export type OriginQuery = {request: string | undefined; services: readonly string[]};
+/** A stream whose origin is asked for. */
+export type OriginQuery = {
+	/** Request that brought its first event, if its caller names one. */
+	request: string | undefined;
+	/** Services that its route leads to. */
+	services: readonly string[];
+	/** Longest time since its first event. */
+	maxAge: Milliseconds;
+};
 
 /** Client that asks other hosts for the origin of a stream. */
 export type StreamOriginClient = {
@@ -33,8 +40,8 @@
 };
 
 /** Returns the query as parameters of a URL. */
-const encodeQuery = ({request, services}: OriginQuery): string => {
-	const parameters = new URLSearchParams(request === undefined ? {} : {request});
+const encodeQuery = ({request, services, maxAge}: OriginQuery): string => {
+	const parameters = new URLSearchParams({maxAge: String(maxAge), ...(request !== undefined && {request})});
 	for (const service of services) {
 		parameters.append('service', service);
 	}
@@ -44,7 +51,7 @@
 
 /** Reads a query from the parameters of a URL. */
 export const decodeOriginQuery = (parameters: URLSearchParams): OriginQuery => ({
-	request: parameters.get('request') ?? undefined, services: parameters.getAll('service'),
+	request: parameters.get('request') ?? undefined, services: parameters.getAll('service'), maxAge: Number(parameters.get('maxAge') ?? Number.POSITIVE_INFINITY),
 });
 
 const pickAddresses = (addresses: Address[], random: Random): Address[] => {
--- a/packages/forwarder/src/resumption.ts
+++ b/packages/forwarder/src/resumption.ts
@@ -16,18 +16,22 @@
 /** Time in which a report of the stream's beginning may still arrive. */
 const unknownRetryDelay: Milliseconds = 300;
 
+/** Longest time since the first event of a stream that is taken up, in timeouts of its route: callers' deadlines are about as long as that. */
+const maxAgeInTimeouts = 2;
+
 /** Whether a request continues after events that its caller has received. */
 const takesUpStream = ({lastEventId}: CallerHead, route: Route): boolean =>
 	isResumableStream(route) && lastEventId !== undefined && lastEventId > 0;
 
-/** Returns the only version that can have begun a stream: while one version of the only service has served for longer than streams last. */
-const inferOrigin = ({services}: OriginQuery, {versions}: ForwarderContext, now: Milliseconds): StreamOrigin | undefined => {
+/** Returns the only version that can have begun a stream: while one version of the only service has served since before. */
+const inferOrigin = ({services, maxAge}: OriginQuery, {versions}: ForwarderContext, now: Milliseconds): StreamOrigin | undefined => {
 	const [service] = services;
-	if (service === undefined || services.length > 1 || !versions.isComplete(now)) {
+	const since = now - maxAge;
+	if (service === undefined || services.length > 1 || !versions.covers(since)) {
 		return undefined;
 	}
 
-	const [softwareVersion, ...others] = versions.getVersions(service, now);
+	const [softwareVersion, ...others] = versions.getVersions(service, since);
 	return softwareVersion === undefined || others.length > 0 ? undefined : {service, softwareVersion};
 };
 
@@ -59,7 +63,7 @@
 		}
 
 		const services = route.destinations.map(({service}) => service);
-		const {origin, source} = await locate({request: head.resumedRequestId, services});
+		const {origin, source} = await locate({request: head.resumedRequestId, services, maxAge: route.timeout * maxAgeInTimeouts});
 		const isServed = origin !== undefined && services.includes(origin.service);
 		const outcome = origin === undefined ? 'unknown' : (isServed ? 'known' : 'other-service');
 		metrics.count('resumptions_total', {outcome, source});
--- a/packages/forwarder/src/testing.ts
+++ b/packages/forwarder/src/testing.ts
@@ -10,7 +10,7 @@
 import {createLogger} from '@gentianlift/logger';
 import {createMetrics} from '@gentianlift/metrics';
 import {
-	createCrashSuspects, createStreamOrigins, createVersionHistory, type Prompt, type RoutingConfiguration, type Upstream,
+	createCrashSuspects, createStreamOrigins, createVersionHistory, streamLifetime, type Prompt, type RoutingConfiguration, type Upstream,
 } from '@gentianlift/routing';
 import {createCrashDetector} from './crash-detector.js';
 import {createForwarder, type Forwarder} from './forward.js';
@@ -142,12 +142,12 @@
 	});
 	const loads = createLoadTracker();
 	const upstreams = new Map<string, Upstream>();
-	// Without a length, the history is complete from the start and forgets a version with its last upstream.
-	const versions = createVersionHistory(0);
+	const versions = createVersionHistory(streamLifetime);
 	const view = createView({
 		logger,
 		onListed(upstream) {
-			versions.list(upstream, clock.monotonic());
+			// The hosts of tests count as running for long.
+			versions.list(upstream, clock.monotonic() - streamLifetime);
 		},
 		onRemoved(upstream) {
 			versions.remove(upstream, clock.monotonic());
