--- a/packages/discovery/src/exchange-reports.ts
+++ b/packages/discovery/src/exchange-reports.ts
@@ -9,6 +9,7 @@
 import type {LoadReport, Prefill} from './load-report.js';
 import type {LoadContribution, LoadTracker} from './load-tracker.js';
 import type {ChangeBatch} from './packet.js';
+import {createPendingChanges} from './pending-changes.js';
 import {startReportBroadcaster} from './report-broadcast.js';
 
 /** Exchanges load reports with the other hosts. */
@@ -77,14 +78,8 @@
 const transferDelays = {direct: 10, relayed: 30} as const;
 /** Interval of full reports, which repeat loads that have changed lately. */
 const fullReportInterval: Milliseconds = 500;
-/** Number of full reports that repeat a load after a change, as datagrams get lost. */
-const loadRepeats = 3;
 /** Age of a host's last report up to which its status counts as current. */
 const statusLifetime: Milliseconds = 2000;
-/** Maximum number of streams in one report, which bounds its datagram. */
-const maxReportedStreams = 400;
-/** Number of reports that carry a crash, as datagrams get lost. */
-const crashRepeats = 6;
 
 /** Returns the minimum spacing of one host's reports of changes. */
 const getReportSpacing = (hosts: number): Milliseconds => hosts > maxUnspacedHosts ? hosts * reportSpacingPerHost : 0;
@@ -93,8 +88,6 @@
 export const getMeanReportDelay = (hosts: number): Milliseconds =>
 	(hosts > maxUnspacedHosts ? transferDelays.relayed : transferDelays.direct) + (getReportSpacing(hosts) / 2);
 
-type PendingCrash = {crash: SuspectedCrash; remainingReports: number};
-
 /** Starts to exchange load reports with the other hosts. */
 export const exchangeReports = (options: ReportExchangeOptions): LoadReportExchange => {
 	const {
@@ -102,16 +95,7 @@
 	} = options;
 	const {host, incarnation} = options.own;
 	const statuses = createHostStatusTracker();
-	const changedUpstreams = new Set<UpstreamKey>();
-	/** Number of full reports that have yet to repeat the load of an upstream. */
-	const remainingRepeats = new Map<UpstreamKey, number>();
-	let prefills: Prefill[] = [];
-	/** Streams that no report has named yet. */
-	let newStreams: StartedStream[] = [];
-	/** Streams that the next full report names again, as datagrams get lost. */
-	let repeatedStreams: StartedStream[] = [];
-	let pendingCrashes: PendingCrash[] = [];
-	let cleared: string[] = [];
+	const pending = createPendingChanges();
 	let isStopping = false;
 	let isScheduled = false;
 	let sentAt = Number.NEGATIVE_INFINITY;
@@ -124,36 +108,15 @@
 
 	const buildReport = (isFull: boolean): LoadReport => {
 		sequence += 1;
-		const own = loads.getOwnLoads();
 		return {
-			host,
-			incarnation,
-			sequence,
-			revision: options.getRevision(),
-			isStopping,
-			loads: own.filter(({upstream}) => isFull ? (remainingRepeats.get(upstream) ?? 0) > 0 : changedUpstreams.has(upstream)),
-			prefills,
-			crashes: pendingCrashes.map(({crash}) => crash),
-			cleared,
-			builtAt: clock.now(),
-			streams: [...newStreams, ...(isFull ? repeatedStreams : [])].slice(0, maxReportedStreams),
+			host, incarnation, sequence, revision: options.getRevision(), isStopping, builtAt: clock.now(), ...pending.getChanges(loads.getOwnLoads(), isFull),
 		};
 	};
 
-	/** Records that a report has named the new streams, and a full one also those to repeat. */
-	const markStreamsReported = (isFull: boolean): void => {
-		repeatedStreams = [...(isFull ? [] : repeatedStreams), ...newStreams].slice(-maxReportedStreams);
-		newStreams = [];
-	};
-
 	const send = (isFull: boolean): void => {
 		sentAt = clock.monotonic();
 		broadcaster.send(buildReport(isFull));
-		changedUpstreams.clear();
-		markStreamsReported(isFull);
-		prefills = [];
-		cleared = [];
-		pendingCrashes = pendingCrashes.map(({crash, remainingReports}) => ({crash, remainingReports: remainingReports - 1})).filter(({remainingReports}) => remainingReports > 0);
+		pending.markReported(isFull);
 	};
 
 	const getDelay = (): Milliseconds => {
@@ -219,21 +182,10 @@
 	const broadcaster = startReportBroadcaster({
 		own: options.own, getOthers: options.getOthers, clock, logger, onReport: applyReport, onChanges: options.onChanges,
 	});
-	const sendFullReport = (): void => {
-		send(true);
-		for (const [upstream, left] of remainingRepeats) {
-			if (left > 1) {
-				remainingRepeats.set(upstream, left - 1);
-			} else {
-				remainingRepeats.delete(upstream);
-			}
-		}
-	};
-
 	const {every} = clock;
 	const cancel = every(fullReportInterval, () => {
 		loads.dropSilentHosts(clock.monotonic());
-		sendFullReport();
+		send(true);
 		if (options.isStoreReached()) {
 			// An empty batch tells the group that the relay feed is alive.
 			const revision = options.getRevision();
@@ -244,25 +196,23 @@
 	return {
 		addLoad(upstream, change) {
 			loads.addOwnLoad(upstream, change, clock.monotonic());
-			changedUpstreams.add(upstream);
-			remainingRepeats.set(upstream, loadRepeats);
+			pending.addLoad(upstream);
 			schedule();
 		},
 		addPrefill(prefill) {
-			prefills.push(prefill);
+			pending.addPrefill(prefill);
 			schedule();
 		},
 		addStream(stream) {
-			newStreams.push(stream);
+			pending.addStream(stream);
 			schedule();
 		},
 		addClearedSuspect(fingerprint) {
-			pendingCrashes = pendingCrashes.filter(({crash}) => crash.fingerprint !== fingerprint);
-			cleared.push(fingerprint);
+			pending.addClearedSuspect(fingerprint);
 			schedule();
 		},
 		addCrash(crash) {
-			pendingCrashes.push({crash, remainingReports: crashRepeats});
+			pending.addCrash(crash);
 			schedule();
 		},
 		markStopping() {
