--- a/packages/forwarder/src/attempt.ts
+++ b/packages/forwarder/src/attempt.ts
@@ -1,16 +1,16 @@
-import {getUpstreamKey, isResumableStream, type Upstream} from '@gentianlift/routing';
+import {getUpstreamKey} from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
 import {buildUpstreamRequest} from './build-upstream-request.js';
-import type {CutReason} from './body-end.js';
+import {
+	isConnectionLoss, recordChunk, recordConnectionWait, recordFirstToken, recordOutcome, recordStart, type Attempt,
+} from './attempt-record.js';
 import type {ForwardOutcome} from './forward-outcome.js';
 import type {Call, Progress} from './call.js';
 import {deliverStream, writeAnswerHead} from './deliver.js';
-import {deliverBuffered, isServerError} from './deliver-buffered.js';
-import type {RequestLoad} from './request-load.js';
+import {deliverBuffered} from './deliver-buffered.js';
 import {reportCrash} from './report-crash.js';
 import {send, type SendOutcome} from './send.js';
 import type {ForwarderContext} from './context.js';
-import type {RequestActivity} from './upstream-tracker.js';
 import type {Assignment} from './request-queue.js';
 
 /** Silence of an upstream after which a stream that it runs resumes on another one, in addition to the prefill time. */
@@ -20,68 +20,6 @@
 /** Interval at which the silence of an upstream is checked. */
 const silenceCheckInterval: Milliseconds = 200;
 
-/** One attempt to run a call on an upstream. */
-type Attempt = {
-	call: Call;
-	progress: Progress;
-	upstream: Upstream;
-	context: ForwarderContext;
-	load: RequestLoad;
-	activity: RequestActivity;
-	startedAt: Milliseconds;
-	/** Time to first token that was expected when the upstream was chosen. */
-	expectedFirstToken: Milliseconds;
-	/** When the request was sent; undefined while it waits for a connection. */
-	sentAt: Milliseconds | undefined;
-};
-
-/** Records the time to first token: the prefill of this prompt and of those queued before it is complete. */
-const recordFirstToken = ({call, progress, upstream, context, load, startedAt, sentAt, expectedFirstToken}: Attempt): void => {
-	const now = context.clock.monotonic();
-	progress.firstBytesAt = now;
-	load.finishPrefill();
-	const duration = now - (sentAt ?? startedAt);
-	if (call.head.prompt !== undefined && progress.choice !== undefined) {
-		context.tracker.recordFirstToken(upstream, progress.choice.unreadTokens + progress.choice.uncachedTokens, duration);
-		// Both are recorded here, so that they cover the same requests.
-		context.metrics.record('first_token_duration', duration, {route: call.route.name});
-		context.metrics.record('expected_first_token', expectedFirstToken, {route: call.route.name});
-	}
-};
-
-/** Records how long the request has waited for a connection. */
-const recordConnectionWait = ({call, progress, context, startedAt}: Attempt): void => {
-	progress.connectionWait = context.clock.monotonic() - startedAt;
-	context.metrics.record('connection_wait', progress.connectionWait, {service: call.service});
-};
-
-/** Records the arrival of a chunk of a stream. */
-const recordChunk = (progress: Progress, now: Milliseconds): void => {
-	progress.maxChunkGap = Math.max(progress.maxChunkGap, now - (progress.lastBytesAt ?? now));
-	progress.lastBytesAt = now;
-};
-
-/** Whether an upstream is known to have the version that it is listed with, and not to have started again since. */
-const isVersionCertain = (upstream: Upstream, {freshness, view}: ForwarderContext): boolean =>
-	freshness.isCurrent() && view.getService(getUpstreamKey(upstream)) !== undefined;
-
-/** Records which upstream begins a stream, and reports it to the other hosts, as its caller may take it up at any of them. Nobody can go on with a stream whose version isn't certain. */
-const recordStart = ({call, progress, upstream, context}: Attempt): void => {
-	if (progress.hasBegun) {
-		return;
-	}
-
-	const isCertain = isVersionCertain(upstream, context);
-	progress.hasBegun = true;
-	progress.streamVersion ??= isCertain ? upstream.softwareVersion : undefined;
-	const request = call.head.callerRequestId;
-	if (isCertain && call.streamVersion === undefined && request !== undefined && isResumableStream(call.route)) {
-		const stream = {request, service: call.service, softwareVersion: upstream.softwareVersion};
-		context.streamOrigins.add(stream, context.clock.monotonic());
-		context.reportExchange.addStream(stream);
-	}
-};
-
 /** Delivers a streamed answer to the caller. */
 const deliverEvents = async (attempt: Attempt, {head, answer}: Extract<SendOutcome, {kind: 'answered'}>): Promise<ForwardOutcome> => {
 	const {call, progress, context, activity} = attempt;
@@ -169,47 +107,6 @@
 	});
 };
 
-/** Records the outcome in the state of the upstream, with the durations of all answers but streams. */
-const recordOutcome = ({call, upstream, context}: Attempt, outcome: ForwardOutcome, duration: Milliseconds): void => {
-	switch (outcome.kind) {
-		case 'delivered': {
-			const hasComparableDuration = call.route.kind !== 'streaming';
-			context.tracker.recordResult(upstream, isServerError(outcome.status), hasComparableDuration ? duration : undefined);
-			break;
-		}
-
-		case 'unsent': {
-			break;
-		}
-
-		case 'unreachable': {
-			context.tracker.recordUnreachable(upstream, outcome.reason);
-			break;
-		}
-
-		case 'rejected': {
-			context.tracker.recordResult(upstream, true, undefined);
-			break;
-		}
-
-		case 'failed':
-		case 'spoiled': {
-			context.tracker.recordResult(upstream, true, undefined);
-			break;
-		}
-	}
-};
-
-/** Socket errors of a reset and of a write to a closed connection, and a close without an error. */
-const connectionErrors = ['ECONNRESET', 'EPIPE', 'closed'];
-const cutReasons: CutReason[] = ['reset', 'lost', 'inside-event', 'no-event'];
-/** Reasons of failures that a crash of the upstream may have caused. */
-const crashLikeReasons = new Set<string>([...connectionErrors, ...cutReasons]);
-
-/** Whether the connection was lost before the end of the answer, as it is when the upstream crashes. */
-const isConnectionLoss = (outcome: ForwardOutcome): boolean =>
-	(outcome.kind === 'spoiled' || outcome.kind === 'failed') && crashLikeReasons.has(outcome.reason);
-
 /** Sends a call to one upstream and delivers its answer. */
 export const attemptUpstream = async (call: Call, progress: Progress, {candidate, load}: Assignment, context: ForwarderContext): Promise<ForwardOutcome> => {
 	const {upstream, uncachedTokens} = candidate;
