Name the version of a stream once its host's view has caught up

A host that is behind another for some milliseconds after each change of the store has no current view, so that a stream whose first event came just then could never go on: in a release that changes an entry each 0.4 s, on a fleet with 60 to 90 ms of report delay, a good part of them. Now the certainty is checked again each 150 ms, six times; until then the stream can't go on. A host that was suspended finds its engine's earlier incarnation no longer listed by then, and names nothing.

Test: stream-version.test (begins while the view falls behind).

--- a/packages/forwarder/src/attempt-record.ts
+++ b/packages/forwarder/src/attempt-record.ts
@@ -8,6 +8,10 @@
 import type {RequestLoad} from './request-load.js';
 import type {RequestActivity} from './upstream-tracker.js';
 
+/** Interval and number of checks whether the version of an upstream is certain, as a view that has just fallen behind soon catches up. */
+const certaintyCheckInterval: Milliseconds = 150;
+const maxCertaintyChecks = 6;
+
 /** One attempt to run a call on an upstream. */
 export type Attempt = {
 	call: Call;
@@ -53,23 +57,40 @@
 const isVersionCertain = (upstream: Upstream, {freshness, view}: ForwarderContext): boolean =>
 	freshness.isCurrent() && view.getService(getUpstreamKey(upstream)) !== undefined;
 
-/** Records which upstream begins a stream, and reports it to the other hosts, as its caller may take it up at any of them. Nobody can go on with a stream whose version isn't certain. */
-export const recordStart = ({call, progress, upstream, context}: Attempt): void => {
-	if (progress.hasBegun) {
-		return;
-	}
-
-	const isCertain = isVersionCertain(upstream, context);
-	progress.hasBegun = true;
-	progress.streamVersion ??= isCertain ? upstream.softwareVersion : undefined;
+/** Records the version that begins a stream, and reports it to the other hosts, as its caller may take the stream up at any of them. */
+const recordVersion = ({call, progress, upstream, context}: Attempt): void => {
+	progress.streamVersion = upstream.softwareVersion;
 	const request = call.head.callerRequestId;
-	if (isCertain && call.streamVersion === undefined && request !== undefined && isResumableStream(call.route)) {
+	if (request !== undefined && isResumableStream(call.route)) {
 		const stream = {request, service: call.service, softwareVersion: upstream.softwareVersion};
 		context.streamOrigins.add(stream, context.clock.monotonic());
 		context.reportExchange.addStream(stream);
 	}
 };
 
+/** Records the version that begins a stream as soon as it is certain. Until then, nobody can go on with the stream. */
+const recordVersionOnceCertain = (attempt: Attempt, remainingChecks: number): void => {
+	const {upstream, context} = attempt;
+	if (isVersionCertain(upstream, context)) {
+		recordVersion(attempt);
+	} else if (remainingChecks > 0) {
+		context.clock.after(certaintyCheckInterval, () => {
+			recordVersionOnceCertain(attempt, remainingChecks - 1);
+		});
+	}
+};
+
+/** Records that the first bytes of a stream are about to be written to the caller; one that the caller takes up has its version already. */
+export const recordStart = (attempt: Attempt): void => {
+	const {progress} = attempt;
+	if (!progress.hasBegun) {
+		progress.hasBegun = true;
+		if (progress.streamVersion === undefined) {
+			recordVersionOnceCertain(attempt, maxCertaintyChecks);
+		}
+	}
+};
+
 /** Records the outcome in the state of the upstream, with the durations of all answers but streams. */
 export const recordOutcome = ({call, upstream, context}: Attempt, outcome: ForwardOutcome, duration: Milliseconds): void => {
 	switch (outcome.kind) {
--- a/packages/forwarder/src/resumption.ts
+++ b/packages/forwarder/src/resumption.ts
@@ -43,6 +43,15 @@
 	return known ?? (freshness.isConfirmed() && freshness.isCurrent() ? inferOrigin(query, context, now) : undefined);
 };
 
+/** Returns how the search for a stream's origin ended, as logged. */
+const getOutcome = (origin: StreamOrigin | undefined, services: readonly string[]): 'known' | 'unknown' | 'other-service' => {
+	if (origin === undefined) {
+		return 'unknown';
+	}
+
+	return services.includes(origin.service) ? 'known' : 'other-service';
+};
+
 /** Creates the function that decides where a request's stream can go on; it asks other hosts about a stream that this one doesn't know. */
 export const createResumptionResolver = (context: ForwarderContext): ((head: CallerHead, route: Route) => Promise<Resumption>) => {
 	const {clock, logger, metrics, streamOrigins} = context;
@@ -64,8 +73,7 @@
 
 		const services = route.destinations.map(({service}) => service);
 		const {origin, source} = await locate({request: head.resumedRequestId, services, maxAge: route.timeout * maxAgeInTimeouts});
-		const isServed = origin !== undefined && services.includes(origin.service);
-		const outcome = origin === undefined ? 'unknown' : (isServed ? 'known' : 'other-service');
+		const outcome = getOutcome(origin, services);
 		metrics.count('resumptions_total', {outcome, source});
 		logger.info('stream-taken-up', {
 			request: head.callerRequestId, resumes: head.resumedRequestId, after: head.lastEventId, service: origin?.service, software: origin?.softwareVersion, outcome, source,
@@ -78,6 +86,6 @@
 			streamOrigins.add({request: head.resumedRequestId, ...origin}, clock.monotonic());
 		}
 
-		return isServed ? {kind: 'resumed', origin} : {kind: 'refused', error: {kind: 'stream-version-gone'}};
+		return outcome === 'known' ? {kind: 'resumed', origin} : {kind: 'refused', error: {kind: 'stream-version-gone'}};
 	};
 };
--- a/packages/forwarder/src/stream-version.test.ts
+++ b/packages/forwarder/src/stream-version.test.ts
@@ -131,3 +131,14 @@
 	expect(sum(counts)).toBe(12);
 	expect(await takeUp(host, 'b1', 'a0')).toMatchObject({status: 503});
 });
+
+test('a stream that begins while the view falls behind can go on once the view has caught up', async () => {
+	const {host} = await start(breakOff('v1'), finishStream('v2'));
+	host.setUpstreams(host.context.view.getUpstreams('s').slice(0, 1));
+	const {isCurrent} = host.context.freshness;
+	host.context.freshness.isCurrent = () => false;
+	expect(await sendRequest(host.port, {path: '/stream/1', headers: {attempt: 'a1'}})).toMatchObject({isComplete: false});
+	expect(host.context.streamOrigins.get('a1', host.context.clock.monotonic())).toBeUndefined();
+	host.context.freshness.isCurrent = isCurrent;
+	await expect.poll(() => host.context.streamOrigins.get('a1', host.context.clock.monotonic())).toEqual({service: 's', softwareVersion: 'v1'});
+});
