--- a/packages/forwarder/src/attempt-record.ts
+++ b/packages/forwarder/src/attempt-record.ts
@@ -57,7 +57,7 @@
 const isVersionCertain = (upstream: Upstream, {freshness, view}: ForwarderContext): boolean =>
 	freshness.isCurrent() && view.getService(getUpstreamKey(upstream)) !== undefined;
 
-/** Records the version that begins a stream, and reports it to the other hosts, as its caller may take the stream up at any of them. */
+/** Records the version that begins a stream, and reports it to the other hosts, as its caller may resume the stream at any of them. */
 const recordVersion = ({call, progress, upstream, context}: Attempt): void => {
 	progress.streamVersion = upstream.softwareVersion;
 	const request = call.head.callerRequestId;
@@ -68,7 +68,7 @@
 	}
 };
 
-/** Records the version that begins a stream as soon as it is certain. Until then, nobody can go on with the stream. */
+/** Records the version that begins a stream as soon as it is certain. Until then, the stream can't be resumed. */
 const recordVersionOnceCertain = (attempt: Attempt, remainingChecks: number): void => {
 	const {upstream, context} = attempt;
 	if (isVersionCertain(upstream, context)) {
@@ -80,7 +80,7 @@
 	}
 };
 
-/** Records that the first bytes of a stream are about to be written to the caller; one that the caller takes up has its version already. */
+/** Records that the first bytes of a stream are about to be written to the caller; one that the caller resumes has its version already. */
 export const recordStart = (attempt: Attempt): void => {
 	const {progress} = attempt;
 	if (!progress.hasBegun) {
--- a/packages/forwarder/src/call.ts
+++ b/packages/forwarder/src/call.ts
@@ -22,7 +22,7 @@
 	/** Whether another upstream may run the request again, or resume its stream, after one may have executed it; a request that is known not to have executed is retried anyway. */
 	mayExecuteAgain: boolean;
 	response: ServerResponse;
-	/** Software version that began the stream which the request takes up; undefined if it takes up none. */
+	/** Software version that began the stream which the request resumes; undefined if it resumes none. */
 	streamVersion: string | undefined;
 	/** Version of the configuration that the route was taken from. */
 	version: number;
@@ -60,7 +60,7 @@
 	lastEventId: number | undefined;
 	/** Whether the caller has received the first bytes of a stream in this answer. */
 	hasBegun: boolean;
-	/** Software version that began the stream, once its caller has events of it; only upstreams of this version can go on with it. Undefined if it isn't known for certain. */
+	/** Software version that began the stream, once its caller has events of it; only upstreams of this version can resume it. Undefined if it isn't known for certain. */
 	streamVersion: string | undefined;
 	isCallerGone: boolean;
 	/** How much of the answer the caller had got when its connection closed; undefined while it is open. */
--- a/packages/forwarder/src/forward.ts
+++ b/packages/forwarder/src/forward.ts
@@ -153,8 +153,8 @@
 		}
 	};
 
-	/** Whether a stream of which the caller has events can go on: its version is known, and so are those of the upstreams. */
-	const canGoOn = async ({hasBegun, streamVersion}: Progress): Promise<boolean> => {
+	/** Whether a stream of which the caller has events can be resumed: its version is known, and so are those of the upstreams. */
+	const canResume = async ({hasBegun, streamVersion}: Progress): Promise<boolean> => {
 		if (streamVersion === undefined) {
 			return !hasBegun;
 		}
@@ -175,7 +175,7 @@
 			}
 
 			// eslint-disable-next-line no-await-in-loop -- Upstreams are tried one at a time.
-			if (!await canGoOn(progress)) {
+			if (!await canResume(progress)) {
 				return endUnassigned(call, progress, lastOutcome);
 			}
 
--- a/packages/forwarder/src/resumption.ts
+++ b/packages/forwarder/src/resumption.ts
@@ -5,22 +5,22 @@
 import type {ErrorAnswer} from './error-answer.js';
 import type {CallerHead} from './protocol.js';
 
-/** Whether a request takes up a stream, and at which upstreams that can go on. */
+/** Whether a request resumes a stream, and which upstreams can run it. */
 export type Resumption
 	/** The request begins anew. */
 	= | {kind: 'none'}
 		| {kind: 'resumed'; origin: StreamOrigin}
-		/** Nothing has run, and the stream can't go on now. */
+		/** Nothing has run, and the stream can't be resumed now. */
 		| {kind: 'refused'; error: ErrorAnswer};
 
 /** Time in which a report of the stream's beginning may still arrive. */
 const unknownRetryDelay: Milliseconds = 300;
 
-/** Longest time since the first event of a stream that is taken up, in timeouts of its route: callers' deadlines are about as long as that. */
+/** Longest time since the first event of a stream that is resumed, in timeouts of its route: callers' deadlines are about as long as that. */
 const maxAgeInTimeouts = 2;
 
 /** Whether a request continues after events that its caller has received. */
-const takesUpStream = ({lastEventId}: CallerHead, route: Route): boolean =>
+const isResumption = ({lastEventId}: CallerHead, route: Route): boolean =>
 	isResumableStream(route) && lastEventId !== undefined && lastEventId > 0;
 
 /** Returns the only version that can have begun a stream: while one version of the only service has served since before. */
@@ -52,7 +52,7 @@
 	return services.includes(origin.service) ? 'known' : 'other-service';
 };
 
-/** Creates the function that decides where a request's stream can go on; it asks other hosts about a stream that this one doesn't know. */
+/** Creates the function that decides where a request's stream can be resumed; it asks other hosts about a stream that this one doesn't know. */
 export const createResumptionResolver = (context: ForwarderContext): ((head: CallerHead, route: Route) => Promise<Resumption>) => {
 	const {clock, logger, metrics, streamOrigins} = context;
 
@@ -67,7 +67,7 @@
 	};
 
 	return async (head, route) => {
-		if (!takesUpStream(head, route)) {
+		if (!isResumption(head, route)) {
 			return {kind: 'none'};
 		}
 
@@ -75,7 +75,7 @@
 		const {origin, source} = await locate({request: head.resumedRequestId, services, maxAge: route.timeout * maxAgeInTimeouts});
 		const outcome = getOutcome(origin, services);
 		metrics.count('resumptions_total', {outcome, source});
-		logger.info('stream-taken-up', {
+		logger.info('resume-requested', {
 			request: head.callerRequestId, resumes: head.resumedRequestId, after: head.lastEventId, service: origin?.service, software: origin?.softwareVersion, outcome, source,
 		});
 		if (origin === undefined) {
--- a/packages/forwarder/src/view-freshness.ts
+++ b/packages/forwarder/src/view-freshness.ts
@@ -6,7 +6,7 @@
 export type ViewFreshness = {
 	/** Whether the view was confirmed recently, by the key-value service or by other hosts that know of no newer revision. */
 	isConfirmed: () => boolean;
-	/** Whether what the view says of upstreams holds now: it was confirmed, and the process doesn't just go on after a suspension. A quiet watch of the key-value service confirms it, too. */
+	/** Whether what the view says of upstreams holds now: it was confirmed, and the process has not just been suspended. A quiet watch of the key-value service confirms it, too. */
 	isCurrent: () => boolean;
 	/** Reads the newest state if the view isn't current; resolves, within a bounded time, to whether it is. */
 	ensureCurrent: () => Promise<boolean>;
--- a/packages/routing/src/configuration.ts
+++ b/packages/routing/src/configuration.ts
@@ -65,7 +65,7 @@
 	customers?: ConfiguredCustomer[];
 };
 
-/** Whether requests of a route are streams that may go on at another upstream. */
+/** Whether requests of a route are streams that another upstream may resume. */
 export const isResumableStream = ({kind, isResumable}: Route): boolean => kind === 'streaming' && isResumable;
 
 /** Returns whether a request of the route may execute again after an upstream may have executed it. */
--- a/packages/routing/src/stream-origins.ts
+++ b/packages/routing/src/stream-origins.ts
@@ -1,6 +1,6 @@
 import type {Milliseconds} from '@gentianlift/types';
 
-/** What wrote the first event of a stream; only upstreams of this service and version can go on with it. */
+/** What wrote the first event of a stream; only upstreams of this service and version can resume it. */
 export type StreamOrigin = {service: string; softwareVersion: string};
 
 /** A stream that has begun: the caller's id of the request that brought its first event, and its origin. */
@@ -14,7 +14,7 @@
 	get: (request: string, now: Milliseconds) => StreamOrigin | undefined;
 };
 
-/** Time for which a stream may be taken up: longer than callers wait for one. */
+/** Time for which a stream may be resumed: longer than callers wait for one. */
 export const streamLifetime: Milliseconds = 60_000;
 /** Maximum number of streams; beyond it the oldest are forgotten. */
 const maxStreams = 50_000;
--- a/packages/soak/src/deployment.ts
+++ b/packages/soak/src/deployment.ts
@@ -57,7 +57,7 @@
 	address: Address;
 	/** Time after which the caller gives up. */
 	timeout: Milliseconds;
-	/** Returns the address at which to take up a resumable stream that broke. */
+	/** Returns the address at which to resume a stream that broke. */
 	pickAddress: () => Address | undefined;
 };
 
--- a/packages/soak/src/fake-upstream.ts
+++ b/packages/soak/src/fake-upstream.ts
@@ -25,7 +25,7 @@
 	isStream: (request: IncomingMessage) => boolean;
 	/** Whether the stream that is requested may be resumed. */
 	isResumable: (request: IncomingMessage) => boolean;
-	/** Returns the number of the event after which a stream goes on; 0 from its beginning. */
+	/** Returns the number of the event after which a stream is resumed; 0 from its beginning. */
 	getResumeAfter: (request: IncomingMessage) => number;
 	/** Headers of an answer that states that the request was not executed. */
 	notExecutedHeaders: Record<string, string>;
--- a/packages/soak/src/guarantees.ts
+++ b/packages/soak/src/guarantees.ts
@@ -1,6 +1,6 @@
 import type {Milliseconds} from '@gentianlift/types';
 
-/** Kinds of requests that a soak's callers send. Callers take up a `resumable` stream again when it breaks. */
+/** Kinds of requests that a soak's callers send. Callers resume a `resumable` stream when it breaks. */
 export const requestKinds = ['booking', 'lookup', 'stream', 'resumable'] as const;
 /** One of `requestKinds`. */
 export type RequestKind = typeof requestKinds[number];
