--- a/packages/forwarder/src/serve-callers.ts
+++ b/packages/forwarder/src/serve-callers.ts
@@ -169,6 +169,11 @@
 
 		const {route, customer, table} = admission;
 		const resumption = await resolveResumption(head, route);
+		if (response.destroyed) {
+			logger.info('call-broken', {request: head.callerRequestId, reason: 'caller-gone'});
+			return;
+		}
+
 		if (resumption.kind === 'refused') {
 			refuse(request, response, head, resumption.error);
 			return;
--- a/packages/forwarder/src/stream-version.test.ts
+++ b/packages/forwarder/src/stream-version.test.ts
@@ -1,3 +1,4 @@
+import {request} from 'node:http';
 import {expect, onTestFinished, test} from 'vitest';
 import {
 	createHostStarter, resetConnection, sum, upstreamMark, type StubUpstream,
@@ -142,3 +143,22 @@
 	host.context.freshness.isCurrent = isCurrent;
 	await expect.poll(() => host.context.streamOrigins.get('a1', host.context.clock.monotonic())).toEqual({service: 's', softwareVersion: 'v1'});
 });
+
+// Guards against: a stream begins for a caller that has left while the host asked others about it.
+test('a caller that leaves while the version of its stream is looked up is not served', async () => {
+	const {host, counts} = await start(finishStream('v1'));
+	const call = request({
+		port: host.port, host: '127.0.0.1', path: '/stream/1', method: 'POST', headers: {attempt: 'a2', 'last-event': '2', resumes: 'unknown'},
+	});
+	call.on('error', () => undefined);
+	host.context.askForStreamOrigin = async () => {
+		call.destroy();
+		await host.context.clock.sleep(100);
+		return {service: 's', softwareVersion: 'v1'};
+	};
+
+	host.context.freshness.isConfirmed = () => false;
+	call.end();
+	await expect.poll(() => host.logLines.some(line => line.includes('event=call-broken request=a2 '))).toBe(true);
+	expect(counts).toEqual([0]);
+});
