Don't close a connection to another host while a call is in flight

Traced: the idle check counts the time from the beginning of the last call, so that a call that lasts longer than the idle timeout (30 ms in the test, 30 s in the program, with calls of 2 s at most) has its connection closed under it. A test with a call of 200 ms failed every time before and passes now; time counts from the end of the last call.

--- a/packages/peers/src/peer-calls.ts
+++ b/packages/peers/src/peer-calls.ts
@@ -38,6 +38,8 @@
 	const {every} = clock;
 	const connections = new Map<HostId, PeerConnection>();
 	const lastUsedAt = new Map<HostId, Milliseconds>();
+	/** Connections with calls in flight, which aren't idle however long these last, and the number of the calls. */
+	const callsInFlight = new Map<PeerConnection, number>();
 	const lastFailedAt = new Map<HostId, Milliseconds>();
 
 	const removeLostConnection = (connection: PeerConnection): void => {
@@ -62,9 +64,19 @@
 		metrics.setGauge('peer_connections', connections.size);
 	};
 
+	const changeCallsInFlight = (connection: PeerConnection, change: number): void => {
+		const count = (callsInFlight.get(connection) ?? 0) + change;
+		lastUsedAt.set(connection.to, clock.monotonic());
+		if (count > 0) {
+			callsInFlight.set(connection, count);
+		} else {
+			callsInFlight.delete(connection);
+		}
+	};
+
 	const closeIdleConnections = (): void => {
 		for (const connection of connections.values()) {
-			if (clock.monotonic() - (lastUsedAt.get(connection.to) ?? 0) > idleTimeout) {
+			if (!callsInFlight.has(connection) && clock.monotonic() - (lastUsedAt.get(connection.to) ?? 0) > idleTimeout) {
 				// The connection is removed before it is closed, so that closing it isn't recorded as a failure of the host.
 				connections.delete(connection.to);
 				lastUsedAt.delete(connection.to);
@@ -104,7 +116,7 @@
 		}
 
 		metrics.count('peer_calls_total', {call: procedure});
-		lastUsedAt.set(to, clock.monotonic());
+		changeCallsInFlight(connection, 1);
 		updateConnectionGauge();
 		const timeoutController = new AbortController();
 		const cancelTimeout = clock.after(timeout, () => {
@@ -121,6 +133,7 @@
 			return recordFailure(connection, procedure, error instanceof Error ? error.message : 'failed');
 		} finally {
 			cancelTimeout();
+			changeCallsInFlight(connection, -1);
 		}
 	};
 
--- a/packages/peers/src/peers.test.ts
+++ b/packages/peers/src/peers.test.ts
@@ -84,6 +84,30 @@
 	await server.close();
 });
 
+// Guards against: a call that lasts longer than the idle timeout has its connection closed, and its outcome is unknown.
+test('a connection with a call in flight is not idle', async () => {
+	const server = await startPeerServer({
+		self: 'b',
+		address,
+		keys: ['k'],
+		handlers: {
+			...handlers,
+			async readConfiguration(...parameters: Parameters<typeof handlers.readConfiguration>) {
+				await clock.sleep(200);
+				return handlers.readConfiguration(...parameters);
+			},
+		},
+		clock,
+		metrics: createMetrics(),
+	});
+	const calls = createPeerCalls({
+		self: 'a', keys: ['k'], getAddress: () => address, clock, metrics: createMetrics(), timeout: 2000, idleTimeout: 30,
+	});
+	expect(await calls.readConfiguration('b', {after: 0})).toMatchObject({kind: 'answered'});
+	calls.close();
+	await server.close();
+});
+
 test('rejects credentials that are for another host, expired or forged', () => {
 	const credentials = createCredentials(['k'], 'a', 'b', 1_000_000);
 	expect(areValidCredentials(['k'], credentials, 'b', 1_000_000)).toBe(true);
