Let a quiet watch confirm no view of the fleet

Found in reading the diff: two notions of a fresh view stood side by side, and the one that decides on versions took a contact with the store of up to 3 s ago for a confirmation. A host that was just cut off from the store and all other hosts believed its upstreams' versions for that long. There is one notion now: confirmed within 200 ms by the store or 600 ms by another host, no host ahead, not just suspended. view-freshness.test has the case (200 to 700 ms), which the code before answered with current up to 3 s.

Hosts of tests now hear another host; forward.test sets that off where it counts the reads before a 404, so that it checks what it did.

--- a/packages/forwarder/src/attempt-record.ts
+++ b/packages/forwarder/src/attempt-record.ts
@@ -74,6 +74,11 @@
 	if (isVersionCertain(upstream, context)) {
 		recordVersion(attempt);
 	} else if (remainingChecks > 0) {
+		// A view that is behind for some milliseconds catches up by itself.
+		if (remainingChecks < maxCertaintyChecks) {
+			void context.freshness.refreshIfStale();
+		}
+
 		context.clock.after(certaintyCheckInterval, () => {
 			recordVersionOnceCertain(attempt, remainingChecks - 1);
 		});
--- a/packages/forwarder/src/forward.test.ts
+++ b/packages/forwarder/src/forward.test.ts
@@ -206,6 +206,7 @@
 		return undefined;
 	});
 	onTestFinished(host.close);
+	host.context.reportExchange.getShortestSilence = () => Number.POSITIVE_INFINITY;
 	expect(await sendRequest(host.port, {path: '/nowhere/1'})).toMatchObject({status: 404});
 	expect(refreshes).toBe(1);
 });
--- a/packages/forwarder/src/resumption.test.ts
+++ b/packages/forwarder/src/resumption.test.ts
@@ -24,14 +24,14 @@
 	/** Version of an upstream that was listed until time 1. */
 	removed?: string;
 	now?: number;
-	isConfirmed?: boolean;
+	isCurrent?: boolean;
 	/** What other hosts answer. */
 	told?: StreamOrigin;
 };
 
 /** Creates the resolver of a host, and its memory of streams. */
 const createHost = ({
-	listed = ['v1'], removed, now = maxAge, isConfirmed = true, told,
+	listed = ['v1'], removed, now = maxAge, isCurrent = true, told,
 }: HostState = {}) => {
 	const streamOrigins = createStreamOrigins();
 	const versions = createVersionHistory(60_000);
@@ -46,7 +46,7 @@
 	}
 
 	const freshness: ForwarderContext['freshness'] = {
-		isConfirmed: () => isConfirmed, isCurrent: () => isConfirmed, ensureCurrent: async () => isConfirmed, refreshIfStale: async () => undefined,
+		isCurrent: () => isCurrent, ensureCurrent: async () => isCurrent, refreshIfStale: async () => undefined,
 	};
 	const context: Partial<ForwarderContext> = {
 		freshness, clock: createManualClock(now), logger: createLogger('info', () => undefined), metrics: createMetrics(), streamOrigins, versions, askForStreamOrigin: async () => told,
@@ -93,7 +93,7 @@
 test('an unknown stream is refused if another version may have begun it', async () => {
 	expect(await createHost({listed: ['v1', 'v2']}).resolve(getHead(), route)).toEqual(unknown);
 	expect(await createHost({now: maxAge - 1}).resolve(getHead(), route)).toEqual(unknown);
-	expect(await createHost({isConfirmed: false}).resolve(getHead(), route)).toEqual(unknown);
+	expect(await createHost({isCurrent: false}).resolve(getHead(), route)).toEqual(unknown);
 	expect(await createHost({removed: 'v2'}).resolve(getHead(), route)).toEqual(unknown);
 	const severalServices = buildRoute({...route, destinations: [{service: 's', weight: 1}, {service: 't', weight: 1}]});
 	expect(await createHost().resolve(getHead(), severalServices)).toEqual(unknown);
--- a/packages/forwarder/src/resumption.ts
+++ b/packages/forwarder/src/resumption.ts
@@ -35,12 +35,12 @@
 	return softwareVersion === undefined || others.length > 0 ? undefined : {service, softwareVersion};
 };
 
-/** Returns the origin of a stream as far as this host knows it; only a confirmed view of the fleet allows to infer one. */
+/** Returns the origin of a stream as far as this host knows it; only a current view of the fleet allows to infer one. */
 export const findStreamOrigin = (query: OriginQuery, context: ForwarderContext): StreamOrigin | undefined => {
 	const {clock, streamOrigins, freshness} = context;
 	const now = clock.monotonic();
 	const known = query.request === undefined ? undefined : streamOrigins.get(query.request, now);
-	return known ?? (freshness.isConfirmed() && freshness.isCurrent() ? inferOrigin(query, context, now) : undefined);
+	return known ?? (freshness.isCurrent() ? inferOrigin(query, context, now) : undefined);
 };
 
 /** Returns how the search for a stream's origin ended, as logged. */
--- a/packages/forwarder/src/stream-version.test.ts
+++ b/packages/forwarder/src/stream-version.test.ts
@@ -157,7 +157,7 @@
 		return {service: 's', softwareVersion: 'v1'};
 	};
 
-	host.context.freshness.isConfirmed = () => false;
+	host.context.freshness.isCurrent = () => false;
 	call.end();
 	await expect.poll(() => host.logLines.some(line => line.includes('event=call-broken request=a2 '))).toBe(true);
 	expect(counts).toEqual([0]);
--- a/packages/forwarder/src/testing.ts
+++ b/packages/forwarder/src/testing.ts
@@ -117,7 +117,7 @@
 	addClearedSuspect: () => undefined,
 	markStopping: () => undefined,
 	getNewestRevision: () => 0,
-	getShortestSilence: () => Number.POSITIVE_INFINITY,
+	getShortestSilence: () => 0,
 	getSilence: () => Number.POSITIVE_INFINITY,
 	sendChanges: () => undefined,
 	hasRelayFeed: () => false,
@@ -165,8 +165,6 @@
 	};
 
 	setEntries();
-	// The store has answered, but not just now.
-	view.recordContact(true, clock.monotonic() - 500);
 	const reportExchange = createReportExchange(loads);
 	const recordContact = async (): Promise<void> => {
 		view.recordContact(true, clock.monotonic());
--- a/packages/forwarder/src/view-freshness.test.ts
+++ b/packages/forwarder/src/view-freshness.test.ts
@@ -19,14 +19,17 @@
 	};
 };
 
-test('a view is current while the store has answered within a quiet watch, or another host confirms it', async () => {
+// Guards against: a host that has just been cut off from the store and from all other hosts takes what it last knew for what holds now.
+test('a view is current while the store has just answered, or another host has reported', async () => {
 	const {clock, reported, freshness} = createHost();
-	await clock.advance(2900);
+	await clock.advance(150);
 	expect(freshness.isCurrent()).toBe(true);
-	await clock.advance(200);
+	await clock.advance(100);
 	expect(freshness.isCurrent()).toBe(false);
-	reported.silence = 100;
+	reported.silence = 500;
 	expect(freshness.isCurrent()).toBe(true);
+	reported.silence = 700;
+	expect(freshness.isCurrent()).toBe(false);
 });
 
 test('a view that is behind that of another host isn\'t current', () => {
--- a/packages/forwarder/src/view-freshness.ts
+++ b/packages/forwarder/src/view-freshness.ts
@@ -4,13 +4,11 @@
 
 /** Tells whether this host's view of the fleet is the newest. */
 export type ViewFreshness = {
-	/** Whether the view was confirmed recently, by the key-value service or by other hosts that know of no newer revision. */
-	isConfirmed: () => boolean;
-	/** Whether what the view says of upstreams holds now: it was confirmed, and the process has not just been suspended. A quiet watch of the key-value service confirms it, too. */
+	/** Whether the view holds now: the key-value service or another host has just confirmed it, no host is known to be ahead, and the process has not just been suspended. */
 	isCurrent: () => boolean;
 	/** Reads the newest state if the view isn't current; resolves, within a bounded time, to whether it is. */
 	ensureCurrent: () => Promise<boolean>;
-	/** Reads the newest state unless the view was confirmed or read recently; resolves within a bounded time, successful or not. Concurrent calls share one read. */
+	/** Reads the newest state unless the view is current or was read recently; resolves within a bounded time, successful or not. Concurrent calls share one read. */
 	refreshIfStale: () => Promise<void>;
 };
 
@@ -21,8 +19,6 @@
 /** Age up to which a report of another host confirms the state. */
 const maxConfirmationAge: Milliseconds = 600;
 
-/** Age up to which a contact with the key-value service confirms the upstreams; longer than a quiet watch lasts. */
-const maxQuietAge: Milliseconds = 3000;
 /** Longest wait for a current view, and the interval at which it is checked. */
 const maxCurrentWait: Milliseconds = 800;
 const currentCheckInterval: Milliseconds = 50;
@@ -33,17 +29,13 @@
 	let pendingRefresh: Promise<void> | undefined;
 	let refreshedAt = Number.NEGATIVE_INFINITY;
 
-	const isConfirmedByHosts = (): boolean =>
-		reportExchange.getNewestRevision() <= view.getRevision() && reportExchange.getShortestSilence() < maxConfirmationAge;
+	const isAhead = (revision: number): boolean => revision > view.getRevision();
 
-	const hasStoreContact = (maxAge: Milliseconds): boolean => view.getTimeSinceStoreContact(clock.monotonic()) < maxAge;
-
-	const isConfirmed = (): boolean => isConfirmedByHosts() || hasStoreContact(maxFreshAge);
-
-	const isBehind = (): boolean => reportExchange.getNewestRevision() > view.getRevision();
+	const isConfirmed = (): boolean =>
+		reportExchange.getShortestSilence() < maxConfirmationAge || view.getTimeSinceStoreContact(clock.monotonic()) < maxFreshAge;
 
 	const isCurrent = (): boolean =>
-		!suspension.hasJustResumed() && !isBehind() && (isConfirmedByHosts() || hasStoreContact(maxQuietAge));
+		isConfirmed() && !isAhead(reportExchange.getNewestRevision()) && !suspension.hasJustResumed();
 
 	const startRefresh = async (): Promise<void> => {
 		pendingRefresh ??= (async () => {
@@ -55,7 +47,6 @@
 	};
 
 	return {
-		isConfirmed,
 		isCurrent,
 		async ensureCurrent() {
 			const deadline = clock.monotonic() + maxCurrentWait;
@@ -71,7 +62,7 @@
 			return isCurrent();
 		},
 		async refreshIfStale() {
-			if (!isConfirmed() && clock.monotonic() - refreshedAt >= maxFreshAge) {
+			if (!isCurrent() && clock.monotonic() - refreshedAt >= maxFreshAge) {
 				await startRefresh();
 			}
 		},
