Log why a stream is not resumed

Found in reading the diff: an answer that is cut because no upstream of its version is left had the lines of any other cut; the decision left no trace. It has a line and a counter now, for the three reasons, with a test of each.

--- a/packages/forwarder/src/forward.ts
+++ b/packages/forwarder/src/forward.ts
@@ -15,7 +15,8 @@
 import {writeErrorAnswer, type ErrorAnswer} from './error-answer.js';
 import type {ForwarderContext} from './context.js';
 import {getReceivedAnswer} from './received-answer.js';
-import {createRequestQueue} from './request-queue.js';
+import {createRequestQueue, type Assignment} from './request-queue.js';
+import {findResumeObstacle, reportResumeObstacle} from './resume-obstacle.js';
 
 /** Sends each call to upstreams until one answers or no further attempt is allowed. */
 export type Forwarder = {
@@ -153,13 +154,21 @@
 		}
 	};
 
-	/** Whether a stream of which the caller has events can be resumed: its version is known, and so are those of the upstreams. */
-	const canResume = async ({hasBegun, streamVersion}: Progress): Promise<boolean> => {
-		if (streamVersion === undefined) {
-			return !hasBegun;
+	/** Returns an upstream for the next attempt; undefined if there is none, if the call has ended, or if its stream can't be resumed. */
+	const getAssignment = async (call: Call, progress: Progress): Promise<Assignment | undefined> => {
+		const obstacle = await findResumeObstacle(progress, context);
+		if (obstacle !== undefined) {
+			reportResumeObstacle(call, progress, obstacle, context);
+			return undefined;
 		}
 
-		return context.freshness.ensureCurrent();
+		const assignment = await queue.enqueue(call, progress);
+		const {streamVersion, refusal, hasTimedOut, isCallerGone} = progress;
+		if (assignment === undefined && streamVersion !== undefined && refusal === undefined && !hasTimedOut && !isCallerGone) {
+			reportResumeObstacle(call, progress, 'no-upstream', context);
+		}
+
+		return assignment;
 	};
 
 	/** Makes attempts until the call has ended. */
@@ -175,12 +184,7 @@
 			}
 
 			// eslint-disable-next-line no-await-in-loop -- Upstreams are tried one at a time.
-			if (!await canResume(progress)) {
-				return endUnassigned(call, progress, lastOutcome);
-			}
-
-			// eslint-disable-next-line no-await-in-loop -- As above.
-			const assignment = await queue.enqueue(call, progress);
+			const assignment = await getAssignment(call, progress);
 			if (assignment === undefined) {
 				return endUnassigned(call, progress, lastOutcome);
 			}
--- /dev/null
+++ b/packages/forwarder/src/resume-obstacle.ts
@@ -0,0 +1,25 @@
+import type {Call, Progress} from './call.js';
+import type {ForwarderContext} from './context.js';
+
+/**
+ * Why a stream of which the caller has events can't be resumed:
+ * - `version-uncertain`: it isn't certain which software version began it
+ * - `view-not-current`: the versions of the upstreams aren't certain
+ * - `no-upstream`: no upstream of its version can take it
+ */
+export type ResumeObstacle = 'version-uncertain' | 'view-not-current' | 'no-upstream';
+
+/** Returns why a call's stream can't be resumed by any upstream; undefined if it can, or if its caller has no events. */
+export const findResumeObstacle = async ({hasBegun, streamVersion}: Progress, {freshness}: ForwarderContext): Promise<ResumeObstacle | undefined> => {
+	if (streamVersion === undefined) {
+		return hasBegun ? 'version-uncertain' : undefined;
+	}
+
+	return await freshness.ensureCurrent() ? undefined : 'view-not-current';
+};
+
+/** Logs why a call's stream isn't resumed, and counts it in the metrics. */
+export const reportResumeObstacle = ({head, route}: Call, {streamVersion}: Progress, reason: ResumeObstacle, {logger, metrics}: ForwarderContext): void => {
+	metrics.count('resumes_prevented_total', {route: route.name, reason});
+	logger.info('resume-prevented', {request: head.callerRequestId, software: streamVersion, reason});
+};
--- a/packages/forwarder/src/stream-version.test.ts
+++ b/packages/forwarder/src/stream-version.test.ts
@@ -162,3 +162,16 @@
 	await expect.poll(() => host.logLines.some(line => line.includes('event=call-broken request=a2 '))).toBe(true);
 	expect(counts).toEqual([0]);
 });
+
+test('why a stream is not resumed is logged', async () => {
+	const {host, upstreams} = await start(breakOff('v1'), finishStream('v2'));
+	host.setUpstreams(upstreams.slice(0, 1));
+	await sendRequest(host.port, {path: '/stream/1', headers: {attempt: 'a1'}});
+	expect(host.logLines.join('\n')).toContain('event=resume-prevented request=a1 software=v1 reason=no-upstream');
+	host.context.freshness.ensureCurrent = async () => false;
+	await sendRequest(host.port, {path: '/stream/1', headers: {attempt: 'a2'}});
+	expect(host.logLines.join('\n')).toContain('event=resume-prevented request=a2 software=v1 reason=view-not-current');
+	host.context.freshness.isCurrent = () => false;
+	await sendRequest(host.port, {path: '/stream/1', headers: {attempt: 'a3'}});
+	expect(host.logLines.join('\n')).toContain('event=resume-prevented request=a3 reason=version-uncertain');
+});
