Name all streams to the other hosts, and bound those that wait

Found in reading the diff: of more than 400 streams that began between two reports of a host the rest was never named, and nothing said so.

--- /dev/null
+++ b/packages/discovery/src/pending-changes.test.ts
@@ -0,0 +1,35 @@
+import type {StartedStream} from '@gentianlift/routing';
+import {expect, test} from 'vitest';
+import {createPendingChanges} from './pending-changes.js';
+
+const buildStream = (number: number): StartedStream => ({request: `a${number}`, service: 's', softwareVersion: 'v1'});
+
+// Guards against: streams beyond those that fit into one report are never named.
+test('streams that do not fit into a report are named by the next one', () => {
+	const pending = createPendingChanges();
+	for (let number = 0; number < 500; number++) {
+		pending.addStream(buildStream(number));
+	}
+
+	expect(pending.getChanges([], false).streams.map(({request}) => request)).toEqual(Array.from({length: 400}, (_, number) => `a${number}`));
+	pending.markReported(false);
+	expect(pending.getChanges([], false).streams.map(({request}) => request)).toEqual(Array.from({length: 100}, (_, index) => `a${400 + index}`));
+	pending.markReported(false);
+	expect(pending.getChanges([], false).streams).toEqual([]);
+	expect(pending.getChanges([], true).streams).toHaveLength(400);
+});
+
+test('the number of streams that wait for a report is bounded', () => {
+	const pending = createPendingChanges();
+	for (let number = 0; number < 5000; number++) {
+		pending.addStream(buildStream(number));
+	}
+
+	let reported = 0;
+	for (let {streams} = pending.getChanges([], false); streams.length > 0; streams = pending.getChanges([], false).streams) {
+		reported += streams.length;
+		pending.markReported(false);
+	}
+
+	expect(reported).toBe(4000);
+});
--- a/packages/discovery/src/pending-changes.ts
+++ b/packages/discovery/src/pending-changes.ts
@@ -25,6 +25,8 @@
 const crashRepeats = 6;
 /** Maximum number of streams in one report, which bounds its datagram. */
 const maxReportedStreams = 400;
+/** Maximum number of streams that wait for a report; beyond it the oldest are dropped, and their callers' other hosts have to ask. */
+const maxPendingStreams = 4000;
 
 /** Creates an empty list of changes. */
 export const createPendingChanges = (): PendingChanges => {
@@ -59,6 +61,7 @@
 		},
 		addStream(stream) {
 			newStreams.push(stream);
+			newStreams = newStreams.slice(-maxPendingStreams);
 		},
 		addCrash(crash) {
 			crashes.push({crash, remainingReports: crashRepeats});
@@ -76,8 +79,8 @@
 		}),
 		markReported(isFull) {
 			changedUpstreams.clear();
-			repeatedStreams = [...(isFull ? [] : repeatedStreams), ...newStreams].slice(-maxReportedStreams);
-			newStreams = [];
+			repeatedStreams = [...(isFull ? [] : repeatedStreams), ...newStreams.slice(0, maxReportedStreams)].slice(-maxReportedStreams);
+			newStreams = newStreams.slice(maxReportedStreams);
 			prefills = [];
 			cleared = [];
 			crashes = crashes.map(({crash, remainingReports}) => ({crash, remainingReports: remainingReports - 1})).filter(({remainingReports}) => remainingReports > 0);
