Close the clients of hosts that are gone

Memory without a bound: a client with its connections was kept for each address that a host ever had asked, for views before and for streams now. A call drops those of addresses that are no longer in use. The test failed before (the connection stayed open).

--- a/packages/discovery/src/peer-clients.ts
+++ b/packages/discovery/src/peer-clients.ts
@@ -3,13 +3,27 @@
 import type {Address, Milliseconds} from '@gentianlift/types';
 
 /** Clients of other hosts, one connection pool for each address. */
-export type PeerClients = {get: (address: Address) => JsonClient};
+export type PeerClients = {
+	/** Returns the client of an address; clients of addresses that are no longer in use are closed. */
+	get: (address: Address, inUse: readonly Address[]) => JsonClient;
+};
 
 /** Creates clients whose calls have a timeout. */
 export const createPeerClients = (clock: Clock, timeout: Milliseconds): PeerClients => {
 	const clients = new Map<Address, JsonClient>();
+
+	const closeUnused = (inUse: readonly Address[]): void => {
+		for (const [address, client] of clients) {
+			if (!inUse.includes(address)) {
+				client.close();
+				clients.delete(address);
+			}
+		}
+	};
+
 	return {
-		get(address) {
+		get(address, inUse) {
+			closeUnused(inUse);
 			const known = clients.get(address);
 			if (known !== undefined) {
 				return known;
--- a/packages/discovery/src/peer-views.ts
+++ b/packages/discovery/src/peer-views.ts
@@ -35,12 +35,13 @@
 	const clients = createPeerClients(clock, timeout);
 	return {
 		async fetchNewer(revision) {
-			const address = random.pick(getAddresses());
+			const addresses = getAddresses();
+			const address = random.pick(addresses);
 			if (address === undefined) {
 				return undefined;
 			}
 
-			const outcome = await clients.get(address).call({method: 'GET', path: `${viewPath}?after=${revision}`});
+			const outcome = await clients.get(address, addresses).call({method: 'GET', path: `${viewPath}?after=${revision}`});
 			return outcome.kind === 'answered' && isSnapshot(outcome.body) ? outcome.body : undefined;
 		},
 	};
--- a/packages/discovery/src/stream-origin-calls.test.ts
+++ b/packages/discovery/src/stream-origin-calls.test.ts
@@ -1,3 +1,4 @@
+import type {Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {createRandom, createSystemClock} from '@gentianlift/clock';
 import type {StreamOrigin} from '@gentianlift/routing';
@@ -10,7 +11,7 @@
 const query = {request: 'a1', services: ['s', 't'], maxAge: 10_000};
 
 /** Starts the server of a host that answers with the origin, if it has one; returns its address and what it was asked. */
-const startPeer = async (known?: StreamOrigin): Promise<{address: string; asked: OriginQuery[]}> => {
+const startPeer = async (known?: StreamOrigin): Promise<{address: string; asked: OriginQuery[]; server: Server}> => {
 	const asked: OriginQuery[] = [];
 	const server = createPeerServer({
 		view: {getRevision: () => 0} as unknown as FleetView,
@@ -26,7 +27,7 @@
 		server.close();
 		server.closeAllConnections();
 	});
-	return {address: `127.0.0.1:${(server.address() as AddressInfo).port}`, asked};
+	return {address: `127.0.0.1:${(server.address() as AddressInfo).port}`, asked, server};
 };
 
 const createClient = (addresses: string[]) => createStreamOriginClient({getAddresses: () => addresses, clock: createSystemClock(), random: createRandom(1)});
@@ -44,3 +45,20 @@
 	expect(await createClient([peer.address]).find({request: undefined, services: ['s'], maxAge: 10_000})).toBeUndefined();
 	expect(peer.asked.at(-1)).toEqual({request: undefined, services: ['s'], maxAge: 10_000});
 });
+
+// Guards against: the clients of hosts that were replaced are kept for as long as the process runs.
+test('connections to a host that is gone are closed', async () => {
+	const [gone, remaining] = await Promise.all([startPeer(), startPeer()]);
+	const addresses = [gone.address, remaining.address];
+	const client = createStreamOriginClient({getAddresses: () => addresses, clock: createSystemClock(), random: createRandom(1)});
+	const countConnections = async (): Promise<number> => new Promise(resolve => {
+		gone.server.getConnections((_error, count) => {
+			resolve(count);
+		});
+	});
+	await client.find(query);
+	expect(await countConnections()).toBe(1);
+	addresses.shift();
+	await client.find(query);
+	await expect.poll(countConnections).toBe(0);
+});
--- a/packages/discovery/src/stream-origin-calls.ts
+++ b/packages/discovery/src/stream-origin-calls.ts
@@ -1,4 +1,5 @@
 import type {Clock, Random} from '@gentianlift/clock';
+import type {JsonClient} from '@gentianlift/platform';
 import type {StreamOrigin} from '@gentianlift/routing';
 import type {Address, Milliseconds} from '@gentianlift/types';
 import {createPeerClients} from './peer-clients.js';
@@ -68,8 +69,8 @@
 export const createStreamOriginClient = ({getAddresses, clock, random}: StreamOriginClientOptions): StreamOriginClient => {
 	const clients = createPeerClients(clock, timeout);
 
-	const ask = async (address: Address, query: OriginQuery): Promise<StreamOrigin> => {
-		const outcome = await clients.get(address).call({method: 'GET', path: `${streamOriginPath}?${encodeQuery(query)}`});
+	const ask = async (client: JsonClient, query: OriginQuery): Promise<StreamOrigin> => {
+		const outcome = await client.call({method: 'GET', path: `${streamOriginPath}?${encodeQuery(query)}`});
 		if (outcome.kind === 'answered' && isStreamOrigin(outcome.body)) {
 			return outcome.body;
 		}
@@ -80,7 +81,8 @@
 	return {
 		async find(query) {
 			try {
-				return await Promise.any(pickAddresses(getAddresses(), random).map(async address => ask(address, query)));
+				const addresses = getAddresses();
+				return await Promise.any(pickAddresses(addresses, random).map(async address => ask(clients.get(address, addresses), query)));
 			} catch {
 				// None of the hosts knows the origin.
 				return undefined;
