Give the end of a body one name, and the tests of reports one exchange

Progress had it as the end of an answer, its type as that of a body. The two starts of a load report exchange in report-arrival.test were the same lines.

--- a/packages/discovery/src/report-arrival.test.ts
+++ b/packages/discovery/src/report-arrival.test.ts
@@ -5,7 +5,9 @@
 import {createCrashSuspects, type StartedStream} from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
 import {expect, onTestFinished, test} from 'vitest';
-import {exchangeReports, type ReportArrival} from './exchange-reports.js';
+import {
+	exchangeReports, type LoadReportExchange, type ReportArrival, type ReportExchangeOptions,
+} from './exchange-reports.js';
 import type {HostRecord} from './host-record.js';
 import type {LoadReport} from './load-report.js';
 import {createLoadTracker} from './load-tracker.js';
@@ -21,10 +23,8 @@
 	host: 'own', incarnation: 1, zone: 'a', callers: `${loopback}:1`, peers: `${loopback}:2`, notes: `${loopback}:${port}`, strength: 1, isStopping: false,
 };
 
-/** Starts a host that receives load reports, and returns the lists of their arrivals and of the streams that they name. */
-const startReceiver = (): {arrivals: ReportArrival[]; streams: StartedStream[]} => {
-	const arrivals: ReportArrival[] = [];
-	const streams: StartedStream[] = [];
+/** Starts the exchange of a host that knows the other hosts. */
+const startExchange = (changes: Partial<ReportExchangeOptions>): LoadReportExchange => {
 	const exchange = exchangeReports({
 		own,
 		getOthers: () => [],
@@ -36,15 +36,26 @@
 		isStoreReached: () => false,
 		onPrefill: () => undefined,
 		onLoad: () => undefined,
+		onStream: () => undefined,
+		onChanges: () => undefined,
+		...changes,
+	});
+	onTestFinished(exchange.close);
+	return exchange;
+};
+
+/** Starts a host that receives load reports, and returns the lists of their arrivals and of the streams that they name. */
+const startReceiver = (): {arrivals: ReportArrival[]; streams: StartedStream[]} => {
+	const arrivals: ReportArrival[] = [];
+	const streams: StartedStream[] = [];
+	startExchange({
 		onReport(arrival) {
 			arrivals.push(arrival);
 		},
 		onStream(stream) {
 			streams.push(stream);
 		},
-		onChanges: () => undefined,
 	});
-	onTestFinished(exchange.close);
 	return {arrivals, streams};
 };
 
@@ -116,22 +127,12 @@
 		receiver.bind(port + 1, loopback, resolve);
 	});
 	const clock = createManualClock(currentTime);
-	const exchange = exchangeReports({
+	const exchange = startExchange({
 		own: {...own, notes: `${loopback}:${port + 2}`},
 		getOthers: () => [{...own, host: 'other', notes: `${loopback}:${port + 1}`}],
 		clock,
-		logger: createSilentLogger(),
-		loads: createLoadTracker(),
-		suspects: createCrashSuspects(),
-		getRevision: () => 1,
-		isStoreReached: () => false,
-		onPrefill: () => undefined,
-		onLoad: () => undefined,
-		onStream: () => undefined,
-		onChanges: () => undefined,
 	});
 	onTestFinished(() => {
-		exchange.close();
 		receiver.close();
 	});
 	exchange.addStream({request: 'a1', service: 's', softwareVersion: 'v1'});
--- a/packages/forwarder/src/attempt.ts
+++ b/packages/forwarder/src/attempt.ts
@@ -122,7 +122,7 @@
 		rereadTokens: candidate.rereadTokens,
 	};
 	progress.connectionWait = undefined;
-	progress.answerEnd = undefined;
+	progress.bodyEnd = undefined;
 	const activity = context.tracker.trackRequest(upstream);
 	const attempt: Attempt = {
 		call, progress, upstream, context, load, activity, startedAt: context.clock.monotonic(), sentAt: undefined,
--- a/packages/forwarder/src/call-end.ts
+++ b/packages/forwarder/src/call-end.ts
@@ -42,8 +42,8 @@
 	const duration = clock.monotonic() - call.arrivedAt;
 	metrics.count('calls_total', {route: call.route.name, outcome: end.outcome});
 	metrics.record('call_duration', duration, {route: call.route.name});
-	if (progress.answerEnd !== undefined) {
-		const {framing, ending} = progress.answerEnd;
+	if (progress.bodyEnd !== undefined) {
+		const {framing, ending} = progress.bodyEnd;
 		metrics.count('answers_total', {
 			route: call.route.name, framing, ending, outcome: end.outcome,
 		});
@@ -63,9 +63,9 @@
 		resumes: call.head.resumedRequestId,
 		after: call.head.lastEventId,
 		software: progress.streamVersion,
-		framing: progress.answerEnd?.framing,
-		ending: progress.answerEnd?.ending,
-		partialBytes: getPartialBytes(progress.answerEnd),
+		framing: progress.bodyEnd?.framing,
+		ending: progress.bodyEnd?.ending,
+		partialBytes: getPartialBytes(progress.bodyEnd),
 		sends: progress.attempts,
 		outcome: end.outcome,
 		reason: end.reason,
--- a/packages/forwarder/src/call.ts
+++ b/packages/forwarder/src/call.ts
@@ -78,7 +78,7 @@
 	/** Longest time between chunks of a stream. */
 	maxChunkGap: Milliseconds;
 	/** How the last answer ended; undefined without one, or while it is being received. */
-	answerEnd: BodyEnd | undefined;
+	bodyEnd: BodyEnd | undefined;
 	/** Cancels the queueing or the attempt in progress. */
 	cancel: (() => void) | undefined;
 };
@@ -123,6 +123,6 @@
 	firstBytesAt: undefined,
 	lastBytesAt: undefined,
 	maxChunkGap: 0,
-	answerEnd: undefined,
+	bodyEnd: undefined,
 	cancel: undefined,
 });
--- a/packages/forwarder/src/deliver-buffered.ts
+++ b/packages/forwarder/src/deliver-buffered.ts
@@ -20,7 +20,7 @@
 		return {kind: 'failed', reason: body.kind};
 	}
 
-	progress.answerEnd = body.end;
+	progress.bodyEnd = body.end;
 	if (body.kind === 'broken') {
 		return {kind: 'failed', reason: body.reason};
 	}
--- a/packages/forwarder/src/deliver.ts
+++ b/packages/forwarder/src/deliver.ts
@@ -121,7 +121,7 @@
 	};
 
 	const {end, error} = await receiveBody(answer, {read, getContent: splitter.getContent});
-	progress.answerEnd = end;
+	progress.bodyEnd = end;
 	if (isEventMissing) {
 		return {kind: 'broken', reason: 'event-missing'};
 	}
