--- a/packages/discovery/src/stream-origin-calls.test.ts
+++ b/packages/discovery/src/stream-origin-calls.test.ts
@@ -49,6 +49,8 @@
 // Guards against: the clients of hosts that were replaced are kept for as long as the process runs.
 test('connections to a host that is gone are closed', async () => {
 	const [gone, remaining] = await Promise.all([startPeer(), startPeer()]);
+	// The server itself closes no idle connection.
+	gone.server.keepAliveTimeout = 0;
 	const addresses = [gone.address, remaining.address];
 	const client = createStreamOriginClient({getAddresses: () => addresses, clock: createSystemClock(), random: createRandom(1)});
 	const countConnections = async (): Promise<number> => new Promise(resolve => {
