--- a/packages/forwarder/src/stream-version.test.ts
+++ b/packages/forwarder/src/stream-version.test.ts
@@ -1,4 +1,5 @@
 import {request} from 'node:http';
+import type {StartedStream} from '@gentianlift/routing';
 import {expect, onTestFinished, test} from 'vitest';
 import {
 	createHostStarter, resetConnection, sum, upstreamMark, type StubUpstream,
@@ -175,3 +176,45 @@
 	await sendRequest(host.port, {path: '/stream/1', headers: {attempt: 'a3'}});
 	expect(host.logLines.join('\n')).toContain('event=resume-prevented request=a3 reason=version-uncertain');
 });
+
+test('a stream that begins is told to the other hosts, one that may not be resumed or is resumed is not', async () => {
+	const {host} = await start(finishStream('v1'));
+	const told: StartedStream[] = [];
+	host.context.reportExchange.addStream = stream => {
+		told.push(stream);
+	};
+
+	await sendRequest(host.port, {path: '/stream/1', headers: {attempt: 'a1'}});
+	await sendRequest(host.port, {path: '/once/1', headers: {attempt: 'a2'}});
+	await takeUp(host, 'a3', 'a1');
+	expect(told).toEqual([{request: 'a1', service: 's', softwareVersion: 'v1'}]);
+});
+
+// Guards against: a stream gets the version of an upstream that was replaced between the choice and the first event.
+test('a stream whose upstream is no longer listed when it begins has no certain version', async () => {
+	const {host, upstreams} = await start({
+		softwareVersion: 'v1',
+		answer(_request, response) {
+			response.writeHead(200, stream);
+			response.flushHeaders();
+			setTimeout(() => {
+				host.setUpstreams(upstreams.map(upstream => ({...upstream, startedAt: 2, softwareVersion: 'v2'})));
+				response.end(getEvents('v2', 1, 4));
+			}, 20);
+		},
+	});
+	await sendRequest(host.port, {path: '/stream/1', headers: {attempt: 'a1'}});
+	expect(host.context.streamOrigins.get('a1', host.context.clock.monotonic())).toBeUndefined();
+	await host.context.clock.sleep(1200);
+	expect(host.context.streamOrigins.get('a1', host.context.clock.monotonic())).toBeUndefined();
+});
+
+// Guards against: a resumed stream is sent to another service of its route.
+test('a stream is resumed at the service that began it', async () => {
+	const {host, counts} = await start(finishStream('v1'));
+	host.context.random.next = () => 0.9;
+	host.context.streamOrigins.add({request: 'a1', service: 's', softwareVersion: 'v1'}, host.context.clock.monotonic());
+	expect(await sendRequest(host.port, {path: '/split/1', headers: {attempt: 'a2', 'last-event': '2', resumes: 'a1'}})).toMatchObject({status: 200});
+	expect(counts).toEqual([1]);
+	expect(await sendRequest(host.port, {path: '/split/1', headers: {attempt: 'a3'}})).toMatchObject({status: 503});
+});
--- a/packages/forwarder/src/test-deployment.ts
+++ b/packages/forwarder/src/test-deployment.ts
@@ -3,7 +3,7 @@
 import {buildConfiguration, buildRoute} from '@gentianlift/routing/testing';
 import {startTestHost, startUpstream, type TestHost} from './testing.js';
 
-/** Configuration with one route of each kind and one of a lower rank, all to one service. */
+/** Configuration with one route of each kind and one of a lower rank to one service, and one whose streams go to that or to another, which has no upstreams. */
 export const configuration = buildConfiguration({
 	routes: [
 		buildRoute({name: 'read', pathPrefix: '/read/', timeout: 1500}),
@@ -16,6 +16,9 @@
 		buildRoute({
 			name: 'once', pathPrefix: '/once/', kind: 'streaming', timeout: 1500,
 		}),
+		buildRoute({
+			name: 'split', pathPrefix: '/split/', kind: 'streaming', isResumable: true, timeout: 5000, destinations: [{service: 's', weight: 1}, {service: 'without-upstreams', weight: 1}],
+		}),
 		buildRoute({
 			name: 'background', pathPrefix: '/background/', kind: 'streaming', rank: 2, timeout: 20_000,
 		}),
--- a/packages/forwarder/src/unframed-answer.test.ts
+++ b/packages/forwarder/src/unframed-answer.test.ts
@@ -1,4 +1,5 @@
-import {connect} from 'node:net';
+import {connect, createServer, type AddressInfo} from 'node:net';
+import {buildUpstream} from '@gentianlift/routing/testing';
 import {expect, onTestFinished, test} from 'vitest';
 import {createHostStarter} from './test-deployment.js';
 import {sendRequest} from './testing.js';
@@ -105,3 +106,21 @@
 	});
 	expect(await sendRequest(host.port, {path: '/stream/1', headers: {attempt: 'a1'}})).toMatchObject({body: events, isComplete: false});
 });
+
+// Guards against: an upstream that crashes in a stream without length or chunks isn't found out, so that its request crashes others, too.
+test('an upstream that is gone after it broke off a stream without length or chunks has crashed', async () => {
+	const server = createServer(socket => {
+		socket.on('error', () => undefined);
+		socket.once('data', () => {
+			server.close();
+			socket.end(`HTTP/1.1 200 OK\r\nSigned: 1\r\nContent-Type: text/event-stream\r\n\r\n${events}${partialEvent}`);
+		});
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const {host} = await start();
+	host.setUpstreams([buildUpstream({address: `127.0.0.1:${(server.address() as AddressInfo).port}`})]);
+	await sendRequest(host.port, {path: '/once/1', headers: {attempt: 'a1'}});
+	await expect.poll(() => host.logLines.some(line => line.includes('event=upstream-crashed request=a1 '))).toBe(true);
+});
