--- a/packages/forwarder/src/attempt.ts
+++ b/packages/forwarder/src/attempt.ts
@@ -158,7 +158,7 @@
 	}
 
 	if (!isAbandoned && isConnectionLoss(attemptOutcome)) {
-		void reportCrash(call, upstream, context);
+		void reportCrash(call, progress, upstream, context);
 	}
 
 	return attemptOutcome;
