--- a/packages/forwarder/src/testing.ts
+++ b/packages/forwarder/src/testing.ts
@@ -42,11 +42,12 @@
 	return index === -1 ? undefined : headers[index + 1];
 };
 
-const buildPrompt = (tokens: number): Prompt => ({
-	model: 'm', parts: [{id: 'p', tokens}], inputTokens: tokens, outputTokens: 10,
+/** Builds a prompt of some tokens, of one part or of those that are named. */
+const buildPrompt = (tokens: number, parts = 'p'): Prompt => ({
+	model: 'm', parts: parts.split(',').map(id => ({id, tokens})), inputTokens: tokens, outputTokens: 10,
 });
 
-/** Minimal protocol with the headers `attempt`, `instance`, `key`, `timeout`, `last-event`, `prompt-tokens`, `not-run` and `signed`. */
+/** Minimal protocol with the headers `attempt`, `instance`, `key`, `timeout`, `last-event`, `prompt-tokens`, `parts`, `not-run` and `signed`. */
 const protocol: Protocol = {
 	readCallerHead(headers) {
 		const timeout = getValue(headers, 'timeout');
@@ -57,7 +58,7 @@
 			hostname: 'a.example',
 			key: getValue(headers, 'key'),
 			clientTimeout: timeout === undefined ? undefined : Number(timeout),
-			prompt: promptTokens === undefined ? undefined : buildPrompt(Number(promptTokens)),
+			prompt: promptTokens === undefined ? undefined : buildPrompt(Number(promptTokens), getValue(headers, 'parts')),
 			lastEventId: lastEvent === undefined ? undefined : Number(lastEvent),
 			resumedRequestId: getValue(headers, 'resumes'),
 			declaresBody: getValue(headers, 'content-length') !== undefined,
@@ -73,6 +74,8 @@
 		upstream.id,
 		'Timeout',
 		String(remainingTime),
+		'Parts',
+		caller.prompt?.parts.map(({id}) => id).join(',') ?? '',
 		...(resumeAfter === undefined ? [] : ['Last-Event', String(resumeAfter)]),
 		'Content-Length',
 		String(bodyLength),
