Don't say that a request has not run when it is blocked before a retry

Found while the check of suspects was moved: a request that had been sent once, lost its connection and was then blocked got 500 with ran=not-run, though it may have run.

--- a/packages/forwarder/src/crashing-parts.test.ts
+++ b/packages/forwarder/src/crashing-parts.test.ts
@@ -1,7 +1,9 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect, onTestFinished, test} from 'vitest';
 import {getPartSuspect} from '@gentianlift/routing';
-import {createHostStarter, sum} from './test-deployment.js';
+import {
+	createHostStarter, resetConnection, sum, type AnswerHandler,
+} from './test-deployment.js';
 import {requestParts, startCrashingEngines, type CrashingEngines} from './testing-crashes.js';
 import {waitForEnd} from './testing.js';
 
@@ -111,3 +113,20 @@
 	expect(sum(counts)).toBe(1);
 	expect(await requestParts(deployment, 'cleared', ['p', 'own'])).toMatchObject({status: 200});
 });
+
+// Guards against: the answer to a request that may have run says that it has not, as its part was blocked before it was sent again.
+test('a request that may have run is not said to have not run when it is blocked before a retry', async () => {
+	const blockAndReset: AnswerHandler = (request, response) => {
+		for (const [index, crashed] of ['a@1', 'b@1'].entries()) {
+			deployment.host.context.suspects.addCrash({suspect: getPartSuspect('bad'), upstream: crashed, age: 1000 * (1 - index)}, performance.now());
+		}
+
+		resetConnection(request, response);
+	};
+
+	const deployment = await start(blockAndReset, blockAndReset);
+	const {status, body} = await requestParts(deployment, 'a', ['bad', 'own'], '/read/1');
+	expect(status).toBe(502);
+	expect(JSON.parse(body)).toMatchObject({error: {ran: 'unknown'}});
+	expect(sum(deployment.counts)).toBe(1);
+});
--- a/packages/forwarder/src/forward.ts
+++ b/packages/forwarder/src/forward.ts
@@ -31,6 +31,9 @@
 /** Retry-After of answers to requests that no upstream could take. */
 const retryAfterDelay: Milliseconds = 500;
 
+/** Error for a request without further attempts that may have executed. */
+const maybeExecuted: ErrorAnswer = {kind: 'upstream-reset', ran: 'unknown'};
+
 /** Creates a forwarder. */
 export const createForwarder = (context: ForwarderContext): Forwarder => {
 	const {clock, logger, metrics} = context;
@@ -65,7 +68,7 @@
 
 	/** Returns the error for a call without further attempts; after an attempt that may have executed the request, the answer must not say that it did not run. */
 	const getFinalError = (progress: Progress, kind: ErrorKind): ErrorAnswer =>
-		progress.possibleExecutions > 0 ? {kind: 'upstream-reset', ran: 'unknown'} : {kind, retryAfter: retryAfterDelay};
+		progress.possibleExecutions > 0 ? maybeExecuted : {kind, retryAfter: retryAfterDelay};
 
 	/** Ends a call without further attempts, with the last upstream's own error answer if there is one. */
 	const giveUp = (call: Call, progress: Progress, lastOutcome: ForwardOutcome | undefined): CallEnd => {
@@ -150,7 +153,7 @@
 		logger.info('call-blocked', {
 			request: call.head.callerRequestId, suspect, upstreams: context.suspects.getCrashes(suspect, clock.monotonic()).map(({upstream, age}) => `${upstream}:${Math.round(age)}`).join(','),
 		});
-		return answerWithError(call, {kind});
+		return answerWithError(call, progress.possibleExecutions > 0 ? maybeExecuted : {kind});
 	};
 
 	/** Returns an upstream for the next attempt; undefined if there is none, if the call has ended, or if its stream can't be resumed. */
