Don't retry a request on another engine after a crash that it may have caused

A repeat of a request that has just crashed its engine crashes another one: its test saw four engines crash for two requests, now two.

--- a/packages/forwarder/src/crash-blame.ts
+++ b/packages/forwarder/src/crash-blame.ts
@@ -1,3 +1,4 @@
+import {getMeanReportDelay} from '@gentianlift/discovery';
 import {getPartSuspect, type SuspectId} from '@gentianlift/routing';
 import {getFingerprint, type Call, type Progress} from './call.js';
 import type {ForwarderContext} from './context.js';
@@ -59,3 +60,18 @@
 
 	return undefined;
 };
+
+/** Number of mean report delays in which the other hosts hear of a crash, and tell what speaks for its suspects. */
+const reportDelaysOfExchange = 3;
+
+/** Whether a retry of a call may crash another upstream: the last one has crashed, and no host has lately seen a request with one of the call's parts end well. */
+export const mayCrashAgain = async (call: Call, {hasCrashed}: Progress, {suspects, clock, countHosts}: ForwarderContext): Promise<boolean> => {
+	const isUnproven = (suspect: SuspectId): boolean => suspects.findGoodEnd(suspect, clock.monotonic()) === undefined;
+	const parts = getPartSuspects(call);
+	if (!parts.some(suspect => isUnproven(suspect)) || !await hasCrashed) {
+		return false;
+	}
+
+	await clock.sleep(reportDelaysOfExchange * getMeanReportDelay(countHosts()));
+	return parts.some(suspect => isUnproven(suspect));
+};
--- a/packages/forwarder/src/crashing-parts.test.ts
+++ b/packages/forwarder/src/crashing-parts.test.ts
@@ -130,3 +130,25 @@
 	expect(JSON.parse(body)).toMatchObject({error: {ran: 'unknown'}});
 	expect(sum(deployment.counts)).toBe(1);
 });
+
+// Guards against: a retry of the request that has crashed its engine crashes another one.
+test('a request whose upstream has crashed is not retried while nothing speaks for one of its parts', async () => {
+	const deployment = await startCrashingEngines(start, {engines: 4, crashingParts});
+	for (const path of ['/read/1', '/stream/1']) {
+		// eslint-disable-next-line no-await-in-loop -- One request at a time.
+		expect(await requestParts(deployment, `a${path}`, ['first', 'bad', 'own'], path)).toMatchObject({status: 502});
+	}
+
+	expect(deployment.countCrashes()).toBe(2);
+});
+
+test('a request whose upstream has crashed is retried if all of its parts have ended well lately', async () => {
+	const deployment = await startCrashingEngines(start, {engines: 4, crashingParts});
+	const {host: {context: {suspects, clock}}} = deployment;
+	for (const part of ['first', 'bad']) {
+		suspects.addGoodEnd({suspect: getPartSuspect(part), age: 0}, clock.monotonic());
+	}
+
+	await requestParts(deployment, 'a', ['first', 'bad', 'own'], '/read/1');
+	expect(deployment.countCrashes()).toBe(2);
+});
--- a/packages/forwarder/src/forward.ts
+++ b/packages/forwarder/src/forward.ts
@@ -10,7 +10,7 @@
 import type {ForwardOutcome} from './forward-outcome.js';
 import {createProgress, type Call, type Progress} from './call.js';
 import {writeBufferedAnswer} from './deliver-buffered.js';
-import {findBlockingSuspect, findObstacleToAttempt} from './crash-blame.js';
+import {findBlockingSuspect, findObstacleToAttempt, mayCrashAgain} from './crash-blame.js';
 import {recordGoodEnd} from './good-end.js';
 import {writeErrorAnswer, type ErrorAnswer} from './error-answer.js';
 import type {ForwarderContext} from './context.js';
@@ -117,7 +117,7 @@
 	};
 
 	/** Decides whether to try another upstream; while no attempt has reached an upstream, the retry budget isn't charged. */
-	const decideNextAttempt = (call: Call, progress: Progress, lastOutcome: Exclude<ForwardOutcome, {kind: 'delivered'}>): boolean => {
+	const decideNextAttempt = (call: Call, progress: Progress, lastOutcome: Exclude<ForwardOutcome, {kind: 'delivered'}>, mayCrashUpstream: boolean): boolean => {
 		if (lastOutcome.kind === 'spoiled') {
 			return false;
 		}
@@ -129,6 +129,7 @@
 			maxUpstreams: call.route.maxUpstreams,
 			attempts: progress.attempts,
 			remainingTime: call.deadline - clock.monotonic(),
+			mayCrashUpstream,
 		});
 		const isAllowed = decision.kind === 'resend' && (progress.attempts === 0 || getRetryBudget(call.service).take(clock.monotonic(), context.countHosts()));
 		const outcome = decision.kind === 'stop' ? decision.reason : (isAllowed ? 'resend' : 'budget');
@@ -202,11 +203,13 @@
 				return {outcome: 'delivered', reason: String(lastOutcome.status)};
 			}
 
+			// eslint-disable-next-line no-await-in-loop -- Upstreams are tried one at a time.
+			const mayCrashUpstream = lastOutcome.kind === 'failed' && call.mayExecuteAgain && await mayCrashAgain(call, progress, context);
 			if (progress.hasTimedOut || progress.isCallerGone) {
 				return {outcome: progress.hasTimedOut ? 'timeout' : 'caller-gone'};
 			}
 
-			if (!decideNextAttempt(call, progress, lastOutcome)) {
+			if (!decideNextAttempt(call, progress, lastOutcome, mayCrashUpstream)) {
 				return giveUp(call, progress, lastOutcome);
 			}
 		}
--- a/packages/routing/src/retry.test.ts
+++ b/packages/routing/src/retry.test.ts
@@ -7,7 +7,7 @@
 import {buildRoute} from './testing.js';
 
 const attempt: FailedAttempt = {
-	isNotExecuted: false, mayExecuteAgain: true, possibleExecutions: 1, maxUpstreams: 2, attempts: 1, remainingTime: 500,
+	isNotExecuted: false, mayExecuteAgain: true, possibleExecutions: 1, maxUpstreams: 2, attempts: 1, mayCrashUpstream: false, remainingTime: 500,
 };
 
 test('only idempotent requests and resumable streams may execute again', () => {
@@ -28,6 +28,10 @@
 	expect(decideRetry({...attempt, possibleExecutions: 2, isNotExecuted: true})).toEqual({kind: 'resend'});
 });
 
+test('a request that may crash another upstream is not retried', () => {
+	expect(decideRetry({...attempt, mayCrashUpstream: true})).toEqual({kind: 'stop', reason: 'suspect'});
+});
+
 test('attempts stop at their maximum number and when the remaining time is too short', () => {
 	expect(decideRetry({...attempt, isNotExecuted: true, attempts: attemptLimit})).toEqual({kind: 'stop', reason: 'sends'});
 	expect(decideRetry({...attempt, remainingTime: 5})).toEqual({kind: 'stop', reason: 'deadline'});
--- a/packages/routing/src/retry.ts
+++ b/packages/routing/src/retry.ts
@@ -12,6 +12,8 @@
 	maxUpstreams: number;
 	/** Number of attempts so far that reached an upstream. */
 	attempts: number;
+	/** Whether the upstream has crashed, and nothing speaks for one of the request's parts. */
+	mayCrashUpstream: boolean;
 	/** Time until the request's timeout. */
 	remainingTime: Milliseconds;
 };
@@ -21,11 +23,12 @@
  * - `may-have-run`: the request may have executed and must not execute again
  * - `upstreams`: as many upstreams as allowed may have executed it
  * - `sends`: the limit of attempts is reached
+ * - `suspect`: the request may crash another upstream
  * - `deadline`: too little time is left
  */
 export type RetryDecision
 	= | {kind: 'resend'}
-		| {kind: 'stop'; reason: 'may-have-run' | 'upstreams' | 'sends' | 'deadline'};
+		| {kind: 'stop'; reason: 'may-have-run' | 'upstreams' | 'sends' | 'suspect' | 'deadline'};
 
 /** Maximum number of attempts of one request that reach an upstream, including those that the upstream rejects. */
 export const attemptLimit = 4;
@@ -47,5 +50,9 @@
 		return {kind: 'stop', reason: 'sends'};
 	}
 
+	if (attempt.mayCrashUpstream) {
+		return {kind: 'stop', reason: 'suspect'};
+	}
+
 	return attempt.remainingTime < minRemainingTime ? {kind: 'stop', reason: 'deadline'} : {kind: 'resend'};
 };
