--- a/packages/forwarder/src/attempt.ts
+++ b/packages/forwarder/src/attempt.ts
@@ -146,6 +146,9 @@
 			attempt.sentAt = context.clock.monotonic();
 			recordConnectionWait(attempt);
 		},
+		onHead({requestLimit}) {
+			progress.requestLimit = requestLimit;
+		},
 	});
 	progress.cancel = cancel;
 	const stopWatching = watchForSilence(attempt, candidate.load.unreadTokens + uncachedTokens, cancel);
--- a/packages/forwarder/src/call-end.ts
+++ b/packages/forwarder/src/call-end.ts
@@ -3,6 +3,7 @@
 import type {Call, Progress} from './call.js';
 import type {ForwarderContext} from './context.js';
 import type {ForwardOutcome} from './forward-outcome.js';
+import type {LimitStatement} from './protocol.js';
 import {getReceivedAnswer} from './received-answer.js';
 
 /**
@@ -37,6 +38,24 @@
 	return streamVersion === undefined ? 'no-upstream' : 'stream-version-gone';
 };
 
+/** Returns what an answer has said of its upstream's limit, for a log line; undefined for nothing. */
+const describeLimit = (statement: LimitStatement | undefined): string | undefined => {
+	switch (statement?.kind) {
+		case 'limit': {
+			return String(statement.perSecond);
+		}
+
+		case 'malformed': {
+			return `malformed:${statement.text}`;
+		}
+
+		case 'none':
+		case undefined: {
+			return undefined;
+		}
+	}
+};
+
 /** Logs the end of a call and counts it in the metrics. */
 export const reportEnd = (call: Call, progress: Progress, end: CallEnd, {clock, logger, metrics}: ForwarderContext): void => {
 	const duration = clock.monotonic() - call.arrivedAt;
@@ -66,6 +85,7 @@
 		framing: progress.bodyEnd?.framing,
 		ending: progress.bodyEnd?.ending,
 		partialBytes: getPartialBytes(progress.bodyEnd),
+		limit: describeLimit(progress.requestLimit),
 		sends: progress.attempts,
 		outcome: end.outcome,
 		reason: end.reason,
--- a/packages/forwarder/src/call.ts
+++ b/packages/forwarder/src/call.ts
@@ -5,7 +5,7 @@
 } from '@gentianlift/routing';
 import type {Milliseconds, Rank} from '@gentianlift/types';
 import type {BodyEnd} from './body-end.js';
-import type {CallerHead} from './protocol.js';
+import type {CallerHead, LimitStatement} from './protocol.js';
 import type {ReceivedAnswer} from './received-answer.js';
 
 /** An admitted request whose body was read completely. */
@@ -83,6 +83,8 @@
 	cancel: (() => void) | undefined;
 	/** Blocked suspects of crashes of which the call is a trial. */
 	trials: Set<SuspectId>;
+	/** What the last answer of an upstream has said of its limit. */
+	requestLimit: LimitStatement | undefined;
 	/** Whether the upstream of the last attempt has crashed; undefined if that attempt didn't lose its connection. */
 	hasCrashed: Promise<boolean> | undefined;
 };
@@ -130,5 +132,6 @@
 	bodyEnd: undefined,
 	cancel: undefined,
 	trials: new Set(),
+	requestLimit: undefined,
 	hasCrashed: undefined,
 });
--- a/packages/forwarder/src/send.ts
+++ b/packages/forwarder/src/send.ts
@@ -52,8 +52,8 @@
 	cancel: () => void;
 };
 
-/** Dependencies of `send`, and a listener that is called when a connection is established and the request is sent on it. */
-export type SendOptions = {agent: UpstreamAgent; protocol: Protocol; clock: Clock; onSent?: () => void};
+/** Dependencies of `send`, and listeners: one is called when a connection is established and the request is sent on it, the other with the head of an answer to the request, also of one that isn't accepted. */
+export type SendOptions = {agent: UpstreamAgent; protocol: Protocol; clock: Clock; onSent?: () => void; onHead?: (head: AnswerHead) => void};
 
 /** Longest time to establish a connection within a region. */
 const connectTimeout: Milliseconds = 400;
@@ -94,11 +94,14 @@
 	});
 };
 
+/** Whether an answer names another request than the one that it would answer. */
+const isMismatched = (head: AnswerHead, callerRequestId: string | undefined): boolean =>
+	head.callerRequestId !== undefined && callerRequestId !== undefined && head.callerRequestId !== callerRequestId;
+
 /** Classifies an answer by its head; closes the connection of an answer to another request and of a success without the mark of an upstream. */
 const classifyAnswer = (answer: Incoming, head: AnswerHead, callerRequestId: string | undefined, clock: Clock): SendOutcome => {
 	const {message} = answer;
-	const isMismatched = head.callerRequestId !== undefined && callerRequestId !== undefined && head.callerRequestId !== callerRequestId;
-	if (isMismatched) {
+	if (isMismatched(head, callerRequestId)) {
 		message.destroy();
 		return {kind: 'broken', reason: 'answer-of-another-request'};
 	}
@@ -181,7 +184,7 @@
 };
 
 /** Sends a request to an upstream as soon as the pool has a connection for it. */
-export const send = (upstreamRequest: UpstreamRequest, {agent, protocol, clock, onSent}: SendOptions): InFlightRequest => {
+export const send = (upstreamRequest: UpstreamRequest, {agent, protocol, clock, onSent, onHead}: SendOptions): InFlightRequest => {
 	const {callerRequestId, connectionWait, body, buildHead} = upstreamRequest;
 	const clientRequest = openRequest(upstreamRequest, agent);
 	const {promise: outcome, resolve} = createDeferred<SendOutcome>();
@@ -245,7 +248,12 @@
 		agent.recordAnswer(message.socket, message);
 		const {socket} = message;
 		const answer = {message, hasFailed: () => hasFailed || agent.wasReset(socket)};
-		finish(classifyAnswer(answer, protocol.readAnswerHead(message.statusCode ?? 0, message.rawHeaders), callerRequestId, clock));
+		const head = protocol.readAnswerHead(message.statusCode ?? 0, message.rawHeaders);
+		if (!isMismatched(head, callerRequestId)) {
+			onHead?.(head);
+		}
+
+		finish(classifyAnswer(answer, head, callerRequestId, clock));
 	});
 	clientRequest.on('error', error => {
 		hasFailed = true;
--- a/packages/forwarder/src/testing-send.ts
+++ b/packages/forwarder/src/testing-send.ts
@@ -12,6 +12,7 @@
 	readAnswerHead: (status, headers) => ({
 		status,
 		callerRequestId: headers.includes('Attempt') ? headers[headers.indexOf('Attempt') + 1] : undefined,
+		requestLimit: {kind: 'none'},
 		isNotExecuted: status === 421,
 		hasUpstreamMark: true,
 		isEventStream: false,
--- a/packages/forwarder/src/testing.ts
+++ b/packages/forwarder/src/testing.ts
@@ -14,7 +14,7 @@
 } from '@gentianlift/routing';
 import {createCrashDetector} from './crash-detector.js';
 import {createForwarder, type Forwarder} from './forward.js';
-import type {Protocol, RawHeaders} from './protocol.js';
+import type {LimitStatement, Protocol, RawHeaders} from './protocol.js';
 import {createCallerServer} from './serve-callers.js';
 import type {ForwarderContext} from './context.js';
 import {createUpstreamTracker} from './upstream-tracker.js';
@@ -47,7 +47,15 @@
 	model: 'm', parts: parts.split(',').map(id => ({id, tokens})), inputTokens: tokens, outputTokens: 10,
 });
 
-/** Minimal protocol with the headers `attempt`, `instance`, `key`, `timeout`, `last-event`, `prompt-tokens`, `parts`, `not-run` and `signed`. */
+const readRequestLimit = (text: string | undefined): LimitStatement => {
+	if (text === undefined) {
+		return {kind: 'none'};
+	}
+
+	return Number.isFinite(Number(text)) ? {kind: 'limit', perSecond: Number(text)} : {kind: 'malformed', text};
+};
+
+/** Minimal protocol with the headers `limit`, `attempt`, `instance`, `key`, `timeout`, `last-event`, `prompt-tokens`, `parts`, `not-run` and `signed`. */
 const protocol: Protocol = {
 	readCallerHead(headers) {
 		const timeout = getValue(headers, 'timeout');
@@ -84,6 +92,7 @@
 	readAnswerHead: (status, headers) => ({
 		status,
 		callerRequestId: getValue(headers, 'attempt'),
+		requestLimit: readRequestLimit(getValue(headers, 'limit')),
 		isNotExecuted: getValue(headers, 'not-run') !== undefined,
 		hasUpstreamMark: getValue(headers, 'signed') !== undefined,
 		isEventStream: getValue(headers, 'content-type') === 'text/event-stream',
