Keep to the limits that engines name, all hosts together

Cause: nobody read the header; no decision knew of a limit that all hosts share. Arrivals before and after the naming are the same, which rules out that hosts kept to it each for itself, or only those that were told. Class of fault: a limit on a shared resource that each host overlooks, or holds by itself.

Change: a limit of N a second is shared by N hosts that all choose by a hash of the engine; the others send nothing there. Permits are taken when a request is sent. Limits travel in load reports with the age of the observation; the newest holds, and only an answer to a later request ends one. A limited engine is no candidate for a host without a permit. Where all are limited, calls wait for a permit that comes in time and are refused at once otherwise.

Why it works: who may send is decided by what all hosts know without asking, and a doubled set of hosts for the 1.6 s after a failure stays below the bound.

--- a/packages/discovery/src/exchange-reports.ts
+++ b/packages/discovery/src/exchange-reports.ts
@@ -1,7 +1,7 @@
 import type {Clock} from '@gentianlift/clock';
 import type {Logger} from '@gentianlift/logger';
 import type {
-	CrashSuspects, GoodEnd, SuspectedCrash, StartedStream, UpstreamKey,
+	CrashSuspects, GoodEnd, LimitNews, SuspectedCrash, StartedStream, UpstreamKey,
 } from '@gentianlift/routing';
 import type {HostId, Milliseconds} from '@gentianlift/types';
 import type {HostRecord} from './host-record.js';
@@ -24,6 +24,8 @@
 	addCrash: (crash: SuspectedCrash) => void;
 	/** Reports that a request of a suspect has ended well. */
 	addGoodEnd: (goodEnd: GoodEnd) => void;
+	/** Reports that an upstream has named, changed or ended a limit. */
+	addLimit: (news: LimitNews) => void;
 	/** Reports at once that this host is shutting down. */
 	markStopping: () => void;
 	/** Returns the newest revision of the store that recent reports name; 0 without a recent report. */
@@ -60,6 +62,10 @@
 	onPrefill: (prefill: Prefill) => void;
 	/** Called with each stream that has begun at another host. */
 	onStream: (stream: StartedStream) => void;
+	/** Returns the limits that this host knows, which full reports repeat. */
+	getLimits: () => LimitNews[];
+	/** Called with each limit that another host reports. */
+	onLimit: (news: LimitNews, from: HostId) => void;
 	/** Called after the load of other hosts has changed. */
 	onLoad: () => void;
 	/** Called with the arrival of each report of another host, applied or not, for metrics. */
@@ -106,12 +112,12 @@
 		return statuses.getAll().filter(({reportedAt}) => now - reportedAt < statusLifetime);
 	};
 
-	/** Returns the changes that a report names; a full one repeats what speaks against blocked suspects, as hosts that have just started don't know it. */
+	/** Returns the changes that a report names; a full one repeats what speaks against blocked suspects and the limits, as hosts that have just started don't know it. */
 	const getChanges = (isFull: boolean): ReportedChanges => {
 		const now = clock.monotonic();
 		const changes = pending.getChanges({ownLoads: loads.getOwnLoads(), isFull, now});
 		const repeated = isFull ? suspects.getRepeatedCrashes(now).map(crash => ({...crash, age: Math.round(crash.age)})) : [];
-		return {...changes, crashes: [...changes.crashes, ...repeated]};
+		return {...changes, crashes: [...changes.crashes, ...repeated], limits: isFull ? options.getLimits() : changes.limits};
 	};
 
 	const buildReport = (isFull: boolean): LoadReport => {
@@ -192,6 +198,10 @@
 		}
 
 		applyCrashes(report, now);
+		for (const news of report.limits) {
+			options.onLimit(news, report.host);
+		}
+
 		if (!acceptReport(report, now)) {
 			return;
 		}
@@ -231,6 +241,10 @@
 			pending.addStream(stream);
 			schedule();
 		},
+		addLimit(news) {
+			pending.addLimit(news, clock.monotonic());
+			schedule();
+		},
 		addGoodEnd(goodEnd) {
 			pending.addGoodEnd(goodEnd, clock.monotonic());
 			schedule();
--- a/packages/discovery/src/host-list.ts
+++ b/packages/discovery/src/host-list.ts
@@ -16,10 +16,10 @@
 	return available.map(({record}) => record);
 };
 
-/** Chooses one of the hosts for a key by rendezvous hashing, so that all hosts choose the same one. */
-export const chooseHost = (key: string, hosts: readonly HostRecord[]): HostId | undefined => {
+/** Chooses some of the hosts for a key by rendezvous hashing, so that all hosts choose the same ones. */
+export const chooseHosts = (key: string, hosts: readonly HostRecord[], count: number): HostId[] => {
 	const weighted = hosts.map(({host}) => ({host, weight: getHash(`${key}/${host}`)}));
-	return weighted.toSorted((one, other) => other.weight - one.weight || (one.host < other.host ? -1 : 1))[0]?.host;
+	return weighted.toSorted((one, other) => other.weight - one.weight || (one.host < other.host ? -1 : 1)).slice(0, count).map(({host}) => host);
 };
 
 /** Largest number of hosts of which callers get the full list. */
--- a/packages/discovery/src/join-fleet.ts
+++ b/packages/discovery/src/join-fleet.ts
@@ -1,7 +1,7 @@
 import type {Clock, Random} from '@gentianlift/clock';
 import type {Logger} from '@gentianlift/logger';
 import type {
-	CrashSuspects, StartedStream, Upstream, UpstreamKey,
+	CrashSuspects, LimitNews, StartedStream, Upstream, UpstreamKey,
 } from '@gentianlift/routing';
 import type {
 	Address, ChangeFeed, Entry, HostId, KeyValueService, Zone,
@@ -9,7 +9,7 @@
 import {exchangeReports, type LoadReportExchange, type ReportArrival} from './exchange-reports.js';
 import {createFleetView, type DecodedEntry, type FleetView} from './fleet-view.js';
 import {followFleet, type FleetFollower} from './follow-fleet.js';
-import {chooseHost, getAvailableHosts, selectHostsForCaller} from './host-list.js';
+import {chooseHosts, getAvailableHosts, selectHostsForCaller} from './host-list.js';
 import type {HostRecord} from './host-record.js';
 import type {Prefill} from './load-report.js';
 import type {LoadTracker} from './load-tracker.js';
@@ -32,8 +32,8 @@
 	countHosts: () => number;
 	/** Returns the hosts to list for a caller in the availability zone. */
 	getHostsForCaller: (zone: Zone | undefined) => HostRecord[];
-	/** Whether this host is the one that all available hosts choose for a key. For a moment after a host has started or failed, two may be. */
-	isChosenHost: (key: string) => boolean;
+	/** Whether this host is among the `count` that all available hosts choose for a key. For a moment after a host has started or failed, more may be. */
+	isAmongChosenHosts: (key: string, count: number) => boolean;
 };
 
 /** Options of joining the fleet. */
@@ -58,6 +58,10 @@
 	onPrefill: (prefill: Prefill) => void;
 	/** Called with each stream that has begun at another host. */
 	onStream: (stream: StartedStream) => void;
+	/** Returns the limits that this host knows. */
+	getLimits: () => LimitNews[];
+	/** Called with each limit that another host reports. */
+	onLimit: (news: LimitNews, from: HostId) => void;
 	/** Called with the arrival of each report of another host, applied or not, for metrics. */
 	onReport: (arrival: ReportArrival) => void;
 	/** Called with each incarnation of an upstream that is listed for the first time. */
@@ -84,6 +88,8 @@
 		onLoad: options.onLoad,
 		onPrefill: options.onPrefill,
 		onStream: options.onStream,
+		getLimits: options.getLimits,
+		onLimit: options.onLimit,
 		onReport: options.onReport,
 		onChanges({after, revision, changes}) {
 			const now = options.clock.monotonic();
@@ -143,6 +149,6 @@
 		}),
 		countHosts: () => getOthers().length + 1,
 		getHostsForCaller: zone => selectHostsForCaller(getAvailable(), zone, random),
-		isChosenHost: key => chooseHost(key, getAvailable()) === record.host,
+		isAmongChosenHosts: (key, count) => chooseHosts(key, getAvailable(), count).includes(record.host),
 	};
 };
--- a/packages/discovery/src/load-report.ts
+++ b/packages/discovery/src/load-report.ts
@@ -1,5 +1,5 @@
 import type {
-	GoodEnd, SuspectedCrash, SuspectId, PromptPart, StartedStream, UpstreamKey,
+	GoodEnd, LimitNews, SuspectedCrash, SuspectId, PromptPart, StartedStream, UpstreamKey,
 } from '@gentianlift/routing';
 import type {HostId, Incarnation, Milliseconds} from '@gentianlift/types';
 import type {ReportedLoad} from './load-tracker.js';
@@ -21,6 +21,8 @@
 	crashes: SuspectedCrash[];
 	/** Good ends of suspects of which another host has reported a crash. */
 	goodEnds: GoodEnd[];
+	/** Limits that upstreams have named or ended. */
+	limits: LimitNews[];
 	/** Wall-clock time at which the host built the report; absent in reports of older versions. */
 	builtAt?: Milliseconds;
 	/** Streams that have begun at the host. */
@@ -45,6 +47,8 @@
 	streams?: Array<[request: string, service: string, softwareVersion: string]>,
 	/** Absent in reports of older versions. */
 	goodEndAges?: Milliseconds[],
+	/** Absent in reports of older versions; one that has ended has no limit. */
+	limits?: Array<[upstream: UpstreamKey, age: Milliseconds, limit?: number]>,
 ];
 
 /** Converts a report into its wire form. */
@@ -61,6 +65,7 @@
 	report.builtAt,
 	report.streams.map(({request, service, softwareVersion}) => [request, service, softwareVersion]),
 	report.goodEnds.map(({age}) => age),
+	report.limits.map(({upstream, age, limit}) => limit === undefined ? [upstream, age] : [upstream, age, limit]),
 ];
 
 const isPackedLoadReport = (value: unknown): value is PackedLoadReport => {
@@ -92,6 +97,16 @@
 	return suspects.flatMap((suspect, index) => typeof suspect === 'string' ? [{suspect, age: unpackAge(agesOfAll[index])}] : []);
 };
 
+/** Reads the limits of a report; malformed ones are skipped. */
+const unpackLimits = (value: unknown): LimitNews[] => {
+	const items: unknown[] = Array.isArray(value) ? value : [];
+	return items.flatMap(item => {
+		const [upstream, age, limit] = Array.isArray(item) ? item as unknown[] : [];
+		const isLimit = limit === undefined || (typeof limit === 'number' && limit >= 0);
+		return typeof upstream === 'string' && isLimit ? [{upstream, limit, age: unpackAge(age)}] : [];
+	});
+};
+
 const unpackCrashes = (crashes: ReadonlyArray<readonly unknown[]>): SuspectedCrash[] =>
 	crashes.flatMap(([suspect, upstream, age]) => typeof suspect === 'string' && typeof upstream === 'string' ? [{suspect, upstream, age: unpackAge(age)}] : []);
 
@@ -101,7 +116,7 @@
 		return undefined;
 	}
 
-	const [host, incarnation, sequence, revision, isStopping, loads, prefills, crashes, cleared, builtAt, streams, goodEndAges] = value;
+	const [host, incarnation, sequence, revision, isStopping, loads, prefills, crashes, cleared, builtAt, streams, goodEndAges, limits] = value;
 	return {
 		host,
 		incarnation,
@@ -114,6 +129,7 @@
 		prefills: prefills.map(([upstream, model, parts]) => ({upstream, model, parts: parts.map(([id, tokens]) => ({id, tokens}))})),
 		crashes: unpackCrashes(crashes),
 		goodEnds: unpackGoodEnds(cleared, goodEndAges),
+		limits: unpackLimits(limits),
 		builtAt: typeof builtAt === 'number' ? builtAt : undefined,
 		streams: unpackStreams(streams),
 	};
--- a/packages/discovery/src/load.test.ts
+++ b/packages/discovery/src/load.test.ts
@@ -47,6 +47,7 @@
 	prefills: [{upstream: 'u@1', model: 'm', parts: [{id: 'p', tokens: 6}]}],
 	crashes: [{suspect: 'f', upstream: 'u@1', age: 9}],
 	goodEnds: [{suspect: 'g', age: 8}],
+	limits: [{upstream: 'u@1', limit: 3.6, age: 7}, {upstream: 'v@1', limit: undefined, age: 6}],
 	builtAt: 7,
 	streams: [{request: 'a1', service: 's', softwareVersion: 'v1'}],
 };
@@ -73,6 +74,11 @@
 	expect(decoded?.reports).toMatchObject([{host: 'h', streams: [{request: 'a1', service: 's', softwareVersion: 'v1'}]}]);
 });
 
+test('malformed limits of a report are skipped', () => {
+	const decoded = decodePacket('["s",0,[["h",1,2,3,0,[],[],[],[],7,[],[],[["u",1,"2"],["v",1,-1],[1,1,1],7,["w",5,2],["x",5]]]],[]]');
+	expect(decoded?.reports).toMatchObject([{limits: [{upstream: 'w', limit: 2, age: 5}, {upstream: 'x', limit: undefined, age: 5}]}]);
+});
+
 test('a malformed packet is rejected', () => {
 	for (const text of ['', '{}', '[]', 'null', '["s",3,[],[]]', '["s",1,[]]', '[1,2]']) {
 		expect(decodePacket(text)).toBeUndefined();
--- a/packages/discovery/src/crash-news.test.ts
+++ b/packages/discovery/src/news.test.ts
@@ -2,10 +2,12 @@
 import process from 'node:process';
 import {createManualClock, type ManualClock} from '@gentianlift/clock';
 import {createSilentLogger} from '@gentianlift/logger';
-import {createCrashSuspects, getPartSuspect, type CrashSuspects} from '@gentianlift/routing';
+import {
+	createCrashSuspects, getPartSuspect, type CrashSuspects, type LimitNews,
+} from '@gentianlift/routing';
 import {expect, onTestFinished, test} from 'vitest';
-import {exchangeReports, type LoadReportExchange} from './exchange-reports.js';
-import {chooseHost} from './host-list.js';
+import {exchangeReports, type LoadReportExchange, type ReportExchangeOptions} from './exchange-reports.js';
+import {chooseHosts} from './host-list.js';
 import type {HostRecord} from './host-record.js';
 import type {LoadReport} from './load-report.js';
 import {createLoadTracker} from './load-tracker.js';
@@ -23,7 +25,7 @@
 /** A host, and a socket in place of the only other one. */
 type Fixture = {clock: ManualClock; suspects: CrashSuspects; exchange: LoadReportExchange; other: Socket; reports: LoadReport[]};
 
-const start = async (): Promise<Fixture> => {
+const start = async (changes: Partial<ReportExchangeOptions> = {}): Promise<Fixture> => {
 	const clock = createManualClock(1000);
 	const suspects = createCrashSuspects();
 	const reports: LoadReport[] = [];
@@ -44,9 +46,12 @@
 		getRevision: () => 1,
 		isStoreReached: () => false,
 		onPrefill: () => undefined,
+		getLimits: () => [],
+		onLimit: () => undefined,
 		onLoad: () => undefined,
 		onStream: () => undefined,
 		onChanges: () => undefined,
+		...changes,
 	});
 	onTestFinished(() => {
 		exchange.close();
@@ -59,7 +64,7 @@
 
 const tell = ({other}: Fixture, changes: Partial<LoadReport>): void => {
 	const report = {
-		host: 'other', incarnation: 1, sequence: 1, revision: 1, isStopping: false, loads: [], prefills: [], crashes: [], goodEnds: [], streams: [], ...changes,
+		host: 'other', incarnation: 1, sequence: 1, revision: 1, isStopping: false, loads: [], prefills: [], crashes: [], goodEnds: [], limits: [], streams: [], ...changes,
 	};
 	other.send(encodePacket({
 		sender: 'other', forwardTo: forwardScope.none, reports: [report], batches: [],
@@ -117,9 +122,31 @@
 	expect(getAges()[3]).toBeGreaterThan(1000);
 });
 
-test('all hosts choose the same host for a key, and different ones for different keys', () => {
+// Guards against: a host learns of a limit only by its own requests.
+test('a limit is told at once and repeated, and taken from a report that was overtaken', async () => {
+	const told: LimitNews[] = [];
+	const known: LimitNews = {upstream: 'u@1', limit: 2, age: 100};
+	const fixture = await start({
+		getLimits: () => [known],
+		onLimit(news) {
+			told.push(news);
+		},
+	});
+	const {clock, exchange, reports} = fixture;
+	exchange.addLimit({upstream: 'u@1', limit: 2, age: 0});
+	await clock.advance(10);
+	await expect.poll(() => reports.at(0)?.limits).toEqual([{upstream: 'u@1', limit: 2, age: 3}]);
+	await clock.advance(1000);
+	await expect.poll(() => reports.map(({limits}) => limits).slice(1)).toEqual([[known], [known]]);
+	tell(fixture, {sequence: 2});
+	tell(fixture, {sequence: 1, limits: [{upstream: 'v@1', limit: undefined, age: 5}]});
+	await expect.poll(() => told).toEqual([{upstream: 'v@1', limit: undefined, age: 5}]);
+});
+
+test('all hosts choose the same hosts for a key, and different ones for different keys', () => {
 	const hosts = ['a', 'b', 'c', 'd', 'e'].map(name => createRecord(name, 1));
 	const keys = Array.from({length: 50}, (_, index) => `part:${index}`);
-	expect(keys.map(key => chooseHost(key, hosts))).toEqual(keys.map(key => chooseHost(key, hosts.toReversed())));
-	expect(new Set(keys.map(key => chooseHost(key, hosts))).size).toBe(5);
+	expect(keys.map(key => chooseHosts(key, hosts, 2))).toEqual(keys.map(key => chooseHosts(key, hosts.toReversed(), 2)));
+	expect(new Set(keys.flatMap(key => chooseHosts(key, hosts, 1))).size).toBe(5);
+	expect(keys.every(key => chooseHosts(key, hosts, 3)[0] === chooseHosts(key, hosts, 1)[0])).toBe(true);
 });
--- a/packages/discovery/src/pending-changes.ts
+++ b/packages/discovery/src/pending-changes.ts
@@ -1,5 +1,5 @@
 import type {
-	GoodEnd, StartedStream, SuspectedCrash, UpstreamKey,
+	GoodEnd, LimitNews, StartedStream, SuspectedCrash, UpstreamKey,
 } from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
 import type {LoadReport, Prefill} from './load-report.js';
@@ -7,7 +7,7 @@
 import {createRepeatedItems} from './repeated-items.js';
 
 /** The parts of a load report that name what has changed. */
-export type ReportedChanges = Pick<LoadReport, 'loads' | 'prefills' | 'crashes' | 'goodEnds' | 'streams'>;
+export type ReportedChanges = Pick<LoadReport, 'loads' | 'prefills' | 'crashes' | 'goodEnds' | 'limits' | 'streams'>;
 
 /** What a report is built from, besides the changes. */
 export type ReportState = {
@@ -25,6 +25,7 @@
 	addStream: (stream: StartedStream) => void;
 	addCrash: (crash: SuspectedCrash, now: Milliseconds) => void;
 	addGoodEnd: (goodEnd: GoodEnd, now: Milliseconds) => void;
+	addLimit: (news: LimitNews, now: Milliseconds) => void;
 	/** Returns what the next report names. */
 	getChanges: (state: ReportState) => ReportedChanges;
 	/** Records that a report has named what `getChanges` returned. */
@@ -38,6 +39,9 @@
 /** Bounds on crashes and on good ends. */
 const crashLimits = {perReport: 64, pending: 2000, repeats: 3} as const;
 
+/** Bounds on changed limits, which the full reports of all hosts repeat anyway. */
+const newsLimits = {perReport: 64, pending: 2000, repeats: 1} as const;
+
 type Aged = {age: Milliseconds};
 type Dated<Item> = {item: Item; since: Milliseconds};
 
@@ -53,6 +57,7 @@
 	const streams = createRepeatedItems<StartedStream>(streamLimits);
 	const crashes = createRepeatedItems<Dated<SuspectedCrash>>(crashLimits);
 	const goodEnds = createRepeatedItems<Dated<GoodEnd>>(crashLimits);
+	const limits = createRepeatedItems<Dated<LimitNews>>(newsLimits);
 
 	const countLoadRepeats = (): void => {
 		for (const [upstream, left] of remainingRepeats) {
@@ -76,6 +81,9 @@
 		addCrash(crash, now) {
 			crashes.add(setDate(crash, now));
 		},
+		addLimit(news, now) {
+			limits.add(setDate(news, now));
+		},
 		addGoodEnd(goodEnd, now) {
 			goodEnds.add(setDate(goodEnd, now));
 		},
@@ -84,12 +92,13 @@
 			prefills,
 			crashes: crashes.getNext(isFull).map(crash => setAge(crash, now)),
 			goodEnds: goodEnds.getNext(isFull).map(goodEnd => setAge(goodEnd, now)),
+			limits: limits.getNext(isFull).map(news => setAge(news, now)),
 			streams: streams.getNext(isFull),
 		}),
 		markReported(isFull) {
 			changedUpstreams.clear();
 			prefills = [];
-			for (const items of [streams, crashes, goodEnds]) {
+			for (const items of [streams, crashes, goodEnds, limits]) {
 				items.markReported(isFull);
 			}
 
--- a/packages/discovery/src/relay.test.ts
+++ b/packages/discovery/src/relay.test.ts
@@ -171,7 +171,7 @@
 		for (const [host, broadcaster] of broadcasters) {
 			sequence += 1;
 			const report: LoadReport = {
-				host, incarnation: 1, sequence, revision: 1, isStopping: false, loads: [], prefills: [], crashes: [], goodEnds: [], streams: [],
+				host, incarnation: 1, sequence, revision: 1, isStopping: false, loads: [], prefills: [], crashes: [], goodEnds: [], limits: [], streams: [],
 			};
 			broadcaster.send(report);
 			broadcaster.sendChanges({after: 1, revision: 1, changes: []});
@@ -223,6 +223,8 @@
 			},
 			isStoreReached: () => false,
 			onPrefill: () => undefined,
+			getLimits: () => [],
+			onLimit: () => undefined,
 			onLoad: () => undefined,
 			onStream: () => undefined,
 			onChanges: () => undefined,
--- a/packages/discovery/src/report-arrival.test.ts
+++ b/packages/discovery/src/report-arrival.test.ts
@@ -35,6 +35,8 @@
 		getRevision: () => 1,
 		isStoreReached: () => false,
 		onPrefill: () => undefined,
+		getLimits: () => [],
+		onLimit: () => undefined,
 		onLoad: () => undefined,
 		onStream: () => undefined,
 		onChanges: () => undefined,
@@ -68,7 +70,7 @@
 };
 
 const createReport = (change: Partial<LoadReport>): LoadReport => ({
-	host: 'h', incarnation: 1, sequence: 1, revision: 1, isStopping: false, loads: [], prefills: [], crashes: [], goodEnds: [], streams: [], ...change,
+	host: 'h', incarnation: 1, sequence: 1, revision: 1, isStopping: false, loads: [], prefills: [], crashes: [], goodEnds: [], limits: [], streams: [], ...change,
 });
 
 const sendReports = (sender: Socket, reports: LoadReport[]): void => {
--- a/packages/forwarder/src/attempt-record.ts
+++ b/packages/forwarder/src/attempt-record.ts
@@ -5,6 +5,7 @@
 import type {ForwarderContext} from './context.js';
 import {isServerError} from './deliver-buffered.js';
 import type {ForwardOutcome} from './forward-outcome.js';
+import type {AnswerHead} from './protocol.js';
 import type {RequestLoad} from './request-load.js';
 import type {RequestActivity} from './upstream-tracker.js';
 
@@ -41,6 +42,16 @@
 	}
 };
 
+/** Status 421 (Misdirected Request), the answer of another upstream than the expected one. */
+const misdirectedStatus = 421;
+
+/** Records what an answer says of its upstream's limit. */
+export const observeLimit = ({upstream, context, sentAt, startedAt}: Attempt, {status, requestLimit: statement}: AnswerHead): void => {
+	if (status !== misdirectedStatus) {
+		context.limits.observe({upstream: getUpstreamKey(upstream), statement, sentAt: sentAt ?? startedAt});
+	}
+};
+
 /** Records how long the request has waited for a connection. */
 export const recordConnectionWait = ({call, progress, context, startedAt}: Attempt): void => {
 	progress.connectionWait = context.clock.monotonic() - startedAt;
--- a/packages/forwarder/src/attempt.ts
+++ b/packages/forwarder/src/attempt.ts
@@ -2,7 +2,7 @@
 import type {Milliseconds} from '@gentianlift/types';
 import {buildUpstreamRequest} from './build-upstream-request.js';
 import {
-	isConnectionLoss, recordChunk, recordConnectionWait, recordFirstToken, recordOutcome, recordStart, type Attempt,
+	isConnectionLoss, observeLimit, recordChunk, recordConnectionWait, recordFirstToken, recordOutcome, recordStart, type Attempt,
 } from './attempt-record.js';
 import type {ForwardOutcome} from './forward-outcome.js';
 import type {Call, Progress} from './call.js';
@@ -108,7 +108,8 @@
 };
 
 /** Sends a call to one upstream and delivers its answer. */
-export const attemptUpstream = async (call: Call, progress: Progress, {candidate, load}: Assignment, context: ForwarderContext): Promise<ForwardOutcome> => {
+export const attemptUpstream = async (call: Call, progress: Progress, assignment: Assignment, context: ForwarderContext): Promise<ForwardOutcome> => {
+	const {candidate, load, permit} = assignment;
 	const {upstream, uncachedTokens} = candidate;
 	const key = getUpstreamKey(upstream);
 	const {prompt} = call.head;
@@ -137,7 +138,7 @@
 	const service = context.view.getRoutes()?.services.get(call.service);
 	// In each of the two connection pools of an upstream, a host uses an equal part of the service's connection limit, less 10 %, but at least 4 connections.
 	const connections = Math.max(4, Math.floor((service?.maxConnections ?? 64) * 0.9 / context.countHosts()));
-	const {outcome, cancel} = send(buildUpstreamRequest(call, progress, upstream, context), {
+	const {outcome, cancel} = send(buildUpstreamRequest(call, progress, {upstream, permit}, context), {
 		agent: context.tracker.getAgent(upstream, call.route.kind, connections),
 		protocol: context.protocol,
 		clock: context.clock,
@@ -146,8 +147,9 @@
 			attempt.sentAt = context.clock.monotonic();
 			recordConnectionWait(attempt);
 		},
-		onHead({requestLimit}) {
-			progress.requestLimit = requestLimit;
+		onHead(head) {
+			progress.requestLimit = head.requestLimit;
+			observeLimit(attempt, head);
 		},
 	});
 	progress.cancel = cancel;
@@ -156,6 +158,7 @@
 	stopWatching();
 	activity.end();
 	load.end();
+	permit.release();
 	const isAbandoned = progress.hasTimedOut || progress.isCallerGone;
 	if (!isAbandoned) {
 		recordOutcome(attempt, attemptOutcome, context.clock.monotonic() - (attempt.sentAt ?? attempt.startedAt));
--- a/packages/forwarder/src/build-upstream-request.test.ts
+++ b/packages/forwarder/src/build-upstream-request.test.ts
@@ -17,7 +17,7 @@
 	const context: Partial<ForwarderContext> = {clock: createManualClock(0), view};
 	const call = buildTestCall({route, arrivedAt: 0, prompt: buildTestPrompt('p', 10)});
 	const progress = {...createProgress(), streamVersion, tried: new Set(['u1@1'])};
-	return buildUpstreamRequest(call, progress, upstream, context as ForwarderContext).connectionWait;
+	return buildUpstreamRequest(call, progress, {upstream, permit: {take: () => true, release: () => undefined}}, context as ForwarderContext).connectionWait;
 };
 
 test('a request waits for a connection until its deadline unless another upstream can run it', () => {
--- a/packages/forwarder/src/build-upstream-request.ts
+++ b/packages/forwarder/src/build-upstream-request.ts
@@ -4,6 +4,10 @@
 import type {ForwarderContext} from './context.js';
 import {findBlockingSuspect} from './crash-blame.js';
 import type {RequestHead, UnsentReason, UpstreamRequest} from './send.js';
+import type {PermitClaim} from './upstream-limits.js';
+
+/** The upstream that a request is sent to, and the call's claim on a permit if it is limited. */
+export type SendTarget = {upstream: Upstream; permit: PermitClaim};
 
 /** Minimum wait for a connection or for the head of an answer before a request is retried on another upstream. */
 const minAttemptTimeout: Milliseconds = 300;
@@ -47,21 +51,25 @@
 };
 
 /** Returns why a call that has waited for a connection must no longer be sent; undefined if it may be. */
-const getUnsentReason = (call: Call, progress: Progress, upstream: Upstream, context: ForwarderContext): UnsentReason | undefined => {
+const getUnsentReason = (call: Call, progress: Progress, {upstream, permit}: SendTarget, context: ForwarderContext): UnsentReason | undefined => {
 	if (!context.view.isUsable(getUpstreamKey(upstream))) {
 		return 'upstream-removed';
 	}
 
-	return findBlockingSuspect(call, progress, context) === undefined ? undefined : 'suspected-of-crashes';
+	if (findBlockingSuspect(call, progress, context) !== undefined) {
+		return 'suspected-of-crashes';
+	}
+
+	return permit.take() ? undefined : 'upstream-limited';
 };
 
 /** Builds the request to an upstream. Its head is built when it is sent, as the remaining time goes into it, and not at all if it must no longer be sent then. */
-export const buildUpstreamRequest = (call: Call, progress: Progress, upstream: Upstream, context: ForwarderContext): UpstreamRequest => ({
-	upstream,
+export const buildUpstreamRequest = (call: Call, progress: Progress, target: SendTarget, context: ForwarderContext): UpstreamRequest => ({
+	upstream: target.upstream,
 	method: call.method,
 	target: call.target,
 	body: call.body,
 	callerRequestId: call.head.callerRequestId,
 	connectionWait: getConnectionWait(call, progress, context, getRemainingTime(call, context)),
-	buildHead: () => getUnsentReason(call, progress, upstream, context) ?? buildRequestHead(call, progress, upstream, context),
+	buildHead: () => getUnsentReason(call, progress, target, context) ?? buildRequestHead(call, progress, target.upstream, context),
 });
--- a/packages/forwarder/src/cache-capacity.test.ts
+++ b/packages/forwarder/src/cache-capacity.test.ts
@@ -4,6 +4,7 @@
 import type {Prompt, Service} from '@gentianlift/routing';
 import {buildUpstream} from '@gentianlift/routing/testing';
 import {expect, test} from 'vitest';
+import {createSoleLimits} from './testing-sole-limits.js';
 import {createUpstreamTracker, type UpstreamTracker} from './upstream-tracker.js';
 
 const upstream = buildUpstream();
@@ -17,9 +18,13 @@
 const countUncached = (tracker: UpstreamTracker, prompt: Prompt): number | undefined =>
 	tracker.getCandidates({service: tracker.observe(service, [upstream], 0), prompt})[0]?.uncachedTokens;
 
-const createTracker = (getService: () => Service | undefined): UpstreamTracker => createUpstreamTracker({
-	clock: createManualClock(), logger: createSilentLogger(), loads: createLoadTracker(), getService,
-});
+const createTracker = (getService: () => Service | undefined): UpstreamTracker => {
+	const clock = createManualClock();
+	const logger = createSilentLogger();
+	return createUpstreamTracker({
+		clock, logger, loads: createLoadTracker(), limits: createSoleLimits(clock, logger), getService,
+	});
+};
 
 // A host that learned of an upstream's prompts before its first own call took the upstream's cache for the default size, and sent prompts elsewhere to be prefilled again.
 test('prompts of other hosts count as cached up to the configured capacity', () => {
--- a/packages/forwarder/src/context.ts
+++ b/packages/forwarder/src/context.ts
@@ -8,6 +8,7 @@
 import type {Milliseconds, Zone} from '@gentianlift/types';
 import type {CrashDetector} from './crash-detector.js';
 import type {Protocol} from './protocol.js';
+import type {UpstreamLimits} from './upstream-limits.js';
 import type {UpstreamTracker} from './upstream-tracker.js';
 import type {ViewFreshness} from './view-freshness.js';
 
@@ -24,6 +25,8 @@
 	/** Exchange of load reports and events with the other hosts. */
 	reportExchange: LoadReportExchange;
 	tracker: UpstreamTracker;
+	/** Limits on requests that upstreams have named. */
+	limits: UpstreamLimits;
 	/** What may crash the upstreams that run it. */
 	suspects: CrashSuspects;
 	crashDetector: CrashDetector;
--- a/packages/forwarder/src/index.ts
+++ b/packages/forwarder/src/index.ts
@@ -1,5 +1,6 @@
 export * from './crash-detector.js';
 export * from './forward.js';
+export * from './parse-request-limit.js';
 export type * from './protocol.js';
 export * from './serve-callers.js';
 export * from './stop-host.js';
--- a/packages/forwarder/src/observed-service.ts
+++ b/packages/forwarder/src/observed-service.ts
@@ -31,6 +31,8 @@
 	prompt: Prompt | undefined;
 	/** Upstreams that the call was sent to already. */
 	tried?: ReadonlySet<UpstreamKey>;
+	/** Whether this host may send a request to an upstream now, by the upstream's limit. */
+	hasPermit: (upstream: UpstreamKey) => boolean;
 	/** The only software version that may run the call; undefined if any may. */
 	softwareVersion?: string | undefined;
 	/** For each upstream, the uncached prompt tokens of this host's calls that the pass has processed before this one and that wait for it. */
@@ -51,12 +53,19 @@
 	return {preferred: getPreferredUpstream(prompt, upstreams), tokens: preferredHitProbability * (shared - maxSharedTokens)};
 };
 
+/** What decides whether an upstream may run a call, besides its limit. */
+export type Eligibility = Pick<CandidateQuery, 'tried' | 'softwareVersion'>;
+
+/** Whether an upstream may run a call, were it not for its limit. */
+export const isEligible = ({upstream, key, isDoubted}: ObservedUpstream, {tried, softwareVersion}: Eligibility): boolean => {
+	const hasVersion = softwareVersion === undefined || (upstream.softwareVersion === softwareVersion && !isDoubted);
+	return tried?.has(key) !== true && hasVersion;
+};
+
 /** Returns the upstreams that a call may be sent to: unreachable ones only if there are no others. */
-const getUsable = ({service: {all, reachable}, tried, softwareVersion}: CandidateQuery): readonly ObservedUpstream[] => {
-	const hasVersion = ({upstream, isDoubted}: ObservedUpstream): boolean => softwareVersion === undefined || (upstream.softwareVersion === softwareVersion && !isDoubted);
-	const isUsable = (observed: ObservedUpstream): boolean => tried?.has(observed.key) !== true && hasVersion(observed);
-	const isUnrestricted = (tried === undefined || tried.size === 0) && softwareVersion === undefined;
-	const usable = isUnrestricted ? reachable : reachable.filter(observed => isUsable(observed));
+const getUsable = ({service: {all, reachable}, hasPermit, ...eligibility}: CandidateQuery): readonly ObservedUpstream[] => {
+	const isUsable = (observed: ObservedUpstream): boolean => isEligible(observed, eligibility) && hasPermit(observed.key);
+	const usable = reachable.filter(observed => isUsable(observed));
 	return usable.length > 0 ? usable : all.filter(observed => isUsable(observed));
 };
 
--- a/packages/forwarder/src/request-queue.test.ts
+++ b/packages/forwarder/src/request-queue.test.ts
@@ -12,6 +12,7 @@
 	createProgress, type Progress,
 } from './call.js';
 import type {ForwarderContext} from './context.js';
+import {createSoleLimits} from './testing-sole-limits.js';
 import {createUpstreamTracker, type UpstreamTracker} from './upstream-tracker.js';
 import {createRequestQueue, type Assignment, type RequestQueue} from './request-queue.js';
 import {buildTestCall, buildTestPrompt} from './testing-call.js';
@@ -40,8 +41,9 @@
 	const loads = createLoadTracker();
 	const logger = createSilentLogger();
 	const view = createTestView(logger, configuration, upstreams);
+	const limits = createSoleLimits(clock, logger);
 	const tracker = createUpstreamTracker({
-		clock, logger, loads, getService: view.getService,
+		clock, logger, loads, limits, getService: view.getService,
 	});
 	const reportExchange: Pick<LoadReportExchange, 'addLoad'> = {
 		addLoad(upstream, change) {
@@ -57,9 +59,10 @@
 			return tracker.getCandidates(...parameters);
 		},
 	};
-	const context: Pick<ForwarderContext, 'clock' | 'view' | 'tracker' | 'metrics' | 'reportExchange' | 'random' | 'zone' | 'countHosts' | 'suspects'> = {
+	const context: Pick<ForwarderContext, 'clock' | 'view' | 'tracker' | 'metrics' | 'reportExchange' | 'random' | 'zone' | 'countHosts' | 'suspects' | 'limits'> = {
 		clock, view, tracker: countingTracker, metrics: createMetrics(), reportExchange: reportExchange as LoadReportExchange, random: createRandom(1), zone: 'a', countHosts: () => 1,
 		suspects: createCrashSuspects(),
+		limits,
 	};
 	return {
 		clock, loads, tracker, lookups, queue: createRequestQueue(context as ForwarderContext),
--- a/packages/forwarder/src/request-queue.ts
+++ b/packages/forwarder/src/request-queue.ts
@@ -10,10 +10,12 @@
 import {createEarlyRefusals} from './early-refusals.js';
 import {addQueuedTokens, startRequestLoad, type RequestLoad} from './request-load.js';
 import type {ForwarderContext} from './context.js';
+import type {PermitClaim} from './upstream-limits.js';
 import type {ObservedService} from './observed-service.js';
+import {mayWaitForPermit} from './permit-wait.js';
 
-/** The upstream chosen for a call, and the load that the call adds to it. */
-export type Assignment = {candidate: Candidate; load: RequestLoad};
+/** The upstream chosen for a call, the load that the call adds to it, and its claim on a permit if the upstream is limited. */
+export type Assignment = {candidate: Candidate; load: RequestLoad; permit: PermitClaim};
 
 /** Queue of this host for calls that no upstream can take yet without delaying calls of higher ranks. */
 export type RequestQueue = {
@@ -43,7 +45,12 @@
 };
 
 /** Result of trying to dispatch a queued call; `candidate` of a call that stays queued is the upstream it waits for in this pass; the next pass chooses again. */
-type Decision = {kind: 'placed'; candidate: Candidate; isLatencySensitive: boolean} | {kind: 'waits'; candidate: Candidate} | {kind: 'refused'; refusal: EarlyRefusal} | {kind: 'impossible'};
+type Decision
+	= | {kind: 'placed'; candidate: Candidate; isLatencySensitive: boolean}
+		| {kind: 'waits'; candidate: Candidate}
+		| {kind: 'waits-for-permit'}
+		| {kind: 'refused'; refusal: EarlyRefusal}
+		| {kind: 'impossible'};
 
 /** Uncached prompt tokens of this host's queued calls, by the upstream that they wait for. */
 type QueuedTokens = Map<UpstreamKey, number>;
@@ -56,9 +63,13 @@
 	services: Map<string, ObservedService>;
 	/** Tokens of the calls that it has left in the queue. */
 	queuedTokens: QueuedTokens;
+	/** Numbers of the calls that it has left in the queue for permits, by service. */
+	permitWaiters: Map<string, number>;
 };
 
-const createPass = (now: Milliseconds): DispatchPass => ({now, services: new Map(), queuedTokens: new Map()});
+const createPass = (now: Milliseconds): DispatchPass => ({
+	now, services: new Map(), queuedTokens: new Map(), permitWaiters: new Map(),
+});
 
 /** Returns when the call's target for the first token is missed. */
 const getDueTime = ({call}: QueueEntry): Milliseconds => call.arrivedAt + call.route.latencyTarget;
@@ -96,6 +107,20 @@
 		return observed;
 	};
 
+	/** Decides on a call that no upstream may run now: it waits for a permit if one comes in time. */
+	const decideOnPermits = ({call, progress, enqueuedAt}: QueueEntry, observed: ObservedService, {now, permitWaiters}: DispatchPass): Decision => {
+		const position = (permitWaiters.get(call.service) ?? 0) + 1;
+		const mayWait = mayWaitForPermit({
+			call, progress, service: observed, position, hasWaited: enqueuedAt < now,
+		}, context);
+		if (!mayWait) {
+			return {kind: 'impossible'};
+		}
+
+		permitWaiters.set(call.service, position);
+		return {kind: 'waits-for-permit'};
+	};
+
 	/** Chooses an upstream for a call, and decides whether the call may go to it now; calls without a prompt are exempt from the backlog limit and take no turns. */
 	const decide = (entry: QueueEntry, pass: DispatchPass): Decision => {
 		const {call} = entry;
@@ -112,7 +137,7 @@
 		const isLatencySensitive = isLatencySensitiveRoute(call.route, service, observed.prefillRate);
 		const candidate = chooseUpstream(candidates, getRequestProfile(entry, isLatencySensitive, pass.now), context.random);
 		if (candidate === undefined) {
-			return {kind: 'impossible'};
+			return decideOnPermits(entry, observed, pass);
 		}
 
 		const backlogLimit = backlogLimits.get(table, call);
@@ -131,7 +156,7 @@
 	const assign = ({call, enqueuedAt, resolve}: QueueEntry, {candidate, isLatencySensitive}: Extract<Decision, {kind: 'placed'}>, now: Milliseconds): void => {
 		metrics.record('waiting_duration', now - enqueuedAt, {route: call.route.name});
 		const load = startRequestLoad(context.reportExchange, getUpstreamKey(candidate.upstream), candidate.uncachedTokens, isLatencySensitive ? 1 : 0);
-		resolve({candidate, load});
+		resolve({candidate, load, permit: context.limits.claim(getUpstreamKey(candidate.upstream))});
 	};
 
 	const countQueuedTokens = (queuedTokens: QueuedTokens, {upstream, uncachedTokens}: Candidate): void => {
@@ -169,6 +194,10 @@
 				return false;
 			}
 
+			case 'waits-for-permit': {
+				return true;
+			}
+
 			case 'waits': {
 				countQueuedTokens(pass.queuedTokens, decision.candidate);
 				return true;
--- a/packages/forwarder/src/simulated-host.ts
+++ b/packages/forwarder/src/simulated-host.ts
@@ -12,6 +12,7 @@
 import {type Call} from './call.js';
 import {createForwarder} from './forward.js';
 import type {ForwarderContext} from './context.js';
+import {createSoleLimits} from './testing-sole-limits.js';
 import {createUpstreamTracker} from './upstream-tracker.js';
 import {buildTestCall, buildTestPrompt} from './testing-call.js';
 import {createTestView} from './testing-view.js';
@@ -79,6 +80,7 @@
 			loads.addOwnLoad(upstream, change, clock.monotonic());
 		},
 	};
+	const limits = createSoleLimits(clock, logger);
 	const context = {
 		clock,
 		random: createRandom(seed),
@@ -88,8 +90,9 @@
 		zone: 'a',
 		view,
 		reportExchange,
+		limits,
 		tracker: createUpstreamTracker({
-			clock, logger, loads, getService: view.getService,
+			clock, logger, loads, limits, getService: view.getService,
 		}),
 		suspects: createCrashSuspects(),
 		retryLimit: {ratio: 0.2, minimum: 54, window: 10_000},
--- a/packages/forwarder/src/start-host.ts
+++ b/packages/forwarder/src/start-host.ts
@@ -20,6 +20,7 @@
 import {findStreamOrigin} from './resumption.js';
 import {createViewFreshness} from './view-freshness.js';
 import type {ForwarderContext} from './context.js';
+import {createUpstreamLimits} from './upstream-limits.js';
 import {createUpstreamTracker} from './upstream-tracker.js';
 
 /** Settings of a host. */
@@ -100,8 +101,17 @@
 	const random = createRandom(getRandomSeed(settings.host, clock.now()));
 	const metrics = createMetrics();
 	const loads = createLoadTracker();
+	const limits = createUpstreamLimits({
+		clock,
+		logger,
+		countHosts: () => fleet.countHosts(),
+		isAmongChosenHosts: (key, count) => fleet.isAmongChosenHosts(key, count),
+		announce(news) {
+			fleet.reportExchange.addLimit(news);
+		},
+	});
 	const tracker = createUpstreamTracker({
-		clock, logger, loads, getService: upstream => fleet.view.getService(upstream),
+		clock, logger, loads, limits, getService: upstream => fleet.view.getService(upstream),
 	});
 	const suspects = createCrashSuspects();
 	const streamOrigins = createStreamOrigins();
@@ -125,6 +135,8 @@
 		onStream(stream) {
 			streamOrigins.add(stream, clock.monotonic());
 		},
+		getLimits: limits.getNews,
+		onLimit: limits.applyNews,
 		onReport(arrival) {
 			recordReportArrival(metrics, arrival);
 		},
@@ -134,6 +146,7 @@
 		onRemoved(upstream) {
 			versions.remove(upstream, clock.monotonic());
 			tracker.remove(upstream);
+			limits.remove(upstream);
 		},
 		onLeaving: tracker.retire,
 	});
@@ -148,6 +161,7 @@
 		freshness: createViewFreshness({clock, view: fleet.view, reportExchange: fleet.reportExchange}, fleet.refresh),
 		reportExchange: fleet.reportExchange,
 		tracker,
+		limits,
 		suspects,
 		crashDetector: createCrashDetector(clock),
 		streamOrigins,
@@ -155,7 +169,7 @@
 		askForStreamOrigin: fleet.askForStreamOrigin,
 		retryLimit: {...settings.retryLimit},
 		countHosts: fleet.countHosts,
-		isTrialHost: fleet.isChosenHost,
+		isTrialHost: suspect => fleet.isAmongChosenHosts(suspect, 1),
 		isStopping,
 		canAccept: timeout => shutdown.since === undefined || canAcceptRequest(clock.monotonic() - shutdown.since, shutdown.gracePeriod, timeout),
 	};
@@ -189,6 +203,7 @@
 		},
 		getMetricsPage() {
 			context.metrics.setGauge('queue_length', forwarder.getQueueLength());
+			context.metrics.setGauge('upstream_limits', context.limits.getNews().filter(({limit}) => limit !== undefined).length);
 			return context.metrics.renderPrometheusText();
 		},
 		reload(next) {
--- a/packages/forwarder/src/testing-fleet.ts
+++ b/packages/forwarder/src/testing-fleet.ts
@@ -13,6 +13,7 @@
 import type {ForwarderContext} from './context.js';
 import {createRequestQueue, type Assignment, type RequestQueue} from './request-queue.js';
 import {createTestEngine, type TestEngine} from './testing-engine.js';
+import {createSoleLimits} from './testing-sole-limits.js';
 import {createUpstreamTracker, type UpstreamTracker} from './upstream-tracker.js';
 import {createTestView} from './testing-view.js';
 
@@ -100,15 +101,17 @@
 const createHost = (options: TestFleetOptions, index: number, view: FleetView, send: (report: TestReport) => void): TestHost => {
 	const {clock, seed} = options;
 	const loads = createLoadTracker();
+	const limits = createSoleLimits(clock, createSilentLogger());
 	const tracker = createUpstreamTracker({
-		clock, logger: createSilentLogger(), loads, getService: view.getService,
+		clock, logger: createSilentLogger(), loads, limits, getService: view.getService,
 	});
 	const reportExchange = createReportExchange(options, loads, report => {
 		send({sender: host, ...report});
 	});
-	const context: Pick<ForwarderContext, 'clock' | 'view' | 'tracker' | 'metrics' | 'reportExchange' | 'random' | 'zone' | 'countHosts' | 'suspects'> = {
+	const context: Pick<ForwarderContext, 'clock' | 'view' | 'tracker' | 'metrics' | 'reportExchange' | 'random' | 'zone' | 'countHosts' | 'suspects' | 'limits'> = {
 		clock, view, tracker, metrics: createMetrics(), reportExchange: reportExchange as LoadReportExchange, random: createRandom(seed + index), zone: 'a', countHosts: () => options.hosts,
 		suspects: createCrashSuspects(),
+		limits,
 	};
 	const host: TestHost = {
 		id: `h${index}`, loads, tracker, reportExchange, queue: createRequestQueue(context as ForwarderContext),
@@ -125,7 +128,7 @@
 };
 
 /** Sends a call to the engine and resolves at its first token; records the load as an attempt does. */
-const runCall = async (clock: ManualClock, host: TestHost, {candidate, load}: Assignment, {engine, prompt}: {engine: TestEngine; prompt: Prompt}): Promise<ForwardedCall> => {
+const runCall = async (clock: ManualClock, host: TestHost, {candidate, load, permit}: Assignment, {engine, prompt}: {engine: TestEngine; prompt: Prompt}): Promise<ForwardedCall> => {
 	const {upstream, uncachedTokens: expectedTokens} = candidate;
 	const prefill = {upstream: getUpstreamKey(upstream), model: prompt.model, parts: prompt.parts};
 	const sentAt = clock.monotonic();
@@ -145,6 +148,7 @@
 	clock.after(streamDuration, () => {
 		activity.end();
 		load.end();
+		permit.release();
 		host.queue.requestDispatch();
 	});
 	return {
--- a/packages/forwarder/src/testing.ts
+++ b/packages/forwarder/src/testing.ts
@@ -14,9 +14,11 @@
 } from '@gentianlift/routing';
 import {createCrashDetector} from './crash-detector.js';
 import {createForwarder, type Forwarder} from './forward.js';
-import type {LimitStatement, Protocol, RawHeaders} from './protocol.js';
+import {parseRequestLimit} from './parse-request-limit.js';
+import type {Protocol, RawHeaders} from './protocol.js';
 import {createCallerServer} from './serve-callers.js';
 import type {ForwarderContext} from './context.js';
+import {createSoleLimits} from './testing-sole-limits.js';
 import {createUpstreamTracker} from './upstream-tracker.js';
 import {createViewFreshness} from './view-freshness.js';
 
@@ -47,14 +49,6 @@
 	model: 'm', parts: parts.split(',').map(id => ({id, tokens})), inputTokens: tokens, outputTokens: 10,
 });
 
-const readRequestLimit = (text: string | undefined): LimitStatement => {
-	if (text === undefined) {
-		return {kind: 'none'};
-	}
-
-	return Number.isFinite(Number(text)) ? {kind: 'limit', perSecond: Number(text)} : {kind: 'malformed', text};
-};
-
 /** Minimal protocol with the headers `limit`, `attempt`, `instance`, `key`, `timeout`, `last-event`, `prompt-tokens`, `parts`, `not-run` and `signed`. */
 const protocol: Protocol = {
 	readCallerHead(headers) {
@@ -92,7 +86,7 @@
 	readAnswerHead: (status, headers) => ({
 		status,
 		callerRequestId: getValue(headers, 'attempt'),
-		requestLimit: readRequestLimit(getValue(headers, 'limit')),
+		requestLimit: parseRequestLimit(headers.filter((_, index) => index % 2 === 1 && headers[index - 1]?.toLowerCase() === 'limit')),
 		isNotExecuted: getValue(headers, 'not-run') !== undefined,
 		hasUpstreamMark: getValue(headers, 'signed') !== undefined,
 		isEventStream: getValue(headers, 'content-type') === 'text/event-stream',
@@ -128,6 +122,7 @@
 	addCrash: () => undefined,
 	addStream: () => undefined,
 	addGoodEnd: () => undefined,
+	addLimit: () => undefined,
 	markStopping: () => undefined,
 	getNewestRevision: () => 0,
 	getShortestSilence: () => 0,
@@ -183,6 +178,7 @@
 		view.recordContact(true, clock.monotonic());
 	};
 
+	const limits = createSoleLimits(clock, logger);
 	const context: ForwarderContext = {
 		clock,
 		random: createRandom(1),
@@ -193,8 +189,9 @@
 		view,
 		freshness: createViewFreshness({clock, view, reportExchange}, refresh ?? recordContact),
 		reportExchange,
+		limits,
 		tracker: createUpstreamTracker({
-			clock, logger, loads, getService: view.getService,
+			clock, logger, loads, limits, getService: view.getService,
 		}),
 		suspects: createCrashSuspects(),
 		crashDetector: createCrashDetector(clock),
--- a/packages/forwarder/src/upstream-tracker.ts
+++ b/packages/forwarder/src/upstream-tracker.ts
@@ -9,6 +9,7 @@
 } from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
 import {buildCandidates, type CandidateQuery, type ObservedService} from './observed-service.js';
+import type {UpstreamLimits} from './upstream-limits.js';
 import {idleTimeouts, UpstreamAgent} from './upstream-agent.js';
 
 /** Tracks the state that this host observes for each incarnation of an upstream: connections, failures, latencies and cached prefixes. */
@@ -18,7 +19,7 @@
 	/** Observes the upstreams of a service for a dispatch pass that begins at `now`. */
 	observe: (service: Service, upstreams: readonly Upstream[], now: Milliseconds) => ObservedService;
 	/** Returns the upstreams that may run a call, unreachable or silent ones only if there are no others. */
-	getCandidates: (query: CandidateQuery) => Candidate[];
+	getCandidates: (query: Omit<CandidateQuery, 'hasPermit'>) => Candidate[];
 	/** Returns the uncached prompt tokens queued at this host for an upstream, as last reported to the other hosts. */
 	getReportedQueuedTokens: (upstream: UpstreamKey) => number;
 	/** Records a time to first token and the number of tokens that were prefilled in it. */
@@ -47,6 +48,8 @@
 	clock: Clock;
 	logger: Logger;
 	loads: LoadTracker;
+	/** Limits that upstreams have named. */
+	limits: Pick<UpstreamLimits, 'isLimited' | 'hasPermit'>;
 	/** Returns the service that an upstream runs; undefined while the upstream isn't listed. */
 	getService: (upstream: UpstreamKey) => Service | undefined;
 };
@@ -104,7 +107,7 @@
 
 /** Creates a tracker without state. */
 export const createUpstreamTracker = ({
-	clock, logger, loads, getService,
+	clock, logger, loads, limits, getService,
 }: UpstreamTrackerOptions): UpstreamTracker => {
 	const states = new Map<UpstreamKey, UpstreamState>();
 	const reservations = new Map<string, Reservation>();
@@ -160,7 +163,7 @@
 		const streams = upstreams.reduce((sum, upstream) => sum + loads.getTotalLoad(getUpstreamKey(upstream)).latencySensitiveStreams, 0);
 		const reservation = updateReservation(reservations.get(service), streams, now);
 		reservations.set(service, reservation);
-		return chooseReservedUpstreams(upstreams, reservation.count);
+		return chooseReservedUpstreams(upstreams.filter(upstream => !limits.isLimited(getUpstreamKey(upstream))), reservation.count);
 	};
 
 	const retire = (key: UpstreamKey): void => {
@@ -209,7 +212,7 @@
 				prefillRate: getMedian(usableStates.map(({prefillRate}) => prefillRate.get())) ?? defaultPrefillRate,
 			};
 		},
-		getCandidates: query => buildCandidates(query, loads),
+		getCandidates: query => buildCandidates({...query, hasPermit: limits.hasPermit}, loads),
 		recordPrefill(upstream, prompt) {
 			getCache(upstream).add(prompt);
 		},
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -11,6 +11,7 @@
 export * from './preferred-upstream.js';
 export * from './prompt-cache.js';
 export * from './prefill-rate.js';
+export * from './request-limit.js';
 export * from './retry.js';
 export * from './retry-budget.js';
 export * from './route-table.js';
