Check in the soak that a resumption which is denied has not run

A request with which a caller resumes a stream has an id of its own, and its answer is as much an account as any other; the check saw only the first request.

--- a/packages/soak/src/deployment.ts
+++ b/packages/soak/src/deployment.ts
@@ -62,7 +62,7 @@
 };
 
 /** What a caller received. */
-export type CallResult = Pick<Call, 'outcome' | 'versions'>;
+export type CallResult = Pick<Call, 'outcome' | 'versions' | 'resumptions'>;
 
 /** Client of the hosts that keeps its connections open. */
 export type Callers = {
--- a/packages/soak/src/exchange.ts
+++ b/packages/soak/src/exchange.ts
@@ -20,18 +20,21 @@
 /** A complete answer. */
 export type CompleteResponse = {status: number; text: string};
 
+/** A complete answer, or how the request ended without one. */
+export type ExchangeResult = CompleteResponse | Outcome;
+
 /** Called with each piece of a body. */
 export type TextListener = (text: string) => void;
 
 /** Sends a request and reads its answer; resolves with an outcome instead if no complete answer arrives within the timeout. `onText` is called with each piece of the body, also of one that isn't completed. */
-export const sendAndReceive = async (options: RequestOptions, body: string, timeout: Milliseconds, onText: TextListener = () => undefined): Promise<CompleteResponse | Outcome> => new Promise(resolve => {
+export const sendAndReceive = async (options: RequestOptions, body: string, timeout: Milliseconds, onText: TextListener = () => undefined): Promise<ExchangeResult> => new Promise(resolve => {
 	let isConnected = false;
 	const outgoing: ClientRequest = request(options);
 	const timer = setTimeout(() => {
 		resolve({kind: 'given-up'});
 		outgoing.destroy();
 	}, timeout);
-	const finish = (result: CompleteResponse | Outcome): void => {
+	const finish = (result: ExchangeResult): void => {
 		clearTimeout(timer);
 		resolve(result);
 	};
@@ -62,4 +65,4 @@
 });
 
 /** Returns whether a result is a complete answer. */
-export const isCompleteResponse = (result: CompleteResponse | Outcome): result is CompleteResponse => 'status' in result && 'text' in result;
+export const isCompleteResponse = (result: ExchangeResult): result is CompleteResponse => 'status' in result && 'text' in result;
--- a/packages/soak/src/guarantees.test.ts
+++ b/packages/soak/src/guarantees.test.ts
@@ -6,7 +6,7 @@
 
 const call = (changes: Partial<Call> = {}): Call => ({
 	attempt: 'a', kind: 'booking', service: 's', host: 0, startedAt: 10_000, endedAt: 10_100, timeout: 1000,
-	outcome: {kind: 'answered', status: 200, isOwn: true}, versions: [], ...changes,
+	outcome: {kind: 'answered', status: 200, isOwn: true}, versions: [], resumptions: [], ...changes,
 });
 
 const execution = (changes: Partial<Execution> = {}): Execution => ({
@@ -43,6 +43,13 @@
 	expect(find({calls: [call({outcome: {kind: 'answered', status: 200, isOwn: false}})], executions: [execution()]})).toEqual(['an answer is whole and belongs to its request']);
 });
 
+test('reports a resumption that was executed although its answer denies it', () => {
+	const outcome = {kind: 'answered', status: 503, isOwn: false} as const;
+	const resumed = call({kind: 'resumable', resumptions: [{attempt: 'a.1', outcome}]});
+	expect(find({calls: [resumed], executions: [execution({attempt: 'a.1'})]})).toEqual(['what is said not to have run has not']);
+	expect(find({calls: [resumed], executions: [execution()]})).toEqual([]);
+});
+
 test('reports a stream with events of two software versions, also if it broke', () => {
 	const outcome = {kind: 'broken', reason: 'reset'} as const;
 	expect(find({calls: [call({kind: 'resumable', versions: ['v1', 'v2'], outcome})]})).toEqual(['a stream has events of one software version']);
--- a/packages/soak/src/guarantees.ts
+++ b/packages/soak/src/guarantees.ts
@@ -29,6 +29,8 @@
 	/** Time after which the caller gives up. */
 	timeout: Milliseconds;
 	outcome: Outcome;
+	/** Requests with which the caller of a resumable stream resumed it, by their own ids. */
+	resumptions: ReadonlyArray<{attempt: string; outcome: Outcome}>;
 	/** Software versions of the upstreams whose events the caller of a resumable stream received. */
 	versions: readonly string[];
 };
@@ -97,6 +99,16 @@
 	&& endedAt - startedAt > timeout + answerGracePeriod
 	&& !outages.some(interval => interval.host === host && overlaps(interval, startedAt - disturbanceAftermath, endedAt));
 
+const notRunGuarantee = 'what is said not to have run has not';
+
+/** Whether an answer states that its request was not executed. */
+const isDenied = (outcome: Outcome): boolean => outcome.kind === 'answered' && notExecutedStatuses.has(outcome.status);
+
+/** Finds the requests that resumed a call's stream and were executed although their answers deny it. */
+const checkResumptions = ({resumptions}: Call, executionsByAttempt: ReadonlyMap<string, Execution[]>): Violation[] => resumptions
+	.filter(({attempt, outcome}) => isDenied(outcome) && executionsByAttempt.has(attempt))
+	.map(({attempt, outcome}) => ({attempt, guarantee: notRunGuarantee, detail: JSON.stringify(outcome)}));
+
 const checkCall = (call: Call, executions: readonly Execution[], observations: Observations): Array<Omit<Violation, 'attempt'>> => {
 	const detail = describeCall(call);
 	const executedAt = executions.map(({upstream, at}) => `${upstream}@${Math.round(at)}`).join(', ');
@@ -105,8 +117,8 @@
 		violations.push({guarantee: 'a booking or a stream runs at most once', detail: `${detail}; ran at ${executedAt}`});
 	}
 
-	if (call.outcome.kind === 'answered' && notExecutedStatuses.has(call.outcome.status) && executions.length > 0) {
-		violations.push({guarantee: 'what is said not to have run has not', detail: `${detail}; ran at ${executedAt}`});
+	if (isDenied(call.outcome) && executions.length > 0) {
+		violations.push({guarantee: notRunGuarantee, detail: `${detail}; ran at ${executedAt}`});
 	}
 
 	if (call.outcome.kind === 'answered' && call.outcome.status < 300 && !call.outcome.isOwn) {
@@ -135,6 +147,8 @@
 /** Finds the guarantees that were broken, by request. */
 export const findViolations = (observations: Observations): Violation[] => {
 	const executionsByAttempt = groupByAttempt(observations.executions);
-	return observations.calls.flatMap(call =>
-		checkCall(call, executionsByAttempt.get(call.attempt) ?? [], observations).map(violation => ({attempt: call.attempt, ...violation})));
+	return observations.calls.flatMap(call => [
+		...checkCall(call, executionsByAttempt.get(call.attempt) ?? [], observations).map(violation => ({attempt: call.attempt, ...violation})),
+		...checkResumptions(call, executionsByAttempt),
+	]);
 };
--- a/packages/soak/src/resumable-stream.ts
+++ b/packages/soak/src/resumable-stream.ts
@@ -2,14 +2,14 @@
 import type {Milliseconds} from '@gentianlift/types';
 import {isWholeStream, readVersionedEvents, type ReceivedEvents} from './answers.js';
 import type {CallOptions, CallResult} from './deployment.js';
-import {isCompleteResponse, type CompleteResponse, type TextListener} from './exchange.js';
+import {isCompleteResponse, type ExchangeResult, type TextListener} from './exchange.js';
 import type {Outcome} from './guarantees.js';
 
 /** A request for a resumable stream, or for the rest of one whose first event the request `resumes` brought and of which its caller has the events up to `after`. */
 export type StreamRequest = {call: CallOptions; resumes: string | undefined; after: number};
 
 /** Sends a request for a stream, and calls back with each piece of the answer. */
-export type StreamSender = (request: StreamRequest, onText: TextListener) => Promise<CompleteResponse | Outcome>;
+export type StreamSender = (request: StreamRequest, onText: TextListener) => Promise<ExchangeResult>;
 
 /** Maximum number of requests for one stream, and the pause between two. */
 const maxRequests = 3;
@@ -40,6 +40,7 @@
 	const state: StreamState = {firstRequest: undefined, numbers: [], versions: []};
 	const deadline = performance.now() + call.timeout;
 	const first = await receive(call, state, send);
+	const resumptions: Array<{attempt: string; outcome: Outcome}> = [];
 	let last = first;
 	for (let requests = 1; requests < maxRequests && !isServed(last) && last.kind !== 'given-up'; requests++) {
 		// eslint-disable-next-line no-await-in-loop -- One request at a time.
@@ -55,7 +56,8 @@
 		last = await receive({
 			...call, attempt, address, timeout,
 		}, state, send);
+		resumptions.push({attempt, outcome: last});
 	}
 
-	return {outcome: isServed(last) ? last : first, versions: state.versions};
+	return {outcome: isServed(last) ? last : first, versions: state.versions, resumptions};
 };
