Play crashing parts and limited engines in the soak

Engines of the soak crash on a part that additional requests share, and name a limit on their requests; its checks use the users' own bounds: three requests later than 3 s after the fifth crash, one and a half times the limit and five in 4 s. Hosts that are stopped, paused or starting are excused, no others.

--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -7,7 +7,7 @@
 export * from './crash-suspects.js';
 export * from './failure-counts.js';
 export * from './hash.js';
-export type * from './prompt.js';
+export * from './prompt.js';
 export * from './preferred-upstream.js';
 export * from './prompt-cache.js';
 export * from './prefill-rate.js';
--- a/packages/routing/src/prompt.ts
+++ b/packages/routing/src/prompt.ts
@@ -11,3 +11,9 @@
 	/** Maximum number of tokens to generate. */
 	outputTokens: number;
 };
+
+/** Returns the distinct ids, which are hexadecimal, of the parts that other requests may share: all but the last one. */
+export const getSharedParts = (parts: readonly PromptPart[]): string[] => {
+	const ids = parts.map(({id}) => id.trim().toLowerCase()).filter(id => id !== '');
+	return [...new Set(ids.slice(0, -1))];
+};
--- a/packages/soak/src/deployment.ts
+++ b/packages/soak/src/deployment.ts
@@ -29,6 +29,10 @@
 	store: FakeStore;
 	/** Called when the upstream begins to execute a request; `at` is 0, the receiver sets it. */
 	onExecute: (execution: Execution) => void;
+	/** Called when the upstream crashes on a part of a prompt. */
+	onPartCrash: (part: string) => void;
+	/** Called with each request that arrives while the upstream names a limit; `episode` tells the times apart in which it does. */
+	onLimitedArrival: (episode: string) => void;
 	/** Opens a link to the address on which the upstream listens; returns the address that hosts connect to. */
 	openLink: (address: Address) => Promise<Address>;
 };
@@ -57,6 +61,8 @@
 	address: Address;
 	/** Time after which the caller gives up. */
 	timeout: Milliseconds;
+	/** Part of the prompt that other requests share, beside the usual ones. */
+	part?: string;
 	/** Returns the address at which to resume a stream that broke. */
 	pickAddress: () => Address | undefined;
 };
--- a/packages/soak/src/fake-upstream.ts
+++ b/packages/soak/src/fake-upstream.ts
@@ -27,6 +27,10 @@
 	isResumable: (request: IncomingMessage) => boolean;
 	/** Returns the number of the event after which a stream is resumed; 0 from its beginning. */
 	getResumeAfter: (request: IncomingMessage) => number;
+	/** Returns the ids of the parts of the request's prompt. */
+	getParts: (request: IncomingMessage) => string[];
+	/** Returns the headers of an answer that names a limit on requests. */
+	getLimitHeaders: (perSecond: number) => Record<string, string>;
 	/** Headers of an answer that states that the request was not executed. */
 	notExecutedHeaders: Record<string, string>;
 	getAnswerHeaders: (id: string, attempt: string) => Record<string, string>;
@@ -50,6 +54,13 @@
 /** Start time in the entry of an upstream's first incarnation; later incarnations count up from it. */
 const firstStartTime = 1_000_000;
 
+/** Prefix of the ids of parts that crash upstreams. */
+export const crashingPartPrefix = 'bad';
+/** Time after which an upstream that a part has crashed is back. */
+const partCrashTime: Milliseconds = 2500;
+/** Requests a second that an upstream names in failure mode `limited`. */
+export const limitedRate = 2;
+
 /** Whether a request is one of the half whose streams are broken off. */
 const isEvenAttempt = (attempt: string): boolean => (attempt.codePointAt(attempt.length - 1) ?? 0) % 2 === 0;
 
@@ -62,11 +73,13 @@
 
 /** Starts a fake upstream and writes its entry into the key-value service. */
 export const startUpstream = async ({
-	service, name, ip, store, onExecute, openLink,
+	service, name, ip, store, onExecute, onPartCrash, onLimitedArrival, openLink,
 }: FakeUpstreamOptions, protocol: UpstreamProtocol): Promise<FakeUpstream> => {
 	const idleSince = new WeakMap<Socket, Milliseconds>();
 	let failureMode: UpstreamFailureMode | undefined;
 	let incarnation = 0;
+	/** Number of failure modes so far. */
+	let modeCount = 0;
 	let inFlight = 0;
 	let id = name;
 	let isDown = false;
@@ -136,12 +149,19 @@
 			attempt, service, upstream: id, at: 0,
 		});
 		await sleep(failureMode === 'slow' ? serviceTime * slowFactor : serviceTime);
+		const crashingPart = protocol.getParts(request).find(part => part.startsWith(crashingPartPrefix));
+		if (crashingPart !== undefined && !isDown) {
+			onPartCrash(crashingPart);
+			crashAndReturn();
+			return;
+		}
+
 		if (failureMode === 'mute' || response.destroyed) {
 			return;
 		}
 
 		response.statusCode = failureMode === 'failing' ? 500 : 200;
-		response.setHeaders(new Map(Object.entries(protocol.getAnswerHeaders(id, attempt))));
+		response.setHeaders(new Map(Object.entries({...protocol.getAnswerHeaders(id, attempt), ...(failureMode === 'limited' && protocol.getLimitHeaders(limitedRate))})));
 		response.useChunkedEncodingByDefault = failureMode !== 'unframed';
 		if (protocol.isStream(request) && response.statusCode === 200) {
 			await writeStream(request, attempt, response);
@@ -163,6 +183,10 @@
 			return;
 		}
 
+		if (failureMode === 'limited') {
+			onLimitedArrival(`${id}/${modeCount}`);
+		}
+
 		if (inFlight >= slots || failureMode === 'full') {
 			reject(response, 503);
 			return;
@@ -203,6 +227,17 @@
 		publishEntry(false);
 	};
 
+	/** Crashes, and starts again under another id unless a failure mode has done so. */
+	const crashAndReturn = (): void => {
+		const failedId = id;
+		closeServer();
+		runAfter(partCrashTime, () => {
+			if (isDown && id === failedId) {
+				void restart(`${name}-${incarnation + 1}`);
+			}
+		});
+	};
+
 	const beginFailure = (next: UpstreamFailureMode): void => {
 		const failedKey = getKey();
 		if (next === 'crash' || next === 'return-as-other') {
@@ -239,6 +274,7 @@
 			}
 
 			failureMode = next;
+			modeCount += 1;
 			if (next !== undefined) {
 				beginFailure(next);
 			}
--- /dev/null
+++ b/packages/soak/src/fleet-guarantees.ts
@@ -0,0 +1,55 @@
+import type {Milliseconds} from '@gentianlift/types';
+import {limitedRate} from './fake-upstream.js';
+import {
+	disturbanceAftermath, overlaps, type Observations, type Violation,
+} from './guarantees.js';
+
+/** Time after which hosts have to keep to what they have been told. */
+const stableTime: Milliseconds = 3000;
+/** Crash of a part from which on its requests are judged, from 0, and how many may still reach upstreams. */
+const judgedCrashIndex = 4;
+const maxLateExecutions = 3;
+/** Window in which arrivals at a limited upstream are counted, and what it may get there. */
+const limitWindow: Milliseconds = 4000;
+const limitTolerance = 1.5;
+const limitSlack = 5;
+
+/** Whether a host was stopping, paused, away or starting at a time or shortly before it. */
+const isDisturbed = (host: number | undefined, at: Milliseconds, {outages}: Observations): boolean =>
+	outages.some(interval => (host === undefined || interval.host === host) && overlaps(interval, at - disturbanceAftermath, at));
+
+/** Finds parts that reached upstreams too often after they had crashed several, sent by hosts that had been undisturbed. */
+export const checkPartCrashes = (observations: Observations): Violation[] => {
+	const parts = [...new Set(observations.partCrashes.map(({part}) => part))];
+	return parts.flatMap(part => {
+		const judgedCrash = observations.partCrashes.filter(crash => crash.part === part).at(judgedCrashIndex);
+		if (judgedCrash === undefined) {
+			return [];
+		}
+
+		const hosts = new Map(observations.calls.filter(call => call.part === part).map(({attempt, host}) => [attempt, host]));
+		const late = observations.executions.filter(({attempt, at}) => {
+			const host = hosts.get(attempt);
+			return host !== undefined && at > judgedCrash.at + stableTime && !isDisturbed(host, at, observations);
+		});
+		return late.length > maxLateExecutions
+			? [{guarantee: 'a part that crashes upstreams is blocked', attempt: late[0]?.attempt ?? part, detail: `${part}: ${late.length} executions ${stableTime} ms after its fifth crash or later`}]
+			: [];
+	});
+};
+
+/** Finds upstreams that got more requests than the limit that they named, in a time without disturbed hosts. */
+export const checkLimits = (observations: Observations): Violation[] => {
+	const allowed = (limitTolerance * limitedRate * limitWindow / 1000) + limitSlack;
+	const episodes = [...new Set(observations.limitedArrivals.map(({episode}) => episode))];
+	return episodes.flatMap(episode => {
+		const times = observations.limitedArrivals.filter(arrival => arrival.episode === episode).map(({at}) => at);
+		const judged = times.filter(at => at >= (times[0] ?? 0) + stableTime);
+		const excess = judged.find(from => {
+			const count = judged.filter(at => at >= from && at < from + limitWindow).length;
+			return count > allowed && !isDisturbed(undefined, from, observations) && !isDisturbed(undefined, from + limitWindow, observations);
+		});
+		const guarantee = 'an upstream gets no more than its limit';
+		return excess === undefined ? [] : [{guarantee, attempt: episode, detail: `over ${allowed} arrivals in ${limitWindow} ms from ${Math.round(excess)}`}];
+	});
+};
--- a/packages/soak/src/fleet.ts
+++ b/packages/soak/src/fleet.ts
@@ -1,10 +1,9 @@
 import type {Address, Milliseconds} from '@gentianlift/types';
 import type {
-	Deployment, HostOptions, FakeStore, FakeUpstream,
+	Deployment, HostOptions, FakeStore, FakeUpstream, FakeUpstreamOptions,
 } from './deployment.js';
 import {openLink, type Link} from './link.js';
 import {createHostProcess, type HostProcess} from './host-process.js';
-import type {Execution} from './guarantees.js';
 
 /** A host's process with its link to the key-value service; `hasActiveFault` while a fault stops, kills or pauses it. */
 export type SoakHost = {options: HostOptions; hostProcess: HostProcess; storeLink: Link; callerAddress: Address; hasActiveFault: boolean};
@@ -29,8 +28,8 @@
 
 /** Options of a fleet. */
 export type FleetOptions = FleetSettings & {
-	/** Called for each request that an upstream executes. */
-	onExecute: (execution: Execution) => void;
+	/** Listeners to what the upstreams see. */
+	listeners: Pick<FakeUpstreamOptions, 'onExecute' | 'onPartCrash' | 'onLimitedArrival'>;
 };
 
 const zones = ['zone-1', 'zone-2'];
@@ -41,7 +40,7 @@
 const storeLinkOctet = 3;
 const shutdownGracePeriod: Milliseconds = 8000;
 
-const startUpstreams = async ({deployment, network, upstreams, onExecute}: FleetOptions, store: FakeStore): Promise<SoakUpstream[]> => {
+const startUpstreams = async ({deployment, network, upstreams, listeners}: FleetOptions, store: FakeStore): Promise<SoakUpstream[]> => {
 	const services = [...new Set(Object.values(deployment.services))];
 	const names = services.flatMap(service => Array.from({length: upstreams}, (_, index) => ({service, name: `${service}-${index}`})));
 	return Promise.all(names.map(async ({service, name}, index): Promise<SoakUpstream> => {
@@ -51,7 +50,7 @@
 			name,
 			ip: `${network}.${firstUpstreamOctet + index}`,
 			store,
-			onExecute,
+			...listeners,
 			async openLink(address) {
 				link = await openLink(`${network}.${firstUpstreamOctet + index}`, address);
 				return link.address;
--- a/packages/soak/src/guarantees.test.ts
+++ b/packages/soak/src/guarantees.test.ts
@@ -14,7 +14,7 @@
 });
 
 const find = (changes: Partial<Observations>): string[] => findViolations({
-	calls: [], executions: [], shutdowns: [], disturbances: [], outages: [], ...changes,
+	calls: [], executions: [], shutdowns: [], disturbances: [], outages: [], partCrashes: [], limitedArrivals: [], ...changes,
 }).map(({guarantee}) => guarantee);
 
 test('a request that was executed once and answered violates no guarantee', () => {
@@ -50,6 +50,31 @@
 	expect(find({calls: [resumed], executions: [execution()]})).toEqual([]);
 });
 
+test('reports a part that reaches upstreams in more than three requests, three seconds after its fifth crash', () => {
+	const partCrashes = [1, 2, 3, 4, 5].map(index => ({part: 'bad1', at: index * 100}));
+	const attempts = ['p1', 'p2', 'p3', 'p4'];
+	const calls = attempts.map(attempt => call({
+		attempt, part: 'bad1', kind: 'stream', outcome: {kind: 'broken', reason: 'reset'},
+	}));
+	const executions = attempts.map(attempt => execution({attempt, at: 3600}));
+	expect(find({calls, executions, partCrashes})).toEqual(['a part that crashes upstreams is blocked']);
+	expect(find({calls, executions: executions.slice(1), partCrashes})).toEqual([]);
+	expect(find({calls, executions, partCrashes: partCrashes.slice(1)})).toEqual([]);
+	expect(find({calls, executions: executions.map(item => ({...item, at: 3400})), partCrashes})).toEqual([]);
+	expect(find({
+		calls, executions, partCrashes, outages: [{host: 0, from: 1000, to: 2000}],
+	})).toEqual([]);
+});
+
+test('reports an upstream that gets more than one and a half times its limit and five requests in four seconds, from three seconds on', () => {
+	const arrive = (count: number, from: number): Array<{episode: string; at: number}> => Array.from({length: count}, (_, index) => ({episode: 'u', at: from + (index * 200)}));
+	const first = {episode: 'u', at: 0};
+	expect(find({limitedArrivals: [first, ...arrive(18, 3000)]})).toEqual(['an upstream gets no more than its limit']);
+	expect(find({limitedArrivals: [first, ...arrive(17, 3000)]})).toEqual([]);
+	expect(find({limitedArrivals: [first, ...arrive(18, 2500)]})).toEqual([]);
+	expect(find({limitedArrivals: [first, ...arrive(18, 3000)], outages: [{host: 1, from: 500, to: 1000}]})).toEqual([]);
+});
+
 test('reports a stream with events of two software versions, also if it broke', () => {
 	const outcome = {kind: 'broken', reason: 'reset'} as const;
 	expect(find({calls: [call({kind: 'resumable', versions: ['v1', 'v2'], outcome})]})).toEqual(['a stream has events of one software version']);
@@ -84,7 +109,7 @@
 
 test('draws faults of all kinds, for existing hosts and within the fault period', () => {
 	const faults = Array.from({length: 40}, (_, seed) => drawSchedule(seed, {hosts: 5, upstreams: 6}, 12_000)).flat();
-	expect(new Set(faults.map(({fault}) => fault.kind)).size).toBe(10);
+	expect(new Set(faults.map(({fault}) => fault.kind)).size).toBe(11);
 	expect(faults.every(({at}) => at < 12_000)).toBe(true);
 	expect(faults.every(({fault}) => !('host' in fault) || (fault.host >= 0 && fault.host < 5))).toBe(true);
 });
--- a/packages/soak/src/guarantees.ts
+++ b/packages/soak/src/guarantees.ts
@@ -1,4 +1,5 @@
 import type {Milliseconds} from '@gentianlift/types';
+import {checkLimits, checkPartCrashes} from './fleet-guarantees.js';
 
 /** Kinds of requests that a soak's callers send. Callers resume a `resumable` stream when it breaks. */
 export const requestKinds = ['booking', 'lookup', 'stream', 'resumable'] as const;
@@ -29,6 +30,8 @@
 	/** Time after which the caller gives up. */
 	timeout: Milliseconds;
 	outcome: Outcome;
+	/** The part of the request's prompt that crashes upstreams, if it has one. */
+	part?: string | undefined;
 	/** Requests with which the caller of a resumable stream resumed it, by their own ids. */
 	resumptions: ReadonlyArray<{attempt: string; outcome: Outcome}>;
 	/** Software versions of the upstreams whose events the caller of a resumable stream received. */
@@ -51,6 +54,10 @@
 	disturbances: Interval[];
 	/** Periods in which a host's process was shutting down, paused, killed or starting. */
 	outages: Array<Interval & {host: number}>;
+	/** Crashes of upstreams on a part of a prompt. */
+	partCrashes: Array<{part: string; at: Milliseconds}>;
+	/** Arrivals at upstreams that name a limit, by the time in which one does. */
+	limitedArrivals: Array<{episode: string; at: Milliseconds}>;
 };
 
 /** A guarantee of the router that was broken for a request. */
@@ -61,13 +68,14 @@
 /** Time beyond a caller's timeout within which a working host must have answered. */
 const answerGracePeriod: Milliseconds = 1000;
 /** Time after a fault during which requests still count as affected by it. */
-const disturbanceAftermath: Milliseconds = 3000;
+export const disturbanceAftermath: Milliseconds = 3000;
 /** Time after SIGTERM in which a host still accepts requests and must serve them. */
 const shutdownServingPeriod: Milliseconds = 2500;
 /** A request sent within this time before the process exits may arrive too late. */
 const exitMargin: Milliseconds = 100;
 
-const overlaps = (interval: Interval, from: Milliseconds, to: Milliseconds): boolean => interval.from <= to && interval.to >= from;
+/** Whether a period has a moment from `from` to `to`. */
+export const overlaps = (interval: Interval, from: Milliseconds, to: Milliseconds): boolean => interval.from <= to && interval.to >= from;
 
 const groupByAttempt = (executions: readonly Execution[]): Map<string, Execution[]> => {
 	const groups = new Map<string, Execution[]>();
@@ -147,8 +155,9 @@
 /** Finds the guarantees that were broken, by request. */
 export const findViolations = (observations: Observations): Violation[] => {
 	const executionsByAttempt = groupByAttempt(observations.executions);
-	return observations.calls.flatMap(call => [
+	const violations = observations.calls.flatMap(call => [
 		...checkCall(call, executionsByAttempt.get(call.attempt) ?? [], observations).map(violation => ({attempt: call.attempt, ...violation})),
 		...checkResumptions(call, executionsByAttempt),
 	]);
+	return [...violations, ...checkPartCrashes(observations), ...checkLimits(observations)];
 };
--- a/packages/soak/src/injector.ts
+++ b/packages/soak/src/injector.ts
@@ -1,6 +1,7 @@
 import type {Clock} from '@gentianlift/clock';
 import type {Milliseconds} from '@gentianlift/types';
 import type {Deployment} from './deployment.js';
+import {crashingPartPrefix} from './fake-upstream.js';
 import type {Fleet, SoakHost} from './fleet.js';
 import type {Link, LinkState} from './link.js';
 import type {Observations} from './guarantees.js';
@@ -12,6 +13,8 @@
 	inject: (fault: Fault) => void;
 	/** Returns the current factor on the rate of requests. */
 	getRateFactor: () => number;
+	/** Returns the part that crashes upstreams and comes with additional requests; undefined at other times. */
+	getCrashingPart: () => string | undefined;
 	/** Returns the newest version of the configuration. */
 	getVersion: () => number;
 	/** Resolves when all faults have ended. */
@@ -25,6 +28,8 @@
 
 /** Time between two new versions of the configuration in one fault. */
 const configurationInterval: Milliseconds = 150;
+/** Time for which upstreams that a part has crashed may be away after its last request. */
+const crashAftermath: Milliseconds = 3000;
 /** Time after its start in which a host may not be ready yet. */
 const startupTime: Milliseconds = 3000;
 /** Time beyond the grace period that is allowed until the exit of a process is observed. */
@@ -36,6 +41,8 @@
 	const failures: string[] = [];
 	let version = 1;
 	let rateFactor = 1;
+	let crashingPart: string | undefined;
+	let crashingParts = 0;
 
 	const recordDisturbance = (duration: Milliseconds): void => {
 		const from = clock.monotonic();
@@ -118,6 +125,16 @@
 		rateFactor = 1;
 	};
 
+	/** Lets requests with a new part that crashes upstreams come for a time; the upstreams are back some seconds after it. */
+	const sendCrashingPart = async (duration: Milliseconds): Promise<void> => {
+		recordDisturbance(duration + crashAftermath);
+		crashingParts += 1;
+		const part = `${crashingPartPrefix}${crashingParts}`;
+		crashingPart = part;
+		await clock.sleep(duration);
+		crashingPart = crashingPart === part ? undefined : crashingPart;
+	};
+
 	const runFault = async (fault: Fault): Promise<void> => {
 		const {hosts, upstreams, store} = fleet;
 		switch (fault.kind) {
@@ -163,6 +180,10 @@
 				return publishConfigurations(fault.count);
 			}
 
+			case 'crashing-part': {
+				return sendCrashingPart(fault.duration);
+			}
+
 			case 'burst': {
 				return raiseRate(fault.factor, fault.duration);
 			}
@@ -178,6 +199,7 @@
 			});
 		},
 		getRateFactor: () => rateFactor,
+		getCrashingPart: () => crashingPart,
 		getVersion: () => version,
 		async waitForFaults() {
 			await Promise.all(activeFaults);
--- a/packages/soak/src/run-seed.ts
+++ b/packages/soak/src/run-seed.ts
@@ -44,7 +44,7 @@
 const lookupTimeout: Milliseconds = 1500;
 
 const createObservations = (): Observations => ({
-	calls: [], executions: [], shutdowns: [], disturbances: [], outages: [],
+	calls: [], executions: [], shutdowns: [], disturbances: [], outages: [], partCrashes: [], limitedArrivals: [],
 });
 
 /** Returns whether a host answers requests and serves the newest version of the configuration but not the one before it. */
@@ -103,8 +103,17 @@
 	mkdirSync(folder, {recursive: true});
 	const observations = createObservations();
 	const fleet = await startFleet({
-		deployment, network, folder, hosts, upstreams, onExecute(execution) {
-			observations.executions.push({...execution, at: clock.monotonic()});
+		deployment, network, folder, hosts, upstreams,
+		listeners: {
+			onExecute(execution) {
+				observations.executions.push({...execution, at: clock.monotonic()});
+			},
+			onPartCrash(part) {
+				observations.partCrashes.push({part, at: clock.monotonic()});
+			},
+			onLimitedArrival(episode) {
+				observations.limitedArrivals.push({episode, at: clock.monotonic()});
+			},
 		},
 	});
 	const callers = deployment.createCallers();
@@ -117,7 +126,7 @@
 		});
 		const traffic = startTraffic({
 			fleet, deployment, callers, clock, random: createRandom(seed + 1), attemptPrefix: `a${seed}`,
-			getRateFactor: injector.getRateFactor, onCall(call) {
+			getRateFactor: injector.getRateFactor, getCrashingPart: injector.getCrashingPart, onCall(call) {
 				observations.calls.push(call);
 			},
 		});
--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -7,8 +7,8 @@
 /** One of `storeFailureModes`. */
 export type StoreFailureMode = typeof storeFailureModes[number];
 
-/** Failure modes of an upstream. After `return-as-other` it restarts under another id, after `crash` under the same one; `mute` executes requests without answering, `extra-bytes` sends an unsolicited answer, `unframed` answers without length or chunks and breaks off half of its streams inside an event. */
-export const upstreamFailureModes = ['crash', 'return-as-other', 'leave', 'slow', 'extra-bytes', 'truncating', 'full', 'failing', 'mute', 'idle-resets', 'unframed'] as const;
+/** Failure modes of an upstream. After `return-as-other` it restarts under another id, after `crash` under the same one; `mute` executes requests without answering, `extra-bytes` sends an unsolicited answer, `unframed` answers without length or chunks and breaks off half of its streams inside an event, `limited` names a limit on its requests. */
+export const upstreamFailureModes = ['crash', 'return-as-other', 'leave', 'slow', 'extra-bytes', 'truncating', 'full', 'failing', 'mute', 'idle-resets', 'unframed', 'limited'] as const;
 /** One of `upstreamFailureModes`. */
 export type UpstreamFailureMode = typeof upstreamFailureModes[number];
 
@@ -30,6 +30,8 @@
 		| {kind: 'upstream'; upstream: number; mode: UpstreamFailureMode; duration: Milliseconds}
 		/** Several new versions of the configuration in quick succession. */
 		| {kind: 'configurations'; count: number}
+		/** Additional requests, no two alike, that share a part of their prompts which crashes each upstream that begins to answer them. */
+		| {kind: 'crashing-part'; duration: Milliseconds}
 		/** A request rate that is raised by a factor. */
 		| {kind: 'burst'; factor: number; duration: Milliseconds};
 
@@ -43,6 +45,9 @@
 const meanFaultInterval: Milliseconds = 500;
 const minFaultDuration: Milliseconds = 300;
 const maxFaultDuration: Milliseconds = 4000;
+/** Additional time of faults that are judged only some seconds after they have begun. */
+const limitedTime: Milliseconds = 6000;
+const crashingPartTime: Milliseconds = 4000;
 
 const pickItem = <Item>(random: Random, items: readonly [Item, ...Item[]]): Item => random.pick(items) ?? items[0];
 
@@ -56,9 +61,13 @@
 	const host = Math.floor(random.next() * size.hosts);
 	const upstream = Math.floor(random.next() * size.upstreams);
 	const duration = drawDuration(random);
-	const drawUpstreamFault = (): Fault => ({
-		kind: 'upstream', upstream, mode: pickItem(random, upstreamFailureModes), duration,
-	});
+	const drawUpstreamFault = (): Fault => {
+		const mode = pickItem(random, upstreamFailureModes);
+		return {
+			kind: 'upstream', upstream, mode, duration: mode === 'limited' ? duration + limitedTime : duration,
+		};
+	};
+
 	// A kind that is listed n times is drawn n times as often.
 	return pickItem<() => Fault>(random, [
 		() => ({kind: 'host-stop', host}),
@@ -83,6 +92,7 @@
 		drawUpstreamFault,
 		drawUpstreamFault,
 		() => ({kind: 'configurations', count: 1 + Math.floor(random.next() * 4)}),
+		() => ({kind: 'crashing-part', duration: duration + crashingPartTime}),
 		() => ({kind: 'burst', factor: 2 + Math.floor(random.next() * 4), duration}),
 	])();
 };
--- a/packages/soak/src/traffic.ts
+++ b/packages/soak/src/traffic.ts
@@ -21,12 +21,18 @@
 	attemptPrefix: string;
 	/** Returns the current factor on the rate of requests. */
 	getRateFactor: () => number;
+	/** Returns the part of additional requests that crashes upstreams; undefined while there are none. */
+	getCrashingPart: () => string | undefined;
 	/** Called with each request once it has ended. */
 	onCall: (call: Call) => void;
 };
 
 /** Mean time between two requests at rate factor 1, over all callers. */
 const meanSendInterval: Milliseconds = 8;
+/** Number of requests with a crashing part for each other one, while they come. */
+const crashingPartRatio = 0.05;
+/** Kinds of requests with prompts. */
+const streamKinds = ['stream', 'resumable'] as const;
 /** Number of open requests at which no more are sent. */
 const maxOpenRequests = 400;
 /** Time after which callers ask again which hosts to connect to. */
@@ -58,40 +64,48 @@
 /** Starts an open-loop load with exponentially distributed intervals. */
 export const startTraffic = (options: TrafficOptions): Traffic => {
 	const {
-		fleet, deployment, callers, clock, random, attemptPrefix, getRateFactor, onCall,
+		fleet, deployment, callers, clock, random, attemptPrefix, getRateFactor, getCrashingPart, onCall,
 	} = options;
 	const pickAddress = createAddressPicker(options);
 	const openRequests = new Set<Promise<void>>();
 	let sent = 0;
 	const state = {isStopped: false};
 
-	const sendOne = async (): Promise<void> => {
+	const sendOne = async (part?: string): Promise<void> => {
 		const address = pickAddress();
-		const kind = random.pick(requestKinds);
+		const kind = part === undefined ? random.pick(requestKinds) : random.pick(streamKinds);
 		const host = fleet.hosts.findIndex(candidate => candidate.callerAddress === address);
 		if (address === undefined || kind === undefined || host === -1) {
 			return;
 		}
 
 		sent += 1;
-		const attempt = `${attemptPrefix}-${sent}`;
+		const attempt = part === undefined ? `${attemptPrefix}-${sent}` : `${attemptPrefix}-${part}-${sent}`;
 		const startedAt = clock.monotonic();
 		const result = await callers.send({
-			attempt, kind, address, timeout: requestTimeouts[kind], pickAddress,
+			attempt, kind, address, timeout: requestTimeouts[kind], pickAddress, ...(part !== undefined && {part}),
 		});
 		onCall({
-			attempt, kind, service: deployment.services[kind], host, startedAt, endedAt: clock.monotonic(), timeout: requestTimeouts[kind], ...result,
+			attempt, kind, service: deployment.services[kind], host, startedAt, endedAt: clock.monotonic(), timeout: requestTimeouts[kind], part, ...result,
 		});
 	};
 
+	const send = (part?: string): void => {
+		if (openRequests.size < maxOpenRequests) {
+			const call = sendOne(part);
+			openRequests.add(call);
+			void call.finally(() => {
+				openRequests.delete(call);
+			});
+		}
+	};
+
 	const sendUntilStopped = async (): Promise<void> => {
 		while (!state.isStopped) {
-			if (openRequests.size < maxOpenRequests) {
-				const call = sendOne();
-				openRequests.add(call);
-				void call.finally(() => {
-					openRequests.delete(call);
-				});
+			send();
+			const crashingPart = getCrashingPart();
+			if (crashingPart !== undefined && random.next() < crashingPartRatio) {
+				send(crashingPart);
 			}
 
 			// eslint-disable-next-line no-await-in-loop -- The interval between two requests.
