Don't block copies of a request that ended well lately for engines that fail together

The same holds for any request that many callers send, as a read without a body, where three engines fail together. Copies that have ended well in the last minute now need four crashes, merged within 150 ms, as parts do; copies that never have are blocked as before.

--- a/packages/forwarder/src/good-end.ts
+++ b/packages/forwarder/src/good-end.ts
@@ -1,15 +1,13 @@
 import type {Upstream} from '@gentianlift/routing';
 import type {Call, Progress} from './call.js';
 import type {ForwarderContext} from './context.js';
-import {getPartSuspects, getSuspects} from './crash-blame.js';
+import {getSuspects} from './crash-blame.js';
 import {reportCrash} from './report-crash.js';
 
 /** Records a good end for all that the call may be blamed by, and reports it where a crash spoke against that. */
 const addGoodEnds = (call: Call, context: ForwarderContext): void => {
 	const {suspects, clock, reportExchange, logger} = context;
-	// Where nothing speaks against any request, the fingerprints of copies aren't computed.
-	const ended = suspects.isEmpty() ? getPartSuspects(call) : getSuspects(call);
-	for (const suspect of ended) {
+	for (const suspect of getSuspects(call)) {
 		const goodEnd = {suspect, age: 0};
 		if (suspects.addGoodEnd(goodEnd, clock.monotonic())) {
 			reportExchange.addGoodEnd(goodEnd);
--- a/packages/routing/src/crash-evidence.test.ts
+++ b/packages/routing/src/crash-evidence.test.ts
@@ -36,6 +36,17 @@
 	expect(suspects.isBlocked(sound, 3000)).toBe(false);
 });
 
+// Guards against: a request that many callers send is refused, as three engines have failed together while they ran it.
+test('copies of a request that ended well lately are blocked by no engines that fail together', () => {
+	const suspects = createCrashSuspects();
+	suspects.addGoodEnd({suspect: 'copy', age: 0}, 0);
+	for (const upstream of ['a', 'b', 'c', 'd', 'e']) {
+		suspects.addCrash(crash('copy', upstream), 1000);
+	}
+
+	expect(suspects.isBlocked('copy', 1000)).toBe(false);
+});
+
 // Guards against: a part that has begun to crash engines is cleared for ever by what it was before.
 test('a part that has ended well is blocked after four crashes in a row, or once that was long ago', () => {
 	const suspects = createCrashSuspects();
--- a/packages/routing/src/crash-evidence.ts
+++ b/packages/routing/src/crash-evidence.ts
@@ -24,22 +24,23 @@
 };
 
 /** Crashes since the last good end after which a suspect is blocked. */
-type CrashLimits = {
-	/** For a suspect without a good end in the time `goodEndLifetime`. */
-	unproven: number;
-	/** For one that has ended well lately, and may have met crashes of other causes. */
-	proven: number;
+type CrashLimit = {
+	crashes: number;
 	/** Crashes that become known within this time count as one, as upstreams that fail together have one cause. */
 	merge: Milliseconds;
 };
 
+/** Limit for a suspect without a good end in the time `goodEndLifetime`, and for one that has ended well lately and may have met crashes of other causes. */
+type CrashLimits = Record<'unproven' | 'proven', CrashLimit>;
+
 /** Time for which a good end speaks for a suspect. */
 export const goodEndLifetime: Milliseconds = 60_000;
 
 const partPrefix = 'part:';
-const partLimits: CrashLimits = {unproven: 2, proven: 4, merge: 150};
-/** Copies of a request come one after the other, so that their crashes aren't merged. */
-const copyLimits: CrashLimits = {unproven: 3, proven: 3, merge: 0};
+const mergeTime: Milliseconds = 150;
+const partLimits: CrashLimits = {unproven: {crashes: 2, merge: mergeTime}, proven: {crashes: 4, merge: mergeTime}};
+/** Crashes of copies that have never ended well aren't merged, as each copy is retried at once. */
+const copyLimits: CrashLimits = {unproven: {crashes: 3, merge: 0}, proven: {crashes: 4, merge: mergeTime}};
 
 /** Time from the last crash until one request of a blocked suspect is tried, and the factor by which each further crash prolongs it. */
 const firstTrialDelay: Milliseconds = 15_000;
@@ -51,7 +52,13 @@
 /** Returns the suspect id of a part of a prompt. */
 export const getPartSuspect = (partId: string): SuspectId => `${partPrefix}${partId}`;
 
-const getLimits = (suspect: SuspectId): CrashLimits => suspect.startsWith(partPrefix) ? partLimits : copyLimits;
+/** Whether a good end speaks for a suspect. */
+export const isProven = (lastGoodEnd: Milliseconds, now: Milliseconds): boolean => now - lastGoodEnd <= goodEndLifetime;
+
+const getLimit = (suspect: SuspectId, lastGoodEnd: Milliseconds, now: Milliseconds): CrashLimit => {
+	const limits = suspect.startsWith(partPrefix) ? partLimits : copyLimits;
+	return isProven(lastGoodEnd, now) ? limits.proven : limits.unproven;
+};
 
 /** Creates evidence without crashes. */
 export const createCrashEvidence = (lastGoodEnd = Number.NEGATIVE_INFINITY): CrashEvidence =>
@@ -73,14 +80,10 @@
 /** Whether the evidence names a crash that no later good end explains. */
 export const hasUnexplainedCrash = ({crashes, lastGoodEnd}: CrashEvidence): boolean => [...crashes.values()].some(at => at > lastGoodEnd);
 
-/** Whether a good end speaks for a suspect. */
-export const isProven = (lastGoodEnd: Milliseconds, now: Milliseconds): boolean => now - lastGoodEnd <= goodEndLifetime;
-
 /** Whether requests of a suspect must not be sent to upstreams, except for trials. */
 export const isBlockedBy = (suspect: SuspectId, evidence: CrashEvidence, now: Milliseconds): boolean => {
-	const limits = getLimits(suspect);
-	const limit = isProven(evidence.lastGoodEnd, now) ? limits.proven : limits.unproven;
-	return getUnexplainedCrashes(evidence, limits.merge).length >= limit;
+	const {crashes, merge} = getLimit(suspect, evidence.lastGoodEnd, now);
+	return getUnexplainedCrashes(evidence, merge).length >= crashes;
 };
 
 /** Whether all crashes of a suspect are those of another one, too, so that either may have caused them. */
@@ -88,9 +91,9 @@
 	[...crashes].every(([upstream, at]) => at <= lastGoodEnd || other.crashes.has(upstream));
 
 /** Returns when one request of a blocked suspect may be tried; soon if another one may have caused the same crashes, and isn't in the request. */
-export const getTrialTime = (suspect: SuspectId, evidence: CrashEvidence, isShared: boolean): Milliseconds => {
-	const limits = getLimits(suspect);
-	const crashes = getUnexplainedCrashes(evidence, limits.merge);
-	const delay = Math.min(maxTrialDelay, firstTrialDelay * (trialDelayFactor ** Math.max(0, crashes.length - limits.unproven)));
+export const getTrialTime = (suspect: SuspectId, evidence: CrashEvidence, {isShared, now}: {isShared: boolean; now: Milliseconds}): Milliseconds => {
+	const limit = getLimit(suspect, evidence.lastGoodEnd, now);
+	const crashes = getUnexplainedCrashes(evidence, limit.merge);
+	const delay = Math.min(maxTrialDelay, firstTrialDelay * (trialDelayFactor ** Math.max(0, crashes.length - limit.crashes)));
 	return Math.max(crashes.at(-1) ?? Number.NEGATIVE_INFINITY, evidence.lastTrial) + (isShared ? sharedTrialDelay : delay);
 };
--- a/packages/routing/src/crash-suspects.ts
+++ b/packages/routing/src/crash-suspects.ts
@@ -129,7 +129,7 @@
 		},
 		isTrialDue: (blocked, now) => blocked.every(suspect => {
 			const known = find(suspect, now);
-			return known !== undefined && getTrialTime(suspect, known, blocked.length === 1 && hasSharedCrashes(suspect, known, now)) <= now;
+			return known !== undefined && getTrialTime(suspect, known, {isShared: blocked.length === 1 && hasSharedCrashes(suspect, known, now), now}) <= now;
 		}),
 		beginTrial(suspect, now) {
 			const known = find(suspect, now);
