--- a/packages/soak/src/deployment.ts
+++ b/packages/soak/src/deployment.ts
@@ -33,6 +33,8 @@
 	onPartCrash: (part: string) => void;
 	/** Called with each request that arrives while the upstream names a limit; `episode` tells the times apart in which it does. */
 	onLimitedArrival: (episode: string) => void;
+	/** Called when the upstream stops or resumes to listen. */
+	onListening: (isListening: boolean) => void;
 	/** Opens a link to the address on which the upstream listens; returns the address that hosts connect to. */
 	openLink: (address: Address) => Promise<Address>;
 };
--- a/packages/soak/src/fake-upstream.ts
+++ b/packages/soak/src/fake-upstream.ts
@@ -73,7 +73,7 @@
 
 /** Starts a fake upstream and writes its entry into the key-value service. */
 export const startUpstream = async ({
-	service, name, ip, store, onExecute, onPartCrash, onLimitedArrival, openLink,
+	service, name, ip, store, onExecute, onPartCrash, onLimitedArrival, onListening, openLink,
 }: FakeUpstreamOptions, protocol: UpstreamProtocol): Promise<FakeUpstream> => {
 	const idleSince = new WeakMap<Socket, Milliseconds>();
 	let failureMode: UpstreamFailureMode | undefined;
@@ -213,6 +213,7 @@
 	/** Stops listening and closes all connections, as the exit of an upstream's process would. */
 	const closeServer = (): void => {
 		isDown = true;
+		onListening(false);
 		server.close();
 		server.closeAllConnections();
 	};
@@ -223,6 +224,7 @@
 		id = nextId;
 		inFlight = 0;
 		await listen(server, ip, port);
+		onListening(true);
 		isDown = false;
 		publishEntry(false);
 	};
--- a/packages/soak/src/fleet.ts
+++ b/packages/soak/src/fleet.ts
@@ -51,6 +51,9 @@
 			ip: `${network}.${firstUpstreamOctet + index}`,
 			store,
 			...listeners,
+			onListening(isListening) {
+				link?.setListening(isListening);
+			},
 			async openLink(address) {
 				link = await openLink(`${network}.${firstUpstreamOctet + index}`, address);
 				return link.address;
--- a/packages/soak/src/kept-cases.ts
+++ b/packages/soak/src/kept-cases.ts
@@ -72,4 +72,23 @@
 			},
 		],
 	},
+	{
+		seed: 7200,
+		cause: 'Requests that share a part which crashes upstreams, but are never alike, went on to crash them',
+		schedule: [
+			{at: 300, fault: {kind: 'crashing-part', duration: 10_000}},
+			{at: 3000, fault: {kind: 'host-kill', host: 1, down: 500}},
+		],
+	},
+	{
+		seed: 7201,
+		cause: 'An upstream that named a limit on its requests got as many as before',
+		schedule: [
+			{
+				at: 300, fault: {
+					kind: 'upstream', upstream: 3, mode: 'limited', duration: 10_000,
+				},
+			},
+		],
+	},
 ];
--- a/packages/soak/src/link.ts
+++ b/packages/soak/src/link.ts
@@ -20,6 +20,8 @@
 	/** Address to connect to instead of the target. */
 	address: Address;
 	setState: (state: LinkState) => void;
+	/** Stops or resumes to listen, as the target does: without it a connection to a target that is gone would be established. */
+	setListening: (isListening: boolean) => void;
 	close: () => void;
 };
 
@@ -105,8 +107,9 @@
 	await new Promise<void>(resolve => {
 		server.listen(0, ip, resolve);
 	});
+	const {port: ownPort} = server.address() as AddressInfo;
 	return {
-		address: `${ip}:${(server.address() as AddressInfo).port}`,
+		address: `${ip}:${ownPort}`,
 		setState(next) {
 			state = next;
 			if (next.kind === 'reset') {
@@ -115,6 +118,13 @@
 				}
 			}
 		},
+		setListening(isListening) {
+			if (isListening && !server.listening) {
+				server.listen(ownPort, ip);
+			} else if (!isListening) {
+				server.close();
+			}
+		},
 		close() {
 			server.close();
 			for (const socket of sockets) {
--- a/packages/soak/src/store-contents.ts
+++ b/packages/soak/src/store-contents.ts
@@ -20,8 +20,8 @@
 	getRevision: () => number;
 	put: (key: string, value: string, lease?: number) => void;
 	remove: (key: string) => void;
-	/** Resolves with the changes after the revision, once there are any or the timeout has passed; undefined if some were compacted. */
-	watch: (after: number, timeout: Milliseconds) => Promise<StoredEvent[] | undefined>;
+	/** Resolves with the changes after the revision, once there are any or the timeout has passed, and with the revision up to which they are all; undefined if some were compacted. */
+	watch: (after: number, timeout: Milliseconds) => Promise<{events: StoredEvent[]; revision: number} | undefined>;
 	/** Applies the transaction; otherwise returns the current items of the keys whose revision isn't the expected one. */
 	commit: (transaction: Transaction) => StoredItem[] | undefined;
 	/** Returns the id of a new lease. */
@@ -108,7 +108,7 @@
 				})]);
 			}
 
-			return after < compactedRevision ? undefined : getEvents();
+			return after < compactedRevision ? undefined : {events: getEvents(), revision};
 		},
 		commit(transaction) {
 			const changed = transaction.expect.filter(({key, revision: expected}) => (items.get(key)?.revision ?? 0) !== expected);
