--- a/packages/forwarder/src/crash-blame.ts
+++ b/packages/forwarder/src/crash-blame.ts
@@ -9,7 +9,7 @@
 const suspectCache = new WeakMap<Call, readonly SuspectId[]>();
 
 /** Returns the parts of a call's prompt that may be blamed for a crash: all but the last one, which is the request's own. */
-export const getPartSuspects = ({head: {sharedParts}}: Call): SuspectId[] => sharedParts.slice(0, maxBlamedParts).map(id => getPartSuspect(id));
+const getPartSuspects = ({head: {sharedParts}}: Call): SuspectId[] => sharedParts.slice(0, maxBlamedParts).map(id => getPartSuspect(id));
 
 /** Returns what a call may be blamed by. */
 export const getSuspects = (call: Call): readonly SuspectId[] => {
