--- a/packages/discovery/src/news.test.ts
+++ b/packages/discovery/src/news.test.ts
@@ -1,7 +1,6 @@
 import {createSocket, type Socket} from 'node:dgram';
 import process from 'node:process';
 import {createManualClock, type ManualClock} from '@gentianlift/clock';
-import {createSilentLogger} from '@gentianlift/logger';
 import {
 	createCrashSuspects, getPartSuspect, type CrashSuspects, type LimitNews,
 } from '@gentianlift/routing';
@@ -10,8 +9,8 @@
 import {chooseHosts} from './host-list.js';
 import type {HostRecord} from './host-record.js';
 import type {LoadReport} from './load-report.js';
-import {createLoadTracker} from './load-tracker.js';
 import {decodePacket, encodePacket, forwardScope} from './packet.js';
+import {buildExchangeOptions} from './testing-exchange.js';
 
 /** Loopback address derived from the process id, as test processes may run in parallel. */
 const loopback = `127.3.${process.pid % 250}.${1 + (Math.floor(process.pid / 250) % 250)}`;
@@ -36,23 +35,9 @@
 	await new Promise<void>(resolve => {
 		other.bind(ports.other, loopback, resolve);
 	});
-	const exchange = exchangeReports({
-		own: createRecord('own', ports.own),
-		getOthers: () => [createRecord('other', ports.other)],
-		clock,
-		logger: createSilentLogger(),
-		loads: createLoadTracker(),
-		suspects,
-		getRevision: () => 1,
-		isStoreReached: () => false,
-		onPrefill: () => undefined,
-		getLimits: () => [],
-		onLimit: () => undefined,
-		onLoad: () => undefined,
-		onStream: () => undefined,
-		onChanges: () => undefined,
-		...changes,
-	});
+	const exchange = exchangeReports(buildExchangeOptions({
+		own: createRecord('own', ports.own), getOthers: () => [createRecord('other', ports.other)], clock, suspects, ...changes,
+	}));
 	onTestFinished(() => {
 		exchange.close();
 		other.close();
--- a/packages/discovery/src/relay.test.ts
+++ b/packages/discovery/src/relay.test.ts
@@ -1,18 +1,17 @@
 import process from 'node:process';
 import {createManualClock, createRandom, createSystemClock} from '@gentianlift/clock';
 import {createSilentLogger} from '@gentianlift/logger';
-import {createCrashSuspects} from '@gentianlift/routing';
 import type {HostId} from '@gentianlift/types';
 import {expect, test} from 'vitest';
 import {exchangeReports} from './exchange-reports.js';
 import {selectHostsForCaller} from './host-list.js';
 import type {HostRecord} from './host-record.js';
 import type {LoadReport} from './load-report.js';
-import {createLoadTracker} from './load-tracker.js';
 import {splitChangeBatch} from './packet.js';
 import {createRelayLiveness} from './relay-liveness.js';
 import {planRelays, type RelayPlan, type RelayTargets} from './relay-plan.js';
 import {startReportBroadcaster} from './report-broadcast.js';
+import {buildExchangeOptions} from './testing-exchange.js';
 
 const zones = ['a', 'b', 'c'];
 /** Loopback address derived from the process id, as test processes may run in parallel. */
@@ -210,25 +209,15 @@
 		const clock = createManualClock(1000);
 		let sent = 0;
 		const [own] = hosts;
-		const exchange = exchangeReports({
+		const exchange = exchangeReports(buildExchangeOptions({
 			own: {...own!, notes: `${loopback}:0`},
 			getOthers: () => hosts.slice(1),
 			clock,
-			logger: createSilentLogger(),
-			loads: createLoadTracker(),
-			suspects: createCrashSuspects(),
 			getRevision() {
 				sent += 1;
 				return 1;
 			},
-			isStoreReached: () => false,
-			onPrefill: () => undefined,
-			getLimits: () => [],
-			onLimit: () => undefined,
-			onLoad: () => undefined,
-			onStream: () => undefined,
-			onChanges: () => undefined,
-		});
+		}));
 		for (let change = 0; change < 500; change++) {
 			exchange.addLoad('u@1', {
 				running: 1, unreadTokens: 10, latencySensitiveStreams: 0, queuedTokens: 0,
--- a/packages/discovery/src/report-arrival.test.ts
+++ b/packages/discovery/src/report-arrival.test.ts
@@ -1,8 +1,7 @@
 import {createSocket, type Socket} from 'node:dgram';
 import process from 'node:process';
 import {createManualClock} from '@gentianlift/clock';
-import {createSilentLogger} from '@gentianlift/logger';
-import {createCrashSuspects, type StartedStream} from '@gentianlift/routing';
+import {type StartedStream} from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
 import {expect, onTestFinished, test} from 'vitest';
 import {
@@ -10,8 +9,8 @@
 } from './exchange-reports.js';
 import type {HostRecord} from './host-record.js';
 import type {LoadReport} from './load-report.js';
-import {createLoadTracker} from './load-tracker.js';
 import {decodePacket, encodePacket, forwardScope} from './packet.js';
+import {buildExchangeOptions} from './testing-exchange.js';
 
 /** Loopback address derived from the process id, as test processes may run in parallel. */
 const loopback = `127.2.${process.pid % 250}.${1 + (Math.floor(process.pid / 250) % 250)}`;
@@ -25,23 +24,9 @@
 
 /** Starts the exchange of a host that knows the other hosts. */
 const startExchange = (changes: Partial<ReportExchangeOptions>): LoadReportExchange => {
-	const exchange = exchangeReports({
-		own,
-		getOthers: () => [],
-		clock: createManualClock(currentTime),
-		logger: createSilentLogger(),
-		loads: createLoadTracker(),
-		suspects: createCrashSuspects(),
-		getRevision: () => 1,
-		isStoreReached: () => false,
-		onPrefill: () => undefined,
-		getLimits: () => [],
-		onLimit: () => undefined,
-		onLoad: () => undefined,
-		onStream: () => undefined,
-		onChanges: () => undefined,
-		...changes,
-	});
+	const exchange = exchangeReports(buildExchangeOptions({
+		own, getOthers: () => [], clock: createManualClock(currentTime), ...changes,
+	}));
 	onTestFinished(exchange.close);
 	return exchange;
 };
--- /dev/null
+++ b/packages/discovery/src/testing-exchange.ts
@@ -0,0 +1,20 @@
+import {createSilentLogger} from '@gentianlift/logger';
+import {createCrashSuspects} from '@gentianlift/routing';
+import type {ReportExchangeOptions} from './exchange-reports.js';
+import {createLoadTracker} from './load-tracker.js';
+
+/** Builds the options of an exchange of load reports whose listeners do nothing, at revision 1 of a store that it doesn't reach. */
+export const buildExchangeOptions = (options: Pick<ReportExchangeOptions, 'own' | 'getOthers' | 'clock'> & Partial<ReportExchangeOptions>): ReportExchangeOptions => ({
+	logger: createSilentLogger(),
+	loads: createLoadTracker(),
+	suspects: createCrashSuspects(),
+	getRevision: () => 1,
+	isStoreReached: () => false,
+	onPrefill: () => undefined,
+	getLimits: () => [],
+	onLimit: () => undefined,
+	onLoad: () => undefined,
+	onStream: () => undefined,
+	onChanges: () => undefined,
+	...options,
+});
