Repeat only limits that answers have told a host itself

Each host passed on the limits that others had told it, with an age that lacks the time of the last report on its way: with each hop an old limit looked newer, and could have come back after its end. And a host that was away for more than 10 s when a limit ended would have kept to it for ever, as it sends nothing to the engine itself.

Now only what an answer to a host itself has said is repeated, and each answer without a limit confirms its end. A full report no longer leaves out new limits beyond the first hundred. Claims on permits are kept apart from limits, so that upstreams without a limit can't push one out of the bounded list.

--- a/packages/discovery/src/exchange-reports.ts
+++ b/packages/discovery/src/exchange-reports.ts
@@ -117,7 +117,7 @@
 		const now = clock.monotonic();
 		const changes = pending.getChanges({ownLoads: loads.getOwnLoads(), isFull, now});
 		const repeated = isFull ? suspects.getRepeatedCrashes(now).map(crash => ({...crash, age: Math.round(crash.age)})) : [];
-		return {...changes, crashes: [...changes.crashes, ...repeated], limits: isFull ? options.getLimits() : changes.limits};
+		return {...changes, crashes: [...changes.crashes, ...repeated], limits: [...changes.limits, ...(isFull ? options.getLimits() : [])]};
 	};
 
 	const buildReport = (isFull: boolean): LoadReport => {
--- a/packages/discovery/src/pending-changes.ts
+++ b/packages/discovery/src/pending-changes.ts
@@ -39,8 +39,8 @@
 /** Bounds on crashes and on good ends. */
 const crashLimits = {perReport: 64, pending: 2000, repeats: 3} as const;
 
-/** Bounds on changed limits, which the full reports of all hosts repeat anyway. */
-const newsLimits = {perReport: 64, pending: 2000, repeats: 1} as const;
+/** Bounds on changed limits, which full reports repeat in another way. */
+const newsLimits = {perReport: 64, pending: 2000, repeats: 0} as const;
 
 type Aged = {age: Milliseconds};
 type Dated<Item> = {item: Item; since: Milliseconds};
--- a/packages/discovery/src/repeated-items.ts
+++ b/packages/discovery/src/repeated-items.ts
@@ -40,7 +40,7 @@
 			}
 
 			const reported = newItems.slice(0, perReport).map(item => ({item, remainingReports: repeats}));
-			repeatedItems = [...repeatedItems, ...reported].slice(-perReport);
+			repeatedItems = [...repeatedItems, ...reported].filter(({remainingReports}) => remainingReports > 0).slice(-perReport);
 			newItems = newItems.slice(perReport);
 		},
 	};
--- a/packages/forwarder/src/start-host.ts
+++ b/packages/forwarder/src/start-host.ts
@@ -203,7 +203,7 @@
 		},
 		getMetricsPage() {
 			context.metrics.setGauge('queue_length', forwarder.getQueueLength());
-			context.metrics.setGauge('upstream_limits', context.limits.getNews().filter(({limit}) => limit !== undefined).length);
+			context.metrics.setGauge('upstream_limits', context.limits.countLimits());
 			return context.metrics.renderPrometheusText();
 		},
 		reload(next) {
--- a/packages/forwarder/src/testing-limit-day.ts
+++ b/packages/forwarder/src/testing-limit-day.ts
@@ -17,6 +17,8 @@
 	demand: number;
 	/** Requests a second that the engine names, from time 0 on. */
 	limit: number;
+	/** When the engine stops to name its limit; never by default. */
+	endsAt?: Milliseconds;
 	/** Part of the news that is lost. */
 	lossRatio: number;
 	seed: number;
@@ -30,6 +32,8 @@
 	mostArrivals: number;
 	/** Arrivals from 3 s on, in relation to those that the limit allows. */
 	usedFraction: number;
+	/** Hosts that still believe in a limit at the end of the day. */
+	limitedHosts: number;
 };
 
 const upstream = 'engine@1';
@@ -85,7 +89,8 @@
 	const sentAt = clock.monotonic();
 	arrivals.push(sentAt);
 	clock.after(answerTime, () => {
-		hosts[index]!.observe({upstream, statement: {kind: 'limit', perSecond: options.limit}, sentAt});
+		const isLimited = clock.monotonic() < (options.endsAt ?? Number.POSITIVE_INFINITY);
+		hosts[index]!.observe({upstream, statement: isLimited ? {kind: 'limit', perSecond: options.limit} : {kind: 'none'}, sentAt});
 	});
 };
 
@@ -127,5 +132,6 @@
 	return {
 		mostArrivals: countMostArrivals(state.arrivals, boundFrom),
 		usedFraction: counted.length / (options.limit * (dayLength - boundFrom) / 1000),
+		limitedHosts: state.hosts.filter(host => host.isLimited(upstream)).length,
 	};
 };
--- a/packages/forwarder/src/upstream-limits.ts
+++ b/packages/forwarder/src/upstream-limits.ts
@@ -1,7 +1,7 @@
 import type {Clock} from '@gentianlift/clock';
 import type {Logger} from '@gentianlift/logger';
 import {
-	countLimitHosts, createPermits, getLimitShare, getTimeToPermits, refillPermits, type LimitNews, type Permits, type UpstreamKey,
+	countLimitHosts, createPermits, getLimitShare, getTimeToPermits, refillPermits, type LimitNews, type Permits, type RequestLimit, type UpstreamKey,
 } from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
 import type {LimitStatement} from './protocol.js';
@@ -28,10 +28,14 @@
 	observe: (observation: LimitObservation) => void;
 	/** Records what another host knows; older news is ignored. */
 	applyNews: (news: LimitNews, from: string) => void;
-	/** Returns what this host knows, to be repeated to the others. */
+	/** Returns what answers have told this host itself, to be repeated to the others; what it passed on second-hand would look newer with each report. */
 	getNews: () => LimitNews[];
 	/** Whether a limit of the upstream is in force. */
 	isLimited: (upstream: UpstreamKey) => boolean;
+	/** Returns the limit of an upstream that this host believes, in requests a second. */
+	getLimit: (upstream: UpstreamKey) => RequestLimit;
+	/** Returns the number of limits in force. */
+	countLimits: () => number;
 	/** Whether this host may choose the upstream for a call now. */
 	hasPermit: (upstream: UpstreamKey) => boolean;
 	/** Claims a permit for a call for which the upstream was chosen. */
@@ -55,12 +59,12 @@
 };
 
 type LimitState = {
-	limit: number | undefined;
+	limit: RequestLimit;
 	/** When an answer last named the limit, or showed its end. */
 	observedAt: Milliseconds;
+	/** Whether that was an answer to this host. */
+	isOwn: boolean;
 	permits: Permits;
-	/** Calls that have claimed a permit and not taken it yet. */
-	claims: number;
 	/** This host's share in requests a second, as of `sharedAt`. */
 	share: number;
 	sharedAt: Milliseconds;
@@ -68,6 +72,8 @@
 
 /** Maximum number of upstreams whose limits are kept. */
 const maxLimits = 2000;
+/** Source of what answers have told this host itself, in log lines. */
+const ownSource = 'own';
 /** Maximum number of limits that are repeated at a time. */
 const maxRepeatedNews = 100;
 /** Time for which the end of a limit is repeated to the other hosts. */
@@ -79,7 +85,19 @@
 export const createUpstreamLimits = ({
 	clock, logger, countHosts, isAmongChosenHosts, announce,
 }: UpstreamLimitsOptions): UpstreamLimits => {
+	/** What is known of upstreams that have named a limit. */
 	const states = new Map<UpstreamKey, LimitState>();
+	/** Numbers of calls that have claimed a permit and not taken it yet, where there are any. */
+	const claims = new Map<UpstreamKey, number>();
+
+	const addClaims = (upstream: UpstreamKey, change: number): void => {
+		const count = (claims.get(upstream) ?? 0) + change;
+		if (count === 0) {
+			claims.delete(upstream);
+		} else {
+			claims.set(upstream, count);
+		}
+	};
 
 	const getState = (upstream: UpstreamKey): LimitState => {
 		const known = states.get(upstream);
@@ -89,7 +107,7 @@
 
 		const now = clock.monotonic();
 		const state = {
-			limit: undefined, observedAt: Number.NEGATIVE_INFINITY, permits: createPermits(now), claims: 0, share: 0, sharedAt: Number.NEGATIVE_INFINITY,
+			limit: undefined, observedAt: Number.NEGATIVE_INFINITY, isOwn: false, permits: createPermits(now), share: 0, sharedAt: Number.NEGATIVE_INFINITY,
 		};
 		states.set(upstream, state);
 		for (const key of states.keys()) {
@@ -115,10 +133,12 @@
 		state.permits = refillPermits(state.permits, state.share, now);
 	};
 
-	const setLimit = (upstream: UpstreamKey, limit: number | undefined, observedAt: Milliseconds, source: string): boolean => {
+	/** Records an observation; returns whether it changes the limit. */
+	const setLimit = (upstream: UpstreamKey, limit: RequestLimit, observedAt: Milliseconds, source: string): boolean => {
 		const state = getState(upstream);
 		const previous = state.limit;
 		state.observedAt = observedAt;
+		state.isOwn = source === ownSource;
 		if (previous === limit) {
 			return false;
 		}
@@ -152,7 +172,7 @@
 			const now = clock.monotonic();
 			switch (statement.kind) {
 				case 'limit': {
-					if (setLimit(upstream, statement.perSecond, now, 'own')) {
+					if (setLimit(upstream, statement.perSecond, now, ownSource)) {
 						announce({upstream, limit: statement.perSecond, age: 0});
 					}
 
@@ -160,7 +180,8 @@
 				}
 
 				case 'none': {
-					if (known?.limit !== undefined && sentAt > known.observedAt && setLimit(upstream, undefined, now, 'own')) {
+					// Also confirms an end, so that it is repeated to hosts that were away.
+					if (known !== undefined && sentAt > known.observedAt && setLimit(upstream, undefined, now, ownSource)) {
 						announce({upstream, limit: undefined, age: 0});
 					}
 
@@ -182,21 +203,25 @@
 		},
 		getNews() {
 			const now = clock.monotonic();
-			const news = [...states].map(([upstream, {limit, observedAt}]) => ({upstream, limit, age: Math.round(now - observedAt)}));
+			const own = [...states].filter(([, {isOwn}]) => isOwn);
+			const news = own.map(([upstream, {limit, observedAt}]) => ({upstream, limit, age: Math.round(now - observedAt)}));
 			return news.filter(({limit, age}) => limit !== undefined || age <= endRepeatPeriod).slice(-maxRepeatedNews);
 		},
 		isLimited: upstream => states.get(upstream)?.limit !== undefined,
+		getLimit: upstream => states.get(upstream)?.limit,
+		countLimits: () => [...states.values()].filter(({limit}) => limit !== undefined).length,
 		hasPermit(upstream) {
 			const state = findLimited(upstream);
-			return state === undefined || state.permits.available >= state.claims + 1;
+			return state === undefined || state.permits.available >= (claims.get(upstream) ?? 0) + 1;
 		},
 		claim(upstream) {
-			const state = getState(upstream);
-			state.claims += 1;
+			addClaims(upstream, 1);
 			let isOpen = true;
 			const release = (): void => {
-				state.claims -= isOpen ? 1 : 0;
-				isOpen = false;
+				if (isOpen) {
+					addClaims(upstream, -1);
+					isOpen = false;
+				}
 			};
 
 			return {
@@ -219,7 +244,7 @@
 		},
 		getWait(upstream, position) {
 			const state = findLimited(upstream);
-			return state === undefined ? 0 : getTimeToPermits(state.permits, state.share, state.claims + position);
+			return state === undefined ? 0 : getTimeToPermits(state.permits, state.share, (claims.get(upstream) ?? 0) + position);
 		},
 		remove(upstream) {
 			states.delete(upstream);
