Choose hosts for a key evenly

FNV-1a hardly carries the last characters of a name into its high bits. The limited engines and the trials of suspects would have gathered at few hosts. The hash is now mixed once more; each host gets between half of the mean and twice as many. Which host is chosen changes with it, so that hosts of two versions may disagree while they run beside each other, within the bound.

--- a/packages/discovery/src/host-list.ts
+++ b/packages/discovery/src/host-list.ts
@@ -1,5 +1,5 @@
 import type {Random} from '@gentianlift/clock';
-import {getHash} from '@gentianlift/routing';
+import {getMixedHash} from '@gentianlift/routing';
 import type {HostId, Milliseconds, Zone} from '@gentianlift/types';
 import type {HostRecord} from './host-record.js';
 
@@ -18,7 +18,7 @@
 
 /** Chooses some of the hosts for a key by rendezvous hashing, so that all hosts choose the same ones. */
 export const chooseHosts = (key: string, hosts: readonly HostRecord[], count: number): HostId[] => {
-	const weighted = hosts.map(({host}) => ({host, weight: getHash(`${key}/${host}`)}));
+	const weighted = hosts.map(({host}) => ({host, weight: getMixedHash(`${key}/${host}`)}));
 	return weighted.toSorted((one, other) => other.weight - one.weight || (one.host < other.host ? -1 : 1)).slice(0, count).map(({host}) => host);
 };
 
--- a/packages/discovery/src/news.test.ts
+++ b/packages/discovery/src/news.test.ts
@@ -128,6 +128,19 @@
 	await expect.poll(() => told).toEqual([{upstream: 'v@1', limit: undefined, age: 5}]);
 });
 
+// Guards against: hosts whose names differ in their last letters only are chosen much more often than others, and get most of the limited engines.
+test('hosts with similar names are chosen about equally often', () => {
+	for (const count of [7, 75]) {
+		const hosts = Array.from({length: count}, (_, index) => createRecord(`edge-hu-central-a-${index}`, 1));
+		const chosen = Array.from({length: count * 200}, (_, index) => chooseHosts(`limit:i-${(index * 7919).toString(16)}@${1_772_304_900_000 + index}`, hosts, 1)[0]);
+		for (const {host} of hosts) {
+			const share = chosen.filter(name => name === host).length / 200;
+			expect(share, host).toBeGreaterThan(0.5);
+			expect(share, host).toBeLessThan(2);
+		}
+	}
+});
+
 test('all hosts choose the same hosts for a key, and different ones for different keys', () => {
 	const hosts = ['a', 'b', 'c', 'd', 'e'].map(name => createRecord(name, 1));
 	const keys = Array.from({length: 50}, (_, index) => `part:${index}`);
