Answer a host that still repeats explained crashes with the good end it missed

- A host that had lost all four reports of a good end would have blocked a cleared part for as long as its requests came: nobody answers a crash that is known.
One that is repeated after 3 s, though others can explain it, is now answered, at most once a second.
The new test waited in vain before.
- Good ends that others had told were passed on at the next crash, and looked newer with each report.
Only those that a host has seen itself are told now.
- suspect-cleared was logged for good ends that change nothing.

--- a/packages/discovery/src/exchange-reports.ts
+++ b/packages/discovery/src/exchange-reports.ts
@@ -84,6 +84,8 @@
 const transferDelays = {direct: 10, relayed: 30} as const;
 /** Interval of full reports, which repeat loads that have changed lately. */
 const fullReportInterval: Milliseconds = 500;
+/** Time within which hosts repeat a crash without regard to what they know of it. */
+const crashRepeatTime: Milliseconds = 3000;
 /** Age of a host's last report up to which its status counts as current. */
 const statusLifetime: Milliseconds = 2000;
 
@@ -161,9 +163,9 @@
 		return isAccepted;
 	};
 
-	/** Reports the last good end of a suspect of which a crash has become known, if this host knows one. */
+	/** Reports the last good end that this host has seen of a suspect, if any. */
 	const reportGoodEnd = ({suspect}: SuspectedCrash, now: Milliseconds): void => {
-		const goodEnd = suspects.findGoodEnd(suspect, now);
+		const goodEnd = suspects.takeGoodEndToTell(suspect, now);
 		if (goodEnd !== undefined) {
 			pending.addGoodEnd(goodEnd, now);
 			schedule();
@@ -173,14 +175,19 @@
 	/** Records what another host's report says for and against suspects; that stays true, however late the report comes. */
 	const applyCrashes = (report: LoadReport, now: Milliseconds): void => {
 		for (const goodEnd of report.goodEnds) {
-			if (suspects.addGoodEnd(goodEnd, now)) {
+			if (suspects.applyGoodEnd(goodEnd, now)) {
 				logger.info('suspect-cleared', {from: report.host, ...goodEnd});
 			}
 		}
 
 		for (const crash of report.crashes) {
-			if (suspects.addCrash(crash, now)) {
+			const isNew = suspects.addCrash(crash, now);
+			if (isNew) {
 				logger.info('crash-told', {from: report.host, ...crash});
+			}
+
+			// A host that still repeats an old crash may have missed the good end that explains it.
+			if (isNew || (crash.age > crashRepeatTime && !suspects.isBlocked(crash.suspect, now))) {
 				reportGoodEnd(crash, now);
 			}
 		}
--- a/packages/discovery/src/news.test.ts
+++ b/packages/discovery/src/news.test.ts
@@ -68,7 +68,7 @@
 test('a host that knows a good end tells it when a crash becomes known, and takes what others tell', async () => {
 	const fixture = await start();
 	const {clock, suspects, reports, exchange} = fixture;
-	suspects.addGoodEnd({suspect, age: 0}, 500);
+	suspects.addGoodEnd(suspect, 500);
 	tell(fixture, {crashes: [{suspect, upstream: 'a@1', age: 0}]});
 	await expect.poll(() => suspects.isSuspected(suspect, 1000)).toBe(true);
 	await clock.advance(5);
@@ -80,6 +80,29 @@
 	await expect.poll(() => suspects.isSuspected(own, 1005)).toBe(false);
 });
 
+// Guards against: a host that has missed the good end of a wrongly blocked part blocks it for as long as its requests come.
+test('a host answers another one that still repeats an explained crash, with the good end that it has seen itself', async () => {
+	const fixture = await start();
+	const {clock, suspects, reports} = fixture;
+	suspects.addCrash({suspect, upstream: 'a@1', age: 0}, 0);
+	suspects.addGoodEnd(suspect, 500);
+	const told = getPartSuspect('told');
+	suspects.addCrash({suspect: told, upstream: 'a@1', age: 0}, 0);
+	tell(fixture, {sequence: 1, goodEnds: [{suspect: told, age: 0}]});
+	await expect.poll(() => suspects.isSuspected(told, 1000)).toBe(false);
+	const getGoodEnds = (): string[] => reports.flatMap(({goodEnds}) => goodEnds).map(goodEnd => goodEnd.suspect);
+	await clock.advance(9000);
+	expect(getGoodEnds()).toEqual([]);
+	for (let sequence = 2; sequence < 5; sequence++) {
+		tell(fixture, {sequence, crashes: [{suspect, upstream: 'a@1', age: 10_000}, {suspect: told, upstream: 'a@1', age: 10_000}]});
+	}
+
+	await expect.poll(async () => {
+		await clock.advance(4);
+		return getGoodEnds();
+	}).toEqual([suspect]);
+});
+
 // Guards against: three hosts that have started again send what the fleet has blocked long ago.
 test('full reports repeat the crashes of a part whose requests still come', async () => {
 	const {clock, suspects, reports} = await start();
--- a/packages/forwarder/src/crash-blame.ts
+++ b/packages/forwarder/src/crash-blame.ts
@@ -28,7 +28,7 @@
 
 /** Returns the suspects for which the call must not be sent to an upstream. */
 const findBlockingSuspects = (call: Call, progress: Progress, context: ForwarderContext): SuspectId[] =>
-	context.suspects.isEmpty() ? [] : getSuspects(call).filter(suspect => isBlocked(suspect, progress, context));
+	getSuspects(call).filter(suspect => isBlocked(suspect, progress, context));
 
 /** Returns a suspect for which the call must not be sent to an upstream; undefined if it may be. */
 export const findBlockingSuspect = (call: Call, progress: Progress, context: ForwarderContext): SuspectId | undefined =>
@@ -66,7 +66,7 @@
 
 /** Whether a retry of a call may crash another upstream: the last one has crashed, and no host has lately seen a request with one of the call's parts end well. */
 export const mayCrashAgain = async (call: Call, {hasCrashed}: Progress, {suspects, clock, countHosts}: ForwarderContext): Promise<boolean> => {
-	const isUnproven = (suspect: SuspectId): boolean => suspects.findGoodEnd(suspect, clock.monotonic()) === undefined;
+	const isUnproven = (suspect: SuspectId): boolean => !suspects.isProven(suspect, clock.monotonic());
 	const parts = getPartSuspects(call);
 	if (!parts.some(suspect => isUnproven(suspect)) || !await hasCrashed) {
 		return false;
--- a/packages/forwarder/src/crashing-parts.test.ts
+++ b/packages/forwarder/src/crashing-parts.test.ts
@@ -146,7 +146,7 @@
 	const deployment = await startCrashingEngines(start, {engines: 4, crashingParts});
 	const {host: {context: {suspects, clock}}} = deployment;
 	for (const part of ['first', 'bad']) {
-		suspects.addGoodEnd({suspect: getPartSuspect(part), age: 0}, clock.monotonic());
+		suspects.addGoodEnd(getPartSuspect(part), clock.monotonic());
 	}
 
 	await requestParts(deployment, 'a', ['first', 'bad', 'own'], '/read/1');
--- a/packages/forwarder/src/forward-limits.test.ts
+++ b/packages/forwarder/src/forward-limits.test.ts
@@ -32,8 +32,9 @@
 	};
 	const [crash] = getCrashes(getFingerprint(call as unknown as Call));
 	host.context.suspects.addCrash(crash!, performance.now());
+	expect(host.context.suspects.isSuspected(crash!.suspect, performance.now())).toBe(true);
 	await sendRequest(host.port, {path: '/book/1', headers: {attempt: 'a1'}});
-	await expect.poll(() => host.context.suspects.isEmpty()).toBe(true);
+	await expect.poll(() => host.context.suspects.isSuspected(crash!.suspect, performance.now())).toBe(false);
 });
 
 test('retries stop when the retry budget is exhausted', async () => {
--- a/packages/forwarder/src/good-end.ts
+++ b/packages/forwarder/src/good-end.ts
@@ -8,10 +8,9 @@
 const addGoodEnds = (call: Call, context: ForwarderContext): void => {
 	const {suspects, clock, reportExchange, logger} = context;
 	for (const suspect of getSuspects(call)) {
-		const goodEnd = {suspect, age: 0};
-		if (suspects.addGoodEnd(goodEnd, clock.monotonic())) {
-			reportExchange.addGoodEnd(goodEnd);
-			logger.info('suspect-cleared', {request: call.head.callerRequestId, ...goodEnd});
+		if (suspects.addGoodEnd(suspect, clock.monotonic())) {
+			reportExchange.addGoodEnd({suspect, age: 0});
+			logger.info('suspect-cleared', {request: call.head.callerRequestId, suspect, age: 0});
 		}
 	}
 };
@@ -34,7 +33,7 @@
 	}
 
 	const {suspects, clock} = context;
-	const isSuspected = !suspects.isEmpty() && getSuspects(call).some(suspect => suspects.isSuspected(suspect, clock.monotonic()));
+	const isSuspected = getSuspects(call).some(suspect => suspects.isSuspected(suspect, clock.monotonic()));
 	if (isSuspected && !await reportCrash(call, progress, upstream, context)) {
 		addGoodEnds(call, context);
 	}
--- a/packages/routing/src/crash-evidence.test.ts
+++ b/packages/routing/src/crash-evidence.test.ts
@@ -29,7 +29,7 @@
 // Guards against: a part that is in all requests is blamed for what another part does.
 test('a part whose requests end well is blocked by no two crashes', () => {
 	const suspects = createCrashSuspects();
-	suspects.addGoodEnd({suspect: sound, age: 0}, 0);
+	suspects.addGoodEnd(sound, 0);
 	suspects.addCrash(crash(sound, 'a'), 1000);
 	suspects.addCrash(crash(sound, 'b'), 2000);
 	suspects.addCrash(crash(sound, 'c'), 3000);
@@ -39,7 +39,7 @@
 // Guards against: a request that many callers send is refused, as three engines have failed together while they ran it.
 test('copies of a request that ended well lately are blocked by no engines that fail together', () => {
 	const suspects = createCrashSuspects();
-	suspects.addGoodEnd({suspect: 'copy', age: 0}, 0);
+	suspects.addGoodEnd('copy', 0);
 	for (const upstream of ['a', 'b', 'c', 'd', 'e']) {
 		suspects.addCrash(crash('copy', upstream), 1000);
 	}
@@ -50,7 +50,7 @@
 // Guards against: a part that has begun to crash engines is cleared for ever by what it was before.
 test('a part that has ended well is blocked after four crashes in a row, or once that was long ago', () => {
 	const suspects = createCrashSuspects();
-	suspects.addGoodEnd({suspect: bad, age: 0}, 0);
+	suspects.addGoodEnd(bad, 0);
 	for (const [index, upstream] of ['a', 'b', 'c'].entries()) {
 		suspects.addCrash(crash(bad, upstream), (index + 1) * 1000);
 	}
@@ -66,14 +66,14 @@
 	const suspects = createCrashSuspects();
 	suspects.addCrash(crash(bad, 'a'), 1000);
 	suspects.addCrash(crash(bad, 'b'), 2000);
-	expect(suspects.addGoodEnd({suspect: bad, age: 0}, 3000)).toBe(true);
+	expect(suspects.addGoodEnd(bad, 3000)).toBe(true);
 	expect(suspects.addCrash(crash(bad, 'b', 2000), 4000)).toBe(false);
 	expect(suspects.isBlocked(bad, 4000)).toBe(false);
 	const late = createCrashSuspects();
-	late.addGoodEnd({suspect: bad, age: 1000}, 4000);
+	late.applyGoodEnd({suspect: bad, age: 1000}, 4000);
 	late.addCrash(crash(bad, 'a', 3000), 4000);
 	late.addCrash(crash(bad, 'b', 2000), 4000);
-	expect(late.isEmpty()).toBe(true);
+	expect(late.isSuspected(bad, 4000)).toBe(false);
 });
 
 test('a blocked part is tried after a time that grows with each crash, and cleared by a good end', () => {
@@ -88,7 +88,7 @@
 	suspects.recordRequest(bad, 100_000);
 	expect(suspects.isTrialDue([bad], 136_000)).toBe(false);
 	expect(suspects.isTrialDue([bad], 137_000)).toBe(true);
-	suspects.addGoodEnd({suspect: bad, age: 0}, 138_000);
+	suspects.addGoodEnd(bad, 138_000);
 	expect(suspects.isBlocked(bad, 138_000)).toBe(false);
 });
 
@@ -108,7 +108,7 @@
 	suspects.addCrash(crash(bad, 'c'), 1700);
 	expect(suspects.isTrialDue([bad], 10_000)).toBe(false);
 	expect(suspects.isTrialDue([sound], 2000)).toBe(true);
-	suspects.addGoodEnd({suspect: sound, age: 0}, 2100);
+	suspects.addGoodEnd(sound, 2100);
 	expect(suspects.isBlocked(sound, 2100)).toBe(false);
 	expect(suspects.isBlocked(bad, 2100)).toBe(true);
 });
--- a/packages/routing/src/crash-suspects.ts
+++ b/packages/routing/src/crash-suspects.ts
@@ -7,6 +7,8 @@
 const evidenceLifetime: Milliseconds = 120_000;
 /** Time after a request of a blocked suspect for which this host repeats the evidence to the others. */
 const repeatPeriod: Milliseconds = 60_000;
+/** Minimum time between two reports of a good end of one suspect. */
+const goodEndReportInterval: Milliseconds = 1000;
 /** Maximum numbers of suspects with crashes, of crashes of one suspect, and of good ends of others. */
 const maxSuspects = 4000;
 const maxCrashesPerSuspect = 8;
@@ -24,10 +26,14 @@
 export type CrashSuspects = {
 	/** Records a crash; returns false if it was known. */
 	addCrash: (crash: SuspectedCrash, now: Milliseconds) => boolean;
-	/** Records a good end; returns whether the suspect had a crash that it explains. */
-	addGoodEnd: (goodEnd: GoodEnd, now: Milliseconds) => boolean;
-	/** Returns the last good end of a suspect that still speaks for it. */
-	findGoodEnd: (suspect: SuspectId, now: Milliseconds) => GoodEnd | undefined;
+	/** Records a good end that this host has seen; returns whether less speaks against the suspect than before. */
+	addGoodEnd: (suspect: SuspectId, now: Milliseconds) => boolean;
+	/** Records a good end that another host has seen; returns whether less speaks against the suspect than before. */
+	applyGoodEnd: (goodEnd: GoodEnd, now: Milliseconds) => boolean;
+	/** Returns the last good end of a suspect that this host has seen, to be told to the others; undefined if it no longer speaks for the suspect, or has just been told. */
+	takeGoodEndToTell: (suspect: SuspectId, now: Milliseconds) => GoodEnd | undefined;
+	/** Whether a request of the suspect has ended well lately, here or at another host. */
+	isProven: (suspect: SuspectId, now: Milliseconds) => boolean;
 	/** Whether a crash that no later good end explains speaks against the suspect. */
 	isSuspected: (suspect: SuspectId, now: Milliseconds) => boolean;
 	/** Whether requests of the suspect must not be sent to upstreams, except for trials. */
@@ -42,10 +48,13 @@
 	getRepeatedCrashes: (now: Milliseconds) => SuspectedCrash[];
 	/** Returns a suspect's crashes, for a log line. */
 	getCrashes: (suspect: SuspectId, now: Milliseconds) => SuspectedCrash[];
-	/** Whether no suspect has a crash that no later good end explains. */
-	isEmpty: () => boolean;
 };
 
+/** When requests of a suspect last ended well, at any host and at this one. */
+type KnownGoodEnd = {at: Milliseconds; ownAt: Milliseconds; toldAt: Milliseconds};
+
+const unknownGoodEnd: Readonly<KnownGoodEnd> = {at: Number.NEGATIVE_INFINITY, ownAt: Number.NEGATIVE_INFINITY, toldAt: Number.NEGATIVE_INFINITY};
+
 /** Removes the entries of a map that were set first, down to a size. */
 const dropOldest = (map: Map<string, unknown>, size: number): void => {
 	for (const key of map.keys()) {
@@ -66,14 +75,16 @@
 /** Creates an empty registry. */
 export const createCrashSuspects = (): CrashSuspects => {
 	const suspects = new Map<SuspectId, Suspect>();
-	/** Times of the last good ends, the newest last. */
-	const goodEnds = new Map<SuspectId, Milliseconds>();
+	/** The last good ends, the newest last. */
+	const goodEnds = new Map<SuspectId, KnownGoodEnd>();
 
 	const evict = (now: Milliseconds): void => {
 		for (const [suspect, {expiresAt}] of suspects) {
-			if (expiresAt <= now) {
-				suspects.delete(suspect);
+			if (expiresAt > now) {
+				break;
 			}
+
+			suspects.delete(suspect);
 		}
 
 		dropOldest(suspects, maxSuspects);
@@ -88,37 +99,55 @@
 	const hasSharedCrashes = (suspect: SuspectId, known: Suspect, now: Milliseconds): boolean =>
 		[...suspects].some(([id, other]) => id !== suspect && isBlockedBy(id, other, now) && isSharedBy(known, other));
 
+	/** Keeps the evidence on a suspect for a while; those that expire first come first. */
+	const keep = (suspect: SuspectId, known: Suspect, now: Milliseconds): void => {
+		known.expiresAt = now + evidenceLifetime;
+		setLast(suspects, suspect, known);
+	};
+
+	/** Records a good end; returns whether it explains the suspect's crashes, or proves a suspect that has some. */
+	const recordGoodEnd = (suspect: SuspectId, goodEnd: KnownGoodEnd, now: Milliseconds): boolean => {
+		setLast(goodEnds, suspect, goodEnd);
+		dropOldest(goodEnds, maxGoodEnds);
+		const known = find(suspect, now);
+		if (known === undefined) {
+			return false;
+		}
+
+		const wasSuspected = hasUnexplainedCrash(known);
+		const wasProven = isProven(known.lastGoodEnd, now);
+		known.lastGoodEnd = Math.max(known.lastGoodEnd, goodEnd.at);
+		return wasSuspected && (!hasUnexplainedCrash(known) || (!wasProven && isProven(known.lastGoodEnd, now)));
+	};
+
 	const describeCrashes = (suspect: SuspectId, {crashes}: Suspect, now: Milliseconds): SuspectedCrash[] =>
 		[...crashes].map(([upstream, at]) => ({suspect, upstream, age: now - at}));
 
 	return {
 		addCrash({suspect, upstream, age}, now) {
-			const known = find(suspect, now) ?? {...createCrashEvidence(goodEnds.get(suspect)), lastRequest: Number.NEGATIVE_INFINITY, expiresAt: 0};
+			const known = find(suspect, now) ?? {...createCrashEvidence(goodEnds.get(suspect)?.at), lastRequest: Number.NEGATIVE_INFINITY, expiresAt: 0};
 			const isNew = !known.crashes.has(upstream);
 			known.crashes.set(upstream, Math.min(now - age, known.crashes.get(upstream) ?? now));
 			dropOldest(known.crashes, maxCrashesPerSuspect);
-			known.expiresAt = now + evidenceLifetime;
-			setLast(suspects, suspect, known);
+			keep(suspect, known, now);
 			evict(now);
 			return isNew;
 		},
-		addGoodEnd({suspect, age}, now) {
-			const at = Math.max(now - age, goodEnds.get(suspect) ?? Number.NEGATIVE_INFINITY);
-			setLast(goodEnds, suspect, at);
-			dropOldest(goodEnds, maxGoodEnds);
-			const known = find(suspect, now);
-			if (known === undefined) {
-				return false;
+		addGoodEnd: (suspect, now) => recordGoodEnd(suspect, {...goodEnds.get(suspect) ?? unknownGoodEnd, at: now, ownAt: now}, now),
+		applyGoodEnd({suspect, age}, now) {
+			const {at, ownAt, toldAt} = goodEnds.get(suspect) ?? unknownGoodEnd;
+			return recordGoodEnd(suspect, {at: Math.max(at, now - age), ownAt, toldAt}, now);
+		},
+		takeGoodEndToTell(suspect, now) {
+			const known = goodEnds.get(suspect);
+			if (known === undefined || !isProven(known.ownAt, now) || now - known.toldAt < goodEndReportInterval) {
+				return undefined;
 			}
 
-			const hadCrash = hasUnexplainedCrash(known);
-			known.lastGoodEnd = Math.max(known.lastGoodEnd, at);
-			return hadCrash;
-		},
-		findGoodEnd(suspect, now) {
-			const at = goodEnds.get(suspect);
-			return at !== undefined && isProven(at, now) ? {suspect, age: now - at} : undefined;
+			known.toldAt = now;
+			return {suspect, age: now - known.ownAt};
 		},
+		isProven: (suspect, now) => isProven((goodEnds.get(suspect) ?? unknownGoodEnd).at, now),
 		isSuspected(suspect, now) {
 			const known = find(suspect, now);
 			return known !== undefined && hasUnexplainedCrash(known);
@@ -141,7 +170,7 @@
 			const known = find(suspect, now);
 			if (known !== undefined) {
 				known.lastRequest = now;
-				known.expiresAt = now + evidenceLifetime;
+				keep(suspect, known, now);
 			}
 		},
 		getRepeatedCrashes(now) {
@@ -153,6 +182,5 @@
 			const known = find(suspect, now);
 			return known === undefined ? [] : describeCrashes(suspect, known, now);
 		},
-		isEmpty: () => ![...suspects.values()].some(known => hasUnexplainedCrash(known)),
 	};
 };
--- a/packages/routing/src/retry.test.ts
+++ b/packages/routing/src/retry.test.ts
@@ -68,7 +68,7 @@
 
 test('a request is blocked after crashes of three different upstreams', () => {
 	const suspects = createCrashSuspects();
-	expect(suspects.isEmpty()).toBe(true);
+	expect(suspects.isSuspected('f', 0)).toBe(false);
 	expect(suspects.addCrash({suspect: 'f', upstream: 'a', age: 0}, 0)).toBe(true);
 	expect(suspects.addCrash({suspect: 'f', upstream: 'a', age: 0}, 0)).toBe(false);
 	suspects.addCrash({suspect: 'f', upstream: 'b', age: 0}, 0);
@@ -76,9 +76,9 @@
 	suspects.addCrash({suspect: 'f', upstream: 'c', age: 0}, 0);
 	expect(suspects.isBlocked('f', 1)).toBe(true);
 	expect(suspects.isBlocked('g', 1)).toBe(false);
-	expect(suspects.addGoodEnd({suspect: 'f', age: 0}, 1)).toBe(true);
+	expect(suspects.addGoodEnd('f', 1)).toBe(true);
 	expect(suspects.isBlocked('f', 1)).toBe(false);
-	expect(suspects.isEmpty()).toBe(true);
+	expect(suspects.isSuspected('f', 1)).toBe(false);
 });
 
 test('failures lose weight with time, and a single one does not dominate', () => {
--- a/packages/routing/src/testing-crash-day.ts
+++ b/packages/routing/src/testing-crash-day.ts
@@ -54,7 +54,7 @@
 
 	const reportGoodEnd = (from: number, goodEnd: GoodEnd, now: Milliseconds): void => {
 		tellOthers(from, now, (suspects, later) => {
-			suspects.addGoodEnd({...goodEnd, age: goodEnd.age + later - now}, later);
+			suspects.applyGoodEnd({...goodEnd, age: goodEnd.age + later - now}, later);
 		});
 	};
 
@@ -66,12 +66,12 @@
 				hosts[host]!.addCrash({suspect, upstream, age: 0}, now);
 				tellOthers(host, now, (suspects, later) => {
 					suspects.addCrash({suspect, upstream, age: later - now}, later);
-					const goodEnd = suspects.findGoodEnd(suspect, later);
+					const goodEnd = suspects.takeGoodEndToTell(suspect, later);
 					if (goodEnd !== undefined) {
 						reportGoodEnd(hosts.indexOf(suspects), goodEnd, later);
 					}
 				});
-				const goodEnd = hosts[host]!.findGoodEnd(suspect, now);
+				const goodEnd = hosts[host]!.takeGoodEndToTell(suspect, now);
 				if (goodEnd !== undefined) {
 					reportGoodEnd(host, goodEnd, now);
 				}
@@ -125,7 +125,7 @@
 
 		for (const {host, parts} of runs.filter(({endsAt}) => endsAt <= now)) {
 			for (const suspect of parts) {
-				if (hosts[host]!.addGoodEnd({suspect, age: 0}, now)) {
+				if (hosts[host]!.addGoodEnd(suspect, now)) {
 					reportGoodEnd(host, {suspect, age: 0}, now);
 				}
 			}
