--- a/packages/forwarder/src/crash-blame.ts
+++ b/packages/forwarder/src/crash-blame.ts
@@ -64,8 +64,12 @@
 /** Number of mean report delays in which the other hosts hear of a crash, and tell what speaks for its suspects. */
 const reportDelaysOfExchange = 3;
 
-/** Whether a retry of a call may crash another upstream: the last one has crashed, and no host has lately seen a request with one of the call's parts end well. */
-export const mayCrashAgain = async (call: Call, {hasCrashed}: Progress, {suspects, clock, countHosts}: ForwarderContext): Promise<boolean> => {
+/** Whether a retry of a call may crash another upstream: the last one has crashed, and the call was a trial, or no host has lately seen a request with one of its parts end well. */
+export const mayCrashAgain = async (call: Call, {hasCrashed, trials}: Progress, {suspects, clock, countHosts}: ForwarderContext): Promise<boolean> => {
+	if (trials.size > 0) {
+		return await hasCrashed ?? false;
+	}
+
 	const isUnproven = (suspect: SuspectId): boolean => !suspects.isProven(suspect, clock.monotonic());
 	const parts = getPartSuspects(call);
 	if (!parts.some(suspect => isUnproven(suspect)) || !await hasCrashed) {
--- a/packages/forwarder/src/crashing-parts.test.ts
+++ b/packages/forwarder/src/crashing-parts.test.ts
@@ -1,6 +1,8 @@
+import {Buffer} from 'node:buffer';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect, onTestFinished, test} from 'vitest';
 import {getPartSuspect} from '@gentianlift/routing';
+import {getFingerprint, type Call} from './call.js';
 import {
 	createHostStarter, resetConnection, sum, type AnswerHandler,
 } from './test-deployment.js';
@@ -114,6 +116,21 @@
 	expect(await requestParts(deployment, 'cleared', ['p', 'own'])).toMatchObject({status: 200});
 });
 
+// Guards against: one trial of a blocked request crashes as many engines as its route allows.
+test('a trial whose upstream crashes is not retried', async () => {
+	const deployment = await startCrashingEngines(start, {engines: 4, crashingParts});
+	const {suspects, clock} = deployment.host.context;
+	const copy = getFingerprint({
+		method: 'POST', target: '/read/1', head: {key: undefined}, body: Buffer.from('a'),
+	} as unknown as Call);
+	for (const upstream of ['a@1', 'b@1', 'c@1']) {
+		suspects.addCrash({suspect: copy, upstream, age: 60_000}, clock.monotonic());
+	}
+
+	expect(await requestParts(deployment, 'a', ['bad'], '/read/1')).toMatchObject({status: 502});
+	expect(deployment.countCrashes()).toBe(1);
+});
+
 // Guards against: the answer to a request that may have run says that it has not, as its part was blocked before it was sent again.
 test('a request that may have run is not said to have not run when it is blocked before a retry', async () => {
 	const blockAndReset: AnswerHandler = (request, response) => {
