Send no datagram that is too long for its reports

A relay put up to 40 reports into one datagram, whatever their length; 40 that name 100 crashes each are longer than the 64 KB that a datagram may have, and none of them is sent. Load reports name crashes, good ends and limits since, most in the moments that need them. Reports are now spread by length; its test shows that all arrive.

--- a/packages/discovery/src/load.test.ts
+++ b/packages/discovery/src/load.test.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import {expect, test} from 'vitest';
 import {getMeanReportDelay} from './exchange-reports.js';
 import {getAvailableHosts} from './host-list.js';
@@ -5,7 +6,9 @@
 import {createHostStatusTracker} from './host-status.js';
 import type {LoadReport} from './load-report.js';
 import {createLoadTracker, type LoadContribution} from './load-tracker.js';
-import {decodePacket, encodePacket, type Packet} from './packet.js';
+import {
+	decodePacket, encodePacket, encodeReports, forwardScope, type Packet,
+} from './packet.js';
 
 const load = (changes: Partial<LoadContribution>): LoadContribution => ({
 	running: 0, unreadTokens: 0, latencySensitiveStreams: 0, queuedTokens: 0, ...changes,
@@ -37,6 +40,9 @@
 	expect(tracker.getTotalLoad('u').running).toBe(0);
 });
 
+/** Longest payload of a datagram over IPv4. */
+const maxDatagramBytes = 65_507;
+
 const report: LoadReport = {
 	host: 'h', incarnation: 3, sequence: 4, revision: 5, isStopping: true,
 	loads: [{
@@ -60,6 +66,17 @@
 	expect(decodePacket(encodePacket(packet))).toEqual(packet);
 });
 
+// Guards against: reports that name many crashes and limits make a datagram too long to be sent, so that none of them arrives.
+test('long reports are spread over datagrams that can be sent', () => {
+	const crashes = Array.from({length: 100}, (_, index) => ({suspect: `part:${index.toString(16).padStart(16, '0')}`, upstream: `i-0123456789@177230490${index}`, age: 1000}));
+	const reports = Array.from({length: 75}, (_, sequence) => ({...report, sequence, crashes}));
+	const datagrams = encodeReports({sender: 's', forwardTo: forwardScope.group, reports});
+	expect(Math.max(...datagrams.map(text => Buffer.byteLength(text)))).toBeLessThanOrEqual(maxDatagramBytes);
+	expect(datagrams.flatMap(text => decodePacket(text)?.reports ?? [])).toEqual(reports);
+	expect(encodeReports({sender: 's', forwardTo: forwardScope.group, reports: []})).toEqual([]);
+	expect(encodeReports({sender: 's', forwardTo: forwardScope.group, reports: [report]})).toEqual([encodePacket({...packet, batches: []})]);
+});
+
 test('a report without the time at which it was built is accepted', () => {
 	for (const builtAt of ['', ',null', ',"7"']) {
 		const decoded = decodePacket(`["s",0,[["h",1,2,3,0,[],[],[],[]${builtAt}]],[]]`);
--- a/packages/discovery/src/packet.ts
+++ b/packages/discovery/src/packet.ts
@@ -37,6 +37,36 @@
 	return JSON.stringify(wire);
 };
 
+/** Maximum length of the reports in one datagram, whose size is limited to 64 KB; one report that is longer goes alone. */
+const maxReportsLength = 48_000;
+
+/** Encodes reports as the texts of as few datagrams as hold them. */
+export const encodeReports = ({sender, forwardTo, reports}: Omit<Packet, 'batches' | 'reports'> & {reports: readonly LoadReport[]}): string[] => {
+	const datagrams: string[] = [];
+	let texts: string[] = [];
+	let length = 0;
+	const finish = (): void => {
+		if (texts.length > 0) {
+			datagrams.push(`[${JSON.stringify(sender)},${forwardTo},[${texts.join(',')}],[]]`);
+			texts = [];
+			length = 0;
+		}
+	};
+
+	for (const report of reports) {
+		const text = JSON.stringify(packLoadReport(report));
+		if (length + text.length > maxReportsLength) {
+			finish();
+		}
+
+		texts.push(text);
+		length += text.length;
+	}
+
+	finish();
+	return datagrams;
+};
+
 const isForwardScope = (value: unknown): value is ForwardScope => Object.values<unknown>(forwardScope).includes(value);
 
 const isChangeBatch = (value: unknown): value is ChangeBatch => {
@@ -76,7 +106,7 @@
 const maxChangesPerDatagram = 40;
 
 /** Splits a list into chunks of at most `size` items. */
-export const splitIntoChunks = <Item>(items: readonly Item[], size: number): Item[][] =>
+const splitIntoChunks = <Item>(items: readonly Item[], size: number): Item[][] =>
 	Array.from({length: Math.ceil(items.length / size)}, (_, index) => items.slice(index * size, (index + 1) * size));
 
 const getChangeRevision = (change: Change | undefined, fallback: number): number => {
--- a/packages/discovery/src/report-broadcast.ts
+++ b/packages/discovery/src/report-broadcast.ts
@@ -5,7 +5,7 @@
 import type {HostRecord} from './host-record.js';
 import type {LoadReport} from './load-report.js';
 import {
-	decodePacket, encodePacket, forwardScope, splitChangeBatch, splitIntoChunks, type ChangeBatch, type ForwardScope, type Packet,
+	decodePacket, encodePacket, encodeReports, forwardScope, splitChangeBatch, type ChangeBatch, type ForwardScope,
 } from './packet.js';
 import {createRelayLiveness} from './relay-liveness.js';
 import {
@@ -41,8 +41,6 @@
 const planInterval: Milliseconds = 250;
 /** Age of a relay's last change batch up to which this host relies on the relay, instead of watching the store itself. */
 const relayFeedTimeout: Milliseconds = 1100;
-/** Maximum number of reports in one datagram, whose size is limited to 64 KB. */
-const maxReportsPerDatagram = 40;
 
 /** Opens the socket and starts to receive the reports of other hosts. */
 export const startReportBroadcaster = ({
@@ -98,15 +96,10 @@
 		}
 	};
 
-	const sendPacket = (packet: Omit<Packet, 'sender'>, targets: readonly HostRecord[]): void => {
-		if (targets.length > 0) {
-			sendDatagram(encodePacket({sender: own.host, ...packet}), targets);
-		}
-	};
-
 	const sendReports = (reports: readonly LoadReport[], scope: ForwardScope, targets: readonly HostRecord[]): void => {
-		for (const part of splitIntoChunks(reports, maxReportsPerDatagram)) {
-			sendPacket({forwardTo: scope, reports: part, batches: []}, targets);
+		const datagrams = targets.length === 0 ? [] : encodeReports({sender: own.host, forwardTo: scope, reports});
+		for (const text of datagrams) {
+			sendDatagram(text, targets);
 		}
 	};
 
@@ -116,7 +109,9 @@
 		sendReports(fleetReports, forwardScope.group, current.kind === 'direct' ? [] : current.otherRelays);
 		sendReports([...fleetReports, ...groupReports], forwardScope.none, members);
 		for (const batch of changeBatches) {
-			sendPacket({forwardTo: forwardScope.none, reports: [], batches: [batch]}, members);
+			sendDatagram(encodePacket({
+				sender: own.host, forwardTo: forwardScope.none, reports: [], batches: [batch],
+			}), members);
 		}
 
 		fleetReports = [];
