Count resumed runs in the soak's check of parts that crash upstreams

The check knew the host of a request's first run only, and left out the runs with which a caller resumes its stream, though each of them reaches an upstream. They count now, unless any host was disturbed. A unit test shows it.

--- a/packages/soak/src/fleet-guarantees.ts
+++ b/packages/soak/src/fleet-guarantees.ts
@@ -14,10 +14,15 @@
 const limitTolerance = 1.5;
 const limitSlack = 5;
 
-/** Whether a host was stopping, paused, away or starting at a time or shortly before it. */
+/** Whether a host, or any if it isn't known, was stopping, paused, away or starting at a time or shortly before it. */
 const isDisturbed = (host: number | undefined, at: Milliseconds, {outages}: Observations): boolean =>
 	outages.some(interval => (host === undefined || interval.host === host) && overlaps(interval, at - disturbanceAftermath, at));
 
+/** Returns the hosts to which requests with a part were sent, by request; it isn't known for those that resume a stream. */
+const getHostsOfRequests = (part: string, {calls}: Observations): Map<string, number | undefined> =>
+	new Map(calls.filter(call => call.part === part).flatMap(({attempt, host, resumptions}): Array<[string, number | undefined]> =>
+		[[attempt, host], ...resumptions.map((resumption): [string, undefined] => [resumption.attempt, undefined])]));
+
 /** Finds parts that reached upstreams too often after they had crashed several, sent by hosts that had been undisturbed. */
 export const checkPartCrashes = (observations: Observations): Violation[] => {
 	const parts = [...new Set(observations.partCrashes.map(({part}) => part))];
@@ -27,11 +32,9 @@
 			return [];
 		}
 
-		const hosts = new Map(observations.calls.filter(call => call.part === part).map(({attempt, host}) => [attempt, host]));
-		const late = observations.executions.filter(({attempt, at}) => {
-			const host = hosts.get(attempt);
-			return host !== undefined && at > judgedCrash.at + stableTime && !isDisturbed(host, at, observations);
-		});
+		const hosts = getHostsOfRequests(part, observations);
+		const late = observations.executions.filter(({attempt, at}) =>
+			hosts.has(attempt) && at > judgedCrash.at + stableTime && !isDisturbed(hosts.get(attempt), at, observations));
 		return late.length > maxLateExecutions
 			? [{guarantee: 'a part that crashes upstreams is blocked', attempt: late[0]?.attempt ?? part, detail: `${part}: ${late.length} executions ${stableTime} ms after its fifth crash or later`}]
 			: [];
--- a/packages/soak/src/guarantees.test.ts
+++ b/packages/soak/src/guarantees.test.ts
@@ -58,6 +58,10 @@
 	}));
 	const executions = attempts.map(attempt => execution({attempt, at: 3600}));
 	expect(find({calls, executions, partCrashes})).toEqual(['a part that crashes upstreams is blocked']);
+	const resumed = [...calls.slice(1), call({
+		attempt: 'p1', part: 'bad1', kind: 'resumable', resumptions: [{attempt: 'p1.1', outcome: {kind: 'broken', reason: 'reset'}}],
+	})];
+	expect(find({calls: resumed, executions: [...executions.slice(1), execution({attempt: 'p1.1', at: 3600})], partCrashes})).toEqual(['a part that crashes upstreams is blocked']);
 	expect(find({calls, executions: executions.slice(1), partCrashes})).toEqual([]);
 	expect(find({calls, executions, partCrashes: partCrashes.slice(1)})).toEqual([]);
 	expect(find({calls, executions: executions.map(item => ({...item, at: 3400})), partCrashes})).toEqual([]);
