--- a/packages/forwarder/src/crashing-parts.test.ts
+++ b/packages/forwarder/src/crashing-parts.test.ts
@@ -4,7 +4,7 @@
 import {getPartSuspect} from '@gentianlift/routing';
 import {getFingerprint, type Call} from './call.js';
 import {
-	createHostStarter, resetConnection, sum, type AnswerHandler,
+	createHostStarter, resetConnection, sum, upstreamMark, type AnswerHandler,
 } from './test-deployment.js';
 import {requestParts, startCrashingEngines, type CrashingEngines} from './testing-crashes.js';
 import {waitForEnd} from './testing.js';
@@ -15,6 +15,11 @@
 const maxGuiltyRequests = 5 + 3;
 const crashingParts = new Set(['bad']);
 
+/** Builds what the fingerprint of a request depends on. */
+const buildCopy = (target: string, body: string): Call => ({
+	method: 'POST', target, head: {key: undefined}, body: Buffer.from(body),
+} as unknown as Call);
+
 /** Sends requests that share the part that crashes engines, each after a sound one, no two alike. */
 const sendMixed = async (deployment: CrashingEngines, count: number): Promise<void> => {
 	for (let index = 0; index < count; index++) {
@@ -116,13 +121,32 @@
 	expect(await requestParts(deployment, 'cleared', ['p', 'own'])).toMatchObject({status: 200});
 });
 
+// Guards against: copies of a request that engines reject as wrong stay blocked for ever, or an error clears a part that crashes engines which begin an answer.
+test('an error of the caller speaks for copies of its request, not for its parts, and an error of the engine for neither', async () => {
+	for (const [status, isCopyCleared] of [[404, true], [500, false]] as const) {
+		// eslint-disable-next-line no-await-in-loop -- One deployment at a time.
+		const {host} = await start((_, response) => {
+			response.writeHead(status, upstreamMark);
+			response.end('no');
+		});
+		const {suspects, clock} = host.context;
+		const copy = getFingerprint(buildCopy('/book/1', 'a'));
+		for (const suspect of [copy, getPartSuspect('p')]) {
+			suspects.addCrash({suspect, upstream: 'a@1', age: 0}, clock.monotonic());
+		}
+
+		// eslint-disable-next-line no-await-in-loop -- One deployment at a time.
+		expect(await requestParts({host}, 'a', ['p', 'own'], '/book/1')).toMatchObject({status});
+		expect(suspects.isSuspected(copy, clock.monotonic())).toBe(!isCopyCleared);
+		expect(suspects.isSuspected(getPartSuspect('p'), clock.monotonic())).toBe(true);
+	}
+});
+
 // Guards against: one trial of a blocked request crashes as many engines as its route allows.
 test('a trial whose upstream crashes is not retried', async () => {
 	const deployment = await startCrashingEngines(start, {engines: 4, crashingParts});
 	const {suspects, clock} = deployment.host.context;
-	const copy = getFingerprint({
-		method: 'POST', target: '/read/1', head: {key: undefined}, body: Buffer.from('a'),
-	} as unknown as Call);
+	const copy = getFingerprint(buildCopy('/read/1', 'a'));
 	for (const upstream of ['a@1', 'b@1', 'c@1']) {
 		suspects.addCrash({suspect: copy, upstream, age: 60_000}, clock.monotonic());
 	}
--- a/packages/forwarder/src/testing-crashes.ts
+++ b/packages/forwarder/src/testing-crashes.ts
@@ -85,5 +85,5 @@
 };
 
 /** Sends a request for a stream whose prompt has the parts. */
-export const requestParts = async ({host}: TestDeployment, attempt: string, parts: readonly string[], path = '/once/1'): Promise<TestAnswer> =>
+export const requestParts = async ({host}: Pick<TestDeployment, 'host'>, attempt: string, parts: readonly string[], path = '/once/1'): Promise<TestAnswer> =>
 	sendRequest(host.port, {path, headers: {attempt, parts: parts.join(','), 'prompt-tokens': '100'}, body: attempt});
