Count the upstreams that a host avoids

The gauge upstreams_avoided beside that of other hosts tells links that are cut from upstreams that are away.

--- a/packages/forwarder/src/start-host.ts
+++ b/packages/forwarder/src/start-host.ts
@@ -204,6 +204,7 @@
 		getMetricsPage() {
 			context.metrics.setGauge('queue_length', forwarder.getQueueLength());
 			context.metrics.setGauge('upstream_limits', context.limits.countLimits());
+			context.metrics.setGauge('upstreams_avoided', context.tracker.countAvoided());
 			return context.metrics.renderPrometheusText();
 		},
 		reload(next) {
--- a/packages/forwarder/src/testing.ts
+++ b/packages/forwarder/src/testing.ts
@@ -50,7 +50,7 @@
 });
 
 /** Minimal protocol with the headers `limit`, `attempt`, `instance`, `key`, `timeout`, `last-event`, `prompt-tokens`, `parts`, `not-run` and `signed`. */
-const protocol: Protocol = {
+export const protocol: Protocol = {
 	readCallerHead(headers) {
 		const timeout = getValue(headers, 'timeout');
 		const lastEvent = getValue(headers, 'last-event');
--- a/packages/forwarder/src/upstream-tracker.ts
+++ b/packages/forwarder/src/upstream-tracker.ts
@@ -34,6 +34,8 @@
 	getSilence: (upstream: Upstream) => Milliseconds;
 	/** Records the result of a request, and its duration if durations of its kind are comparable. */
 	recordResult: (upstream: Upstream, hasFailed: boolean, duration: Milliseconds | undefined) => void;
+	/** Returns the number of upstreams that get no requests for now, as they are in their backoff period or silent. */
+	countAvoided: () => number;
 	/** Closes the connections of an incarnation once their requests have ended, and ends the wait for them. */
 	retire: (key: UpstreamKey) => void;
 	/** Forgets an incarnation that was removed, and retires its connections. */
@@ -139,11 +141,12 @@
 	const getStateSilence = (state: UpstreamState | undefined, now: Milliseconds): Milliseconds =>
 		state === undefined || state.openRequests === 0 ? 0 : now - state.lastByteAt;
 
+	/** Whether an upstream is in its backoff period or silent. */
+	const isAvoided = (state: UpstreamState | undefined, now: Milliseconds): boolean =>
+		(state?.avoidedUntil ?? 0) > now || getStateSilence(state, now) > avoidanceSilence;
+
 	/** Whether an upstream is neither in its backoff period nor silent. */
-	const isReachable = (upstream: Upstream, now: Milliseconds): boolean => {
-		const state = states.get(getUpstreamKey(upstream));
-		return (state?.avoidedUntil ?? 0) <= now && getStateSilence(state, now) <= avoidanceSilence;
-	};
+	const isReachable = (upstream: Upstream, now: Milliseconds): boolean => !isAvoided(states.get(getUpstreamKey(upstream)), now);
 
 	/** Returns the estimate of an upstream's prompt cache, with its capacity once that is known. */
 	const getCache = (key: UpstreamKey): PromptCacheEstimate => {
@@ -248,6 +251,10 @@
 				state.meanDuration = state.meanDuration === undefined ? duration : (state.meanDuration * (1 - durationWeight)) + (duration * durationWeight);
 			}
 		},
+		countAvoided() {
+			const now = clock.monotonic();
+			return [...states.values()].filter(state => isAvoided(state, now)).length;
+		},
 		retire,
 		remove(key) {
 			retire(key);
