--- /dev/null
+++ b/packages/forwarder/src/testing-link.ts
@@ -0,0 +1,86 @@
+import {
+	connect, createServer, type AddressInfo, type Server, type Socket,
+} from 'node:net';
+import {splitAddress, type Address} from '@gentianlift/types';
+
+/**
+ * State of the link between one host and one upstream:
+ * - `open`: all passes
+ * - `reset`: open connections are reset, new ones are refused
+ * - `silent`: open connections pass nothing more, new ones are refused
+ * - `established`: open connections live on, new ones are refused
+ */
+export type HostLinkState = 'open' | 'reset' | 'silent' | 'established';
+
+/** A TCP proxy on loopback through which one host reaches one upstream. */
+export type HostLink = {
+	/** Address to connect to instead of the upstream's. */
+	address: Address;
+	setState: (state: HostLinkState) => void;
+	close: () => void;
+};
+
+const listenOn = async (server: Server, port: number): Promise<number> => {
+	await new Promise<void>(resolve => {
+		server.listen(port, '127.0.0.1', resolve);
+	});
+	return (server.address() as AddressInfo).port;
+};
+
+/** Passes bytes and the end of one socket on to another; bytes that arrive while the link is silent are lost. */
+const relay = (from: Socket, to: Socket, getState: () => HostLinkState): void => {
+	from.on('data', bytes => {
+		if (getState() !== 'silent') {
+			to.write(bytes);
+		}
+	});
+	from.on('error', () => undefined);
+	from.on('close', () => {
+		if (getState() !== 'silent') {
+			to.destroy();
+		}
+	});
+};
+
+/** Opens a link to an upstream. */
+export const openHostLink = async (target: Address): Promise<HostLink> => {
+	const sockets = new Set<Socket>();
+	let state: HostLinkState = 'open';
+	const getState = (): HostLinkState => state;
+	const server = createServer(caller => {
+		const remote = connect(splitAddress(target));
+		for (const socket of [caller, remote]) {
+			sockets.add(socket);
+			socket.once('close', () => {
+				sockets.delete(socket);
+			});
+		}
+
+		relay(caller, remote, getState);
+		relay(remote, caller, getState);
+	});
+	const port = await listenOn(server, 0);
+	return {
+		address: `127.0.0.1:${port}`,
+		setState(next) {
+			state = next;
+			if (next === 'open') {
+				void listenOn(server, port);
+				return;
+			}
+
+			server.close();
+			if (next === 'reset') {
+				for (const socket of sockets) {
+					socket.resetAndDestroy();
+				}
+			}
+		},
+		close() {
+			server.close();
+			for (const socket of sockets) {
+				socket.destroy();
+			}
+		},
+	};
+};
--- /dev/null
+++ b/packages/forwarder/src/testing-partition.ts
@@ -0,0 +1,177 @@
+import {createServer, type Server} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {createSystemClock} from '@gentianlift/clock';
+import type {DecodedEntry} from '@gentianlift/discovery';
+import {createLogger} from '@gentianlift/logger';
+import type {RoutingConfiguration, Upstream} from '@gentianlift/routing';
+import type {Entry, Milliseconds} from '@gentianlift/types';
+import {startHost, type Host, type HostSettings} from './start-host.js';
+import {sum, type AnswerHandler} from './test-deployment.js';
+import {
+	protocol, sendRequest, startUpstream, type TestAnswer,
+} from './testing.js';
+import {openHostLink, type HostLink, type HostLinkState} from './testing-link.js';
+import {createTestStore, type TestStore} from './testing-store.js';
+
+/** A host of a fleet, with its own link to each upstream. */
+export type LinkedHost = {
+	host: Host;
+	/** Port for callers. */
+	port: number;
+	/** Port for other hosts. */
+	peerPort: number;
+	logLines: string[];
+	links: HostLink[];
+};
+
+/** A fleet of hosts that exchange load reports and share a store and upstreams. */
+export type LinkedFleet = {
+	hosts: LinkedHost[];
+	upstreams: Upstream[];
+	/** Numbers of requests that the upstreams have received. */
+	counts: number[];
+	/** Sets the state of all links of some hosts, by index. */
+	setLinks: (hosts: readonly number[], state: HostLinkState) => void;
+	/** Publishes another configuration. */
+	configure: (configuration: RoutingConfiguration) => void;
+};
+
+/** Options of a fleet. */
+export type LinkedFleetOptions = {
+	hosts: number;
+	/** Handlers of the upstreams of the service `s`. */
+	upstreams: readonly AnswerHandler[];
+	configuration: RoutingConfiguration;
+	onFinished: (close: () => void) => void;
+};
+
+const configurationKey = 'configuration';
+/** Time in which the hosts of a new fleet get to know each other. */
+const meetingTime: Milliseconds = 1200;
+
+const findFreePort = async (): Promise<number> => {
+	const server: Server = createServer();
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const {port} = server.address() as AddressInfo;
+	await new Promise(resolve => {
+		server.close(resolve);
+	});
+	return port;
+};
+
+const buildSettings = async (index: number): Promise<HostSettings> => {
+	const callers = await findFreePort();
+	const peers = await findFreePort();
+	return {
+		host: `h${index}`,
+		zone: ['a', 'b', 'c'][index % 3]!,
+		capacity: 1,
+		callers: `127.0.0.1:${callers}`,
+		peers: `127.0.0.1:${peers}`,
+		loadReports: `127.0.0.1:${peers}`,
+		knownPeers: [],
+		gracePeriod: 100,
+		addressTtl: 1000,
+		retryLimit: {ratio: 0.2, minimum: 54, window: 10_000},
+	};
+};
+
+/** Returns a decoder by which a host sees each upstream at the address of its own link to it. */
+const createDecoder = (links: readonly HostLink[]) => ({key, value}: Entry): DecodedEntry => {
+	if (key === configurationKey) {
+		return {kind: 'configuration', configuration: JSON.parse(value) as RoutingConfiguration};
+	}
+
+	if (!key.startsWith('upstreams/')) {
+		return {kind: 'other'};
+	}
+
+	const upstream = JSON.parse(value) as Upstream;
+	const link = links[Number(upstream.id.slice(1))]!;
+	return {kind: 'upstream', upstream: {...upstream, address: link.address}};
+};
+
+const startLinkedHost = async (index: number, upstreams: readonly Upstream[], store: TestStore): Promise<LinkedHost> => {
+	const links = await Promise.all(upstreams.map(async ({address}) => openHostLink(address)));
+	const logLines: string[] = [];
+	const settings = await buildSettings(index);
+	const logger = createLogger('info', line => {
+		logLines.push(line);
+	});
+	const host = await startHost(settings, {
+		clock: createSystemClock(), logger, store, decode: createDecoder(links), protocol,
+	});
+	return {
+		host, port: Number(settings.callers.split(':')[1]), peerPort: Number(settings.peers.split(':')[1]), logLines, links,
+	};
+};
+
+/** Starts a fleet, and waits until its hosts know each other. */
+export const startLinkedFleet = async ({hosts: hostCount, upstreams: handlers, configuration, onFinished}: LinkedFleetOptions): Promise<LinkedFleet> => {
+	const store = createTestStore();
+	const counts = handlers.map(() => 0);
+	const started = await Promise.all(handlers.map(async (answer, index) => startUpstream(`u${index}`, (request, response) => {
+		counts[index] = (counts[index] ?? 0) + 1;
+		answer(request, response);
+	})));
+	const upstreams = started.map(({upstream}) => upstream);
+	store.put(configurationKey, JSON.stringify(configuration));
+	for (const upstream of upstreams) {
+		store.put(`upstreams/${upstream.id}`, JSON.stringify(upstream));
+	}
+
+	const hosts = await Promise.all(Array.from({length: hostCount}, async (_, index) => startLinkedHost(index, upstreams, store)));
+	onFinished(() => {
+		for (const {host, links} of hosts) {
+			void host.stop();
+			for (const link of links) {
+				link.close();
+			}
+		}
+
+		for (const {server} of started) {
+			server.close();
+			server.closeAllConnections();
+		}
+	});
+	await sleep(meetingTime);
+	return {
+		hosts,
+		upstreams,
+		counts,
+		setLinks(indexes, state) {
+			for (const link of indexes.flatMap(index => hosts[index]!.links)) {
+				link.setState(state);
+			}
+		},
+		configure(next) {
+			store.put(configurationKey, JSON.stringify(next));
+		},
+	};
+};
+
+/** Requests that are sent at intervals for a time; `name` begins their ids. */
+export type Traffic = {interval: Milliseconds; duration: Milliseconds; paths: readonly string[]; name: string};
+
+/** Sends requests to the hosts in turn; returns the answers by host. */
+export const sendToHosts = async ({hosts}: LinkedFleet, {interval, duration, paths, name}: Traffic): Promise<TestAnswer[][]> => {
+	const answers: Array<Array<Promise<TestAnswer>>> = hosts.map(() => []);
+	for (let sent = 0; sent * interval < duration; sent++) {
+		const index = sent % hosts.length;
+		const path = paths[Math.floor(sent / hosts.length) % paths.length]!;
+		answers[index]!.push(sendRequest(hosts[index]!.port, {path, headers: {attempt: `${name}-${sent}`}}));
+		// eslint-disable-next-line no-await-in-loop -- Requests are sent at intervals.
+		await sleep(interval);
+	}
+
+	return Promise.all(answers.map(async list => Promise.all(list)));
+};
+
+/** Returns the part of the answers of some hosts that are complete successes. */
+export const getServedRatio = (answers: readonly TestAnswer[][], hosts: readonly number[]): number => {
+	const counted = hosts.flatMap(index => answers[index]!);
+	return sum(counted.map(({status, isComplete}) => status === 200 && isComplete ? 1 : 0)) / counted.length;
+};
