--- a/packages/discovery/src/join-fleet.ts
+++ b/packages/discovery/src/join-fleet.ts
@@ -14,6 +14,7 @@
 import type {Prefill} from './load-report.js';
 import type {LoadTracker} from './load-tracker.js';
 import {createPeerViewClient} from './peer-views.js';
+import {createReachClient, type ReachClient} from './reach-calls.js';
 import {createStreamOriginClient, type StreamOriginClient} from './stream-origin-calls.js';
 import {registerHost, type HostRegistration} from './register-host.js';
 
@@ -27,9 +28,13 @@
 	refresh: FleetFollower['refresh'];
 	/** Asks other hosts for the origin of a stream. */
 	askForStreamOrigin: StreamOriginClient['find'];
+	/** Asks another host whether it reaches upstreams. */
+	askForReach: ReachClient['ask'];
 	registration: HostRegistration;
 	/** Returns the number of hosts that share limits, this one included. */
 	countHosts: () => number;
+	/** Returns the other hosts that are neither silent nor stopping. */
+	getAvailableOthers: () => HostRecord[];
 	/** Returns the hosts to list for a caller in the availability zone. */
 	getHostsForCaller: (zone: Zone | undefined) => HostRecord[];
 	/** Whether this host is among the `count` that all available hosts choose for a key. For a moment after a host has started or failed, more may be. */
@@ -144,10 +149,12 @@
 		reportExchange,
 		refresh,
 		askForStreamOrigin: createStreamOriginClient({getAddresses: getPeerAddresses, clock, random}).find,
+		askForReach: createReachClient(clock).ask,
 		registration: registerHost({
 			store, record, clock, logger,
 		}),
 		countHosts: () => getOthers().length + 1,
+		getAvailableOthers: () => getAvailable().filter(({host}) => host !== record.host),
 		getHostsForCaller: zone => selectHostsForCaller(getAvailable(), zone, random),
 		isAmongChosenHosts: (key, count) => chooseHosts(key, getAvailable(), count).includes(record.host),
 	};
--- /dev/null
+++ b/packages/discovery/src/peer-server.ts
@@ -0,0 +1,76 @@
+import {
+	createServer, type IncomingMessage, type RequestListener, type Server, type ServerResponse,
+} from 'node:http';
+import type {StreamOrigin} from '@gentianlift/routing';
+import type {FleetView} from './fleet-view.js';
+import {viewPath} from './peer-views.js';
+import {
+	decodeReachQuery, reachPath, type Reach, type ReachQuery,
+} from './reach-calls.js';
+import {decodeOriginQuery, streamOriginPath, type OriginQuery} from './stream-origin-calls.js';
+
+/** What other hosts may ask for. */
+export type PeerServerOptions = {
+	view: FleetView;
+	/** Returns the origin of a stream if this host knows it. */
+	findStreamOrigin: (query: OriginQuery) => StreamOrigin | undefined;
+	/** Returns whether this host reaches upstreams. */
+	getReach: (query: ReachQuery) => Promise<Reach>;
+	/** Answers a request whose path begins with `forwardedCallPath`: a caller's request that another host forwards. */
+	answerForwardedCall: RequestListener;
+};
+
+/** Begins the paths of callers' requests that another host forwards. */
+export const forwardedCallPath = '/v1/calls/';
+const noContent = 204;
+/** A forwarded request has all headers of its caller. */
+const maxHeaderBytes = 128 * 1024;
+
+const sendJson = (response: ServerResponse, body: unknown): void => {
+	if (body === undefined) {
+		response.writeHead(noContent);
+		response.end();
+		return;
+	}
+
+	response.writeHead(200, {'content-type': 'application/json'});
+	response.end(JSON.stringify(body));
+};
+
+const answerQuery = async ({pathname, searchParams}: URL, {view, findStreamOrigin, getReach}: PeerServerOptions): Promise<unknown> => {
+	switch (pathname) {
+		case viewPath: {
+			const after = Number(searchParams.get('after') ?? 0);
+			return view.getRevision() > after ? view.getSnapshot() : undefined;
+		}
+
+		case streamOriginPath: {
+			return findStreamOrigin(decodeOriginQuery(searchParams));
+		}
+
+		case reachPath: {
+			return getReach(decodeReachQuery(searchParams));
+		}
+
+		default: {
+			return undefined;
+		}
+	}
+};
+
+/** Creates the server for other hosts: it answers with this host's view if that is newer than theirs, with the origins of streams and with what it reaches, and takes calls that they forward. */
+export const createPeerServer = (options: PeerServerOptions): Server => {
+	const answer = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+		sendJson(response, await answerQuery(new URL(request.url ?? '/', 'http://host'), options));
+	};
+
+	return createServer({maxHeaderSize: maxHeaderBytes}, (request, response) => {
+		if (request.url?.startsWith(forwardedCallPath) === true) {
+			options.answerForwardedCall(request, response);
+			return;
+		}
+
+		// A host that asks again elsewhere needs no answer.
+		answer(request, response).catch(() => response.destroy());
+	});
+};
--- a/packages/discovery/src/peer-views.ts
+++ b/packages/discovery/src/peer-views.ts
@@ -1,10 +1,6 @@
-import {createServer, type Server, type ServerResponse} from 'node:http';
 import type {Clock, Random} from '@gentianlift/clock';
-import type {StreamOrigin} from '@gentianlift/routing';
 import type {Address, Milliseconds, Snapshot} from '@gentianlift/types';
-import type {FleetView} from './fleet-view.js';
 import {createPeerClients} from './peer-clients.js';
-import {decodeOriginQuery, streamOriginPath, type OriginQuery} from './stream-origin-calls.js';
 
 /** Client that reads the view of the fleet from other hosts. */
 export type PeerViewClient = {
@@ -20,10 +16,10 @@
 	random: Random;
 };
 
-const viewPath = '/v1/view';
+/** Path of the call on the address for other hosts. */
+export const viewPath = '/v1/view';
 /** Timeout of a request to another host. */
 const timeout: Milliseconds = 300;
-const noContent = 204;
 
 const isSnapshot = (body: unknown): body is Snapshot => {
 	const {entries, revision} = (body ?? {}) as Partial<Snapshot>;
@@ -46,42 +42,3 @@
 		},
 	};
 };
-
-/** What other hosts may ask for. */
-export type PeerServerOptions = {
-	view: FleetView;
-	/** Returns the origin of a stream if this host knows it. */
-	findStreamOrigin: (query: OriginQuery) => StreamOrigin | undefined;
-};
-
-const sendJson = (response: ServerResponse, body: unknown): void => {
-	if (body === undefined) {
-		response.writeHead(noContent);
-		response.end();
-		return;
-	}
-
-	response.writeHead(200, {'content-type': 'application/json'});
-	response.end(JSON.stringify(body));
-};
-
-/** Creates the server for other hosts: it answers with this host's view if that is newer than theirs, and with the origins of streams. */
-export const createPeerServer = ({view, findStreamOrigin}: PeerServerOptions): Server => createServer((request, response) => {
-	const {pathname, searchParams} = new URL(request.url ?? '/', 'http://host');
-	switch (pathname) {
-		case viewPath: {
-			const after = Number(searchParams.get('after') ?? 0);
-			sendJson(response, view.getRevision() > after ? view.getSnapshot() : undefined);
-			break;
-		}
-
-		case streamOriginPath: {
-			sendJson(response, findStreamOrigin(decodeOriginQuery(searchParams)));
-			break;
-		}
-
-		default: {
-			sendJson(response, undefined);
-		}
-	}
-});
--- a/packages/discovery/src/stream-origin-calls.test.ts
+++ b/packages/discovery/src/stream-origin-calls.test.ts
@@ -4,7 +4,7 @@
 import type {StreamOrigin} from '@gentianlift/routing';
 import {expect, onTestFinished, test} from 'vitest';
 import type {FleetView} from './fleet-view.js';
-import {createPeerServer} from './peer-views.js';
+import {createPeerServer} from './peer-server.js';
 import {createStreamOriginClient, type OriginQuery} from './stream-origin-calls.js';
 
 const origin = {service: 's', softwareVersion: 'v1'};
@@ -19,6 +19,8 @@
 			asked.push(received);
 			return known;
 		},
+		getReach: async () => ({isReached: true, openRequests: 0}),
+		answerForwardedCall: () => undefined,
 	});
 	await new Promise<void>(resolve => {
 		server.listen(0, '127.0.0.1', resolve);
--- a/packages/errors/src/kinds.ts
+++ b/packages/errors/src/kinds.ts
@@ -66,6 +66,9 @@
 	'not-configured': {
 		status: 503, ran: 'not-run', retry: 'later', type: 'server_error', message: 'This host has no configuration yet.',
 	},
+	misdirected: {
+		status: 421, ran: 'not-run', retry: 'now', type: 'server_error', message: 'This host can\'t take the request that another one has forwarded.',
+	},
 	'upstream-refused': {
 		status: 503, ran: 'not-run', retry: 'later', type: 'server_error', message: 'The upstream refused the request.',
 	},
--- /dev/null
+++ b/packages/forwarder/src/attempt-over-host.ts
@@ -0,0 +1,123 @@
+import {getMeanReportDelay, hostSilenceTimeout, type HostRecord} from '@gentianlift/discovery';
+import type {Milliseconds} from '@gentianlift/types';
+import {isConnectionLoss, recordChunk} from './attempt-record.js';
+import type {Call, Progress} from './call.js';
+import type {ForwarderContext} from './context.js';
+import {isSuspected, reportDelaysOfExchange} from './crash-blame.js';
+import {deliverEvents} from './deliver-events.js';
+import {deliverUnchanged} from './deliver-buffered.js';
+import {encodeForwardedCall, type ForwardedCall} from './forwarded-call.js';
+import type {ForwardOutcome} from './forward-outcome.js';
+import {send, type SendOutcome} from './send.js';
+
+/** Interval at which the silence of the other host is checked. */
+const silenceCheckInterval: Milliseconds = 200;
+
+const describeCall = (call: Call, progress: Progress, {clock, host}: ForwarderContext): ForwardedCall => ({
+	from: host,
+	age: Math.round(clock.monotonic() - call.arrivedAt),
+	version: call.version,
+	service: call.service,
+	possibleExecutions: progress.possibleExecutions,
+	...(progress.streamVersion !== undefined && {resumption: {lastEventId: progress.lastEventId ?? 0, softwareVersion: progress.streamVersion}}),
+});
+
+/** Delivers the other host's answer, if there is one. What it answers itself is final, too, unless it can't take the call at all. */
+const handleOutcome = async (call: Call, progress: Progress, outcome: SendOutcome, {clock, isStopping}: ForwarderContext): Promise<ForwardOutcome> => {
+	switch (outcome.kind) {
+		case 'unsent':
+		case 'unreachable': {
+			return outcome;
+		}
+
+		case 'rejected': {
+			return {kind: 'unreachable', reason: `host-status-${outcome.status}`};
+		}
+
+		case 'broken': {
+			return {kind: 'failed', reason: outcome.reason};
+		}
+
+		case 'silent': {
+			return {kind: 'failed', reason: 'silent'};
+		}
+
+		case 'answered': {
+			const {head} = outcome;
+			return head.isEventStream && head.status < 300
+				? deliverEvents({
+					call, progress, outcome, isClosing: isStopping(),
+					onChunk() {
+						recordChunk(progress, clock.monotonic());
+					},
+					onFirstBytes() {
+						progress.firstBytesAt = clock.monotonic();
+					},
+					onFirstWrite() {
+						progress.hasBegun = true;
+					},
+				})
+				: deliverUnchanged(call, progress, outcome, isStopping());
+		}
+	}
+};
+
+/** Cancels a call once the other host is silent, as if it were gone; returns a function that stops watching. */
+const watchHost = ({host}: HostRecord, {clock: {every}, reportExchange}: ForwarderContext, cancel: () => void): (() => void) =>
+	every(silenceCheckInterval, () => {
+		if (reportExchange.getSilence(host) > hostSilenceTimeout) {
+			cancel();
+		}
+	});
+
+/** Whether a crash for which the call may be blamed is known once the other host could have reported one. */
+const hasReportedCrash = async (call: Call, context: ForwarderContext): Promise<boolean> => {
+	await context.clock.sleep(reportDelaysOfExchange * getMeanReportDelay(context.countHosts()));
+	return isSuspected(call, context);
+};
+
+/** Sends a call to another host, which handles it as one of its own callers' but doesn't forward it again, and delivers its answer. */
+export const attemptOverHost = async (call: Call, progress: Progress, host: HostRecord, context: ForwarderContext): Promise<ForwardOutcome> => {
+	const {clock, links, logger, protocol, metrics} = context;
+	const {head, route, body} = call;
+	const forwarded = describeCall(call, progress, context);
+	progress.hasCrashed = undefined;
+	progress.bodyEnd = undefined;
+	logger.info('call-forwarded', {
+		request: head.callerRequestId, host: host.host, service: call.service, age: forwarded.age, after: forwarded.resumption?.lastEventId, software: progress.streamVersion,
+	});
+	const endForwarding = links.beginForwarding(host.host);
+	const remainingTime = Math.max(1, call.deadline - clock.monotonic());
+	const {outcome, cancel} = send({
+		address: host.peers,
+		method: call.method,
+		target: encodeForwardedCall({forwarded, target: call.target}),
+		body,
+		callerRequestId: head.callerRequestId,
+		connectionWait: remainingTime,
+		buildHead: () => ({headers: protocol.buildHostHeaders(head, body.length), headTimeout: remainingTime}),
+	}, {
+		agent: context.hostAgents.get(host.peers, route.kind, context.getHostAddresses()),
+		protocol,
+		clock,
+		onSent() {
+			progress.isSent = true;
+		},
+	});
+	progress.cancel = cancel;
+	const stopWatching = watchHost(host, context, cancel);
+	const forwardOutcome = await handleOutcome(call, progress, await outcome, context);
+	stopWatching();
+	endForwarding();
+	metrics.count('forwarded_calls_total', {route: route.name, outcome: forwardOutcome.kind});
+	if (progress.hasBegun && head.callerRequestId !== undefined) {
+		// The other host reports what began the stream.
+		progress.streamVersion ??= context.streamOrigins.get(head.callerRequestId, clock.monotonic())?.softwareVersion;
+	}
+
+	if (isConnectionLoss(forwardOutcome)) {
+		progress.hasCrashed = hasReportedCrash(call, context);
+	}
+
+	return forwardOutcome;
+};
--- a/packages/forwarder/src/attempt-record.ts
+++ b/packages/forwarder/src/attempt-record.ts
@@ -122,6 +122,7 @@
 
 		case 'unreachable': {
 			context.tracker.recordUnreachable(upstream, outcome.reason);
+			context.links.check(call.service);
 			break;
 		}
 
--- a/packages/forwarder/src/attempt.ts
+++ b/packages/forwarder/src/attempt.ts
@@ -6,7 +6,7 @@
 } from './attempt-record.js';
 import type {ForwardOutcome} from './forward-outcome.js';
 import type {Call, Progress} from './call.js';
-import {deliverStream, writeAnswerHead} from './deliver.js';
+import {deliverEvents} from './deliver-events.js';
 import {deliverBuffered} from './deliver-buffered.js';
 import {reportCrash} from './report-crash.js';
 import {send, type SendOutcome} from './send.js';
@@ -20,17 +20,15 @@
 /** Interval at which the silence of an upstream is checked. */
 const silenceCheckInterval: Milliseconds = 200;
 
-/** Delivers a streamed answer to the caller. */
-const deliverEvents = async (attempt: Attempt, {head, answer}: Extract<SendOutcome, {kind: 'answered'}>): Promise<ForwardOutcome> => {
+/** Delivers a streamed answer, and records what its arrival says of the upstream. */
+const deliverAttemptEvents = async (attempt: Attempt, outcome: Extract<SendOutcome, {kind: 'answered'}>): Promise<ForwardOutcome> => {
 	const {call, progress, context, activity} = attempt;
-	answer.message.on('data', () => {
-		activity.recordBytes();
-		recordChunk(progress, context.clock.monotonic());
-	});
-	const delivery = await deliverStream({
-		head, answer, response: call.response, progress,
-		isResumable: call.mayExecuteAgain,
-		isClosing: context.isStopping(),
+	return deliverEvents({
+		call, progress, outcome, isClosing: context.isStopping(),
+		onChunk() {
+			activity.recordBytes();
+			recordChunk(progress, context.clock.monotonic());
+		},
 		onFirstBytes() {
 			recordFirstToken(attempt);
 		},
@@ -38,25 +36,6 @@
 			recordStart(attempt);
 		},
 	});
-	switch (delivery.kind) {
-		case 'complete': {
-			if (!call.response.headersSent) {
-				writeAnswerHead(call.response, head, context.isStopping());
-			}
-
-			call.response.end();
-			return {kind: 'delivered', status: head.status};
-		}
-
-		case 'cut': {
-			const canResume = call.mayExecuteAgain || !call.response.headersSent;
-			return canResume ? {kind: 'failed', reason: delivery.reason} : {kind: 'spoiled', reason: delivery.reason};
-		}
-
-		case 'broken': {
-			return {kind: 'spoiled', reason: delivery.reason};
-		}
-	}
 };
 
 /** Delivers the answer, if there is one, and maps the outcome of the request to that of the attempt. */
@@ -86,7 +65,7 @@
 		case 'answered': {
 			attempt.activity.recordBytes();
 			const isStream = outcome.head.isEventStream && outcome.head.status < 300;
-			return isStream ? deliverEvents(attempt, outcome) : deliverBuffered(attempt.call, attempt.progress, outcome, attempt.context.isStopping());
+			return isStream ? deliverAttemptEvents(attempt, outcome) : deliverBuffered(attempt.call, attempt.progress, outcome, attempt.context.isStopping());
 		}
 	}
 };
@@ -150,6 +129,7 @@
 		onHead(head) {
 			progress.requestLimit = head.requestLimit;
 			observeLimit(attempt, head);
+			context.links.recordContact(call.service);
 		},
 	});
 	progress.cancel = cancel;
--- a/packages/forwarder/src/build-upstream-request.ts
+++ b/packages/forwarder/src/build-upstream-request.ts
@@ -65,7 +65,7 @@
 
 /** Builds the request to an upstream. Its head is built when it is sent, as the remaining time goes into it, and not at all if it must no longer be sent then. */
 export const buildUpstreamRequest = (call: Call, progress: Progress, target: SendTarget, context: ForwarderContext): UpstreamRequest => ({
-	upstream: target.upstream,
+	address: target.upstream.address,
 	method: call.method,
 	target: call.target,
 	body: call.body,
--- a/packages/forwarder/src/call.ts
+++ b/packages/forwarder/src/call.ts
@@ -3,8 +3,9 @@
 import {
 	mayExecuteAgain, type ConfiguredCustomer, type EarlyRefusal, type Route, type SuspectId, type UpstreamKey,
 } from '@gentianlift/routing';
-import type {Milliseconds, Rank} from '@gentianlift/types';
+import type {HostId, Milliseconds, Rank} from '@gentianlift/types';
 import type {BodyEnd} from './body-end.js';
+import type {ForwardedCall} from './forwarded-call.js';
 import type {CallerHead, LimitStatement} from './protocol.js';
 import type {ReceivedAnswer} from './received-answer.js';
 
@@ -24,6 +25,8 @@
 	response: ServerResponse;
 	/** Software version that began the stream which the request resumes; undefined if it resumes none. */
 	streamVersion: string | undefined;
+	/** What another host tells of the call that it has forwarded; undefined for a call of this host's own callers. */
+	forwarded: ForwardedCall | undefined;
 	/** Version of the configuration that the route was taken from. */
 	version: number;
 	arrivedAt: Milliseconds;
@@ -52,6 +55,8 @@
 	attempts: number;
 	/** Upstreams that were tried. */
 	tried: Set<UpstreamKey>;
+	/** Hosts that the call was forwarded to. */
+	triedHosts: Set<HostId>;
 	/** Attempts that may have executed the request. */
 	possibleExecutions: number;
 	/** Whether the attempt in progress was sent, so that it may execute the request. */
@@ -115,6 +120,7 @@
 export const createProgress = (): Progress => ({
 	attempts: 0,
 	tried: new Set(),
+	triedHosts: new Set(),
 	possibleExecutions: 0,
 	isSent: false,
 	lastEventId: undefined,
--- a/packages/forwarder/src/context.ts
+++ b/packages/forwarder/src/context.ts
@@ -5,9 +5,13 @@
 import type {
 	CrashSuspects, SuspectId, RetryLimit, StreamOrigins, VersionHistory,
 } from '@gentianlift/routing';
-import type {Milliseconds, Zone} from '@gentianlift/types';
+import type {
+	Address, HostId, Milliseconds, Zone,
+} from '@gentianlift/types';
 import type {CrashDetector} from './crash-detector.js';
+import type {HostAgents} from './host-agents.js';
 import type {Protocol} from './protocol.js';
+import type {UpstreamLinks} from './upstream-links.js';
 import type {UpstreamLimits} from './upstream-limits.js';
 import type {UpstreamTracker} from './upstream-tracker.js';
 import type {ViewFreshness} from './view-freshness.js';
@@ -19,6 +23,7 @@
 	logger: Logger;
 	metrics: Metrics;
 	protocol: Protocol;
+	host: HostId;
 	zone: Zone;
 	view: FleetView;
 	freshness: ViewFreshness;
@@ -27,6 +32,12 @@
 	tracker: UpstreamTracker;
 	/** Limits on requests that upstreams have named. */
 	limits: UpstreamLimits;
+	/** This host's links to the upstreams. */
+	links: UpstreamLinks;
+	/** Connections for calls that are forwarded to other hosts. */
+	hostAgents: HostAgents;
+	/** Returns the addresses at which other hosts take forwarded calls. */
+	getHostAddresses: () => Address[];
 	/** What may crash the upstreams that run it. */
 	suspects: CrashSuspects;
 	crashDetector: CrashDetector;
--- a/packages/forwarder/src/crash-blame.ts
+++ b/packages/forwarder/src/crash-blame.ts
@@ -23,6 +23,10 @@
 	return suspects;
 };
 
+/** Whether a crash is known for which the call may be blamed. */
+export const isSuspected = (call: Call, {suspects, clock}: ForwarderContext): boolean =>
+	getSuspects(call).some(suspect => suspects.isSuspected(suspect, clock.monotonic()));
+
 const isBlocked = (suspect: SuspectId, {trials}: Progress, {suspects, clock}: ForwarderContext): boolean =>
 	!trials.has(suspect) && suspects.isBlocked(suspect, clock.monotonic());
 
@@ -62,7 +66,7 @@
 };
 
 /** Number of mean report delays in which the other hosts hear of a crash, and tell what speaks for its suspects. */
-const reportDelaysOfExchange = 3;
+export const reportDelaysOfExchange = 3;
 
 /** Whether a retry of a call may crash another upstream: the last one has crashed, and the call was a trial, or no host has lately seen a request with one of its parts end well. */
 export const mayCrashAgain = async (call: Call, {hasCrashed, trials}: Progress, {suspects, clock, countHosts}: ForwarderContext): Promise<boolean> => {
--- a/packages/forwarder/src/crash-detector.ts
+++ b/packages/forwarder/src/crash-detector.ts
@@ -1,7 +1,7 @@
-import {connect} from 'node:net';
 import type {Clock} from '@gentianlift/clock';
 import {getUpstreamKey, type Upstream, type UpstreamKey} from '@gentianlift/routing';
-import {splitAddress, type Address, type Milliseconds} from '@gentianlift/types';
+import type {Milliseconds} from '@gentianlift/types';
+import {probeConnection} from './connection-probe.js';
 
 /** Detects whether an upstream has crashed after a connection to it was lost. */
 export type CrashDetector = {
@@ -14,25 +14,6 @@
 /** Time without a result after which an upstream counts as not crashed. */
 const probeTimeout: Milliseconds = 300;
 
-const isRefusedOrReset = async (address: Address, clock: Clock): Promise<boolean> => new Promise(resolve => {
-	const socket = connect(splitAddress(address));
-	const cancel = clock.after(probeTimeout, () => {
-		finish(false);
-	});
-	const finish = (result: boolean): void => {
-		cancel();
-		socket.destroy();
-		resolve(result);
-	};
-
-	socket.once('connect', () => {
-		finish(false);
-	});
-	socket.on('error', (error: Error & {code?: string}) => {
-		finish(error.code === 'ECONNREFUSED' || error.code === 'ECONNRESET');
-	});
-});
-
 /** Creates a detector. */
 export const createCrashDetector = (clock: Clock): CrashDetector => {
 	const pendingProbes = new Map<UpstreamKey, Promise<boolean>>();
@@ -40,7 +21,7 @@
 	const probe = async (upstream: Upstream): Promise<boolean> => {
 		await clock.sleep(probeDelay);
 		try {
-			return await isRefusedOrReset(upstream.address, clock);
+			return await probeConnection(upstream.address, probeTimeout, clock) === 'refused';
 		} finally {
 			pendingProbes.delete(getUpstreamKey(upstream));
 		}
--- a/packages/forwarder/src/deliver-buffered.ts
+++ b/packages/forwarder/src/deliver-buffered.ts
@@ -1,6 +1,7 @@
 import type {ForwardOutcome, BufferedAnswer} from './forward-outcome.js';
 import type {Call, Progress} from './call.js';
 import {writeAnswerHead} from './deliver.js';
+import type {Incoming} from './incoming.js';
 import {readBody} from './read-body.js';
 import type {SendOutcome} from './send.js';
 
@@ -12,8 +13,8 @@
 /** Whether callers take a status as a statement that the request was not executed. */
 const impliesNotExecuted = (status: number): boolean => [408, 421, 429, 503].includes(status);
 
-/** Buffers an answer until it is complete, and delivers it unless the request may be retried after a server error. */
-export const deliverBuffered = async (call: Call, progress: Progress, {head, answer}: Extract<SendOutcome, {kind: 'answered'}>, isClosing: boolean): Promise<ForwardOutcome> => {
+/** Receives the body of an answer until it is complete. */
+const receiveBuffered = async (answer: Incoming, progress: Progress): Promise<{kind: 'whole'; bytes: Uint8Array} | {kind: 'failed'; reason: string}> => {
 	const body = await readBody(answer, maxBufferedBytes);
 	if (body.kind === 'too-large') {
 		answer.message.destroy();
@@ -21,8 +22,14 @@
 	}
 
 	progress.bodyEnd = body.end;
-	if (body.kind === 'broken') {
-		return {kind: 'failed', reason: body.reason};
+	return body.kind === 'broken' ? {kind: 'failed', reason: body.reason} : body;
+};
+
+/** Buffers an answer until it is complete, and delivers it unless the request may be retried after a server error. */
+export const deliverBuffered = async (call: Call, progress: Progress, {head, answer}: Extract<SendOutcome, {kind: 'answered'}>, isClosing: boolean): Promise<ForwardOutcome> => {
+	const body = await receiveBuffered(answer, progress);
+	if (body.kind === 'failed') {
+		return body;
 	}
 
 	if (impliesNotExecuted(head.status)) {
@@ -39,6 +46,17 @@
 	return {kind: 'delivered', status: head.status};
 };
 
+/** Buffers an answer until it is complete, and delivers it whatever its status. */
+export const deliverUnchanged = async (call: Call, progress: Progress, {head, answer}: Extract<SendOutcome, {kind: 'answered'}>, isClosing: boolean): Promise<ForwardOutcome> => {
+	const body = await receiveBuffered(answer, progress);
+	if (body.kind === 'failed') {
+		return body;
+	}
+
+	writeBufferedAnswer(call, {head, bytes: body.bytes}, isClosing);
+	return {kind: 'delivered', status: head.status};
+};
+
 /** Writes a complete answer to the caller. */
 export const writeBufferedAnswer = ({response}: Call, {head, bytes}: BufferedAnswer, isClosing: boolean): void => {
 	const hasLength = head.forwarded.some((name, index) => index % 2 === 0 && name.toLowerCase() === 'content-length');
--- /dev/null
+++ b/packages/forwarder/src/find-reaching-hosts.ts
@@ -0,0 +1,42 @@
+import type {Clock, Random} from '@gentianlift/clock';
+import type {Fleet, ReachQuery} from '@gentianlift/discovery';
+import type {Milliseconds} from '@gentianlift/types';
+import type {ReachingHost} from './forwarding-hosts.js';
+
+/** Dependencies of the search. */
+export type ReachSearch = {fleet: Pick<Fleet, 'askForReach' | 'getAvailableOthers'>; clock: Clock; random: Random};
+
+/** Number of hosts that are asked. */
+const askedHosts = 6;
+/** Time after the first host that reaches the upstreams in which the others are awaited. */
+const lateAnswerTime: Milliseconds = 30;
+
+/** Asks some other hosts whether they reach upstreams; resolves with those that say so soon. */
+export const findReachingHosts = async (query: ReachQuery, {fleet, clock, random}: ReachSearch): Promise<ReachingHost[]> => {
+	const others = fleet.getAvailableOthers();
+	const addresses = others.map(({peers}) => peers);
+	const remaining = [...others];
+	const reaching: ReachingHost[] = [];
+	const ask = async (record: ReachingHost['record']): Promise<void> => {
+		const reach = await fleet.askForReach(record.peers, query, addresses);
+		if (reach?.isReached !== true) {
+			throw new Error('The host doesn\'t reach the upstreams.');
+		}
+
+		reaching.push({record, openRequests: reach.openRequests});
+	};
+
+	const asked: Array<Promise<void>> = [];
+	while (asked.length < askedHosts && remaining.length > 0) {
+		asked.push(...remaining.splice(Math.floor(random.next() * remaining.length), 1).map(async record => ask(record)));
+	}
+
+	try {
+		await Promise.any(asked);
+		await Promise.race([Promise.allSettled(asked), clock.sleep(lateAnswerTime)]);
+	} catch {
+		// None of the hosts reaches them.
+	}
+
+	return [...reaching];
+};
--- a/packages/forwarder/src/forward.ts
+++ b/packages/forwarder/src/forward.ts
@@ -1,9 +1,9 @@
 import {cutResponse, type ErrorKind} from '@gentianlift/errors';
 import {
-	createRetryBudget, decideRetry, getUpstreamKey, type EarlyRefusal, type RetryBudget, type SuspectId,
+	createRetryBudget, decideRetry, type EarlyRefusal, type RetryBudget, type SuspectId,
 } from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
-import {attemptUpstream} from './attempt.js';
+import {createAttemptMaker} from './make-attempt.js';
 import {
 	getFailureReason, getRefusalKind, reportEnd, type CallEnd,
 } from './call-end.js';
@@ -11,12 +11,10 @@
 import {createProgress, type Call, type Progress} from './call.js';
 import {writeBufferedAnswer} from './deliver-buffered.js';
 import {findBlockingSuspect, findObstacleToAttempt, mayCrashAgain} from './crash-blame.js';
-import {recordGoodEnd} from './good-end.js';
 import {writeErrorAnswer, type ErrorAnswer} from './error-answer.js';
 import type {ForwarderContext} from './context.js';
 import {getReceivedAnswer} from './received-answer.js';
-import {createRequestQueue, type Assignment} from './request-queue.js';
-import {findResumeObstacle, reportResumeObstacle} from './resume-obstacle.js';
+import {createRequestQueue} from './request-queue.js';
 
 /** Sends each call to upstreams until one answers or no further attempt is allowed. */
 export type Forwarder = {
@@ -38,6 +36,7 @@
 export const createForwarder = (context: ForwarderContext): Forwarder => {
 	const {clock, logger, metrics} = context;
 	const queue = createRequestQueue(context);
+	const makeAttempt = createAttemptMaker(context, queue);
 	const budgets = new Map<string, RetryBudget>();
 
 	const getRetryBudget = (service: string): RetryBudget => {
@@ -70,6 +69,10 @@
 	const getFinalError = (progress: Progress, kind: ErrorKind): ErrorAnswer =>
 		progress.possibleExecutions > 0 ? maybeExecuted : {kind, retryAfter: retryAfterDelay};
 
+	/** Whether another host has forwarded a call to this one, which can't reach the upstreams either and has not tried to run it. */
+	const isMisdirected = ({forwarded, service}: Call, {possibleExecutions}: Progress): boolean =>
+		forwarded?.possibleExecutions === possibleExecutions && context.links.isCut(service);
+
 	/** Ends a call without further attempts, with the last upstream's own error answer if there is one. */
 	const giveUp = (call: Call, progress: Progress, lastOutcome: ForwardOutcome | undefined): CallEnd => {
 		if (lastOutcome?.kind === 'failed' && lastOutcome.buffered !== undefined && !call.response.headersSent) {
@@ -157,23 +160,6 @@
 		return answerWithError(call, progress.possibleExecutions > 0 ? maybeExecuted : {kind});
 	};
 
-	/** Returns an upstream for the next attempt; undefined if there is none, if the call has ended, or if its stream can't be resumed. */
-	const getAssignment = async (call: Call, progress: Progress): Promise<Assignment | undefined> => {
-		const obstacle = await findResumeObstacle(progress, context);
-		if (obstacle !== undefined) {
-			reportResumeObstacle(call, progress, obstacle, context);
-			return undefined;
-		}
-
-		const assignment = await queue.enqueue(call, progress);
-		const {streamVersion, refusal, hasTimedOut, isCallerGone} = progress;
-		if (assignment === undefined && streamVersion !== undefined && refusal === undefined && !hasTimedOut && !isCallerGone) {
-			reportResumeObstacle(call, progress, 'no-upstream', context);
-		}
-
-		return assignment;
-	};
-
 	/** Makes attempts until the call has ended. */
 	const makeAttempts = async (call: Call, progress: Progress): Promise<CallEnd> => {
 		let lastOutcome: ForwardOutcome | undefined;
@@ -187,19 +173,19 @@
 				return endBlocked(call, progress, obstacle);
 			}
 
+			if (isMisdirected(call, progress)) {
+				return answerWithError(call, {kind: 'misdirected'});
+			}
+
 			// eslint-disable-next-line no-await-in-loop -- Upstreams are tried one at a time.
-			const assignment = await getAssignment(call, progress);
-			if (assignment === undefined) {
+			const outcome = await makeAttempt(call, progress, lastOutcome);
+			if (outcome === undefined) {
 				return endUnassigned(call, progress, lastOutcome);
 			}
 
-			progress.tried.add(getUpstreamKey(assignment.candidate.upstream));
-			// eslint-disable-next-line no-await-in-loop -- Upstreams are tried one at a time.
-			lastOutcome = await attemptUpstream(call, progress, assignment, context);
-			queue.requestDispatch();
+			lastOutcome = outcome;
 			countAttempt(progress, lastOutcome);
 			if (lastOutcome.kind === 'delivered') {
-				void recordGoodEnd(call, progress, {upstream: assignment.candidate.upstream, status: lastOutcome.status}, context);
 				return {outcome: 'delivered', reason: String(lastOutcome.status)};
 			}
 
@@ -239,7 +225,11 @@
 			const progress = createProgress();
 			progress.lastEventId = call.head.lastEventId;
 			progress.streamVersion = call.streamVersion;
-			getRetryBudget(call.service).addRequest(clock.monotonic());
+			progress.possibleExecutions = call.forwarded?.possibleExecutions ?? 0;
+			if (call.forwarded === undefined) {
+				getRetryBudget(call.service).addRequest(clock.monotonic());
+			}
+
 			const cancelTimer = clock.after(Math.max(0, call.deadline - clock.monotonic()), () => {
 				endOnTimeout(call, progress);
 			});
--- a/packages/forwarder/src/index.ts
+++ b/packages/forwarder/src/index.ts
@@ -2,6 +2,7 @@
 export * from './forward.js';
 export * from './parse-request-limit.js';
 export type * from './protocol.js';
+export * from './raw-headers.js';
 export * from './serve-callers.js';
 export * from './stop-host.js';
 export type * from './context.js';
--- /dev/null
+++ b/packages/forwarder/src/make-attempt.ts
@@ -0,0 +1,91 @@
+import type {HostRecord} from '@gentianlift/discovery';
+import {getUpstreamKey} from '@gentianlift/routing';
+import {attemptUpstream} from './attempt.js';
+import {attemptOverHost} from './attempt-over-host.js';
+import type {Call, Progress} from './call.js';
+import type {ForwarderContext} from './context.js';
+import type {ForwardOutcome} from './forward-outcome.js';
+import {recordGoodEnd} from './good-end.js';
+import type {Assignment, RequestQueue} from './request-queue.js';
+import {findResumeObstacle, isVersionUncertain, reportResumeObstacle} from './resume-obstacle.js';
+import type {CallPath} from './upstream-links.js';
+
+/** Makes the next attempt of a call after the `previous` one, if there was one; resolves with undefined if the call has ended, or if there is neither an upstream nor another host for it. */
+export type AttemptMaker = (call: Call, progress: Progress, previous: ForwardOutcome | undefined) => Promise<ForwardOutcome | undefined>;
+
+/** Creates a maker of attempts, directly on upstreams or over other hosts. */
+export const createAttemptMaker = (context: ForwarderContext, queue: RequestQueue): AttemptMaker => {
+	const {links} = context;
+
+	/** Returns an upstream for the next attempt; undefined if there is none, if the call has ended, or if its stream can't be resumed. */
+	const getAssignment = async (call: Call, progress: Progress): Promise<Assignment | undefined> => {
+		const obstacle = await findResumeObstacle(progress, context);
+		if (obstacle !== undefined) {
+			reportResumeObstacle(call, progress, obstacle, context);
+			return undefined;
+		}
+
+		const assignment = await queue.enqueue(call, progress);
+		const {streamVersion, refusal, hasTimedOut, isCallerGone} = progress;
+		if (assignment === undefined && streamVersion !== undefined && refusal === undefined && !hasTimedOut && !isCallerGone) {
+			reportResumeObstacle(call, progress, 'no-upstream', context);
+		}
+
+		return assignment;
+	};
+
+	/** Makes an attempt on an upstream; returns undefined if there is none for the call. */
+	const attemptDirectly = async (call: Call, progress: Progress): Promise<ForwardOutcome | undefined> => {
+		const assignment = await getAssignment(call, progress);
+		if (assignment === undefined) {
+			return undefined;
+		}
+
+		const {upstream} = assignment.candidate;
+		progress.tried.add(getUpstreamKey(upstream));
+		const outcome = await attemptUpstream(call, progress, assignment, context);
+		queue.requestDispatch();
+		if (outcome.kind === 'delivered') {
+			void recordGoodEnd(call, progress, {upstream, status: outcome.status}, context);
+		}
+
+		return outcome;
+	};
+
+	/** Makes an attempt over another host; returns undefined if the call's stream can't be resumed. */
+	const attemptIndirectly = async (call: Call, progress: Progress, host: HostRecord): Promise<ForwardOutcome | undefined> => {
+		if (isVersionUncertain(progress)) {
+			reportResumeObstacle(call, progress, 'version-uncertain', context);
+			return undefined;
+		}
+
+		progress.triedHosts.add(host.host);
+		return attemptOverHost(call, progress, host, context);
+	};
+
+	/** Returns the path of a call; one that another host has forwarded isn't forwarded again. */
+	const choosePath = ({forwarded, service}: Call, {triedHosts}: Progress): CallPath =>
+		forwarded === undefined ? links.choosePath(service, triedHosts) : {kind: 'direct'};
+
+	return async (call, progress, previous) => {
+		if (previous?.kind === 'unreachable' || previous?.kind === 'failed') {
+			// The failure may come from links that are cut, which is known soon.
+			await links.waitForCheck(call.service);
+		}
+
+		const path = choosePath(call, progress);
+		switch (path.kind) {
+			case 'direct': {
+				return attemptDirectly(call, progress);
+			}
+
+			case 'over-host': {
+				return attemptIndirectly(call, progress, path.host);
+			}
+
+			case 'none': {
+				return undefined;
+			}
+		}
+	};
+};
--- a/packages/forwarder/src/partitioned-host.test.ts
+++ b/packages/forwarder/src/partitioned-host.test.ts
@@ -26,10 +26,8 @@
 });
 
 // Guards against: a host whose links to all upstreams are cut fails its callers, while other hosts reach the same upstreams.
-const failingStates = new Set<HostLinkState>(['reset', 'silent']);
 for (const state of ['reset', 'silent', 'established'] as const satisfies HostLinkState[]) {
-	const testState = failingStates.has(state) ? test.fails : test;
-	testState(`hosts that are partitioned from all upstreams serve their callers: ${state}`, async () => {
+	test(`hosts that are partitioned from all upstreams serve their callers: ${state}`, async () => {
 		const fleet = await start();
 		await sendFor(fleet, 500, 'before');
 		fleet.setLinks(partitionedHosts, state);
--- a/packages/forwarder/src/protocol.ts
+++ b/packages/forwarder/src/protocol.ts
@@ -24,6 +24,8 @@
 	declaresBody: boolean;
 	/** Headers that are forwarded to the upstream unchanged. */
 	forwarded: RawHeaders;
+	/** Headers that another host of the router gets, if the request is forwarded to it: all but those that concern the connection or the length of the body. */
+	forwardedToHosts: RawHeaders;
 };
 
 /** Input for the headers of a request to an upstream. */
@@ -62,6 +64,8 @@
 	readCallerHead: (headers: RawHeaders) => CallerHead;
 	/** Returns the headers of a request to an upstream. */
 	buildUpstreamHeaders: (input: UpstreamHeadInput) => string[];
+	/** Returns the headers of a request that is forwarded to another host. */
+	buildHostHeaders: (caller: CallerHead, bodyLength: number) => string[];
 	readAnswerHead: (status: number, headers: RawHeaders) => AnswerHead;
 	/** Returns additional headers of an error answer that the router generates. */
 	buildErrorHeaders: (caller: CallerHead | undefined) => string[];
--- a/packages/forwarder/src/request-queue.ts
+++ b/packages/forwarder/src/request-queue.ts
@@ -104,6 +104,10 @@
 	const observe = (service: Service, {now, services}: DispatchPass): ObservedService => {
 		const observed = services.get(service.name) ?? tracker.observe(service, view.getUpstreams(service.name), now);
 		services.set(service.name, observed);
+		if (observed.reachable.length < observed.all.length) {
+			context.links.check(service.name);
+		}
+
 		return observed;
 	};
 
--- a/packages/forwarder/src/resume-obstacle.ts
+++ b/packages/forwarder/src/resume-obstacle.ts
@@ -9,10 +9,17 @@
  */
 export type ResumeObstacle = 'version-uncertain' | 'view-not-current' | 'no-upstream';
 
+/** Whether a call's caller has events of a stream, and it isn't certain which software version began it. */
+export const isVersionUncertain = ({hasBegun, streamVersion}: Progress): boolean => hasBegun && streamVersion === undefined;
+
 /** Returns why a call's stream can't be resumed by any upstream; undefined if it can, or if its caller has no events. */
-export const findResumeObstacle = async ({hasBegun, streamVersion}: Progress, {freshness}: ForwarderContext): Promise<ResumeObstacle | undefined> => {
-	if (streamVersion === undefined) {
-		return hasBegun ? 'version-uncertain' : undefined;
+export const findResumeObstacle = async (progress: Progress, {freshness}: ForwarderContext): Promise<ResumeObstacle | undefined> => {
+	if (isVersionUncertain(progress)) {
+		return 'version-uncertain';
+	}
+
+	if (progress.streamVersion === undefined) {
+		return undefined;
 	}
 
 	return await freshness.ensureCurrent() ? undefined : 'view-not-current';
--- a/packages/forwarder/src/resumption.test.ts
+++ b/packages/forwarder/src/resumption.test.ts
@@ -16,7 +16,7 @@
 
 const getHead = (changes: Partial<CallerHead> = {}): CallerHead => ({
 	callerRequestId: 'a2', hostname: 'a.example', key: undefined, clientTimeout: undefined, prompt: undefined, sharedParts: [],
-	lastEventId: 2, resumedRequestId: 'a1', declaresBody: false, forwarded: [], ...changes,
+	lastEventId: 2, resumedRequestId: 'a1', declaresBody: false, forwarded: [], forwardedToHosts: [], ...changes,
 });
 
 type HostState = {
--- a/packages/forwarder/src/send.test.ts
+++ b/packages/forwarder/src/send.test.ts
@@ -86,10 +86,8 @@
 	await waitForClose();
 	expect(port).toBeGreaterThan(0);
 	const {outcome} = send({
-		upstream: {
-			id: 'u', service: 's', address: `127.0.0.1:${port}`, zone: 'z', isLeaving: false, slots: 1, startedAt: 1, softwareVersion: 'v1',
-		},
-		method: 'GET', target: '/', body: new Uint8Array(), callerRequestId: 'a1', connectionWait: 5000, buildHead: () => ({headers: ['Host', 'h'], headTimeout: 5000}),
+		address: `127.0.0.1:${port}`, method: 'GET', target: '/',
+		body: new Uint8Array(), callerRequestId: 'a1', connectionWait: 5000, buildHead: () => ({headers: ['Host', 'h'], headTimeout: 5000}),
 	}, {agent: new UpstreamAgent(), protocol: protocol as Protocol, clock: createSystemClock()});
 	expect(await outcome).toMatchObject({kind: 'unreachable'});
 });
@@ -213,10 +211,8 @@
 	const server = await startUpstream(() => undefined);
 	const {port} = server.address() as AddressInfo;
 	const {outcome} = send({
-		upstream: {
-			id: 'u', service: 's', address: `127.0.0.1:${port}`, zone: 'z', isLeaving: false, slots: 1, startedAt: 1, softwareVersion: 'v1',
-		},
-		method: 'GET', target: '/', body: new Uint8Array(), callerRequestId: 'a1', connectionWait: 5000, buildHead: () => ({headers: ['not a name', 'h'], headTimeout: 5000}),
+		address: `127.0.0.1:${port}`, method: 'GET', target: '/',
+		body: new Uint8Array(), callerRequestId: 'a1', connectionWait: 5000, buildHead: () => ({headers: ['not a name', 'h'], headTimeout: 5000}),
 	}, {agent: new UpstreamAgent(), protocol: protocol as Protocol, clock: createSystemClock()});
 	expect(await outcome).toEqual({kind: 'unsent', reason: 'ERR_INVALID_HTTP_TOKEN'});
 });
--- a/packages/forwarder/src/send.ts
+++ b/packages/forwarder/src/send.ts
@@ -1,7 +1,6 @@
 import {request, type ClientRequest, type IncomingMessage} from 'node:http';
 import type {Cancel, Clock} from '@gentianlift/clock';
-import type {Upstream} from '@gentianlift/routing';
-import {splitAddress, type Milliseconds} from '@gentianlift/types';
+import {splitAddress, type Address, type Milliseconds} from '@gentianlift/types';
 import type {Incoming} from './incoming.js';
 import type {AnswerHead, Protocol, RawHeaders} from './protocol.js';
 import type {UpstreamAgent} from './upstream-agent.js';
@@ -18,7 +17,7 @@
 
 /** A request as it is sent to one upstream. */
 export type UpstreamRequest = {
-	upstream: Upstream;
+	address: Address;
 	method: string;
 	/** Path with query, as the caller sent it. */
 	target: string;
@@ -64,9 +63,9 @@
 
 const getErrorReason = (error: Error & {code?: string}): string => error.code ?? error.message;
 
-const openRequest = ({upstream, method, target}: UpstreamRequest, agent: UpstreamAgent): ClientRequest =>
+const openRequest = ({address, method, target}: UpstreamRequest, agent: UpstreamAgent): ClientRequest =>
 	request({
-		...splitAddress(upstream.address), agent, method, path: target, setHost: false,
+		...splitAddress(address), agent, method, path: target, setHost: false,
 	});
 
 /** Writes a request to its connection. Throws before anything is written if a header is invalid. */
--- a/packages/forwarder/src/serve-callers.ts
+++ b/packages/forwarder/src/serve-callers.ts
@@ -1,5 +1,5 @@
 import {
-	createServer, type IncomingMessage, type Server, type ServerResponse,
+	createServer, type IncomingMessage, type RequestListener, type Server, type ServerResponse,
 } from 'node:http';
 import type {Socket} from 'node:net';
 import {
@@ -9,15 +9,18 @@
 import type {Milliseconds} from '@gentianlift/types';
 import {createCall} from './call.js';
 import type {Forwarder} from './forward.js';
+import {decodeForwardedCall, type ForwardedCall} from './forwarded-call.js';
 import {writeErrorAnswer, type ErrorAnswer} from './error-answer.js';
 import type {CallerHead} from './protocol.js';
 import {readBody, type Body} from './read-body.js';
 import type {ForwarderContext} from './context.js';
-import {createResumptionResolver} from './resumption.js';
+import {createResumptionResolver, type Resumption} from './resumption.js';
 
 /** HTTP server for callers. */
 export type CallerServer = {
 	server: Server;
+	/** Answers a request that another host forwards. */
+	answerForwardedCall: RequestListener;
 	/** Returns the number of requests that are being handled, including attempts that go on after the caller disconnected. */
 	countOpenRequests: () => number;
 };
@@ -33,6 +36,29 @@
 	= | {kind: 'admitted'; table: RouteTable; route: Route; service: string; customer: ConfiguredCustomer | undefined}
 		| {kind: 'refused'; error: Extract<ErrorKind, 'not-configured' | 'host-overloaded' | 'host-stopping' | 'unknown-path' | 'wrong-key' | 'missing-key'>};
 
+/** A request that a caller has sent to this host, or that another host forwards. */
+type ReceivedRequest = {
+	request: IncomingMessage;
+	response: ServerResponse;
+	/** Path with query, as the caller sent it. */
+	target: string;
+	/** What the other host tells of it; undefined for a request of a caller. */
+	forwarded: ForwardedCall | undefined;
+};
+
+/** Errors that come from the state of this host, not from the request. */
+const hostFaults = new Set<ErrorKind>(['not-configured', 'host-overloaded', 'host-stopping']);
+
+/** Returns the service that the other host has chosen for a call, if the route leads there here, too. */
+const getForwardedService = (forwarded: ForwardedCall | undefined, {destinations}: Route): string | undefined =>
+	destinations.find(({service}) => service === forwarded?.service)?.service;
+
+/** Returns what a forwarded call resumes, or that its route no longer leads to the service that began the stream. */
+const getForwardedResumption = (service: string, softwareVersion: string, {destinations}: Route): Resumption =>
+	destinations.some(destination => destination.service === service)
+		? {kind: 'resumed', origin: {service, softwareVersion}}
+		: {kind: 'refused', error: {kind: 'stream-version-gone'}};
+
 /** Size of headers above which Node rejects a request before the configured limit applies. */
 const maxHeaderBytes = 64 * 1024;
 /** Time for which a connection is kept open beyond the configured idle timeout. */
@@ -69,6 +95,13 @@
 	let openRequests = 0;
 	const resolveResumption = createResumptionResolver(context);
 
+	const hasVersion = (version: number): boolean => (view.getRoutes()?.configuration.version ?? Number.NEGATIVE_INFINITY) >= version;
+
+	const readHead = ({request, forwarded}: ReceivedRequest): CallerHead => {
+		const head = protocol.readCallerHead(request.rawHeaders);
+		return forwarded?.resumption === undefined ? head : {...head, lastEventId: forwarded.resumption.lastEventId};
+	};
+
 	const admit = (head: CallerHead, target: string): Admission => {
 		if (openRequests > maxOpenRequests) {
 			return {kind: 'refused', error: 'host-overloaded'};
@@ -113,7 +146,9 @@
 		return admit(head, target);
 	};
 
-	const refuse = (request: IncomingMessage, response: ServerResponse, head: CallerHead, errorAnswer: ErrorAnswer): void => {
+	/** Refuses a request; the host that has forwarded one is told to ask another host, where this one's state is the reason. */
+	const refuse = ({request, response, forwarded}: ReceivedRequest, head: CallerHead, errorAnswer: ErrorAnswer): void => {
+		const isHostsFault = forwarded !== undefined && hostFaults.has(errorAnswer.kind);
 		metrics.count('refusals_total', {reason: errorAnswer.kind});
 		logger.info('call-refused', {
 			request: head.callerRequestId, reason: errorAnswer.kind, target: request.url, version: view.getRoutes()?.configuration.version, revision: view.getRevision(),
@@ -121,7 +156,7 @@
 		});
 		writeErrorAnswer({
 			response, protocol, caller: head, isClosing: context.isStopping() || errorAnswer.kind === 'body-too-large',
-		}, errorAnswer);
+		}, isHostsFault ? {kind: 'misdirected'} : errorAnswer);
 	};
 
 	/** Returns the error of a request that isn't admitted or exceeds a limit, else undefined. */
@@ -147,13 +182,28 @@
 		server.keepAliveTimeout = limits.idleTimeout + keepAliveMargin;
 	};
 
-	const handle = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
-		const arrivedAt = clock.monotonic();
-		const head = protocol.readCallerHead(request.rawHeaders);
-		const target = request.url ?? '/';
+	/** Admits a request; one that another host has admitted by a newer configuration than this one's is taken only once that is known here, too. */
+	const admitReceived = async ({target, forwarded}: ReceivedRequest, head: CallerHead): Promise<Admission> => {
+		if (forwarded !== undefined && !hasVersion(forwarded.version)) {
+			await context.freshness.refreshIfStale();
+		}
+
+		return forwarded === undefined || hasVersion(forwarded.version) ? admitWithRefresh(head, target) : {kind: 'refused', error: 'not-configured'};
+	};
+
+	/** Returns the origin of the stream that a request resumes, as the host that has forwarded it says or as it is known in the fleet. */
+	const resolveOrigin = async ({forwarded}: ReceivedRequest, head: CallerHead, route: Route): Promise<Resumption> =>
+		forwarded?.resumption === undefined
+			? resolveResumption(head, route)
+			: getForwardedResumption(forwarded.service, forwarded.resumption.softwareVersion, route);
+
+	const handle = async (received: ReceivedRequest): Promise<void> => {
+		const {request, response, target, forwarded} = received;
+		const arrivedAt = clock.monotonic() - (forwarded?.age ?? 0);
+		const head = readHead(received);
 		const limits = view.getRoutes()?.configuration.limits;
 		const pendingBody = readBody({message: request, hasFailed: () => false}, limits?.maxBodyBytes ?? Number.POSITIVE_INFINITY);
-		const admission = await admitWithRefresh(head, target);
+		const admission = await admitReceived(received, head);
 		const body = await pendingBody;
 		if (body.kind === 'broken') {
 			logger.info('call-broken', {request: head.callerRequestId, reason: body.reason});
@@ -163,19 +213,19 @@
 
 		const refusal = getRefusal(body, admission, request.rawHeaders, limits);
 		if (refusal !== undefined || body.kind !== 'whole' || admission.kind !== 'admitted') {
-			refuse(request, response, head, refusal ?? {kind: 'internal'});
+			refuse(received, head, refusal ?? {kind: 'internal'});
 			return;
 		}
 
 		const {route, customer, table} = admission;
-		const resumption = await resolveResumption(head, route);
+		const resumption = await resolveOrigin(received, head, route);
 		if (response.destroyed) {
 			logger.info('call-broken', {request: head.callerRequestId, reason: 'caller-gone'});
 			return;
 		}
 
 		if (resumption.kind === 'refused') {
-			refuse(request, response, head, resumption.error);
+			refuse(received, head, resumption.error);
 			return;
 		}
 
@@ -186,7 +236,8 @@
 			head,
 			body: body.bytes,
 			route,
-			service: origin?.service ?? admission.service,
+			service: origin?.service ?? getForwardedService(forwarded, route) ?? admission.service,
+			forwarded,
 			customer,
 			response,
 			streamVersion: origin?.softwareVersion,
@@ -195,7 +246,8 @@
 		}));
 	};
 
-	const handleSafely = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+	const handleSafely = async (received: ReceivedRequest): Promise<void> => {
+		const {request, response} = received;
 		openRequests += 1;
 		response.on('error', error => {
 			logger.debug('caller-write-failed', {reason: error.message});
@@ -206,7 +258,7 @@
 				applyLimits(server, limits);
 			}
 
-			await handle(request, response);
+			await handle(received);
 		} catch (error) {
 			logger.error('call-failed', {target: request.url, reason: (error as Error).stack ?? String(error)});
 			cutResponse(response);
@@ -218,11 +270,28 @@
 	const server = createServer({
 		maxHeaderSize: maxHeaderBytes, connectionsCheckingInterval: connectionsCheckInterval, requestTimeout, noDelay: true,
 	}, (request, response) => {
-		void handleSafely(request, response);
+		void handleSafely({
+			request, response, target: request.url ?? '/', forwarded: undefined,
+		});
 	});
 	server.keepAliveTimeout = 60_000;
 	server.on('clientError', (error: Error & {code?: string}, socket) => {
 		answerClientError(error, socket as Socket);
 	});
-	return {server, countOpenRequests: () => openRequests};
+	return {
+		server,
+		answerForwardedCall(request, response) {
+			const decoded = decodeForwardedCall(request.url ?? '/');
+			if (decoded === undefined) {
+				logger.warn('forwarded-call-unreadable', {target: request.url});
+				writeErrorAnswer({
+					response, protocol, caller: undefined, isClosing: true,
+				}, {kind: 'bad-request'});
+				return;
+			}
+
+			void handleSafely({request, response, ...decoded});
+		},
+		countOpenRequests: () => openRequests,
+	};
 };
--- a/packages/forwarder/src/simulated-host.ts
+++ b/packages/forwarder/src/simulated-host.ts
@@ -13,6 +13,7 @@
 import {createForwarder} from './forward.js';
 import type {ForwarderContext} from './context.js';
 import {createSoleLimits} from './testing-sole-limits.js';
+import {createSoleLinks} from './testing-sole-links.js';
 import {createUpstreamTracker} from './upstream-tracker.js';
 import {buildTestCall, buildTestPrompt} from './testing-call.js';
 import {createTestView} from './testing-view.js';
@@ -91,6 +92,7 @@
 		view,
 		reportExchange,
 		limits,
+		links: createSoleLinks(clock, view),
 		tracker: createUpstreamTracker({
 			clock, logger, loads, limits, getService: view.getService,
 		}),
--- a/packages/forwarder/src/start-host.ts
+++ b/packages/forwarder/src/start-host.ts
@@ -1,6 +1,6 @@
 import {createRandom, type Clock} from '@gentianlift/clock';
 import {
-	createLoadTracker, createPeerServer, joinFleet, type Fleet, type DecodedEntry, type FleetStore, type HostRecord, type ReportArrival,
+	createLoadTracker, createPeerServer, hostSilenceTimeout, joinFleet, type Fleet, type DecodedEntry, type FleetStore, type HostRecord, type ReportArrival,
 } from '@gentianlift/discovery';
 import type {Logger} from '@gentianlift/logger';
 import {createMetrics, type Metrics} from '@gentianlift/metrics';
@@ -10,8 +10,11 @@
 import type {
 	Address, Entry, HostId, Milliseconds, Zone,
 } from '@gentianlift/types';
+import {probeConnection} from './connection-probe.js';
 import {createCrashDetector} from './crash-detector.js';
+import {findReachingHosts} from './find-reaching-hosts.js';
 import {createForwarder} from './forward.js';
+import {createHostAgents} from './host-agents.js';
 import {listen} from './listen.js';
 import type {Protocol} from './protocol.js';
 import {createCallerServer} from './serve-callers.js';
@@ -20,6 +23,7 @@
 import {findStreamOrigin} from './resumption.js';
 import {createViewFreshness} from './view-freshness.js';
 import type {ForwarderContext} from './context.js';
+import {createUpstreamLinks} from './upstream-links.js';
 import {createUpstreamLimits} from './upstream-limits.js';
 import {createUpstreamTracker} from './upstream-tracker.js';
 
@@ -70,6 +74,8 @@
 	stop: () => Promise<void>;
 };
 
+/** Longest time to establish a connection that tests a link. */
+const linkProbeTimeout: Milliseconds = 400;
 /** Longest time to live of a list of addresses; short, so that callers stop using a stopping host soon. */
 const maxAddressListTtl: Milliseconds = 1000;
 /** Callers may use a list for up to this multiple of its time to live. */
@@ -150,18 +156,40 @@
 		},
 		onLeaving: tracker.retire,
 	});
+	const links = createUpstreamLinks({
+		clock,
+		random,
+		logger,
+		zone: settings.zone,
+		getUpstreams: fleet.view.getUpstreams,
+		probe: async ({address}) => await probeConnection(address, linkProbeTimeout, clock) === 'established',
+		findReachingHosts: async query => findReachingHosts(query, {fleet, clock, random}),
+		isSilent: host => fleet.reportExchange.getSilence(host) > hostSilenceTimeout,
+		onChange(upstreams) {
+			for (const upstream of upstreams) {
+				tracker.closeIdleConnections(upstream);
+			}
+
+			onLoad();
+		},
+		onReached: tracker.recordReachable,
+	});
 	const context: ForwarderContext = {
 		clock,
 		random,
 		logger,
 		metrics,
 		protocol,
+		host: settings.host,
 		zone: settings.zone,
 		view: fleet.view,
 		freshness: createViewFreshness({clock, view: fleet.view, reportExchange: fleet.reportExchange}, fleet.refresh),
 		reportExchange: fleet.reportExchange,
 		tracker,
 		limits,
+		links,
+		hostAgents: createHostAgents(),
+		getHostAddresses: () => fleet.getAvailableOthers().map(({peers}) => peers),
 		suspects,
 		crashDetector: createCrashDetector(clock),
 		streamOrigins,
@@ -186,7 +214,13 @@
 	});
 	const forwarder = createForwarder(context);
 	const callers = createCallerServer({context, forwarder});
-	const peers = createPeerServer({view: fleet.view, findStreamOrigin: query => findStreamOrigin(query, context)});
+	const isReady = (): boolean => shutdown.since === undefined && fleet.view.getRoutes() !== undefined;
+	const peers = createPeerServer({
+		view: fleet.view,
+		findStreamOrigin: query => findStreamOrigin(query, context),
+		getReach: async query => ({isReached: isReady() && await context.links.reaches(query), openRequests: callers.countOpenRequests()}),
+		answerForwardedCall: callers.answerForwardedCall,
+	});
 	await Promise.all([listen(callers.server, settings.callers), listen(peers, settings.peers)]);
 	logger.info('started', {host: settings.host, zone: settings.zone, callers: settings.callers});
 
@@ -196,7 +230,7 @@
 	};
 
 	return {
-		isReady: () => shutdown.since === undefined && fleet.view.getRoutes() !== undefined,
+		isReady,
 		getHostsForCaller: fleet.getHostsForCaller,
 		get addressTtl() {
 			return addressListTtl;
@@ -204,6 +238,7 @@
 		getMetricsPage() {
 			context.metrics.setGauge('queue_length', forwarder.getQueueLength());
 			context.metrics.setGauge('upstream_limits', context.limits.countLimits());
+			context.metrics.setGauge('services_cut', context.links.countCut());
 			context.metrics.setGauge('upstreams_avoided', context.tracker.countAvoided());
 			return context.metrics.renderPrometheusText();
 		},
--- a/packages/forwarder/src/testing-call.ts
+++ b/packages/forwarder/src/testing-call.ts
@@ -19,7 +19,8 @@
 	method: 'POST',
 	target: '/a/',
 	head: {
-		callerRequestId: name, hostname: 'a.example', key: undefined, clientTimeout, lastEventId: undefined, resumedRequestId: undefined, declaresBody: true, forwarded: [], prompt,
+		callerRequestId: name, hostname: 'a.example', key: undefined, clientTimeout, lastEventId: undefined, resumedRequestId: undefined, declaresBody: true, forwarded: [], forwardedToHosts: [],
+		prompt,
 		sharedParts: prompt.parts.slice(0, -1).map(({id}) => id),
 	},
 	body: new Uint8Array(),
@@ -27,6 +28,6 @@
 	service: 's',
 	customer: undefined,
 	response: response!,
-	version: 1, streamVersion: undefined,
+	version: 1, streamVersion: undefined, forwarded: undefined,
 	arrivedAt,
 });
--- a/packages/forwarder/src/testing-fleet.ts
+++ b/packages/forwarder/src/testing-fleet.ts
@@ -14,6 +14,7 @@
 import {createRequestQueue, type Assignment, type RequestQueue} from './request-queue.js';
 import {createTestEngine, type TestEngine} from './testing-engine.js';
 import {createSoleLimits} from './testing-sole-limits.js';
+import {createSoleLinks} from './testing-sole-links.js';
 import {createUpstreamTracker, type UpstreamTracker} from './upstream-tracker.js';
 import {createTestView} from './testing-view.js';
 
@@ -108,10 +109,11 @@
 	const reportExchange = createReportExchange(options, loads, report => {
 		send({sender: host, ...report});
 	});
-	const context: Pick<ForwarderContext, 'clock' | 'view' | 'tracker' | 'metrics' | 'reportExchange' | 'random' | 'zone' | 'countHosts' | 'suspects' | 'limits'> = {
+	const context: Pick<ForwarderContext, 'clock' | 'view' | 'tracker' | 'metrics' | 'reportExchange' | 'random' | 'zone' | 'countHosts' | 'suspects' | 'limits' | 'links'> = {
 		clock, view, tracker, metrics: createMetrics(), reportExchange: reportExchange as LoadReportExchange, random: createRandom(seed + index), zone: 'a', countHosts: () => options.hosts,
 		suspects: createCrashSuspects(),
 		limits,
+		links: createSoleLinks(clock, view),
 	};
 	const host: TestHost = {
 		id: `h${index}`, loads, tracker, reportExchange, queue: createRequestQueue(context as ForwarderContext),
--- a/packages/forwarder/src/testing-send.ts
+++ b/packages/forwarder/src/testing-send.ts
@@ -43,10 +43,8 @@
 export const startCall = (server: Server, agent = new UpstreamAgent(), attempt = 'a1', clock: Clock = createSystemClock()): InFlightRequest => {
 	const {port} = server.address() as AddressInfo;
 	return send({
-		upstream: {
-			id: 'u', service: 's', address: `127.0.0.1:${port}`, zone: 'z', isLeaving: false, slots: 1, startedAt: 1, softwareVersion: 'v1',
-		},
-		method: 'GET', target: '/', body: new Uint8Array(), callerRequestId: attempt, connectionWait: 2000, buildHead: () => ({headers: ['Host', 'h'], headTimeout: 5000}),
+		address: `127.0.0.1:${port}`, method: 'GET', target: '/',
+		body: new Uint8Array(), callerRequestId: attempt, connectionWait: 2000, buildHead: () => ({headers: ['Host', 'h'], headTimeout: 5000}),
 	}, {agent, protocol: protocol as Protocol, clock});
 };
 
--- a/packages/forwarder/src/testing.ts
+++ b/packages/forwarder/src/testing.ts
@@ -16,9 +16,12 @@
 import {createForwarder, type Forwarder} from './forward.js';
 import {parseRequestLimit} from './parse-request-limit.js';
 import type {Protocol, RawHeaders} from './protocol.js';
+import {getFields, selectEndToEnd} from './raw-headers.js';
 import {createCallerServer} from './serve-callers.js';
 import type {ForwarderContext} from './context.js';
+import {createHostAgents} from './host-agents.js';
 import {createSoleLimits} from './testing-sole-limits.js';
+import {createSoleLinks} from './testing-sole-links.js';
 import {createUpstreamTracker} from './upstream-tracker.js';
 import {createViewFreshness} from './view-freshness.js';
 
@@ -66,6 +69,7 @@
 			resumedRequestId: getValue(headers, 'resumes'),
 			declaresBody: getValue(headers, 'content-length') !== undefined,
 			forwarded: [],
+			forwardedToHosts: selectEndToEnd(getFields(headers), new Set(['content-length'])),
 		};
 	},
 	buildUpstreamHeaders: ({caller, upstream, remainingTime, resumeAfter, bodyLength}) => [
@@ -83,6 +87,7 @@
 		'Content-Length',
 		String(bodyLength),
 	],
+	buildHostHeaders: (caller, bodyLength) => [...caller.forwardedToHosts, 'Content-Length', String(bodyLength)],
 	readAnswerHead: (status, headers) => ({
 		status,
 		callerRequestId: getValue(headers, 'attempt'),
@@ -90,7 +95,7 @@
 		isNotExecuted: getValue(headers, 'not-run') !== undefined,
 		hasUpstreamMark: getValue(headers, 'signed') !== undefined,
 		isEventStream: getValue(headers, 'content-type') === 'text/event-stream',
-		forwarded: headers.filter((_, index) => !['connection', 'keep-alive', 'transfer-encoding'].includes((headers[index - (index % 2)] ?? '').toLowerCase())),
+		forwarded: selectEndToEnd(getFields(headers), new Set()),
 	}),
 	buildErrorHeaders: () => [],
 };
@@ -179,8 +184,10 @@
 	};
 
 	const limits = createSoleLimits(clock, logger);
+	const links = createSoleLinks(clock, view);
 	const context: ForwarderContext = {
 		clock,
+		host: 'h',
 		random: createRandom(1),
 		logger,
 		metrics: createMetrics(),
@@ -190,6 +197,9 @@
 		freshness: createViewFreshness({clock, view, reportExchange}, refresh ?? recordContact),
 		reportExchange,
 		limits,
+		links,
+		hostAgents: createHostAgents(),
+		getHostAddresses: () => [],
 		tracker: createUpstreamTracker({
 			clock, logger, loads, limits, getService: view.getService,
 		}),
--- a/packages/forwarder/src/upstream-agent.ts
+++ b/packages/forwarder/src/upstream-agent.ts
@@ -57,6 +57,11 @@
 	retire(): void {
 		this.maxFreeSockets = 0;
 		this.emit('retire');
+		this.closeIdle();
+	}
+
+	/** Closes idle connections now. */
+	closeIdle(): void {
 		for (const socket of Object.values(this.freeSockets).flat()) {
 			socket?.destroy();
 		}
--- /dev/null
+++ b/packages/forwarder/src/upstream-links.ts
@@ -0,0 +1,232 @@
+import type {Clock, Random} from '@gentianlift/clock';
+import type {HostRecord, ReachQuery} from '@gentianlift/discovery';
+import type {Logger} from '@gentianlift/logger';
+import {getUpstreamKey, type Upstream} from '@gentianlift/routing';
+import type {HostId, Milliseconds, Zone} from '@gentianlift/types';
+import {chooseForwardingHost, createForwardedLoads, type ReachingHost} from './forwarding-hosts.js';
+
+/** The way that a call takes to the upstreams of its service. */
+export type CallPath
+	/** Over this host's own links. */
+	= | {kind: 'direct'}
+	/** Over another host, as this host's links to the upstreams are cut. */
+		| {kind: 'over-host'; host: HostRecord}
+	/** None: the links are cut, and the call went over all hosts that reach the upstreams. */
+		| {kind: 'none'};
+
+/** This host's links to the upstreams of each service. They count as cut while no upstream accepts a connection of this host and another host reaches one; upstreams that no host reaches are away. */
+export type UpstreamLinks = {
+	/** Checks the links to a service after a sign that one is cut: a connection that failed, or silence. */
+	check: (service: string) => void;
+	/** Resolves when no check of the service's links is in progress. */
+	waitForCheck: (service: string) => Promise<void>;
+	/** Records that an upstream of a service has sent bytes to this host. */
+	recordContact: (service: string) => void;
+	isCut: (service: string) => boolean;
+	/** Returns the number of services to which the links are cut. */
+	countCut: () => number;
+	/** Returns the path of a call of a service that was forwarded to the hosts `tried` already. */
+	choosePath: (service: string, tried: ReadonlySet<HostId>) => CallPath;
+	/** Records that a call is forwarded to a host; returns a function that records its end. */
+	beginForwarding: (host: HostId) => () => void;
+	/** Whether this host reaches an upstream of a service, or the one that the query names. */
+	reaches: (query: ReachQuery) => Promise<boolean>;
+	/** Whether another host reaches an upstream to which this host's connections fail. */
+	isReachedByOthers: (upstream: Upstream) => Promise<boolean>;
+};
+
+/** Dependencies of the links. */
+export type UpstreamLinksOptions = {
+	clock: Clock;
+	random: Random;
+	logger: Logger;
+	zone: Zone;
+	/** Returns the upstreams that run a service and accept requests. */
+	getUpstreams: (service: string) => readonly Upstream[];
+	/** Tries to connect to an upstream; resolves with whether the connection was established. */
+	probe: (upstream: Upstream) => Promise<boolean>;
+	/** Returns the other hosts that reach what a query names. */
+	findReachingHosts: (query: ReachQuery) => Promise<ReachingHost[]>;
+	/** Whether a host has sent no load report for so long that it may be gone. */
+	isSilent: (host: HostId) => boolean;
+	/** Called when the links to upstreams turn out to be cut, and when they are open again. */
+	onChange: (upstreams: readonly Upstream[]) => void;
+	/** Called with an upstream that has accepted a connection while the links to its service counted as cut. */
+	onReached: (upstream: Upstream) => void;
+};
+
+type ServiceLinks = {
+	isCut: boolean;
+	/** Check in progress. */
+	check: Promise<void> | undefined;
+	checkedAt: Milliseconds;
+	contactAt: Milliseconds;
+	/** Hosts that reach the upstreams, while the links are cut. */
+	hosts: readonly ReachingHost[];
+};
+
+/** Number of upstreams to which connections are tried at first, and in all, before the links count as cut. */
+const firstProbes = 3;
+const maxProbes = 12;
+/** Minimum interval between checks that find links open. */
+const minCheckInterval: Milliseconds = 500;
+/** Interval between rounds of probes while the links are cut. */
+const probeInterval: Milliseconds = 400;
+/** Rounds in a row in which most probes succeed before the links count as open again. */
+const neededGoodRounds = 3;
+/** Interval at which a host whose links are cut asks the others again. */
+const askInterval: Milliseconds = 1000;
+/** Time after bytes of an upstream in which a host reaches its service without a probe. */
+const contactLifetime: Milliseconds = 300;
+
+/** Returns some random items of a list. */
+const pickSome = <Item>(items: readonly Item[], count: number, random: Random): Item[] => {
+	const keyed = items.map(item => ({item, key: random.next()}));
+	return keyed.toSorted((one, other) => one.key - other.key).slice(0, count).map(({item}) => item);
+};
+
+/** Creates links that count as open. */
+export const createUpstreamLinks = ({
+	clock, random, logger, zone, getUpstreams, probe, findReachingHosts, isSilent, onChange, onReached,
+}: UpstreamLinksOptions): UpstreamLinks => {
+	const services = new Map<string, ServiceLinks>();
+	const loads = createForwardedLoads();
+
+	const getLinks = (service: string): ServiceLinks => {
+		const known = services.get(service);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const links: ServiceLinks = {
+			isCut: false, check: undefined, checkedAt: Number.NEGATIVE_INFINITY, contactAt: Number.NEGATIVE_INFINITY, hosts: [],
+		};
+		services.set(service, links);
+		return links;
+	};
+
+	/** Resolves with true as soon as one of the upstreams accepts a connection. */
+	const reachesAny = async (upstreams: readonly Upstream[]): Promise<boolean> => {
+		const probes = upstreams.map(async upstream => {
+			if (!await probe(upstream)) {
+				throw new Error('The upstream accepts no connection.');
+			}
+		});
+		return Promise.any(probes).then(() => true, () => false);
+	};
+
+	/** Makes a round of probes while the links are cut; returns whether most of them succeed. */
+	const isRoundGood = async (upstreams: readonly Upstream[]): Promise<boolean> => {
+		const results = await Promise.all(pickSome(upstreams, firstProbes, random).map(async upstream => {
+			const isReached = await probe(upstream);
+			if (isReached) {
+				onReached(upstream);
+			}
+
+			return isReached;
+		}));
+		return results.filter(Boolean).length * 2 > results.length;
+	};
+
+	const open = (service: string, links: ServiceLinks, cutAt: Milliseconds): void => {
+		links.isCut = false;
+		links.hosts = [];
+		onChange(getUpstreams(service));
+		logger.warn('links-restored', {service, after: Math.round(clock.monotonic() - cutAt)});
+	};
+
+	/** Probes the upstreams until the links are open again; meanwhile keeps the list of hosts that reach them up to date. */
+	const watchCut = async (service: string, links: ServiceLinks, cutAt: Milliseconds): Promise<void> => {
+		let goodRounds = 0;
+		let askedAt = cutAt;
+		while (goodRounds < neededGoodRounds && getUpstreams(service).length > 0) {
+			// eslint-disable-next-line no-await-in-loop -- Rounds are separated by an interval.
+			await clock.sleep(probeInterval);
+			// eslint-disable-next-line no-await-in-loop -- One round at a time.
+			goodRounds = await isRoundGood(getUpstreams(service)) ? goodRounds + 1 : 0;
+			if (clock.monotonic() - askedAt >= askInterval) {
+				askedAt = clock.monotonic();
+				// eslint-disable-next-line no-await-in-loop -- The hosts are asked at intervals.
+				links.hosts = await findReachingHosts({service});
+			}
+		}
+
+		open(service, links, cutAt);
+	};
+
+	const runCheck = async (service: string, links: ServiceLinks): Promise<void> => {
+		const startedAt = clock.monotonic();
+		const upstreams = pickSome(getUpstreams(service), maxProbes, random);
+		if (upstreams.length === 0 || await reachesAny(upstreams.slice(0, firstProbes)) || await reachesAny(upstreams.slice(firstProbes))) {
+			return;
+		}
+
+		const hosts = await findReachingHosts({service});
+		const details = {
+			service, probed: upstreams.length, hosts: hosts.map(({record}) => record.host).join(','), checked: Math.round(clock.monotonic() - startedAt),
+		};
+		if (hosts.length === 0) {
+			logger.warn('upstreams-away', details);
+			return;
+		}
+
+		links.isCut = true;
+		links.hosts = hosts;
+		onChange(getUpstreams(service));
+		logger.warn('links-cut', details);
+		void watchCut(service, links, clock.monotonic());
+	};
+
+	return {
+		check(service) {
+			const links = getLinks(service);
+			if (links.isCut || links.check !== undefined || clock.monotonic() - links.checkedAt < minCheckInterval) {
+				return;
+			}
+
+			const finish = async (): Promise<void> => {
+				await runCheck(service, links);
+				links.check = undefined;
+				links.checkedAt = clock.monotonic();
+			};
+
+			links.check = finish();
+		},
+		async waitForCheck(service) {
+			await services.get(service)?.check;
+		},
+		recordContact(service) {
+			getLinks(service).contactAt = clock.monotonic();
+		},
+		isCut: service => services.get(service)?.isCut ?? false,
+		countCut: () => [...services.values()].filter(({isCut}) => isCut).length,
+		choosePath(service, tried) {
+			const links = services.get(service);
+			if (links === undefined || !links.isCut || links.hosts.length === 0) {
+				return {kind: 'direct'};
+			}
+
+			const hosts = links.hosts.filter(({record: {host}}) => !tried.has(host) && !isSilent(host));
+			const host = chooseForwardingHost(hosts, {loads, random, zone});
+			return host === undefined ? {kind: 'none'} : {kind: 'over-host', host};
+		},
+		beginForwarding: loads.begin,
+		async reaches({service, upstream}) {
+			const upstreams = getUpstreams(service);
+			if (upstream !== undefined) {
+				return reachesAny(upstreams.filter(other => getUpstreamKey(other) === upstream));
+			}
+
+			const links = getLinks(service);
+			if (links.isCut) {
+				return false;
+			}
+
+			return clock.monotonic() - links.contactAt < contactLifetime || reachesAny(pickSome(upstreams, firstProbes, random));
+		},
+		async isReachedByOthers(upstream) {
+			const hosts = await findReachingHosts({service: upstream.service, upstream: getUpstreamKey(upstream)});
+			return hosts.length > 0;
+		},
+	};
+};
--- a/packages/forwarder/src/upstream-tracker.ts
+++ b/packages/forwarder/src/upstream-tracker.ts
@@ -28,6 +28,10 @@
 	recordPrefill: (upstream: UpstreamKey, prompt: Pick<Prompt, 'model' | 'parts'>) => void;
 	/** Records that an upstream refuses connections or has crashed, and avoids it for a backoff period. */
 	recordUnreachable: (upstream: Upstream, reason: string) => void;
+	/** Records that an upstream accepts connections, so that it is avoided no longer. */
+	recordReachable: (upstream: Upstream) => void;
+	/** Closes the idle connections to an upstream, which may have been lost. */
+	closeIdleConnections: (upstream: Upstream) => void;
 	/** Records that a request was sent; the returned handle reports its activity. */
 	trackRequest: (upstream: Upstream) => RequestActivity;
 	/** Returns the time since the upstream last sent a byte while requests of this host are in flight there; 0 if none are. */
@@ -227,6 +231,16 @@
 			state.doubtedUntil = clock.monotonic() + restartDoubt;
 			logger.info('upstream-avoided', {upstream: getUpstreamKey(upstream), reason, for: backoff});
 		},
+		recordReachable(upstream) {
+			const state = getState(getUpstreamKey(upstream));
+			state.connectFailures = 0;
+			state.avoidedUntil = 0;
+		},
+		closeIdleConnections(upstream) {
+			const state = states.get(getUpstreamKey(upstream));
+			state?.agent.closeIdle();
+			state?.nonIdempotentAgent.closeIdle();
+		},
 		trackRequest(upstream) {
 			const state = getState(getUpstreamKey(upstream));
 			state.lastByteAt = state.openRequests === 0 ? clock.monotonic() : state.lastByteAt;
