Take a cut link for no crash

Cause: a connection that was lost and a new one that is refused counted as a crash. A cut link looks the same from one host. Ruled out: crashes that the record doesn't show (the other hosts were served by these upstreams).

Change: before it blames anything, the host asks others whether they reach this upstream. An answer takes a round trip and one connection; a crash that all see is reported as before (crashing-parts.test).

--- a/packages/forwarder/src/partitioned-host.test.ts
+++ b/packages/forwarder/src/partitioned-host.test.ts
@@ -3,7 +3,7 @@
 import type {Milliseconds} from '@gentianlift/types';
 import {answerOk, configuration, type AnswerHandler} from './test-deployment.js';
 import {
-	getServedRatio, sendToHosts, startLinkedFleet, type LinkedFleet,
+	createStream, getServedRatio, sendToHosts, startLinkedFleet, type LinkedFleet,
 } from './testing-partition.js';
 import type {TestAnswer} from './testing.js';
 import type {HostLinkState} from './testing-link.js';
@@ -40,3 +40,14 @@
 		expect(getServedRatio(await sendFor(fleet, 1000, 'after'), partitionedHosts)).toBeGreaterThan(0.9);
 	});
 }
+
+// Guards against: a cut link is taken for a crash, and sound requests are blocked for it at all hosts.
+test('a host whose links are reset reports no crash', async () => {
+	const fleet = await start(Array.from({length: 5}, () => createStream(8, 100)));
+	const answers = sendFor(fleet, 1000, 'cut');
+	await sleep(500);
+	fleet.setLinks(partitionedHosts, 'reset');
+	await answers;
+	const isAboutCrash = (line: string): boolean => /event=(?:upstream-crashed|crash-told)/v.test(line);
+	expect(fleet.hosts.flatMap(({logLines}) => logLines).filter(line => isAboutCrash(line))).toEqual([]);
+});
--- a/packages/forwarder/src/start-host.ts
+++ b/packages/forwarder/src/start-host.ts
@@ -191,7 +191,7 @@
 		hostAgents: createHostAgents(),
 		getHostAddresses: () => fleet.getAvailableOthers().map(({peers}) => peers),
 		suspects,
-		crashDetector: createCrashDetector(clock),
+		crashDetector: createCrashDetector(clock, links.isReachedByOthers),
 		streamOrigins,
 		versions,
 		askForStreamOrigin: fleet.askForStreamOrigin,
--- a/packages/forwarder/src/testing-partition.ts
+++ b/packages/forwarder/src/testing-partition.ts
@@ -7,7 +7,7 @@
 import type {RoutingConfiguration, Upstream} from '@gentianlift/routing';
 import type {Entry, Milliseconds} from '@gentianlift/types';
 import {startHost, type Host, type HostSettings} from './start-host.js';
-import {sum, type AnswerHandler} from './test-deployment.js';
+import {sum, upstreamMark, type AnswerHandler} from './test-deployment.js';
 import {
 	protocol, sendRequest, startUpstream, type TestAnswer,
 } from './testing.js';
@@ -156,6 +156,23 @@
 /** Requests that are sent at intervals for a time; `name` begins their ids. */
 export type Traffic = {interval: Milliseconds; duration: Milliseconds; paths: readonly string[]; name: string};
 
+/** Creates a handler that streams numbered events at intervals, after those that the caller has. */
+export const createStream = (count: number, interval: Milliseconds): AnswerHandler => (request, response) => {
+	let next = Number(request.headers['last-event'] ?? 0) + 1;
+	response.writeHead(200, {...upstreamMark, 'content-type': 'text/event-stream', attempt: request.headers.attempt ?? ''});
+	const timer = setInterval(() => {
+		response.write(`id: ${next}\ndata: x\n\n`);
+		next += 1;
+		if (next > count) {
+			clearInterval(timer);
+			response.end();
+		}
+	}, interval);
+	response.once('close', () => {
+		clearInterval(timer);
+	});
+};
+
 /** Sends requests to the hosts in turn; returns the answers by host. */
 export const sendToHosts = async ({hosts}: LinkedFleet, {interval, duration, paths, name}: Traffic): Promise<TestAnswer[][]> => {
 	const answers: Array<Array<Promise<TestAnswer>>> = hosts.map(() => []);
--- a/packages/forwarder/src/testing.ts
+++ b/packages/forwarder/src/testing.ts
@@ -204,7 +204,7 @@
 			clock, logger, loads, limits, getService: view.getService,
 		}),
 		suspects: createCrashSuspects(),
-		crashDetector: createCrashDetector(clock),
+		crashDetector: createCrashDetector(clock, links.isReachedByOthers),
 		streamOrigins: createStreamOrigins(),
 		versions,
 		askForStreamOrigin: async () => undefined,
