--- /dev/null
+++ b/packages/forwarder/src/upstream-links.test.ts
@@ -0,0 +1,198 @@
+import {createManualClock, createRandom, type ManualClock} from '@gentianlift/clock';
+import {createLogger} from '@gentianlift/logger';
+import {getUpstreamKey, type Upstream} from '@gentianlift/routing';
+import {buildUpstream} from '@gentianlift/routing/testing';
+import type {HostId, Milliseconds} from '@gentianlift/types';
+import {expect, test} from 'vitest';
+import type {ReachingHost} from './forwarding-hosts.js';
+import {createUpstreamLinks, type UpstreamLinks} from './upstream-links.js';
+
+/** A host's links to five upstreams, with what its probes and the other hosts say. */
+type LinkDay = {
+	clock: ManualClock;
+	links: UpstreamLinks;
+	logLines: string[];
+	/** Ids of the upstreams that accept connections of this host; those in `hanging` neither accept nor refuse them. */
+	reached: Set<string>;
+	hanging: Set<string>;
+	/** Hosts that say that they reach the upstreams. */
+	hosts: ReachingHost[];
+	silentHosts: Set<HostId>;
+	probes: string[];
+};
+
+const connectTimeout: Milliseconds = 400;
+const ids = ['u0', 'u1', 'u2', 'u3', 'u4'];
+
+const buildHost = (host: HostId, openRequests = 0, zone = 'a'): ReachingHost => ({
+	record: {
+		host, incarnation: 1, zone, callers: '', peers: '', notes: '', strength: 1, isStopping: false,
+	},
+	openRequests,
+});
+
+const createDay = (): LinkDay => {
+	const clock = createManualClock();
+	const logLines: string[] = [];
+	const upstreams = ids.map(id => buildUpstream({id}));
+	const state = {
+		reached: new Set<string>(), hanging: new Set<string>(), hosts: [] as ReachingHost[], silentHosts: new Set<HostId>(), probes: [] as string[],
+	};
+	const probe = async ({id}: Upstream): Promise<boolean> => {
+		state.probes.push(id);
+		if (state.hanging.has(id)) {
+			await clock.sleep(connectTimeout);
+			return false;
+		}
+
+		return state.reached.has(id);
+	};
+
+	const links = createUpstreamLinks({
+		clock,
+		random: createRandom(1),
+		logger: createLogger('info', line => {
+			logLines.push(line);
+		}),
+		zone: 'a',
+		getUpstreams: () => upstreams,
+		probe,
+		findReachingHosts: async () => state.hosts,
+		isSilent: host => state.silentHosts.has(host),
+		onChange: () => undefined,
+		onReached: () => undefined,
+	});
+	return {
+		clock, links, logLines, ...state,
+	};
+};
+
+/** Gives a sign of a cut, and lets a time pass. */
+const check = async ({links, clock}: LinkDay, time: Milliseconds): Promise<void> => {
+	links.check('s');
+	await clock.advance(time);
+};
+
+const cut = async (day: LinkDay): Promise<void> => {
+	day.hosts.push(buildHost('h1'), buildHost('h2'));
+	await check(day, 10);
+	expect(day.links.isCut('s')).toBe(true);
+};
+
+// Guards against: an engine that is silent or away for a moment moves all traffic to other hosts.
+test('links are open while one of the upstreams accepts a connection', async () => {
+	for (const id of ids) {
+		const day = createDay();
+		day.hosts.push(buildHost('h1'));
+		day.reached.add(id);
+		// eslint-disable-next-line no-await-in-loop -- One day at a time.
+		await check(day, 2000);
+		expect(day.links.choosePath('s', new Set())).toEqual({kind: 'direct'});
+	}
+});
+
+// Guards against: hosts send their calls in circles when all upstreams are away.
+test('upstreams that no host reaches are away, and the links to them are not cut', async () => {
+	const day = createDay();
+	await check(day, 2000);
+	expect(day.links.isCut('s')).toBe(false);
+	expect(day.logLines.some(line => line.includes('event=upstreams-away'))).toBe(true);
+});
+
+test('links are cut when connections to all upstreams hang, and another host reaches one', async () => {
+	const day = createDay();
+	for (const id of ids) {
+		day.hanging.add(id);
+	}
+
+	day.hosts.push(buildHost('h1'));
+	await check(day, connectTimeout);
+	expect(day.links.isCut('s')).toBe(false);
+	await day.clock.advance(connectTimeout);
+	expect(day.links.choosePath('s', new Set())).toMatchObject({kind: 'over-host', host: {host: 'h1'}});
+});
+
+// Guards against: traffic goes to and fro while a link comes back.
+test('links are open again once connections have succeeded for a time', async () => {
+	const day = createDay();
+	await cut(day);
+	for (const id of ids) {
+		day.reached.add(id);
+	}
+
+	await day.clock.advance(800);
+	day.reached.clear();
+	await day.clock.advance(800);
+	expect(day.links.isCut('s')).toBe(true);
+	for (const id of ids) {
+		day.reached.add(id);
+	}
+
+	await day.clock.advance(800);
+	expect(day.links.isCut('s')).toBe(true);
+	await day.clock.advance(800);
+	expect(day.links.isCut('s')).toBe(false);
+});
+
+test('a call goes over each host once, not over silent ones, and then nowhere', async () => {
+	const day = createDay();
+	await cut(day);
+	day.silentHosts.add('h2');
+	expect(day.links.choosePath('s', new Set())).toMatchObject({kind: 'over-host', host: {host: 'h1'}});
+	expect(day.links.choosePath('s', new Set(['h1']))).toEqual({kind: 'none'});
+});
+
+// Guards against: calls are refused for lack of hosts when the upstreams go away during a cut.
+test('calls go to the upstreams again when no host reaches them any more', async () => {
+	const day = createDay();
+	await cut(day);
+	day.hosts.length = 0;
+	await day.clock.advance(2000);
+	expect(day.links.choosePath('s', new Set())).toEqual({kind: 'direct'});
+});
+
+// Guards against: all hosts whose links are cut choose the same one.
+test('the less loaded of two hosts gets the call, and calls that it already got count', async () => {
+	const day = createDay();
+	day.hosts.push(buildHost('h1', 2), buildHost('h2'));
+	await check(day, 10);
+	const chosen: HostId[] = [];
+	for (let calls = 0; calls < 6; calls++) {
+		const path = day.links.choosePath('s', new Set());
+		if (path.kind === 'over-host') {
+			chosen.push(path.host.host);
+			day.links.beginForwarding(path.host.host);
+		}
+	}
+
+	expect(chosen.slice(0, 2)).toEqual(['h2', 'h2']);
+	expect(chosen.filter(host => host === 'h1').length).toBe(2);
+});
+
+// Guards against: a host offers a way that it doesn't have, or makes connections for each question.
+test('a host says that it reaches a service if it has heard from it lately or can connect, and not while its links are cut', async () => {
+	const day = createDay();
+	expect(await day.links.reaches({service: 's'})).toBe(false);
+	day.reached.add('u0');
+	expect(await day.links.reaches({service: 's', upstream: getUpstreamKey(buildUpstream({id: 'u0'}))})).toBe(true);
+	expect(await day.links.reaches({service: 's', upstream: getUpstreamKey(buildUpstream({id: 'u1'}))})).toBe(false);
+	day.reached.clear();
+	day.probes.length = 0;
+	day.links.recordContact('s');
+	expect(await day.links.reaches({service: 's'})).toBe(true);
+	expect(day.probes).toEqual([]);
+	await cut(day);
+	expect(await day.links.reaches({service: 's'})).toBe(false);
+});
+
+// Guards against: each call that fails makes connections to all upstreams.
+test('links are checked once in a while only', async () => {
+	const day = createDay();
+	day.reached.add('u0');
+	for (let signs = 0; signs < 100; signs++) {
+		// eslint-disable-next-line no-await-in-loop -- Signs come one after the other.
+		await check(day, 10);
+	}
+
+	expect(day.probes.length).toBeLessThanOrEqual(2 * ids.length);
+});
