Play partitioned hosts in the soak, and test calls over stub hosts

Each host of the soak has its own view of the store, with its own links to the upstreams, so that the links of some hosts can be cut alone. The users' bound is checked: two thirds of what the others serve, or 10 and one in 50 failed.

A lost connection is a sign to check the links, too: a call whose last upstream broke off ended there. A 421 of the other host is read by its status, whatever the protocol says of it. Undone, forwarding twice and sending a booking again were seen by no test; two new ones see them.

--- /dev/null
+++ b/packages/forwarder/src/attempt-over-host.test.ts
@@ -0,0 +1,98 @@
+import {createServer, type RequestListener} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {expect, onTestFinished, test} from 'vitest';
+import type {HostRecord} from '@gentianlift/discovery';
+import {
+	answerOk, createHostStarter, resetConnection, type TestDeployment,
+} from './test-deployment.js';
+import {sendRequest, waitForEnd} from './testing.js';
+
+const startDeployment = createHostStarter(onTestFinished);
+
+/** Starts a host without upstreams, whose links are cut and whose calls go over stub hosts, each once. */
+const start = async (...answers: RequestListener[]): Promise<{deployment: TestDeployment; received: string[]}> => {
+	const received: string[] = [];
+	const records = await Promise.all(answers.map(async (answer, index): Promise<HostRecord> => {
+		const server = createServer((request, response) => {
+			received.push(`h${index}`);
+			answer(request, response);
+		});
+		await new Promise<void>(resolve => {
+			server.listen(0, '127.0.0.1', resolve);
+		});
+		onTestFinished(() => {
+			server.close();
+			server.closeAllConnections();
+		});
+		return {
+			host: `h${index}`, incarnation: 1, zone: 'a', callers: '', peers: `127.0.0.1:${(server.address() as AddressInfo).port}`, notes: '', strength: 1, isStopping: false,
+		};
+	}));
+	const deployment = await startDeployment();
+	const {context} = deployment.host;
+	context.reportExchange.getSilence = () => 0;
+	context.links.choosePath = (_, tried) => {
+		const host = records.find(record => !tried.has(record.host));
+		return host === undefined ? {kind: 'none'} : {kind: 'over-host', host};
+	};
+
+	return {deployment, received};
+};
+
+const cannotTake: RequestListener = (_, response) => {
+	response.writeHead(421);
+	response.end();
+};
+
+// Guards against: a booking runs twice, as the connection to the other host was lost after it was sent.
+test('a booking on which the other host breaks off is not sent again, and may have run', async () => {
+	const {deployment: {host}, received} = await start(resetConnection, answerOk);
+	expect(await sendRequest(host.port, {path: '/book/1', headers: {attempt: 'a'}})).toMatchObject({status: 502});
+	expect(received).toEqual(['h0']);
+});
+
+test('a request that may run again goes over another host when one breaks off', async () => {
+	const {deployment: {host}, received} = await start(resetConnection, answerOk);
+	expect(await sendRequest(host.port, {path: '/read/1', headers: {attempt: 'a'}})).toMatchObject({status: 200, body: 'ok'});
+	expect(received).toEqual(['h0', 'h1']);
+});
+
+test('a request that a host can not take goes over another one, also a booking', async () => {
+	const {deployment: {host}, received} = await start(cannotTake, answerOk);
+	expect(await sendRequest(host.port, {path: '/book/1', headers: {attempt: 'a'}})).toMatchObject({status: 200});
+	expect(received).toEqual(['h0', 'h1']);
+	expect(await waitForEnd(host, 'a')).toMatch(/over=h1 .*outcome=delivered/v);
+});
+
+test('a request that no host can take is refused at once, as not run', async () => {
+	const {deployment: {host}, received} = await start(cannotTake, cannotTake);
+	expect(await sendRequest(host.port, {path: '/book/1', headers: {attempt: 'a'}})).toMatchObject({status: 503});
+	expect(received).toEqual(['h0', 'h1']);
+});
+
+// Guards against: a request that the other host has refused goes to all hosts in turn.
+test('what the other host answers for itself is final', async () => {
+	const {deployment: {host}, received} = await start((_, response) => {
+		response.writeHead(503, {'retry-after': '0.7'});
+		response.end('{}');
+	}, answerOk);
+	expect(await sendRequest(host.port, {path: '/read/1', headers: {attempt: 'a'}})).toMatchObject({status: 503, headers: {'retry-after': '0.7'}});
+	expect(received).toEqual(['h0']);
+});
+
+// Guards against: a caller takes what another process answers at the address of a host that is gone for an upstream's answer.
+test('a success without the mark of an upstream is none', async () => {
+	const {deployment: {host}} = await start((_, response) => {
+		response.end('ok');
+	});
+	expect(await sendRequest(host.port, {path: '/book/1', headers: {attempt: 'a'}})).toMatchObject({status: 502});
+});
+
+// Guards against: a caller waits until its deadline for a host that is gone without closing its connections.
+test('a call goes over another host once one has sent no load report for long', async () => {
+	const {deployment: {host}, received} = await start(() => undefined, answerOk);
+	const answer = sendRequest(host.port, {path: '/read/1', headers: {attempt: 'a'}});
+	await expect.poll(() => received).toEqual(['h0']);
+	host.context.reportExchange.getSilence = () => Number.POSITIVE_INFINITY;
+	expect(await answer).toMatchObject({status: 200});
+});
--- a/packages/forwarder/src/attempt-over-host.ts
+++ b/packages/forwarder/src/attempt-over-host.ts
@@ -1,6 +1,6 @@
 import {getMeanReportDelay, hostSilenceTimeout, type HostRecord} from '@gentianlift/discovery';
 import type {Milliseconds} from '@gentianlift/types';
-import {isConnectionLoss, recordChunk} from './attempt-record.js';
+import {isConnectionLoss, misdirectedStatus, recordChunk} from './attempt-record.js';
 import type {Call, Progress} from './call.js';
 import type {ForwarderContext} from './context.js';
 import {isSuspected, reportDelaysOfExchange} from './crash-blame.js';
@@ -43,7 +43,12 @@
 		}
 
 		case 'answered': {
-			const {head} = outcome;
+			const {head, answer} = outcome;
+			if (head.status === misdirectedStatus) {
+				answer.message.destroy();
+				return {kind: 'unreachable', reason: `host-status-${head.status}`};
+			}
+
 			return head.isEventStream && head.status < 300
 				? deliverEvents({
 					call, progress, outcome, isClosing: isStopping(),
--- a/packages/forwarder/src/attempt-record.ts
+++ b/packages/forwarder/src/attempt-record.ts
@@ -42,8 +42,8 @@
 	}
 };
 
-/** Status 421 (Misdirected Request), the answer of another upstream than the expected one. */
-const misdirectedStatus = 421;
+/** Status 421 (Misdirected Request), the answer of another upstream than the expected one, and of a host that can't take a call which another one forwards. */
+export const misdirectedStatus = 421;
 
 /** Records what an answer says of its upstream's limit. */
 export const observeLimit = ({upstream, context, sentAt, startedAt}: Attempt, {status, requestLimit: statement}: AnswerHead): void => {
--- a/packages/forwarder/src/attempt.ts
+++ b/packages/forwarder/src/attempt.ts
@@ -145,6 +145,7 @@
 	}
 
 	if (!isAbandoned && isConnectionLoss(attemptOutcome)) {
+		context.links.check(call.service);
 		progress.hasCrashed = reportCrash(call, progress, upstream, context);
 	}
 
--- a/packages/forwarder/src/forwarded-call.test.ts
+++ b/packages/forwarder/src/forwarded-call.test.ts
@@ -62,6 +62,21 @@
 	expect(hosts[cutHost]!.logLines.filter(line => line.includes('event=call-forwarded request=forwarded'))).toEqual([]);
 });
 
+// Guards against: as before, when the links of the other host are cut while it runs the call.
+test('a call whose second host loses its links, too, is not forwarded on', async () => {
+	const {hosts, setLinks, counts} = await start([(request, response) => {
+		if (request.headers.attempt === 'other') {
+			answerOk(request, response);
+		}
+	}], 3);
+	const answer = forwardTo(hosts[otherHost]!);
+	await expect.poll(() => sum(counts)).toBe(1);
+	setLinks([otherHost], 'reset');
+	expect(await answer).toMatchObject({status: 502});
+	await waitForLine(hosts[otherHost]!, 'event=links-cut');
+	expect(hosts[otherHost]!.logLines.filter(line => line.includes('event=call-forwarded'))).toEqual([]);
+});
+
 // Guards against: an engine works on for a caller that has left the host which forwards its request.
 test('a caller that leaves cancels its request at the upstream, over both hosts', async () => {
 	let closed = 0;
@@ -126,13 +141,20 @@
 
 // Guards against: a stream that runs when the links are cut ends without its last events, or has some twice.
 test('a stream that runs when the links are cut goes on over another host', async () => {
-	const fleet = await start([createStream(12, 100), createStream(12, 100)]);
+	const resumedAfter: Array<string | string[] | undefined> = [];
+	const stream: AnswerHandler = (request, response) => {
+		resumedAfter.push(request.headers['last-event']);
+		createStream(12, 100)(request, response);
+	};
+
+	const fleet = await start([stream, stream]);
 	const answer = sendRequest(fleet.hosts[cutHost]!.port, {path: '/stream/1', headers: {attempt: 'running'}});
 	await sleep(450);
 	fleet.setLinks([cutHost], 'reset');
 	const {status, body, isComplete} = await answer;
 	expect({status, isComplete}).toEqual({status: 200, isComplete: true});
 	expect(body).toBe(Array.from({length: 12}, (_, index) => `id: ${index + 1}\ndata: x\n\n`).join(''));
+	expect(resumedAfter).toEqual([undefined, expect.stringMatching(/^[3-5]$/v)]);
 	await waitForLine(fleet.hosts[otherHost]!, 'from=h0');
 });
 
--- a/packages/soak/src/deployment.ts
+++ b/packages/soak/src/deployment.ts
@@ -8,6 +8,8 @@
 	address: Address;
 	put: (key: string, value: string) => void;
 	remove: (key: string) => void;
+	/** Listens on another IP address, where the values of entries are translated; returns the address. */
+	openView: (ip: string, translate: (value: string) => string) => Promise<Address>;
 	/** Starts a failure mode in place of the current one; undefined ends it. */
 	setFailureMode: (mode: StoreFailureMode | undefined) => void;
 	close: () => void;
--- a/packages/soak/src/fleet-guarantees.ts
+++ b/packages/soak/src/fleet-guarantees.ts
@@ -1,7 +1,7 @@
 import type {Milliseconds} from '@gentianlift/types';
 import {limitedRate} from './fake-upstream.js';
 import {
-	disturbanceAftermath, overlaps, type Observations, type Violation,
+	disturbanceAftermath, overlaps, type Call, type Interval, type Observations, type Violation,
 } from './guarantees.js';
 
 /** Time after which hosts have to keep to what they have been told. */
@@ -56,3 +56,43 @@
 		return excess === undefined ? [] : [{guarantee, attempt: episode, detail: `over ${allowed} arrivals in ${limitWindow} ms from ${Math.round(excess)}`}];
 	});
 };
+
+/** Part of what the other hosts serve that partitioned hosts have to serve, and how many calls may fail there, as a number and a part of all. */
+const partitionServedPart = 2 / 3;
+const partitionSlack = 10;
+const partitionFailedPart = 1 / 50;
+
+const isServed = ({outcome}: Call): boolean => outcome.kind === 'answered' && outcome.status === 200 && outcome.isOwn;
+
+/** Returns the part of calls that were served; 1 without calls. */
+const getServedPart = (calls: readonly Call[]): number => calls.length === 0 ? 1 : calls.filter(call => isServed(call)).length / calls.length;
+
+const describeServed = (calls: readonly Call[]): string => `${calls.filter(call => isServed(call)).length} of ${calls.length}`;
+
+/** Whether some hosts' calls are served far less than those of the others. */
+const isUnequal = (partitioned: readonly Call[], others: readonly Call[]): boolean => {
+	const failed = partitioned.filter(call => !isServed(call)).length;
+	const allowed = partitionSlack + (partitionFailedPart * (partitioned.length + others.length));
+	return getServedPart(partitioned) < partitionServedPart * getServedPart(others) && failed > allowed;
+};
+
+/** Returns the calls within a period that came to hosts which were neither starting nor stopping nor paused. */
+const getCallsOfUndisturbed = ({from, to}: Interval, observations: Observations): Call[] =>
+	observations.calls.filter(({host, startedAt, endedAt}) =>
+		startedAt >= from && endedAt <= to && [startedAt, endedAt].every(at => !isDisturbed(host, at, observations)));
+
+/** Finds partitions in which the partitioned hosts served their callers far less than the others did theirs. */
+export const checkPartitions = (observations: Observations): Violation[] => observations.partitions.flatMap(({hosts, from, to}) => {
+	const isCutElsewhere = (host: number): boolean =>
+		observations.partitions.some(other => other.hosts.includes(host) && overlaps(other, from, to));
+	const calls = getCallsOfUndisturbed({from: from + stableTime, to}, observations);
+	const partitioned = calls.filter(({host}) => hosts.includes(host));
+	const others = calls.filter(({host}) => !isCutElsewhere(host));
+	return isUnequal(partitioned, others)
+		? [{
+			guarantee: 'partitioned hosts serve their callers',
+			attempt: partitioned.find(call => !isServed(call))?.attempt ?? '',
+			detail: `hosts ${hosts.join(', ')} served ${describeServed(partitioned)} calls, the others ${describeServed(others)}`,
+		}]
+		: [];
+});
--- a/packages/soak/src/fleet.ts
+++ b/packages/soak/src/fleet.ts
@@ -3,10 +3,11 @@
 	Deployment, HostOptions, FakeStore, FakeUpstream, FakeUpstreamOptions,
 } from './deployment.js';
 import {openLink, type Link} from './link.js';
+import {openHostLinks, type HostLinks} from './host-links.js';
 import {createHostProcess, type HostProcess} from './host-process.js';
 
 /** A host's process with its link to the key-value service; `hasActiveFault` while a fault stops, kills or pauses it. */
-export type SoakHost = {options: HostOptions; hostProcess: HostProcess; storeLink: Link; callerAddress: Address; hasActiveFault: boolean};
+export type SoakHost = {options: HostOptions; hostProcess: HostProcess; storeLink: Link; upstreamLinks: HostLinks; callerAddress: Address; hasActiveFault: boolean};
 
 /** A fake upstream behind a link. */
 export type SoakUpstream = {fake: FakeUpstream; link: Link};
@@ -38,9 +39,16 @@
 const firstUpstreamOctet = 100;
 const storeOctet = 2;
 const storeLinkOctet = 3;
+const firstViewOctet = 200;
 const shutdownGracePeriod: Milliseconds = 8000;
 
-const startUpstreams = async ({deployment, network, upstreams, listeners}: FleetOptions, store: FakeStore): Promise<SoakUpstream[]> => {
+/** Called when an upstream stops or resumes to listen. */
+type ListeningListener = (upstream: number, isListening: boolean) => void;
+
+const startUpstreams = async (options: FleetOptions, store: FakeStore, onListening: ListeningListener): Promise<SoakUpstream[]> => {
+	const {
+		deployment, network, upstreams, listeners,
+	} = options;
 	const services = [...new Set(Object.values(deployment.services))];
 	const names = services.flatMap(service => Array.from({length: upstreams}, (_, index) => ({service, name: `${service}-${index}`})));
 	return Promise.all(names.map(async ({service, name}, index): Promise<SoakUpstream> => {
@@ -53,6 +61,7 @@
 			...listeners,
 			onListening(isListening) {
 				link?.setListening(isListening);
+				onListening(index, isListening);
 			},
 			async openLink(address) {
 				link = await openLink(`${network}.${firstUpstreamOctet + index}`, address);
@@ -67,8 +76,11 @@
 	}));
 };
 
-const prepareHost = async ({deployment, network, folder}: FleetOptions, store: FakeStore, index: number): Promise<SoakHost> => {
-	const storeLink = await openLink(`${network}.${storeLinkOctet}`, store.address);
+const prepareHost = async (options: FleetOptions, {store, upstreams}: Pick<Fleet, 'store' | 'upstreams'>, index: number): Promise<SoakHost> => {
+	const {deployment, network, folder} = options;
+	const upstreamLinks = await openHostLinks(`${network}.${firstViewOctet + index}`, upstreams.map(({link}) => link.address));
+	const view = await store.openView(`${network}.${firstViewOctet + index}`, upstreamLinks.translate);
+	const storeLink = await openLink(`${network}.${storeLinkOctet}`, view);
 	const hostOptions: HostOptions = {
 		name: `host-${index}`,
 		ip: `${network}.${firstHostOctet + index}`,
@@ -80,15 +92,25 @@
 	};
 	deployment.writeSettings(hostOptions);
 	return {
-		options: hostOptions, hostProcess: createHostProcess(deployment.getCommand(hostOptions)), storeLink, callerAddress: deployment.getCallerAddress(hostOptions.ip), hasActiveFault: false,
+		options: hostOptions,
+		hostProcess: createHostProcess(deployment.getCommand(hostOptions)),
+		storeLink,
+		upstreamLinks,
+		callerAddress: deployment.getCallerAddress(hostOptions.ip),
+		hasActiveFault: false,
 	};
 };
 
 /** Starts the fake services and the hosts' processes; returns before the hosts are ready. */
 export const startFleet = async (options: FleetOptions): Promise<Fleet> => {
 	const store = await options.deployment.startStore(`${options.network}.${storeOctet}`);
-	const upstreams = await startUpstreams(options, store);
-	const hosts = await Promise.all(Array.from({length: options.hosts}, async (_, index) => prepareHost(options, store, index)));
+	const hosts: SoakHost[] = [];
+	const upstreams = await startUpstreams(options, store, (upstream, isListening) => {
+		for (const {upstreamLinks} of hosts) {
+			upstreamLinks.setListening(upstream, isListening);
+		}
+	});
+	hosts.push(...await Promise.all(Array.from({length: options.hosts}, async (_, index) => prepareHost(options, {store, upstreams}, index))));
 	for (const {hostProcess} of hosts) {
 		hostProcess.start();
 	}
@@ -99,8 +121,9 @@
 		upstreams,
 		async close() {
 			await Promise.all(hosts.map(async ({hostProcess}) => hostProcess.kill()));
-			for (const {storeLink} of hosts) {
+			for (const {storeLink, upstreamLinks} of hosts) {
 				storeLink.close();
+				upstreamLinks.close();
 			}
 
 			for (const {fake, link} of upstreams) {
--- a/packages/soak/src/guarantees.test.ts
+++ b/packages/soak/src/guarantees.test.ts
@@ -14,7 +14,7 @@
 });
 
 const find = (changes: Partial<Observations>): string[] => findViolations({
-	calls: [], executions: [], shutdowns: [], disturbances: [], outages: [], partCrashes: [], limitedArrivals: [], ...changes,
+	calls: [], executions: [], shutdowns: [], disturbances: [], outages: [], partCrashes: [], limitedArrivals: [], partitions: [], ...changes,
 }).map(({guarantee}) => guarantee);
 
 test('a request that was executed once and answered violates no guarantee', () => {
@@ -113,7 +113,19 @@
 
 test('draws faults of all kinds, for existing hosts and within the fault period', () => {
 	const faults = Array.from({length: 40}, (_, seed) => drawSchedule(seed, {hosts: 5, upstreams: 6}, 12_000)).flat();
-	expect(new Set(faults.map(({fault}) => fault.kind)).size).toBe(11);
+	expect(new Set(faults.map(({fault}) => fault.kind)).size).toBe(12);
 	expect(faults.every(({at}) => at < 12_000)).toBe(true);
 	expect(faults.every(({fault}) => !('host' in fault) || (fault.host >= 0 && fault.host < 5))).toBe(true);
 });
+
+test('finds partitioned hosts that serve far less than the others, but not single failures', () => {
+	const send = (host: number, count: number, status: number): Call[] => Array.from({length: count}, (_, index) => ({
+		...call(), attempt: `p${host}-${status}-${index}`, host, startedAt: 4000, endedAt: 4010, outcome: {kind: 'answered', status, isOwn: status === 200},
+	}));
+	const partitions = [{hosts: [0], from: 0, to: 6000}];
+	const others = send(1, 100, 200);
+	expect(find({partitions, calls: [...others, ...send(0, 20, 503), ...send(0, 30, 200)]})).toEqual(['partitioned hosts serve their callers']);
+	expect(find({partitions, calls: [...others, ...send(0, 10, 503)]})).toEqual([]);
+	expect(find({partitions, calls: [...others, ...send(0, 20, 503), ...send(0, 60, 200)]})).toEqual([]);
+	expect(find({partitions: [{hosts: [0], from: 2000, to: 6000}], calls: [...others, ...send(0, 20, 503)]})).toEqual([]);
+});
--- a/packages/soak/src/guarantees.ts
+++ b/packages/soak/src/guarantees.ts
@@ -1,5 +1,5 @@
 import type {Milliseconds} from '@gentianlift/types';
-import {checkLimits, checkPartCrashes} from './fleet-guarantees.js';
+import {checkLimits, checkPartCrashes, checkPartitions} from './fleet-guarantees.js';
 
 /** Kinds of requests that a soak's callers send. Callers resume a `resumable` stream when it breaks. */
 export const requestKinds = ['booking', 'lookup', 'stream', 'resumable'] as const;
@@ -56,6 +56,8 @@
 	outages: Array<Interval & {host: number}>;
 	/** Crashes of upstreams on a part of a prompt. */
 	partCrashes: Array<{part: string; at: Milliseconds}>;
+	/** Periods in which the links of hosts to all upstreams were cut. */
+	partitions: Array<Interval & {hosts: readonly number[]}>;
 	/** Arrivals at upstreams that name a limit, by the time in which one does. */
 	limitedArrivals: Array<{episode: string; at: Milliseconds}>;
 };
@@ -159,5 +161,5 @@
 		...checkCall(call, executionsByAttempt.get(call.attempt) ?? [], observations).map(violation => ({attempt: call.attempt, ...violation})),
 		...checkResumptions(call, executionsByAttempt),
 	]);
-	return [...violations, ...checkPartCrashes(observations), ...checkLimits(observations)];
+	return [...violations, ...checkPartCrashes(observations), ...checkLimits(observations), ...checkPartitions(observations)];
 };
--- a/packages/soak/src/injector.ts
+++ b/packages/soak/src/injector.ts
@@ -3,6 +3,7 @@
 import type {Deployment} from './deployment.js';
 import {crashingPartPrefix} from './fake-upstream.js';
 import type {Fleet, SoakHost} from './fleet.js';
+import type {CutMode} from './host-links.js';
 import type {Link, LinkState} from './link.js';
 import type {Observations} from './guarantees.js';
 import type {Fault} from './schedule.js';
@@ -39,6 +40,7 @@
 export const createInjector = ({fleet, deployment, clock, observations}: InjectorOptions): Injector => {
 	const activeFaults = new Set<Promise<void>>();
 	const failures: string[] = [];
+	const partitioned = new Set<number>();
 	let version = 1;
 	let rateFactor = 1;
 	let crashingPart: string | undefined;
@@ -100,6 +102,31 @@
 		() => link?.setState({kind: 'open'}),
 	);
 
+	/** Cuts the links of hosts to all upstreams; skips hosts whose links are cut already. */
+	const partition = async (indexes: readonly number[], mode: CutMode, duration: Milliseconds): Promise<void> => {
+		const hosts = indexes.filter(index => !partitioned.has(index) && fleet.hosts[index] !== undefined);
+		const cut = (next: CutMode | undefined): void => {
+			for (const index of hosts) {
+				fleet.hosts[index]?.upstreamLinks.cut(next);
+			}
+		};
+
+		const from = clock.monotonic();
+		for (const host of hosts) {
+			partitioned.add(host);
+		}
+
+		await applyFor(duration, () => {
+			cut(mode);
+		}, () => {
+			cut(undefined);
+		});
+		observations.partitions.push({hosts, from, to: clock.monotonic()});
+		for (const host of hosts) {
+			partitioned.delete(host);
+		}
+	};
+
 	/** Kills a host and starts it again after the time `down`. */
 	const restartKilledHost = async ({hostProcess}: SoakHost, down: Milliseconds): Promise<void> => {
 		recordDisturbance(down + startupTime);
@@ -159,6 +186,10 @@
 				return impairLink(hosts[fault.host]?.storeLink, fault.state, fault.duration);
 			}
 
+			case 'partition': {
+				return partition(fault.hosts, fault.mode, fault.duration);
+			}
+
 			case 'upstream-link': {
 				return impairLink(upstreams[fault.upstream]?.link, fault.state, fault.duration);
 			}
--- a/packages/soak/src/kept-cases.ts
+++ b/packages/soak/src/kept-cases.ts
@@ -91,4 +91,27 @@
 			},
 		],
 	},
+	{
+		seed: 7300,
+		cause: 'Hosts that were partitioned from all upstreams failed their callers, while the others reached them',
+		schedule: [
+			{
+				at: 300, fault: {
+					kind: 'partition', hosts: [0, 1, 2], mode: 'reset', duration: 6000,
+				},
+			},
+			{at: 3000, fault: {kind: 'host-kill', host: 3, down: 300}},
+		],
+	},
+	{
+		seed: 7301,
+		cause: 'As before, where connections fell silent instead',
+		schedule: [
+			{
+				at: 300, fault: {
+					kind: 'partition', hosts: [1, 4], mode: 'silent', duration: 6000,
+				},
+			},
+		],
+	},
 ];
--- a/packages/soak/src/run-seed.ts
+++ b/packages/soak/src/run-seed.ts
@@ -44,7 +44,7 @@
 const lookupTimeout: Milliseconds = 1500;
 
 const createObservations = (): Observations => ({
-	calls: [], executions: [], shutdowns: [], disturbances: [], outages: [], partCrashes: [], limitedArrivals: [],
+	calls: [], executions: [], shutdowns: [], disturbances: [], outages: [], partCrashes: [], limitedArrivals: [], partitions: [],
 });
 
 /** Returns whether a host answers requests and serves the newest version of the configuration but not the one before it. */
--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -1,5 +1,6 @@
 import {createRandom, type Random} from '@gentianlift/clock';
 import type {Milliseconds} from '@gentianlift/types';
+import {cutModes, type CutMode} from './host-links.js';
 import type {LinkState} from './link.js';
 
 /** Failure modes of the key-value service; `forgetful` loses the history of changes. */
@@ -24,6 +25,8 @@
 		| {kind: 'host-reload'; host: number; isSignalled: boolean}
 		/** A fault of the link between a host and the key-value service. */
 		| {kind: 'store-link'; host: number; state: LinkState; duration: Milliseconds}
+		/** Cuts the links between some hosts and all upstreams, while everything else reaches them. */
+		| {kind: 'partition'; hosts: readonly number[]; mode: CutMode; duration: Milliseconds}
 		/** A fault of the link between all hosts and an upstream. */
 		| {kind: 'upstream-link'; upstream: number; state: LinkState; duration: Milliseconds}
 		| {kind: 'store'; mode: StoreFailureMode; duration: Milliseconds}
@@ -48,6 +51,7 @@
 /** Additional time of faults that are judged only some seconds after they have begun. */
 const limitedTime: Milliseconds = 6000;
 const crashingPartTime: Milliseconds = 4000;
+const partitionTime: Milliseconds = 5000;
 
 const pickItem = <Item>(random: Random, items: readonly [Item, ...Item[]]): Item => random.pick(items) ?? items[0];
 
@@ -57,6 +61,13 @@
 	{kind: 'delayed', delay: Math.round(20 + (random.next() * 400))}, {kind: 'reset'}, {kind: 'silent'}, {kind: 'one-way'},
 ]);
 
+/** Draws some hosts, at most all but one. */
+const drawHosts = (random: Random, hosts: number): number[] => {
+	const remaining = Array.from({length: hosts}, (_, index) => index);
+	const count = 1 + Math.floor(random.next() * (hosts - 1));
+	return Array.from({length: count}, () => remaining.splice(Math.floor(random.next() * remaining.length), 1)).flat();
+};
+
 const drawFault = (random: Random, size: FleetSize): Fault => {
 	const host = Math.floor(random.next() * size.hosts);
 	const upstream = Math.floor(random.next() * size.upstreams);
@@ -86,6 +97,9 @@
 		() => ({
 			kind: 'upstream-link', upstream, state: drawLinkState(random), duration,
 		}),
+		() => ({
+			kind: 'partition', hosts: drawHosts(random, size.hosts), mode: pickItem(random, cutModes), duration: duration + partitionTime,
+		}),
 		() => ({kind: 'store', mode: pickItem(random, storeFailureModes), duration}),
 		drawUpstreamFault,
 		drawUpstreamFault,
