Log what answers say of rest and of leaving

No line told whether an engine had asked for rest, or announced that it leaves. What an answer says of its engine now stands in one type, and call-ended names it. Nothing is decided by it yet.

--- a/packages/forwarder/src/attempt-record.ts
+++ b/packages/forwarder/src/attempt-record.ts
@@ -46,9 +46,9 @@
 export const misdirectedStatus = 421;
 
 /** Records what an answer says of its upstream's limit. */
-export const observeLimit = ({upstream, context, sentAt, startedAt}: Attempt, {status, requestLimit: statement}: AnswerHead): void => {
+export const observeLimit = ({upstream, context, sentAt, startedAt}: Attempt, {status, statements}: AnswerHead): void => {
 	if (status !== misdirectedStatus) {
-		context.limits.observe({upstream: getUpstreamKey(upstream), statement, sentAt: sentAt ?? startedAt});
+		context.limits.observe({upstream: getUpstreamKey(upstream), statement: statements.limit, sentAt: sentAt ?? startedAt});
 	}
 };
 
--- a/packages/forwarder/src/attempt.ts
+++ b/packages/forwarder/src/attempt.ts
@@ -127,7 +127,7 @@
 			recordConnectionWait(attempt);
 		},
 		onHead(head) {
-			progress.requestLimit = head.requestLimit;
+			progress.statements = head.statements;
 			observeLimit(attempt, head);
 			context.links.recordContact(call.service);
 		},
--- a/packages/forwarder/src/call-end.ts
+++ b/packages/forwarder/src/call-end.ts
@@ -3,7 +3,7 @@
 import type {Call, Progress} from './call.js';
 import type {ForwarderContext} from './context.js';
 import type {ForwardOutcome} from './forward-outcome.js';
-import type {LimitStatement} from './protocol.js';
+import type {LimitStatement, RestStatement} from './protocol.js';
 import {getReceivedAnswer} from './received-answer.js';
 
 /**
@@ -56,6 +56,24 @@
 	}
 };
 
+/** Returns for how long the last answer has asked for rest, in milliseconds, for a log line; undefined if it hasn't. */
+const describeRest = (statement: RestStatement | undefined): string | undefined => {
+	switch (statement?.kind) {
+		case 'rest': {
+			return String(statement.duration);
+		}
+
+		case 'malformed': {
+			return `malformed:${statement.text}`;
+		}
+
+		case 'none':
+		case undefined: {
+			return undefined;
+		}
+	}
+};
+
 /** Logs the end of a call and counts it in the metrics. */
 export const reportEnd = (call: Call, progress: Progress, end: CallEnd, {clock, logger, metrics}: ForwarderContext): void => {
 	const duration = clock.monotonic() - call.arrivedAt;
@@ -87,7 +105,9 @@
 		framing: progress.bodyEnd?.framing,
 		ending: progress.bodyEnd?.ending,
 		partialBytes: getPartialBytes(progress.bodyEnd),
-		limit: describeLimit(progress.requestLimit),
+		limit: describeLimit(progress.statements?.limit),
+		rest: describeRest(progress.statements?.rest),
+		leaving: progress.statements?.isLeaving === true ? true : undefined,
 		sends: progress.attempts,
 		outcome: end.outcome,
 		reason: end.reason,
--- a/packages/forwarder/src/call.ts
+++ b/packages/forwarder/src/call.ts
@@ -6,7 +6,7 @@
 import type {HostId, Milliseconds, Rank} from '@gentianlift/types';
 import type {BodyEnd} from './body-end.js';
 import type {ForwardedCall} from './forwarded-call.js';
-import type {CallerHead, LimitStatement} from './protocol.js';
+import type {CallerHead, UpstreamStatements} from './protocol.js';
 import type {ReceivedAnswer} from './received-answer.js';
 
 /** An admitted request whose body was read completely. */
@@ -88,8 +88,8 @@
 	cancel: (() => void) | undefined;
 	/** Blocked suspects of crashes of which the call is a trial. */
 	trials: Set<SuspectId>;
-	/** What the last answer of an upstream has said of its limit. */
-	requestLimit: LimitStatement | undefined;
+	/** What the last answer of an upstream has said of the upstream. */
+	statements: UpstreamStatements | undefined;
 	/** Whether the upstream of the last attempt has crashed; undefined if that attempt didn't lose its connection. */
 	hasCrashed: Promise<boolean> | undefined;
 };
@@ -138,6 +138,6 @@
 	bodyEnd: undefined,
 	cancel: undefined,
 	trials: new Set(),
-	requestLimit: undefined,
+	statements: undefined,
 	hasCrashed: undefined,
 });
--- a/packages/forwarder/src/index.ts
+++ b/packages/forwarder/src/index.ts
@@ -1,6 +1,7 @@
 export * from './crash-detector.js';
 export * from './forward.js';
 export * from './parse-request-limit.js';
+export * from './parse-rest.js';
 export type * from './protocol.js';
 export * from './raw-headers.js';
 export * from './serve-callers.js';
--- a/packages/forwarder/src/protocol.ts
+++ b/packages/forwarder/src/protocol.ts
@@ -44,12 +44,23 @@
 /** What an answer says of the requests that its upstream takes from all hosts together; `malformed` is a mistake of the upstream, which says nothing. */
 export type LimitStatement = {kind: 'none'} | {kind: 'malformed'; text: string} | {kind: 'limit'; perSecond: number};
 
+/** For how long an upstream that has turned a request away wants none from this host; `malformed` is a mistake of the upstream, which says nothing. */
+export type RestStatement = {kind: 'none'} | {kind: 'malformed'; text: string} | {kind: 'rest'; duration: Milliseconds};
+
+/** What an answer says of its upstream, besides what it answers. */
+export type UpstreamStatements = {
+	limit: LimitStatement;
+	rest: RestStatement;
+	/** Whether the upstream says that it is about to stop. */
+	isLeaving: boolean;
+};
+
 /** Parsed head of an upstream's answer. */
 export type AnswerHead = {
 	status: number;
 	/** Caller's id of the request that the upstream answers, if it names one. */
 	callerRequestId: string | undefined;
-	requestLimit: LimitStatement;
+	statements: UpstreamStatements;
 	/** Whether the upstream states that it has not executed the request and never will. */
 	isNotExecuted: boolean;
 	/** Whether the answer has the header that marks answers of upstreams; a success without it comes from something else, e.g. from another process that now has the address. */
--- a/packages/forwarder/src/testing-send.ts
+++ b/packages/forwarder/src/testing-send.ts
@@ -12,7 +12,7 @@
 	readAnswerHead: (status, headers) => ({
 		status,
 		callerRequestId: headers.includes('Attempt') ? headers[headers.indexOf('Attempt') + 1] : undefined,
-		requestLimit: {kind: 'none'},
+		statements: {limit: {kind: 'none'}, rest: {kind: 'none'}, isLeaving: false},
 		isNotExecuted: status === 421,
 		hasUpstreamMark: true,
 		isEventStream: false,
--- a/packages/forwarder/src/testing.ts
+++ b/packages/forwarder/src/testing.ts
@@ -15,8 +15,9 @@
 import {createCrashDetector} from './crash-detector.js';
 import {createForwarder, type Forwarder} from './forward.js';
 import {parseRequestLimit} from './parse-request-limit.js';
+import {parseRest} from './parse-rest.js';
 import type {Protocol, RawHeaders} from './protocol.js';
-import {getFields, selectEndToEnd} from './raw-headers.js';
+import {getFields, getValues, selectEndToEnd} from './raw-headers.js';
 import {createCallerServer} from './serve-callers.js';
 import type {ForwarderContext} from './context.js';
 import {createHostAgents} from './host-agents.js';
@@ -91,7 +92,11 @@
 	readAnswerHead: (status, headers) => ({
 		status,
 		callerRequestId: getValue(headers, 'attempt'),
-		requestLimit: parseRequestLimit(headers.filter((_, index) => index % 2 === 1 && headers[index - 1]?.toLowerCase() === 'limit')),
+		statements: {
+			limit: parseRequestLimit(getValues(getFields(headers), 'limit')),
+			rest: parseRest(getValues(getFields(headers), 'retry-after'), Date.now()),
+			isLeaving: getValue(headers, 'leaving') === '1',
+		},
 		isNotExecuted: getValue(headers, 'not-run') !== undefined,
 		hasUpstreamMark: getValue(headers, 'signed') !== undefined,
 		isEventStream: getValue(headers, 'content-type') === 'text/event-stream',
--- a/packages/soak/src/exchange.ts
+++ b/packages/soak/src/exchange.ts
@@ -4,7 +4,11 @@
 import type {Milliseconds} from '@gentianlift/types';
 import type {Outcome} from './guarantees.js';
 
-const readText = async (message: IncomingMessage, onText: TextListener): Promise<string> => {
+/** Called with each piece of a body. */
+export type TextListener = (text: string) => void;
+
+/** Reads a body as text; rejects if it breaks off. */
+export const readText = async (message: IncomingMessage, onText: TextListener = () => undefined): Promise<string> => {
 	message.setEncoding('utf8');
 	let text = '';
 	for await (const chunk of message) {
@@ -23,9 +27,6 @@
 /** A complete answer, or how the request ended without one. */
 export type ExchangeResult = CompleteResponse | Outcome;
 
-/** Called with each piece of a body. */
-export type TextListener = (text: string) => void;
-
 /** Sends a request and reads its answer; resolves with an outcome instead if no complete answer arrives within the timeout. `onText` is called with each piece of the body, also of one that isn't completed. */
 export const sendAndReceive = async (options: RequestOptions, body: string, timeout: Milliseconds, onText: TextListener = () => undefined): Promise<ExchangeResult> => new Promise(resolve => {
 	let isConnected = false;
