Leave an upstream alone for the rest that it asks for

Cause: nothing on this path read the header of an engine's rejection.

Change: a rejection with 503 and Retry-After starts a rest of this upstream at this host, which nothing shortens. A resting upstream is no candidate in the queue, for retries and for resumed streams, and a call that has waited for one of its connections isn't sent. Where all rest, a call waits if the first rest ends in half of its time; else it is refused at once, with a Retry-After that follows from the rests. Hosts and callers return at random times after it. Values that are odd change nothing or are bounded at five minutes.

--- a/packages/forwarder/src/attempt-record.ts
+++ b/packages/forwarder/src/attempt-record.ts
@@ -45,10 +45,19 @@
 /** Status 421 (Misdirected Request), the answer of another upstream than the expected one, and of a host that can't take a call which another one forwards. */
 export const misdirectedStatus = 421;
 
-/** Records what an answer says of its upstream's limit. */
-export const observeLimit = ({upstream, context, sentAt, startedAt}: Attempt, {status, statements}: AnswerHead): void => {
-	if (status !== misdirectedStatus) {
-		context.limits.observe({upstream: getUpstreamKey(upstream), statement: statements.limit, sentAt: sentAt ?? startedAt});
+/** Status 503 (Service Unavailable), with which upstreams turn requests away. */
+const unavailableStatus = 503;
+
+/** Records what an answer says of its upstream. */
+export const observeStatements = ({call, upstream, context, sentAt, startedAt}: Attempt, {status, statements}: AnswerHead): void => {
+	if (status === misdirectedStatus) {
+		return;
+	}
+
+	const key = getUpstreamKey(upstream);
+	context.limits.observe({upstream: key, statement: statements.limit, sentAt: sentAt ?? startedAt});
+	if (status === unavailableStatus) {
+		context.rests.observe({upstream: key, statement: statements.rest, request: call.head.callerRequestId});
 	}
 };
 
--- a/packages/forwarder/src/attempt.ts
+++ b/packages/forwarder/src/attempt.ts
@@ -2,7 +2,7 @@
 import type {Milliseconds} from '@gentianlift/types';
 import {buildUpstreamRequest} from './build-upstream-request.js';
 import {
-	isConnectionLoss, observeLimit, recordChunk, recordConnectionWait, recordFirstToken, recordOutcome, recordStart, type Attempt,
+	isConnectionLoss, observeStatements, recordChunk, recordConnectionWait, recordFirstToken, recordOutcome, recordStart, type Attempt,
 } from './attempt-record.js';
 import type {ForwardOutcome} from './forward-outcome.js';
 import type {Call, Progress} from './call.js';
@@ -128,7 +128,7 @@
 		},
 		onHead(head) {
 			progress.statements = head.statements;
-			observeLimit(attempt, head);
+			observeStatements(attempt, head);
 			context.links.recordContact(call.service);
 		},
 	});
--- a/packages/forwarder/src/build-upstream-request.ts
+++ b/packages/forwarder/src/build-upstream-request.ts
@@ -60,6 +60,10 @@
 		return 'suspected-of-crashes';
 	}
 
+	if (context.rests.isResting(getUpstreamKey(upstream))) {
+		return 'upstream-resting';
+	}
+
 	return permit.take() ? undefined : 'upstream-limited';
 };
 
--- a/packages/forwarder/src/context.ts
+++ b/packages/forwarder/src/context.ts
@@ -13,6 +13,7 @@
 import type {Protocol} from './protocol.js';
 import type {UpstreamLinks} from './upstream-links.js';
 import type {UpstreamLimits} from './upstream-limits.js';
+import type {UpstreamRests} from './upstream-rests.js';
 import type {UpstreamTracker} from './upstream-tracker.js';
 import type {ViewFreshness} from './view-freshness.js';
 
@@ -32,6 +33,8 @@
 	tracker: UpstreamTracker;
 	/** Limits on requests that upstreams have named. */
 	limits: UpstreamLimits;
+	/** Rests that upstreams have asked for. */
+	rests: UpstreamRests;
 	/** This host's links to the upstreams. */
 	links: UpstreamLinks;
 	/** Connections for calls that are forwarded to other hosts. */
--- a/packages/forwarder/src/forward.ts
+++ b/packages/forwarder/src/forward.ts
@@ -1,6 +1,6 @@
 import {cutResponse, type ErrorKind} from '@gentianlift/errors';
 import {
-	createRetryBudget, decideRetry, type EarlyRefusal, type RetryBudget, type SuspectId,
+	createRetryBudget, decideRetry, getUpstreamKey, type EarlyRefusal, type RetryBudget, type SuspectId,
 } from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
 import {createAttemptMaker} from './make-attempt.js';
@@ -29,6 +29,9 @@
 /** Retry-After of answers to requests that no upstream could take. */
 const retryAfterDelay: Milliseconds = 500;
 
+/** Part of the time until the first rest ends by which callers return later at random. */
+const retryDelaySpread = 0.25;
+
 /** Error for a request without further attempts that may have executed. */
 const maybeExecuted: ErrorAnswer = {kind: 'upstream-reset', ran: 'unknown'};
 
@@ -65,9 +68,15 @@
 		return {outcome: 'own-answer', reason: errorAnswer.kind};
 	};
 
+	/** Returns the delay after which a retry of a refused call is useful: when the first rest ends if all upstreams of its service rest, with a random part so that callers don't return at once. */
+	const getRetryDelay = ({service}: Call): Milliseconds => {
+		const rest = Math.min(...context.view.getUpstreams(service).map(upstream => context.rests.getRemaining(getUpstreamKey(upstream))));
+		return Number.isFinite(rest) && rest > 0 ? Math.max(retryAfterDelay, rest * (1 + (context.random.next() * retryDelaySpread))) : retryAfterDelay;
+	};
+
 	/** Returns the error for a call without further attempts; after an attempt that may have executed the request, the answer must not say that it did not run. */
-	const getFinalError = (progress: Progress, kind: ErrorKind): ErrorAnswer =>
-		progress.possibleExecutions > 0 ? maybeExecuted : {kind, retryAfter: retryAfterDelay};
+	const getFinalError = (call: Call, progress: Progress, kind: ErrorKind): ErrorAnswer =>
+		progress.possibleExecutions > 0 ? maybeExecuted : {kind, retryAfter: getRetryDelay(call)};
 
 	/** Whether another host has forwarded a call to this one, which can't reach the upstreams either and has not tried to run it. */
 	const isMisdirected = ({forwarded, service}: Call, {possibleExecutions}: Progress): boolean =>
@@ -80,7 +89,7 @@
 			return {outcome: 'upstream-failure', reason: lastOutcome.reason};
 		}
 
-		const end = answerWithError(call, getFinalError(progress, getRefusalKind(call, lastOutcome)));
+		const end = answerWithError(call, getFinalError(call, progress, getRefusalKind(call, lastOutcome)));
 		return {...end, lastFailure: getFailureReason(lastOutcome)};
 	};
 
--- a/packages/forwarder/src/observed-service.ts
+++ b/packages/forwarder/src/observed-service.ts
@@ -31,7 +31,7 @@
 	prompt: Prompt | undefined;
 	/** Upstreams that the call was sent to already. */
 	tried?: ReadonlySet<UpstreamKey>;
-	/** Whether this host may send a request to an upstream now, by the upstream's limit. */
+	/** Whether this host may send a request to an upstream now, by what the upstream has said of its limit and its rest. */
 	hasPermit: (upstream: UpstreamKey) => boolean;
 	/** The only software version that may run the call; undefined if any may. */
 	softwareVersion?: string | undefined;
--- a/packages/forwarder/src/request-rest.test.ts
+++ b/packages/forwarder/src/request-rest.test.ts
@@ -1,9 +1,11 @@
 import {setTimeout as sleep} from 'node:timers/promises';
+import {getUpstreamKey} from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
 import {expect, onTestFinished, test} from 'vitest';
 import {
 	answerOk, createHostStarter, upstreamMark, type AnswerHandler,
 } from './test-deployment.js';
+import {sendRequest} from './testing.js';
 import {createRestingEngine} from './testing-rest.js';
 import {sendSteadily} from './testing-limits.js';
 
@@ -14,7 +16,7 @@
 const allowedArrivals = 2;
 
 // Guards against: an engine that turns a request away and asks for rest gets as many as before.
-test.fails('an upstream that wants rest gets no requests until the rest ends', async () => {
+test('an upstream that wants rest gets no requests until the rest ends', async () => {
 	const engines = [createRestingEngine('2'), createRestingEngine('2')];
 	const deployment = await start(...engines.map(({answer}) => answer));
 	const answers = await sendSteadily(deployment, {interval: 20, duration: 2000});
@@ -25,6 +27,57 @@
 	}
 });
 
+// Guards against: a request that was chosen before the rest began, and waited for a connection, is sent all the same.
+test('a request that waits for a connection is not sent once its upstream wants rest', async () => {
+	const {host, counts, upstreams: [upstream]} = await start((request, response) => {
+		setTimeout(() => {
+			answerOk(request, response);
+		}, 300);
+	});
+	const agent = host.context.tracker.getAgent(upstream!, 'idempotent', 1);
+	host.context.tracker.getAgent = () => agent;
+	const first = sendRequest(host.port, {path: '/read/1', headers: {attempt: 'first'}});
+	await expect.poll(() => counts).toEqual([1]);
+	const waiting = sendRequest(host.port, {path: '/read/1', headers: {attempt: 'waiting'}});
+	await sleep(50);
+	host.context.rests.observe({upstream: getUpstreamKey(upstream!), statement: {kind: 'rest', duration: 5000}, request: undefined});
+	expect(await first).toMatchObject({status: 200});
+	expect(await waiting).toMatchObject({status: 503});
+	expect(counts).toEqual([1]);
+});
+
+// Guards against: a caller is refused although the rest ends soon, or waits in vain for one that doesn't.
+test('a call waits for a rest that ends in time; else it is refused at once, and told when to return', async () => {
+	const {host, counts, upstreams: [upstream]} = await start(answerOk);
+	const rest = (duration: Milliseconds): void => {
+		host.context.rests.observe({upstream: getUpstreamKey(upstream!), statement: {kind: 'rest', duration}, request: undefined});
+	};
+
+	rest(400);
+	expect(await sendRequest(host.port, {path: '/read/1', headers: {attempt: 'waiting'}})).toMatchObject({status: 200});
+	rest(4000);
+	const sentAt = performance.now();
+	const {status, headers} = await sendRequest(host.port, {path: '/read/1', headers: {attempt: 'refused'}});
+	expect(performance.now() - sentAt).toBeLessThan(300);
+	expect(status).toBe(503);
+	expect(Number(headers['retry-after'])).toBeGreaterThan(3.5);
+	expect(counts).toEqual([1]);
+});
+
+// Guards against: an engine that took over an address is left alone for what another one says, or a success that names a time for its caller is taken for a rest.
+test('only a rejection of the expected upstream asks for rest', async () => {
+	for (const [status, isResting] of [[503, true], [421, false], [429, false]] as const) {
+		// eslint-disable-next-line no-await-in-loop -- One deployment at a time.
+		const {host, upstreams: [upstream]} = await start((_, response) => {
+			response.writeHead(status, {'not-run': '1', 'retry-after': '3'});
+			response.end();
+		});
+		// eslint-disable-next-line no-await-in-loop -- One deployment at a time.
+		await sendRequest(host.port, {path: '/book/1', headers: {attempt: 'a'}});
+		expect(host.context.rests.isResting(getUpstreamKey(upstream!))).toBe(isResting);
+	}
+});
+
 // Guards against: an engine that says that it leaves gets requests until the store says so, too.
 test.fails('an upstream that says that it leaves gets no more requests', async () => {
 	const leaving: AnswerHandler = (request, response) => {
@@ -32,11 +85,9 @@
 		response.end('ok');
 	};
 
-	const deployment = await start(leaving, answerOk);
-	await sendSteadily(deployment, {interval: 20, duration: 500});
-	const received = deployment.counts[0]!;
-	expect(received).toBeGreaterThan(0);
-	await sleep(500);
-	await sendSteadily(deployment, {interval: 20, duration: 500});
-	expect(deployment.counts[0]).toBe(received);
+	const deployment = await start(leaving);
+	const [first, ...others] = await sendSteadily(deployment, {interval: 50, duration: 500});
+	expect(first).toMatchObject({status: 200});
+	expect(others.every(({status}) => status === 503)).toBe(true);
+	expect(deployment.counts).toEqual([1]);
 });
--- a/packages/forwarder/src/simulated-host.ts
+++ b/packages/forwarder/src/simulated-host.ts
@@ -14,6 +14,7 @@
 import type {ForwarderContext} from './context.js';
 import {createSoleLimits} from './testing-sole-limits.js';
 import {createSoleLinks} from './testing-sole-links.js';
+import {createUpstreamRests} from './upstream-rests.js';
 import {createUpstreamTracker} from './upstream-tracker.js';
 import {buildTestCall, buildTestPrompt} from './testing-call.js';
 import {createTestView} from './testing-view.js';
@@ -82,6 +83,7 @@
 		},
 	};
 	const limits = createSoleLimits(clock, logger);
+	const rests = createUpstreamRests({clock, random: createRandom(1), logger});
 	const context = {
 		clock,
 		random: createRandom(seed),
@@ -92,9 +94,10 @@
 		view,
 		reportExchange,
 		limits,
+		rests,
 		links: createSoleLinks(clock, view),
 		tracker: createUpstreamTracker({
-			clock, logger, loads, limits, getService: view.getService,
+			clock, logger, loads, limits, rests, getService: view.getService,
 		}),
 		suspects: createCrashSuspects(),
 		retryLimit: {ratio: 0.2, minimum: 54, window: 10_000},
--- a/packages/forwarder/src/start-host.ts
+++ b/packages/forwarder/src/start-host.ts
@@ -25,6 +25,7 @@
 import type {ForwarderContext} from './context.js';
 import {createUpstreamLinks} from './upstream-links.js';
 import {createUpstreamLimits} from './upstream-limits.js';
+import {createUpstreamRests} from './upstream-rests.js';
 import {createUpstreamTracker} from './upstream-tracker.js';
 
 /** Settings of a host. */
@@ -116,8 +117,9 @@
 			fleet.reportExchange.addLimit(news);
 		},
 	});
+	const rests = createUpstreamRests({clock, random, logger});
 	const tracker = createUpstreamTracker({
-		clock, logger, loads, limits, getService: upstream => fleet.view.getService(upstream),
+		clock, logger, loads, limits, rests, getService: upstream => fleet.view.getService(upstream),
 	});
 	const suspects = createCrashSuspects();
 	const streamOrigins = createStreamOrigins();
@@ -153,6 +155,7 @@
 			versions.remove(upstream, clock.monotonic());
 			tracker.remove(upstream);
 			limits.remove(upstream);
+			rests.remove(upstream);
 		},
 		onLeaving: tracker.retire,
 	});
@@ -187,6 +190,7 @@
 		reportExchange: fleet.reportExchange,
 		tracker,
 		limits,
+		rests,
 		links,
 		hostAgents: createHostAgents(),
 		getHostAddresses: () => fleet.getAvailableOthers().map(({peers}) => peers),
@@ -238,6 +242,7 @@
 		getMetricsPage() {
 			context.metrics.setGauge('queue_length', forwarder.getQueueLength());
 			context.metrics.setGauge('upstream_limits', context.limits.countLimits());
+			context.metrics.setGauge('upstreams_resting', context.rests.countResting());
 			context.metrics.setGauge('services_cut', context.links.countCut());
 			context.metrics.setGauge('upstreams_avoided', context.tracker.countAvoided());
 			return context.metrics.renderPrometheusText();
--- a/packages/forwarder/src/testing-fleet.ts
+++ b/packages/forwarder/src/testing-fleet.ts
@@ -15,6 +15,7 @@
 import {createTestEngine, type TestEngine} from './testing-engine.js';
 import {createSoleLimits} from './testing-sole-limits.js';
 import {createSoleLinks} from './testing-sole-links.js';
+import {createUpstreamRests} from './upstream-rests.js';
 import {createUpstreamTracker, type UpstreamTracker} from './upstream-tracker.js';
 import {createTestView} from './testing-view.js';
 
@@ -103,16 +104,18 @@
 	const {clock, seed} = options;
 	const loads = createLoadTracker();
 	const limits = createSoleLimits(clock, createSilentLogger());
+	const rests = createUpstreamRests({clock, random: createRandom(seed), logger: createSilentLogger()});
 	const tracker = createUpstreamTracker({
-		clock, logger: createSilentLogger(), loads, limits, getService: view.getService,
+		clock, logger: createSilentLogger(), loads, limits, rests, getService: view.getService,
 	});
 	const reportExchange = createReportExchange(options, loads, report => {
 		send({sender: host, ...report});
 	});
-	const context: Pick<ForwarderContext, 'clock' | 'view' | 'tracker' | 'metrics' | 'reportExchange' | 'random' | 'zone' | 'countHosts' | 'suspects' | 'limits' | 'links'> = {
+	const context: Pick<ForwarderContext, 'clock' | 'view' | 'tracker' | 'metrics' | 'reportExchange' | 'random' | 'zone' | 'countHosts' | 'suspects' | 'limits' | 'rests' | 'links'> = {
 		clock, view, tracker, metrics: createMetrics(), reportExchange: reportExchange as LoadReportExchange, random: createRandom(seed + index), zone: 'a', countHosts: () => options.hosts,
 		suspects: createCrashSuspects(),
 		limits,
+		rests,
 		links: createSoleLinks(clock, view),
 	};
 	const host: TestHost = {
--- a/packages/forwarder/src/testing.ts
+++ b/packages/forwarder/src/testing.ts
@@ -23,6 +23,7 @@
 import {createHostAgents} from './host-agents.js';
 import {createSoleLimits} from './testing-sole-limits.js';
 import {createSoleLinks} from './testing-sole-links.js';
+import {createUpstreamRests} from './upstream-rests.js';
 import {createUpstreamTracker} from './upstream-tracker.js';
 import {createViewFreshness} from './view-freshness.js';
 
@@ -189,6 +190,7 @@
 	};
 
 	const limits = createSoleLimits(clock, logger);
+	const rests = createUpstreamRests({clock, random: createRandom(1), logger});
 	const links = createSoleLinks(clock, view);
 	const context: ForwarderContext = {
 		clock,
@@ -202,11 +204,12 @@
 		freshness: createViewFreshness({clock, view, reportExchange}, refresh ?? recordContact),
 		reportExchange,
 		limits,
+		rests,
 		links,
 		hostAgents: createHostAgents(),
 		getHostAddresses: () => [],
 		tracker: createUpstreamTracker({
-			clock, logger, loads, limits, getService: view.getService,
+			clock, logger, loads, limits, rests, getService: view.getService,
 		}),
 		suspects: createCrashSuspects(),
 		crashDetector: createCrashDetector(clock, links.isReachedByOthers),
--- a/packages/forwarder/src/upstream-tracker.ts
+++ b/packages/forwarder/src/upstream-tracker.ts
@@ -10,6 +10,7 @@
 import type {Milliseconds} from '@gentianlift/types';
 import {buildCandidates, type CandidateQuery, type ObservedService} from './observed-service.js';
 import type {UpstreamLimits} from './upstream-limits.js';
+import type {UpstreamRests} from './upstream-rests.js';
 import {idleTimeouts, UpstreamAgent} from './upstream-agent.js';
 
 /** Tracks the state that this host observes for each incarnation of an upstream: connections, failures, latencies and cached prefixes. */
@@ -56,6 +57,8 @@
 	loads: LoadTracker;
 	/** Limits that upstreams have named. */
 	limits: Pick<UpstreamLimits, 'isLimited' | 'hasPermit'>;
+	/** Rests that upstreams have asked for. */
+	rests: Pick<UpstreamRests, 'isResting'>;
 	/** Returns the service that an upstream runs; undefined while the upstream isn't listed. */
 	getService: (upstream: UpstreamKey) => Service | undefined;
 };
@@ -113,7 +116,7 @@
 
 /** Creates a tracker without state. */
 export const createUpstreamTracker = ({
-	clock, logger, loads, limits, getService,
+	clock, logger, loads, limits, rests, getService,
 }: UpstreamTrackerOptions): UpstreamTracker => {
 	const states = new Map<UpstreamKey, UpstreamState>();
 	const reservations = new Map<string, Reservation>();
@@ -165,12 +168,15 @@
 		return state.cache;
 	};
 
+	/** Whether an upstream takes only some of this host's requests for now, or none. */
+	const isRestricted = (upstream: UpstreamKey): boolean => limits.isLimited(upstream) || rests.isResting(upstream);
+
 	/** Returns the upstreams that are reserved for latency-sensitive streams. */
 	const getReserved = (service: string, upstreams: readonly Upstream[], now: Milliseconds): ReadonlySet<UpstreamKey> => {
 		const streams = upstreams.reduce((sum, upstream) => sum + loads.getTotalLoad(getUpstreamKey(upstream)).latencySensitiveStreams, 0);
 		const reservation = updateReservation(reservations.get(service), streams, now);
 		reservations.set(service, reservation);
-		return chooseReservedUpstreams(upstreams.filter(upstream => !limits.isLimited(getUpstreamKey(upstream))), reservation.count);
+		return chooseReservedUpstreams(upstreams.filter(upstream => !isRestricted(getUpstreamKey(upstream))), reservation.count);
 	};
 
 	const retire = (key: UpstreamKey): void => {
@@ -219,7 +225,7 @@
 				prefillRate: getMedian(usableStates.map(({prefillRate}) => prefillRate.get())) ?? defaultPrefillRate,
 			};
 		},
-		getCandidates: query => buildCandidates({...query, hasPermit: limits.hasPermit}, loads),
+		getCandidates: query => buildCandidates({...query, hasPermit: upstream => limits.hasPermit(upstream) && !rests.isResting(upstream)}, loads),
 		recordPrefill(upstream, prompt) {
 			getCache(upstream).add(prompt);
 		},
