Stop sending to an upstream that says that it leaves

An engine that leaves says so in all its answers, at times before its entry in the store does. Hosts went on sending to it until that entry changed.

Cause: as with rest, what an engine says of itself in its answers was dropped unless it was its limit.

Change: the incarnation counts as leaving from the first such answer on, whatever its entry says before or after; its idle connections are closed, calls that wait for one go elsewhere. The host that hears it tells all others in its load reports, three times; an older build leaves the field out and skips it.

leaving-upstream.test: the upstream went on getting requests, it gets none now. One test used hosts' names like those of a user's site; they are neutral now.

--- a/packages/discovery/src/exchange-reports.ts
+++ b/packages/discovery/src/exchange-reports.ts
@@ -26,6 +26,8 @@
 	addGoodEnd: (goodEnd: GoodEnd) => void;
 	/** Reports that an upstream has named, changed or ended a limit. */
 	addLimit: (news: LimitNews) => void;
+	/** Reports that an upstream has said that it leaves. */
+	addLeaving: (upstream: UpstreamKey) => void;
 	/** Reports at once that this host is shutting down. */
 	markStopping: () => void;
 	/** Returns the newest revision of the store that recent reports name; 0 without a recent report. */
@@ -66,6 +68,8 @@
 	getLimits: () => LimitNews[];
 	/** Called with each limit that another host reports. */
 	onLimit: (news: LimitNews, from: HostId) => void;
+	/** Called with each upstream of which another host reports that it leaves. */
+	onLeaving: (upstream: UpstreamKey, from: HostId) => void;
 	/** Called after the load of other hosts has changed. */
 	onLoad: () => void;
 	/** Called with the arrival of each report of another host, applied or not, for metrics. */
@@ -209,6 +213,10 @@
 			options.onLimit(news, report.host);
 		}
 
+		for (const upstream of report.leaving) {
+			options.onLeaving(upstream, report.host);
+		}
+
 		if (!acceptReport(report, now)) {
 			return;
 		}
@@ -252,6 +260,10 @@
 			pending.addLimit(news, clock.monotonic());
 			schedule();
 		},
+		addLeaving(upstream) {
+			pending.addLeaving(upstream);
+			schedule();
+		},
 		addGoodEnd(goodEnd) {
 			pending.addGoodEnd(goodEnd, clock.monotonic());
 			schedule();
--- a/packages/discovery/src/fleet-view.test.ts
+++ b/packages/discovery/src/fleet-view.test.ts
@@ -80,6 +80,22 @@
 	expect(getIds(view)).toEqual([]);
 });
 
+// Guards against: the entry of an engine that leaves says `ready` before and after the engine has said otherwise.
+test('an upstream that has said that it leaves accepts no new requests whatever its entry says, until it starts again', () => {
+	const {view} = createView();
+	view.applySnapshot({entries: [entry('u1', 'u:1:ready', 1), entry('u2', 'u:1:ready', 1)], revision: 1}, 0);
+	expect(view.markLeaving('u1@1', 'own')).toBe(true);
+	expect(view.markLeaving('u1@1', 'h2')).toBe(false);
+	expect(view.markLeaving('u3@1', 'h2')).toBe(true);
+	const getIds = (): string[] => view.getUpstreams('s').map(({id}) => id);
+	expect(getIds()).toEqual(['u2']);
+	view.applyChanges([{kind: 'written', entry: entry('u1', 'u:1:ready', 2)}, {kind: 'written', entry: entry('u3', 'u:1:ready', 3)}], 3, 0);
+	expect(getIds()).toEqual(['u2']);
+	expect(view.isUsable('u1@1')).toBe(false);
+	view.applyChanges([{kind: 'written', entry: entry('u1', 'u:2:ready', 4)}], 4, 0);
+	expect(getIds().toSorted()).toEqual(['u1', 'u2']);
+});
+
 test('a restart under the same id is a new incarnation', () => {
 	const {view, removed} = createView();
 	view.applyChanges([{kind: 'written', entry: entry('u1', 'u:1:ready', 1)}], 1, 0);
--- a/packages/discovery/src/fleet-view.ts
+++ b/packages/discovery/src/fleet-view.ts
@@ -34,6 +34,8 @@
 	getSnapshot: () => Snapshot;
 	/** Returns the routes of the current configuration; undefined before the first. */
 	getRoutes: () => RouteTable | undefined;
+	/** Records that the incarnation of an upstream has said that it leaves, whatever its entry says; `source` is for the log. Returns whether that is news. */
+	markLeaving: (upstreamKey: UpstreamKey, source: string) => boolean;
 	/** Returns the upstreams that run a service and accept new requests. */
 	getUpstreams: (service: string) => Upstream[];
 	/** Returns the service that the incarnation of an upstream runs; undefined if it isn't listed. */
@@ -57,6 +59,8 @@
 	onLeaving?: (upstreamKey: UpstreamKey) => void;
 };
 
+/** Maximum number of upstreams that are remembered as leaving. */
+const maxLeaving = 2000;
 /** Time after an outage of the store in which upstreams whose leases expired during it can register again. */
 const reregistrationGrace: Milliseconds = 2000;
 
@@ -68,6 +72,8 @@
 	const upstreams = new Map<string, Upstream>();
 	const hosts = new Map<HostId, HostRecord>();
 	const deferredRemovals = new Set<string>();
+	/** Incarnations of upstreams that have said that they leave; their entries may say otherwise. */
+	const leaving = new Set<UpstreamKey>();
 	let routeTable: RouteTable | undefined;
 	let revision = 0;
 	let lastContactAt = Number.NEGATIVE_INFINITY;
@@ -98,7 +104,8 @@
 		onRemoved?.(getUpstreamKey(known));
 	};
 
-	const applyUpstream = (storeKey: string, upstream: Upstream): void => {
+	const applyUpstream = (storeKey: string, listed: Upstream): void => {
+		const upstream = leaving.has(getUpstreamKey(listed)) ? {...listed, isLeaving: true} : listed;
 		const known = upstreams.get(storeKey);
 		const isSame = known !== undefined && getUpstreamKey(known) === getUpstreamKey(upstream) && known.softwareVersion === upstream.softwareVersion;
 		if (!isSame) {
@@ -240,6 +247,25 @@
 		isStoreReached: () => isStoreReached,
 		getTimeSinceStoreContact: now => now - lastContactAt,
 		getSnapshot: () => ({entries: [...entries.values()], revision}),
+		markLeaving(upstreamKey, source) {
+			if (leaving.has(upstreamKey)) {
+				return false;
+			}
+
+			leaving.add(upstreamKey);
+			for (const key of [...leaving].slice(0, -maxLeaving)) {
+				leaving.delete(key);
+			}
+
+			logger.info('upstream-leaving', {upstream: upstreamKey, source});
+			for (const [storeKey, upstream] of upstreams) {
+				if (getUpstreamKey(upstream) === upstreamKey) {
+					applyUpstream(storeKey, upstream);
+				}
+			}
+
+			return true;
+		},
 		getRoutes: () => routeTable,
 		getUpstreams: service => [...upstreams.values()].filter(upstream => upstream.service === service && !upstream.isLeaving),
 		getService(upstreamKey) {
--- a/packages/discovery/src/join-fleet.ts
+++ b/packages/discovery/src/join-fleet.ts
@@ -95,6 +95,9 @@
 		onStream: options.onStream,
 		getLimits: options.getLimits,
 		onLimit: options.onLimit,
+		onLeaving(upstream, from) {
+			view.markLeaving(upstream, from);
+		},
 		onReport: options.onReport,
 		onChanges({after, revision, changes}) {
 			const now = options.clock.monotonic();
--- a/packages/discovery/src/load-report.ts
+++ b/packages/discovery/src/load-report.ts
@@ -27,6 +27,8 @@
 	builtAt?: Milliseconds;
 	/** Streams that have begun at the host. */
 	streams: StartedStream[];
+	/** Upstreams that have said that they leave. */
+	leaving: UpstreamKey[];
 };
 
 /** Load report in the form in which it is sent: a tuple, which omits the field names. */
@@ -49,6 +51,8 @@
 	goodEndAges?: Milliseconds[],
 	/** Absent in reports of older versions; one that has ended has no limit. */
 	limits?: Array<[upstream: UpstreamKey, age: Milliseconds, limit?: number]>,
+	/** Absent in reports of older versions. */
+	leaving?: UpstreamKey[],
 ];
 
 /** Converts a report into its wire form. */
@@ -66,6 +70,7 @@
 	report.streams.map(({request, service, softwareVersion}) => [request, service, softwareVersion]),
 	report.goodEnds.map(({age}) => age),
 	report.limits.map(({upstream, age, limit}) => limit === undefined ? [upstream, age] : [upstream, age, limit]),
+	report.leaving,
 ];
 
 const isPackedLoadReport = (value: unknown): value is PackedLoadReport => {
@@ -107,6 +112,9 @@
 	});
 };
 
+/** Reads the upstreams that leave; what isn't a key is skipped. */
+const unpackLeaving = (value: unknown): UpstreamKey[] => Array.isArray(value) ? value.filter(item => typeof item === 'string') : [];
+
 const unpackCrashes = (crashes: ReadonlyArray<readonly unknown[]>): SuspectedCrash[] =>
 	crashes.flatMap(([suspect, upstream, age]) => typeof suspect === 'string' && typeof upstream === 'string' ? [{suspect, upstream, age: unpackAge(age)}] : []);
 
@@ -116,7 +124,7 @@
 		return undefined;
 	}
 
-	const [host, incarnation, sequence, revision, isStopping, loads, prefills, crashes, cleared, builtAt, streams, goodEndAges, limits] = value;
+	const [host, incarnation, sequence, revision, isStopping, loads, prefills, crashes, cleared, builtAt, streams, goodEndAges, limits, leaving] = value;
 	return {
 		host,
 		incarnation,
@@ -132,5 +140,6 @@
 		limits: unpackLimits(limits),
 		builtAt: typeof builtAt === 'number' ? builtAt : undefined,
 		streams: unpackStreams(streams),
+		leaving: unpackLeaving(leaving),
 	};
 };
--- a/packages/discovery/src/load.test.ts
+++ b/packages/discovery/src/load.test.ts
@@ -56,6 +56,7 @@
 	limits: [{upstream: 'u@1', limit: 3.6, age: 7}, {upstream: 'v@1', limit: undefined, age: 6}],
 	builtAt: 7,
 	streams: [{request: 'a1', service: 's', softwareVersion: 'v1'}],
+	leaving: ['w@1'],
 };
 
 const packet: Packet = {
--- a/packages/discovery/src/news.test.ts
+++ b/packages/discovery/src/news.test.ts
@@ -49,7 +49,7 @@
 
 const tell = ({other}: Fixture, changes: Partial<LoadReport>): void => {
 	const report = {
-		host: 'other', incarnation: 1, sequence: 1, revision: 1, isStopping: false, loads: [], prefills: [], crashes: [], goodEnds: [], limits: [], streams: [], ...changes,
+		host: 'other', incarnation: 1, sequence: 1, revision: 1, isStopping: false, loads: [], prefills: [], crashes: [], goodEnds: [], limits: [], streams: [], leaving: [], ...changes,
 	};
 	other.send(encodePacket({
 		sender: 'other', forwardTo: forwardScope.none, reports: [report], batches: [],
@@ -151,10 +151,29 @@
 	await expect.poll(() => told).toEqual([{upstream: 'v@1', limit: undefined, age: 5}]);
 });
 
+// Guards against: a host goes on sending to an engine that has told another host that it leaves.
+test('an upstream that leaves is told at once and repeated, and taken from a report that was overtaken', async () => {
+	const told: string[] = [];
+	const fixture = await start({
+		onLeaving(upstream, from) {
+			told.push(`${upstream} from ${from}`);
+		},
+	});
+	const {clock, reports, exchange} = fixture;
+	exchange.addLeaving('u@1');
+	await clock.advance(5);
+	await expect.poll(() => reports.at(0)?.leaving).toEqual(['u@1']);
+	await clock.advance(500);
+	await expect.poll(() => reports.at(1)?.leaving).toEqual(['u@1']);
+	tell(fixture, {sequence: 2});
+	tell(fixture, {sequence: 1, leaving: ['v@1']});
+	await expect.poll(() => told).toEqual(['v@1 from other']);
+});
+
 // Guards against: hosts whose names differ in their last letters only are chosen much more often than others, and get most of the limited engines.
 test('hosts with similar names are chosen about equally often', () => {
 	for (const count of [7, 75]) {
-		const hosts = Array.from({length: count}, (_, index) => createRecord(`edge-hu-central-a-${index}`, 1));
+		const hosts = Array.from({length: count}, (_, index) => createRecord(`router-north-zone-a-${index}`, 1));
 		const chosen = Array.from({length: count * 200}, (_, index) => chooseHosts(`limit:i-${(index * 7919).toString(16)}@${1_772_304_900_000 + index}`, hosts, 1)[0]);
 		for (const {host} of hosts) {
 			const share = chosen.filter(name => name === host).length / 200;
--- a/packages/discovery/src/pending-changes.ts
+++ b/packages/discovery/src/pending-changes.ts
@@ -7,7 +7,7 @@
 import {createRepeatedItems} from './repeated-items.js';
 
 /** The parts of a load report that name what has changed. */
-export type ReportedChanges = Pick<LoadReport, 'loads' | 'prefills' | 'crashes' | 'goodEnds' | 'limits' | 'streams'>;
+export type ReportedChanges = Pick<LoadReport, 'loads' | 'prefills' | 'crashes' | 'goodEnds' | 'limits' | 'streams' | 'leaving'>;
 
 /** What a report is built from, besides the changes. */
 export type ReportState = {
@@ -26,6 +26,7 @@
 	addCrash: (crash: SuspectedCrash, now: Milliseconds) => void;
 	addGoodEnd: (goodEnd: GoodEnd, now: Milliseconds) => void;
 	addLimit: (news: LimitNews, now: Milliseconds) => void;
+	addLeaving: (upstream: UpstreamKey) => void;
 	/** Returns what the next report names. */
 	getChanges: (state: ReportState) => ReportedChanges;
 	/** Records that a report has named what `getChanges` returned. */
@@ -42,6 +43,9 @@
 /** Bounds on changed limits, which full reports repeat in another way. */
 const newsLimits = {perReport: 64, pending: 2000, repeats: 0} as const;
 
+/** Bounds on upstreams that leave. */
+const leavingLimits = {perReport: 64, pending: 2000, repeats: 3} as const;
+
 type Aged = {age: Milliseconds};
 type Dated<Item> = {item: Item; since: Milliseconds};
 
@@ -58,6 +62,7 @@
 	const crashes = createRepeatedItems<Dated<SuspectedCrash>>(crashLimits);
 	const goodEnds = createRepeatedItems<Dated<GoodEnd>>(crashLimits);
 	const limits = createRepeatedItems<Dated<LimitNews>>(newsLimits);
+	const leaving = createRepeatedItems<UpstreamKey>(leavingLimits);
 
 	const countLoadRepeats = (): void => {
 		for (const [upstream, left] of remainingRepeats) {
@@ -84,6 +89,7 @@
 		addLimit(news, now) {
 			limits.add(setDate(news, now));
 		},
+		addLeaving: leaving.add,
 		addGoodEnd(goodEnd, now) {
 			goodEnds.add(setDate(goodEnd, now));
 		},
@@ -94,11 +100,12 @@
 			goodEnds: goodEnds.getNext(isFull).map(goodEnd => setAge(goodEnd, now)),
 			limits: limits.getNext(isFull).map(news => setAge(news, now)),
 			streams: streams.getNext(isFull),
+			leaving: leaving.getNext(isFull),
 		}),
 		markReported(isFull) {
 			changedUpstreams.clear();
 			prefills = [];
-			for (const items of [streams, crashes, goodEnds, limits]) {
+			for (const items of [streams, crashes, goodEnds, limits, leaving]) {
 				items.markReported(isFull);
 			}
 
--- a/packages/discovery/src/relay.test.ts
+++ b/packages/discovery/src/relay.test.ts
@@ -170,7 +170,7 @@
 		for (const [host, broadcaster] of broadcasters) {
 			sequence += 1;
 			const report: LoadReport = {
-				host, incarnation: 1, sequence, revision: 1, isStopping: false, loads: [], prefills: [], crashes: [], goodEnds: [], limits: [], streams: [],
+				host, incarnation: 1, sequence, revision: 1, isStopping: false, loads: [], prefills: [], crashes: [], goodEnds: [], limits: [], streams: [], leaving: [],
 			};
 			broadcaster.send(report);
 			broadcaster.sendChanges({after: 1, revision: 1, changes: []});
--- a/packages/discovery/src/report-arrival.test.ts
+++ b/packages/discovery/src/report-arrival.test.ts
@@ -55,7 +55,7 @@
 };
 
 const createReport = (change: Partial<LoadReport>): LoadReport => ({
-	host: 'h', incarnation: 1, sequence: 1, revision: 1, isStopping: false, loads: [], prefills: [], crashes: [], goodEnds: [], limits: [], streams: [], ...change,
+	host: 'h', incarnation: 1, sequence: 1, revision: 1, isStopping: false, loads: [], prefills: [], crashes: [], goodEnds: [], limits: [], streams: [], leaving: [], ...change,
 });
 
 const sendReports = (sender: Socket, reports: LoadReport[]): void => {
--- a/packages/discovery/src/testing-exchange.ts
+++ b/packages/discovery/src/testing-exchange.ts
@@ -13,6 +13,7 @@
 	onPrefill: () => undefined,
 	getLimits: () => [],
 	onLimit: () => undefined,
+	onLeaving: () => undefined,
 	onLoad: () => undefined,
 	onStream: () => undefined,
 	onChanges: () => undefined,
--- a/packages/forwarder/src/attempt-record.ts
+++ b/packages/forwarder/src/attempt-record.ts
@@ -7,6 +7,7 @@
 import type {ForwardOutcome} from './forward-outcome.js';
 import type {AnswerHead} from './protocol.js';
 import type {RequestLoad} from './request-load.js';
+import {ownSource} from './upstream-limits.js';
 import type {RequestActivity} from './upstream-tracker.js';
 
 /** Interval and number of checks whether the version of an upstream is certain, as a view that has just fallen behind soon catches up. */
@@ -55,6 +56,10 @@
 	}
 
 	const key = getUpstreamKey(upstream);
+	if (statements.isLeaving && context.view.markLeaving(key, ownSource)) {
+		context.reportExchange.addLeaving(key);
+	}
+
 	context.limits.observe({upstream: key, statement: statements.limit, sentAt: sentAt ?? startedAt});
 	if (status === unavailableStatus) {
 		context.rests.observe({upstream: key, statement: statements.rest, request: call.head.callerRequestId});
--- a/packages/forwarder/src/leaving-upstream.test.ts
+++ b/packages/forwarder/src/leaving-upstream.test.ts
@@ -1,7 +1,11 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect, onTestFinished, test} from 'vitest';
-import {createHostStarter, type AnswerHandler} from './test-deployment.js';
+import {getUpstreamKey} from '@gentianlift/routing';
+import {
+	configuration, createHostStarter, upstreamMark, type AnswerHandler,
+} from './test-deployment.js';
 import {sendRequest} from './testing.js';
+import {startLinkedFleet} from './testing-partition.js';
 
 const start = createHostStarter(onTestFinished);
 
@@ -26,3 +30,42 @@
 	expect(await Promise.race([waiting, sleep(maxNoticeTime, 'held')])).toBe(503);
 	await held;
 });
+
+const sayLeaving: AnswerHandler = (request, response) => {
+	response.writeHead(200, {...upstreamMark, leaving: '1', attempt: request.headers.attempt ?? ''});
+	response.end('ok');
+};
+
+// Guards against: an engine that says that it leaves gets requests until the store says so, too.
+test('an upstream that says that it leaves gets no more requests', async () => {
+	const {host, counts} = await start(sayLeaving);
+	expect(await sendRequest(host.port, {path: '/read/1', headers: {attempt: 'first'}})).toMatchObject({status: 200});
+	expect(await sendRequest(host.port, {path: '/read/1', headers: {attempt: 'second'}})).toMatchObject({status: 503});
+	expect(counts).toEqual([1]);
+});
+
+// Guards against: an engine is left alone for what another one says, which took over its address.
+test('an answer of another upstream than the expected one announces nothing', async () => {
+	const {host, upstreams: [upstream]} = await start((_, response) => {
+		response.writeHead(421, {'not-run': '1', leaving: '1'});
+		response.end();
+	});
+	await sendRequest(host.port, {path: '/read/1', headers: {attempt: 'a'}});
+	expect(host.context.view.isUsable(getUpstreamKey(upstream!))).toBe(true);
+});
+
+// Guards against: each host learns only by its own requests that an engine leaves.
+test('what one host hears of an upstream that leaves, all know', async () => {
+	const {hosts, counts} = await startLinkedFleet({
+		hosts: 3, upstreams: [sayLeaving], configuration, onFinished: onTestFinished,
+	});
+	await sendRequest(hosts[0]!.port, {path: '/read/1', headers: {attempt: 'first'}});
+	for (const {logLines, port} of hosts) {
+		// eslint-disable-next-line no-await-in-loop -- One host after the other.
+		await expect.poll(() => logLines.some(line => line.includes('event=upstream-leaving upstream=u0@1'))).toBe(true);
+		// eslint-disable-next-line no-await-in-loop -- One host after the other.
+		expect(await sendRequest(port, {path: '/read/1', headers: {attempt: 'later'}})).toMatchObject({status: 503});
+	}
+
+	expect(counts).toEqual([1]);
+});
--- a/packages/forwarder/src/request-rest.test.ts
+++ b/packages/forwarder/src/request-rest.test.ts
@@ -3,7 +3,7 @@
 import type {Milliseconds} from '@gentianlift/types';
 import {expect, onTestFinished, test} from 'vitest';
 import {
-	answerOk, createHostStarter, upstreamMark, type AnswerHandler,
+	answerOk, createHostStarter,
 } from './test-deployment.js';
 import {sendRequest} from './testing.js';
 import {createRestingEngine} from './testing-rest.js';
@@ -77,17 +77,3 @@
 		expect(host.context.rests.isResting(getUpstreamKey(upstream!))).toBe(isResting);
 	}
 });
-
-// Guards against: an engine that says that it leaves gets requests until the store says so, too.
-test.fails('an upstream that says that it leaves gets no more requests', async () => {
-	const leaving: AnswerHandler = (request, response) => {
-		response.writeHead(200, {...upstreamMark, leaving: '1', attempt: request.headers.attempt ?? ''});
-		response.end('ok');
-	};
-
-	const deployment = await start(leaving);
-	const [first, ...others] = await sendSteadily(deployment, {interval: 50, duration: 500});
-	expect(first).toMatchObject({status: 200});
-	expect(others.every(({status}) => status === 503)).toBe(true);
-	expect(deployment.counts).toEqual([1]);
-});
--- a/packages/forwarder/src/testing.ts
+++ b/packages/forwarder/src/testing.ts
@@ -134,6 +134,7 @@
 	addStream: () => undefined,
 	addGoodEnd: () => undefined,
 	addLimit: () => undefined,
+	addLeaving: () => undefined,
 	markStopping: () => undefined,
 	getNewestRevision: () => 0,
 	getShortestSilence: () => 0,
--- a/packages/forwarder/src/upstream-limits.ts
+++ b/packages/forwarder/src/upstream-limits.ts
@@ -73,7 +73,7 @@
 /** Maximum number of upstreams whose limits are kept. */
 const maxLimits = 2000;
 /** Source of what answers have told this host itself, in log lines. */
-const ownSource = 'own';
+export const ownSource = 'own';
 /** Maximum number of limits that are repeated at a time. */
 const maxRepeatedNews = 100;
 /** Time for which the end of a limit is repeated to the other hosts. */
