Cut hosts' own links in the soak, and play engines that want rest or leave

Hosts of the soak now run under a script that connects them to links of their own in place of the upstreams' addresses.

New modes of upstreams: resting (503 with Retry-After) and announcing (it leaves, and says so in answers only). Checked by the users' bounds: two requests from half a second on; none two seconds after.

--- a/packages/soak/src/deployment.ts
+++ b/packages/soak/src/deployment.ts
@@ -1,5 +1,7 @@
 import type {Address, Milliseconds} from '@gentianlift/types';
-import type {Call, RequestKind, Execution} from './guarantees.js';
+import type {
+	BoundArrival, Call, RequestKind, Execution,
+} from './guarantees.js';
 import type {Command} from './host-process.js';
 import type {StoreFailureMode, UpstreamFailureMode} from './schedule.js';
 
@@ -8,8 +10,6 @@
 	address: Address;
 	put: (key: string, value: string) => void;
 	remove: (key: string) => void;
-	/** Listens on another IP address, where the values of entries are translated; returns the address. */
-	openView: (ip: string, translate: (value: string) => string) => Promise<Address>;
 	/** Starts a failure mode in place of the current one; undefined ends it. */
 	setFailureMode: (mode: StoreFailureMode | undefined) => void;
 	close: () => void;
@@ -35,12 +35,23 @@
 	onPartCrash: (part: string) => void;
 	/** Called with each request that arrives while the upstream names a limit; `episode` tells the times apart in which it does. */
 	onLimitedArrival: (episode: string) => void;
+	/** Called with each request that arrives while the upstream asks for rest or says that it leaves. */
+	onBoundArrival: (arrival: Pick<BoundArrival, 'kind' | 'episode' | 'attempt'>) => void;
 	/** Called when the upstream stops or resumes to listen. */
 	onListening: (isListening: boolean) => void;
 	/** Opens a link to the address on which the upstream listens; returns the address that hosts connect to. */
 	openLink: (address: Address) => Promise<Address>;
 };
 
+/** Which of a host's own links stands for which upstream: the addresses of both are numbered in the same order, by their last octets. */
+export type LinkAddresses = {
+	/** First three octets. */
+	network: string;
+	firstUpstream: number;
+	count: number;
+	firstLink: number;
+};
+
 /** Options of a host's process. */
 export type HostOptions = {
 	name: string;
@@ -52,6 +63,8 @@
 	knownPeers: string[];
 	/** Time that the host has for a graceful shutdown. */
 	grace: Milliseconds;
+	/** Addresses of the upstreams, and of the links that the host connects to in their place. */
+	links: LinkAddresses;
 	/** Directory for settings and logs. */
 	folder: string;
 };
--- a/packages/soak/src/fake-upstream.ts
+++ b/packages/soak/src/fake-upstream.ts
@@ -3,40 +3,13 @@
 } from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
-import type {Address, Milliseconds} from '@gentianlift/types';
+import type {Milliseconds} from '@gentianlift/types';
 import {
 	eventsPerStream, getBody, getEvent, getVersionedEvent,
 } from './answers.js';
 import type {FakeUpstreamOptions, FakeUpstream} from './deployment.js';
 import type {UpstreamFailureMode} from './schedule.js';
-
-/** Entry of an upstream in the key-value service. */
-export type UpstreamEntry = {service: string; address: Address; id: string; slots: number; isLeaving: boolean; startedAt: number; softwareVersion: string};
-
-/** The parts of a fake upstream that depend on the deployment's protocol. */
-export type UpstreamProtocol = {
-	/** Returns the key of an upstream's entry. */
-	getKey: (id: string) => string;
-	encodeEntry: (entry: UpstreamEntry) => string;
-	/** Returns the id of the upstream that the request is intended for. */
-	getExpectedId: (request: IncomingMessage) => string | undefined;
-	/** Returns the unique id of the request, which its headers carry. */
-	getAttempt: (request: IncomingMessage) => string;
-	isStream: (request: IncomingMessage) => boolean;
-	/** Whether the stream that is requested may be resumed. */
-	isResumable: (request: IncomingMessage) => boolean;
-	/** Returns the number of the event after which a stream is resumed; 0 from its beginning. */
-	getResumeAfter: (request: IncomingMessage) => number;
-	/** Returns the ids of the parts of the request's prompt. */
-	getParts: (request: IncomingMessage) => string[];
-	/** Returns the headers of an answer that names a limit on requests. */
-	getLimitHeaders: (perSecond: number) => Record<string, string>;
-	/** Headers of an answer that states that the request was not executed. */
-	notExecutedHeaders: Record<string, string>;
-	getAnswerHeaders: (id: string, attempt: string) => Record<string, string>;
-	/** Bytes of an unsolicited HTTP answer, sent after a complete one. */
-	unsolicitedAnswer: string;
-};
+import {getModeHeaders, type UpstreamProtocol} from './upstream-protocol.js';
 
 /** Maximum number of requests executed at a time. */
 const slots = 32;
@@ -58,9 +31,6 @@
 export const crashingPartPrefix = 'bad';
 /** Time after which an upstream that a part has crashed is back. */
 const partCrashTime: Milliseconds = 2500;
-/** Requests a second that an upstream names in failure mode `limited`. */
-export const limitedRate = 2;
-
 /** Whether a request is one of the half whose streams are broken off. */
 const isEvenAttempt = (attempt: string): boolean => (attempt.codePointAt(attempt.length - 1) ?? 0) % 2 === 0;
 
@@ -73,7 +43,7 @@
 
 /** Starts a fake upstream and writes its entry into the key-value service. */
 export const startUpstream = async ({
-	service, name, ip, store, onExecute, onPartCrash, onLimitedArrival, onListening, openLink,
+	service, name, ip, store, onExecute, onPartCrash, onLimitedArrival, onBoundArrival, onListening, openLink,
 }: FakeUpstreamOptions, protocol: UpstreamProtocol): Promise<FakeUpstream> => {
 	const idleSince = new WeakMap<Socket, Milliseconds>();
 	let failureMode: UpstreamFailureMode | undefined;
@@ -93,7 +63,7 @@
 	};
 
 	const reject = (response: ServerResponse, status: number): void => {
-		response.writeHead(status, {...protocol.notExecutedHeaders, 'content-length': 0});
+		response.writeHead(status, {...protocol.notExecutedHeaders, ...getModeHeaders(failureMode, protocol), 'content-length': 0});
 		response.end();
 	};
 
@@ -161,7 +131,7 @@
 		}
 
 		response.statusCode = failureMode === 'failing' ? 500 : 200;
-		response.setHeaders(new Map(Object.entries({...protocol.getAnswerHeaders(id, attempt), ...(failureMode === 'limited' && protocol.getLimitHeaders(limitedRate))})));
+		response.setHeaders(new Map(Object.entries({...protocol.getAnswerHeaders(id, attempt), ...getModeHeaders(failureMode, protocol)})));
 		response.useChunkedEncodingByDefault = failureMode !== 'unframed';
 		if (protocol.isStream(request) && response.statusCode === 200) {
 			await writeStream(request, attempt, response);
@@ -187,7 +157,11 @@
 			onLimitedArrival(`${id}/${modeCount}`);
 		}
 
-		if (inFlight >= slots || failureMode === 'full') {
+		if (failureMode === 'resting' || failureMode === 'announcing') {
+			onBoundArrival({kind: failureMode, episode: `${id}/${modeCount}`, attempt: protocol.getAttempt(request)});
+		}
+
+		if (inFlight >= slots || failureMode === 'full' || failureMode === 'resting') {
 			reject(response, 503);
 			return;
 		}
@@ -265,6 +239,9 @@
 			void restart(failureMode === 'crash' ? id : `${name}-${incarnation + 1}`);
 		} else if (failureMode === 'leave') {
 			publishEntry(false);
+		} else if (failureMode === 'announcing') {
+			closeServer();
+			void restart(`${name}-${incarnation + 1}`);
 		}
 	};
 
--- a/packages/soak/src/fleet-guarantees.ts
+++ b/packages/soak/src/fleet-guarantees.ts
@@ -1,7 +1,7 @@
 import type {Milliseconds} from '@gentianlift/types';
-import {limitedRate} from './fake-upstream.js';
+import {limitedRate, restSeconds} from './upstream-protocol.js';
 import {
-	disturbanceAftermath, overlaps, type Call, type Interval, type Observations, type Violation,
+	disturbanceAftermath, overlaps, type BoundArrival, type Call, type Interval, type Observations, type Violation,
 } from './guarantees.js';
 
 /** Time after which hosts have to keep to what they have been told. */
@@ -96,3 +96,36 @@
 		}]
 		: [];
 });
+
+/** Time from an answer that asks for rest on in which requests may have been under way, and how many may come until the rest ends. */
+const restSlack: Milliseconds = 500;
+const maxRestArrivals = 2;
+/** Time after an answer that says that its upstream leaves in which that may still get requests from the host. */
+const drainTime: Milliseconds = 2000;
+
+const countAllowed: Record<BoundArrival['kind'], {from: Milliseconds; to: Milliseconds; most: number}> = {
+	resting: {from: restSlack, to: restSeconds * 1000, most: maxRestArrivals},
+	announcing: {from: drainTime, to: Number.POSITIVE_INFINITY, most: 0},
+};
+
+const describeBound: Record<BoundArrival['kind'], string> = {
+	resting: 'an upstream that asks for rest gets it', announcing: 'an upstream that says that it leaves gets no requests',
+};
+
+/** Finds upstreams that a host which had been undisturbed didn't leave alone, although they had told it to. */
+export const checkBounds = (observations: Observations): Violation[] => {
+	const hosts = new Map(observations.calls.map(({attempt, host}) => [attempt, host]));
+	const getHost = ({attempt}: BoundArrival): number | undefined => hosts.get(attempt);
+	const isIndirect = ({at}: BoundArrival): boolean => observations.partitions.some(partition => overlaps(partition, at - stableTime, at));
+	const judged = observations.boundArrivals.filter(arrival => getHost(arrival) !== undefined && !isIndirect(arrival) && !isDisturbed(getHost(arrival), arrival.at, observations));
+	return judged.flatMap(first => {
+		const {from, to, most} = countAllowed[first.kind];
+		const late = judged.filter(other => other.episode === first.episode && getHost(other) === getHost(first) && other.at > first.at + from && other.at < first.at + to);
+		return late.length > most
+			? [{
+				guarantee: describeBound[first.kind], attempt: late.at(-1)?.attempt ?? first.attempt,
+				detail: `${first.episode}: ${late.length} requests from host ${getHost(first)} after ${first.attempt}`,
+			}]
+			: [];
+	});
+};
--- a/packages/soak/src/fleet.ts
+++ b/packages/soak/src/fleet.ts
@@ -1,6 +1,6 @@
 import type {Address, Milliseconds} from '@gentianlift/types';
 import type {
-	Deployment, HostOptions, FakeStore, FakeUpstream, FakeUpstreamOptions,
+	Deployment, HostOptions, LinkAddresses, FakeStore, FakeUpstream, FakeUpstreamOptions,
 } from './deployment.js';
 import {openLink, type Link} from './link.js';
 import {openHostLinks, type HostLinks} from './host-links.js';
@@ -30,7 +30,7 @@
 /** Options of a fleet. */
 export type FleetOptions = FleetSettings & {
 	/** Listeners to what the upstreams see. */
-	listeners: Pick<FakeUpstreamOptions, 'onExecute' | 'onPartCrash' | 'onLimitedArrival'>;
+	listeners: Pick<FakeUpstreamOptions, 'onExecute' | 'onPartCrash' | 'onLimitedArrival' | 'onBoundArrival'>;
 };
 
 const zones = ['zone-1', 'zone-2'];
@@ -39,7 +39,8 @@
 const firstUpstreamOctet = 100;
 const storeOctet = 2;
 const storeLinkOctet = 3;
-const firstViewOctet = 200;
+const firstLinkOctet = 130;
+const maxOctet = 254;
 const shutdownGracePeriod: Milliseconds = 8000;
 
 /** Called when an upstream stops or resumes to listen. */
@@ -76,11 +77,19 @@
 	}));
 };
 
+/** Returns the addresses of a host's own links; hosts beyond those for which the network has addresses have none. */
+const getLinkAddresses = (network: string, upstreams: number, host: number): LinkAddresses => {
+	const linkedHosts = Math.floor((maxOctet + 1 - firstLinkOctet) / upstreams);
+	return {
+		network, firstUpstream: firstUpstreamOctet, count: host < linkedHosts ? upstreams : 0, firstLink: firstLinkOctet + (host * upstreams),
+	};
+};
+
 const prepareHost = async (options: FleetOptions, {store, upstreams}: Pick<Fleet, 'store' | 'upstreams'>, index: number): Promise<SoakHost> => {
 	const {deployment, network, folder} = options;
-	const upstreamLinks = await openHostLinks(`${network}.${firstViewOctet + index}`, upstreams.map(({link}) => link.address));
-	const view = await store.openView(`${network}.${firstViewOctet + index}`, upstreamLinks.translate);
-	const storeLink = await openLink(`${network}.${storeLinkOctet}`, view);
+	const links = getLinkAddresses(network, upstreams.length, index);
+	const upstreamLinks = await openHostLinks(links, upstreams.slice(0, links.count).map(({link}) => link.address));
+	const storeLink = await openLink(`${network}.${storeLinkOctet}`, store.address);
 	const hostOptions: HostOptions = {
 		name: `host-${index}`,
 		ip: `${network}.${firstHostOctet + index}`,
@@ -88,6 +97,7 @@
 		store: storeLink.address,
 		knownPeers: [`${network}.${firstHostOctet}`, `${network}.${firstHostOctet + 1}`],
 		grace: shutdownGracePeriod,
+		links,
 		folder,
 	};
 	deployment.writeSettings(hostOptions);
--- a/packages/soak/src/guarantees.test.ts
+++ b/packages/soak/src/guarantees.test.ts
@@ -1,6 +1,6 @@
 import {expect, test} from 'vitest';
 import {
-	findViolations, type Call, type Execution, type Observations,
+	findViolations, type BoundArrival, type Call, type Execution, type Observations,
 } from './guarantees.js';
 import {drawSchedule} from './schedule.js';
 
@@ -14,7 +14,7 @@
 });
 
 const find = (changes: Partial<Observations>): string[] => findViolations({
-	calls: [], executions: [], shutdowns: [], disturbances: [], outages: [], partCrashes: [], limitedArrivals: [], partitions: [], ...changes,
+	calls: [], executions: [], shutdowns: [], disturbances: [], outages: [], partCrashes: [], limitedArrivals: [], partitions: [], boundArrivals: [], ...changes,
 }).map(({guarantee}) => guarantee);
 
 test('a request that was executed once and answered violates no guarantee', () => {
@@ -129,3 +129,16 @@
 	expect(find({partitions, calls: [...others, ...send(0, 20, 503), ...send(0, 60, 200)]})).toEqual([]);
 	expect(find({partitions: [{hosts: [0], from: 2000, to: 6000}], calls: [...others, ...send(0, 20, 503)]})).toEqual([]);
 });
+
+test('finds hosts that give an upstream no rest, or send to one that leaves', () => {
+	const calls = Array.from({length: 4}, (_, index) => call({attempt: `b${index}`, host: 1, outcome: {kind: 'answered', status: 200, isOwn: true}}));
+	const arrive = (kind: BoundArrival['kind'], ...times: number[]): BoundArrival[] => times.map((at, index) => ({
+		kind, episode: 'u/1', attempt: `b${index}`, at,
+	}));
+	expect(find({calls, boundArrivals: arrive('resting', 0, 600, 700, 1900)})).toEqual(['an upstream that asks for rest gets it']);
+	expect(find({calls, boundArrivals: arrive('resting', 0, 400, 700, 1900)})).toEqual([]);
+	expect(find({calls, boundArrivals: arrive('resting', 0, 2100, 2200, 2300)})).toEqual([]);
+	expect(find({calls, boundArrivals: arrive('announcing', 0, 1900)})).toEqual([]);
+	expect(find({calls, boundArrivals: arrive('announcing', 0, 2100)})).toEqual(['an upstream that says that it leaves gets no requests']);
+	expect(find({calls, boundArrivals: arrive('announcing', 0, 2100), outages: [{host: 1, from: 500, to: 600}]})).toEqual([]);
+});
--- a/packages/soak/src/guarantees.ts
+++ b/packages/soak/src/guarantees.ts
@@ -1,5 +1,7 @@
 import type {Milliseconds} from '@gentianlift/types';
-import {checkLimits, checkPartCrashes, checkPartitions} from './fleet-guarantees.js';
+import {
+	checkBounds, checkLimits, checkPartCrashes, checkPartitions,
+} from './fleet-guarantees.js';
 
 /** Kinds of requests that a soak's callers send. Callers resume a `resumable` stream when it breaks. */
 export const requestKinds = ['booking', 'lookup', 'stream', 'resumable'] as const;
@@ -44,6 +46,9 @@
 /** A period of time, both ends included. */
 export type Interval = {from: Milliseconds; to: Milliseconds};
 
+/** A request that arrived while its upstream asked for rest or said that it leaves; `episode` tells the times apart in which one does. */
+export type BoundArrival = {kind: 'resting' | 'announcing'; episode: string; attempt: string; at: Milliseconds};
+
 /** Everything recorded in one run, from which violations are found. */
 export type Observations = {
 	calls: Call[];
@@ -56,6 +61,7 @@
 	outages: Array<Interval & {host: number}>;
 	/** Crashes of upstreams on a part of a prompt. */
 	partCrashes: Array<{part: string; at: Milliseconds}>;
+	boundArrivals: BoundArrival[];
 	/** Periods in which the links of hosts to all upstreams were cut. */
 	partitions: Array<Interval & {hosts: readonly number[]}>;
 	/** Arrivals at upstreams that name a limit, by the time in which one does. */
@@ -161,5 +167,5 @@
 		...checkCall(call, executionsByAttempt.get(call.attempt) ?? [], observations).map(violation => ({attempt: call.attempt, ...violation})),
 		...checkResumptions(call, executionsByAttempt),
 	]);
-	return [...violations, ...checkPartCrashes(observations), ...checkLimits(observations), ...checkPartitions(observations)];
+	return [...violations, ...checkPartCrashes(observations), ...checkLimits(observations), ...checkPartitions(observations), ...checkBounds(observations)];
 };
--- a/packages/soak/src/host-links.ts
+++ b/packages/soak/src/host-links.ts
@@ -1,4 +1,5 @@
-import type {Address} from '@gentianlift/types';
+import {splitAddress, type Address} from '@gentianlift/types';
+import type {LinkAddresses} from './deployment.js';
 import {openLink, type Link} from './link.js';
 
 /**
@@ -13,8 +14,6 @@
 
 /** One host's links to all upstreams, behind those that the upstreams share. */
 export type HostLinks = {
-	/** Replaces the addresses of upstreams in an entry of the key-value service by those of this host's links. */
-	translate: (value: string) => string;
 	/** Stops or resumes to listen for an upstream, as that does. */
 	setListening: (upstream: number, isListening: boolean) => void;
 	/** Cuts all links in a mode; undefined opens them. */
@@ -22,9 +21,13 @@
 	close: () => void;
 };
 
-/** Opens links from the IP address to the upstreams' addresses. */
-export const openHostLinks = async (ip: string, upstreams: readonly Address[]): Promise<HostLinks> => {
-	const links = await Promise.all(upstreams.map(async address => openLink(ip, address)));
+/** Returns the arguments with which Node runs a program that connects to a host's own links. */
+export const runLinked = ({network, firstUpstream, count, firstLink}: LinkAddresses, programPath: string): string[] =>
+	['scripts/run-linked-host.js', network, ...[firstUpstream, count, firstLink].map(String), programPath];
+
+/** Opens links to the upstreams' addresses, each on the port of its upstream. */
+export const openHostLinks = async ({network, firstLink}: LinkAddresses, upstreams: readonly Address[]): Promise<HostLinks> => {
+	const links = await Promise.all(upstreams.map(async (address, index) => openLink(`${network}.${firstLink + index}`, address, splitAddress(address).port)));
 	const listening = upstreams.map(() => true);
 	let mode: CutMode | undefined;
 
@@ -33,14 +36,6 @@
 	};
 
 	return {
-		translate(value) {
-			let translated = value;
-			for (const [index, link] of links.entries()) {
-				translated = translated.replaceAll(`"${upstreams[index]}"`, `"${link.address}"`);
-			}
-
-			return translated;
-		},
 		setListening(upstream, isListening) {
 			const link = links[upstream];
 			listening[upstream] = isListening;
--- a/packages/soak/src/kept-cases.ts
+++ b/packages/soak/src/kept-cases.ts
@@ -103,6 +103,22 @@
 			{at: 3000, fault: {kind: 'host-kill', host: 3, down: 300}},
 		],
 	},
+	{
+		seed: 7302,
+		cause: 'An upstream that asked for rest, and one that said that it leaves, got as many requests as before',
+		schedule: [
+			{
+				at: 300, fault: {
+					kind: 'upstream', upstream: 0, mode: 'resting', duration: 4000,
+				},
+			},
+			{
+				at: 300, fault: {
+					kind: 'upstream', upstream: 3, mode: 'announcing', duration: 5000,
+				},
+			},
+		],
+	},
 	{
 		seed: 7301,
 		cause: 'As before, where connections fell silent instead',
--- a/packages/soak/src/link.ts
+++ b/packages/soak/src/link.ts
@@ -73,8 +73,8 @@
 	});
 };
 
-/** Opens a link to the target, on a free port of the given IP address. */
-export const openLink = async (ip: string, target: Address): Promise<Link> => {
+/** Opens a link to the target, on a port of the given IP address; on a free one by default. */
+export const openLink = async (ip: string, target: Address, ownPort = 0): Promise<Link> => {
 	const {host, port} = splitAddress(target);
 	const sockets = new Set<Socket>();
 	let state: LinkState = {kind: 'open'};
@@ -105,11 +105,11 @@
 		}, getState);
 	});
 	await new Promise<void>(resolve => {
-		server.listen(0, ip, resolve);
+		server.listen(ownPort, ip, resolve);
 	});
-	const {port: ownPort} = server.address() as AddressInfo;
+	const {port: listeningPort} = server.address() as AddressInfo;
 	return {
-		address: `${ip}:${ownPort}`,
+		address: `${ip}:${listeningPort}`,
 		setState(next) {
 			state = next;
 			if (next.kind === 'reset') {
@@ -120,7 +120,7 @@
 		},
 		setListening(isListening) {
 			if (isListening && !server.listening) {
-				server.listen(ownPort, ip);
+				server.listen(listeningPort, ip);
 			} else if (!isListening) {
 				server.close();
 			}
--- a/packages/soak/src/run-seed.ts
+++ b/packages/soak/src/run-seed.ts
@@ -44,7 +44,7 @@
 const lookupTimeout: Milliseconds = 1500;
 
 const createObservations = (): Observations => ({
-	calls: [], executions: [], shutdowns: [], disturbances: [], outages: [], partCrashes: [], limitedArrivals: [], partitions: [],
+	calls: [], executions: [], shutdowns: [], disturbances: [], outages: [], partCrashes: [], limitedArrivals: [], partitions: [], boundArrivals: [],
 });
 
 /** Returns whether a host answers requests and serves the newest version of the configuration but not the one before it. */
@@ -111,6 +111,9 @@
 			onPartCrash(part) {
 				observations.partCrashes.push({part, at: clock.monotonic()});
 			},
+			onBoundArrival(arrival) {
+				observations.boundArrivals.push({...arrival, at: clock.monotonic()});
+			},
 			onLimitedArrival(episode) {
 				observations.limitedArrivals.push({episode, at: clock.monotonic()});
 			},
--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -8,8 +8,10 @@
 /** One of `storeFailureModes`. */
 export type StoreFailureMode = typeof storeFailureModes[number];
 
-/** Failure modes of an upstream. After `return-as-other` it restarts under another id, after `crash` under the same one; `mute` executes requests without answering, `extra-bytes` sends an unsolicited answer, `unframed` answers without length or chunks and breaks off half of its streams inside an event, `limited` names a limit on its requests. */
-export const upstreamFailureModes = ['crash', 'return-as-other', 'leave', 'slow', 'extra-bytes', 'truncating', 'full', 'failing', 'mute', 'idle-resets', 'unframed', 'limited'] as const;
+/** Failure modes of an upstream. After `return-as-other` it restarts under another id, after `crash` under the same one; `mute` executes requests without answering, `extra-bytes` sends an unsolicited answer, `unframed` answers without length or chunks and breaks off half of its streams inside an event, `limited` names a limit on its requests, `resting` turns all away and asks for rest, `announcing` says in its answers that it leaves while its entry says nothing, and is back under another id. */
+export const upstreamFailureModes = [
+	'crash', 'return-as-other', 'leave', 'slow', 'extra-bytes', 'truncating', 'full', 'failing', 'mute', 'idle-resets', 'unframed', 'limited', 'resting', 'announcing',
+] as const;
 /** One of `upstreamFailureModes`. */
 export type UpstreamFailureMode = typeof upstreamFailureModes[number];
 
@@ -53,6 +55,9 @@
 const crashingPartTime: Milliseconds = 4000;
 const partitionTime: Milliseconds = 5000;
 
+/** Failure modes that are judged only some seconds after they have begun. */
+const longModes = new Set<UpstreamFailureMode>(['limited', 'announcing']);
+
 const pickItem = <Item>(random: Random, items: readonly [Item, ...Item[]]): Item => random.pick(items) ?? items[0];
 
 const drawDuration = (random: Random): Milliseconds => Math.round(minFaultDuration + (random.next() * (maxFaultDuration - minFaultDuration)));
@@ -75,7 +80,7 @@
 	const drawUpstreamFault = (): Fault => {
 		const mode = pickItem(random, upstreamFailureModes);
 		return {
-			kind: 'upstream', upstream, mode, duration: mode === 'limited' ? duration + limitedTime : duration,
+			kind: 'upstream', upstream, mode, duration: longModes.has(mode) ? duration + limitedTime : duration,
 		};
 	};
 
