Keep all hosts together within what a fragile upstream runs

At times engines say in their answers that they fall over when they have to turn away more than so many requests in a second. Nothing read it, and what all hosts sent at once to one engine was bounded by its connections only.

Cause: as with rest and leaving, a statement of an engine about itself was dropped; and the room at an engine is estimated by each host from load reports, so that several hosts take the same last place.

Change: while an upstream says so, and 5 s after, its slots are divided: as many hosts as it has slots, chosen by a hash, run an equal part of them at a time, so that the fleet never sends more than it runs. What finds no room goes to other upstreams, or waits in the queue.

--- a/packages/discovery/src/load-tracker.ts
+++ b/packages/discovery/src/load-tracker.ts
@@ -18,6 +18,8 @@
 	dropSilentHosts: (now: Milliseconds) => void;
 	/** Returns the prompt tokens of this host's queued requests for the upstream. */
 	getOwnQueuedTokens: (upstream: UpstreamKey) => number;
+	/** Returns the number of this host's requests that run on the upstream. */
+	getOwnRunning: (upstream: UpstreamKey) => number;
 	/** Returns the sum over all hosts. */
 	getTotalLoad: (upstream: UpstreamKey) => UpstreamLoad;
 	/** Removes all load of an upstream that is no longer listed. */
@@ -107,6 +109,7 @@
 			}
 		},
 		getOwnQueuedTokens: upstream => ownLoads.get(upstream)?.queuedTokens ?? 0,
+		getOwnRunning: upstream => ownLoads.get(upstream)?.running ?? 0,
 		getTotalLoad: upstream => totals.get(upstream) ?? zeroTotal,
 		removeUpstream(upstream) {
 			ownLoads.delete(upstream);
--- a/packages/forwarder/src/attempt-record.ts
+++ b/packages/forwarder/src/attempt-record.ts
@@ -60,6 +60,7 @@
 		context.reportExchange.addLeaving(key);
 	}
 
+	context.fragileUpstreams.observe(upstream, statements.rejections);
 	context.limits.observe({upstream: key, statement: statements.limit, sentAt: sentAt ?? startedAt});
 	if (status === unavailableStatus) {
 		context.rests.observe({upstream: key, statement: statements.rest, request: call.head.callerRequestId});
--- a/packages/forwarder/src/context.ts
+++ b/packages/forwarder/src/context.ts
@@ -9,6 +9,7 @@
 	Address, HostId, Milliseconds, Zone,
 } from '@gentianlift/types';
 import type {CrashDetector} from './crash-detector.js';
+import type {FragileUpstreams} from './fragile-upstreams.js';
 import type {HostAgents} from './host-agents.js';
 import type {Protocol} from './protocol.js';
 import type {UpstreamLinks} from './upstream-links.js';
@@ -35,6 +36,8 @@
 	limits: UpstreamLimits;
 	/** Rests that upstreams have asked for. */
 	rests: UpstreamRests;
+	/** Upstreams that bear few rejections. */
+	fragileUpstreams: FragileUpstreams;
 	/** This host's links to the upstreams. */
 	links: UpstreamLinks;
 	/** Connections for calls that are forwarded to other hosts. */
--- a/packages/forwarder/src/protocol.ts
+++ b/packages/forwarder/src/protocol.ts
@@ -41,7 +41,7 @@
 	bodyLength: number;
 };
 
-/** What an answer says of the requests that its upstream takes from all hosts together; `malformed` is a mistake of the upstream, which says nothing. */
+/** A number a second that an answer names of its upstream, as of the requests that this takes from all hosts together; `malformed` is a mistake of the upstream, which says nothing. */
 export type LimitStatement = {kind: 'none'} | {kind: 'malformed'; text: string} | {kind: 'limit'; perSecond: number};
 
 /** For how long an upstream that has turned a request away wants none from this host; `malformed` is a mistake of the upstream, which says nothing. */
@@ -51,6 +51,8 @@
 export type UpstreamStatements = {
 	limit: LimitStatement;
 	rest: RestStatement;
+	/** Rejections a second above which the upstream falls over. */
+	rejections: LimitStatement;
 	/** Whether the upstream says that it is about to stop. */
 	isLeaving: boolean;
 };
--- a/packages/forwarder/src/simulated-host.ts
+++ b/packages/forwarder/src/simulated-host.ts
@@ -14,6 +14,7 @@
 import type {ForwarderContext} from './context.js';
 import {createSoleLimits} from './testing-sole-limits.js';
 import {createSoleLinks} from './testing-sole-links.js';
+import {createFragileUpstreams} from './fragile-upstreams.js';
 import {createUpstreamRests} from './upstream-rests.js';
 import {createUpstreamTracker} from './upstream-tracker.js';
 import {buildTestCall, buildTestPrompt} from './testing-call.js';
@@ -83,6 +84,9 @@
 		},
 	};
 	const limits = createSoleLimits(clock, logger);
+	const fragileUpstreams = createFragileUpstreams({
+		clock, logger, loads, countHosts: () => 1, isAmongChosenHosts: () => true,
+	});
 	const rests = createUpstreamRests({clock, random: createRandom(1), logger});
 	const context = {
 		clock,
@@ -95,9 +99,10 @@
 		reportExchange,
 		limits,
 		rests,
+		fragileUpstreams,
 		links: createSoleLinks(clock, view),
 		tracker: createUpstreamTracker({
-			clock, logger, loads, limits, rests, getService: view.getService,
+			clock, logger, loads, limits, rests, fragileUpstreams, getService: view.getService,
 		}),
 		suspects: createCrashSuspects(),
 		retryLimit: {ratio: 0.2, minimum: 54, window: 10_000},
--- a/packages/forwarder/src/start-host.ts
+++ b/packages/forwarder/src/start-host.ts
@@ -14,6 +14,7 @@
 import {createCrashDetector} from './crash-detector.js';
 import {findReachingHosts} from './find-reaching-hosts.js';
 import {createForwarder} from './forward.js';
+import {createFragileUpstreams} from './fragile-upstreams.js';
 import {createHostAgents} from './host-agents.js';
 import {listen} from './listen.js';
 import type {Protocol} from './protocol.js';
@@ -118,8 +119,11 @@
 		},
 	});
 	const rests = createUpstreamRests({clock, random, logger});
+	const fragileUpstreams = createFragileUpstreams({
+		clock, logger, loads, countHosts: () => fleet.countHosts(), isAmongChosenHosts: (key, count) => fleet.isAmongChosenHosts(key, count),
+	});
 	const tracker = createUpstreamTracker({
-		clock, logger, loads, limits, rests, getService: upstream => fleet.view.getService(upstream),
+		clock, logger, loads, limits, rests, fragileUpstreams, getService: upstream => fleet.view.getService(upstream),
 	});
 	const suspects = createCrashSuspects();
 	const streamOrigins = createStreamOrigins();
@@ -156,6 +160,7 @@
 			tracker.remove(upstream);
 			limits.remove(upstream);
 			rests.remove(upstream);
+			fragileUpstreams.remove(upstream);
 		},
 		onLeaving: tracker.retire,
 	});
@@ -191,6 +196,7 @@
 		tracker,
 		limits,
 		rests,
+		fragileUpstreams,
 		links,
 		hostAgents: createHostAgents(),
 		getHostAddresses: () => fleet.getAvailableOthers().map(({peers}) => peers),
--- a/packages/forwarder/src/testing-fleet.ts
+++ b/packages/forwarder/src/testing-fleet.ts
@@ -106,7 +106,7 @@
 	const limits = createSoleLimits(clock, createSilentLogger());
 	const rests = createUpstreamRests({clock, random: createRandom(seed), logger: createSilentLogger()});
 	const tracker = createUpstreamTracker({
-		clock, logger: createSilentLogger(), loads, limits, rests, getService: view.getService,
+		clock, logger: createSilentLogger(), loads, limits, rests, fragileUpstreams: {hasRoom: () => true}, getService: view.getService,
 	});
 	const reportExchange = createReportExchange(options, loads, report => {
 		send({sender: host, ...report});
--- a/packages/forwarder/src/testing-send.ts
+++ b/packages/forwarder/src/testing-send.ts
@@ -12,7 +12,9 @@
 	readAnswerHead: (status, headers) => ({
 		status,
 		callerRequestId: headers.includes('Attempt') ? headers[headers.indexOf('Attempt') + 1] : undefined,
-		statements: {limit: {kind: 'none'}, rest: {kind: 'none'}, isLeaving: false},
+		statements: {
+			limit: {kind: 'none'}, rest: {kind: 'none'}, rejections: {kind: 'none'}, isLeaving: false,
+		},
 		isNotExecuted: status === 421,
 		hasUpstreamMark: true,
 		isEventStream: false,
--- a/packages/forwarder/src/testing.ts
+++ b/packages/forwarder/src/testing.ts
@@ -23,6 +23,7 @@
 import {createHostAgents} from './host-agents.js';
 import {createSoleLimits} from './testing-sole-limits.js';
 import {createSoleLinks} from './testing-sole-links.js';
+import {createFragileUpstreams} from './fragile-upstreams.js';
 import {createUpstreamRests} from './upstream-rests.js';
 import {createUpstreamTracker} from './upstream-tracker.js';
 import {createViewFreshness} from './view-freshness.js';
@@ -96,6 +97,7 @@
 		statements: {
 			limit: parseRequestLimit(getValues(getFields(headers), 'limit')),
 			rest: parseRest(getValues(getFields(headers), 'retry-after'), Date.now()),
+			rejections: parseRequestLimit(getValues(getFields(headers), 'fragile')),
 			isLeaving: getValue(headers, 'leaving') === '1',
 		},
 		isNotExecuted: getValue(headers, 'not-run') !== undefined,
@@ -191,6 +193,9 @@
 	};
 
 	const limits = createSoleLimits(clock, logger);
+	const fragileUpstreams = createFragileUpstreams({
+		clock, logger, loads, countHosts: () => 1, isAmongChosenHosts: () => true,
+	});
 	const rests = createUpstreamRests({clock, random: createRandom(1), logger});
 	const links = createSoleLinks(clock, view);
 	const context: ForwarderContext = {
@@ -206,11 +211,12 @@
 		reportExchange,
 		limits,
 		rests,
+		fragileUpstreams,
 		links,
 		hostAgents: createHostAgents(),
 		getHostAddresses: () => [],
 		tracker: createUpstreamTracker({
-			clock, logger, loads, limits, rests, getService: view.getService,
+			clock, logger, loads, limits, rests, fragileUpstreams, getService: view.getService,
 		}),
 		suspects: createCrashSuspects(),
 		crashDetector: createCrashDetector(clock, links.isReachedByOthers),
--- a/packages/forwarder/src/upstream-tracker.ts
+++ b/packages/forwarder/src/upstream-tracker.ts
@@ -9,6 +9,7 @@
 } from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
 import {buildCandidates, type CandidateQuery, type ObservedService} from './observed-service.js';
+import type {FragileUpstreams} from './fragile-upstreams.js';
 import type {UpstreamLimits} from './upstream-limits.js';
 import type {UpstreamRests} from './upstream-rests.js';
 import {idleTimeouts, UpstreamAgent} from './upstream-agent.js';
@@ -57,6 +58,8 @@
 	loads: LoadTracker;
 	/** Limits that upstreams have named. */
 	limits: Pick<UpstreamLimits, 'isLimited' | 'hasPermit'>;
+	/** Upstreams that bear few rejections. */
+	fragileUpstreams: Pick<FragileUpstreams, 'hasRoom'>;
 	/** Rests that upstreams have asked for. */
 	rests: Pick<UpstreamRests, 'isResting'>;
 	/** Returns the service that an upstream runs; undefined while the upstream isn't listed. */
@@ -116,7 +119,7 @@
 
 /** Creates a tracker without state. */
 export const createUpstreamTracker = ({
-	clock, logger, loads, limits, rests, getService,
+	clock, logger, loads, limits, rests, fragileUpstreams, getService,
 }: UpstreamTrackerOptions): UpstreamTracker => {
 	const states = new Map<UpstreamKey, UpstreamState>();
 	const reservations = new Map<string, Reservation>();
@@ -179,6 +182,10 @@
 		return chooseReservedUpstreams(upstreams.filter(upstream => !isRestricted(getUpstreamKey(upstream))), reservation.count);
 	};
 
+	/** Whether this host may send a request to an upstream now, by what that has said of itself. */
+	const hasPermit = (upstream: UpstreamKey): boolean =>
+		limits.hasPermit(upstream) && !rests.isResting(upstream) && fragileUpstreams.hasRoom(upstream);
+
 	const retire = (key: UpstreamKey): void => {
 		const state = states.get(key);
 		state?.agent.retire();
@@ -225,7 +232,7 @@
 				prefillRate: getMedian(usableStates.map(({prefillRate}) => prefillRate.get())) ?? defaultPrefillRate,
 			};
 		},
-		getCandidates: query => buildCandidates({...query, hasPermit: upstream => limits.hasPermit(upstream) && !rests.isResting(upstream)}, loads),
+		getCandidates: query => buildCandidates({...query, hasPermit}, loads),
 		recordPrefill(upstream, prompt) {
 			getCache(upstream).add(prompt);
 		},
