--- /dev/null
+++ b/packages/forwarder/src/create-context.ts
@@ -0,0 +1,169 @@
+import {createRandom} from '@gentianlift/clock';
+import {
+	createLoadTracker, hostSilenceTimeout, joinFleet, type Fleet, type HostRecord, type ReportArrival,
+} from '@gentianlift/discovery';
+import {createMetrics, type Metrics} from '@gentianlift/metrics';
+import {
+	createCrashSuspects, createStreamOrigins, createVersionHistory, streamLifetime,
+} from '@gentianlift/routing';
+import type {Milliseconds} from '@gentianlift/types';
+import {probeConnection} from './connection-probe.js';
+import type {ForwarderContext} from './context.js';
+import {createCrashDetector} from './crash-detector.js';
+import {findReachingHosts} from './find-reaching-hosts.js';
+import {createFragileUpstreams} from './fragile-upstreams.js';
+import {createHostAgents} from './host-agents.js';
+import type {HostDependencies, HostSettings} from './host-settings.js';
+import {getRandomSeed} from './random-seed.js';
+import {canAcceptRequest} from './stop-host.js';
+import {createUpstreamLimits} from './upstream-limits.js';
+import {createUpstreamLinks, type UpstreamLinks} from './upstream-links.js';
+import {createUpstreamRests} from './upstream-rests.js';
+import {createUpstreamTracker} from './upstream-tracker.js';
+import {createViewFreshness} from './view-freshness.js';
+
+/** State of a graceful shutdown; `since` is undefined until it begins. */
+export type Shutdown = {since: Milliseconds | undefined; gracePeriod: Milliseconds};
+
+/** Longest time to establish a connection that tests a link. */
+const linkProbeTimeout: Milliseconds = 400;
+
+const buildHostRecord = (settings: HostSettings, incarnation: number): HostRecord => ({
+	host: settings.host,
+	incarnation,
+	zone: settings.zone,
+	callers: settings.callers,
+	peers: settings.peers,
+	notes: settings.loadReports,
+	strength: settings.capacity,
+	isStopping: false,
+});
+
+const recordReportArrival = (metrics: Metrics, {outcome, age}: ReportArrival): void => {
+	metrics.count('reports_total', {outcome});
+	if (age !== undefined) {
+		metrics.record('report_age', age);
+	}
+};
+
+/** What a host's links are created from. */
+type LinkParts = Pick<HostDependencies, 'clock' | 'logger'> & Pick<ForwarderContext, 'random' | 'tracker'> & {fleet: Fleet; onLoad: () => void};
+
+const createLinks = ({zone}: HostSettings, {
+	clock, logger, random, fleet, tracker, onLoad,
+}: LinkParts): UpstreamLinks => createUpstreamLinks({
+	clock,
+	random,
+	logger,
+	zone,
+	getUpstreams: fleet.view.getUpstreams,
+	probe: async ({address}) => await probeConnection(address, linkProbeTimeout, clock) === 'established',
+	findReachingHosts: async query => findReachingHosts(query, {fleet, clock, random}),
+	isSilent: host => fleet.reportExchange.getSilence(host) > hostSilenceTimeout,
+	onChange(upstreams) {
+		for (const upstream of upstreams) {
+			tracker.closeIdleConnections(upstream);
+		}
+
+		onLoad();
+	},
+	onReached: tracker.recordReachable,
+});
+
+/** Joins the fleet and creates the dependencies that the forwarder's modules share. */
+export const createContext = (settings: HostSettings, dependencies: HostDependencies, shutdown: Shutdown, onLoad: () => void): {context: ForwarderContext; fleet: Fleet} => {
+	const {
+		clock, logger, store, decode, protocol,
+	} = dependencies;
+	const random = createRandom(getRandomSeed(settings.host, clock.now()));
+	const metrics = createMetrics();
+	const loads = createLoadTracker();
+	const limits = createUpstreamLimits({
+		clock,
+		logger,
+		countHosts: () => fleet.countHosts(),
+		isAmongChosenHosts: (key, count) => fleet.isAmongChosenHosts(key, count),
+		announce(news) {
+			fleet.reportExchange.addLimit(news);
+		},
+	});
+	const rests = createUpstreamRests({clock, random, logger});
+	const fragileUpstreams = createFragileUpstreams({
+		clock, logger, loads, countHosts: () => fleet.countHosts(), isAmongChosenHosts: (key, count) => fleet.isAmongChosenHosts(key, count),
+	});
+	const tracker = createUpstreamTracker({
+		clock, logger, loads, limits, rests, fragileUpstreams, getService: upstream => fleet.view.getService(upstream),
+	});
+	const suspects = createCrashSuspects();
+	const streamOrigins = createStreamOrigins();
+	const versions = createVersionHistory(streamLifetime);
+	const isStopping = (): boolean => shutdown.since !== undefined;
+	const fleet = joinFleet({
+		record: buildHostRecord(settings, clock.now()),
+		knownPeers: settings.knownPeers,
+		store,
+		decode,
+		clock,
+		random,
+		logger,
+		loads,
+		suspects,
+		isStopping,
+		onLoad,
+		onPrefill({upstream, model, parts}) {
+			tracker.recordPrefill(upstream, {model, parts});
+		},
+		onStream(stream) {
+			streamOrigins.add(stream, clock.monotonic());
+		},
+		getLimits: limits.getNews,
+		onLimit: limits.applyNews,
+		onReport(arrival) {
+			recordReportArrival(metrics, arrival);
+		},
+		onListed(upstream) {
+			versions.list(upstream, clock.monotonic());
+		},
+		onRemoved(upstream) {
+			versions.remove(upstream, clock.monotonic());
+			tracker.remove(upstream);
+			limits.remove(upstream);
+			rests.remove(upstream);
+			fragileUpstreams.remove(upstream);
+		},
+		onLeaving: tracker.retire,
+	});
+	const links = createLinks(settings, {
+		clock, logger, random, fleet, tracker, onLoad,
+	});
+	const context: ForwarderContext = {
+		clock,
+		random,
+		logger,
+		metrics,
+		protocol,
+		host: settings.host,
+		zone: settings.zone,
+		view: fleet.view,
+		freshness: createViewFreshness({clock, view: fleet.view, reportExchange: fleet.reportExchange}, fleet.refresh),
+		reportExchange: fleet.reportExchange,
+		tracker,
+		limits,
+		rests,
+		fragileUpstreams,
+		links,
+		hostAgents: createHostAgents(),
+		getHostAddresses: () => fleet.getAvailableOthers().map(({peers}) => peers),
+		suspects,
+		crashDetector: createCrashDetector(clock, links.isReachedByOthers),
+		streamOrigins,
+		versions,
+		askForStreamOrigin: fleet.askForStreamOrigin,
+		retryLimit: {...settings.retryLimit},
+		countHosts: fleet.countHosts,
+		isTrialHost: suspect => fleet.isAmongChosenHosts(suspect, 1),
+		isStopping,
+		canAccept: timeout => shutdown.since === undefined || canAcceptRequest(clock.monotonic() - shutdown.since, shutdown.gracePeriod, timeout),
+	};
+	return {context, fleet};
+};
--- /dev/null
+++ b/packages/forwarder/src/host-settings.ts
@@ -0,0 +1,39 @@
+import type {Clock} from '@gentianlift/clock';
+import type {DecodedEntry, FleetStore} from '@gentianlift/discovery';
+import type {Logger} from '@gentianlift/logger';
+import type {RetryLimit} from '@gentianlift/routing';
+import type {
+	Address, Entry, HostId, Milliseconds, Zone,
+} from '@gentianlift/types';
+import type {Protocol} from './protocol.js';
+
+/** Settings of a host. */
+export type HostSettings = {
+	host: HostId;
+	zone: Zone;
+	/** Processing capacity of the host, in cores of standard speed. */
+	capacity: number;
+	/** Address on which callers' requests are received. */
+	callers: Address;
+	/** Address on which other hosts' requests are received. */
+	peers: Address;
+	/** UDP address on which load reports of other hosts are received. */
+	loadReports: Address;
+	/** Peer addresses of some other hosts, which may be gone. */
+	knownPeers: Address[];
+	/** Grace period between the signal to stop and the kill of the process. */
+	gracePeriod: Milliseconds;
+	/** Time to live of a list of addresses that callers were given; capped at `maxAddressListTtl`. */
+	addressTtl: Milliseconds;
+	retryLimit: RetryLimit;
+};
+
+/** Dependencies of a host, apart from its settings. */
+export type HostDependencies = {
+	clock: Clock;
+	logger: Logger;
+	store: FleetStore;
+	/** Decodes an entry that was written by operators or by an upstream. */
+	decode: (entry: Entry) => DecodedEntry;
+	protocol: Protocol;
+};
--- a/packages/forwarder/src/index.ts
+++ b/packages/forwarder/src/index.ts
@@ -8,5 +8,6 @@
 export * from './stop-host.js';
 export type * from './context.js';
 export * from './upstream-tracker.js';
+export type * from './host-settings.js';
 export * from './listen.js';
 export * from './start-host.js';
--- a/packages/forwarder/src/serve-callers.ts
+++ b/packages/forwarder/src/serve-callers.ts
@@ -1,5 +1,5 @@
 import {
-	createServer, type IncomingMessage, type RequestListener, type Server, type ServerResponse,
+	createServer, type RequestListener, type Server,
 } from 'node:http';
 import type {Socket} from 'node:net';
 import {
@@ -9,10 +9,11 @@
 import type {Milliseconds} from '@gentianlift/types';
 import {createCall} from './call.js';
 import type {Forwarder} from './forward.js';
-import {decodeForwardedCall, type ForwardedCall} from './forwarded-call.js';
+import {decodeForwardedCall} from './forwarded-call.js';
 import {writeErrorAnswer, type ErrorAnswer} from './error-answer.js';
 import type {CallerHead} from './protocol.js';
 import {readBody, type Body} from './read-body.js';
+import {getForwardedResumption, getForwardedService, type ReceivedRequest} from './received-request.js';
 import type {ForwarderContext} from './context.js';
 import {createResumptionResolver, type Resumption} from './resumption.js';
 
@@ -36,29 +37,9 @@
 	= | {kind: 'admitted'; table: RouteTable; route: Route; service: string; customer: ConfiguredCustomer | undefined}
 		| {kind: 'refused'; error: Extract<ErrorKind, 'not-configured' | 'host-overloaded' | 'host-stopping' | 'unknown-path' | 'wrong-key' | 'missing-key'>};
 
-/** A request that a caller has sent to this host, or that another host forwards. */
-type ReceivedRequest = {
-	request: IncomingMessage;
-	response: ServerResponse;
-	/** Path with query, as the caller sent it. */
-	target: string;
-	/** What the other host tells of it; undefined for a request of a caller. */
-	forwarded: ForwardedCall | undefined;
-};
-
 /** Errors that come from the state of this host, not from the request. */
 const hostFaults = new Set<ErrorKind>(['not-configured', 'host-overloaded', 'host-stopping']);
 
-/** Returns the service that the other host has chosen for a call, if the route leads there here, too. */
-const getForwardedService = (forwarded: ForwardedCall | undefined, {destinations}: Route): string | undefined =>
-	destinations.find(({service}) => service === forwarded?.service)?.service;
-
-/** Returns what a forwarded call resumes, or that its route no longer leads to the service that began the stream. */
-const getForwardedResumption = (service: string, softwareVersion: string, {destinations}: Route): Resumption =>
-	destinations.some(destination => destination.service === service)
-		? {kind: 'resumed', origin: {service, softwareVersion}}
-		: {kind: 'refused', error: {kind: 'stream-version-gone'}};
-
 /** Size of headers above which Node rejects a request before the configured limit applies. */
 const maxHeaderBytes = 64 * 1024;
 /** Time for which a connection is kept open beyond the configured idle timeout. */
--- a/packages/forwarder/src/testing-partition.ts
+++ b/packages/forwarder/src/testing-partition.ts
@@ -6,7 +6,8 @@
 import {createLogger} from '@gentianlift/logger';
 import type {RoutingConfiguration, Upstream} from '@gentianlift/routing';
 import type {Entry, Milliseconds} from '@gentianlift/types';
-import {startHost, type Host, type HostSettings} from './start-host.js';
+import type {HostSettings} from './host-settings.js';
+import {startHost, type Host} from './start-host.js';
 import {sum, upstreamMark, type AnswerHandler} from './test-deployment.js';
 import {
 	protocol, sendRequest, startUpstream, type TestAnswer,
