--- a/packages/forwarder/src/call-end.ts
+++ b/packages/forwarder/src/call-end.ts
@@ -3,7 +3,7 @@
 import type {Call, Progress} from './call.js';
 import type {ForwarderContext} from './context.js';
 import type {ForwardOutcome} from './forward-outcome.js';
-import type {LimitStatement, RestStatement} from './protocol.js';
+import type {RateStatement, RestStatement} from './protocol.js';
 import {getReceivedAnswer} from './received-answer.js';
 
 /**
@@ -39,9 +39,9 @@
 };
 
 /** Returns what an answer has said of its upstream's limit, for a log line; undefined for nothing. */
-const describeLimit = (statement: LimitStatement | undefined): string | undefined => {
+const describeLimit = (statement: RateStatement | undefined): string | undefined => {
 	switch (statement?.kind) {
-		case 'limit': {
+		case 'rate': {
 			return String(statement.perSecond);
 		}
 
--- a/packages/forwarder/src/fragile-upstreams.test.ts
+++ b/packages/forwarder/src/fragile-upstreams.test.ts
@@ -41,7 +41,7 @@
 	const {running, fragile} = create();
 	running.count = 100;
 	expect(fragile.hasRoom(key)).toBe(true);
-	fragile.observe(upstream, {kind: 'limit', perSecond: 3});
+	fragile.observe(upstream, {kind: 'rate', perSecond: 3});
 	running.count = 0;
 	expect(countRoom(fragile, running)).toBe(2);
 });
@@ -51,7 +51,7 @@
 	for (const hosts of [1, 4, 7, 75]) {
 		const shares = Array.from({length: hosts}, (_, index) => {
 			const {running, fragile} = create(hosts, index);
-			fragile.observe(upstream, {kind: 'limit', perSecond: 3});
+			fragile.observe(upstream, {kind: 'rate', perSecond: 3});
 			return countRoom(fragile, running);
 		});
 		const total = shares.reduce((sum, share) => sum + share, 0);
@@ -63,7 +63,7 @@
 // Guards against: one answer without the header, or with another value, lets hosts overrun the engine at once; or they hold back for ever.
 test('an upstream counts as fragile until it has not said so for some seconds', async () => {
 	const {clock, running, fragile} = create();
-	fragile.observe(upstream, {kind: 'limit', perSecond: 3});
+	fragile.observe(upstream, {kind: 'rate', perSecond: 3});
 	fragile.observe(upstream, {kind: 'none'});
 	fragile.observe(upstream, {kind: 'malformed', text: 'few'});
 	running.count = 2;
--- a/packages/forwarder/src/fragile-upstreams.ts
+++ b/packages/forwarder/src/fragile-upstreams.ts
@@ -3,12 +3,12 @@
 import type {Logger} from '@gentianlift/logger';
 import {getUpstreamKey, type Upstream, type UpstreamKey} from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
-import type {LimitStatement} from './protocol.js';
+import type {RateStatement} from './protocol.js';
 
 /** Upstreams that say that they fall over when they have to reject too many requests in a second. All hosts together keep within the requests that such an upstream runs at a time. */
 export type FragileUpstreams = {
 	/** Records what an answer says of the rejections that its upstream bears. */
-	observe: (upstream: Upstream, statement: LimitStatement) => void;
+	observe: (upstream: Upstream, statement: RateStatement) => void;
 	/** Whether this host may send another request to an upstream, by its share of the requests that a fragile one runs; always for one that isn't. */
 	hasRoom: (upstream: UpstreamKey) => boolean;
 	/** Forgets an incarnation of an upstream that is no longer listed. */
@@ -52,7 +52,7 @@
 		observe(upstream, statement) {
 			const key = getUpstreamKey(upstream);
 			switch (statement.kind) {
-				case 'limit': {
+				case 'rate': {
 					if (findFragile(key) === undefined) {
 						logger.info('upstream-fragile', {upstream: key, rejections: statement.perSecond, share: getShare(key, upstream.slots)});
 					}
--- a/packages/forwarder/src/index.ts
+++ b/packages/forwarder/src/index.ts
@@ -1,6 +1,6 @@
 export * from './crash-detector.js';
 export * from './forward.js';
-export * from './parse-request-limit.js';
+export * from './parse-rate.js';
 export * from './parse-rest.js';
 export type * from './protocol.js';
 export * from './raw-headers.js';
--- a/packages/forwarder/src/protocol.ts
+++ b/packages/forwarder/src/protocol.ts
@@ -41,18 +41,19 @@
 	bodyLength: number;
 };
 
-/** A number a second that an answer names of its upstream, as of the requests that this takes from all hosts together; `malformed` is a mistake of the upstream, which says nothing. */
-export type LimitStatement = {kind: 'none'} | {kind: 'malformed'; text: string} | {kind: 'limit'; perSecond: number};
+/** A number a second that an answer names of its upstream; `malformed` is a mistake of the upstream, which says nothing. */
+export type RateStatement = {kind: 'none'} | {kind: 'malformed'; text: string} | {kind: 'rate'; perSecond: number};
 
 /** For how long an upstream that has turned a request away wants none from this host; `malformed` is a mistake of the upstream, which says nothing. */
 export type RestStatement = {kind: 'none'} | {kind: 'malformed'; text: string} | {kind: 'rest'; duration: Milliseconds};
 
 /** What an answer says of its upstream, besides what it answers. */
 export type UpstreamStatements = {
-	limit: LimitStatement;
+	/** Requests a second that the upstream takes from all hosts together. */
+	limit: RateStatement;
 	rest: RestStatement;
 	/** Rejections a second above which the upstream falls over. */
-	rejections: LimitStatement;
+	rejections: RateStatement;
 	/** Whether the upstream says that it is about to stop. */
 	isLeaving: boolean;
 };
--- a/packages/forwarder/src/testing-limit-day.ts
+++ b/packages/forwarder/src/testing-limit-day.ts
@@ -90,7 +90,7 @@
 	arrivals.push(sentAt);
 	clock.after(answerTime, () => {
 		const isLimited = clock.monotonic() < (options.endsAt ?? Number.POSITIVE_INFINITY);
-		hosts[index]!.observe({upstream, statement: isLimited ? {kind: 'limit', perSecond: options.limit} : {kind: 'none'}, sentAt});
+		hosts[index]!.observe({upstream, statement: isLimited ? {kind: 'rate', perSecond: options.limit} : {kind: 'none'}, sentAt});
 	});
 };
 
--- a/packages/forwarder/src/testing.ts
+++ b/packages/forwarder/src/testing.ts
@@ -14,7 +14,7 @@
 } from '@gentianlift/routing';
 import {createCrashDetector} from './crash-detector.js';
 import {createForwarder, type Forwarder} from './forward.js';
-import {parseRequestLimit} from './parse-request-limit.js';
+import {parseRate} from './parse-rate.js';
 import {parseRest} from './parse-rest.js';
 import type {Protocol, RawHeaders} from './protocol.js';
 import {getFields, getValues, selectEndToEnd} from './raw-headers.js';
@@ -95,9 +95,9 @@
 		status,
 		callerRequestId: getValue(headers, 'attempt'),
 		statements: {
-			limit: parseRequestLimit(getValues(getFields(headers), 'limit')),
+			limit: parseRate(getValues(getFields(headers), 'limit')),
 			rest: parseRest(getValues(getFields(headers), 'retry-after'), Date.now()),
-			rejections: parseRequestLimit(getValues(getFields(headers), 'fragile')),
+			rejections: parseRate(getValues(getFields(headers), 'fragile')),
 			isLeaving: getValue(headers, 'leaving') === '1',
 		},
 		isNotExecuted: getValue(headers, 'not-run') !== undefined,
--- a/packages/forwarder/src/upstream-limits.test.ts
+++ b/packages/forwarder/src/upstream-limits.test.ts
@@ -26,7 +26,7 @@
 };
 
 const name = ({limits, clock}: Fixture, perSecond: number): void => {
-	limits.observe({upstream, statement: {kind: 'limit', perSecond}, sentAt: clock.monotonic()});
+	limits.observe({upstream, statement: {kind: 'rate', perSecond}, sentAt: clock.monotonic()});
 };
 
 const countSends = async ({limits, clock}: Fixture, seconds: number): Promise<number> => {
@@ -89,7 +89,7 @@
 test('only an answer to a later request ends a limit, and older news of other hosts changes nothing', async () => {
 	const {limits, clock} = start();
 	await clock.advance(1000);
-	limits.observe({upstream, statement: {kind: 'limit', perSecond: 2}, sentAt: 1900});
+	limits.observe({upstream, statement: {kind: 'rate', perSecond: 2}, sentAt: 1900});
 	limits.observe({upstream, statement: {kind: 'none'}, sentAt: 1900});
 	expect(limits.isLimited(upstream)).toBe(true);
 	limits.applyNews({upstream, limit: 50, age: 500}, 'h');
--- a/packages/forwarder/src/upstream-limits.ts
+++ b/packages/forwarder/src/upstream-limits.ts
@@ -4,7 +4,7 @@
 	countLimitHosts, createPermits, getLimitShare, getTimeToPermits, refillPermits, type LimitNews, type Permits, type RequestLimit, type UpstreamKey,
 } from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
-import type {LimitStatement} from './protocol.js';
+import type {RateStatement} from './protocol.js';
 
 /** A call's claim on a permit of a limited upstream, from the choice of the upstream until the call is sent or has ended. */
 export type PermitClaim = {
@@ -17,7 +17,7 @@
 /** An answer of an upstream, as far as it concerns the upstream's limit. */
 export type LimitObservation = {
 	upstream: UpstreamKey;
-	statement: LimitStatement;
+	statement: RateStatement;
 	/** When the request was sent; an answer without a limit ends only one that was named before. */
 	sentAt: Milliseconds;
 };
@@ -171,7 +171,7 @@
 			const known = states.get(upstream);
 			const now = clock.monotonic();
 			switch (statement.kind) {
-				case 'limit': {
+				case 'rate': {
 					if (setLimit(upstream, statement.perSecond, now, ownSource)) {
 						announce({upstream, limit: statement.perSecond, age: 0});
 					}
