--- a/packages/forwarder/src/forwarding-hosts.ts
+++ b/packages/forwarder/src/forwarding-hosts.ts
@@ -17,7 +17,12 @@
 export const createForwardedLoads = (): ForwardedLoads => {
 	const counts = new Map<HostId, number>();
 	const add = (host: HostId, change: number): void => {
-		counts.set(host, (counts.get(host) ?? 0) + change);
+		const count = (counts.get(host) ?? 0) + change;
+		if (count === 0) {
+			counts.delete(host);
+		} else {
+			counts.set(host, count);
+		}
 	};
 
 	return {
--- a/packages/forwarder/src/upstream-links.ts
+++ b/packages/forwarder/src/upstream-links.ts
@@ -217,12 +217,13 @@
 				return reachesAny(upstreams.filter(other => getUpstreamKey(other) === upstream));
 			}
 
-			const links = getLinks(service);
-			if (links.isCut) {
+			const links = services.get(service);
+			if (links?.isCut === true || upstreams.length === 0) {
 				return false;
 			}
 
-			return clock.monotonic() - links.contactAt < contactLifetime || reachesAny(pickSome(upstreams, firstProbes, random));
+			const contactAt = links?.contactAt ?? Number.NEGATIVE_INFINITY;
+			return clock.monotonic() - contactAt < contactLifetime || reachesAny(pickSome(upstreams, firstProbes, random));
 		},
 		async isReachedByOthers(upstream) {
 			const hosts = await findReachingHosts({service: upstream.service, upstream: getUpstreamKey(upstream)});
