Count messages that arrive while a host is suspended

Cause: timers that came due during a suspension fire before the sockets are read, so a host takes its own pause for the silence of the upstream: it repeats requests that were answered, blames the upstream, and tells callers that the request may have run. The class is that of the partitioned hosts: what one host sees of itself is taken for the upstream's state. packages/upstream has guarded against this from the start (silence-timer); the forwarder didn't.

Change: a time limit for a message that is noticed late is extended once by 100 ms (limits for a connection, the head of an answer and a probe); a check for silence that comes late is passed over. The check stood twice, for upstreams and for hosts, and is one module now.

Ruled out: processor load alone; 12 runs beside 12 busy processes passed.

The new test of send.test fails without the change (silent instead of answered).

--- a/packages/clock/src/index.ts
+++ b/packages/clock/src/index.ts
@@ -1,3 +1,4 @@
 export * from './clock.js';
 export * from './manual-clock.js';
 export * from './random.js';
+export * from './time-limit.js';
--- a/packages/forwarder/src/attempt-over-host.ts
+++ b/packages/forwarder/src/attempt-over-host.ts
@@ -1,5 +1,4 @@
 import {getMeanReportDelay, hostSilenceTimeout, type HostRecord} from '@gentianlift/discovery';
-import type {Milliseconds} from '@gentianlift/types';
 import {isConnectionLoss, misdirectedStatus, recordChunk} from './attempt-record.js';
 import type {Call, Progress} from './call.js';
 import type {ForwarderContext} from './context.js';
@@ -9,9 +8,7 @@
 import {encodeForwardedCall, type ForwardedCall} from './forwarded-call.js';
 import type {ForwardOutcome} from './forward-outcome.js';
 import {send, type SendOutcome} from './send.js';
-
-/** Interval at which the silence of the other host is checked. */
-const silenceCheckInterval: Milliseconds = 200;
+import {watchSilence} from './watch-silence.js';
 
 const describeCall = (call: Call, progress: Progress, {clock, host}: ForwarderContext): ForwardedCall => ({
 	from: host,
@@ -68,12 +65,8 @@
 };
 
 /** Cancels a call once the other host is silent, as if it were gone; returns a function that stops watching. */
-const watchHost = ({host}: HostRecord, {clock: {every}, reportExchange}: ForwarderContext, cancel: () => void): (() => void) =>
-	every(silenceCheckInterval, () => {
-		if (reportExchange.getSilence(host) > hostSilenceTimeout) {
-			cancel();
-		}
-	});
+const watchHost = ({host}: HostRecord, {clock, reportExchange}: ForwarderContext, cancel: () => void): (() => void) =>
+	watchSilence(clock, {getSilence: () => reportExchange.getSilence(host), maxSilence: hostSilenceTimeout, onSilent: cancel});
 
 /** Whether a crash for which the call may be blamed is known once the other host could have reported one. */
 const hasReportedCrash = async (call: Call, context: ForwarderContext): Promise<boolean> => {
--- a/packages/forwarder/src/attempt.ts
+++ b/packages/forwarder/src/attempt.ts
@@ -12,13 +12,12 @@
 import {send, type SendOutcome} from './send.js';
 import type {ForwarderContext} from './context.js';
 import type {Assignment} from './request-queue.js';
+import {watchSilence} from './watch-silence.js';
 
 /** Silence of an upstream after which a stream that it runs resumes on another one, in addition to the prefill time. */
 const resumeSilence: Milliseconds = 1000;
 /** Prefill rate of the slowest engines, in tokens per millisecond. */
 const minPrefillRate = 15;
-/** Interval at which the silence of an upstream is checked. */
-const silenceCheckInterval: Milliseconds = 200;
 
 /** Delivers a streamed answer, and records what its arrival says of the upstream. */
 const deliverAttemptEvents = async (attempt: Attempt, outcome: Extract<SendOutcome, {kind: 'answered'}>): Promise<ForwardOutcome> => {
@@ -77,12 +76,13 @@
 	}
 
 	const maxSilence = resumeSilence + (unreadTokens / minPrefillRate);
-	const {every} = context.clock;
-	return every(silenceCheckInterval, () => {
-		if (context.tracker.getSilence(upstream) > maxSilence) {
+	return watchSilence(context.clock, {
+		getSilence: () => context.tracker.getSilence(upstream),
+		maxSilence,
+		onSilent() {
 			context.logger.info('upstream-silent', {request: call.head.callerRequestId, upstream: getUpstreamKey(upstream), limit: Math.round(maxSilence)});
 			cancel();
-		}
+		},
 	});
 };
 
--- a/packages/forwarder/src/connection-probe.ts
+++ b/packages/forwarder/src/connection-probe.ts
@@ -1,5 +1,5 @@
 import {connect} from 'node:net';
-import type {Clock} from '@gentianlift/clock';
+import {startTimeLimit, type Clock} from '@gentianlift/clock';
 import {splitAddress, type Address, type Milliseconds} from '@gentianlift/types';
 
 /** What became of an attempt to open a connection: `refused` also stands for a reset, `failed` for any other error. */
@@ -10,7 +10,7 @@
 /** Opens a connection to an address and closes it again; nothing is sent. */
 export const probeConnection = async (address: Address, timeout: Milliseconds, clock: Clock): Promise<ConnectionResult> => new Promise(resolve => {
 	const socket = connect(splitAddress(address));
-	const cancel = clock.after(timeout, () => {
+	const cancel = startTimeLimit(clock, timeout, () => {
 		finish('timeout');
 	});
 	const finish = (result: ConnectionResult): void => {
--- a/packages/forwarder/src/send.test.ts
+++ b/packages/forwarder/src/send.test.ts
@@ -189,6 +189,21 @@
 	expect(await second).toMatchObject({kind: 'answered'});
 });
 
+// Guards against: a host that was suspended reports answers that it has not read yet as missing, and sends their requests again.
+test('an answer that arrives while the host is suspended counts, although its time limit has passed', async () => {
+	const clock = createManualClock();
+	const held: Socket[] = [];
+	const server = await startUpstream(socket => {
+		held.push(socket);
+	});
+	const pending = call(server, new UpstreamAgent(), 'a1', clock);
+	await expect.poll(() => held.length).toBe(1);
+	held[0]?.end('HTTP/1.1 200 OK\r\nAttempt: a1\r\nContent-Length: 2\r\n\r\nok');
+	clock.pause(6000);
+	await clock.advance(0);
+	expect(await pending).toMatchObject({kind: 'answered'});
+});
+
 /** Connection pool whose connections are never established. */
 class UnconnectedAgent extends UpstreamAgent {
 	override createConnection(options: NetConnectOpts): Socket {
--- a/packages/forwarder/src/send.ts
+++ b/packages/forwarder/src/send.ts
@@ -1,5 +1,5 @@
 import {request, type ClientRequest, type IncomingMessage} from 'node:http';
-import type {Cancel, Clock} from '@gentianlift/clock';
+import {startTimeLimit, type Cancel, type Clock} from '@gentianlift/clock';
 import {splitAddress, type Address, type Milliseconds} from '@gentianlift/types';
 import type {Incoming} from './incoming.js';
 import type {AnswerHead, Protocol, RawHeaders} from './protocol.js';
@@ -200,7 +200,7 @@
 	const enterPhase = (nextPhase: SendPhase, limit: Milliseconds): void => {
 		phase = nextPhase;
 		cancelTimer?.();
-		cancelTimer = clock.after(limit, () => {
+		cancelTimer = startTimeLimit(clock, limit, () => {
 			finish(getTimeoutOutcome(nextPhase));
 			clientRequest.destroy();
 		});
