Let the test of rests end before callers wait for the end of the rest

The test sent requests up to the end of the rest. Now all requests are refused at once, over a longer window (0.5 to 2.2 s instead of 2 s of a rest of 2 s), arrivals are counted until the end of a rest of 3 s, and the test also asks for a request after it. It fails with rests ignored, and prints the answers that it didn't expect.

--- a/packages/forwarder/src/request-rest.test.ts
+++ b/packages/forwarder/src/request-rest.test.ts
@@ -14,17 +14,25 @@
 /** Time after the answer that asks for rest from which requests count, and how many may still come until the rest ends. */
 const restSlack: Milliseconds = 500;
 const allowedArrivals = 2;
+/** Time by which a host extends a rest at most. */
+const longestExtension: Milliseconds = 300;
 
 // Guards against: an engine that turns a request away and asks for rest gets as many as before.
 test('an upstream that wants rest gets no requests until the rest ends', async () => {
-	const engines = [createRestingEngine('2'), createRestingEngine('2')];
+	const engines = [createRestingEngine('3'), createRestingEngine('3')];
 	const deployment = await start(...engines.map(({answer}) => answer));
-	const answers = await sendSteadily(deployment, {interval: 20, duration: 2000});
-	expect(answers.every(({status}) => status === 503)).toBe(true);
+	// All are refused at once; later ones would wait for the end of the rest.
+	const answers = await sendSteadily(deployment, {interval: 20, duration: 2200});
+	expect(answers.filter(({status}) => status !== 503)).toEqual([]);
+	const endsAt = Math.max(...engines.map(({arrivals}) => arrivals[0] ?? 0)) + 3000;
+	await sleep(endsAt + longestExtension - performance.now());
+	await sendRequest(deployment.host.port, {path: '/read/1', headers: {attempt: 'afterwards'}});
 	for (const {arrivals} of engines) {
 		const [askedAt = 0] = arrivals;
-		expect(arrivals.filter(at => at > askedAt + restSlack && at < askedAt + 2000).length).toBeLessThanOrEqual(allowedArrivals);
+		expect(arrivals.filter(at => at > askedAt + restSlack && at < askedAt + 3000).length).toBeLessThanOrEqual(allowedArrivals);
 	}
+
+	expect(engines.flatMap(({arrivals}) => arrivals).some(at => at >= endsAt)).toBe(true);
 });
 
 // Guards against: a request that was chosen before the rest began, and waited for a connection, is sent all the same.
