Answer hosts that ask the same at once with one probe

The address for other hosts is open to all in the platform's network, and each question whether this host reaches a service could cost three new connections to upstreams; hosts that lose an upstream together ask the same at once.

Questions about the same service or upstream within 100 ms share one answer. It is short against the time in which links count as cut (0.8 s and more), and longer than the spread of the questions of hosts that lose an upstream together. Answers are kept for known services and upstreams only, and dropped after their time.

--- a/packages/forwarder/src/upstream-links.test.ts
+++ b/packages/forwarder/src/upstream-links.test.ts
@@ -1,4 +1,5 @@
 import {createManualClock, createRandom, type ManualClock} from '@gentianlift/clock';
+import type {ReachQuery} from '@gentianlift/discovery';
 import {createLogger} from '@gentianlift/logger';
 import {getUpstreamKey, type Upstream} from '@gentianlift/routing';
 import {buildUpstream} from '@gentianlift/routing/testing';
@@ -174,6 +175,7 @@
 	const day = createDay();
 	expect(await day.links.reaches({service: 's'})).toBe(false);
 	day.reached.add('u0');
+	await day.clock.advance(100);
 	expect(await day.links.reaches({service: 's', upstream: getUpstreamKey(buildUpstream({id: 'u0'}))})).toBe(true);
 	expect(await day.links.reaches({service: 's', upstream: getUpstreamKey(buildUpstream({id: 'u1'}))})).toBe(false);
 	day.reached.clear();
@@ -185,6 +187,24 @@
 	expect(await day.links.reaches({service: 's'})).toBe(false);
 });
 
+// Guards against: many hosts that ask at once make a host open many connections, as could anyone who reaches its address for hosts.
+test('hosts that ask the same at once cost the probes of one question', async () => {
+	const day = createDay();
+	day.reached.add('u0');
+	const upstream = getUpstreamKey(buildUpstream({id: 'u0'}));
+	const askManyTimes = async (query: ReachQuery) => Promise.all(Array.from({length: 50}, async () => day.links.reaches(query)));
+	expect(new Set(await askManyTimes({service: 's', upstream}))).toEqual(new Set([true]));
+	expect(day.probes).toEqual(['u0']);
+	await askManyTimes({service: 's'});
+	expect(day.probes.length).toBe(4);
+	await askManyTimes({service: 's', upstream: 'unknown@1'});
+	expect(day.probes.length).toBe(4);
+	day.reached.clear();
+	await day.clock.advance(100);
+	expect(await day.links.reaches({service: 's', upstream})).toBe(false);
+	expect(day.probes.length).toBe(5);
+});
+
 // Guards against: each call that fails makes connections to all upstreams.
 test('links are checked once in a while only', async () => {
 	const day = createDay();
--- a/packages/forwarder/src/upstream-links.ts
+++ b/packages/forwarder/src/upstream-links.ts
@@ -4,6 +4,7 @@
 import {getUpstreamKey, type Upstream} from '@gentianlift/routing';
 import type {HostId, Milliseconds, Zone} from '@gentianlift/types';
 import {chooseForwardingHost, createForwardedLoads, type ReachingHost} from './forwarding-hosts.js';
+import {createRecentAnswers} from './recent-answers.js';
 
 /** The way that a call takes to the upstreams of its service. */
 export type CallPath
@@ -78,6 +79,8 @@
 const askInterval: Milliseconds = 1000;
 /** Time after bytes of an upstream in which a host reaches its service without a probe. */
 const contactLifetime: Milliseconds = 300;
+/** Time in which hosts that ask the same get the result of one probe. */
+const probeLifetime: Milliseconds = 100;
 
 /** Returns some random items of a list. */
 const pickSome = <Item>(items: readonly Item[], count: number, random: Random): Item[] => {
@@ -91,6 +94,7 @@
 }: UpstreamLinksOptions): UpstreamLinks => {
 	const services = new Map<string, ServiceLinks>();
 	const loads = createForwardedLoads();
+	const probes = createRecentAnswers<boolean>(clock, probeLifetime);
 
 	const getLinks = (service: string): ServiceLinks => {
 		const known = services.get(service);
@@ -214,7 +218,8 @@
 		async reaches({service, upstream}) {
 			const upstreams = getUpstreams(service);
 			if (upstream !== undefined) {
-				return reachesAny(upstreams.filter(other => getUpstreamKey(other) === upstream));
+				const named = upstreams.filter(other => getUpstreamKey(other) === upstream);
+				return named.length > 0 && probes.get(`upstream ${upstream}`, async () => reachesAny(named));
 			}
 
 			const links = services.get(service);
@@ -223,7 +228,8 @@
 			}
 
 			const contactAt = links?.contactAt ?? Number.NEGATIVE_INFINITY;
-			return clock.monotonic() - contactAt < contactLifetime || reachesAny(pickSome(upstreams, firstProbes, random));
+			return clock.monotonic() - contactAt < contactLifetime
+				|| probes.get(`service ${service}`, async () => reachesAny(pickSome(upstreams, firstProbes, random)));
 		},
 		async isReachedByOthers(upstream) {
 			const hosts = await findReachingHosts({service: upstream.service, upstream: getUpstreamKey(upstream)});
