Take statements only of upstreams that are listed

An answer that arrives after its upstream was removed left the upstream's rest or fragility in memory for as long as the host ran: nothing removes it a second time. The new test fails without the change.

--- a/packages/forwarder/src/attempt-record.ts
+++ b/packages/forwarder/src/attempt-record.ts
@@ -49,13 +49,13 @@
 /** Status 503 (Service Unavailable), with which upstreams turn requests away. */
 const unavailableStatus = 503;
 
-/** Records what an answer says of its upstream. */
+/** Records what an answer says of its upstream, unless that is no longer listed. */
 export const observeStatements = ({call, upstream, context, sentAt, startedAt}: Attempt, {status, statements}: AnswerHead): void => {
-	if (status === misdirectedStatus) {
+	const key = getUpstreamKey(upstream);
+	if (status === misdirectedStatus || context.view.getService(key) === undefined) {
 		return;
 	}
 
-	const key = getUpstreamKey(upstream);
 	if (statements.isLeaving && context.view.markLeaving(key, ownSource)) {
 		context.reportExchange.addLeaving(key);
 	}
--- a/packages/forwarder/src/request-rest.test.ts
+++ b/packages/forwarder/src/request-rest.test.ts
@@ -85,3 +85,18 @@
 		expect(host.context.rests.isResting(getUpstreamKey(upstream!))).toBe(isResting);
 	}
 });
+
+// Guards against: the rests of engines that are gone are kept for as long as the host runs.
+test('an answer of an upstream that is no longer listed asks for no rest', async () => {
+	const {host, counts, upstreams: [upstream]} = await start((_, response) => {
+		setTimeout(() => {
+			response.writeHead(503, {'not-run': '1', 'retry-after': '3'});
+			response.end();
+		}, 100);
+	});
+	const pending = sendRequest(host.port, {path: '/read/1', headers: {attempt: 'a'}});
+	await expect.poll(() => counts).toEqual([1]);
+	host.setUpstreams([]);
+	await pending;
+	expect(host.context.rests.isResting(getUpstreamKey(upstream!))).toBe(false);
+});
