Compare partitioned hosts only with hosts that have calls

The soak's check of partitions took hosts without calls for hosts that served all of theirs. The users' bound compares with the calls of the other hosts, so there is nothing to judge without any; one call of another host is enough, as the test says.

--- a/packages/soak/src/fleet-guarantees.ts
+++ b/packages/soak/src/fleet-guarantees.ts
@@ -64,13 +64,17 @@
 
 const isServed = ({outcome}: Call): boolean => outcome.kind === 'answered' && outcome.status === 200 && outcome.isOwn;
 
-/** Returns the part of calls that were served; 1 without calls. */
-const getServedPart = (calls: readonly Call[]): number => calls.length === 0 ? 1 : calls.filter(call => isServed(call)).length / calls.length;
+/** Returns the part of calls that were served; at least one call is needed. */
+const getServedPart = (calls: readonly Call[]): number => calls.filter(call => isServed(call)).length / calls.length;
 
 const describeServed = (calls: readonly Call[]): string => `${calls.filter(call => isServed(call)).length} of ${calls.length}`;
 
-/** Whether some hosts' calls are served far less than those of the others. */
+/** Whether some hosts' calls are served far less than those of the others; without calls of others, there is nothing to compare with. */
 const isUnequal = (partitioned: readonly Call[], others: readonly Call[]): boolean => {
+	if (partitioned.length === 0 || others.length === 0) {
+		return false;
+	}
+
 	const failed = partitioned.filter(call => !isServed(call)).length;
 	const allowed = partitionSlack + (partitionFailedPart * (partitioned.length + others.length));
 	return getServedPart(partitioned) < partitionServedPart * getServedPart(others) && failed > allowed;
--- a/packages/soak/src/guarantees.test.ts
+++ b/packages/soak/src/guarantees.test.ts
@@ -128,6 +128,11 @@
 	expect(find({partitions, calls: [...others, ...send(0, 10, 503)]})).toEqual([]);
 	expect(find({partitions, calls: [...others, ...send(0, 20, 503), ...send(0, 60, 200)]})).toEqual([]);
 	expect(find({partitions: [{hosts: [0], from: 2000, to: 6000}], calls: [...others, ...send(0, 20, 503)]})).toEqual([]);
+	// One call of another host is enough to compare with; without any, all hosts may be partitioned or away.
+	expect(find({partitions, calls: [...others.slice(0, 1), ...send(0, 20, 503)]})).toEqual(['partitioned hosts serve their callers']);
+	expect(find({partitions, calls: send(0, 20, 503)})).toEqual([]);
+	expect(find({partitions: [...partitions, {hosts: [1], from: 0, to: 6000}], calls: [...others, ...send(0, 20, 503)]})).toEqual([]);
+	expect(find({partitions, calls: [...others, ...send(0, 20, 503)], outages: [{host: 1, from: 3000, to: 5000}]})).toEqual([]);
 });
 
 test('finds hosts that give an upstream no rest, or send to one that leaves', () => {
