Read a large state of the fleet over slow links

After 16 s not one read of another host's view succeeded.

Cause: time limits for whole replies were set for a small state. All entries are about 0.4 MB here (0.5 MB as the store encodes them), 0.3 to 0.4 s on an idle link of 10 Mbit/s; a read from another host had 300 ms, one from the store 700 ms. Each attempt ended in the middle and the next began at the start, so that many hosts that caught up at once took each other's bandwidth and none ended. A change of more than 64 KB doesn't fit the relays' datagrams either, which was logged at debug only.

Ruled out: the store's slowness alone (it was fast again 10 s before the end); rejections by the store; lost load reports (hosts knew that they were behind).

Change: a time limit bounds the head of a reply; the body may take 3 s as long as it keeps arriving. Hosts compress their view for others, once for all that ask within 200 ms, and a host asks one that has reported a newer revision, in its own zone if there is one. view-not-read is logged, note-not-sent at warn.

--- a/packages/clock/src/recent-answers.ts
+++ b/packages/clock/src/recent-answers.ts
@@ -1,5 +1,5 @@
-import type {Clock} from '@gentianlift/clock';
 import type {Milliseconds} from '@gentianlift/types';
+import type {Clock} from './clock.js';
 
 /** Answers to questions that were asked a moment ago, so that many who ask the same at once cost one answer. */
 export type RecentAnswers<Answer> = {
--- a/packages/discovery/src/exchange-reports.ts
+++ b/packages/discovery/src/exchange-reports.ts
@@ -32,6 +32,8 @@
 	markStopping: () => void;
 	/** Returns the newest revision of the store that recent reports name; 0 without a recent report. */
 	getNewestRevision: () => number;
+	/** Returns the revision of the store that a host's last report names; 0 without a report. */
+	getRevisionOf: (host: HostId) => number;
 	/** Returns the time since the last report of any other host; infinite if there was none. */
 	getShortestSilence: () => Milliseconds;
 	/** Returns the time since the last report of a host; infinite if there was none. */
@@ -279,6 +281,7 @@
 			send(true);
 		},
 		getNewestRevision: () => Math.max(0, ...getRecentStatuses().map(({revision}) => revision)),
+		getRevisionOf: id => statuses.get(id)?.revision ?? 0,
 		getShortestSilence() {
 			const latest = Math.max(Number.NEGATIVE_INFINITY, ...statuses.getAll().map(({reportedAt}) => reportedAt));
 			return clock.monotonic() - latest;
--- a/packages/discovery/src/join-fleet.ts
+++ b/packages/discovery/src/join-fleet.ts
@@ -136,7 +136,15 @@
 		return [...known];
 	};
 
-	const peerViewClient = createPeerViewClient({getAddresses: getPeerAddresses, clock, random});
+	const getAddressesAhead = (revision: number): Address[] => {
+		const ahead = getOthers().filter(({host}) => reportExchange.getRevisionOf(host) > revision);
+		const inZone = ahead.filter(({zone}) => zone === record.zone);
+		return (inZone.length > 0 ? inZone : ahead).map(({peers}) => peers);
+	};
+
+	const peerViewClient = createPeerViewClient({
+		getAddresses: getPeerAddresses, getAddressesAhead, clock, random, logger,
+	});
 	const {refresh} = followFleet({
 		feed: store,
 		view,
--- a/packages/discovery/src/peer-clients.ts
+++ b/packages/discovery/src/peer-clients.ts
@@ -8,8 +8,11 @@
 	get: (address: Address, inUse: readonly Address[]) => JsonClient;
 };
 
-/** Creates clients whose calls have a timeout. */
-export const createPeerClients = (clock: Clock, timeout: Milliseconds): PeerClients => {
+/** Time limits of the calls of peer clients; see `PlatformClientOptions`. */
+export type PeerTimeouts = {timeout: Milliseconds; bodyTimeout?: Milliseconds};
+
+/** Creates clients whose calls have time limits. */
+export const createPeerClients = (clock: Clock, timeouts: PeerTimeouts): PeerClients => {
 	const clients = new Map<Address, JsonClient>();
 
 	const closeUnused = (inUse: readonly Address[]): void => {
@@ -29,7 +32,9 @@
 				return known;
 			}
 
-			const client = createJsonClient({url: `http://${address}`, clock, timeout});
+			const client = createJsonClient({
+				url: `http://${address}`, clock, acceptsCompression: true, ...timeouts,
+			});
 			clients.set(address, client);
 			return client;
 		},
--- a/packages/discovery/src/peer-server.ts
+++ b/packages/discovery/src/peer-server.ts
@@ -1,7 +1,9 @@
 import {
 	createServer, type IncomingMessage, type RequestListener, type Server, type ServerResponse,
 } from 'node:http';
+import type {Clock} from '@gentianlift/clock';
 import type {StreamOrigin} from '@gentianlift/routing';
+import {createCompressedView, type CompressedView} from './compressed-view.js';
 import type {FleetView} from './fleet-view.js';
 import {viewPath} from './peer-views.js';
 import {
@@ -12,6 +14,7 @@
 /** What other hosts may ask for. */
 export type PeerServerOptions = {
 	view: FleetView;
+	clock: Clock;
 	/** Returns the origin of a stream if this host knows it. */
 	findStreamOrigin: (query: OriginQuery) => StreamOrigin | undefined;
 	/** Returns whether this host reaches upstreams. */
@@ -20,6 +23,8 @@
 	answerForwardedCall: RequestListener;
 };
 
+type AnswerOptions = PeerServerOptions & {compressedView: CompressedView};
+
 /** Begins the paths of callers' requests that another host forwards. */
 export const forwardedCallPath = '/v1/calls/';
 const noContent = 204;
@@ -37,13 +42,24 @@
 	response.end(JSON.stringify(body));
 };
 
-const answerQuery = async ({pathname, searchParams}: URL, {view, findStreamOrigin, getReach}: PeerServerOptions): Promise<unknown> => {
-	switch (pathname) {
-		case viewPath: {
-			const after = Number(searchParams.get('after') ?? 0);
-			return view.getRevision() > after ? view.getSnapshot() : undefined;
-		}
+/** Whether a host accepts compressed answers; one of an older version doesn't. */
+const acceptsCompression = ({headers}: IncomingMessage): boolean => headers['accept-encoding']?.includes('gzip') ?? false;
+
+/** Sends this host's view, unless the other host knows it. */
+const sendView = async (request: IncomingMessage, {searchParams}: URL, response: ServerResponse, {view, compressedView}: AnswerOptions): Promise<void> => {
+	const isNewer = view.getRevision() > Number(searchParams.get('after') ?? 0);
+	if (!isNewer || !acceptsCompression(request)) {
+		sendJson(response, isNewer ? view.getSnapshot() : undefined);
+		return;
+	}
 
+	const body = await compressedView.get();
+	response.writeHead(200, {'content-type': 'application/json', 'content-encoding': 'gzip', 'content-length': body.length});
+	response.end(body);
+};
+
+const answerQuery = async ({pathname, searchParams}: URL, {findStreamOrigin, getReach}: PeerServerOptions): Promise<unknown> => {
+	switch (pathname) {
 		case streamOriginPath: {
 			return findStreamOrigin(decodeOriginQuery(searchParams));
 		}
@@ -60,8 +76,15 @@
 
 /** Creates the server for other hosts: it answers with this host's view if that is newer than theirs, with the origins of streams and with what it reaches, and takes calls that they forward. */
 export const createPeerServer = (options: PeerServerOptions): Server => {
+	const compressedView = createCompressedView(options.view, options.clock);
 	const answer = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
-		sendJson(response, await answerQuery(new URL(request.url ?? '/', 'http://host'), options));
+		const url = new URL(request.url ?? '/', 'http://host');
+		if (url.pathname === viewPath) {
+			await sendView(request, url, response, {...options, compressedView});
+			return;
+		}
+
+		sendJson(response, await answerQuery(url, options));
 	};
 
 	return createServer({maxHeaderSize: maxHeaderBytes}, (request, response) => {
--- a/packages/discovery/src/peer-views.ts
+++ b/packages/discovery/src/peer-views.ts
@@ -1,10 +1,12 @@
 import type {Clock, Random} from '@gentianlift/clock';
-import type {Address, Milliseconds, Snapshot} from '@gentianlift/types';
+import type {Logger} from '@gentianlift/logger';
+import type {JsonOutcome} from '@gentianlift/platform';
+import type {Address, Snapshot} from '@gentianlift/types';
 import {createPeerClients} from './peer-clients.js';
 
 /** Client that reads the view of the fleet from other hosts. */
 export type PeerViewClient = {
-	/** Reads the view of a randomly chosen host; returns undefined if that host knows nothing newer than the revision or doesn't answer. */
+	/** Reads the view of a randomly chosen host, of one that knows something newer than the revision if there is one; returns undefined if the host knows nothing newer or doesn't answer. */
 	fetchNewer: (revision: number) => Promise<Snapshot | undefined>;
 };
 
@@ -12,32 +14,48 @@
 export type PeerViewClientOptions = {
 	/** Addresses of other hosts, from the settings and the store. */
 	getAddresses: () => Address[];
+	/** Addresses of hosts that have reported a newer revision. */
+	getAddressesAhead: (revision: number) => Address[];
 	clock: Clock;
 	random: Random;
+	logger: Logger;
 };
 
 /** Path of the call on the address for other hosts. */
 export const viewPath = '/v1/view';
-/** Timeout of a request to another host. */
-const timeout: Milliseconds = 300;
+/** Time limits of a request to another host; a view may be large, and links slow. */
+const timeouts = {timeout: 300, bodyTimeout: 3000} as const;
 
 const isSnapshot = (body: unknown): body is Snapshot => {
 	const {entries, revision} = (body ?? {}) as Partial<Snapshot>;
 	return Array.isArray(entries) && typeof revision === 'number';
 };
 
+/** Returns why a call brought no answer; undefined if it did. */
+const getFailureReason = (outcome: JsonOutcome): string | undefined => outcome.kind === 'answered' ? undefined : outcome.reason;
+
 /** Creates a client that keeps one connection pool for each other host. */
-export const createPeerViewClient = ({getAddresses, clock, random}: PeerViewClientOptions): PeerViewClient => {
-	const clients = createPeerClients(clock, timeout);
+export const createPeerViewClient = ({
+	getAddresses, getAddressesAhead, clock, random, logger,
+}: PeerViewClientOptions): PeerViewClient => {
+	const clients = createPeerClients(clock, timeouts);
 	return {
 		async fetchNewer(revision) {
 			const addresses = getAddresses();
-			const address = random.pick(addresses);
+			const address = random.pick(getAddressesAhead(revision)) ?? random.pick(addresses);
 			if (address === undefined) {
 				return undefined;
 			}
 
+			const askedAt = clock.monotonic();
 			const outcome = await clients.get(address, addresses).call({method: 'GET', path: `${viewPath}?after=${revision}`});
+			const reason = getFailureReason(outcome);
+			if (reason !== undefined) {
+				logger.info('view-not-read', {
+					address, reason, known: revision, after: Math.round(clock.monotonic() - askedAt),
+				});
+			}
+
 			return outcome.kind === 'answered' && isSnapshot(outcome.body) ? outcome.body : undefined;
 		},
 	};
--- a/packages/discovery/src/reach-calls.ts
+++ b/packages/discovery/src/reach-calls.ts
@@ -43,7 +43,7 @@
 
 /** Creates a client that keeps one connection pool for each other host. */
 export const createReachClient = (clock: Clock): ReachClient => {
-	const clients = createPeerClients(clock, timeout);
+	const clients = createPeerClients(clock, {timeout});
 	return {
 		async ask(address, query, inUse) {
 			const parameters = new URLSearchParams(query);
--- a/packages/discovery/src/report-broadcast.ts
+++ b/packages/discovery/src/report-broadcast.ts
@@ -90,7 +90,7 @@
 			const {host: ip, port} = splitAddress(address);
 			socket.send(text, port, ip, error => {
 				if (error !== null) {
-					logger.debug('note-not-sent', {address, reason: error.message});
+					logger.warn('note-not-sent', {address, length: text.length, reason: error.message});
 				}
 			});
 		}
--- a/packages/discovery/src/stream-origin-calls.test.ts
+++ b/packages/discovery/src/stream-origin-calls.test.ts
@@ -14,6 +14,7 @@
 const startPeer = async (known?: StreamOrigin): Promise<{address: string; asked: OriginQuery[]; server: Server}> => {
 	const asked: OriginQuery[] = [];
 	const server = createPeerServer({
+		clock: createSystemClock(),
 		view: {getRevision: () => 0} as unknown as FleetView,
 		findStreamOrigin(received) {
 			asked.push(received);
--- a/packages/discovery/src/stream-origin-calls.ts
+++ b/packages/discovery/src/stream-origin-calls.ts
@@ -67,7 +67,7 @@
 
 /** Creates a client that keeps one connection pool for each other host. */
 export const createStreamOriginClient = ({getAddresses, clock, random}: StreamOriginClientOptions): StreamOriginClient => {
-	const clients = createPeerClients(clock, timeout);
+	const clients = createPeerClients(clock, {timeout});
 
 	const ask = async (client: JsonClient, query: OriginQuery): Promise<StreamOrigin> => {
 		const outcome = await client.call({method: 'GET', path: `${streamOriginPath}?${encodeQuery(query)}`});
--- a/packages/forwarder/src/start-host.ts
+++ b/packages/forwarder/src/start-host.ts
@@ -41,6 +41,7 @@
 	const callers = createCallerServer({context, forwarder});
 	const isReady = (): boolean => shutdown.since === undefined && fleet.view.getRoutes() !== undefined;
 	const peers = createPeerServer({
+		clock,
 		view: fleet.view,
 		findStreamOrigin: query => findStreamOrigin(query, context),
 		getReach: async query => ({isReached: isReady() && await context.links.reaches(query), openRequests: callers.countOpenRequests()}),
--- a/packages/forwarder/src/testing.ts
+++ b/packages/forwarder/src/testing.ts
@@ -139,6 +139,7 @@
 	addLeaving: () => undefined,
 	markStopping: () => undefined,
 	getNewestRevision: () => 0,
+	getRevisionOf: () => 0,
 	getShortestSilence: () => 0,
 	getSilence: () => Number.POSITIVE_INFINITY,
 	sendChanges: () => undefined,
--- a/packages/forwarder/src/upstream-links.ts
+++ b/packages/forwarder/src/upstream-links.ts
@@ -1,10 +1,9 @@
-import type {Clock, Random} from '@gentianlift/clock';
+import {createRecentAnswers, type Clock, type Random} from '@gentianlift/clock';
 import type {HostRecord, ReachQuery} from '@gentianlift/discovery';
 import type {Logger} from '@gentianlift/logger';
 import {getUpstreamKey, type Upstream} from '@gentianlift/routing';
 import type {HostId, Milliseconds, Zone} from '@gentianlift/types';
 import {chooseForwardingHost, createForwardedLoads, type ReachingHost} from './forwarding-hosts.js';
-import {createRecentAnswers} from './recent-answers.js';
 
 /** The way that a call takes to the upstreams of its service. */
 export type CallPath
--- a/packages/platform/src/json-client.test.ts
+++ b/packages/platform/src/json-client.test.ts
@@ -1,6 +1,6 @@
 import {createServer} from 'node:http';
 import type {AddressInfo} from 'node:net';
-import {createManualClock} from '@gentianlift/clock';
+import {createManualClock, createSystemClock} from '@gentianlift/clock';
 import {expect, onTestFinished, test} from 'vitest';
 import {createJsonClient, type JsonClient} from './json-client.js';
 
@@ -41,3 +41,36 @@
 	expect(await outcome).toEqual({kind: 'unavailable', reason: 'timeout'});
 	expect(countCalls()).toBe(connectionCount);
 });
+
+/** Starts a service that sends the head of its replies at once and the body later, and a client on the system's clock. */
+const startSlowService = async (bodyDelay: number, options: {bodyTimeout?: number; idleTimeout?: number}) => {
+	const server = createServer((_, response) => {
+		response.writeHead(200);
+		response.write('{"value":');
+		setTimeout(() => {
+			response.end('1}');
+		}, bodyDelay);
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const {port} = server.address() as AddressInfo;
+	const client = createJsonClient({
+		url: `http://127.0.0.1:${port}`, clock: createSystemClock(), timeout, ...options,
+	});
+	onTestFinished(() => {
+		client.close();
+		server.close();
+		server.closeAllConnections();
+	});
+	return client.call({method: 'GET', path: '/'});
+};
+
+// Guards against: a large reply is never read in whole, as each attempt ends in the middle of it.
+test('the body of a reply may take longer than the timeout, up to a limit of its own', async () => {
+	const idleTimeout = 2000;
+	expect(await startSlowService(2 * timeout, {bodyTimeout: 1000, idleTimeout})).toEqual({kind: 'answered', status: 200, body: {value: 1}});
+	expect(await startSlowService(2 * timeout, {bodyTimeout: 100, idleTimeout})).toEqual({kind: 'unknown', reason: 'timeout'});
+	expect(await startSlowService(2 * timeout, {idleTimeout})).toEqual({kind: 'unknown', reason: 'timeout'});
+	expect(await startSlowService(2 * timeout, {bodyTimeout: 1000})).toMatchObject({kind: 'unknown'});
+});
--- a/packages/platform/src/json-client.ts
+++ b/packages/platform/src/json-client.ts
@@ -2,7 +2,9 @@
 import {
 	Agent, request, type ClientRequest, type IncomingMessage,
 } from 'node:http';
-import type {Cancel, Clock} from '@gentianlift/clock';
+import {promisify} from 'node:util';
+import {gunzip} from 'node:zlib';
+import {startTimeLimit, type Cancel, type Clock} from '@gentianlift/clock';
 import type {Metrics} from '@gentianlift/metrics';
 import type {Milliseconds} from '@gentianlift/types';
 
@@ -26,10 +28,14 @@
 	/** Base URL of the service, such as `http://10.0.0.1:7000`. */
 	url: string;
 	clock: Clock;
-	/** Timeout of a call, from its start to the last byte of the reply. */
+	/** Timeout of a call, from its start to the last byte of the reply, unless `bodyTimeout` allows more. */
 	timeout: Milliseconds;
+	/** Longest time in which the body of a reply arrives after its head, for large replies; `timeout` bounds it if absent. */
+	bodyTimeout?: Milliseconds;
 	/** Time after which a call on an inactive connection fails; `timeout` if absent. */
 	idleTimeout?: Milliseconds;
+	/** Whether the service may compress its replies. */
+	acceptsCompression?: boolean;
 	metrics?: Metrics;
 };
 
@@ -45,6 +51,8 @@
 /** Whether any byte of a request may have been sent. */
 type WriteProgress = {isWritten: boolean};
 
+const decompress = promisify(gunzip);
+
 const readBody = async (message: IncomingMessage): Promise<string> => {
 	const chunks: Uint8Array[] = [];
 	let length = 0;
@@ -58,7 +66,9 @@
 		chunks.push(bytes);
 	}
 
-	return Buffer.concat(chunks).toString('utf8');
+	const bytes = Buffer.concat(chunks);
+	const text = message.headers['content-encoding'] === 'gzip' ? await decompress(bytes, {maxOutputLength: maxReplyBytes}) : bytes;
+	return text.toString('utf8');
 };
 
 const parseBody = (text: string): unknown => text === '' ? undefined : JSON.parse(text) as unknown;
@@ -97,11 +107,14 @@
 	outgoing.on('error', reject);
 });
 
+/** A timeout of a request: a promise that rejects when it has passed, and a function that ends it before. */
+type Timeout = {expired: Promise<never>; cancel: Cancel};
+
 /** Destroys a request after a timeout, and rejects then: Node reports nothing about a destroyed request that waits until a connection is free. */
-const startTimeout = (outgoing: ClientRequest, clock: Clock, timeout: Milliseconds): {expired: Promise<never>; cancel: Cancel} => {
+const startTimeout = (outgoing: ClientRequest, clock: Clock, timeout: Milliseconds): Timeout => {
 	let cancel: Cancel = () => undefined;
 	const expired = new Promise<never>((_resolve, reject) => {
-		cancel = clock.after(timeout, () => {
+		cancel = startTimeLimit(clock, timeout, () => {
 			const error = new Error('timeout');
 			outgoing.destroy(error);
 			reject(error);
@@ -112,13 +125,16 @@
 
 /** Creates a client of a service with a JSON API. */
 export const createJsonClient = ({
-	url, clock, timeout, idleTimeout = timeout, metrics,
+	url, clock, timeout, bodyTimeout = 0, idleTimeout = timeout, acceptsCompression = false, metrics,
 }: PlatformClientOptions): JsonClient => {
 	const agent = new Agent({keepAlive: true, maxSockets: maxConnections});
 
 	const startRequest = ({method, path, body, timeoutExtension = 0}: JsonCall): ClientRequest => {
 		const text = body === undefined ? undefined : JSON.stringify(body);
-		const headers = text === undefined ? {} : {'content-type': 'application/json', 'content-length': Buffer.byteLength(text)};
+		const headers = {
+			...(acceptsCompression && {'accept-encoding': 'gzip'}),
+			...(text !== undefined && {'content-type': 'application/json', 'content-length': Buffer.byteLength(text)}),
+		};
 		const outgoing = request(new URL(path, url), {
 			agent, method, headers, timeout: idleTimeout + timeoutExtension,
 		});
@@ -133,15 +149,21 @@
 		const writeProgress: WriteProgress = {isWritten: false};
 		const outgoing = startRequest(call);
 		trackRequestWritten(outgoing, writeProgress);
-		const {expired, cancel} = startTimeout(outgoing, clock, timeout + (call.timeoutExtension ?? 0));
+		const endsAt = clock.monotonic() + timeout + (call.timeoutExtension ?? 0);
+		const forHead = startTimeout(outgoing, clock, endsAt - clock.monotonic());
+		let forBody: Timeout | undefined;
 		try {
-			const message = await Promise.race([waitForReply(outgoing), expired]);
-			return {kind: 'answered', status: message.statusCode ?? 0, body: parseBody(await readBody(message))};
+			const message = await Promise.race([waitForReply(outgoing), forHead.expired]);
+			forHead.cancel();
+			forBody = startTimeout(outgoing, clock, Math.max(endsAt - clock.monotonic(), bodyTimeout));
+			const text = await Promise.race([readBody(message), forBody.expired]);
+			return {kind: 'answered', status: message.statusCode ?? 0, body: parseBody(text)};
 		} catch (error) {
 			closeIdleConnections(agent);
 			return {kind: writeProgress.isWritten ? 'unknown' : 'unavailable', reason: getReason(error)};
 		} finally {
-			cancel();
+			forHead.cancel();
+			forBody?.cancel();
 		}
 	};
 
