Follow a store that was restored from an older copy

Revisions go back and are given out again, leases too, and Store-Era rises. Nothing read the header.

Change: the store's client adds the era to each revision and lease, so that those of a later era compare as newer and none is equal to one of another era; everything behind it (views, load reports, relays) compares as before. A watch of another era ends in a read of the whole state; leases of an earlier era are lost and never renewed, ended or written under, as the store may have given them to another host; a write by an earlier era's revision expects no entry. After a restore a view keeps for 4 s what the copy lacks, hosts too, so that shares of limits and lists for callers don't jump, and takes back no upstream that leaves and no earlier incarnation. A relay of another era is not followed.

Weighed: a reset of all state at a restore (callers would see 503 until everything is read again), an era beside each revision in all types (many places that could forget it).

--- a/packages/discovery/src/exchange-reports.ts
+++ b/packages/discovery/src/exchange-reports.ts
@@ -76,8 +76,8 @@
 	onLoad: () => void;
 	/** Called with the arrival of each report of another host, applied or not, for metrics. */
 	onReport?: (arrival: ReportArrival) => void;
-	/** Called with the changes of the store that a relay has sent. */
-	onChanges: (batch: ChangeBatch) => void;
+	/** Called with the changes of the store that a relay has sent; returns whether they continue what this host knows, or lead up to it. */
+	onChanges: (batch: ChangeBatch) => boolean;
 };
 
 /** Delay in which changes are collected into one report. */
--- a/packages/discovery/src/fleet-view.test.ts
+++ b/packages/discovery/src/fleet-view.test.ts
@@ -1,8 +1,10 @@
 import {createLogger} from '@gentianlift/logger';
+import {addEra} from '@gentianlift/platform';
 import {buildRouteTable} from '@gentianlift/routing';
 import type {Entry} from '@gentianlift/types';
 import {expect, test} from 'vitest';
-import {createFleetView, type DecodedEntry} from './fleet-view.js';
+import type {DecodedEntry} from './decoded-entry.js';
+import {createFleetView} from './fleet-view.js';
 import {getHostKey} from './host-record.js';
 
 /** Decodes the entries of these tests: `c:VERSION`, `u:STARTED:ready|leaving:SOFTWARE`, `v1` if absent; anything else is unreadable. */
@@ -158,3 +160,51 @@
 	expect(view.getHosts()).toEqual([record]);
 	expect(lines.join('')).toContain('event=entry-unreadable');
 });
+
+const hostEntry = (host: string, revision: number): Entry => entry(getHostKey(host), JSON.stringify({
+	host, incarnation: 1, zone: 'a', callers: '127.0.0.1:1', peers: '127.0.0.1:2', notes: '127.0.0.1:3', strength: 1, isStopping: false,
+}), revision);
+
+// Guards against: a host ignores a store that was restored from an older copy until that has given out as many revisions as before, or forgets the fleet meanwhile.
+test('after a restore, lost entries are kept until they can have been written again, and entries with lower revisions count', () => {
+	const {view, lines} = createView();
+	view.applyChanges([
+		{kind: 'written', entry: entry('c', 'c:7', addEra(1, 50))},
+		{kind: 'written', entry: entry('a', 'u:1:ready', addEra(1, 51))},
+		{kind: 'written', entry: entry('b', 'u:1:ready', addEra(1, 52))},
+		{kind: 'written', entry: hostEntry('h1', addEra(1, 53))},
+		{kind: 'written', entry: hostEntry('h2', addEra(1, 54))},
+	], addEra(1, 54), 0);
+	view.applySnapshot({entries: [entry('c', 'c:6', addEra(2, 30))], revision: addEra(2, 40)}, 10_000);
+	expect(lines.join('\n')).toContain('event=store-restored');
+	expect(view.getRoutes()?.configuration.version).toBe(7);
+	view.applyDeferredRemovals(13_000);
+	expect(view.getUpstreams('s').map(({id}) => id)).toEqual(['a', 'b']);
+	expect(view.getHosts().map(({host}) => host)).toEqual(['h1', 'h2']);
+	view.applyChanges([
+		{kind: 'written', entry: entry('a', 'u:1:leaving', addEra(2, 41))},
+		{kind: 'written', entry: hostEntry('h1', addEra(2, 42))},
+		{kind: 'written', entry: entry('c', 'c:8', addEra(2, 43))},
+	], addEra(2, 43), 13_500);
+	expect(view.getUpstreams('s').map(({id}) => id)).toEqual(['b']);
+	expect(view.getRoutes()?.configuration.version).toBe(8);
+	view.applyDeferredRemovals(14_000);
+	expect(view.getUpstreams('s')).toEqual([]);
+	expect(view.getHosts().map(({host}) => host)).toEqual(['h1']);
+});
+
+// Guards against: an upstream that leaves, or an earlier incarnation of one, gets requests because an older copy of the store lists it.
+test('a restore brings back neither an upstream that leaves nor an earlier incarnation', () => {
+	const {view, removed} = createView();
+	view.applyChanges([
+		{kind: 'written', entry: entry('a', 'u:1:leaving', addEra(1, 50))},
+		{kind: 'written', entry: entry('b', 'u:2:ready', addEra(1, 51))},
+	], addEra(1, 51), 0);
+	view.applySnapshot({entries: [entry('a', 'u:1:ready', addEra(2, 30)), entry('b', 'u:1:ready', addEra(2, 31))], revision: addEra(2, 40)}, 10_000);
+	expect(view.isUsable('a@1')).toBe(false);
+	expect(view.isUsable('b@2')).toBe(true);
+	expect(removed).toEqual([]);
+	view.applyChanges([{kind: 'written', entry: entry('a', 'u:3:ready', addEra(2, 41))}, {kind: 'written', entry: entry('b', 'u:1:ready', addEra(2, 42))}], addEra(2, 42), 20_000);
+	expect(view.isUsable('a@3')).toBe(true);
+	expect(view.isUsable('b@1')).toBe(true);
+});
--- a/packages/discovery/src/fleet-view.ts
+++ b/packages/discovery/src/fleet-view.ts
@@ -1,28 +1,24 @@
 import type {Logger} from '@gentianlift/logger';
+import {getEra} from '@gentianlift/platform';
 import {
 	buildRouteTable, getUpstreamKey, type RouteTable, type RoutingConfiguration, type Service, type Upstream, type UpstreamKey,
 } from '@gentianlift/routing';
 import type {
 	Change, Entry, HostId, Milliseconds, Snapshot,
 } from '@gentianlift/types';
+import type {DecodedEntry} from './decoded-entry.js';
 import {hostPrefix, parseHostRecord, type HostRecord} from './host-record.js';
-
-/** Decoded content of an entry that the operators or an upstream have written. */
-export type DecodedEntry
-	= | {kind: 'configuration'; configuration: RoutingConfiguration}
-		| {kind: 'upstream'; upstream: Upstream}
-		| {kind: 'unreadable'; reason: string}
-		| {kind: 'other'};
+import {createLeavingUpstreams} from './leaving-upstreams.js';
 
 /** This host's copy of the configuration, upstreams and hosts in the key-value service, here called the store; it may lag behind. */
 export type FleetView = {
-	/** Replaces all entries; ones that the snapshot lacks are removed. */
+	/** Replaces all entries; ones that the snapshot lacks are removed, after a grace period if the store was restored from an older copy. */
 	applySnapshot: (snapshot: Snapshot, now: Milliseconds) => void;
 	/** Applies changes that lead up to the revision; ones that are older than the known entries are ignored. */
 	applyChanges: (changes: readonly Change[], revision: number, now: Milliseconds) => void;
 	/** Records whether the store answered the last call; a change batch that a relay has sent counts as an answer. */
 	recordContact: (isStoreReached: boolean, now: Milliseconds) => void;
-	/** Removes the entries whose lease expired in an outage of the store, if their upstreams have not registered again in time. */
+	/** Removes the entries that were lost in an outage or a restore of the store, if they have not been written again in time. */
 	applyDeferredRemovals: (now: Milliseconds) => void;
 	/** Returns the revision of the store up to which changes are known; 0 before the first. */
 	getRevision: () => number;
@@ -59,10 +55,10 @@
 	onLeaving?: (upstreamKey: UpstreamKey) => void;
 };
 
-/** Maximum number of upstreams that are remembered as leaving. */
-const maxLeaving = 2000;
 /** Time after an outage of the store in which upstreams whose leases expired during it can register again. */
 const reregistrationGrace: Milliseconds = 2000;
+/** The same after a restore from an older copy, for hosts, too: they notice it when they renew their leases. */
+const restoreGrace: Milliseconds = 4000;
 
 /** Creates an empty view. */
 export const createFleetView = ({
@@ -72,13 +68,14 @@
 	const upstreams = new Map<string, Upstream>();
 	const hosts = new Map<HostId, HostRecord>();
 	const deferredRemovals = new Set<string>();
-	/** Incarnations of upstreams that have said that they leave; their entries may say otherwise. */
-	const leaving = new Set<UpstreamKey>();
+	const leaving = createLeavingUpstreams();
 	let routeTable: RouteTable | undefined;
 	let revision = 0;
 	let lastContactAt = Number.NEGATIVE_INFINITY;
 	let isStoreReached = true;
-	let regainedAt = Number.NEGATIVE_INFINITY;
+	/** Times until which the removal of upstreams and of hosts is deferred. */
+	let upstreamsKeptUntil = Number.NEGATIVE_INFINITY;
+	let hostsKeptUntil = Number.NEGATIVE_INFINITY;
 
 	const applyConfiguration = (configuration: RoutingConfiguration): void => {
 		const known = routeTable?.configuration.version;
@@ -185,21 +182,46 @@
 
 	/**
 	 * Removes an entry. Shortly after an outage of the store the removal of an upstream is deferred, as its lease may
-	 * have expired only because the upstream could not renew it.
+	 * have expired only because the upstream could not renew it; after a restore that of a host, too.
 	 */
 	const removeEntry = (storeKey: string, now: Milliseconds): void => {
 		const upstream = upstreams.get(storeKey);
-		if (upstream !== undefined && !upstream.isLeaving && now - regainedAt < reregistrationGrace) {
+		if (upstream !== undefined && !upstream.isLeaving && now < upstreamsKeptUntil) {
 			logger.info('upstream-lapsed', {upstream: getUpstreamKey(upstream), revision});
 			deferredRemovals.add(storeKey);
-			return;
+		} else if (hosts.has(storeKey) && now < hostsKeptUntil) {
+			deferredRemovals.add(storeKey);
+		} else {
+			removeNow(storeKey, 'removed');
 		}
+	};
 
-		removeNow(storeKey, 'removed');
+	/** Keeps what an older copy of the store doesn't know: entries that will be written again, and that upstreams leave. */
+	const prepareForRestore = (now: Milliseconds, next: number): void => {
+		logger.warn('store-restored', {era: getEra(next), revision: next, known: revision});
+		upstreamsKeptUntil = now + restoreGrace;
+		hostsKeptUntil = now + restoreGrace;
+		for (const upstream of upstreams.values()) {
+			if (upstream.isLeaving) {
+				leaving.add(getUpstreamKey(upstream));
+			}
+		}
+	};
+
+	/** Whether an entry names an earlier incarnation of a known upstream. */
+	const isOlderIncarnation = (entry: Entry): boolean => {
+		const known = upstreams.get(entry.key);
+		const decoded = known === undefined ? undefined : decode(entry);
+		return known !== undefined && decoded?.kind === 'upstream' && decoded.upstream.startedAt < known.startedAt;
 	};
 
 	return {
 		applySnapshot(snapshot, now) {
+			const isRestored = revision > 0 && getEra(snapshot.revision) > getEra(revision);
+			if (isRestored) {
+				prepareForRestore(now, snapshot.revision);
+			}
+
 			revision = snapshot.revision;
 			const present = new Set(snapshot.entries.map(({key}) => key));
 			for (const storeKey of entries.keys()) {
@@ -209,7 +231,9 @@
 			}
 
 			for (const entry of snapshot.entries) {
-				applyEntry(entry);
+				if (!isRestored || !isOlderIncarnation(entry)) {
+					applyEntry(entry);
+				}
 			}
 		},
 		applyChanges(changes, next, now) {
@@ -224,7 +248,7 @@
 		},
 		recordContact(reached, now) {
 			if (reached && !isStoreReached) {
-				regainedAt = now;
+				upstreamsKeptUntil = Math.max(upstreamsKeptUntil, now + reregistrationGrace);
 			}
 
 			if (reached !== isStoreReached) {
@@ -235,7 +259,7 @@
 			lastContactAt = reached ? now : lastContactAt;
 		},
 		applyDeferredRemovals(now) {
-			if (now - regainedAt < reregistrationGrace) {
+			if (now < upstreamsKeptUntil) {
 				return;
 			}
 
@@ -248,15 +272,10 @@
 		getTimeSinceStoreContact: now => now - lastContactAt,
 		getSnapshot: () => ({entries: [...entries.values()], revision}),
 		markLeaving(upstreamKey, source) {
-			if (leaving.has(upstreamKey)) {
+			if (!leaving.add(upstreamKey)) {
 				return false;
 			}
 
-			leaving.add(upstreamKey);
-			for (const key of [...leaving].slice(0, -maxLeaving)) {
-				leaving.delete(key);
-			}
-
 			logger.info('upstream-leaving', {upstream: upstreamKey, source});
 			for (const [storeKey, upstream] of upstreams) {
 				if (getUpstreamKey(upstream) === upstreamKey) {
--- a/packages/discovery/src/join-fleet.ts
+++ b/packages/discovery/src/join-fleet.ts
@@ -1,13 +1,15 @@
 import type {Clock, Random} from '@gentianlift/clock';
 import type {Logger} from '@gentianlift/logger';
+import {getEra} from '@gentianlift/platform';
 import type {
 	CrashSuspects, LimitNews, StartedStream, Upstream, UpstreamKey,
 } from '@gentianlift/routing';
 import type {
 	Address, ChangeFeed, Entry, HostId, KeyValueService, Zone,
 } from '@gentianlift/types';
+import type {DecodedEntry} from './decoded-entry.js';
 import {exchangeReports, type LoadReportExchange, type ReportArrival} from './exchange-reports.js';
-import {createFleetView, type DecodedEntry, type FleetView} from './fleet-view.js';
+import {createFleetView, type FleetView} from './fleet-view.js';
 import {followFleet, type FleetFollower} from './follow-fleet.js';
 import {chooseHosts, getAvailableHosts, selectHostsForCaller} from './host-list.js';
 import type {HostRecord} from './host-record.js';
@@ -100,12 +102,19 @@
 		},
 		onReport: options.onReport,
 		onChanges({after, revision, changes}) {
+			// A relay may not have noticed yet that the store was restored, or this host may not.
+			if (getEra(after) !== getEra(view.getRevision()) && view.getRevision() > 0) {
+				return false;
+			}
+
 			const now = options.clock.monotonic();
 			// A batch that starts after this host's revision would leave a gap; `followFleet` catches up once the revisions in load reports show that this host is behind.
 			if (after <= view.getRevision() && view.getRevision() > 0) {
 				view.recordContact(true, now);
 				view.applyChanges(changes, revision, now);
 			}
+
+			return true;
 		},
 	});
 };
--- a/packages/discovery/src/relay.test.ts
+++ b/packages/discovery/src/relay.test.ts
@@ -149,6 +149,7 @@
 	const hosts = createHosts(24);
 	const received = new Map<HostId, Set<HostId>>(hosts.map(({host}) => [host, new Set()]));
 	const hostsWithChanges = new Set<HostId>();
+	let isContinued = true;
 	const broadcasters = new Map(hosts.map(own => [own.host, startReportBroadcaster({
 		own,
 		getOthers: () => hosts.filter(other => other !== own),
@@ -159,6 +160,7 @@
 		},
 		onChanges() {
 			hostsWithChanges.add(own.host);
+			return isContinued;
 		},
 	})]));
 	let sequence = 0;
@@ -186,6 +188,10 @@
 	expect(isComplete()).toBe(true);
 	const relays = hosts.filter(own => getPlan(hosts, own).kind === 'relay');
 	expect(hostsWithChanges.size).toBe(hosts.length - relays.length);
+	const getFed = (): HostId[] => [...broadcasters].filter(([, broadcaster]) => broadcaster.hasRelayFeed()).map(([host]) => host);
+	expect(new Set(getFed())).toEqual(hostsWithChanges);
+	// Changes of a store that was restored since lead no host up to date.
+	isContinued = false;
 	const [failed] = relays;
 	broadcasters.get(failed!.host)?.close();
 	broadcasters.delete(failed!.host);
@@ -195,6 +201,7 @@
 	}
 
 	expect(isComplete()).toBe(true);
+	expect(getFed()).toEqual([]);
 	for (const broadcaster of broadcasters.values()) {
 		broadcaster.close();
 	}
--- a/packages/discovery/src/report-broadcast.ts
+++ b/packages/discovery/src/report-broadcast.ts
@@ -31,8 +31,8 @@
 	logger: Logger;
 	/** Called with each report that another host has sent, forwarded ones included. */
 	onReport: (report: LoadReport) => void;
-	/** Called with the changes of the store that a relay has sent. */
-	onChanges: (batch: ChangeBatch) => void;
+	/** Called with the changes of the store that a relay has sent; returns whether they continue what this host knows, or lead up to it. */
+	onChanges: (batch: ChangeBatch) => boolean;
 };
 
 /** Time for which a relay collects reports before it forwards them together. */
@@ -167,8 +167,7 @@
 
 		forwardReports(packet.reports, packet.forwardTo);
 		for (const batch of packet.batches) {
-			lastFeedAt = now;
-			onChanges(batch);
+			lastFeedAt = onChanges(batch) ? now : lastFeedAt;
 		}
 	});
 	socket.on('error', error => {
--- a/packages/discovery/src/testing-exchange.ts
+++ b/packages/discovery/src/testing-exchange.ts
@@ -16,6 +16,6 @@
 	onLeaving: () => undefined,
 	onLoad: () => undefined,
 	onStream: () => undefined,
-	onChanges: () => undefined,
+	onChanges: () => true,
 	...options,
 });
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -4,4 +4,5 @@
 } from './json-client.js';
 export {createKeyValueClient, type KeyValueClient} from './key-value-client.js';
 export * from './memory-key-value/index.js';
+export * from './store-era.js';
 export {createWeightStoreClient, type WeightStoreClient} from './weight-store-client.js';
--- a/packages/platform/src/json-client.ts
+++ b/packages/platform/src/json-client.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {
-	Agent, request, type ClientRequest, type IncomingMessage,
+	Agent, request, type ClientRequest, type IncomingHttpHeaders, type IncomingMessage,
 } from 'node:http';
 import {promisify} from 'node:util';
 import {gunzip} from 'node:zlib';
@@ -19,7 +19,7 @@
 
 /** Outcome of a call: `unavailable` if no byte of the request was sent, `unknown` if the service may have executed it. */
 export type JsonOutcome
-	= | {kind: 'answered'; status: number; body: unknown}
+	= | {kind: 'answered'; status: number; headers: IncomingHttpHeaders; body: unknown}
 		| {kind: 'unavailable'; reason: string}
 		| {kind: 'unknown'; reason: string};
 
@@ -157,7 +157,9 @@
 			forHead.cancel();
 			forBody = startTimeout(outgoing, clock, Math.max(endsAt - clock.monotonic(), bodyTimeout));
 			const text = await Promise.race([readBody(message), forBody.expired]);
-			return {kind: 'answered', status: message.statusCode ?? 0, body: parseBody(text)};
+			return {
+				kind: 'answered', status: message.statusCode ?? 0, headers: message.headers, body: parseBody(text),
+			};
 		} catch (error) {
 			closeIdleConnections(agent);
 			return {kind: writeProgress.isWritten ? 'unknown' : 'unavailable', reason: getReason(error)};
--- a/packages/soak/src/kept-cases.ts
+++ b/packages/soak/src/kept-cases.ts
@@ -130,4 +130,14 @@
 			},
 		],
 	},
+	{
+		seed: 7303,
+		cause: 'A host took a store that was restored from an older copy for one that has nothing new, and missed configurations',
+		schedule: [
+			{at: 300, fault: {kind: 'store', mode: 'restored', duration: 3000}},
+			{at: 1000, fault: {kind: 'configurations', count: 4}},
+			{at: 1200, fault: {kind: 'host-kill', host: 1, down: 300}},
+			{at: 4000, fault: {kind: 'configurations', count: 1}},
+		],
+	},
 ];
--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -3,8 +3,8 @@
 import {cutModes, type CutMode} from './host-links.js';
 import type {LinkState} from './link.js';
 
-/** Failure modes of the key-value service; `forgetful` loses the history of changes. */
-export const storeFailureModes = ['slow', 'refusing', 'losing-answers', 'silent', 'forgetful'] as const;
+/** Failure modes of the key-value service; `forgetful` loses the history of changes, `restored` goes on and then comes back from a copy of when the fault began. */
+export const storeFailureModes = ['slow', 'refusing', 'losing-answers', 'silent', 'forgetful', 'restored'] as const;
 /** One of `storeFailureModes`. */
 export type StoreFailureMode = typeof storeFailureModes[number];
 
--- a/packages/soak/src/store-contents.test.ts
+++ b/packages/soak/src/store-contents.test.ts
@@ -13,3 +13,20 @@
 	expect(changes).toMatchObject({events: [{key: 'a', revision: 3}], revision: 3});
 	expect(await contents.watch(3, 1000)).toMatchObject({events: [{item: {key: 'b'}}], revision: 4});
 });
+
+test('a restore gives revisions and leases out again, and loses what hosts have written since the copy', async () => {
+	const contents = createStoreContents();
+	onTestFinished(contents.close);
+	contents.put('operator', '1');
+	contents.setFailureMode('restored');
+	const lease = contents.grantLease(60_000);
+	contents.commit({expect: [], write: [{key: 'host', value: '1', lease}], remove: []});
+	contents.put('operator', '2');
+	expect(contents.getRevision()).toBe(4);
+	contents.setFailureMode(undefined);
+	expect(contents.getEra()).toBe(2);
+	expect(contents.getItems()).toMatchObject([{key: 'operator', value: '2', revision: 3}]);
+	expect(contents.renewLease(lease)).toBeUndefined();
+	expect(contents.grantLease(60_000)).toBe(lease);
+	expect(await contents.watch(4, 100)).toBeUndefined();
+});
--- a/packages/soak/src/store-contents.ts
+++ b/packages/soak/src/store-contents.ts
@@ -1,5 +1,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Milliseconds} from '@gentianlift/types';
+import type {StoreFailureMode} from './schedule.js';
 
 /** An item of the key-value service; `created` is the revision that created it, a `lease` of 0 means none. */
 export type StoredItem = {key: string; value: string; revision: number; created: number; lease: number};
@@ -30,11 +31,18 @@
 	renewLease: (lease: number) => Milliseconds | undefined;
 	/** Ends a lease and removes its items. */
 	endLease: (lease: number) => void;
-	/** Discards the history, so that a watch from an earlier revision gets undefined. */
-	discardHistory: () => void;
+	/** Number of restores from a copy, from 1. */
+	getEra: () => number;
+	/** Begins a failure mode that concerns the contents, or ends it: `forgetful` discards the history, so that a watch from an earlier revision gets undefined; the end of `restored` restores the copy of its beginning. */
+	setFailureMode: (mode: StoreFailureMode | undefined) => void;
 	close: () => void;
 };
 
+type Lease = {expiresAt: Milliseconds; duration: Milliseconds};
+
+/** Copy from which the contents are restored. */
+type ContentsCopy = {items: ReadonlyMap<string, StoredItem>; leases: ReadonlyMap<number, Lease>; revision: number; lastLease: number};
+
 /** Interval at which expired leases are ended. */
 const leaseCheckInterval: Milliseconds = 100;
 
@@ -43,13 +51,15 @@
 /** Creates empty contents at revision 1. */
 export const createStoreContents = (): StoreContents => {
 	const items = new Map<string, StoredItem>();
-	const leases = new Map<number, {expiresAt: Milliseconds; duration: Milliseconds}>();
+	const leases = new Map<number, Lease>();
 	const watchers = new Set<() => void>();
 	let events: StoredEvent[] = [];
 	let revision = 1;
 	/** Changes up to this revision are no longer in the history. */
 	let compactedRevision = 0;
 	let lastLease = 0;
+	let era = 1;
+	let copy: ContentsCopy | undefined;
 
 	const notifyWatchers = (): void => {
 		for (const resolve of watchers) {
@@ -94,6 +104,36 @@
 		}
 	}, leaseCheckInterval);
 
+	/** Goes back to a copy. Hosts lose what they have written since; operators and upstreams, which use `put`, write it again. */
+	const restore = (source: ContentsCopy): void => {
+		const written = [...items.values()].filter(({lease}) => lease === 0);
+		items.clear();
+		leases.clear();
+		for (const [key, item] of source.items) {
+			items.set(key, item);
+		}
+
+		for (const [id, {duration}] of source.leases) {
+			leases.set(id, {duration, expiresAt: performance.now() + duration});
+		}
+
+		era += 1;
+		revision = source.revision;
+		lastLease = source.lastLease;
+		events = [];
+		compactedRevision = revision;
+		for (const {key, value} of written.filter(item => items.get(item.key)?.value !== item.value)) {
+			put(key, value);
+		}
+
+		const writtenKeys = new Set(written.map(({key}) => key));
+		for (const {key} of [...items.values()].filter(item => item.lease === 0 && !writtenKeys.has(item.key))) {
+			remove(key);
+		}
+
+		notifyWatchers();
+	};
+
 	return {
 		getItems: () => [...items.values()],
 		getRevision: () => revision,
@@ -108,7 +148,7 @@
 				})]);
 			}
 
-			return after < compactedRevision ? undefined : {events: getEvents(), revision};
+			return after < compactedRevision || after > revision ? undefined : {events: getEvents(), revision};
 		},
 		commit(transaction) {
 			const changed = transaction.expect.filter(({key, revision: expected}) => (items.get(key)?.revision ?? 0) !== expected);
@@ -139,10 +179,23 @@
 
 			return existing?.duration;
 		},
-		discardHistory() {
-			compactedRevision = revision;
-			events = [];
-			notifyWatchers();
+		getEra: () => era,
+		setFailureMode(mode) {
+			if (mode === 'forgetful') {
+				compactedRevision = revision;
+				events = [];
+				notifyWatchers();
+			}
+
+			if (mode === undefined && copy !== undefined) {
+				restore(copy);
+			}
+
+			copy = mode === 'restored'
+				? {
+					items: new Map(items), leases: new Map(leases), revision, lastLease,
+				}
+				: undefined;
 		},
 		close() {
 			clearInterval(timer);
