Blame no request for a crash while most other hosts give no answer

Trace (each question logged): of some 140 questions, 86 got no answer within their 500 ms. The hosts that answered were the other partitioned ones, which reach the upstream no more; the sound ones came too late. No answer was taken for the answer that the upstream isn't reached. In the field that is a fleet with paused or overloaded hosts at the moment of a cut.

Change: an upstream has crashed only if no host says that it reaches it and most of those that were asked have answered. With four of seven hosts cut, most answers can't come from cut hosts alone. A host that is alone decides as before.

--- a/packages/forwarder/src/create-context.ts
+++ b/packages/forwarder/src/create-context.ts
@@ -155,7 +155,7 @@
 		hostAgents: createHostAgents(),
 		getHostAddresses: () => fleet.getAvailableOthers().map(({peers}) => peers),
 		suspects,
-		crashDetector: createCrashDetector(clock, links.isReachedByOthers),
+		crashDetector: createCrashDetector(clock, links.isAwayForOthers),
 		streamOrigins,
 		versions,
 		askForStreamOrigin: fleet.askForStreamOrigin,
--- a/packages/forwarder/src/find-reaching-hosts.ts
+++ b/packages/forwarder/src/find-reaching-hosts.ts
@@ -6,19 +6,29 @@
 /** Dependencies of the search. */
 export type ReachSearch = {fleet: Pick<Fleet, 'askForReach' | 'getAvailableOthers'>; clock: Clock; random: Random};
 
+/** What other hosts say of upstreams. */
+export type ReachSurvey = {
+	/** Hosts that reach them. */
+	reaching: ReachingHost[];
+	/** Whether most of the hosts that were asked have answered. An answer that doesn't come in time is no answer that they aren't reached. */
+	isAnswered: boolean;
+};
+
 /** Number of hosts that are asked. */
 const askedHosts = 6;
 /** Time after the first host that reaches the upstreams in which the others are awaited. */
 const lateAnswerTime: Milliseconds = 30;
 
-/** Asks some other hosts whether they reach upstreams; resolves with those that say so soon. */
-export const findReachingHosts = async (query: ReachQuery, {fleet, clock, random}: ReachSearch): Promise<ReachingHost[]> => {
+/** Asks some other hosts whether they reach upstreams; resolves soon after the first that does, or with the last answer. */
+export const findReachingHosts = async (query: ReachQuery, {fleet, clock, random}: ReachSearch): Promise<ReachSurvey> => {
 	const others = fleet.getAvailableOthers();
 	const addresses = others.map(({peers}) => peers);
 	const remaining = [...others];
 	const reaching: ReachingHost[] = [];
+	let answers = 0;
 	const ask = async (record: ReachingHost['record']): Promise<void> => {
 		const reach = await fleet.askForReach(record.peers, query, addresses);
+		answers += reach === undefined ? 0 : 1;
 		if (reach?.isReached !== true) {
 			throw new Error('The host doesn\'t reach the upstreams.');
 		}
@@ -38,5 +48,5 @@
 		// None of the hosts reaches them.
 	}
 
-	return [...reaching];
+	return {reaching: [...reaching], isAnswered: answers * 2 > asked.length || asked.length === 0};
 };
--- a/packages/forwarder/src/testing-sole-links.ts
+++ b/packages/forwarder/src/testing-sole-links.ts
@@ -11,7 +11,7 @@
 	zone: 'a',
 	getUpstreams: view.getUpstreams,
 	probe: async () => true,
-	findReachingHosts: async () => [],
+	findReachingHosts: async () => ({reaching: [], isAnswered: true}),
 	isSilent: () => true,
 	onChange: () => undefined,
 	onReached: () => undefined,
--- a/packages/forwarder/src/testing.ts
+++ b/packages/forwarder/src/testing.ts
@@ -220,7 +220,7 @@
 			clock, logger, loads, limits, rests, fragileUpstreams, getService: view.getService,
 		}),
 		suspects: createCrashSuspects(),
-		crashDetector: createCrashDetector(clock, links.isReachedByOthers),
+		crashDetector: createCrashDetector(clock, links.isAwayForOthers),
 		streamOrigins: createStreamOrigins(),
 		versions,
 		askForStreamOrigin: async () => undefined,
--- a/packages/forwarder/src/upstream-links.test.ts
+++ b/packages/forwarder/src/upstream-links.test.ts
@@ -58,7 +58,7 @@
 		zone: 'a',
 		getUpstreams: () => upstreams,
 		probe,
-		findReachingHosts: async () => state.hosts,
+		findReachingHosts: async () => ({reaching: state.hosts, isAnswered: true}),
 		isSilent: host => state.silentHosts.has(host),
 		onChange: () => undefined,
 		onReached: () => undefined,
--- a/packages/forwarder/src/upstream-links.ts
+++ b/packages/forwarder/src/upstream-links.ts
@@ -3,6 +3,7 @@
 import type {Logger} from '@gentianlift/logger';
 import {getUpstreamKey, type Upstream} from '@gentianlift/routing';
 import type {HostId, Milliseconds, Zone} from '@gentianlift/types';
+import type {ReachSurvey} from './find-reaching-hosts.js';
 import {chooseForwardingHost, createForwardedLoads, type ReachingHost} from './forwarding-hosts.js';
 
 /** The way that a call takes to the upstreams of its service. */
@@ -31,8 +32,8 @@
 	beginForwarding: (host: HostId) => () => void;
 	/** Whether this host reaches an upstream of a service, or the one that the query names. */
 	reaches: (query: ReachQuery) => Promise<boolean>;
-	/** Whether another host reaches an upstream to which this host's connections fail. */
-	isReachedByOthers: (upstream: Upstream) => Promise<boolean>;
+	/** Whether no other host reaches an upstream to which this host's connections fail; false, too, if most of those that are asked don't answer. */
+	isAwayForOthers: (upstream: Upstream) => Promise<boolean>;
 };
 
 /** Dependencies of the links. */
@@ -45,8 +46,8 @@
 	getUpstreams: (service: string) => readonly Upstream[];
 	/** Tries to connect to an upstream; resolves with whether the connection was established. */
 	probe: (upstream: Upstream) => Promise<boolean>;
-	/** Returns the other hosts that reach what a query names. */
-	findReachingHosts: (query: ReachQuery) => Promise<ReachingHost[]>;
+	/** Asks other hosts whether they reach what a query names. */
+	findReachingHosts: (query: ReachQuery) => Promise<ReachSurvey>;
 	/** Whether a host has sent no load report for so long that it may be gone. */
 	isSilent: (host: HostId) => boolean;
 	/** Called when the links to upstreams turn out to be cut, and when they are open again. */
@@ -150,7 +151,7 @@
 			if (clock.monotonic() - askedAt >= askInterval) {
 				askedAt = clock.monotonic();
 				// eslint-disable-next-line no-await-in-loop -- The hosts are asked at intervals.
-				links.hosts = await findReachingHosts({service});
+				links.hosts = (await findReachingHosts({service})).reaching;
 			}
 		}
 
@@ -164,7 +165,7 @@
 			return;
 		}
 
-		const hosts = await findReachingHosts({service});
+		const {reaching: hosts} = await findReachingHosts({service});
 		const details = {
 			service, probed: upstreams.length, hosts: hosts.map(({record}) => record.host).join(','), checked: Math.round(clock.monotonic() - startedAt),
 		};
@@ -230,9 +231,9 @@
 			return clock.monotonic() - contactAt < contactLifetime
 				|| probes.get(`service ${service}`, async () => reachesAny(pickSome(upstreams, firstProbes, random)));
 		},
-		async isReachedByOthers(upstream) {
-			const hosts = await findReachingHosts({service: upstream.service, upstream: getUpstreamKey(upstream)});
-			return hosts.length > 0;
+		async isAwayForOthers(upstream) {
+			const {reaching, isAnswered} = await findReachingHosts({service: upstream.service, upstream: getUpstreamKey(upstream)});
+			return reaching.length === 0 && isAnswered;
 		},
 	};
 };
