--- a/packages/forwarder/src/upstream-links.ts
+++ b/packages/forwarder/src/upstream-links.ts
@@ -151,7 +151,8 @@
 			if (clock.monotonic() - askedAt >= askInterval) {
 				askedAt = clock.monotonic();
 				// eslint-disable-next-line no-await-in-loop -- The hosts are asked at intervals.
-				links.hosts = (await findReachingHosts({service})).reaching;
+				const {reaching} = await findReachingHosts({service});
+				links.hosts = reaching;
 			}
 		}
 
