--- a/packages/discovery/src/exchange-reports.ts
+++ b/packages/discovery/src/exchange-reports.ts
@@ -11,6 +11,7 @@
 import type {ChangeBatch} from './packet.js';
 import {createPendingChanges, type ReportedChanges} from './pending-changes.js';
 import {startReportBroadcaster} from './report-broadcast.js';
+import {createReportedCrashes} from './reported-crashes.js';
 
 /** Exchanges load reports with the other hosts. */
 export type LoadReportExchange = {
@@ -90,8 +91,6 @@
 const transferDelays = {direct: 10, relayed: 30} as const;
 /** Interval of full reports, which repeat loads that have changed lately. */
 const fullReportInterval: Milliseconds = 500;
-/** Time within which hosts repeat a crash without regard to what they know of it. */
-const crashRepeatTime: Milliseconds = 3000;
 /** Age of a host's last report up to which its status counts as current. */
 const statusLifetime: Milliseconds = 2000;
 
@@ -158,6 +157,10 @@
 		});
 	};
 
+	const reportedCrashes = createReportedCrashes({
+		logger, suspects, pending, onPending: schedule,
+	});
+
 	/** Returns the age of a report; at least 0, as the wall clocks of hosts differ and a new report may seem to come from the future. */
 	const getAge = ({builtAt}: LoadReport): Milliseconds | undefined =>
 		builtAt === undefined ? undefined : Math.max(0, clock.now() - builtAt);
@@ -169,36 +172,6 @@
 		return isAccepted;
 	};
 
-	/** Reports the last good end that this host has seen of a suspect, if any. */
-	const reportGoodEnd = ({suspect}: SuspectedCrash, now: Milliseconds): void => {
-		const goodEnd = suspects.takeGoodEndToTell(suspect, now);
-		if (goodEnd !== undefined) {
-			pending.addGoodEnd(goodEnd, now);
-			schedule();
-		}
-	};
-
-	/** Records what another host's report says for and against suspects; that stays true, however late the report comes. */
-	const applyCrashes = (report: LoadReport, now: Milliseconds): void => {
-		for (const goodEnd of report.goodEnds) {
-			if (suspects.applyGoodEnd(goodEnd, now)) {
-				logger.info('suspect-cleared', {from: report.host, ...goodEnd});
-			}
-		}
-
-		for (const crash of report.crashes) {
-			const isNew = suspects.addCrash(crash, now);
-			if (isNew) {
-				logger.info('crash-told', {from: report.host, ...crash});
-			}
-
-			// A host that still repeats an old crash may have missed the good end that explains it.
-			if (isNew || (crash.age > crashRepeatTime && !suspects.isBlocked(crash.suspect, now))) {
-				reportGoodEnd(crash, now);
-			}
-		}
-	};
-
 	const applyReport = (report: LoadReport): void => {
 		const now = clock.monotonic();
 		if (report.host === host) {
@@ -210,7 +183,7 @@
 			options.onStream(stream);
 		}
 
-		applyCrashes(report, now);
+		reportedCrashes.apply(report, now);
 		for (const news of report.limits) {
 			options.onLimit(news, report.host);
 		}
@@ -273,7 +246,7 @@
 		addCrash(crash) {
 			const now = clock.monotonic();
 			pending.addCrash(crash, now);
-			reportGoodEnd(crash, now);
+			reportedCrashes.reportGoodEnd(crash, now);
 			schedule();
 		},
 		markStopping() {
--- a/packages/forwarder/src/upstream-tracker.ts
+++ b/packages/forwarder/src/upstream-tracker.ts
@@ -10,6 +10,7 @@
 import type {Milliseconds} from '@gentianlift/types';
 import {buildCandidates, type CandidateQuery, type ObservedService} from './observed-service.js';
 import type {FragileUpstreams} from './fragile-upstreams.js';
+import {getMedian, getRelativeLatency} from './relative-latency.js';
 import type {UpstreamLimits} from './upstream-limits.js';
 import type {UpstreamRests} from './upstream-rests.js';
 import {idleTimeouts, UpstreamAgent} from './upstream-agent.js';
@@ -98,25 +99,9 @@
 const restartDoubt: Milliseconds = 2000;
 /** Weight of the newest duration in the moving average. */
 const durationWeight = 0.15;
-/** Bounds of the ratio of an upstream's mean duration to the median of all upstreams. */
-const relativeLatencyRange = {min: 0.7, max: 6};
 /** Capacity of the prompt cache that is assumed where a service doesn't configure one. */
 const defaultCacheTokens = 200_000;
 
-const getMedian = (values: readonly number[]): number | undefined => {
-	const sorted = values.toSorted((one, other) => one - other);
-	return sorted[Math.floor(sorted.length / 2)];
-};
-
-/** Returns the ratio of a mean duration to the median, within bounds; 1 if either is unknown. */
-const getRelativeLatency = (duration: Milliseconds | undefined, median: Milliseconds | undefined): number => {
-	if (duration === undefined || median === undefined || median === 0) {
-		return 1;
-	}
-
-	return Math.min(relativeLatencyRange.max, Math.max(relativeLatencyRange.min, duration / median));
-};
-
 /** Creates a tracker without state. */
 export const createUpstreamTracker = ({
 	clock, logger, loads, limits, rests, fragileUpstreams, getService,
