--- a/packages/forwarder/src/start-host.ts
+++ b/packages/forwarder/src/start-host.ts
@@ -1,4 +1,4 @@
-import {createPeerServer, type HostRecord} from '@gentianlift/discovery';
+import {createPeerServer, getEra, type HostRecord} from '@gentianlift/discovery';
 import type {Milliseconds, Zone} from '@gentianlift/types';
 import {createContext, type Shutdown} from './create-context.js';
 import {createForwarder} from './forward.js';
@@ -66,6 +66,7 @@
 			context.metrics.setGauge('upstream_limits', context.limits.countLimits());
 			context.metrics.setGauge('upstreams_resting', context.rests.countResting());
 			context.metrics.setGauge('services_cut', context.links.countCut());
+			context.metrics.setGauge('store_era', getEra(fleet.view.getRevision()));
 			context.metrics.setGauge('upstreams_avoided', context.tracker.countAvoided());
 			return context.metrics.renderPrometheusText();
 		},
