Let a call's deadline end its last attempt

Cause: the wait for the head of the answer was the time that remained, rounded down to whole ms, so that it ended at the same moment as the call's deadline; which of the two timers came first decided between 502 'the connection to the upstream was lost', which is false, and 504.

Change: an attempt has a wait of its own only if time for another one is left.

--- a/packages/forwarder/src/attempt-over-host.ts
+++ b/packages/forwarder/src/attempt-over-host.ts
@@ -93,7 +93,7 @@
 		body,
 		callerRequestId: head.callerRequestId,
 		connectionWait: remainingTime,
-		buildHead: () => ({headers: protocol.buildHostHeaders(head, body.length), headTimeout: remainingTime}),
+		buildHead: () => ({headers: protocol.buildHostHeaders(head, body.length), headTimeout: undefined}),
 	}, {
 		agent: context.hostAgents.get(host.peers, route.kind, context.getHostAddresses()),
 		protocol,
--- a/packages/forwarder/src/build-upstream-request.test.ts
+++ b/packages/forwarder/src/build-upstream-request.test.ts
@@ -1,5 +1,6 @@
-import {createManualClock} from '@gentianlift/clock';
+import {createManualClock, createRandom} from '@gentianlift/clock';
 import {createSilentLogger} from '@gentianlift/logger';
+import {createCrashSuspects} from '@gentianlift/routing';
 import {buildConfiguration, buildRoute, buildUpstream} from '@gentianlift/routing/testing';
 import {expect, test} from 'vitest';
 import {buildUpstreamRequest} from './build-upstream-request.js';
@@ -7,6 +8,7 @@
 import type {ForwarderContext} from './context.js';
 import {buildTestCall, buildTestPrompt} from './testing-call.js';
 import {createTestView} from './testing-view.js';
+import {createUpstreamRests} from './upstream-rests.js';
 
 const route = buildRoute({kind: 'streaming', isResumable: true, timeout: 1000});
 const upstream = buildUpstream({id: 'u1', softwareVersion: 'v1'});
@@ -25,3 +27,25 @@
 	expect(getConnectionWait('v1', 'v1')).toBe(400);
 	expect(getConnectionWait('v1', 'v2')).toBe(1000);
 });
+
+/** Returns the longest wait for the head of the answer to an idempotent call that has some time left, after a number of possible executions. */
+const getHeadTimeout = (remaining: number, possibleExecutions: number): number | undefined => {
+	const view = createTestView(createSilentLogger(), buildConfiguration(), [upstream]);
+	const clock = createManualClock(0);
+	const context: Partial<ForwarderContext> = {
+		clock, view, suspects: createCrashSuspects(), protocol: {buildUpstreamHeaders: () => []} as unknown as ForwarderContext['protocol'],
+		rests: createUpstreamRests({clock, random: createRandom(1), logger: createSilentLogger()}),
+	};
+	const call = buildTestCall({route: buildRoute({kind: 'idempotent', maxUpstreams: 2, timeout: remaining}), arrivedAt: 0, prompt: buildTestPrompt('p', 10)});
+	const request = buildUpstreamRequest(call, {...createProgress(), possibleExecutions}, {upstream, permit: {take: () => true, release: () => undefined}}, context as ForwarderContext);
+	const head = request.buildHead();
+	return typeof head === 'string' ? Number.NaN : head.headTimeout;
+};
+
+// Guards against: a caller is told that a connection was lost because the wait for the answer ended an instant before the call's deadline.
+test('the wait for an answer ends before the deadline only if time for another attempt is left', () => {
+	expect(getHeadTimeout(1000, 0)).toBe(400);
+	expect(getHeadTimeout(301, 0)).toBe(300);
+	expect(getHeadTimeout(300, 0)).toBeUndefined();
+	expect(getHeadTimeout(1000, 1)).toBeUndefined();
+});
--- a/packages/forwarder/src/build-upstream-request.ts
+++ b/packages/forwarder/src/build-upstream-request.ts
@@ -18,10 +18,11 @@
 const getAttemptTimeout = (remainingTime: Milliseconds): Milliseconds =>
 	Math.min(remainingTime, Math.max(minAttemptTimeout, remainingTime * attemptTimeoutFraction));
 
-/** Returns the longest wait for the head of an answer; while another execution is allowed, part of the remaining time is left for it. */
-const getHeadTimeout = (call: Call, progress: Progress, remainingTime: Milliseconds): Milliseconds => {
+/** Returns the longest wait for the head of an answer; while another execution is allowed, part of the remaining time is left for it. Undefined if no time would be left: the call's deadline tells its caller what happened. */
+const getHeadTimeout = (call: Call, progress: Progress, remainingTime: Milliseconds): Milliseconds | undefined => {
 	const mayRetryElsewhere = call.route.kind === 'idempotent' && progress.possibleExecutions + 1 < call.route.maxUpstreams;
-	return mayRetryElsewhere ? getAttemptTimeout(remainingTime) : remainingTime;
+	const attemptTimeout = getAttemptTimeout(remainingTime);
+	return mayRetryElsewhere && attemptTimeout < remainingTime ? attemptTimeout : undefined;
 };
 
 /** Returns the longest wait for a connection; while there is another upstream, part of the remaining time is left for it. Nothing has been sent, so this holds for requests of all kinds. */
--- a/packages/forwarder/src/send.ts
+++ b/packages/forwarder/src/send.ts
@@ -8,8 +8,8 @@
 /** The part of a request that depends on the time that remains when it is sent. */
 export type RequestHead = {
 	headers: RawHeaders;
-	/** Longest wait for the head of the answer. */
-	headTimeout: Milliseconds;
+	/** Longest wait for the head of the answer; undefined if only the call's deadline bounds it, at which the request is cancelled. */
+	headTimeout: Milliseconds | undefined;
 };
 
 /** Why a request isn't sent once it has a connection: its upstream takes no more requests, it is suspected of crashes by now, or its upstream has asked for rest or named a limit that leaves no room for it. */
@@ -197,13 +197,15 @@
 		resolve(result);
 	};
 
-	const enterPhase = (nextPhase: SendPhase, limit: Milliseconds): void => {
+	const enterPhase = (nextPhase: SendPhase, limit: Milliseconds | undefined): void => {
 		phase = nextPhase;
 		cancelTimer?.();
-		cancelTimer = startTimeLimit(clock, limit, () => {
-			finish(getTimeoutOutcome(nextPhase));
-			clientRequest.destroy();
-		});
+		cancelTimer = limit === undefined
+			? undefined
+			: startTimeLimit(clock, limit, () => {
+				finish(getTimeoutOutcome(nextPhase));
+				clientRequest.destroy();
+			});
 	};
 
 	const endUnsent = (reason: string): void => {
