--- a/packages/discovery/src/join-fleet.ts
+++ b/packages/discovery/src/join-fleet.ts
@@ -1,6 +1,5 @@
 import type {Clock, Random} from '@gentianlift/clock';
 import type {Logger} from '@gentianlift/logger';
-import {getEra} from '@gentianlift/platform';
 import type {
 	CrashSuspects, LimitNews, StartedStream, Upstream, UpstreamKey,
 } from '@gentianlift/routing';
@@ -15,9 +14,11 @@
 import type {HostRecord} from './host-record.js';
 import type {Prefill} from './load-report.js';
 import type {LoadTracker} from './load-tracker.js';
+import {findHostsAhead} from './hosts-ahead.js';
 import {createPeerViewClient} from './peer-views.js';
 import {createReachClient, type ReachClient} from './reach-calls.js';
 import {createStreamOriginClient, type StreamOriginClient} from './stream-origin-calls.js';
+import {applyRelayedChanges} from './relayed-changes.js';
 import {registerHost, type HostRegistration} from './register-host.js';
 
 /** The operations of the store, the key-value service, that a host of the fleet uses. */
@@ -101,21 +102,7 @@
 			view.markLeaving(upstream, from);
 		},
 		onReport: options.onReport,
-		onChanges({after, revision, changes}) {
-			// A relay may not have noticed yet that the store was restored, or this host may not.
-			if (getEra(after) !== getEra(view.getRevision()) && view.getRevision() > 0) {
-				return false;
-			}
-
-			const now = options.clock.monotonic();
-			// A batch that starts after this host's revision would leave a gap; `followFleet` catches up once the revisions in load reports show that this host is behind.
-			if (after <= view.getRevision() && view.getRevision() > 0) {
-				view.recordContact(true, now);
-				view.applyChanges(changes, revision, now);
-			}
-
-			return true;
-		},
+		onChanges: batch => applyRelayedChanges(batch, view, options.clock.monotonic()),
 	});
 };
 
@@ -145,12 +132,8 @@
 		return [...known];
 	};
 
-	const getAddressesAhead = (revision: number): Address[] => {
-		const ahead = getOthers().filter(({host}) => reportExchange.getRevisionOf(host) > revision);
-		const inZone = ahead.filter(({zone}) => zone === record.zone);
-		return (inZone.length > 0 ? inZone : ahead).map(({peers}) => peers);
-	};
-
+	const getAddressesAhead = (known: number): Address[] =>
+		findHostsAhead(getOthers(), {known, zone: record.zone, getRevisionOf: reportExchange.getRevisionOf}).map(({peers}) => peers);
 	const peerViewClient = createPeerViewClient({
 		getAddresses: getPeerAddresses, getAddressesAhead, clock, random, logger,
 	});
--- a/packages/forwarder/src/upstream-links.test.ts
+++ b/packages/forwarder/src/upstream-links.test.ts
@@ -19,6 +19,8 @@
 	/** Hosts that say that they reach the upstreams. */
 	hosts: ReachingHost[];
 	silentHosts: Set<HostId>;
+	/** Whether most of the hosts that are asked answer. */
+	answers: {areMost: boolean};
 	probes: string[];
 };
 
@@ -37,7 +39,7 @@
 	const logLines: string[] = [];
 	const upstreams = ids.map(id => buildUpstream({id}));
 	const state = {
-		reached: new Set<string>(), hanging: new Set<string>(), hosts: [] as ReachingHost[], silentHosts: new Set<HostId>(), probes: [] as string[],
+		reached: new Set<string>(), hanging: new Set<string>(), hosts: [] as ReachingHost[], silentHosts: new Set<HostId>(), answers: {areMost: true}, probes: [] as string[],
 	};
 	const probe = async ({id}: Upstream): Promise<boolean> => {
 		state.probes.push(id);
@@ -58,7 +60,7 @@
 		zone: 'a',
 		getUpstreams: () => upstreams,
 		probe,
-		findReachingHosts: async () => ({reaching: state.hosts, isAnswered: true}),
+		findReachingHosts: async () => ({reaching: state.hosts, isAnswered: state.answers.areMost}),
 		isSilent: host => state.silentHosts.has(host),
 		onChange: () => undefined,
 		onReached: () => undefined,
@@ -205,6 +207,18 @@
 	expect(day.probes.length).toBe(5);
 });
 
+// Guards against: requests are blamed for a crash because the hosts that reach the upstream gave no answer in time.
+test('an upstream is away for others only if most of them answer and none reaches it', async () => {
+	const day = createDay();
+	const upstream = buildUpstream({id: 'u0'});
+	expect(await day.links.isAwayForOthers(upstream)).toBe(true);
+	day.answers.areMost = false;
+	expect(await day.links.isAwayForOthers(upstream)).toBe(false);
+	day.answers.areMost = true;
+	day.hosts.push(buildHost('h1'));
+	expect(await day.links.isAwayForOthers(upstream)).toBe(false);
+});
+
 // Guards against: each call that fails makes connections to all upstreams.
 test('links are checked once in a while only', async () => {
 	const day = createDay();
--- a/packages/platform/src/json-client.test.ts
+++ b/packages/platform/src/json-client.test.ts
@@ -1,4 +1,4 @@
-import {createServer} from 'node:http';
+import {createServer, type ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {createManualClock, createSystemClock} from '@gentianlift/clock';
 import {expect, onTestFinished, test} from 'vitest';
@@ -8,11 +8,13 @@
 const connectionCount = 64;
 const timeout = 200;
 
-/** Starts a service that answers no call, and a client of it on a manual clock. */
+/** Starts a service that answers no call until `answerAll` is called, and a client of it on a manual clock. */
 const startSilentService = async () => {
 	let calls = 0;
-	const server = createServer(() => {
+	const responses: ServerResponse[] = [];
+	const server = createServer((_, response) => {
 		calls += 1;
+		responses.push(response);
 	});
 	await new Promise<void>(resolve => {
 		server.listen(0, '127.0.0.1', resolve);
@@ -25,7 +27,17 @@
 		server.close();
 		server.closeAllConnections();
 	});
-	return {client, clock, countCalls: () => calls};
+	return {
+		client,
+		clock,
+		countCalls: () => calls,
+		answerAll() {
+			for (const response of responses) {
+				response.writeHead(204);
+				response.end();
+			}
+		},
+	};
 };
 
 // Guards against: a call outlives its timeout by the time that other calls of this host use all connections.
@@ -76,3 +88,14 @@
 	expect(await startSlowService(2 * slowTimeout, {idleTimeout})).toEqual({kind: 'unknown', reason: 'timeout'});
 	expect(await startSlowService(2 * slowTimeout, {bodyTimeout: 3000})).toMatchObject({kind: 'unknown'});
 });
+
+// Guards against: a host that was suspended takes replies that it has not read yet for missing ones, and the store or another host for lost.
+test('a reply that arrives while the process is suspended counts, although its timeout has passed', async () => {
+	const {client, clock, countCalls, answerAll} = await startSilentService();
+	const outcome = client.call({method: 'GET', path: '/'});
+	await expect.poll(countCalls).toBe(1);
+	answerAll();
+	clock.pause(10 * timeout);
+	await clock.advance(0);
+	expect(await outcome).toMatchObject({kind: 'answered', status: 204});
+});
--- a/packages/platform/src/store-era.ts
+++ b/packages/platform/src/store-era.ts
@@ -37,17 +37,17 @@
 };
 
 /** Answer of a store, and the era in which it was given. */
-export type DatedOutcome = {outcome: JsonOutcome; era: Era};
+export type EraOutcome = {outcome: JsonOutcome; era: Era};
 
 /** Calls of a store that notice its restores. */
-export type DatedCalls = {
-	call: (call: JsonCall) => Promise<DatedOutcome>;
+export type EraCalls = {
+	call: (call: JsonCall) => Promise<EraOutcome>;
 	/** Whether the store has been restored since an era. */
 	isPast: (era: Era) => boolean;
 };
 
 /** Makes calls by a client of a store whose answers name the era in a header; one that names none is taken for an answer of the newest known era. */
-export const createDatedCalls = (client: JsonClient, header: string): DatedCalls => {
+export const createEraCalls = (client: JsonClient, header: string): EraCalls => {
 	let newest: Era = 0;
 	return {
 		async call(call) {
