Ask no host that has fallen silent for newer state

Found in a reading of the change: a host that is behind chose among those whose last report names a newer revision, however old that report was. If the only ones ahead were hosts that had just gone, it asked these and no others until their records lapsed, 6 s later.

A host's revision counts for 2 s, as in the comparison that tells a host that it is behind. The new test fails without it.

--- a/packages/discovery/src/exchange-reports.ts
+++ b/packages/discovery/src/exchange-reports.ts
@@ -33,7 +33,7 @@
 	markStopping: () => void;
 	/** Returns the newest revision of the store that recent reports name; 0 without a recent report. */
 	getNewestRevision: () => number;
-	/** Returns the revision of the store that a host's last report names; 0 without a report. */
+	/** Returns the revision of the store that a host's last report names; 0 without a recent report. */
 	getRevisionOf: (host: HostId) => number;
 	/** Returns the time since the last report of any other host; infinite if there was none. */
 	getShortestSilence: () => Milliseconds;
@@ -114,10 +114,9 @@
 	let sentAt = Number.NEGATIVE_INFINITY;
 	let sequence = 0;
 
-	const getRecentStatuses = (): HostStatus[] => {
-		const now = clock.monotonic();
-		return statuses.getAll().filter(({reportedAt}) => now - reportedAt < statusLifetime);
-	};
+	const isRecent = ({reportedAt}: HostStatus): boolean => clock.monotonic() - reportedAt < statusLifetime;
+
+	const getRecentStatuses = (): HostStatus[] => statuses.getAll().filter(status => isRecent(status));
 
 	/** Returns the changes that a report names; a full one repeats what speaks against blocked suspects and the limits, as hosts that have just started don't know it. */
 	const getChanges = (isFull: boolean): ReportedChanges => {
@@ -254,7 +253,10 @@
 			send(true);
 		},
 		getNewestRevision: () => Math.max(0, ...getRecentStatuses().map(({revision}) => revision)),
-		getRevisionOf: id => statuses.get(id)?.revision ?? 0,
+		getRevisionOf(id) {
+			const status = statuses.get(id);
+			return status !== undefined && isRecent(status) ? status.revision : 0;
+		},
 		getShortestSilence() {
 			const latest = Math.max(Number.NEGATIVE_INFINITY, ...statuses.getAll().map(({reportedAt}) => reportedAt));
 			return clock.monotonic() - latest;
--- a/packages/discovery/src/report-arrival.test.ts
+++ b/packages/discovery/src/report-arrival.test.ts
@@ -130,3 +130,16 @@
 	await clock.advance(500);
 	await expect.poll(() => named).toEqual([['a1'], ['a1'], []]);
 });
+
+// Guards against: a host that is behind asks only hosts that are gone, as they were the last to report a newer revision.
+test('the revision of a host counts as long as its reports are recent', async () => {
+	const clock = createManualClock(currentTime);
+	const exchange = startExchange({clock});
+	expect(exchange.getRevisionOf('h')).toBe(0);
+	sendReports(openSender(), [createReport({revision: 7})]);
+	await expect.poll(() => exchange.getRevisionOf('h')).toBe(7);
+	await clock.advance(1900);
+	expect(exchange.getRevisionOf('h')).toBe(7);
+	await clock.advance(200);
+	expect(exchange.getRevisionOf('h')).toBe(0);
+});
