Give each host of a test fleet a loopback address of its own

Cause: the test fleet looked for free ports, closed them and had its hosts listen on them later, on 127.0.0.1, where at the same time 35 links of the fleet and all connections of all tests take random ports. A link that is opened again after a cut had the same race.

Ruled out: hosts of the test before, which are stopped; the port was new.

Change: each host and its links listen on a loopback address that nothing else uses, hosts on fixed ports. Connections come from 127.0.0.1, so they can't take these ports.

--- a/packages/forwarder/src/forwarded-call.test.ts
+++ b/packages/forwarder/src/forwarded-call.test.ts
@@ -1,6 +1,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {request as openRequest} from 'node:http';
 import {buildConfiguration, buildRoute} from '@gentianlift/routing/testing';
+import {splitAddress} from '@gentianlift/types';
 import {expect, onTestFinished, test} from 'vitest';
 import {decodeForwardedCall, encodeForwardedCall, type ForwardedCall} from './forwarded-call.js';
 import {
@@ -25,17 +26,17 @@
 const startCut = async (upstreams: readonly AnswerHandler[], hosts = 2): Promise<LinkedFleet> => {
 	const fleet = await start(upstreams, hosts);
 	fleet.setLinks([cutHost], 'reset');
-	await sendRequest(fleet.hosts[cutHost]!.port, {path: '/read/1', headers: {attempt: 'first'}});
+	await sendRequest(fleet.hosts[cutHost]!.callers, {path: '/read/1', headers: {attempt: 'first'}});
 	await waitForLine(fleet.hosts[cutHost]!, 'event=links-cut');
 	return fleet;
 };
 
 /** Sends a request to a host as another host would forward it. */
-const forwardTo = async ({peerPort}: LinkedHost, changes: Partial<ForwardedCall> = {}, headers: Record<string, string> = {}): Promise<TestAnswer> => {
+const forwardTo = async ({peers}: LinkedHost, changes: Partial<ForwardedCall> = {}, headers: Record<string, string> = {}): Promise<TestAnswer> => {
 	const forwarded = {
 		from: 'hx', age: 0, version: 1, service: 's', possibleExecutions: 0, ...changes,
 	};
-	return sendRequest(peerPort, {path: encodeForwardedCall({forwarded, target: '/read/1'}), headers: {attempt: 'forwarded', ...headers}});
+	return sendRequest(peers, {path: encodeForwardedCall({forwarded, target: '/read/1'}), headers: {attempt: 'forwarded', ...headers}});
 };
 
 test('what a host tells of a call that it forwards is read as it was written', () => {
@@ -90,7 +91,7 @@
 	}]);
 	const received = sum(counts);
 	const outgoing = openRequest({
-		host: '127.0.0.1', port: hosts[cutHost]!.port, path: '/stream/1', method: 'POST', headers: {attempt: 'leaving'},
+		...splitAddress(hosts[cutHost]!.callers), path: '/stream/1', method: 'POST', headers: {attempt: 'leaving'},
 	});
 	outgoing.on('error', () => undefined);
 	outgoing.end();
@@ -109,7 +110,7 @@
 		handle(request, response);
 	}], 3);
 	const received = sum(counts);
-	expect(await sendRequest(hosts[cutHost]!.port, {path: '/book/1', headers: {attempt: 'booking'}})).toMatchObject({status: 502});
+	expect(await sendRequest(hosts[cutHost]!.callers, {path: '/book/1', headers: {attempt: 'booking'}})).toMatchObject({status: 502});
 	expect(sum(counts)).toBe(received + 1);
 });
 
@@ -148,7 +149,7 @@
 	};
 
 	const fleet = await start([stream, stream]);
-	const answer = sendRequest(fleet.hosts[cutHost]!.port, {path: '/stream/1', headers: {attempt: 'running'}});
+	const answer = sendRequest(fleet.hosts[cutHost]!.callers, {path: '/stream/1', headers: {attempt: 'running'}});
 	await sleep(450);
 	fleet.setLinks([cutHost], 'reset');
 	const {status, body, isComplete} = await answer;
@@ -161,7 +162,7 @@
 // Guards against: a stream that another host cuts ends there, although its caller's host could go on.
 test('a stream that began over one host goes on over another', async () => {
 	const fleet = await startCut([createStream(15, 100), createStream(15, 100)], 3);
-	const answer = sendRequest(fleet.hosts[cutHost]!.port, {path: '/stream/1', headers: {attempt: 'running'}});
+	const answer = sendRequest(fleet.hosts[cutHost]!.callers, {path: '/stream/1', headers: {attempt: 'running'}});
 	await sleep(700);
 	const serving = [1, 2].find(index => fleet.hosts[cutHost]!.logLines.some(line => line.includes(`event=call-forwarded request=running host=h${index}`)))!;
 	fleet.setLinks([serving], 'reset');
--- a/packages/forwarder/src/leaving-upstream.test.ts
+++ b/packages/forwarder/src/leaving-upstream.test.ts
@@ -59,12 +59,12 @@
 	const {hosts, counts} = await startLinkedFleet({
 		hosts: 3, upstreams: [sayLeaving], configuration, onFinished: onTestFinished,
 	});
-	await sendRequest(hosts[0]!.port, {path: '/read/1', headers: {attempt: 'first'}});
-	for (const {logLines, port} of hosts) {
+	await sendRequest(hosts[0]!.callers, {path: '/read/1', headers: {attempt: 'first'}});
+	for (const {logLines, callers} of hosts) {
 		// eslint-disable-next-line no-await-in-loop -- One host after the other.
 		await expect.poll(() => logLines.some(line => line.includes('event=upstream-leaving upstream=u0@1'))).toBe(true);
 		// eslint-disable-next-line no-await-in-loop -- One host after the other.
-		expect(await sendRequest(port, {path: '/read/1', headers: {attempt: 'later'}})).toMatchObject({status: 503});
+		expect(await sendRequest(callers, {path: '/read/1', headers: {attempt: 'later'}})).toMatchObject({status: 503});
 	}
 
 	expect(counts).toEqual([1]);
--- a/packages/forwarder/src/testing-link.ts
+++ b/packages/forwarder/src/testing-link.ts
@@ -20,9 +20,9 @@
 	close: () => void;
 };
 
-const listenOn = async (server: Server, port: number): Promise<number> => {
+const listenOn = async (server: Server, ip: string, port: number): Promise<number> => {
 	await new Promise<void>(resolve => {
-		server.listen(port, '127.0.0.1', resolve);
+		server.listen(port, ip, resolve);
 	});
 	return (server.address() as AddressInfo).port;
 };
@@ -42,8 +42,8 @@
 	});
 };
 
-/** Opens a link to an upstream. */
-export const openHostLink = async (target: Address): Promise<HostLink> => {
+/** Opens a link to an upstream, on a port of the given IP address. */
+export const openHostLink = async (ip: string, target: Address): Promise<HostLink> => {
 	const sockets = new Set<Socket>();
 	let state: HostLinkState = 'open';
 	const getState = (): HostLinkState => state;
@@ -59,13 +59,13 @@
 		relay(caller, remote, getState);
 		relay(remote, caller, getState);
 	});
-	const port = await listenOn(server, 0);
+	const port = await listenOn(server, ip, 0);
 	return {
-		address: `127.0.0.1:${port}`,
+		address: `${ip}:${port}`,
 		setState(next) {
 			state = next;
 			if (next === 'open') {
-				void listenOn(server, port);
+				void listenOn(server, ip, port);
 				return;
 			}
 
--- a/packages/forwarder/src/testing-partition.ts
+++ b/packages/forwarder/src/testing-partition.ts
@@ -1,11 +1,9 @@
-import {createServer, type Server} from 'node:http';
-import type {AddressInfo} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {createSystemClock} from '@gentianlift/clock';
 import type {DecodedEntry} from '@gentianlift/discovery';
 import {createLogger} from '@gentianlift/logger';
 import type {RoutingConfiguration, Upstream} from '@gentianlift/routing';
-import type {Entry, Milliseconds} from '@gentianlift/types';
+import type {Address, Entry, Milliseconds} from '@gentianlift/types';
 import type {HostSettings} from './host-settings.js';
 import {startHost, type Host} from './start-host.js';
 import {sum, upstreamMark, type AnswerHandler} from './test-deployment.js';
@@ -13,15 +11,16 @@
 	protocol, sendRequest, startUpstream, type TestAnswer,
 } from './testing.js';
 import {openHostLink, type HostLink, type HostLinkState} from './testing-link.js';
+import {takeLoopback} from './testing-loopback.js';
 import {createTestStore, type TestStore} from './testing-store.js';
 
 /** A host of a fleet, with its own link to each upstream. */
 export type LinkedHost = {
 	host: Host;
-	/** Port for callers. */
-	port: number;
-	/** Port for other hosts. */
-	peerPort: number;
+	/** Address for callers. */
+	callers: Address;
+	/** Address for other hosts. */
+	peers: Address;
 	logLines: string[];
 	links: HostLink[];
 };
@@ -51,28 +50,18 @@
 /** Time in which the hosts of a new fleet get to know each other. */
 const meetingTime: Milliseconds = 1200;
 
-const findFreePort = async (): Promise<number> => {
-	const server: Server = createServer();
-	await new Promise<void>(resolve => {
-		server.listen(0, '127.0.0.1', resolve);
-	});
-	const {port} = server.address() as AddressInfo;
-	await new Promise(resolve => {
-		server.close(resolve);
-	});
-	return port;
-};
+const callerPort = 8001;
+const peerPort = 8002;
 
-const buildSettings = async (index: number): Promise<HostSettings> => {
-	const callers = await findFreePort();
-	const peers = await findFreePort();
+const buildSettings = (index: number, ip: string): HostSettings => {
+	const peers = `${ip}:${peerPort}`;
 	return {
 		host: `h${index}`,
 		zone: ['a', 'b', 'c'][index % 3]!,
 		capacity: 1,
-		callers: `127.0.0.1:${callers}`,
-		peers: `127.0.0.1:${peers}`,
-		loadReports: `127.0.0.1:${peers}`,
+		callers: `${ip}:${callerPort}`,
+		peers,
+		loadReports: peers,
 		knownPeers: [],
 		gracePeriod: 100,
 		addressTtl: 1000,
@@ -96,17 +85,19 @@
 };
 
 const startLinkedHost = async (index: number, upstreams: readonly Upstream[], store: TestStore): Promise<LinkedHost> => {
-	const links = await Promise.all(upstreams.map(async ({address}) => openHostLink(address)));
+	const ip = takeLoopback();
+	const links = await Promise.all(upstreams.map(async ({address}) => openHostLink(ip, address)));
 	const logLines: string[] = [];
-	const settings = await buildSettings(index);
+	const settings = buildSettings(index, ip);
 	const logger = createLogger('info', line => {
 		logLines.push(line);
 	});
 	const host = await startHost(settings, {
 		clock: createSystemClock(), logger, store, decode: createDecoder(links), protocol,
 	});
+	const {callers, peers} = settings;
 	return {
-		host, port: Number(settings.callers.split(':')[1]), peerPort: Number(settings.peers.split(':')[1]), logLines, links,
+		host, callers, peers, logLines, links,
 	};
 };
 
@@ -180,7 +171,7 @@
 	for (let sent = 0; sent * interval < duration; sent++) {
 		const index = sent % hosts.length;
 		const path = paths[Math.floor(sent / hosts.length) % paths.length]!;
-		answers[index]!.push(sendRequest(hosts[index]!.port, {path, headers: {attempt: `${name}-${sent}`}}));
+		answers[index]!.push(sendRequest(hosts[index]!.callers, {path, headers: {attempt: `${name}-${sent}`}}));
 		// eslint-disable-next-line no-await-in-loop -- Requests are sent at intervals.
 		await sleep(interval);
 	}
--- a/packages/forwarder/src/testing.ts
+++ b/packages/forwarder/src/testing.ts
@@ -12,6 +12,7 @@
 import {
 	createCrashSuspects, createStreamOrigins, createVersionHistory, streamLifetime, type Prompt, type RoutingConfiguration, type Upstream,
 } from '@gentianlift/routing';
+import {splitAddress, type Address} from '@gentianlift/types';
 import {createCrashDetector} from './crash-detector.js';
 import {createForwarder, type Forwarder} from './forward.js';
 import {parseRate} from './parse-rate.js';
@@ -257,12 +258,12 @@
 	};
 };
 
-/** Sends a request as a caller and resolves with its answer, which may be incomplete. */
-export const sendRequest = async (port: number, {path, method = 'POST', headers = {}, body = ''}: {
+/** Sends a request to an address, or a port of 127.0.0.1, as a caller; resolves with its answer, which may be incomplete. */
+export const sendRequest = async (target: number | Address, {path, method = 'POST', headers = {}, body = ''}: {
 	path: string; method?: string; headers?: Record<string, string>; body?: string;
 }): Promise<TestAnswer> => new Promise((resolve, reject) => {
 	const outgoing = request({
-		port, host: '127.0.0.1', path, method, headers, agent: false,
+		...(typeof target === 'number' ? {host: '127.0.0.1', port: target} : splitAddress(target)), path, method, headers, agent: false,
 	}, message => {
 		let text = '';
 		message.setEncoding('utf8');
