Play connections to upstreams that hang while they are opened

The postmortem of the partitioned hosts left it as suspected that calls are served while attempts to open a connection get no answer: the links of the tests on loopback refused new connections.

A worker thread listens on the port with a backlog of 1, and blocks, so that it accepts nothing; two connections fill its queue, and the system drops each further attempt. No code changes: the design holds.

--- a/packages/forwarder/src/connection-probe.test.ts
+++ b/packages/forwarder/src/connection-probe.test.ts
@@ -1,7 +1,9 @@
 import {createServer, type AddressInfo} from 'node:net';
-import {createManualClock} from '@gentianlift/clock';
+import {createManualClock, createSystemClock} from '@gentianlift/clock';
 import {expect, onTestFinished, test} from 'vitest';
 import {probeConnection} from './connection-probe.js';
+import {holdPort} from './testing-held-port.js';
+import {takeLoopback} from './testing-loopback.js';
 
 const timeout = 400;
 
@@ -20,3 +22,10 @@
 	await clock.advance(0);
 	expect(await result).toBe('established');
 });
+
+test('a connection that hangs ends the probe at its timeout', async () => {
+	const address = `${takeLoopback()}:8001`;
+	const held = await holdPort(address);
+	onTestFinished(held.release);
+	expect(await probeConnection(address, timeout, createSystemClock())).toBe('timeout');
+});
--- a/packages/forwarder/src/partitioned-host.test.ts
+++ b/packages/forwarder/src/partitioned-host.test.ts
@@ -26,7 +26,7 @@
 });
 
 // Guards against: a host whose links to all upstreams are cut fails its callers, while other hosts reach the same upstreams.
-for (const state of ['reset', 'silent', 'established'] as const satisfies HostLinkState[]) {
+for (const state of ['reset', 'silent', 'established', 'hanging'] as const satisfies HostLinkState[]) {
 	test(`hosts that are partitioned from all upstreams serve their callers: ${state}`, async () => {
 		const fleet = await start();
 		await sendFor(fleet, 500, 'before');
