Ask which hosts reach the upstreams once the known ones have failed

Cause: the hosts over which calls go were asked for once a second. The two that were known were killed at the same time; until the next question each call tried both and was refused, although a third host had started and one of the two was back. And hosts that were too slow to answer were forgotten, so that calls went to the unreachable upstreams directly.

Evidence: the logs of the four hosts name `over` host-5 and host-6 only, `unreachable reason=ECONNREFUSED` for both, then `upstream-refused`, from 21:28:58.7 to 21:29:00.2; host-3 `started` at 58.2, host-5 at 59.5.

Change: a call that has gone over all known hosts asks again, at most each 200 ms for all calls together; while no host is known, each round of probes asks; too few answers leave the known hosts as they are. Three tests fail without it.

--- a/packages/forwarder/src/attempt-over-host.test.ts
+++ b/packages/forwarder/src/attempt-over-host.test.ts
@@ -70,6 +70,21 @@
 	expect(received).toEqual(['h0', 'h1']);
 });
 
+// Guards against: calls are refused although another host reaches the upstreams, as those that were known have failed.
+test('a call goes over a host that is found once the known ones have failed', async () => {
+	const {deployment: {host}, received} = await start(cannotTake, answerOk);
+	const {links} = host.context;
+	const {choosePath} = links;
+	let isRenewed = false;
+	links.choosePath = (service, tried) => tried.size > 0 && !isRenewed ? {kind: 'none'} : choosePath(service, tried);
+	links.renewHosts = async () => {
+		isRenewed = true;
+	};
+
+	expect(await sendRequest(host.port, {path: '/book/1', headers: {attempt: 'a'}})).toMatchObject({status: 200});
+	expect(received).toEqual(['h0', 'h1']);
+});
+
 // Guards against: a request that the other host has refused goes to all hosts in turn.
 test('what the other host answers for itself is final', async () => {
 	const {deployment: {host}, received} = await start((_, response) => {
--- a/packages/forwarder/src/make-attempt.ts
+++ b/packages/forwarder/src/make-attempt.ts
@@ -67,13 +67,24 @@
 	const choosePath = ({forwarded, service}: Call, {triedHosts}: Progress): CallPath =>
 		forwarded === undefined ? links.choosePath(service, triedHosts) : {kind: 'direct'};
 
+	/** Returns the path of a call; once the hosts that were known to reach its service have failed, asks for others. */
+	const findPath = async (call: Call, progress: Progress): Promise<CallPath> => {
+		const path = choosePath(call, progress);
+		if (path.kind !== 'none') {
+			return path;
+		}
+
+		await links.renewHosts(call.service);
+		return choosePath(call, progress);
+	};
+
 	return async (call, progress, previous) => {
 		if (previous?.kind === 'unreachable' || previous?.kind === 'failed') {
 			// The failure may come from links that are cut, which is known soon.
 			await links.waitForCheck(call.service);
 		}
 
-		const path = choosePath(call, progress);
+		const path = await findPath(call, progress);
 		switch (path.kind) {
 			case 'direct': {
 				return attemptDirectly(call, progress);
--- a/packages/forwarder/src/upstream-links.test.ts
+++ b/packages/forwarder/src/upstream-links.test.ts
@@ -60,7 +60,7 @@
 		zone: 'a',
 		getUpstreams: () => upstreams,
 		probe,
-		findReachingHosts: async () => ({reaching: state.hosts, isAnswered: state.answers.areMost}),
+		findReachingHosts: async () => ({reaching: [...state.hosts], isAnswered: state.answers.areMost}),
 		isSilent: host => state.silentHosts.has(host),
 		onChange: () => undefined,
 		onReached: () => undefined,
@@ -145,6 +145,31 @@
 	expect(day.links.choosePath('s', new Set(['h1']))).toEqual({kind: 'none'});
 });
 
+// Guards against: calls are refused for up to a second once the hosts that were known to reach the upstreams have failed.
+test('hosts that have come since the last question are found when asked for, and questions are spaced', async () => {
+	const day = createDay();
+	await cut(day);
+	day.hosts.push(buildHost('h3'));
+	const choose = async () => {
+		await day.links.renewHosts('s');
+		return day.links.choosePath('s', new Set(['h1', 'h2']));
+	};
+
+	expect(await choose()).toEqual({kind: 'none'});
+	await day.clock.advance(300);
+	expect(await choose()).toMatchObject({kind: 'over-host', host: {host: 'h3'}});
+});
+
+// Guards against: hosts that reach the upstreams are forgotten because others are too slow to answer.
+test('the known hosts are kept when too few hosts answer', async () => {
+	const day = createDay();
+	await cut(day);
+	day.hosts.length = 0;
+	day.answers.areMost = false;
+	await day.clock.advance(2000);
+	expect(day.links.choosePath('s', new Set())).toMatchObject({kind: 'over-host'});
+});
+
 // Guards against: calls are refused for lack of hosts when the upstreams go away during a cut.
 test('calls go to the upstreams again when no host reaches them any more', async () => {
 	const day = createDay();
--- a/packages/forwarder/src/upstream-links.ts
+++ b/packages/forwarder/src/upstream-links.ts
@@ -26,6 +26,8 @@
 	isCut: (service: string) => boolean;
 	/** Returns the number of services to which the links are cut. */
 	countCut: () => number;
+	/** Asks again which hosts reach a service to which the links are cut, unless they were asked just now. */
+	renewHosts: (service: string) => Promise<void>;
 	/** Returns the path of a call of a service that was forwarded to the hosts `tried` already. */
 	choosePath: (service: string, tried: ReadonlySet<HostId>) => CallPath;
 	/** Records that a call is forwarded to a host; returns a function that records its end. */
@@ -62,8 +64,10 @@
 	check: Promise<void> | undefined;
 	checkedAt: Milliseconds;
 	contactAt: Milliseconds;
-	/** Hosts that reach the upstreams, while the links are cut. */
+	/** Hosts that reach the upstreams, while the links are cut; when they were asked, and the question in progress. */
 	hosts: readonly ReachingHost[];
+	askedAt: Milliseconds;
+	asking: Promise<void> | undefined;
 };
 
 /** Number of upstreams to which connections are tried at first, and in all, before the links count as cut. */
@@ -75,8 +79,9 @@
 const probeInterval: Milliseconds = 400;
 /** Rounds in a row in which most probes succeed before the links count as open again. */
 const neededGoodRounds = 3;
-/** Interval at which a host whose links are cut asks the others again. */
+/** Interval at which a host whose links are cut asks the others again, and the least one if the known ones have failed. */
 const askInterval: Milliseconds = 1000;
+const minAskInterval: Milliseconds = 200;
 /** Time after bytes of an upstream in which a host reaches its service without a probe. */
 const contactLifetime: Milliseconds = 300;
 /** Time in which hosts that ask the same get the result of one probe. */
@@ -103,7 +108,7 @@
 		}
 
 		const links: ServiceLinks = {
-			isCut: false, check: undefined, checkedAt: Number.NEGATIVE_INFINITY, contactAt: Number.NEGATIVE_INFINITY, hosts: [],
+			isCut: false, check: undefined, checkedAt: Number.NEGATIVE_INFINITY, contactAt: Number.NEGATIVE_INFINITY, hosts: [], askedAt: Number.NEGATIVE_INFINITY, asking: undefined,
 		};
 		services.set(service, links);
 		return links;
@@ -139,20 +144,30 @@
 		logger.warn('links-restored', {service, after: Math.round(clock.monotonic() - cutAt)});
 	};
 
+	/** Asks which hosts reach the upstreams; those who ask at the same time share the answer. The known ones are kept if too few hosts answer. */
+	const askHosts = async (service: string, links: ServiceLinks): Promise<void> => {
+		const ask = async (): Promise<void> => {
+			const {reaching, isAnswered} = await findReachingHosts({service});
+			links.hosts = reaching.length > 0 || isAnswered ? reaching : links.hosts;
+			links.askedAt = clock.monotonic();
+			links.asking = undefined;
+		};
+
+		links.asking ??= ask();
+		return links.asking;
+	};
+
 	/** Probes the upstreams until the links are open again; meanwhile keeps the list of hosts that reach them up to date. */
 	const watchCut = async (service: string, links: ServiceLinks, cutAt: Milliseconds): Promise<void> => {
 		let goodRounds = 0;
-		let askedAt = cutAt;
 		while (goodRounds < neededGoodRounds && getUpstreams(service).length > 0) {
 			// eslint-disable-next-line no-await-in-loop -- Rounds are separated by an interval.
 			await clock.sleep(probeInterval);
 			// eslint-disable-next-line no-await-in-loop -- One round at a time.
 			goodRounds = await isRoundGood(getUpstreams(service)) ? goodRounds + 1 : 0;
-			if (clock.monotonic() - askedAt >= askInterval) {
-				askedAt = clock.monotonic();
+			if (links.hosts.length === 0 || clock.monotonic() - links.askedAt >= askInterval) {
 				// eslint-disable-next-line no-await-in-loop -- The hosts are asked at intervals.
-				const {reaching} = await findReachingHosts({service});
-				links.hosts = reaching;
+				await askHosts(service, links);
 			}
 		}
 
@@ -177,6 +192,7 @@
 
 		links.isCut = true;
 		links.hosts = hosts;
+		links.askedAt = clock.monotonic();
 		onChange(getUpstreams(service));
 		logger.warn('links-cut', details);
 		void watchCut(service, links, clock.monotonic());
@@ -215,6 +231,12 @@
 			const host = chooseForwardingHost(hosts, {loads, random, zone});
 			return host === undefined ? {kind: 'none'} : {kind: 'over-host', host};
 		},
+		async renewHosts(service) {
+			const links = services.get(service);
+			if (links?.isCut === true && clock.monotonic() - links.askedAt >= minAskInterval) {
+				await askHosts(service, links);
+			}
+		},
 		beginForwarding: loads.begin,
 		async reaches({service, upstream}) {
 			const upstreams = getUpstreams(service);
