--- a/packages/discovery/src/load-report.ts
+++ b/packages/discovery/src/load-report.ts
@@ -1,7 +1,10 @@
-import type {
-	GoodEnd, LimitNews, SuspectedCrash, SuspectId, PromptPart, StartedStream, UpstreamKey,
+import {
+	noRankTokens, sumRankTokens,
+	type GoodEnd, type LimitNews, type PromptPart, type RankTokens, type StartedStream, type SuspectedCrash, type SuspectId, type UpstreamKey,
 } from '@gentianlift/routing';
-import type {HostId, Incarnation, Milliseconds} from '@gentianlift/types';
+import type {
+	HostId, Incarnation, Milliseconds, Rank,
+} from '@gentianlift/types';
 import type {ReportedLoad} from './load-tracker.js';
 
 /** Prompt that a host has sent to an upstream, so that the upstream holds its parts in the prompt cache. */
@@ -38,7 +41,8 @@
 	sequence: number,
 	revision: number,
 	isStopping: 0 | 1,
-	loads: Array<[upstream: UpstreamKey, running: number, unreadTokens: number, latencySensitiveStreams: number, queuedTokens: number]>,
+	/** Reports of older versions have the sum of the queued tokens only. */
+	loads: Array<[upstream: UpstreamKey, running: number, unreadTokens: number, latencySensitiveStreams: number, queuedTokens: number, queuedByRank?: Array<[rank: Rank, tokens: number]>]>,
 	prefills: Array<[upstream: UpstreamKey, model: string, parts: Array<[id: string, tokens: number]>]>,
 	/** Crashes of older versions have no age. */
 	crashes: Array<[suspect: SuspectId, upstream: UpstreamKey, age?: Milliseconds]>,
@@ -55,6 +59,11 @@
 	leaving?: UpstreamKey[],
 ];
 
+const packLoad = ({upstream, running, unreadTokens, latencySensitiveStreams, queuedTokens}: ReportedLoad): PackedLoadReport[5][number] =>
+	queuedTokens.size === 0
+		? [upstream, running, unreadTokens, latencySensitiveStreams, 0]
+		: [upstream, running, unreadTokens, latencySensitiveStreams, sumRankTokens(queuedTokens), [...queuedTokens]];
+
 /** Converts a report into its wire form. */
 export const packLoadReport = (report: LoadReport): PackedLoadReport => [
 	report.host,
@@ -62,7 +71,7 @@
 	report.sequence,
 	report.revision,
 	report.isStopping ? 1 : 0,
-	report.loads.map(load => [load.upstream, load.running, load.unreadTokens, load.latencySensitiveStreams, load.queuedTokens]),
+	report.loads.map(load => packLoad(load)),
 	report.prefills.map(({upstream, model, parts}) => [upstream, model, parts.map(({id, tokens}) => [id, tokens])]),
 	report.crashes.map(({suspect, upstream, age}) => [suspect, upstream, age]),
 	report.goodEnds.map(({suspect}) => suspect),
@@ -112,6 +121,21 @@
 	});
 };
 
+/** Rank of queued tokens that are reported without one: the lowest, so that no call is refused or waits for them. */
+const unknownRank: Rank = Number.POSITIVE_INFINITY;
+
+/** Reads queued tokens. */
+const unpackQueuedTokens = (sum: number, byRank: unknown): RankTokens => {
+	if (!Array.isArray(byRank)) {
+		return sum > 0 ? new Map([[unknownRank, sum]]) : noRankTokens;
+	}
+
+	return new Map((byRank as unknown[]).flatMap((item): Array<[Rank, number]> => {
+		const [rank, tokens] = Array.isArray(item) ? item as unknown[] : [];
+		return typeof rank === 'number' && typeof tokens === 'number' && tokens > 0 ? [[rank, tokens]] : [];
+	}));
+};
+
 /** Reads the upstreams that leave; what isn't a key is skipped. */
 const unpackLeaving = (value: unknown): UpstreamKey[] => Array.isArray(value) ? value.filter(item => typeof item === 'string') : [];
 
@@ -131,8 +155,8 @@
 		sequence,
 		revision,
 		isStopping: isStopping === 1,
-		loads: loads.map(([upstream, running, unreadTokens, latencySensitiveStreams, queuedTokens]) => ({
-			upstream, running, unreadTokens, latencySensitiveStreams, queuedTokens,
+		loads: loads.map(([upstream, running, unreadTokens, latencySensitiveStreams, queuedTokens, queuedByRank]) => ({
+			upstream, running, unreadTokens, latencySensitiveStreams, queuedTokens: unpackQueuedTokens(queuedTokens, queuedByRank),
 		})),
 		prefills: prefills.map(([upstream, model, parts]) => ({upstream, model, parts: parts.map(([id, tokens]) => ({id, tokens}))})),
 		crashes: unpackCrashes(crashes),
--- a/packages/discovery/src/load-tracker.ts
+++ b/packages/discovery/src/load-tracker.ts
@@ -1,4 +1,6 @@
-import type {UpstreamKey, UpstreamLoad} from '@gentianlift/routing';
+import {
+	addRankTokens, noRankTokens, type RankTokens, type UpstreamKey, type UpstreamLoad,
+} from '@gentianlift/routing';
 import type {HostId, Incarnation, Milliseconds} from '@gentianlift/types';
 
 /** Load that the requests of one host put on an upstream, or a change of that load. */
@@ -17,7 +19,7 @@
 	/** Removes the load of hosts that have sent no report within the silence timeout. */
 	dropSilentHosts: (now: Milliseconds) => void;
 	/** Returns the prompt tokens of this host's queued requests for the upstream. */
-	getOwnQueuedTokens: (upstream: UpstreamKey) => number;
+	getOwnQueuedTokens: (upstream: UpstreamKey) => RankTokens;
 	/** Returns the number of this host's requests that run on the upstream. */
 	getOwnRunning: (upstream: UpstreamKey) => number;
 	/** Returns the sum over all hosts. */
@@ -31,7 +33,7 @@
 /** Time without a report after which the load of another host no longer counts. */
 const silenceTimeout: Milliseconds = 2000;
 const zeroLoad: LoadContribution = {
-	running: 0, unreadTokens: 0, latencySensitiveStreams: 0, queuedTokens: 0,
+	running: 0, unreadTokens: 0, latencySensitiveStreams: 0, queuedTokens: noRankTokens,
 };
 const zeroTotal: UpstreamLoad = {...zeroLoad, progressAt: 0};
 
@@ -39,7 +41,7 @@
 	running: one.running + other.running,
 	unreadTokens: one.unreadTokens + other.unreadTokens,
 	latencySensitiveStreams: one.latencySensitiveStreams + other.latencySensitiveStreams,
-	queuedTokens: one.queuedTokens + other.queuedTokens,
+	queuedTokens: addRankTokens(one.queuedTokens, other.queuedTokens),
 });
 
 /** Limits loads to 0 or more: a request may end after its upstream was removed, which subtracts load that is no longer counted. */
@@ -49,7 +51,7 @@
 	running: Math.max(0, running),
 	unreadTokens: Math.max(0, unreadTokens),
 	latencySensitiveStreams: Math.max(0, latencySensitiveStreams),
-	queuedTokens: Math.max(0, queuedTokens),
+	queuedTokens,
 });
 
 /** Creates a tracker without any load. */
@@ -66,7 +68,7 @@
 			running: known.running + after.running - before.running,
 			unreadTokens: known.unreadTokens + after.unreadTokens - before.unreadTokens,
 			latencySensitiveStreams: known.latencySensitiveStreams + after.latencySensitiveStreams - before.latencySensitiveStreams,
-			queuedTokens: known.queuedTokens + after.queuedTokens - before.queuedTokens,
+			queuedTokens: addRankTokens(addRankTokens(known.queuedTokens, before.queuedTokens, -1), after.queuedTokens),
 			progressAt: hasProgress ? now : known.progressAt,
 		});
 	};
@@ -108,7 +110,7 @@
 				}
 			}
 		},
-		getOwnQueuedTokens: upstream => ownLoads.get(upstream)?.queuedTokens ?? 0,
+		getOwnQueuedTokens: upstream => ownLoads.get(upstream)?.queuedTokens ?? noRankTokens,
 		getOwnRunning: upstream => ownLoads.get(upstream)?.running ?? 0,
 		getTotalLoad: upstream => totals.get(upstream) ?? zeroTotal,
 		removeUpstream(upstream) {
--- a/packages/discovery/src/load.test.ts
+++ b/packages/discovery/src/load.test.ts
@@ -1,4 +1,5 @@
 import {Buffer} from 'node:buffer';
+import {noRankTokens} from '@gentianlift/routing';
 import {expect, test} from 'vitest';
 import {getMeanReportDelay} from './exchange-reports.js';
 import {getAvailableHosts} from './host-list.js';
@@ -11,7 +12,7 @@
 } from './packet.js';
 
 const load = (changes: Partial<LoadContribution>): LoadContribution => ({
-	running: 0, unreadTokens: 0, latencySensitiveStreams: 0, queuedTokens: 0, ...changes,
+	running: 0, unreadTokens: 0, latencySensitiveStreams: 0, queuedTokens: noRankTokens, ...changes,
 });
 
 test('the total load is the sum over all hosts', () => {
@@ -47,7 +48,7 @@
 	host: 'h', incarnation: 3, sequence: 4, revision: 5, isStopping: true,
 	loads: [{
 		upstream: 'u@1', ...load({
-			running: 1, unreadTokens: 2, latencySensitiveStreams: 3, queuedTokens: 4,
+			running: 1, unreadTokens: 2, latencySensitiveStreams: 3, queuedTokens: new Map([[0, 4], [2, 40]]),
 		}),
 	}],
 	prefills: [{upstream: 'u@1', model: 'm', parts: [{id: 'p', tokens: 6}]}],
@@ -87,6 +88,12 @@
 	}
 });
 
+// Guards against: hosts of an older build, which report no ranks, make newer ones refuse calls.
+test('queued tokens without a rank count as of the lowest, and malformed ones are skipped', () => {
+	const decoded = decodePacket('["s",0,[["h",1,2,3,0,[["u",1,2,3,400],["v",1,2,3,0],["w",1,2,3,9,[[1,5],["x",2],7,[2,-1]]]],[],[],[]]],[]]');
+	expect(decoded?.reports[0]?.loads.map(({queuedTokens}) => queuedTokens)).toEqual([new Map([[Infinity, 400]]), noRankTokens, new Map([[1, 5]])]);
+});
+
 test('malformed streams of a report are skipped', () => {
 	const decoded = decodePacket('["s",0,[["h",1,2,3,0,[],[],[],[],7,[["a1","s","v1"],["a2","s"],7,null,["a3",1,"v1"]]]],[]]');
 	expect(decoded?.reports).toMatchObject([{host: 'h', streams: [{request: 'a1', service: 's', softwareVersion: 'v1'}]}]);
--- a/packages/discovery/src/relay.test.ts
+++ b/packages/discovery/src/relay.test.ts
@@ -1,6 +1,7 @@
 import process from 'node:process';
 import {createManualClock, createRandom, createSystemClock} from '@gentianlift/clock';
 import {createSilentLogger} from '@gentianlift/logger';
+import {noRankTokens} from '@gentianlift/routing';
 import type {HostId} from '@gentianlift/types';
 import {expect, test} from 'vitest';
 import {exchangeReports} from './exchange-reports.js';
@@ -227,7 +228,7 @@
 		}));
 		for (let change = 0; change < 500; change++) {
 			exchange.addLoad('u@1', {
-				running: 1, unreadTokens: 10, latencySensitiveStreams: 0, queuedTokens: 0,
+				running: 1, unreadTokens: 10, latencySensitiveStreams: 0, queuedTokens: noRankTokens,
 			});
 			// eslint-disable-next-line no-await-in-loop -- The clock advances after each change.
 			await clock.advance(2);
--- a/packages/forwarder/src/attempt.ts
+++ b/packages/forwarder/src/attempt.ts
@@ -1,4 +1,4 @@
-import {getUpstreamKey} from '@gentianlift/routing';
+import {getUpstreamKey, sumRankTokens} from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
 import {buildUpstreamRequest} from './build-upstream-request.js';
 import {
@@ -97,7 +97,7 @@
 		backlog: Math.round(candidate.backlog),
 		running: candidate.load.running,
 		unreadTokens: candidate.load.unreadTokens,
-		queuedTokens: candidate.load.queuedTokens,
+		queuedTokens: sumRankTokens(candidate.load.queuedTokens),
 		uncachedTokens,
 		rereadTokens: candidate.rereadTokens,
 	};
--- a/packages/forwarder/src/crashing-parts.test.ts
+++ b/packages/forwarder/src/crashing-parts.test.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect, onTestFinished, test} from 'vitest';
-import {getPartSuspect} from '@gentianlift/routing';
+import {getPartSuspect, noRankTokens} from '@gentianlift/routing';
 import {getFingerprint, type Call} from './call.js';
 import {
 	createHostStarter, resetConnection, sum, upstreamMark, type AnswerHandler,
@@ -90,7 +90,7 @@
 	const {suspects, clock, reportExchange} = host.context;
 	const key = `${upstream!.id}@${upstream!.startedAt}`;
 	reportExchange.addLoad(key, {
-		running: 1, unreadTokens: 1_000_000, latencySensitiveStreams: 0, queuedTokens: 0,
+		running: 1, unreadTokens: 1_000_000, latencySensitiveStreams: 0, queuedTokens: noRankTokens,
 	});
 	const answer = requestParts(deployment, 'waiting', ['bad', 'own'], '/background/1');
 	await expect.poll(() => host.forwarder.getQueueLength()).toBe(1);
--- a/packages/forwarder/src/dispatch-fleet.test.ts
+++ b/packages/forwarder/src/dispatch-fleet.test.ts
@@ -1,5 +1,7 @@
 import {expect, test} from 'vitest';
-import {playBurst, type BurstResult, type FleetSize} from './testing-burst.js';
+import {
+	playBurst, type BurstLoads, type BurstResult, type FleetSize,
+} from './testing-burst.js';
 
 /** Fraction of the questions that get their first token within their target. */
 const minQuestionsInTarget = 0.9;
@@ -16,6 +18,11 @@
 	hosts: 7, engines: 8, reportDelay: 3, reportSpacing: 0,
 };
 
+/** Drafts for which the engines have room, beside less urgent reviews for which they haven't. */
+const draftLoads: BurstLoads = {questions: 0.06, drafts: 0.5, reviews: 2.5};
+/** Fraction of the drafts that may get nothing while reviews are served. */
+const maxUnservedDrafts = 1 / 12;
+
 /** Several bursts, as the questions of one are few. */
 const seeds = [1, 2, 3, 4];
 
@@ -50,3 +57,13 @@
 	expect(smallFleetResult.reviewUtilization).toBeGreaterThanOrEqual(minReviewUtilization);
 	expect(smallFleetResult.questionsInTarget).toBeGreaterThanOrEqual(minQuestionsInTarget);
 });
+
+// Guards against: hosts with reviews only take the engines' room while more urgent drafts wait at other hosts until their callers leave.
+test('drafts are served before the less urgent reviews of other hosts', async () => {
+	const fleet: FleetSize = {
+		hosts: 20, engines: 4, reportDelay: 30, reportSpacing: 16,
+	};
+	const result = await playBurst(fleet, 1, draftLoads);
+	expect(result.reviewsServed).toBeGreaterThan(0);
+	expect(result.draftsServed, JSON.stringify(result)).toBeGreaterThanOrEqual(1 - maxUnservedDrafts);
+});
--- a/packages/forwarder/src/dispatch-turns.test.ts
+++ b/packages/forwarder/src/dispatch-turns.test.ts
@@ -1,5 +1,6 @@
 import {createRandom} from '@gentianlift/clock';
-import {buildCandidate, buildLoad, buildUpstream} from '@gentianlift/routing/testing';
+import {noRankTokens} from '@gentianlift/routing';
+import {buildCandidate, buildUpstream} from '@gentianlift/routing/testing';
 import {expect, test} from 'vitest';
 import {createDispatchTurns, type DispatchTurn, type DispatchTurns} from './dispatch-turns.js';
 
@@ -7,12 +8,12 @@
 const attempts = 2000;
 
 const createTurns = (): DispatchTurns => createDispatchTurns({
-	random: createRandom(1), countHosts: () => 75, tracker: {getReportedQueuedTokens: () => 0},
+	random: createRandom(1), countHosts: () => 75, tracker: {getReportedQueuedTokens: () => noRankTokens},
 });
 
 /** Candidates with half of their room, for which other hosts have queued calls. */
 const candidates = Array.from({length: 20}, (_, index) => buildCandidate({
-	upstream: buildUpstream({id: `u${index}`}), backlog: 75, uncachedTokens: 5000, load: buildLoad({queuedTokens: 30_000}),
+	upstream: buildUpstream({id: `u${index}`}), backlog: 75, uncachedTokens: 5000, queuedElsewhere: new Map([[1, 30_000]]),
 }));
 
 /** Returns the fraction of draws that let a call be sent. */
@@ -21,7 +22,7 @@
 	let sent = 0;
 	for (let index = 0; index < attempts; index++) {
 		const isSent = turns.take({
-			candidate: candidates[0]!, candidates, backlogLimit, now: index * 1000, ...turn,
+			rank: 1, candidate: candidates[0]!, candidates, backlogLimit, now: index * 1000, ...turn,
 		});
 		sent += isSent ? 1 : 0;
 	}
@@ -40,3 +41,10 @@
 	expect(getSentFraction({})).toBeGreaterThan(0.08);
 	expect(getSentFraction({candidates: [candidates[0]!, ...full]})).toBeLessThan(0.02);
 });
+
+// Guards against: less urgent calls of some hosts take the room for which more urgent ones wait at others.
+test('a call leaves the room to calls of higher ranks at other hosts, and takes it before those of lower ones', () => {
+	const waiting = candidates[0]!;
+	expect(getSentFraction({rank: 2, candidates: [waiting]})).toBe(0);
+	expect(getSentFraction({rank: 0, candidates: [waiting]})).toBe(1);
+});
--- a/packages/forwarder/src/dispatch-turns.ts
+++ b/packages/forwarder/src/dispatch-turns.ts
@@ -1,13 +1,14 @@
 import {getMeanReportDelay} from '@gentianlift/discovery';
 import {
-	getSendProbability, getUpstreamKey, type Candidate, type UpstreamKey,
+	getSendProbability, getTokensElsewhere, getUpstreamKey, type Candidate, type TokensElsewhere, type UpstreamKey,
 } from '@gentianlift/routing';
-import type {Milliseconds} from '@gentianlift/types';
+import type {Milliseconds, Rank} from '@gentianlift/types';
 import type {ForwarderContext} from './context.js';
 import type {UpstreamTracker} from './upstream-tracker.js';
 
 /** A queued call that its upstream has room for. */
 export type DispatchTurn = {
+	rank: Rank;
 	/** The upstream chosen for the call. */
 	candidate: Candidate;
 	/** All upstreams that may receive the call. */
@@ -44,23 +45,21 @@
 	let waitingSince = new Map<UpstreamKey, Milliseconds>();
 	const nextDraws = new Map<UpstreamKey, Milliseconds>();
 
-	const countOtherTokens = ({upstream, load}: Candidate): number =>
-		load.queuedTokens - tracker.getReportedQueuedTokens(getUpstreamKey(upstream));
-
 	/**
 	 * Returns the other hosts' queued tokens that may go to the upstream too. Until they know of each other's calls there,
 	 * hosts that have just chosen it may all send theirs: all queued calls choose among the upstreams that have room.
 	 */
 	const countCompetingTokens = ({
-		candidate, candidates, backlogLimit, now,
-	}: DispatchTurn, reportDelay: Milliseconds): number => {
+		rank, candidate, candidates, backlogLimit, now,
+	}: DispatchTurn, reportDelay: Milliseconds): TokensElsewhere => {
 		const since = waitingSince.get(getUpstreamKey(candidate.upstream)) ?? now;
 		if (now - since >= reportDelay) {
-			return countOtherTokens(candidate);
+			return getTokensElsewhere([candidate], rank);
 		}
 
-		const otherTokens = candidates.reduce((sum, other) => sum + countOtherTokens(other), 0);
-		return otherTokens / countWithRoom(candidates, backlogLimit);
+		const upstreams = countWithRoom(candidates, backlogLimit);
+		const {same, higher} = getTokensElsewhere(candidates, rank);
+		return {same: same / upstreams, higher: higher / upstreams};
 	};
 
 	const dropPastDraws = (now: Milliseconds): void => {
@@ -73,15 +72,17 @@
 
 	return {
 		take(turn) {
-			const {candidate, backlogLimit, now} = turn;
+			const {
+				rank, candidate, backlogLimit, now,
+			} = turn;
 			if (isSmall(turn)) {
 				return true;
 			}
 
 			const key = getUpstreamKey(candidate.upstream);
 			const reportDelay = getMeanReportDelay(countHosts());
-			const otherTokens = countCompetingTokens(turn, reportDelay);
-			if (backlogLimit === Number.POSITIVE_INFINITY || otherTokens <= 0) {
+			const competing = countCompetingTokens(turn, reportDelay);
+			if (backlogLimit === Number.POSITIVE_INFINITY || competing.same + competing.higher <= 0) {
 				return true;
 			}
 
@@ -90,8 +91,10 @@
 			}
 
 			nextDraws.set(key, now + reportDelay);
-			const ownTokens = Math.max(candidate.uncachedTokens, tracker.getReportedQueuedTokens(key));
-			const probability = getSendProbability(candidate, {backlogLimit, ownTokens, otherTokens});
+			const ownTokens = Math.max(candidate.uncachedTokens, tracker.getReportedQueuedTokens(key).get(rank) ?? 0);
+			const probability = getSendProbability(candidate, {
+				backlogLimit, ownTokens, otherTokens: competing.same, higherRankTokens: competing.higher,
+			});
 			return random.next() < probability;
 		},
 		setWaiting(upstreams, now) {
--- a/packages/forwarder/src/early-refusal.test.ts
+++ b/packages/forwarder/src/early-refusal.test.ts
@@ -1,6 +1,6 @@
 import {createManualClock, createRandom} from '@gentianlift/clock';
 import {
-	getUpstreamKey, type Candidate, type EarlyRefusal, type Upstream,
+	getUpstreamKey, noRankTokens, type Candidate, type EarlyRefusal, type RankTokens, type Upstream,
 } from '@gentianlift/routing';
 import {
 	buildCandidate, buildConfiguration, buildRoute, buildUpstream,
@@ -27,19 +27,21 @@
 /** Prompt tokens that an upstream prefills in a second at the rate that is assumed of it. */
 const tokensPerSecond = 40_000;
 /** Load at which calls with a backlog limit have to wait, and are expected to be served after a second. */
-const busy = {unreadTokens: tokensPerSecond, queuedTokens: 0};
+const busy = {unreadTokens: tokensPerSecond, queuedTokens: noRankTokens};
 /** Load at which the callers of all routes leave before the first token. */
-const hopeless = {unreadTokens: 6 * tokensPerSecond, queuedTokens: 10 * tokensPerSecond};
+const hopeless = {unreadTokens: 6 * tokensPerSecond, queuedTokens: new Map([[question.rank, 10 * tokensPerSecond]])};
+
+type Load = {unreadTokens: number; queuedTokens: RankTokens};
 
 /** Reports the load that another host puts on each upstream. */
-const reportLoad = ({loads, clock}: SimulatedHost, load: {unreadTokens: number; queuedTokens: number}, upstreams = [buildUpstream()]): void => {
+const reportLoad = ({loads, clock}: SimulatedHost, load: Load, upstreams = [buildUpstream()]): void => {
 	const reported = upstreams.map(upstream => ({
 		upstream: getUpstreamKey(upstream), running: 20, latencySensitiveStreams: 0, ...load,
 	}));
 	loads.setReported('other', 1, reported, clock.monotonic());
 };
 
-const createBusyHost = (load: {unreadTokens: number; queuedTokens: number}): SimulatedHost => {
+const createBusyHost = (load: Load): SimulatedHost => {
 	const host = createSimulatedHost(configuration, [buildUpstream()]);
 	reportLoad(host, load);
 	return host;
@@ -112,7 +114,7 @@
 	const {ended} = enqueue(host, queue, oneReview, progress);
 	await host.clock.advance(1500);
 	expect(ended).toEqual([]);
-	reportLoad(host, {unreadTokens: 0, queuedTokens: 0});
+	reportLoad(host, {unreadTokens: 0, queuedTokens: noRankTokens});
 	await host.clock.advance(20);
 	expect(ended[0]).toMatchObject({candidate: {upstream: {id: 'u1'}}});
 	expect(progress.refusal).toBeUndefined();
@@ -157,9 +159,9 @@
 	return answers.filter(({answer}) => answer.status === 503).map(({name}) => name);
 };
 
-// Other hosts report queued tokens without ranks; all of them counted as ahead of each call would refuse the highest ranks first.
+// Queued tokens of other hosts counted as ahead of each call, whatever their rank, so that the highest ranks were refused first.
 test('a higher-ranked call is not refused while a lower-ranked one waits and is kept', async () => {
-	const host = createBusyHost({...busy, queuedTokens: 8 * tokensPerSecond});
+	const host = createBusyHost({...busy, queuedTokens: new Map([[review.rank, 8 * tokensPerSecond]])});
 	const refused = await getRefusedNames(host, 20, 2);
 	expect(refused).not.toContain('review-0');
 	expect(refused).toContain('review-19');
@@ -168,7 +170,7 @@
 
 // Once a host had refused its own reviews, its plans took all that other hosts had queued to go before them.
 test('higher-ranked calls are not refused after the lower-ranked ones', async () => {
-	const host = createBusyHost({...busy, queuedTokens: 30 * tokensPerSecond});
+	const host = createBusyHost({...busy, queuedTokens: new Map([[review.rank, 300 * tokensPerSecond]])});
 	const refused = await getRefusedNames(host, 20, 2);
 	expect(refused).toHaveLength(20);
 	expect(refused.filter(name => name.startsWith('plan'))).toEqual([]);
@@ -243,7 +245,7 @@
 		upstream: buildUpstream({id: 'u2'}), backlog: 0, uncachedTokens: 100_000, prefillRate: 4,
 	});
 	const waiting = {
-		call: host.createCall(oneReview), progress: createProgress(), chosen, backlogLimit: 90, tokensAhead: new Map<string, number>(),
+		call: host.createCall(oneReview), progress: createProgress(), chosen, backlogLimit: 90, tokensAhead: new Map<string, RankTokens>(),
 	};
 	const runPasses = async (candidates: Candidate[]): Promise<Array<EarlyRefusal | undefined>> => {
 		const results: Array<EarlyRefusal | undefined> = [];
--- a/packages/forwarder/src/early-refusals.ts
+++ b/packages/forwarder/src/early-refusals.ts
@@ -1,8 +1,8 @@
 import {
-	drawRetryAfter, getOtherHostsTokens, getTimeToFirstToken, getTimeToTurn, isLastingMiss, isMissed, startMissBalance, updateMissBalance,
-	type Candidate, type EarlyRefusal, type MissBalance, type UpstreamKey,
+	drawRetryAfter, getTimeToFirstToken, getTimeToTurn, getTokensElsewhere, isLastingMiss, isMissed, startMissBalance, sumRankTokens, updateMissBalance,
+	type Candidate, type EarlyRefusal, type MissBalance, type RankTokens, type UpstreamKey,
 } from '@gentianlift/routing';
-import type {Milliseconds} from '@gentianlift/types';
+import type {Milliseconds, Rank} from '@gentianlift/types';
 import type {Call, Progress} from './call.js';
 import type {ForwarderContext} from './context.js';
 
@@ -16,7 +16,7 @@
 	/** Maximum backlog at which an upstream may receive the call. */
 	backlogLimit: Milliseconds;
 	/** Uncached prompt tokens of this host's calls that go before this one, by the upstream that they wait for. */
-	tokensAhead: ReadonlyMap<UpstreamKey, number>;
+	tokensAhead: ReadonlyMap<UpstreamKey, RankTokens>;
 	/** When the pass began. */
 	now: Milliseconds;
 };
@@ -26,7 +26,7 @@
 	/** Counts a dispatch pass, and returns a refusal if no upstream is expected to return the first token in time, and none has been for a while. */
 	check: (waiting: WaitingCall) => EarlyRefusal | undefined;
 	/** Records the uncached prompt tokens that stay queued at this host after a dispatch pass. */
-	endPass: (queuedTokens: ReadonlyMap<UpstreamKey, number>, now: Milliseconds) => void;
+	endPass: (queuedTokens: ReadonlyMap<UpstreamKey, RankTokens>, now: Milliseconds) => void;
 };
 
 /** Time in which a queue that has shrunk counts half as much; the other hosts' reports follow later, and they refuse calls at other moments. */
@@ -42,20 +42,23 @@
 /** Expected times of a waiting call, with the queued tokens that they follow from. */
 type Prediction = {turn: Milliseconds; firstToken: Milliseconds; tokensAhead: number; otherHostsTokens: number};
 
-const sumTokens = (tokens: ReadonlyMap<UpstreamKey, number>): number => {
-	let sum = 0;
-	for (const value of tokens.values()) {
-		sum += value;
+/** Returns the sum over all upstreams, by rank. */
+const sumByRank = (tokens: ReadonlyMap<UpstreamKey, RankTokens>): Map<Rank, number> => {
+	const sums = new Map<Rank, number>();
+	for (const byRank of tokens.values()) {
+		for (const [rank, count] of byRank) {
+			sums.set(rank, (sums.get(rank) ?? 0) + count);
+		}
 	}
 
-	return sum;
+	return sums;
 };
 
 /** Creates the decisions of a host without waiting calls. */
 export const createEarlyRefusals = ({clock, random}: Pick<ForwarderContext, 'clock' | 'random'>): EarlyRefusals => {
 	const states = new WeakMap<Call, CallState>();
-	/** Uncached prompt tokens of this host's calls after the last passes; falls slowly. */
-	let recentQueuedTokens = 0;
+	/** Uncached prompt tokens of this host's calls after the last passes, by rank; they fall slowly. */
+	let recentQueuedTokens = new Map<Rank, number>();
 	let lastPassAt = clock.monotonic();
 
 	const getState = ({call, now}: WaitingCall): CallState => {
@@ -65,21 +68,23 @@
 	};
 
 	/**
-	 * Estimates the fraction of the other hosts' queued tokens that goes before a call. Their queues are taken to be mixed
-	 * like that of this host, so that its calls divide them into parts; where a call stands within its part is drawn once.
+	 * Estimates the fraction of the other hosts' queued tokens of a call's rank that goes before it. Their queues are taken
+	 * to be mixed like that of this host, so that its calls divide them into parts; where a call stands within its part is
+	 * drawn once.
 	 */
-	const getOtherHostsFraction = (ownTokensAhead: number, uncachedTokens: number, {relativePosition}: CallState): number => {
-		const queueLength = Math.max(recentQueuedTokens, ownTokensAhead + uncachedTokens, 1);
+	const getOtherHostsFraction = (rank: Rank, ownTokensAhead: number, uncachedTokens: number, {relativePosition}: CallState): number => {
+		const queueLength = Math.max(recentQueuedTokens.get(rank) ?? 0, ownTokensAhead + uncachedTokens, 1);
 		return (ownTokensAhead + (relativePosition * uncachedTokens)) / queueLength;
 	};
 
-	const predict = ({chosen, candidates, tokensAhead}: WaitingCall, state: CallState): Prediction => {
-		const ownTokensAhead = sumTokens(tokensAhead);
-		const otherHostsTokens = getOtherHostsTokens(candidates, tokensAhead);
-		const allTokensAhead = ownTokensAhead + (getOtherHostsFraction(ownTokensAhead, chosen.uncachedTokens, state) * otherHostsTokens);
+	const predict = ({call: {rank}, chosen, candidates, tokensAhead}: WaitingCall, state: CallState): Prediction => {
+		const ownTokensAhead = sumByRank(tokensAhead);
+		const {same, higher} = getTokensElsewhere(candidates, rank);
+		const fraction = getOtherHostsFraction(rank, ownTokensAhead.get(rank) ?? 0, chosen.uncachedTokens, state);
+		const allTokensAhead = sumRankTokens(ownTokensAhead) + higher + (fraction * same);
 		const turn = getTimeToTurn(candidates, allTokensAhead);
 		return {
-			turn, firstToken: getTimeToFirstToken(candidates, turn), tokensAhead: allTokensAhead, otherHostsTokens,
+			turn, firstToken: getTimeToFirstToken(candidates, turn), tokensAhead: allTokensAhead, otherHostsTokens: same + higher,
 		};
 	};
 
@@ -111,8 +116,13 @@
 			return hasMissed && isLastingMiss(state.balance, remaining) ? createRefusal(waiting, prediction) : undefined;
 		},
 		endPass(queuedTokens, now) {
-			const remembered = recentQueuedTokens * (0.5 ** ((now - lastPassAt) / queueMemoryHalfLife));
-			recentQueuedTokens = Math.max(sumTokens(queuedTokens), remembered);
+			const kept = 0.5 ** ((now - lastPassAt) / queueMemoryHalfLife);
+			const present = sumByRank(queuedTokens);
+			for (const [rank, tokens] of recentQueuedTokens) {
+				present.set(rank, Math.max(present.get(rank) ?? 0, tokens * kept));
+			}
+
+			recentQueuedTokens = present;
 			lastPassAt = now;
 		},
 	};
--- a/packages/forwarder/src/load-metrics.test.ts
+++ b/packages/forwarder/src/load-metrics.test.ts
@@ -1,5 +1,5 @@
 import type {LoadContribution} from '@gentianlift/discovery';
-import {defaultPrefillRate} from '@gentianlift/routing';
+import {defaultPrefillRate, noRankTokens} from '@gentianlift/routing';
 import {
 	expect, onTestFinished, test, vi,
 } from 'vitest';
@@ -27,7 +27,7 @@
 /** Records a load of another host. */
 const reportLoad = ({loads, context}: TestHost, load: Partial<LoadContribution>): void => {
 	loads.setReported('other', 1, [{
-		upstream: 'u0@1', running: 0, unreadTokens: 0, latencySensitiveStreams: 0, queuedTokens: 0, ...load,
+		upstream: 'u0@1', running: 0, unreadTokens: 0, latencySensitiveStreams: 0, queuedTokens: noRankTokens, ...load,
 	}], context.clock.monotonic());
 };
 
@@ -44,9 +44,9 @@
 
 test('the end of a call is logged with the tokens that all hosts had queued for its upstream', async () => {
 	const {host} = await start(streamSlowly);
-	reportLoad(host, {queuedTokens: 700});
+	reportLoad(host, {queuedTokens: new Map([[1, 700]])});
 	host.loads.addOwnLoad('u0@1', {
-		running: 0, unreadTokens: 0, latencySensitiveStreams: 0, queuedTokens: 50,
+		running: 0, unreadTokens: 0, latencySensitiveStreams: 0, queuedTokens: new Map([[0, 50]]),
 	}, host.context.clock.monotonic());
 	await sendRequest(host.port, {path: '/once/1', headers: {attempt: 'a1', 'prompt-tokens': '100'}});
 	await expect.poll(() => host.logLines.join('\n')).toMatch(/event=call-ended .*unreadTokens=0 queuedTokens=750 uncachedTokens=100 /v);
--- a/packages/forwarder/src/observed-service.ts
+++ b/packages/forwarder/src/observed-service.ts
@@ -1,8 +1,9 @@
 import type {LoadTracker} from '@gentianlift/discovery';
 import {
-	getBacklog, getPreferredUpstream, type CachedTokens, type Candidate, type Prompt, type PromptCacheEstimate, type Upstream, type UpstreamKey,
+	addRankTokens, getBacklog, getPreferredUpstream, noRankTokens, sumRankTokens,
+	type CachedTokens, type Candidate, type Prompt, type PromptCacheEstimate, type RankTokens, type Upstream, type UpstreamKey,
 } from '@gentianlift/routing';
-import type {Milliseconds} from '@gentianlift/types';
+import type {Milliseconds, Rank} from '@gentianlift/types';
 
 /** An upstream as this host sees it during a dispatch pass, without its load, which the calls of the pass change. */
 export type ObservedUpstream = {
@@ -35,8 +36,10 @@
 	hasPermit: (upstream: UpstreamKey) => boolean;
 	/** The only software version that may run the call; undefined if any may. */
 	softwareVersion?: string | undefined;
+	/** Rank of the call; those of the other hosts' queued calls that rank lower don't go before it. */
+	rank?: Rank | undefined;
 	/** For each upstream, the uncached prompt tokens of this host's calls that the pass has processed before this one and that wait for it. */
-	tokensAhead?: ReadonlyMap<UpstreamKey, number>;
+	tokensAhead?: ReadonlyMap<UpstreamKey, RankTokens>;
 };
 
 const noCachedTokens: CachedTokens = {all: 0, shared: 0};
@@ -71,7 +74,7 @@
 
 /** Returns the upstreams that a call may be sent to, with their present loads and what they have cached of its prompt. */
 export const buildCandidates = (query: CandidateQuery, loads: LoadTracker): Candidate[] => {
-	const {service, prompt, tokensAhead} = query;
+	const {service, prompt, rank, tokensAhead} = query;
 	const usable = getUsable(query);
 	const cachedTokens = usable.map(({cache}) => prompt === undefined ? noCachedTokens : cache.getCachedTokens(prompt));
 	const maxSharedTokens = Math.max(...cachedTokens.map(({shared}) => shared));
@@ -79,12 +82,14 @@
 	const preferredCache = prompt === undefined ? undefined : estimatePreferredCache(prompt, maxSharedTokens, unreservedUpstreams);
 	return usable.map(({key, upstream, prefillRate, isReserved, failureRatio, relativeLatency}, index) => {
 		const load = loads.getTotalLoad(key);
+		const queuedElsewhere = addRankTokens(load.queuedTokens, loads.getOwnQueuedTokens(key), -1);
 		const {all, shared} = cachedTokens[index] ?? noCachedTokens;
 		return {
 			upstream,
 			load,
 			backlog: getBacklog(load, prefillRate, service.now),
-			queueDelay: (load.queuedTokens - loads.getOwnQueuedTokens(key) + (tokensAhead?.get(key) ?? 0)) / prefillRate,
+			queuedElsewhere,
+			queueDelay: (sumRankTokens(queuedElsewhere, rank) + sumRankTokens(tokensAhead?.get(key) ?? noRankTokens)) / prefillRate,
 			uncachedTokens: Math.max(0, (prompt?.inputTokens ?? 0) - all),
 			rereadTokens: maxSharedTokens - shared + (preferredCache === undefined || preferredCache.preferred === key ? 0 : preferredCache.tokens),
 			prefillRate,
--- a/packages/forwarder/src/request-load.ts
+++ b/packages/forwarder/src/request-load.ts
@@ -1,5 +1,5 @@
 import type {LoadContribution, LoadReportExchange} from '@gentianlift/discovery';
-import type {UpstreamKey} from '@gentianlift/routing';
+import {noRankTokens, type RankTokens, type UpstreamKey} from '@gentianlift/routing';
 
 /** The load that a request adds to its upstream. */
 export type RequestLoad = {
@@ -10,11 +10,11 @@
 };
 
 const noChange: LoadContribution = {
-	running: 0, unreadTokens: 0, latencySensitiveStreams: 0, queuedTokens: 0,
+	running: 0, unreadTokens: 0, latencySensitiveStreams: 0, queuedTokens: noRankTokens,
 };
 
-/** Changes the number of uncached prompt tokens queued at this host for an upstream, as reported to the other hosts; `change` may be negative. */
-export const addQueuedTokens = (reportExchange: Pick<LoadReportExchange, 'addLoad'>, upstream: UpstreamKey, change: number): void => {
+/** Changes the number of uncached prompt tokens queued at this host for an upstream, as reported to the other hosts; the numbers of the change may be negative. */
+export const addQueuedTokens = (reportExchange: Pick<LoadReportExchange, 'addLoad'>, upstream: UpstreamKey, change: RankTokens): void => {
 	reportExchange.addLoad(upstream, {...noChange, queuedTokens: change});
 };
 
--- a/packages/forwarder/src/request-queue.test.ts
+++ b/packages/forwarder/src/request-queue.test.ts
@@ -4,7 +4,9 @@
 } from '@gentianlift/discovery';
 import {createSilentLogger} from '@gentianlift/logger';
 import {createMetrics} from '@gentianlift/metrics';
-import {createCrashSuspects, type Route, type Upstream} from '@gentianlift/routing';
+import {
+	createCrashSuspects, sumRankTokens, type Route, type Upstream,
+} from '@gentianlift/routing';
 import {buildConfiguration, buildRoute, buildUpstream} from '@gentianlift/routing/testing';
 import type {Milliseconds} from '@gentianlift/types';
 import {expect, test} from 'vitest';
@@ -165,11 +167,11 @@
 	const first = enqueue(setup, manyReviews[0]!, dispatched);
 	enqueue(setup, manyReviews[1]!, dispatched);
 	await setup.clock.advance(20);
-	expect(setup.loads.getTotalLoad('u1@1').queuedTokens).toBe(16_000);
+	expect(sumRankTokens(setup.loads.getTotalLoad('u1@1').queuedTokens)).toBe(16_000);
 	const assignment = await first.assignment;
 	assignment?.load.end();
 	await setup.clock.advance(20);
-	expect(setup.loads.getTotalLoad('u1@1').queuedTokens).toBe(0);
+	expect(sumRankTokens(setup.loads.getTotalLoad('u1@1').queuedTokens)).toBe(0);
 });
 
 test('reported queued tokens are withdrawn when the caller disconnects', async () => {
@@ -178,11 +180,11 @@
 	enqueue(setup, manyReviews[0]!, dispatched);
 	const second = enqueue(setup, manyReviews[1]!, dispatched);
 	await setup.clock.advance(20);
-	expect(setup.loads.getTotalLoad('u1@1').queuedTokens).toBe(16_000);
+	expect(sumRankTokens(setup.loads.getTotalLoad('u1@1').queuedTokens)).toBe(16_000);
 	second.progress.isCallerGone = true;
 	second.progress.cancel?.();
 	await setup.clock.advance(20);
-	expect(setup.loads.getTotalLoad('u1@1').queuedTokens).toBe(0);
+	expect(sumRankTokens(setup.loads.getTotalLoad('u1@1').queuedTokens)).toBe(0);
 });
 
 const service = configuration.services[0]!;
--- a/packages/forwarder/src/request-queue.ts
+++ b/packages/forwarder/src/request-queue.ts
@@ -1,8 +1,8 @@
 import {
-	chooseUpstream, compareQueued, getUpstreamKey, isLatencySensitiveRoute,
-	type Candidate, type EarlyRefusal, type QueuePosition, type RequestProfile, type Service, type UpstreamKey,
+	addRankTokens, chooseUpstream, compareQueued, getRankChange, getUpstreamKey, isLatencySensitiveRoute, noRankTokens,
+	type Candidate, type EarlyRefusal, type QueuePosition, type RankTokens, type RequestProfile, type Service, type UpstreamKey,
 } from '@gentianlift/routing';
-import type {Milliseconds} from '@gentianlift/types';
+import type {Milliseconds, Rank} from '@gentianlift/types';
 import {createBacklogLimits} from './backlog-limits.js';
 import type {Call, Progress} from './call.js';
 import {findBlockingSuspect} from './crash-blame.js';
@@ -53,7 +53,7 @@
 		| {kind: 'impossible'};
 
 /** Uncached prompt tokens of this host's queued calls, by the upstream that they wait for. */
-type QueuedTokens = Map<UpstreamKey, number>;
+type QueuedTokens = Map<UpstreamKey, RankTokens>;
 
 /** A pass over queued calls, which reads the clock and observes each service once. */
 type DispatchPass = {
@@ -136,7 +136,7 @@
 
 		const observed = observe(service, pass);
 		const candidates = tracker.getCandidates({
-			service: observed, prompt: call.head.prompt, tried: entry.progress.tried, softwareVersion: entry.progress.streamVersion, tokensAhead: pass.queuedTokens,
+			service: observed, rank: call.rank, prompt: call.head.prompt, tried: entry.progress.tried, softwareVersion: entry.progress.streamVersion, tokensAhead: pass.queuedTokens,
 		});
 		const isLatencySensitive = isLatencySensitiveRoute(call.route, service, observed.prefillRate);
 		const candidate = chooseUpstream(candidates, getRequestProfile(entry, isLatencySensitive, pass.now), context.random);
@@ -146,7 +146,7 @@
 
 		const backlogLimit = backlogLimits.get(table, call);
 		if (call.head.prompt === undefined || (candidate.backlog <= backlogLimit && turns.take({
-			candidate, candidates, backlogLimit, now: pass.now,
+			rank: call.rank, candidate, candidates, backlogLimit, now: pass.now,
 		}))) {
 			return {kind: 'placed', candidate, isLatencySensitive};
 		}
@@ -163,9 +163,9 @@
 		resolve({candidate, load, permit: context.limits.claim(getUpstreamKey(candidate.upstream))});
 	};
 
-	const countQueuedTokens = (queuedTokens: QueuedTokens, {upstream, uncachedTokens}: Candidate): void => {
+	const countQueuedTokens = (queuedTokens: QueuedTokens, rank: Rank, {upstream, uncachedTokens}: Candidate): void => {
 		const key = getUpstreamKey(upstream);
-		queuedTokens.set(key, (queuedTokens.get(key) ?? 0) + uncachedTokens);
+		queuedTokens.set(key, addRankTokens(queuedTokens.get(key) ?? noRankTokens, new Map([[rank, uncachedTokens]])));
 	};
 
 	/** Dispatches the entry or drops an ended one; returns whether it stays queued. */
@@ -203,17 +203,17 @@
 			}
 
 			case 'waits': {
-				countQueuedTokens(pass.queuedTokens, decision.candidate);
+				countQueuedTokens(pass.queuedTokens, entry.call.rank, decision.candidate);
 				return true;
 			}
 		}
 	};
 
-	/** Reports large changes of queued tokens to the other hosts, and always that none are left. */
+	/** Reports large changes of queued tokens to the other hosts, and always that a rank has none left. */
 	const reportQueuedTokens = (queuedTokens: QueuedTokens): void => {
 		for (const key of new Set([...reportedUpstreams, ...queuedTokens.keys()])) {
-			const change = (queuedTokens.get(key) ?? 0) - tracker.getReportedQueuedTokens(key);
-			if (Math.abs(change) >= minReportedTokenChange || (change !== 0 && !queuedTokens.has(key))) {
+			const change = getRankChange(tracker.getReportedQueuedTokens(key), queuedTokens.get(key) ?? noRankTokens, minReportedTokenChange);
+			if (change.size > 0) {
 				addQueuedTokens(context.reportExchange, key, change);
 			}
 		}
--- a/packages/forwarder/src/testing-burst.ts
+++ b/packages/forwarder/src/testing-burst.ts
@@ -11,11 +11,14 @@
 const question = buildRoute({
 	name: 'question', rank: 0, latencyTarget: 500, timeout: 15_000,
 });
+const draft = buildRoute({
+	name: 'draft', rank: 1, latencyTarget: 800, timeout: 6000,
+});
 const review = buildRoute({
 	name: 'review', rank: 2, latencyTarget: 2500, timeout: 12_000,
 });
 const configuration = buildConfiguration({
-	routes: [question, review],
+	routes: [question, draft, review],
 	services: [{name: 's', maxConnections: 700, engine: {slots: 64, cacheTokens: engineCacheTokens, tokensPerEvent: 4}}],
 });
 
@@ -23,12 +26,15 @@
 const burstDuration: Milliseconds = 2500;
 /** Beginning of the burst that isn't measured, while queues build up and shared parts are prefilled for the first time. */
 const warmUp: Milliseconds = 500;
-/** Own tokens of the burst's reviews as a multiple of what the engines can prefill. */
-const reviewLoad = 1.4;
-/** Tokens of the questions as a fraction of what the engines can prefill. */
-const questionLoad = 0.06;
+/** Own tokens of the calls of each route as a multiple of what the engines can prefill. */
+export type BurstLoads = {questions: number; drafts: number; reviews: number};
+
+/** Reviews that exceed what the engines can prefill, and some questions. */
+const defaultLoads: BurstLoads = {questions: 0.06, drafts: 0, reviews: 1.4};
 
 const questionTokens = 1100;
+const draftTokens = {min: 1900, max: 3900};
+const sharedDraftTokens = 6300;
 const reviewTokens = {min: 2700, max: 4700};
 const sharedTokens = 13_300;
 const sharedKinds = 12;
@@ -61,33 +67,41 @@
 	return arrivals;
 };
 
-const buildBurst = (fleet: FleetSize, random: Random): Arrival[] => {
+const buildBurst = (fleet: FleetSize, loads: BurstLoads, random: Random): Arrival[] => {
 	const capacity = fleet.engines * enginePrefillRate;
 	const meanReviewTokens = (reviewTokens.min + reviewTokens.max) / 2;
 	const questions: Traffic = {
 		route: question,
-		callsPerMillisecond: questionLoad * capacity / questionTokens,
+		callsPerMillisecond: loads.questions * capacity / questionTokens,
 		getPrompt: name => buildPrompt([{id: name, tokens: questionTokens}]),
 	};
+	const drafts: Traffic = {
+		route: draft,
+		callsPerMillisecond: loads.drafts * capacity / ((draftTokens.min + draftTokens.max) / 2),
+		getPrompt: name => buildPrompt([
+			{id: `shared-draft-${random.nextInt(sharedKinds)}`, tokens: sharedDraftTokens},
+			{id: name, tokens: draftTokens.min + random.nextInt(draftTokens.max - draftTokens.min)},
+		]),
+	};
 	const reviews: Traffic = {
 		route: review,
-		callsPerMillisecond: reviewLoad * capacity / meanReviewTokens,
+		callsPerMillisecond: loads.reviews * capacity / meanReviewTokens,
 		getPrompt: name => buildPrompt([
 			{id: `shared-${random.nextInt(sharedKinds)}`, tokens: sharedTokens},
 			{id: name, tokens: reviewTokens.min + random.nextInt(reviewTokens.max - reviewTokens.min)},
 		]),
 	};
-	const arrivals = [questions, reviews].flatMap(traffic => buildArrivals(traffic, fleet, random));
+	const arrivals = [questions, drafts, reviews].flatMap(traffic => buildArrivals(traffic, fleet, random));
 	return arrivals.toSorted((one, other) => one.arrivesAt - other.arrivesAt);
 };
 
 /** Forwards the calls of a burst and waits until their timeouts have passed. */
-const forwardBurst = async (fleetSize: FleetSize, seed: number): Promise<BurstCall[]> => {
+const forwardBurst = async (fleetSize: FleetSize, seed: number, loads: BurstLoads): Promise<BurstCall[]> => {
 	const clock = createManualClock();
 	const fleet = createTestFleet({
 		...fleetSize, clock, configuration, seed,
 	});
-	const calls: BurstCall[] = buildBurst(fleetSize, createRandom(seed)).map(arrival => ({arrival, forwarded: undefined}));
+	const calls: BurstCall[] = buildBurst(fleetSize, loads, createRandom(seed)).map(arrival => ({arrival, forwarded: undefined}));
 	const forward = async (call: BurstCall): Promise<void> => {
 		call.forwarded = await fleet.forward(call.arrival.hostIndex, buildTestCall({...call.arrival, arrivedAt: clock.monotonic()}));
 	};
@@ -124,6 +138,10 @@
 	utilization: number;
 	/** Fraction of the calls that got a first token before their timeout. */
 	served: number;
+	/** The same of the drafts alone, and of the reviews. */
+	draftsServed: number;
+	reviewsServed: number;
+	draftTime: Spread;
 	/** Time that questions wait at the hosts, and from there to their first token. */
 	questionTimeAtHost: Spread;
 	questionTimeAtEngine: Spread;
@@ -171,6 +189,7 @@
 const summarize = (calls: readonly BurstCall[], fleet: FleetSize): BurstResult => {
 	const served = calls.filter(call => isServed(call));
 	const questions = served.filter(({arrival}) => arrival.route === question);
+	const drafts = served.filter(({arrival}) => arrival.route === draft);
 	const reviews = served.filter(({arrival}) => arrival.route === review);
 	const rereading = getRereading(reviews);
 	const inTarget = questions.filter(({arrival, forwarded}) => forwarded.firstTokenAt - arrival.arrivesAt <= question.latencyTarget);
@@ -180,6 +199,9 @@
 		rereadUtilization: getUtilization([...rereading], fleet, () => sharedTokens),
 		utilization: getUtilization(served, fleet, ({forwarded}) => forwarded.uncachedTokens),
 		served: served.length / calls.length,
+		draftsServed: drafts.length / calls.filter(({arrival}) => arrival.route === draft).length,
+		reviewsServed: reviews.length / calls.filter(({arrival}) => arrival.route === review).length,
+		draftTime: getSpread(drafts.map(({arrival, forwarded}) => forwarded.firstTokenAt - arrival.arrivesAt)),
 		questionTimeAtHost: getSpread(questions.map(({arrival, forwarded}) => forwarded.sentAt - arrival.arrivesAt)),
 		questionTimeAtEngine: getSpread(questions.map(({forwarded}) => forwarded.firstTokenAt - forwarded.sentAt)),
 		reviewTime: getSpread(reviews.map(({arrival, forwarded}) => forwarded.firstTokenAt - arrival.arrivesAt)),
@@ -191,4 +213,5 @@
  * Plays a burst of reviews that exceeds what the engines can prefill, with some questions of a higher rank, and
  * summarizes it. The same seed yields the same burst.
  */
-export const playBurst = async (fleet: FleetSize, seed: number): Promise<BurstResult> => summarize(await forwardBurst(fleet, seed), fleet);
+export const playBurst = async (fleet: FleetSize, seed: number, loads: BurstLoads = defaultLoads): Promise<BurstResult> =>
+	summarize(await forwardBurst(fleet, seed, loads), fleet);
--- a/packages/forwarder/src/upstream-tracker.ts
+++ b/packages/forwarder/src/upstream-tracker.ts
@@ -4,7 +4,7 @@
 import {
 	addResult, chooseReservedUpstreams, createFailureCounts, createPromptCacheEstimate, createPrefillRateEstimate, defaultPrefillRate,
 	getFailureRatio, getUpstreamKey, updateReservation,
-	type Candidate, type FailureCounts, type Prompt, type PromptCacheEstimate, type PrefillRateEstimate,
+	type Candidate, type FailureCounts, type Prompt, type PromptCacheEstimate, type PrefillRateEstimate, type RankTokens,
 	type RouteKind, type Reservation, type Service, type Upstream, type UpstreamKey,
 } from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
@@ -24,7 +24,7 @@
 	/** Returns the upstreams that may run a call, unreachable or silent ones only if there are no others. */
 	getCandidates: (query: Omit<CandidateQuery, 'hasPermit'>) => Candidate[];
 	/** Returns the uncached prompt tokens queued at this host for an upstream, as last reported to the other hosts. */
-	getReportedQueuedTokens: (upstream: UpstreamKey) => number;
+	getReportedQueuedTokens: (upstream: UpstreamKey) => RankTokens;
 	/** Records a time to first token and the number of tokens that were prefilled in it. */
 	recordFirstToken: (upstream: Upstream, tokens: number, duration: Milliseconds) => void;
 	/** Records that an upstream prefills a prompt and has its prefix cached afterwards. */
--- a/packages/routing/src/choose-upstream.ts
+++ b/packages/routing/src/choose-upstream.ts
@@ -1,5 +1,6 @@
 import type {Random} from '@gentianlift/clock';
 import type {Milliseconds, Zone} from '@gentianlift/types';
+import type {RankTokens} from './rank-tokens.js';
 import type {Upstream} from './upstream.js';
 
 /** Load that all hosts together put on an upstream. */
@@ -11,7 +12,7 @@
 	/** Number of latency-sensitive streams among the requests in flight: those that miss their target for the interval between events if a long prefill runs beside them. */
 	latencySensitiveStreams: number;
 	/** Uncached prompt tokens of requests that are queued at the hosts for this upstream. */
-	queuedTokens: number;
+	queuedTokens: RankTokens;
 	/** When the upstream was last observed to start or finish a prefill. */
 	progressAt: Milliseconds;
 };
@@ -22,7 +23,9 @@
 	load: UpstreamLoad;
 	/** Time until it has prefilled the prompts that were sent to it. */
 	backlog: Milliseconds;
-	/** Time that it needs to prefill the prompts which are queued for it ahead of this one. */
+	/** Prompt tokens that other hosts have queued for it. */
+	queuedElsewhere: RankTokens;
+	/** Time that it needs to prefill the prompts which are queued for it ahead of this one, at other hosts those of its rank or a higher one. */
 	queueDelay: Milliseconds;
 	/** Prompt tokens that it has to prefill, as it has not cached them. */
 	uncachedTokens: number;
--- a/packages/routing/src/dispatch-share.test.ts
+++ b/packages/routing/src/dispatch-share.test.ts
@@ -3,7 +3,9 @@
 import {buildCandidate} from './testing.js';
 
 const candidate = buildCandidate({backlog: 140, prefillRate: 40, uncachedTokens: 4000});
-const share: DispatchShare = {backlogLimit: 150, ownTokens: 4000, otherTokens: 36_000};
+const share: DispatchShare = {
+	backlogLimit: 150, ownTokens: 4000, otherTokens: 36_000, higherRankTokens: 0,
+};
 
 test('a host whose requests alone are queued sends at once', () => {
 	expect(getSendProbability(candidate, {...share, otherTokens: 0})).toBe(1);
@@ -22,3 +24,10 @@
 	expect(getSendProbability({...candidate, backlog: 150}, share)).toBe(0);
 	expect(getSendProbability({...candidate, backlog: 200}, share)).toBe(0);
 });
+
+test('the room for requests of higher ranks at other hosts is left to them', () => {
+	// Of room for 2000 tokens 1500 are left to higher ranks.
+	const roomy = {...candidate, backlog: 100};
+	expect(getSendProbability(roomy, {...share, otherTokens: 0, higherRankTokens: 1500})).toBeCloseTo(0.15, 4);
+	expect(getSendProbability(roomy, {...share, otherTokens: 0, higherRankTokens: 2000})).toBe(0);
+});
--- a/packages/routing/src/first-token.test.ts
+++ b/packages/routing/src/first-token.test.ts
@@ -1,14 +1,17 @@
 import {expect, test} from 'vitest';
-import {getOtherHostsTokens, getTimeToFirstToken, getTimeToTurn} from './first-token.js';
+import {getTimeToFirstToken, getTimeToTurn, getTokensElsewhere} from './first-token.js';
 import {buildCandidate, buildUpstream} from './testing.js';
 
 const prefillRate = 40;
 const buildBusy = (id: string, backlog: number) => buildCandidate({upstream: buildUpstream({id}), prefillRate, backlog});
 
-test('queued tokens of other hosts are those that aren\'t of this host\'s calls', () => {
-	const candidates = [buildBusy('u1', 0), buildBusy('u2', 0)].map(candidate => ({...candidate, queueDelay: 10_000 / prefillRate}));
-	expect(getOtherHostsTokens(candidates, new Map())).toBe(20_000);
-	expect(getOtherHostsTokens(candidates, new Map([['u1@1', 2000], ['gone@1', 5000]]))).toBe(18_000);
+test('queued tokens of other hosts count by rank, and those of lower ranks not', () => {
+	const candidates = [
+		{...buildBusy('u1', 0), queuedElsewhere: new Map([[0, 1000], [1, 2000], [2, 4000]])},
+		{...buildBusy('u2', 0), queuedElsewhere: new Map([[1, 10_000]])},
+	];
+	expect(getTokensElsewhere(candidates, 1)).toEqual({same: 12_000, higher: 1000});
+	expect(getTokensElsewhere(candidates, 3)).toEqual({same: 0, higher: 17_000});
 });
 
 test('without queued tokens it is a call\'s turn at the shortest backlog', () => {
--- a/packages/routing/src/first-token.ts
+++ b/packages/routing/src/first-token.ts
@@ -1,18 +1,20 @@
-import type {Milliseconds} from '@gentianlift/types';
+import type {Milliseconds, Rank} from '@gentianlift/types';
 import type {Candidate} from './choose-upstream.js';
-import {getUpstreamKey, type UpstreamKey} from './upstream.js';
+import {sumRankTokens} from './rank-tokens.js';
 
-/**
- * Returns the prompt tokens that the other hosts have queued for the candidates. `ownTokensAhead` are, for each upstream,
- * those of this host's calls that count in the candidates' queue delays.
- */
-export const getOtherHostsTokens = (candidates: readonly Candidate[], ownTokensAhead: ReadonlyMap<UpstreamKey, number>): number => {
-	let tokens = 0;
-	for (const {upstream, queueDelay, prefillRate} of candidates) {
-		tokens += (queueDelay * prefillRate) - (ownTokensAhead.get(getUpstreamKey(upstream)) ?? 0);
+/** Prompt tokens that the other hosts have queued, of a call's rank and of higher ones. */
+export type TokensElsewhere = {same: number; higher: number};
+
+/** Returns the prompt tokens that the other hosts have queued for the candidates of a call of a rank. */
+export const getTokensElsewhere = (candidates: ReadonlyArray<Pick<Candidate, 'queuedElsewhere'>>, rank: Rank): TokensElsewhere => {
+	let same = 0;
+	let sameAndHigher = 0;
+	for (const {queuedElsewhere} of candidates) {
+		same += queuedElsewhere.get(rank) ?? 0;
+		sameAndHigher += sumRankTokens(queuedElsewhere, rank);
 	}
 
-	return Math.max(0, Math.round(tokens));
+	return {same, higher: sameAndHigher - same};
 };
 
 /**
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -18,6 +18,7 @@
 export * from './reserved-upstreams.js';
 export * from './upstream.js';
 export * from './queue-order.js';
+export * from './rank-tokens.js';
 export * from './dispatch-share.js';
 export * from './stream-origins.js';
 export * from './version-history.js';
--- a/packages/routing/src/testing.ts
+++ b/packages/routing/src/testing.ts
@@ -1,5 +1,6 @@
 import type {Candidate, UpstreamLoad} from './choose-upstream.js';
 import type {Route, RoutingConfiguration} from './configuration.js';
+import {noRankTokens} from './rank-tokens.js';
 import type {Upstream} from './upstream.js';
 
 /** Builds a route for tests. */
@@ -37,7 +38,7 @@
 
 /** Builds an upstream's load for tests. */
 export const buildLoad = (changes: Partial<UpstreamLoad> = {}): UpstreamLoad => ({
-	running: 0, unreadTokens: 0, latencySensitiveStreams: 0, queuedTokens: 0, progressAt: 0, ...changes,
+	running: 0, unreadTokens: 0, latencySensitiveStreams: 0, queuedTokens: noRankTokens, progressAt: 0, ...changes,
 });
 
 /** Builds a candidate for tests. */
@@ -45,6 +46,7 @@
 	upstream: buildUpstream(),
 	load: buildLoad(),
 	backlog: 0,
+	queuedElsewhere: noRankTokens,
 	queueDelay: 0,
 	uncachedTokens: 1000,
 	rereadTokens: 0,
