Split the hosts that reach upstreams from the links, and the test protocol from the test host

No behaviour changes: forwarder/reaching-hosts keeps which hosts are known to reach a service and when they are asked; testing-protocol is the protocol of the tests.

--- /dev/null
+++ b/packages/forwarder/src/reaching-hosts.ts
@@ -0,0 +1,64 @@
+import type {Clock} from '@gentianlift/clock';
+import type {Milliseconds} from '@gentianlift/types';
+import type {ReachSurvey} from './find-reaching-hosts.js';
+import type {ReachingHost} from './forwarding-hosts.js';
+
+/** The hosts that are known to reach the upstreams of a service to which this host's links are cut. */
+export type ReachingHosts = {
+	get: () => readonly ReachingHost[];
+	/** Replaces them by hosts that have just answered. */
+	set: (hosts: readonly ReachingHost[]) => void;
+	/** Asks the other hosts if none is known or the last answers are old. */
+	refresh: () => Promise<void>;
+	/** Asks the other hosts, as the known ones have failed, unless they were asked just now. */
+	renew: () => Promise<void>;
+};
+
+/** Dependencies of the list of hosts; `find` asks the other hosts. */
+export type ReachingHostsOptions = {clock: Clock; find: () => Promise<ReachSurvey>};
+
+/** Age of the answers from which on the hosts are asked again, and the least one if the known hosts have failed. */
+const askInterval: Milliseconds = 1000;
+const minAskInterval: Milliseconds = 200;
+
+/** Creates an empty list. */
+export const createReachingHosts = ({clock, find}: ReachingHostsOptions): ReachingHosts => {
+	let hosts: readonly ReachingHost[] = [];
+	let askedAt = Number.NEGATIVE_INFINITY;
+	let asking: Promise<void> | undefined;
+
+	const set = (next: readonly ReachingHost[]): void => {
+		hosts = next;
+		askedAt = clock.monotonic();
+	};
+
+	const getAge = (): Milliseconds => clock.monotonic() - askedAt;
+
+	/** Asks the other hosts; the known ones are kept if too few answer. */
+	const ask = async (): Promise<void> => {
+		const {reaching, isAnswered} = await find();
+		set(reaching.length > 0 || isAnswered ? reaching : hosts);
+		asking = undefined;
+	};
+
+	/** Asks once for all that ask at the same time. */
+	const askOnce = async (): Promise<void> => {
+		asking ??= ask();
+		return asking;
+	};
+
+	return {
+		get: () => hosts,
+		set,
+		async refresh() {
+			if (hosts.length === 0 || getAge() >= askInterval) {
+				await askOnce();
+			}
+		},
+		async renew() {
+			if (getAge() >= minAskInterval) {
+				await askOnce();
+			}
+		},
+	};
+};
--- a/packages/forwarder/src/testing-partition.ts
+++ b/packages/forwarder/src/testing-partition.ts
@@ -7,9 +7,8 @@
 import type {HostSettings} from './host-settings.js';
 import {startHost, type Host} from './start-host.js';
 import {sum, upstreamMark, type AnswerHandler} from './test-deployment.js';
-import {
-	protocol, sendRequest, startUpstream, type TestAnswer,
-} from './testing.js';
+import {sendRequest, startUpstream, type TestAnswer} from './testing.js';
+import {protocol} from './testing-protocol.js';
 import {openHostLink, type HostLink, type HostLinkState} from './testing-link.js';
 import {takeLoopback} from './testing-loopback.js';
 import {createTestStore, type TestStore} from './testing-store.js';
--- a/packages/forwarder/src/testing.ts
+++ b/packages/forwarder/src/testing.ts
@@ -10,18 +10,15 @@
 import {createLogger} from '@gentianlift/logger';
 import {createMetrics} from '@gentianlift/metrics';
 import {
-	createCrashSuspects, createStreamOrigins, createVersionHistory, streamLifetime, type Prompt, type RoutingConfiguration, type Upstream,
+	createCrashSuspects, createStreamOrigins, createVersionHistory, streamLifetime, type RoutingConfiguration, type Upstream,
 } from '@gentianlift/routing';
 import {splitAddress, type Address} from '@gentianlift/types';
 import {createCrashDetector} from './crash-detector.js';
 import {createForwarder, type Forwarder} from './forward.js';
-import {parseRate} from './parse-rate.js';
-import {parseRest} from './parse-rest.js';
-import type {Protocol, RawHeaders} from './protocol.js';
-import {getFields, getValues, selectEndToEnd} from './raw-headers.js';
 import {createCallerServer} from './serve-callers.js';
 import type {ForwarderContext} from './context.js';
 import {createHostAgents} from './host-agents.js';
+import {protocol} from './testing-protocol.js';
 import {createSoleLimits} from './testing-sole-limits.js';
 import {createSoleLinks} from './testing-sole-links.js';
 import {createFragileUpstreams} from './fragile-upstreams.js';
@@ -46,69 +43,6 @@
 /** An answer as received by a caller. */
 export type TestAnswer = {status: number; headers: IncomingMessage['headers']; body: string; isComplete: boolean};
 
-const getValue = (headers: RawHeaders, name: string): string | undefined => {
-	const index = headers.findIndex((item, position) => position % 2 === 0 && item.toLowerCase() === name);
-	return index === -1 ? undefined : headers[index + 1];
-};
-
-/** Builds a prompt of some tokens, of one part or of those that are named. */
-const buildPrompt = (tokens: number, parts = 'p'): Prompt => ({
-	model: 'm', parts: parts.split(',').map(id => ({id, tokens})), inputTokens: tokens, outputTokens: 10,
-});
-
-/** Minimal protocol with the headers `limit`, `attempt`, `instance`, `key`, `timeout`, `last-event`, `prompt-tokens`, `parts`, `not-run` and `signed`. */
-export const protocol: Protocol = {
-	readCallerHead(headers) {
-		const timeout = getValue(headers, 'timeout');
-		const lastEvent = getValue(headers, 'last-event');
-		const promptTokens = getValue(headers, 'prompt-tokens');
-		return {
-			callerRequestId: getValue(headers, 'attempt'),
-			hostname: 'a.example',
-			key: getValue(headers, 'key'),
-			clientTimeout: timeout === undefined ? undefined : Number(timeout),
-			prompt: promptTokens === undefined ? undefined : buildPrompt(Number(promptTokens), getValue(headers, 'parts')),
-			sharedParts: getValue(headers, 'parts')?.split(',').slice(0, -1) ?? [],
-			lastEventId: lastEvent === undefined ? undefined : Number(lastEvent),
-			resumedRequestId: getValue(headers, 'resumes'),
-			declaresBody: getValue(headers, 'content-length') !== undefined,
-			forwarded: [],
-			forwardedToHosts: selectEndToEnd(getFields(headers), new Set(['content-length'])),
-		};
-	},
-	buildUpstreamHeaders: ({caller, upstream, remainingTime, resumeAfter, bodyLength}) => [
-		'Host',
-		'a.example',
-		'Attempt',
-		caller.callerRequestId ?? '',
-		'Instance',
-		upstream.id,
-		'Timeout',
-		String(remainingTime),
-		'Parts',
-		caller.prompt?.parts.map(({id}) => id).join(',') ?? '',
-		...(resumeAfter === undefined ? [] : ['Last-Event', String(resumeAfter)]),
-		'Content-Length',
-		String(bodyLength),
-	],
-	buildHostHeaders: (caller, bodyLength) => [...caller.forwardedToHosts, 'Content-Length', String(bodyLength)],
-	readAnswerHead: (status, headers) => ({
-		status,
-		callerRequestId: getValue(headers, 'attempt'),
-		statements: {
-			limit: parseRate(getValues(getFields(headers), 'limit')),
-			rest: parseRest(getValues(getFields(headers), 'retry-after'), Date.now()),
-			rejections: parseRate(getValues(getFields(headers), 'fragile')),
-			isLeaving: getValue(headers, 'leaving') === '1',
-		},
-		isNotExecuted: getValue(headers, 'not-run') !== undefined,
-		hasUpstreamMark: getValue(headers, 'signed') !== undefined,
-		isEventStream: getValue(headers, 'content-type') === 'text/event-stream',
-		forwarded: selectEndToEnd(getFields(headers), new Set()),
-	}),
-	buildErrorHeaders: () => [],
-};
-
 const listenOnAnyPort = async (server: Server): Promise<number> => {
 	await new Promise<void>(resolve => {
 		server.listen(0, '127.0.0.1', resolve);
--- a/packages/forwarder/src/upstream-links.ts
+++ b/packages/forwarder/src/upstream-links.ts
@@ -4,7 +4,8 @@
 import {getUpstreamKey, type Upstream} from '@gentianlift/routing';
 import type {HostId, Milliseconds, Zone} from '@gentianlift/types';
 import type {ReachSurvey} from './find-reaching-hosts.js';
-import {chooseForwardingHost, createForwardedLoads, type ReachingHost} from './forwarding-hosts.js';
+import {chooseForwardingHost, createForwardedLoads} from './forwarding-hosts.js';
+import {createReachingHosts, type ReachingHosts} from './reaching-hosts.js';
 
 /** The way that a call takes to the upstreams of its service. */
 export type CallPath
@@ -64,10 +65,8 @@
 	check: Promise<void> | undefined;
 	checkedAt: Milliseconds;
 	contactAt: Milliseconds;
-	/** Hosts that reach the upstreams, while the links are cut; when they were asked, and the question in progress. */
-	hosts: readonly ReachingHost[];
-	askedAt: Milliseconds;
-	asking: Promise<void> | undefined;
+	/** Hosts that reach the upstreams, while the links are cut. */
+	hosts: ReachingHosts;
 };
 
 /** Number of upstreams to which connections are tried at first, and in all, before the links count as cut. */
@@ -79,9 +78,6 @@
 const probeInterval: Milliseconds = 400;
 /** Rounds in a row in which most probes succeed before the links count as open again. */
 const neededGoodRounds = 3;
-/** Interval at which a host whose links are cut asks the others again, and the least one if the known ones have failed. */
-const askInterval: Milliseconds = 1000;
-const minAskInterval: Milliseconds = 200;
 /** Time after bytes of an upstream in which a host reaches its service without a probe. */
 const contactLifetime: Milliseconds = 300;
 /** Time in which hosts that ask the same get the result of one probe. */
@@ -108,7 +104,11 @@
 		}
 
 		const links: ServiceLinks = {
-			isCut: false, check: undefined, checkedAt: Number.NEGATIVE_INFINITY, contactAt: Number.NEGATIVE_INFINITY, hosts: [], askedAt: Number.NEGATIVE_INFINITY, asking: undefined,
+			isCut: false,
+			check: undefined,
+			checkedAt: Number.NEGATIVE_INFINITY,
+			contactAt: Number.NEGATIVE_INFINITY,
+			hosts: createReachingHosts({clock, find: async () => findReachingHosts({service})}),
 		};
 		services.set(service, links);
 		return links;
@@ -139,24 +139,11 @@
 
 	const open = (service: string, links: ServiceLinks, cutAt: Milliseconds): void => {
 		links.isCut = false;
-		links.hosts = [];
+		links.hosts.set([]);
 		onChange(getUpstreams(service));
 		logger.warn('links-restored', {service, after: Math.round(clock.monotonic() - cutAt)});
 	};
 
-	/** Asks which hosts reach the upstreams; those who ask at the same time share the answer. The known ones are kept if too few hosts answer. */
-	const askHosts = async (service: string, links: ServiceLinks): Promise<void> => {
-		const ask = async (): Promise<void> => {
-			const {reaching, isAnswered} = await findReachingHosts({service});
-			links.hosts = reaching.length > 0 || isAnswered ? reaching : links.hosts;
-			links.askedAt = clock.monotonic();
-			links.asking = undefined;
-		};
-
-		links.asking ??= ask();
-		return links.asking;
-	};
-
 	/** Probes the upstreams until the links are open again; meanwhile keeps the list of hosts that reach them up to date. */
 	const watchCut = async (service: string, links: ServiceLinks, cutAt: Milliseconds): Promise<void> => {
 		let goodRounds = 0;
@@ -165,10 +152,8 @@
 			await clock.sleep(probeInterval);
 			// eslint-disable-next-line no-await-in-loop -- One round at a time.
 			goodRounds = await isRoundGood(getUpstreams(service)) ? goodRounds + 1 : 0;
-			if (links.hosts.length === 0 || clock.monotonic() - links.askedAt >= askInterval) {
-				// eslint-disable-next-line no-await-in-loop -- The hosts are asked at intervals.
-				await askHosts(service, links);
-			}
+			// eslint-disable-next-line no-await-in-loop -- The hosts are asked at intervals.
+			await links.hosts.refresh();
 		}
 
 		open(service, links, cutAt);
@@ -191,8 +176,7 @@
 		}
 
 		links.isCut = true;
-		links.hosts = hosts;
-		links.askedAt = clock.monotonic();
+		links.hosts.set(hosts);
 		onChange(getUpstreams(service));
 		logger.warn('links-cut', details);
 		void watchCut(service, links, clock.monotonic());
@@ -223,18 +207,19 @@
 		countCut: () => [...services.values()].filter(({isCut}) => isCut).length,
 		choosePath(service, tried) {
 			const links = services.get(service);
-			if (links === undefined || !links.isCut || links.hosts.length === 0) {
+			const known = links?.isCut === true ? links.hosts.get() : [];
+			if (known.length === 0) {
 				return {kind: 'direct'};
 			}
 
-			const hosts = links.hosts.filter(({record: {host}}) => !tried.has(host) && !isSilent(host));
+			const hosts = known.filter(({record: {host}}) => !tried.has(host) && !isSilent(host));
 			const host = chooseForwardingHost(hosts, {loads, random, zone});
 			return host === undefined ? {kind: 'none'} : {kind: 'over-host', host};
 		},
 		async renewHosts(service) {
 			const links = services.get(service);
-			if (links?.isCut === true && clock.monotonic() - links.askedAt >= minAskInterval) {
-				await askHosts(service, links);
+			if (links?.isCut === true) {
+				await links.hosts.renew();
 			}
 		},
 		beginForwarding: loads.begin,
