--- a/packages/forwarder/src/reaching-hosts.ts
+++ b/packages/forwarder/src/reaching-hosts.ts
@@ -14,15 +14,23 @@
 	renew: () => Promise<void>;
 };
 
-/** Dependencies of the list of hosts; `find` asks the other hosts. */
-export type ReachingHostsOptions = {clock: Clock; find: () => Promise<ReachSurvey>};
+/** Dependencies of the list of hosts. */
+export type ReachingHostsOptions = {
+	clock: Clock;
+	/** Asks the other hosts. */
+	find: () => Promise<ReachSurvey>;
+	/** Called when other hosts are known than before the last question. */
+	onChange: (hosts: readonly ReachingHost[]) => void;
+};
 
 /** Age of the answers from which on the hosts are asked again, and the least one if the known hosts have failed. */
 const askInterval: Milliseconds = 1000;
 const minAskInterval: Milliseconds = 200;
 
+const getNames = (hosts: readonly ReachingHost[]): string => hosts.map(({record}) => record.host).toSorted().join(',');
+
 /** Creates an empty list. */
-export const createReachingHosts = ({clock, find}: ReachingHostsOptions): ReachingHosts => {
+export const createReachingHosts = ({clock, find, onChange}: ReachingHostsOptions): ReachingHosts => {
 	let hosts: readonly ReachingHost[] = [];
 	let askedAt = Number.NEGATIVE_INFINITY;
 	let asking: Promise<void> | undefined;
@@ -37,8 +45,12 @@
 	/** Asks the other hosts; the known ones are kept if too few answer. */
 	const ask = async (): Promise<void> => {
 		const {reaching, isAnswered} = await find();
+		const before = getNames(hosts);
 		set(reaching.length > 0 || isAnswered ? reaching : hosts);
 		asking = undefined;
+		if (getNames(hosts) !== before) {
+			onChange(hosts);
+		}
 	};
 
 	/** Asks once for all that ask at the same time. */
--- a/packages/forwarder/src/upstream-links.test.ts
+++ b/packages/forwarder/src/upstream-links.test.ts
@@ -158,6 +158,7 @@
 	expect(await choose()).toEqual({kind: 'none'});
 	await day.clock.advance(300);
 	expect(await choose()).toMatchObject({kind: 'over-host', host: {host: 'h3'}});
+	expect(day.logLines.at(-1)).toMatch(/event=reaching-hosts .*hosts=h1,h2,h3/v);
 });
 
 // Guards against: hosts that reach the upstreams are forgotten because others are too slow to answer.
--- a/packages/forwarder/src/upstream-links.ts
+++ b/packages/forwarder/src/upstream-links.ts
@@ -4,7 +4,7 @@
 import {getUpstreamKey, type Upstream} from '@gentianlift/routing';
 import type {HostId, Milliseconds, Zone} from '@gentianlift/types';
 import type {ReachSurvey} from './find-reaching-hosts.js';
-import {chooseForwardingHost, createForwardedLoads} from './forwarding-hosts.js';
+import {chooseForwardingHost, createForwardedLoads, type ReachingHost} from './forwarding-hosts.js';
 import {createReachingHosts, type ReachingHosts} from './reaching-hosts.js';
 
 /** The way that a call takes to the upstreams of its service. */
@@ -83,6 +83,8 @@
 /** Time in which hosts that ask the same get the result of one probe. */
 const probeLifetime: Milliseconds = 100;
 
+const describeHosts = (hosts: readonly ReachingHost[]): string => hosts.map(({record}) => record.host).join(',');
+
 /** Returns some random items of a list. */
 const pickSome = <Item>(items: readonly Item[], count: number, random: Random): Item[] => {
 	const keyed = items.map(item => ({item, key: random.next()}));
@@ -108,7 +110,13 @@
 			check: undefined,
 			checkedAt: Number.NEGATIVE_INFINITY,
 			contactAt: Number.NEGATIVE_INFINITY,
-			hosts: createReachingHosts({clock, find: async () => findReachingHosts({service})}),
+			hosts: createReachingHosts({
+				clock,
+				find: async () => findReachingHosts({service}),
+				onChange(hosts) {
+					logger.info('reaching-hosts', {service, hosts: describeHosts(hosts)});
+				},
+			}),
 		};
 		services.set(service, links);
 		return links;
@@ -168,7 +176,7 @@
 
 		const {reaching: hosts} = await findReachingHosts({service});
 		const details = {
-			service, probed: upstreams.length, hosts: hosts.map(({record}) => record.host).join(','), checked: Math.round(clock.monotonic() - startedAt),
+			service, probed: upstreams.length, hosts: describeHosts(hosts), checked: Math.round(clock.monotonic() - startedAt),
 		};
 		if (hosts.length === 0) {
 			logger.warn('upstreams-away', details);
