--- a/packages/forwarder/src/early-refusals.ts
+++ b/packages/forwarder/src/early-refusals.ts
@@ -15,7 +15,7 @@
 	candidates: readonly Candidate[];
 	/** Maximum backlog at which an upstream may receive the call. */
 	backlogLimit: Milliseconds;
-	/** Uncached prompt tokens of this host's calls that go before this one, by the upstream that they wait for. */
+	/** Uncached prompt tokens of this host's calls that go before this one, by the upstream that they wait for and their rank. */
 	tokensAhead: ReadonlyMap<UpstreamKey, RankTokens>;
 	/** When the pass began. */
 	now: Milliseconds;
--- a/packages/forwarder/src/request-queue.ts
+++ b/packages/forwarder/src/request-queue.ts
@@ -34,7 +34,7 @@
 /** Minimum interval between two passes as a multiple of the last one's duration, which bounds the processor time spent on a long queue. */
 const dispatchPauseFactor = 4;
 
-/** Smallest change of the tokens queued for an upstream that is reported to other hosts. */
+/** Smallest change of a rank's tokens queued for an upstream that is reported to other hosts. */
 const minReportedTokenChange = 3000;
 
 type QueueEntry = {
@@ -52,7 +52,7 @@
 		| {kind: 'refused'; refusal: EarlyRefusal}
 		| {kind: 'impossible'};
 
-/** Uncached prompt tokens of this host's queued calls, by the upstream that they wait for. */
+/** Uncached prompt tokens of this host's queued calls, by the upstream that they wait for and their rank. */
 type QueuedTokens = Map<UpstreamKey, RankTokens>;
 
 /** A pass over queued calls, which reads the clock and observes each service once. */
--- a/packages/routing/src/early-refusal.ts
+++ b/packages/routing/src/early-refusal.ts
@@ -9,7 +9,7 @@
 	remaining: Milliseconds;
 	/** Shortest backlog of an upstream that may run the call. */
 	backlog: Milliseconds;
-	/** Prompt tokens that the other hosts have queued for these upstreams. */
+	/** Prompt tokens that the other hosts have queued for these upstreams, of the call's rank or higher ones. */
 	otherHostsTokens: number;
 	/** Queued prompt tokens of all hosts that are assumed to go before the call. */
 	tokensAhead: number;
