Forward no call whose caller has left while other hosts were asked

What callers saw: nothing; engines ran calls that nobody waited for.

Cause: before an attempt a call waits until its host knows whether its links are cut (up to a second and more, where connections hang), and now for the hosts that are asked anew. The direct way looks in the queue whether the caller is still there, the way over another host didn't.

Evidence: the new test of attempt-over-host.test fails without the change (outcome=delivered).

Change: after these waits an attempt is made only if the call hasn't ended.

--- a/packages/forwarder/src/attempt-over-host.test.ts
+++ b/packages/forwarder/src/attempt-over-host.test.ts
@@ -1,5 +1,7 @@
-import {createServer, type RequestListener} from 'node:http';
+import {createServer, request as openRequest, type RequestListener} from 'node:http';
 import type {AddressInfo} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {Milliseconds} from '@gentianlift/types';
 import {expect, onTestFinished, test} from 'vitest';
 import type {HostRecord} from '@gentianlift/discovery';
 import {
@@ -8,6 +10,8 @@
 import {sendRequest, waitForEnd} from './testing.js';
 
 const startDeployment = createHostStarter(onTestFinished);
+/** Time in which a host notices that a caller has disconnected. */
+const disconnectTime: Milliseconds = 100;
 
 /** Starts a host without upstreams, whose links are cut and whose calls go over stub hosts, each once. */
 const start = async (...answers: RequestListener[]): Promise<{deployment: TestDeployment; received: string[]}> => {
@@ -85,6 +89,30 @@
 	expect(received).toEqual(['h0', 'h1']);
 });
 
+// Guards against: engines work for callers that have left while their hosts were looking for a way.
+test('a call whose caller leaves while hosts are asked is not forwarded', async () => {
+	const {deployment: {host}, received} = await start(answerOk);
+	const {links} = host.context;
+	const {choosePath} = links;
+	let endQuestion: (() => void) | undefined;
+	links.choosePath = (service, tried) => endQuestion === undefined ? {kind: 'none'} : choosePath(service, tried);
+	links.renewHosts = async () => new Promise(resolve => {
+		endQuestion = resolve;
+	});
+
+	const request = openRequest({
+		port: host.port, host: '127.0.0.1', path: '/read/1', method: 'POST', headers: {attempt: 'a'},
+	});
+	request.on('error', () => undefined);
+	request.end();
+	await expect.poll(() => endQuestion).toBeDefined();
+	request.destroy();
+	await sleep(disconnectTime);
+	endQuestion?.();
+	expect(await waitForEnd(host, 'a')).toContain('outcome=caller-gone');
+	expect(received).toEqual([]);
+});
+
 // Guards against: a request that the other host has refused goes to all hosts in turn.
 test('what the other host answers for itself is final', async () => {
 	const {deployment: {host}, received} = await start((_, response) => {
--- a/packages/forwarder/src/make-attempt.ts
+++ b/packages/forwarder/src/make-attempt.ts
@@ -85,6 +85,10 @@
 		}
 
 		const path = await findPath(call, progress);
+		if (progress.hasTimedOut || progress.isCallerGone) {
+			return undefined;
+		}
+
 		switch (path.kind) {
 			case 'direct': {
 				return attemptDirectly(call, progress);
