--- a/packages/forwarder/src/request-queue.ts
+++ b/packages/forwarder/src/request-queue.ts
@@ -1,14 +1,15 @@
 import {
-	addRankTokens, chooseUpstream, compareQueued, getRankChange, getUpstreamKey, isLatencySensitiveRoute, noRankTokens,
-	type Candidate, type EarlyRefusal, type QueuePosition, type RankTokens, type RequestProfile, type Service, type UpstreamKey,
+	chooseUpstream, compareQueued, getUpstreamKey, isLatencySensitiveRoute,
+	type Candidate, type EarlyRefusal, type QueuePosition, type RequestProfile, type Service,
 } from '@gentianlift/routing';
-import type {Milliseconds, Rank} from '@gentianlift/types';
+import type {Milliseconds} from '@gentianlift/types';
 import {createBacklogLimits} from './backlog-limits.js';
 import type {Call, Progress} from './call.js';
 import {findBlockingSuspect} from './crash-blame.js';
 import {createDispatchTurns} from './dispatch-turns.js';
 import {createEarlyRefusals} from './early-refusals.js';
-import {addQueuedTokens, startRequestLoad, type RequestLoad} from './request-load.js';
+import {addWaitingCall, createQueuedTokenReports, type QueuedTokens} from './queued-tokens.js';
+import {startRequestLoad, type RequestLoad} from './request-load.js';
 import type {ForwarderContext} from './context.js';
 import type {PermitClaim} from './upstream-limits.js';
 import type {ObservedService} from './observed-service.js';
@@ -34,9 +35,6 @@
 /** Minimum interval between two passes as a multiple of the last one's duration, which bounds the processor time spent on a long queue. */
 const dispatchPauseFactor = 4;
 
-/** Smallest change of a rank's tokens queued for an upstream that is reported to other hosts. */
-const minReportedTokenChange = 3000;
-
 type QueueEntry = {
 	call: Call;
 	progress: Progress;
@@ -52,9 +50,6 @@
 		| {kind: 'refused'; refusal: EarlyRefusal}
 		| {kind: 'impossible'};
 
-/** Uncached prompt tokens of this host's queued calls, by the upstream that they wait for and their rank. */
-type QueuedTokens = Map<UpstreamKey, RankTokens>;
-
 /** A pass over queued calls, which reads the clock and observes each service once. */
 type DispatchPass = {
 	/** When the pass began. */
@@ -88,9 +83,7 @@
 	let nextDispatch: {at: Milliseconds; cancel: () => void} | undefined;
 	/** Earliest time of the next pass, by the pacing. */
 	let earliestDispatch = Number.NEGATIVE_INFINITY;
-	/** Upstreams for which queued tokens were reported to other hosts. */
-	let reportedUpstreams = new Set<UpstreamKey>();
-
+	const reports = createQueuedTokenReports(context);
 	const backlogLimits = createBacklogLimits();
 	const turns = createDispatchTurns(context);
 
@@ -163,11 +156,6 @@
 		resolve({candidate, load, permit: context.limits.claim(getUpstreamKey(candidate.upstream))});
 	};
 
-	const countQueuedTokens = (queuedTokens: QueuedTokens, rank: Rank, {upstream, uncachedTokens}: Candidate): void => {
-		const key = getUpstreamKey(upstream);
-		queuedTokens.set(key, addRankTokens(queuedTokens.get(key) ?? noRankTokens, new Map([[rank, uncachedTokens]])));
-	};
-
 	/** Dispatches the entry or drops an ended one; returns whether it stays queued. */
 	const processEntry = (entry: QueueEntry, pass: DispatchPass): boolean => {
 		if (entry.progress.hasTimedOut || entry.progress.isCallerGone) {
@@ -203,24 +191,12 @@
 			}
 
 			case 'waits': {
-				countQueuedTokens(pass.queuedTokens, entry.call.rank, decision.candidate);
+				addWaitingCall(pass.queuedTokens, entry.call.rank, decision.candidate);
 				return true;
 			}
 		}
 	};
 
-	/** Reports large changes of queued tokens to the other hosts, and always that a rank has none left. */
-	const reportQueuedTokens = (queuedTokens: QueuedTokens): void => {
-		for (const key of new Set([...reportedUpstreams, ...queuedTokens.keys()])) {
-			const change = getRankChange(tracker.getReportedQueuedTokens(key), queuedTokens.get(key) ?? noRankTokens, minReportedTokenChange);
-			if (change.size > 0) {
-				addQueuedTokens(context.reportExchange, key, change);
-			}
-		}
-
-		reportedUpstreams = new Set(queuedTokens.keys());
-	};
-
 	/** Makes a dispatch pass: dispatches what it can in queue order and reports the tokens that stay queued. */
 	const dispatch = (): void => {
 		nextDispatch = undefined;
@@ -232,7 +208,7 @@
 			.map(({entry}) => entry)
 			.filter(entry => processEntry(entry, pass));
 		refusals.endPass(pass.queuedTokens, startedAt);
-		reportQueuedTokens(pass.queuedTokens);
+		reports.report(pass.queuedTokens);
 		turns.setWaiting(pass.queuedTokens.keys(), startedAt);
 		const endedAt = clock.monotonic();
 		earliestDispatch = endedAt + Math.max(minDispatchInterval, (endedAt - startedAt) * dispatchPauseFactor);
@@ -241,7 +217,7 @@
 
 	/** Schedules a dispatch pass within `delay`, or as soon after as the pacing allows. */
 	const scheduleDispatch = (delay: Milliseconds): void => {
-		const hasWork = entries.length > 0 || reportedUpstreams.size > 0;
+		const hasWork = entries.length > 0 || reports.hasReported();
 		if (!hasWork || (nextDispatch !== undefined && nextDispatch.at <= earliestDispatch)) {
 			return;
 		}
