--- a/packages/forwarder/src/send.test.ts
+++ b/packages/forwarder/src/send.test.ts
@@ -124,14 +124,24 @@
 	};
 };
 
-// Guards against: a healthy upstream is avoided as unreachable because its requests waited for this host's own connections.
-test('a request that waits for a connection of its pool does not make its upstream unreachable', async () => {
+/** Sends two calls over a pool of one connection, which the first one holds. */
+const sendTwoCalls = async () => {
 	const clock = createManualClock();
 	const {server, answerFirst, countRequests} = await startBusyUpstream();
 	const agent = new UpstreamAgent({maxSockets: 1});
 	const first = call(server, agent, 'a1', clock);
 	await expect.poll(countRequests).toBe(1);
 	const second = call(server, agent, 'a1', clock);
+	return {
+		clock, answerFirst, countRequests, first, second,
+	};
+};
+
+// Guards against: a healthy upstream is avoided as unreachable because its requests waited for this host's own connections.
+test('a request that waits for a connection of its pool does not make its upstream unreachable', async () => {
+	const {
+		clock, answerFirst, first, second,
+	} = await sendTwoCalls();
 	await clock.advance(1000);
 	answerFirst();
 	expect(await readAnswer(await first)).toMatchObject({kind: 'whole'});
@@ -140,12 +150,9 @@
 
 // Guards against: a request that was never sent is reported as possibly executed, or not at all until a connection is free.
 test('a request that gets no connection within its limit is reported as unsent at once', async () => {
-	const clock = createManualClock();
-	const {server, answerFirst, countRequests} = await startBusyUpstream();
-	const agent = new UpstreamAgent({maxSockets: 1});
-	const first = call(server, agent, 'a1', clock);
-	await expect.poll(countRequests).toBe(1);
-	const second = call(server, agent, 'a1', clock);
+	const {
+		clock, answerFirst, countRequests, first, second,
+	} = await sendTwoCalls();
 	await clock.advance(2000);
 	expect(await second).toEqual({kind: 'unsent', reason: 'pool-timeout'});
 	answerFirst();
