Order the calls of a customer by the ranks of their routes

Cause: the rank of a customer replaced that of the route, so that its quick calls and drafts stood in one rank with its long reviews, behind millions of their tokens.

Ruled out: reports without ranks, engines' backlogs.

Change: in queues a customer's rank goes before that of the route, which orders the customer's calls (routing/queue-order); calls without such a rank keep theirs. Engines are told the same as before.

--- a/packages/forwarder/src/build-upstream-request.test.ts
+++ b/packages/forwarder/src/build-upstream-request.test.ts
@@ -49,3 +49,27 @@
 	expect(getHeadTimeout(300, 0)).toBeUndefined();
 	expect(getHeadTimeout(1000, 1)).toBeUndefined();
 });
+
+// Guards against: engines get a rank that stands between two of theirs.
+test('an upstream is told the rank of the customer, or of the route', () => {
+	const ranks: number[] = [];
+	const protocol: Partial<ForwarderContext['protocol']> = {
+		buildUpstreamHeaders({rank}) {
+			ranks.push(rank);
+			return [];
+		},
+	};
+	const view = createTestView(createSilentLogger(), buildConfiguration(), [upstream]);
+	const context = {
+		clock: createManualClock(0), view, protocol, suspects: createCrashSuspects(), rests: {isResting: () => false},
+	} as unknown as ForwarderContext;
+	for (const rank of [1, undefined]) {
+		const customer = {name: 'c', keys: [], ...(rank !== undefined && {rank})};
+		const call = buildTestCall({
+			route: buildRoute({rank: 2}), arrivedAt: 0, prompt: buildTestPrompt('p', 10), customer,
+		});
+		buildUpstreamRequest(call, createProgress(), {upstream, permit: {take: () => true, release: () => undefined}}, context).buildHead();
+	}
+
+	expect(ranks).toEqual([1, 2]);
+});
--- a/packages/forwarder/src/build-upstream-request.ts
+++ b/packages/forwarder/src/build-upstream-request.ts
@@ -44,7 +44,7 @@
 		upstream,
 		customer: call.customer?.name,
 		remainingTime,
-		rank: call.rank,
+		rank: call.customer?.rank ?? call.route.rank,
 		resumeAfter: progress.lastEventId,
 		bodyLength: call.body.length,
 	});
--- a/packages/forwarder/src/call.ts
+++ b/packages/forwarder/src/call.ts
@@ -1,7 +1,7 @@
 import {createHash} from 'node:crypto';
 import type {ServerResponse} from 'node:http';
 import {
-	mayExecuteAgain, type ConfiguredCustomer, type EarlyRefusal, type Route, type SuspectId, type UpstreamKey,
+	getQueueRank, mayExecuteAgain, type ConfiguredCustomer, type EarlyRefusal, type Route, type SuspectId, type UpstreamKey,
 } from '@gentianlift/routing';
 import type {HostId, Milliseconds, Rank} from '@gentianlift/types';
 import type {BodyEnd} from './body-end.js';
@@ -19,6 +19,7 @@
 	route: Route;
 	service: string;
 	customer: ConfiguredCustomer | undefined;
+	/** Rank in queues; see `getQueueRank`. */
 	rank: Rank;
 	/** Whether another upstream may run the request again, or resume its stream, after one may have executed it; a request that is known not to have executed is retried anyway. */
 	mayExecuteAgain: boolean;
@@ -109,7 +110,7 @@
 	const deadline = arrivedAt + Math.min(route.timeout, head.clientTimeout ?? route.timeout);
 	return {
 		...parts,
-		rank: customer?.rank ?? route.rank,
+		rank: getQueueRank(route, customer?.rank),
 		mayExecuteAgain: mayExecuteAgain(route),
 		deadline,
 		leavesAt: Math.min(deadline, arrivedAt + (route.maxSilence ?? Number.POSITIVE_INFINITY)),
--- a/packages/forwarder/src/testing-call.ts
+++ b/packages/forwarder/src/testing-call.ts
@@ -7,6 +7,7 @@
 	name?: string;
 	clientTimeout?: number;
 	response?: Call['response'];
+	customer?: Call['customer'];
 };
 
 /** Builds a prompt of one part. */
@@ -15,7 +16,7 @@
 });
 
 /** Builds a call to the service `s` with a prompt. */
-export const buildTestCall = ({route, arrivedAt, prompt, name, clientTimeout, response}: TestCall): Call => createCall({
+export const buildTestCall = ({route, arrivedAt, prompt, name, clientTimeout, response, customer}: TestCall): Call => createCall({
 	method: 'POST',
 	target: '/a/',
 	head: {
@@ -26,7 +27,7 @@
 	body: new Uint8Array(),
 	route,
 	service: 's',
-	customer: undefined,
+	customer,
 	response: response!,
 	version: 1, streamVersion: undefined, forwarded: undefined,
 	arrivedAt,
--- a/packages/routing/src/queue-order.ts
+++ b/packages/routing/src/queue-order.ts
@@ -10,6 +10,13 @@
 	isLate: boolean;
 };
 
+/** Number of ranks of routes that a rank of a customer is divided into. */
+const ranksPerCustomerRank = 100;
+
+/** Returns the rank of a call in queues: that of its route or, before it, of its customer, whose calls are ordered by the ranks of their routes. */
+export const getQueueRank = (route: Pick<Route, 'rank'>, customerRank: Rank | undefined): Rank =>
+	customerRank === undefined ? route.rank : customerRank + (Math.min(route.rank, ranksPerCustomerRank - 1) / ranksPerCustomerRank);
+
 /** Maximum backlog as a fraction of the shortest target of the higher ranks. */
 const maxBacklogFraction = 0.3;
 
--- a/packages/types/src/ids.ts
+++ b/packages/types/src/ids.ts
@@ -19,7 +19,7 @@
 /** Name of a tier in the rules. */
 export type TierName = string;
 
-/** Position of a tier in the order of priority: 0 outranks 1, and so on. */
+/** Position of a tier in the order of priority: 0 outranks 1, and so on; fractions stand between two tiers. */
 export type Rank = number;
 
 /** Name of a model or an adapter in the inventory. */
