--- a/packages/forwarder/src/dispatch-turns.ts
+++ b/packages/forwarder/src/dispatch-turns.ts
@@ -8,6 +8,7 @@
 
 /** A queued call that its upstream has room for. */
 export type DispatchTurn = {
+	/** Rank of the call. */
 	rank: Rank;
 	/** The upstream chosen for the call. */
 	candidate: Candidate;
--- a/packages/forwarder/src/early-refusals.ts
+++ b/packages/forwarder/src/early-refusals.ts
@@ -119,7 +119,10 @@
 			const kept = 0.5 ** ((now - lastPassAt) / queueMemoryHalfLife);
 			const present = sumByRank(queuedTokens);
 			for (const [rank, tokens] of recentQueuedTokens) {
-				present.set(rank, Math.max(present.get(rank) ?? 0, tokens * kept));
+				const remembered = Math.floor(tokens * kept);
+				if (remembered > (present.get(rank) ?? 0)) {
+					present.set(rank, remembered);
+				}
 			}
 
 			recentQueuedTokens = present;
