Report the configuration version, and log the newest one beside a refusal

A refusal's line named the version that decided and the store's revision. Revisions don't tell whether another host knew a newer version: after a restore the older version has the later one. Load reports now carry the version, the line has the newest reported one, and the metrics both. A host of an earlier build reads a report up to the fields that it knows.

--- a/packages/discovery/src/exchange-reports.ts
+++ b/packages/discovery/src/exchange-reports.ts
@@ -35,6 +35,10 @@
 	getNewestRevision: () => number;
 	/** Returns the revision of the store that a host's last report names; 0 without a recent report. */
 	getRevisionOf: (host: HostId) => number;
+	/** Returns the newest configuration version that recent reports name; undefined without one. */
+	getNewestConfigurationVersion: () => number | undefined;
+	/** Returns the configuration version that a host's last report names; undefined without a recent report. */
+	getConfigurationVersionOf: (host: HostId) => number | undefined;
 	/** Returns the time since the last report of any other host; infinite if there was none. */
 	getShortestSilence: () => Milliseconds;
 	/** Returns the time since the last report of a host; infinite if there was none. */
@@ -61,6 +65,8 @@
 	loads: LoadTracker;
 	suspects: CrashSuspects;
 	getRevision: () => number;
+	/** Returns the version of the configuration that this host goes by; undefined before the first. */
+	getConfigurationVersion: () => number | undefined;
 	/** Returns whether this host reaches the store. */
 	isStoreReached: () => boolean;
 	/** Called with each prompt that another host has sent to an upstream. */
@@ -118,6 +124,11 @@
 
 	const getRecentStatuses = (): HostStatus[] => statuses.getAll().filter(status => isRecent(status));
 
+	const getRecentStatus = (id: HostId): HostStatus | undefined => {
+		const status = statuses.get(id);
+		return status !== undefined && isRecent(status) ? status : undefined;
+	};
+
 	/** Returns the changes that a report names; a full one repeats what speaks against blocked suspects and the limits, as hosts that have just started don't know it. */
 	const getChanges = (isFull: boolean): ReportedChanges => {
 		const now = clock.monotonic();
@@ -129,7 +140,7 @@
 	const buildReport = (isFull: boolean): LoadReport => {
 		sequence += 1;
 		return {
-			host, incarnation, sequence, revision: options.getRevision(), isStopping, builtAt: clock.now(), ...getChanges(isFull),
+			host, incarnation, sequence, revision: options.getRevision(), configurationVersion: options.getConfigurationVersion(), isStopping, builtAt: clock.now(), ...getChanges(isFull),
 		};
 	};
 
@@ -253,10 +264,12 @@
 			send(true);
 		},
 		getNewestRevision: () => Math.max(0, ...getRecentStatuses().map(({revision}) => revision)),
-		getRevisionOf(id) {
-			const status = statuses.get(id);
-			return status !== undefined && isRecent(status) ? status.revision : 0;
+		getNewestConfigurationVersion() {
+			const versions = getRecentStatuses().flatMap(({configurationVersion}) => configurationVersion ?? []);
+			return versions.length === 0 ? undefined : Math.max(...versions);
 		},
+		getConfigurationVersionOf: id => getRecentStatus(id)?.configurationVersion,
+		getRevisionOf: id => getRecentStatus(id)?.revision ?? 0,
 		getShortestSilence() {
 			const latest = Math.max(Number.NEGATIVE_INFINITY, ...statuses.getAll().map(({reportedAt}) => reportedAt));
 			return clock.monotonic() - latest;
--- a/packages/discovery/src/host-status.ts
+++ b/packages/discovery/src/host-status.ts
@@ -2,7 +2,7 @@
 import type {LoadReport} from './load-report.js';
 
 /** What is known about another host from its latest load report. */
-export type HostStatus = Pick<LoadReport, 'incarnation' | 'sequence' | 'revision' | 'isStopping'> & {
+export type HostStatus = Pick<LoadReport, 'incarnation' | 'sequence' | 'revision' | 'isStopping' | 'configurationVersion'> & {
 	/** When the report was received. */
 	reportedAt: Milliseconds;
 	/** The previous incarnation; its late reports are ignored. */
@@ -35,11 +35,11 @@
 			}
 
 			const {
-				incarnation, sequence, revision, isStopping,
+				incarnation, sequence, revision, isStopping, configurationVersion,
 			} = report;
 			const supersededIncarnation = known?.incarnation === incarnation ? known.supersededIncarnation : known?.incarnation;
 			statuses.set(report.host, {
-				incarnation, sequence, revision, isStopping, reportedAt: now, supersededIncarnation,
+				incarnation, sequence, revision, isStopping, configurationVersion, reportedAt: now, supersededIncarnation,
 			});
 			return true;
 		},
--- a/packages/discovery/src/join-fleet.ts
+++ b/packages/discovery/src/join-fleet.ts
@@ -92,6 +92,7 @@
 		loads: options.loads,
 		suspects: options.suspects,
 		getRevision: view.getRevision,
+		getConfigurationVersion: () => view.getRoutes()?.configuration.version,
 		isStoreReached: () => view.isStoreReached() && view.getRevision() > 0,
 		onLoad: options.onLoad,
 		onPrefill: options.onPrefill,
--- a/packages/discovery/src/load-report.ts
+++ b/packages/discovery/src/load-report.ts
@@ -32,6 +32,8 @@
 	streams: StartedStream[];
 	/** Upstreams that have said that they leave. */
 	leaving: UpstreamKey[];
+	/** Version of the configuration that the host goes by; absent before the first, and in reports of older versions. */
+	configurationVersion?: number | undefined;
 };
 
 /** Load report in the form in which it is sent: a tuple, which omits the field names. */
@@ -57,6 +59,8 @@
 	limits?: Array<[upstream: UpstreamKey, age: Milliseconds, limit?: number]>,
 	/** Absent in reports of older versions. */
 	leaving?: UpstreamKey[],
+	/** Absent in reports of older versions, and before the first configuration. */
+	configurationVersion?: number,
 ];
 
 const packLoad = ({upstream, running, unreadTokens, latencySensitiveStreams, queuedTokens}: ReportedLoad): PackedLoadReport[5][number] =>
@@ -80,6 +84,7 @@
 	report.goodEnds.map(({age}) => age),
 	report.limits.map(({upstream, age, limit}) => limit === undefined ? [upstream, age] : [upstream, age, limit]),
 	report.leaving,
+	report.configurationVersion,
 ];
 
 const isPackedLoadReport = (value: unknown): value is PackedLoadReport => {
@@ -148,7 +153,7 @@
 		return undefined;
 	}
 
-	const [host, incarnation, sequence, revision, isStopping, loads, prefills, crashes, cleared, builtAt, streams, goodEndAges, limits, leaving] = value;
+	const [host, incarnation, sequence, revision, isStopping, loads, prefills, crashes, cleared, builtAt, streams, goodEndAges, limits, leaving, configurationVersion] = value;
 	return {
 		host,
 		incarnation,
@@ -165,5 +170,6 @@
 		builtAt: typeof builtAt === 'number' ? builtAt : undefined,
 		streams: unpackStreams(streams),
 		leaving: unpackLeaving(leaving),
+		configurationVersion: Number.isSafeInteger(configurationVersion) ? configurationVersion : undefined,
 	};
 };
--- a/packages/discovery/src/report-arrival.test.ts
+++ b/packages/discovery/src/report-arrival.test.ts
@@ -143,3 +143,11 @@
 	await clock.advance(200);
 	expect(exchange.getRevisionOf('h')).toBe(0);
 });
+
+test('the newest configuration version that hosts report is known, also beside hosts that report none', async () => {
+	const exchange = startExchange({});
+	expect(exchange.getNewestConfigurationVersion()).toBeUndefined();
+	sendReports(openSender(), [createReport({host: 'h1', configurationVersion: 7}), createReport({host: 'h2', configurationVersion: 6}), createReport({host: 'h3'})]);
+	await expect.poll(() => [exchange.getRevisionOf('h2'), exchange.getRevisionOf('h3'), exchange.getNewestConfigurationVersion()]).toEqual([1, 1, 7]);
+	expect(exchange.getConfigurationVersionOf('h2')).toBe(6);
+});
--- a/packages/discovery/src/testing-exchange.ts
+++ b/packages/discovery/src/testing-exchange.ts
@@ -9,6 +9,7 @@
 	loads: createLoadTracker(),
 	suspects: createCrashSuspects(),
 	getRevision: () => 1,
+	getConfigurationVersion: () => undefined,
 	isStoreReached: () => false,
 	onPrefill: () => undefined,
 	getLimits: () => [],
--- a/packages/forwarder/src/metrics-page.test.ts
+++ b/packages/forwarder/src/metrics-page.test.ts
@@ -10,4 +10,7 @@
 	for (const gauge of ['queue_length', 'upstream_limits', 'upstreams_resting', 'services_cut', 'store_era', 'upstreams_avoided']) {
 		expect(page).toContain(`${gauge} 0`);
 	}
+
+	expect(page).toContain('configuration_version 1');
+	expect(page).toContain('configuration_version_elsewhere 0');
 });
--- a/packages/forwarder/src/serve-callers.ts
+++ b/packages/forwarder/src/serve-callers.ts
@@ -72,7 +72,9 @@
 
 /** Creates the server; it doesn't listen yet. */
 export const createCallerServer = ({context, forwarder}: CallerServerOptions): CallerServer => {
-	const {clock, view, protocol, logger, metrics} = context;
+	const {
+		clock, view, protocol, logger, metrics, reportExchange,
+	} = context;
 	let openRequests = 0;
 	const resolveResumption = createResumptionResolver(context);
 
@@ -132,7 +134,12 @@
 		const isHostsFault = forwarded !== undefined && hostFaults.has(errorAnswer.kind);
 		metrics.count('refusals_total', {reason: errorAnswer.kind});
 		logger.info('call-refused', {
-			request: head.callerRequestId, reason: errorAnswer.kind, target: request.url, version: view.getRoutes()?.configuration.version, revision: view.getRevision(),
+			request: head.callerRequestId,
+			reason: errorAnswer.kind,
+			target: request.url,
+			version: view.getRoutes()?.configuration.version,
+			newest: reportExchange.getNewestConfigurationVersion(),
+			revision: view.getRevision(),
 			age: Math.round(view.getTimeSinceStoreContact(clock.monotonic())),
 		});
 		writeErrorAnswer({
--- a/packages/forwarder/src/start-host.ts
+++ b/packages/forwarder/src/start-host.ts
@@ -66,6 +66,8 @@
 			context.metrics.setGauge('upstream_limits', context.limits.countLimits());
 			context.metrics.setGauge('upstreams_resting', context.rests.countResting());
 			context.metrics.setGauge('services_cut', context.links.countCut());
+			context.metrics.setGauge('configuration_version', fleet.view.getRoutes()?.configuration.version ?? 0);
+			context.metrics.setGauge('configuration_version_elsewhere', fleet.reportExchange.getNewestConfigurationVersion() ?? 0);
 			context.metrics.setGauge('store_era', getEra(fleet.view.getRevision()));
 			context.metrics.setGauge('upstreams_avoided', context.tracker.countAvoided());
 			return context.metrics.renderPrometheusText();
--- a/packages/forwarder/src/testing.ts
+++ b/packages/forwarder/src/testing.ts
@@ -75,6 +75,8 @@
 	markStopping: () => undefined,
 	getNewestRevision: () => 0,
 	getRevisionOf: () => 0,
+	getNewestConfigurationVersion: () => undefined,
+	getConfigurationVersionOf: () => undefined,
 	getShortestSilence: () => 0,
 	getSilence: () => Number.POSITIVE_INFINITY,
 	sendChanges: () => undefined,
