--- a/packages/discovery/src/index.ts
+++ b/packages/discovery/src/index.ts
@@ -1,4 +1,4 @@
-export {getEra} from '@gentianlift/platform';
+export {addEra, getEra} from '@gentianlift/platform';
 export type * from './decoded-entry.js';
 export * from './exchange-reports.js';
 export * from './fleet-view.js';
--- a/packages/forwarder/src/testing-partition.ts
+++ b/packages/forwarder/src/testing-partition.ts
@@ -34,6 +34,10 @@
 	setLinks: (hosts: readonly number[], state: HostLinkState) => void;
 	/** Publishes another configuration. */
 	configure: (configuration: RoutingConfiguration) => void;
+	/** Brings the store back from an older copy, which holds an older configuration. */
+	restore: (configuration: RoutingConfiguration) => void;
+	/** Starts another host. */
+	addHost: () => Promise<LinkedHost>;
 };
 
 /** Options of a fleet. */
@@ -141,6 +145,14 @@
 		configure(next) {
 			store.put(configurationKey, JSON.stringify(next));
 		},
+		restore(older) {
+			store.restore(configurationKey, JSON.stringify(older));
+		},
+		async addHost() {
+			const added = await startLinkedHost(hosts.length, upstreams, store);
+			hosts.push(added);
+			return added;
+		},
 	};
 };
 
--- a/packages/forwarder/src/testing-store.ts
+++ b/packages/forwarder/src/testing-store.ts
@@ -1,10 +1,14 @@
-import type {FleetStore} from '@gentianlift/discovery';
+import {addEra, getEra, type FleetStore} from '@gentianlift/discovery';
 import type {
 	Change, ChangesOutcome, Entry, Milliseconds,
 } from '@gentianlift/types';
 
 /** A store in memory, which all hosts of a test share; its leases never end by themselves. */
-export type TestStore = FleetStore & {put: (key: string, value: string) => void};
+export type TestStore = FleetStore & {
+	put: (key: string, value: string) => void;
+	/** Comes back from an older copy, in which one of the keys held an older value. */
+	restore: (key: string, value: string) => void;
+};
 
 const leaseLifetime: Milliseconds = 6000;
 
@@ -14,14 +18,18 @@
 	const watchers = new Set<() => void>();
 	let revision = 1;
 
-	const put = (key: string, value: string): number => {
-		revision += 1;
-		entries.set(key, {key, value, revision});
+	const notifyWatchers = (): void => {
 		for (const notify of watchers) {
 			notify();
 		}
 
 		watchers.clear();
+	};
+
+	const put = (key: string, value: string): number => {
+		revision += 1;
+		entries.set(key, {key, value, revision});
+		notifyWatchers();
 		return revision;
 	};
 
@@ -32,6 +40,15 @@
 		put(key, value) {
 			put(key, value);
 		},
+		restore(key, value) {
+			revision = addEra(getEra(revision) + 1, 1);
+			for (const entry of entries.values()) {
+				entries.set(entry.key, {...entry, revision});
+			}
+
+			entries.set(key, {key, value, revision});
+			notifyWatchers();
+		},
 		readAll: async () => ({kind: 'found', snapshot: {entries: [...entries.values()], revision}}),
 		async waitForChanges(after, limit): Promise<ChangesOutcome> {
 			if (revision <= after) {
@@ -41,7 +58,7 @@
 				});
 			}
 
-			return {kind: 'changed', changes: getChanges(after), revision};
+			return getEra(after) === getEra(revision) ? {kind: 'changed', changes: getChanges(after), revision} : {kind: 'compacted'};
 		},
 		async compareAndSwap({key, value, expected}) {
 			const known = entries.get(key)?.revision ?? 0;
