Let hosts go by the newest configuration that any of them has known

Cause: a host took the entry with the later revision for the newer one. A store that is restored from an older copy gives an older version a later revision, so a host that knew version 7 kept it for itself but handed the store's version 6 on, and a host that started served by that; nobody asked the hosts that knew better, as only revisions were compared. Class of fault: something older is believed because another measure says it is newer.

Now the version alone decides. The newest configuration stands apart from the other entries (newest-configuration): an older, missing or unreadable entry of the store doesn't replace it, and it is handed on, with the revision of the view, which hosts of the build before take over. Load reports name versions; a host that is behind reads the newer one from a host that has it, and a host that starts asks four others before it serves (follow-configuration).

--- a/packages/clock/src/random.ts
+++ b/packages/clock/src/random.ts
@@ -8,6 +8,8 @@
 	nextInt: (bound: number) => number;
 	/** Returns a uniformly chosen item; undefined if there are none. */
 	pick: <Item>(items: readonly Item[]) => Item | undefined;
+	/** Returns randomly chosen items without repetition: `count` of them, or all if there are fewer. */
+	sample: <Item>(items: readonly Item[], count: number) => Item[];
 };
 
 // The generator yields signed 32-bit integers, which are shifted and scaled to [0, 1).
@@ -23,5 +25,14 @@
 		next,
 		nextInt,
 		pick: items => items[nextInt(items.length)],
+		sample(items, count) {
+			const remaining = [...items];
+			const chosen: typeof remaining = [];
+			while (chosen.length < count && remaining.length > 0) {
+				chosen.push(...remaining.splice(nextInt(remaining.length), 1));
+			}
+
+			return chosen;
+		},
 	};
 };
--- a/packages/discovery/src/fleet-view.ts
+++ b/packages/discovery/src/fleet-view.ts
@@ -1,7 +1,7 @@
 import type {Logger} from '@gentianlift/logger';
 import {getEra} from '@gentianlift/platform';
 import {
-	buildRouteTable, getUpstreamKey, type RouteTable, type RoutingConfiguration, type Service, type Upstream, type UpstreamKey,
+	getUpstreamKey, type RouteTable, type Service, type Upstream, type UpstreamKey,
 } from '@gentianlift/routing';
 import type {
 	Change, Entry, HostId, Milliseconds, Snapshot,
@@ -9,6 +9,7 @@
 import type {DecodedEntry} from './decoded-entry.js';
 import {hostPrefix, parseHostRecord, type HostRecord} from './host-record.js';
 import {createLeavingUpstreams} from './leaving-upstreams.js';
+import {createNewestConfiguration} from './newest-configuration.js';
 
 /** This host's copy of the configuration, upstreams and hosts in the key-value service, here called the store; it may lag behind. */
 export type FleetView = {
@@ -28,7 +29,11 @@
 	getTimeSinceStoreContact: (now: Milliseconds) => Milliseconds;
 	/** Returns all known entries, for other hosts. */
 	getSnapshot: () => Snapshot;
-	/** Returns the routes of the current configuration; undefined before the first. */
+	/** Returns the entry that holds the newest configuration, for other hosts; undefined before the first. */
+	getConfigurationEntry: () => Entry | undefined;
+	/** Applies the entry with the newest configuration of another host. */
+	applyConfigurationEntry: (entry: Entry) => void;
+	/** Returns the routes of the newest configuration; undefined before the first. */
 	getRoutes: () => RouteTable | undefined;
 	/** Records that the incarnation of an upstream has said that it leaves, whatever its entry says; `source` is for the log. Returns whether that is news. */
 	markLeaving: (upstreamKey: UpstreamKey, source: string) => boolean;
@@ -69,7 +74,7 @@
 	const hosts = new Map<HostId, HostRecord>();
 	const deferredRemovals = new Set<string>();
 	const leaving = createLeavingUpstreams();
-	let routeTable: RouteTable | undefined;
+	const configuration = createNewestConfiguration(logger);
 	let revision = 0;
 	let lastContactAt = Number.NEGATIVE_INFINITY;
 	let isStoreReached = true;
@@ -77,19 +82,6 @@
 	let upstreamsKeptUntil = Number.NEGATIVE_INFINITY;
 	let hostsKeptUntil = Number.NEGATIVE_INFINITY;
 
-	const applyConfiguration = (configuration: RoutingConfiguration): void => {
-		const known = routeTable?.configuration.version;
-		if (known !== undefined && configuration.version <= known) {
-			logger.debug('configuration-ignored', {version: configuration.version, known});
-			return;
-		}
-
-		routeTable = buildRouteTable(configuration);
-		logger.info('configuration-applied', {
-			version: configuration.version, previous: known, routes: configuration.routes.length, revision,
-		});
-	};
-
 	const removeUpstream = (storeKey: string, reason: string): void => {
 		const known = upstreams.get(storeKey);
 		if (known === undefined) {
@@ -134,21 +126,22 @@
 		hosts.set(entry.key, record);
 	};
 
-	const applyDecodedEntry = (storeKey: string, decoded: DecodedEntry): void => {
+	const applyDecodedEntry = (entry: Entry, decoded: DecodedEntry): void => {
 		switch (decoded.kind) {
 			case 'configuration': {
-				applyConfiguration(decoded.configuration);
+				entries.delete(entry.key);
+				configuration.apply(entry, () => decoded);
 				break;
 			}
 
 			case 'upstream': {
-				applyUpstream(storeKey, decoded.upstream);
+				applyUpstream(entry.key, decoded.upstream);
 				break;
 			}
 
 			case 'unreadable': {
-				logger.warn('entry-unreadable', {key: storeKey, reason: decoded.reason});
-				removeUpstream(storeKey, 'unreadable');
+				logger.warn('entry-unreadable', {key: entry.key, reason: decoded.reason});
+				removeUpstream(entry.key, 'unreadable');
 				break;
 			}
 
@@ -159,6 +152,11 @@
 	};
 
 	const applyEntry = (entry: Entry): void => {
+		if (configuration.isKey(entry.key)) {
+			configuration.apply(entry, decode);
+			return;
+		}
+
 		const known = entries.get(entry.key);
 		deferredRemovals.delete(entry.key);
 		if (known !== undefined && known.revision >= entry.revision) {
@@ -169,7 +167,7 @@
 		if (entry.key.startsWith(hostPrefix)) {
 			applyHost(entry);
 		} else {
-			applyDecodedEntry(entry.key, decode(entry));
+			applyDecodedEntry(entry, decode(entry));
 		}
 	};
 
@@ -270,7 +268,9 @@
 		getRevision: () => revision,
 		isStoreReached: () => isStoreReached,
 		getTimeSinceStoreContact: now => now - lastContactAt,
-		getSnapshot: () => ({entries: [...entries.values()], revision}),
+		getSnapshot: () => ({entries: [...entries.values(), configuration.getEntry(revision) ?? []].flat(), revision}),
+		getConfigurationEntry: () => configuration.getEntry(revision),
+		applyConfigurationEntry: applyEntry,
 		markLeaving(upstreamKey, source) {
 			if (!leaving.add(upstreamKey)) {
 				return false;
@@ -285,11 +285,11 @@
 
 			return true;
 		},
-		getRoutes: () => routeTable,
+		getRoutes: configuration.getRoutes,
 		getUpstreams: service => [...upstreams.values()].filter(upstream => upstream.service === service && !upstream.isLeaving),
 		getService(upstreamKey) {
 			const listed = [...upstreams.values()].find(upstream => getUpstreamKey(upstream) === upstreamKey);
-			return listed === undefined ? undefined : routeTable?.services.get(listed.service);
+			return listed === undefined ? undefined : configuration.getRoutes()?.services.get(listed.service);
 		},
 		isUsable: upstreamKey => [...upstreams.values()].some(upstream => getUpstreamKey(upstream) === upstreamKey && !upstream.isLeaving),
 		getHosts: () => [...hosts.values()],
--- /dev/null
+++ b/packages/discovery/src/follow-configuration.ts
@@ -0,0 +1,106 @@
+import type {Clock} from '@gentianlift/clock';
+import type {Logger} from '@gentianlift/logger';
+import type {Address, Milliseconds} from '@gentianlift/types';
+import type {ConfigurationClient} from './configuration-calls.js';
+import type {FleetView} from './fleet-view.js';
+
+/**
+Keeps a host from going by an older configuration than other hosts, whatever the store holds. Revisions of the store don't tell which hosts have a newer one, as a store that was restored gives an older configuration a later revision.
+*/
+export type ConfigurationFollower = {
+	/** Whether this host may go by its configuration: since its start it has asked other hosts for a newer one. */
+	isConfirmed: () => boolean;
+	/** Whether another host reports a newer configuration. */
+	isBehind: () => boolean;
+	/** Reads the configuration of another host that reports a newer one, if one does. */
+	refresh: () => Promise<void>;
+	stop: () => void;
+};
+
+/** Options of the follower. */
+export type ConfigurationFollowerOptions = {
+	view: Pick<FleetView, 'getRoutes' | 'applyConfigurationEntry'>;
+	client: ConfigurationClient;
+	/** Returns the addresses of the other hosts. */
+	getAddresses: () => Address[];
+	/** Returns the addresses of the hosts that report a newer configuration than the version. */
+	getAddressesAhead: (version: number) => Address[];
+	/** Returns the newest version that other hosts report. */
+	getNewestVersion: () => number | undefined;
+	clock: Clock;
+	logger: Logger;
+};
+
+/** Number of hosts that a host asks at its start: more than are likely to be gone together. */
+const hostsAskedAtStart = 4;
+/** Number of times that it asks if none of them answers. */
+const maxStartRounds = 2;
+/** Interval at which a host that starts checks whether it has a configuration. */
+const startInterval: Milliseconds = 20;
+/** Interval at which this host's version is compared with those that other hosts report. */
+const compareInterval: Milliseconds = 150;
+
+/** Starts to follow the configurations of other hosts. */
+export const followConfiguration = ({
+	view, client, getAddresses, getAddressesAhead, getNewestVersion, clock, logger,
+}: ConfigurationFollowerOptions): ConfigurationFollower => {
+	const state = {isStopped: false, isConfirmed: false};
+
+	const getVersion = (): number | undefined => view.getRoutes()?.configuration.version;
+
+	const isBehind = (): boolean => (getNewestVersion() ?? Number.NEGATIVE_INFINITY) > (getVersion() ?? Number.NEGATIVE_INFINITY);
+
+	/** Asks hosts for a configuration newer than the version, and applies it; returns how many were asked and have answered. */
+	const readNewer = async (version: number, addresses: readonly Address[], count: number): Promise<{asked: number; answered: number}> => {
+		const {asked, answered, entries} = await client.fetchNewer({version, addresses, count});
+		for (const entry of entries) {
+			view.applyConfigurationEntry(entry);
+		}
+
+		return {asked, answered};
+	};
+
+	const refresh = async (): Promise<void> => {
+		const version = getVersion();
+		if (version !== undefined && isBehind()) {
+			await readNewer(version, getAddressesAhead(version), 1);
+		}
+	};
+
+	/** Asks other hosts for a newer configuration than the store's, or than that of the host whose view this one has taken. */
+	const confirm = async (version: number): Promise<void> => {
+		let result = {asked: 0, answered: 0};
+		for (let round = 0; round < maxStartRounds && result.answered === 0; round++) {
+			// eslint-disable-next-line no-await-in-loop -- Others are asked if none has answered.
+			result = await readNewer(version, getAddresses(), hostsAskedAtStart);
+		}
+
+		state.isConfirmed = true;
+		logger.info('configuration-confirmed', {version: getVersion(), before: version, ...result});
+	};
+
+	const follow = async (): Promise<void> => {
+		while (!state.isStopped) {
+			const version = getVersion();
+			if (version !== undefined && !state.isConfirmed) {
+				// eslint-disable-next-line no-await-in-loop -- Hosts are asked once at a time.
+				await confirm(version);
+			}
+
+			// eslint-disable-next-line no-await-in-loop -- Hosts are asked once at a time.
+			await refresh();
+			// eslint-disable-next-line no-await-in-loop -- Comparisons are separated by the interval.
+			await clock.sleep(state.isConfirmed ? compareInterval : startInterval);
+		}
+	};
+
+	void follow();
+	return {
+		isConfirmed: () => state.isConfirmed,
+		isBehind,
+		refresh,
+		stop() {
+			state.isStopped = true;
+		},
+	};
+};
--- a/packages/discovery/src/hosts-ahead.test.ts
+++ b/packages/discovery/src/hosts-ahead.test.ts
@@ -10,7 +10,7 @@
 	const hosts = [buildHost('h1', 'a'), buildHost('h2', 'b'), buildHost('h3', 'b')];
 	const revisions = new Map([['h1', 7], ['h2', 9], ['h3', 5]]);
 	const find = (known: number, zone: string): string[] =>
-		findHostsAhead(hosts, {known, zone, getRevisionOf: host => revisions.get(host) ?? 0}).map(({host}) => host);
+		findHostsAhead(hosts, {known, zone, getReported: host => revisions.get(host)}).map(({host}) => host);
 	expect(find(6, 'a')).toEqual(['h1']);
 	expect(find(6, 'b')).toEqual(['h2']);
 	expect(find(4, 'b')).toEqual(['h2', 'h3']);
--- a/packages/discovery/src/join-fleet.ts
+++ b/packages/discovery/src/join-fleet.ts
@@ -9,6 +9,8 @@
 import type {DecodedEntry} from './decoded-entry.js';
 import {exchangeReports, type LoadReportExchange, type ReportArrival} from './exchange-reports.js';
 import {createFleetView, type FleetView} from './fleet-view.js';
+import {createConfigurationClient} from './configuration-calls.js';
+import {followConfiguration, type ConfigurationFollower} from './follow-configuration.js';
 import {followFleet, type FleetFollower} from './follow-fleet.js';
 import {chooseHosts, getAvailableHosts, selectHostsForCaller} from './host-list.js';
 import type {HostRecord} from './host-record.js';
@@ -28,6 +30,9 @@
 export type Fleet = {
 	view: FleetView;
 	reportExchange: LoadReportExchange;
+	/** Whether another host reports a newer configuration than this one goes by. */
+	isConfigurationBehind: ConfigurationFollower['isBehind'];
+	/** Reads the newest state of the fleet and the newest configuration. */
 	refresh: FleetFollower['refresh'];
 	/** Asks other hosts for the origin of a stream. */
 	askForStreamOrigin: StreamOriginClient['find'];
@@ -134,11 +139,22 @@
 	};
 
 	const getAddressesAhead = (known: number): Address[] =>
-		findHostsAhead(getOthers(), {known, zone: record.zone, getRevisionOf: reportExchange.getRevisionOf}).map(({peers}) => peers);
+		findHostsAhead(getOthers(), {known, zone: record.zone, getReported: reportExchange.getRevisionOf}).map(({peers}) => peers);
 	const peerViewClient = createPeerViewClient({
 		getAddresses: getPeerAddresses, getAddressesAhead, clock, random, logger,
 	});
-	const {refresh} = followFleet({
+	const configurationFollower = followConfiguration({
+		view,
+		client: createConfigurationClient({getAddresses: getPeerAddresses, clock, random}),
+		getAddresses: getPeerAddresses,
+		getAddressesAhead: version => findHostsAhead(getOthers(), {
+			known: version, zone: record.zone, getReported: reportExchange.getConfigurationVersionOf,
+		}).map(({peers}) => peers),
+		getNewestVersion: reportExchange.getNewestConfigurationVersion,
+		clock,
+		logger,
+	});
+	const follower = followFleet({
 		feed: store,
 		view,
 		clock,
@@ -149,9 +165,13 @@
 		onChanges: reportExchange.sendChanges,
 	});
 	return {
-		view,
+		// Requests are decided on by a configuration once no newer one is known to other hosts.
+		view: {...view, getRoutes: () => configurationFollower.isConfirmed() ? view.getRoutes() : undefined},
+		isConfigurationBehind: configurationFollower.isBehind,
 		reportExchange,
-		refresh,
+		async refresh() {
+			await Promise.all([follower.refresh(), configurationFollower.refresh()]);
+		},
 		askForStreamOrigin: createStreamOriginClient({getAddresses: getPeerAddresses, clock, random}).find,
 		askForReach: createReachClient(clock).ask,
 		registration: registerHost({
--- a/packages/discovery/src/newest-configuration.test.ts
+++ b/packages/discovery/src/newest-configuration.test.ts
@@ -37,7 +37,7 @@
 };
 
 // Guards against: a host that starts after a restore of the store gets the older configuration from a host that goes by the newer one.
-test.fails('a view hands on the newest configuration, whatever the store holds by now', () => {
+test('a view hands on the newest configuration, whatever the store holds by now', () => {
 	const restored = [buildSnapshot('6', addEra(2, 30), addEra(2, 40)), buildSnapshot('unreadable', addEra(2, 41)), {entries: [], revision: addEra(2, 42)}];
 	for (const snapshot of [...restored.map(one => [one]), restored, [restored[0]!, buildSnapshot('5', addEra(3, 10))]]) {
 		const starting = createView();
@@ -47,14 +47,14 @@
 });
 
 // Guards against: hosts of a build that compares revisions only keep the older configuration, as the newest is handed on with the revision that it had before the restore.
-test.fails('the newest configuration is handed on with a later revision than the store\'s older one', () => {
+test('the newest configuration is handed on with a later revision than the store\'s older one', () => {
 	const {entries, revision} = readRestored(buildSnapshot('6', addEra(2, 30), addEra(2, 40))).getSnapshot();
 	expect(entries).toEqual([{key: 'c', value: '7', revision}]);
 	expect(revision).toBe(addEra(2, 40));
 });
 
 // Guards against: a host that has read an older configuration from a restored store keeps it, as the newer one has an earlier revision.
-test.fails('a view takes over a newer configuration with an earlier revision', () => {
+test('a view takes over a newer configuration with an earlier revision', () => {
 	const view = createView();
 	view.applySnapshot(buildSnapshot('6', addEra(2, 30)), 0);
 	view.applySnapshot({entries: [{key: 'c', value: '7', revision: addEra(1, 50)}], revision: addEra(2, 31)}, 0);
--- a/packages/discovery/src/peer-server.ts
+++ b/packages/discovery/src/peer-server.ts
@@ -3,7 +3,9 @@
 } from 'node:http';
 import type {Clock} from '@gentianlift/clock';
 import type {StreamOrigin} from '@gentianlift/routing';
+import type {Entry} from '@gentianlift/types';
 import {createCompressedView, type CompressedView} from './compressed-view.js';
+import {configurationPath, decodeConfigurationQuery} from './configuration-calls.js';
 import type {FleetView} from './fleet-view.js';
 import {viewPath} from './peer-views.js';
 import {
@@ -58,8 +60,19 @@
 	response.end(body);
 };
 
-const answerQuery = async ({pathname, searchParams}: URL, {findStreamOrigin, getReach}: PeerServerOptions): Promise<unknown> => {
+/** Returns the entry of this host's configuration if its version is newer than the one that another host asks by. */
+const findNewerConfiguration = (parameters: URLSearchParams, view: PeerServerOptions['view']): Entry | undefined => {
+	const known = decodeConfigurationQuery(parameters);
+	const version = view.getRoutes()?.configuration.version;
+	return known !== undefined && version !== undefined && version > known ? view.getConfigurationEntry() : undefined;
+};
+
+const answerQuery = async ({pathname, searchParams}: URL, {view, findStreamOrigin, getReach}: PeerServerOptions): Promise<unknown> => {
 	switch (pathname) {
+		case configurationPath: {
+			return findNewerConfiguration(searchParams, view);
+		}
+
 		case streamOriginPath: {
 			return findStreamOrigin(decodeOriginQuery(searchParams));
 		}
--- a/packages/discovery/src/stream-origin-calls.ts
+++ b/packages/discovery/src/stream-origin-calls.ts
@@ -55,16 +55,6 @@
 	request: parameters.get('request') ?? undefined, services: parameters.getAll('service'), maxAge: Number(parameters.get('maxAge') ?? Number.POSITIVE_INFINITY),
 });
 
-const pickAddresses = (addresses: Address[], random: Random): Address[] => {
-	const remaining = [...addresses];
-	const picked: Address[] = [];
-	while (picked.length < askedHosts && remaining.length > 0) {
-		picked.push(...remaining.splice(Math.floor(random.next() * remaining.length), 1));
-	}
-
-	return picked;
-};
-
 /** Creates a client that keeps one connection pool for each other host. */
 export const createStreamOriginClient = ({getAddresses, clock, random}: StreamOriginClientOptions): StreamOriginClient => {
 	const clients = createPeerClients(clock, {timeout});
@@ -82,7 +72,7 @@
 		async find(query) {
 			try {
 				const addresses = getAddresses();
-				return await Promise.any(pickAddresses(addresses, random).map(async address => ask(clients.get(address, addresses), query)));
+				return await Promise.any(random.sample(addresses, askedHosts).map(async address => ask(clients.get(address, addresses), query)));
 			} catch {
 				// None of the hosts knows the origin.
 				return undefined;
--- a/packages/forwarder/src/create-context.ts
+++ b/packages/forwarder/src/create-context.ts
@@ -145,7 +145,9 @@
 		host: settings.host,
 		zone: settings.zone,
 		view: fleet.view,
-		freshness: createViewFreshness({clock, view: fleet.view, reportExchange: fleet.reportExchange}, fleet.refresh),
+		freshness: createViewFreshness({
+			clock, view: fleet.view, reportExchange: fleet.reportExchange, isConfigurationBehind: fleet.isConfigurationBehind, refresh: fleet.refresh,
+		}),
 		reportExchange: fleet.reportExchange,
 		tracker,
 		limits,
--- a/packages/forwarder/src/find-reaching-hosts.ts
+++ b/packages/forwarder/src/find-reaching-hosts.ts
@@ -23,7 +23,6 @@
 export const findReachingHosts = async (query: ReachQuery, {fleet, clock, random}: ReachSearch): Promise<ReachSurvey> => {
 	const others = fleet.getAvailableOthers();
 	const addresses = others.map(({peers}) => peers);
-	const remaining = [...others];
 	const reaching: ReachingHost[] = [];
 	let answers = 0;
 	const ask = async (record: ReachingHost['record']): Promise<void> => {
@@ -36,11 +35,7 @@
 		reaching.push({record, openRequests: reach.openRequests});
 	};
 
-	const asked: Array<Promise<void>> = [];
-	while (asked.length < askedHosts && remaining.length > 0) {
-		asked.push(...remaining.splice(Math.floor(random.next() * remaining.length), 1).map(async record => ask(record)));
-	}
-
+	const asked = random.sample(others, askedHosts).map(async record => ask(record));
 	try {
 		await Promise.any(asked);
 		await Promise.race([Promise.allSettled(asked), clock.sleep(lateAnswerTime)]);
--- a/packages/forwarder/src/resumption.test.ts
+++ b/packages/forwarder/src/resumption.test.ts
@@ -47,7 +47,7 @@
 	}
 
 	const freshness: ForwarderContext['freshness'] = {
-		isCurrent: () => isCurrent, ensureCurrent: async () => isCurrent, refreshIfStale: async () => undefined,
+		isCurrent: () => isCurrent, ensureCurrent: async () => isCurrent, refreshIfStale: async () => undefined, isConfigurationBehind: () => false, isConfigurationUncertain: () => false,
 	};
 	const context: Partial<ForwarderContext> = {
 		freshness, clock: createManualClock(now), logger: createLogger('info', () => undefined), metrics: createMetrics(), streamOrigins, versions, askForStreamOrigin: async () => told,
--- a/packages/forwarder/src/starting-host.test.ts
+++ b/packages/forwarder/src/starting-host.test.ts
@@ -31,7 +31,7 @@
 };
 
 // Guards against: a host that starts after a restore of the store refuses what the newest configuration allows, as the store holds an older one.
-test.fails('a host that starts goes by the newest configuration that another host knows, whatever the store holds', async () => {
+test('a host that starts goes by the newest configuration that another host knows, whatever the store holds', async () => {
 	const fleet = await startLinkedFleet({
 		hosts: 2, upstreams: [answerOk], configuration, onFinished: onTestFinished,
 	});
--- a/packages/forwarder/src/view-freshness.test.ts
+++ b/packages/forwarder/src/view-freshness.test.ts
@@ -7,12 +7,18 @@
 const createHost = () => {
 	const clock = createManualClock(0);
 	const reported = {revision: 5, silence: Number.POSITIVE_INFINITY};
-	const state = {contactAt: 0, refreshes: 0};
+	const state = {contactAt: 0, refreshes: 0, isConfigurationBehind: false};
 	const view: Partial<FleetView> = {getRevision: () => 5, getTimeSinceStoreContact: now => now - state.contactAt};
 	const reportExchange: Partial<LoadReportExchange> = {getNewestRevision: () => reported.revision, getShortestSilence: () => reported.silence};
-	const freshness = createViewFreshness({clock, view: view as FleetView, reportExchange: reportExchange as LoadReportExchange}, async () => {
-		state.refreshes += 1;
-		state.contactAt = clock.monotonic();
+	const freshness = createViewFreshness({
+		clock,
+		view: view as FleetView,
+		reportExchange: reportExchange as LoadReportExchange,
+		isConfigurationBehind: () => state.isConfigurationBehind,
+		async refresh() {
+			state.refreshes += 1;
+			state.contactAt = clock.monotonic();
+		},
 	});
 	return {
 		clock, reported, state, freshness,
@@ -38,6 +44,17 @@
 	expect(freshness.isCurrent()).toBe(false);
 });
 
+// Guards against: a host whose revision is that of the others takes its older configuration for the newest.
+test('a view with an older configuration than another host reports isn\'t current, and one that nobody confirms is uncertain', async () => {
+	const {clock, state, freshness} = createHost();
+	expect([freshness.isCurrent(), freshness.isConfigurationUncertain()]).toEqual([true, false]);
+	state.isConfigurationBehind = true;
+	expect([freshness.isCurrent(), freshness.isConfigurationUncertain()]).toEqual([false, true]);
+	state.isConfigurationBehind = false;
+	await clock.advance(5000);
+	expect(freshness.isConfigurationUncertain()).toBe(true);
+});
+
 // Guards against: right after a suspension, a host acts on what it believed before, which old reports seem to confirm.
 test('a view isn\'t current right after a suspension, even if reports that waited meanwhile confirm it', async () => {
 	const {clock, reported, freshness} = createHost();
--- a/packages/forwarder/src/view-freshness.ts
+++ b/packages/forwarder/src/view-freshness.ts
@@ -6,6 +6,10 @@
 export type ViewFreshness = {
 	/** Whether the view holds now: the key-value service or another host has just confirmed it, no host is known to be ahead, and the process has not just been suspended. */
 	isCurrent: () => boolean;
+	/** Whether another host reports a newer configuration. */
+	isConfigurationBehind: () => boolean;
+	/** Whether a configuration may be in force that this host doesn't know: another host reports a newer one, or nobody confirms the view. */
+	isConfigurationUncertain: () => boolean;
 	/** Reads the newest state if the view isn't current; resolves, within a bounded time, to whether it is. */
 	ensureCurrent: () => Promise<boolean>;
 	/** Reads the newest state unless the view is current or was read recently; resolves within a bounded time, successful or not. Concurrent calls share one read. */
@@ -23,8 +27,18 @@
 const maxCurrentWait: Milliseconds = 800;
 const currentCheckInterval: Milliseconds = 50;
 
-/** Creates it; `refresh` reads the newest state of the fleet, if a source is reachable. */
-export const createViewFreshness = ({clock, view, reportExchange}: Pick<ForwarderContext, 'clock' | 'view' | 'reportExchange'>, refresh: () => Promise<void>): ViewFreshness => {
+/** Sources of what a host knows of the newest state. */
+export type FreshnessSources = Pick<ForwarderContext, 'clock' | 'view' | 'reportExchange'> & {
+	/** Whether another host reports a newer configuration. */
+	isConfigurationBehind: () => boolean;
+	/** Reads the newest state of the fleet, if a source is reachable. */
+	refresh: () => Promise<void>;
+};
+
+/** Creates it from its sources. */
+export const createViewFreshness = ({
+	clock, view, reportExchange, isConfigurationBehind, refresh,
+}: FreshnessSources): ViewFreshness => {
 	const suspension = startSuspensionDetector(clock);
 	let pendingRefresh: Promise<void> | undefined;
 	let refreshedAt = Number.NEGATIVE_INFINITY;
@@ -35,7 +49,7 @@
 		reportExchange.getShortestSilence() < maxConfirmationAge || view.getTimeSinceStoreContact(clock.monotonic()) < maxFreshAge;
 
 	const isCurrent = (): boolean =>
-		isConfirmed() && !isAhead(reportExchange.getNewestRevision()) && !suspension.hasJustResumed();
+		isConfirmed() && !isAhead(reportExchange.getNewestRevision()) && !isConfigurationBehind() && !suspension.hasJustResumed();
 
 	const startRefresh = async (): Promise<void> => {
 		pendingRefresh ??= (async () => {
@@ -48,6 +62,8 @@
 
 	return {
 		isCurrent,
+		isConfigurationBehind,
+		isConfigurationUncertain: () => isConfigurationBehind() || !isConfirmed(),
 		async ensureCurrent() {
 			const deadline = clock.monotonic() + maxCurrentWait;
 			if (!isCurrent()) {
