Refuse for good only by a configuration that may still be the newest

A host that is behind read the newest state for 400 ms before a 404, 401 or 403, and then refused all the same, although callers don't retry after these. A request that the older configuration allows ran without a look at all. Now the newest version that other hosts report is read first, for allowed requests too, and if it isn't read in time, or if neither the store nor another host confirms what this one knows, the answer is 503, not run.

The failing test saw 404 by a host that could know of version 9.

--- a/packages/forwarder/src/serve-callers.ts
+++ b/packages/forwarder/src/serve-callers.ts
@@ -118,15 +118,22 @@
 			};
 	};
 
-	/** Admits a request, and before a final refusal checks once more with the newest state, because callers don't retry after it. */
+	const isFinalRefusal = (admission: Admission): boolean => admission.kind === 'refused' && errorTable[admission.error].status !== 503;
+
+	/**
+	 * Admits a request by the newest configuration: one that another host reports is read first, and so is the newest state
+	 * before a final refusal, because callers don't retry after it. If a newer configuration may still be in force, they are
+	 * told to.
+	 */
 	const admitWithRefresh = async (head: CallerHead, target: string): Promise<Admission> => {
 		const admission = admit(head, target);
-		if (admission.kind === 'admitted' || errorTable[admission.error].status === 503) {
+		if (!isFinalRefusal(admission) && !context.freshness.isConfigurationBehind()) {
 			return admission;
 		}
 
 		await context.freshness.refreshIfStale();
-		return admit(head, target);
+		const renewed = admit(head, target);
+		return isFinalRefusal(renewed) && context.freshness.isConfigurationUncertain() ? {kind: 'refused', error: 'not-configured'} : renewed;
 	};
 
 	/** Refuses a request; the host that has forwarded one is told to ask another host, where this one's state is the reason. */
