Show with failing tests that small calls and engines keep another order

Calls with few uncached tokens take no turn: they pass calls of higher ranks that wait at other hosts, and many hosts send them to one engine at once. Engines are told a customer's rank in place of the route's, so that one short of memory preempts the newest of its calls, whatever the route.

The test that an upstream is told the rank of the customer, or of the route, stood for the second fault; two take its place: the order of the hosts, and whole numbers from 0 to 9.

--- a/packages/forwarder/src/build-upstream-request.test.ts
+++ b/packages/forwarder/src/build-upstream-request.test.ts
@@ -50,8 +50,11 @@
 	expect(getHeadTimeout(1000, 1)).toBeUndefined();
 });
 
-// Guards against: engines get a rank that stands between two of theirs.
-test('an upstream is told the rank of the customer, or of the route', () => {
+const rankedRoutes = [0, 1, 2].map(rank => buildRoute({name: `r${rank}`, rank}));
+const rankedCustomers = [0, 1, undefined].map(rank => ({name: `c${rank ?? ''}`, keys: [], ...(rank !== undefined && {rank})}));
+
+/** Returns the ranks that an upstream is told, of the calls of each customer on each route. */
+const getToldRanks = (): number[][] => {
 	const ranks: number[] = [];
 	const protocol: Partial<ForwarderContext['protocol']> = {
 		buildUpstreamHeaders({rank}) {
@@ -59,17 +62,30 @@
 			return [];
 		},
 	};
-	const view = createTestView(createSilentLogger(), buildConfiguration(), [upstream]);
+	const view = createTestView(createSilentLogger(), buildConfiguration({routes: rankedRoutes, customers: rankedCustomers}), [upstream]);
 	const context = {
 		clock: createManualClock(0), view, protocol, suspects: createCrashSuspects(), rests: {isResting: () => false},
 	} as unknown as ForwarderContext;
-	for (const rank of [1, undefined]) {
-		const customer = {name: 'c', keys: [], ...(rank !== undefined && {rank})};
+	return rankedCustomers.map(customer => rankedRoutes.map(ranked => {
 		const call = buildTestCall({
-			route: buildRoute({rank: 2}), arrivedAt: 0, prompt: buildTestPrompt('p', 10), customer,
+			route: ranked, arrivedAt: 0, prompt: buildTestPrompt('p', 10), customer,
 		});
 		buildUpstreamRequest(call, createProgress(), {upstream, permit: {take: () => true, release: () => undefined}}, context).buildHead();
-	}
+		return ranks.at(-1)!;
+	}));
+};
 
-	expect(ranks).toEqual([1, 2]);
+// Guards against: an engine that is short of memory preempts the newest of a customer's calls, whatever its route, as it knows the customer's rank alone.
+test.fails('an upstream is told the order in which hosts go, by customer and then by route', () => {
+	const [first, second, unranked] = getToldRanks();
+	const inOrder = [...first!, second![0]!, second![1]!, second![2]!];
+	expect(inOrder).toEqual(inOrder.toSorted((one, other) => one - other));
+	expect(new Set(inOrder).size).toBe(inOrder.length);
+	expect(unranked).toEqual([first![0], second![0], second![2]! + 1]);
+});
+
+// Guards against: engines get a rank that stands between two of theirs.
+test('an upstream is told whole numbers that the wire has', () => {
+	const ranks = getToldRanks().flat();
+	expect(ranks.every(rank => Number.isInteger(rank) && rank >= 0 && rank <= 9), ranks.join(' ')).toBe(true);
 });
--- a/packages/forwarder/src/dispatch-fleet.test.ts
+++ b/packages/forwarder/src/dispatch-fleet.test.ts
@@ -2,6 +2,7 @@
 import {
 	playBurst, type BurstLoads, type BurstResult, type FleetSize,
 } from './testing-burst.js';
+import {enginePrefillRate} from './testing-engine.js';
 
 /** Fraction of the questions that get their first token within their target. */
 const minQuestionsInTarget = 0.9;
@@ -67,3 +68,16 @@
 	expect(result.reviewsServed).toBeGreaterThan(0);
 	expect(result.draftsServed, JSON.stringify(result)).toBeGreaterThanOrEqual(1 - maxUnservedDrafts);
 });
+
+/** Reviews of which all but a few tokens are cached. */
+const cachedReviewLoads: BurstLoads = {...draftLoads, reviewTokens: {min: 400, max: 1200}};
+/** Prompt tokens that an engine prefills within the target of the questions. */
+const questionTargetTokens = 500 * enginePrefillRate;
+
+// Guards against: reviews that are mostly cached pass the drafts that wait, and go to an engine from all hosts at once, as each adds little to its backlog.
+test.fails('reviews that are mostly cached leave an engine room for more urgent calls', async () => {
+	const result = await playBurst(largeFleet, 1, cachedReviewLoads);
+	expect(result.reviewsServed).toBeGreaterThan(0);
+	expect(result.draftsServed, JSON.stringify(result)).toBeGreaterThanOrEqual(1 - maxUnservedDrafts);
+	expect(result.tokensAhead.p90, JSON.stringify(result)).toBeLessThan(questionTargetTokens);
+});
--- a/packages/forwarder/src/dispatch-turns.test.ts
+++ b/packages/forwarder/src/dispatch-turns.test.ts
@@ -48,3 +48,19 @@
 	expect(getSentFraction({rank: 2, candidates: [waiting]})).toBe(0);
 	expect(getSentFraction({rank: 0, candidates: [waiting]})).toBe(1);
 });
+
+const smallCall = {...candidates[0]!, uncachedTokens: 1000};
+
+// Guards against: a call that adds little to a backlog takes a slot and memory for which more urgent calls wait.
+test.fails('a small call leaves the room to calls of higher ranks at other hosts', () => {
+	expect(getSentFraction({rank: 2, candidate: smallCall, candidates: [smallCall]})).toBe(0);
+});
+
+// Guards against: small calls that wait at many hosts go to an engine at once, beyond its room.
+test.fails('small calls take turns with those of other hosts', () => {
+	const hosts = 1 + (30_000 / smallCall.uncachedTokens);
+	const room = (backlogLimit - smallCall.backlog) * smallCall.prefillRate;
+	const sent = getSentFraction({candidate: smallCall, candidates: [smallCall]}) * hosts * smallCall.uncachedTokens;
+	expect(sent).toBeGreaterThan(room / 2);
+	expect(sent).toBeLessThan(room * 2);
+});
--- a/packages/forwarder/src/testing-burst.ts
+++ b/packages/forwarder/src/testing-burst.ts
@@ -26,16 +26,19 @@
 const burstDuration: Milliseconds = 2500;
 /** Beginning of the burst that isn't measured, while queues build up and shared parts are prefilled for the first time. */
 const warmUp: Milliseconds = 500;
-/** Own tokens of the calls of each route as a multiple of what the engines can prefill. */
-export type BurstLoads = {questions: number; drafts: number; reviews: number};
+/** Bounds of the tokens of a call's prompt that no other one shares. */
+type OwnTokens = {min: number; max: number};
+
+/** Own tokens of the calls of each route as a multiple of what the engines can prefill; and the bounds of a review's. */
+export type BurstLoads = {questions: number; drafts: number; reviews: number; reviewTokens?: OwnTokens};
 
 /** Reviews that exceed what the engines can prefill, and some questions. */
 const defaultLoads: BurstLoads = {questions: 0.06, drafts: 0, reviews: 1.4};
 
 const questionTokens = 1100;
-const draftTokens = {min: 1900, max: 3900};
+const draftTokens: OwnTokens = {min: 1900, max: 3900};
 const sharedDraftTokens = 6300;
-const reviewTokens = {min: 2700, max: 4700};
+const defaultReviewTokens: OwnTokens = {min: 2700, max: 4700};
 const sharedTokens = 13_300;
 const sharedKinds = 12;
 
@@ -69,6 +72,7 @@
 
 const buildBurst = (fleet: FleetSize, loads: BurstLoads, random: Random): Arrival[] => {
 	const capacity = fleet.engines * enginePrefillRate;
+	const reviewTokens = loads.reviewTokens ?? defaultReviewTokens;
 	const meanReviewTokens = (reviewTokens.min + reviewTokens.max) / 2;
 	const questions: Traffic = {
 		route: question,
@@ -140,6 +144,8 @@
 	served: number;
 	/** The same of the drafts alone, and of the reviews. */
 	draftsServed: number;
+	/** Fraction of the drafts that got their first token within their target. */
+	draftsInTarget: number;
 	reviewsServed: number;
 	draftTime: Spread;
 	/** Time that questions wait at the hosts, and from there to their first token. */
@@ -192,9 +198,15 @@
 	const drafts = served.filter(({arrival}) => arrival.route === draft);
 	const reviews = served.filter(({arrival}) => arrival.route === review);
 	const rereading = getRereading(reviews);
-	const inTarget = questions.filter(({arrival, forwarded}) => forwarded.firstTokenAt - arrival.arrivesAt <= question.latencyTarget);
+	const getPartInTarget = (route: Route): number => {
+		const all = calls.filter(({arrival}) => arrival.route === route);
+		const inTarget = served.filter(({arrival, forwarded}) => arrival.route === route && forwarded.firstTokenAt - arrival.arrivesAt <= route.latencyTarget);
+		return inTarget.length / all.length;
+	};
+
 	return {
-		questionsInTarget: inTarget.length / calls.filter(({arrival}) => arrival.route === question).length,
+		questionsInTarget: getPartInTarget(question),
+		draftsInTarget: getPartInTarget(draft),
 		reviewUtilization: getUtilization(reviews, fleet, ({forwarded}) => forwarded.uncachedTokens),
 		rereadUtilization: getUtilization([...rereading], fleet, () => sharedTokens),
 		utilization: getUtilization(served, fleet, ({forwarded}) => forwarded.uncachedTokens),
