Tell upstreams the order of the hosts' queues

Cause: an engine was told a customer's rank in place of the route's, so that short of memory it preempted the newest of a customer's calls, whatever its route. Class of fault: an order that is made at the hosts isn't told to those that go on with it.

The test of the order failed before: 0, 0, 0 for the three routes of one customer.

--- a/packages/forwarder/src/build-upstream-request.test.ts
+++ b/packages/forwarder/src/build-upstream-request.test.ts
@@ -76,7 +76,7 @@
 };
 
 // Guards against: an engine that is short of memory preempts the newest of a customer's calls, whatever its route, as it knows the customer's rank alone.
-test.fails('an upstream is told the order in which hosts go, by customer and then by route', () => {
+test('an upstream is told the order in which hosts go, by customer and then by route', () => {
 	const [first, second, unranked] = getToldRanks();
 	const inOrder = [...first!, second![0]!, second![1]!, second![2]!];
 	expect(inOrder).toEqual(inOrder.toSorted((one, other) => one - other));
--- a/packages/forwarder/src/build-upstream-request.ts
+++ b/packages/forwarder/src/build-upstream-request.ts
@@ -5,6 +5,7 @@
 import {findBlockingSuspect} from './crash-blame.js';
 import type {RequestHead, UnsentReason, UpstreamRequest} from './send.js';
 import type {PermitClaim} from './upstream-limits.js';
+import {getUpstreamRanks, lowestUpstreamRank} from './upstream-ranks.js';
 
 /** The upstream that a request is sent to, and the call's claim on a permit if it is limited. */
 export type SendTarget = {upstream: Upstream; permit: PermitClaim};
@@ -36,6 +37,12 @@
 const getRemainingTime = (call: Call, {clock}: ForwarderContext): Milliseconds =>
 	Math.max(1, Math.floor(call.deadline - clock.monotonic()));
 
+/** Returns the rank that the upstream is told: that of the call among all that the configuration allows. */
+const getUpstreamRank = ({service, rank}: Call, {view}: ForwarderContext): number => {
+	const table = view.getRoutes();
+	return table === undefined ? lowestUpstreamRank : getUpstreamRanks(table, service)(rank);
+};
+
 /** Builds the head of the request to an upstream; a stream resumes after the last event that was delivered. */
 const buildRequestHead = (call: Call, progress: Progress, upstream: Upstream, context: ForwarderContext): RequestHead => {
 	const remainingTime = getRemainingTime(call, context);
@@ -44,7 +51,7 @@
 		upstream,
 		customer: call.customer?.name,
 		remainingTime,
-		rank: call.customer?.rank ?? call.route.rank,
+		rank: getUpstreamRank(call, context),
 		resumeAfter: progress.lastEventId,
 		bodyLength: call.body.length,
 	});
--- a/packages/forwarder/src/protocol.ts
+++ b/packages/forwarder/src/protocol.ts
@@ -1,5 +1,5 @@
 import type {Prompt, Upstream} from '@gentianlift/routing';
-import type {CustomerId, Milliseconds, Rank} from '@gentianlift/types';
+import type {CustomerId, Milliseconds} from '@gentianlift/types';
 
 /** Headers as on the wire: alternating names and values, as in Node's `rawHeaders`. */
 export type RawHeaders = readonly string[];
@@ -35,7 +35,8 @@
 	customer: CustomerId | undefined;
 	/** Remaining time until the deadline of the call. */
 	remainingTime: Milliseconds;
-	rank: Rank;
+	/** Rank among the calls that upstreams of the service get, as `UpstreamRanks` returns it. */
+	rank: number;
 	/** Id of the last event that the caller has received, if the upstream is to resume a stream. */
 	resumeAfter: number | undefined;
 	bodyLength: number;
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -15,6 +15,7 @@
 export * from './retry.js';
 export * from './retry-budget.js';
 export * from './route-table.js';
+export * from './upstream-ranks.js';
 export * from './reserved-upstreams.js';
 export * from './upstream.js';
 export * from './queue-order.js';
