--- a/packages/discovery/src/configuration-calls.ts
+++ b/packages/discovery/src/configuration-calls.ts
@@ -1,5 +1,6 @@
 import type {Clock, Random} from '@gentianlift/clock';
 import type {Address, Entry} from '@gentianlift/types';
+import {isEntry} from './checked-entries.js';
 import {createPeerClients} from './peer-clients.js';
 
 /** Which hosts are asked for a configuration that is newer than a version. */
@@ -38,11 +39,6 @@
 /** Time limits of a call; a configuration may be large, and links slow. */
 const timeouts = {timeout: 300, bodyTimeout: 3000} as const;
 
-const isEntry = (body: unknown): body is Entry => {
-	const {key, value, revision} = (body ?? {}) as Partial<Entry>;
-	return typeof key === 'string' && typeof value === 'string' && Number.isSafeInteger(revision);
-};
-
 /** Reads the version by which another host asks; undefined if it is malformed. */
 export const decodeConfigurationQuery = (parameters: URLSearchParams): number | undefined => {
 	const version = Number(parameters.get('after') ?? Number.NaN);
--- a/packages/discovery/src/fleet-view.test.ts
+++ b/packages/discovery/src/fleet-view.test.ts
@@ -151,7 +151,7 @@
 test('host records are parsed, and malformed ones ignored', () => {
 	const {view, lines} = createView();
 	const record = {
-		host: 'h1', incarnation: 1, zone: 'a', callers: 'x:1', peers: 'x:2', notes: 'x:3', strength: 1, isStopping: false,
+		host: 'h1', incarnation: 1, zone: 'a', callers: '127.0.0.1:1', peers: '127.0.0.1:2', notes: '127.0.0.1:3', strength: 1, isStopping: false,
 	};
 	view.applyChanges([
 		{kind: 'written', entry: entry(getHostKey('h1'), JSON.stringify(record), 1)},
--- a/packages/discovery/src/fleet-view.ts
+++ b/packages/discovery/src/fleet-view.ts
@@ -8,8 +8,9 @@
 } from '@gentianlift/types';
 import type {DecodedEntry} from './decoded-entry.js';
 import {hostPrefix, parseHostRecord, type HostRecord} from './host-record.js';
-import {createLeavingUpstreams} from './leaving-upstreams.js';
+import {createListedUpstreams, type ListedUpstreamsOptions} from './listed-upstreams.js';
 import {createNewestConfiguration} from './newest-configuration.js';
+import {createOddEntries} from './odd-entries.js';
 
 /** This host's copy of the configuration, upstreams and hosts in the key-value service, here called the store; it may lag behind. */
 export type FleetView = {
@@ -45,19 +46,15 @@
 	isUsable: (upstreamKey: UpstreamKey) => boolean;
 	/** Returns the records of all listed hosts, this one included. */
 	getHosts: () => HostRecord[];
+	/** Returns the number of entries that can't be read. */
+	countOddEntries: () => number;
 };
 
 /** Options of a view. */
-export type FleetViewOptions = {
+export type FleetViewOptions = Pick<ListedUpstreamsOptions, 'onListed' | 'onRemoved' | 'onLeaving'> & {
 	/** Decodes an entry that isn't a host record. */
 	decode: (entry: Entry) => DecodedEntry;
 	logger: Logger;
-	/** Called with each incarnation of an upstream that is listed for the first time. */
-	onListed?: (upstream: Upstream) => void;
-	/** Called with each incarnation of an upstream that is no longer listed. */
-	onRemoved?: (upstreamKey: UpstreamKey) => void;
-	/** Called with each incarnation of an upstream that is listed as leaving, when it was not before. */
-	onLeaving?: (upstreamKey: UpstreamKey) => void;
 };
 
 /** Time after an outage of the store in which upstreams whose leases expired during it can register again. */
@@ -67,13 +64,13 @@
 
 /** Creates an empty view. */
 export const createFleetView = ({
-	decode, logger, onListed, onRemoved, onLeaving,
+	decode, logger, ...listeners
 }: FleetViewOptions): FleetView => {
 	const entries = new Map<string, Entry>();
-	const upstreams = new Map<string, Upstream>();
 	const hosts = new Map<HostId, HostRecord>();
 	const deferredRemovals = new Set<string>();
-	const leaving = createLeavingUpstreams();
+	const upstreams = createListedUpstreams({logger, getRevision: () => revision, ...listeners});
+	const oddEntries = createOddEntries(logger);
 	const configuration = createNewestConfiguration(logger);
 	let revision = 0;
 	let lastContactAt = Number.NEGATIVE_INFINITY;
@@ -82,47 +79,23 @@
 	let upstreamsKeptUntil = Number.NEGATIVE_INFINITY;
 	let hostsKeptUntil = Number.NEGATIVE_INFINITY;
 
-	const removeUpstream = (storeKey: string, reason: string): void => {
-		const known = upstreams.get(storeKey);
-		if (known === undefined) {
-			return;
-		}
-
-		upstreams.delete(storeKey);
-		logger.info('upstream-removed', {upstream: getUpstreamKey(known), reason, revision});
-		onRemoved?.(getUpstreamKey(known));
-	};
-
-	const applyUpstream = (storeKey: string, listed: Upstream): void => {
-		const upstream = leaving.has(getUpstreamKey(listed)) ? {...listed, isLeaving: true} : listed;
-		const known = upstreams.get(storeKey);
-		const isSame = known !== undefined && getUpstreamKey(known) === getUpstreamKey(upstream) && known.softwareVersion === upstream.softwareVersion;
-		if (!isSame) {
-			removeUpstream(storeKey, 'restarted');
-		}
-
-		upstreams.set(storeKey, upstream);
-		if (!isSame) {
-			onListed?.(upstream);
-		}
-
-		if (!isSame || known.isLeaving !== upstream.isLeaving) {
-			logger.info('upstream-listed', {
-				upstream: getUpstreamKey(upstream), service: upstream.service, address: upstream.address, leaving: upstream.isLeaving, software: upstream.softwareVersion, revision,
-			});
-			if (upstream.isLeaving) {
-				onLeaving?.(getUpstreamKey(upstream));
-			}
+	/** Decodes an entry; one for which that fails costs no other. */
+	const decodeSafely = (entry: Entry): DecodedEntry => {
+		try {
+			return decode(entry);
+		} catch (error) {
+			return {kind: 'unreadable', reason: String(error)};
 		}
 	};
 
 	const applyHost = (entry: Entry): void => {
 		const record = parseHostRecord(entry.value);
 		if (record === undefined) {
-			logger.warn('entry-unreadable', {key: entry.key, reason: 'not a host record'});
+			oddEntries.add(entry.key, 'not a host record');
 			return;
 		}
 
+		oddEntries.remove(entry.key);
 		hosts.set(entry.key, record);
 	};
 
@@ -135,13 +108,14 @@
 			}
 
 			case 'upstream': {
-				applyUpstream(entry.key, decoded.upstream);
+				oddEntries.remove(entry.key);
+				upstreams.apply(entry.key, decoded.upstream);
 				break;
 			}
 
 			case 'unreadable': {
-				logger.warn('entry-unreadable', {key: entry.key, reason: decoded.reason});
-				removeUpstream(entry.key, 'unreadable');
+				oddEntries.add(entry.key, decoded.reason);
+				upstreams.remove(entry.key, 'unreadable');
 				break;
 			}
 
@@ -153,7 +127,7 @@
 
 	const applyEntry = (entry: Entry): void => {
 		if (configuration.isKey(entry.key)) {
-			configuration.apply(entry, decode);
+			configuration.apply(entry, decodeSafely);
 			return;
 		}
 
@@ -167,7 +141,7 @@
 		if (entry.key.startsWith(hostPrefix)) {
 			applyHost(entry);
 		} else {
-			applyDecodedEntry(entry, decode(entry));
+			applyDecodedEntry(entry, decodeSafely(entry));
 		}
 	};
 
@@ -175,7 +149,8 @@
 		deferredRemovals.delete(storeKey);
 		entries.delete(storeKey);
 		hosts.delete(storeKey);
-		removeUpstream(storeKey, reason);
+		oddEntries.remove(storeKey);
+		upstreams.remove(storeKey, reason);
 	};
 
 	/**
@@ -199,17 +174,13 @@
 		logger.warn('store-restored', {era: getEra(next), revision: next, known: revision});
 		upstreamsKeptUntil = now + restoreGrace;
 		hostsKeptUntil = now + restoreGrace;
-		for (const upstream of upstreams.values()) {
-			if (upstream.isLeaving) {
-				leaving.add(getUpstreamKey(upstream));
-			}
-		}
+		upstreams.keepLeaving();
 	};
 
 	/** Whether an entry names an earlier incarnation of a known upstream. */
 	const isOlderIncarnation = (entry: Entry): boolean => {
 		const known = upstreams.get(entry.key);
-		const decoded = known === undefined ? undefined : decode(entry);
+		const decoded = known === undefined ? undefined : decodeSafely(entry);
 		return known !== undefined && decoded?.kind === 'upstream' && decoded.upstream.startedAt < known.startedAt;
 	};
 
@@ -271,27 +242,15 @@
 		getSnapshot: () => ({entries: [...entries.values(), configuration.getEntry(revision) ?? []].flat(), revision}),
 		getConfigurationEntry: () => configuration.getEntry(revision),
 		applyConfigurationEntry: applyEntry,
-		markLeaving(upstreamKey, source) {
-			if (!leaving.add(upstreamKey)) {
-				return false;
-			}
-
-			logger.info('upstream-leaving', {upstream: upstreamKey, source});
-			for (const [storeKey, upstream] of upstreams) {
-				if (getUpstreamKey(upstream) === upstreamKey) {
-					applyUpstream(storeKey, upstream);
-				}
-			}
-
-			return true;
-		},
+		markLeaving: upstreams.markLeaving,
 		getRoutes: configuration.getRoutes,
-		getUpstreams: service => [...upstreams.values()].filter(upstream => upstream.service === service && !upstream.isLeaving),
+		getUpstreams: service => upstreams.getAll().filter(upstream => upstream.service === service && !upstream.isLeaving),
 		getService(upstreamKey) {
-			const listed = [...upstreams.values()].find(upstream => getUpstreamKey(upstream) === upstreamKey);
+			const listed = upstreams.getAll().find(upstream => getUpstreamKey(upstream) === upstreamKey);
 			return listed === undefined ? undefined : configuration.getRoutes()?.services.get(listed.service);
 		},
-		isUsable: upstreamKey => [...upstreams.values()].some(upstream => getUpstreamKey(upstream) === upstreamKey && !upstream.isLeaving),
+		isUsable: upstreamKey => upstreams.getAll().some(upstream => getUpstreamKey(upstream) === upstreamKey && !upstream.isLeaving),
 		getHosts: () => [...hosts.values()],
+		countOddEntries: oddEntries.count,
 	};
 };
--- a/packages/discovery/src/follow-configuration.ts
+++ b/packages/discovery/src/follow-configuration.ts
@@ -3,6 +3,7 @@
 import type {Address, Milliseconds} from '@gentianlift/types';
 import type {ConfigurationClient} from './configuration-calls.js';
 import type {FleetView} from './fleet-view.js';
+import {startLoop, type LoopOptions} from './lasting-loop.js';
 
 /**
 Keeps a host from going by an older configuration than other hosts, whatever the store holds. Revisions of the store don't tell which hosts have a newer one, as a store that was restored gives an older configuration a later revision.
@@ -29,6 +30,8 @@
 	getNewestVersion: () => number | undefined;
 	clock: Clock;
 	logger: Logger;
+	/** Called with the name of a loop, a step of which has failed. */
+	onFailure?: LoopOptions['onFailure'];
 };
 
 /** Number of hosts that a host asks at its start: more than are likely to be gone together. */
@@ -42,9 +45,9 @@
 
 /** Starts to follow the configurations of other hosts. */
 export const followConfiguration = ({
-	view, client, getAddresses, getAddressesAhead, getNewestVersion, clock, logger,
+	view, client, getAddresses, getAddressesAhead, getNewestVersion, clock, logger, onFailure,
 }: ConfigurationFollowerOptions): ConfigurationFollower => {
-	const state = {isStopped: false, isConfirmed: false};
+	const state = {isConfirmed: false};
 
 	const getVersion = (): number | undefined => view.getRoutes()?.configuration.version;
 
@@ -79,28 +82,21 @@
 		logger.info('configuration-confirmed', {version: getVersion(), before: version, ...result});
 	};
 
-	const follow = async (): Promise<void> => {
-		while (!state.isStopped) {
-			const version = getVersion();
-			if (version !== undefined && !state.isConfirmed) {
-				// eslint-disable-next-line no-await-in-loop -- Hosts are asked once at a time.
-				await confirm(version);
-			}
-
-			// eslint-disable-next-line no-await-in-loop -- Hosts are asked once at a time.
-			await refresh();
-			// eslint-disable-next-line no-await-in-loop -- Comparisons are separated by the interval.
-			await clock.sleep(state.isConfirmed ? compareInterval : startInterval);
+	const follow = async (): Promise<Milliseconds> => {
+		const version = getVersion();
+		if (version !== undefined && !state.isConfirmed) {
+			await confirm(version);
 		}
+
+		await refresh();
+		return state.isConfirmed ? compareInterval : startInterval;
 	};
 
-	void follow();
+	const {stop} = startLoop('follow-configuration', follow, {clock, logger, onFailure});
 	return {
 		isConfirmed: () => state.isConfirmed,
 		isBehind,
 		refresh,
-		stop() {
-			state.isStopped = true;
-		},
+		stop,
 	};
 };
--- a/packages/discovery/src/follow-fleet.ts
+++ b/packages/discovery/src/follow-fleet.ts
@@ -2,6 +2,7 @@
 import type {Logger} from '@gentianlift/logger';
 import type {ChangeFeed, Milliseconds, Snapshot} from '@gentianlift/types';
 import type {FleetView} from './fleet-view.js';
+import {startLoop, type LoopOptions} from './lasting-loop.js';
 import type {ChangeBatch} from './packet.js';
 
 /** Keeps a view of the fleet up to date. */
@@ -25,6 +26,8 @@
 	hasRelayFeed: () => boolean;
 	/** Called with the changes that the store has returned. */
 	onChanges: (batch: ChangeBatch) => void;
+	/** Called with the name of a loop, a step of which has failed. */
+	onFailure?: LoopOptions['onFailure'];
 };
 
 /** Longest wait of one watch call; it bounds how long changes stay unnoticed when a watch stalls. */
@@ -39,9 +42,8 @@
 
 /** Starts to follow the store, and other hosts while the store is unreachable. */
 export const followFleet = ({
-	feed, view, clock, logger, fetchFromPeer, getNewestRevision, hasRelayFeed, onChanges,
+	feed, view, clock, logger, fetchFromPeer, getNewestRevision, hasRelayFeed, onChanges, onFailure,
 }: FleetFollowerOptions): FleetFollower => {
-	const state = {isStopped: false};
 	let needsSnapshot = true;
 	let backoff = minBackoff;
 
@@ -91,25 +93,16 @@
 		}
 	};
 
-	const followStore = async (): Promise<void> => {
-		while (!state.isStopped) {
-			if (!needsSnapshot && hasRelayFeed()) {
-				// eslint-disable-next-line no-await-in-loop -- Each check follows a delay.
-				await clock.sleep(feedCheckInterval);
-				continue;
-			}
-
-			// eslint-disable-next-line no-await-in-loop -- Each call starts at the revision where the previous one ended.
-			const isAnswered = await (needsSnapshot ? readAll() : waitForChanges());
-			if (isAnswered) {
-				backoff = minBackoff;
-				continue;
-			}
-
-			// eslint-disable-next-line no-await-in-loop -- Calls are separated by the backoff.
-			await clock.sleep(backoff);
-			backoff = Math.min(maxBackoff, backoff * 2);
+	/** Makes the next call to the store, which starts where the previous one ended; returns the pause until the one after. */
+	const followStore = async (): Promise<Milliseconds> => {
+		if (!needsSnapshot && hasRelayFeed()) {
+			return feedCheckInterval;
 		}
+
+		const isAnswered = await (needsSnapshot ? readAll() : waitForChanges());
+		const pause = isAnswered ? 0 : backoff;
+		backoff = isAnswered ? minBackoff : Math.min(maxBackoff, backoff * 2);
+		return pause;
 	};
 
 	const readFromPeer = async (): Promise<void> => {
@@ -128,28 +121,22 @@
 		}
 	};
 
-	const compareRevisions = async (): Promise<void> => {
-		let wasBehind = false;
-		while (!state.isStopped) {
-			view.applyDeferredRemovals(clock.monotonic());
-			// A host that is behind at one comparison only may just be receiving the changes.
-			const isBehind = getNewestRevision() > view.getRevision();
-			if (isBehind && (wasBehind || !view.isStoreReached())) {
-				// eslint-disable-next-line no-await-in-loop -- One read at a time.
-				await catchUp();
-			} else if (view.getRevision() === 0) {
-				// eslint-disable-next-line no-await-in-loop -- One read at a time.
-				await readFromPeer();
-			}
-
-			wasBehind = isBehind;
-			// eslint-disable-next-line no-await-in-loop -- Comparisons are separated by the interval.
-			await clock.sleep(compareInterval);
+	let wasBehind = false;
+	const compareRevisions = async (): Promise<Milliseconds> => {
+		view.applyDeferredRemovals(clock.monotonic());
+		// A host that is behind at one comparison only may just be receiving the changes.
+		const isBehind = getNewestRevision() > view.getRevision();
+		if (isBehind && (wasBehind || !view.isStoreReached())) {
+			await catchUp();
+		} else if (view.getRevision() === 0) {
+			await readFromPeer();
 		}
+
+		wasBehind = isBehind;
+		return compareInterval;
 	};
 
-	void followStore();
-	void compareRevisions();
+	const loops = [startLoop('follow-store', followStore, {clock, logger, onFailure}), startLoop('compare-revisions', compareRevisions, {clock, logger, onFailure})];
 	return {
 		async refresh() {
 			// While the store refuses the calls of this host, only other hosts can provide newer state.
@@ -159,7 +146,9 @@
 			}
 		},
 		stop() {
-			state.isStopped = true;
+			for (const loop of loops) {
+				loop.stop();
+			}
 		},
 	};
 };
--- a/packages/discovery/src/host-record.ts
+++ b/packages/discovery/src/host-record.ts
@@ -1,5 +1,5 @@
-import type {
-	Address, HostId, Incarnation, Zone,
+import {
+	isAddress, isName, parseJsonObject, type Address, type HostId, type Incarnation, type JsonObject, type Zone,
 } from '@gentianlift/types';
 
 /** Record that a host publishes about itself in the store, the key-value service. */
@@ -25,18 +25,18 @@
 /** Returns the key of a host's record. */
 export const getHostKey = (host: HostId): string => `${hostPrefix}${host}`;
 
-const isHostRecord = (value: unknown): value is HostRecord => {
-	const {host, incarnation, zone, callers, peers, notes, strength, isStopping} = (value ?? {}) as Record<string, unknown>;
-	const texts = [host, zone, callers, peers, notes];
-	return texts.every(text => typeof text === 'string') && [incarnation, strength].every(number => typeof number === 'number') && typeof isStopping === 'boolean';
+/** Highest processing capacity of a host. */
+const maxStrength = 10_000;
+
+const isHostRecord = (value: JsonObject | undefined): value is HostRecord => {
+	const {host, incarnation, zone, callers, peers, notes, strength, isStopping} = value ?? {};
+	const addresses = [callers, peers, notes];
+	return isName(host) && isName(zone) && addresses.every(address => typeof address === 'string' && isAddress(address))
+		&& Number.isFinite(incarnation) && typeof strength === 'number' && strength > 0 && strength <= maxStrength && typeof isStopping === 'boolean';
 };
 
-/** Parses a host record; returns undefined if the text is malformed. */
+/** Parses a host record; returns undefined if the text is malformed, or an address that nothing can be sent to. */
 export const parseHostRecord = (text: string): HostRecord | undefined => {
-	try {
-		const value: unknown = JSON.parse(text);
-		return isHostRecord(value) ? value : undefined;
-	} catch {
-		return undefined;
-	}
+	const value = parseJsonObject(text);
+	return isHostRecord(value) ? value : undefined;
 };
--- a/packages/discovery/src/join-fleet.ts
+++ b/packages/discovery/src/join-fleet.ts
@@ -14,6 +14,7 @@
 import {followFleet, type FleetFollower} from './follow-fleet.js';
 import {chooseHosts, getAvailableHosts, selectHostsForCaller} from './host-list.js';
 import type {HostRecord} from './host-record.js';
+import {reportLoopFailure} from './lasting-loop.js';
 import type {Prefill} from './load-report.js';
 import type {LoadTracker} from './load-tracker.js';
 import {findHostsAhead} from './hosts-ahead.js';
@@ -77,6 +78,8 @@
 	onLimit: (news: LimitNews, from: HostId) => void;
 	/** Called with the arrival of each report of another host, applied or not, for metrics. */
 	onReport: (arrival: ReportArrival) => void;
+	/** Called with the name of a loop, a step of which has failed. */
+	onLoopFailure: (loop: string) => void;
 	/** Called with each incarnation of an upstream that is listed for the first time. */
 	onListed: (upstream: Upstream) => void;
 	/** Called with each incarnation of an upstream that is no longer listed. */
@@ -153,6 +156,7 @@
 		getNewestVersion: reportExchange.getNewestConfigurationVersion,
 		clock,
 		logger,
+		onFailure: options.onLoopFailure,
 	});
 	const follower = followFleet({
 		feed: store,
@@ -163,6 +167,7 @@
 		getNewestRevision: reportExchange.getNewestRevision,
 		hasRelayFeed: reportExchange.hasRelayFeed,
 		onChanges: reportExchange.sendChanges,
+		onFailure: options.onLoopFailure,
 	});
 	return {
 		// Requests are decided on by a configuration once no newer one is known to other hosts.
@@ -170,12 +175,16 @@
 		isConfigurationBehind: configurationFollower.isBehind,
 		reportExchange,
 		async refresh() {
-			await Promise.all([follower.refresh(), configurationFollower.refresh()]);
+			try {
+				await Promise.all([follower.refresh(), configurationFollower.refresh()]);
+			} catch (error) {
+				reportLoopFailure('refresh', error, {logger, onFailure: options.onLoopFailure});
+			}
 		},
 		askForStreamOrigin: createStreamOriginClient({getAddresses: getPeerAddresses, clock, random}).find,
 		askForReach: createReachClient(clock).ask,
 		registration: registerHost({
-			store, record, clock, logger,
+			store, record, clock, logger, onFailure: options.onLoopFailure,
 		}),
 		countHosts: () => getOthers().length + 1,
 		getAvailableOthers: () => getAvailable().filter(({host}) => host !== record.host),
--- a/packages/discovery/src/load-report.ts
+++ b/packages/discovery/src/load-report.ts
@@ -2,8 +2,8 @@
 	noRankTokens, sumRankTokens,
 	type GoodEnd, type LimitNews, type PromptPart, type RankTokens, type StartedStream, type SuspectedCrash, type SuspectId, type UpstreamKey,
 } from '@gentianlift/routing';
-import type {
-	HostId, Incarnation, Milliseconds, Rank,
+import {
+	fieldBounds, isName, readNumber, type HostId, type Incarnation, type Milliseconds, type Rank,
 } from '@gentianlift/types';
 import type {ReportedLoad} from './load-tracker.js';
 
@@ -93,8 +93,8 @@
 	}
 
 	const [host, incarnation, sequence, revision, , loads, prefills, crashes, cleared] = value as unknown[];
-	return typeof host === 'string'
-		&& [incarnation, sequence, revision].every(number => typeof number === 'number')
+	return isName(host)
+		&& Number.isFinite(incarnation) && [sequence, revision].every(number => Number.isSafeInteger(number))
 		&& Array.isArray(cleared)
 		&& [loads, prefills, crashes].every(list => Array.isArray(list) && list.every(item => Array.isArray(item)));
 };
@@ -109,7 +109,7 @@
 };
 
 /** Reads an age; 0 for one that is absent or malformed, as for news. */
-const unpackAge = (value: unknown): Milliseconds => typeof value === 'number' && value >= 0 ? value : 0;
+const unpackAge = (value: unknown): Milliseconds => readNumber(value, {min: 0, max: fieldBounds.time.max}, 0);
 
 const unpackGoodEnds = (suspects: readonly unknown[], ages: unknown): GoodEnd[] => {
 	const agesOfAll: unknown[] = Array.isArray(ages) ? ages : [];
@@ -121,11 +121,14 @@
 	const items: unknown[] = Array.isArray(value) ? value : [];
 	return items.flatMap(item => {
 		const [upstream, age, limit] = Array.isArray(item) ? item as unknown[] : [];
-		const isLimit = limit === undefined || (typeof limit === 'number' && limit >= 0);
+		const isLimit = limit === undefined || (typeof limit === 'number' && limit >= 0 && Number.isFinite(limit));
 		return typeof upstream === 'string' && isLimit ? [{upstream, limit, age: unpackAge(age)}] : [];
 	});
 };
 
+/** Whether a value is a number that can be added to a load. */
+const isLoadNumber = (value: unknown): value is number => typeof value === 'number' && Math.abs(value) <= fieldBounds.tokens.max;
+
 /** Rank of queued tokens that are reported without one: the lowest, so that no call is refused or waits for them. */
 const unknownRank: Rank = Number.POSITIVE_INFINITY;
 
@@ -137,10 +140,26 @@
 
 	return new Map((byRank as unknown[]).flatMap((item): Array<[Rank, number]> => {
 		const [rank, tokens] = Array.isArray(item) ? item as unknown[] : [];
-		return typeof rank === 'number' && typeof tokens === 'number' && tokens > 0 ? [[rank, tokens]] : [];
+		return typeof rank === 'number' && isLoadNumber(tokens) && tokens > 0 ? [[rank, tokens]] : [];
 	}));
 };
 
+/** Reads loads; malformed ones are skipped. */
+const unpackLoads = (loads: ReadonlyArray<readonly unknown[]>): ReportedLoad[] => loads.flatMap(([upstream, running, unreadTokens, latencySensitiveStreams, queuedTokens, queuedByRank]) =>
+	typeof upstream === 'string' && isLoadNumber(running) && isLoadNumber(unreadTokens) && isLoadNumber(latencySensitiveStreams) && isLoadNumber(queuedTokens)
+		? [{
+			upstream, running, unreadTokens, latencySensitiveStreams, queuedTokens: unpackQueuedTokens(queuedTokens, queuedByRank),
+		}]
+		: []);
+
+const isPart = (part: unknown): part is [id: string, tokens: number] => Array.isArray(part) && typeof part[0] === 'string' && isLoadNumber(part[1]);
+
+/** Reads prompts that were sent; malformed ones, and malformed parts, are skipped. */
+const unpackPrefills = (prefills: ReadonlyArray<readonly unknown[]>): Prefill[] => prefills.flatMap(([upstream, model, parts]) =>
+	typeof upstream === 'string' && typeof model === 'string' && Array.isArray(parts)
+		? [{upstream, model, parts: parts.filter(part => isPart(part)).map(([id, tokens]) => ({id, tokens}))}]
+		: []);
+
 /** Reads the upstreams that leave; what isn't a key is skipped. */
 const unpackLeaving = (value: unknown): UpstreamKey[] => Array.isArray(value) ? value.filter(item => typeof item === 'string') : [];
 
@@ -160,14 +179,12 @@
 		sequence,
 		revision,
 		isStopping: isStopping === 1,
-		loads: loads.map(([upstream, running, unreadTokens, latencySensitiveStreams, queuedTokens, queuedByRank]) => ({
-			upstream, running, unreadTokens, latencySensitiveStreams, queuedTokens: unpackQueuedTokens(queuedTokens, queuedByRank),
-		})),
-		prefills: prefills.map(([upstream, model, parts]) => ({upstream, model, parts: parts.map(([id, tokens]) => ({id, tokens}))})),
+		loads: unpackLoads(loads),
+		prefills: unpackPrefills(prefills),
 		crashes: unpackCrashes(crashes),
 		goodEnds: unpackGoodEnds(cleared, goodEndAges),
 		limits: unpackLimits(limits),
-		builtAt: typeof builtAt === 'number' ? builtAt : undefined,
+		builtAt: Number.isFinite(builtAt) ? builtAt : undefined,
 		streams: unpackStreams(streams),
 		leaving: unpackLeaving(leaving),
 		configurationVersion: Number.isSafeInteger(configurationVersion) ? configurationVersion : undefined,
--- a/packages/discovery/src/packet.ts
+++ b/packages/discovery/src/packet.ts
@@ -1,4 +1,5 @@
-import type {Change, HostId} from '@gentianlift/types';
+import {isJsonObject, type Change, type HostId} from '@gentianlift/types';
+import {isChange} from './checked-entries.js';
 import {
 	packLoadReport, unpackLoadReport, type LoadReport, type PackedLoadReport,
 } from './load-report.js';
@@ -69,10 +70,9 @@
 
 const isForwardScope = (value: unknown): value is ForwardScope => Object.values<unknown>(forwardScope).includes(value);
 
-const isChangeBatch = (value: unknown): value is ChangeBatch => {
-	const {after, revision, changes} = (value ?? {}) as Partial<ChangeBatch>;
-	return typeof after === 'number' && typeof revision === 'number' && Array.isArray(changes);
-};
+/** Whether all of a batch can be read: one without some of its changes would leave a gap. */
+const isChangeBatch = (value: unknown): value is ChangeBatch =>
+	isJsonObject(value) && Number.isSafeInteger(value.after) && Number.isSafeInteger(value.revision) && Array.isArray(value.changes) && value.changes.every(change => isChange(change));
 
 const parse = (text: string): unknown => {
 	try {
--- a/packages/discovery/src/peer-views.ts
+++ b/packages/discovery/src/peer-views.ts
@@ -2,6 +2,7 @@
 import type {Logger} from '@gentianlift/logger';
 import type {JsonOutcome} from '@gentianlift/platform';
 import type {Address, Snapshot} from '@gentianlift/types';
+import {isSnapshot} from './checked-entries.js';
 import {createPeerClients} from './peer-clients.js';
 
 /** Client that reads the view of the fleet from other hosts. */
@@ -26,11 +27,6 @@
 /** Time limits of a request to another host; a view may be large, and links slow. */
 const timeouts = {timeout: 300, bodyTimeout: 3000} as const;
 
-const isSnapshot = (body: unknown): body is Snapshot => {
-	const {entries, revision} = (body ?? {}) as Partial<Snapshot>;
-	return Array.isArray(entries) && typeof revision === 'number';
-};
-
 /** Returns why a call brought no answer; undefined if it did. */
 const getFailureReason = (outcome: JsonOutcome): string | undefined => outcome.kind === 'answered' ? undefined : outcome.reason;
 
--- a/packages/discovery/src/register-host.ts
+++ b/packages/discovery/src/register-host.ts
@@ -2,6 +2,7 @@
 import type {Logger} from '@gentianlift/logger';
 import type {KeyValueService, Milliseconds} from '@gentianlift/types';
 import {getHostKey, type HostRecord} from './host-record.js';
+import {startLoop, type LoopOptions} from './lasting-loop.js';
 
 /** Keeps a host's record in the store under a lease. */
 export type HostRegistration = {
@@ -17,6 +18,8 @@
 	record: HostRecord;
 	clock: Clock;
 	logger: Logger;
+	/** Called with the name of a loop, a step of which has failed. */
+	onFailure?: LoopOptions['onFailure'];
 };
 
 const leaseDuration: Milliseconds = 6000;
@@ -24,12 +27,13 @@
 const retryDelay: Milliseconds = 500;
 
 /** Starts to register the host; retries and renews until ended. */
-export const registerHost = ({store, record, clock, logger}: HostRegistrationOptions): HostRegistration => {
+export const registerHost = ({
+	store, record, clock, logger, onFailure,
+}: HostRegistrationOptions): HostRegistration => {
 	const key = getHostKey(record.host);
 	let current = record;
 	let lease: string | undefined;
 	let expected = 0;
-	const state = {isEnded: false};
 
 	/** Writes the record. If an earlier process of this host has left one, the first attempt is rejected and the second overwrites it. */
 	const writeRecord = async (): Promise<boolean> => {
@@ -84,16 +88,12 @@
 		return outcome.kind === 'held';
 	};
 
-	const maintainRegistration = async (): Promise<void> => {
-		while (!state.isEnded) {
-			// eslint-disable-next-line no-await-in-loop -- A lease is renewed after it was acquired.
-			const isDone = await (lease === undefined ? register() : renewLease(lease));
-			// eslint-disable-next-line no-await-in-loop -- Calls are separated by the interval.
-			await clock.sleep(isDone ? renewInterval : retryDelay);
-		}
+	const maintainRegistration = async (): Promise<Milliseconds> => {
+		const isDone = await (lease === undefined ? register() : renewLease(lease));
+		return isDone ? renewInterval : retryDelay;
 	};
 
-	void maintainRegistration();
+	const {stop} = startLoop('register', maintainRegistration, {clock, logger, onFailure});
 	return {
 		async markStopping() {
 			current = {...current, isStopping: true};
@@ -102,7 +102,7 @@
 			}
 		},
 		async end() {
-			state.isEnded = true;
+			stop();
 			if (lease !== undefined) {
 				await store.endLease(lease);
 			}
--- a/packages/discovery/src/report-broadcast.ts
+++ b/packages/discovery/src/report-broadcast.ts
@@ -5,7 +5,7 @@
 import type {HostRecord} from './host-record.js';
 import type {LoadReport} from './load-report.js';
 import {
-	decodePacket, encodePacket, encodeReports, forwardScope, splitChangeBatch, type ChangeBatch, type ForwardScope,
+	decodePacket, encodePacket, encodeReports, forwardScope, splitChangeBatch, type ChangeBatch, type ForwardScope, type Packet,
 } from './packet.js';
 import {createRelayLiveness} from './relay-liveness.js';
 import {
@@ -152,13 +152,7 @@
 		}
 	};
 
-	socket.on('message', bytes => {
-		const packet = decodePacket(bytes.toString('utf8'));
-		if (packet === undefined) {
-			logger.warn('note-unreadable', {length: bytes.length});
-			return;
-		}
-
+	const handlePacket = (packet: Packet): void => {
 		const now = clock.monotonic();
 		relayLiveness.markHeard(packet.sender, now);
 		for (const report of packet.reports) {
@@ -169,6 +163,20 @@
 		for (const batch of packet.batches) {
 			lastFeedAt = onChanges(batch) ? now : lastFeedAt;
 		}
+	};
+
+	socket.on('message', bytes => {
+		const packet = decodePacket(bytes.toString('utf8'));
+		if (packet === undefined) {
+			logger.warn('note-unreadable', {length: bytes.length});
+			return;
+		}
+
+		try {
+			handlePacket(packet);
+		} catch (error) {
+			logger.error('note-failed', {sender: packet.sender, reason: (error as Error).stack});
+		}
 	});
 	socket.on('error', error => {
 		logger.warn('note-socket-failed', {reason: error.message});
--- a/packages/forwarder/src/attempt.ts
+++ b/packages/forwarder/src/attempt.ts
@@ -134,11 +134,12 @@
 	});
 	progress.cancel = cancel;
 	const stopWatching = watchForSilence(attempt, candidate.load.unreadTokens + uncachedTokens, cancel);
-	const attemptOutcome = await handleSendOutcome(attempt, await outcome);
-	stopWatching();
-	activity.end();
-	load.end();
-	permit.release();
+	const attemptOutcome = await handleSendOutcome(attempt, await outcome).finally(() => {
+		stopWatching();
+		activity.end();
+		load.end();
+		permit.release();
+	});
 	const isAbandoned = progress.hasTimedOut || progress.isCallerGone;
 	if (!isAbandoned) {
 		recordOutcome(attempt, attemptOutcome, context.clock.monotonic() - (attempt.sentAt ?? attempt.startedAt));
--- a/packages/forwarder/src/create-context.ts
+++ b/packages/forwarder/src/create-context.ts
@@ -47,10 +47,10 @@
 };
 
 /** What a host's links are created from. */
-type LinkParts = Pick<HostDependencies, 'clock' | 'logger'> & Pick<ForwarderContext, 'random' | 'tracker'> & {fleet: Fleet; onLoad: () => void};
+type LinkParts = Pick<HostDependencies, 'clock' | 'logger'> & Pick<ForwarderContext, 'random' | 'tracker'> & {fleet: Fleet; onLoad: () => void; onLoopFailure: (loop: string) => void};
 
 const createLinks = ({zone}: HostSettings, {
-	clock, logger, random, fleet, tracker, onLoad,
+	clock, logger, random, fleet, tracker, onLoad, onLoopFailure,
 }: LinkParts): UpstreamLinks => createUpstreamLinks({
 	clock,
 	random,
@@ -68,6 +68,7 @@
 		onLoad();
 	},
 	onReached: tracker.recordReachable,
+	onLoopFailure,
 });
 
 /** Joins the fleet and creates the dependencies that the forwarder's modules share. */
@@ -98,6 +99,10 @@
 	const streamOrigins = createStreamOrigins();
 	const versions = createVersionHistory(streamLifetime);
 	const isStopping = (): boolean => shutdown.since !== undefined;
+	const onLoopFailure = (loop: string): void => {
+		metrics.count('loop_failures_total', {loop});
+	};
+
 	const fleet = joinFleet({
 		record: buildHostRecord(settings, clock.now()),
 		knownPeers: settings.knownPeers,
@@ -121,6 +126,7 @@
 		onReport(arrival) {
 			recordReportArrival(metrics, arrival);
 		},
+		onLoopFailure,
 		onListed(upstream) {
 			versions.list(upstream, clock.monotonic());
 		},
@@ -134,7 +140,7 @@
 		onLeaving: tracker.retire,
 	});
 	const links = createLinks(settings, {
-		clock, logger, random, fleet, tracker, onLoad,
+		clock, logger, random, fleet, tracker, onLoad, onLoopFailure,
 	});
 	const context: ForwarderContext = {
 		clock,
--- a/packages/forwarder/src/metrics-page.test.ts
+++ b/packages/forwarder/src/metrics-page.test.ts
@@ -7,7 +7,7 @@
 		hosts: 1, upstreams: [answerOk], configuration, onFinished: onTestFinished,
 	});
 	const page = first!.host.getMetricsPage();
-	for (const gauge of ['queue_length', 'upstream_limits', 'upstreams_resting', 'services_cut', 'store_era', 'upstreams_avoided']) {
+	for (const gauge of ['queue_length', 'upstream_limits', 'upstreams_resting', 'services_cut', 'entries_unreadable', 'store_era', 'upstreams_avoided']) {
 		expect(page).toContain(`${gauge} 0`);
 	}
 
--- a/packages/forwarder/src/reaching-hosts.ts
+++ b/packages/forwarder/src/reaching-hosts.ts
@@ -47,7 +47,6 @@
 		const {reaching, isAnswered} = await find();
 		const before = getNames(hosts);
 		set(reaching.length > 0 || isAnswered ? reaching : hosts);
-		asking = undefined;
 		if (getNames(hosts) !== before) {
 			onChange(hosts);
 		}
@@ -55,7 +54,9 @@
 
 	/** Asks once for all that ask at the same time. */
 	const askOnce = async (): Promise<void> => {
-		asking ??= ask();
+		asking ??= ask().finally(() => {
+			asking = undefined;
+		});
 		return asking;
 	};
 
--- a/packages/forwarder/src/request-queue.ts
+++ b/packages/forwarder/src/request-queue.ts
@@ -76,7 +76,9 @@
 
 /** Creates an empty queue. */
 export const createRequestQueue = (context: ForwarderContext): RequestQueue => {
-	const {clock, view, tracker, metrics} = context;
+	const {
+		clock, view, tracker, metrics, logger,
+	} = context;
 	const refusals = createEarlyRefusals(context);
 	let entries: QueueEntry[] = [];
 	/** The next dispatch pass; undefined if none is scheduled. */
@@ -156,7 +158,18 @@
 		resolve({candidate, load, permit: context.limits.claim(getUpstreamKey(candidate.upstream))});
 	};
 
-	/** Dispatches the entry or drops an ended one; returns whether it stays queued. */
+	/** Dispatches the entry or drops an ended one; returns whether it stays queued. One for which that fails costs no other its pass. */
+	const processSafely = (entry: QueueEntry, pass: DispatchPass): boolean => {
+		try {
+			return processEntry(entry, pass);
+		} catch (error) {
+			logger.error('dispatch-failed', {request: entry.call.head.callerRequestId, reason: (error as Error).stack});
+			entry.resolve(undefined);
+			return false;
+		}
+	};
+
+	/** Decides on an entry and carries the decision out; returns whether it stays queued. */
 	const processEntry = (entry: QueueEntry, pass: DispatchPass): boolean => {
 		if (entry.progress.hasTimedOut || entry.progress.isCallerGone) {
 			entry.resolve(undefined);
@@ -206,7 +219,7 @@
 			.map(entry => ({entry, position: getPosition(entry, startedAt)}))
 			.toSorted((one, other) => compareQueued(one.position, other.position))
 			.map(({entry}) => entry)
-			.filter(entry => processEntry(entry, pass));
+			.filter(entry => processSafely(entry, pass));
 		refusals.endPass(pass.queuedTokens, startedAt);
 		reports.report(pass.queuedTokens);
 		turns.setWaiting(pass.queuedTokens.keys(), startedAt);
@@ -251,7 +264,7 @@
 				const entry = {
 					call, progress, enqueuedAt: now, resolve,
 				};
-				const isWaiting = !isFirstInOrder(entry, now) || processEntry(entry, createPass(now));
+				const isWaiting = !isFirstInOrder(entry, now) || processSafely(entry, createPass(now));
 				if (isWaiting) {
 					progress.cancel = () => {
 						removeEntry(entry);
--- a/packages/forwarder/src/send.ts
+++ b/packages/forwarder/src/send.ts
@@ -182,10 +182,23 @@
 	});
 };
 
+/** Opens a request; returns the reason if that can't be done, e.g. as the port is out of range. */
+const tryToOpen = (upstreamRequest: UpstreamRequest, agent: UpstreamAgent): ClientRequest | string => {
+	try {
+		return openRequest(upstreamRequest, agent);
+	} catch (error) {
+		return getErrorReason(error as Error);
+	}
+};
+
 /** Sends a request to an upstream as soon as the pool has a connection for it. */
 export const send = (upstreamRequest: UpstreamRequest, {agent, protocol, clock, onSent, onHead}: SendOptions): InFlightRequest => {
 	const {callerRequestId, connectionWait, body, buildHead} = upstreamRequest;
-	const clientRequest = openRequest(upstreamRequest, agent);
+	const clientRequest = tryToOpen(upstreamRequest, agent);
+	if (typeof clientRequest === 'string') {
+		return {outcome: Promise.resolve({kind: 'unreachable', reason: clientRequest}), cancel: () => undefined};
+	}
+
 	const {promise: outcome, resolve} = createDeferred<SendOutcome>();
 	let phase: SendPhase = 'waiting';
 	let hasFailed = false;
--- a/packages/forwarder/src/serve-callers.ts
+++ b/packages/forwarder/src/serve-callers.ts
@@ -2,11 +2,10 @@
 	createServer, type RequestListener, type Server,
 } from 'node:http';
 import type {Socket} from 'node:net';
-import {
-	pickDestination, findCaller, findRoute, type RequestLimits, type ConfiguredCustomer, type Route, type RouteTable,
-} from '@gentianlift/routing';
-import {cutResponse, errorTable, type ErrorKind} from '@gentianlift/errors';
+import type {RequestLimits, Route} from '@gentianlift/routing';
+import {cutResponse, type ErrorKind} from '@gentianlift/errors';
 import type {Milliseconds} from '@gentianlift/types';
+import {createAdmission, type Admission} from './admission.js';
 import {createCall} from './call.js';
 import type {Forwarder} from './forward.js';
 import {decodeForwardedCall} from './forwarded-call.js';
@@ -32,11 +31,6 @@
 	forwarder: Forwarder;
 };
 
-/** Route and service of an admitted request, or the error of a refused one. */
-type Admission
-	= | {kind: 'admitted'; table: RouteTable; route: Route; service: string; customer: ConfiguredCustomer | undefined}
-		| {kind: 'refused'; error: Extract<ErrorKind, 'not-configured' | 'host-overloaded' | 'host-stopping' | 'unknown-path' | 'wrong-key' | 'missing-key'>};
-
 /** Errors that come from the state of this host, not from the request. */
 const hostFaults = new Set<ErrorKind>(['not-configured', 'host-overloaded', 'host-stopping']);
 
@@ -48,8 +42,6 @@
 const connectionsCheckInterval: Milliseconds = 1000;
 /** Longest time to receive a request with its body. */
 const requestTimeout: Milliseconds = 30_000;
-/** Limit on requests without a final answer, for load shedding; each uses two connections and the memory of its body. */
-const maxOpenRequests = 1500;
 /** Retry-After of refusals: until this host has a configuration, or for a retry on another host. */
 const retryAfterDelays: Partial<Record<ErrorKind, Milliseconds>> = {'not-configured': 500, 'host-overloaded': 200, 'host-stopping': 20};
 
@@ -77,65 +69,13 @@
 	} = context;
 	let openRequests = 0;
 	const resolveResumption = createResumptionResolver(context);
-
-	const hasVersion = (version: number): boolean => (view.getRoutes()?.configuration.version ?? Number.NEGATIVE_INFINITY) >= version;
+	const admit = createAdmission(context, () => openRequests);
 
 	const readHead = ({request, forwarded}: ReceivedRequest): CallerHead => {
 		const head = protocol.readCallerHead(request.rawHeaders);
 		return forwarded?.resumption === undefined ? head : {...head, lastEventId: forwarded.resumption.lastEventId};
 	};
 
-	const admit = (head: CallerHead, target: string): Admission => {
-		if (openRequests > maxOpenRequests) {
-			return {kind: 'refused', error: 'host-overloaded'};
-		}
-
-		const table = view.getRoutes();
-		if (table === undefined) {
-			return {kind: 'refused', error: 'not-configured'};
-		}
-
-		const route = findRoute(table, head.hostname, target);
-		if (route === undefined) {
-			return {kind: 'refused', error: 'unknown-path'};
-		}
-
-		if (!context.canAccept(route.timeout)) {
-			return {kind: 'refused', error: 'host-stopping'};
-		}
-
-		const caller = findCaller(table, route, head.key);
-		if (caller.kind === 'unknown') {
-			return {kind: 'refused', error: head.key === undefined ? 'missing-key' : 'wrong-key'};
-		}
-
-		const destination = pickDestination(route.destinations, context.random);
-		const customer = caller.kind === 'customer' ? caller.customer : undefined;
-		return destination === undefined
-			? {kind: 'refused', error: 'unknown-path'}
-			: {
-				kind: 'admitted', table, route, service: destination.service, customer,
-			};
-	};
-
-	const isFinalRefusal = (admission: Admission): boolean => admission.kind === 'refused' && errorTable[admission.error].status !== 503;
-
-	/**
-	 * Admits a request by the newest configuration: one that another host reports is read first, and so is the newest state
-	 * before a final refusal, because callers don't retry after it. If a newer configuration may still be in force, they are
-	 * told to.
-	 */
-	const admitWithRefresh = async (head: CallerHead, target: string): Promise<Admission> => {
-		const admission = admit(head, target);
-		if (!isFinalRefusal(admission) && !context.freshness.isConfigurationBehind()) {
-			return admission;
-		}
-
-		await context.freshness.refreshIfStale();
-		const renewed = admit(head, target);
-		return isFinalRefusal(renewed) && context.freshness.isConfigurationUncertain() ? {kind: 'refused', error: 'not-configured'} : renewed;
-	};
-
 	/** Refuses a request; the host that has forwarded one is told to ask another host, where this one's state is the reason. */
 	const refuse = ({request, response, forwarded}: ReceivedRequest, head: CallerHead, errorAnswer: ErrorAnswer): void => {
 		const isHostsFault = forwarded !== undefined && hostFaults.has(errorAnswer.kind);
@@ -177,15 +117,6 @@
 		server.keepAliveTimeout = limits.idleTimeout + keepAliveMargin;
 	};
 
-	/** Admits a request; one that another host has admitted by a newer configuration than this one's is taken only once that is known here, too. */
-	const admitReceived = async ({target, forwarded}: ReceivedRequest, head: CallerHead): Promise<Admission> => {
-		if (forwarded !== undefined && !hasVersion(forwarded.version)) {
-			await context.freshness.refreshIfStale();
-		}
-
-		return forwarded === undefined || hasVersion(forwarded.version) ? admitWithRefresh(head, target) : {kind: 'refused', error: 'not-configured'};
-	};
-
 	/** Returns the origin of the stream that a request resumes, as the host that has forwarded it says or as it is known in the fleet. */
 	const resolveOrigin = async ({forwarded}: ReceivedRequest, head: CallerHead, route: Route): Promise<Resumption> =>
 		forwarded?.resumption === undefined
@@ -198,7 +129,7 @@
 		const head = readHead(received);
 		const limits = view.getRoutes()?.configuration.limits;
 		const pendingBody = readBody({message: request, hasFailed: () => false}, limits?.maxBodyBytes ?? Number.POSITIVE_INFINITY);
-		const admission = await admitReceived(received, head);
+		const admission = await admit(received, head);
 		const body = await pendingBody;
 		if (body.kind === 'broken') {
 			logger.info('call-broken', {request: head.callerRequestId, reason: body.reason});
@@ -241,6 +172,18 @@
 		}));
 	};
 
+	/** Answers a request whose handling has failed, which may have run it; closes the connection if an answer has begun. */
+	const answerFailure = ({request, response}: ReceivedRequest): void => {
+		if (response.headersSent || response.destroyed) {
+			cutResponse(response);
+			return;
+		}
+
+		writeErrorAnswer({
+			response, protocol, caller: protocol.readCallerHead(request.rawHeaders), isClosing: true,
+		}, {kind: 'internal'});
+	};
+
 	const handleSafely = async (received: ReceivedRequest): Promise<void> => {
 		const {request, response} = received;
 		openRequests += 1;
@@ -256,7 +199,7 @@
 			await handle(received);
 		} catch (error) {
 			logger.error('call-failed', {target: request.url, reason: (error as Error).stack ?? String(error)});
-			cutResponse(response);
+			answerFailure(received);
 		} finally {
 			openRequests -= 1;
 		}
--- a/packages/forwarder/src/upstream-links.test.ts
+++ b/packages/forwarder/src/upstream-links.test.ts
@@ -21,6 +21,8 @@
 	silentHosts: Set<HostId>;
 	/** Whether most of the hosts that are asked answer. */
 	answers: {areMost: boolean};
+	/** Whether asking the other hosts fails with an error. */
+	errors: {areThrown: boolean};
 	probes: string[];
 };
 
@@ -39,7 +41,13 @@
 	const logLines: string[] = [];
 	const upstreams = ids.map(id => buildUpstream({id}));
 	const state = {
-		reached: new Set<string>(), hanging: new Set<string>(), hosts: [] as ReachingHost[], silentHosts: new Set<HostId>(), answers: {areMost: true}, probes: [] as string[],
+		reached: new Set<string>(),
+		hanging: new Set<string>(),
+		hosts: [] as ReachingHost[],
+		silentHosts: new Set<HostId>(),
+		answers: {areMost: true},
+		errors: {areThrown: false},
+		probes: [] as string[],
 	};
 	const probe = async ({id}: Upstream): Promise<boolean> => {
 		state.probes.push(id);
@@ -60,7 +68,13 @@
 		zone: 'a',
 		getUpstreams: () => upstreams,
 		probe,
-		findReachingHosts: async () => ({reaching: [...state.hosts], isAnswered: state.answers.areMost}),
+		async findReachingHosts() {
+			if (state.errors.areThrown) {
+				throw new RangeError('test');
+			}
+
+			return {reaching: [...state.hosts], isAnswered: state.answers.areMost};
+		},
 		isSilent: host => state.silentHosts.has(host),
 		onChange: () => undefined,
 		onReached: () => undefined,
@@ -256,3 +270,24 @@
 
 	expect(day.probes.length).toBeLessThanOrEqual(2 * ids.length);
 });
+
+// Guards against: links count as cut for good, or are never checked again, after one error.
+test('an error ends neither the watch of links that are cut nor later checks', async () => {
+	const day = createDay();
+	day.errors.areThrown = true;
+	await check(day, 1000);
+	expect(day.links.isCut('s')).toBe(false);
+	day.errors.areThrown = false;
+	await cut(day);
+	day.errors.areThrown = true;
+	await day.clock.advance(3000);
+	day.errors.areThrown = false;
+	for (const id of ids) {
+		day.reached.add(id);
+	}
+
+	await day.clock.advance(3000);
+	expect(day.links.isCut('s')).toBe(false);
+	expect(day.logLines.some(line => line.includes('event=loop-failed loop=check-links'))).toBe(true);
+	expect(day.logLines.some(line => line.includes('event=loop-failed loop=watch-cut'))).toBe(true);
+});
--- a/packages/forwarder/src/upstream-links.ts
+++ b/packages/forwarder/src/upstream-links.ts
@@ -1,5 +1,5 @@
 import {createRecentAnswers, type Clock, type Random} from '@gentianlift/clock';
-import type {HostRecord, ReachQuery} from '@gentianlift/discovery';
+import {reportLoopFailure, type HostRecord, type ReachQuery} from '@gentianlift/discovery';
 import type {Logger} from '@gentianlift/logger';
 import {getUpstreamKey, type Upstream} from '@gentianlift/routing';
 import type {HostId, Milliseconds, Zone} from '@gentianlift/types';
@@ -57,6 +57,8 @@
 	onChange: (upstreams: readonly Upstream[]) => void;
 	/** Called with an upstream that has accepted a connection while the links to its service counted as cut. */
 	onReached: (upstream: Upstream) => void;
+	/** Called with the name of a loop or check that has failed. */
+	onLoopFailure?: (loop: string) => void;
 };
 
 type ServiceLinks = {
@@ -85,15 +87,9 @@
 
 const describeHosts = (hosts: readonly ReachingHost[]): string => hosts.map(({record}) => record.host).join(',');
 
-/** Returns some random items of a list. */
-const pickSome = <Item>(items: readonly Item[], count: number, random: Random): Item[] => {
-	const keyed = items.map(item => ({item, key: random.next()}));
-	return keyed.toSorted((one, other) => one.key - other.key).slice(0, count).map(({item}) => item);
-};
-
 /** Creates links that count as open. */
 export const createUpstreamLinks = ({
-	clock, random, logger, zone, getUpstreams, probe, findReachingHosts, isSilent, onChange, onReached,
+	clock, random, logger, zone, getUpstreams, probe, findReachingHosts, isSilent, onChange, onReached, onLoopFailure,
 }: UpstreamLinksOptions): UpstreamLinks => {
 	const services = new Map<string, ServiceLinks>();
 	const loads = createForwardedLoads();
@@ -134,7 +130,7 @@
 
 	/** Makes a round of probes while the links are cut; returns whether most of them succeed. */
 	const isRoundGood = async (upstreams: readonly Upstream[]): Promise<boolean> => {
-		const results = await Promise.all(pickSome(upstreams, firstProbes, random).map(async upstream => {
+		const results = await Promise.all(random.sample(upstreams, firstProbes).map(async upstream => {
 			const isReached = await probe(upstream);
 			if (isReached) {
 				onReached(upstream);
@@ -152,6 +148,18 @@
 		logger.warn('links-restored', {service, after: Math.round(clock.monotonic() - cutAt)});
 	};
 
+	/** Makes a round and asks hosts again; returns whether most probes succeed. A round that fails is followed by the next one. */
+	const makeRound = async (service: string, links: ServiceLinks): Promise<boolean> => {
+		try {
+			const isGood = await isRoundGood(getUpstreams(service));
+			await links.hosts.refresh();
+			return isGood;
+		} catch (error) {
+			reportLoopFailure('watch-cut', error, {logger, onFailure: onLoopFailure});
+			return false;
+		}
+	};
+
 	/** Probes the upstreams until the links are open again; meanwhile keeps the list of hosts that reach them up to date. */
 	const watchCut = async (service: string, links: ServiceLinks, cutAt: Milliseconds): Promise<void> => {
 		let goodRounds = 0;
@@ -159,9 +167,7 @@
 			// eslint-disable-next-line no-await-in-loop -- Rounds are separated by an interval.
 			await clock.sleep(probeInterval);
 			// eslint-disable-next-line no-await-in-loop -- One round at a time.
-			goodRounds = await isRoundGood(getUpstreams(service)) ? goodRounds + 1 : 0;
-			// eslint-disable-next-line no-await-in-loop -- The hosts are asked at intervals.
-			await links.hosts.refresh();
+			goodRounds = await makeRound(service, links) ? goodRounds + 1 : 0;
 		}
 
 		open(service, links, cutAt);
@@ -169,7 +175,7 @@
 
 	const runCheck = async (service: string, links: ServiceLinks): Promise<void> => {
 		const startedAt = clock.monotonic();
-		const upstreams = pickSome(getUpstreams(service), maxProbes, random);
+		const upstreams = random.sample(getUpstreams(service), maxProbes);
 		if (upstreams.length === 0 || await reachesAny(upstreams.slice(0, firstProbes)) || await reachesAny(upstreams.slice(firstProbes))) {
 			return;
 		}
@@ -198,7 +204,12 @@
 			}
 
 			const finish = async (): Promise<void> => {
-				await runCheck(service, links);
+				try {
+					await runCheck(service, links);
+				} catch (error) {
+					reportLoopFailure('check-links', error, {logger, onFailure: onLoopFailure});
+				}
+
 				links.check = undefined;
 				links.checkedAt = clock.monotonic();
 			};
@@ -245,7 +256,7 @@
 
 			const contactAt = links?.contactAt ?? Number.NEGATIVE_INFINITY;
 			return clock.monotonic() - contactAt < contactLifetime
-				|| probes.get(`service ${service}`, async () => reachesAny(pickSome(upstreams, firstProbes, random)));
+				|| probes.get(`service ${service}`, async () => reachesAny(random.sample(upstreams, firstProbes)));
 		},
 		async isAwayForOthers(upstream) {
 			const {reaching, isAnswered} = await findReachingHosts({service: upstream.service, upstream: getUpstreamKey(upstream)});
--- a/packages/forwarder/src/view-freshness.test.ts
+++ b/packages/forwarder/src/view-freshness.test.ts
@@ -7,7 +7,9 @@
 const createHost = () => {
 	const clock = createManualClock(0);
 	const reported = {revision: 5, silence: Number.POSITIVE_INFINITY};
-	const state = {contactAt: 0, refreshes: 0, isConfigurationBehind: false};
+	const state = {
+		contactAt: 0, refreshes: 0, isConfigurationBehind: false, isRefreshFailing: false,
+	};
 	const view: Partial<FleetView> = {getRevision: () => 5, getTimeSinceStoreContact: now => now - state.contactAt};
 	const reportExchange: Partial<LoadReportExchange> = {getNewestRevision: () => reported.revision, getShortestSilence: () => reported.silence};
 	const freshness = createViewFreshness({
@@ -17,6 +19,10 @@
 		isConfigurationBehind: () => state.isConfigurationBehind,
 		async refresh() {
 			state.refreshes += 1;
+			if (state.isRefreshFailing) {
+				throw new Error('test');
+			}
+
 			state.contactAt = clock.monotonic();
 		},
 	});
@@ -55,6 +61,19 @@
 	expect(freshness.isConfigurationUncertain()).toBe(true);
 });
 
+// Guards against: no view is ever read again after one read that failed.
+test('a read of the newest state that fails is followed by the next one', async () => {
+	const {clock, state, freshness} = createHost();
+	await clock.advance(5000);
+	state.isRefreshFailing = true;
+	await expect(freshness.refreshIfStale()).rejects.toThrow('test');
+	state.isRefreshFailing = false;
+	await clock.advance(300);
+	await freshness.refreshIfStale();
+	expect(state.refreshes).toBe(2);
+	expect(freshness.isCurrent()).toBe(true);
+});
+
 // Guards against: right after a suspension, a host acts on what it believed before, which old reports seem to confirm.
 test('a view isn\'t current right after a suspension, even if reports that waited meanwhile confirm it', async () => {
 	const {clock, reported, freshness} = createHost();
--- a/packages/forwarder/src/view-freshness.ts
+++ b/packages/forwarder/src/view-freshness.ts
@@ -52,11 +52,10 @@
 		isConfirmed() && !isAhead(reportExchange.getNewestRevision()) && !isConfigurationBehind() && !suspension.hasJustResumed();
 
 	const startRefresh = async (): Promise<void> => {
-		pendingRefresh ??= (async () => {
-			await refresh();
+		pendingRefresh ??= refresh().finally(() => {
 			refreshedAt = clock.monotonic();
 			pendingRefresh = undefined;
-		})();
+		});
 		await Promise.race([pendingRefresh, clock.sleep(refreshTimeout)]);
 	};
 
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -1,4 +1,5 @@
 export * from './address.js';
+export * from './json-fields.js';
 export type * from './ids.js';
 export * from './inventory.js';
 export * from './request.js';
