Infer the version of a stream only from what is known without a break

Callers of a system like ours got texts joined from two versions when they took streams up after all hosts had been killed at once. But a host that had followed the fleet for twice the timeout of the route inferred the only version it had seen, though a change of the configuration may have shortened that timeout, or led the route to another service, and an engine may have come and gone while the host was cut off. Engines without a version counted as of one. Class of fault: absence of evidence is taken for evidence of absence.

Now one named version of one service must have served for 60 s, as long as streams may be taken up, and a change of routes, 4 s of silence or a suspension begins the time anew, also for a host that is asked by one of an earlier build. The test of what a host must have followed has 60 s in place of twice the timeout. Ruled out: forwarded calls, which carry the first host's finding.

--- a/packages/discovery/src/fleet-view.ts
+++ b/packages/discovery/src/fleet-view.ts
@@ -1,7 +1,7 @@
 import type {Logger} from '@gentianlift/logger';
 import {getEra} from '@gentianlift/platform';
 import {
-	getUpstreamKey, type RouteTable, type Service, type Upstream, type UpstreamKey,
+	getUpstreamKey, type RouteTable, type RoutingConfiguration, type Service, type Upstream, type UpstreamKey,
 } from '@gentianlift/routing';
 import type {
 	Change, Entry, HostId, Milliseconds, Snapshot,
@@ -55,6 +55,8 @@
 	/** Decodes an entry that isn't a host record. */
 	decode: (entry: Entry) => DecodedEntry;
 	logger: Logger;
+	/** Called with each newer configuration. */
+	onConfiguration?: (configuration: RoutingConfiguration) => void;
 };
 
 /** Time after an outage of the store in which upstreams whose leases expired during it can register again. */
@@ -64,14 +66,14 @@
 
 /** Creates an empty view. */
 export const createFleetView = ({
-	decode, logger, ...listeners
+	decode, logger, onConfiguration, ...listeners
 }: FleetViewOptions): FleetView => {
 	const entries = new Map<string, Entry>();
 	const hosts = new Map<HostId, HostRecord>();
 	const deferredRemovals = new Set<string>();
 	const upstreams = createListedUpstreams({logger, getRevision: () => revision, ...listeners});
 	const oddEntries = createOddEntries(logger);
-	const configuration = createNewestConfiguration(logger);
+	const configuration = createNewestConfiguration(logger, onConfiguration);
 	let revision = 0;
 	let lastContactAt = Number.NEGATIVE_INFINITY;
 	let isStoreReached = true;
--- a/packages/discovery/src/join-fleet.ts
+++ b/packages/discovery/src/join-fleet.ts
@@ -1,7 +1,7 @@
 import type {Clock, Random} from '@gentianlift/clock';
 import type {Logger} from '@gentianlift/logger';
 import type {
-	CrashSuspects, LimitNews, StartedStream, Upstream, UpstreamKey,
+	CrashSuspects, LimitNews, RoutingConfiguration, StartedStream, Upstream, UpstreamKey,
 } from '@gentianlift/routing';
 import type {
 	Address, ChangeFeed, Entry, HostId, KeyValueService, Zone,
@@ -80,6 +80,8 @@
 	onReport: (arrival: ReportArrival) => void;
 	/** Called with the name of a loop, a step of which has failed. */
 	onLoopFailure: (loop: string) => void;
+	/** Called with each newer configuration. */
+	onConfiguration: (configuration: RoutingConfiguration) => void;
 	/** Called with each incarnation of an upstream that is listed for the first time. */
 	onListed: (upstream: Upstream) => void;
 	/** Called with each incarnation of an upstream that is no longer listed. */
@@ -130,7 +132,12 @@
 		record, knownPeers, store, clock, random, logger,
 	} = options;
 	const view = createFleetView({
-		decode: options.decode, logger, onListed: options.onListed, onRemoved: options.onRemoved, onLeaving: options.onLeaving,
+		decode: options.decode,
+		logger,
+		onConfiguration: options.onConfiguration,
+		onListed: options.onListed,
+		onRemoved: options.onRemoved,
+		onLeaving: options.onLeaving,
 	});
 	const getOthers: GetOtherHosts = () => view.getHosts().filter(({host}) => host !== record.host);
 	const reportExchange = startReportExchange(options, view, getOthers);
--- a/packages/discovery/src/newest-configuration.ts
+++ b/packages/discovery/src/newest-configuration.ts
@@ -1,6 +1,6 @@
 import type {Logger} from '@gentianlift/logger';
 import {getEra} from '@gentianlift/platform';
-import {buildRouteTable, type RouteTable} from '@gentianlift/routing';
+import {buildRouteTable, type RouteTable, type RoutingConfiguration} from '@gentianlift/routing';
 import type {Entry} from '@gentianlift/types';
 import type {DecodedEntry} from './decoded-entry.js';
 
@@ -20,8 +20,8 @@
 
 type KnownConfiguration = {entry: Entry; routes: RouteTable};
 
-/** Creates it without a configuration. */
-export const createNewestConfiguration = (logger: Logger): NewestConfiguration => {
+/** Creates it without a configuration; `onChanged` is called with each newer one. */
+export const createNewestConfiguration = (logger: Logger, onChanged?: (configuration: RoutingConfiguration) => void): NewestConfiguration => {
 	let newest: KnownConfiguration | undefined;
 	/** Revision of the last entry under the key, whatever it holds. */
 	let lastRevision = 0;
@@ -37,6 +37,7 @@
 			logger.info('configuration-applied', {
 				version, previous: known, routes: routes.length, revision: entry.revision,
 			});
+			onChanged?.(decoded.configuration);
 		} else if (decoded.kind === 'unreadable') {
 			logger.warn('entry-unreadable', {key: entry.key, reason: decoded.reason});
 		} else if (entry.revision > lastRevision) {
--- a/packages/forwarder/src/attempt-record.ts
+++ b/packages/forwarder/src/attempt-record.ts
@@ -79,9 +79,9 @@
 	progress.lastBytesAt = now;
 };
 
-/** Whether an upstream is known to have the version that it is listed with, and not to have started again since. */
+/** Whether an upstream is known to have the version that it is listed with, and not to have started again since; upstreams that are listed without one may differ. */
 const isVersionCertain = (upstream: Upstream, {freshness, view}: ForwarderContext): boolean =>
-	freshness.isCurrent() && view.getService(getUpstreamKey(upstream)) !== undefined;
+	upstream.softwareVersion !== '' && freshness.isCurrent() && view.getService(getUpstreamKey(upstream)) !== undefined;
 
 /** Records the version that begins a stream, and reports it to the other hosts, as its caller may resume the stream at any of them. */
 const recordVersion = ({call, progress, upstream, context}: Attempt): void => {
--- a/packages/forwarder/src/create-context.ts
+++ b/packages/forwarder/src/create-context.ts
@@ -20,6 +20,7 @@
 import {createUpstreamLinks, type UpstreamLinks} from './upstream-links.js';
 import {createUpstreamRests} from './upstream-rests.js';
 import {createUpstreamTracker} from './upstream-tracker.js';
+import {watchVersionBreaks} from './version-breaks.js';
 import {createViewFreshness} from './view-freshness.js';
 
 /** State of a graceful shutdown; `since` is undefined until it begins. */
@@ -98,6 +99,9 @@
 	const suspects = createCrashSuspects();
 	const streamOrigins = createStreamOrigins();
 	const versions = createVersionHistory(streamLifetime);
+	const versionBreaks = watchVersionBreaks({
+		clock, versions, getSilence: () => Math.min(fleet.reportExchange.getShortestSilence(), fleet.view.getTimeSinceStoreContact(clock.monotonic())),
+	});
 	const isStopping = (): boolean => shutdown.since !== undefined;
 	const onLoopFailure = (loop: string): void => {
 		metrics.count('loop_failures_total', {loop});
@@ -127,6 +131,7 @@
 			recordReportArrival(metrics, arrival);
 		},
 		onLoopFailure,
+		onConfiguration: versionBreaks.applyConfiguration,
 		onListed(upstream) {
 			versions.list(upstream, clock.monotonic());
 		},
--- a/packages/forwarder/src/resumption.test.ts
+++ b/packages/forwarder/src/resumption.test.ts
@@ -1,5 +1,5 @@
 import {
-	createStreamOrigins, createVersionHistory, getUpstreamKey, type StreamOrigin,
+	createStreamOrigins, createVersionHistory, getUpstreamKey, streamLifetime, type StreamOrigin,
 } from '@gentianlift/routing';
 import {buildRoute, buildUpstream} from '@gentianlift/routing/testing';
 import {createLogger} from '@gentianlift/logger';
@@ -8,11 +8,11 @@
 import {createManualClock} from '@gentianlift/clock';
 import type {ForwarderContext} from './context.js';
 import type {CallerHead} from './protocol.js';
-import {createResumptionResolver} from './resumption.js';
+import {createResumptionResolver, findStreamOrigin} from './resumption.js';
 
 const route = buildRoute({kind: 'streaming', isResumable: true, timeout: 1000});
-/** Longest age of a stream of the route when it is taken up. */
-const maxAge = 2000;
+/** Longest age of a stream when it is taken up. */
+const maxAge = streamLifetime;
 
 const getHead = (changes: Partial<CallerHead> = {}): CallerHead => ({
 	callerRequestId: 'a2', hostname: 'a.example', key: undefined, clientTimeout: undefined, prompt: undefined, sharedParts: [],
@@ -53,7 +53,9 @@
 		freshness, clock: createManualClock(now), logger: createLogger('info', () => undefined), metrics: createMetrics(), streamOrigins, versions, askForStreamOrigin: async () => told,
 	};
 	const resolve = createResumptionResolver(context as ForwarderContext);
-	return {resolve, streamOrigins};
+	return {
+		resolve, streamOrigins, versions, context: context as ForwarderContext,
+	};
 };
 
 const unknown = {kind: 'refused', error: {kind: 'stream-unknown', retryAfter: 300}};
@@ -95,7 +97,27 @@
 	expect(await createHost({listed: ['v1', 'v2']}).resolve(getHead(), route)).toEqual(unknown);
 	expect(await createHost({now: maxAge - 1}).resolve(getHead(), route)).toEqual(unknown);
 	expect(await createHost({isCurrent: false}).resolve(getHead(), route)).toEqual(unknown);
-	expect(await createHost({removed: 'v2'}).resolve(getHead(), route)).toEqual(unknown);
+	expect(await createHost({removed: 'v2', now: maxAge}).resolve(getHead(), route)).toEqual(unknown);
 	const severalServices = buildRoute({...route, destinations: [{service: 's', weight: 1}, {service: 't', weight: 1}]});
 	expect(await createHost().resolve(getHead(), severalServices)).toEqual(unknown);
 });
+
+// Guards against: after all hosts were lost at once, a stream of the version before goes on at the new one, as the timeout of its route was shortened meanwhile.
+test('an unknown stream is refused by a host that has followed the fleet for longer than the route\'s timeout, but not for as long as streams live', async () => {
+	for (const now of [2 * route.timeout, 30_000, maxAge - 1]) {
+		// eslint-disable-next-line no-await-in-loop -- One host at a time.
+		expect(await createHost({now}).resolve(getHead(), route)).toEqual(unknown);
+		expect(findStreamOrigin({request: 'a1', services: ['s'], maxAge: 2 * route.timeout}, createHost({now}).context)).toBeUndefined();
+	}
+});
+
+// Guards against: engines without a version count as of one version.
+test('an unknown stream is refused if the upstreams are listed without a version', async () => {
+	expect(await createHost({listed: ['']}).resolve(getHead(), route)).toEqual(unknown);
+});
+
+test('an unknown stream is refused if what has served isn\'t known without a break', async () => {
+	const {resolve, versions} = createHost();
+	versions.restart(maxAge - 1);
+	expect(await resolve(getHead(), route)).toEqual(unknown);
+});
--- a/packages/forwarder/src/resumption.ts
+++ b/packages/forwarder/src/resumption.ts
@@ -1,5 +1,7 @@
 import type {OriginQuery} from '@gentianlift/discovery';
-import {isResumableStream, type Route, type StreamOrigin} from '@gentianlift/routing';
+import {
+	isResumableStream, streamLifetime, type Route, type StreamOrigin,
+} from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
 import type {ForwarderContext} from './context.js';
 import type {ErrorAnswer} from './error-answer.js';
@@ -16,23 +18,21 @@
 /** Time in which a report of the stream's beginning may still arrive. */
 const unknownRetryDelay: Milliseconds = 300;
 
-/** Longest time since the first event of a stream that is resumed, in timeouts of its route: callers' deadlines are about as long as that. */
-const maxAgeInTimeouts = 2;
-
 /** Whether a request continues after events that its caller has received. */
 const isResumption = ({lastEventId}: CallerHead, route: Route): boolean =>
 	isResumableStream(route) && lastEventId !== undefined && lastEventId > 0;
 
-/** Returns the only version that can have begun a stream: while one version of the only service has served since before. */
+/** Returns the only version that can have begun a stream: while one version of the only service has served for as long as streams may be resumed, whatever age the asking host assumes. */
 const inferOrigin = ({services, maxAge}: OriginQuery, {versions}: ForwarderContext, now: Milliseconds): StreamOrigin | undefined => {
 	const [service] = services;
-	const since = now - maxAge;
+	const since = now - Math.max(streamLifetime, maxAge);
 	if (service === undefined || services.length > 1 || !versions.covers(since)) {
 		return undefined;
 	}
 
 	const [softwareVersion, ...others] = versions.getVersions(service, since);
-	return softwareVersion === undefined || others.length > 0 ? undefined : {service, softwareVersion};
+	const isCertain = softwareVersion !== undefined && softwareVersion !== '' && others.length === 0;
+	return isCertain ? {service, softwareVersion} : undefined;
 };
 
 /** Returns the origin of a stream as far as this host knows it; only a current view of the fleet allows to infer one. */
@@ -72,7 +72,7 @@
 		}
 
 		const services = route.destinations.map(({service}) => service);
-		const {origin, source} = await locate({request: head.resumedRequestId, services, maxAge: route.timeout * maxAgeInTimeouts});
+		const {origin, source} = await locate({request: head.resumedRequestId, services, maxAge: streamLifetime});
 		const outcome = getOutcome(origin, services);
 		metrics.count('resumptions_total', {outcome, source});
 		logger.info('resume-requested', {
--- a/packages/forwarder/src/stream-version.test.ts
+++ b/packages/forwarder/src/stream-version.test.ts
@@ -218,3 +218,11 @@
 	expect(counts).toEqual([1]);
 	expect(await sendRequest(host.port, {path: '/split/1', headers: {attempt: 'a3'}})).toMatchObject({status: 503});
 });
+
+// Guards against: a stream goes on at an engine of another version, as neither names one.
+test('a stream of an upstream without a version is not resumed elsewhere', async () => {
+	const {host, counts} = await start(breakOff(''), finishStream(''));
+	const answers = await Promise.all(Array.from({length: 6}, async (_, index) => sendRequest(host.port, {path: '/stream/1', headers: {attempt: `a${index}`}})));
+	expect(answers.some(({isComplete}) => !isComplete)).toBe(true);
+	expect(sum(counts)).toBe(6);
+});
--- a/packages/routing/src/upstream.ts
+++ b/packages/routing/src/upstream.ts
@@ -14,7 +14,7 @@
 	slots: number;
 	/** Start time in milliseconds since the epoch; a new value with the same id means a new incarnation. */
 	startedAt: Milliseconds;
-	/** Version of its software, an opaque name; empty if its entry names none. A stream can be resumed only by the version of its service that began it. */
+	/** Version of its software, an opaque name; empty if its entry names none, so that it may be any. A stream can be resumed only by the version of its service that began it. */
 	softwareVersion: string;
 };
 
--- a/packages/routing/src/version-history.ts
+++ b/packages/routing/src/version-history.ts
@@ -9,8 +9,10 @@
 	remove: (key: UpstreamKey, now: Milliseconds) => void;
 	/** Returns the versions of a service that are listed now or were so at a time or after it, within the history's length. */
 	getVersions: (service: string, since: Milliseconds) => ReadonlySet<string>;
-	/** Whether upstreams were listed at a time already, so that no other version can have served since. */
+	/** Whether upstreams were listed at a time already, and are known without a break, so that no other version can have served since. */
 	covers: (since: Milliseconds) => boolean;
+	/** Records that what has served until now isn't known for certain. */
+	restart: (now: Milliseconds) => void;
 };
 
 type ServiceVersion = {service: string; softwareVersion: string; removedAt: Milliseconds};
@@ -42,5 +44,8 @@
 			return new Set(recent.filter(item => item.service === service).map(({softwareVersion}) => softwareVersion));
 		},
 		covers: since => startedAt <= since,
+		restart(now) {
+			startedAt = startedAt === Number.POSITIVE_INFINITY ? startedAt : now;
+		},
 	};
 };
