Send no call whose first token can't come before its caller leaves

A call that its engine can take now is refused as not run if backlog and own prompt take longer than its caller stays; the prediction for waiting calls, which may be wrong by half, isn't changed. The test failed before: the call was sent.

--- a/packages/forwarder/src/early-refusal.test.ts
+++ b/packages/forwarder/src/early-refusal.test.ts
@@ -263,3 +263,17 @@
 	expect(await runPasses([chosen, inTime])).toEqual([]);
 	expect(await runPasses([chosen])).not.toEqual([]);
 });
+
+// Guards against: a call takes an engine's room although its caller leaves before the first token, while others with more time wait.
+test('a call whose first token can\'t come before its caller leaves is refused in place of being sent', async () => {
+	const host = createSimulatedHost(configuration, [buildUpstream()]);
+	const tokens = tokensPerSecond / 2;
+	const late = host.send({
+		...oneReview, tokens, clientTimeout: 450,
+	});
+	await host.clock.advance(1);
+	expect(late.status).toBe(503);
+	expect(late.body).toContain('"ran":"not-run"');
+	const assignment = await createRequestQueue(host.context).enqueue(host.createCall({...oneReview, tokens, clientTimeout: 600}), createProgress());
+	expect(assignment?.candidate.uncachedTokens).toBe(tokens);
+});
--- a/packages/forwarder/src/early-refusals.ts
+++ b/packages/forwarder/src/early-refusals.ts
@@ -21,10 +21,15 @@
 	now: Milliseconds;
 };
 
+/** A call that its chosen upstream can take. */
+export type ReadyCall = Pick<WaitingCall, 'call' | 'progress' | 'chosen' | 'now'>;
+
 /** Decides which waiting calls are refused because their callers would leave before the first token. */
 export type EarlyRefusals = {
 	/** Counts a dispatch pass, and returns a refusal if no upstream is expected to return the first token in time, and none has been for a while. */
 	check: (waiting: WaitingCall) => EarlyRefusal | undefined;
+	/** Returns a refusal of a call that could go to its chosen upstream now, if its caller leaves before the first token could come from there. */
+	checkSend: (ready: ReadyCall) => EarlyRefusal | undefined;
 	/** Records the uncached prompt tokens that stay queued at this host after a dispatch pass. */
 	endPass: (queuedTokens: ReadonlyMap<UpstreamKey, RankTokens>, now: Milliseconds) => void;
 };
@@ -88,7 +93,7 @@
 		};
 	};
 
-	const createRefusal = ({call, candidates, now}: WaitingCall, {firstToken, tokensAhead, otherHostsTokens}: Prediction): EarlyRefusal => ({
+	const createRefusal = ({call, candidates, now}: Pick<WaitingCall, 'call' | 'candidates' | 'now'>, {firstToken, tokensAhead, otherHostsTokens}: Omit<Prediction, 'turn'>): EarlyRefusal => ({
 		expected: firstToken,
 		remaining: call.leavesAt - now,
 		backlog: Math.min(...candidates.map(({backlog}) => backlog)),
@@ -98,6 +103,11 @@
 	});
 
 	return {
+		checkSend({call, progress, chosen, now}) {
+			const firstToken = chosen.backlog + (chosen.uncachedTokens / chosen.prefillRate);
+			const isReachable = firstToken <= call.leavesAt - now;
+			return isReachable || progress.possibleExecutions > 0 ? undefined : createRefusal({call, candidates: [chosen], now}, {firstToken, tokensAhead: 0, otherHostsTokens: 0});
+		},
 		check(waiting) {
 			const {
 				call, progress, backlogLimit, now,
--- a/packages/forwarder/src/request-queue.ts
+++ b/packages/forwarder/src/request-queue.ts
@@ -139,13 +139,26 @@
 			return decideOnPermits(entry, observed, pass);
 		}
 
-		const backlogLimit = backlogLimits.get(table, call);
-		if (call.head.prompt === undefined || (candidate.backlog <= backlogLimit && turns.take({
-			rank: call.rank, candidate, candidates, backlogLimit, now: pass.now,
-		}))) {
+		if (call.head.prompt === undefined) {
 			return {kind: 'placed', candidate, isLatencySensitive};
 		}
 
+		const backlogLimit = backlogLimits.get(table, call);
+		if (candidate.backlog <= backlogLimit) {
+			const unreachable = refusals.checkSend({
+				call, progress: entry.progress, chosen: candidate, now: pass.now,
+			});
+			if (unreachable !== undefined) {
+				return {kind: 'refused', refusal: unreachable};
+			}
+
+			if (turns.take({
+				rank: call.rank, candidate, candidates, backlogLimit, now: pass.now,
+			})) {
+				return {kind: 'placed', candidate, isLatencySensitive};
+			}
+		}
+
 		const refusal = refusals.check({
 			call, progress: entry.progress, chosen: candidate, candidates, backlogLimit, tokensAhead: pass.queuedTokens, now: pass.now,
 		});
