Give the newest configuration to hosts that have read none, and compressed

A host that starts while the store holds no configuration, or an unreadable one, asked nobody, and would not have taken over one with no later revision. And for the few ms in which a change reaches one host before another, each request read the whole state; it now waits 40 ms for the change first.

--- a/packages/discovery/src/fleet-view.ts
+++ b/packages/discovery/src/fleet-view.ts
@@ -32,7 +32,7 @@
 	getSnapshot: () => Snapshot;
 	/** Returns the entry that holds the newest configuration, for other hosts; undefined before the first. */
 	getConfigurationEntry: () => Entry | undefined;
-	/** Applies the entry with the newest configuration of another host. */
+	/** Applies the entry with the newest configuration of another host, whatever its revision. */
 	applyConfigurationEntry: (entry: Entry) => void;
 	/** Returns the routes of the newest configuration; undefined before the first. */
 	getRoutes: () => RouteTable | undefined;
@@ -105,6 +105,7 @@
 		switch (decoded.kind) {
 			case 'configuration': {
 				entries.delete(entry.key);
+				oddEntries.remove(entry.key);
 				configuration.apply(entry, () => decoded);
 				break;
 			}
@@ -243,7 +244,12 @@
 		getTimeSinceStoreContact: now => now - lastContactAt,
 		getSnapshot: () => ({entries: [...entries.values(), configuration.getEntry(revision) ?? []].flat(), revision}),
 		getConfigurationEntry: () => configuration.getEntry(revision),
-		applyConfigurationEntry: applyEntry,
+		applyConfigurationEntry(entry) {
+			const decoded = decodeSafely(entry);
+			if (decoded.kind === 'configuration') {
+				applyDecodedEntry(entry, decoded);
+			}
+		},
 		markLeaving: upstreams.markLeaving,
 		getRoutes: configuration.getRoutes,
 		getUpstreams: service => upstreams.getAll().filter(upstream => upstream.service === service && !upstream.isLeaving),
--- a/packages/discovery/src/follow-configuration.test.ts
+++ b/packages/discovery/src/follow-configuration.test.ts
@@ -16,9 +16,10 @@
 	const clock = createManualClock();
 	const queries: ConfigurationQuery[] = [];
 	const logLines: string[] = [];
-	const state: {version: number | undefined; reported: number | undefined} = {version: undefined, reported};
+	const state: {version: number | undefined; reported: number | undefined; revision: number} = {version: undefined, reported, revision: 0};
 	const follower = followConfiguration({
 		view: {
+			getRevision: () => state.revision,
 			getRoutes: () => state.version === undefined ? undefined : buildRoutes(state.version),
 			applyConfigurationEntry({value}) {
 				state.version = Math.max(state.version ?? 0, Number(value));
@@ -54,7 +55,7 @@
 	} = createFollower({answers: [{answered: 1}]});
 	await clock.advance(500);
 	expect([follower.isConfirmed(), queries.length]).toEqual([false, 0]);
-	state.version = 6;
+	Object.assign(state, {version: 6, revision: 1});
 	await clock.advance(25);
 	expect(follower.isConfirmed()).toBe(false);
 	await clock.advance(10);
@@ -65,7 +66,7 @@
 
 test('a host that starts takes over the newer configuration of another one', async () => {
 	const {clock, state, follower} = createFollower({answers: [{answered: 2, entries: [entry(7), entry(8)]}]});
-	state.version = 6;
+	Object.assign(state, {version: 6, revision: 1});
 	await clock.advance(40);
 	expect([follower.isConfirmed(), state.version]).toEqual([true, 8]);
 });
@@ -75,7 +76,7 @@
 	const {
 		clock, queries, state, follower,
 	} = createFollower({});
-	state.version = 6;
+	Object.assign(state, {version: 6, revision: 1});
 	await clock.advance(60);
 	expect([follower.isConfirmed(), queries.length]).toEqual([true, 2]);
 });
@@ -84,7 +85,7 @@
 	const {
 		clock, queries, state, follower,
 	} = createFollower({answers: [{answered: 1}, {answered: 0}, {answered: 1, entries: [entry(7)]}], ahead: ['h2']});
-	state.version = 6;
+	Object.assign(state, {version: 6, revision: 1});
 	await clock.advance(100);
 	expect(follower.isBehind()).toBe(false);
 	state.reported = 7;
@@ -94,3 +95,15 @@
 	expect(queries.slice(1)).toEqual(Array.from({length: 2}, () => ({version: 6, addresses: ['h2'], count: 1})));
 	follower.stop();
 });
+
+// Guards against: a host that starts while the store holds no configuration serves nothing, although others know one.
+test('a host that finds no configuration in the store reads that of another one', async () => {
+	const {
+		clock, queries, state, follower,
+	} = createFollower({answers: [{answered: 2}, {answered: 1, entries: [entry(7)]}]});
+	state.revision = 1;
+	await clock.advance(100);
+	expect(follower.isConfirmed()).toBe(false);
+	await clock.advance(200);
+	expect([follower.isConfirmed(), state.version, queries[0]?.version]).toEqual([true, 7, -1]);
+});
--- a/packages/discovery/src/follow-configuration.ts
+++ b/packages/discovery/src/follow-configuration.ts
@@ -20,7 +20,7 @@
 
 /** Options of the follower. */
 export type ConfigurationFollowerOptions = {
-	view: Pick<FleetView, 'getRoutes' | 'applyConfigurationEntry'>;
+	view: Pick<FleetView, 'getRoutes' | 'getRevision' | 'applyConfigurationEntry'>;
 	client: ConfigurationClient;
 	/** Returns the addresses of the other hosts. */
 	getAddresses: () => Address[];
@@ -38,9 +38,11 @@
 const hostsAskedAtStart = 4;
 /** Number of times that it asks if none of them answers. */
 const maxStartRounds = 2;
-/** Interval at which a host that starts checks whether it has a configuration. */
+/** Version of a host without a configuration: below all that operators write. */
+const noVersion = -1;
+/** Interval at which a host that starts checks whether it has read the state of the fleet. */
 const startInterval: Milliseconds = 20;
-/** Interval at which this host's version is compared with those that other hosts report. */
+/** Interval at which this host's version is compared with those that other hosts report, or others are asked while none is known. */
 const compareInterval: Milliseconds = 150;
 
 /** Starts to follow the configurations of other hosts. */
@@ -49,9 +51,9 @@
 }: ConfigurationFollowerOptions): ConfigurationFollower => {
 	const state = {isConfirmed: false};
 
-	const getVersion = (): number | undefined => view.getRoutes()?.configuration.version;
+	const getVersion = (): number => view.getRoutes()?.configuration.version ?? noVersion;
 
-	const isBehind = (): boolean => (getNewestVersion() ?? Number.NEGATIVE_INFINITY) > (getVersion() ?? Number.NEGATIVE_INFINITY);
+	const isBehind = (): boolean => (getNewestVersion() ?? noVersion) > getVersion();
 
 	/** Asks hosts for a configuration newer than the version, and applies it; returns how many were asked and have answered. */
 	const readNewer = async (version: number, addresses: readonly Address[], count: number): Promise<{asked: number; answered: number}> => {
@@ -64,32 +66,34 @@
 	};
 
 	const refresh = async (): Promise<void> => {
-		const version = getVersion();
-		if (version !== undefined && isBehind()) {
+		if (isBehind()) {
+			const version = getVersion();
 			await readNewer(version, getAddressesAhead(version), 1);
 		}
 	};
 
-	/** Asks other hosts for a newer configuration than the store's, or than that of the host whose view this one has taken. */
-	const confirm = async (version: number): Promise<void> => {
+	/** Asks other hosts for a newer configuration than the store's, which may hold none, or than that of the host whose view this one has taken. */
+	const confirm = async (): Promise<void> => {
+		const version = getVersion();
 		let result = {asked: 0, answered: 0};
 		for (let round = 0; round < maxStartRounds && result.answered === 0; round++) {
 			// eslint-disable-next-line no-await-in-loop -- Others are asked if none has answered.
 			result = await readNewer(version, getAddresses(), hostsAskedAtStart);
 		}
 
-		state.isConfirmed = true;
-		logger.info('configuration-confirmed', {version: getVersion(), before: version, ...result});
+		state.isConfirmed = getVersion() !== noVersion;
+		if (state.isConfirmed) {
+			logger.info('configuration-confirmed', {version: getVersion(), before: version, ...result});
+		}
 	};
 
 	const follow = async (): Promise<Milliseconds> => {
-		const version = getVersion();
-		if (version !== undefined && !state.isConfirmed) {
-			await confirm(version);
+		if (!state.isConfirmed && view.getRevision() === 0) {
+			return startInterval;
 		}
 
-		await refresh();
-		return state.isConfirmed ? compareInterval : startInterval;
+		await (state.isConfirmed ? refresh() : confirm());
+		return compareInterval;
 	};
 
 	const {stop} = startLoop('follow-configuration', follow, {clock, logger, onFailure});
--- a/packages/discovery/src/newest-configuration.test.ts
+++ b/packages/discovery/src/newest-configuration.test.ts
@@ -63,3 +63,14 @@
 	expect(getVersion(view)).toBe(8);
 	expect(view.getSnapshot()).toEqual(buildSnapshot('8', addEra(2, 32)));
 });
+
+// Guards against: a host that has read an unreadable configuration takes none from other hosts, as theirs isn't of a later revision.
+test('a configuration of another host counts whatever its revision, and an entry that holds none isn\'t handed on in its place', () => {
+	const view = createView();
+	view.applySnapshot(buildSnapshot('unreadable', 50), 0);
+	expect(getVersion(view)).toBeUndefined();
+	view.applyConfigurationEntry({key: 'c', value: '7', revision: 50});
+	expect(getVersion(view)).toBe(7);
+	expect(view.getSnapshot().entries).toEqual([{key: 'c', value: '7', revision: 50}]);
+	expect(view.countOddEntries()).toBe(0);
+});
--- a/packages/discovery/src/peer-server.ts
+++ b/packages/discovery/src/peer-server.ts
@@ -3,8 +3,7 @@
 } from 'node:http';
 import type {Clock} from '@gentianlift/clock';
 import type {StreamOrigin} from '@gentianlift/routing';
-import type {Entry} from '@gentianlift/types';
-import {createCompressedView, type CompressedView} from './compressed-view.js';
+import {createCompressedAnswers, type CompressedAnswers} from './compressed-answers.js';
 import {configurationPath, decodeConfigurationQuery} from './configuration-calls.js';
 import type {FleetView} from './fleet-view.js';
 import {viewPath} from './peer-views.js';
@@ -25,7 +24,7 @@
 	answerForwardedCall: RequestListener;
 };
 
-type AnswerOptions = PeerServerOptions & {compressedView: CompressedView};
+type AnswerOptions = PeerServerOptions & {answers: CompressedAnswers};
 
 /** Begins the paths of callers' requests that another host forwards. */
 export const forwardedCallPath = '/v1/calls/';
@@ -47,32 +46,43 @@
 /** Whether a host accepts compressed answers; one of an older version doesn't. */
 const acceptsCompression = ({headers}: IncomingMessage): boolean => headers['accept-encoding']?.includes('gzip') ?? false;
 
-/** Sends this host's view, unless the other host knows it. */
-const sendView = async (request: IncomingMessage, {searchParams}: URL, response: ServerResponse, {view, compressedView}: AnswerOptions): Promise<void> => {
-	const isNewer = view.getRevision() > Number(searchParams.get('after') ?? 0);
-	if (!isNewer || !acceptsCompression(request)) {
-		sendJson(response, isNewer ? view.getSnapshot() : undefined);
+/** Sends an answer that may be large, compressed if the other host accepts that. */
+const sendLarge = async (request: IncomingMessage, response: ServerResponse, {question, build, answers}: {question: string; build: () => unknown; answers: CompressedAnswers}): Promise<void> => {
+	if (!acceptsCompression(request)) {
+		sendJson(response, build());
 		return;
 	}
 
-	const body = await compressedView.get();
+	const body = await answers.get(question, build);
 	response.writeHead(200, {'content-type': 'application/json', 'content-encoding': 'gzip', 'content-length': body.length});
 	response.end(body);
 };
 
-/** Returns the entry of this host's configuration if its version is newer than the one that another host asks by. */
-const findNewerConfiguration = (parameters: URLSearchParams, view: PeerServerOptions['view']): Entry | undefined => {
-	const known = decodeConfigurationQuery(parameters);
-	const version = view.getRoutes()?.configuration.version;
-	return known !== undefined && version !== undefined && version > known ? view.getConfigurationEntry() : undefined;
+const getVersion = (view: FleetView): number | undefined => view.getRoutes()?.configuration.version;
+
+/** Sends this host's view, unless the other host knows it. */
+const sendView = async (request: IncomingMessage, {searchParams}: URL, response: ServerResponse, {view, answers}: AnswerOptions): Promise<void> => {
+	const revision = view.getRevision();
+	if (revision > Number(searchParams.get('after') ?? 0)) {
+		await sendLarge(request, response, {question: `view ${revision} ${getVersion(view)}`, build: view.getSnapshot, answers});
+	} else {
+		sendJson(response, undefined);
+	}
 };
 
-const answerQuery = async ({pathname, searchParams}: URL, {view, findStreamOrigin, getReach}: PeerServerOptions): Promise<unknown> => {
-	switch (pathname) {
-		case configurationPath: {
-			return findNewerConfiguration(searchParams, view);
-		}
+/** Sends the entry of this host's configuration, unless the other host knows it. */
+const sendConfiguration = async (request: IncomingMessage, {searchParams}: URL, response: ServerResponse, {view, answers}: AnswerOptions): Promise<void> => {
+	const known = decodeConfigurationQuery(searchParams);
+	const version = getVersion(view);
+	if (known !== undefined && version !== undefined && version > known) {
+		await sendLarge(request, response, {question: `configuration ${version}`, build: view.getConfigurationEntry, answers});
+	} else {
+		sendJson(response, undefined);
+	}
+};
 
+const answerQuery = async ({pathname, searchParams}: URL, {findStreamOrigin, getReach}: PeerServerOptions): Promise<unknown> => {
+	switch (pathname) {
 		case streamOriginPath: {
 			return findStreamOrigin(decodeOriginQuery(searchParams));
 		}
@@ -89,15 +99,24 @@
 
 /** Creates the server for other hosts: it answers with this host's view if that is newer than theirs, with the origins of streams and with what it reaches, and takes calls that they forward. */
 export const createPeerServer = (options: PeerServerOptions): Server => {
-	const compressedView = createCompressedView(options.view, options.clock);
+	const answerOptions = {...options, answers: createCompressedAnswers(options.clock)};
 	const answer = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
 		const url = new URL(request.url ?? '/', 'http://host');
-		if (url.pathname === viewPath) {
-			await sendView(request, url, response, {...options, compressedView});
-			return;
+		switch (url.pathname) {
+			case viewPath: {
+				await sendView(request, url, response, answerOptions);
+				break;
+			}
+
+			case configurationPath: {
+				await sendConfiguration(request, url, response, answerOptions);
+				break;
+			}
+
+			default: {
+				sendJson(response, await answerQuery(url, options));
+			}
 		}
-
-		sendJson(response, await answerQuery(url, options));
 	};
 
 	return createServer({maxHeaderSize: maxHeaderBytes}, (request, response) => {
--- a/packages/discovery/src/peer-views.test.ts
+++ b/packages/discovery/src/peer-views.test.ts
@@ -8,6 +8,7 @@
 import {createLogger} from '@gentianlift/logger';
 import type {Address, Milliseconds, Snapshot} from '@gentianlift/types';
 import {expect, onTestFinished, test} from 'vitest';
+import {createConfigurationClient} from './configuration-calls.js';
 import type {FleetView} from './fleet-view.js';
 import {createPeerServer} from './peer-server.js';
 import {createPeerViewClient, type PeerViewClient} from './peer-views.js';
@@ -40,7 +41,9 @@
 
 const startPeer = async (snapshot: Snapshot): Promise<Address> => listen(createPeerServer({
 	clock,
-	view: {getRevision: () => snapshot.revision, getSnapshot: () => snapshot} as unknown as FleetView,
+	view: {
+		getRevision: () => snapshot.revision, getSnapshot: () => snapshot, getRoutes: () => ({configuration: {version: 12}}), getConfigurationEntry: () => snapshot.entries[0],
+	} as unknown as FleetView,
 	findStreamOrigin: () => undefined,
 	getReach: async () => ({isReached: true, openRequests: 0}),
 	answerForwardedCall: () => undefined,
@@ -114,3 +117,11 @@
 	expect(await client.fetchNewer(9)).toBeUndefined();
 	expect(logLines.join('\n')).toContain('event=view-not-read');
 });
+
+test('a large configuration is read over a slow link, by a host that knows an older one', async () => {
+	const snapshot = buildLargeView(12);
+	const address = await startSlowLink(await startPeer(snapshot));
+	const client = createConfigurationClient({getAddresses: () => [address], clock, random});
+	expect(await client.fetchNewer({version: 11, addresses: [address], count: 3})).toEqual({asked: 1, answered: 1, entries: snapshot.entries});
+	expect(await client.fetchNewer({version: 12, addresses: [address], count: 3})).toEqual({asked: 1, answered: 1, entries: []});
+});
--- a/packages/forwarder/src/admission.ts
+++ b/packages/forwarder/src/admission.ts
@@ -59,13 +59,14 @@
 	const isFinalRefusal = (admission: Admission): boolean => admission.kind === 'refused' && errorTable[admission.error].status !== 503;
 
 	/**
-	 * Admits a request by the newest configuration: one that another host reports is read first, and so is the newest state
+	 * Admits a request by the newest configuration: one that another host reports is awaited, and the newest state is read
 	 * before a final refusal, because callers don't retry after it. If a newer configuration may still be in force, they are
 	 * told to.
 	 */
 	const admitWithRefresh = async (head: CallerHead, target: string): Promise<Admission> => {
+		await context.freshness.waitForConfiguration();
 		const admission = admit(head, target);
-		if (!isFinalRefusal(admission) && !context.freshness.isConfigurationBehind()) {
+		if (!isFinalRefusal(admission)) {
 			return admission;
 		}
 
--- a/packages/forwarder/src/newer-configuration.test.ts
+++ b/packages/forwarder/src/newer-configuration.test.ts
@@ -18,10 +18,8 @@
 // Guards against: a request runs on a route that is dropped in a newer configuration, which its host could have read.
 test('a request that is allowed waits for the newer configuration of another host', async () => {
 	const {host: {context, port}, counts} = await start(answerOk);
-	context.freshness.isConfigurationBehind = () => true;
-	context.freshness.refreshIfStale = async () => {
+	context.freshness.waitForConfiguration = async () => {
 		context.view.getRoutes = () => buildRouteTable({...configuration, version: 9, routes: []});
-		context.freshness.isConfigurationBehind = () => false;
 	};
 
 	expect(await sendRequest(port, {path: '/read/1'})).toMatchObject({status: 404});
--- a/packages/forwarder/src/resumption.test.ts
+++ b/packages/forwarder/src/resumption.test.ts
@@ -47,7 +47,12 @@
 	}
 
 	const freshness: ForwarderContext['freshness'] = {
-		isCurrent: () => isCurrent, ensureCurrent: async () => isCurrent, refreshIfStale: async () => undefined, isConfigurationBehind: () => false, isConfigurationUncertain: () => false,
+		isCurrent: () => isCurrent,
+		ensureCurrent: async () => isCurrent,
+		refreshIfStale: async () => undefined,
+		isConfigurationBehind: () => false,
+		isConfigurationUncertain: () => false,
+		waitForConfiguration: async () => undefined,
 	};
 	const context: Partial<ForwarderContext> = {
 		freshness, clock: createManualClock(now), logger: createLogger('info', () => undefined), metrics: createMetrics(), streamOrigins, versions, askForStreamOrigin: async () => told,
--- a/packages/forwarder/src/view-freshness.test.ts
+++ b/packages/forwarder/src/view-freshness.test.ts
@@ -61,6 +61,23 @@
 	expect(freshness.isConfigurationUncertain()).toBe(true);
 });
 
+test('a configuration that others report is awaited, and read if it doesn\'t arrive by itself', async () => {
+	const {clock, state, freshness} = createHost();
+	await freshness.waitForConfiguration();
+	state.isConfigurationBehind = true;
+	const arriving = freshness.waitForConfiguration();
+	state.isConfigurationBehind = false;
+	await clock.advance(40);
+	await arriving;
+	expect(state.refreshes).toBe(0);
+	await clock.advance(300);
+	state.isConfigurationBehind = true;
+	const waiting = freshness.waitForConfiguration();
+	await clock.advance(40);
+	await waiting;
+	expect(state.refreshes).toBe(1);
+});
+
 // Guards against: no view is ever read again after one read that failed.
 test('a read of the newest state that fails is followed by the next one', async () => {
 	const {clock, state, freshness} = createHost();
--- a/packages/forwarder/src/view-freshness.ts
+++ b/packages/forwarder/src/view-freshness.ts
@@ -8,6 +8,8 @@
 	isCurrent: () => boolean;
 	/** Whether another host reports a newer configuration. */
 	isConfigurationBehind: () => boolean;
+	/** Waits until this host goes by the newest configuration that another one reports, within a bounded time; resolves at once if it does. */
+	waitForConfiguration: () => Promise<void>;
 	/** Whether a configuration may be in force that this host doesn't know: another host reports a newer one, or nobody confirms the view. */
 	isConfigurationUncertain: () => boolean;
 	/** Reads the newest state if the view isn't current; resolves, within a bounded time, to whether it is. */
@@ -23,6 +25,9 @@
 /** Age up to which a report of another host confirms the state. */
 const maxConfirmationAge: Milliseconds = 600;
 
+/** Time in which a change that other hosts know arrives by itself. */
+const arrivalTime: Milliseconds = 40;
+
 /** Longest wait for a current view, and the interval at which it is checked. */
 const maxCurrentWait: Milliseconds = 800;
 const currentCheckInterval: Milliseconds = 50;
@@ -59,6 +64,12 @@
 		await Promise.race([pendingRefresh, clock.sleep(refreshTimeout)]);
 	};
 
+	const refreshIfStale = async (): Promise<void> => {
+		if (!isCurrent() && clock.monotonic() - refreshedAt >= maxFreshAge) {
+			await startRefresh();
+		}
+	};
+
 	return {
 		isCurrent,
 		isConfigurationBehind,
@@ -76,10 +87,16 @@
 
 			return isCurrent();
 		},
-		async refreshIfStale() {
-			if (!isCurrent() && clock.monotonic() - refreshedAt >= maxFreshAge) {
-				await startRefresh();
+		async waitForConfiguration() {
+			if (!isConfigurationBehind()) {
+				return;
+			}
+
+			await clock.sleep(arrivalTime);
+			if (isConfigurationBehind()) {
+				await refreshIfStale();
 			}
 		},
+		refreshIfStale,
 	};
 };
