Send calls of the highest rank whatever their engine has to do

The check that a first token can come in time counts what was sent to the engine before, in order of arrival. An engine admits calls of the highest rank first, so that the check could refuse such a call for work that is put behind it. It applies to calls that others may go before. A test guards that.

--- a/packages/forwarder/src/early-refusal.test.ts
+++ b/packages/forwarder/src/early-refusal.test.ts
@@ -277,3 +277,12 @@
 	const assignment = await createRequestQueue(host.context).enqueue(host.createCall({...oneReview, tokens, clientTimeout: 600}), createProgress());
 	expect(assignment?.candidate.uncachedTokens).toBe(tokens);
 });
+
+// Guards against: a call of the highest rank is refused for work that its engine puts behind it.
+test('a call of the highest rank is sent whatever its upstream has to do', async () => {
+	const host = createBusyHost(hopeless);
+	const call = host.createCall({
+		route: question, name: 'q1', tokens: 1000, clientTimeout: 2000,
+	});
+	expect(await createRequestQueue(host.context).enqueue(call, createProgress())).toBeDefined();
+});
--- a/packages/forwarder/src/request-queue.ts
+++ b/packages/forwarder/src/request-queue.ts
@@ -145,9 +145,12 @@
 
 		const backlogLimit = backlogLimits.get(table, call);
 		if (candidate.backlog <= backlogLimit) {
-			const unreachable = refusals.checkSend({
-				call, progress: entry.progress, chosen: candidate, now: pass.now,
-			});
+			// Upstreams admit calls of the highest rank before all that they have got.
+			const unreachable = Number.isFinite(backlogLimit)
+				? refusals.checkSend({
+					call, progress: entry.progress, chosen: candidate, now: pass.now,
+				})
+				: undefined;
 			if (unreachable !== undefined) {
 				return {kind: 'refused', refusal: unreachable};
 			}
