--- a/packages/discovery/src/fleet-view.ts
+++ b/packages/discovery/src/fleet-view.ts
@@ -10,7 +10,7 @@
 import {hostPrefix, parseHostRecord, type HostRecord} from './host-record.js';
 import {createListedUpstreams, type ListedUpstreamsOptions} from './listed-upstreams.js';
 import {createNewestConfiguration} from './newest-configuration.js';
-import {createOddEntries} from './odd-entries.js';
+import {createInvalidEntries} from './invalid-entries.js';
 
 /** This host's copy of the configuration, upstreams and hosts in the key-value service, here called the store; it may lag behind. */
 export type FleetView = {
@@ -47,7 +47,7 @@
 	/** Returns the records of all listed hosts, this one included. */
 	getHosts: () => HostRecord[];
 	/** Returns the number of entries that can't be read. */
-	countOddEntries: () => number;
+	countInvalidEntries: () => number;
 };
 
 /** Options of a view. */
@@ -72,7 +72,7 @@
 	const hosts = new Map<HostId, HostRecord>();
 	const deferredRemovals = new Set<string>();
 	const upstreams = createListedUpstreams({logger, getRevision: () => revision, ...listeners});
-	const oddEntries = createOddEntries(logger);
+	const invalidEntries = createInvalidEntries(logger);
 	const configuration = createNewestConfiguration(logger, onConfiguration);
 	let revision = 0;
 	let lastContactAt = Number.NEGATIVE_INFINITY;
@@ -93,11 +93,11 @@
 	const applyHost = (entry: Entry): void => {
 		const record = parseHostRecord(entry.value);
 		if (record === undefined) {
-			oddEntries.add(entry.key, 'not a host record');
+			invalidEntries.add(entry.key, 'not a host record');
 			return;
 		}
 
-		oddEntries.remove(entry.key);
+		invalidEntries.remove(entry.key);
 		hosts.set(entry.key, record);
 	};
 
@@ -105,19 +105,19 @@
 		switch (decoded.kind) {
 			case 'configuration': {
 				entries.delete(entry.key);
-				oddEntries.remove(entry.key);
+				invalidEntries.remove(entry.key);
 				configuration.apply(entry, () => decoded);
 				break;
 			}
 
 			case 'upstream': {
-				oddEntries.remove(entry.key);
+				invalidEntries.remove(entry.key);
 				upstreams.apply(entry.key, decoded.upstream);
 				break;
 			}
 
 			case 'unreadable': {
-				oddEntries.add(entry.key, decoded.reason);
+				invalidEntries.add(entry.key, decoded.reason);
 				upstreams.remove(entry.key, 'unreadable');
 				break;
 			}
@@ -152,7 +152,7 @@
 		deferredRemovals.delete(storeKey);
 		entries.delete(storeKey);
 		hosts.delete(storeKey);
-		oddEntries.remove(storeKey);
+		invalidEntries.remove(storeKey);
 		upstreams.remove(storeKey, reason);
 	};
 
@@ -259,6 +259,6 @@
 		},
 		isUsable: upstreamKey => upstreams.getAll().some(upstream => getUpstreamKey(upstream) === upstreamKey && !upstream.isLeaving),
 		getHosts: () => [...hosts.values()],
-		countOddEntries: oddEntries.count,
+		countInvalidEntries: invalidEntries.count,
 	};
 };
--- a/packages/discovery/src/follow-configuration.ts
+++ b/packages/discovery/src/follow-configuration.ts
@@ -3,7 +3,7 @@
 import type {Address, Milliseconds} from '@gentianlift/types';
 import type {ConfigurationClient} from './configuration-calls.js';
 import type {FleetView} from './fleet-view.js';
-import {startLoop, type LoopOptions} from './lasting-loop.js';
+import {startLoop, type LoopOptions} from './loop.js';
 
 /**
 Keeps a host from going by an older configuration than other hosts, whatever the store holds. Revisions of the store don't tell which hosts have a newer one, as a store that was restored gives an older configuration a later revision.
--- a/packages/discovery/src/follow-fleet.ts
+++ b/packages/discovery/src/follow-fleet.ts
@@ -2,7 +2,7 @@
 import type {Logger} from '@gentianlift/logger';
 import type {ChangeFeed, Milliseconds, Snapshot} from '@gentianlift/types';
 import type {FleetView} from './fleet-view.js';
-import {startLoop, type LoopOptions} from './lasting-loop.js';
+import {startLoop, type LoopOptions} from './loop.js';
 import type {ChangeBatch} from './packet.js';
 
 /** Keeps a view of the fleet up to date. */
--- a/packages/discovery/src/index.ts
+++ b/packages/discovery/src/index.ts
@@ -7,7 +7,7 @@
 export * from './host-record.js';
 export * from './host-status.js';
 export * from './join-fleet.js';
-export * from './lasting-loop.js';
+export * from './loop.js';
 export * from './load-report.js';
 export * from './load-tracker.js';
 export * from './packet.js';
--- a/packages/discovery/src/odd-entries.ts
+++ b/packages/discovery/src/invalid-entries.ts
@@ -1,7 +1,7 @@
 import type {Logger} from '@gentianlift/logger';
 
 /** Entries of the store that can't be read. Each is logged once until it can be read or is gone, however often it is written. */
-export type OddEntries = {
+export type InvalidEntries = {
 	/** Records an entry, and why it can't be read. */
 	add: (storeKey: string, reason: string) => void;
 	/** Records that an entry can be read, or is gone. */
@@ -12,7 +12,7 @@
 const maxReasonLength = 200;
 
 /** Creates an empty record. */
-export const createOddEntries = (logger: Logger): OddEntries => {
+export const createInvalidEntries = (logger: Logger): InvalidEntries => {
 	const storeKeys = new Set<string>();
 	return {
 		add(storeKey, reason) {
--- a/packages/discovery/src/odd-neighbour.test.ts
+++ b/packages/discovery/src/invalid-peer-data.test.ts
@@ -6,7 +6,7 @@
 import {createFleetView, type FleetView} from './fleet-view.js';
 import {followFleet} from './follow-fleet.js';
 import {getHostKey, parseHostRecord} from './host-record.js';
-import {startLoop} from './lasting-loop.js';
+import {startLoop} from './loop.js';
 import {unpackLoadReport} from './load-report.js';
 import {decodePacket} from './packet.js';
 
@@ -49,17 +49,17 @@
 	}
 
 	expect(view.getUpstreams('s').map(({id}) => id)).toEqual(['a', 'b']);
-	expect(view.countOddEntries()).toBe(1);
+	expect(view.countInvalidEntries()).toBe(1);
 	expect(lines.filter(line => line.includes('event=entry-unreadable'))).toHaveLength(1);
 	view.applySnapshot({entries: [{...entry('a'), revision: 4}], revision: 4}, 0);
-	expect(view.countOddEntries()).toBe(0);
+	expect(view.countInvalidEntries()).toBe(0);
 });
 
 // Guards against: a host sends datagrams and calls to an address that nothing can be sent to, and fails each time.
-test('a record of a host with an odd field is not listed', () => {
+test('a record of a host with an invalid field is not listed', () => {
 	const {view} = createView();
-	for (const odd of [{callers: '127.0.0.1:99999'}, {peers: '999.1.1.1:1'}, {notes: ''}, {strength: -1}, {strength: 1e300}, {host: ''}, {isStopping: 1}, {incarnation: '1'}]) {
-		view.applyChanges([{kind: 'written', entry: entry(getHostKey('h2'), JSON.stringify({...record, ...odd}))}], 1, 0);
+	for (const invalid of [{callers: '127.0.0.1:99999'}, {peers: '999.1.1.1:1'}, {notes: ''}, {strength: -1}, {strength: 1e300}, {host: ''}, {isStopping: 1}, {incarnation: '1'}]) {
+		view.applyChanges([{kind: 'written', entry: entry(getHostKey('h2'), JSON.stringify({...record, ...invalid}))}], 1, 0);
 	}
 
 	expect(view.getHosts()).toEqual([]);
@@ -69,7 +69,7 @@
 const report = ['h2', 1, 1, 1, 0, [['u1', 1, 2, 3, 4, [[1, 4]]]], [['u1', 'm', [['p', 5]]]], [['s', 'u1', 7]], ['s'], 1, [['a', 's', 'v']], [3], [['u1', 1, 2]], ['u2'], 7];
 
 // Guards against: a number that no sum can hold in the report of one host spoils what others reckon of an upstream.
-test('odd loads and prompts of a report are skipped, and an odd revision makes it unreadable', () => {
+test('invalid loads and prompts of a report are skipped, and an invalid revision makes it unreadable', () => {
 	const replace = (index: number, value: unknown): unknown[] => report.map((item, at) => at === index ? value : item);
 	// As JSON gives it for a number that is too large.
 	const tooLarge = Number.POSITIVE_INFINITY;
@@ -83,8 +83,8 @@
 test('changes of a relay that can\'t all be read are not applied', () => {
 	const readBatches = (changes: unknown[]): number | undefined => decodePacket(JSON.stringify(['h1', 0, [], [{after: 1, revision: 2, changes}]]))?.batches.length;
 	expect(readBatches([{kind: 'written', entry: entry('a')}, {kind: 'removed', key: 'a', revision: 2}])).toBe(1);
-	for (const odd of [null, {kind: 'written'}, {kind: 'written', entry: {key: 'a', value: 3, revision: 1}}, {kind: 'removed', key: 'a'}, {kind: 'other'}]) {
-		expect(readBatches([{kind: 'written', entry: entry('a')}, odd])).toBe(0);
+	for (const invalid of [null, {kind: 'written'}, {kind: 'written', entry: {key: 'a', value: 3, revision: 1}}, {kind: 'removed', key: 'a'}, {kind: 'other'}]) {
+		expect(readBatches([{kind: 'written', entry: entry('a')}, invalid])).toBe(0);
 	}
 });
 
--- a/packages/discovery/src/join-fleet.ts
+++ b/packages/discovery/src/join-fleet.ts
@@ -14,7 +14,7 @@
 import {followFleet, type FleetFollower} from './follow-fleet.js';
 import {chooseHosts, getAvailableHosts, selectHostsForCaller} from './host-list.js';
 import type {HostRecord} from './host-record.js';
-import {reportLoopFailure} from './lasting-loop.js';
+import {reportLoopFailure} from './loop.js';
 import type {Prefill} from './load-report.js';
 import type {LoadTracker} from './load-tracker.js';
 import {findHostsAhead} from './hosts-ahead.js';
--- a/packages/discovery/src/lasting-loop.ts
+++ b/packages/discovery/src/loop.ts
@@ -6,7 +6,7 @@
 export type LoopOptions = {clock: Clock; logger: Logger; onFailure?: ((loop: string) => void) | undefined};
 
 /** A loop that runs until it is stopped. */
-export type LastingLoop = {stop: () => void};
+export type Loop = {stop: () => void};
 
 /** Pause after a step that has failed. */
 const failurePause: Milliseconds = 500;
@@ -18,7 +18,7 @@
 };
 
 /** Runs a step again and again; each returns the pause until the next. No error ends the loop. */
-export const startLoop = (name: string, step: () => Promise<Milliseconds>, options: LoopOptions): LastingLoop => {
+export const startLoop = (name: string, step: () => Promise<Milliseconds>, options: LoopOptions): Loop => {
 	const state = {isStopped: false};
 
 	const runStep = async (): Promise<Milliseconds> => {
--- a/packages/discovery/src/newest-configuration.test.ts
+++ b/packages/discovery/src/newest-configuration.test.ts
@@ -72,5 +72,5 @@
 	view.applyConfigurationEntry({key: 'c', value: '7', revision: 50});
 	expect(getVersion(view)).toBe(7);
 	expect(view.getSnapshot().entries).toEqual([{key: 'c', value: '7', revision: 50}]);
-	expect(view.countOddEntries()).toBe(0);
+	expect(view.countInvalidEntries()).toBe(0);
 });
--- a/packages/discovery/src/register-host.ts
+++ b/packages/discovery/src/register-host.ts
@@ -2,7 +2,7 @@
 import type {Logger} from '@gentianlift/logger';
 import type {KeyValueService, Milliseconds} from '@gentianlift/types';
 import {getHostKey, type HostRecord} from './host-record.js';
-import {startLoop, type LoopOptions} from './lasting-loop.js';
+import {startLoop, type LoopOptions} from './loop.js';
 
 /** Keeps a host's record in the store under a lease. */
 export type HostRegistration = {
--- a/packages/forwarder/src/odd-upstream.test.ts
+++ b/packages/forwarder/src/invalid-address.test.ts
@@ -7,19 +7,19 @@
 
 const start = createHostStarter(onTestFinished);
 
-const oddAddresses = ['127.0.0.1:99999', '127.0.0.1:0', '999.1.1.1:80', ''];
+const invalidAddresses = ['127.0.0.1:99999', '127.0.0.1:0', '999.1.1.1:80', ''];
 
 test('an address that nothing can be sent to is not reached', async () => {
 	const clock = createSystemClock();
-	const results = await Promise.all(oddAddresses.map(async address => probeConnection(address, 200, clock)));
-	expect(results).toEqual(oddAddresses.map(() => 'failed'));
+	const results = await Promise.all(invalidAddresses.map(async address => probeConnection(address, 200, clock)));
+	expect(results).toEqual(invalidAddresses.map(() => 'failed'));
 });
 
-// Guards against: a caller's connection is cut without an answer, and what the attempt holds is never given back, as its upstream has an odd address.
-test('a request goes to another upstream if the address of the first is odd', async () => {
+// Guards against: a caller's connection is cut without an answer, and what the attempt holds is never given back, as its upstream has an invalid address.
+test('a request goes to another upstream if the address of the first is invalid', async () => {
 	const {host, upstreams} = await start(answerOk);
-	const odd = oddAddresses.map((address, index) => buildUpstream({id: `odd${index}`, address}));
-	host.setUpstreams([...odd, ...upstreams]);
+	const invalid = invalidAddresses.map((address, index) => buildUpstream({id: `invalid${index}`, address}));
+	host.setUpstreams([...invalid, ...upstreams]);
 	const answers = await Promise.all(Array.from({length: 8}, async (_, index) => sendRequest(host.port, {path: '/read/1', headers: {attempt: `a${index}`}})));
 	expect(answers.map(({status}) => status)).toEqual(answers.map(() => 200));
 	await expect.poll(() => host.loads.getOwnLoads().reduce((sum, {running}) => sum + running, 0)).toBe(0);
