--- a/packages/forwarder/src/request-queue.ts
+++ b/packages/forwarder/src/request-queue.ts
@@ -6,6 +6,7 @@
 import {createBacklogLimits} from './backlog-limits.js';
 import type {Call, Progress} from './call.js';
 import {findBlockingSuspect} from './crash-blame.js';
+import {createDispatchSchedule, dispatchInterval} from './dispatch-schedule.js';
 import {createDispatchTurns} from './dispatch-turns.js';
 import {createEarlyRefusals} from './early-refusals.js';
 import {addWaitingCall, createQueuedTokenReports, type QueuedTokens} from './queued-tokens.js';
@@ -28,13 +29,6 @@
 	getLength: () => number;
 };
 
-/** Interval between dispatch passes while no load changes, as estimated backlogs shrink with time. */
-const dispatchInterval: Milliseconds = 15;
-/** Minimum interval between two passes; each load report of another host requests a pass. */
-const minDispatchInterval: Milliseconds = 4;
-/** Minimum interval between two passes as a multiple of the last one's duration, which bounds the processor time spent on a long queue. */
-const dispatchPauseFactor = 4;
-
 type QueueEntry = {
 	call: Call;
 	progress: Progress;
@@ -81,10 +75,6 @@
 	} = context;
 	const refusals = createEarlyRefusals(context);
 	let entries: QueueEntry[] = [];
-	/** The next dispatch pass; undefined if none is scheduled. */
-	let nextDispatch: {at: Milliseconds; cancel: () => void} | undefined;
-	/** Earliest time of the next pass, by the pacing. */
-	let earliestDispatch = Number.NEGATIVE_INFINITY;
 	const reports = createQueuedTokenReports(context);
 	const backlogLimits = createBacklogLimits();
 	const turns = createDispatchTurns(context);
@@ -228,7 +218,6 @@
 
 	/** Makes a dispatch pass: dispatches what it can in queue order and reports the tokens that stay queued. */
 	const dispatch = (): void => {
-		nextDispatch = undefined;
 		const startedAt = clock.monotonic();
 		const pass = createPass(startedAt);
 		entries = entries
@@ -239,32 +228,14 @@
 		refusals.endPass(pass.queuedTokens, startedAt);
 		reports.report(pass.queuedTokens);
 		turns.setWaiting(pass.queuedTokens.keys(), startedAt);
-		const endedAt = clock.monotonic();
-		earliestDispatch = endedAt + Math.max(minDispatchInterval, (endedAt - startedAt) * dispatchPauseFactor);
-		scheduleDispatch(dispatchInterval);
 	};
 
-	/** Schedules a dispatch pass within `delay`, or as soon after as the pacing allows. */
-	const scheduleDispatch = (delay: Milliseconds): void => {
-		const hasWork = entries.length > 0 || reports.hasReported();
-		if (!hasWork || (nextDispatch !== undefined && nextDispatch.at <= earliestDispatch)) {
-			return;
-		}
-
-		const now = clock.monotonic();
-		const at = Math.max(earliestDispatch, now + delay);
-		if (nextDispatch !== undefined && nextDispatch.at <= at) {
-			return;
-		}
-
-		nextDispatch?.cancel();
-		nextDispatch = {at, cancel: clock.after(at - now, dispatch)};
-	};
+	const schedule = createDispatchSchedule({clock, hasWork: () => entries.length > 0 || reports.hasReported(), dispatch});
 
 	const removeEntry = (entry: QueueEntry): void => {
 		entries = entries.filter(other => other !== entry);
 		entry.resolve(undefined);
-		scheduleDispatch(0);
+		schedule.request(0);
 	};
 
 	/** Whether no queued call goes before the entry. */
@@ -287,12 +258,12 @@
 					};
 
 					entries.push(entry);
-					scheduleDispatch(dispatchInterval);
+					schedule.request(dispatchInterval);
 				}
 			});
 		},
 		requestDispatch() {
-			scheduleDispatch(0);
+			schedule.request(0);
 		},
 		getLength: () => entries.length,
 	};
