Let small calls that have just come go without a turn among their rank

What many hosts send at once are calls that have waited. A small call that has just come therefore draws only while higher ranks wait elsewhere, as calls arrive one at a time.

--- a/packages/forwarder/src/dispatch-turns.test.ts
+++ b/packages/forwarder/src/dispatch-turns.test.ts
@@ -22,7 +22,7 @@
 	let sent = 0;
 	for (let index = 0; index < attempts; index++) {
 		const isSent = turns.take({
-			rank: 1, candidate: candidates[0]!, candidates, backlogLimit, now: index * 1000, ...turn,
+			rank: 1, candidate: candidates[0]!, candidates, backlogLimit, now: index * 1000, isNew: false, ...turn,
 		});
 		sent += isSent ? 1 : 0;
 	}
@@ -53,9 +53,19 @@
 
 const smallCall = {...candidates[0]!, uncachedTokens: 1000};
 
+// Guards against: quick calls wait for their turn among long prompts of their rank, though they add next to nothing to a backlog.
+test('a small call that has just come takes no turn among calls of its rank', () => {
+	expect(getSentFraction({candidate: smallCall, isNew: true})).toBe(1);
+	expect(getSentFraction({candidate: {...smallCall, uncachedTokens: 5000}, isNew: true})).toBeLessThan(0.5);
+});
+
 // Guards against: a call that adds little to a backlog takes a slot and memory for which more urgent calls wait.
 test('a small call leaves the room to calls of higher ranks at other hosts', () => {
-	expect(getSentFraction({rank: 2, candidate: smallCall, candidates: [smallCall]})).toBe(0);
+	for (const isNew of [true, false]) {
+		expect(getSentFraction({
+			rank: 2, candidate: smallCall, candidates: [smallCall], isNew,
+		})).toBe(0);
+	}
 });
 
 // Guards against: small calls that wait at many hosts go to an engine at once, beyond its room.
--- a/packages/forwarder/src/dispatch-turns.ts
+++ b/packages/forwarder/src/dispatch-turns.ts
@@ -18,11 +18,13 @@
 	backlogLimit: Milliseconds;
 	/** When the dispatch pass began. */
 	now: Milliseconds;
+	/** Whether the call has just come. */
+	isNew: boolean;
 };
 
 /** Decides when this host sends its queued calls, so that all hosts together don't send more than an upstream has room for. */
 export type DispatchTurns = {
-	/** Returns whether a call may be sent to its candidate now; if other hosts have calls for it, by a draw at most once per upstream and report delay. */
+	/** Returns whether a call may be sent to its candidate now; if other hosts have calls for it, by a draw at most once per upstream and report delay, which small new calls need only against higher ranks. */
 	take: (turn: DispatchTurn) => boolean;
 	/** Records the upstreams for which calls of this host are queued after a dispatch pass. */
 	setWaiting: (upstreams: Iterable<UpstreamKey>, now: Milliseconds) => void;
@@ -31,6 +33,13 @@
 /** Dependencies of the decisions on turns. */
 export type DispatchTurnsOptions = Pick<ForwarderContext, 'random' | 'countHosts'> & {tracker: Pick<UpstreamTracker, 'getReportedQueuedTokens'>};
 
+/** Tokens of a new call that takes no turn, as a fraction of those that an upstream prefills in the time of the backlog limit. */
+const smallCallFraction = 0.25;
+
+/** Whether a call is new and adds little to a backlog: such calls come one at a time, not at all hosts at once. */
+const isSmallArrival = ({isNew, candidate, backlogLimit}: DispatchTurn): boolean =>
+	isNew && candidate.uncachedTokens <= smallCallFraction * backlogLimit * candidate.prefillRate;
+
 const countWithRoom = (candidates: readonly Candidate[], backlogLimit: Milliseconds): number =>
 	Math.max(1, candidates.filter(({backlog}) => backlog <= backlogLimit).length);
 
@@ -73,7 +82,8 @@
 			const key = getUpstreamKey(candidate.upstream);
 			const reportDelay = getMeanReportDelay(countHosts());
 			const competing = countCompetingTokens(turn, reportDelay);
-			if (backlogLimit === Number.POSITIVE_INFINITY || competing.same + competing.higher <= 0) {
+			const needsNoTurn = competing.higher <= 0 && (competing.same <= 0 || isSmallArrival(turn));
+			if (backlogLimit === Number.POSITIVE_INFINITY || needsNoTurn) {
 				return true;
 			}
 
--- a/packages/forwarder/src/request-queue.ts
+++ b/packages/forwarder/src/request-queue.ts
@@ -146,7 +146,7 @@
 			}
 
 			if (turns.take({
-				rank: call.rank, candidate, candidates, backlogLimit, now: pass.now,
+				rank: call.rank, candidate, candidates, backlogLimit, now: pass.now, isNew: entry.enqueuedAt === pass.now,
 			})) {
 				return {kind: 'placed', candidate, isLatencySensitive};
 			}
