--- a/packages/forwarder/src/call-end.ts
+++ b/packages/forwarder/src/call-end.ts
@@ -1,10 +1,10 @@
 import type {ErrorKind} from '@gentianlift/errors';
-import type {BodyEnd} from './body-end.js';
+import type {BodyEnd} from './deliver/body-end.js';
 import type {Call, Progress} from './call.js';
 import type {ForwarderContext} from './context.js';
-import type {ForwardOutcome} from './forward-outcome.js';
+import type {ForwardOutcome} from './deliver/forward-outcome.js';
 import type {RateStatement, RestStatement} from './protocol.js';
-import {getReceivedAnswer} from './received-answer.js';
+import {getReceivedAnswer} from './deliver/received-answer.js';
 
 /**
  * How a call ended, as logged. Outcomes:
--- a/packages/forwarder/src/call.ts
+++ b/packages/forwarder/src/call.ts
@@ -4,10 +4,10 @@
 	getQueueRank, mayExecuteAgain, type ConfiguredCustomer, type EarlyRefusal, type Route, type SuspectId, type UpstreamKey,
 } from '@gentianlift/routing';
 import type {HostId, Milliseconds, Rank} from '@gentianlift/types';
-import type {BodyEnd} from './body-end.js';
-import type {ForwardedCall} from './forwarded-call.js';
+import type {BodyEnd} from './deliver/body-end.js';
+import type {ForwardedCall} from './links/forwarded-call.js';
 import type {CallerHead, UpstreamStatements} from './protocol.js';
-import type {ReceivedAnswer} from './received-answer.js';
+import type {ReceivedAnswer} from './deliver/received-answer.js';
 
 /** An admitted request whose body was read completely. */
 export type Call = {
--- a/packages/forwarder/src/admission.ts
+++ b/packages/forwarder/src/callers/admission.ts
@@ -2,8 +2,8 @@
 import {
 	findCaller, findRoute, pickDestination, type ConfiguredCustomer, type Route, type RouteTable,
 } from '@gentianlift/routing';
-import type {ForwarderContext} from './context.js';
-import type {CallerHead} from './protocol.js';
+import type {ForwarderContext} from '../context.js';
+import type {CallerHead} from '../protocol.js';
 import type {ReceivedRequest} from './received-request.js';
 
 /** Route and service of an admitted request, or the error of a refused one. */
--- a/packages/forwarder/src/error-answer.ts
+++ b/packages/forwarder/src/callers/error-answer.ts
@@ -4,7 +4,7 @@
 	createFailure, errorTable, getErrorBody, type ErrorKind,
 } from '@gentianlift/errors';
 import type {Milliseconds, RunState} from '@gentianlift/types';
-import type {CallerHead, Protocol} from './protocol.js';
+import type {CallerHead, Protocol} from '../protocol.js';
 
 /** An error answer that the router generates itself. */
 export type ErrorAnswer = {
--- a/packages/forwarder/src/newer-configuration.test.ts
+++ b/packages/forwarder/src/callers/newer-configuration.test.ts
@@ -1,7 +1,7 @@
 import {buildRouteTable} from '@gentianlift/routing';
 import {expect, onTestFinished, test} from 'vitest';
-import {answerOk, configuration, createHostStarter} from './test-deployment.js';
-import {sendRequest} from './testing.js';
+import {answerOk, configuration, createHostStarter} from '../test-deployment.js';
+import {sendRequest} from '../testing.js';
 
 const start = createHostStarter(onTestFinished);
 
--- a/packages/forwarder/src/received-request.ts
+++ b/packages/forwarder/src/callers/received-request.ts
@@ -1,7 +1,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Route} from '@gentianlift/routing';
-import type {ForwardedCall} from './forwarded-call.js';
-import type {Resumption} from './resumption.js';
+import type {ForwardedCall} from '../links/forwarded-call.js';
+import type {Resumption} from '../resume/resumption.js';
 
 /** A request that a caller has sent to this host, or that another host forwards. */
 export type ReceivedRequest = {
--- a/packages/forwarder/src/serve-callers.ts
+++ b/packages/forwarder/src/callers/serve-callers.ts
@@ -5,16 +5,16 @@
 import type {RequestLimits, Route} from '@gentianlift/routing';
 import {cutResponse, type ErrorKind} from '@gentianlift/errors';
 import type {Milliseconds} from '@gentianlift/types';
-import {createAdmission, type Admission} from './admission.js';
-import {createCall} from './call.js';
-import type {Forwarder} from './forward.js';
-import {decodeForwardedCall} from './forwarded-call.js';
-import {writeErrorAnswer, type ErrorAnswer} from './error-answer.js';
-import type {CallerHead} from './protocol.js';
-import {readBody, type Body} from './read-body.js';
+import {createCall} from '../call.js';
+import type {Forwarder} from '../forward.js';
+import {decodeForwardedCall} from '../links/forwarded-call.js';
+import type {CallerHead} from '../protocol.js';
+import {readBody, type Body} from '../deliver/read-body.js';
+import type {ForwarderContext} from '../context.js';
+import {createResumptionResolver, type Resumption} from '../resume/resumption.js';
 import {getForwardedResumption, getForwardedService, type ReceivedRequest} from './received-request.js';
-import type {ForwarderContext} from './context.js';
-import {createResumptionResolver, type Resumption} from './resumption.js';
+import {writeErrorAnswer, type ErrorAnswer} from './error-answer.js';
+import {createAdmission, type Admission} from './admission.js';
 
 /** HTTP server for callers. */
 export type CallerServer = {
--- a/packages/forwarder/src/starting-host.test.ts
+++ b/packages/forwarder/src/callers/starting-host.test.ts
@@ -1,9 +1,9 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {buildRoute} from '@gentianlift/routing/testing';
 import {expect, onTestFinished, test} from 'vitest';
-import {answerOk, configuration} from './test-deployment.js';
-import {startLinkedFleet, type LinkedHost} from './testing-partition.js';
-import {sendRequest} from './testing.js';
+import {answerOk, configuration} from '../test-deployment.js';
+import {startLinkedFleet, type LinkedHost} from '../links/testing-partition.js';
+import {sendRequest} from '../testing.js';
 
 const newer = {...configuration, version: 7, routes: [...configuration.routes, buildRoute({name: 'added', pathPrefix: '/added/'})]};
 
--- a/packages/forwarder/src/context.ts
+++ b/packages/forwarder/src/context.ts
@@ -8,15 +8,15 @@
 import type {
 	Address, HostId, Milliseconds, Zone,
 } from '@gentianlift/types';
-import type {CrashDetector} from './crash-detector.js';
-import type {FragileUpstreams} from './fragile-upstreams.js';
-import type {HostAgents} from './host-agents.js';
+import type {CrashDetector} from './crashes/crash-detector.js';
+import type {FragileUpstreams} from './statements/fragile-upstreams.js';
+import type {HostAgents} from './send/host-agents.js';
 import type {Protocol} from './protocol.js';
-import type {UpstreamLinks} from './upstream-links.js';
-import type {UpstreamLimits} from './upstream-limits.js';
-import type {UpstreamRests} from './upstream-rests.js';
-import type {UpstreamTracker} from './upstream-tracker.js';
-import type {ViewFreshness} from './view-freshness.js';
+import type {UpstreamLinks} from './links/upstream-links.js';
+import type {UpstreamLimits} from './statements/upstream-limits.js';
+import type {UpstreamRests} from './statements/upstream-rests.js';
+import type {UpstreamTracker} from './queue/upstream-tracker.js';
+import type {ViewFreshness} from './resume/view-freshness.js';
 
 /** Dependencies shared by the modules of the forwarder. */
 export type ForwarderContext = {
--- a/packages/forwarder/src/crash-blame.ts
+++ b/packages/forwarder/src/crashes/crash-blame.ts
@@ -1,7 +1,7 @@
 import {getMeanReportDelay} from '@gentianlift/discovery';
 import {getPartSuspect, type SuspectId} from '@gentianlift/routing';
-import {getFingerprint, type Call, type Progress} from './call.js';
-import type {ForwarderContext} from './context.js';
+import {getFingerprint, type Call, type Progress} from '../call.js';
+import type {ForwarderContext} from '../context.js';
 
 /** Maximum number of parts of one prompt that may be blamed. */
 const maxBlamedParts = 128;
--- a/packages/forwarder/src/crash-detector.ts
+++ b/packages/forwarder/src/crashes/crash-detector.ts
@@ -1,7 +1,7 @@
 import type {Clock} from '@gentianlift/clock';
 import {getUpstreamKey, type Upstream, type UpstreamKey} from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
-import {probeConnection} from './connection-probe.js';
+import {probeConnection} from '../send/connection-probe.js';
 
 /** Detects whether an upstream has crashed after a connection to it was lost. */
 export type CrashDetector = {
--- a/packages/forwarder/src/crashing-parts.test.ts
+++ b/packages/forwarder/src/crashes/crashing-parts.test.ts
@@ -2,12 +2,12 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect, onTestFinished, test} from 'vitest';
 import {getPartSuspect, noRankTokens} from '@gentianlift/routing';
-import {getFingerprint, type Call} from './call.js';
+import {getFingerprint, type Call} from '../call.js';
 import {
 	createHostStarter, resetConnection, sum, upstreamMark, type AnswerHandler,
-} from './test-deployment.js';
+} from '../test-deployment.js';
+import {waitForEnd} from '../testing.js';
 import {requestParts, startCrashingEngines, type CrashingEngines} from './testing-crashes.js';
-import {waitForEnd} from './testing.js';
 
 const start = createHostStarter(onTestFinished);
 
--- a/packages/forwarder/src/forward-limits.test.ts
+++ b/packages/forwarder/src/crashes/forward-limits.test.ts
@@ -1,10 +1,10 @@
 import type {SuspectedCrash} from '@gentianlift/routing';
 import {expect, onTestFinished, test} from 'vitest';
-import {getFingerprint, type Call} from './call.js';
+import {getFingerprint, type Call} from '../call.js';
 import {
 	answerOk, rejectUnexecuted, upstreamMark, createHostStarter, sum,
-} from './test-deployment.js';
-import {sendRequest} from './testing.js';
+} from '../test-deployment.js';
+import {sendRequest} from '../testing.js';
 
 const start = createHostStarter(onTestFinished);
 
--- a/packages/forwarder/src/good-end.ts
+++ b/packages/forwarder/src/crashes/good-end.ts
@@ -1,8 +1,8 @@
 import type {SuspectId, Upstream} from '@gentianlift/routing';
-import {getFingerprint, type Call, type Progress} from './call.js';
-import type {ForwarderContext} from './context.js';
+import {getFingerprint, type Call, type Progress} from '../call.js';
+import type {ForwarderContext} from '../context.js';
+import {isServerError} from '../deliver/deliver-buffered.js';
 import {getSuspects} from './crash-blame.js';
-import {isServerError} from './deliver-buffered.js';
 import {reportCrash} from './report-crash.js';
 
 /** Records a good end of suspects, and reports it where a crash spoke against them. */
--- a/packages/forwarder/src/report-crash.ts
+++ b/packages/forwarder/src/crashes/report-crash.ts
@@ -1,6 +1,6 @@
 import {getUpstreamKey, type Upstream} from '@gentianlift/routing';
-import {getFingerprint, type Call, type Progress} from './call.js';
-import type {ForwarderContext} from './context.js';
+import {getFingerprint, type Call, type Progress} from '../call.js';
+import type {ForwarderContext} from '../context.js';
 import {getSuspects} from './crash-blame.js';
 
 /** Maximum number of parts of a prompt that a log line names. */
--- a/packages/forwarder/src/testing-crashes.ts
+++ b/packages/forwarder/src/crashes/testing-crashes.ts
@@ -1,8 +1,8 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {
 	type createHostStarter, type StubUpstream, type TestDeployment, upstreamMark,
-} from './test-deployment.js';
-import {sendRequest, type TestAnswer} from './testing.js';
+} from '../test-deployment.js';
+import {sendRequest, type TestAnswer} from '../testing.js';
 
 /** Stub engines of which each crashes for good as it begins to write an answer to a prompt with one of the parts. */
 export type CrashingEngines = TestDeployment & {
--- a/packages/forwarder/src/body-end.test.ts
+++ b/packages/forwarder/src/deliver/body-end.test.ts
@@ -1,6 +1,6 @@
 import {expect, onTestFinished, test} from 'vitest';
-import {createHostStarter} from './test-deployment.js';
-import {sendRequest, waitForEnd} from './testing.js';
+import {createHostStarter} from '../test-deployment.js';
+import {sendRequest, waitForEnd} from '../testing.js';
 import {answerRaw, type RawAnswer} from './testing-answers.js';
 
 const start = createHostStarter(onTestFinished);
--- a/packages/forwarder/src/body-end.ts
+++ b/packages/forwarder/src/deliver/body-end.ts
@@ -1,4 +1,4 @@
-import {getFraming, type Framing, type Incoming} from './incoming.js';
+import {getFraming, type Framing, type Incoming} from '../send/incoming.js';
 
 /**
  * What was seen of the end of a body:
--- a/packages/forwarder/src/deliver-buffered.ts
+++ b/packages/forwarder/src/deliver/deliver-buffered.ts
@@ -1,9 +1,9 @@
+import type {Call, Progress} from '../call.js';
+import type {Incoming} from '../send/incoming.js';
+import type {SendOutcome} from '../send/send.js';
 import type {ForwardOutcome, BufferedAnswer} from './forward-outcome.js';
-import type {Call, Progress} from './call.js';
 import {writeAnswerHead} from './deliver.js';
-import type {Incoming} from './incoming.js';
 import {readBody} from './read-body.js';
-import type {SendOutcome} from './send.js';
 
 /** Size limit of the body of a buffered answer. */
 const maxBufferedBytes = 16 * 1024 * 1024;
--- a/packages/forwarder/src/deliver-events.ts
+++ b/packages/forwarder/src/deliver/deliver-events.ts
@@ -1,7 +1,7 @@
-import type {Call, Progress} from './call.js';
+import type {Call, Progress} from '../call.js';
+import type {SendOutcome} from '../send/send.js';
 import {deliverStream, writeAnswerHead} from './deliver.js';
 import type {ForwardOutcome} from './forward-outcome.js';
-import type {SendOutcome} from './send.js';
 
 /** A streamed answer that is to be delivered, and listeners to its arrival. */
 export type EventDelivery = {
--- a/packages/forwarder/src/deliver.ts
+++ b/packages/forwarder/src/deliver/deliver.ts
@@ -1,8 +1,8 @@
 import type {ServerResponse} from 'node:http';
+import type {Progress} from '../call.js';
+import type {Incoming} from '../send/incoming.js';
+import type {AnswerHead} from '../protocol.js';
 import {createEventSplitter, type StreamEvent} from './event-splitter.js';
-import type {Progress} from './call.js';
-import type {Incoming} from './incoming.js';
-import type {AnswerHead} from './protocol.js';
 import {receiveBody} from './receive-body.js';
 
 /** How the delivery of a stream ended: `complete` with its last event, `cut` before that, `broken` because the upstream left out an event, so that no upstream can continue it. */
--- a/packages/forwarder/src/forward-outcome.ts
+++ b/packages/forwarder/src/deliver/forward-outcome.ts
@@ -1,4 +1,4 @@
-import type {AnswerHead} from './protocol.js';
+import type {AnswerHead} from '../protocol.js';
 
 /** A complete answer of an upstream that hasn't been written to the caller yet. */
 export type BufferedAnswer = {head: AnswerHead; bytes: Uint8Array};
--- a/packages/forwarder/src/late-answer.test.ts
+++ b/packages/forwarder/src/deliver/late-answer.test.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {expect, onTestFinished, test} from 'vitest';
-import {call, createSocketServerStarter, readAnswer} from './testing-send.js';
-import {UpstreamAgent} from './upstream-agent.js';
+import {call, createSocketServerStarter, readAnswer} from '../send/testing-send.js';
+import {UpstreamAgent} from '../send/upstream-agent.js';
 
 const startUpstream = createSocketServerStarter(onTestFinished);
 
--- a/packages/forwarder/src/read-body.ts
+++ b/packages/forwarder/src/deliver/read-body.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
+import type {Incoming} from '../send/incoming.js';
 import type {BodyEnd} from './body-end.js';
-import type {Incoming} from './incoming.js';
 import {receiveBody} from './receive-body.js';
 
 /** Result of reading a body: `whole` if all of it arrived, `too-large` above the size limit, `broken` if it ended before. */
--- a/packages/forwarder/src/receive-body.ts
+++ b/packages/forwarder/src/deliver/receive-body.ts
@@ -1,5 +1,5 @@
+import type {Incoming} from '../send/incoming.js';
 import {getBodyEnd, type BodyContent, type BodyEnd} from './body-end.js';
-import type {Incoming} from './incoming.js';
 
 /** Reader of a body's bytes as they arrive. */
 export type BodyReader = {
--- a/packages/forwarder/src/silent-stream.test.ts
+++ b/packages/forwarder/src/deliver/silent-stream.test.ts
@@ -3,8 +3,8 @@
 import {expect, onTestFinished, test} from 'vitest';
 import {
 	createHostStarter, sum, upstreamMark, type AnswerHandler,
-} from './test-deployment.js';
-import {sendRequest} from './testing.js';
+} from '../test-deployment.js';
+import {sendRequest} from '../testing.js';
 
 const start = createHostStarter(onTestFinished);
 
--- a/packages/forwarder/src/testing-answers.ts
+++ b/packages/forwarder/src/deliver/testing-answers.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
-import type {Framing} from './incoming.js';
-import type {AnswerHandler} from './test-deployment.js';
+import type {Framing} from '../send/incoming.js';
+import type {AnswerHandler} from '../test-deployment.js';
 
 /** An answer that a stub upstream writes as raw bytes. */
 export type RawAnswer = {
--- a/packages/forwarder/src/unframed-answer.test.ts
+++ b/packages/forwarder/src/deliver/unframed-answer.test.ts
@@ -1,8 +1,8 @@
 import {connect, createServer, type AddressInfo} from 'node:net';
 import {buildUpstream} from '@gentianlift/routing/testing';
 import {expect, onTestFinished, test} from 'vitest';
-import {createHostStarter} from './test-deployment.js';
-import {sendRequest} from './testing.js';
+import {createHostStarter} from '../test-deployment.js';
+import {sendRequest} from '../testing.js';
 import {answerRaw, type RawAnswer} from './testing-answers.js';
 
 const start = createHostStarter(onTestFinished);
--- a/packages/forwarder/src/forward.ts
+++ b/packages/forwarder/src/forward.ts
@@ -3,18 +3,18 @@
 	createRetryBudget, decideRetry, getUpstreamKey, type EarlyRefusal, type RetryBudget, type SuspectId,
 } from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
-import {createAttemptMaker} from './make-attempt.js';
+import {createAttemptMaker} from './send/make-attempt.js';
 import {
 	getFailureReason, getRefusalKind, reportEnd, type CallEnd,
 } from './call-end.js';
-import type {ForwardOutcome} from './forward-outcome.js';
+import type {ForwardOutcome} from './deliver/forward-outcome.js';
 import {createProgress, type Call, type Progress} from './call.js';
-import {writeBufferedAnswer} from './deliver-buffered.js';
-import {findBlockingSuspect, findObstacleToAttempt, mayCrashAgain} from './crash-blame.js';
-import {writeErrorAnswer, type ErrorAnswer} from './error-answer.js';
+import {writeBufferedAnswer} from './deliver/deliver-buffered.js';
+import {findBlockingSuspect, findObstacleToAttempt, mayCrashAgain} from './crashes/crash-blame.js';
+import {writeErrorAnswer, type ErrorAnswer} from './callers/error-answer.js';
 import type {ForwarderContext} from './context.js';
-import {getReceivedAnswer} from './received-answer.js';
-import {createRequestQueue} from './request-queue.js';
+import {getReceivedAnswer} from './deliver/received-answer.js';
+import {createRequestQueue} from './queue/request-queue.js';
 
 /** Sends each call to upstreams until one answers or no further attempt is allowed. */
 export type Forwarder = {
--- a/packages/forwarder/src/create-context.ts
+++ b/packages/forwarder/src/host/create-context.ts
@@ -7,21 +7,21 @@
 	createCrashSuspects, createStreamOrigins, createVersionHistory, streamLifetime,
 } from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
-import {probeConnection} from './connection-probe.js';
-import type {ForwarderContext} from './context.js';
-import {createCrashDetector} from './crash-detector.js';
-import {findReachingHosts} from './find-reaching-hosts.js';
-import {createFragileUpstreams} from './fragile-upstreams.js';
-import {createHostAgents} from './host-agents.js';
-import type {HostDependencies, HostSettings} from './host-settings.js';
-import {getRandomSeed} from './random-seed.js';
+import {probeConnection} from '../send/connection-probe.js';
+import type {ForwarderContext} from '../context.js';
+import {createCrashDetector} from '../crashes/crash-detector.js';
+import {findReachingHosts} from '../links/find-reaching-hosts.js';
+import {createFragileUpstreams} from '../statements/fragile-upstreams.js';
+import {createHostAgents} from '../send/host-agents.js';
+import {createUpstreamLimits} from '../statements/upstream-limits.js';
+import {createUpstreamLinks, type UpstreamLinks} from '../links/upstream-links.js';
+import {createUpstreamRests} from '../statements/upstream-rests.js';
+import {createUpstreamTracker} from '../queue/upstream-tracker.js';
+import {watchVersionBreaks} from '../resume/version-breaks.js';
+import {createViewFreshness} from '../resume/view-freshness.js';
 import {canAcceptRequest} from './stop-host.js';
-import {createUpstreamLimits} from './upstream-limits.js';
-import {createUpstreamLinks, type UpstreamLinks} from './upstream-links.js';
-import {createUpstreamRests} from './upstream-rests.js';
-import {createUpstreamTracker} from './upstream-tracker.js';
-import {watchVersionBreaks} from './version-breaks.js';
-import {createViewFreshness} from './view-freshness.js';
+import {getRandomSeed} from './random-seed.js';
+import type {HostDependencies, HostSettings} from './host-settings.js';
 
 /** State of a graceful shutdown; `since` is undefined until it begins. */
 export type Shutdown = {since: Milliseconds | undefined; gracePeriod: Milliseconds};
--- a/packages/forwarder/src/host-settings.ts
+++ b/packages/forwarder/src/host/host-settings.ts
@@ -5,7 +5,7 @@
 import type {
 	Address, Entry, HostId, Milliseconds, Zone,
 } from '@gentianlift/types';
-import type {Protocol} from './protocol.js';
+import type {Protocol} from '../protocol.js';
 
 /** Settings of a host. */
 export type HostSettings = {
--- a/packages/forwarder/src/load-metrics.test.ts
+++ b/packages/forwarder/src/host/load-metrics.test.ts
@@ -5,8 +5,8 @@
 } from 'vitest';
 import {
 	createHostStarter, upstreamMark, type AnswerHandler,
-} from './test-deployment.js';
-import {sendRequest, type TestHost} from './testing.js';
+} from '../test-deployment.js';
+import {sendRequest, type TestHost} from '../testing.js';
 
 const start = createHostStarter(onTestFinished);
 const route = 'once';
--- a/packages/forwarder/src/metrics-page.test.ts
+++ b/packages/forwarder/src/host/metrics-page.test.ts
@@ -1,6 +1,6 @@
 import {expect, onTestFinished, test} from 'vitest';
-import {answerOk, configuration} from './test-deployment.js';
-import {startLinkedFleet} from './testing-partition.js';
+import {answerOk, configuration} from '../test-deployment.js';
+import {startLinkedFleet} from '../links/testing-partition.js';
 
 test('the metrics page names the state of the store, the upstreams and the links', async () => {
 	const {hosts: [first]} = await startLinkedFleet({
--- a/packages/forwarder/src/start-host.ts
+++ b/packages/forwarder/src/host/start-host.ts
@@ -1,11 +1,11 @@
 import {createPeerServer, getEra, type HostRecord} from '@gentianlift/discovery';
 import type {Milliseconds, Zone} from '@gentianlift/types';
-import {createContext, type Shutdown} from './create-context.js';
-import {createForwarder} from './forward.js';
+import {createForwarder} from '../forward.js';
+import {listen} from '../callers/listen.js';
+import {findStreamOrigin} from '../resume/resumption.js';
+import {createCallerServer} from '../callers/serve-callers.js';
 import type {HostDependencies, HostSettings} from './host-settings.js';
-import {listen} from './listen.js';
-import {findStreamOrigin} from './resumption.js';
-import {createCallerServer} from './serve-callers.js';
+import {createContext, type Shutdown} from './create-context.js';
 import {stopHost} from './stop-host.js';
 
 /** A running host. */
--- a/packages/forwarder/src/forwarded-call.test.ts
+++ b/packages/forwarder/src/links/forwarded-call.test.ts
@@ -3,11 +3,11 @@
 import {buildConfiguration, buildRoute} from '@gentianlift/routing/testing';
 import {splitAddress} from '@gentianlift/types';
 import {expect, onTestFinished, test} from 'vitest';
-import {decodeForwardedCall, encodeForwardedCall, type ForwardedCall} from './forwarded-call.js';
 import {
 	answerOk, configuration, resetConnection, sum, type AnswerHandler,
-} from './test-deployment.js';
-import {sendRequest, type TestAnswer} from './testing.js';
+} from '../test-deployment.js';
+import {sendRequest, type TestAnswer} from '../testing.js';
+import {decodeForwardedCall, encodeForwardedCall, type ForwardedCall} from './forwarded-call.js';
 import {
 	createStream, startLinkedFleet, type LinkedFleet, type LinkedHost,
 } from './testing-partition.js';
--- a/packages/forwarder/src/partitioned-host.test.ts
+++ b/packages/forwarder/src/links/partitioned-host.test.ts
@@ -1,11 +1,11 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect, onTestFinished, test} from 'vitest';
 import type {Milliseconds} from '@gentianlift/types';
-import {answerOk, configuration, type AnswerHandler} from './test-deployment.js';
+import {answerOk, configuration, type AnswerHandler} from '../test-deployment.js';
+import type {TestAnswer} from '../testing.js';
 import {
 	createStream, getServedRatio, sendToHosts, startLinkedFleet, type LinkedFleet,
 } from './testing-partition.js';
-import type {TestAnswer} from './testing.js';
 import type {HostLinkState} from './testing-link.js';
 
 /** Time after which the users judge how partitioned hosts serve, and the part of what the others serve that they ask for. */
--- a/packages/forwarder/src/testing-link.ts
+++ b/packages/forwarder/src/links/testing-link.ts
@@ -2,7 +2,7 @@
 	connect, createServer, type AddressInfo, type Server, type Socket,
 } from 'node:net';
 import {splitAddress, type Address} from '@gentianlift/types';
-import {holdPort, type HeldPort} from './testing-held-port.js';
+import {holdPort, type HeldPort} from '../testing-held-port.js';
 
 /**
  * State of the link between one host and one upstream:
--- a/packages/forwarder/src/testing-partition.ts
+++ b/packages/forwarder/src/links/testing-partition.ts
@@ -4,14 +4,14 @@
 import {createLogger} from '@gentianlift/logger';
 import type {RoutingConfiguration, Upstream} from '@gentianlift/routing';
 import type {Address, Entry, Milliseconds} from '@gentianlift/types';
-import type {HostSettings} from './host-settings.js';
-import {startHost, type Host} from './start-host.js';
-import {sum, upstreamMark, type AnswerHandler} from './test-deployment.js';
-import {sendRequest, startUpstream, type TestAnswer} from './testing.js';
-import {protocol} from './testing-protocol.js';
+import type {HostSettings} from '../host/host-settings.js';
+import {startHost, type Host} from '../host/start-host.js';
+import {sum, upstreamMark, type AnswerHandler} from '../test-deployment.js';
+import {sendRequest, startUpstream, type TestAnswer} from '../testing.js';
+import {protocol} from '../testing-protocol.js';
+import {createTestStore, type TestStore} from '../host/testing-store.js';
 import {openHostLink, type HostLink, type HostLinkState} from './testing-link.js';
 import {takeLoopback} from './testing-loopback.js';
-import {createTestStore, type TestStore} from './testing-store.js';
 
 /** A host of a fleet, with its own link to each upstream. */
 export type LinkedHost = {
--- a/packages/forwarder/src/backlog-limits.ts
+++ b/packages/forwarder/src/queue/backlog-limits.ts
@@ -1,6 +1,6 @@
 import {getBacklogLimit, type RouteTable} from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
-import type {Call} from './call.js';
+import type {Call} from '../call.js';
 
 /** Backlog limits of services and ranks, cached for each route table. */
 export type BacklogLimits = {
--- a/packages/forwarder/src/cache-capacity.test.ts
+++ b/packages/forwarder/src/queue/cache-capacity.test.ts
@@ -4,7 +4,7 @@
 import type {Prompt, Service} from '@gentianlift/routing';
 import {buildUpstream} from '@gentianlift/routing/testing';
 import {expect, test} from 'vitest';
-import {createSoleLimits} from './testing-sole-limits.js';
+import {createSoleLimits} from '../statements/testing-sole-limits.js';
 import {createUpstreamTracker, type UpstreamTracker} from './upstream-tracker.js';
 
 const upstream = buildUpstream();
--- a/packages/forwarder/src/dispatch-turns.ts
+++ b/packages/forwarder/src/queue/dispatch-turns.ts
@@ -3,7 +3,7 @@
 	getSendProbability, getTokensElsewhere, getUpstreamKey, type Candidate, type TokensElsewhere, type UpstreamKey,
 } from '@gentianlift/routing';
 import type {Milliseconds, Rank} from '@gentianlift/types';
-import type {ForwarderContext} from './context.js';
+import type {ForwarderContext} from '../context.js';
 import type {UpstreamTracker} from './upstream-tracker.js';
 
 /** A queued call that its upstream has room for. */
--- a/packages/forwarder/src/early-refusal.test.ts
+++ b/packages/forwarder/src/queue/early-refusal.test.ts
@@ -7,7 +7,7 @@
 } from '@gentianlift/routing/testing';
 import type {Milliseconds} from '@gentianlift/types';
 import {expect, test} from 'vitest';
-import {createProgress, type Progress} from './call.js';
+import {createProgress, type Progress} from '../call.js';
 import {createEarlyRefusals} from './early-refusals.js';
 import {createRequestQueue, type Assignment, type RequestQueue} from './request-queue.js';
 import {createSimulatedHost, type SimulatedHost, type SimulatedRequest} from './simulated-host.js';
--- a/packages/forwarder/src/early-refusals.ts
+++ b/packages/forwarder/src/queue/early-refusals.ts
@@ -3,8 +3,8 @@
 	type Candidate, type EarlyRefusal, type MissBalance, type RankTokens, type UpstreamKey,
 } from '@gentianlift/routing';
 import type {Milliseconds, Rank} from '@gentianlift/types';
-import type {Call, Progress} from './call.js';
-import type {ForwarderContext} from './context.js';
+import type {Call, Progress} from '../call.js';
+import type {ForwarderContext} from '../context.js';
 
 /** A call that its chosen upstream can't take yet, as a dispatch pass sees it. */
 export type WaitingCall = {
--- a/packages/forwarder/src/permit-wait.ts
+++ b/packages/forwarder/src/queue/permit-wait.ts
@@ -1,7 +1,7 @@
 import type {UpstreamKey} from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
-import type {Call, Progress} from './call.js';
-import type {ForwarderContext} from './context.js';
+import type {Call, Progress} from '../call.js';
+import type {ForwarderContext} from '../context.js';
 import {isEligible, type ObservedService} from './observed-service.js';
 
 /** A call that no upstream may run now. */
--- a/packages/forwarder/src/queued-tokens.ts
+++ b/packages/forwarder/src/queue/queued-tokens.ts
@@ -2,7 +2,7 @@
 	addRankTokens, getRankChange, getUpstreamKey, noRankTokens, type Candidate, type RankTokens, type UpstreamKey,
 } from '@gentianlift/routing';
 import type {Rank} from '@gentianlift/types';
-import type {ForwarderContext} from './context.js';
+import type {ForwarderContext} from '../context.js';
 import {addQueuedTokens} from './request-load.js';
 
 /** Uncached prompt tokens of this host's queued calls, by the upstream that they wait for and their rank. */
--- a/packages/forwarder/src/request-queue.test.ts
+++ b/packages/forwarder/src/queue/request-queue.test.ts
@@ -12,13 +12,13 @@
 import {expect, test} from 'vitest';
 import {
 	createProgress, type Progress,
-} from './call.js';
-import type {ForwarderContext} from './context.js';
-import {createSoleLimits} from './testing-sole-limits.js';
+} from '../call.js';
+import type {ForwarderContext} from '../context.js';
+import {createSoleLimits} from '../statements/testing-sole-limits.js';
+import {buildTestCall, buildTestPrompt} from '../testing-call.js';
+import {createTestView} from '../resume/testing-view.js';
 import {createUpstreamTracker, type UpstreamTracker} from './upstream-tracker.js';
 import {createRequestQueue, type Assignment, type RequestQueue} from './request-queue.js';
-import {buildTestCall, buildTestPrompt} from './testing-call.js';
-import {createTestView} from './testing-view.js';
 
 const question = buildRoute({name: 'question', rank: 0, latencyTarget: 300});
 const review = buildRoute({
--- a/packages/forwarder/src/request-queue.ts
+++ b/packages/forwarder/src/queue/request-queue.ts
@@ -3,16 +3,16 @@
 	type Candidate, type EarlyRefusal, type QueuePosition, type RequestProfile, type Service,
 } from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
+import type {Call, Progress} from '../call.js';
+import {findBlockingSuspect} from '../crashes/crash-blame.js';
+import type {ForwarderContext} from '../context.js';
+import type {PermitClaim} from '../statements/upstream-limits.js';
 import {createBacklogLimits} from './backlog-limits.js';
-import type {Call, Progress} from './call.js';
-import {findBlockingSuspect} from './crash-blame.js';
 import {createDispatchSchedule, dispatchInterval} from './dispatch-schedule.js';
 import {createDispatchTurns} from './dispatch-turns.js';
 import {createEarlyRefusals} from './early-refusals.js';
 import {addWaitingCall, createQueuedTokenReports, type QueuedTokens} from './queued-tokens.js';
 import {startRequestLoad, type RequestLoad} from './request-load.js';
-import type {ForwarderContext} from './context.js';
-import type {PermitClaim} from './upstream-limits.js';
 import type {ObservedService} from './observed-service.js';
 import {mayWaitForPermit} from './permit-wait.js';
 
--- a/packages/forwarder/src/simulated-host.ts
+++ b/packages/forwarder/src/queue/simulated-host.ts
@@ -9,16 +9,16 @@
 	createCrashSuspects, type Route, type RoutingConfiguration, type Upstream,
 } from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
-import {type Call} from './call.js';
-import {createForwarder} from './forward.js';
-import type {ForwarderContext} from './context.js';
-import {createSoleLimits} from './testing-sole-limits.js';
-import {createSoleLinks} from './testing-sole-links.js';
-import {createFragileUpstreams} from './fragile-upstreams.js';
-import {createUpstreamRests} from './upstream-rests.js';
+import {type Call} from '../call.js';
+import {createForwarder} from '../forward.js';
+import type {ForwarderContext} from '../context.js';
+import {createSoleLimits} from '../statements/testing-sole-limits.js';
+import {createSoleLinks} from '../links/testing-sole-links.js';
+import {createFragileUpstreams} from '../statements/fragile-upstreams.js';
+import {createUpstreamRests} from '../statements/upstream-rests.js';
+import {buildTestCall, buildTestPrompt} from '../testing-call.js';
+import {createTestView} from '../resume/testing-view.js';
 import {createUpstreamTracker} from './upstream-tracker.js';
-import {buildTestCall, buildTestPrompt} from './testing-call.js';
-import {createTestView} from './testing-view.js';
 
 /** A host on a simulated clock, for tests of calls that wait in its queue. */
 export type SimulatedHost = {
--- a/packages/forwarder/src/testing-burst.ts
+++ b/packages/forwarder/src/queue/testing-burst.ts
@@ -4,9 +4,9 @@
 import type {Prompt, Route} from '@gentianlift/routing';
 import {buildConfiguration, buildRoute} from '@gentianlift/routing/testing';
 import type {Milliseconds} from '@gentianlift/types';
+import {buildTestCall} from '../testing-call.js';
 import {engineCacheTokens, enginePrefillRate} from './testing-engine.js';
 import {createTestFleet, type ForwardedCall, type TestFleetOptions} from './testing-fleet.js';
-import {buildTestCall} from './testing-call.js';
 
 const question = buildRoute({
 	name: 'question', rank: 0, latencyTarget: 500, timeout: 15_000,
--- a/packages/forwarder/src/testing-fleet.ts
+++ b/packages/forwarder/src/queue/testing-fleet.ts
@@ -9,15 +9,15 @@
 } from '@gentianlift/routing';
 import {buildUpstream} from '@gentianlift/routing/testing';
 import type {HostId, Milliseconds} from '@gentianlift/types';
-import {createProgress, type Call} from './call.js';
-import type {ForwarderContext} from './context.js';
-import {createRequestQueue, type Assignment, type RequestQueue} from './request-queue.js';
-import {createTestEngine, type TestEngine} from './testing-engine.js';
-import {createSoleLimits} from './testing-sole-limits.js';
-import {createSoleLinks} from './testing-sole-links.js';
-import {createUpstreamRests} from './upstream-rests.js';
+import {createProgress, type Call} from '../call.js';
+import type {ForwarderContext} from '../context.js';
+import {createSoleLimits} from '../statements/testing-sole-limits.js';
+import {createSoleLinks} from '../links/testing-sole-links.js';
+import {createUpstreamRests} from '../statements/upstream-rests.js';
+import {createTestView} from '../resume/testing-view.js';
 import {createUpstreamTracker, type UpstreamTracker} from './upstream-tracker.js';
-import {createTestView} from './testing-view.js';
+import {createTestEngine, type TestEngine} from './testing-engine.js';
+import {createRequestQueue, type Assignment, type RequestQueue} from './request-queue.js';
 
 /** A simulated fleet, whose hosts exchange load reports in memory. */
 export type TestFleet = {
--- a/packages/forwarder/src/upstream-tracker.ts
+++ b/packages/forwarder/src/queue/upstream-tracker.ts
@@ -8,12 +8,12 @@
 	type RouteKind, type Reservation, type Service, type Upstream, type UpstreamKey,
 } from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
-import {buildCandidates, type CandidateQuery, type ObservedService} from './observed-service.js';
-import type {FragileUpstreams} from './fragile-upstreams.js';
+import type {FragileUpstreams} from '../statements/fragile-upstreams.js';
+import type {UpstreamLimits} from '../statements/upstream-limits.js';
+import type {UpstreamRests} from '../statements/upstream-rests.js';
+import {idleTimeouts, UpstreamAgent} from '../send/upstream-agent.js';
 import {getMedian, getRelativeLatency} from './relative-latency.js';
-import type {UpstreamLimits} from './upstream-limits.js';
-import type {UpstreamRests} from './upstream-rests.js';
-import {idleTimeouts, UpstreamAgent} from './upstream-agent.js';
+import {buildCandidates, type CandidateQuery, type ObservedService} from './observed-service.js';
 
 /** Tracks the state that this host observes for each incarnation of an upstream: connections, failures, latencies and cached prefixes. */
 export type UpstreamTracker = {
--- a/packages/forwarder/src/resume-obstacle.ts
+++ b/packages/forwarder/src/resume/resume-obstacle.ts
@@ -1,5 +1,5 @@
-import type {Call, Progress} from './call.js';
-import type {ForwarderContext} from './context.js';
+import type {Call, Progress} from '../call.js';
+import type {ForwarderContext} from '../context.js';
 
 /**
  * Why a stream of which the caller has events can't be resumed:
--- a/packages/forwarder/src/resumption.test.ts
+++ b/packages/forwarder/src/resume/resumption.test.ts
@@ -6,8 +6,8 @@
 import {createMetrics} from '@gentianlift/metrics';
 import {expect, test} from 'vitest';
 import {createManualClock} from '@gentianlift/clock';
-import type {ForwarderContext} from './context.js';
-import type {CallerHead} from './protocol.js';
+import type {ForwarderContext} from '../context.js';
+import type {CallerHead} from '../protocol.js';
 import {createResumptionResolver, findStreamOrigin} from './resumption.js';
 
 const route = buildRoute({kind: 'streaming', isResumable: true, timeout: 1000});
--- a/packages/forwarder/src/resumption.ts
+++ b/packages/forwarder/src/resume/resumption.ts
@@ -3,9 +3,9 @@
 	isResumableStream, streamLifetime, type Route, type StreamOrigin,
 } from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
-import type {ForwarderContext} from './context.js';
-import type {ErrorAnswer} from './error-answer.js';
-import type {CallerHead} from './protocol.js';
+import type {ForwarderContext} from '../context.js';
+import type {ErrorAnswer} from '../callers/error-answer.js';
+import type {CallerHead} from '../protocol.js';
 
 /** Whether a request resumes a stream, and which upstreams can run it. */
 export type Resumption
--- a/packages/forwarder/src/stream-version.test.ts
+++ b/packages/forwarder/src/resume/stream-version.test.ts
@@ -3,8 +3,8 @@
 import {expect, onTestFinished, test} from 'vitest';
 import {
 	createHostStarter, resetConnection, sum, upstreamMark, type StubUpstream,
-} from './test-deployment.js';
-import {sendRequest, waitForEnd, type TestHost} from './testing.js';
+} from '../test-deployment.js';
+import {sendRequest, waitForEnd, type TestHost} from '../testing.js';
 
 const start = createHostStarter(onTestFinished);
 
--- a/packages/forwarder/src/view-freshness.ts
+++ b/packages/forwarder/src/resume/view-freshness.ts
@@ -1,5 +1,5 @@
 import type {Milliseconds} from '@gentianlift/types';
-import type {ForwarderContext} from './context.js';
+import type {ForwarderContext} from '../context.js';
 import {startSuspensionDetector} from './suspension-detector.js';
 
 /** Tells whether this host's view of the fleet is the newest. */
--- a/packages/forwarder/src/attempt-over-host.test.ts
+++ b/packages/forwarder/src/send/attempt-over-host.test.ts
@@ -6,8 +6,8 @@
 import type {HostRecord} from '@gentianlift/discovery';
 import {
 	answerOk, createHostStarter, resetConnection, type TestDeployment,
-} from './test-deployment.js';
-import {sendRequest, waitForEnd} from './testing.js';
+} from '../test-deployment.js';
+import {sendRequest, waitForEnd} from '../testing.js';
 
 const startDeployment = createHostStarter(onTestFinished);
 /** Time in which a host notices that a caller has disconnected. */
--- a/packages/forwarder/src/attempt-over-host.ts
+++ b/packages/forwarder/src/send/attempt-over-host.ts
@@ -1,14 +1,14 @@
 import {getMeanReportDelay, hostSilenceTimeout, type HostRecord} from '@gentianlift/discovery';
-import {isConnectionLoss, misdirectedStatus, recordChunk} from './attempt-record.js';
-import type {Call, Progress} from './call.js';
-import type {ForwarderContext} from './context.js';
-import {isSuspected, reportDelaysOfExchange} from './crash-blame.js';
-import {deliverEvents} from './deliver-events.js';
-import {deliverUnchanged} from './deliver-buffered.js';
-import {encodeForwardedCall, type ForwardedCall} from './forwarded-call.js';
-import type {ForwardOutcome} from './forward-outcome.js';
+import type {Call, Progress} from '../call.js';
+import type {ForwarderContext} from '../context.js';
+import {isSuspected, reportDelaysOfExchange} from '../crashes/crash-blame.js';
+import {deliverEvents} from '../deliver/deliver-events.js';
+import {deliverUnchanged} from '../deliver/deliver-buffered.js';
+import {encodeForwardedCall, type ForwardedCall} from '../links/forwarded-call.js';
+import type {ForwardOutcome} from '../deliver/forward-outcome.js';
+import {watchSilence} from '../deliver/watch-silence.js';
 import {send, type SendOutcome} from './send.js';
-import {watchSilence} from './watch-silence.js';
+import {isConnectionLoss, misdirectedStatus, recordChunk} from './attempt-record.js';
 
 const describeCall = (call: Call, progress: Progress, {clock, host}: ForwarderContext): ForwardedCall => ({
 	from: host,
--- a/packages/forwarder/src/attempt-record.ts
+++ b/packages/forwarder/src/send/attempt-record.ts
@@ -1,14 +1,14 @@
 import {getUpstreamKey, isResumableStream, type Upstream} from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
-import type {CutReason} from './body-end.js';
-import type {Call, Progress} from './call.js';
-import type {ForwarderContext} from './context.js';
-import {isServerError} from './deliver-buffered.js';
-import type {ForwardOutcome} from './forward-outcome.js';
-import type {AnswerHead} from './protocol.js';
-import type {RequestLoad} from './request-load.js';
-import {ownSource} from './upstream-limits.js';
-import type {RequestActivity} from './upstream-tracker.js';
+import type {CutReason} from '../deliver/body-end.js';
+import type {Call, Progress} from '../call.js';
+import type {ForwarderContext} from '../context.js';
+import {isServerError} from '../deliver/deliver-buffered.js';
+import type {ForwardOutcome} from '../deliver/forward-outcome.js';
+import type {AnswerHead} from '../protocol.js';
+import type {RequestLoad} from '../queue/request-load.js';
+import {ownSource} from '../statements/upstream-limits.js';
+import type {RequestActivity} from '../queue/upstream-tracker.js';
 
 /** Interval and number of checks whether the version of an upstream is certain, as a view that has just fallen behind soon catches up. */
 const certaintyCheckInterval: Milliseconds = 150;
--- a/packages/forwarder/src/attempt.ts
+++ b/packages/forwarder/src/send/attempt.ts
@@ -1,18 +1,18 @@
 import {getUpstreamKey, sumRankTokens} from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
-import {buildUpstreamRequest} from './build-upstream-request.js';
+import type {ForwardOutcome} from '../deliver/forward-outcome.js';
+import type {Call, Progress} from '../call.js';
+import {deliverEvents} from '../deliver/deliver-events.js';
+import {deliverBuffered} from '../deliver/deliver-buffered.js';
+import {reportCrash} from '../crashes/report-crash.js';
+import type {ForwarderContext} from '../context.js';
+import type {Assignment} from '../queue/request-queue.js';
+import {watchSilence} from '../deliver/watch-silence.js';
+import {send, type SendOutcome} from './send.js';
 import {
 	isConnectionLoss, observeStatements, recordChunk, recordConnectionWait, recordFirstToken, recordOutcome, recordStart, type Attempt,
 } from './attempt-record.js';
-import type {ForwardOutcome} from './forward-outcome.js';
-import type {Call, Progress} from './call.js';
-import {deliverEvents} from './deliver-events.js';
-import {deliverBuffered} from './deliver-buffered.js';
-import {reportCrash} from './report-crash.js';
-import {send, type SendOutcome} from './send.js';
-import type {ForwarderContext} from './context.js';
-import type {Assignment} from './request-queue.js';
-import {watchSilence} from './watch-silence.js';
+import {buildUpstreamRequest} from './build-upstream-request.js';
 
 /** Silence of an upstream after which a stream that it runs resumes on another one, in addition to the prefill time. */
 const resumeSilence: Milliseconds = 1000;
--- a/packages/forwarder/src/build-upstream-request.test.ts
+++ b/packages/forwarder/src/send/build-upstream-request.test.ts
@@ -3,12 +3,12 @@
 import {createCrashSuspects} from '@gentianlift/routing';
 import {buildConfiguration, buildRoute, buildUpstream} from '@gentianlift/routing/testing';
 import {expect, test} from 'vitest';
+import {createProgress} from '../call.js';
+import type {ForwarderContext} from '../context.js';
+import {buildTestCall, buildTestPrompt} from '../testing-call.js';
+import {createTestView} from '../resume/testing-view.js';
+import {createUpstreamRests} from '../statements/upstream-rests.js';
 import {buildUpstreamRequest} from './build-upstream-request.js';
-import {createProgress} from './call.js';
-import type {ForwarderContext} from './context.js';
-import {buildTestCall, buildTestPrompt} from './testing-call.js';
-import {createTestView} from './testing-view.js';
-import {createUpstreamRests} from './upstream-rests.js';
 
 const route = buildRoute({kind: 'streaming', isResumable: true, timeout: 1000});
 const upstream = buildUpstream({id: 'u1', softwareVersion: 'v1'});
--- a/packages/forwarder/src/build-upstream-request.ts
+++ b/packages/forwarder/src/send/build-upstream-request.ts
@@ -1,11 +1,11 @@
 import {getUpstreamKey, type Upstream} from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
-import type {Call, Progress} from './call.js';
-import type {ForwarderContext} from './context.js';
-import {findBlockingSuspect} from './crash-blame.js';
+import type {Call, Progress} from '../call.js';
+import type {ForwarderContext} from '../context.js';
+import {findBlockingSuspect} from '../crashes/crash-blame.js';
+import type {PermitClaim} from '../statements/upstream-limits.js';
+import {getUpstreamRanks, lowestUpstreamRank} from '../queue/upstream-ranks.js';
 import type {RequestHead, UnsentReason, UpstreamRequest} from './send.js';
-import type {PermitClaim} from './upstream-limits.js';
-import {getUpstreamRanks, lowestUpstreamRank} from './upstream-ranks.js';
 
 /** The upstream that a request is sent to, and the call's claim on a permit if it is limited. */
 export type SendTarget = {upstream: Upstream; permit: PermitClaim};
--- a/packages/forwarder/src/connection-probe.test.ts
+++ b/packages/forwarder/src/send/connection-probe.test.ts
@@ -1,9 +1,9 @@
 import {createServer, type AddressInfo} from 'node:net';
 import {createManualClock, createSystemClock} from '@gentianlift/clock';
 import {expect, onTestFinished, test} from 'vitest';
+import {holdPort} from '../testing-held-port.js';
+import {takeLoopback} from '../links/testing-loopback.js';
 import {probeConnection} from './connection-probe.js';
-import {holdPort} from './testing-held-port.js';
-import {takeLoopback} from './testing-loopback.js';
 
 const timeout = 400;
 
--- a/packages/forwarder/src/connection-wait.test.ts
+++ b/packages/forwarder/src/send/connection-wait.test.ts
@@ -4,8 +4,8 @@
 } from 'vitest';
 import {
 	answerOk, createHostStarter, sum, upstreamMark, type AnswerHandler,
-} from './test-deployment.js';
-import {sendRequest, type TestHost} from './testing.js';
+} from '../test-deployment.js';
+import {sendRequest, type TestHost} from '../testing.js';
 
 const start = createHostStarter(onTestFinished);
 
--- a/packages/forwarder/src/endless-answer.test.ts
+++ b/packages/forwarder/src/send/endless-answer.test.ts
@@ -1,9 +1,9 @@
 import type {NetConnectOpts, Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect, onTestFinished, test} from 'vitest';
+import {createHostStarter, type AnswerHandler} from '../test-deployment.js';
+import {sendRequest} from '../testing.js';
 import type {SendOutcome} from './send.js';
-import {createHostStarter, type AnswerHandler} from './test-deployment.js';
-import {sendRequest} from './testing.js';
 import {call, createSocketServerStarter} from './testing-send.js';
 import {UpstreamAgent} from './upstream-agent.js';
 
--- a/packages/forwarder/src/invalid-address.test.ts
+++ b/packages/forwarder/src/send/invalid-address.test.ts
@@ -1,9 +1,9 @@
 import {createSystemClock} from '@gentianlift/clock';
 import {buildUpstream} from '@gentianlift/routing/testing';
 import {expect, onTestFinished, test} from 'vitest';
+import {answerOk, createHostStarter} from '../test-deployment.js';
+import {sendRequest} from '../testing.js';
 import {probeConnection} from './connection-probe.js';
-import {answerOk, createHostStarter} from './test-deployment.js';
-import {sendRequest} from './testing.js';
 
 const start = createHostStarter(onTestFinished);
 
--- a/packages/forwarder/src/make-attempt.ts
+++ b/packages/forwarder/src/send/make-attempt.ts
@@ -1,14 +1,14 @@
 import type {HostRecord} from '@gentianlift/discovery';
 import {getUpstreamKey} from '@gentianlift/routing';
-import {attemptUpstream} from './attempt.js';
+import type {Call, Progress} from '../call.js';
+import type {ForwarderContext} from '../context.js';
+import type {ForwardOutcome} from '../deliver/forward-outcome.js';
+import {recordGoodEnd} from '../crashes/good-end.js';
+import type {Assignment, RequestQueue} from '../queue/request-queue.js';
+import {findResumeObstacle, isVersionUncertain, reportResumeObstacle} from '../resume/resume-obstacle.js';
+import type {CallPath} from '../links/upstream-links.js';
 import {attemptOverHost} from './attempt-over-host.js';
-import type {Call, Progress} from './call.js';
-import type {ForwarderContext} from './context.js';
-import type {ForwardOutcome} from './forward-outcome.js';
-import {recordGoodEnd} from './good-end.js';
-import type {Assignment, RequestQueue} from './request-queue.js';
-import {findResumeObstacle, isVersionUncertain, reportResumeObstacle} from './resume-obstacle.js';
-import type {CallPath} from './upstream-links.js';
+import {attemptUpstream} from './attempt.js';
 
 /** Makes the next attempt of a call after the `previous` one, if there was one; resolves with undefined if the call has ended, or if there is neither an upstream nor another host for it. */
 export type AttemptMaker = (call: Call, progress: Progress, previous: ForwardOutcome | undefined) => Promise<ForwardOutcome | undefined>;
--- a/packages/forwarder/src/raw-headers.ts
+++ b/packages/forwarder/src/send/raw-headers.ts
@@ -1,4 +1,4 @@
-import type {RawHeaders} from './protocol.js';
+import type {RawHeaders} from '../protocol.js';
 
 /** A header as on the wire. */
 export type HeaderField = {name: string; value: string};
--- a/packages/forwarder/src/send.test.ts
+++ b/packages/forwarder/src/send/send.test.ts
@@ -4,7 +4,7 @@
 } from 'node:net';
 import {createManualClock, createSystemClock} from '@gentianlift/clock';
 import {expect, onTestFinished, test} from 'vitest';
-import type {Protocol} from './protocol.js';
+import type {Protocol} from '../protocol.js';
 import {send} from './send.js';
 import {
 	call, createSocketServerStarter, protocol, readAnswer, startCall, waitForClose,
--- a/packages/forwarder/src/send.ts
+++ b/packages/forwarder/src/send/send.ts
@@ -1,8 +1,8 @@
 import {request, type ClientRequest} from 'node:http';
 import {startTimeLimit, type Cancel, type Clock} from '@gentianlift/clock';
 import {splitAddress, type Address, type Milliseconds} from '@gentianlift/types';
+import type {AnswerHead, Protocol, RawHeaders} from '../protocol.js';
 import type {Incoming} from './incoming.js';
-import type {AnswerHead, Protocol, RawHeaders} from './protocol.js';
 import type {UpstreamAgent} from './upstream-agent.js';
 
 /** The part of a request that depends on the time that remains when it is sent. */
--- a/packages/forwarder/src/shared-connection.test.ts
+++ b/packages/forwarder/src/send/shared-connection.test.ts
@@ -1,7 +1,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {expect, onTestFinished, test} from 'vitest';
-import {upstreamMark, createHostStarter, type AnswerHandler} from './test-deployment.js';
-import {sendRequest, type TestAnswer} from './testing.js';
+import {upstreamMark, createHostStarter, type AnswerHandler} from '../test-deployment.js';
+import {sendRequest, type TestAnswer} from '../testing.js';
 
 const start = createHostStarter(onTestFinished);
 
--- a/packages/forwarder/src/testing-send.ts
+++ b/packages/forwarder/src/send/testing-send.ts
@@ -2,8 +2,8 @@
 	createServer, type AddressInfo, type Server, type Socket,
 } from 'node:net';
 import {createSystemClock, type Clock} from '@gentianlift/clock';
-import type {Protocol} from './protocol.js';
-import {readBody, type Body} from './read-body.js';
+import type {Protocol} from '../protocol.js';
+import {readBody, type Body} from '../deliver/read-body.js';
 import {send, type InFlightRequest, type SendOutcome} from './send.js';
 import {UpstreamAgent} from './upstream-agent.js';
 
--- a/packages/forwarder/src/fragile-upstream.test.ts
+++ b/packages/forwarder/src/statements/fragile-upstream.test.ts
@@ -1,7 +1,7 @@
 import type {Milliseconds} from '@gentianlift/types';
 import {expect, onTestFinished, test} from 'vitest';
-import {configuration, upstreamMark, type AnswerHandler} from './test-deployment.js';
-import {sendToHosts, startLinkedFleet} from './testing-partition.js';
+import {configuration, upstreamMark, type AnswerHandler} from '../test-deployment.js';
+import {sendToHosts, startLinkedFleet} from '../links/testing-partition.js';
 
 /** Rejections a second that the engines bear, and time from when they say so on in which they may let fewer requests wait. */
 const tolerance = 3;
--- a/packages/forwarder/src/fragile-upstreams.ts
+++ b/packages/forwarder/src/statements/fragile-upstreams.ts
@@ -3,7 +3,7 @@
 import type {Logger} from '@gentianlift/logger';
 import {getUpstreamKey, type Upstream, type UpstreamKey} from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
-import type {RateStatement} from './protocol.js';
+import type {RateStatement} from '../protocol.js';
 
 /** Upstreams that say that they fall over when they have to reject too many requests in a second. All hosts together keep within the requests that such an upstream runs at a time. */
 export type FragileUpstreams = {
--- a/packages/forwarder/src/leaving-upstream.test.ts
+++ b/packages/forwarder/src/statements/leaving-upstream.test.ts
@@ -3,9 +3,9 @@
 import {getUpstreamKey} from '@gentianlift/routing';
 import {
 	configuration, createHostStarter, upstreamMark, type AnswerHandler,
-} from './test-deployment.js';
-import {sendRequest} from './testing.js';
-import {startLinkedFleet} from './testing-partition.js';
+} from '../test-deployment.js';
+import {sendRequest} from '../testing.js';
+import {startLinkedFleet} from '../links/testing-partition.js';
 
 const start = createHostStarter(onTestFinished);
 
--- a/packages/forwarder/src/parse-rate.ts
+++ b/packages/forwarder/src/statements/parse-rate.ts
@@ -1,4 +1,4 @@
-import type {RateStatement} from './protocol.js';
+import type {RateStatement} from '../protocol.js';
 
 /** A decimal number; one of more than a dozen digits is a mistake. */
 const ratePattern = /^(?:\d{1,12}(?:\.\d{0,12})?|\.\d{1,12})$/v;
--- a/packages/forwarder/src/parse-rest.ts
+++ b/packages/forwarder/src/statements/parse-rest.ts
@@ -1,5 +1,5 @@
 import type {Milliseconds} from '@gentianlift/types';
-import type {RestStatement} from './protocol.js';
+import type {RestStatement} from '../protocol.js';
 
 const millisecondsPerSecond = 1000;
 /** Longest rest; an upstream that wants a longer one is asked again then. */
--- a/packages/forwarder/src/request-limits.test.ts
+++ b/packages/forwarder/src/statements/request-limits.test.ts
@@ -1,7 +1,7 @@
 import {getUpstreamKey} from '@gentianlift/routing';
 import {expect, onTestFinished, test} from 'vitest';
-import {createHostStarter, type TestDeployment} from './test-deployment.js';
-import {sendRequest, waitForEnd, type TestAnswer} from './testing.js';
+import {createHostStarter, type TestDeployment} from '../test-deployment.js';
+import {sendRequest, waitForEnd, type TestAnswer} from '../testing.js';
 import {
 	countMostArrivals, createLimitedEngine, getAllowedArrivals, sendSteadily,
 } from './testing-limits.js';
--- a/packages/forwarder/src/request-rest.test.ts
+++ b/packages/forwarder/src/statements/request-rest.test.ts
@@ -4,8 +4,8 @@
 import {expect, onTestFinished, test} from 'vitest';
 import {
 	answerOk, createHostStarter,
-} from './test-deployment.js';
-import {sendRequest} from './testing.js';
+} from '../test-deployment.js';
+import {sendRequest} from '../testing.js';
 import {createRestingEngine} from './testing-rest.js';
 import {sendSteadily} from './testing-limits.js';
 
--- a/packages/forwarder/src/testing-limits.ts
+++ b/packages/forwarder/src/statements/testing-limits.ts
@@ -1,7 +1,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Milliseconds} from '@gentianlift/types';
-import {upstreamMark, type AnswerHandler, type TestDeployment} from './test-deployment.js';
-import {sendRequest, type TestAnswer} from './testing.js';
+import {upstreamMark, type AnswerHandler, type TestDeployment} from '../test-deployment.js';
+import {sendRequest, type TestAnswer} from '../testing.js';
 
 /** A stub engine that names a limit on its requests, and when they have arrived. */
 export type LimitedEngine = {
--- a/packages/forwarder/src/testing-rest.ts
+++ b/packages/forwarder/src/statements/testing-rest.ts
@@ -1,5 +1,5 @@
 import type {Milliseconds} from '@gentianlift/types';
-import type {AnswerHandler} from './test-deployment.js';
+import type {AnswerHandler} from '../test-deployment.js';
 
 /** A stub engine that turns all requests away and asks for rest, and when they have arrived. */
 export type RestingEngine = {
--- a/packages/forwarder/src/upstream-limits.ts
+++ b/packages/forwarder/src/statements/upstream-limits.ts
@@ -4,7 +4,7 @@
 	countLimitHosts, createPermits, getLimitShare, getTimeToPermits, refillPermits, type LimitNews, type Permits, type RequestLimit, type UpstreamKey,
 } from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
-import type {RateStatement} from './protocol.js';
+import type {RateStatement} from '../protocol.js';
 
 /** A call's claim on a permit of a limited upstream, from the choice of the upstream until the call is sent or has ended. */
 export type PermitClaim = {
--- a/packages/forwarder/src/upstream-rests.test.ts
+++ b/packages/forwarder/src/statements/upstream-rests.test.ts
@@ -2,7 +2,7 @@
 import {createLogger} from '@gentianlift/logger';
 import type {Milliseconds} from '@gentianlift/types';
 import {expect, test} from 'vitest';
-import type {RestStatement} from './protocol.js';
+import type {RestStatement} from '../protocol.js';
 import {createUpstreamRests} from './upstream-rests.js';
 
 const upstream = 'u@1';
--- a/packages/forwarder/src/upstream-rests.ts
+++ b/packages/forwarder/src/statements/upstream-rests.ts
@@ -2,7 +2,7 @@
 import type {Logger} from '@gentianlift/logger';
 import type {UpstreamKey} from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
-import type {RestStatement} from './protocol.js';
+import type {RestStatement} from '../protocol.js';
 
 /** An answer by which an upstream has turned a request of this host away. */
 export type RestObservation = {upstream: UpstreamKey; statement: RestStatement; request: string | undefined};
--- a/packages/forwarder/src/testing-protocol.ts
+++ b/packages/forwarder/src/testing-protocol.ts
@@ -1,8 +1,8 @@
 import type {Prompt} from '@gentianlift/routing';
-import {parseRate} from './parse-rate.js';
-import {parseRest} from './parse-rest.js';
+import {parseRate} from './statements/parse-rate.js';
+import {parseRest} from './statements/parse-rest.js';
 import type {Protocol, RawHeaders} from './protocol.js';
-import {getFields, getValues, selectEndToEnd} from './raw-headers.js';
+import {getFields, getValues, selectEndToEnd} from './send/raw-headers.js';
 
 const getValue = (headers: RawHeaders, name: string): string | undefined => {
 	const index = headers.findIndex((item, position) => position % 2 === 0 && item.toLowerCase() === name);
--- a/packages/forwarder/src/testing.ts
+++ b/packages/forwarder/src/testing.ts
@@ -13,18 +13,18 @@
 	createCrashSuspects, createStreamOrigins, createVersionHistory, streamLifetime, type RoutingConfiguration, type Upstream,
 } from '@gentianlift/routing';
 import {splitAddress, type Address} from '@gentianlift/types';
-import {createCrashDetector} from './crash-detector.js';
+import {createCrashDetector} from './crashes/crash-detector.js';
 import {createForwarder, type Forwarder} from './forward.js';
-import {createCallerServer} from './serve-callers.js';
+import {createCallerServer} from './callers/serve-callers.js';
 import type {ForwarderContext} from './context.js';
-import {createHostAgents} from './host-agents.js';
+import {createHostAgents} from './send/host-agents.js';
 import {protocol} from './testing-protocol.js';
-import {createSoleLimits} from './testing-sole-limits.js';
-import {createSoleLinks} from './testing-sole-links.js';
-import {createFragileUpstreams} from './fragile-upstreams.js';
-import {createUpstreamRests} from './upstream-rests.js';
-import {createUpstreamTracker} from './upstream-tracker.js';
-import {createViewFreshness} from './view-freshness.js';
+import {createSoleLimits} from './statements/testing-sole-limits.js';
+import {createSoleLinks} from './links/testing-sole-links.js';
+import {createFragileUpstreams} from './statements/fragile-upstreams.js';
+import {createUpstreamRests} from './statements/upstream-rests.js';
+import {createUpstreamTracker} from './queue/upstream-tracker.js';
+import {createViewFreshness} from './resume/view-freshness.js';
 
 /** A host with its server for callers, for tests. */
 export type TestHost = {
