Pass over answers that can't go on with a stream that has begun

What callers saw: a resumable stream broke off after event 2; the next engine answered the resumption with an error, no content, a redirect or JSON. The caller was cut although a third engine could have gone on. Cause: the answer was delivered like a first one. Writing its head a second time threw, past the decision on another attempt, past the line that ends a call in the log, and left the timer of the deadline running. Evidence: 344 answers (22 statuses, two kinds of bodies, three framings, three ends): no call-ended line in any that reached writeHead, so that the test ran into its time limit on; the third engine was never asked. Change: one function, for own engines and over other hosts, decides whether an answer's head can go on with a stream; if not, that is a failed attempt like others. Statuses other than 200 don't, as the head can't be replaced. After: a third engine goes on in all 344; without one the caller is cut after its last event and the end is logged once.

--- a/packages/forwarder/src/deliver/deliver-buffered.ts
+++ b/packages/forwarder/src/deliver/deliver-buffered.ts
@@ -1,7 +1,6 @@
 import type {Call, Progress} from '../call.js';
 import type {Incoming} from '../send/incoming.js';
-import type {SendOutcome} from '../send/send.js';
-import type {ForwardOutcome, BufferedAnswer} from './forward-outcome.js';
+import type {AnsweredOutcome, ForwardOutcome, BufferedAnswer} from './forward-outcome.js';
 import {writeAnswerHead} from './deliver.js';
 import {readBody} from './read-body.js';
 
@@ -26,7 +25,7 @@
 };
 
 /** Buffers an answer until it is complete, and delivers it unless the request may be retried after a server error. */
-export const deliverBuffered = async (call: Call, progress: Progress, {head, answer}: Extract<SendOutcome, {kind: 'answered'}>, isClosing: boolean): Promise<ForwardOutcome> => {
+export const deliverBuffered = async (call: Call, progress: Progress, {head, answer}: AnsweredOutcome, isClosing: boolean): Promise<ForwardOutcome> => {
 	const body = await receiveBuffered(answer, progress);
 	if (body.kind === 'failed') {
 		return body;
@@ -47,7 +46,7 @@
 };
 
 /** Buffers an answer until it is complete, and delivers it whatever its status. */
-export const deliverUnchanged = async (call: Call, progress: Progress, {head, answer}: Extract<SendOutcome, {kind: 'answered'}>, isClosing: boolean): Promise<ForwardOutcome> => {
+export const deliverUnchanged = async (call: Call, progress: Progress, {head, answer}: AnsweredOutcome, isClosing: boolean): Promise<ForwardOutcome> => {
 	const body = await receiveBuffered(answer, progress);
 	if (body.kind === 'failed') {
 		return body;
--- a/packages/forwarder/src/deliver/deliver-events.ts
+++ b/packages/forwarder/src/deliver/deliver-events.ts
@@ -1,13 +1,12 @@
 import type {Call, Progress} from '../call.js';
-import type {SendOutcome} from '../send/send.js';
 import {deliverStream, writeAnswerHead} from './deliver.js';
-import type {ForwardOutcome} from './forward-outcome.js';
+import type {AnsweredOutcome, ForwardOutcome} from './forward-outcome.js';
 
 /** A streamed answer that is to be delivered, and listeners to its arrival. */
 export type EventDelivery = {
 	call: Call;
 	progress: Progress;
-	outcome: Extract<SendOutcome, {kind: 'answered'}>;
+	outcome: AnsweredOutcome;
 	/** Whether the connection is closed after the answer. */
 	isClosing: boolean;
 	/** Called with each chunk. */
--- a/packages/forwarder/src/deliver/forward-outcome.ts
+++ b/packages/forwarder/src/deliver/forward-outcome.ts
@@ -1,4 +1,8 @@
 import type {AnswerHead} from '../protocol.js';
+import type {SendOutcome} from '../send/send.js';
+
+/** A request that was answered. */
+export type AnsweredOutcome = Extract<SendOutcome, {kind: 'answered'}>;
 
 /** A complete answer of an upstream that hasn't been written to the caller yet. */
 export type BufferedAnswer = {head: AnswerHead; bytes: Uint8Array};
--- a/packages/forwarder/src/deliver/testing-answers.ts
+++ b/packages/forwarder/src/deliver/testing-answers.ts
@@ -4,6 +4,8 @@
 
 /** An answer that a stub upstream writes as raw bytes. */
 export type RawAnswer = {
+	/** 200 if it isn't named. */
+	status?: number;
 	framing: Framing;
 	contentType: 'text/event-stream' | 'application/json';
 	body: string;
@@ -37,7 +39,7 @@
 
 /** Creates a handler that writes an answer with the marks of an upstream. */
 export const answerRaw = (answer: RawAnswer): AnswerHandler => ({socket, headers}) => {
-	socket.write(`HTTP/1.1 200 OK\r\nSigned: 1\r\nAttempt: ${headers.attempt as string}\r\nContent-Type: ${answer.contentType}\r\n${getFramingHeader(answer)}\r\n`);
+	socket.write(`HTTP/1.1 ${answer.status ?? 200} -\r\nSigned: 1\r\nAttempt: ${headers.attempt as string}\r\nContent-Type: ${answer.contentType}\r\n${getFramingHeader(answer)}\r\n`);
 	socket.write(getFramedBody(answer), () => {
 		if (answer.ending === 'closed') {
 			socket.end();
--- a/packages/forwarder/src/send/attempt-over-host.ts
+++ b/packages/forwarder/src/send/attempt-over-host.ts
@@ -2,7 +2,7 @@
 import type {Call, Progress} from '../call.js';
 import type {ForwarderContext} from '../context.js';
 import {isSuspected, reportDelaysOfExchange} from '../crashes/crash-blame.js';
-import {deliverEvents} from '../deliver/deliver-events.js';
+import {deliverAnswer} from '../deliver/deliver-answer.js';
 import {deliverUnchanged} from '../deliver/deliver-buffered.js';
 import {encodeForwardedCall, type ForwardedCall} from '../links/forwarded-call.js';
 import type {ForwardOutcome} from '../deliver/forward-outcome.js';
@@ -46,20 +46,18 @@
 				return {kind: 'unreachable', reason: `host-status-${head.status}`};
 			}
 
-			return head.isEventStream && head.status < 300
-				? deliverEvents({
-					call, progress, outcome, isClosing: isStopping(),
-					onChunk() {
-						recordChunk(progress, clock.monotonic());
-					},
-					onFirstBytes() {
-						progress.firstBytesAt = clock.monotonic();
-					},
-					onFirstWrite() {
-						progress.hasBegun = true;
-					},
-				})
-				: deliverUnchanged(call, progress, outcome, isStopping());
+			return deliverAnswer({
+				call, progress, outcome, isClosing: isStopping(), deliverBody: deliverUnchanged,
+				onChunk() {
+					recordChunk(progress, clock.monotonic());
+				},
+				onFirstBytes() {
+					progress.firstBytesAt = clock.monotonic();
+				},
+				onFirstWrite() {
+					progress.hasBegun = true;
+				},
+			});
 		}
 	}
 };
--- a/packages/forwarder/src/send/attempt.ts
+++ b/packages/forwarder/src/send/attempt.ts
@@ -1,8 +1,8 @@
 import {getUpstreamKey, sumRankTokens} from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
-import type {ForwardOutcome} from '../deliver/forward-outcome.js';
+import type {AnsweredOutcome, ForwardOutcome} from '../deliver/forward-outcome.js';
 import type {Call, Progress} from '../call.js';
-import {deliverEvents} from '../deliver/deliver-events.js';
+import {deliverAnswer} from '../deliver/deliver-answer.js';
 import {deliverBuffered} from '../deliver/deliver-buffered.js';
 import {reportCrash} from '../crashes/report-crash.js';
 import type {ForwarderContext} from '../context.js';
@@ -19,11 +19,12 @@
 /** Prefill rate of the slowest engines, in tokens per millisecond. */
 const minPrefillRate = 15;
 
-/** Delivers a streamed answer, and records what its arrival says of the upstream. */
-const deliverAttemptEvents = async (attempt: Attempt, outcome: Extract<SendOutcome, {kind: 'answered'}>): Promise<ForwardOutcome> => {
+/** Delivers an answer, and records what its arrival says of the upstream. */
+const deliverAttemptAnswer = async (attempt: Attempt, outcome: AnsweredOutcome): Promise<ForwardOutcome> => {
 	const {call, progress, context, activity} = attempt;
-	return deliverEvents({
-		call, progress, outcome, isClosing: context.isStopping(),
+	activity.recordBytes();
+	return deliverAnswer({
+		call, progress, outcome, isClosing: context.isStopping(), deliverBody: deliverBuffered,
 		onChunk() {
 			activity.recordBytes();
 			recordChunk(progress, context.clock.monotonic());
@@ -62,9 +63,7 @@
 		}
 
 		case 'answered': {
-			attempt.activity.recordBytes();
-			const isStream = outcome.head.isEventStream && outcome.head.status < 300;
-			return isStream ? deliverAttemptEvents(attempt, outcome) : deliverBuffered(attempt.call, attempt.progress, outcome, attempt.context.isStopping());
+			return deliverAttemptAnswer(attempt, outcome);
 		}
 	}
 };
--- a/packages/forwarder/src/test-deployment.ts
+++ b/packages/forwarder/src/test-deployment.ts
@@ -3,7 +3,7 @@
 import {buildConfiguration, buildRoute} from '@gentianlift/routing/testing';
 import {startTestHost, startUpstream, type TestHost} from './testing.js';
 
-/** Configuration with one route of each kind and one of a lower rank to one service, and one whose streams go to that or to another, which has no upstreams. */
+/** Configuration with one route of each kind and one of a lower rank to one service, one whose requests may run on three upstreams, and one whose streams go to that or to another, which has no upstreams. */
 export const configuration = buildConfiguration({
 	routes: [
 		buildRoute({name: 'read', pathPrefix: '/read/', timeout: 1500}),
@@ -13,6 +13,9 @@
 		buildRoute({
 			name: 'stream', pathPrefix: '/stream/', kind: 'streaming', isResumable: true, timeout: 5000,
 		}),
+		buildRoute({
+			name: 'thrice', pathPrefix: '/thrice/', kind: 'streaming', isResumable: true, timeout: 5000, maxUpstreams: 3,
+		}),
 		buildRoute({
 			name: 'once', pathPrefix: '/once/', kind: 'streaming', timeout: 1500,
 		}),
