Let only the next events of a stream follow what its caller has

What callers saw: in the middle of a stream whose events were numbered, events without id or of an error, after which the stream ended as complete; or the beginning of another run, where the events had no ids at all. Cause: an event without id was passed on whatever had come before, and any orderly end of a second run was taken for that of the stream. Change: an answer joins a stream with the event after the caller's last one. Before that, old events and comments are left out, and an event without id or a gap is a failed attempt. An answer without a new event doesn't end a stream that has begun in the same answer: it looks the same whether the stream was at its end or the upstream has failed. A stream of which the caller has an event without id can't be continued, as no upstream can be told where it is; nor one of a route whose streams may not be resumed. A gap is now a failed attempt, too: what is lost is known, and another upstream may have it (before, no other was asked). Cost: a stream that loses only its end mark is cut unless another upstream has an event more; its caller takes it up and gets the upstream's own empty end.

--- a/packages/forwarder/src/call.ts
+++ b/packages/forwarder/src/call.ts
@@ -66,6 +66,8 @@
 	lastEventId: number | undefined;
 	/** Whether the caller has received the first bytes of a stream in this answer. */
 	hasBegun: boolean;
+	/** Whether the caller has events of the stream without a number, so that no upstream can be told where it is. */
+	hasUnnumberedEvents: boolean;
 	/** Software version that began the stream, once its caller has events of it; only upstreams of this version can resume it. Undefined if it isn't known for certain. */
 	streamVersion: string | undefined;
 	isCallerGone: boolean;
@@ -126,6 +128,7 @@
 	isSent: false,
 	lastEventId: undefined,
 	hasBegun: false,
+	hasUnnumberedEvents: false,
 	streamVersion: undefined,
 	isCallerGone: false,
 	receivedAnswer: undefined,
--- a/packages/forwarder/src/deliver/continuation.ts
+++ b/packages/forwarder/src/deliver/continuation.ts
@@ -1,4 +1,5 @@
-import type {Progress} from '../call.js';
+import {isResumableStream} from '@gentianlift/routing';
+import type {Call, Progress} from '../call.js';
 import type {AnswerHead} from '../protocol.js';
 
 const okStatus = 200;
@@ -18,3 +19,7 @@
 
 	return isEventStream ? undefined : 'no-event-stream';
 };
+
+/** Whether another upstream can go on where the caller of a stream that broke off is: before its first bytes, or if all its events are numbered. */
+export const canContinue = ({route}: Call, {hasBegun, lastEventId, hasUnnumberedEvents}: Progress): boolean =>
+	!hasBegun || (isResumableStream(route) && lastEventId !== undefined && !hasUnnumberedEvents);
--- a/packages/forwarder/src/deliver/continued-stream.test.ts
+++ b/packages/forwarder/src/deliver/continued-stream.test.ts
@@ -6,7 +6,7 @@
 import {answerInTurn} from '../testing-turns.js';
 import {answerRaw, type RawAnswer} from './testing-answers.js';
 import {
-	breakOffStream, finishStream, wholeStream, writeEvents,
+	breakOffStream, finishStream, streamBody, wholeStream, writeEvents,
 } from './testing-streams.js';
 
 const start = createHostStarter(onTestFinished);
@@ -89,3 +89,55 @@
 	expect(await getSeen(noContent, finishStream)).toEqual(whole);
 	expect(await getSeen(noContent, noContent)).toEqual(cut);
 });
+
+const bodies: Array<[string, string]> = [
+	['events without id', 'data: x\n\ndata: y\n\n'],
+	['an event that tells of an error', 'event: error\ndata: {"error":"x"}\n\n'],
+	['an event that tells of an error before the next one', `event: error\ndata: x\n\n${writeEvents(3, 4)}`],
+	['events that the caller has', writeEvents(1, 2)],
+	['fewer events than the caller has', writeEvents(1, 1)],
+	['no event', ''],
+	['a comment', ': nothing to say\n\n'],
+	['the last event without those before it', writeEvents(4, 4)],
+];
+
+// Guards against: events that aren't the next ones of a stream reach its caller in the middle of it, or the end of such an answer passes for that of the stream.
+test.each(bodies)('a stream of events that doesn\'t go on where the caller is passes for no continuation: %s', async (_, body) => {
+	expect(await getSeen(streamBody(body), finishStream)).toEqual(whole);
+	expect(await getSeen(streamBody(body), streamBody(body))).toEqual(cut);
+});
+
+test('a continuation may repeat what the caller has, and say things beside the numbered events once it has gone on', async () => {
+	expect(await getSeen(streamBody(wholeStream), finishStream)).toEqual(whole);
+	const rest = `${writeEvents(3, 4)}data: [DONE]\n\n`;
+	expect(await getSeen(streamBody(rest), finishStream)).toEqual({...whole, body: writeEvents(1, 2) + rest});
+});
+
+// Guards against: a stream without ids, or with an event without one, begins anew or loses that event in the middle of its caller's answer.
+test.each(['data: x\n\n', `${writeEvents(1, 2)}data: x\n\n`])('a stream whose events can\'t be told apart by their ids is cut when it breaks off: %j', async body => {
+	const host = await startInTurn((request, response) => {
+		response.writeHead(200, {signed: '1', 'content-type': 'text/event-stream'});
+		response.write(body, () => {
+			setTimeout(() => {
+				request.socket.resetAndDestroy();
+			}, 20);
+		});
+	}, finishStream);
+	expect(await describe(host, await sendRequest(host.port, {path: '/thrice/1', headers: {attempt: 'a1'}}))).toEqual({body, isComplete: false, ends: 1});
+});
+
+// Guards against: a caller that takes its stream up again gets events that don't go on where it is.
+test.each(bodies.slice(0, 3))('a caller that takes up a stream gets no events that don\'t go on: %s', async (_, body) => {
+	const host = await startInTurn(streamBody(body), finishStream);
+	const headers = {attempt: 'a1', 'last-event': '2', resumes: 'a0'};
+	expect(await sendRequest(host.port, {path: '/thrice/1', headers})).toMatchObject({status: 200, body: writeEvents(3, 4), isComplete: true});
+});
+
+test('a caller that takes up a stream gets an upstream\'s own answer', async () => {
+	const host = await startInTurn(answerRaw({
+		status: 404, contentType: 'application/json', body: json, framing: 'length', ending: 'framed',
+	}));
+	expect(await sendRequest(host.port, {path: '/thrice/1', headers: {attempt: 'a1', 'last-event': '2', resumes: 'a0'}})).toMatchObject({status: 404, body: json});
+	const ended = await startInTurn(streamBody(''));
+	expect(await sendRequest(ended.port, {path: '/thrice/1', headers: {attempt: 'a1', 'last-event': '4', resumes: 'a0'}})).toMatchObject({status: 200, body: '', isComplete: true});
+});
--- a/packages/forwarder/src/deliver/deliver-events.ts
+++ b/packages/forwarder/src/deliver/deliver-events.ts
@@ -1,4 +1,5 @@
 import type {Call, Progress} from '../call.js';
+import {canContinue} from './continuation.js';
 import {deliverStream, writeAnswerHead} from './deliver.js';
 import type {AnsweredOutcome, ForwardOutcome} from './forward-outcome.js';
 
@@ -36,12 +37,7 @@
 		}
 
 		case 'cut': {
-			const canResume = call.mayExecuteAgain || !call.response.headersSent;
-			return canResume ? {kind: 'failed', reason: delivery.reason} : {kind: 'spoiled', reason: delivery.reason};
-		}
-
-		case 'broken': {
-			return {kind: 'spoiled', reason: delivery.reason};
+			return {kind: canContinue(call, progress) ? 'failed' : 'spoiled', reason: delivery.reason};
 		}
 	}
 };
--- a/packages/forwarder/src/deliver/deliver.ts
+++ b/packages/forwarder/src/deliver/deliver.ts
@@ -2,11 +2,12 @@
 import type {Progress} from '../call.js';
 import type {Incoming} from '../send/incoming.js';
 import type {AnswerHead} from '../protocol.js';
+import {createEventSequence, type SequenceBreak} from './event-sequence.js';
 import {createEventSplitter, type StreamEvent} from './event-splitter.js';
 import {receiveBody} from './receive-body.js';
 
-/** How the delivery of a stream ended: `complete` with its last event, `cut` before that, `broken` because the upstream left out an event, so that no upstream can continue it. */
-export type DeliveryOutcome = {kind: 'complete'} | {kind: 'cut'; reason: string} | {kind: 'broken'; reason: string};
+/** How the delivery of a stream ended: `complete` with its last event, `cut` before that. */
+export type DeliveryOutcome = {kind: 'complete'} | {kind: 'cut'; reason: string};
 
 /** Options of the delivery of a stream from an upstream to a caller. */
 export type StreamDeliveryOptions = {
@@ -39,31 +40,18 @@
 	return {...head, forwarded: forwarded.filter((_, index) => !isLength(index))};
 };
 
-/** Returns the events that the caller has not received yet, or undefined if one before them is missing. Upstreams number the events of a stream consecutively. */
-const getNewEvents = (events: readonly StreamEvent[], progress: Progress): StreamEvent[] | undefined => {
-	const newEvents: StreamEvent[] = [];
-	for (const event of events) {
-		const last = progress.lastEventId;
-		if (event.id === undefined || last === undefined || event.id === last + 1) {
-			newEvents.push(event);
-			progress.lastEventId = event.id ?? last;
-		} else if (event.id > last) {
-			return undefined;
-		}
-	}
-
-	return newEvents;
-};
-
 /** Delivers a stream as it arrives, with backpressure from the caller. */
 export const deliverStream = async (delivery: StreamDeliveryOptions): Promise<DeliveryOutcome> => {
 	const {answer, response, progress, isResumable} = delivery;
 	const {message} = answer;
 	const head = removeLength(delivery.head);
 	const splitter = createEventSplitter();
+	const sequence = createEventSequence(progress);
+	/** Whether what the caller has came from another upstream. */
+	const isContinuation = progress.hasBegun;
 	let hasStarted = false;
 	let hasWritten = false;
-	let isEventMissing = false;
+	let sequenceBreak: SequenceBreak | undefined;
 	let isTooLong = false;
 
 	const write = (bytes: Uint8Array): void => {
@@ -85,15 +73,14 @@
 	};
 
 	const writeEvents = (events: readonly StreamEvent[]): void => {
-		const newEvents = getNewEvents(events, progress);
-		if (newEvents === undefined) {
-			isEventMissing = true;
-			message.destroy();
-			return;
+		const next = sequence.take(events);
+		for (const {bytes} of next.events) {
+			write(bytes);
 		}
 
-		for (const {bytes} of newEvents) {
-			write(bytes);
+		if (next.sequenceBreak !== undefined) {
+			sequenceBreak ??= next.sequenceBreak;
+			message.destroy();
 		}
 	};
 
@@ -122,13 +109,18 @@
 
 	const {end, error} = await receiveBody(answer, {read, getContent: splitter.getContent});
 	progress.bodyEnd = end;
-	if (isEventMissing) {
-		return {kind: 'broken', reason: 'event-missing'};
+	if (sequenceBreak !== undefined) {
+		return {kind: 'cut', reason: sequenceBreak};
 	}
 
 	if (isTooLong) {
 		return {kind: 'cut', reason: 'event-too-long'};
 	}
 
-	return end.verdict.kind === 'whole' ? {kind: 'complete'} : {kind: 'cut', reason: error ?? end.verdict.reason};
+	if (end.verdict.kind === 'cut') {
+		return {kind: 'cut', reason: error ?? end.verdict.reason};
+	}
+
+	// An answer without a new event looks the same whether the stream was at its end or the upstream has failed.
+	return isContinuation && !sequence.hasNewEvents() ? {kind: 'cut', reason: 'no-new-event'} : {kind: 'complete'};
 };
