Tell hosts that go on with a stream whether its caller has the head

What callers saw: a stream that went on over another host was cut when that host's first engine answered with an error, though others there could go on. Cause: the other host has no answer under way itself, so it took the error for the final answer; the host of the caller can't deliver it. Change: an optional field of what a forwarded call tells; builds before this one pass over it and answer as before, which the host of the caller now takes for a failed attempt. Also, a caller that names event 0 has none, so that any event may come first.

--- a/packages/forwarder/src/deliver/event-sequence.ts
+++ b/packages/forwarder/src/deliver/event-sequence.ts
@@ -25,7 +25,7 @@
 /** Creates the sequence of an answer, which continues a stream if the caller has numbered events of it. */
 export const createEventSequence = (progress: Progress): EventSequence => {
 	/** Whether events without a number belong to what the caller has: from the answer's first new event on. */
-	let hasJoined = progress.lastEventId === undefined;
+	let hasJoined = (progress.lastEventId ?? 0) === 0;
 	let hasNew = false;
 
 	const takeNumbered = (id: number): boolean => {
--- a/packages/forwarder/src/forward.ts
+++ b/packages/forwarder/src/forward.ts
@@ -235,6 +235,7 @@
 			progress.lastEventId = call.head.lastEventId;
 			progress.streamVersion = call.streamVersion;
 			progress.possibleExecutions = call.forwarded?.possibleExecutions ?? 0;
+			progress.hasBegun = call.forwarded?.resumption?.hasBegun ?? false;
 			if (call.forwarded === undefined) {
 				getRetryBudget(call.service).addRequest(clock.monotonic());
 			}
--- a/packages/forwarder/src/links/forwarded-call.ts
+++ b/packages/forwarder/src/links/forwarded-call.ts
@@ -12,8 +12,8 @@
 	service: string;
 	/** Attempts so far that may have executed it. */
 	possibleExecutions: number;
-	/** Id of the last event that its caller has, and the software version that began its stream, if it resumes one. */
-	resumption?: {lastEventId: number; softwareVersion: string};
+	/** Id of the last event that its caller has, and the software version that began its stream, if it resumes one; `hasBegun` if the caller has the head of the answer already, so that only a stream can follow. */
+	resumption?: {lastEventId: number; softwareVersion: string; hasBegun?: boolean};
 };
 
 /** A forwarded call and its request target, as its caller sent it. */
@@ -22,8 +22,8 @@
 const isCount = (value: unknown): boolean => typeof value === 'number' && Number.isFinite(value) && value >= 0;
 
 const isResumption = (value: unknown): boolean => {
-	const {lastEventId, softwareVersion} = (value ?? {}) as Partial<NonNullable<ForwardedCall['resumption']>>;
-	return value === undefined || (isCount(lastEventId) && typeof softwareVersion === 'string');
+	const {lastEventId, softwareVersion, hasBegun = false} = (value ?? {}) as Partial<NonNullable<ForwardedCall['resumption']>>;
+	return value === undefined || (isCount(lastEventId) && typeof softwareVersion === 'string' && typeof hasBegun === 'boolean');
 };
 
 const isForwardedCall = (value: unknown): value is ForwardedCall => {
--- a/packages/forwarder/src/send/attempt-over-host.test.ts
+++ b/packages/forwarder/src/send/attempt-over-host.test.ts
@@ -1,47 +1,15 @@
-import {createServer, request as openRequest, type RequestListener} from 'node:http';
-import type {AddressInfo} from 'node:net';
+import {request as openRequest, type RequestListener} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Milliseconds} from '@gentianlift/types';
 import {expect, onTestFinished, test} from 'vitest';
-import type {HostRecord} from '@gentianlift/discovery';
-import {
-	answerOk, createHostStarter, resetConnection, type TestDeployment,
-} from '../test-deployment.js';
+import {answerOk, resetConnection} from '../test-deployment.js';
 import {sendRequest, waitForEnd} from '../testing.js';
+import {createStubHostStarter} from '../links/testing-stub-hosts.js';
 
-const startDeployment = createHostStarter(onTestFinished);
 /** Time in which a host notices that a caller has disconnected. */
 const disconnectTime: Milliseconds = 100;
 
-/** Starts a host without upstreams, whose links are cut and whose calls go over stub hosts, each once. */
-const start = async (...answers: RequestListener[]): Promise<{deployment: TestDeployment; received: string[]}> => {
-	const received: string[] = [];
-	const records = await Promise.all(answers.map(async (answer, index): Promise<HostRecord> => {
-		const server = createServer((request, response) => {
-			received.push(`h${index}`);
-			answer(request, response);
-		});
-		await new Promise<void>(resolve => {
-			server.listen(0, '127.0.0.1', resolve);
-		});
-		onTestFinished(() => {
-			server.close();
-			server.closeAllConnections();
-		});
-		return {
-			host: `h${index}`, incarnation: 1, zone: 'a', callers: '', peers: `127.0.0.1:${(server.address() as AddressInfo).port}`, notes: '', strength: 1, isStopping: false,
-		};
-	}));
-	const deployment = await startDeployment();
-	const {context} = deployment.host;
-	context.reportExchange.getSilence = () => 0;
-	context.links.choosePath = (_, tried) => {
-		const host = records.find(record => !tried.has(record.host));
-		return host === undefined ? {kind: 'none'} : {kind: 'over-host', host};
-	};
-
-	return {deployment, received};
-};
+const start = createStubHostStarter(onTestFinished);
 
 const cannotTake: RequestListener = (_, response) => {
 	response.writeHead(421);
--- a/packages/forwarder/src/send/attempt-over-host.ts
+++ b/packages/forwarder/src/send/attempt-over-host.ts
@@ -10,13 +10,17 @@
 import {send, type SendOutcome} from './send.js';
 import {isConnectionLoss, misdirectedStatus, recordChunk} from './attempt-record.js';
 
+/** Returns what the other host has to know of a stream that it is to resume; undefined if the call begins one, or isn't a stream. */
+const describeResumption = ({streamVersion, lastEventId = 0, hasBegun}: Progress): ForwardedCall['resumption'] =>
+	streamVersion === undefined ? undefined : {lastEventId, softwareVersion: streamVersion, ...(hasBegun && {hasBegun})};
+
 const describeCall = (call: Call, progress: Progress, {clock, host}: ForwarderContext): ForwardedCall => ({
 	from: host,
 	age: Math.round(clock.monotonic() - call.arrivedAt),
 	version: call.version,
 	service: call.service,
 	possibleExecutions: progress.possibleExecutions,
-	...(progress.streamVersion !== undefined && {resumption: {lastEventId: progress.lastEventId ?? 0, softwareVersion: progress.streamVersion}}),
+	resumption: describeResumption(progress),
 });
 
 /** Delivers the other host's answer, if there is one. What it answers itself is final, too, unless it can't take the call at all. */
