End each call once in the log whatever its handling throws

What callers saw: a closed connection with nothing in the log that bears the request's id; operators saw upstreams and other hosts that kept the load of calls which had ended. Cause: nothing between the attempt and the server caught an exception; the deadline's timer, the load, the permit and the forwarding were let go on the way of returned values only. In a stream, writing the head threw from a listener, outside of the call. The judgement of heads has a module of its own. The path without the users' platform was read: its attempts never throw by design, and an engine's error is an outcome there already.

--- a/packages/forwarder/src/deliver/receive-body.ts
+++ b/packages/forwarder/src/deliver/receive-body.ts
@@ -18,7 +18,13 @@
 		resolve({end: getBodyEnd(incoming, getContent()), error});
 	};
 
-	message.on('data', read);
+	message.on('data', (chunk: Uint8Array) => {
+		try {
+			read(chunk);
+		} catch (error) {
+			message.destroy(error as Error);
+		}
+	});
 	message.once('end', () => {
 		finish();
 	});
--- a/packages/forwarder/src/forward.ts
+++ b/packages/forwarder/src/forward.ts
@@ -35,6 +35,9 @@
 /** Error for a request without further attempts that may have executed. */
 const maybeExecuted: ErrorAnswer = {kind: 'upstream-reset', ran: 'unknown'};
 
+/** Returns the end of a call whose caller waits no longer. */
+const getAbandonedEnd = ({hasTimedOut}: Progress): CallEnd => ({outcome: hasTimedOut ? 'timeout' : 'caller-gone'});
+
 /** Creates a forwarder. */
 export const createForwarder = (context: ForwarderContext): Forwarder => {
 	const {clock, logger, metrics} = context;
@@ -117,7 +120,7 @@
 	/** Ends a call that got no upstream from the queue. */
 	const endUnassigned = (call: Call, progress: Progress, lastOutcome: ForwardOutcome | undefined): CallEnd => {
 		if (progress.hasTimedOut || progress.isCallerGone) {
-			return {outcome: progress.hasTimedOut ? 'timeout' : 'caller-gone'};
+			return getAbandonedEnd(progress);
 		}
 
 		if (progress.refusal !== undefined) {
@@ -201,7 +204,7 @@
 			// eslint-disable-next-line no-await-in-loop -- Upstreams are tried one at a time.
 			const mayCrashUpstream = lastOutcome.kind === 'failed' && call.mayExecuteAgain && await mayCrashAgain(call, progress, context);
 			if (progress.hasTimedOut || progress.isCallerGone) {
-				return {outcome: progress.hasTimedOut ? 'timeout' : 'caller-gone'};
+				return getAbandonedEnd(progress);
 			}
 
 			if (!decideNextAttempt(call, progress, lastOutcome, mayCrashUpstream)) {
@@ -210,6 +213,22 @@
 		}
 	};
 
+	/** Ends a call whose handling has thrown; it may have run. */
+	const endOnError = (call: Call, progress: Progress, error: unknown): CallEnd => {
+		logger.error('call-failed', {request: call.head.callerRequestId, target: call.target, reason: error instanceof Error ? error.stack : String(error)});
+		progress.cancel?.();
+		return progress.hasTimedOut || progress.isCallerGone ? getAbandonedEnd(progress) : answerWithError(call, {kind: 'internal'});
+	};
+
+	/** Makes attempts until the call has ended, whatever is thrown. */
+	const endCall = async (call: Call, progress: Progress): Promise<CallEnd> => {
+		try {
+			return await makeAttempts(call, progress);
+		} catch (error) {
+			return endOnError(call, progress, error);
+		}
+	};
+
 	/** Answers a call that has reached its deadline, and cancels its queueing or its attempt. */
 	const endOnTimeout = (call: Call, progress: Progress): void => {
 		progress.hasTimedOut = true;
@@ -248,7 +267,7 @@
 					handleCallerDisconnect(call, progress);
 				}
 			});
-			const end = await makeAttempts(call, progress);
+			const end = await endCall(call, progress);
 			cancelTimer();
 			reportEnd(call, progress, end, context);
 		},
--- a/packages/forwarder/src/send/attempt-over-host.ts
+++ b/packages/forwarder/src/send/attempt-over-host.ts
@@ -76,25 +76,17 @@
 	return isSuspected(call, context);
 };
 
-/** Sends a call to another host, which handles it as one of its own callers' but doesn't forward it again, and delivers its answer. */
-export const attemptOverHost = async (call: Call, progress: Progress, host: HostRecord, context: ForwarderContext): Promise<ForwardOutcome> => {
-	const {clock, links, logger, protocol, metrics} = context;
+/** Sends the request to the other host and delivers the answer. */
+const sendToHost = async (call: Call, progress: Progress, {host, forwarded}: {host: HostRecord; forwarded: ForwardedCall}, context: ForwarderContext): Promise<ForwardOutcome> => {
+	const {clock, protocol} = context;
 	const {head, route, body} = call;
-	const forwarded = describeCall(call, progress, context);
-	progress.hasCrashed = undefined;
-	progress.bodyEnd = undefined;
-	logger.info('call-forwarded', {
-		request: head.callerRequestId, host: host.host, service: call.service, age: forwarded.age, after: forwarded.resumption?.lastEventId, software: progress.streamVersion,
-	});
-	const endForwarding = links.beginForwarding(host.host);
-	const remainingTime = Math.max(1, call.deadline - clock.monotonic());
 	const {outcome, cancel} = send({
 		address: host.peers,
 		method: call.method,
 		target: encodeForwardedCall({forwarded, target: call.target}),
 		body,
 		callerRequestId: head.callerRequestId,
-		connectionWait: remainingTime,
+		connectionWait: Math.max(1, call.deadline - clock.monotonic()),
 		buildHead: () => ({headers: protocol.buildHostHeaders(head, body.length), headTimeout: undefined}),
 	}, {
 		agent: context.hostAgents.get(host.peers, route.kind, context.getHostAddresses()),
@@ -106,9 +98,25 @@
 	});
 	progress.cancel = cancel;
 	const stopWatching = watchHost(host, context, cancel);
-	const forwardOutcome = await handleOutcome(call, progress, await outcome, context);
-	stopWatching();
-	endForwarding();
+	try {
+		return await handleOutcome(call, progress, await outcome, context);
+	} finally {
+		stopWatching();
+	}
+};
+
+/** Sends a call to another host, which handles it as one of its own callers' but doesn't forward it again, and delivers its answer. */
+export const attemptOverHost = async (call: Call, progress: Progress, host: HostRecord, context: ForwarderContext): Promise<ForwardOutcome> => {
+	const {clock, links, logger, metrics} = context;
+	const {head, route} = call;
+	const forwarded = describeCall(call, progress, context);
+	progress.hasCrashed = undefined;
+	progress.bodyEnd = undefined;
+	logger.info('call-forwarded', {
+		request: head.callerRequestId, host: host.host, service: call.service, age: forwarded.age, after: forwarded.resumption?.lastEventId, software: progress.streamVersion,
+	});
+	const endForwarding = links.beginForwarding(host.host);
+	const forwardOutcome = await sendToHost(call, progress, {host, forwarded}, context).finally(endForwarding);
 	metrics.count('forwarded_calls_total', {route: route.name, outcome: forwardOutcome.kind});
 	if (progress.hasBegun && head.callerRequestId !== undefined) {
 		// The other host reports what began the stream.
--- a/packages/forwarder/src/send/attempt.ts
+++ b/packages/forwarder/src/send/attempt.ts
@@ -85,6 +85,39 @@
 	});
 };
 
+/** Returns the number of connections that a host may have in each of the two pools of an upstream: an equal part of the service's limit, less 10 %, but at least 4. */
+const getPoolSize = ({service: name}: Call, {view, countHosts}: ForwarderContext): number => {
+	const service = view.getRoutes()?.services.get(name);
+	return Math.max(4, Math.floor((service?.maxConnections ?? 64) * 0.9 / countHosts()));
+};
+
+/** Sends the request of an attempt and delivers the answer. */
+const runAttempt = async (attempt: Attempt, {candidate, permit}: Assignment): Promise<ForwardOutcome> => {
+	const {call, progress, upstream, context} = attempt;
+	const {outcome, cancel} = send(buildUpstreamRequest(call, progress, {upstream, permit}, context), {
+		agent: context.tracker.getAgent(upstream, call.route.kind, getPoolSize(call, context)),
+		protocol: context.protocol,
+		clock: context.clock,
+		onSent() {
+			progress.isSent = true;
+			attempt.sentAt = context.clock.monotonic();
+			recordConnectionWait(attempt);
+		},
+		onHead(head) {
+			progress.statements = head.statements;
+			observeStatements(attempt, head);
+			context.links.recordContact(call.service);
+		},
+	});
+	progress.cancel = cancel;
+	const stopWatching = watchForSilence(attempt, candidate.load.unreadTokens + candidate.uncachedTokens, cancel);
+	try {
+		return await handleSendOutcome(attempt, await outcome);
+	} finally {
+		stopWatching();
+	}
+};
+
 /** Sends a call to one upstream and delivers its answer. */
 export const attemptUpstream = async (call: Call, progress: Progress, assignment: Assignment, context: ForwarderContext): Promise<ForwardOutcome> => {
 	const {candidate, load, permit} = assignment;
@@ -113,28 +146,7 @@
 		context.reportExchange.addPrefill({upstream: key, model: prompt.model, parts: prompt.parts});
 	}
 
-	const service = context.view.getRoutes()?.services.get(call.service);
-	// In each of the two connection pools of an upstream, a host uses an equal part of the service's connection limit, less 10 %, but at least 4 connections.
-	const connections = Math.max(4, Math.floor((service?.maxConnections ?? 64) * 0.9 / context.countHosts()));
-	const {outcome, cancel} = send(buildUpstreamRequest(call, progress, {upstream, permit}, context), {
-		agent: context.tracker.getAgent(upstream, call.route.kind, connections),
-		protocol: context.protocol,
-		clock: context.clock,
-		onSent() {
-			progress.isSent = true;
-			attempt.sentAt = context.clock.monotonic();
-			recordConnectionWait(attempt);
-		},
-		onHead(head) {
-			progress.statements = head.statements;
-			observeStatements(attempt, head);
-			context.links.recordContact(call.service);
-		},
-	});
-	progress.cancel = cancel;
-	const stopWatching = watchForSilence(attempt, candidate.load.unreadTokens + uncachedTokens, cancel);
-	const attemptOutcome = await handleSendOutcome(attempt, await outcome).finally(() => {
-		stopWatching();
+	const attemptOutcome = await runAttempt(attempt, assignment).finally(() => {
 		activity.end();
 		load.end();
 		permit.release();
--- a/packages/forwarder/src/send/send.ts
+++ b/packages/forwarder/src/send/send.ts
@@ -2,6 +2,7 @@
 import {startTimeLimit, type Cancel, type Clock} from '@gentianlift/clock';
 import {splitAddress, type Address, type Milliseconds} from '@gentianlift/types';
 import type {AnswerHead, Protocol, RawHeaders} from '../protocol.js';
+import {classifyAnswer, isMismatched} from './classify-answer.js';
 import type {Incoming} from './incoming.js';
 import type {UpstreamAgent} from './upstream-agent.js';
 
@@ -73,48 +74,6 @@
 	clientRequest.end(body);
 };
 
-/** Whether an answer names another request than the one that it would answer. */
-const isMismatched = (head: AnswerHead, callerRequestId: string | undefined): boolean =>
-	head.callerRequestId !== undefined && callerRequestId !== undefined && head.callerRequestId !== callerRequestId;
-
-/** What speaks against an answer as that of a request: its caller's id, and whether earlier answers on the connection named theirs. */
-type AnswerContext = {callerRequestId: string | undefined; hasNamedRequests: boolean};
-
-/** Returns why an answer isn't taken for that of a request; undefined if it is. */
-const getDoubt = (head: AnswerHead, {callerRequestId, hasNamedRequests}: AnswerContext): string | undefined => {
-	if (isMismatched(head, callerRequestId)) {
-		return 'answer-of-another-request';
-	}
-
-	return hasNamedRequests && head.callerRequestId === undefined ? 'answer-without-request' : undefined;
-};
-
-/**
- * Classifies an answer by its head; closes the connection of one that isn't taken for that of the request, of a success
- * without the mark of an upstream, and of a rejection: written once more, it would look like that of the next request.
- */
-const classifyAnswer = (answer: Incoming, head: AnswerHead, context: AnswerContext): SendOutcome => {
-	const {message} = answer;
-	const doubt = getDoubt(head, context);
-	if (doubt !== undefined) {
-		message.destroy();
-		return {kind: 'broken', reason: doubt};
-	}
-
-	if (head.isNotExecuted) {
-		message.destroy();
-		return {kind: 'rejected', status: head.status};
-	}
-
-	const isSuccess = head.status >= 200 && head.status < 300;
-	if (isSuccess && !head.hasUpstreamMark) {
-		message.destroy();
-		return {kind: 'broken', reason: 'answer-unsigned'};
-	}
-
-	return {kind: 'answered', head, answer};
-};
-
 /** Phase of a request up to the head of its answer; each has its own time limit. */
 type SendPhase
 	/** All connections of the pool are in use by other requests of this host. */
