Bring nothing back by changes of the store that arrive late

What callers saw: nothing known; found by reading. A watch of the store that stalls is answered after a later read, and names an upstream that was removed in between: it was listed again, and stayed. Evidence: a test that applies changes 2 and 3, then 2 again, listed the upstream that change 3 had removed. Change: changes up to the revision that the view knows are passed over; they are all in it.

--- a/packages/discovery/src/fleet-view.test.ts
+++ b/packages/discovery/src/fleet-view.test.ts
@@ -208,3 +208,12 @@
 	expect(view.isUsable('a@3')).toBe(true);
 	expect(view.isUsable('b@1')).toBe(true);
 });
+
+// Guards against: an upstream that is gone is listed again, as the answer to an earlier call arrives after that to a later one.
+test('changes that arrive late bring nothing back that was removed since', () => {
+	const {view} = createView();
+	view.applyChanges([{kind: 'written', entry: entry('a', 'u:1:ready:v1', 2)}, {kind: 'removed', key: 'a', revision: 3}], 3, 0);
+	view.applyChanges([{kind: 'written', entry: entry('a', 'u:1:ready:v1', 2)}], 2, 0);
+	expect(view.getUpstreams('s')).toEqual([]);
+	expect(view.getRevision()).toBe(3);
+});
--- a/packages/discovery/src/fleet-view.ts
+++ b/packages/discovery/src/fleet-view.ts
@@ -16,7 +16,7 @@
 export type FleetView = {
 	/** Replaces all entries; ones that the snapshot lacks are removed, after a grace period if the store was restored from an older copy. */
 	applySnapshot: (snapshot: Snapshot, now: Milliseconds) => void;
-	/** Applies changes that lead up to the revision; ones that are older than the known entries are ignored. */
+	/** Applies changes that lead up to the revision; ones up to the known revision are ignored. */
 	applyChanges: (changes: readonly Change[], revision: number, now: Milliseconds) => void;
 	/** Records whether the store answered the last call; a change batch that a relay has sent counts as an answer. */
 	recordContact: (isStoreReached: boolean, now: Milliseconds) => void;
@@ -64,6 +64,8 @@
 /** The same after a restore from an older copy, for hosts, too: they notice it when they renew their leases. */
 const restoreGrace: Milliseconds = 4000;
 
+const getChangeRevision = (change: Change): number => change.kind === 'written' ? change.entry.revision : change.revision;
+
 /** Creates an empty view. */
 export const createFleetView = ({
 	decode, logger, onConfiguration, ...listeners
@@ -209,8 +211,9 @@
 			}
 		},
 		applyChanges(changes, next, now) {
+			const known = revision;
 			revision = Math.max(revision, next);
-			for (const change of changes) {
+			for (const change of changes.filter(other => getChangeRevision(other) > known)) {
 				if (change.kind === 'written') {
 					applyEntry(change.entry);
 				} else if ((entries.get(change.key)?.revision ?? 0) < change.revision) {
