Infer the version of a stream only if no change can have been missed

Cause: a break counted from 4 s on only. After a shorter one the state was read whole, in which an engine that joined and was lost meanwhile leaves no trace; and for 600 ms after the last report of any other host, also one that is cut off together with this one, the view passed for current. Evidence: tests that failed before: a failed call, after which an engine joins and leaves, was followed by a read of everything (1 read, no change seen); an unknown stream went on although the store had not answered since its caller came, and although a version joined in just that time. Change: a failed call is followed by one that goes on where the host was, so that nothing is missed; where changes are skipped after all (lost history, another host's view), the history of versions begins anew; and a version is inferred only after the store has answered a call that began after the caller came, shared by all who ask meanwhile. Reads before a refusal and of hosts that are behind ask for the changes only, too.

--- a/packages/discovery/src/fleet-view.ts
+++ b/packages/discovery/src/fleet-view.ts
@@ -55,6 +55,8 @@
 	/** Decodes an entry that isn't a host record. */
 	decode: (entry: Entry) => DecodedEntry;
 	logger: Logger;
+	/** Called when the state is read whole instead of being followed change by change, so that upstreams may have come and gone unnoticed. */
+	onGap?: () => void;
 	/** Called with each newer configuration. */
 	onConfiguration?: (configuration: RoutingConfiguration) => void;
 };
@@ -68,7 +70,7 @@
 
 /** Creates an empty view. */
 export const createFleetView = ({
-	decode, logger, onConfiguration, ...listeners
+	decode, logger, onGap, onConfiguration, ...listeners
 }: FleetViewOptions): FleetView => {
 	const entries = new Map<string, Entry>();
 	const hosts = new Map<HostId, HostRecord>();
@@ -196,6 +198,11 @@
 				prepareForRestore(now, snapshot.revision);
 			}
 
+			if (revision > 0 && snapshot.revision !== revision) {
+				logger.info('changes-skipped', {known: revision, revision: snapshot.revision});
+				onGap?.();
+			}
+
 			revision = snapshot.revision;
 			const present = new Set(snapshot.entries.map(({key}) => key));
 			for (const storeKey of entries.keys()) {
--- a/packages/discovery/src/follow-fleet.test.ts
+++ b/packages/discovery/src/follow-fleet.test.ts
@@ -14,10 +14,16 @@
 /** Answer of a store that holds no entries. */
 const emptyService: SnapshotOutcome = {kind: 'found', snapshot: {entries: [], revision: 1}};
 
-/** Follows a fake store whose answers the test sets; a watch call without a prepared answer returns no changes after its limit. */
+/** Follows a fake store whose answers the test sets; a watch call without a prepared answer returns no changes after its limit, or fails if the store can't be read. */
 const createFollower = (snapshot: SnapshotOutcome = emptyService) => {
 	const clock = createManualClock();
-	const view = createFleetView({decode: () => ({kind: 'other'}), logger: createSilentLogger()});
+	let gaps = 0;
+	const view = createFleetView({
+		decode: () => ({kind: 'other'}), logger: createSilentLogger(),
+		onGap() {
+			gaps += 1;
+		},
+	});
 	const state: {snapshot: SnapshotOutcome; changes: ChangesOutcome[]; peer: Snapshot | undefined; newest: number; reads: number; watches: number; hasRelayFeed: boolean; forwarded: ChangeBatch[]} = {
 		snapshot, changes: [], peer: undefined, newest: 0, reads: 0, watches: 0, hasRelayFeed: false, forwarded: [],
 	};
@@ -28,7 +34,7 @@
 		},
 		async waitForChanges(revision, limit) {
 			state.watches += 1;
-			const next = state.changes.shift();
+			const next = state.changes.shift() ?? (state.snapshot.kind === 'unavailable' ? state.snapshot : undefined);
 			if (next === undefined) {
 				await clock.sleep(limit);
 			}
@@ -43,7 +49,7 @@
 		},
 	});
 	return {
-		clock, view, state, follower,
+		clock, view, state, follower, countGaps: () => gaps,
 	};
 };
 
@@ -94,6 +100,48 @@
 	expect(view.getRevision()).toBe(9);
 });
 
+// Guards against: an upstream of another version that joined and was lost during a short break of one host leaves no trace there, so that a stream which it began goes on at the only version that the host knows.
+test('after a call that failed, changes are followed from where they were known, and none is skipped', async () => {
+	const {clock, view, state, countGaps} = createFollower();
+	await clock.advance(10);
+	const {reads} = state;
+	state.changes.push(unavailable, {
+		kind: 'changed', revision: 4, changes: [{kind: 'written', entry: entry('joined', 3)}, {kind: 'removed', key: 'joined', revision: 4}],
+	});
+	state.snapshot = {kind: 'found', snapshot: {entries: [], revision: 4}};
+	await clock.advance(3000);
+	expect(view.getRevision()).toBe(4);
+	expect([state.reads - reads, countGaps()]).toEqual([0, 0]);
+});
+
+// Guards against: as before, where the history is lost or only another host can be read.
+test('changes that were skipped are a gap', async () => {
+	const {clock, state, countGaps} = createFollower();
+	await clock.advance(10);
+	expect(countGaps()).toBe(0);
+	state.snapshot = {kind: 'found', snapshot: {entries: [], revision: 9}};
+	state.changes.push({kind: 'compacted'});
+	await clock.advance(3000);
+	expect(countGaps()).toBe(1);
+	state.snapshot = unavailable;
+	state.changes.push(unavailable, unavailable, unavailable, unavailable);
+	state.peer = {entries: [], revision: 12};
+	state.newest = 12;
+	await clock.advance(3000);
+	expect(countGaps()).toBe(2);
+});
+
+test('what a host confirms is read in a call that begins after the question', async () => {
+	const {clock, view, state, follower} = createFollower();
+	await clock.advance(10);
+	state.changes.push({kind: 'changed', changes: [{kind: 'written', entry: entry('a', 2)}], revision: 2});
+	expect(await follower.confirm()).toBe(true);
+	expect(view.getRevision()).toBe(2);
+	state.changes.push(unavailable);
+	expect(await follower.confirm()).toBe(false);
+	expect(await follower.confirm()).toBe(false);
+});
+
 test('a host whose calls the store refuses reads the view of another host', async () => {
 	const {clock, view, state} = createFollower();
 	await clock.advance(10);
@@ -127,7 +175,9 @@
 	state.changes.push({kind: 'changed', changes: [{kind: 'written', entry: entry('a', 7)}], revision: 7});
 	await clock.advance(10);
 	state.snapshot = {kind: 'found', snapshot: {entries: [], revision: 3}};
+	state.changes.push({kind: 'compacted'});
 	await follower.refresh();
+	expect(state.reads).toBe(2);
 	expect(view.getSnapshot().entries).toEqual([entry('a', 7)]);
 });
 
--- a/packages/discovery/src/follow-fleet.ts
+++ b/packages/discovery/src/follow-fleet.ts
@@ -2,6 +2,7 @@
 import type {Logger} from '@gentianlift/logger';
 import type {ChangeFeed, Milliseconds, Snapshot} from '@gentianlift/types';
 import type {FleetView} from './fleet-view.js';
+import {createFreshReads} from './fresh-reads.js';
 import {startLoop, type LoopOptions} from './loop.js';
 import type {ChangeBatch} from './packet.js';
 
@@ -9,6 +10,8 @@
 export type FleetFollower = {
 	/** Reads the newest state now, from the store or else from another host; resolves after the attempt, successful or not. */
 	refresh: () => Promise<void>;
+	/** Reads what has changed in the store until now, in a call that begins only now; resolves with whether the store has answered. */
+	confirm: () => Promise<boolean>;
 	stop: () => void;
 };
 
@@ -32,6 +35,8 @@
 
 /** Longest wait of one watch call; it bounds how long changes stay unnoticed when a watch stalls. */
 const watchTimeout: Milliseconds = 2500;
+/** Wait of a call that is to be answered at once; the shortest that a store takes for one. */
+const noWait: Milliseconds = 1;
 /** Delay after a failed call; it doubles with each consecutive failure, up to `maxBackoff`. */
 const minBackoff: Milliseconds = 200;
 const maxBackoff: Milliseconds = 800;
@@ -67,39 +72,54 @@
 		return true;
 	};
 
-	const waitForChanges = async (): Promise<boolean> => {
+	/** Reads the changes since the last known one, and waits for one up to the limit if there is none; returns them unless the call failed or the history is lost. */
+	const readChanges = async (limit: Milliseconds): Promise<ChangeBatch | 'unavailable' | 'compacted'> => {
 		const after = view.getRevision();
-		const outcome = await feed.waitForChanges(after, watchTimeout);
+		const outcome = await feed.waitForChanges(after, limit);
 		switch (outcome.kind) {
 			case 'changed': {
 				view.recordContact(true, clock.monotonic());
 				view.applyChanges(outcome.changes, outcome.revision, clock.monotonic());
-				onChanges({after, revision: outcome.revision, changes: outcome.changes});
-				return true;
+				return {after, revision: outcome.revision, changes: outcome.changes};
 			}
 
 			case 'compacted': {
 				logger.info('store-history-lost', {revision: view.getRevision()});
 				needsSnapshot = true;
-				return true;
+				return 'compacted';
 			}
 
 			case 'unavailable': {
 				logger.debug('store-watch-failed', {reason: outcome.reason});
 				view.recordContact(false, clock.monotonic());
-				needsSnapshot = true;
-				return false;
+				return 'unavailable';
 			}
 		}
 	};
 
+	/** Waits for changes and passes them on; a store that has not answered is asked for an answer at once. */
+	const watchStore = async (): Promise<boolean> => {
+		const batch = await readChanges(view.isStoreReached() ? watchTimeout : noWait);
+		if (typeof batch !== 'string') {
+			onChanges(batch);
+		}
+
+		return batch !== 'unavailable';
+	};
+
+	/** Reads what has changed until now, and everything only if the changes aren't known any more; returns whether the store has answered. */
+	const readNewest = async (): Promise<boolean> => {
+		const batch = needsSnapshot ? 'compacted' : await readChanges(noWait);
+		return batch === 'compacted' ? readAll() : batch !== 'unavailable';
+	};
+
 	/** Makes the next call to the store, which starts where the previous one ended; returns the pause until the one after. */
 	const followStore = async (): Promise<Milliseconds> => {
 		if (!needsSnapshot && hasRelayFeed()) {
 			return feedCheckInterval;
 		}
 
-		const isAnswered = await (needsSnapshot ? readAll() : waitForChanges());
+		const isAnswered = await (needsSnapshot ? readAll() : watchStore());
 		const pause = isAnswered ? 0 : backoff;
 		backoff = isAnswered ? minBackoff : Math.min(maxBackoff, backoff * 2);
 		return pause;
@@ -115,7 +135,9 @@
 
 	/** Reads the changes that other hosts know already: the watch of this host may have stalled, or the store refuses its calls. */
 	const catchUp = async (): Promise<void> => {
-		const isRead = !hasRelayFeed() && view.isStoreReached() && await readAll();
+		const newest = getNewestRevision();
+		const mayRead = !hasRelayFeed() && view.isStoreReached();
+		const isRead = mayRead && await readNewest() && (view.getRevision() >= newest || await readAll());
 		if (!isRead) {
 			await readFromPeer();
 		}
@@ -140,11 +162,12 @@
 	return {
 		async refresh() {
 			// While the store refuses the calls of this host, only other hosts can provide newer state.
-			const hasRead = view.isStoreReached() && await readAll();
+			const hasRead = view.isStoreReached() && await readNewest();
 			if (!hasRead) {
 				await readFromPeer();
 			}
 		},
+		confirm: createFreshReads(async () => view.isStoreReached() && readNewest()),
 		stop() {
 			for (const loop of loops) {
 				loop.stop();
--- a/packages/discovery/src/join-fleet.ts
+++ b/packages/discovery/src/join-fleet.ts
@@ -35,6 +35,8 @@
 	isConfigurationBehind: ConfigurationFollower['isBehind'];
 	/** Reads the newest state of the fleet and the newest configuration. */
 	refresh: FleetFollower['refresh'];
+	/** Reads what has changed in the store until now; resolves with whether the store has answered. */
+	confirm: FleetFollower['confirm'];
 	/** Asks other hosts for the origin of a stream. */
 	askForStreamOrigin: StreamOriginClient['find'];
 	/** Asks another host whether it reaches upstreams. */
@@ -82,6 +84,8 @@
 	onLoopFailure: (loop: string) => void;
 	/** Called with each newer configuration. */
 	onConfiguration: (configuration: RoutingConfiguration) => void;
+	/** Called when changes of the state were skipped, so that upstreams may have come and gone unnoticed. */
+	onGap: () => void;
 	/** Called with each incarnation of an upstream that is listed for the first time. */
 	onListed: (upstream: Upstream) => void;
 	/** Called with each incarnation of an upstream that is no longer listed. */
@@ -134,6 +138,7 @@
 	const view = createFleetView({
 		decode: options.decode,
 		logger,
+		onGap: options.onGap,
 		onConfiguration: options.onConfiguration,
 		onListed: options.onListed,
 		onRemoved: options.onRemoved,
@@ -188,6 +193,7 @@
 				reportLoopFailure('refresh', error, {logger, onFailure: options.onLoopFailure});
 			}
 		},
+		confirm: follower.confirm,
 		askForStreamOrigin: createStreamOriginClient({getAddresses: getPeerAddresses, clock, random}).find,
 		askForReach: createReachClient(clock).ask,
 		registration: registerHost({
--- a/packages/discovery/src/peer-server.ts
+++ b/packages/discovery/src/peer-server.ts
@@ -17,7 +17,7 @@
 	view: FleetView;
 	clock: Clock;
 	/** Returns the origin of a stream if this host knows it. */
-	findStreamOrigin: (query: OriginQuery) => StreamOrigin | undefined;
+	findStreamOrigin: (query: OriginQuery) => Promise<StreamOrigin | undefined>;
 	/** Returns whether this host reaches upstreams. */
 	getReach: (query: ReachQuery) => Promise<Reach>;
 	/** Answers a request whose path begins with `forwardedCallPath`: a caller's request that another host forwards. */
--- a/packages/discovery/src/peer-views.test.ts
+++ b/packages/discovery/src/peer-views.test.ts
@@ -44,7 +44,7 @@
 	view: {
 		getRevision: () => snapshot.revision, getSnapshot: () => snapshot, getRoutes: () => ({configuration: {version: 12}}), getConfigurationEntry: () => snapshot.entries[0],
 	} as unknown as FleetView,
-	findStreamOrigin: () => undefined,
+	findStreamOrigin: async () => undefined,
 	getReach: async () => ({isReached: true, openRequests: 0}),
 	answerForwardedCall: () => undefined,
 }));
--- a/packages/discovery/src/stream-origin-calls.test.ts
+++ b/packages/discovery/src/stream-origin-calls.test.ts
@@ -16,7 +16,7 @@
 	const server = createPeerServer({
 		clock: createSystemClock(),
 		view: {getRevision: () => 0} as unknown as FleetView,
-		findStreamOrigin(received) {
+		async findStreamOrigin(received) {
 			asked.push(received);
 			return known;
 		},
--- a/packages/forwarder/src/host/create-context.ts
+++ b/packages/forwarder/src/host/create-context.ts
@@ -131,6 +131,9 @@
 			recordReportArrival(metrics, arrival);
 		},
 		onLoopFailure,
+		onGap() {
+			versions.restart(clock.monotonic());
+		},
 		onConfiguration: versionBreaks.applyConfiguration,
 		onListed(upstream) {
 			versions.list(upstream, clock.monotonic());
@@ -157,7 +160,7 @@
 		zone: settings.zone,
 		view: fleet.view,
 		freshness: createViewFreshness({
-			clock, view: fleet.view, reportExchange: fleet.reportExchange, isConfigurationBehind: fleet.isConfigurationBehind, refresh: fleet.refresh,
+			clock, view: fleet.view, reportExchange: fleet.reportExchange, isConfigurationBehind: fleet.isConfigurationBehind, refresh: fleet.refresh, confirm: fleet.confirm,
 		}),
 		reportExchange: fleet.reportExchange,
 		tracker,
--- a/packages/forwarder/src/resume/resumption.test.ts
+++ b/packages/forwarder/src/resume/resumption.test.ts
@@ -26,13 +26,15 @@
 	removed?: string;
 	now?: number;
 	isCurrent?: boolean;
+	/** Reads the changes of the store up to now; returns whether it has answered. */
+	confirm?: () => boolean;
 	/** What other hosts answer. */
 	told?: StreamOrigin;
 };
 
 /** Creates the resolver of a host, and its memory of streams. */
 const createHost = ({
-	listed = ['v1'], removed, now = maxAge, isCurrent = true, told,
+	listed = ['v1'], removed, now = maxAge, isCurrent = true, confirm = () => isCurrent, told,
 }: HostState = {}) => {
 	const streamOrigins = createStreamOrigins();
 	const versions = createVersionHistory(60_000);
@@ -50,6 +52,7 @@
 		isCurrent: () => isCurrent,
 		ensureCurrent: async () => isCurrent,
 		refreshIfStale: async () => undefined,
+		confirm: async () => confirm(),
 		isConfigurationBehind: () => false,
 		isConfigurationUncertain: () => false,
 		waitForConfiguration: async () => undefined,
@@ -112,7 +115,8 @@
 	for (const now of [2 * route.timeout, 30_000, maxAge - 1]) {
 		// eslint-disable-next-line no-await-in-loop -- One host at a time.
 		expect(await createHost({now}).resolve(getHead(), route)).toEqual(unknown);
-		expect(findStreamOrigin({request: 'a1', services: ['s'], maxAge: 2 * route.timeout}, createHost({now}).context)).toBeUndefined();
+		// eslint-disable-next-line no-await-in-loop -- One host at a time.
+		expect(await findStreamOrigin({request: 'a1', services: ['s'], maxAge: 2 * route.timeout}, createHost({now}).context)).toBeUndefined();
 	}
 });
 
@@ -126,3 +130,29 @@
 	versions.restart(maxAge - 1);
 	expect(await resolve(getHead(), route)).toEqual(unknown);
 });
+
+// Guards against: a host that has just lost its links to the store, or all of whose neighbours have, goes by the only version that it knows while a stream of a new one broke off elsewhere.
+test('an unknown stream is refused unless the store has answered since its caller came, whatever other hosts confirm', async () => {
+	expect(await createHost({confirm: () => false}).resolve(getHead(), route)).toEqual(unknown);
+});
+
+// Guards against: as before, with an upstream of a new version that the host learns of only as it asks.
+test('an unknown stream is refused if a version that has just joined may have begun it', async () => {
+	const host = createHost({
+		confirm() {
+			host.versions.list(buildUpstream({id: 'joined', softwareVersion: 'v2'}), maxAge);
+			return true;
+		},
+	});
+	expect(await host.resolve(getHead(), route)).toEqual(unknown);
+});
+
+test('a stream that a report names while the store is asked goes on at its version', async () => {
+	const host = createHost({
+		confirm() {
+			host.streamOrigins.add({request: 'a1', service: 's', softwareVersion: 'v2'}, maxAge);
+			return true;
+		},
+	});
+	expect(await host.resolve(getHead(), route)).toEqual({kind: 'resumed', origin: {service: 's', softwareVersion: 'v2'}});
+});
--- a/packages/forwarder/src/resume/resumption.ts
+++ b/packages/forwarder/src/resume/resumption.ts
@@ -35,12 +35,19 @@
 	return isCertain ? {service, softwareVersion} : undefined;
 };
 
-/** Returns the origin of a stream as far as this host knows it; only a current view of the fleet allows to infer one. */
-export const findStreamOrigin = (query: OriginQuery, context: ForwarderContext): StreamOrigin | undefined => {
-	const {clock, streamOrigins, freshness} = context;
-	const now = clock.monotonic();
-	const known = query.request === undefined ? undefined : streamOrigins.get(query.request, now);
-	return known ?? (freshness.isCurrent() ? inferOrigin(query, context, now) : undefined);
+const getKnownOrigin = ({request}: OriginQuery, {streamOrigins, clock}: ForwarderContext): StreamOrigin | undefined =>
+	request === undefined ? undefined : streamOrigins.get(request, clock.monotonic());
+
+/** Returns the origin of a stream as far as this host knows it; it is inferred only if no version can have served unnoticed until now, whatever other hosts confirm. */
+export const findStreamOrigin = async (query: OriginQuery, context: ForwarderContext): Promise<StreamOrigin | undefined> => {
+	const {clock, freshness} = context;
+	const known = getKnownOrigin(query, context);
+	if (known !== undefined || inferOrigin(query, context, clock.monotonic()) === undefined) {
+		return known;
+	}
+
+	const isConfirmed = await freshness.confirm();
+	return getKnownOrigin(query, context) ?? (isConfirmed ? inferOrigin(query, context, clock.monotonic()) : undefined);
 };
 
 /** Returns how the search for a stream's origin ended, as logged. */
@@ -57,13 +64,13 @@
 	const {clock, logger, metrics, streamOrigins} = context;
 
 	const locate = async (query: OriginQuery): Promise<{origin: StreamOrigin | undefined; source: 'own' | 'host'}> => {
-		const known = findStreamOrigin(query, context);
+		const known = await findStreamOrigin(query, context);
 		if (known !== undefined) {
 			return {origin: known, source: 'own'};
 		}
 
-		const [told] = await Promise.all([context.askForStreamOrigin(query), context.freshness.refreshIfStale()]);
-		return {origin: told ?? findStreamOrigin(query, context), source: told === undefined ? 'own' : 'host'};
+		const told = await context.askForStreamOrigin(query);
+		return told === undefined ? {origin: getKnownOrigin(query, context), source: 'own'} : {origin: told, source: 'host'};
 	};
 
 	return async (head, route) => {
--- a/packages/forwarder/src/resume/stream-version.test.ts
+++ b/packages/forwarder/src/resume/stream-version.test.ts
@@ -158,7 +158,7 @@
 		return {service: 's', softwareVersion: 'v1'};
 	};
 
-	host.context.freshness.isCurrent = () => false;
+	host.context.freshness.confirm = async () => false;
 	call.end();
 	await expect.poll(() => host.logLines.some(line => line.includes('event=call-broken request=a2 '))).toBe(true);
 	expect(counts).toEqual([0]);
--- a/packages/forwarder/src/resume/view-freshness.test.ts
+++ b/packages/forwarder/src/resume/view-freshness.test.ts
@@ -8,7 +8,7 @@
 	const clock = createManualClock(0);
 	const reported = {revision: 5, silence: Number.POSITIVE_INFINITY};
 	const state = {
-		contactAt: 0, refreshes: 0, isConfigurationBehind: false, isRefreshFailing: false,
+		contactAt: 0, refreshes: 0, isConfigurationBehind: false, isRefreshFailing: false, isAnswered: true,
 	};
 	const view: Partial<FleetView> = {getRevision: () => 5, getTimeSinceStoreContact: now => now - state.contactAt};
 	const reportExchange: Partial<LoadReportExchange> = {getNewestRevision: () => reported.revision, getShortestSilence: () => reported.silence};
@@ -17,6 +17,7 @@
 		view: view as FleetView,
 		reportExchange: reportExchange as LoadReportExchange,
 		isConfigurationBehind: () => state.isConfigurationBehind,
+		confirm: async () => state.isAnswered,
 		async refresh() {
 			state.refreshes += 1;
 			if (state.isRefreshFailing) {
@@ -120,3 +121,15 @@
 	await lostClock.advance(1000);
 	expect(await isLost).toBe(false);
 });
+
+// Guards against: reports of hosts that are cut off together pass for a confirmation by the store.
+test('a view is confirmed only if the store answers now, within a bounded time, and no host is ahead', async () => {
+	const {state, reported, freshness} = createHost();
+	expect(await freshness.confirm()).toBe(true);
+	reported.revision = 6;
+	expect(await freshness.confirm()).toBe(false);
+	reported.revision = 5;
+	reported.silence = 0;
+	state.isAnswered = false;
+	expect(await freshness.confirm()).toBe(false);
+});
--- a/packages/forwarder/src/resume/view-freshness.ts
+++ b/packages/forwarder/src/resume/view-freshness.ts
@@ -16,6 +16,8 @@
 	ensureCurrent: () => Promise<boolean>;
 	/** Reads the newest state unless the view is current or was read recently; resolves within a bounded time, successful or not. Concurrent calls share one read. */
 	refreshIfStale: () => Promise<void>;
+	/** Reads the changes up to now from the key-value service; resolves, within a bounded time, to whether it has answered and the view is current. */
+	confirm: () => Promise<boolean>;
 };
 
 /** Longest wait for the newest state before a refusal that it might change. */
@@ -38,11 +40,13 @@
 	isConfigurationBehind: () => boolean;
 	/** Reads the newest state of the fleet, if a source is reachable. */
 	refresh: () => Promise<void>;
+	/** Reads the changes up to now from the key-value service; resolves with whether it has answered. */
+	confirm: () => Promise<boolean>;
 };
 
 /** Creates it from its sources. */
 export const createViewFreshness = ({
-	clock, view, reportExchange, isConfigurationBehind, refresh,
+	clock, view, reportExchange, isConfigurationBehind, refresh, confirm,
 }: FreshnessSources): ViewFreshness => {
 	const suspension = startSuspensionDetector(clock);
 	let pendingRefresh: Promise<void> | undefined;
@@ -98,5 +102,9 @@
 			}
 		},
 		refreshIfStale,
+		async confirm() {
+			const isAnswered = await Promise.race([confirm(), clock.sleep(refreshTimeout).then(() => false)]);
+			return isAnswered && isCurrent();
+		},
 	};
 };
--- a/packages/forwarder/src/testing.ts
+++ b/packages/forwarder/src/testing.ts
@@ -151,6 +151,7 @@
 			reportExchange,
 			isConfigurationBehind: () => (reportExchange.getNewestConfigurationVersion() ?? 0) > configuration.version,
 			refresh: refresh ?? recordContact,
+			confirm: async () => true,
 		}),
 		reportExchange,
 		limits,
