Let the soak refuse to go on with streams, cut heads, and draw faults of streams alone

Two failure modes of upstreams: answers to hosts that go on with a stream which don't go on with it (an error, JSON, an error event, no event, no content), and heads that stop in the middle. The default draws no new faults, so that earlier seeds stay what they were.

--- a/packages/soak/src/command.ts
+++ b/packages/soak/src/command.ts
@@ -7,6 +7,7 @@
 import type {Deployment} from './deployment.js';
 import {regressionCases} from './kept-cases.js';
 import {runSeed, type SeedRunOptions, type SeedRunReport} from './run-seed.js';
+import {faultSets, type FaultSet} from './schedule.js';
 
 /** A run of the soak that is still to be started. */
 type SeedRun = Pick<SeedRunOptions, 'seed' | 'schedule'>;
@@ -42,6 +43,15 @@
 	return value;
 };
 
+const parseFaultSet = (text: string): FaultSet => {
+	const found = faultSets.find(name => name === text);
+	if (found === undefined) {
+		throw new TypeError(`--faults must be one of ${faultSets.join(', ')}, not ${text}`);
+	}
+
+	return found;
+};
+
 const soakArguments = {
 	seeds: {type: 'string', default: '10', description: 'How many seeds to play'},
 	first: {type: 'string', description: 'First seed; drawn from the time of day if absent'},
@@ -49,6 +59,7 @@
 	hosts: {type: 'string', default: '5', description: 'Hosts of each play'},
 	upstreams: {type: 'string', default: '3', description: 'Upstreams of each service'},
 	seconds: {type: 'string', default: '12', description: 'Time in which faults begin'},
+	faults: {type: 'string', default: 'any', description: `Faults to draw: ${faultSets.join(' or ')}`},
 	earlier: {type: 'string', description: 'Program of an earlier build, which every second host runs'},
 	kept: {type: 'boolean', default: false, description: 'Plays the cases that once failed before the seeds'},
 	keep: {type: 'boolean', default: false, description: 'Keeps all logs, not only those of seeds that failed'},
@@ -76,6 +87,7 @@
 					folder,
 					hosts: parseCount(args.hosts, 'hosts'),
 					upstreams: parseCount(args.upstreams, 'upstreams'),
+					faultSet: parseFaultSet(args.faults),
 					earlierProgram: args.earlier,
 					faultPeriod: parseCount(args.seconds, 'seconds') * millisecondsPerSecond,
 				});
--- a/packages/soak/src/fake-upstream.ts
+++ b/packages/soak/src/fake-upstream.ts
@@ -8,6 +8,7 @@
 	eventsPerStream, getBody, getEvent, getVersionedEvent,
 } from './answers.js';
 import type {FakeUpstreamOptions, FakeUpstream} from './deployment.js';
+import {cutHead, refuseResume} from './odd-answers.js';
 import type {UpstreamFailureMode} from './schedule.js';
 import {getModeHeaders, type UpstreamProtocol} from './upstream-protocol.js';
 
@@ -70,7 +71,15 @@
 	/** Neighbours have different software versions, and each restart brings another one. */
 	const getSoftwareVersion = (): string => `v${((Number(name.at(-1)) + incarnation) % 2) + 1}`;
 
+	/** Whether a host goes on with a stream that broke off, rather than its caller, who names its requests differently. */
+	const isContinuation = (request: IncomingMessage, attempt: string): boolean => protocol.getResumeAfter(request) > 0 && !attempt.includes('.');
+
 	const writeStream = async (request: IncomingMessage, attempt: string, response: ServerResponse): Promise<void> => {
+		if (failureMode === 'refusing-resumes' && isContinuation(request, attempt)) {
+			refuseResume(attempt, response);
+			return;
+		}
+
 		const softwareVersion = getSoftwareVersion();
 		const buildEvent = (number: number): string => protocol.isResumable(request) ? getVersionedEvent(softwareVersion, number) : getEvent(attempt, number);
 		response.setHeader('content-type', 'text/event-stream');
@@ -130,6 +139,11 @@
 			return;
 		}
 
+		if (failureMode === 'cutting-heads') {
+			cutHead(attempt, protocol.getAnswerHeaders(id, attempt), response);
+			return;
+		}
+
 		response.statusCode = failureMode === 'failing' ? 500 : 200;
 		response.setHeaders(new Map(Object.entries({...protocol.getAnswerHeaders(id, attempt), ...getModeHeaders(failureMode, protocol)})));
 		response.useChunkedEncodingByDefault = failureMode !== 'unframed';
--- a/packages/soak/src/kept-cases.ts
+++ b/packages/soak/src/kept-cases.ts
@@ -140,4 +140,25 @@
 			{at: 4000, fault: {kind: 'configurations', count: 1}},
 		],
 	},
+	{
+		seed: 7304,
+		cause: 'An upstream\'s error, written into a stream that another one had begun, ended the call by an exception; an error event reached the caller in the middle of its stream',
+		schedule: [
+			{
+				at: 300, fault: {
+					kind: 'upstream', upstream: 3, mode: 'truncating', duration: 4000,
+				},
+			},
+			{
+				at: 300, fault: {
+					kind: 'upstream', upstream: 5, mode: 'refusing-resumes', duration: 4000,
+				},
+			},
+			{
+				at: 2000, fault: {
+					kind: 'upstream', upstream: 4, mode: 'cutting-heads', duration: 2000,
+				},
+			},
+		],
+	},
 ];
--- a/packages/soak/src/run-seed.ts
+++ b/packages/soak/src/run-seed.ts
@@ -8,7 +8,7 @@
 } from './fleet.js';
 import {createInjector, type Injector} from './injector.js';
 import {findViolations, type Violation, type Observations} from './guarantees.js';
-import {drawSchedule, type ScheduledFault} from './schedule.js';
+import {drawSchedule, type FaultSet, type ScheduledFault} from './schedule.js';
 import {startTraffic} from './traffic.js';
 
 /** Options of one run of the soak. */
@@ -18,6 +18,7 @@
 	seed: number;
 	/** Time from the start of the traffic within which faults begin. */
 	faultPeriod: Milliseconds;
+	faultSet: FaultSet;
 	/** Faults to inject instead of those drawn from the seed. */
 	schedule?: ScheduledFault[];
 };
@@ -120,7 +121,7 @@
 		},
 	});
 	const callers = deployment.createCallers();
-	const schedule = options.schedule ?? drawSchedule(seed, {hosts, upstreams: fleet.upstreams.length}, faultPeriod);
+	const schedule = options.schedule ?? drawSchedule(seed, {hosts, upstreams: fleet.upstreams.length}, faultPeriod, options.faultSet);
 	try {
 		deployment.configure(fleet.store, 1);
 		const startFailures = await waitForFleet(fleet, callers, options, () => 1);
--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -12,8 +12,15 @@
 export const upstreamFailureModes = [
 	'crash', 'return-as-other', 'leave', 'slow', 'extra-bytes', 'truncating', 'full', 'failing', 'mute', 'idle-resets', 'unframed', 'limited', 'resting', 'announcing',
 ] as const;
-/** One of `upstreamFailureModes`. */
-export type UpstreamFailureMode = typeof upstreamFailureModes[number];
+/** Failure modes of an upstream that only schedules of streams have: `refusing-resumes` answers hosts that go on with a stream by errors and answers that don't go on, `cutting-heads` stops in the middle of heads. */
+export const streamFailureModes = ['refusing-resumes', 'cutting-heads'] as const;
+/** One of `upstreamFailureModes` or `streamFailureModes`. */
+export type UpstreamFailureMode = typeof upstreamFailureModes[number] | typeof streamFailureModes[number];
+
+/** Which faults are drawn: any, or those that break streams off and hide from a host which versions serve. */
+export const faultSets = ['any', 'streams'] as const;
+/** One of `faultSets`. */
+export type FaultSet = typeof faultSets[number];
 
 /** A fault of a part of the fleet; hosts and upstreams are named by index. */
 export type Fault
@@ -116,8 +123,38 @@
 	])();
 };
 
-/** Draws the faults of a seed within the fault period; the same seed gives the same faults. */
-export const drawSchedule = (seed: number, size: FleetSize, faultPeriod: Milliseconds): ScheduledFault[] => {
+/** Longest short break of a host, in which it may miss that an upstream has come and gone. */
+const maxShortBreak: Milliseconds = 3000;
+
+/** Draws a fault that breaks streams off or changes versions, or a short break of one host. */
+const drawStreamFault = (random: Random, size: FleetSize): Fault => {
+	const host = Math.floor(random.next() * size.hosts);
+	const upstream = Math.floor(random.next() * size.upstreams);
+	const shortBreak = Math.round(minFaultDuration + (random.next() * (maxShortBreak - minFaultDuration)));
+	const drawUpstreamFault = (): Fault => ({
+		kind: 'upstream', upstream, mode: pickItem(random, ['crash', 'return-as-other', 'truncating', ...streamFailureModes]), duration: drawDuration(random),
+	});
+
+	return pickItem<() => Fault>(random, [
+		drawUpstreamFault,
+		drawUpstreamFault,
+		drawUpstreamFault,
+		() => ({kind: 'host-pause', host, duration: shortBreak}),
+		() => ({
+			kind: 'store-link', host, state: drawLinkState(random), duration: shortBreak,
+		}),
+		() => ({kind: 'store', mode: pickItem(random, storeFailureModes), duration: shortBreak}),
+		() => ({kind: 'host-kill', host, down: shortBreak}),
+		() => ({
+			kind: 'partition', hosts: [host], mode: pickItem(random, cutModes), duration: shortBreak,
+		}),
+	])();
+};
+
+const drawers: Record<FaultSet, typeof drawFault> = {any: drawFault, streams: drawStreamFault};
+
+/** Draws the faults of a seed within the fault period; the same seed and set give the same faults. */
+export const drawSchedule = (seed: number, size: FleetSize, faultPeriod: Milliseconds, faultSet: FaultSet = 'any'): ScheduledFault[] => {
 	const random = createRandom(seed);
 	const schedule: ScheduledFault[] = [];
 	for (let at = 0; ;) {
@@ -126,6 +163,6 @@
 			return schedule;
 		}
 
-		schedule.push({at, fault: drawFault(random, size)});
+		schedule.push({at, fault: drawers[faultSet](random, size)});
 	}
 };
