Doubt the version of upstreams that other hosts have found crashed

Cause: an engine crashed and started again under its id within 1.3 s, with another version; its new entry reached the hosts 120 ms after its first answers. The host at which it crashed doubted its version for 2 s; the others were told of the crash 4 ms later, but doubted nothing, as they had no connection to it. The doubt itself ended 2 s after the last failure, so that an engine that is away for longer would be trusted when it comes back. Change: a crash that is told is a sign of loss like a failure of this host's own. The doubt lasts until 2 s after the first answer to a request that was sent since, or until the entry names another incarnation.

--- a/packages/discovery/src/exchange-reports.ts
+++ b/packages/discovery/src/exchange-reports.ts
@@ -77,6 +77,8 @@
 	getLimits: () => LimitNews[];
 	/** Called with each limit that another host reports. */
 	onLimit: (news: LimitNews, from: HostId) => void;
+	/** Called with each crash of an upstream that another host reports, if it is news. */
+	onCrash: (crash: SuspectedCrash) => void;
 	/** Called with each upstream of which another host reports that it leaves. */
 	onLeaving: (upstream: UpstreamKey, from: HostId) => void;
 	/** Called after the load of other hosts has changed. */
@@ -168,7 +170,7 @@
 	};
 
 	const reportedCrashes = createReportedCrashes({
-		logger, suspects, pending, onPending: schedule,
+		logger, suspects, pending, onCrash: options.onCrash, onPending: schedule,
 	});
 
 	/** Returns the age of a report; at least 0, as the wall clocks of hosts differ and a new report may seem to come from the future. */
--- a/packages/discovery/src/join-fleet.ts
+++ b/packages/discovery/src/join-fleet.ts
@@ -1,7 +1,7 @@
 import type {Clock, Random} from '@gentianlift/clock';
 import type {Logger} from '@gentianlift/logger';
 import type {
-	CrashSuspects, LimitNews, RoutingConfiguration, StartedStream, Upstream, UpstreamKey,
+	CrashSuspects, LimitNews, RoutingConfiguration, StartedStream, SuspectedCrash, Upstream, UpstreamKey,
 } from '@gentianlift/routing';
 import type {
 	Address, ChangeFeed, Entry, HostId, KeyValueService, Zone,
@@ -74,6 +74,8 @@
 	onPrefill: (prefill: Prefill) => void;
 	/** Called with each stream that has begun at another host. */
 	onStream: (stream: StartedStream) => void;
+	/** Called with each crash of an upstream that another host reports, if it is news. */
+	onCrash: (crash: SuspectedCrash) => void;
 	/** Returns the limits that this host knows. */
 	getLimits: () => LimitNews[];
 	/** Called with each limit that another host reports. */
@@ -111,6 +113,7 @@
 		onLoad: options.onLoad,
 		onPrefill: options.onPrefill,
 		onStream: options.onStream,
+		onCrash: options.onCrash,
 		getLimits: options.getLimits,
 		onLimit: options.onLimit,
 		onLeaving(upstream, from) {
--- a/packages/discovery/src/news.test.ts
+++ b/packages/discovery/src/news.test.ts
@@ -64,6 +64,20 @@
 	await expect.poll(() => fixture.suspects.isBlocked(suspect, 1000)).toBe(true);
 });
 
+// Guards against: a host takes an upstream that others have found crashed, and that has started again, for what its entry says.
+test('each crash that another host reports is told once', async () => {
+	const told: unknown[] = [];
+	const fixture = await start({
+		onCrash(crash) {
+			told.push(crash);
+		},
+	});
+	const crash = {suspect, upstream: 'a@1', age: 400};
+	tell(fixture, {sequence: 1, crashes: [crash]});
+	tell(fixture, {sequence: 2, crashes: [crash, {suspect, upstream: 'b@1', age: 0}]});
+	await expect.poll(() => told).toEqual([crash, {suspect, upstream: 'b@1', age: 0}]);
+});
+
 // Guards against: a host that has seen no good end of a part that is in all requests blocks it.
 test('a host that knows a good end tells it when a crash becomes known, and takes what others tell', async () => {
 	const fixture = await start();
--- a/packages/discovery/src/reported-crashes.ts
+++ b/packages/discovery/src/reported-crashes.ts
@@ -17,6 +17,8 @@
 	logger: Logger;
 	suspects: CrashSuspects;
 	pending: Pick<PendingChanges, 'addGoodEnd'>;
+	/** Called with each crash that is news to this host. */
+	onCrash: (crash: SuspectedCrash) => void;
 	/** Called after a change that is to be reported. */
 	onPending: () => void;
 };
@@ -25,7 +27,9 @@
 const crashRepeatTime: Milliseconds = 3000;
 
 /** Creates it. */
-export const createReportedCrashes = ({logger, suspects, pending, onPending}: ReportedCrashesOptions): ReportedCrashes => {
+export const createReportedCrashes = ({
+	logger, suspects, pending, onCrash, onPending,
+}: ReportedCrashesOptions): ReportedCrashes => {
 	const reportGoodEnd = ({suspect}: SuspectedCrash, now: Milliseconds): void => {
 		const goodEnd = suspects.takeGoodEndToTell(suspect, now);
 		if (goodEnd !== undefined) {
@@ -47,6 +51,7 @@
 				const isNew = suspects.addCrash(crash, now);
 				if (isNew) {
 					logger.info('crash-told', {from: host, ...crash});
+					onCrash(crash);
 				}
 
 				// A host that still repeats an old crash may have missed the good end that explains it.
--- a/packages/discovery/src/testing-exchange.ts
+++ b/packages/discovery/src/testing-exchange.ts
@@ -14,6 +14,7 @@
 	onPrefill: () => undefined,
 	getLimits: () => [],
 	onLimit: () => undefined,
+	onCrash: () => undefined,
 	onLeaving: () => undefined,
 	onLoad: () => undefined,
 	onStream: () => undefined,
--- a/packages/forwarder/src/host/create-context.ts
+++ b/packages/forwarder/src/host/create-context.ts
@@ -125,6 +125,9 @@
 		onStream(stream) {
 			streamOrigins.add(stream, clock.monotonic());
 		},
+		onCrash({upstream, age}) {
+			tracker.recordCrash(upstream, age);
+		},
 		getLimits: limits.getNews,
 		onLimit: limits.applyNews,
 		onReport(arrival) {
--- a/packages/forwarder/src/queue/upstream-tracker.ts
+++ b/packages/forwarder/src/queue/upstream-tracker.ts
@@ -13,6 +13,9 @@
 import type {UpstreamRests} from '../statements/upstream-rests.js';
 import {idleTimeouts, UpstreamAgent} from '../send/upstream-agent.js';
 import {getMedian, getRelativeLatency} from './relative-latency.js';
+import {
+	isDoubted, noDoubt, updateDoubt, type RestartDoubt,
+} from './restart-doubt.js';
 import {buildCandidates, type CandidateQuery, type ObservedService} from './observed-service.js';
 
 /** Tracks the state that this host observes for each incarnation of an upstream: connections, failures, latencies and cached prefixes. */
@@ -31,6 +34,8 @@
 	recordPrefill: (upstream: UpstreamKey, prompt: Pick<Prompt, 'model' | 'parts'>) => void;
 	/** Records that an upstream refuses connections or has crashed, and avoids it for a backoff period. */
 	recordUnreachable: (upstream: Upstream, reason: string) => void;
+	/** Records that another host has found an incarnation of an upstream crashed some time ago; it may start again before its new entry is known. */
+	recordCrash: (key: UpstreamKey, age: Milliseconds) => void;
 	/** Records that an upstream accepts connections, so that it is avoided no longer. */
 	recordReachable: (upstream: Upstream) => void;
 	/** Closes the idle connections to an upstream, which may have been lost. */
@@ -79,8 +84,8 @@
 	meanDuration: Milliseconds | undefined;
 	/** Time on the monotonic clock before which the upstream gets no requests. */
 	avoidedUntil: Milliseconds;
-	/** Time on the monotonic clock before which it may have started again, with another software version than its entry says. */
-	doubtedUntil: Milliseconds;
+	/** Whether it may have started again, with another software version than its entry says. */
+	doubt: RestartDoubt;
 	/** Connection failures in a row. */
 	connectFailures: number;
 	/** Number of requests of this host in flight. */
@@ -95,8 +100,6 @@
 /** First backoff period of an unreachable upstream; doubles with each failure in a row. */
 const minBackoff: Milliseconds = 400;
 const maxBackoff: Milliseconds = 3200;
-/** Time after a connection failure in which the entry of an upstream that has started again may still be that of before. */
-const restartDoubt: Milliseconds = 2000;
 /** Weight of the newest duration in the moving average. */
 const durationWeight = 0.15;
 /** Capacity of the prompt cache that is assumed where a service doesn't configure one. */
@@ -124,7 +127,7 @@
 			failures: createFailureCounts(clock.monotonic()),
 			meanDuration: undefined,
 			avoidedUntil: 0,
-			doubtedUntil: 0,
+			doubt: noDoubt,
 			connectFailures: 0,
 			openRequests: 0,
 			lastByteAt: 0,
@@ -204,7 +207,7 @@
 						cache: getCache(key),
 						prefillRate: state.prefillRate.get(),
 						isReserved: reserved.has(key),
-						isDoubted: state.doubtedUntil > now,
+						isDoubted: isDoubted(state.doubt, now),
 						failureRatio: getFailureRatio(state.failures, now),
 						relativeLatency: getRelativeLatency(state.meanDuration, medianDuration),
 					},
@@ -226,9 +229,14 @@
 			const backoff = Math.min(maxBackoff, minBackoff * (2 ** state.connectFailures));
 			state.connectFailures += 1;
 			state.avoidedUntil = clock.monotonic() + backoff;
-			state.doubtedUntil = clock.monotonic() + restartDoubt;
+			state.doubt = {kind: 'lost', since: clock.monotonic()};
 			logger.info('upstream-avoided', {upstream: getUpstreamKey(upstream), reason, for: backoff});
 		},
+		recordCrash(key, age) {
+			if (getService(key) !== undefined) {
+				getState(key).doubt = {kind: 'lost', since: clock.monotonic() - age};
+			}
+		},
 		recordReachable(upstream) {
 			const state = getState(getUpstreamKey(upstream));
 			state.connectFailures = 0;
@@ -243,10 +251,12 @@
 			const state = getState(getUpstreamKey(upstream));
 			state.lastByteAt = state.openRequests === 0 ? clock.monotonic() : state.lastByteAt;
 			state.openRequests += 1;
+			const startedAt = clock.monotonic();
 			let hasEnded = false;
 			return {
 				recordBytes() {
 					state.lastByteAt = clock.monotonic();
+					state.doubt = updateDoubt(state.doubt, startedAt, clock.monotonic());
 				},
 				end() {
 					state.openRequests -= hasEnded ? 0 : 1;
