Confirm an upstream's incarnation before a stream goes on over a new connection

Cause: an engine was away for 1.1 s and came back under its id with another version; the store was slow, and the hosts learned of it 100 to 200 ms after it had begun to serve. A resumption names the id only. Change: a connection that is 2 s old is one to a process whose entry must have arrived. While the store is away, such streams are cut.

--- a/packages/forwarder/src/queue/restart-doubt.ts
+++ b/packages/forwarder/src/queue/restart-doubt.ts
@@ -10,8 +10,8 @@
 		| {kind: 'lost'; since: Milliseconds}
 		| {kind: 'answering'; until: Milliseconds};
 
-/** Longest time after the first answer of an upstream that has started again in which its entry may still be that of before. */
-const maxEntryDelay: Milliseconds = 2000;
+/** Longest time after the first sign of life of an upstream that has started again in which its entry may still be that of before. */
+export const maxEntryDelay: Milliseconds = 2000;
 
 /** No sign that the upstream was lost. */
 export const noDoubt: RestartDoubt = {kind: 'none'};
--- a/packages/forwarder/src/resume/stream-version.test.ts
+++ b/packages/forwarder/src/resume/stream-version.test.ts
@@ -226,3 +226,34 @@
 	expect(answers.some(({isComplete}) => !isComplete)).toBe(true);
 	expect(sum(counts)).toBe(6);
 });
+
+// Guards against: a stream goes on at an upstream that has started again under its id with another version, while the store is slow to tell (soak seed 52016).
+test('a stream goes on over a new connection only once the store has confirmed what is at its other end', async () => {
+	const {host, upstreams, counts} = await start(breakOff('v1'), finishStream('v1'));
+	host.setUpstreams(upstreams.slice(0, 1));
+	await sendRequest(host.port, {path: '/stream/1', headers: {attempt: 'a1'}});
+	host.setUpstreams(upstreams.slice(1));
+	host.context.freshness.confirm = async () => false;
+	expect(await takeUp(host, 'a2', 'a1')).toMatchObject({status: 503});
+	host.context.freshness.confirm = async () => {
+		host.setUpstreams(upstreams.slice(1).map(upstream => ({...upstream, startedAt: 2, softwareVersion: 'v2'})));
+		return true;
+	};
+
+	expect(await takeUp(host, 'a3', 'a1')).toMatchObject({status: 503});
+	expect(counts).toEqual([1, 0]);
+	host.setUpstreams(upstreams.slice(1));
+	host.context.freshness.confirm = async () => true;
+	expect(await takeUp(host, 'a4', 'a1')).toMatchObject({status: 200, body: getEvents('v1', 3, 4)});
+});
+
+test('a stream goes on over a connection that has lasted without a question to the store', async () => {
+	const {host} = await start(finishStream('v1'));
+	await sendRequest(host.port, {path: '/read/1', headers: {attempt: 'a0'}});
+	host.context.streamOrigins.add({request: 'a1', service: 's', softwareVersion: 'v1'}, host.context.clock.monotonic());
+	host.context.freshness.confirm = async () => false;
+	expect(await takeUp(host, 'a2', 'a1')).toMatchObject({status: 503});
+	await sendRequest(host.port, {path: '/read/2', headers: {attempt: 'a3'}});
+	await host.context.clock.sleep(2000);
+	expect(await takeUp(host, 'a4', 'a1')).toMatchObject({status: 200});
+});
--- a/packages/forwarder/src/send/build-upstream-request.ts
+++ b/packages/forwarder/src/send/build-upstream-request.ts
@@ -83,5 +83,6 @@
 	body: call.body,
 	callerRequestId: call.head.callerRequestId,
 	connectionWait: getConnectionWait(call, progress, context, getRemainingTime(call, context)),
+	confirm: progress.streamVersion === undefined ? undefined : async () => context.freshness.confirm(),
 	buildHead: () => getUnsentReason(call, progress, target, context) ?? buildRequestHead(call, progress, target.upstream, context),
 });
--- a/packages/forwarder/src/send/send.ts
+++ b/packages/forwarder/src/send/send.ts
@@ -1,7 +1,9 @@
 import {request, type ClientRequest} from 'node:http';
+import type {Socket} from 'node:net';
 import {startTimeLimit, type Cancel, type Clock} from '@gentianlift/clock';
 import {splitAddress, type Address, type Milliseconds} from '@gentianlift/types';
 import type {AnswerHead, Protocol, RawHeaders} from '../protocol.js';
+import {maxEntryDelay} from '../queue/restart-doubt.js';
 import {classifyAnswer, isMismatched} from './classify-answer.js';
 import type {Incoming} from './incoming.js';
 import type {UpstreamAgent} from './upstream-agent.js';
@@ -27,6 +29,8 @@
 	callerRequestId: string | undefined;
 	/** Longest wait for one of the pool's connections. */
 	connectionWait: Milliseconds;
+	/** Confirms that the upstream still is the incarnation that its entry names; called before the request is sent on a connection that is younger than the entry of a process that has just started may be. Undefined if any incarnation may answer. */
+	confirm?: (() => Promise<boolean>) | undefined;
 	/** Called when the request is to be sent; returns a reason instead if it must no longer be, and then nothing is sent. */
 	buildHead: () => RequestHead | UnsentReason;
 };
@@ -79,13 +83,16 @@
 	/** All connections of the pool are in use by other requests of this host. */
 	= | 'waiting'
 		| 'connecting'
+	/** The upstream's incarnation is being confirmed. */
+		| 'confirming'
 	/** The request is sent, and may execute. */
 		| 'sent';
 
 /** Returns the outcome of a request that failed in a phase. */
 const getFailure = (phase: SendPhase, reason: string): SendOutcome => {
 	switch (phase) {
-		case 'waiting': {
+		case 'waiting':
+		case 'confirming': {
 			return {kind: 'unsent', reason};
 		}
 
@@ -106,6 +113,10 @@
 			return getFailure(phase, 'pool-timeout');
 		}
 
+		case 'confirming': {
+			return getFailure(phase, 'unconfirmed');
+		}
+
 		case 'connecting': {
 			return getFailure(phase, 'connect-timeout');
 		}
@@ -116,6 +127,16 @@
 	}
 };
 
+const connectionTimes = new WeakMap<Socket, Milliseconds>();
+
+/** Returns the time since a connection was first used, which is now if it hasn't been. */
+const getConnectionAge = (socket: Socket, clock: Clock): Milliseconds => {
+	const now = clock.monotonic();
+	const connectedAt = connectionTimes.get(socket) ?? now;
+	connectionTimes.set(socket, connectedAt);
+	return now - connectedAt;
+};
+
 const createDeferred = <Value>(): {promise: Promise<Value>; resolve: (value: Value) => void} => {
 	let resolve: (value: Value) => void = () => undefined;
 	const promise = new Promise<Value>(resolvePromise => {
@@ -125,14 +146,16 @@
 };
 
 /** Tells the pool when a request gets one of its connections, and calls back then and when that connection is established. */
-const watchConnection = (clientRequest: ClientRequest, agent: UpstreamAgent, {onConnecting, onConnected}: {onConnecting: () => void; onConnected: () => void}): void => {
+const watchConnection = (clientRequest: ClientRequest, agent: UpstreamAgent, {onConnecting, onConnected}: {onConnecting: () => void; onConnected: (socket: Socket) => void}): void => {
 	clientRequest.once('socket', socket => {
 		agent.beginRequest(socket);
 		if (socket.connecting) {
 			onConnecting();
-			socket.once('connect', onConnected);
+			socket.once('connect', () => {
+				onConnected(socket);
+			});
 		} else {
-			onConnected();
+			onConnected(socket);
 		}
 	});
 };
@@ -148,7 +171,7 @@
 
 /** Sends a request to an upstream as soon as the pool has a connection for it. */
 export const send = (upstreamRequest: UpstreamRequest, {agent, protocol, clock, onSent, onHead}: SendOptions): InFlightRequest => {
-	const {callerRequestId, connectionWait, body, buildHead} = upstreamRequest;
+	const {callerRequestId, connectionWait, body, confirm, buildHead} = upstreamRequest;
 	const clientRequest = tryToOpen(upstreamRequest, agent);
 	if (typeof clientRequest === 'string') {
 		return {outcome: Promise.resolve({kind: 'unreachable', reason: clientRequest}), cancel: () => undefined};
@@ -157,9 +180,11 @@
 	const {promise: outcome, resolve} = createDeferred<SendOutcome>();
 	let phase: SendPhase = 'waiting';
 	let hasFailed = false;
+	let isFinished = false;
 	let cancelTimer: Cancel | undefined;
 
 	const finish = (result: SendOutcome): void => {
+		isFinished = true;
 		cancelTimer?.();
 		agent.off('retire', endIfWaiting);
 		resolve(result);
@@ -188,6 +213,10 @@
 	};
 
 	const sendNow = (): void => {
+		if (isFinished) {
+			return;
+		}
+
 		const head = buildHead();
 		if (typeof head === 'string') {
 			endUnsent(head);
@@ -205,13 +234,31 @@
 		onSent?.();
 	};
 
+	const confirmAndSend = async (confirmIncarnation: () => Promise<boolean>): Promise<void> => {
+		enterPhase('confirming', undefined);
+		if (await confirmIncarnation()) {
+			sendNow();
+		} else {
+			endUnsent('unconfirmed');
+		}
+	};
+
+	const startSending = (socket: Socket): void => {
+		const age = getConnectionAge(socket, clock);
+		if (confirm === undefined || age >= maxEntryDelay) {
+			sendNow();
+		} else {
+			void confirmAndSend(confirm);
+		}
+	};
+
 	enterPhase('waiting', connectionWait);
 	agent.once('retire', endIfWaiting);
 	watchConnection(clientRequest, agent, {
 		onConnecting() {
 			enterPhase('connecting', connectTimeout);
 		},
-		onConnected: sendNow,
+		onConnected: startSending,
 	});
 	clientRequest.once('response', message => {
 		agent.recordAnswer(message.socket, message);
