Let dispatch passes use at most a tenth of the processor time, and cost less

Cause: for each queued call and engine, a pass subtracted this host's queued tokens from all hosts', and looked for the preferred engine of the prompt; neither changes within a pass.

--- a/packages/forwarder/src/queue/observed-service.ts
+++ b/packages/forwarder/src/queue/observed-service.ts
@@ -13,7 +13,7 @@
 	cache: PromptCacheEstimate;
 	/** Whether it may have started again, with another software version than is known. */
 	isDoubted: boolean;
-} & Pick<Candidate, 'prefillRate' | 'isReserved' | 'failureRatio' | 'relativeLatency'>;
+} & Pick<Candidate, 'queuedElsewhere' | 'prefillRate' | 'isReserved' | 'failureRatio' | 'relativeLatency'>;
 
 /** The upstreams of a service as this host sees them during a dispatch pass. */
 export type ObservedService = {
@@ -24,6 +24,8 @@
 	reachable: readonly ObservedUpstream[];
 	/** Median prefill rate of the reachable upstreams, in tokens per millisecond. */
 	prefillRate: number;
+	/** Preferred upstreams of the prompts that were decided on, as `getPreferredUpstream` returns them for all reachable upstreams, by the shared part that decides. */
+	preferred: Map<string, UpstreamKey | undefined>;
 };
 
 /** A call for which an upstream is chosen. */
@@ -50,10 +52,37 @@
 /** Expected number of shared tokens that the preferred upstream of a prompt has cached beyond the maximum that any upstream is known to have. */
 type PreferredCacheEstimate = {preferred: UpstreamKey | undefined; tokens: number};
 
+/** Returns the tokens that the other hosts have queued for an upstream, by rank; a dispatch pass doesn't change them. */
+export const getQueuedElsewhere = (key: UpstreamKey, loads: LoadTracker): RankTokens =>
+	addRankTokens(loads.getTotalLoad(key).queuedTokens, loads.getOwnQueuedTokens(key), -1);
+
+const getUnreservedUpstreams = (usable: readonly ObservedUpstream[]): Upstream[] =>
+	usable.filter(({isReserved}) => !isReserved).map(({upstream}) => upstream);
+
+/** Returns the preferred upstream of a prompt among the usable ones. */
+const findPreferred = (prompt: Prompt, usable: readonly ObservedUpstream[], {reachable, preferred}: ObservedService): UpstreamKey | undefined => {
+	const shared = prompt.parts.at(-2)?.id;
+	if (shared === undefined) {
+		return undefined;
+	}
+
+	// Upstreams that aren't reachable are usable only if no reachable one is.
+	const areAllReachable = usable.length === reachable.length && usable[0] === reachable[0];
+	if (!areAllReachable) {
+		return getPreferredUpstream(prompt, getUnreservedUpstreams(usable));
+	}
+
+	if (!preferred.has(shared)) {
+		preferred.set(shared, getPreferredUpstream(prompt, getUnreservedUpstreams(usable)));
+	}
+
+	return preferred.get(shared);
+};
+
 /** Estimates what the preferred upstream has cached, where `maxSharedTokens` is the maximum that any upstream is known to have. */
-const estimatePreferredCache = (prompt: Prompt, maxSharedTokens: number, upstreams: readonly Upstream[]): PreferredCacheEstimate => {
+const estimatePreferredCache = (prompt: Prompt, maxSharedTokens: number, preferred: UpstreamKey | undefined): PreferredCacheEstimate => {
 	const shared = prompt.parts.slice(0, -1).reduce((sum, {tokens}) => sum + tokens, 0);
-	return {preferred: getPreferredUpstream(prompt, upstreams), tokens: preferredHitProbability * (shared - maxSharedTokens)};
+	return {preferred, tokens: preferredHitProbability * (shared - maxSharedTokens)};
 };
 
 /** What decides whether an upstream may run a call, besides its limit. */
@@ -78,11 +107,9 @@
 	const usable = getUsable(query);
 	const cachedTokens = usable.map(({cache}) => prompt === undefined ? noCachedTokens : cache.getCachedTokens(prompt));
 	const maxSharedTokens = Math.max(...cachedTokens.map(({shared}) => shared));
-	const unreservedUpstreams = usable.filter(({isReserved}) => !isReserved).map(({upstream}) => upstream);
-	const preferredCache = prompt === undefined ? undefined : estimatePreferredCache(prompt, maxSharedTokens, unreservedUpstreams);
-	return usable.map(({key, upstream, prefillRate, isReserved, failureRatio, relativeLatency}, index) => {
+	const preferredCache = prompt === undefined ? undefined : estimatePreferredCache(prompt, maxSharedTokens, findPreferred(prompt, usable, service));
+	return usable.map(({key, upstream, queuedElsewhere, prefillRate, isReserved, failureRatio, relativeLatency}, index) => {
 		const load = loads.getTotalLoad(key);
-		const queuedElsewhere = addRankTokens(load.queuedTokens, loads.getOwnQueuedTokens(key), -1);
 		const {all, shared} = cachedTokens[index] ?? noCachedTokens;
 		return {
 			upstream,
--- a/packages/forwarder/src/queue/request-queue.test.ts
+++ b/packages/forwarder/src/queue/request-queue.test.ts
@@ -104,7 +104,7 @@
 	expect(dispatched).toEqual(['review-0', 'review-1', 'question']);
 });
 
-test('with a long queue and frequent load reports, dispatch uses less than a quarter of the processor time', async () => {
+test('with a long queue and frequent load reports, dispatch uses at most a tenth of the processor time', async () => {
 	const setup = createTestSetup([buildUpstream({id: 'u1'}), buildUpstream({id: 'u2'})]);
 	const dispatched: string[] = [];
 	for (let index = 0; index < 30; index++) {
@@ -123,8 +123,10 @@
 	}
 
 	const busy = setup.lookups.count * setup.lookups.time;
+	// The pause after the last pass is not over yet.
+	const lastPass = 30 * setup.lookups.time;
 	expect(setup.lookups.count).toBeGreaterThan(30);
-	expect(busy / (setup.clock.monotonic() - from)).toBeLessThan(0.25);
+	expect((busy - lastPass) / (setup.clock.monotonic() - from)).toBeLessThanOrEqual(0.1);
 });
 
 test('the next review is dispatched once the prefill of the previous one is complete', async () => {
--- a/packages/forwarder/src/queue/upstream-tracker.ts
+++ b/packages/forwarder/src/queue/upstream-tracker.ts
@@ -16,7 +16,9 @@
 import {
 	isDoubted, noDoubt, updateDoubt, type RestartDoubt,
 } from './restart-doubt.js';
-import {buildCandidates, type CandidateQuery, type ObservedService} from './observed-service.js';
+import {
+	buildCandidates, getQueuedElsewhere, type CandidateQuery, type ObservedService,
+} from './observed-service.js';
 
 /** Tracks the state that this host observes for each incarnation of an upstream: connections, failures, latencies and cached prefixes. */
 export type UpstreamTracker = {
@@ -205,6 +207,7 @@
 						upstream,
 						key,
 						cache: getCache(key),
+						queuedElsewhere: getQueuedElsewhere(key, loads),
 						prefillRate: state.prefillRate.get(),
 						isReserved: reserved.has(key),
 						isDoubted: isDoubted(state.doubt, now),
@@ -217,6 +220,7 @@
 				now,
 				all: all.map(({observed}) => observed),
 				reachable: all.filter(({reachable}) => reachable).map(({observed}) => observed),
+				preferred: new Map(),
 				prefillRate: getMedian(usableStates.map(({prefillRate}) => prefillRate.get())) ?? defaultPrefillRate,
 			};
 		},
