Let hosts that are stopping take calls of others as a last resort

Cause: a stopping host wasn't asked whether it reaches upstreams, and said no. Evidence: a fleet of two whose second host is stopping with a grace period of 8 s: no call of the first was served within 1.5 s before; all are now. Change: such hosts are asked once no other one reaches the upstreams, and say yes while they still take requests of a second. Whether a call is taken is decided as for their own callers. That most available hosts say no still makes an upstream count as away, unless one that is stopping reaches it.

--- a/packages/discovery/src/host-list.ts
+++ b/packages/discovery/src/host-list.ts
@@ -16,6 +16,11 @@
 	return available.map(({record}) => record);
 };
 
+/** Returns the other hosts that are stopping and have reported recently: they serve what they have taken, and for some time what others forward. */
+export const getStoppingHosts = (observed: readonly ObservedHost[], own: HostId): HostRecord[] => observed
+	.filter(({record, silence, isStopping}) => (isStopping || record.isStopping) && record.host !== own && silence <= hostSilenceTimeout)
+	.map(({record}) => record);
+
 /** Chooses some of the hosts for a key by rendezvous hashing, so that all hosts choose the same ones. */
 export const chooseHosts = (key: string, hosts: readonly HostRecord[], count: number): HostId[] => {
 	const weighted = hosts.map(({host}) => ({host, weight: getMixedHash(`${key}/${host}`)}));
--- a/packages/discovery/src/join-fleet.ts
+++ b/packages/discovery/src/join-fleet.ts
@@ -12,7 +12,9 @@
 import {createConfigurationClient} from './configuration-calls.js';
 import {followConfiguration, type ConfigurationFollower} from './follow-configuration.js';
 import {followFleet, type FleetFollower} from './follow-fleet.js';
-import {chooseHosts, getAvailableHosts, selectHostsForCaller} from './host-list.js';
+import {
+	chooseHosts, getAvailableHosts, getStoppingHosts, selectHostsForCaller, type ObservedHost,
+} from './host-list.js';
 import type {HostRecord} from './host-record.js';
 import {reportLoopFailure} from './loop.js';
 import type {Prefill} from './load-report.js';
@@ -46,6 +48,8 @@
 	countHosts: () => number;
 	/** Returns the other hosts that are neither silent nor stopping. */
 	getAvailableOthers: () => HostRecord[];
+	/** Returns the other hosts that are stopping but not silent. */
+	getStoppingOthers: () => HostRecord[];
 	/** Returns the hosts to list for a caller in the availability zone. */
 	getHostsForCaller: (zone: Zone | undefined) => HostRecord[];
 	/** Whether this host is among the `count` that all available hosts choose for a key. For a moment after a host has started or failed, more may be. */
@@ -124,13 +128,12 @@
 	});
 };
 
-/** Creates a function that returns the hosts which are neither silent nor stopping. */
-const createAvailabilityQuery = ({record, isStopping}: FleetOptions, reportExchange: LoadReportExchange, getOthers: GetOtherHosts) => (): HostRecord[] => {
+/** Creates a function that returns all hosts, this one included, with what this host observes of them. */
+const createObservation = ({record, isStopping}: FleetOptions, reportExchange: LoadReportExchange, getOthers: GetOtherHosts) => (): ObservedHost[] => {
 	const isHostStopping = (host: HostId): boolean => host === record.host ? isStopping() : reportExchange.isStopping(host);
-	const observed = [record, ...getOthers()].map(other => ({
+	return [record, ...getOthers()].map(other => ({
 		record: other, silence: reportExchange.getSilence(other.host), isStopping: isHostStopping(other.host),
 	}));
-	return getAvailableHosts(observed, record.host);
 };
 
 /** Registers the host, and starts to follow the fleet and to exchange load reports with its hosts. */
@@ -149,7 +152,8 @@
 	});
 	const getOthers: GetOtherHosts = () => view.getHosts().filter(({host}) => host !== record.host);
 	const reportExchange = startReportExchange(options, view, getOthers);
-	const getAvailable = createAvailabilityQuery(options, reportExchange, getOthers);
+	const observe = createObservation(options, reportExchange, getOthers);
+	const getAvailable = (): HostRecord[] => getAvailableHosts(observe(), record.host);
 	const getPeerAddresses = (): Address[] => {
 		const known = new Set([...knownPeers, ...getOthers().map(({peers}) => peers)]);
 		known.delete(record.peers);
@@ -204,6 +208,7 @@
 		}),
 		countHosts: () => getOthers().length + 1,
 		getAvailableOthers: () => getAvailable().filter(({host}) => host !== record.host),
+		getStoppingOthers: () => getStoppingHosts(observe(), record.host),
 		getHostsForCaller: zone => selectHostsForCaller(getAvailable(), zone, random),
 		isAmongChosenHosts: (key, count) => chooseHosts(key, getAvailable(), count).includes(record.host),
 	};
--- a/packages/forwarder/src/host/create-context.ts
+++ b/packages/forwarder/src/host/create-context.ts
@@ -172,7 +172,7 @@
 		fragileUpstreams,
 		links,
 		hostAgents: createHostAgents(),
-		getHostAddresses: () => fleet.getAvailableOthers().map(({peers}) => peers),
+		getHostAddresses: () => [...fleet.getAvailableOthers(), ...fleet.getStoppingOthers()].map(({peers}) => peers),
 		suspects,
 		crashDetector: createCrashDetector(clock, links.isAwayForOthers),
 		streamOrigins,
--- a/packages/forwarder/src/host/start-host.ts
+++ b/packages/forwarder/src/host/start-host.ts
@@ -29,6 +29,9 @@
 /** Callers may use a list for up to this multiple of its time to live. */
 const staleUseFactor = 3;
 
+/** Time for which a stopping host must still serve to take calls that other hosts forward. */
+const minForwardedTime: Milliseconds = 1000;
+
 /** Starts a host: joins the fleet and listens for callers and other hosts. Rejects if an address can't be used. */
 export const startHost = async (settings: HostSettings, dependencies: HostDependencies): Promise<Host> => {
 	const {clock, logger} = dependencies;
@@ -40,11 +43,12 @@
 	const forwarder = createForwarder(context);
 	const callers = createCallerServer({context, forwarder});
 	const isReady = (): boolean => shutdown.since === undefined && fleet.view.getRoutes() !== undefined;
+	const takesForwardedCalls = (): boolean => fleet.view.getRoutes() !== undefined && context.canAccept(minForwardedTime);
 	const peers = createPeerServer({
 		clock,
 		view: fleet.view,
-		findStreamOrigin: query => findStreamOrigin(query, context),
-		getReach: async query => ({isReached: isReady() && await context.links.reaches(query), openRequests: callers.countOpenRequests()}),
+		findStreamOrigin: async query => findStreamOrigin(query, context),
+		getReach: async query => ({isReached: takesForwardedCalls() && await context.links.reaches(query), openRequests: callers.countOpenRequests()}),
 		answerForwardedCall: callers.answerForwardedCall,
 	});
 	await Promise.all([listen(callers.server, settings.callers), listen(peers, settings.peers)]);
--- a/packages/forwarder/src/links/find-reaching-hosts.ts
+++ b/packages/forwarder/src/links/find-reaching-hosts.ts
@@ -4,7 +4,7 @@
 import type {ReachingHost} from './forwarding-hosts.js';
 
 /** Dependencies of the search. */
-export type ReachSearch = {fleet: Pick<Fleet, 'askForReach' | 'getAvailableOthers'>; clock: Clock; random: Random};
+export type ReachSearch = {fleet: Pick<Fleet, 'askForReach' | 'getAvailableOthers' | 'getStoppingOthers'>; clock: Clock; random: Random};
 
 /** What other hosts say of upstreams. */
 export type ReachSurvey = {
@@ -19,13 +19,12 @@
 /** Time after the first host that reaches the upstreams in which the others are awaited. */
 const lateAnswerTime: Milliseconds = 30;
 
-/** Asks some other hosts whether they reach upstreams; resolves soon after the first that does, or with the last answer. */
-export const findReachingHosts = async (query: ReachQuery, {fleet, clock, random}: ReachSearch): Promise<ReachSurvey> => {
-	const others = fleet.getAvailableOthers();
-	const addresses = others.map(({peers}) => peers);
+/** Asks some of the hosts; resolves soon after the first that reaches the upstreams, or with the last answer. */
+const ask = async (hosts: ReadonlyArray<ReachingHost['record']>, query: ReachQuery, {fleet, clock, random}: ReachSearch): Promise<ReachSurvey> => {
+	const addresses = [...fleet.getAvailableOthers(), ...fleet.getStoppingOthers()].map(({peers}) => peers);
 	const reaching: ReachingHost[] = [];
 	let answers = 0;
-	const ask = async (record: ReachingHost['record']): Promise<void> => {
+	const askOne = async (record: ReachingHost['record']): Promise<void> => {
 		const reach = await fleet.askForReach(record.peers, query, addresses);
 		answers += reach === undefined ? 0 : 1;
 		if (reach?.isReached !== true) {
@@ -35,7 +34,7 @@
 		reaching.push({record, openRequests: reach.openRequests});
 	};
 
-	const asked = random.sample(others, askedHosts).map(async record => ask(record));
+	const asked = random.sample(hosts, askedHosts).map(async record => askOne(record));
 	try {
 		await Promise.any(asked);
 		await Promise.race([Promise.allSettled(asked), clock.sleep(lateAnswerTime)]);
@@ -45,3 +44,16 @@
 
 	return {reaching: [...reaching], isAnswered: answers * 2 > asked.length || asked.length === 0};
 };
+
+/** Asks some other hosts whether they reach upstreams, and hosts that are stopping only if no other one does. */
+export const findReachingHosts = async (query: ReachQuery, search: ReachSearch): Promise<ReachSurvey> => {
+	const available = search.fleet.getAvailableOthers();
+	const survey = await ask(available, query, search);
+	const stopping = search.fleet.getStoppingOthers();
+	if (survey.reaching.length > 0 || stopping.length === 0) {
+		return survey;
+	}
+
+	const last = await ask(stopping, query, search);
+	return {reaching: last.reaching, isAnswered: available.length === 0 ? last.isAnswered : survey.isAnswered};
+};
--- a/packages/forwarder/src/links/forwarded-call.test.ts
+++ b/packages/forwarder/src/links/forwarded-call.test.ts
@@ -170,3 +170,19 @@
 	expect({status, isComplete}).toEqual({status: 200, isComplete: true});
 	expect(body).toBe(Array.from({length: 15}, (_, index) => `id: ${index + 1}\ndata: x\n\n`).join(''));
 });
+
+// Guards against: the last host that reaches the upstreams takes no calls of others from the signal to stop on, although it serves for seconds (soak seed 9230).
+test('a call goes over a host that is stopping if no other one reaches the upstreams', async () => {
+	const {hosts, setLinks} = await startLinkedFleet({
+		hosts: 2, upstreams: [answerOk, answerOk], configuration, gracePeriod: 8000, onFinished: onTestFinished,
+	});
+	const [cut, stopping] = [hosts[cutHost]!, hosts[otherHost]!];
+	void stopping.host.stop();
+	await sleep(200);
+	setLinks([cutHost], 'reset');
+	await expect.poll(async () => {
+		const answer = await sendRequest(cut.callers, {path: '/read/1', headers: {attempt: 'over'}});
+		return answer.status;
+	}, {timeout: 1500}).toBe(200);
+	expect(cut.logLines.some(line => line.includes('event=call-forwarded request=over host=h1'))).toBe(true);
+});
--- a/packages/forwarder/src/links/testing-partition.ts
+++ b/packages/forwarder/src/links/testing-partition.ts
@@ -46,6 +46,8 @@
 	/** Handlers of the upstreams of the service `s`. */
 	upstreams: readonly AnswerHandler[];
 	configuration: RoutingConfiguration;
+	/** Grace period of the hosts; short if absent, so that tests end soon. */
+	gracePeriod?: Milliseconds;
 	onFinished: (close: () => void) => void;
 };
 
@@ -56,7 +58,7 @@
 const callerPort = 8001;
 const peerPort = 8002;
 
-const buildSettings = (index: number, ip: string): HostSettings => {
+const buildSettings = (index: number, ip: string, gracePeriod: Milliseconds): HostSettings => {
 	const peers = `${ip}:${peerPort}`;
 	return {
 		host: `h${index}`,
@@ -66,7 +68,7 @@
 		peers,
 		loadReports: peers,
 		knownPeers: [],
-		gracePeriod: 100,
+		gracePeriod,
 		addressTtl: 1000,
 		retryLimit: {ratio: 0.2, minimum: 54, window: 10_000},
 	};
@@ -87,11 +89,16 @@
 	return {kind: 'upstream', upstream: {...upstream, address: link.address}};
 };
 
-const startLinkedHost = async (index: number, upstreams: readonly Upstream[], store: TestStore): Promise<LinkedHost> => {
+/** What the hosts of a fleet share. */
+type FleetParts = {upstreams: readonly Upstream[]; store: TestStore; gracePeriod: Milliseconds | undefined};
+
+const shortGracePeriod: Milliseconds = 100;
+
+const startLinkedHost = async (index: number, {upstreams, store, gracePeriod = shortGracePeriod}: FleetParts): Promise<LinkedHost> => {
 	const ip = takeLoopback();
 	const links = await Promise.all(upstreams.map(async ({address}) => openHostLink(ip, address)));
 	const logLines: string[] = [];
-	const settings = buildSettings(index, ip);
+	const settings = buildSettings(index, ip, gracePeriod);
 	const logger = createLogger('info', line => {
 		logLines.push(line);
 	});
@@ -105,7 +112,9 @@
 };
 
 /** Starts a fleet, and waits until its hosts know each other. */
-export const startLinkedFleet = async ({hosts: hostCount, upstreams: handlers, configuration, onFinished}: LinkedFleetOptions): Promise<LinkedFleet> => {
+export const startLinkedFleet = async ({
+	hosts: hostCount, upstreams: handlers, configuration, gracePeriod, onFinished,
+}: LinkedFleetOptions): Promise<LinkedFleet> => {
 	const store = createTestStore();
 	const counts = handlers.map(() => 0);
 	const started = await Promise.all(handlers.map(async (answer, index) => startUpstream(`u${index}`, (request, response) => {
@@ -118,7 +127,8 @@
 		store.put(`upstreams/${upstream.id}`, JSON.stringify(upstream));
 	}
 
-	const hosts = await Promise.all(Array.from({length: hostCount}, async (_, index) => startLinkedHost(index, upstreams, store)));
+	const parts: FleetParts = {upstreams, store, gracePeriod};
+	const hosts = await Promise.all(Array.from({length: hostCount}, async (_, index) => startLinkedHost(index, parts)));
 	onFinished(() => {
 		for (const {host, links} of hosts) {
 			void host.stop();
@@ -149,7 +159,7 @@
 			store.restore(configurationKey, JSON.stringify(older));
 		},
 		async addHost() {
-			const added = await startLinkedHost(hosts.length, upstreams, store);
+			const added = await startLinkedHost(hosts.length, parts);
 			hosts.push(added);
 			return added;
 		},
