Keep an answer that is written when what is recorded of it throws

Found by reading the change before: a call whose handling throws after its answer was written had its connection closed, with the rest of a long answer. A test with a million bytes got a part of them before; it is whole now, and the end is logged as delivered, with internal as its reason.

--- a/packages/forwarder/src/forward.ts
+++ b/packages/forwarder/src/forward.ts
@@ -213,11 +213,16 @@
 		}
 	};
 
-	/** Ends a call whose handling has thrown; it may have run. */
+	/** Ends a call whose handling has thrown; it may have run. An answer that is written completely stays as it is. */
 	const endOnError = (call: Call, progress: Progress, error: unknown): CallEnd => {
+		const kind = 'internal';
 		logger.error('call-failed', {request: call.head.callerRequestId, target: call.target, reason: error instanceof Error ? error.stack : String(error)});
 		progress.cancel?.();
-		return progress.hasTimedOut || progress.isCallerGone ? getAbandonedEnd(progress) : answerWithError(call, {kind: 'internal'});
+		if (progress.hasTimedOut || progress.isCallerGone) {
+			return getAbandonedEnd(progress);
+		}
+
+		return call.response.writableEnded ? {outcome: 'delivered', reason: kind} : answerWithError(call, {kind});
 	};
 
 	/** Makes attempts until the call has ended, whatever is thrown. */
--- a/packages/forwarder/src/thrown-error.test.ts
+++ b/packages/forwarder/src/thrown-error.test.ts
@@ -46,6 +46,18 @@
 	expect(countEnds(host)).toBe(1);
 });
 
+// Guards against: a mistake in what is recorded of an answer cuts that answer off.
+test('a call that throws once its answer is written keeps that answer', async () => {
+	const {host} = await start((request, response) => {
+		response.writeHead(200, {signed: '1', attempt: request.headers.attempt ?? ''});
+		response.end('x'.repeat(1_000_000));
+	});
+	host.context.tracker.recordResult = fail;
+	const {status, body, isComplete} = await sendRequest(host.port, {path: '/read/1', headers: {attempt: 'a1'}});
+	expect([status, body.length, isComplete]).toEqual([200, 1_000_000, true]);
+	expect(await waitForEnd(host, 'a1')).toMatch(/outcome=delivered reason=internal/v);
+});
+
 // Guards against: the forwarding counts as under way for ever, so that the other host is passed over.
 test('a call that throws while it goes over a host ends its forwarding', async () => {
 	const {deployment: {host}} = await startWithStubHosts(answerOk);
