Take a head that can't be built, and a question that throws, for failed attempts

Found by reading the change: building the head of a request ran in a listener, and now also after the question to the store, outside of the call. What it throws held the call up until the connection's time limit (466 ms in the test, logged as an upstream that can't be reached); a question to the store that throws would have held it until its deadline. Change: building the head is part of writing the request, whose errors end the attempt as unsent; a question that throws is logged like a failed refresh, and counts as not confirmed. The age of connections has a module of its own. The test failed before; nothing has shown the second case.

--- a/packages/discovery/src/join-fleet.ts
+++ b/packages/discovery/src/join-fleet.ts
@@ -200,7 +200,14 @@
 				reportLoopFailure('refresh', error, {logger, onFailure: options.onLoopFailure});
 			}
 		},
-		confirm: follower.confirm,
+		async confirm() {
+			try {
+				return await follower.confirm();
+			} catch (error) {
+				reportLoopFailure('confirm', error, {logger, onFailure: options.onLoopFailure});
+				return false;
+			}
+		},
 		askForStreamOrigin: createStreamOriginClient({getAddresses: getPeerAddresses, clock, random}).find,
 		askForReach: createReachClient(clock).ask,
 		registration: registerHost({
--- a/packages/forwarder/src/send/send.ts
+++ b/packages/forwarder/src/send/send.ts
@@ -5,6 +5,7 @@
 import type {AnswerHead, Protocol, RawHeaders} from '../protocol.js';
 import {maxEntryDelay} from '../queue/restart-doubt.js';
 import {classifyAnswer, isMismatched} from './classify-answer.js';
+import {getConnectionAge} from './connection-age.js';
 import type {Incoming} from './incoming.js';
 import type {UpstreamAgent} from './upstream-agent.js';
 
@@ -127,16 +128,6 @@
 	}
 };
 
-const connectionTimes = new WeakMap<Socket, Milliseconds>();
-
-/** Returns the time since a connection was first used, which is now if it hasn't been. */
-const getConnectionAge = (socket: Socket, clock: Clock): Milliseconds => {
-	const now = clock.monotonic();
-	const connectedAt = connectionTimes.get(socket) ?? now;
-	connectionTimes.set(socket, connectedAt);
-	return now - connectedAt;
-};
-
 const createDeferred = <Value>(): {promise: Promise<Value>; resolve: (value: Value) => void} => {
 	let resolve: (value: Value) => void = () => undefined;
 	const promise = new Promise<Value>(resolvePromise => {
@@ -212,24 +203,31 @@
 		}
 	};
 
+	/** Builds the head and writes the request; returns the head, or why nothing was written. */
+	const write = (): RequestHead | string => {
+		try {
+			const head = buildHead();
+			if (typeof head !== 'string') {
+				writeRequest(clientRequest, head.headers, body);
+			}
+
+			return head;
+		} catch (error) {
+			return getErrorReason(error as Error);
+		}
+	};
+
 	const sendNow = (): void => {
 		if (isFinished) {
 			return;
 		}
 
-		const head = buildHead();
+		const head = write();
 		if (typeof head === 'string') {
 			endUnsent(head);
 			return;
 		}
 
-		try {
-			writeRequest(clientRequest, head.headers, body);
-		} catch (error) {
-			endUnsent(getErrorReason(error as Error));
-			return;
-		}
-
 		enterPhase('sent', head.headTimeout);
 		onSent?.();
 	};
--- a/packages/forwarder/src/thrown-error.test.ts
+++ b/packages/forwarder/src/thrown-error.test.ts
@@ -92,3 +92,13 @@
 		expect(await waitForEnd(host, 'a1')).toContain('lastFailure=status-invalid');
 	}
 });
+
+// Guards against: a call whose head can't be built waits until its deadline, as that is found out in a listener.
+test('a call whose head can\'t be built is refused as not run', async () => {
+	const {host, counts} = await start(answerOk);
+	host.context.protocol = {...host.context.protocol, buildUpstreamHeaders: fail};
+	expect(await sendRequest(host.port, {path: '/book/1', headers: {attempt: 'a1'}})).toMatchObject({status: 503});
+	expect(await waitForEnd(host, 'a1')).toContain('outcome=own-answer');
+	expect(host.logLines.some(line => line.includes('event=attempt-failed request=a1 ') && line.includes('kind=unsent reason="test of a thrown error"'))).toBe(true);
+	expect(counts).toEqual([0]);
+});
