--- a/packages/discovery/src/follow-fleet.ts
+++ b/packages/discovery/src/follow-fleet.ts
@@ -35,7 +35,7 @@
 
 /** Longest wait of one watch call; it bounds how long changes stay unnoticed when a watch stalls. */
 const watchTimeout: Milliseconds = 2500;
-/** Wait of a call that is to be answered at once; the shortest that a store takes for one. */
+/** Wait of a call that is to be answered at once. */
 const noWait: Milliseconds = 1;
 /** Delay after a failed call; it doubles with each consecutive failure, up to `maxBackoff`. */
 const minBackoff: Milliseconds = 200;
