--- a/review/support/client.mjs
+++ b/review/support/client.mjs
@@ -24,7 +24,12 @@
 					outgoing.destroy(new Error('deadline'));
 				}, deadline + 1000);
 				const outgoing = request({
-					host, port, method, path, agent: isNewConnection ? new Agent() : agent, headers: {
+					host,
+					port,
+					method,
+					path,
+					agent: isNewConnection ? new Agent() : agent,
+					headers: {
 						host: hostname, 'gentianlift-attempt-id': id, 'gentianlift-deadline-ms': String(deadline), 'gentianlift-key': key, ...(method === 'POST' && {'content-length': body.length}), ...headers,
 					},
 				});
--- a/review/support/deployment.mjs
+++ b/review/support/deployment.mjs
@@ -27,6 +27,11 @@
 	resumable: true,
 };
 
+/** Route of long prompts, which may not be resumed. */
+const reviewRoute = {
+	...planRoute, name: 'r-review', prefix: '/stream/review/', timeoutMs: 12_000, targetLatencyMs: 2500, itlTargetMs: 1000, priority: 2, maxAttempts: 1, resumable: false,
+};
+
 /** Configuration as the operator writes it, with the kinds of request of the site that the cases need; `keys` are the tenant's. */
 export const buildConfiguration = (version, keys = [key]) => ({
 	version,
@@ -38,6 +43,7 @@
 			...ordersRoute, name: 'r-look', prefix: '/look/', type: 'idempotent', maxAttempts: 2,
 		},
 		planRoute,
+		reviewRoute,
 	],
 	services: [
 		{
--- a/review/support/engine.mjs
+++ b/review/support/engine.mjs
@@ -13,7 +13,7 @@
 `dropsOnClose` says whether a run ends when its connection closes, as with most engines.
 */
 export const startEngine = async ({
-	ip, id, service, zone, store, record, version = 'v1', work = 40, interval = 50, events = 40, slots = 64, dropsOnClose = true, firstToken = 60,
+	ip, id, service, zone, store, record, version = 'v1', work = 40, interval = 50, events = 40, slots = 64, dropsOnClose = true, firstToken = 60, prefillRate, crashingPart, crashTime = 2500,
 }) => {
 	/** Until when nothing is sent, by the steady clock. */
 	const state = {
@@ -26,6 +26,20 @@
 		}
 	};
 
+	/** Prompts are read one after the other, at a rate in tokens a ms; without a rate each takes the same time. */
+	let lastPrefill = Promise.resolve();
+	const prefill = async ({headers}) => {
+		if (prefillRate === undefined) {
+			await sleep(firstToken);
+			return;
+		}
+
+		const tokens = Number(headers['gentianlift-token-usage'].split(',')[0]);
+		const previous = lastPrefill;
+		lastPrefill = previous.then(async () => sleep(tokens / prefillRate));
+		await lastPrefill;
+	};
+
 	const serve = async (request, response) => {
 		const attempt = request.headers['gentianlift-attempt-id'];
 		const expected = request.headers['gentianlift-expected-instance'];
@@ -64,8 +78,19 @@
 				return;
 			}
 
-			await sleep(firstToken);
+			await prefill(request);
+			if (state.incarnation !== incarnation) {
+				return;
+			}
+
 			record.add('runs', {engine: id, attempt, after});
+			if (crashingPart !== undefined && request.headers['gentianlift-prefix-hash'].split(',').some(entry => entry.startsWith(`${crashingPart}:`))) {
+				engine.crash();
+				await sleep(crashTime);
+				await engine.restart(state.version);
+				return;
+			}
+
 			for (let number = after + 1; number <= events; number++) {
 				// eslint-disable-next-line no-await-in-loop
 				await waitForVoice();
@@ -139,7 +164,7 @@
 			write();
 		}
 	}, heartbeat);
-	return {
+	const engine = {
 		id,
 		key,
 		address,
@@ -186,4 +211,5 @@
 			server.closeAllConnections();
 		},
 	};
+	return engine;
 };
