--- a/review/support/engine.mjs
+++ b/review/support/engine.mjs
@@ -13,7 +13,7 @@
 `dropsOnClose` says whether a run ends when its connection closes, as with most engines.
 */
 export const startEngine = async ({
-	ip, id, service, zone, store, record, version = 'v1', work = 40, interval = 50, events = 40, slots = 64, dropsOnClose = true, firstToken = 60, prefillRate, crashingPart, crashTime = 2500,
+	ip, id, service, zone, store, record, version = 'v1', work = 40, interval = 50, events = 40, slots = 64, dropsOnClose = true, firstToken = 60, prefillRate, isUnframed = false, crashingPart, crashTime = 2500,
 }) => {
 	/** Until when nothing is sent, by the steady clock. */
 	const state = {
@@ -104,6 +104,8 @@
 				}
 
 				if (!response.headersSent) {
+					// Without chunks and length, the answer ends with its connection.
+					response.useChunkedEncodingByDefault = !isUnframed;
 					response.writeHead(200, {...headers, 'gentianlift-weight-versions': '1', 'content-type': 'text/event-stream'});
 				}
 
