--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -1,4 +1,4 @@
-/** A host freezes for 4 s while clients have just opened connections to it and send their requests. */
+/** A host freezes for 3.8 s while clients have just opened connections to it and send their requests. */
 import {connect} from 'node:net';
 import {randomBytes} from 'node:crypto';
 import {
@@ -8,7 +8,7 @@
 import {startDeployment} from '../support/deployment.mjs';
 
 /** How long the host is frozen. */
-const freeze = 4000;
+const freeze = 3800;
 /** Time from the opening of a connection to the request on it; the limits allow clients 3 s. */
 const pause = 150;
 /** Statuses that promise that a request has not run and never will. */
