Handle no request on a connection that was answered with an error

Cause: Node's check of the time for a head is a timer, which fires before the bytes that wait are read. The 408 was written straight to the socket, nothing marked the connection, and the request that was read next was handled as any other. The same way an error in bytes that follow a request (400, 431) was written while that request ran, and its caller took it for the answer.

Change: caller-connections keeps the requests of each connection. A late connection is looked at again after the bytes that wait were read, and served if its request is there; else it is given up: what it has delivered keeps its own answer, what follows isn't handled.

It works since the decision is now taken per connection, with the requests on it, in the same turn in which a later request would be emitted.

--- /dev/null
+++ b/packages/forwarder/src/callers/caller-connections.ts
@@ -0,0 +1,160 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+import type {Cancel, Clock} from '@gentianlift/clock';
+import type {ErrorKind} from '@gentianlift/errors';
+import type {Logger} from '@gentianlift/logger';
+import type {Metrics} from '@gentianlift/metrics';
+import type {Milliseconds} from '@gentianlift/types';
+
+/** An error of Node's HTTP server for a connection. */
+export type ConnectionError = Error & {code?: string};
+
+/** Connections on which requests arrive. One whose bytes are no request, or whose request comes too late, is given up: each request that it has delivered keeps its own answer, and none that follows is handled. */
+export type CallerConnections = {
+	/** Takes a request that has arrived; returns false if its connection was given up, so that it must not be handled. */
+	accept: (request: IncomingMessage, response: ServerResponse) => boolean;
+	/** Handles an error of a connection (`clientError` of the server). */
+	handleError: (error: ConnectionError, socket: Socket) => void;
+};
+
+/** Dependencies of `createCallerConnections`. */
+export type CallerConnectionsOptions = {
+	clock: Clock;
+	logger: Logger;
+	metrics: Metrics;
+	/** Answers a request of which only a part has arrived, unless its answer has begun, and closes the connection. */
+	answerPartial: (request: IncomingMessage, response: ServerResponse, kind: ErrorKind) => void;
+};
+
+/** What is known of a connection. */
+type ConnectionState = {
+	/** Number of requests of which the head has arrived. */
+	requests: number;
+	/** The last of them, with its response. */
+	last: {request: IncomingMessage; response: ServerResponse} | undefined;
+	/** Responses that aren't written completely. */
+	pending: Set<ServerResponse>;
+	isGivenUp: boolean;
+};
+
+/** Code of the error of a request that has not arrived in time. */
+const timeoutCode = 'ERR_HTTP_REQUEST_TIMEOUT';
+
+/** Error kinds and status lines for errors of Node's HTTP server, by code. */
+const answersByCode: Partial<Record<string, {kind: ErrorKind; statusLine: string}>> = {
+	HPE_HEADER_OVERFLOW: {kind: 'headers-too-large', statusLine: '431 Request Header Fields Too Large'},
+	[timeoutCode]: {kind: 'body-timeout', statusLine: '408 Request Timeout'},
+};
+const malformedAnswer = {kind: 'bad-request', statusLine: '400 Bad Request'} as const;
+
+/** Time for which a connection that was given up is read and its bytes are discarded, so that its caller gets the last answer: a close with unread bytes would reset the connection. */
+const lingerTime: Milliseconds = 1000;
+
+/** Whether the last request of a connection has arrived in part. */
+const isPartial = ({last}: ConnectionState): boolean => last !== undefined && !last.request.complete;
+
+/** Creates the connections of a server. */
+export const createCallerConnections = ({clock, logger, metrics, answerPartial}: CallerConnectionsOptions): CallerConnections => {
+	const states = new WeakMap<Socket, ConnectionState>();
+
+	const getState = (socket: Socket): ConnectionState => {
+		const existing = states.get(socket);
+		if (existing !== undefined) {
+			return existing;
+		}
+
+		const state: ConnectionState = {
+			requests: 0, last: undefined, pending: new Set(), isGivenUp: false,
+		};
+		states.set(socket, state);
+		return state;
+	};
+
+	/** Ends a connection, and closes it when its caller has closed its side or after a time. */
+	const endSocket = (socket: Socket): void => {
+		const cancelTimer: Cancel = clock.after(lingerTime, () => {
+			socket.destroy();
+		});
+		socket.once('close', cancelTimer);
+		socket.end();
+	};
+
+	/** Ends a connection as soon as the requests that it has delivered are answered. */
+	const endAfterAnswers = (socket: Socket, {pending}: ConnectionState): void => {
+		for (const response of pending) {
+			response.shouldKeepAlive = false;
+			response.once('close', () => {
+				if (pending.size === 0) {
+					endSocket(socket);
+				}
+			});
+		}
+	};
+
+	const giveUp = (socket: Socket, state: ConnectionState, code: string | undefined): void => {
+		const {kind, statusLine} = answersByCode[code ?? ''] ?? malformedAnswer;
+		state.isGivenUp = true;
+		metrics.count('connections_given_up_total', {reason: kind});
+		logger.info('connection-given-up', {
+			reason: kind, code, requests: state.requests, unanswered: state.pending.size, partial: isPartial(state),
+		});
+		if (state.pending.size === 0) {
+			socket.write(`HTTP/1.1 ${statusLine}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+			endSocket(socket);
+			return;
+		}
+
+		endAfterAnswers(socket, state);
+		if (state.last !== undefined && isPartial(state)) {
+			answerPartial(state.last.request, state.last.response, kind);
+		}
+	};
+
+	/** Gives a connection up unless what was missing of its request has arrived: after a suspension of the process, timers run before the bytes that wait are read. */
+	const giveUpUnlessArrived = (socket: Socket, state: ConnectionState): void => {
+		const {requests} = state;
+		const wasPartial = isPartial(state);
+		setImmediate(() => {
+			const hasArrived = state.requests > requests || (wasPartial && !isPartial(state));
+			if (!hasArrived && !state.isGivenUp && !socket.destroyed) {
+				giveUp(socket, state, timeoutCode);
+			}
+		});
+	};
+
+	return {
+		accept(request, response) {
+			const state = getState(request.socket);
+			if (state.isGivenUp) {
+				logger.info('request-dropped', {target: request.url, reason: 'connection-given-up'});
+				request.resume();
+				return false;
+			}
+
+			state.requests += 1;
+			state.last = {request, response};
+			state.pending.add(response);
+			response.once('close', () => {
+				state.pending.delete(response);
+			});
+			return true;
+		},
+		handleError(error, socket) {
+			const state = getState(socket);
+			if (!socket.writable || error.code === 'ECONNRESET') {
+				socket.destroy();
+				return;
+			}
+
+			if (state.isGivenUp) {
+				return;
+			}
+
+			if (error.code === timeoutCode) {
+				giveUpUnlessArrived(socket, state);
+			} else {
+				giveUp(socket, state, error.code);
+			}
+		},
+	};
+};
--- a/packages/forwarder/src/callers/serve-callers.ts
+++ b/packages/forwarder/src/callers/serve-callers.ts
@@ -15,12 +15,15 @@
 import {getForwardedResumption, getForwardedService, type ReceivedRequest} from './received-request.js';
 import {writeErrorAnswer, type ErrorAnswer} from './error-answer.js';
 import {createAdmission, type Admission} from './admission.js';
+import {createCallerConnections, type ConnectionError} from './caller-connections.js';
 
 /** HTTP server for callers. */
 export type CallerServer = {
 	server: Server;
 	/** Answers a request that another host forwards. */
 	answerForwardedCall: RequestListener;
+	/** Handles an error of a connection on which other hosts forward requests. */
+	handleConnectionError: (error: ConnectionError, socket: Socket) => void;
 	/** Returns the number of requests that are being handled, including attempts that go on after the caller disconnected. */
 	countOpenRequests: () => number;
 };
@@ -45,20 +48,6 @@
 /** Retry-After of refusals: until this host has a configuration, or for a retry on another host. */
 const retryAfterDelays: Partial<Record<ErrorKind, Milliseconds>> = {'not-configured': 500, 'host-overloaded': 200, 'host-stopping': 20};
 
-/** Status lines for errors of Node's HTTP parser, by error code. */
-const clientErrorStatuses: Record<string, string> = {
-	HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
-	ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
-};
-
-const answerClientError = (error: Error & {code?: string}, socket: Socket): void => {
-	if (socket.writable && error.code !== 'ECONNRESET') {
-		socket.end(`HTTP/1.1 ${clientErrorStatuses[error.code ?? ''] ?? '400 Bad Request'}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
-	} else {
-		socket.destroy();
-	}
-};
-
 /** Returns the size of raw headers, with two separator bytes for each name and value. */
 const getHeaderBytes = (headers: readonly string[]): number => headers.reduce((sum, text) => sum + text.length + 2, 0);
 
@@ -137,6 +126,11 @@
 			return;
 		}
 
+		if (response.writableEnded) {
+			logger.info('call-broken', {request: head.callerRequestId, reason: 'connection-given-up'});
+			return;
+		}
+
 		const refusal = getRefusal(body, admission, request.rawHeaders, limits);
 		if (refusal !== undefined || body.kind !== 'whole' || admission.kind !== 'admitted') {
 			refuse(received, head, refusal ?? {kind: 'internal'});
@@ -172,6 +166,19 @@
 		}));
 	};
 
+	const connections = createCallerConnections({
+		clock,
+		logger,
+		metrics,
+		answerPartial(request, response, kind) {
+			if (!response.headersSent) {
+				writeErrorAnswer({
+					response, protocol, caller: protocol.readCallerHead(request.rawHeaders), isClosing: true,
+				}, {kind});
+			}
+		},
+	});
+
 	/** Answers a request whose handling has failed, which may have run it; closes the connection if an answer has begun. */
 	const answerFailure = ({request, response}: ReceivedRequest): void => {
 		if (response.headersSent || response.destroyed) {
@@ -186,6 +193,10 @@
 
 	const handleSafely = async (received: ReceivedRequest): Promise<void> => {
 		const {request, response} = received;
+		if (!connections.accept(request, response)) {
+			return;
+		}
+
 		openRequests += 1;
 		response.on('error', error => {
 			logger.debug('caller-write-failed', {reason: error.message});
@@ -213,8 +224,8 @@
 		});
 	});
 	server.keepAliveTimeout = 60_000;
-	server.on('clientError', (error: Error & {code?: string}, socket) => {
-		answerClientError(error, socket as Socket);
+	server.on('clientError', (error: ConnectionError, socket) => {
+		connections.handleError(error, socket as Socket);
 	});
 	return {
 		server,
@@ -230,6 +241,7 @@
 
 			void handleSafely({request, response, ...decoded});
 		},
+		handleConnectionError: connections.handleError,
 		countOpenRequests: () => openRequests,
 	};
 };
--- a/packages/forwarder/src/host/start-host.ts
+++ b/packages/forwarder/src/host/start-host.ts
@@ -1,8 +1,10 @@
+import type {Socket} from 'node:net';
 import {createPeerServer, getEra, type HostRecord} from '@gentianlift/discovery';
 import type {Milliseconds, Zone} from '@gentianlift/types';
 import {createForwarder} from '../forward.js';
 import {listen} from '../callers/listen.js';
 import {findStreamOrigin} from '../resume/resumption.js';
+import type {ConnectionError} from '../callers/caller-connections.js';
 import {createCallerServer} from '../callers/serve-callers.js';
 import type {HostDependencies, HostSettings} from './host-settings.js';
 import {createContext, type Shutdown} from './create-context.js';
@@ -51,6 +53,9 @@
 		getReach: async query => ({isReached: takesForwardedCalls() && await context.links.reaches(query), openRequests: callers.countOpenRequests()}),
 		answerForwardedCall: callers.answerForwardedCall,
 	});
+	peers.on('clientError', (error: ConnectionError, socket) => {
+		callers.handleConnectionError(error, socket as Socket);
+	});
 	await Promise.all([listen(callers.server, settings.callers), listen(peers, settings.peers)]);
 	logger.info('started', {host: settings.host, zone: settings.zone, callers: settings.callers});
 
