Answer every request before a host that stops ends

Cause: stopHost waited for open requests until the grace period was almost over, then ended, whatever was still open; nothing answered it. Ruled out: the queue stopping at the signal (22 attempts followed it).

Change: the serving time ends 500 ms before the kill; then what has no answer gets one (503 with Retry-After if it has not run, 502 if it may have, 421 to a host that has forwarded it), and 200 ms later what has begun is cut visibly. Before that the queue gives calls back that would be cut. Requests count as open until their answers are written; a second signal waits for the first; the first part of a short grace period is as short; a reload can only shorten the grace period of a host that stops. forward is split: call-answers.

It works since each state in which a request can be has an answer at that moment, and no state begins later than its answer can follow.

--- a/packages/forwarder/src/call-end.ts
+++ b/packages/forwarder/src/call-end.ts
@@ -13,6 +13,7 @@
  * - `own-answer`: the router answered with the error that is the reason
  * - `cut`: the connection was closed for the error that is the reason, as the answer had begun
  * - `timeout`: the deadline passed
+ * - `host-stopping`: this host stopped before the call had ended
  * - `caller-gone`: the caller disconnected
  */
 export type CallEnd = {
--- a/packages/forwarder/src/call.ts
+++ b/packages/forwarder/src/call.ts
@@ -73,9 +73,12 @@
 	isCallerGone: boolean;
 	/** How much of the answer the caller had got when its connection closed; undefined while it is open. */
 	receivedAnswer: ReceivedAnswer | undefined;
-	hasTimedOut: boolean;
+	/** Why the call was ended before its attempt was; undefined if it wasn't, or if its caller is gone. */
+	endedFor: 'timeout' | 'host-stopping' | undefined;
 	/** Set once the queue has refused the call. */
 	refusal: EarlyRefusal | undefined;
+	/** Whether the queue has given the call back, as its answer wouldn't end before this host stops. */
+	isReturned: boolean;
 	/** Factors of the last choice of an upstream. */
 	choice: Choice | undefined;
 	/** Time that the last attempt waited until one of the pool's connections was free and established, or until it ended without one. */
@@ -132,8 +135,9 @@
 	streamVersion: undefined,
 	isCallerGone: false,
 	receivedAnswer: undefined,
-	hasTimedOut: false,
+	endedFor: undefined,
 	refusal: undefined,
+	isReturned: false,
 	choice: undefined,
 	connectionWait: undefined,
 	firstBytesAt: undefined,
@@ -145,3 +149,6 @@
 	statements: undefined,
 	hasCrashed: undefined,
 });
+
+/** Whether nobody waits for an attempt of the call any more: it was ended, or its caller is gone. */
+export const isAbandoned = ({endedFor, isCallerGone}: Progress): boolean => endedFor !== undefined || isCallerGone;
--- a/packages/forwarder/src/callers/error-answer.ts
+++ b/packages/forwarder/src/callers/error-answer.ts
@@ -24,6 +24,9 @@
 	isClosing: boolean;
 };
 
+/** Retry-After of refusals for the state of this host: until it has a configuration, or for a retry on another host. */
+export const retryAfterDelays: Partial<Record<ErrorKind, Milliseconds>> = {'not-configured': 500, 'host-overloaded': 200, 'host-stopping': 20};
+
 const millisecondsPerSecond = 1000;
 /** The delays are often shorter than a second, so the header gives fractions of one. */
 const retryAfterDecimals = 3;
--- a/packages/forwarder/src/callers/serve-callers.ts
+++ b/packages/forwarder/src/callers/serve-callers.ts
@@ -13,7 +13,7 @@
 import type {ForwarderContext} from '../context.js';
 import {createResumptionResolver, type Resumption} from '../resume/resumption.js';
 import {getForwardedResumption, getForwardedService, type ReceivedRequest} from './received-request.js';
-import {writeErrorAnswer, type ErrorAnswer} from './error-answer.js';
+import {retryAfterDelays, writeErrorAnswer, type ErrorAnswer} from './error-answer.js';
 import {createAdmission, type Admission} from './admission.js';
 import {createCallerConnections, type ConnectionError} from './caller-connections.js';
 
@@ -24,8 +24,12 @@
 	answerForwardedCall: RequestListener;
 	/** Handles an error of a connection on which other hosts forward requests. */
 	handleConnectionError: (error: ConnectionError, socket: Socket) => void;
-	/** Returns the number of requests that are being handled, including attempts that go on after the caller disconnected. */
+	/** Returns the number of requests that are being handled or whose answers aren't written completely, including attempts that go on after the caller disconnected. */
 	countOpenRequests: () => number;
+	/** Answers the requests whose answers haven't begun, as this host stops. */
+	answerRequests: () => void;
+	/** Cuts the answers that have begun, as this host stops. */
+	cutRequests: () => void;
 };
 
 /** Dependencies of the server for callers. */
@@ -34,6 +38,9 @@
 	forwarder: Forwarder;
 };
 
+/** A request that has arrived completely, with what it was admitted to. */
+type AdmittedRequest = {admission: Extract<Admission, {kind: 'admitted'}>; bytes: Uint8Array};
+
 /** Errors that come from the state of this host, not from the request. */
 const hostFaults = new Set<ErrorKind>(['not-configured', 'host-overloaded', 'host-stopping']);
 
@@ -45,8 +52,6 @@
 const connectionsCheckInterval: Milliseconds = 1000;
 /** Longest time to receive a request with its body. */
 const requestTimeout: Milliseconds = 30_000;
-/** Retry-After of refusals: until this host has a configuration, or for a retry on another host. */
-const retryAfterDelays: Partial<Record<ErrorKind, Milliseconds>> = {'not-configured': 500, 'host-overloaded': 200, 'host-stopping': 20};
 
 /** Returns the size of raw headers, with two separator bytes for each name and value. */
 const getHeaderBytes = (headers: readonly string[]): number => headers.reduce((sum, text) => sum + text.length + 2, 0);
@@ -56,9 +61,9 @@
 	const {
 		clock, view, protocol, logger, metrics, reportExchange,
 	} = context;
-	let openRequests = 0;
+	const openRequests = new Set<ReceivedRequest>();
 	const resolveResumption = createResumptionResolver(context);
-	const admit = createAdmission(context, () => openRequests);
+	const admit = createAdmission(context, () => openRequests.size);
 
 	const readHead = ({request, forwarded}: ReceivedRequest): CallerHead => {
 		const head = protocol.readCallerHead(request.rawHeaders);
@@ -112,10 +117,19 @@
 			? resolveResumption(head, route)
 			: getForwardedResumption(forwarded.service, forwarded.resumption.softwareVersion, route);
 
-	const handle = async (received: ReceivedRequest): Promise<void> => {
-		const {request, response, target, forwarded} = received;
-		const arrivedAt = clock.monotonic() - (forwarded?.age ?? 0);
-		const head = readHead(received);
+	/** Whether a request still waits for an answer; logs why not. */
+	const isWaiting = ({response}: ReceivedRequest, {callerRequestId}: CallerHead): boolean => {
+		if (!response.destroyed && !response.writableEnded) {
+			return true;
+		}
+
+		logger.info('call-broken', {request: callerRequestId, reason: response.writableEnded ? 'answered-before' : 'caller-gone'});
+		return false;
+	};
+
+	/** Receives a request, and admits or refuses it; returns undefined unless it is admitted. */
+	const receive = async (received: ReceivedRequest, head: CallerHead): Promise<AdmittedRequest | undefined> => {
+		const {request, response} = received;
 		const limits = view.getRoutes()?.configuration.limits;
 		const pendingBody = readBody({message: request, hasFailed: () => false}, limits?.maxBodyBytes ?? Number.POSITIVE_INFINITY);
 		const admission = await admit(received, head);
@@ -123,24 +137,34 @@
 		if (body.kind === 'broken') {
 			logger.info('call-broken', {request: head.callerRequestId, reason: body.reason});
 			response.destroy();
-			return;
+			return undefined;
 		}
 
-		if (response.writableEnded) {
-			logger.info('call-broken', {request: head.callerRequestId, reason: 'connection-given-up'});
-			return;
+		if (!isWaiting(received, head)) {
+			return undefined;
 		}
 
 		const refusal = getRefusal(body, admission, request.rawHeaders, limits);
 		if (refusal !== undefined || body.kind !== 'whole' || admission.kind !== 'admitted') {
 			refuse(received, head, refusal ?? {kind: 'internal'});
+			return undefined;
+		}
+
+		return {admission, bytes: body.bytes};
+	};
+
+	const handle = async (received: ReceivedRequest): Promise<void> => {
+		const {request, response, target, forwarded} = received;
+		const arrivedAt = clock.monotonic() - (forwarded?.age ?? 0);
+		const head = readHead(received);
+		const admitted = await receive(received, head);
+		if (admitted === undefined) {
 			return;
 		}
 
-		const {route, customer, table} = admission;
+		const {route, customer, table, service} = admitted.admission;
 		const resumption = await resolveOrigin(received, head, route);
-		if (response.destroyed) {
-			logger.info('call-broken', {request: head.callerRequestId, reason: 'caller-gone'});
+		if (!isWaiting(received, head)) {
 			return;
 		}
 
@@ -154,9 +178,9 @@
 			method: request.method ?? 'GET',
 			target,
 			head,
-			body: body.bytes,
+			body: admitted.bytes,
 			route,
-			service: origin?.service ?? getForwardedService(forwarded, route) ?? admission.service,
+			service: origin?.service ?? getForwardedService(forwarded, route) ?? service,
 			forwarded,
 			customer,
 			response,
@@ -191,13 +215,26 @@
 		}, {kind: 'internal'});
 	};
 
+	/** Ends a request once its answer is written completely or its connection is lost. */
+	const endRequest = (received: ReceivedRequest): void => {
+		const {response} = received;
+		if (response.writableFinished || response.destroyed) {
+			openRequests.delete(received);
+			return;
+		}
+
+		response.once('close', () => {
+			openRequests.delete(received);
+		});
+	};
+
 	const handleSafely = async (received: ReceivedRequest): Promise<void> => {
 		const {request, response} = received;
 		if (!connections.accept(request, response)) {
 			return;
 		}
 
-		openRequests += 1;
+		openRequests.add(received);
 		response.on('error', error => {
 			logger.debug('caller-write-failed', {reason: error.message});
 		});
@@ -212,7 +249,7 @@
 			logger.error('call-failed', {target: request.url, reason: (error as Error).stack ?? String(error)});
 			answerFailure(received);
 		} finally {
-			openRequests -= 1;
+			endRequest(received);
 		}
 	};
 
@@ -242,6 +279,22 @@
 			void handleSafely({request, response, ...decoded});
 		},
 		handleConnectionError: connections.handleError,
-		countOpenRequests: () => openRequests,
+		countOpenRequests: () => openRequests.size,
+		answerRequests() {
+			forwarder.answerCalls();
+			for (const received of openRequests) {
+				if (!received.response.headersSent && !received.response.destroyed) {
+					refuse(received, readHead(received), {kind: 'host-stopping', retryAfter: retryAfterDelays['host-stopping']!});
+				}
+			}
+		},
+		cutRequests() {
+			forwarder.cutCalls();
+			for (const {response} of openRequests) {
+				if (!response.writableFinished && !response.destroyed) {
+					cutResponse(response);
+				}
+			}
+		},
 	};
 };
--- a/packages/forwarder/src/context.ts
+++ b/packages/forwarder/src/context.ts
@@ -61,6 +61,8 @@
 	isTrialHost: (suspect: SuspectId) => boolean;
 	/** Whether the host is in a graceful shutdown. */
 	isStopping: () => boolean;
+	/** Returns when the host ends the requests that it still has, as it is in a graceful shutdown; infinity if it isn't. */
+	getServingEnd: () => Milliseconds;
 	/** Whether the host accepts a request that may last for `timeout`. */
 	canAccept: (timeout: Milliseconds) => boolean;
 };
--- a/packages/forwarder/src/forward.ts
+++ b/packages/forwarder/src/forward.ts
@@ -1,17 +1,12 @@
-import {cutResponse, type ErrorKind} from '@gentianlift/errors';
-import {
-	createRetryBudget, decideRetry, getUpstreamKey, type EarlyRefusal, type RetryBudget, type SuspectId,
-} from '@gentianlift/routing';
-import type {Milliseconds} from '@gentianlift/types';
+import {createRetryBudget, decideRetry, type RetryBudget} from '@gentianlift/routing';
 import {createAttemptMaker} from './send/make-attempt.js';
-import {
-	getFailureReason, getRefusalKind, reportEnd, type CallEnd,
-} from './call-end.js';
+import {createCallAnswers} from './call-answers.js';
+import {reportEnd, type CallEnd} from './call-end.js';
 import type {ForwardOutcome} from './deliver/forward-outcome.js';
-import {createProgress, type Call, type Progress} from './call.js';
-import {writeBufferedAnswer} from './deliver/deliver-buffered.js';
+import {
+	createProgress, isAbandoned, type Call, type Progress,
+} from './call.js';
 import {findBlockingSuspect, findObstacleToAttempt, mayCrashAgain} from './crashes/crash-blame.js';
-import {writeErrorAnswer, type ErrorAnswer} from './callers/error-answer.js';
 import type {ForwarderContext} from './context.js';
 import {getReceivedAnswer} from './deliver/received-answer.js';
 import {createRequestQueue} from './queue/request-queue.js';
@@ -24,26 +19,25 @@
 	onLoadChange: () => void;
 	/** Returns the number of calls that are queued at this host. */
 	getQueueLength: () => number;
+	/** Answers the calls whose answers haven't begun, as this host stops: those that have not run are to be sent to another host. */
+	answerCalls: () => void;
+	/** Cuts the answers that have begun, as this host stops. */
+	cutCalls: () => void;
 };
 
-/** Retry-After of answers to requests that no upstream could take. */
-const retryAfterDelay: Milliseconds = 500;
-
-/** Part of the time until the first rest ends by which callers return later at random. */
-const retryDelaySpread = 0.25;
-
-/** Error for a request without further attempts that may have executed. */
-const maybeExecuted: ErrorAnswer = {kind: 'upstream-reset', ran: 'unknown'};
-
 /** Returns the end of a call whose caller waits no longer. */
-const getAbandonedEnd = ({hasTimedOut}: Progress): CallEnd => ({outcome: hasTimedOut ? 'timeout' : 'caller-gone'});
+const getAbandonedEnd = ({endedFor}: Progress): CallEnd => ({outcome: endedFor ?? 'caller-gone'});
 
 /** Creates a forwarder. */
 export const createForwarder = (context: ForwarderContext): Forwarder => {
 	const {clock, logger, metrics} = context;
+	const {
+		answerWithError, giveUp, refuseEarly, endBlocked, endOnStop, endOnDeadline,
+	} = createCallAnswers(context);
 	const queue = createRequestQueue(context);
 	const makeAttempt = createAttemptMaker(context, queue);
 	const budgets = new Map<string, RetryBudget>();
+	const openCalls = new Map<Call, Progress>();
 
 	const getRetryBudget = (service: string): RetryBudget => {
 		const existing = budgets.get(service);
@@ -56,73 +50,20 @@
 		return budget;
 	};
 
-	/** Writes an error answer, or closes the connection if an answer has already begun. */
-	const answerWithError = (call: Call, errorAnswer: ErrorAnswer): CallEnd => {
-		const {response, head} = call;
-		if (response.headersSent) {
-			// Closing the connection is the only way to signal that the answer is incomplete.
-			cutResponse(response);
-			return {outcome: 'cut', reason: errorAnswer.kind};
-		}
-
-		writeErrorAnswer({
-			response, protocol: context.protocol, caller: head, isClosing: context.isStopping(),
-		}, errorAnswer);
-		return {outcome: 'own-answer', reason: errorAnswer.kind};
-	};
-
-	/** Returns the delay after which a retry of a refused call is useful: when the first rest ends if all upstreams of its service rest, with a random part so that callers don't return at once. */
-	const getRetryDelay = ({service}: Call): Milliseconds => {
-		const rest = Math.min(...context.view.getUpstreams(service).map(upstream => context.rests.getRemaining(getUpstreamKey(upstream))));
-		return Number.isFinite(rest) && rest > 0 ? Math.max(retryAfterDelay, rest * (1 + (context.random.next() * retryDelaySpread))) : retryAfterDelay;
-	};
-
-	/** Returns the error for a call without further attempts; after an attempt that may have executed the request, the answer must not say that it did not run. */
-	const getFinalError = (call: Call, progress: Progress, kind: ErrorKind): ErrorAnswer =>
-		progress.possibleExecutions > 0 ? maybeExecuted : {kind, retryAfter: getRetryDelay(call)};
-
 	/** Whether another host has forwarded a call to this one, which can't reach the upstreams either and has not tried to run it. */
 	const isMisdirected = ({forwarded, service}: Call, {possibleExecutions}: Progress): boolean =>
 		forwarded?.possibleExecutions === possibleExecutions && context.links.isCut(service);
 
-	/** Ends a call without further attempts, with the last upstream's own error answer if there is one. */
-	const giveUp = (call: Call, progress: Progress, lastOutcome: ForwardOutcome | undefined): CallEnd => {
-		if (lastOutcome?.kind === 'failed' && lastOutcome.buffered !== undefined && !call.response.headersSent) {
-			writeBufferedAnswer(call, lastOutcome.buffered, context.isStopping());
-			return {outcome: 'upstream-failure', reason: lastOutcome.reason};
-		}
-
-		const end = answerWithError(call, getFinalError(call, progress, getRefusalKind(call, lastOutcome)));
-		return {...end, lastFailure: getFailureReason(lastOutcome)};
-	};
-
-	/** Refuses a call whose caller would leave before the first token, and says when a retry is useful. */
-	const refuseEarly = (call: Call, refusal: EarlyRefusal): CallEnd => {
-		const {expected, remaining, backlog, otherHostsTokens, tokensAhead, retryAfter} = refusal;
-		const kind = 'deadline-unreachable';
-		metrics.count('refusals_total', {reason: kind});
-		metrics.count('early_refusals_total', {route: call.route.name});
-		logger.info('call-refused', {
-			request: call.head.callerRequestId,
-			reason: kind,
-			route: call.route.name,
-			rank: call.rank,
-			expected: Math.round(expected),
-			remaining: Math.round(remaining),
-			backlog: Math.round(backlog),
-			otherHostsTokens,
-			tokensAhead,
-			retryAfter,
-		});
-		return answerWithError(call, {kind, retryAfter});
-	};
-
 	/** Ends a call that got no upstream from the queue. */
 	const endUnassigned = (call: Call, progress: Progress, lastOutcome: ForwardOutcome | undefined): CallEnd => {
-		if (progress.hasTimedOut || progress.isCallerGone) {
+		if (isAbandoned(progress)) {
 			return getAbandonedEnd(progress);
 		}
 
+		if (progress.isReturned || (progress.refusal !== undefined && context.getServingEnd() < call.leavesAt)) {
+			return endOnStop(call, progress);
+		}
+
 		if (progress.refusal !== undefined) {
 			return refuseEarly(call, progress.refusal);
 		}
@@ -162,22 +103,12 @@
 		progress.possibleExecutions += lastOutcome.kind === 'failed' || lastOutcome.kind === 'spoiled' ? 1 : 0;
 	};
 
-	/** Ends a call that must not be sent to an upstream, as a suspect of crashes is blocked. */
-	const endBlocked = (call: Call, progress: Progress, suspect: SuspectId): CallEnd => {
-		const kind = 'suspected-of-crashes';
-		metrics.count('refusals_total', {reason: kind});
-		logger.info('call-blocked', {
-			request: call.head.callerRequestId, suspect, upstreams: context.suspects.getCrashes(suspect, clock.monotonic()).map(({upstream, age}) => `${upstream}:${Math.round(age)}`).join(','),
-		});
-		return answerWithError(call, progress.possibleExecutions > 0 ? maybeExecuted : {kind});
-	};
-
 	/** Makes attempts until the call has ended. */
 	const makeAttempts = async (call: Call, progress: Progress): Promise<CallEnd> => {
 		let lastOutcome: ForwardOutcome | undefined;
 		for (;;) {
-			if (progress.isCallerGone) {
-				return {outcome: 'caller-gone'};
+			if (isAbandoned(progress)) {
+				return getAbandonedEnd(progress);
 			}
 
 			const obstacle = findObstacleToAttempt(call, progress, context);
@@ -203,7 +134,7 @@
 
 			// eslint-disable-next-line no-await-in-loop -- Upstreams are tried one at a time.
 			const mayCrashUpstream = lastOutcome.kind === 'failed' && call.mayExecuteAgain && await mayCrashAgain(call, progress, context);
-			if (progress.hasTimedOut || progress.isCallerGone) {
+			if (isAbandoned(progress)) {
 				return getAbandonedEnd(progress);
 			}
 
@@ -218,7 +149,7 @@
 		const kind = 'internal';
 		logger.error('call-failed', {request: call.head.callerRequestId, target: call.target, reason: error instanceof Error ? error.stack : String(error)});
 		progress.cancel?.();
-		if (progress.hasTimedOut || progress.isCallerGone) {
+		if (isAbandoned(progress)) {
 			return getAbandonedEnd(progress);
 		}
 
@@ -236,9 +167,8 @@
 
 	/** Answers a call that has reached its deadline, and cancels its queueing or its attempt. */
 	const endOnTimeout = (call: Call, progress: Progress): void => {
-		progress.hasTimedOut = true;
-		const isNotExecuted = progress.possibleExecutions === 0 && !progress.isSent;
-		answerWithError(call, isNotExecuted ? {kind: 'deadline-unreachable', retryAfter: retryAfterDelay} : {kind: 'request-timeout', ran: 'unknown'});
+		progress.endedFor = 'timeout';
+		endOnDeadline(call, progress);
 		progress.cancel?.();
 	};
 
@@ -251,9 +181,30 @@
 		}
 	};
 
+	/** Ends a call as this host stops, and cancels its queueing or its attempt. */
+	const stopCall = (call: Call, progress: Progress): void => {
+		if (!isAbandoned(progress) && !call.response.writableEnded) {
+			endOnStop(call, progress);
+			progress.endedFor = 'host-stopping';
+			progress.cancel?.();
+		}
+	};
+
 	return {
 		onLoadChange: queue.requestDispatch,
 		getQueueLength: queue.getLength,
+		answerCalls() {
+			for (const [call, progress] of openCalls) {
+				if (!call.response.headersSent) {
+					stopCall(call, progress);
+				}
+			}
+		},
+		cutCalls() {
+			for (const [call, progress] of openCalls) {
+				stopCall(call, progress);
+			}
+		},
 		async forward(call) {
 			const progress = createProgress();
 			progress.lastEventId = call.head.lastEventId;
@@ -264,6 +215,7 @@
 				getRetryBudget(call.service).addRequest(clock.monotonic());
 			}
 
+			openCalls.set(call, progress);
 			const cancelTimer = clock.after(Math.max(0, call.deadline - clock.monotonic()), () => {
 				endOnTimeout(call, progress);
 			});
@@ -274,6 +226,7 @@
 			});
 			const end = await endCall(call, progress);
 			cancelTimer();
+			openCalls.delete(call);
 			reportEnd(call, progress, end, context);
 		},
 	};
--- a/packages/forwarder/src/host/create-context.ts
+++ b/packages/forwarder/src/host/create-context.ts
@@ -19,7 +19,7 @@
 import {createUpstreamTracker} from '../queue/upstream-tracker.js';
 import {watchVersionBreaks} from '../resume/version-breaks.js';
 import {createViewFreshness} from '../resume/view-freshness.js';
-import {canAcceptRequest} from './stop-host.js';
+import {canAcceptRequest, getServingTime} from './stop-host.js';
 import {getRandomSeed} from './random-seed.js';
 import type {HostDependencies, HostSettings} from './host-settings.js';
 
@@ -182,6 +182,7 @@
 		countHosts: fleet.countHosts,
 		isTrialHost: suspect => fleet.isAmongChosenHosts(suspect, 1),
 		isStopping,
+		getServingEnd: () => shutdown.since === undefined ? Number.POSITIVE_INFINITY : shutdown.since + getServingTime(shutdown.gracePeriod),
 		canAccept: timeout => shutdown.since === undefined || canAcceptRequest(clock.monotonic() - shutdown.since, shutdown.gracePeriod, timeout),
 	};
 	return {context, fleet};
--- a/packages/forwarder/src/host/start-host.ts
+++ b/packages/forwarder/src/host/start-host.ts
@@ -22,7 +22,7 @@
 	getMetricsPage: () => string;
 	/** Applies the grace period, the time to live of addresses and the limit on retries; changed addresses apply at the next start. */
 	reload: (settings: HostSettings) => void;
-	/** Shuts the host down gracefully; resolves when its process may end. */
+	/** Shuts the host down gracefully, once; resolves when its process may end. */
 	stop: () => Promise<void>;
 };
 
@@ -64,6 +64,15 @@
 		await fleet.registration.markStopping();
 	};
 
+	const shutDown = async (): Promise<void> => {
+		shutdown.since = clock.monotonic();
+		await stopHost({
+			clock, logger, getGracePeriod: () => shutdown.gracePeriod, maxAddressUse: addressListTtl * staleUseFactor,
+			countOpenRequests: callers.countOpenRequests, answerRequests: callers.answerRequests, cutRequests: callers.cutRequests, announce, release: fleet.registration.end,
+		});
+	};
+
+	let stopped: Promise<void> | undefined;
 	return {
 		isReady,
 		getHostsForCaller: fleet.getHostsForCaller,
@@ -83,7 +92,8 @@
 			return context.metrics.renderPrometheusText();
 		},
 		reload(next) {
-			shutdown.gracePeriod = next.gracePeriod;
+			// The platform may kill a host that is stopping by the one or the other.
+			shutdown.gracePeriod = shutdown.since === undefined ? next.gracePeriod : Math.min(shutdown.gracePeriod, next.gracePeriod);
 			addressListTtl = Math.min(next.addressTtl, maxAddressListTtl);
 			Object.assign(context.retryLimit, next.retryLimit);
 			logger.info('reloaded', {
@@ -91,15 +101,8 @@
 			});
 		},
 		async stop() {
-			if (shutdown.since !== undefined) {
-				return;
-			}
-
-			shutdown.since = clock.monotonic();
-			await stopHost({
-				clock, logger, gracePeriod: shutdown.gracePeriod, maxAddressUse: addressListTtl * staleUseFactor,
-				countOpenRequests: callers.countOpenRequests, announce, release: fleet.registration.end,
-			});
+			stopped ??= shutDown();
+			await stopped;
 		},
 	};
 };
--- a/packages/forwarder/src/host/stop-host.test.ts
+++ b/packages/forwarder/src/host/stop-host.test.ts
@@ -7,13 +7,21 @@
 
 const beginStop = () => {
 	const clock = createManualClock();
-	const state = {open: 1, isStopped: false, calls: [] as string[]};
+	const state = {
+		open: 1, gracePeriod, isStopped: false, calls: [] as string[],
+	};
 	const stopped = (async () => {
 		await stopHost({
-			clock, logger: createSilentLogger(), gracePeriod, maxAddressUse: 3000, countOpenRequests: () => state.open,
+			clock, logger: createSilentLogger(), getGracePeriod: () => state.gracePeriod, maxAddressUse: 3000, countOpenRequests: () => state.open,
 			async announce() {
 				state.calls.push('announce');
 			},
+			answerRequests() {
+				state.calls.push(`answer at ${clock.monotonic()}`);
+			},
+			cutRequests() {
+				state.calls.push(`cut at ${clock.monotonic()}`);
+			},
 			async release() {
 				state.calls.push('release');
 			},
@@ -30,7 +38,7 @@
 	expect(state.calls).toEqual(['announce']);
 	await clock.advance(1000);
 	expect(state.isStopped).toBe(true);
-	expect(state.calls).toEqual(['announce', 'release']);
+	expect(state.calls.filter(call => !call.includes(' at '))).toEqual(['announce', 'release']);
 });
 
 test('a stopping host waits for open requests', async () => {
@@ -48,9 +56,33 @@
 	expect(state.isStopped).toBe(true);
 });
 
+// Guards against: requests that are still open at the end of the grace period are cut without an answer.
+test('a stop with an open request answers it, and cuts it if that does not end it', async () => {
+	const {clock, state} = beginStop();
+	await clock.advance(gracePeriod);
+	expect(state.calls).toEqual(['announce', 'answer at 7500', 'cut at 7700', 'release']);
+});
+
+// Guards against: a host goes on serving by the grace period that it had when the stop began, and is killed.
+test('a grace period that is shortened while a host stops is kept', async () => {
+	const {clock, state} = beginStop();
+	await clock.advance(1000);
+	state.gracePeriod = 4000;
+	await clock.advance(3000);
+	expect(state.isStopped).toBe(true);
+	expect(state.calls).toContain('answer at 3500');
+});
+
 test('a stopping host accepts all requests at first, and later only those that can end within the grace period', () => {
 	expect(canAcceptRequest(2000, gracePeriod, 10_000)).toBe(true);
 	expect(canAcceptRequest(5300, gracePeriod, 10_000)).toBe(false);
 	expect(canAcceptRequest(5300, gracePeriod, 1200)).toBe(true);
 	expect(canAcceptRequest(7500, gracePeriod, 1200)).toBe(false);
 });
+
+// Guards against: a short grace period is over before a host begins to refuse requests that can't end within it.
+test('a stopping host with a short grace period accepts all requests only in the first part of it', () => {
+	expect(canAcceptRequest(400, 2000, 10_000)).toBe(true);
+	expect(canAcceptRequest(1000, 2000, 10_000)).toBe(false);
+	expect(canAcceptRequest(1000, 2000, 300)).toBe(true);
+});
--- a/packages/forwarder/src/host/stop-host.ts
+++ b/packages/forwarder/src/host/stop-host.ts
@@ -6,49 +6,70 @@
 export type StopOptions = {
 	clock: Clock;
 	logger: Logger;
-	/** Time from the signal to stop until the process is killed. */
-	gracePeriod: Milliseconds;
+	/** Returns the time from the signal to stop until the process is killed; a reload may shorten it. */
+	getGracePeriod: () => Milliseconds;
 	/** Longest time for which callers use an address after they were given it, which may exceed its time to live. */
 	maxAddressUse: Milliseconds;
 	/** Returns the number of requests that are being handled, including attempts that go on after the caller disconnected. */
 	countOpenRequests: () => number;
 	/** Notifies the other hosts and the key-value service. */
 	announce: () => Promise<void>;
+	/** Answers the requests whose answers haven't begun. */
+	answerRequests: () => void;
+	/** Cuts the answers that have begun. */
+	cutRequests: () => void;
 	/** Ends the registration of the host. */
 	release: () => Promise<void>;
 };
 
 /** Part of the grace period that is reserved for the release. Also the longest wait for the announcement, and after that for the release. */
 const releaseMargin: Milliseconds = 300;
+/** Part of the grace period before the release in which requests that are still open are answered, and no more are served. */
+const answerMargin: Milliseconds = 200;
 /** Interval at which the number of open requests is polled. */
 const checkInterval: Milliseconds = 50;
 
-/** Time after the signal during which callers may not know of the stop yet, and all requests are accepted. */
-const noticePeriod: Milliseconds = 2500;
+/** Time after the signal during which callers may not know of the stop yet, and all requests are accepted; at most a part of the time in which they are served. */
+const maxNoticePeriod: Milliseconds = 2500;
+const noticePart = 1 / 3;
+
+/** Returns the time after the signal to stop for which a host serves requests. */
+export const getServingTime = (gracePeriod: Milliseconds): Milliseconds => Math.max(0, gracePeriod - releaseMargin - answerMargin);
 
 /**
  * Whether a host that began to stop `elapsed` ago accepts a request that may last for `timeout`. A late caller is better
  * served by another host than with an answer that is cut off when the process is killed.
  */
 export const canAcceptRequest = (elapsed: Milliseconds, gracePeriod: Milliseconds, timeout: Milliseconds): boolean =>
-	elapsed <= noticePeriod || timeout <= gracePeriod - releaseMargin - elapsed;
+	elapsed <= Math.min(maxNoticePeriod, getServingTime(gracePeriod) * noticePart) || timeout <= getServingTime(gracePeriod) - elapsed;
 
-/** Serves until callers no longer use the address and all requests are answered, or the grace period is almost over; then releases. */
+/** Serves until callers no longer use the address and all requests are answered, or the grace period is almost over; then ends what is still open, and releases. */
 export const stopHost = async ({
-	clock, logger, gracePeriod, maxAddressUse: addressTtl, countOpenRequests, announce, release,
+	clock, logger, getGracePeriod, maxAddressUse, countOpenRequests, announce, answerRequests, cutRequests, release,
 }: StopOptions): Promise<void> => {
 	const startedAt = clock.monotonic();
 	const getElapsed = (): Milliseconds => clock.monotonic() - startedAt;
-	logger.info('stopping', {open: countOpenRequests(), grace: gracePeriod});
-	const announcement = announce();
-	const maxServingTime = gracePeriod - releaseMargin;
-	const minServingTime = Math.min(addressTtl, maxServingTime);
-	while (getElapsed() < minServingTime || (countOpenRequests() > 0 && getElapsed() < maxServingTime)) {
-		// eslint-disable-next-line no-await-in-loop -- Polls the number of open requests.
-		await clock.sleep(checkInterval);
-	}
+	const getTimeToServe = (): Milliseconds => getServingTime(getGracePeriod());
 
+	/** Waits until no request is open, or until a time after the signal; at least until another. */
+	const waitForRequests = async (getEnd: () => Milliseconds, minimum: Milliseconds): Promise<void> => {
+		while (getElapsed() < getEnd() && (getElapsed() < minimum || countOpenRequests() > 0)) {
+			// eslint-disable-next-line no-await-in-loop -- Polls the number of open requests.
+			await clock.sleep(checkInterval);
+		}
+	};
+
+	logger.info('stopping', {open: countOpenRequests(), grace: getGracePeriod()});
+	const announcement = announce();
+	await waitForRequests(getTimeToServe, maxAddressUse);
+	const unanswered = countOpenRequests();
+	answerRequests();
+	await waitForRequests(() => getTimeToServe() + answerMargin, 0);
+	const cut = countOpenRequests();
+	cutRequests();
 	await Promise.race([announcement, clock.sleep(releaseMargin)]);
 	await Promise.race([release(), clock.sleep(releaseMargin)]);
-	logger.info('stopped', {open: countOpenRequests(), after: Math.round(getElapsed())});
+	logger.info('stopped', {
+		unanswered, cut, open: countOpenRequests(), after: Math.round(getElapsed()),
+	});
 };
--- /dev/null
+++ b/packages/forwarder/src/host/stopping-host.test.ts
@@ -0,0 +1,187 @@
+import {Agent, request} from 'node:http';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {splitAddress, type Address} from '@gentianlift/types';
+import {expect, onTestFinished, test} from 'vitest';
+import {startLinkedFleet, type LinkedFleet} from '../links/testing-partition.js';
+import {
+	answerOk, configuration, upstreamMark, type AnswerHandler,
+} from '../test-deployment.js';
+import {sendRequest, type TestAnswer} from '../testing.js';
+
+const gracePeriod = 1500;
+/** Time in which answers that were written before a stop had ended arrive. */
+const arrivalTime = 50;
+
+const startFleet = async (hosts: number, upstream: AnswerHandler, grace = gracePeriod): Promise<LinkedFleet> => startLinkedFleet({
+	hosts, upstreams: [upstream], configuration, gracePeriod: grace, onFinished: onTestFinished,
+});
+
+/** Never answers. */
+const hang: AnswerHandler = incoming => {
+	incoming.resume();
+};
+
+/** Sends a request with a prompt that takes an upstream some seconds, on a route of a low rank. */
+const sendLong = async (callers: Address, name: string): Promise<TestAnswer | 'lost'> =>
+	sendRequest(callers, {path: `/background/${name}`, headers: {attempt: name, 'prompt-tokens': '100000', parts: name}}).catch(() => 'lost' as const);
+
+/** Returns the status of each answer that has arrived by now, or `none`. */
+const getStatuses = async (answers: ReadonlyArray<Promise<TestAnswer | 'lost'>>): Promise<Array<number | 'lost' | 'none'>> => Promise.all(answers.map(async answer => {
+	const arrived = await Promise.race([answer, sleep(arrivalTime, 'none' as const)]);
+	return typeof arrived === 'string' ? arrived : arrived.status;
+}));
+
+// Guards against: requests in the queue of a host that is stopped end without an answer.
+test('a stopping host answers the requests in its queue that have not run, and says where to go', async () => {
+	const {hosts: [host], counts} = await startFleet(1, hang);
+	const running = sendLong(host!.callers, 'running');
+	await expect.poll(() => counts).toEqual([1]);
+	const queued = ['a', 'b', 'c'].map(async name => sendLong(host!.callers, name));
+	await sleep(200);
+	await host!.host.stop();
+	expect(await getStatuses([running, ...queued])).toEqual([502, 503, 503, 503]);
+	expect(counts).toEqual([1]);
+	const {headers, body} = await queued[0] as TestAnswer;
+	expect(headers).toMatchObject({'retry-after': '0.020', connection: 'close'});
+	expect(body).toContain('"ran":"not-run"');
+});
+
+// Guards against: a booking that an application server is still at work on when its host ends is cut without an answer.
+test.each(['/book/1', '/read/1', '/stream/1', '/once/1'])('a request that has been sent and not answered when its host ends is told that nobody knows whether it ran: %s', async path => {
+	const {hosts: [host], counts} = await startFleet(1, hang);
+	const stopped = host!.host.stop();
+	const answer = sendRequest(host!.callers, {path, headers: {attempt: 'a1'}});
+	await expect.poll(() => counts).toEqual([1]);
+	await stopped;
+	expect(await getStatuses([answer])).toEqual([502]);
+	const {body} = await answer;
+	expect(body).toContain('"ran":"unknown"');
+});
+
+// Guards against: a request whose body is still arriving when its host ends gets no answer.
+test('a request that has not arrived completely when its host ends is refused', async () => {
+	const {hosts: [host], counts} = await startFleet(1, answerOk);
+	const outgoing = request({
+		...splitAddress(host!.callers), path: '/book/1', method: 'POST', headers: {attempt: 'a1', 'content-length': 10},
+	});
+	const status = new Promise<number | undefined>(resolve => {
+		outgoing.on('response', ({statusCode}) => {
+			resolve(statusCode);
+		});
+		outgoing.on('error', () => {
+			resolve(undefined);
+		});
+	});
+	outgoing.write('half');
+	await sleep(100);
+	await host!.host.stop();
+	expect(await status).toBe(503);
+	expect(counts).toEqual([0]);
+});
+
+// Guards against: a host ends while an answer is still being written to a caller that reads slowly.
+test('a stopping host waits until an answer has been written', async () => {
+	const size = 8 * 1024 * 1024;
+	const longGracePeriod = 5000;
+	// After the 3 s for which callers may use the address of the host, and before the end of its grace period.
+	const readingDelay = 3800;
+	const {hosts: [host]} = await startFleet(1, (incoming, response) => {
+		incoming.resume();
+		response.writeHead(200, {...upstreamMark, attempt: 'a1'});
+		response.end('x'.repeat(size));
+	}, longGracePeriod);
+	const order: string[] = [];
+	const outgoing = request({
+		...splitAddress(host!.callers), path: '/book/1', method: 'POST', headers: {attempt: 'a1'},
+	});
+	const received = new Promise<void>(resolve => {
+		outgoing.on('response', message => {
+			message.pause();
+			setTimeout(() => {
+				message.resume();
+			}, readingDelay);
+			message.on('end', () => {
+				order.push('received');
+				resolve();
+			});
+		});
+	});
+	outgoing.end();
+	await sleep(300);
+	const stopped = (async () => {
+		await host!.host.stop();
+		order.push('stopped');
+	})();
+	await Promise.all([received, stopped]);
+	expect(order).toEqual(['received', 'stopped']);
+});
+
+// Guards against: a call in the queue of another host that stops is lost there, or answered as if nobody knew whether it ran.
+test('a stopping host gives a queued call that another host has forwarded back to it', async () => {
+	const fleet = await startFleet(2, hang);
+	const [first, second] = fleet.hosts;
+	fleet.setLinks([0], 'reset');
+	await expect.poll(async () => {
+		void sendRequest(first!.callers, {path: '/read/1', headers: {attempt: 'probe'}}).catch(() => undefined);
+		return first!.logLines.some(line => line.includes('event=call-forwarded'));
+	}, {timeout: 5000, interval: 200}).toBe(true);
+	const running = sendLong(second!.callers, 'running');
+	await sleep(200);
+	const runs = fleet.counts[0];
+	const queued = sendLong(first!.callers, 'queued');
+	await sleep(300);
+	await second!.host.stop();
+	expect(await getStatuses([running, queued])).toEqual([502, 503]);
+	expect(second!.logLines.some(line => line.includes('event=call-ended request=queued') && line.includes('reason=misdirected'))).toBe(true);
+	expect(fleet.counts[0]).toBe(runs);
+});
+
+// Guards against: a second signal to stop ends the process at once, with all requests that it has.
+test('a second request to stop waits for the first', async () => {
+	const {hosts: [host], counts} = await startFleet(1, hang);
+	const running = sendLong(host!.callers, 'running');
+	await expect.poll(() => counts).toEqual([1]);
+	void host!.host.stop();
+	await host!.host.stop();
+	expect(await getStatuses([running])).toEqual([502]);
+});
+
+// Guards against: a kept connection of a stopping host is closed on a request that was taken.
+test('requests on kept connections are answered at each moment of the grace period', async () => {
+	const {hosts: [host], counts} = await startFleet(1, (incoming, response) => {
+		setTimeout(() => {
+			answerOk(incoming, response);
+		}, 100);
+	});
+	const agent = new Agent({keepAlive: true, maxSockets: 4});
+	onTestFinished(() => {
+		agent.destroy();
+	});
+	const send = async (number: number): Promise<number | string> => new Promise(resolve => {
+		const outgoing = request({
+			...splitAddress(host!.callers), path: '/book/1', method: 'POST', agent, headers: {attempt: `k${number}`, 'content-length': 0},
+		}, message => {
+			message.resume();
+			message.on('close', () => {
+				resolve(message.complete ? message.statusCode ?? 0 : 'cut');
+			});
+		});
+		outgoing.on('error', error => {
+			resolve((error as Error & {code: string}).code);
+		});
+		outgoing.end();
+	});
+	const answers = [await send(0)];
+	const stopped = host!.host.stop();
+	const pending: Array<Promise<number | string>> = [];
+	for (let number = 1; number < gracePeriod / 20; number++) {
+		pending.push(send(number));
+		// eslint-disable-next-line no-await-in-loop -- Requests are sent at intervals.
+		await sleep(20);
+	}
+
+	await stopped;
+	answers.push(...await Promise.all(pending));
+	expect(new Set(answers)).toEqual(new Set([200, 503]));
+	expect(counts[0]).toBe(answers.filter(status => status === 200).length);
+});
--- a/packages/forwarder/src/queue/early-refusals.ts
+++ b/packages/forwarder/src/queue/early-refusals.ts
@@ -5,6 +5,7 @@
 import type {Milliseconds, Rank} from '@gentianlift/types';
 import type {Call, Progress} from '../call.js';
 import type {ForwarderContext} from '../context.js';
+import {getLatestFirstToken} from './serving-end.js';
 
 /** A call that its chosen upstream can't take yet, as a dispatch pass sees it. */
 export type WaitingCall = {
@@ -60,7 +61,8 @@
 };
 
 /** Creates the decisions of a host without waiting calls. */
-export const createEarlyRefusals = ({clock, random}: Pick<ForwarderContext, 'clock' | 'random'>): EarlyRefusals => {
+export const createEarlyRefusals = (context: Pick<ForwarderContext, 'clock' | 'random' | 'getServingEnd'>): EarlyRefusals => {
+	const {clock, random} = context;
 	const states = new WeakMap<Call, CallState>();
 	/** Uncached prompt tokens of this host's calls after the last passes, by rank; they fall slowly. */
 	let recentQueuedTokens = new Map<Rank, number>();
@@ -119,7 +121,7 @@
 
 			const state = getState(waiting);
 			const prediction = predict(waiting, state);
-			const remaining = call.leavesAt - now;
+			const remaining = getLatestFirstToken(call, context) - now;
 			// A call whose turn comes within the limit could go to an upstream now.
 			const hasMissed = prediction.turn > backlogLimit && isMissed(prediction.firstToken, remaining);
 			state.balance = updateMissBalance(state.balance, hasMissed, now);
--- a/packages/forwarder/src/queue/request-queue.test.ts
+++ b/packages/forwarder/src/queue/request-queue.test.ts
@@ -61,9 +61,10 @@
 			return tracker.getCandidates(...parameters);
 		},
 	};
-	const context: Pick<ForwarderContext, 'clock' | 'view' | 'tracker' | 'metrics' | 'reportExchange' | 'random' | 'zone' | 'countHosts' | 'suspects' | 'limits'> = {
+	const context: Pick<ForwarderContext, 'clock' | 'view' | 'tracker' | 'metrics' | 'reportExchange' | 'random' | 'zone' | 'countHosts' | 'suspects' | 'getServingEnd' | 'limits'> = {
 		clock, view, tracker: countingTracker, metrics: createMetrics(), reportExchange: reportExchange as LoadReportExchange, random: createRandom(1), zone: 'a', countHosts: () => 1,
 		suspects: createCrashSuspects(),
+		getServingEnd: () => Number.POSITIVE_INFINITY,
 		limits,
 	};
 	return {
--- a/packages/forwarder/src/queue/request-queue.ts
+++ b/packages/forwarder/src/queue/request-queue.ts
@@ -3,7 +3,7 @@
 	type Candidate, type EarlyRefusal, type QueuePosition, type RequestProfile, type Service,
 } from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
-import type {Call, Progress} from '../call.js';
+import {isAbandoned, type Call, type Progress} from '../call.js';
 import {findBlockingSuspect} from '../crashes/crash-blame.js';
 import type {ForwarderContext} from '../context.js';
 import type {PermitClaim} from '../statements/upstream-limits.js';
@@ -15,13 +15,14 @@
 import {startRequestLoad, type RequestLoad} from './request-load.js';
 import type {ObservedService} from './observed-service.js';
 import {mayWaitForPermit} from './permit-wait.js';
+import {isTooLateToStart} from './serving-end.js';
 
 /** The upstream chosen for a call, the load that the call adds to it, and its claim on a permit if the upstream is limited. */
 export type Assignment = {candidate: Candidate; load: RequestLoad; permit: PermitClaim};
 
 /** Queue of this host for calls that no upstream can take yet without delaying calls of higher ranks. */
 export type RequestQueue = {
-	/** Resolves with an assignment, or with undefined if there is no upstream for the call, the call has ended, it is refused (`progress.refusal`), or it is suspected of crashes by now. */
+	/** Resolves with an assignment, or with undefined if there is no upstream for the call, the call has ended, it is refused (`progress.refusal`) or given back as the host stops (`progress.isReturned`), or it is suspected of crashes by now. */
 	enqueue: (call: Call, progress: Progress) => Promise<Assignment | undefined>;
 	/** Requests a dispatch pass, which begins as soon as the pacing allows, after the load of an upstream has changed. */
 	requestDispatch: () => void;
@@ -177,7 +178,7 @@
 
 	/** Decides on an entry and carries the decision out; returns whether it stays queued. */
 	const processEntry = (entry: QueueEntry, pass: DispatchPass): boolean => {
-		if (entry.progress.hasTimedOut || entry.progress.isCallerGone) {
+		if (isAbandoned(entry.progress)) {
 			entry.resolve(undefined);
 			return false;
 		}
@@ -187,6 +188,12 @@
 			return false;
 		}
 
+		if (isTooLateToStart(entry.call, entry.progress, pass.now, context)) {
+			entry.progress.isReturned = true;
+			entry.resolve(undefined);
+			return false;
+		}
+
 		const decision = decide(entry, pass);
 		switch (decision.kind) {
 			case 'placed': {
--- a/packages/forwarder/src/queue/simulated-host.ts
+++ b/packages/forwarder/src/queue/simulated-host.ts
@@ -108,6 +108,7 @@
 		retryLimit: {ratio: 0.2, minimum: 54, window: 10_000},
 		countHosts: () => 1,
 		isStopping: () => false,
+		getServingEnd: () => Number.POSITIVE_INFINITY,
 	} as unknown as ForwarderContext;
 	const forwarder = createForwarder(context);
 	const createSimulatedCall = ({route, name, tokens, clientTimeout}: SimulatedRequest, response: ServerResponse): Call => buildTestCall({
--- a/packages/forwarder/src/queue/testing-fleet.ts
+++ b/packages/forwarder/src/queue/testing-fleet.ts
@@ -100,6 +100,10 @@
 	};
 };
 
+/** What the queue of a host needs. */
+type QueueContext = Pick<ForwarderContext,
+	'clock' | 'view' | 'tracker' | 'metrics' | 'reportExchange' | 'random' | 'zone' | 'countHosts' | 'suspects' | 'getServingEnd' | 'limits' | 'rests' | 'links'>;
+
 const createHost = (options: TestFleetOptions, index: number, view: FleetView, send: (report: TestReport) => void): TestHost => {
 	const {clock, seed} = options;
 	const loads = createLoadTracker();
@@ -111,9 +115,10 @@
 	const reportExchange = createReportExchange(options, loads, report => {
 		send({sender: host, ...report});
 	});
-	const context: Pick<ForwarderContext, 'clock' | 'view' | 'tracker' | 'metrics' | 'reportExchange' | 'random' | 'zone' | 'countHosts' | 'suspects' | 'limits' | 'rests' | 'links'> = {
+	const context: QueueContext = {
 		clock, view, tracker, metrics: createMetrics(), reportExchange: reportExchange as LoadReportExchange, random: createRandom(seed + index), zone: 'a', countHosts: () => options.hosts,
 		suspects: createCrashSuspects(),
+		getServingEnd: () => Number.POSITIVE_INFINITY,
 		limits,
 		rests,
 		links: createSoleLinks(clock, view),
--- a/packages/forwarder/src/send/attempt-record.ts
+++ b/packages/forwarder/src/send/attempt-record.ts
@@ -7,6 +7,7 @@
 import type {ForwardOutcome} from '../deliver/forward-outcome.js';
 import type {AnswerHead} from '../protocol.js';
 import type {RequestLoad} from '../queue/request-load.js';
+import {recordServiceTime} from '../queue/serving-end.js';
 import {ownSource} from '../statements/upstream-limits.js';
 import type {RequestActivity} from '../queue/upstream-tracker.js';
 
@@ -126,6 +127,7 @@
 export const recordOutcome = ({call, upstream, context}: Attempt, outcome: ForwardOutcome, duration: Milliseconds): void => {
 	switch (outcome.kind) {
 		case 'delivered': {
+			recordServiceTime(call, duration, context);
 			const hasComparableDuration = call.route.kind !== 'streaming';
 			context.tracker.recordResult(upstream, isServerError(outcome.status), hasComparableDuration ? duration : undefined);
 			break;
--- a/packages/forwarder/src/send/attempt.ts
+++ b/packages/forwarder/src/send/attempt.ts
@@ -1,7 +1,7 @@
 import {getUpstreamKey, sumRankTokens} from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
 import type {AnsweredOutcome, ForwardOutcome} from '../deliver/forward-outcome.js';
-import type {Call, Progress} from '../call.js';
+import {isAbandoned, type Call, type Progress} from '../call.js';
 import {deliverAnswer} from '../deliver/deliver-answer.js';
 import {deliverBuffered} from '../deliver/deliver-buffered.js';
 import {reportCrash} from '../crashes/report-crash.js';
@@ -151,12 +151,12 @@
 		load.end();
 		permit.release();
 	});
-	const isAbandoned = progress.hasTimedOut || progress.isCallerGone;
-	if (!isAbandoned) {
+	const isAwaited = !isAbandoned(progress);
+	if (isAwaited) {
 		recordOutcome(attempt, attemptOutcome, context.clock.monotonic() - (attempt.sentAt ?? attempt.startedAt));
 	}
 
-	if (!isAbandoned && isConnectionLoss(attemptOutcome)) {
+	if (isAwaited && isConnectionLoss(attemptOutcome)) {
 		context.links.check(call.service);
 		progress.hasCrashed = reportCrash(call, progress, upstream, context);
 	}
--- a/packages/forwarder/src/send/make-attempt.ts
+++ b/packages/forwarder/src/send/make-attempt.ts
@@ -1,10 +1,11 @@
 import type {HostRecord} from '@gentianlift/discovery';
 import {getUpstreamKey} from '@gentianlift/routing';
-import type {Call, Progress} from '../call.js';
+import {isAbandoned, type Call, type Progress} from '../call.js';
 import type {ForwarderContext} from '../context.js';
 import type {ForwardOutcome} from '../deliver/forward-outcome.js';
 import {recordGoodEnd} from '../crashes/good-end.js';
 import type {Assignment, RequestQueue} from '../queue/request-queue.js';
+import {isTooLateToStart} from '../queue/serving-end.js';
 import {findResumeObstacle, isVersionUncertain, reportResumeObstacle} from '../resume/resume-obstacle.js';
 import type {CallPath} from '../links/upstream-links.js';
 import {attemptOverHost} from './attempt-over-host.js';
@@ -26,8 +27,8 @@
 		}
 
 		const assignment = await queue.enqueue(call, progress);
-		const {streamVersion, refusal, hasTimedOut, isCallerGone} = progress;
-		if (assignment === undefined && streamVersion !== undefined && refusal === undefined && !hasTimedOut && !isCallerGone) {
+		const {streamVersion, refusal, isReturned} = progress;
+		if (assignment === undefined && streamVersion !== undefined && refusal === undefined && !isReturned && !isAbandoned(progress)) {
 			reportResumeObstacle(call, progress, 'no-upstream', context);
 		}
 
@@ -52,13 +53,18 @@
 		return outcome;
 	};
 
-	/** Makes an attempt over another host; returns undefined if the call's stream can't be resumed. */
+	/** Makes an attempt over another host; returns undefined if the call's stream can't be resumed, or if this host stops before the answer would end. */
 	const attemptIndirectly = async (call: Call, progress: Progress, host: HostRecord): Promise<ForwardOutcome | undefined> => {
 		if (isVersionUncertain(progress)) {
 			reportResumeObstacle(call, progress, 'version-uncertain', context);
 			return undefined;
 		}
 
+		if (isTooLateToStart(call, progress, context.clock.monotonic(), context)) {
+			progress.isReturned = true;
+			return undefined;
+		}
+
 		progress.triedHosts.add(host.host);
 		return attemptOverHost(call, progress, host, context);
 	};
@@ -85,7 +91,7 @@
 		}
 
 		const path = await findPath(call, progress);
-		if (progress.hasTimedOut || progress.isCallerGone) {
+		if (isAbandoned(progress)) {
 			return undefined;
 		}
 
--- a/packages/forwarder/src/testing.ts
+++ b/packages/forwarder/src/testing.ts
@@ -172,6 +172,7 @@
 		countHosts: () => 1,
 		isTrialHost: () => true,
 		isStopping: () => isStopping,
+		getServingEnd: () => Number.POSITIVE_INFINITY,
 		canAccept: () => !isStopping,
 	};
 	const forwarder = createForwarder(context);
