Bound the answers that a host holds by its memory, for all its calls together

Cause: each answer had a limit, their sum had none; a chunk of one byte was kept as an object of some hundred bytes; bytes that callers hadn't read counted for nothing.

Change: a budget of a tenth of the machine's memory over all answers, received or unread, beyond which the largest is given up; chunks are joined; bodies and events in very many very small chunks are no answers; streams are written by whole events; a caller has 30 s to read a whole answer.

It works since what grows is always what is given up, so that the sum is bounded whatever the answers are.

--- a/packages/forwarder/src/call.ts
+++ b/packages/forwarder/src/call.ts
@@ -7,6 +7,7 @@
 import type {BodyEnd} from './deliver/body-end.js';
 import type {ForwardedCall} from './links/forwarded-call.js';
 import type {CallerHead, UpstreamStatements} from './protocol.js';
+import {unlimitedBytes, type HeldBytes} from './memory/memory-budget.js';
 import type {ReceivedAnswer} from './deliver/received-answer.js';
 
 /** An admitted request whose body was read completely. */
@@ -96,6 +97,8 @@
 	trials: Set<SuspectId>;
 	/** What the last answer of an upstream has said of the upstream. */
 	statements: UpstreamStatements | undefined;
+	/** Bytes of answers that the call holds. */
+	held: HeldBytes;
 	/** Whether the upstream of the last attempt has crashed; undefined if that attempt didn't lose its connection. */
 	hasCrashed: Promise<boolean> | undefined;
 };
@@ -123,7 +126,8 @@
 };
 
 /** Creates the state of a call without attempts. */
-export const createProgress = (): Progress => ({
+export const createProgress = (held: HeldBytes = unlimitedBytes): Progress => ({
+	held,
 	attempts: 0,
 	tried: new Set(),
 	triedHosts: new Set(),
--- a/packages/forwarder/src/context.ts
+++ b/packages/forwarder/src/context.ts
@@ -11,6 +11,7 @@
 import type {CrashDetector} from './crashes/crash-detector.js';
 import type {FragileUpstreams} from './statements/fragile-upstreams.js';
 import type {HostAgents} from './send/host-agents.js';
+import type {MemoryBudget} from './memory/memory-budget.js';
 import type {Protocol} from './protocol.js';
 import type {UpstreamLinks} from './links/upstream-links.js';
 import type {UpstreamLimits} from './statements/upstream-limits.js';
@@ -44,6 +45,8 @@
 	hostAgents: HostAgents;
 	/** Returns the addresses at which other hosts take forwarded calls. */
 	getHostAddresses: () => Address[];
+	/** Limit on the bytes of answers that this host holds. */
+	memory: MemoryBudget;
 	/** What may crash the upstreams that run it. */
 	suspects: CrashSuspects;
 	crashDetector: CrashDetector;
--- a/packages/forwarder/src/deliver/deliver-buffered.ts
+++ b/packages/forwarder/src/deliver/deliver-buffered.ts
@@ -14,8 +14,8 @@
 
 /** Receives the body of an answer until it is complete. */
 const receiveBuffered = async (answer: Incoming, progress: Progress): Promise<{kind: 'whole'; bytes: Uint8Array} | {kind: 'failed'; reason: string}> => {
-	const body = await readBody(answer, maxBufferedBytes);
-	if (body.kind === 'too-large') {
+	const body = await readBody(answer, maxBufferedBytes, progress.held);
+	if (body.kind === 'too-large' || body.kind === 'released') {
 		answer.message.destroy();
 		return {kind: 'failed', reason: body.kind};
 	}
--- a/packages/forwarder/src/deliver/deliver.ts
+++ b/packages/forwarder/src/deliver/deliver.ts
@@ -1,5 +1,8 @@
+import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
+import {cutResponse} from '@gentianlift/errors';
 import type {Progress} from '../call.js';
+import {createChunkSizes} from '../memory/small-chunks.js';
 import type {Incoming} from '../send/incoming.js';
 import type {AnswerHead} from '../protocol.js';
 import {createEventSequence, type SequenceBreak} from './event-sequence.js';
@@ -15,7 +18,7 @@
 	answer: Incoming;
 	response: ServerResponse;
 	progress: Progress;
-	/** Whether another upstream can continue the stream; then only complete events are delivered. */
+	/** Whether another upstream can continue the stream; then the numbers of its events are checked. */
 	isResumable: boolean;
 	/** Whether the connection is closed after the answer. */
 	isClosing: boolean;
@@ -27,6 +30,8 @@
 
 /** Size limit of one event of a stream; beyond it the bytes are no answer. */
 const maxEventBytes = 1024 * 1024;
+/** Most small chunks of one event. */
+const maxSmallChunks = 1024;
 
 /** Writes the head of an upstream's answer to the caller. */
 export const writeAnswerHead = (response: ServerResponse, {status, forwarded}: AnswerHead, isClosing: boolean): void => {
@@ -40,7 +45,7 @@
 	return {...head, forwarded: forwarded.filter((_, index) => !isLength(index))};
 };
 
-/** Delivers a stream as it arrives, with backpressure from the caller. */
+/** Delivers the events of a stream as each is complete, with backpressure from the caller. */
 export const deliverStream = async (delivery: StreamDeliveryOptions): Promise<DeliveryOutcome> => {
 	const {answer, response, progress, isResumable} = delivery;
 	const {message} = answer;
@@ -52,7 +57,9 @@
 	let hasStarted = false;
 	let hasWritten = false;
 	let sequenceBreak: SequenceBreak | undefined;
+	const sizes = createChunkSizes(maxSmallChunks);
 	let isTooLong = false;
+	let isReleased = false;
 
 	const write = (bytes: Uint8Array): void => {
 		if (!hasWritten) {
@@ -72,6 +79,13 @@
 		}
 	};
 
+	/** Writes events at once, as each write takes memory of its own. */
+	const writeBytes = (events: readonly StreamEvent[]): void => {
+		if (events.length > 0) {
+			write(Buffer.concat(events.map(({bytes}) => bytes)));
+		}
+	};
+
 	const writeEvents = (events: readonly StreamEvent[]): void => {
 		const next = sequence.take(events);
 		for (const {bytes} of next.events) {
@@ -84,13 +98,26 @@
 		}
 	};
 
-	const closeIfTooLong = (): void => {
-		if (splitter.getPartialBytes() > maxEventBytes) {
+	const closeIfTooLong = (chunk: Uint8Array): void => {
+		if (splitter.getPartialBytes() <= chunk.length) {
+			sizes.reset();
+		}
+
+		if (sizes.add(chunk) || splitter.getPartialBytes() > maxEventBytes) {
 			isTooLong = true;
 			message.destroy();
 		}
 	};
 
+	/** Gives up what was read; a caller that hasn't read what it was sent loses the answer. */
+	const release = (): void => {
+		isReleased = true;
+		message.destroy();
+		if (response.writableNeedDrain) {
+			cutResponse(response);
+		}
+	};
+
 	const read = (chunk: Uint8Array): void => {
 		if (!hasStarted) {
 			hasStarted = true;
@@ -101,10 +128,11 @@
 		if (isResumable) {
 			writeEvents(events);
 		} else {
-			write(chunk);
+			writeBytes(events);
 		}
 
-		closeIfTooLong();
+		closeIfTooLong(chunk);
+		progress.held.hold(splitter.getPartialBytes() + response.writableLength, release);
 	};
 
 	const {end, error} = await receiveBody(answer, {read, getContent: splitter.getContent});
@@ -113,6 +141,10 @@
 		return {kind: 'cut', reason: sequenceBreak};
 	}
 
+	if (isReleased) {
+		return {kind: 'cut', reason: 'released'};
+	}
+
 	if (isTooLong) {
 		return {kind: 'cut', reason: 'event-too-long'};
 	}
--- a/packages/forwarder/src/deliver/event-splitter.ts
+++ b/packages/forwarder/src/deliver/event-splitter.ts
@@ -1,4 +1,5 @@
 import {Buffer} from 'node:buffer';
+import {createByteCollector} from '../memory/byte-collector.js';
 import type {BodyContent} from './body-end.js';
 
 /** A complete event of a stream, in its original bytes. */
@@ -42,30 +43,28 @@
 /** Creates a splitter for the body of one answer. */
 export const createEventSplitter = (): EventSplitter => {
 	/** Bytes after the last complete event, joined only when their event is complete. */
-	let partial: Uint8Array[] = [];
-	let partialBytes = 0;
+	const partial = createByteCollector();
 	/** Last bytes of `partial`, which the next chunk may complete to the end of an event. */
 	let tail = '';
 	let eventCount = 0;
 	/** Whether the last event ended with a carriage return, to which a line feed at the start of the next chunk belongs. */
 	let isLineFeedPending = false;
 
-	const setPartial = (chunks: Uint8Array[], bytes: number, text: string): void => {
-		partial = chunks;
-		partialBytes = bytes;
+	const addPartial = (chunk: Uint8Array, text: string): void => {
+		partial.push(chunk);
 		tail = text.slice(-maxPartialEndBytes);
 	};
 
 	const takeEvents = (chunk: Uint8Array): StreamEvent[] => {
 		const text = tail + toText(chunk);
 		if (text.search(eventEnd) === -1) {
-			partial.push(chunk);
-			setPartial(partial, partialBytes + chunk.length, text);
+			addPartial(chunk, text);
 			return [];
 		}
 
-		const {events, rest} = splitEvents(Buffer.concat([...partial, chunk]));
-		setPartial(rest.length === 0 ? [] : [rest], rest.length, toText(rest));
+		partial.push(chunk);
+		const {events, rest} = splitEvents(partial.take());
+		addPartial(rest, toText(rest));
 		isLineFeedPending = rest.length === 0 && chunk.at(-1) === carriageReturn;
 		eventCount += events.length;
 		return events;
@@ -79,7 +78,7 @@
 				? [{id: undefined, bytes: chunk.subarray(0, 1)}, ...takeEvents(chunk.subarray(1))]
 				: takeEvents(chunk);
 		},
-		getPartialBytes: () => partialBytes,
-		getContent: () => ({kind: 'events', events: eventCount, partialBytes}),
+		getPartialBytes: partial.getLength,
+		getContent: () => ({kind: 'events', events: eventCount, partialBytes: partial.getLength()}),
 	};
 };
--- a/packages/forwarder/src/forward.ts
+++ b/packages/forwarder/src/forward.ts
@@ -1,4 +1,6 @@
+import {cutResponse} from '@gentianlift/errors';
 import {createRetryBudget, decideRetry, type RetryBudget} from '@gentianlift/routing';
+import type {Milliseconds} from '@gentianlift/types';
 import {createAttemptMaker} from './send/make-attempt.js';
 import {createCallAnswers} from './call-answers.js';
 import {reportEnd, type CallEnd} from './call-end.js';
@@ -25,6 +27,9 @@
 	cutCalls: () => void;
 };
 
+/** Time that a caller has to read an answer that was written for it. */
+const maxReadingTime: Milliseconds = 30_000;
+
 /** Returns the end of a call whose caller waits no longer. */
 const getAbandonedEnd = ({endedFor}: Progress): CallEnd => ({outcome: endedFor ?? 'caller-gone'});
 
@@ -181,6 +186,26 @@
 		}
 	};
 
+	/** Counts what a caller hasn't read of its answer, until it has or its connection is closed; it has some time for that. */
+	const holdUntilRead = ({response, head}: Call, {held}: Progress): void => {
+		if (response.writableFinished || response.destroyed) {
+			held.end();
+			return;
+		}
+
+		held.hold(response.writableLength, () => {
+			cutResponse(response);
+		});
+		const cancelTimer = clock.after(maxReadingTime, () => {
+			logger.info('answer-unread', {request: head.callerRequestId, bytes: response.writableLength});
+			cutResponse(response);
+		});
+		response.once('close', () => {
+			cancelTimer();
+			held.end();
+		});
+	};
+
 	/** Ends a call as this host stops, and cancels its queueing or its attempt. */
 	const stopCall = (call: Call, progress: Progress): void => {
 		if (!isAbandoned(progress) && !call.response.writableEnded) {
@@ -206,7 +231,7 @@
 			}
 		},
 		async forward(call) {
-			const progress = createProgress();
+			const progress = createProgress(context.memory.open(call.head.callerRequestId));
 			progress.lastEventId = call.head.lastEventId;
 			progress.streamVersion = call.streamVersion;
 			progress.possibleExecutions = call.forwarded?.possibleExecutions ?? 0;
@@ -227,6 +252,7 @@
 			const end = await endCall(call, progress);
 			cancelTimer();
 			openCalls.delete(call);
+			holdUntilRead(call, progress);
 			reportEnd(call, progress, end, context);
 		},
 	};
--- a/packages/forwarder/src/host/create-context.ts
+++ b/packages/forwarder/src/host/create-context.ts
@@ -16,6 +16,7 @@
 import {createUpstreamLimits} from '../statements/upstream-limits.js';
 import {createUpstreamLinks, type UpstreamLinks} from '../links/upstream-links.js';
 import {createUpstreamRests} from '../statements/upstream-rests.js';
+import {createMemoryBudget} from '../memory/memory-budget.js';
 import {createUpstreamTracker} from '../queue/upstream-tracker.js';
 import {watchVersionBreaks} from '../resume/version-breaks.js';
 import {createViewFreshness} from '../resume/view-freshness.js';
@@ -26,6 +27,8 @@
 /** State of a graceful shutdown; `since` is undefined until it begins. */
 export type Shutdown = {since: Milliseconds | undefined; gracePeriod: Milliseconds};
 
+/** Part of a host's memory that answers may take; the program itself, its connections and the copies of answers that are being joined take the rest. */
+const answersPart = 1 / 10;
 /** Longest time to establish a connection that tests a link. */
 const linkProbeTimeout: Milliseconds = 400;
 
@@ -173,6 +176,7 @@
 		links,
 		hostAgents: createHostAgents(),
 		getHostAddresses: () => [...fleet.getAvailableOthers(), ...fleet.getStoppingOthers()].map(({peers}) => peers),
+		memory: createMemoryBudget({limit: settings.memory * answersPart, logger, metrics}),
 		suspects,
 		crashDetector: createCrashDetector(clock, links.isAwayForOthers),
 		streamOrigins,
--- a/packages/forwarder/src/host/host-settings.ts
+++ b/packages/forwarder/src/host/host-settings.ts
@@ -13,6 +13,8 @@
 	zone: Zone;
 	/** Processing capacity of the host, in cores of standard speed. */
 	capacity: number;
+	/** Memory of the host, in bytes. */
+	memory: number;
 	/** Address on which callers' requests are received. */
 	callers: Address;
 	/** Address on which other hosts' requests are received. */
--- a/packages/forwarder/src/links/testing-partition.ts
+++ b/packages/forwarder/src/links/testing-partition.ts
@@ -64,6 +64,7 @@
 		host: `h${index}`,
 		zone: ['a', 'b', 'c'][index % 3]!,
 		capacity: 1,
+		memory: 250_000_000,
 		callers: `${ip}:${callerPort}`,
 		peers,
 		loadReports: peers,
--- a/packages/forwarder/src/queue/simulated-host.ts
+++ b/packages/forwarder/src/queue/simulated-host.ts
@@ -11,6 +11,7 @@
 import type {Milliseconds} from '@gentianlift/types';
 import {type Call} from '../call.js';
 import {createForwarder} from '../forward.js';
+import {unlimitedBytes} from '../memory/memory-budget.js';
 import type {ForwarderContext} from '../context.js';
 import {createSoleLimits} from '../statements/testing-sole-limits.js';
 import {createSoleLinks} from '../links/testing-sole-links.js';
@@ -104,6 +105,7 @@
 		tracker: createUpstreamTracker({
 			clock, logger, loads, limits, rests, fragileUpstreams, getService: view.getService,
 		}),
+		memory: {open: () => unlimitedBytes, getHeldBytes: () => 0},
 		suspects: createCrashSuspects(),
 		retryLimit: {ratio: 0.2, minimum: 54, window: 10_000},
 		countHosts: () => 1,
--- a/packages/forwarder/src/testing.ts
+++ b/packages/forwarder/src/testing.ts
@@ -19,6 +19,7 @@
 import type {ForwarderContext} from './context.js';
 import {createHostAgents} from './send/host-agents.js';
 import {protocol} from './testing-protocol.js';
+import {createMemoryBudget} from './memory/memory-budget.js';
 import {createSoleLimits} from './statements/testing-sole-limits.js';
 import {createSoleLinks} from './links/testing-sole-links.js';
 import {createFragileUpstreams} from './statements/fragile-upstreams.js';
@@ -93,6 +94,9 @@
 	},
 });
 
+/** Bytes of answers that a host may hold, as if it had 250 MB of memory. */
+const memoryLimit = 25_000_000;
+
 /** Starts a host that serves callers with the configuration. */
 export const startTestHost = async (configuration: RoutingConfiguration, refresh?: () => Promise<void>): Promise<TestHost> => {
 	const clock = createSystemClock();
@@ -136,12 +140,13 @@
 	});
 	const rests = createUpstreamRests({clock, random: createRandom(1), logger});
 	const links = createSoleLinks(clock, view);
+	const metrics = createMetrics();
 	const context: ForwarderContext = {
 		clock,
 		host: 'h',
 		random: createRandom(1),
 		logger,
-		metrics: createMetrics(),
+		metrics,
 		protocol,
 		zone: 'a',
 		view,
@@ -163,6 +168,7 @@
 		tracker: createUpstreamTracker({
 			clock, logger, loads, limits, rests, fragileUpstreams, getService: view.getService,
 		}),
+		memory: createMemoryBudget({limit: memoryLimit, logger, metrics}),
 		suspects: createCrashSuspects(),
 		crashDetector: createCrashDetector(clock, links.isAwayForOthers),
 		streamOrigins: createStreamOrigins(),
