Cut a stream whose process may have started again while the store didn't answer

Cause: an idle engine that starts again in an outage of the store can't write its entry; its streams were taken for those of the old entry's version, as other hosts' young reports made the view count as current.

Change: the view keeps the last interval without an answer of the store, connection pools tell for how long the other end's process has run at least, and a stream goes on only if that is since before the interval, or until its entry must have come, with no other incarnation listed in its place.

It works since a process can only have started unseen in that interval, and every connection that outlasted it proves the contrary.

--- a/packages/discovery/src/fleet-view.ts
+++ b/packages/discovery/src/fleet-view.ts
@@ -12,6 +12,9 @@
 import {createNewestConfiguration} from './newest-configuration.js';
 import {createInvalidEntries} from './invalid-entries.js';
 
+/** Interval on the monotonic clock. */
+export type Interval = {from: Milliseconds; to: Milliseconds};
+
 /** This host's copy of the configuration, upstreams and hosts in the key-value service, here called the store; it may lag behind. */
 export type FleetView = {
 	/** Replaces all entries; ones that the snapshot lacks are removed, after a grace period if the store was restored from an older copy. */
@@ -28,6 +31,10 @@
 	isStoreReached: () => boolean;
 	/** Returns the time since the store last answered this host or, through a relay, sent it a change batch. */
 	getTimeSinceStoreContact: (now: Milliseconds) => Milliseconds;
+	/** Returns the last interval in which no answer of the store came for longer than a watch of it lasts, so that entries may have changed unseen; its end is infinite while it lasts. Undefined if there was none. */
+	getUnseenInterval: (now: Milliseconds) => Interval | undefined;
+	/** Whether another incarnation of an upstream is listed in its place. */
+	isReplaced: (upstream: Upstream) => boolean;
 	/** Returns all known entries, for other hosts. */
 	getSnapshot: () => Snapshot;
 	/** Returns the entry that holds the newest configuration, for other hosts; undefined before the first. */
@@ -61,6 +68,8 @@
 	onConfiguration?: (configuration: RoutingConfiguration) => void;
 };
 
+/** Longest time between two answers of a store that is in order: that of a watch, and some for its answer. */
+const maxContactGap: Milliseconds = 3000;
 /** Time after an outage of the store in which upstreams whose leases expired during it can register again. */
 const reregistrationGrace: Milliseconds = 2000;
 /** The same after a restore from an older copy, for hosts, too: they notice it when they renew their leases. */
@@ -80,6 +89,7 @@
 	const configuration = createNewestConfiguration(logger, onConfiguration);
 	let revision = 0;
 	let lastContactAt = Number.NEGATIVE_INFINITY;
+	let unseen: Interval | undefined;
 	let isStoreReached = true;
 	/** Times until which the removal of upstreams and of hosts is deferred. */
 	let upstreamsKeptUntil = Number.NEGATIVE_INFINITY;
@@ -191,6 +201,8 @@
 		return known !== undefined && decoded?.kind === 'upstream' && decoded.upstream.startedAt < known.startedAt;
 	};
 
+	const isUnseen = (now: Milliseconds): boolean => Number.isFinite(lastContactAt) && now - lastContactAt > maxContactGap;
+
 	return {
 		applySnapshot(snapshot, now) {
 			const isRestored = revision > 0 && getEra(snapshot.revision) > getEra(revision);
@@ -237,6 +249,10 @@
 				logger.warn(reached ? 'store-regained' : 'store-lost', {revision, silence: Math.round(now - lastContactAt)});
 			}
 
+			if (reached) {
+				unseen = isUnseen(now) ? {from: lastContactAt, to: now} : unseen;
+			}
+
 			isStoreReached = reached;
 			lastContactAt = reached ? now : lastContactAt;
 		},
@@ -252,6 +268,8 @@
 		getRevision: () => revision,
 		isStoreReached: () => isStoreReached,
 		getTimeSinceStoreContact: now => now - lastContactAt,
+		getUnseenInterval: now => isUnseen(now) ? {from: lastContactAt, to: Number.POSITIVE_INFINITY} : unseen,
+		isReplaced: ({service, id, startedAt}) => upstreams.getAll().some(other => other.service === service && other.id === id && other.startedAt !== startedAt),
 		getSnapshot: () => ({entries: [...entries.values(), configuration.getEntry(revision) ?? []].flat(), revision}),
 		getConfigurationEntry: () => configuration.getEntry(revision),
 		applyConfigurationEntry(entry) {
--- a/packages/forwarder/src/call.ts
+++ b/packages/forwarder/src/call.ts
@@ -1,7 +1,7 @@
 import {createHash} from 'node:crypto';
 import type {ServerResponse} from 'node:http';
 import {
-	getQueueRank, mayExecuteAgain, type ConfiguredCustomer, type EarlyRefusal, type Route, type SuspectId, type UpstreamKey,
+	getQueueRank, mayExecuteAgain, type ConfiguredCustomer, type EarlyRefusal, type Route, type SuspectId, type Upstream, type UpstreamKey,
 } from '@gentianlift/routing';
 import type {HostId, Milliseconds, Rank} from '@gentianlift/types';
 import type {BodyEnd} from './deliver/body-end.js';
@@ -51,6 +51,9 @@
 	rereadTokens: number;
 };
 
+/** The upstream at which a stream has begun, and since when its process runs at least, on the monotonic clock. */
+export type BegunStream = {upstream: Upstream; runsSince: Milliseconds};
+
 /** State of a call while it is forwarded. */
 export type Progress = {
 	/** Attempts that reached an upstream. */
@@ -71,6 +74,8 @@
 	hasUnnumberedEvents: boolean;
 	/** Software version that began the stream, once its caller has events of it; only upstreams of this version can resume it. Undefined if it isn't known for certain. */
 	streamVersion: string | undefined;
+	/** The upstream that this host began the stream at; undefined if it began none, or once its version is beyond doubt. */
+	origin: BegunStream | undefined;
 	isCallerGone: boolean;
 	/** How much of the answer the caller had got when its connection closed; undefined while it is open. */
 	receivedAnswer: ReceivedAnswer | undefined;
@@ -137,6 +142,7 @@
 	hasBegun: false,
 	hasUnnumberedEvents: false,
 	streamVersion: undefined,
+	origin: undefined,
 	isCallerGone: false,
 	receivedAnswer: undefined,
 	endedFor: undefined,
--- a/packages/forwarder/src/send/attempt-record.ts
+++ b/packages/forwarder/src/send/attempt-record.ts
@@ -8,6 +8,7 @@
 import type {AnswerHead} from '../protocol.js';
 import type {RequestLoad} from '../queue/request-load.js';
 import {recordServiceTime} from '../queue/serving-end.js';
+import {isOriginDoubtful} from '../resume/origin-doubt.js';
 import {ownSource} from '../statements/upstream-limits.js';
 import type {RequestActivity} from '../queue/upstream-tracker.js';
 
@@ -28,6 +29,8 @@
 	expectedFirstToken: Milliseconds;
 	/** When the request was sent; undefined while it waits for a connection. */
 	sentAt: Milliseconds | undefined;
+	/** Returns for how long the upstream's process has run at least; undefined while the request waits for a connection. */
+	getProcessAge: (() => Milliseconds) | undefined;
 };
 
 /** Records the time to first token: the prefill of this prompt and of those queued before it is complete. */
@@ -81,8 +84,8 @@
 };
 
 /** Whether an upstream is known to have the version that it is listed with, and not to have started again since; upstreams that are listed without one may differ. */
-const isVersionCertain = (upstream: Upstream, {freshness, view}: ForwarderContext): boolean =>
-	upstream.softwareVersion !== '' && freshness.isCurrent() && view.getService(getUpstreamKey(upstream)) !== undefined;
+const isVersionCertain = ({upstream, progress, context}: Attempt): boolean =>
+	upstream.softwareVersion !== '' && context.freshness.isCurrent() && context.view.getService(getUpstreamKey(upstream)) !== undefined && !isOriginDoubtful(progress, context);
 
 /** Records the version that begins a stream, and reports it to the other hosts, as its caller may resume the stream at any of them. */
 const recordVersion = ({call, progress, upstream, context}: Attempt): void => {
@@ -97,8 +100,8 @@
 
 /** Records the version that begins a stream as soon as it is certain. Until then, the stream can't be resumed. */
 const recordVersionOnceCertain = (attempt: Attempt, remainingChecks: number): void => {
-	const {upstream, context} = attempt;
-	if (isVersionCertain(upstream, context)) {
+	const {context} = attempt;
+	if (isVersionCertain(attempt)) {
 		recordVersion(attempt);
 	} else if (remainingChecks > 0) {
 		// A view that is behind for some milliseconds catches up by itself.
@@ -114,9 +117,10 @@
 
 /** Records that the first bytes of a stream are about to be written to the caller; one that the caller resumes has its version already. */
 export const recordStart = (attempt: Attempt): void => {
-	const {progress} = attempt;
+	const {progress, upstream, context} = attempt;
 	if (!progress.hasBegun) {
 		progress.hasBegun = true;
+		progress.origin = {upstream, runsSince: context.clock.monotonic() - (attempt.getProcessAge?.() ?? 0)};
 		if (progress.streamVersion === undefined) {
 			recordVersionOnceCertain(attempt, maxCertaintyChecks);
 		}
--- a/packages/forwarder/src/send/attempt.ts
+++ b/packages/forwarder/src/send/attempt.ts
@@ -98,8 +98,9 @@
 		agent: context.tracker.getAgent(upstream, call.route.kind, getPoolSize(call, context)),
 		protocol: context.protocol,
 		clock: context.clock,
-		onSent() {
+		onSent(getProcessAge) {
 			progress.isSent = true;
+			attempt.getProcessAge = getProcessAge;
 			attempt.sentAt = context.clock.monotonic();
 			recordConnectionWait(attempt);
 		},
@@ -138,7 +139,7 @@
 	progress.hasCrashed = undefined;
 	const activity = context.tracker.trackRequest(upstream);
 	const attempt: Attempt = {
-		call, progress, upstream, context, load, activity, startedAt: context.clock.monotonic(), sentAt: undefined,
+		call, progress, upstream, context, load, activity, startedAt: context.clock.monotonic(), sentAt: undefined, getProcessAge: undefined,
 		expectedFirstToken: candidate.backlog + (uncachedTokens / candidate.prefillRate),
 	};
 	if (prompt !== undefined) {
--- a/packages/forwarder/src/send/make-attempt.ts
+++ b/packages/forwarder/src/send/make-attempt.ts
@@ -55,7 +55,7 @@
 
 	/** Makes an attempt over another host; returns undefined if the call's stream can't be resumed, or if this host stops before the answer would end. */
 	const attemptIndirectly = async (call: Call, progress: Progress, host: HostRecord): Promise<ForwardOutcome | undefined> => {
-		if (isVersionUncertain(progress)) {
+		if (isVersionUncertain(progress, context)) {
 			reportResumeObstacle(call, progress, 'version-uncertain', context);
 			return undefined;
 		}
--- a/packages/forwarder/src/send/send.ts
+++ b/packages/forwarder/src/send/send.ts
@@ -57,8 +57,8 @@
 	cancel: () => void;
 };
 
-/** Dependencies of `send`, and listeners: one is called when a connection is established and the request is sent on it, the other with the head of an answer to the request, also of one that isn't accepted. */
-export type SendOptions = {agent: UpstreamAgent; protocol: Protocol; clock: Clock; onSent?: () => void; onHead?: (head: AnswerHead) => void};
+/** Dependencies of `send`, and listeners: one is called when a connection is established and the request is sent on it, with a function that returns for how long the process at its other end has run at least, the other with the head of an answer to the request, also of one that isn't accepted. */
+export type SendOptions = {agent: UpstreamAgent; protocol: Protocol; clock: Clock; onSent?: (getProcessAge: () => Milliseconds) => void; onHead?: (head: AnswerHead) => void};
 
 /** Longest time to establish a connection within a region. */
 const connectTimeout: Milliseconds = 400;
@@ -217,7 +217,7 @@
 		}
 	};
 
-	const sendNow = (): void => {
+	const sendNow = (socket: Socket): void => {
 		if (isFinished) {
 			return;
 		}
@@ -229,13 +229,13 @@
 		}
 
 		enterPhase('sent', head.headTimeout);
-		onSent?.();
+		onSent?.(() => agent.getProcessAge(socket));
 	};
 
-	const confirmAndSend = async (confirmIncarnation: () => Promise<boolean>): Promise<void> => {
+	const confirmAndSend = async (socket: Socket, confirmIncarnation: () => Promise<boolean>): Promise<void> => {
 		enterPhase('confirming', undefined);
 		if (await confirmIncarnation()) {
-			sendNow();
+			sendNow(socket);
 		} else {
 			endUnsent('unconfirmed');
 		}
@@ -244,9 +244,9 @@
 	const startSending = (socket: Socket): void => {
 		const age = getConnectionAge(socket, clock);
 		if (confirm === undefined || age >= maxEntryDelay) {
-			sendNow();
+			sendNow(socket);
 		} else {
-			void confirmAndSend(confirm);
+			void confirmAndSend(socket, confirm);
 		}
 	};
 
--- a/packages/forwarder/src/send/upstream-agent.ts
+++ b/packages/forwarder/src/send/upstream-agent.ts
@@ -22,6 +22,9 @@
 	/** The answer being received; undefined while a request waits for one. */
 	message: IncomingMessage | undefined;
 	isIdle: boolean;
+	/** When the connection was opened, and when bytes last arrived on it, by `performance.now`. */
+	openedAt: Milliseconds;
+	readAt: Milliseconds;
 	idleTimer: NodeJS.Timeout | undefined;
 	/** Bytes received since the request was sent, up to those with the end of the answer's head. */
 	headBytes: number;
@@ -44,6 +47,9 @@
 export class UpstreamAgent extends Agent {
 	readonly #states = new WeakMap<Duplex, ConnectionState>();
 
+	/** States of the connections that aren't closed. */
+	readonly #open = new Set<ConnectionState>();
+
 	readonly #idleTimeout: Milliseconds;
 
 	constructor({idleTimeout = idleTimeouts.normal, ...options}: AgentOptions & {idleTimeout?: Milliseconds} = {}) {
@@ -101,6 +107,13 @@
 		return this.#states.get(socket)?.hasNamedRequests ?? false;
 	}
 
+	/** Returns for how long the process at the other end of a connection has run at least: since that was opened, or an older one on which bytes have arrived since then. */
+	getProcessAge(socket: Socket): Milliseconds {
+		const openedAt = this.#states.get(socket)?.openedAt ?? performance.now();
+		const witnesses = [...this.#open].filter(({readAt}) => readAt >= openedAt);
+		return performance.now() - Math.min(openedAt, ...witnesses.map(witness => witness.openedAt));
+	}
+
 	/** Whether a connection that has ended was reset. */
 	wasReset(socket: Socket): boolean {
 		return this.#states.get(socket)?.isReset ?? false;
@@ -109,9 +122,10 @@
 	override createConnection(options: NetConnectOpts): Socket {
 		const socket = connect({...options, noDelay: true, allowHalfOpen: true});
 		const state: ConnectionState = {
-			message: undefined, isIdle: false, idleTimer: undefined, headBytes: 0, isReset: false, hasNamedRequests: false,
+			message: undefined, isIdle: false, openedAt: performance.now(), readAt: Number.NEGATIVE_INFINITY, idleTimer: undefined, headBytes: 0, isReset: false, hasNamedRequests: false,
 		};
 		this.#states.set(socket, state);
+		this.#open.add(state);
 		const closeIfUnused = (): void => {
 			if (state.isIdle || state.message?.complete === true) {
 				socket.destroy();
@@ -120,6 +134,7 @@
 
 		socket.on('data', (chunk: Uint8Array) => {
 			closeIfUnused();
+			state.readAt = performance.now();
 			state.headBytes += state.message === undefined ? chunk.length : 0;
 			if (state.headBytes > maxHeadBytes) {
 				socket.destroy(new Error('head-too-long'));
@@ -132,6 +147,7 @@
 		});
 		socket.once('close', () => {
 			clearTimeout(state.idleTimer);
+			this.#open.delete(state);
 		});
 		return socket;
 	}
