Give a silent attempt up only once the next one is granted

Cause: an attempt was cancelled for silence before it was known whether the budget, the attempts, another upstream or the stream's state allow another.

Change: send/successor grants the next attempt, taking it from the budget, before the silent one is given up; else that goes on until the timeout, and the decision is asked for again. Also over other hosts and while stopping. send is split: send-phase.

It works since nothing is given up without its replacement.

--- a/packages/forwarder/src/call.ts
+++ b/packages/forwarder/src/call.ts
@@ -72,6 +72,8 @@
 	hasBegun: boolean;
 	/** Whether the caller has events of the stream without a number, so that no upstream can be told where it is. */
 	hasUnnumberedEvents: boolean;
+	/** Whether the attempt that follows the one in progress is granted, and taken from the retry budget. */
+	isRetryGranted: boolean;
 	/** Software version that began the stream, once its caller has events of it; only upstreams of this version can resume it. Undefined if it isn't known for certain. */
 	streamVersion: string | undefined;
 	/** The upstream that this host began the stream at; undefined if it began none, or once its version is beyond doubt. */
@@ -148,6 +150,7 @@
 	endedFor: undefined,
 	refusal: undefined,
 	isReturned: false,
+	isRetryGranted: false,
 	choice: undefined,
 	connectionWait: undefined,
 	firstBytesAt: undefined,
--- a/packages/forwarder/src/forward.ts
+++ b/packages/forwarder/src/forward.ts
@@ -2,6 +2,7 @@
 import {createRetryBudget, decideRetry, type RetryBudget} from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
 import {createAttemptMaker} from './send/make-attempt.js';
+import type {TakeRetry} from './send/successor.js';
 import {createCallAnswers} from './call-answers.js';
 import {reportEnd, type CallEnd} from './call-end.js';
 import type {ForwardOutcome} from './deliver/forward-outcome.js';
@@ -40,7 +41,6 @@
 		answerWithError, giveUp, refuseEarly, endBlocked, endOnStop, endOnDeadline,
 	} = createCallAnswers(context);
 	const queue = createRequestQueue(context);
-	const makeAttempt = createAttemptMaker(context, queue);
 	const budgets = new Map<string, RetryBudget>();
 	const openCalls = new Map<Call, Progress>();
 
@@ -59,6 +59,9 @@
 	const isMisdirected = ({forwarded, service}: Call, {possibleExecutions}: Progress): boolean =>
 		forwarded?.possibleExecutions === possibleExecutions && context.links.isCut(service);
 
+	const takeRetry: TakeRetry = ({service}) => getRetryBudget(service).take(clock.monotonic(), context.countHosts());
+	const makeAttempt = createAttemptMaker(context, queue, takeRetry);
+
 	/** Ends a call that got no upstream from the queue. */
 	const endUnassigned = (call: Call, progress: Progress, lastOutcome: ForwardOutcome | undefined): CallEnd => {
 		if (isAbandoned(progress)) {
@@ -92,7 +95,8 @@
 			remainingTime: call.deadline - clock.monotonic(),
 			mayCrashUpstream,
 		});
-		const isAllowed = decision.kind === 'resend' && (progress.attempts === 0 || getRetryBudget(call.service).take(clock.monotonic(), context.countHosts()));
+		const isAllowed = decision.kind === 'resend' && (progress.attempts === 0 || progress.isRetryGranted || takeRetry(call));
+		progress.isRetryGranted = false;
 		const outcome = decision.kind === 'stop' ? decision.reason : (isAllowed ? 'resend' : 'budget');
 		metrics.count('resend_decisions_total', {outcome});
 		logger.info('attempt-failed', {
--- a/packages/forwarder/src/send/attempt-over-host.ts
+++ b/packages/forwarder/src/send/attempt-over-host.ts
@@ -8,6 +8,7 @@
 import type {ForwardOutcome} from '../deliver/forward-outcome.js';
 import {watchSilence} from '../deliver/watch-silence.js';
 import {send, type SendOutcome} from './send.js';
+import {createSilenceDecision, type TakeRetry} from './successor.js';
 import {isConnectionLoss, misdirectedStatus, recordChunk} from './attempt-record.js';
 
 /** Returns what the other host has to know of a stream that it is to resume; undefined if the call begins one, or isn't a stream. */
@@ -66,9 +67,9 @@
 	}
 };
 
-/** Cancels a call once the other host is silent, as if it were gone; returns a function that stops watching. */
-const watchHost = ({host}: HostRecord, {clock, reportExchange}: ForwarderContext, cancel: () => void): (() => void) =>
-	watchSilence(clock, {getSilence: () => reportExchange.getSilence(host), maxSilence: hostSilenceTimeout, onSilent: cancel});
+/** Calls `onSilent` while the other host is silent, as if it were gone; returns a function that stops watching. */
+const watchHost = ({host}: HostRecord, {clock, reportExchange}: ForwarderContext, onSilent: () => void): (() => void) =>
+	watchSilence(clock, {getSilence: () => reportExchange.getSilence(host), maxSilence: hostSilenceTimeout, onSilent});
 
 /** Whether a crash for which the call may be blamed is known once the other host could have reported one. */
 const hasReportedCrash = async (call: Call, context: ForwarderContext): Promise<boolean> => {
@@ -76,8 +77,11 @@
 	return isSuspected(call, context);
 };
 
+/** The host that a call is sent to, and what it is told. */
+type HostAttempt = {host: HostRecord; forwarded: ForwardedCall; takeRetry: TakeRetry};
+
 /** Sends the request to the other host and delivers the answer. */
-const sendToHost = async (call: Call, progress: Progress, {host, forwarded}: {host: HostRecord; forwarded: ForwardedCall}, context: ForwarderContext): Promise<ForwardOutcome> => {
+const sendToHost = async (call: Call, progress: Progress, {host, forwarded, takeRetry}: HostAttempt, context: ForwarderContext): Promise<ForwardOutcome> => {
 	const {clock, protocol} = context;
 	const {head, route, body} = call;
 	const {outcome, cancel} = send({
@@ -97,7 +101,12 @@
 		},
 	});
 	progress.cancel = cancel;
-	const stopWatching = watchHost(host, context, cancel);
+	const mayGiveUp = createSilenceDecision(call, progress, takeRetry, context);
+	const stopWatching = watchHost(host, context, () => {
+		if (mayGiveUp()) {
+			cancel();
+		}
+	});
 	try {
 		return await handleOutcome(call, progress, await outcome, context);
 	} finally {
@@ -106,7 +115,7 @@
 };
 
 /** Sends a call to another host, which handles it as one of its own callers' but doesn't forward it again, and delivers its answer. */
-export const attemptOverHost = async (call: Call, progress: Progress, host: HostRecord, context: ForwarderContext): Promise<ForwardOutcome> => {
+export const attemptOverHost = async (call: Call, progress: Progress, {host, takeRetry}: {host: HostRecord; takeRetry: TakeRetry}, context: ForwarderContext): Promise<ForwardOutcome> => {
 	const {clock, links, logger, metrics} = context;
 	const {head, route} = call;
 	const forwarded = describeCall(call, progress, context);
@@ -116,7 +125,7 @@
 		request: head.callerRequestId, host: host.host, service: call.service, age: forwarded.age, after: forwarded.resumption?.lastEventId, software: progress.streamVersion,
 	});
 	const endForwarding = links.beginForwarding(host.host);
-	const forwardOutcome = await sendToHost(call, progress, {host, forwarded}, context).finally(endForwarding);
+	const forwardOutcome = await sendToHost(call, progress, {host, forwarded, takeRetry}, context).finally(endForwarding);
 	metrics.count('forwarded_calls_total', {route: route.name, outcome: forwardOutcome.kind});
 	if (progress.hasBegun && head.callerRequestId !== undefined) {
 		// The other host reports what began the stream.
--- a/packages/forwarder/src/send/attempt.ts
+++ b/packages/forwarder/src/send/attempt.ts
@@ -13,6 +13,7 @@
 	isConnectionLoss, observeStatements, recordChunk, recordConnectionWait, recordFirstToken, recordOutcome, recordStart, type Attempt,
 } from './attempt-record.js';
 import {buildUpstreamRequest} from './build-upstream-request.js';
+import {createSilenceDecision, type TakeRetry} from './successor.js';
 
 /** Silence of an upstream after which a stream that it runs resumes on another one, in addition to the prefill time. */
 const resumeSilence: Milliseconds = 1000;
@@ -68,8 +69,8 @@
 	}
 };
 
-/** Cancels the attempt of a resumable stream once its upstream is silent for too long; returns a function that stops watching. */
-const watchForSilence = ({call, upstream, context}: Attempt, unreadTokens: number, cancel: () => void): (() => void) => {
+/** Cancels the attempt of a resumable stream once its upstream is silent for too long and the next attempt is granted; returns a function that stops watching. */
+const watchForSilence = ({call, upstream, context}: Attempt, {unreadTokens, mayGiveUp, cancel}: {unreadTokens: number; mayGiveUp: () => boolean; cancel: () => void}): (() => void) => {
 	if (!call.mayExecuteAgain || call.route.kind !== 'streaming') {
 		return () => undefined;
 	}
@@ -79,6 +80,10 @@
 		getSilence: () => context.tracker.getSilence(upstream),
 		maxSilence,
 		onSilent() {
+			if (!mayGiveUp()) {
+				return;
+			}
+
 			context.logger.info('upstream-silent', {request: call.head.callerRequestId, upstream: getUpstreamKey(upstream), limit: Math.round(maxSilence)});
 			cancel();
 		},
@@ -92,9 +97,10 @@
 };
 
 /** Sends the request of an attempt and delivers the answer. */
-const runAttempt = async (attempt: Attempt, {candidate, permit}: Assignment): Promise<ForwardOutcome> => {
+const runAttempt = async (attempt: Attempt, {candidate, permit}: Assignment, takeRetry: TakeRetry): Promise<ForwardOutcome> => {
 	const {call, progress, upstream, context} = attempt;
-	const {outcome, cancel} = send(buildUpstreamRequest(call, progress, {upstream, permit}, context), {
+	const mayGiveUp = createSilenceDecision(call, progress, takeRetry, context);
+	const {outcome, cancel} = send(buildUpstreamRequest(call, progress, {upstream, permit, mayGiveUp}, context), {
 		agent: context.tracker.getAgent(upstream, call.route.kind, getPoolSize(call, context)),
 		protocol: context.protocol,
 		clock: context.clock,
@@ -111,7 +117,7 @@
 		},
 	});
 	progress.cancel = cancel;
-	const stopWatching = watchForSilence(attempt, candidate.load.unreadTokens + candidate.uncachedTokens, cancel);
+	const stopWatching = watchForSilence(attempt, {unreadTokens: candidate.load.unreadTokens + candidate.uncachedTokens, mayGiveUp, cancel});
 	try {
 		return await handleSendOutcome(attempt, await outcome);
 	} finally {
@@ -120,7 +126,7 @@
 };
 
 /** Sends a call to one upstream and delivers its answer. */
-export const attemptUpstream = async (call: Call, progress: Progress, assignment: Assignment, context: ForwarderContext): Promise<ForwardOutcome> => {
+export const attemptUpstream = async (call: Call, progress: Progress, {assignment, takeRetry}: {assignment: Assignment; takeRetry: TakeRetry}, context: ForwarderContext): Promise<ForwardOutcome> => {
 	const {candidate, load, permit} = assignment;
 	const {upstream, uncachedTokens} = candidate;
 	const key = getUpstreamKey(upstream);
@@ -147,7 +153,7 @@
 		context.reportExchange.addPrefill({upstream: key, model: prompt.model, parts: prompt.parts});
 	}
 
-	const attemptOutcome = await runAttempt(attempt, assignment).finally(() => {
+	const attemptOutcome = await runAttempt(attempt, assignment, takeRetry).finally(() => {
 		activity.end();
 		load.end();
 		permit.release();
--- a/packages/forwarder/src/send/build-upstream-request.ts
+++ b/packages/forwarder/src/send/build-upstream-request.ts
@@ -5,6 +5,7 @@
 import {findBlockingSuspect} from '../crashes/crash-blame.js';
 import type {PermitClaim} from '../statements/upstream-limits.js';
 import {getUpstreamRanks, lowestUpstreamRank} from '../queue/upstream-ranks.js';
+import {hasOtherUpstream} from './successor.js';
 import type {RequestHead, UnsentReason, UpstreamRequest} from './send.js';
 
 /** The upstream that a request is sent to, and the call's claim on a permit if it is limited. */
@@ -27,12 +28,8 @@
 };
 
 /** Returns the longest wait for a connection; while there is another upstream, part of the remaining time is left for it. Nothing has been sent, so this holds for requests of all kinds. */
-const getConnectionWait = (call: Call, progress: Progress, context: ForwarderContext, remainingTime: Milliseconds): Milliseconds => {
-	const isOther = (upstream: Upstream): boolean =>
-		!progress.tried.has(getUpstreamKey(upstream)) && (progress.streamVersion === undefined || upstream.softwareVersion === progress.streamVersion);
-	const hasOtherUpstream = context.view.getUpstreams(call.service).some(upstream => isOther(upstream));
-	return hasOtherUpstream ? getAttemptTimeout(remainingTime) : remainingTime;
-};
+const getConnectionWait = (call: Call, progress: Progress, context: ForwarderContext, remainingTime: Milliseconds): Milliseconds =>
+	hasOtherUpstream(call, progress, context) ? getAttemptTimeout(remainingTime) : remainingTime;
 
 const getRemainingTime = (call: Call, {clock}: ForwarderContext): Milliseconds =>
 	Math.max(1, Math.floor(call.deadline - clock.monotonic()));
@@ -75,8 +72,8 @@
 	return permit.take() ? undefined : 'upstream-limited';
 };
 
-/** Builds the request to an upstream. Its head is built when it is sent, as the remaining time goes into it, and not at all if it must no longer be sent then. */
-export const buildUpstreamRequest = (call: Call, progress: Progress, target: SendTarget, context: ForwarderContext): UpstreamRequest => ({
+/** Builds the request to an upstream; `mayGiveUp` decides on an answer that doesn't begin in time. Its head is built when it is sent, as the remaining time goes into it, and not at all if it must no longer be sent then. */
+export const buildUpstreamRequest = (call: Call, progress: Progress, {mayGiveUp, ...target}: SendTarget & Pick<UpstreamRequest, 'mayGiveUp'>, context: ForwarderContext): UpstreamRequest => ({
 	address: target.upstream.address,
 	method: call.method,
 	target: call.target,
@@ -84,5 +81,6 @@
 	callerRequestId: call.head.callerRequestId,
 	connectionWait: getConnectionWait(call, progress, context, getRemainingTime(call, context)),
 	confirm: progress.streamVersion === undefined ? undefined : async () => context.freshness.confirm(),
+	mayGiveUp,
 	buildHead: () => getUnsentReason(call, progress, target, context) ?? buildRequestHead(call, progress, target.upstream, context),
 });
--- a/packages/forwarder/src/send/make-attempt.ts
+++ b/packages/forwarder/src/send/make-attempt.ts
@@ -10,12 +10,13 @@
 import type {CallPath} from '../links/upstream-links.js';
 import {attemptOverHost} from './attempt-over-host.js';
 import {attemptUpstream} from './attempt.js';
+import {choosePath, type TakeRetry} from './successor.js';
 
 /** Makes the next attempt of a call after the `previous` one, if there was one; resolves with undefined if the call has ended, or if there is neither an upstream nor another host for it. */
 export type AttemptMaker = (call: Call, progress: Progress, previous: ForwardOutcome | undefined) => Promise<ForwardOutcome | undefined>;
 
 /** Creates a maker of attempts, directly on upstreams or over other hosts. */
-export const createAttemptMaker = (context: ForwarderContext, queue: RequestQueue): AttemptMaker => {
+export const createAttemptMaker = (context: ForwarderContext, queue: RequestQueue, takeRetry: TakeRetry): AttemptMaker => {
 	const {links} = context;
 
 	/** Returns an upstream for the next attempt; undefined if there is none, if the call has ended, or if its stream can't be resumed. */
@@ -44,7 +45,7 @@
 
 		const {upstream} = assignment.candidate;
 		progress.tried.add(getUpstreamKey(upstream));
-		const outcome = await attemptUpstream(call, progress, assignment, context);
+		const outcome = await attemptUpstream(call, progress, {assignment, takeRetry}, context);
 		queue.requestDispatch();
 		if (outcome.kind === 'delivered') {
 			void recordGoodEnd(call, progress, {upstream, status: outcome.status}, context);
@@ -66,22 +67,18 @@
 		}
 
 		progress.triedHosts.add(host.host);
-		return attemptOverHost(call, progress, host, context);
+		return attemptOverHost(call, progress, {host, takeRetry}, context);
 	};
 
-	/** Returns the path of a call; one that another host has forwarded isn't forwarded again. */
-	const choosePath = ({forwarded, service}: Call, {triedHosts}: Progress): CallPath =>
-		forwarded === undefined ? links.choosePath(service, triedHosts) : {kind: 'direct'};
-
 	/** Returns the path of a call; once the hosts that were known to reach its service have failed, asks for others. */
 	const findPath = async (call: Call, progress: Progress): Promise<CallPath> => {
-		const path = choosePath(call, progress);
+		const path = choosePath(call, progress, context);
 		if (path.kind !== 'none') {
 			return path;
 		}
 
 		await links.renewHosts(call.service);
-		return choosePath(call, progress);
+		return choosePath(call, progress, context);
 	};
 
 	return async (call, progress, previous) => {
--- a/packages/forwarder/src/send/send.ts
+++ b/packages/forwarder/src/send/send.ts
@@ -7,6 +7,7 @@
 import {classifyAnswer, isMismatched} from './classify-answer.js';
 import {getConnectionAge} from './connection-age.js';
 import type {Incoming} from './incoming.js';
+import {getFailure, getTimeoutOutcome, type SendPhase} from './send-phase.js';
 import type {UpstreamAgent} from './upstream-agent.js';
 
 /** The part of a request that depends on the time that remains when it is sent. */
@@ -32,6 +33,8 @@
 	connectionWait: Milliseconds;
 	/** Confirms that the upstream still is the incarnation that its entry names; called before the request is sent on a connection that is younger than the entry of a process that has just started may be. Undefined if any incarnation may answer. */
 	confirm?: (() => Promise<boolean>) | undefined;
+	/** Whether a request may be given up whose answer hasn't begun within `headTimeout`; it is asked again at intervals. Absent if any may. */
+	mayGiveUp?: (() => boolean) | undefined;
 	/** Called when the request is to be sent; returns a reason instead if it must no longer be, and then nothing is sent. */
 	buildHead: () => RequestHead | UnsentReason;
 };
@@ -62,6 +65,8 @@
 
 /** Longest time to establish a connection within a region. */
 const connectTimeout: Milliseconds = 400;
+/** Interval at which it is checked whether a request may be given up whose answer hasn't begun in time. */
+const silenceCheckInterval: Milliseconds = 100;
 
 const getErrorReason = (error: Error & {code?: string}): string => error.code ?? error.message;
 
@@ -79,55 +84,6 @@
 	clientRequest.end(body);
 };
 
-/** Phase of a request up to the head of its answer; each has its own time limit. */
-type SendPhase
-	/** All connections of the pool are in use by other requests of this host. */
-	= | 'waiting'
-		| 'connecting'
-	/** The upstream's incarnation is being confirmed. */
-		| 'confirming'
-	/** The request is sent, and may execute. */
-		| 'sent';
-
-/** Returns the outcome of a request that failed in a phase. */
-const getFailure = (phase: SendPhase, reason: string): SendOutcome => {
-	switch (phase) {
-		case 'waiting':
-		case 'confirming': {
-			return {kind: 'unsent', reason};
-		}
-
-		case 'connecting': {
-			return {kind: 'unreachable', reason};
-		}
-
-		case 'sent': {
-			return {kind: 'broken', reason};
-		}
-	}
-};
-
-/** Returns the outcome of a request that exceeded the time limit of a phase. */
-const getTimeoutOutcome = (phase: SendPhase): SendOutcome => {
-	switch (phase) {
-		case 'waiting': {
-			return getFailure(phase, 'pool-timeout');
-		}
-
-		case 'confirming': {
-			return getFailure(phase, 'unconfirmed');
-		}
-
-		case 'connecting': {
-			return getFailure(phase, 'connect-timeout');
-		}
-
-		case 'sent': {
-			return {kind: 'silent'};
-		}
-	}
-};
-
 const createDeferred = <Value>(): {promise: Promise<Value>; resolve: (value: Value) => void} => {
 	let resolve: (value: Value) => void = () => undefined;
 	const promise = new Promise<Value>(resolvePromise => {
@@ -162,7 +118,9 @@
 
 /** Sends a request to an upstream as soon as the pool has a connection for it. */
 export const send = (upstreamRequest: UpstreamRequest, {agent, protocol, clock, onSent, onHead}: SendOptions): InFlightRequest => {
-	const {callerRequestId, connectionWait, body, confirm, buildHead} = upstreamRequest;
+	const {
+		callerRequestId, connectionWait, body, confirm, mayGiveUp, buildHead,
+	} = upstreamRequest;
 	const clientRequest = tryToOpen(upstreamRequest, agent);
 	if (typeof clientRequest === 'string') {
 		return {outcome: Promise.resolve({kind: 'unreachable', reason: clientRequest}), cancel: () => undefined};
@@ -187,6 +145,11 @@
 		cancelTimer = limit === undefined
 			? undefined
 			: startTimeLimit(clock, limit, () => {
+				if (nextPhase === 'sent' && mayGiveUp?.() === false) {
+					enterPhase(nextPhase, silenceCheckInterval);
+					return;
+				}
+
 				finish(getTimeoutOutcome(nextPhase));
 				clientRequest.destroy();
 			});
