Try a request soon whose blocked parts another one may explain, however many they are

Cause: the early trial of a part that another one may explain was allowed only for requests with exactly one blocked part.

Change: a request is tried soon if for each of its blocked parts there is a blocked part that the request doesn't have and that was in all the same crashes.

It works since the parts of a sound request end well together, and a request with the crashing part has none outside it that explains the crashes.

--- a/packages/routing/src/crash-evidence.test.ts
+++ b/packages/routing/src/crash-evidence.test.ts
@@ -162,3 +162,21 @@
 		expect(blockedSound / soundRequests, `seed ${seed}`).toBeLessThan(0.5);
 	}
 });
+
+// Guards against: sound requests that share two parts with those that crash upstreams, but not the part that does it, are refused for as long as they come.
+test('a request is tried soon if all its blocked parts may owe their crashes to a part that it does not have', () => {
+	const suspects = createCrashSuspects();
+	const [first, second] = [getPartSuspect('c1'), getPartSuspect('c2')];
+	for (const [upstream, now] of [['u1', 0], ['u2', 1000]] as const) {
+		for (const suspect of [first, second, bad]) {
+			suspects.addCrash({suspect, upstream, age: 0}, now);
+		}
+	}
+
+	expect(suspects.isTrialDue([first, second, bad], 2000)).toBe(false);
+	expect(suspects.isTrialDue([first, second], 1400)).toBe(false);
+	expect(suspects.isTrialDue([first, second], 1500)).toBe(true);
+	suspects.addGoodEnd(first, 1600);
+	suspects.addGoodEnd(second, 1600);
+	expect([first, second, bad].filter(suspect => suspects.isBlocked(suspect, 1700))).toEqual([bad]);
+});
--- a/packages/routing/src/crash-suspects.ts
+++ b/packages/routing/src/crash-suspects.ts
@@ -95,9 +95,9 @@
 		return known !== undefined && known.expiresAt > now ? known : undefined;
 	};
 
-	/** Whether another blocked suspect may have caused all crashes of a suspect. */
-	const hasSharedCrashes = (suspect: SuspectId, known: Suspect, now: Milliseconds): boolean =>
-		[...suspects].some(([id, other]) => id !== suspect && isBlockedBy(id, other, now) && isSharedBy(known, other));
+	/** Whether a blocked suspect that a request doesn't have may have caused all crashes of one that it has. */
+	const hasSharedCrashes = (known: Suspect, ofRequest: readonly SuspectId[], now: Milliseconds): boolean =>
+		[...suspects].some(([id, other]) => !ofRequest.includes(id) && isBlockedBy(id, other, now) && isSharedBy(known, other));
 
 	/** Keeps the evidence on a suspect for a while; those that expire first come first. */
 	const keep = (suspect: SuspectId, known: Suspect, now: Milliseconds): void => {
@@ -158,7 +158,7 @@
 		},
 		isTrialDue: (blocked, now) => blocked.every(suspect => {
 			const known = find(suspect, now);
-			return known !== undefined && getTrialTime(suspect, known, {isShared: blocked.length === 1 && hasSharedCrashes(suspect, known, now), now}) <= now;
+			return known !== undefined && getTrialTime(suspect, known, {isShared: hasSharedCrashes(known, blocked, now), now}) <= now;
 		}),
 		beginTrial(suspect, now) {
 			const known = find(suspect, now);
