--- a/packages/forwarder/src/deliver/deliver.ts
+++ b/packages/forwarder/src/deliver/deliver.ts
@@ -99,6 +99,7 @@
 	};
 
 	const closeIfTooLong = (chunk: Uint8Array): void => {
+		// An event has ended in this chunk.
 		if (splitter.getPartialBytes() <= chunk.length) {
 			sizes.reset();
 		}
