--- a/packages/forwarder/src/callers/serve-callers.ts
+++ b/packages/forwarder/src/callers/serve-callers.ts
@@ -15,6 +15,7 @@
 import {getForwardedResumption, getForwardedService, type ReceivedRequest} from './received-request.js';
 import {retryAfterDelays, writeErrorAnswer, type ErrorAnswer} from './error-answer.js';
 import {createAdmission, type Admission} from './admission.js';
+import {createOpenRequests} from './open-requests.js';
 import {createCallerConnections, type ConnectionError} from './caller-connections.js';
 
 /** HTTP server for callers. */
@@ -61,9 +62,9 @@
 	const {
 		clock, view, protocol, logger, metrics, reportExchange,
 	} = context;
-	const openRequests = new Set<ReceivedRequest>();
+	const openRequests = createOpenRequests();
 	const resolveResumption = createResumptionResolver(context);
-	const admit = createAdmission(context, () => openRequests.size);
+	const admit = createAdmission(context, openRequests.count);
 
 	const readHead = ({request, forwarded}: ReceivedRequest): CallerHead => {
 		const head = protocol.readCallerHead(request.rawHeaders);
@@ -215,19 +216,6 @@
 		}, {kind: 'internal'});
 	};
 
-	/** Ends a request once its answer is written completely or its connection is lost. */
-	const endRequest = (received: ReceivedRequest): void => {
-		const {response} = received;
-		if (response.writableFinished || response.destroyed) {
-			openRequests.delete(received);
-			return;
-		}
-
-		response.once('close', () => {
-			openRequests.delete(received);
-		});
-	};
-
 	const handleSafely = async (received: ReceivedRequest): Promise<void> => {
 		const {request, response} = received;
 		if (!connections.accept(request, response)) {
@@ -249,7 +237,7 @@
 			logger.error('call-failed', {target: request.url, reason: (error as Error).stack ?? String(error)});
 			answerFailure(received);
 		} finally {
-			endRequest(received);
+			openRequests.end(received);
 		}
 	};
 
@@ -279,22 +267,16 @@
 			void handleSafely({request, response, ...decoded});
 		},
 		handleConnectionError: connections.handleError,
-		countOpenRequests: () => openRequests.size,
+		countOpenRequests: openRequests.count,
 		answerRequests() {
 			forwarder.answerCalls();
-			for (const received of openRequests) {
-				if (!received.response.headersSent && !received.response.destroyed) {
-					refuse(received, readHead(received), {kind: 'host-stopping', retryAfter: retryAfterDelays['host-stopping']!});
-				}
+			for (const received of openRequests.getUnanswered()) {
+				refuse(received, readHead(received), {kind: 'host-stopping', retryAfter: retryAfterDelays['host-stopping']!});
 			}
 		},
 		cutRequests() {
 			forwarder.cutCalls();
-			for (const {response} of openRequests) {
-				if (!response.writableFinished && !response.destroyed) {
-					cutResponse(response);
-				}
-			}
+			openRequests.cut();
 		},
 	};
 };
--- a/packages/forwarder/src/forward.ts
+++ b/packages/forwarder/src/forward.ts
@@ -1,8 +1,8 @@
 import {cutResponse} from '@gentianlift/errors';
-import {createRetryBudget, decideRetry, type RetryBudget} from '@gentianlift/routing';
+import {decideRetry} from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
 import {createAttemptMaker} from './send/make-attempt.js';
-import type {TakeRetry} from './send/successor.js';
+import {createRetryBudgets} from './send/retry-budgets.js';
 import {createCallAnswers} from './call-answers.js';
 import {reportEnd, type CallEnd} from './call-end.js';
 import type {ForwardOutcome} from './deliver/forward-outcome.js';
@@ -41,27 +41,14 @@
 		answerWithError, giveUp, refuseEarly, endBlocked, endOnStop, endOnDeadline,
 	} = createCallAnswers(context);
 	const queue = createRequestQueue(context);
-	const budgets = new Map<string, RetryBudget>();
+	const retries = createRetryBudgets(context);
+	const makeAttempt = createAttemptMaker(context, queue, retries);
 	const openCalls = new Map<Call, Progress>();
 
-	const getRetryBudget = (service: string): RetryBudget => {
-		const existing = budgets.get(service);
-		if (existing !== undefined) {
-			return existing;
-		}
-
-		const budget = createRetryBudget(context.retryLimit);
-		budgets.set(service, budget);
-		return budget;
-	};
-
 	/** Whether another host has forwarded a call to this one, which can't reach the upstreams either and has not tried to run it. */
 	const isMisdirected = ({forwarded, service}: Call, {possibleExecutions}: Progress): boolean =>
 		forwarded?.possibleExecutions === possibleExecutions && context.links.isCut(service);
 
-	const takeRetry: TakeRetry = ({service}) => getRetryBudget(service).take(clock.monotonic(), context.countHosts());
-	const makeAttempt = createAttemptMaker(context, queue, takeRetry);
-
 	/** Ends a call that got no upstream from the queue. */
 	const endUnassigned = (call: Call, progress: Progress, lastOutcome: ForwardOutcome | undefined): CallEnd => {
 		if (isAbandoned(progress)) {
@@ -95,7 +82,7 @@
 			remainingTime: call.deadline - clock.monotonic(),
 			mayCrashUpstream,
 		});
-		const isAllowed = decision.kind === 'resend' && (progress.attempts === 0 || progress.isRetryGranted || takeRetry(call));
+		const isAllowed = decision.kind === 'resend' && (progress.attempts === 0 || progress.isRetryGranted || retries.take(call.service));
 		progress.isRetryGranted = false;
 		const outcome = decision.kind === 'stop' ? decision.reason : (isAllowed ? 'resend' : 'budget');
 		metrics.count('resend_decisions_total', {outcome});
@@ -241,7 +228,7 @@
 			progress.possibleExecutions = call.forwarded?.possibleExecutions ?? 0;
 			progress.hasBegun = call.forwarded?.resumption?.hasBegun ?? false;
 			if (call.forwarded === undefined) {
-				getRetryBudget(call.service).addRequest(clock.monotonic());
+				retries.addRequest(call.service);
 			}
 
 			openCalls.set(call, progress);
--- a/packages/forwarder/src/send/attempt-over-host.ts
+++ b/packages/forwarder/src/send/attempt-over-host.ts
@@ -8,7 +8,8 @@
 import type {ForwardOutcome} from '../deliver/forward-outcome.js';
 import {watchSilence} from '../deliver/watch-silence.js';
 import {send, type SendOutcome} from './send.js';
-import {createSilenceDecision, type TakeRetry} from './successor.js';
+import type {RetryBudgets} from './retry-budgets.js';
+import {createSilenceDecision} from './successor.js';
 import {isConnectionLoss, misdirectedStatus, recordChunk} from './attempt-record.js';
 
 /** Returns what the other host has to know of a stream that it is to resume; undefined if the call begins one, or isn't a stream. */
@@ -78,10 +79,10 @@
 };
 
 /** The host that a call is sent to, and what it is told. */
-type HostAttempt = {host: HostRecord; forwarded: ForwardedCall; takeRetry: TakeRetry};
+type HostAttempt = {host: HostRecord; forwarded: ForwardedCall; retries: RetryBudgets};
 
 /** Sends the request to the other host and delivers the answer. */
-const sendToHost = async (call: Call, progress: Progress, {host, forwarded, takeRetry}: HostAttempt, context: ForwarderContext): Promise<ForwardOutcome> => {
+const sendToHost = async (call: Call, progress: Progress, {host, forwarded, retries}: HostAttempt, context: ForwarderContext): Promise<ForwardOutcome> => {
 	const {clock, protocol} = context;
 	const {head, route, body} = call;
 	const {outcome, cancel} = send({
@@ -101,7 +102,7 @@
 		},
 	});
 	progress.cancel = cancel;
-	const mayGiveUp = createSilenceDecision(call, progress, takeRetry, context);
+	const mayGiveUp = createSilenceDecision(call, progress, retries, context);
 	const stopWatching = watchHost(host, context, () => {
 		if (mayGiveUp()) {
 			cancel();
@@ -115,7 +116,7 @@
 };
 
 /** Sends a call to another host, which handles it as one of its own callers' but doesn't forward it again, and delivers its answer. */
-export const attemptOverHost = async (call: Call, progress: Progress, {host, takeRetry}: {host: HostRecord; takeRetry: TakeRetry}, context: ForwarderContext): Promise<ForwardOutcome> => {
+export const attemptOverHost = async (call: Call, progress: Progress, {host, retries}: {host: HostRecord; retries: RetryBudgets}, context: ForwarderContext): Promise<ForwardOutcome> => {
 	const {clock, links, logger, metrics} = context;
 	const {head, route} = call;
 	const forwarded = describeCall(call, progress, context);
@@ -125,7 +126,7 @@
 		request: head.callerRequestId, host: host.host, service: call.service, age: forwarded.age, after: forwarded.resumption?.lastEventId, software: progress.streamVersion,
 	});
 	const endForwarding = links.beginForwarding(host.host);
-	const forwardOutcome = await sendToHost(call, progress, {host, forwarded, takeRetry}, context).finally(endForwarding);
+	const forwardOutcome = await sendToHost(call, progress, {host, forwarded, retries}, context).finally(endForwarding);
 	metrics.count('forwarded_calls_total', {route: route.name, outcome: forwardOutcome.kind});
 	if (progress.hasBegun && head.callerRequestId !== undefined) {
 		// The other host reports what began the stream.
--- a/packages/forwarder/src/send/attempt.ts
+++ b/packages/forwarder/src/send/attempt.ts
@@ -13,7 +13,8 @@
 	isConnectionLoss, observeStatements, recordChunk, recordConnectionWait, recordFirstToken, recordOutcome, recordStart, type Attempt,
 } from './attempt-record.js';
 import {buildUpstreamRequest} from './build-upstream-request.js';
-import {createSilenceDecision, type TakeRetry} from './successor.js';
+import type {RetryBudgets} from './retry-budgets.js';
+import {createSilenceDecision} from './successor.js';
 
 /** Silence of an upstream after which a stream that it runs resumes on another one, in addition to the prefill time. */
 const resumeSilence: Milliseconds = 1000;
@@ -97,9 +98,9 @@
 };
 
 /** Sends the request of an attempt and delivers the answer. */
-const runAttempt = async (attempt: Attempt, {candidate, permit}: Assignment, takeRetry: TakeRetry): Promise<ForwardOutcome> => {
+const runAttempt = async (attempt: Attempt, {candidate, permit}: Assignment, retries: RetryBudgets): Promise<ForwardOutcome> => {
 	const {call, progress, upstream, context} = attempt;
-	const mayGiveUp = createSilenceDecision(call, progress, takeRetry, context);
+	const mayGiveUp = createSilenceDecision(call, progress, retries, context);
 	const {outcome, cancel} = send(buildUpstreamRequest(call, progress, {upstream, permit, mayGiveUp}, context), {
 		agent: context.tracker.getAgent(upstream, call.route.kind, getPoolSize(call, context)),
 		protocol: context.protocol,
@@ -126,7 +127,7 @@
 };
 
 /** Sends a call to one upstream and delivers its answer. */
-export const attemptUpstream = async (call: Call, progress: Progress, {assignment, takeRetry}: {assignment: Assignment; takeRetry: TakeRetry}, context: ForwarderContext): Promise<ForwardOutcome> => {
+export const attemptUpstream = async (call: Call, progress: Progress, {assignment, retries}: {assignment: Assignment; retries: RetryBudgets}, context: ForwarderContext): Promise<ForwardOutcome> => {
 	const {candidate, load, permit} = assignment;
 	const {upstream, uncachedTokens} = candidate;
 	const key = getUpstreamKey(upstream);
@@ -153,7 +154,7 @@
 		context.reportExchange.addPrefill({upstream: key, model: prompt.model, parts: prompt.parts});
 	}
 
-	const attemptOutcome = await runAttempt(attempt, assignment, takeRetry).finally(() => {
+	const attemptOutcome = await runAttempt(attempt, assignment, retries).finally(() => {
 		activity.end();
 		load.end();
 		permit.release();
--- a/packages/forwarder/src/send/make-attempt.ts
+++ b/packages/forwarder/src/send/make-attempt.ts
@@ -10,13 +10,14 @@
 import type {CallPath} from '../links/upstream-links.js';
 import {attemptOverHost} from './attempt-over-host.js';
 import {attemptUpstream} from './attempt.js';
-import {choosePath, type TakeRetry} from './successor.js';
+import type {RetryBudgets} from './retry-budgets.js';
+import {choosePath} from './successor.js';
 
 /** Makes the next attempt of a call after the `previous` one, if there was one; resolves with undefined if the call has ended, or if there is neither an upstream nor another host for it. */
 export type AttemptMaker = (call: Call, progress: Progress, previous: ForwardOutcome | undefined) => Promise<ForwardOutcome | undefined>;
 
 /** Creates a maker of attempts, directly on upstreams or over other hosts. */
-export const createAttemptMaker = (context: ForwarderContext, queue: RequestQueue, takeRetry: TakeRetry): AttemptMaker => {
+export const createAttemptMaker = (context: ForwarderContext, queue: RequestQueue, retries: RetryBudgets): AttemptMaker => {
 	const {links} = context;
 
 	/** Returns an upstream for the next attempt; undefined if there is none, if the call has ended, or if its stream can't be resumed. */
@@ -45,7 +46,7 @@
 
 		const {upstream} = assignment.candidate;
 		progress.tried.add(getUpstreamKey(upstream));
-		const outcome = await attemptUpstream(call, progress, {assignment, takeRetry}, context);
+		const outcome = await attemptUpstream(call, progress, {assignment, retries}, context);
 		queue.requestDispatch();
 		if (outcome.kind === 'delivered') {
 			void recordGoodEnd(call, progress, {upstream, status: outcome.status}, context);
@@ -67,7 +68,7 @@
 		}
 
 		progress.triedHosts.add(host.host);
-		return attemptOverHost(call, progress, {host, takeRetry}, context);
+		return attemptOverHost(call, progress, {host, retries}, context);
 	};
 
 	/** Returns the path of a call; once the hosts that were known to reach its service have failed, asks for others. */
--- a/packages/forwarder/src/send/successor.ts
+++ b/packages/forwarder/src/send/successor.ts
@@ -4,9 +4,7 @@
 import {canContinue} from '../deliver/continuation.js';
 import type {CallPath} from '../links/upstream-links.js';
 import {isVersionUncertain} from '../resume/resume-obstacle.js';
-
-/** Takes a retry of a call's service from the budget; returns false if none is left. */
-export type TakeRetry = (call: Call) => boolean;
+import type {RetryBudgets} from './retry-budgets.js';
 
 /** Whether there is another upstream for a call than those it was sent to. */
 export const hasOtherUpstream = ({service}: Call, {tried, streamVersion}: Progress, {view}: ForwarderContext): boolean => {
@@ -64,10 +62,10 @@
  * follows it is granted. Else it goes on, as a sound upstream may fall silent for a second or so. The decision is logged
  * when it changes.
  */
-export const createSilenceDecision = (call: Call, progress: Progress, takeRetry: TakeRetry, context: ForwarderContext): (() => boolean) => {
+export const createSilenceDecision = (call: Call, progress: Progress, retries: RetryBudgets, context: ForwarderContext): (() => boolean) => {
 	let logged: string | undefined;
 	return () => {
-		const obstacle = findObstacle(call, progress, context) ?? (progress.isRetryGranted || takeRetry(call) ? undefined : 'budget');
+		const obstacle = findObstacle(call, progress, context) ?? (progress.isRetryGranted || retries.take(call.service) ? undefined : 'budget');
 		progress.isRetryGranted = obstacle === undefined;
 		const decision = obstacle ?? 'resend';
 		if (decision !== logged) {
