Exit in time although nobody reads the output

Callers saw a host that answered 503 for ever after SIGTERM, and the next process on its addresses ended with status 1.

Cause: the last log lines were written by descriptor within the shutdown. If the reader was gone, writeSync threw before process.exit; if the pipe was full, it blocked. The batches before it have the same fault: an asynchronous write by descriptor blocks a thread of the pool, and process.exit joins it.

Change: log lines go through the stream of standard output, whose writes to a pipe don't block, one batch at a time. One module owns the end: it shuts the host down, gives the last lines 50 ms, exits, logs the time from the signal before that, and kills the process 25 ms before the end of the grace period whatever hangs.

--- a/packages/forwarder/src/index.ts
+++ b/packages/forwarder/src/index.ts
@@ -11,3 +11,4 @@
 export type * from './host/host-settings.js';
 export * from './callers/listen.js';
 export * from './host/start-host.js';
+export * from './process/stop-process.js';
--- /dev/null
+++ b/packages/forwarder/src/process/stop-process.test.ts
@@ -0,0 +1,73 @@
+import {createManualClock} from '@gentianlift/clock';
+import {createSilentLogger} from '@gentianlift/logger';
+import {expect, test} from 'vitest';
+import {createStopHandler, type ProcessEndOptions} from './stop-process.js';
+
+const gracePeriod = 2000;
+
+const createProcess = (options: Partial<Pick<ProcessEndOptions, 'stopHost' | 'output'>>) => {
+	const clock = createManualClock();
+	const state = {gracePeriod, stops: 0, ends: [] as string[]};
+	const stop = createStopHandler({
+		clock,
+		logger: createSilentLogger(),
+		output: {
+			write: () => undefined,
+			flush: async () => undefined,
+		},
+		getGracePeriod: () => state.gracePeriod,
+		async stopHost() {
+			state.stops += 1;
+		},
+		exit(status) {
+			state.ends.push(`status ${status} at ${clock.monotonic()}`);
+		},
+		kill() {
+			state.ends.push(`kill at ${clock.monotonic()}`);
+		},
+		...options,
+	});
+	return {clock, state, stop};
+};
+
+const hang = async (): Promise<void> => new Promise(() => {
+	// Never resolves.
+});
+
+test('a process exits when its host has stopped, and stops it once', async () => {
+	const {clock, state, stop} = createProcess({});
+	stop();
+	stop();
+	await clock.advance(100);
+	expect(state).toMatchObject({stops: 1, ends: ['status 0 at 0']});
+});
+
+// Guards against: the process stays, with its addresses, as nobody reads its last log lines.
+test('a process exits although its output is not read', async () => {
+	const {clock, state, stop} = createProcess({output: {write: () => undefined, flush: hang}});
+	stop();
+	await clock.advance(100);
+	expect(state.ends).toEqual(['status 0 at 50']);
+});
+
+// Guards against: an error in the shutdown prevents the exit.
+test('a process exits with status 1 if the shutdown fails', async () => {
+	const {clock, state, stop} = createProcess({
+		async stopHost() {
+			throw new Error('broken');
+		},
+	});
+	stop();
+	await clock.advance(100);
+	expect(state.ends).toEqual(['status 1 at 0']);
+});
+
+// Guards against: a shutdown that waits for something for ever keeps the process.
+test('a process whose shutdown hangs ends within the grace period, also if that is shortened', async () => {
+	const {clock, state, stop} = createProcess({stopHost: hang});
+	stop();
+	await clock.advance(500);
+	state.gracePeriod = 1000;
+	await clock.advance(600);
+	expect(state.ends[0]).toMatch(/^kill at 9[789]\d$/v);
+});
--- /dev/null
+++ b/packages/forwarder/src/process/stop-process.ts
@@ -0,0 +1,92 @@
+import process from 'node:process';
+import type {Clock} from '@gentianlift/clock';
+import type {BufferedOutput, Logger} from '@gentianlift/logger';
+import type {Milliseconds} from '@gentianlift/types';
+
+/** Exit statuses of a host's process. */
+export const exitStatus = {
+	/** It was told to stop. */
+	stopped: 0,
+	/** It could not start, or an error ended its shutdown early. */
+	failed: 1,
+} as const;
+
+/** One of the exit statuses. */
+export type ExitStatus = typeof exitStatus[keyof typeof exitStatus];
+
+/** Options of a process's end. */
+export type ProcessEndOptions = {
+	clock: Clock;
+	logger: Logger;
+	output: BufferedOutput;
+	/** Returns the time from the signal to stop until the process must have ended; a reload may shorten it. */
+	getGracePeriod: () => Milliseconds;
+	/** Shuts the host down gracefully. */
+	stopHost: () => Promise<void>;
+	/** Ends the process with a status. */
+	exit?: (status: ExitStatus) => void;
+	/** Ends the process even if a thread is blocked, for which `exit` would wait. */
+	kill?: () => void;
+};
+
+/** Longest wait at the exit for the last log lines to be read. */
+const outputWait: Milliseconds = 50;
+/** Part of the grace period before its end in which a process that hasn't exited kills itself. */
+const killMargin: Milliseconds = 25;
+/** Interval at which it is checked whether the grace period is almost over. */
+const checkInterval: Milliseconds = 10;
+
+/** Writes the last log lines, unless nobody reads them, and ends the process. */
+export const exitProcess = async (status: ExitStatus, {clock, output, exit = process.exit}: Pick<ProcessEndOptions, 'clock' | 'output' | 'exit'>): Promise<void> => {
+	await Promise.race([output.flush(), clock.sleep(outputWait)]);
+	exit(status);
+};
+
+const killProcess = (): void => {
+	process.kill(process.pid, 'SIGKILL');
+};
+
+/**
+ * Returns the handler of the signal to stop, which shuts the host down and ends the process within the grace period,
+ * whatever fails or hangs meanwhile. Further signals are only logged.
+ */
+export const createStopHandler = (options: ProcessEndOptions): (() => void) => {
+	const {
+		clock, logger, getGracePeriod, stopHost, kill = killProcess,
+	} = options;
+	const {every} = clock;
+	let stoppedAt: Milliseconds | undefined;
+
+	const shutDown = async (): Promise<ExitStatus> => {
+		try {
+			await stopHost();
+			return exitStatus.stopped;
+		} catch (error) {
+			logger.error('stop-failed', {reason: (error as Error).stack ?? String(error)});
+			return exitStatus.failed;
+		}
+	};
+
+	const stop = async (since: Milliseconds): Promise<void> => {
+		const status = await shutDown();
+		logger.info('exiting', {status, after: Math.round(clock.monotonic() - since)});
+		await exitProcess(status, options);
+	};
+
+	const killWhenOverdue = (since: Milliseconds): void => {
+		every(checkInterval, () => {
+			if (clock.monotonic() - since >= getGracePeriod() - killMargin) {
+				kill();
+			}
+		});
+	};
+
+	return () => {
+		logger.info('signal', {signal: 'SIGTERM', isRepeated: stoppedAt !== undefined});
+		if (stoppedAt === undefined) {
+			stoppedAt = clock.monotonic();
+			killWhenOverdue(stoppedAt);
+			void stop(stoppedAt);
+		}
+	};
+};
--- a/packages/logger/src/buffered-output.ts
+++ b/packages/logger/src/buffered-output.ts
@@ -1,19 +1,20 @@
 import {Buffer} from 'node:buffer';
-import {write, writeSync} from 'node:fs';
+import process from 'node:process';
+import type {Writable} from 'node:stream';
 import {formatLine} from './format-line.js';
 
-/** Buffered sink for log lines: writes are batched and asynchronous, so that a slow reader never blocks the event loop. */
+/** Buffered sink for log lines: writes are batched, and neither a slow reader nor one that is gone ever blocks or ends the process. */
 export type BufferedOutput = {
 	/** Appends a line to the buffer; drops and counts it if the buffer is full. */
 	write: (line: string) => void;
-	/** Writes the buffered lines synchronously; meant for the exit of a process. */
-	flush: () => void;
+	/** Writes the buffered lines; resolves once they are written or the stream has failed, which may be never if nobody reads it. */
+	flush: () => Promise<void>;
 };
 
 /** Options of a buffered output. */
 export type BufferedOutputOptions = {
-	/** Descriptor of the file to write to; standard output by default. */
-	fileDescriptor?: number;
+	/** Stream to write to; standard output by default. */
+	stream?: Writable;
 	/** Returns the milliseconds since the Unix epoch. */
 	now: () => number;
 };
@@ -22,19 +23,23 @@
 const maxBufferedCharacters = 512 * 1024;
 /** Time for which lines are batched before they are written. */
 const flushDelayMs = 100;
-const standardOutputDescriptor = 1;
-/** Error code of a write to a non-blocking pipe that is full. */
-const pipeFullCode = 'EAGAIN';
 
-/** Creates an output with an empty buffer. */
-export const createBufferedOutput = ({fileDescriptor = standardOutputDescriptor, now}: BufferedOutputOptions): BufferedOutput => {
+/**
+ * Creates an output with an empty buffer. It writes by a stream, whose writes to a pipe don't block: a write by descriptor
+ * blocks its thread while the pipe is full, and the process can't exit before that thread ends.
+ */
+export const createBufferedOutput = ({stream = process.stdout, now}: BufferedOutputOptions): BufferedOutput => {
 	let buffered = '';
 	let droppedLines = 0;
-	let isWriting = false;
 	let isScheduled = false;
+	/** The write in progress, of which there is at most one. */
+	let writing: Promise<void> | undefined;
+
+	// An error means that the reader is gone: the lines are discarded, as there is nowhere left to report it.
+	stream.on('error', () => undefined);
 
 	const scheduleWrite = (): void => {
-		if (isScheduled || isWriting) {
+		if (isScheduled || writing !== undefined) {
 			return;
 		}
 
@@ -42,14 +47,6 @@
 		setTimeout(writeBuffered, flushDelayMs).unref();
 	};
 
-	/** Puts unwritten bytes back at the head of the buffer. */
-	const requeue = (bytes: Uint8Array): void => {
-		buffered = Buffer.from(bytes).toString('utf8') + buffered;
-		if (buffered !== '') {
-			scheduleWrite();
-		}
-	};
-
 	/** Empties the buffer; returns its lines, followed by a line with the number of dropped ones if there are any. */
 	const takeBuffered = (): Uint8Array => {
 		const dropNotice = droppedLines === 0
@@ -63,23 +60,26 @@
 		return Buffer.from(text);
 	};
 
+	/** Writes bytes; resolves once they are written or the stream has failed. */
+	const writeBytes = async (bytes: Uint8Array): Promise<void> => new Promise(resolve => {
+		stream.write(bytes, () => {
+			resolve();
+		});
+	});
+
+	const writeAll = async (): Promise<void> => {
+		await writeBytes(takeBuffered());
+		writing = undefined;
+		if (buffered !== '') {
+			scheduleWrite();
+		}
+	};
+
 	const writeBuffered = (): void => {
 		isScheduled = false;
-		const bytes = takeBuffered();
-		if (bytes.length === 0) {
-			return;
+		if (buffered !== '' && writing === undefined) {
+			writing = writeAll();
 		}
-
-		isWriting = true;
-		write(fileDescriptor, bytes, (error, written) => {
-			isWriting = false;
-			if (error === null) {
-				requeue(bytes.subarray(written));
-			} else if (error.code === pipeFullCode) {
-				requeue(bytes);
-			}
-			// Any other error means that the reader is gone: the bytes are discarded, as there is nowhere left to report it.
-		});
 	};
 
 	return {
@@ -92,11 +92,10 @@
 			buffered += line;
 			scheduleWrite();
 		},
-		flush() {
-			const bytes = takeBuffered();
-			if (bytes.length > 0) {
-				writeSync(fileDescriptor, bytes);
-			}
+		async flush() {
+			await writing;
+			writeBuffered();
+			await writing;
 		},
 	};
 };
--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -1,10 +1,14 @@
+import process from 'node:process';
 import {build} from 'esbuild';
 
+const defaultFolder = 'target';
+const [folder = defaultFolder] = process.argv.slice(2);
+
 // One file for each program that runs on the users' platform, so that a start reads and compiles little.
 await build({
 	entryPoints: {gentianlift: 'platform/main.ts'},
 	bundle: true,
-	outdir: 'target',
+	outdir: folder,
 	outExtension: {'.js': '.mjs'},
 	format: 'esm',
 	platform: 'node',
