Let no failing or hanging step keep a stopping host

Cause: an announcement that rejected, or an error while requests were answered or cut, ended the shutdown before the registration was released and before the exit. Calls to a store that doesn't answer took up to 600 ms of a reserved 300.

Change: each step's error is logged and the next step runs; the waits for the announcement and the release fit into what is reserved for them.

The two new tests of stop-host.test failed before: no step after the failing one, and a host that hadn't stopped at the end of its grace period.

--- a/packages/forwarder/src/host/stop-host.test.ts
+++ b/packages/forwarder/src/host/stop-host.test.ts
@@ -1,11 +1,11 @@
 import {createManualClock} from '@gentianlift/clock';
 import {createSilentLogger} from '@gentianlift/logger';
 import {expect, test} from 'vitest';
-import {canAcceptRequest, stopHost} from './stop-host.js';
+import {canAcceptRequest, stopHost, type StopOptions} from './stop-host.js';
 
 const gracePeriod = 8000;
 
-const beginStop = () => {
+const beginStop = (steps: Partial<Pick<StopOptions, 'announce' | 'answerRequests' | 'release'>> = {}) => {
 	const clock = createManualClock();
 	const state = {
 		open: 1, gracePeriod, isStopped: false, calls: [] as string[],
@@ -25,6 +25,7 @@
 			async release() {
 				state.calls.push('release');
 			},
+			...steps,
 		});
 		state.isStopped = true;
 	})();
@@ -73,6 +74,31 @@
 	expect(state.calls).toContain('answer at 3500');
 });
 
+// Guards against: an error in one step of a stop prevents the steps after it and the exit.
+test('a stop ends although its announcement and its answers fail', async () => {
+	const {clock, state} = beginStop({
+		async announce() {
+			throw new Error('no store');
+		},
+		answerRequests() {
+			throw new Error('no answer');
+		},
+	});
+	await clock.advance(gracePeriod);
+	expect(state.calls).toEqual(['cut at 7700', 'release']);
+	expect(state.isStopped).toBe(true);
+});
+
+// Guards against: a store that answers nothing holds a stopping host beyond its grace period.
+test('a stop whose calls to the store hang ends within the grace period', async () => {
+	const hang = async (): Promise<void> => new Promise(() => {
+		// Never resolves.
+	});
+	const {clock, state} = beginStop({announce: hang, release: hang});
+	await clock.advance(gracePeriod);
+	expect(state.isStopped).toBe(true);
+});
+
 test('a stopping host accepts all requests at first, and later only those that can end within the grace period', () => {
 	expect(canAcceptRequest(2000, gracePeriod, 10_000)).toBe(true);
 	expect(canAcceptRequest(5300, gracePeriod, 10_000)).toBe(false);
--- a/packages/forwarder/src/host/stop-host.ts
+++ b/packages/forwarder/src/host/stop-host.ts
@@ -22,8 +22,10 @@
 	release: () => Promise<void>;
 };
 
-/** Part of the grace period that is reserved for the release. Also the longest wait for the announcement, and after that for the release. */
+/** Part of the grace period that is reserved for the release and for the exit of the process. */
 const releaseMargin: Milliseconds = 300;
+/** Longest wait for the announcement once no request is open, and after that for the release; together less than the time that is reserved. */
+const callWait: Milliseconds = 100;
 /** Part of the grace period before the release in which requests that are still open are answered, and no more are served. */
 const answerMargin: Milliseconds = 200;
 /** Interval at which the number of open requests is polled. */
@@ -59,16 +61,25 @@
 		}
 	};
 
+	/** Runs a step, the failure of which is logged, as the steps after it must follow all the same. */
+	const runStep = async (step: string, run: () => Promise<void> | void): Promise<void> => {
+		try {
+			await run();
+		} catch (error) {
+			logger.error('stop-step-failed', {step, reason: (error as Error).stack ?? String(error)});
+		}
+	};
+
 	logger.info('stopping', {open: countOpenRequests(), grace: getGracePeriod()});
-	const announcement = announce();
+	const announcement = runStep('announce', announce);
 	await waitForRequests(getTimeToServe, maxAddressUse);
 	const unanswered = countOpenRequests();
-	answerRequests();
+	await runStep('answer', answerRequests);
 	await waitForRequests(() => getTimeToServe() + answerMargin, 0);
 	const cut = countOpenRequests();
-	cutRequests();
-	await Promise.race([announcement, clock.sleep(releaseMargin)]);
-	await Promise.race([release(), clock.sleep(releaseMargin)]);
+	await runStep('cut', cutRequests);
+	await Promise.race([announcement, clock.sleep(callWait)]);
+	await Promise.race([runStep('release', release), clock.sleep(callWait)]);
 	logger.info('stopped', {
 		unanswered, cut, open: countOpenRequests(), after: Math.round(getElapsed()),
 	});
