Bound the replies of the store and of other hosts by bytes and values

Cause: a reply may have had 64 MB, also after decompression. Its chunks, their concatenation, the text and the parsed values were held together, and 64 connections to the store and some to each other host multiply that.

Change: a reply is read into one buffer up to 8 MB, decompressed as it arrives, and its connection closed beyond that. Its values are counted before it is parsed, up to 200,000. All replies of the process hold at most 16 MB while they arrive; beyond that the largest is given up. The outcome of a call says that a reply was oversized, and gives the size of one that was read.

--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -4,5 +4,8 @@
 } from './json-client.js';
 export {createKeyValueClient, type KeyValueClient} from './key-value-client.js';
 export * from './memory-key-value/index.js';
+export {
+	addReplySizes, isOversized, maxReplySize, type ReplySize,
+} from './reply-size.js';
 export * from './store-era.js';
 export {createWeightStoreClient, type WeightStoreClient} from './weight-store-client.js';
--- a/packages/platform/src/json-client.ts
+++ b/packages/platform/src/json-client.ts
@@ -2,11 +2,11 @@
 import {
 	Agent, request, type ClientRequest, type IncomingHttpHeaders, type IncomingMessage,
 } from 'node:http';
-import {promisify} from 'node:util';
-import {gunzip} from 'node:zlib';
 import {startTimeLimit, type Cancel, type Clock} from '@gentianlift/clock';
 import type {Metrics} from '@gentianlift/metrics';
 import type {Milliseconds} from '@gentianlift/types';
+import {readReply} from './read-reply.js';
+import {OversizedReplyError, type ReplySize} from './reply-size.js';
 
 /** A request to a service with a JSON API over HTTP. */
 export type JsonCall = {
@@ -17,11 +17,11 @@
 	timeoutExtension?: Milliseconds;
 };
 
-/** Outcome of a call: `unavailable` if no byte of the request was sent, `unknown` if the service may have executed it. */
+/** Outcome of a call: `unavailable` if no byte of the request was sent, `unknown` if the service may have executed it; `isOversized` says that its reply was larger than one may be. */
 export type JsonOutcome
-	= | {kind: 'answered'; status: number; headers: IncomingHttpHeaders; body: unknown}
+	= | {kind: 'answered'; status: number; headers: IncomingHttpHeaders; body: unknown; size: ReplySize}
 		| {kind: 'unavailable'; reason: string}
-		| {kind: 'unknown'; reason: string};
+		| {kind: 'unknown'; reason: string; isOversized?: true};
 
 /** Options of a client of a platform service. */
 export type PlatformClientOptions = {
@@ -45,34 +45,11 @@
 	close: () => void;
 };
 
-const maxReplyBytes = 64 * 1024 * 1024;
 const maxConnections = 64;
 
 /** Whether any byte of a request may have been sent. */
 type WriteProgress = {isWritten: boolean};
 
-const decompress = promisify(gunzip);
-
-const readBody = async (message: IncomingMessage): Promise<string> => {
-	const chunks: Uint8Array[] = [];
-	let length = 0;
-	for await (const chunk of message) {
-		const bytes = chunk as Uint8Array;
-		length += bytes.length;
-		if (length > maxReplyBytes) {
-			throw new Error('reply exceeds the size limit');
-		}
-
-		chunks.push(bytes);
-	}
-
-	const bytes = Buffer.concat(chunks);
-	const text = message.headers['content-encoding'] === 'gzip' ? await decompress(bytes, {maxOutputLength: maxReplyBytes}) : bytes;
-	return text.toString('utf8');
-};
-
-const parseBody = (text: string): unknown => text === '' ? undefined : JSON.parse(text) as unknown;
-
 /** Records when the request is written to a connected socket: from then on the service may have received it. */
 const trackRequestWritten = (outgoing: ClientRequest, writeProgress: WriteProgress): void => {
 	outgoing.once('socket', socket => {
@@ -156,13 +133,15 @@
 			const message = await Promise.race([waitForReply(outgoing), forHead.expired]);
 			forHead.cancel();
 			forBody = startTimeout(outgoing, clock, Math.max(endsAt - clock.monotonic(), bodyTimeout));
-			const text = await Promise.race([readBody(message), forBody.expired]);
+			const reply = await Promise.race([readReply(message), forBody.expired]);
 			return {
-				kind: 'answered', status: message.statusCode ?? 0, headers: message.headers, body: parseBody(text),
+				kind: 'answered', status: message.statusCode ?? 0, headers: message.headers, ...reply,
 			};
 		} catch (error) {
 			closeIdleConnections(agent);
-			return {kind: writeProgress.isWritten ? 'unknown' : 'unavailable', reason: getReason(error)};
+			return error instanceof OversizedReplyError
+				? {kind: 'unknown', reason: getReason(error), isOversized: true}
+				: {kind: writeProgress.isWritten ? 'unknown' : 'unavailable', reason: getReason(error)};
 		} finally {
 			forHead.cancel();
 			forBody?.cancel();
