Hold request bodies within a part of the host's memory

Nothing counted request bodies: each had a limit (none without a configuration), their sum had none.

Now one budget (`memory/body-budget`), an eighth of the host's memory, counts bodies from their declared length on until the call has ended. A refused request is answered at once, and its rest is discarded for up to 1 s before the connection is closed, so that its caller gets the answer. Calls that other hosts forward use the same budget.

--- a/packages/forwarder/src/callers/error-answer.ts
+++ b/packages/forwarder/src/callers/error-answer.ts
@@ -3,8 +3,10 @@
 import {
 	createFailure, errorTable, getErrorBody, type ErrorKind,
 } from '@gentianlift/errors';
+import type {Clock} from '@gentianlift/clock';
 import type {Milliseconds, RunState} from '@gentianlift/types';
 import type {CallerHead, Protocol} from '../protocol.js';
+import {discardRequest} from './discard-request.js';
 
 /** An error answer that the router generates itself. */
 export type ErrorAnswer = {
@@ -34,8 +36,8 @@
 const getRetryHeader = (retryAfter: Milliseconds | undefined): string[] =>
 	retryAfter === undefined ? [] : ['Retry-After', (retryAfter / millisecondsPerSecond).toFixed(retryAfterDecimals)];
 
-/** Writes an error answer and ends the response. */
-export const writeErrorAnswer = ({response, protocol, caller, isClosing}: AnswerTarget, {kind, ran, retryAfter}: ErrorAnswer): void => {
+/** Writes the head of an error answer; returns its body. */
+const writeHead = ({response, protocol, caller, isClosing}: AnswerTarget, {kind, ran, retryAfter}: ErrorAnswer): Uint8Array => {
 	const detail = {...(ran !== undefined && {ran}), ...(retryAfter !== undefined && {retryAfter})};
 	const body = Buffer.from(JSON.stringify(getErrorBody(createFailure(kind, detail), caller?.callerRequestId ?? '')));
 	const headers = [
@@ -48,5 +50,19 @@
 		...(isClosing ? ['Connection', 'close'] : []),
 	];
 	response.writeHead(errorTable[kind].status, headers);
-	response.end(body);
+	return body;
+};
+
+/** Writes an error answer and ends the response. */
+export const writeErrorAnswer = (target: AnswerTarget, errorAnswer: ErrorAnswer): void => {
+	target.response.end(writeHead(target, errorAnswer));
+};
+
+/** Writes an error answer to a request that hasn't arrived completely; its rest is discarded before the connection is closed. */
+export const writeEarlyErrorAnswer = (target: AnswerTarget, errorAnswer: ErrorAnswer, clock: Clock): void => {
+	const {response} = target;
+	response.write(writeHead({...target, isClosing: true}, errorAnswer));
+	discardRequest(response.req, clock, () => {
+		response.end();
+	});
 };
--- /dev/null
+++ b/packages/forwarder/src/callers/find-refusal.ts
@@ -0,0 +1,46 @@
+import type {ErrorKind} from '@gentianlift/errors';
+import type {RequestLimits} from '@gentianlift/routing';
+import type {Body} from '../deliver/read-body.js';
+import type {Admission} from './admission.js';
+import {retryAfterDelays, type ErrorAnswer} from './error-answer.js';
+
+/** A request that was received or refused, and what decides whether it is forwarded. */
+export type Reception = {
+	body: Body;
+	admission: Admission;
+	/** Raw headers. */
+	headers: readonly string[];
+	/** Limits of the configuration; undefined without one. */
+	limits: RequestLimits | undefined;
+};
+
+/** Size of headers above which Node rejects a request before the configured limit applies. */
+export const maxHeaderBytes = 64 * 1024;
+
+/** Returns the size of raw headers, with two separator bytes for each name and value. */
+const getHeaderBytes = (headers: readonly string[]): number => headers.reduce((sum, text) => sum + text.length + 2, 0);
+
+/** Returns the answer for an error kind, with the delay after which a retry is useful. */
+const createErrorAnswer = (kind: ErrorKind): ErrorAnswer => {
+	const retryAfter = retryAfterDelays[kind];
+	return {kind, ...(retryAfter !== undefined && {retryAfter})};
+};
+
+/** Returns the error of a request that isn't admitted, exceeds a limit or has no room, else undefined. Without a configuration, a body that is too large may be sent again. */
+export const findRefusal = ({
+	body, admission, headers, limits,
+}: Reception): ErrorAnswer | undefined => {
+	if (body.kind === 'too-large') {
+		return createErrorAnswer(limits === undefined ? 'not-configured' : 'body-too-large');
+	}
+
+	if (body.kind === 'released') {
+		return createErrorAnswer('host-overloaded');
+	}
+
+	if (getHeaderBytes(headers) > (limits?.maxHeaderBytes ?? maxHeaderBytes)) {
+		return {kind: 'headers-too-large'};
+	}
+
+	return admission.kind === 'admitted' ? undefined : createErrorAnswer(admission.error);
+};
--- a/packages/forwarder/src/callers/serve-callers.ts
+++ b/packages/forwarder/src/callers/serve-callers.ts
@@ -9,13 +9,17 @@
 import type {Forwarder} from '../forward.js';
 import {decodeForwardedCall} from '../links/forwarded-call.js';
 import type {CallerHead} from '../protocol.js';
-import {readBody, type Body} from '../deliver/read-body.js';
+import type {HeldBody} from '../memory/body-budget.js';
 import type {ForwarderContext} from '../context.js';
 import {createResumptionResolver, type Resumption} from '../resume/resumption.js';
 import {getForwardedResumption, getForwardedService, type ReceivedRequest} from './received-request.js';
-import {retryAfterDelays, writeErrorAnswer, type ErrorAnswer} from './error-answer.js';
+import {
+	retryAfterDelays, writeEarlyErrorAnswer, writeErrorAnswer, type ErrorAnswer,
+} from './error-answer.js';
+import {findRefusal, maxHeaderBytes} from './find-refusal.js';
 import {createAdmission, type Admission} from './admission.js';
 import {createOpenRequests} from './open-requests.js';
+import {getDeclaredBytes, getMaxBodyBytes, receiveRequestBody} from './receive-request-body.js';
 import {createCallerConnections, type ConnectionError} from './caller-connections.js';
 
 /** HTTP server for callers. */
@@ -45,8 +49,6 @@
 /** Errors that come from the state of this host, not from the request. */
 const hostFaults = new Set<ErrorKind>(['not-configured', 'host-overloaded', 'host-stopping']);
 
-/** Size of headers above which Node rejects a request before the configured limit applies. */
-const maxHeaderBytes = 64 * 1024;
 /** Time for which a connection is kept open beyond the configured idle timeout. */
 const keepAliveMargin: Milliseconds = 2000;
 /** Interval at which Node checks connections for exceeded timeouts. */
@@ -54,9 +56,6 @@
 /** Longest time to receive a request with its body. */
 const requestTimeout: Milliseconds = 30_000;
 
-/** Returns the size of raw headers, with two separator bytes for each name and value. */
-const getHeaderBytes = (headers: readonly string[]): number => headers.reduce((sum, text) => sum + text.length + 2, 0);
-
 /** Creates the server; it doesn't listen yet. */
 export const createCallerServer = ({context, forwarder}: CallerServerOptions): CallerServer => {
 	const {
@@ -84,27 +83,16 @@
 			revision: view.getRevision(),
 			age: Math.round(view.getTimeSinceStoreContact(clock.monotonic())),
 		});
-		writeErrorAnswer({
-			response, protocol, caller: head, isClosing: context.isStopping() || errorAnswer.kind === 'body-too-large',
-		}, isHostsFault ? {kind: 'misdirected'} : errorAnswer);
-	};
-
-	/** Returns the error of a request that isn't admitted or exceeds a limit, else undefined. */
-	const getRefusal = (body: Body, admission: Admission, headers: readonly string[], limits: RequestLimits | undefined): ErrorAnswer | undefined => {
-		if (body.kind === 'too-large') {
-			return {kind: 'body-too-large'};
-		}
-
-		if (getHeaderBytes(headers) > (limits?.maxHeaderBytes ?? maxHeaderBytes)) {
-			return {kind: 'headers-too-large'};
-		}
-
-		if (admission.kind === 'admitted') {
-			return undefined;
+		const isClosing = context.isStopping() || errorAnswer.kind === 'body-too-large';
+		const answer: ErrorAnswer = isHostsFault ? {kind: 'misdirected'} : errorAnswer;
+		const target = {
+			response, protocol, caller: head, isClosing,
+		};
+		if (request.complete || context.isStopping()) {
+			writeErrorAnswer(target, answer);
+		} else {
+			writeEarlyErrorAnswer(target, answer, clock);
 		}
-
-		const retryAfter = retryAfterDelays[admission.error];
-		return {kind: admission.error, ...(retryAfter !== undefined && {retryAfter})};
 	};
 
 	const applyLimits = (server: Server, limits: RequestLimits): void => {
@@ -128,11 +116,11 @@
 		return false;
 	};
 
-	/** Receives a request, and admits or refuses it; returns undefined unless it is admitted. */
-	const receive = async (received: ReceivedRequest, head: CallerHead): Promise<AdmittedRequest | undefined> => {
+	/** Receives a request, and admits or refuses it; returns undefined unless it is admitted. Its body is counted by `held`, which is undefined if there is no room for it. */
+	const receive = async (received: ReceivedRequest, head: CallerHead, held: HeldBody | undefined): Promise<AdmittedRequest | undefined> => {
 		const {request, response} = received;
 		const limits = view.getRoutes()?.configuration.limits;
-		const pendingBody = readBody({message: request, hasFailed: () => false}, limits?.maxBodyBytes ?? Number.POSITIVE_INFINITY);
+		const pendingBody = receiveRequestBody(request, getMaxBodyBytes(view), held);
 		const admission = await admit(received, head);
 		const body = await pendingBody;
 		if (body.kind === 'broken') {
@@ -145,7 +133,9 @@
 			return undefined;
 		}
 
-		const refusal = getRefusal(body, admission, request.rawHeaders, limits);
+		const refusal = findRefusal({
+			body, admission, headers: request.rawHeaders, limits,
+		});
 		if (refusal !== undefined || body.kind !== 'whole' || admission.kind !== 'admitted') {
 			refuse(received, head, refusal ?? {kind: 'internal'});
 			return undefined;
@@ -154,11 +144,10 @@
 		return {admission, bytes: body.bytes};
 	};
 
-	const handle = async (received: ReceivedRequest): Promise<void> => {
+	const handle = async (received: ReceivedRequest, head: CallerHead, held: HeldBody | undefined): Promise<void> => {
 		const {request, response, target, forwarded} = received;
 		const arrivedAt = clock.monotonic() - (forwarded?.age ?? 0);
-		const head = readHead(received);
-		const admitted = await receive(received, head);
+		const admitted = await receive(received, head, held);
 		if (admitted === undefined) {
 			return;
 		}
@@ -191,6 +180,18 @@
 		}));
 	};
 
+	/** Handles a request; its body is counted until its call has ended. */
+	const handleWithBody = async (received: ReceivedRequest): Promise<void> => {
+		const head = readHead(received);
+		const bytes = getDeclaredBytes(received.request);
+		const held = bytes > getMaxBodyBytes(view) ? undefined : context.bodies.open({callerRequestId: head.callerRequestId, bytes});
+		try {
+			await handle(received, head, held);
+		} finally {
+			held?.end();
+		}
+	};
+
 	const connections = createCallerConnections({
 		clock,
 		logger,
@@ -232,7 +233,7 @@
 				applyLimits(server, limits);
 			}
 
-			await handle(received);
+			await handleWithBody(received);
 		} catch (error) {
 			logger.error('call-failed', {target: request.url, reason: (error as Error).stack ?? String(error)});
 			answerFailure(received);
--- a/packages/forwarder/src/context.ts
+++ b/packages/forwarder/src/context.ts
@@ -11,6 +11,7 @@
 import type {CrashDetector} from './crashes/crash-detector.js';
 import type {FragileUpstreams} from './statements/fragile-upstreams.js';
 import type {HostAgents} from './send/host-agents.js';
+import type {BodyBudget} from './memory/body-budget.js';
 import type {MemoryBudget} from './memory/memory-budget.js';
 import type {Protocol} from './protocol.js';
 import type {UpstreamLinks} from './links/upstream-links.js';
@@ -47,6 +48,8 @@
 	getHostAddresses: () => Address[];
 	/** Limit on the bytes of answers that this host holds. */
 	memory: MemoryBudget;
+	/** Limit on the bytes of request bodies that this host holds. */
+	bodies: BodyBudget;
 	/** What may crash the upstreams that run it. */
 	suspects: CrashSuspects;
 	crashDetector: CrashDetector;
--- a/packages/forwarder/src/deliver/read-body.ts
+++ b/packages/forwarder/src/deliver/read-body.ts
@@ -29,6 +29,10 @@
 		resolve({kind});
 	};
 
+	const release = (): void => {
+		discard('released');
+	};
+
 	const read = (chunk: Uint8Array): void => {
 		if (isDiscarding) {
 			return;
@@ -40,11 +44,11 @@
 			return;
 		}
 
-		held.hold(bytes.getLength(), () => {
-			discard('released');
-		});
+		held.hold(bytes.getLength(), release);
 	};
 
+	held.hold(0, release);
+
 	const finish = async (): Promise<void> => {
 		const {end, error} = await receiveBody(incoming, {read, getContent: () => ({kind: 'opaque'})});
 		if (end.verdict.kind !== 'whole') {
--- a/packages/forwarder/src/forward.ts
+++ b/packages/forwarder/src/forward.ts
@@ -235,13 +235,17 @@
 			const cancelTimer = clock.after(Math.max(0, call.deadline - clock.monotonic()), () => {
 				endOnTimeout(call, progress);
 			});
-			call.response.once('close', () => {
+			const onClose = (): void => {
 				if (!call.response.writableFinished) {
 					handleCallerDisconnect(call, progress);
 				}
-			});
+			};
+
+			call.response.once('close', onClose);
 			const end = await endCall(call, progress);
 			cancelTimer();
+			// The listener would keep the request's body until the caller has read the answer.
+			call.response.off('close', onClose);
 			openCalls.delete(call);
 			holdUntilRead(call, progress);
 			reportEnd(call, progress, end, context);
--- a/packages/forwarder/src/host/create-context.ts
+++ b/packages/forwarder/src/host/create-context.ts
@@ -16,6 +16,7 @@
 import {createUpstreamLimits} from '../statements/upstream-limits.js';
 import {createUpstreamLinks, type UpstreamLinks} from '../links/upstream-links.js';
 import {createUpstreamRests} from '../statements/upstream-rests.js';
+import {createBodyBudget} from '../memory/body-budget.js';
 import {createMemoryBudget} from '../memory/memory-budget.js';
 import {createUpstreamTracker} from '../queue/upstream-tracker.js';
 import {watchVersionBreaks} from '../resume/version-breaks.js';
@@ -29,6 +30,8 @@
 
 /** Part of a host's memory that answers may take; the program itself, its connections and the copies of answers that are being joined take the rest. */
 const answersPart = 1 / 10;
+/** Part of a host's memory that request bodies may take. */
+const bodiesPart = 1 / 8;
 /** Longest time to establish a connection that tests a link. */
 const linkProbeTimeout: Milliseconds = 400;
 
@@ -177,6 +180,9 @@
 		hostAgents: createHostAgents(),
 		getHostAddresses: () => [...fleet.getAvailableOthers(), ...fleet.getStoppingOthers()].map(({peers}) => peers),
 		memory: createMemoryBudget({limit: settings.memory * answersPart, logger, metrics}),
+		bodies: createBodyBudget({
+			limit: settings.memory * bodiesPart, clock, logger, metrics,
+		}),
 		suspects,
 		crashDetector: createCrashDetector(clock, links.isAwayForOthers),
 		streamOrigins,
--- a/packages/forwarder/src/host/start-host.ts
+++ b/packages/forwarder/src/host/start-host.ts
@@ -82,6 +82,9 @@
 		getMetricsPage() {
 			context.metrics.setGauge('queue_length', forwarder.getQueueLength());
 			context.metrics.setGauge('answer_bytes_held', context.memory.getHeldBytes());
+			context.metrics.setGauge('request_body_bytes_held', context.bodies.getHeldBytes());
+			context.metrics.setGauge('requests_unfinished', context.bodies.countUnfinished());
+			context.metrics.setGauge('requests_open', callers.countOpenRequests());
 			context.metrics.setGauge('upstream_limits', context.limits.countLimits());
 			context.metrics.setGauge('upstreams_resting', context.rests.countResting());
 			context.metrics.setGauge('services_cut', context.links.countCut());
--- a/packages/forwarder/src/memory/endless-answers.test.ts
+++ b/packages/forwarder/src/memory/endless-answers.test.ts
@@ -1,17 +1,15 @@
 import {Buffer} from 'node:buffer';
 import {connect, type Socket} from 'node:net';
-import process from 'node:process';
-import {setTimeout as sleep} from 'node:timers/promises';
 import {expect, onTestFinished, test} from 'vitest';
 import {
 	answerOk, createHostStarter, upstreamMark, type AnswerHandler,
 } from '../test-deployment.js';
 import {sendRequest} from '../testing.js';
+import {
+	maxGrowth, measureGrowth, megabyte, sendSound,
+} from './testing-growth.js';
 
 const startHost = createHostStarter(onTestFinished);
-const megabyte = 1024 * 1024;
-/** Memory that the test's process may take in addition, for a host that may hold 25 MB of answers: as much as a host of 250 MB has beside its program. */
-const maxGrowth = 170 * megabyte;
 const testTimeout = 30_000;
 const chunked = 'Transfer-Encoding: chunked\r\n\r\n';
 const eventHead = `Content-Type: text/event-stream\r\n${chunked}`;
@@ -31,37 +29,6 @@
 	write();
 };
 
-const getMemory = (): number => {
-	const {heapUsed, arrayBuffers} = process.memoryUsage();
-	return heapUsed + arrayBuffers;
-};
-
-/** Measures the memory of the process at intervals until `work` is done; returns its largest growth. */
-const measureGrowth = async (work: () => Promise<void>): Promise<number> => {
-	const before = getMemory();
-	let peak = before;
-	const timer = setInterval(() => {
-		peak = Math.max(peak, getMemory());
-	}, 10);
-	await work();
-	clearInterval(timer);
-	return peak - before;
-};
-
-/** Sends requests whose answers are sound, for as long as others are open; returns the statuses. */
-const sendSound = async (port: number, isDone: () => boolean): Promise<number[]> => {
-	const statuses: number[] = [];
-	while (!isDone()) {
-		// eslint-disable-next-line no-await-in-loop -- Requests are sent one at a time.
-		const {status} = await sendRequest(port, {path: '/read/sound', headers: {attempt: 's'}});
-		statuses.push(status);
-		// eslint-disable-next-line no-await-in-loop -- Requests are sent one at a time.
-		await sleep(20);
-	}
-
-	return statuses;
-};
-
 /** Returns a handler that answers sound requests, and others with a start and a text without end. */
 const createFlooder = (head: string, text: string): AnswerHandler => (request, response) => {
 	if (request.url === '/read/sound') {
--- a/packages/forwarder/src/testing.ts
+++ b/packages/forwarder/src/testing.ts
@@ -19,6 +19,7 @@
 import type {ForwarderContext} from './context.js';
 import {createHostAgents} from './send/host-agents.js';
 import {protocol} from './testing-protocol.js';
+import {createBodyBudget} from './memory/body-budget.js';
 import {createMemoryBudget} from './memory/memory-budget.js';
 import {createSoleLimits} from './statements/testing-sole-limits.js';
 import {createSoleLinks} from './links/testing-sole-links.js';
@@ -86,19 +87,23 @@
 	close: () => undefined,
 });
 
-const createView = (options: Omit<FleetViewOptions, 'decode'>, configuration: RoutingConfiguration, upstreams: Map<string, Upstream>): FleetView => createFleetView({
+const createView = (options: Omit<FleetViewOptions, 'decode'>, configuration: RoutingConfiguration | undefined, upstreams: Map<string, Upstream>): FleetView => createFleetView({
 	...options,
 	decode({key}) {
 		const upstream = upstreams.get(key);
-		return upstream === undefined ? {kind: 'configuration', configuration} : {kind: 'upstream', upstream};
+		if (upstream !== undefined) {
+			return {kind: 'upstream', upstream};
+		}
+
+		return configuration === undefined ? {kind: 'unreadable', reason: 'none'} : {kind: 'configuration', configuration};
 	},
 });
 
-/** Bytes of answers that a host may hold, as if it had 250 MB of memory. */
+/** Bytes of answers, and of request bodies, that a host may hold, as if it had 250 MB of memory. */
 const memoryLimit = 25_000_000;
 
-/** Starts a host that serves callers with the configuration. */
-export const startTestHost = async (configuration: RoutingConfiguration, refresh?: () => Promise<void>): Promise<TestHost> => {
+/** Starts a host that serves callers with the configuration, or knows none. */
+export const startTestHost = async (configuration: RoutingConfiguration | undefined, refresh?: () => Promise<void>): Promise<TestHost> => {
 	const clock = createSystemClock();
 	const logLines: string[] = [];
 	const logger = createLogger('info', line => {
@@ -154,7 +159,7 @@
 			clock,
 			view,
 			reportExchange,
-			isConfigurationBehind: () => (reportExchange.getNewestConfigurationVersion() ?? 0) > configuration.version,
+			isConfigurationBehind: () => (reportExchange.getNewestConfigurationVersion() ?? 0) > (configuration?.version ?? 0),
 			refresh: refresh ?? recordContact,
 			confirm: async () => true,
 		}),
@@ -169,6 +174,9 @@
 			clock, logger, loads, limits, rests, fragileUpstreams, getService: view.getService,
 		}),
 		memory: createMemoryBudget({limit: memoryLimit, logger, metrics}),
+		bodies: createBodyBudget({
+			limit: memoryLimit, clock, logger, metrics,
+		}),
 		suspects: createCrashSuspects(),
 		crashDetector: createCrashDetector(clock, links.isAwayForOthers),
 		streamOrigins: createStreamOrigins(),
