Measure the delay of the event loop

What callers saw: a host's sound callers got no answer for 8 s while its process was busy with one thing. No metric or log line told such a host from one that waits for upstreams or for other hosts.

A timer of 50 ms records how late it runs as the summary event_loop_delay; a delay of 200 ms and more is logged, at most one line a second with the number of delays and the longest. (packages/router measures a mean lag for its own load shedding, over the histogram of Node; the summary here goes through the clock, so that tests can delay it.)

--- a/packages/forwarder/src/host/start-host.ts
+++ b/packages/forwarder/src/host/start-host.ts
@@ -8,6 +8,7 @@
 import {createCallerServer} from '../callers/serve-callers.js';
 import type {HostDependencies, HostSettings} from './host-settings.js';
 import {createContext, type Shutdown} from './create-context.js';
+import {watchEventLoopDelay} from './event-loop-delay.js';
 import {stopHost} from './stop-host.js';
 
 /** A running host. */
@@ -42,6 +43,7 @@
 	const {context, fleet} = createContext(settings, dependencies, shutdown, () => {
 		forwarder.onLoadChange();
 	});
+	watchEventLoopDelay({...clock, logger, metrics: context.metrics});
 	const forwarder = createForwarder(context);
 	const callers = createCallerServer({context, forwarder});
 	const isReady = (): boolean => shutdown.since === undefined && fleet.view.getRoutes() !== undefined;
