Handle the requests of a connection one at a time

Cause: Node's parser hands over all requests of a read at once. Each was handled at once, though its answer can't be written before those of the earlier ones: one connection took the host's 1,500 places and the processor's time, and each refusal made room for the next. Node tells only the response that is being written of a close: a call behind it stayed at its upstream after its caller had left (the new test saw 2 still running), and kept its place. On a connection that was given up, all waiting answers announced the close, so that Node closed it after the first (1 of 5 answers arrived).

Change: request-turns hands over the next request of a connection when the answer before it is written, at most four of all connections in a turn of the event loop, so that other connections are read between them. From 16 waiting requests on a connection isn't read any further; as a paused connection doesn't tell of a close, a close behind more than 16 requests is noticed only when the answer is written. More than 10,000 waiting requests close the connection with the most. The time of a request counts from its arrival as before. A host that stops counts those that wait as open and answers them. Only the last answer of a connection that was given up announces the close.

--- a/packages/forwarder/src/callers/caller-connections.ts
+++ b/packages/forwarder/src/callers/caller-connections.ts
@@ -81,8 +81,13 @@
 
 	/** Ends a connection as soon as the requests that it has delivered are answered. */
 	const endAfterAnswers = (socket: Socket, {pending}: ConnectionState): void => {
+		const last = [...pending].at(-1);
+		if (last !== undefined) {
+			// The others must not announce the close: Node closes a connection after the first answer that does.
+			last.shouldKeepAlive = false;
+		}
+
 		for (const response of pending) {
-			response.shouldKeepAlive = false;
 			response.once('close', () => {
 				if (pending.size === 0) {
 					endSocket(socket);
--- a/packages/forwarder/src/callers/received-request.ts
+++ b/packages/forwarder/src/callers/received-request.ts
@@ -1,5 +1,6 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Route} from '@gentianlift/routing';
+import type {Milliseconds} from '@gentianlift/types';
 import type {ForwardedCall} from '../links/forwarded-call.js';
 import type {Resumption} from '../resume/resumption.js';
 
@@ -9,6 +10,8 @@
 	response: ServerResponse;
 	/** Path with query, as the caller sent it. */
 	target: string;
+	/** When its caller's request arrived, by the monotonic clock. */
+	arrivedAt: Milliseconds;
 	/** What the other host tells of it; undefined for a request of a caller. */
 	forwarded: ForwardedCall | undefined;
 };
--- /dev/null
+++ b/packages/forwarder/src/callers/request-turns.ts
@@ -0,0 +1,192 @@
+import type {Socket} from 'node:net';
+import type {Logger} from '@gentianlift/logger';
+import type {Metrics} from '@gentianlift/metrics';
+import type {ReceivedRequest} from './received-request.js';
+
+/** Order in which the requests of each connection are handled: one at a time. HTTP/1.1 returns answers in the order of the requests, so that a caller gains nothing from handling a pipelined request earlier. */
+export type RequestTurns = {
+	/** Handles a request as soon as those before it on its connection are answered. */
+	add: (received: ReceivedRequest) => void;
+	/** Returns the number of requests that wait for their turn, on all connections. */
+	countWaiting: () => number;
+	/** Returns the requests that wait for their turn, none of which is handled then. */
+	takeWaiting: () => ReceivedRequest[];
+};
+
+/** Dependencies of `createRequestTurns`. */
+export type RequestTurnsOptions = {
+	logger: Logger;
+	metrics: Metrics;
+	/** Handles a request, and never rejects; its turn ends when its response closes. */
+	handle: (received: ReceivedRequest) => Promise<void>;
+};
+
+/** Requests of a connection. */
+type Pipeline = {
+	socket: Socket;
+	/** Those that wait, in order of arrival. */
+	waiting: ReceivedRequest[];
+	/** Whether a request of the connection is being handled. */
+	isBusy: boolean;
+	/** Whether reading is paused because enough requests wait. */
+	isPaused: boolean;
+	/** Whether it has been paused before; only the first time is logged. */
+	wasPaused: boolean;
+};
+
+/** Waiting requests of a connection above which nothing more is read from it. While a connection isn't read, a close by its caller goes unnoticed. */
+const maxReadAhead = 16;
+
+/** Limit on waiting requests of all connections; a connection with most of them is closed above it. One read of 64 KB may deliver more than a thousand. */
+const maxWaitingRequests = 10_000;
+/** Requests that have waited of which the handling begins in one turn of the event loop, so that the requests of other connections are read between them. */
+const startsPerLoop = 4;
+
+/** Creates it without requests. */
+export const createRequestTurns = ({logger, metrics, handle}: RequestTurnsOptions): RequestTurns => {
+	const pipelines = new Map<Socket, Pipeline>();
+	/** Connections on which the next request may be handled, in the order in which they became free. */
+	const free: Pipeline[] = [];
+	let isScheduled = false;
+	let waitingRequests = 0;
+
+	/** Pauses a connection of which enough requests wait. Node's server resumes it at each end of a message. */
+	const limitReading = (pipeline: Pipeline): void => {
+		const {socket, waiting} = pipeline;
+		if (waiting.length <= maxReadAhead) {
+			return;
+		}
+
+		pipeline.isPaused = true;
+		socket.pause();
+		if (!pipeline.wasPaused) {
+			pipeline.wasPaused = true;
+			logger.info('connection-paused', {waiting: waiting.length});
+		}
+	};
+
+	const resumeReading = (pipeline: Pipeline): void => {
+		if (pipeline.isPaused && pipeline.waiting.length <= maxReadAhead) {
+			pipeline.isPaused = false;
+			pipeline.socket.resume();
+		}
+	};
+
+	const takeAll = (pipeline: Pipeline): ReceivedRequest[] => {
+		waitingRequests -= pipeline.waiting.length;
+		return pipeline.waiting.splice(0);
+	};
+
+	/** Closes the connection with the most waiting requests, none of which has run. */
+	const closeLongest = (): void => {
+		let longest: Pipeline | undefined;
+		for (const pipeline of pipelines.values()) {
+			longest = pipeline.waiting.length > (longest?.waiting.length ?? 0) ? pipeline : longest;
+		}
+
+		if (longest !== undefined) {
+			metrics.count('connections_given_up_total', {reason: 'read-ahead'});
+			logger.warn('pipeline-closed', {waiting: longest.waiting.length, all: waitingRequests});
+			for (const {request} of takeAll(longest)) {
+				// Node creates an error with a stack for each request that isn't destroyed when its connection is.
+				request.destroy();
+			}
+
+			longest.socket.destroy();
+		}
+	};
+
+	const addPipeline = (socket: Socket): Pipeline => {
+		const pipeline: Pipeline = {
+			socket, waiting: [], isBusy: false, isPaused: false, wasPaused: false,
+		};
+		pipelines.set(socket, pipeline);
+		socket.on('resume', () => {
+			limitReading(pipeline);
+		});
+		socket.once('close', () => {
+			pipelines.delete(socket);
+			const {length} = takeAll(pipeline);
+			if (length > 0) {
+				logger.info('waiting-requests-dropped', {requests: length});
+			}
+		});
+		return pipeline;
+	};
+
+	const start = (pipeline: Pipeline, received: ReceivedRequest): void => {
+		pipeline.isBusy = true;
+		received.response.once('close', () => {
+			release(pipeline);
+		});
+		// One of which only a part has arrived may have been answered while it waited.
+		if (!received.response.writableEnded) {
+			void handle(received);
+		}
+	};
+
+	const startNext = (pipeline: Pipeline): void => {
+		const next = pipeline.waiting.shift();
+		resumeReading(pipeline);
+		if (next === undefined) {
+			pipeline.isBusy = false;
+			return;
+		}
+
+		waitingRequests -= 1;
+		start(pipeline, next);
+	};
+
+	const startSome = (): void => {
+		isScheduled = false;
+		for (const pipeline of free.splice(0, startsPerLoop)) {
+			startNext(pipeline);
+		}
+
+		schedule();
+	};
+
+	const schedule = (): void => {
+		if (!isScheduled && free.length > 0) {
+			isScheduled = true;
+			setImmediate(startSome);
+		}
+	};
+
+	/** Ends the turn of a request: the next one of its connection is handled in a later turn of the event loop. */
+	const release = (pipeline: Pipeline): void => {
+		if (pipeline.waiting.length === 0) {
+			resumeReading(pipeline);
+			pipeline.isBusy = false;
+			return;
+		}
+
+		free.push(pipeline);
+		schedule();
+	};
+
+	return {
+		add(received) {
+			const {socket} = received.request;
+			if (socket.destroyed) {
+				// The rest of the read that has led to the close.
+				return;
+			}
+
+			const pipeline = pipelines.get(socket) ?? addPipeline(socket);
+			if (!pipeline.isBusy) {
+				start(pipeline, received);
+				return;
+			}
+
+			pipeline.waiting.push(received);
+			waitingRequests += 1;
+			limitReading(pipeline);
+			if (waitingRequests > maxWaitingRequests) {
+				closeLongest();
+			}
+		},
+		countWaiting: () => waitingRequests,
+		takeWaiting: () => [...pipelines.values()].flatMap(pipeline => takeAll(pipeline)),
+	};
+};
--- a/packages/forwarder/src/callers/serve-callers.ts
+++ b/packages/forwarder/src/callers/serve-callers.ts
@@ -16,6 +16,7 @@
 import {retryAfterDelays, writeErrorAnswer, type ErrorAnswer} from './error-answer.js';
 import {createAdmission, type Admission} from './admission.js';
 import {createOpenRequests} from './open-requests.js';
+import {createRequestTurns} from './request-turns.js';
 import {createCallerConnections, type ConnectionError} from './caller-connections.js';
 
 /** HTTP server for callers. */
@@ -27,6 +28,8 @@
 	handleConnectionError: (error: ConnectionError, socket: Socket) => void;
 	/** Returns the number of requests that are being handled or whose answers aren't written completely, including attempts that go on after the caller disconnected. */
 	countOpenRequests: () => number;
+	/** Returns the number of these that wait until the requests before them on their connections are answered. */
+	countReadAhead: () => number;
 	/** Answers the requests whose answers haven't begun, as this host stops. */
 	answerRequests: () => void;
 	/** Cuts the answers that have begun, as this host stops. */
@@ -155,8 +158,9 @@
 	};
 
 	const handle = async (received: ReceivedRequest): Promise<void> => {
-		const {request, response, target, forwarded} = received;
-		const arrivedAt = clock.monotonic() - (forwarded?.age ?? 0);
+		const {
+			request, response, target, forwarded, arrivedAt,
+		} = received;
 		const head = readHead(received);
 		const admitted = await receive(received, head);
 		if (admitted === undefined) {
@@ -218,10 +222,6 @@
 
 	const handleSafely = async (received: ReceivedRequest): Promise<void> => {
 		const {request, response} = received;
-		if (!connections.accept(request, response)) {
-			return;
-		}
-
 		openRequests.add(received);
 		response.on('error', error => {
 			logger.debug('caller-write-failed', {reason: error.message});
@@ -241,11 +241,19 @@
 		}
 	};
 
+	const turns = createRequestTurns({logger, metrics, handle: handleSafely});
+
+	const accept = (received: ReceivedRequest): void => {
+		if (connections.accept(received.request, received.response)) {
+			turns.add(received);
+		}
+	};
+
 	const server = createServer({
 		maxHeaderSize: maxHeaderBytes, connectionsCheckingInterval: connectionsCheckInterval, requestTimeout, noDelay: true,
 	}, (request, response) => {
-		void handleSafely({
-			request, response, target: request.url ?? '/', forwarded: undefined,
+		accept({
+			request, response, target: request.url ?? '/', arrivedAt: clock.monotonic(), forwarded: undefined,
 		});
 	});
 	server.keepAliveTimeout = 60_000;
@@ -264,12 +272,20 @@
 				return;
 			}
 
-			void handleSafely({request, response, ...decoded});
+			accept({
+				request, response, ...decoded, arrivedAt: clock.monotonic() - decoded.forwarded.age,
+			});
 		},
 		handleConnectionError: connections.handleError,
-		countOpenRequests: openRequests.count,
+		countOpenRequests: () => openRequests.count() + turns.countWaiting(),
+		countReadAhead: turns.countWaiting,
 		answerRequests() {
 			forwarder.answerCalls();
+			for (const received of turns.takeWaiting()) {
+				openRequests.add(received);
+				openRequests.end(received);
+			}
+
 			for (const received of openRequests.getUnanswered()) {
 				refuse(received, readHead(received), {kind: 'host-stopping', retryAfter: retryAfterDelays['host-stopping']!});
 			}
--- a/packages/forwarder/src/host/start-host.ts
+++ b/packages/forwarder/src/host/start-host.ts
@@ -83,6 +83,7 @@
 		},
 		getMetricsPage() {
 			context.metrics.setGauge('queue_length', forwarder.getQueueLength());
+			context.metrics.setGauge('requests_read_ahead', callers.countReadAhead());
 			context.metrics.setGauge('answer_bytes_held', context.memory.getHeldBytes());
 			context.metrics.setGauge('upstream_limits', context.limits.countLimits());
 			context.metrics.setGauge('upstreams_resting', context.rests.countResting());
