Send no call whose time is over

What was seen: after 0.8 s each request that had waited behind others of its connection was past its deadline, and still opened a connection to an upstream before a timer of 0 ms ended it: 2 ms of processor time each (5,573 of them in 9 s took 14 s of processor time with the other work, and 1 of 200 sound look-ups beside them was answered).

The timer runs only after the attempt has begun. The forwarder now ends such a call before its first attempt, as not run.

The test failed before: the late request got no 503.

--- a/packages/forwarder/src/callers/request-turns.test.ts
+++ b/packages/forwarder/src/callers/request-turns.test.ts
@@ -173,3 +173,17 @@
 	expect(modest.received.isClosed).toBe(false);
 	expect(host.logLines.join('\n')).toContain('event=pipeline-closed');
 });
+
+// Guards against: a request whose time is over when its turn comes takes a connection to an upstream, and processor time for nothing.
+test('a request whose time is over when its turn comes is refused as not run', async () => {
+	const {host, ran} = await startHost(answerAfter(400));
+	const {socket, received} = await openConnection(host.port);
+	const [first = '', second = ''] = buildRequests(2);
+	socket.write(first + second.replace('\r\n\r\n', '\r\nTimeout: 200\r\n\r\n'));
+	await expect.poll(() => countAnswers(received.text, 503)).toBe(1);
+	expect(countAnswers(received.text, 200)).toBe(1);
+	await sleep(100);
+	expect(ran).toEqual(['/look/0']);
+	expect(host.logLines.join('\n')).toMatch(/event=call-ended request=a1 .*sends=0 outcome=timeout/v);
+	expect(host.logLines.join('\n')).not.toMatch(/event=call-ended request=a1 .*upstream=/v);
+});
--- a/packages/forwarder/src/forward.ts
+++ b/packages/forwarder/src/forward.ts
@@ -240,6 +240,11 @@
 					handleCallerDisconnect(call, progress);
 				}
 			});
+			if (call.deadline <= clock.monotonic()) {
+				// The timer would run only after an attempt has begun.
+				endOnTimeout(call, progress);
+			}
+
 			const end = await endCall(call, progress);
 			cancelTimer();
 			openCalls.delete(call);
