Bound the number of parts in the estimate of a prompt cache

What was seen: the estimate evicts by tokens, so that parts of 0 tokens stay for ever, at all hosts. 400 requests with 16 KB of them took 42 MB for one upstream (micro-trial); a host has 160 MB of heap for all.

--- a/packages/routing/src/prompt-cache.ts
+++ b/packages/routing/src/prompt-cache.ts
@@ -3,6 +3,9 @@
 /** Fraction of an upstream's prompt cache that is assumed to be available to earlier prompts. */
 const usableFraction = 0.8;
 
+/** Most parts that are assumed to be cached, however few tokens they have. */
+const maxCachedParts = 8192;
+
 /** Cached tokens at the beginning of a prompt: all of them, and those in parts that other requests share. */
 export type CachedTokens = {all: number; shared: number};
 
@@ -47,7 +50,7 @@
 
 	const evictOldest = (): void => {
 		for (const key of cachedParts.keys()) {
-			if (totalTokens <= maxTokens) {
+			if (totalTokens <= maxTokens && cachedParts.size <= maxCachedParts) {
 				return;
 			}
 
