Leave prompts that don't fit into a load report to the next one

What was seen: a report names all prompts that were sent since the last one, and a datagram over 64 KB isn't sent at all (note-not-sent), with the loads, crashes and limits that it names. Callers' lists of parts decide its size.

A report names as many prompts as fit into 24,000 characters, and at least one; at most 1,000 wait.

The test failed before: one report named prompts of 194,831 characters.

--- a/packages/discovery/src/pending-changes.test.ts
+++ b/packages/discovery/src/pending-changes.test.ts
@@ -35,3 +35,24 @@
 
 	expect(reported).toBe(4000);
 });
+
+/** Size of a datagram, in bytes. */
+const maxDatagramBytes = 65_507;
+
+// Guards against: prompts with many parts make a report too large for a datagram, so that nothing of it is sent.
+test('prompts that do not fit into a report are named by the next one', () => {
+	const pending = createPendingChanges();
+	const parts = Array.from({length: 128}, (_, number) => ({id: String(number).padStart(64, '0'), tokens: 100_000}));
+	for (let number = 0; number < 20; number++) {
+		pending.addPrefill({upstream: `u${number}`, model: 'm', parts});
+	}
+
+	const reported: string[] = [];
+	for (let {prefills} = getChanges(pending, false); prefills.length > 0; prefills = getChanges(pending, false).prefills) {
+		expect(JSON.stringify(prefills.map(({upstream, model, parts}) => [upstream, model, parts.map(({id, tokens}) => [id, tokens])])).length).toBeLessThan(maxDatagramBytes);
+		reported.push(...prefills.map(({upstream}) => upstream));
+		pending.markReported(false);
+	}
+
+	expect(reported).toEqual(Array.from({length: 20}, (_, number) => `u${number}`));
+});
--- a/packages/discovery/src/pending-changes.ts
+++ b/packages/discovery/src/pending-changes.ts
@@ -46,6 +46,23 @@
 /** Bounds on upstreams that leave. */
 const leavingLimits = {perReport: 64, pending: 2000, repeats: 3} as const;
 
+/** Bounds on prompts that were sent: the characters of their parts in a report, and their number. Estimates suffer from those that are dropped. */
+const prefillLimits = {charactersPerReport: 24_000, pending: 1000} as const;
+/** Characters of a part in a report, besides its id. */
+const charactersPerPart = 16;
+
+const countCharacters = ({parts}: Prefill): number => parts.reduce((sum, {id}) => sum + id.length + charactersPerPart, 0);
+
+/** Returns how many prompts fit into a report; the first one always does. */
+const countFitting = (prefills: readonly Prefill[]): number => {
+	let characters = 0;
+	const next = prefills.findIndex((prefill, index) => {
+		characters += countCharacters(prefill);
+		return index > 0 && characters > prefillLimits.charactersPerReport;
+	});
+	return next === -1 ? prefills.length : next;
+};
+
 type Aged = {age: Milliseconds};
 type Dated<Item> = {item: Item; since: Milliseconds};
 
@@ -80,7 +97,9 @@
 			remainingRepeats.set(upstream, loadRepeats);
 		},
 		addPrefill(prefill) {
-			prefills.push(prefill);
+			if (prefills.length < prefillLimits.pending) {
+				prefills.push(prefill);
+			}
 		},
 		addStream: streams.add,
 		addCrash(crash, now) {
@@ -95,7 +114,7 @@
 		},
 		getChanges: ({ownLoads, isFull, now}) => ({
 			loads: ownLoads.filter(({upstream}) => isFull ? remainingRepeats.has(upstream) : changedUpstreams.has(upstream)),
-			prefills,
+			prefills: prefills.slice(0, countFitting(prefills)),
 			crashes: crashes.getNext(isFull).map(crash => setAge(crash, now)),
 			goodEnds: goodEnds.getNext(isFull).map(goodEnd => setAge(goodEnd, now)),
 			limits: limits.getNext(isFull).map(news => setAge(news, now)),
@@ -104,7 +123,7 @@
 		}),
 		markReported(isFull) {
 			changedUpstreams.clear();
-			prefills = [];
+			prefills = prefills.slice(countFitting(prefills));
 			for (const items of [streams, crashes, goodEnds, limits, leaving]) {
 				items.markReported(isFull);
 			}
