--- a/packages/forwarder/src/forward.ts
+++ b/packages/forwarder/src/forward.ts
@@ -242,6 +242,11 @@
 			};
 
 			call.response.once('close', onClose);
+			if (call.deadline <= clock.monotonic()) {
+				// The timer would run only after an attempt has begun.
+				endOnTimeout(call, progress);
+			}
+
 			const end = await endCall(call, progress);
 			cancelTimer();
 			// The listener would keep the request's body until the caller has read the answer.
