Wait for addresses at the start, and stop at any time of it

Callers saw a process that ended with status 1 as soon as one of its TCP addresses was in use, again and again while its predecessor was stopping; the port of the metrics page alone, which the platform doesn't reserve, was enough. SIGTERM or an uncaught error in that time ended the process with whatever it had read.

Cause: a failed listen rejected the start, and the handlers of SIGTERM and of uncaught errors were set once everything listened.

Change: handlers are set first; a host is created, can be stopped from then on, and is opened. The host registers, and is ready, once its listeners are open, so that nobody is directed to a host that waits.

--- a/packages/discovery/src/join-fleet.ts
+++ b/packages/discovery/src/join-fleet.ts
@@ -62,6 +62,8 @@
 	record: HostRecord;
 	/** Addresses from which other hosts' views can be read before any host is known from the store. */
 	knownPeers: readonly Address[];
+	/** Resolves when this host listens on its addresses; it registers from then on. */
+	opened: Promise<void>;
 	store: FleetStore;
 	/** Decodes an entry that the operators or an upstream have written. */
 	decode: (entry: Entry) => DecodedEntry;
@@ -211,7 +213,7 @@
 		askForStreamOrigin: createStreamOriginClient({getAddresses: getPeerAddresses, clock, random}).find,
 		askForReach: createReachClient(clock).ask,
 		registration: registerHost({
-			store, record, clock, logger, onFailure: options.onLoopFailure,
+			store, record, opened: options.opened, clock, logger, onFailure: options.onLoopFailure,
 		}),
 		countHosts: () => getOthers().length + 1,
 		getAvailableOthers: () => getAvailable().filter(({host}) => host !== record.host),
--- a/packages/discovery/src/register-host.ts
+++ b/packages/discovery/src/register-host.ts
@@ -16,6 +16,8 @@
 export type HostRegistrationOptions = {
 	store: Pick<KeyValueService, 'compareAndSwap' | 'grantLease' | 'renewLease' | 'endLease'>;
 	record: HostRecord;
+	/** Resolves when the host listens on its addresses; before that, others must not be told of them. Absent if it does already. */
+	opened?: Promise<void>;
 	clock: Clock;
 	logger: Logger;
 	/** Called with the name of a loop, a step of which has failed. */
@@ -28,7 +30,7 @@
 
 /** Starts to register the host; retries and renews until ended. */
 export const registerHost = ({
-	store, record, clock, logger, onFailure,
+	store, record, opened, clock, logger, onFailure,
 }: HostRegistrationOptions): HostRegistration => {
 	const key = getHostKey(record.host);
 	let current = record;
@@ -89,6 +91,7 @@
 	};
 
 	const maintainRegistration = async (): Promise<Milliseconds> => {
+		await opened;
 		const isDone = await (lease === undefined ? register() : renewLease(lease));
 		return isDone ? renewInterval : retryDelay;
 	};
--- a/packages/forwarder/src/callers/listen.ts
+++ b/packages/forwarder/src/callers/listen.ts
@@ -1,3 +1,4 @@
+import {once} from 'node:events';
 import type {Server} from 'node:http';
 import {splitAddress, type Address} from '@gentianlift/types';
 
@@ -5,7 +6,7 @@
 const connectionBacklog = 1024;
 
 /** Makes a server listen on an address; rejects if the address can't be used. */
-export const listen = async (server: Server, address: Address): Promise<void> => new Promise((resolve, reject) => {
-	server.once('error', reject);
-	server.listen({...splitAddress(address), backlog: connectionBacklog}, resolve);
-});
+export const listen = async (server: Server, address: Address): Promise<void> => {
+	server.listen({...splitAddress(address), backlog: connectionBacklog});
+	await once(server, 'listening');
+};
--- a/packages/forwarder/src/host/create-context.ts
+++ b/packages/forwarder/src/host/create-context.ts
@@ -27,6 +27,15 @@
 /** State of a graceful shutdown; `since` is undefined until it begins. */
 export type Shutdown = {since: Milliseconds | undefined; gracePeriod: Milliseconds};
 
+/** What the context is told by the host's start and end. */
+export type ContextOptions = {
+	shutdown: Shutdown;
+	/** Resolves when the host listens on its addresses. */
+	opened: Promise<void>;
+	/** Called after the load of other hosts or the state of a link has changed. */
+	onLoad: () => void;
+};
+
 /** Part of a host's memory that answers may take; the program itself, its connections and the copies of answers that are being joined take the rest. */
 const answersPart = 1 / 10;
 /** Longest time to establish a connection that tests a link. */
@@ -76,12 +85,11 @@
 });
 
 /** Joins the fleet and creates the dependencies that the forwarder's modules share. */
-export const createContext = (settings: HostSettings, dependencies: HostDependencies, shutdown: Shutdown, onLoad: () => void): {context: ForwarderContext; fleet: Fleet} => {
+export const createContext = (settings: HostSettings, dependencies: HostDependencies, {shutdown, opened, onLoad}: ContextOptions): {context: ForwarderContext; fleet: Fleet} => {
 	const {
-		clock, logger, store, decode, protocol,
+		clock, logger, store, decode, protocol, metrics = createMetrics(),
 	} = dependencies;
 	const random = createRandom(getRandomSeed(settings.host, clock.now()));
-	const metrics = createMetrics();
 	const loads = createLoadTracker();
 	const limits = createUpstreamLimits({
 		clock,
@@ -113,6 +121,7 @@
 	const fleet = joinFleet({
 		record: buildHostRecord(settings, clock.now()),
 		knownPeers: settings.knownPeers,
+		opened,
 		store,
 		decode,
 		clock,
--- a/packages/forwarder/src/host/host-settings.ts
+++ b/packages/forwarder/src/host/host-settings.ts
@@ -1,6 +1,7 @@
 import type {Clock} from '@gentianlift/clock';
 import type {DecodedEntry, FleetStore} from '@gentianlift/discovery';
 import type {Logger} from '@gentianlift/logger';
+import type {Metrics} from '@gentianlift/metrics';
 import type {RetryLimit} from '@gentianlift/routing';
 import type {
 	Address, Entry, HostId, Milliseconds, Zone,
@@ -38,4 +39,6 @@
 	/** Decodes an entry that was written by operators or by an upstream. */
 	decode: (entry: Entry) => DecodedEntry;
 	protocol: Protocol;
+	/** Metrics of the process, to which the host adds its own; by default the host has the only ones. */
+	metrics?: Metrics;
 };
--- a/packages/forwarder/src/host/metrics-page.test.ts
+++ b/packages/forwarder/src/host/metrics-page.test.ts
@@ -2,7 +2,7 @@
 import {answerOk, configuration} from '../test-deployment.js';
 import {startLinkedFleet} from '../links/testing-partition.js';
 
-test('the metrics page names the state of the store, the upstreams and the links', async () => {
+test('the metrics page names the state of the store, the upstreams, the links and the memory', async () => {
 	const {hosts: [first]} = await startLinkedFleet({
 		hosts: 1, upstreams: [answerOk], configuration, onFinished: onTestFinished,
 	});
@@ -11,6 +11,10 @@
 		expect(page).toContain(`${gauge} 0`);
 	}
 
+	for (const gauge of ['resident_memory_bytes', 'heap_used_bytes', 'external_bytes']) {
+		expect(page).toMatch(new RegExp(String.raw`${gauge} [1-9]\d+`, 'v'));
+	}
+
 	expect(page).toContain('configuration_version 1');
 	expect(page).toContain('configuration_version_elsewhere 0');
 });
--- a/packages/forwarder/src/host/start-host.ts
+++ b/packages/forwarder/src/host/start-host.ts
@@ -2,7 +2,8 @@
 import {createPeerServer, getEra, type HostRecord} from '@gentianlift/discovery';
 import type {Milliseconds, Zone} from '@gentianlift/types';
 import {createForwarder} from '../forward.js';
-import {listen} from '../callers/listen.js';
+import {openListener, type Listener} from '../process/open-listener.js';
+import {recordProcessMemory} from '../process/process-metrics.js';
 import {findStreamOrigin} from '../resume/resumption.js';
 import type {ConnectionError} from '../callers/caller-connections.js';
 import {createCallerServer} from '../callers/serve-callers.js';
@@ -10,9 +11,11 @@
 import {createContext, type Shutdown} from './create-context.js';
 import {stopHost} from './stop-host.js';
 
-/** A running host. */
+/** A host. */
 export type Host = {
-	/** Whether the host is ready for requests: it has a configuration and isn't stopping. */
+	/** Listens for callers and other hosts, waits for addresses that are in use, and registers the host; resolves then, or when the host stops. Rejects if an address is invalid or forbidden. */
+	open: () => Promise<void>;
+	/** Whether the host is ready for requests: it listens, has a configuration and isn't stopping. */
 	isReady: () => boolean;
 	/** Returns the hosts that a caller in the availability zone is directed to. */
 	getHostsForCaller: (zone: Zone | undefined) => HostRecord[];
@@ -22,6 +25,8 @@
 	getMetricsPage: () => string;
 	/** Applies the grace period, the time to live of addresses and the limit on retries; changed addresses apply at the next start. */
 	reload: (settings: HostSettings) => void;
+	/** Returns the time from the signal to stop until the process is killed. */
+	getGracePeriod: () => Milliseconds;
 	/** Shuts the host down gracefully, once; resolves when its process may end. */
 	stop: () => Promise<void>;
 };
@@ -34,17 +39,27 @@
 /** Time for which a stopping host must still serve to take calls that other hosts forward. */
 const minForwardedTime: Milliseconds = 1000;
 
-/** Starts a host: joins the fleet and listens for callers and other hosts. Rejects if an address can't be used. */
-export const startHost = async (settings: HostSettings, dependencies: HostDependencies): Promise<Host> => {
+/** Creates a host, which follows the fleet at once and serves once it is opened. It can be stopped at any time. */
+export const createHost = (settings: HostSettings, dependencies: HostDependencies): Host => {
 	const {clock, logger} = dependencies;
+	const createdAt = clock.monotonic();
 	const shutdown: Shutdown = {since: undefined, gracePeriod: settings.gracePeriod};
+	let markOpened = (): void => undefined;
+	const opened = new Promise<void>(resolve => {
+		markOpened = resolve;
+	});
+	let isOpen = false;
 	let addressListTtl = Math.min(settings.addressTtl, maxAddressListTtl);
-	const {context, fleet} = createContext(settings, dependencies, shutdown, () => {
-		forwarder.onLoadChange();
+	const {context, fleet} = createContext(settings, dependencies, {
+		shutdown,
+		opened,
+		onLoad() {
+			forwarder.onLoadChange();
+		},
 	});
 	const forwarder = createForwarder(context);
 	const callers = createCallerServer({context, forwarder});
-	const isReady = (): boolean => shutdown.since === undefined && fleet.view.getRoutes() !== undefined;
+	const isReady = (): boolean => isOpen && shutdown.since === undefined && fleet.view.getRoutes() !== undefined;
 	const takesForwardedCalls = (): boolean => fleet.view.getRoutes() !== undefined && context.canAccept(minForwardedTime);
 	const peers = createPeerServer({
 		clock,
@@ -56,8 +71,22 @@
 	peers.on('clientError', (error: ConnectionError, socket) => {
 		callers.handleConnectionError(error, socket as Socket);
 	});
-	await Promise.all([listen(callers.server, settings.callers), listen(peers, settings.peers)]);
-	logger.info('started', {host: settings.host, zone: settings.zone, callers: settings.callers});
+
+	const isStopping = (): boolean => shutdown.since !== undefined;
+	const openServer = async (listener: Listener): Promise<void> => openListener(listener, {clock, logger, isCancelled: isStopping});
+	const open = async (): Promise<void> => {
+		await Promise.all([
+			openServer({name: 'callers', server: callers.server, address: settings.callers}),
+			openServer({name: 'peers', server: peers, address: settings.peers}),
+		]);
+		if (!isStopping()) {
+			isOpen = true;
+			markOpened();
+			logger.info('started', {
+				host: settings.host, zone: settings.zone, callers: settings.callers, after: Math.round(clock.monotonic() - createdAt),
+			});
+		}
+	};
 
 	const announce = async (): Promise<void> => {
 		fleet.reportExchange.markStopping();
@@ -67,19 +96,21 @@
 	const shutDown = async (): Promise<void> => {
 		shutdown.since = clock.monotonic();
 		await stopHost({
-			clock, logger, getGracePeriod: () => shutdown.gracePeriod, maxAddressUse: addressListTtl * staleUseFactor,
+			clock, logger, getGracePeriod: () => shutdown.gracePeriod, maxAddressUse: isOpen ? addressListTtl * staleUseFactor : 0,
 			countOpenRequests: callers.countOpenRequests, answerRequests: callers.answerRequests, cutRequests: callers.cutRequests, announce, release: fleet.registration.end,
 		});
 	};
 
 	let stopped: Promise<void> | undefined;
 	return {
+		open,
 		isReady,
 		getHostsForCaller: fleet.getHostsForCaller,
 		get addressTtl() {
 			return addressListTtl;
 		},
 		getMetricsPage() {
+			recordProcessMemory(context.metrics);
 			context.metrics.setGauge('queue_length', forwarder.getQueueLength());
 			context.metrics.setGauge('answer_bytes_held', context.memory.getHeldBytes());
 			context.metrics.setGauge('upstream_limits', context.limits.countLimits());
@@ -101,9 +132,17 @@
 				grace: next.gracePeriod, offerLife: addressListTtl, retryRatio: next.retryLimit.ratio, retryMinimum: next.retryLimit.minimum, hasOtherAddress: next.callers !== settings.callers,
 			});
 		},
+		getGracePeriod: () => shutdown.gracePeriod,
 		async stop() {
 			stopped ??= shutDown();
 			await stopped;
 		},
 	};
 };
+
+/** Starts a host: joins the fleet and listens for callers and other hosts. Rejects if an address is invalid or forbidden. */
+export const startHost = async (settings: HostSettings, dependencies: HostDependencies): Promise<Host> => {
+	const host = createHost(settings, dependencies);
+	await host.open();
+	return host;
+};
--- /dev/null
+++ b/packages/forwarder/src/process/start-process.ts
@@ -0,0 +1,26 @@
+import process from 'node:process';
+import type {Metrics} from '@gentianlift/metrics';
+import {exitProcess, exitStatus, type ProcessEndOptions} from './stop-process.js';
+
+/** Options of a process's start. */
+export type ProcessStartOptions = Pick<ProcessEndOptions, 'clock' | 'logger' | 'output' | 'exit'> & {
+	metrics: Metrics;
+	/** Opens the host; resolves when it listens on all addresses that it needs, or stops. */
+	open: () => Promise<void>;
+};
+
+const millisecondsPerSecond = 1000;
+
+/** Opens the host; if that fails, logs why and ends the process. */
+export const startProcess = async (options: ProcessStartOptions): Promise<void> => {
+	const {logger, metrics, open} = options;
+	try {
+		await open();
+		const startDuration = Math.round(process.uptime() * millisecondsPerSecond);
+		metrics.setGauge('start_duration', startDuration);
+		logger.info('opened', {pid: process.pid, startDuration});
+	} catch (error) {
+		logger.error('start-failed', {reason: (error as Error).message});
+		await exitProcess(exitStatus.failed, options);
+	}
+};
--- a/packages/forwarder/src/process/stop-process.test.ts
+++ b/packages/forwarder/src/process/stop-process.test.ts
@@ -5,7 +5,7 @@
 
 const gracePeriod = 2000;
 
-const createProcess = (options: Partial<Pick<ProcessEndOptions, 'stopHost' | 'output'>>) => {
+const createProcess = (options: Partial<Pick<ProcessEndOptions, 'stop' | 'output'>>) => {
 	const clock = createManualClock();
 	const state = {gracePeriod, stops: 0, ends: [] as string[]};
 	const stop = createStopHandler({
@@ -16,7 +16,7 @@
 			flush: async () => undefined,
 		},
 		getGracePeriod: () => state.gracePeriod,
-		async stopHost() {
+		async stop() {
 			state.stops += 1;
 		},
 		exit(status) {
@@ -53,7 +53,7 @@
 // Guards against: an error in the shutdown prevents the exit.
 test('a process exits with status 1 if the shutdown fails', async () => {
 	const {clock, state, stop} = createProcess({
-		async stopHost() {
+		async stop() {
 			throw new Error('broken');
 		},
 	});
@@ -64,7 +64,7 @@
 
 // Guards against: a shutdown that waits for something for ever keeps the process.
 test('a process whose shutdown hangs ends within the grace period, also if that is shortened', async () => {
-	const {clock, state, stop} = createProcess({stopHost: hang});
+	const {clock, state, stop} = createProcess({stop: hang});
 	stop();
 	await clock.advance(500);
 	state.gracePeriod = 1000;
--- a/packages/forwarder/src/process/stop-process.ts
+++ b/packages/forwarder/src/process/stop-process.ts
@@ -22,7 +22,7 @@
 	/** Returns the time from the signal to stop until the process must have ended; a reload may shorten it. */
 	getGracePeriod: () => Milliseconds;
 	/** Shuts the host down gracefully. */
-	stopHost: () => Promise<void>;
+	stop: () => Promise<void>;
 	/** Ends the process with a status. */
 	exit?: (status: ExitStatus) => void;
 	/** Ends the process even if a thread is blocked, for which `exit` would wait. */
@@ -52,7 +52,7 @@
  */
 export const createStopHandler = (options: ProcessEndOptions): (() => void) => {
 	const {
-		clock, logger, getGracePeriod, stopHost, kill = killProcess,
+		clock, logger, getGracePeriod, stop: stopHost, kill = killProcess,
 	} = options;
 	const {every} = clock;
 	let stoppedAt: Milliseconds | undefined;
