Open the socket for load reports again when it fails

Callers saw nothing at once; a host that started while its predecessor still had the datagram address received no load report for all its life, and chose upstreams without knowing what others send there.

Cause: the error of the bind was logged, and nothing else done. The same held for any later error of the socket. A relay that couldn't send its batch kept it, and added the next one to it.

A relay empties its batch before it sends it.

--- a/packages/discovery/src/report-broadcast.ts
+++ b/packages/discovery/src/report-broadcast.ts
@@ -1,7 +1,6 @@
-import {createSocket} from 'node:dgram';
 import type {Clock} from '@gentianlift/clock';
 import type {Logger} from '@gentianlift/logger';
-import {splitAddress, type HostId, type Milliseconds} from '@gentianlift/types';
+import type {HostId, Milliseconds} from '@gentianlift/types';
 import type {HostRecord} from './host-record.js';
 import type {LoadReport} from './load-report.js';
 import {
@@ -11,6 +10,7 @@
 import {
 	getForwardingRelays, getOwnRelay, planRelays, type RelayPlan,
 } from './relay-plan.js';
+import {openReportSocket} from './report-socket.js';
 
 /** Broadcasts load reports to all hosts, through relays in a large fleet. */
 export type ReportBroadcaster = {
@@ -46,7 +46,6 @@
 export const startReportBroadcaster = ({
 	own, getOthers, clock, logger, onReport, onChanges,
 }: ReportBroadcasterOptions): ReportBroadcaster => {
-	const socket = createSocket('udp4');
 	const relayLiveness = createRelayLiveness();
 	/** Reports to forward to the own group and to the other relays. */
 	let fleetReports: LoadReport[] = [];
@@ -87,12 +86,7 @@
 
 	const sendDatagram = (text: string, targets: readonly HostRecord[]): void => {
 		for (const {notes: address} of targets) {
-			const {host: ip, port} = splitAddress(address);
-			socket.send(text, port, ip, error => {
-				if (error !== null) {
-					logger.warn('note-not-sent', {address, length: text.length, reason: error.message});
-				}
-			});
+			socket.send(text, address);
 		}
 	};
 
@@ -106,17 +100,18 @@
 	const flush = (): void => {
 		const current = getPlan();
 		const {members} = current;
-		sendReports(fleetReports, forwardScope.group, current.kind === 'direct' ? [] : current.otherRelays);
-		sendReports([...fleetReports, ...groupReports], forwardScope.none, members);
-		for (const batch of changeBatches) {
+		const [ofFleet, ofGroup, batches] = [fleetReports, groupReports, changeBatches];
+		// Emptied first, so that what can't be sent isn't kept and tried again with each later flush.
+		fleetReports = [];
+		groupReports = [];
+		changeBatches = [];
+		sendReports(ofFleet, forwardScope.group, current.kind === 'direct' ? [] : current.otherRelays);
+		sendReports([...ofFleet, ...ofGroup], forwardScope.none, members);
+		for (const batch of batches) {
 			sendDatagram(encodePacket({
 				sender: own.host, forwardTo: forwardScope.none, reports: [], batches: [batch],
 			}), members);
 		}
-
-		fleetReports = [];
-		groupReports = [];
-		changeBatches = [];
 	};
 
 	const schedule = (): void => {
@@ -165,10 +160,10 @@
 		}
 	};
 
-	socket.on('message', bytes => {
-		const packet = decodePacket(bytes.toString('utf8'));
+	const handleDatagram = (text: string): void => {
+		const packet = decodePacket(text);
 		if (packet === undefined) {
-			logger.warn('note-unreadable', {length: bytes.length});
+			logger.warn('note-unreadable', {length: text.length});
 			return;
 		}
 
@@ -177,12 +172,11 @@
 		} catch (error) {
 			logger.error('note-failed', {sender: packet.sender, reason: (error as Error).stack});
 		}
+	};
+
+	const socket = openReportSocket({
+		address: own.notes, clock, logger, onMessage: handleDatagram,
 	});
-	socket.on('error', error => {
-		logger.warn('note-socket-failed', {reason: error.message});
-	});
-	const {host: ip, port} = splitAddress(own.notes);
-	socket.bind(port, ip);
 
 	return {
 		send(report) {
