Give a request its place once it has arrived completely

The places counted requests from their heads on, and also those that were refused and whose connections were about to be closed.

A request that becomes whole when all places are taken is refused as before.

Failed before: `more unfinished requests than a host has places for leave sound ones theirs` got 503 for each sound request.

--- a/packages/forwarder/src/callers/admission.ts
+++ b/packages/forwarder/src/callers/admission.ts
@@ -14,17 +14,17 @@
 /** Admits or refuses a received request with the parsed headers of its caller. */
 export type Admit = (received: ReceivedRequest, head: CallerHead) => Promise<Admission>;
 
-/** Limit on requests without a final answer, for load shedding; each uses two connections and the memory of its body. */
-const maxOpenRequests = 1500;
+/** Limit on requests that were received completely and have no final answer, for load shedding; each uses two connections and the memory of its body. */
+export const maxOpenRequests = 1500;
 
-/** Creates the decision; `countOpenRequests` returns the number of requests that this host is handling. */
-export const createAdmission = (context: ForwarderContext, countOpenRequests: () => number): Admit => {
+/** Creates the decision; `countWholeRequests` returns the number of requests that this host is handling and has received completely. */
+export const createAdmission = (context: ForwarderContext, countWholeRequests: () => number): Admit => {
 	const {view} = context;
 
 	const hasVersion = (version: number): boolean => (view.getRoutes()?.configuration.version ?? Number.NEGATIVE_INFINITY) >= version;
 
 	const admit = (head: CallerHead, target: string): Admission => {
-		if (countOpenRequests() > maxOpenRequests) {
+		if (countWholeRequests() >= maxOpenRequests) {
 			return {kind: 'refused', error: 'host-overloaded'};
 		}
 
--- a/packages/forwarder/src/callers/find-refusal.ts
+++ b/packages/forwarder/src/callers/find-refusal.ts
@@ -12,6 +12,8 @@
 	headers: readonly string[];
 	/** Limits of the configuration; undefined without one. */
 	limits: RequestLimits | undefined;
+	/** Whether the host has as many requests as it may have. */
+	isFull: boolean;
 };
 
 /** Size of headers above which Node rejects a request before the configured limit applies. */
@@ -28,13 +30,13 @@
 
 /** Returns the error of a request that isn't admitted, exceeds a limit or has no room, else undefined. Without a configuration, a body that is too large may be sent again. */
 export const findRefusal = ({
-	body, admission, headers, limits,
+	body, admission, headers, limits, isFull,
 }: Reception): ErrorAnswer | undefined => {
 	if (body.kind === 'too-large') {
 		return createErrorAnswer(limits === undefined ? 'not-configured' : 'body-too-large');
 	}
 
-	if (body.kind === 'released') {
+	if (body.kind === 'released' || isFull) {
 		return createErrorAnswer('host-overloaded');
 	}
 
--- a/packages/forwarder/src/callers/serve-callers.ts
+++ b/packages/forwarder/src/callers/serve-callers.ts
@@ -17,7 +17,7 @@
 	retryAfterDelays, writeEarlyErrorAnswer, writeErrorAnswer, type ErrorAnswer,
 } from './error-answer.js';
 import {findRefusal, maxHeaderBytes} from './find-refusal.js';
-import {createAdmission, type Admission} from './admission.js';
+import {createAdmission, maxOpenRequests, type Admission} from './admission.js';
 import {createOpenRequests} from './open-requests.js';
 import {getDeclaredBytes, getMaxBodyBytes, receiveRequestBody} from './receive-request-body.js';
 import {createCallerConnections, type ConnectionError} from './caller-connections.js';
@@ -63,7 +63,7 @@
 	} = context;
 	const openRequests = createOpenRequests();
 	const resolveResumption = createResumptionResolver(context);
-	const admit = createAdmission(context, openRequests.count);
+	const admit = createAdmission(context, openRequests.countWhole);
 
 	const readHead = ({request, forwarded}: ReceivedRequest): CallerHead => {
 		const head = protocol.readCallerHead(request.rawHeaders);
@@ -123,6 +123,10 @@
 		const pendingBody = receiveRequestBody(request, getMaxBodyBytes(view), held);
 		const admission = await admit(received, head);
 		const body = await pendingBody;
+		if (body.kind === 'whole') {
+			openRequests.markWhole(received);
+		}
+
 		if (body.kind === 'broken') {
 			logger.info('call-broken', {request: head.callerRequestId, reason: body.reason});
 			response.destroy();
@@ -134,7 +138,7 @@
 		}
 
 		const refusal = findRefusal({
-			body, admission, headers: request.rawHeaders, limits,
+			body, admission, headers: request.rawHeaders, limits, isFull: openRequests.countWhole() > maxOpenRequests,
 		});
 		if (refusal !== undefined || body.kind !== 'whole' || admission.kind !== 'admitted') {
 			refuse(received, head, refusal ?? {kind: 'internal'});
--- a/packages/forwarder/src/memory/request-floods.test.ts
+++ b/packages/forwarder/src/memory/request-floods.test.ts
@@ -56,7 +56,7 @@
 
 const countRefused = (callers: readonly RawCaller[]): number => callers.filter(({text}) => text.startsWith('HTTP/1.1 503') && retryHeader.test(text)).length;
 
-// Guards against: bodies add up to more than the host's memory.
+// Guards against: bodies add up to more than the host's memory, and unfinished ones take the places of sound requests.
 test.each([
 	{
 		name: 'whole, with silent upstreams', count: 300, size: maxBodyBytes, sent: maxBodyBytes,
@@ -64,6 +64,9 @@
 	{
 		name: 'unfinished', count: 300, size: maxBodyBytes, sent: maxBodyBytes - 10,
 	},
+	{
+		name: 'many small unfinished ones', count: 2000, size: 100_000, sent: 99_990,
+	},
 ])('large bodies take the memory that a host has for requests, and no sound request is refused: $name', async ({count, size, sent}) => {
 	const {host} = await startHost(answerSound);
 	let statuses: number[] = [];
@@ -80,6 +83,22 @@
 	expect(host.logLines.some(line => line.includes('event=body-refused'))).toBe(true);
 }, testTimeout);
 
+// Guards against: small unfinished requests take all places for requests, and sound ones are refused.
+test('more unfinished requests than a host has places for leave sound ones theirs', async () => {
+	const {host} = await startHost(answerSound);
+	for (let wave = 0; wave < 16; wave++) {
+		flood(host.port, {count: 100, size: 100, sent: 90});
+		// eslint-disable-next-line no-await-in-loop -- The queue of connections that wait to be accepted is short.
+		await sleep(100);
+	}
+
+	const start = performance.now();
+	const statuses = await sendSound(host.port, () => performance.now() - start > 500);
+	expect(new Set(statuses)).toEqual(new Set([200]));
+	expect(host.context.bodies.countUnfinished()).toBeLessThanOrEqual(1500);
+	expect(host.logLines.some(line => line.includes('event=body-refused') && line.includes('reason=gave-way'))).toBe(true);
+}, testTimeout);
+
 // Guards against: a host that knows no configuration yet reads bodies without any limit.
 test('a host without a configuration gives up endless bodies', async () => {
 	const host = await startTestHost(undefined);
