Go on by what is known while the store holds more than a host reads

With replies bounded, the pages of one read still add up without bound, a page that names itself as the next is read for ever, a state that is too large is asked for again up to every 0.2 s, and changes that are too many for one reply are asked for again for ever, as they are never taken.

The host goes on by what it knows, as with a store that is away, and asks again after 3 s. Oversized changes are replaced by the whole state, which may be small.

--- a/packages/discovery/src/follow-fleet.test.ts
+++ b/packages/discovery/src/follow-fleet.test.ts
@@ -72,6 +72,36 @@
 	expect(state.reads).toBe(reads);
 });
 
+// Guards against: a store that holds more than a host can read ends the host, or keeps it busy with reading it again and again.
+test('a host goes on by what it knows while the store holds too much, and takes what it holds later', async () => {
+	const {clock, view, state, follower} = createFollower({kind: 'found', snapshot: {entries: [entry('a', 1)], revision: 1}});
+	await clock.advance(10);
+	state.snapshot = {kind: 'oversized'};
+	state.changes.push({kind: 'compacted'});
+	state.reads = 0;
+	await clock.advance(12_000);
+	expect(view.getSnapshot()).toEqual({entries: [entry('a', 1)], revision: 1});
+	expect(view.isStoreReached()).toBe(false);
+	expect(state.reads).toBeGreaterThan(1);
+	expect(state.reads).toBeLessThan(6);
+	expect(follower.countOversizedReplies()).toBe(state.reads);
+
+	state.snapshot = {kind: 'found', snapshot: {entries: [entry('b', 5)], revision: 5}};
+	await clock.advance(5000);
+	expect(view.getSnapshot()).toEqual({entries: [entry('b', 5)], revision: 5});
+	expect(view.isStoreReached()).toBe(true);
+});
+
+// Guards against: a host that was away for long asks for the same changes, which are too many to read, for ever.
+test('changes that are too many are replaced by the whole state', async () => {
+	const {clock, view, state} = createFollower();
+	await clock.advance(10);
+	state.snapshot = {kind: 'found', snapshot: {entries: [entry('b', 5)], revision: 5}};
+	state.changes.push({kind: 'oversized'});
+	await clock.advance(4000);
+	expect(view.getSnapshot()).toEqual({entries: [entry('b', 5)], revision: 5});
+});
+
 test('a host with a relay feed does not call the store', async () => {
 	const {clock, state} = createFollower();
 	await clock.advance(10);
--- a/packages/discovery/src/follow-fleet.ts
+++ b/packages/discovery/src/follow-fleet.ts
@@ -12,6 +12,8 @@
 	refresh: () => Promise<void>;
 	/** Reads what has changed in the store until now, in a call that begins only now; resolves with whether the store has answered. */
 	confirm: () => Promise<boolean>;
+	/** Returns the number of the store's replies that were larger than is read. */
+	countOversizedReplies: () => number;
 	stop: () => void;
 };
 
@@ -40,6 +42,8 @@
 /** Delay after a failed call; it doubles with each consecutive failure, up to `maxBackoff`. */
 const minBackoff: Milliseconds = 200;
 const maxBackoff: Milliseconds = 800;
+/** Delay after the store has returned more than is read, as each attempt costs up to all that is read. */
+const oversizedBackoff: Milliseconds = 3000;
 /** Interval at which this host's revision is compared with those that other hosts report. */
 const compareInterval: Milliseconds = 150;
 /** Interval at which a host with a relay feed checks that the feed continues. */
@@ -51,6 +55,12 @@
 }: FleetFollowerOptions): FleetFollower => {
 	let needsSnapshot = true;
 	let backoff = minBackoff;
+	let oversizedReplies = 0;
+
+	const recordOversized = (reply: 'snapshot' | 'changes'): void => {
+		oversizedReplies += 1;
+		logger.warn('store-too-large', {reply, known: view.getRevision()});
+	};
 
 	const applySnapshot = (snapshot: Snapshot): void => {
 		view.applySnapshot(snapshot, clock.monotonic());
@@ -59,21 +69,31 @@
 	const readAll = async (): Promise<boolean> => {
 		const outcome = await feed.readAll();
 		view.recordContact(outcome.kind === 'found', clock.monotonic());
-		if (outcome.kind === 'unavailable') {
-			logger.debug('store-read-failed', {reason: outcome.reason});
-			return false;
-		}
+		switch (outcome.kind) {
+			case 'found': {
+				if (outcome.snapshot.revision >= view.getRevision()) {
+					applySnapshot(outcome.snapshot);
+				}
 
-		if (outcome.snapshot.revision >= view.getRevision()) {
-			applySnapshot(outcome.snapshot);
-		}
+				needsSnapshot = false;
+				return true;
+			}
+
+			case 'oversized': {
+				recordOversized('snapshot');
+				backoff = oversizedBackoff;
+				return false;
+			}
 
-		needsSnapshot = false;
-		return true;
+			case 'unavailable': {
+				logger.debug('store-read-failed', {reason: outcome.reason});
+				return false;
+			}
+		}
 	};
 
-	/** Reads the changes since the last known one, and waits for one up to the limit if there is none; returns them unless the call failed or the history is lost. */
-	const readChanges = async (limit: Milliseconds): Promise<ChangeBatch | 'unavailable' | 'compacted'> => {
+	/** Reads the changes since the last known one, and waits for one up to the limit if there is none; returns them unless the call failed, or everything has to be read as the history is lost or too long. */
+	const readChanges = async (limit: Milliseconds): Promise<ChangeBatch | 'unavailable' | 'compacted' | 'oversized'> => {
 		const after = view.getRevision();
 		const outcome = await feed.waitForChanges(after, limit);
 		switch (outcome.kind) {
@@ -89,6 +109,12 @@
 				return 'compacted';
 			}
 
+			case 'oversized': {
+				recordOversized('changes');
+				needsSnapshot = true;
+				return 'oversized';
+			}
+
 			case 'unavailable': {
 				logger.debug('store-watch-failed', {reason: outcome.reason});
 				view.recordContact(false, clock.monotonic());
@@ -104,13 +130,13 @@
 			onChanges(batch);
 		}
 
-		return batch !== 'unavailable';
+		return batch !== 'unavailable' && batch !== 'oversized';
 	};
 
 	/** Reads what has changed until now, and everything only if the changes aren't known any more; returns whether the store has answered. */
 	const readNewest = async (): Promise<boolean> => {
 		const batch = needsSnapshot ? 'compacted' : await readChanges(noWait);
-		return batch === 'compacted' ? readAll() : batch !== 'unavailable';
+		return batch === 'compacted' || batch === 'oversized' ? readAll() : batch !== 'unavailable';
 	};
 
 	/** Makes the next call to the store, which starts where the previous one ended; returns the pause until the one after. */
@@ -168,6 +194,7 @@
 			}
 		},
 		confirm: createFreshReads(async () => view.isStoreReached() && readNewest()),
+		countOversizedReplies: () => oversizedReplies,
 		stop() {
 			for (const loop of loops) {
 				loop.stop();
--- a/packages/discovery/src/join-fleet.ts
+++ b/packages/discovery/src/join-fleet.ts
@@ -39,6 +39,8 @@
 	refresh: FleetFollower['refresh'];
 	/** Reads what has changed in the store until now; resolves with whether the store has answered. */
 	confirm: FleetFollower['confirm'];
+	/** Returns the number of the store's replies that were larger than is read. */
+	countOversizedReplies: FleetFollower['countOversizedReplies'];
 	/** Asks other hosts for the origin of a stream. */
 	askForStreamOrigin: StreamOriginClient['find'];
 	/** Asks another host whether it reaches upstreams. */
@@ -208,6 +210,7 @@
 				return false;
 			}
 		},
+		countOversizedReplies: follower.countOversizedReplies,
 		askForStreamOrigin: createStreamOriginClient({getAddresses: getPeerAddresses, clock, random}).find,
 		askForReach: createReachClient(clock).ask,
 		registration: registerHost({
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,11 +1,10 @@
 export {createHostListClient, type HostListClient} from './host-list-client.js';
 export {
-	createJsonClient, type JsonCall, type JsonClient, type JsonOutcome, type PlatformClientOptions,
+	createJsonClient, getReason, isOversizedReply, type JsonCall, type JsonClient, type JsonOutcome, type PlatformClientOptions,
 } from './json-client.js';
 export {createKeyValueClient, type KeyValueClient} from './key-value-client.js';
 export * from './memory-key-value/index.js';
-export {
-	addReplySizes, isOversized, maxReplySize, type ReplySize,
-} from './reply-size.js';
+export {readPages, type Page, type PageReply} from './read-pages.js';
+export type {ReplySize} from './reply-size.js';
 export * from './store-era.js';
 export {createWeightStoreClient, type WeightStoreClient} from './weight-store-client.js';
--- a/packages/platform/src/json-client.ts
+++ b/packages/platform/src/json-client.ts
@@ -23,6 +23,12 @@
 		| {kind: 'unavailable'; reason: string}
 		| {kind: 'unknown'; reason: string; isOversized?: true};
 
+/** Returns why an outcome isn't the expected one, for logs. */
+export const getReason = (outcome: JsonOutcome): string => outcome.kind === 'answered' ? `status ${outcome.status}` : outcome.reason;
+
+/** Whether the reply of a call was larger than one may be. */
+export const isOversizedReply = (outcome: JsonOutcome): boolean => outcome.kind === 'unknown' && outcome.isOversized === true;
+
 /** Options of a client of a platform service. */
 export type PlatformClientOptions = {
 	/** Base URL of the service, such as `http://10.0.0.1:7000`. */
@@ -65,7 +71,7 @@
 	});
 };
 
-const getReason = (error: unknown): string => {
+const getErrorReason = (error: unknown): string => {
 	const {code, message} = error as Error & {code?: string};
 	return code ?? message;
 };
@@ -140,8 +146,8 @@
 		} catch (error) {
 			closeIdleConnections(agent);
 			return error instanceof OversizedReplyError
-				? {kind: 'unknown', reason: getReason(error), isOversized: true}
-				: {kind: writeProgress.isWritten ? 'unknown' : 'unavailable', reason: getReason(error)};
+				? {kind: 'unknown', reason: getErrorReason(error), isOversized: true}
+				: {kind: writeProgress.isWritten ? 'unknown' : 'unavailable', reason: getErrorReason(error)};
 		} finally {
 			forHead.cancel();
 			forBody?.cancel();
--- a/packages/platform/src/key-value-client.ts
+++ b/packages/platform/src/key-value-client.ts
@@ -2,7 +2,9 @@
 	Entry, KeyValueService, LeaseOutcome, WriteOutcome,
 } from '@gentianlift/types';
 import {z} from 'zod';
-import {createJsonClient, type JsonOutcome, type PlatformClientOptions} from './json-client.js';
+import {
+	createJsonClient, getReason, type JsonOutcome, type PlatformClientOptions,
+} from './json-client.js';
 
 const entrySchema: z.ZodType<Entry> = z.object({key: z.string(), value: z.string(), revision: z.number()});
 const listSchema = z.object({entries: z.array(entrySchema)});
@@ -20,7 +22,7 @@
 
 /** Returns the outcome of a read that got no usable reply. */
 const getUnavailable = (outcome: JsonOutcome): Unavailable =>
-	({kind: 'unavailable', reason: outcome.kind === 'answered' ? `status ${outcome.status}` : outcome.reason});
+	({kind: 'unavailable', reason: getReason(outcome)});
 
 /** Returns the outcome of a failed call that changes state: `unknown`, unless it is certain that it was not applied. */
 const getFailure = (outcome: JsonOutcome): Failure => {
--- a/packages/types/src/key-value.ts
+++ b/packages/types/src/key-value.ts
@@ -64,15 +64,17 @@
 /** All entries, and the revision after which subsequent changes follow. */
 export type Snapshot = {entries: Entry[]; revision: number};
 
-/** Outcome of reading all entries. */
+/** Outcome of reading all entries; `oversized` if they are more than are read. */
 export type SnapshotOutcome
 	= | {kind: 'found'; snapshot: Snapshot}
+		| {kind: 'oversized'}
 		| {kind: 'unavailable'; reason: string};
 
-/** Outcome of waiting for changes; `compacted` if the service no longer has all changes after the revision. */
+/** Outcome of waiting for changes; `compacted` if the service no longer has all changes after the revision, `oversized` if they are more than are read. */
 export type ChangesOutcome
 	= | {kind: 'changed'; changes: Change[]; revision: number}
 		| {kind: 'compacted'}
+		| {kind: 'oversized'}
 		| {kind: 'unavailable'; reason: string};
 
 /** Port of a key-value service for following the changes of all entries. No call throws. */
