Bound the entries of the store that a host holds

What callers would see: a writer that goes on to add entries under the prefix of the engines makes every host of the deployment grow until its heap limit ends it, without a single large reply. Found by reading; the test shows that a view held 30,001 of 30,001 entries, and 20 of 20 values of 1 MB.

Change: a view holds up to 20,000 entries and 5 million characters (the largest fleet has 2,200 entries and 1.7 million). Beyond that known entries go on changing and the configuration is taken, new entries are left out with a log line and a gauge, and the whole state is read again once 2,000 entries and 2.5 million characters have room, so that an entry that found none fits. An entry of more than 2 million characters isn't decoded, a key of more than 1,024 not taken.

The five tests failed before: 30,001 entries were held, 20 long values, no value was too long to decode (the other two by functions that didn't exist).

--- a/packages/discovery/src/fleet-view.test.ts
+++ b/packages/discovery/src/fleet-view.test.ts
@@ -217,3 +217,54 @@
 	expect(view.getUpstreams('s')).toEqual([]);
 	expect(view.getRevision()).toBe(3);
 });
+
+/** Number of entries beyond what a view holds. */
+const tooMany = 30_000;
+
+const countHeld = (view: ReturnType<typeof createFleetView>): number => view.getSnapshot().entries.length;
+
+const writeAll = (view: ReturnType<typeof createFleetView>, first: number, count: number): void => {
+	const changes = Array.from({length: count}, (_, index) => ({kind: 'written', entry: entry(`x${index}`, 'u:1:ready', first + index)} as const));
+	view.applyChanges(changes, first + count, 0);
+};
+
+// Guards against: a writer that goes on to add entries ends every host, as what they hold grows without bound.
+test('a view that is full takes no new entries, but changes of known ones and the configuration', () => {
+	const {view, lines} = createView();
+	view.applyChanges([{kind: 'written', entry: entry('a', 'u:1:ready', 1)}], 1, 0);
+	writeAll(view, 2, tooMany);
+	expect(countHeld(view)).toBeLessThan(tooMany);
+	expect(view.isIncomplete()).toBe(true);
+	expect(lines.filter(line => line.includes('event=view-full'))).toHaveLength(1);
+	view.applyChanges([{kind: 'written', entry: entry('a', 'u:1:leaving', 40_000)}, {kind: 'written', entry: entry('op', 'c:7', 40_001)}], 40_001, 0);
+	expect(view.getUpstreams('s').some(({id}) => id === 'a')).toBe(false);
+	expect(view.getRoutes()?.configuration.version).toBe(7);
+});
+
+// Guards against: the same, by few entries with long values.
+test('a view holds so many characters at most', () => {
+	const {view} = createView();
+	const value = `u:1:ready:${'v'.repeat(1_000_000)}`;
+	view.applyChanges(Array.from({length: 20}, (_, index) => ({kind: 'written', entry: entry(`x${index}`, value, index + 1)} as const)), 20, 0);
+	expect(countHeld(view)).toBeLessThan(6);
+	expect(view.isIncomplete()).toBe(true);
+});
+
+test('a view that was full is read again once entries are removed', () => {
+	const {view} = createView();
+	writeAll(view, 1, tooMany);
+	expect(view.canBeCompleted()).toBe(false);
+	view.applyChanges(Array.from({length: 10_000}, (_, index) => ({kind: 'removed', key: `x${index}`, revision: 40_000} as const)), 40_000, 0);
+	expect(view.canBeCompleted()).toBe(true);
+	view.applySnapshot({entries: [entry('b', 'u:1:ready', 9)], revision: 50_000}, 0);
+	expect(view.isIncomplete()).toBe(false);
+	expect(getIds(view)).toEqual(['b']);
+});
+
+// Guards against: a value of some megabytes takes many times as much memory while it is decoded.
+test('an entry with a value beyond any that the store accepts is unreadable', () => {
+	const {view} = createView();
+	view.applyChanges([{kind: 'written', entry: entry('a', `u:1:ready:${'v'.repeat(3_000_000)}`, 1)}], 1, 0);
+	expect(view.countInvalidEntries()).toBe(1);
+	expect(view.getUpstreams('s')).toEqual([]);
+});
--- a/packages/discovery/src/fleet-view.ts
+++ b/packages/discovery/src/fleet-view.ts
@@ -10,10 +10,12 @@
 import {hostPrefix, parseHostRecord, type HostRecord} from './host-record.js';
 import {createListedUpstreams, type ListedUpstreamsOptions} from './listed-upstreams.js';
 import {createNewestConfiguration} from './newest-configuration.js';
+import {
+	createSafeDecoder, hasLongKey, isTooLong, maxKeyLength,
+} from './entry-decoder.js';
+import {createHeldEntries} from './held-entries.js';
 import {createInvalidEntries} from './invalid-entries.js';
-
-/** Interval on the monotonic clock. */
-export type Interval = {from: Milliseconds; to: Milliseconds};
+import {createStoreContact, type Interval} from './store-contact.js';
 
 /** This host's copy of the configuration, upstreams and hosts in the key-value service, here called the store; it may lag behind. */
 export type FleetView = {
@@ -55,6 +57,12 @@
 	getHosts: () => HostRecord[];
 	/** Returns the number of entries that can't be read. */
 	countInvalidEntries: () => number;
+	/** Returns the number of entries that are held, without the configuration. */
+	countEntries: () => number;
+	/** Whether entries of the store were left out, as there was no room for them. */
+	isIncomplete: () => boolean;
+	/** Whether entries were left out for which there is room by now, so that the whole state is to be read again. */
+	canBeCompleted: () => boolean;
 };
 
 /** Options of a view. */
@@ -68,8 +76,6 @@
 	onConfiguration?: (configuration: RoutingConfiguration) => void;
 };
 
-/** Longest time between two answers of a store that is in order: that of a watch, and some for its answer. */
-const maxContactGap: Milliseconds = 3000;
 /** Time after an outage of the store in which upstreams whose leases expired during it can register again. */
 const reregistrationGrace: Milliseconds = 2000;
 /** The same after a restore from an older copy, for hosts, too: they notice it when they renew their leases. */
@@ -81,27 +87,28 @@
 export const createFleetView = ({
 	decode, logger, onGap, onConfiguration, ...listeners
 }: FleetViewOptions): FleetView => {
-	const entries = new Map<string, Entry>();
+	const decodeSafely = createSafeDecoder(decode);
+	const entries = createHeldEntries();
 	const hosts = new Map<HostId, HostRecord>();
 	const deferredRemovals = new Set<string>();
 	const upstreams = createListedUpstreams({logger, getRevision: () => revision, ...listeners});
 	const invalidEntries = createInvalidEntries(logger);
+	const contact = createStoreContact(logger, () => revision);
 	const configuration = createNewestConfiguration(logger, onConfiguration);
 	let revision = 0;
-	let lastContactAt = Number.NEGATIVE_INFINITY;
-	let unseen: Interval | undefined;
-	let isStoreReached = true;
+	/** Whether entries of the store were left out, as there was no room for them. */
+	let isIncomplete = false;
 	/** Times until which the removal of upstreams and of hosts is deferred. */
 	let upstreamsKeptUntil = Number.NEGATIVE_INFINITY;
 	let hostsKeptUntil = Number.NEGATIVE_INFINITY;
 
-	/** Decodes an entry; one for which that fails costs no other. */
-	const decodeSafely = (entry: Entry): DecodedEntry => {
-		try {
-			return decode(entry);
-		} catch (error) {
-			return {kind: 'unreadable', reason: String(error)};
+	/** Records that there is no room for an entry. */
+	const leaveOut = (entry: Entry): void => {
+		if (!isIncomplete) {
+			logger.warn('view-full', {key: entry.key, held: entries.count(), revision});
 		}
+
+		isIncomplete = true;
 	};
 
 	const applyHost = (entry: Entry): void => {
@@ -115,15 +122,8 @@
 		hosts.set(entry.key, record);
 	};
 
-	const applyDecodedEntry = (entry: Entry, decoded: DecodedEntry): void => {
+	const applyDecodedEntry = (entry: Entry, decoded: Exclude<DecodedEntry, {kind: 'configuration'}>): void => {
 		switch (decoded.kind) {
-			case 'configuration': {
-				entries.delete(entry.key);
-				invalidEntries.remove(entry.key);
-				configuration.apply(entry, () => decoded);
-				break;
-			}
-
 			case 'upstream': {
 				invalidEntries.remove(entry.key);
 				upstreams.apply(entry.key, decoded.upstream);
@@ -142,7 +142,19 @@
 		}
 	};
 
+	/** Applies the first configuration, or one under another key; there is always room for it. */
+	const applyConfiguration = (entry: Entry, decoded: DecodedEntry): void => {
+		entries.delete(entry.key);
+		invalidEntries.remove(entry.key);
+		configuration.apply(entry, () => decoded);
+	};
+
 	const applyEntry = (entry: Entry): void => {
+		if (hasLongKey(entry)) {
+			logger.warn('entry-unreadable', {key: entry.key.slice(0, maxKeyLength), reason: 'key too long'});
+			return;
+		}
+
 		if (configuration.isKey(entry.key)) {
 			configuration.apply(entry, decodeSafely);
 			return;
@@ -154,11 +166,16 @@
 			return;
 		}
 
-		entries.set(entry.key, entry);
-		if (entry.key.startsWith(hostPrefix)) {
+		const isHost = entry.key.startsWith(hostPrefix);
+		const decoded = isHost ? undefined : decodeSafely(entry);
+		if (decoded?.kind === 'configuration') {
+			applyConfiguration(entry, decoded);
+		} else if (!entries.set(isTooLong(entry) ? {...entry, value: ''} : entry)) {
+			leaveOut(entry);
+		} else if (decoded === undefined) {
 			applyHost(entry);
 		} else {
-			applyDecodedEntry(entry, decodeSafely(entry));
+			applyDecodedEntry(entry, decoded);
 		}
 	};
 
@@ -201,8 +218,6 @@
 		return known !== undefined && decoded?.kind === 'upstream' && decoded.upstream.startedAt < known.startedAt;
 	};
 
-	const isUnseen = (now: Milliseconds): boolean => Number.isFinite(lastContactAt) && now - lastContactAt > maxContactGap;
-
 	return {
 		applySnapshot(snapshot, now) {
 			const isRestored = revision > 0 && getEra(snapshot.revision) > getEra(revision);
@@ -216,6 +231,7 @@
 			}
 
 			revision = snapshot.revision;
+			isIncomplete = false;
 			const present = new Set(snapshot.entries.map(({key}) => key));
 			for (const storeKey of entries.keys()) {
 				if (!present.has(storeKey)) {
@@ -241,20 +257,9 @@
 			}
 		},
 		recordContact(reached, now) {
-			if (reached && !isStoreReached) {
+			if (contact.record(reached, now)) {
 				upstreamsKeptUntil = Math.max(upstreamsKeptUntil, now + reregistrationGrace);
 			}
-
-			if (reached !== isStoreReached) {
-				logger.warn(reached ? 'store-regained' : 'store-lost', {revision, silence: Math.round(now - lastContactAt)});
-			}
-
-			if (reached) {
-				unseen = isUnseen(now) ? {from: lastContactAt, to: now} : unseen;
-			}
-
-			isStoreReached = reached;
-			lastContactAt = reached ? now : lastContactAt;
 		},
 		applyDeferredRemovals(now) {
 			if (now < upstreamsKeptUntil) {
@@ -266,16 +271,16 @@
 			}
 		},
 		getRevision: () => revision,
-		isStoreReached: () => isStoreReached,
-		getTimeSinceStoreContact: now => now - lastContactAt,
-		getUnseenInterval: now => isUnseen(now) ? {from: lastContactAt, to: Number.POSITIVE_INFINITY} : unseen,
+		isStoreReached: contact.isReached,
+		getTimeSinceStoreContact: contact.getSilence,
+		getUnseenInterval: contact.getUnseenInterval,
 		isReplaced: ({service, id, startedAt}) => upstreams.getAll().some(other => other.service === service && other.id === id && other.startedAt !== startedAt),
 		getSnapshot: () => ({entries: [...entries.values(), configuration.getEntry(revision) ?? []].flat(), revision}),
 		getConfigurationEntry: () => configuration.getEntry(revision),
 		applyConfigurationEntry(entry) {
 			const decoded = decodeSafely(entry);
 			if (decoded.kind === 'configuration') {
-				applyDecodedEntry(entry, decoded);
+				applyConfiguration(entry, decoded);
 			}
 		},
 		markLeaving: upstreams.markLeaving,
@@ -288,5 +293,8 @@
 		isUsable: upstreamKey => upstreams.getAll().some(upstream => getUpstreamKey(upstream) === upstreamKey && !upstream.isLeaving),
 		getHosts: () => [...hosts.values()],
 		countInvalidEntries: invalidEntries.count,
+		countEntries: entries.count,
+		isIncomplete: () => isIncomplete,
+		canBeCompleted: () => isIncomplete && entries.hasRoom(),
 	};
 };
--- a/packages/discovery/src/follow-fleet.test.ts
+++ b/packages/discovery/src/follow-fleet.test.ts
@@ -102,6 +102,22 @@
 	expect(view.getSnapshot()).toEqual({entries: [entry('b', 5)], revision: 5});
 });
 
+// Guards against: a host lacks for ever the entries for which its view had no room once.
+test('the whole state is read again once a view that was full has room', async () => {
+	const {clock, view, state} = createFollower();
+	await clock.advance(10);
+	const written = Array.from({length: 30_000}, (_, index) => ({kind: 'written', entry: entry(`x${index}`, 2)} as const));
+	state.changes.push({kind: 'changed', changes: written, revision: 2});
+	await clock.advance(4000);
+	expect(view.isIncomplete()).toBe(true);
+	expect(state.reads).toBe(1);
+	state.snapshot = {kind: 'found', snapshot: {entries: [entry('a', 3)], revision: 3}};
+	state.changes.push({kind: 'changed', changes: written.map(({entry: {key}}) => ({kind: 'removed', key, revision: 3})), revision: 3});
+	await clock.advance(4000);
+	expect(view.getSnapshot()).toEqual({entries: [entry('a', 3)], revision: 3});
+	expect(view.isIncomplete()).toBe(false);
+});
+
 test('a host with a relay feed does not call the store', async () => {
 	const {clock, state} = createFollower();
 	await clock.advance(10);
--- a/packages/discovery/src/follow-fleet.ts
+++ b/packages/discovery/src/follow-fleet.ts
@@ -141,6 +141,7 @@
 
 	/** Makes the next call to the store, which starts where the previous one ended; returns the pause until the one after. */
 	const followStore = async (): Promise<Milliseconds> => {
+		needsSnapshot ||= view.canBeCompleted();
 		if (!needsSnapshot && hasRelayFeed()) {
 			return feedCheckInterval;
 		}
--- a/packages/forwarder/src/host/start-host.ts
+++ b/packages/forwarder/src/host/start-host.ts
@@ -88,6 +88,8 @@
 			context.metrics.setGauge('configuration_version', fleet.view.getRoutes()?.configuration.version ?? 0);
 			context.metrics.setGauge('configuration_version_elsewhere', fleet.reportExchange.getNewestConfigurationVersion() ?? 0);
 			context.metrics.setGauge('entries_unreadable', fleet.view.countInvalidEntries());
+			context.metrics.setGauge('entries_held', fleet.view.countEntries());
+			context.metrics.setGauge('view_incomplete', fleet.view.isIncomplete() ? 1 : 0);
 			context.metrics.setGauge('store_replies_oversized_total', fleet.countOversizedReplies());
 			context.metrics.setGauge('store_era', getEra(fleet.view.getRevision()));
 			context.metrics.setGauge('upstreams_avoided', context.tracker.countAvoided());
