End the soak's hosts with the soak

Cause, two parts: nothing ended the hosts when a signal ended the soak, and a signal to `npm run soak` never reached the soak, as the shell between them ended alone: seen in a trial, the soak and its five hosts were there after npm had ended.

--- a/packages/soak/src/command.ts
+++ b/packages/soak/src/command.ts
@@ -5,6 +5,7 @@
 import {defineCommand, type CommandDef} from 'citty';
 import {createSystemClock} from '@gentianlift/clock';
 import type {Deployment} from './deployment.js';
+import {killAllHosts} from './host-process.js';
 import {regressionCases} from './kept-cases.js';
 import {runSeed, type SeedRunOptions, type SeedRunReport} from './run-seed.js';
 import {faultSets, type FaultSet} from './schedule.js';
@@ -29,6 +30,22 @@
 /** First seeds taken from the time of day are below this number. */
 const drawnSeedLimit = 1_000_000;
 
+/** Signals that end the soak, with their numbers. */
+const endingSignals = {SIGHUP: 1, SIGINT: 2, SIGTERM: 15} as const;
+/** What a shell adds to the number of the signal that ended a process. */
+const signalStatus = 128;
+
+/** Ends the hosts with the soak when a signal ends it. */
+const endHostsOnSignals = (): void => {
+	for (const [name, number] of Object.entries(endingSignals)) {
+		process.once(name, () => {
+			killAllHosts();
+			process.stdout.write(`soak ended by ${name}\n`);
+			process.exit(signalStatus + number);
+		});
+	}
+};
+
 const formatReport = ({seed, faults, calls, served, violations, failures}: SeedRunReport): string => {
 	const summary = `seed ${seed}: ${faults} faults, ${calls} calls, ${served} served, ${violations.length + failures.length} broken`;
 	return [summary, ...failures.map(text => `  ${text}`), ...violations.map(({guarantee, attempt, detail}) => `  ${guarantee}: ${attempt}: ${detail}`)].join('\n');
@@ -70,6 +87,7 @@
 	meta: {name: 'soak', description: 'Plays drawn faults against the built program and checks what it promises'},
 	args: soakArguments,
 	async run({args}) {
+		endHostsOnSignals();
 		const clock = createSystemClock();
 		const folder = mkdtempSync(join(tmpdir(), 'gentianlift-soak-'));
 		const first = args.first === undefined ? clock.now() % drawnSeedLimit : parseCount(args.first, 'first');
--- a/packages/soak/src/host-process.ts
+++ b/packages/soak/src/host-process.ts
@@ -20,6 +20,16 @@
 	getUnexpectedExits: () => string[];
 };
 
+/** Processes of all hosts that have been started and haven't exited. */
+const running = new Set<ChildProcess>();
+
+/** Sends SIGKILL to the processes of all hosts, also to those that are paused. */
+export const killAllHosts = (): void => {
+	for (const child of running) {
+		child.kill('SIGKILL');
+	}
+};
+
 const hasExited = (child: ChildProcess): boolean => child.exitCode !== null || child.signalCode !== null;
 
 const waitForExit = async (child: ChildProcess): Promise<void> => {
@@ -58,7 +68,9 @@
 			});
 			started.stdout.pipe(log, {end: false});
 			started.stderr.pipe(log, {end: false});
+			running.add(started);
 			started.once('exit', (code, signal) => {
+				running.delete(started);
 				if (!isExitExpected) {
 					unexpectedExits.push(signal ?? `code ${code}`);
 				}
@@ -66,15 +78,15 @@
 			child = started;
 		},
 		async stop(gracePeriod) {
-			const running = child;
-			if (running === undefined || hasExited(running)) {
+			const stopping = child;
+			if (stopping === undefined || hasExited(stopping)) {
 				return true;
 			}
 
 			isExitExpected = true;
-			running.kill('SIGTERM');
-			await Promise.race([waitForExit(running), sleep(gracePeriod)]);
-			const hasExitedInTime = hasExited(running);
+			stopping.kill('SIGTERM');
+			await Promise.race([waitForExit(stopping), sleep(gracePeriod)]);
+			const hasExitedInTime = hasExited(stopping);
 			await sendAndWait('SIGKILL');
 			return hasExitedInTime;
 		},
--- a/scripts/run-linked-host.js
+++ b/scripts/run-linked-host.js
@@ -1,5 +1,5 @@
 #!/usr/bin/env node
-// Runs a host of the soak, which connects to a link of its own in place of each upstream's address.
+// Runs a host of the soak, which connects to a link of its own in place of each upstream's address, and ends when the soak has ended in any way.
 // Usage: run-linked-host.js NETWORK FIRST_UPSTREAM COUNT FIRST_LINK PROGRAM [ARGUMENT...]; octets of addresses in NETWORK (three octets).
 import {Socket} from 'node:net';
 import path from 'node:path';
@@ -26,5 +26,15 @@
 	return connect.apply(this, connectArguments);
 };
 
+/** Interval at which the host checks whether the soak still runs, in milliseconds. */
+const parentCheckInterval = 500;
+const parent = process.ppid;
+const timer = setInterval(() => {
+	if (process.ppid !== parent) {
+		process.kill(process.pid, 'SIGKILL');
+	}
+}, parentCheckInterval);
+timer.unref();
+
 process.argv = [node, program, ...programArguments];
 await import(pathToFileURL(path.resolve(program)).href);
