Check hosts' memory and exit statuses in the soak

The soak saw exits that it hadn't caused and stops that took too long. It saw neither a host that passes the memory that its settings name, nor a stop in time that ends with a failure, nor a process that ends by itself while the one before it still stops, since a planned stop covered all exits of the host.

Change: settings name 350 or 250 MB in turn; the peak of each process's resident memory (VmHWM) is read until it exits and may not pass that; a process that has loaded its first module (it handles SIGHUP, or has written something) must end with status 0 after SIGTERM; what is expected is kept for each process by itself. SIGHUP is sent from the moment on in which the process handles it, rather than from its first output; before its first instruction it can't be blamed.

No real limit of memory or processor time is enforced from outside: that needs tools or rights that a test has not.

--- a/packages/soak/src/deployment.ts
+++ b/packages/soak/src/deployment.ts
@@ -63,6 +63,8 @@
 	knownPeers: string[];
 	/** Time that the host has for a graceful shutdown. */
 	grace: Milliseconds;
+	/** Resident memory that the host may have, in megabytes; its settings name it. */
+	memory: number;
 	/** Addresses of the upstreams, and of the links that the host connects to in their place. */
 	links: LinkAddresses;
 	/** Directory for settings and logs. */
--- a/packages/soak/src/fleet.ts
+++ b/packages/soak/src/fleet.ts
@@ -44,6 +44,9 @@
 const firstLinkOctet = 130;
 const maxOctet = 254;
 const shutdownGracePeriod: Milliseconds = 8000;
+/** Memory of the hosts in turn, in megabytes. */
+const memories = [350, 250];
+const bytesPerMegabyte = 1_000_000;
 
 /** Called when an upstream stops or resumes to listen. */
 type ListeningListener = (upstream: number, isListening: boolean) => void;
@@ -99,6 +102,7 @@
 		store: storeLink.address,
 		knownPeers: [`${network}.${firstHostOctet}`, `${network}.${firstHostOctet + 1}`],
 		grace: shutdownGracePeriod,
+		memory: memories[index % memories.length] ?? 0,
 		links,
 		folder,
 		program: index % 2 === 1 ? options.earlierProgram : undefined,
@@ -106,7 +110,7 @@
 	deployment.writeSettings(hostOptions);
 	return {
 		options: hostOptions,
-		hostProcess: createHostProcess(deployment.getCommand(hostOptions)),
+		hostProcess: createHostProcess({command: deployment.getCommand(hostOptions), memoryLimit: hostOptions.memory * bytesPerMegabyte}),
 		storeLink,
 		upstreamLinks,
 		callerAddress: deployment.getCallerAddress(hostOptions.ip),
--- a/packages/soak/src/host-process.test.ts
+++ b/packages/soak/src/host-process.test.ts
@@ -4,7 +4,13 @@
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {expect, onTestFinished, test} from 'vitest';
+import type {Milliseconds} from '@gentianlift/types';
+import {createHostProcess, type HostProcess} from './host-process.js';
+
+/** Time in which a small program has set its handlers. */
+const loadingTime: Milliseconds = 1500;
 
 /** Writes a program into a directory of its own and returns its path. */
 const writeProgram = (text: string): string => {
@@ -32,3 +38,62 @@
 	// The pipe closes when the last process that could write to it has ended.
 	await expect.poll(() => state.hasEnded, {timeout: 4000}).toBe(true);
 });
+
+/** Creates a host process of a program that isn't started yet; its processes end with the test. */
+const createProcess = (text: string, memoryLimit = Number.POSITIVE_INFINITY): HostProcess => {
+	const program = writeProgram(text);
+	const hostProcess = createHostProcess({
+		command: {
+			file: process.execPath, args: [program], env: {}, logFile: `${program}.log`,
+		}, memoryLimit,
+	});
+	onTestFinished(hostProcess.kill);
+	return hostProcess;
+};
+
+const run = 'process.on("SIGHUP", () => {}); setInterval(() => {}, 1000); console.log("ready");';
+
+// Guards against: a host that passes its memory limit for a moment, which the soak didn't see.
+test('reports the peak of a running process that has had more memory than it may', async () => {
+	const limit = 150_000_000;
+	const small = createProcess(run, limit);
+	const large = createProcess(`let held = Buffer.alloc(200_000_000, "a"); held = undefined; ${run}`, limit);
+	small.start();
+	large.start();
+	await expect.poll(() => large.getFailures(), {timeout: 4000}).toMatchObject([{kind: 'memory', limit}]);
+	expect(small.getFailures()).toEqual([]);
+});
+
+// Guards against: a stop in time whose exit status says that it failed.
+test('reports a stop that ends with another status than 0', async () => {
+	const sound = createProcess(`process.on("SIGTERM", () => process.exit(0)); ${run}`);
+	const failing = createProcess(`process.on("SIGTERM", () => process.exit(1)); ${run}`);
+	const deaf = createProcess(`process.on("SIGTERM", () => {}); ${run}`);
+	const all = [sound, failing, deaf];
+	for (const hostProcess of all) {
+		hostProcess.start();
+	}
+
+	await sleep(loadingTime);
+	await Promise.all(all.map(async hostProcess => hostProcess.stop(500)));
+	expect(all.map(hostProcess => hostProcess.getFailures())).toEqual([
+		[], [{kind: 'failed-exit', exit: 'code 1'}], [{kind: 'late-exit', gracePeriod: 500}],
+	]);
+});
+
+// Guards against: a process that fails to start while the one before it still stops, which counted as its planned stop.
+test('reports a process that exits by itself while the one before it stops', async () => {
+	const folder = path.dirname(writeProgram(''));
+	const marker = path.join(folder, 'started');
+	const hostProcess = createProcess(`
+import {existsSync, writeFileSync} from 'node:fs';
+if (existsSync('${marker}')) { process.exit(3); }
+writeFileSync('${marker}', '');
+process.on("SIGTERM", () => setTimeout(() => process.exit(0), 1500)); ${run}`);
+	hostProcess.start();
+	await sleep(loadingTime);
+	const stopped = hostProcess.stop(4000);
+	hostProcess.start();
+	await stopped;
+	expect(hostProcess.getFailures()).toEqual([{kind: 'unexpected-exit', exit: 'code 3'}]);
+});
--- a/packages/soak/src/host-process.ts
+++ b/packages/soak/src/host-process.ts
@@ -1,27 +1,45 @@
 import {spawn, type ChildProcess} from 'node:child_process';
 import {createWriteStream, type WriteStream} from 'node:fs';
+import type {Readable} from 'node:stream';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Milliseconds} from '@gentianlift/types';
+import type {ProcessFailure} from './process-failure.js';
+import {readProcessStatus} from './process-status.js';
 
 /** A command that runs one host until it receives a signal. */
 export type Command = {file: string; args: string[]; env: Record<string, string>; logFile: string};
 
-/** A host's process, which can be started again after it has exited. */
+/** A host's process, which can be started again after it has exited, and also while the one before still stops. */
 export type HostProcess = {
 	start: () => void;
-	/** Sends SIGTERM, and SIGKILL after the grace period; resolves when the process has exited, with whether it exited within the grace period. */
-	stop: (gracePeriod: Milliseconds) => Promise<boolean>;
+	/** Sends SIGTERM, and SIGKILL after the grace period; resolves when the process has exited. */
+	stop: (gracePeriod: Milliseconds) => Promise<void>;
 	kill: () => Promise<void>;
 	pause: () => void;
 	resume: () => void;
-	/** Sends SIGHUP if the process has written its first output; before that it has no signal handlers and SIGHUP would end it. */
+	/** Sends SIGHUP, unless the process has neither a handler nor written anything: before its first module is loaded, SIGHUP would end it. */
 	reload: () => void;
-	/** Returns the exit code or signal of each exit that wasn't caused by `stop` or `kill`. */
-	getUnexpectedExits: () => string[];
+	/** Returns what all processes so far have done wrong. */
+	getFailures: () => ProcessFailure[];
 };
 
+/** Options of a host's process. */
+export type HostProcessOptions = {
+	command: Command;
+	/** Resident memory that each process may have, in bytes. */
+	memoryLimit: number;
+};
+
+type Child = ChildProcess & {stdout: Readable; stderr: Readable};
+
+/** One start of a host; `peakMemory` in bytes. */
+type Instance = {child: Child; hasOutput: boolean; isExitExpected: boolean; peakMemory: number};
+
+/** Interval at which peaks of memory are read; the system keeps the peak of a process until that ends. */
+const memoryPollInterval: Milliseconds = 50;
+
 /** Processes of all hosts that have been started and haven't exited. */
-const running = new Set<ChildProcess>();
+const running = new Set<Child>();
 
 /** Sends SIGKILL to the processes of all hosts, also to those that are paused. */
 export const killAllHosts = (): void => {
@@ -30,9 +48,11 @@
 	}
 };
 
-const hasExited = (child: ChildProcess): boolean => child.exitCode !== null || child.signalCode !== null;
+const hasExited = (child: Child): boolean => child.exitCode !== null || child.signalCode !== null;
 
-const waitForExit = async (child: ChildProcess): Promise<void> => {
+const describeExit = ({exitCode, signalCode}: Child): string => signalCode ?? `code ${exitCode}`;
+
+const waitForExit = async (child: Child): Promise<void> => {
 	if (!hasExited(child)) {
 		await new Promise<void>(resolve => {
 			child.once('exit', () => {
@@ -42,68 +62,97 @@
 	}
 };
 
-/** Creates a host process that isn't started yet. */
-export const createHostProcess = (command: Command): HostProcess => {
-	const unexpectedExits: string[] = [];
-	let child: ChildProcess | undefined;
-	let isExitExpected = false;
-	let isLogging = false;
-	const log: WriteStream = createWriteStream(command.logFile, {flags: 'a'});
-
-	const sendAndWait = async (signal: NodeJS.Signals): Promise<void> => {
-		isExitExpected = true;
-		if (child !== undefined) {
-			child.kill(signal);
-			await waitForExit(child);
-		}
+const kill = async (instance: Instance): Promise<void> => {
+	instance.isExitExpected = true;
+	instance.child.kill('SIGKILL');
+	await waitForExit(instance.child);
+};
+
+/** Whether a process has run any instruction of its program that it can be held to. */
+const isLoaded = ({child, hasOutput}: Instance): boolean =>
+	hasOutput || (child.pid !== undefined && (readProcessStatus(child.pid)?.handlesReload ?? false));
+
+/** Records the peak of a process's memory until it exits. */
+const recordMemory = (instance: Instance): void => {
+	const {child} = instance;
+	const timer = setInterval(() => {
+		const status = child.pid === undefined ? undefined : readProcessStatus(child.pid);
+		instance.peakMemory = Math.max(instance.peakMemory, status?.peakMemory ?? 0);
+	}, memoryPollInterval);
+	child.once('exit', () => {
+		clearInterval(timer);
+	});
+};
+
+const startInstance = ({file, args, env}: Command, log: WriteStream, onUnexpectedExit: (exit: string) => void): Instance => {
+	const child = spawn(file, args, {env, stdio: ['ignore', 'pipe', 'pipe']});
+	const instance: Instance = {
+		child, hasOutput: false, isExitExpected: false, peakMemory: 0,
 	};
+	child.stdout.once('data', () => {
+		instance.hasOutput = true;
+	});
+	child.stdout.pipe(log, {end: false});
+	child.stderr.pipe(log, {end: false});
+	running.add(child);
+	recordMemory(instance);
+	child.once('exit', () => {
+		running.delete(child);
+		if (!instance.isExitExpected) {
+			onUnexpectedExit(describeExit(child));
+		}
+	});
+	return instance;
+};
+
+/** Creates a host process that isn't started yet. */
+export const createHostProcess = ({command, memoryLimit}: HostProcessOptions): HostProcess => {
+	const failures: ProcessFailure[] = [];
+	const instances: Instance[] = [];
+	const log = createWriteStream(command.logFile, {flags: 'a'});
 
 	return {
 		start() {
-			isExitExpected = false;
-			isLogging = false;
-			const started = spawn(command.file, command.args, {env: command.env, stdio: ['ignore', 'pipe', 'pipe']});
-			started.stdout.once('data', () => {
-				isLogging = child === started;
-			});
-			started.stdout.pipe(log, {end: false});
-			started.stderr.pipe(log, {end: false});
-			running.add(started);
-			started.once('exit', (code, signal) => {
-				running.delete(started);
-				if (!isExitExpected) {
-					unexpectedExits.push(signal ?? `code ${code}`);
-				}
-			});
-			child = started;
+			instances.push(startInstance(command, log, exit => {
+				failures.push({kind: 'unexpected-exit', exit});
+			}));
 		},
 		async stop(gracePeriod) {
-			const stopping = child;
-			if (stopping === undefined || hasExited(stopping)) {
-				return true;
+			const instance = instances.at(-1);
+			if (instance === undefined || hasExited(instance.child)) {
+				return;
 			}
 
-			isExitExpected = true;
-			stopping.kill('SIGTERM');
-			await Promise.race([waitForExit(stopping), sleep(gracePeriod)]);
-			const hasExitedInTime = hasExited(stopping);
-			await sendAndWait('SIGKILL');
-			return hasExitedInTime;
+			const {child} = instance;
+			const canHandle = isLoaded(instance);
+			instance.isExitExpected = true;
+			child.kill('SIGTERM');
+			await Promise.race([waitForExit(child), sleep(gracePeriod)]);
+			if (!hasExited(child)) {
+				failures.push({kind: 'late-exit', gracePeriod});
+				await kill(instance);
+			} else if (canHandle && child.exitCode !== 0) {
+				failures.push({kind: 'failed-exit', exit: describeExit(child)});
+			}
 		},
 		async kill() {
-			await sendAndWait('SIGKILL');
+			await Promise.all(instances.filter(({child}) => !hasExited(child)).map(async instance => kill(instance)));
 		},
 		pause() {
-			child?.kill('SIGSTOP');
+			instances.at(-1)?.child.kill('SIGSTOP');
 		},
 		resume() {
-			child?.kill('SIGCONT');
+			instances.at(-1)?.child.kill('SIGCONT');
 		},
 		reload() {
-			if (isLogging) {
-				child?.kill('SIGHUP');
+			const instance = instances.at(-1);
+			if (instance !== undefined && isLoaded(instance)) {
+				instance.child.kill('SIGHUP');
 			}
 		},
-		getUnexpectedExits: () => [...unexpectedExits],
+		getFailures: () => [
+			...failures,
+			...instances.filter(({peakMemory}) => peakMemory > memoryLimit).map(({peakMemory}): ProcessFailure => ({kind: 'memory', peak: peakMemory, limit: memoryLimit})),
+		],
 	};
 };
--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -10,6 +10,8 @@
 export * from './resumable-stream.js';
 export * from './run-seed.js';
 export * from './host-process.js';
+export * from './process-failure.js';
+export * from './process-status.js';
 export * from './guarantees.js';
 export * from './schedule.js';
 export * from './store-contents.js';
--- a/packages/soak/src/injector.ts
+++ b/packages/soak/src/injector.ts
@@ -6,6 +6,7 @@
 import type {CutMode} from './host-links.js';
 import type {Link, LinkState} from './link.js';
 import type {Observations} from './guarantees.js';
+import {describeProcessFailure} from './process-failure.js';
 import type {Fault} from './schedule.js';
 
 /** Injects faults into a fleet. */
@@ -20,7 +21,7 @@
 	getVersion: () => number;
 	/** Resolves when all faults have ended. */
 	waitForFaults: () => Promise<void>;
-	/** Returns the host processes' late and unexpected exits. */
+	/** Returns what the hosts' processes have done wrong: exits and memory. */
 	getFailures: () => string[];
 };
 
@@ -39,7 +40,6 @@
 /** Creates an injector for a fleet whose configuration has version 1. */
 export const createInjector = ({fleet, deployment, clock, observations}: InjectorOptions): Injector => {
 	const activeFaults = new Set<Promise<void>>();
-	const failures: string[] = [];
 	const partitioned = new Set<number>();
 	let version = 1;
 	let rateFactor = 1;
@@ -70,12 +70,8 @@
 	const restartHostGracefully = async (index: number, {options, hostProcess}: SoakHost): Promise<void> => {
 		const shutdown = {host: index, from: clock.monotonic(), to: Number.POSITIVE_INFINITY};
 		observations.shutdowns.push(shutdown);
-		const isInTime = await hostProcess.stop(options.grace + exitDetectionMargin);
+		await hostProcess.stop(options.grace + exitDetectionMargin);
 		shutdown.to = clock.monotonic();
-		if (!isInTime) {
-			failures.push(`${options.name} didn't exit within its grace period; killed at ${Math.round(shutdown.to)}`);
-		}
-
 		hostProcess.start();
 	};
 
@@ -235,9 +231,6 @@
 		async waitForFaults() {
 			await Promise.all(activeFaults);
 		},
-		getFailures: () => [
-			...failures,
-			...fleet.hosts.flatMap(({options, hostProcess}) => hostProcess.getUnexpectedExits().map(exit => `${options.name} exited unexpectedly: ${exit}`)),
-		],
+		getFailures: () => fleet.hosts.flatMap(({options, hostProcess}) => hostProcess.getFailures().map(failure => `${options.name} ${describeProcessFailure(failure)}`)),
 	};
 };
