Strain starts, ends and outputs of processes in the soak

The soak always read the hosts' output, and started a process only when the one before had gone and all its addresses were free. Callers of a host whose log reader is gone, or that is started while its addresses are held, were therefore never played.

Change: a set of faults, `--faults processes`, with a process that starts while the one before still stops, a start while a foreign socket holds the metrics or readiness address, and output that isn't read or whose reader is gone; beside them stops, kills, SIGHUP and bursts. The other sets draw what they drew, so that seeds stay what they were.

Tests: host-process.test.ts, three: output left unread or closed, SIGHUP as soon as it is handled, and faults of processes drawn only for their set.

--- a/packages/soak/src/deployment.ts
+++ b/packages/soak/src/deployment.ts
@@ -73,6 +73,11 @@
 	program?: string | undefined;
 };
 
+/** Endpoints of a host whose addresses a foreign socket may hold when the host starts. */
+export const hostEndpoints = ['readiness', 'metrics'] as const;
+/** One of `hostEndpoints`. */
+export type HostEndpoint = typeof hostEndpoints[number];
+
 /** A request that a caller sends. */
 export type CallOptions = {
 	/** Unique id of the request. */
@@ -114,6 +119,7 @@
 	getCommand: (options: HostOptions) => Command;
 	/** Returns the address on which the host with this IP address listens for callers. */
 	getCallerAddress: (hostIp: string) => Address;
+	getEndpointAddress: (hostIp: string, endpoint: HostEndpoint) => Address;
 	/** Creates the client that all callers of a run share. */
 	createCallers: () => Callers;
 };
--- a/packages/soak/src/host-process.test.ts
+++ b/packages/soak/src/host-process.test.ts
@@ -1,6 +1,6 @@
 import {spawn} from 'node:child_process';
 import {once} from 'node:events';
-import {mkdtempSync, writeFileSync} from 'node:fs';
+import {existsSync, mkdtempSync, writeFileSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
@@ -8,6 +8,7 @@
 import {expect, onTestFinished, test} from 'vitest';
 import type {Milliseconds} from '@gentianlift/types';
 import {createHostProcess, type HostProcess} from './host-process.js';
+import {drawSchedule, type FaultSet} from './schedule.js';
 
 /** Time in which a small program has set its handlers. */
 const loadingTime: Milliseconds = 1500;
@@ -97,3 +98,46 @@
 	await stopped;
 	expect(hostProcess.getFailures()).toEqual([{kind: 'unexpected-exit', exit: 'code 3'}]);
 });
+
+// Guards against: SIGHUP that is held back until a host's first output, so that none reaches a host that starts.
+test('sends SIGHUP to a process as soon as it handles it, and not before', async () => {
+	const file = `${writeProgram('')}.reloaded`;
+	const handling = createProcess(`import {writeFileSync} from "node:fs"; process.on("SIGHUP", () => writeFileSync("${file}", "")); setInterval(() => {}, 1000);`);
+	const loading = createProcess('setInterval(() => {}, 1000);');
+	handling.start();
+	loading.start();
+	await expect.poll(() => {
+		handling.reload();
+		loading.reload();
+		return existsSync(file);
+	}, {timeout: 4000}).toBe(true);
+	expect([handling, loading].flatMap(({getFailures}) => getFailures())).toEqual([]);
+});
+
+// Guards against: a host that can't end while nobody reads its output, which the soak always read.
+test('closes the output of a process, or leaves it unread', async () => {
+	const writing = 'import {writeSync} from "node:fs"; process.on("SIGTERM", () => process.exit(0)); setInterval(() => writeSync(1, "x".repeat(200_000)), 50);';
+	const read = createProcess(writing);
+	const unread = createProcess(writing);
+	const closed = createProcess(writing);
+	for (const hostProcess of [read, unread, closed]) {
+		hostProcess.start();
+	}
+
+	await sleep(loadingTime);
+	unread.setOutput('unread');
+	closed.setOutput('closed');
+	await sleep(1000);
+	await Promise.all([read, unread].map(async hostProcess => hostProcess.stop(500)));
+	expect([read, unread].map(({getFailures}) => getFailures())).toEqual([[], [{kind: 'late-exit', gracePeriod: 500}]]);
+	expect(closed.getFailures()).toEqual([{kind: 'unexpected-exit', exit: 'code 1'}]);
+});
+
+// Guards against: schedules of earlier seeds that change when faults are added to other sets.
+test('draws faults of processes only for their own set', () => {
+	const size = {hosts: 5, upstreams: 6};
+	const getKinds = (faultSet: FaultSet): Set<string> => new Set(Array.from({length: 30}, (_, seed) => drawSchedule(seed, size, 10_000, faultSet)).flat().map(({fault}) => fault.kind));
+	const kinds = ['host-output', 'host-overlap', 'taken-address'];
+	expect(kinds.filter(kind => getKinds('any').has(kind))).toEqual([]);
+	expect(kinds.filter(kind => getKinds('processes').has(kind))).toEqual(kinds);
+});
--- a/packages/soak/src/host-process.ts
+++ b/packages/soak/src/host-process.ts
@@ -9,6 +9,14 @@
 /** A command that runs one host until it receives a signal. */
 export type Command = {file: string; args: string[]; env: Record<string, string>; logFile: string};
 
+/**
+ * What reads a host's output:
+ * - `read`: the log
+ * - `unread`: nothing, so that the host's writes find the pipe full after a while
+ * - `closed`: nothing any more, so that the host's writes fail, until its next start
+ */
+export type OutputState = 'read' | 'unread' | 'closed';
+
 /** A host's process, which can be started again after it has exited, and also while the one before still stops. */
 export type HostProcess = {
 	start: () => void;
@@ -19,6 +27,8 @@
 	resume: () => void;
 	/** Sends SIGHUP, unless the process has neither a handler nor written anything: before its first module is loaded, SIGHUP would end it. */
 	reload: () => void;
+	/** Changes what reads the output of the current process. */
+	setOutput: (state: OutputState) => void;
 	/** Returns what all processes so far have done wrong. */
 	getFailures: () => ProcessFailure[];
 };
@@ -84,6 +94,28 @@
 	});
 };
 
+const setOutput = ({child: {stdout, stderr}}: Instance, log: WriteStream, state: OutputState): void => {
+	for (const output of [stdout, stderr]) {
+		switch (state) {
+			case 'read': {
+				output.unpipe(log).pipe(log, {end: false});
+				break;
+			}
+
+			case 'unread': {
+				output.unpipe(log);
+				output.pause();
+				break;
+			}
+
+			case 'closed': {
+				output.destroy();
+				break;
+			}
+		}
+	}
+};
+
 const startInstance = ({file, args, env}: Command, log: WriteStream, onUnexpectedExit: (exit: string) => void): Instance => {
 	const child = spawn(file, args, {env, stdio: ['ignore', 'pipe', 'pipe']});
 	const instance: Instance = {
@@ -92,8 +124,7 @@
 	child.stdout.once('data', () => {
 		instance.hasOutput = true;
 	});
-	child.stdout.pipe(log, {end: false});
-	child.stderr.pipe(log, {end: false});
+	setOutput(instance, log, 'read');
 	running.add(child);
 	recordMemory(instance);
 	child.once('exit', () => {
@@ -150,6 +181,12 @@
 				instance.child.kill('SIGHUP');
 			}
 		},
+		setOutput(state) {
+			const instance = instances.at(-1);
+			if (instance !== undefined) {
+				setOutput(instance, log, state);
+			}
+		},
 		getFailures: () => [
 			...failures,
 			...instances.filter(({peakMemory}) => peakMemory > memoryLimit).map(({peakMemory}): ProcessFailure => ({kind: 'memory', peak: peakMemory, limit: memoryLimit})),
--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -1,6 +1,6 @@
 export * from './answers.js';
 export * from './command.js';
-export type * from './deployment.js';
+export * from './deployment.js';
 export * from './exchange.js';
 export * from './fleet.js';
 export * from './host-links.js';
@@ -15,6 +15,7 @@
 export * from './guarantees.js';
 export * from './schedule.js';
 export * from './store-contents.js';
+export * from './taken-address.js';
 export * from './traffic.js';
 export * from './fake-upstream.js';
 export * from './upstream-protocol.js';
--- a/packages/soak/src/injector.ts
+++ b/packages/soak/src/injector.ts
@@ -1,13 +1,15 @@
 import type {Clock} from '@gentianlift/clock';
 import type {Milliseconds} from '@gentianlift/types';
-import type {Deployment} from './deployment.js';
+import type {Deployment, HostEndpoint} from './deployment.js';
 import {crashingPartPrefix} from './fake-upstream.js';
 import type {Fleet, SoakHost} from './fleet.js';
 import type {CutMode} from './host-links.js';
 import type {Link, LinkState} from './link.js';
 import type {Observations} from './guarantees.js';
+import type {HostProcess, OutputState} from './host-process.js';
 import {describeProcessFailure} from './process-failure.js';
-import type {Fault} from './schedule.js';
+import {isExclusive, type ExclusiveFault, type Fault} from './schedule.js';
+import {takeAddress} from './taken-address.js';
 
 /** Injects faults into a fleet. */
 export type Injector = {
@@ -66,13 +68,44 @@
 		outage.to = clock.monotonic() + startupTime;
 	};
 
-	/** Stops a host gracefully, records the shutdown and starts the host again. */
-	const restartHostGracefully = async (index: number, {options, hostProcess}: SoakHost): Promise<void> => {
+	/** Stops a host gracefully and records the shutdown. */
+	const stopHost = async (index: number, {options, hostProcess}: SoakHost): Promise<void> => {
 		const shutdown = {host: index, from: clock.monotonic(), to: Number.POSITIVE_INFINITY};
 		observations.shutdowns.push(shutdown);
 		await hostProcess.stop(options.grace + exitDetectionMargin);
 		shutdown.to = clock.monotonic();
+	};
+
+	const restartHostGracefully = async (index: number, host: SoakHost): Promise<void> => {
+		await stopHost(index, host);
+		host.hostProcess.start();
+	};
+
+	/** Starts the next process of a host while the one before may still be stopping. */
+	const overlapProcesses = async (index: number, host: SoakHost, overlap: Milliseconds): Promise<void> => {
+		const stopped = stopHost(index, host);
+		await clock.sleep(overlap);
+		host.hostProcess.start();
+		await stopped;
+	};
+
+	/** Kills a host and starts it again while a foreign socket holds one of its addresses. */
+	const restartWithTakenAddress = async ({options, hostProcess}: SoakHost, endpoint: HostEndpoint, duration: Milliseconds): Promise<void> => {
+		recordDisturbance(duration + startupTime);
+		await hostProcess.kill();
+		const release = await takeAddress(deployment.getEndpointAddress(options.ip, endpoint));
 		hostProcess.start();
+		await clock.sleep(duration);
+		release();
+	};
+
+	/** Lets a host's output go unread, or closes it, and reads it again. */
+	const disturbOutput = async (hostProcess: HostProcess, state: OutputState, duration: Milliseconds): Promise<void> => {
+		hostProcess.setOutput(state);
+		await clock.sleep(duration);
+		if (state === 'unread') {
+			hostProcess.setOutput('read');
+		}
 	};
 
 	const publishConfigurations = async (count: number): Promise<void> => {
@@ -158,19 +191,40 @@
 		crashingPart = crashingPart === part ? undefined : crashingPart;
 	};
 
-	const runFault = async (fault: Fault): Promise<void> => {
-		const {hosts, upstreams, store} = fleet;
+	const runExclusiveFault = async (fault: ExclusiveFault, host: SoakHost): Promise<void> => {
 		switch (fault.kind) {
 			case 'host-stop': {
-				return runHostFault(fault.host, async host => restartHostGracefully(fault.host, host));
+				return restartHostGracefully(fault.host, host);
 			}
 
 			case 'host-kill': {
-				return runHostFault(fault.host, async host => restartKilledHost(host, fault.down));
+				return restartKilledHost(host, fault.down);
 			}
 
 			case 'host-pause': {
-				return runHostFault(fault.host, async ({hostProcess}) => applyFor(fault.duration, hostProcess.pause, hostProcess.resume));
+				return applyFor(fault.duration, host.hostProcess.pause, host.hostProcess.resume);
+			}
+
+			case 'host-overlap': {
+				return overlapProcesses(fault.host, host, fault.overlap);
+			}
+
+			case 'taken-address': {
+				return restartWithTakenAddress(host, fault.endpoint, fault.duration);
+			}
+		}
+	};
+
+	const runFault = async (fault: Fault): Promise<void> => {
+		if (isExclusive(fault)) {
+			return runHostFault(fault.host, async host => runExclusiveFault(fault, host));
+		}
+
+		const {hosts, upstreams, store} = fleet;
+		switch (fault.kind) {
+			case 'host-output': {
+				const hostProcess = hosts[fault.host]?.hostProcess;
+				return hostProcess && disturbOutput(hostProcess, fault.state, fault.duration);
 			}
 
 			case 'host-reload': {
--- a/packages/soak/src/kept-cases.ts
+++ b/packages/soak/src/kept-cases.ts
@@ -161,4 +161,39 @@
 			},
 		],
 	},
+	{
+		seed: 7400,
+		cause: 'A host whose output had no reader any more did not exit after SIGTERM',
+		schedule: [
+			{
+				at: 300, fault: {
+					kind: 'host-output', host: 1, state: 'closed', duration: 0,
+				},
+			},
+			{
+				at: 300, fault: {
+					kind: 'host-output', host: 2, state: 'unread', duration: 10_000,
+				},
+			},
+			{at: 1500, fault: {kind: 'host-stop', host: 1}},
+			{at: 1500, fault: {kind: 'host-stop', host: 2}},
+		],
+	},
+	{
+		seed: 7401,
+		cause: 'A process that started while the one before it held its addresses, or a foreign socket one of them, exited at once',
+		schedule: [
+			{at: 300, fault: {kind: 'host-overlap', host: 0, overlap: 200}},
+			{
+				at: 600, fault: {
+					kind: 'taken-address', host: 1, endpoint: 'metrics', duration: 4000,
+				},
+			},
+			{
+				at: 900, fault: {
+					kind: 'taken-address', host: 2, endpoint: 'readiness', duration: 3000,
+				},
+			},
+		],
+	},
 ];
--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -1,6 +1,8 @@
 import {createRandom, type Random} from '@gentianlift/clock';
 import type {Milliseconds} from '@gentianlift/types';
 import {cutModes, type CutMode} from './host-links.js';
+import {hostEndpoints, type HostEndpoint} from './deployment.js';
+import type {OutputState} from './host-process.js';
 import type {LinkState} from './link.js';
 
 /** Failure modes of the key-value service; `forgetful` loses the history of changes, `restored` goes on and then comes back from a copy of when the fault began. */
@@ -17,8 +19,8 @@
 /** One of `upstreamFailureModes` or `streamFailureModes`. */
 export type UpstreamFailureMode = typeof upstreamFailureModes[number] | typeof streamFailureModes[number];
 
-/** Which faults are drawn: any, or those that break streams off and hide from a host which versions serve. */
-export const faultSets = ['any', 'streams'] as const;
+/** Which faults are drawn: `any`; `streams` for those that break streams off and hide from a host which versions serve; `processes` for those that strain a host's process, its start, its end and its output. */
+export const faultSets = ['any', 'streams', 'processes'] as const;
 /** One of `faultSets`. */
 export type FaultSet = typeof faultSets[number];
 
@@ -30,6 +32,12 @@
 		| {kind: 'host-kill'; host: number; down: Milliseconds}
 		/** SIGSTOP, and SIGCONT after the duration. */
 		| {kind: 'host-pause'; host: number; duration: Milliseconds}
+		/** SIGTERM, and a new process that starts after the time `overlap`, while the one before may still hold its addresses. */
+		| {kind: 'host-overlap'; host: number; overlap: Milliseconds}
+		/** SIGKILL, and a restart while a foreign socket holds one of the host's addresses for the duration. */
+		| {kind: 'taken-address'; host: number; endpoint: HostEndpoint; duration: Milliseconds}
+		/** A host's output that isn't read for the duration, or whose reader is gone. */
+		| {kind: 'host-output'; host: number; state: OutputState; duration: Milliseconds}
 		/** The settings file written again, with or without a signal to reload it. */
 		| {kind: 'host-reload'; host: number; isSignalled: boolean}
 		/** A fault of the link between a host and the key-value service. */
@@ -47,6 +55,13 @@
 		/** A request rate that is raised by a factor. */
 		| {kind: 'burst'; factor: number; duration: Milliseconds};
 
+/** A fault that stops, kills or pauses a host's process; a host has one of them at a time. */
+export type ExclusiveFault = Extract<Fault, {kind: typeof exclusiveKinds[number]}>;
+const exclusiveKinds = ['host-stop', 'host-kill', 'host-pause', 'host-overlap', 'taken-address'] as const satisfies ReadonlyArray<Fault['kind']>;
+
+/** Whether a host has at most one such fault at a time. */
+export const isExclusive = (fault: Fault): fault is ExclusiveFault => (exclusiveKinds as ReadonlyArray<Fault['kind']>).includes(fault.kind);
+
 /** A fault and the time at which it begins, from the start of the schedule. */
 export type ScheduledFault = {at: Milliseconds; fault: Fault};
 
@@ -151,7 +166,30 @@
 	])();
 };
 
-const drawers: Record<FaultSet, typeof drawFault> = {any: drawFault, streams: drawStreamFault};
+/** Longest time from SIGTERM to the start of the next process. */
+const maxOverlap: Milliseconds = 1500;
+
+/** Draws a fault that strains a host's process, its start, its end or its output. */
+const drawProcessFault = (random: Random, size: FleetSize): Fault => {
+	const host = Math.floor(random.next() * size.hosts);
+	const duration = drawDuration(random);
+	return pickItem<() => Fault>(random, [
+		() => ({kind: 'host-stop', host}),
+		() => ({kind: 'host-stop', host}),
+		() => ({kind: 'host-kill', host, down: duration}),
+		() => ({kind: 'host-reload', host, isSignalled: true}),
+		() => ({kind: 'host-overlap', host, overlap: Math.round(random.next() * maxOverlap)}),
+		() => ({
+			kind: 'taken-address', host, endpoint: pickItem(random, hostEndpoints), duration,
+		}),
+		() => ({
+			kind: 'host-output', host, state: pickItem<OutputState>(random, ['unread', 'closed']), duration,
+		}),
+		() => ({kind: 'burst', factor: 2 + Math.floor(random.next() * 4), duration}),
+	])();
+};
+
+const drawers: Record<FaultSet, typeof drawFault> = {any: drawFault, streams: drawStreamFault, processes: drawProcessFault};
 
 /** Draws the faults of a seed within the fault period; the same seed and set give the same faults. */
 export const drawSchedule = (seed: number, size: FleetSize, faultPeriod: Milliseconds, faultSet: FaultSet = 'any'): ScheduledFault[] => {
