Send large and unfinished bodies in the soak

The soak's bodies had some ten bytes each. A host that is sent many large ones, or many that never end, was never played, and neither were its other callers beside them.

Change: a fault `odd-bodies` of the set `processes`: callers on connections of their own send 100 bodies of 4 MB, whole or without their last bytes, 500 unfinished ones of 100 KB, or 2,000 of 20 KB, each within the limits on one request, and send them again when they are cut. The host must stay within its memory, and a new guarantee says that its other callers are served as those of other hosts are (two thirds of that part, or at most 10 and one in 50 calls fail). The rule is the one for partitioned hosts, so that both share the check. Faults that stop, kill or pause a host have moved to a module of their own.

Tests: guarantees.test.ts, odd-bodies.test.ts.

--- a/packages/soak/src/deployment.ts
+++ b/packages/soak/src/deployment.ts
@@ -3,6 +3,7 @@
 	BoundArrival, Call, RequestKind, Execution,
 } from './guarantees.js';
 import type {Command} from './host-process.js';
+import type {OddBodies} from './odd-bodies.js';
 import type {StoreFailureMode, UpstreamFailureMode} from './schedule.js';
 
 /** A fake of the key-value service. */
@@ -103,6 +104,8 @@
 	probe: (address: Address, version: number) => Promise<number | undefined>;
 	/** Returns the addresses of hosts that a host tells callers to connect to; empty without an answer. */
 	resolve: (hostIp: string) => Promise<Address[]>;
+	/** Starts callers that send odd bodies to a host; returns a function that ends them. `attempt` is the prefix of their requests' ids. */
+	sendOddBodies: (address: Address, bodies: OddBodies, attempt: string) => () => void;
 	close: () => void;
 };
 
--- a/packages/soak/src/fleet-guarantees.ts
+++ b/packages/soak/src/fleet-guarantees.ts
@@ -85,22 +85,32 @@
 	observations.calls.filter(({host, startedAt, endedAt}) =>
 		startedAt >= from && endedAt <= to && [startedAt, endedAt].every(at => !isDisturbed(host, at, observations)));
 
-/** Finds partitions in which the partitioned hosts served their callers far less than the others did theirs. */
-export const checkPartitions = (observations: Observations): Violation[] => observations.partitions.flatMap(({hosts, from, to}) => {
-	const isCutElsewhere = (host: number): boolean =>
-		observations.partitions.some(other => other.hosts.includes(host) && overlaps(other, from, to));
-	const calls = getCallsOfUndisturbed({from: from + stableTime, to}, observations);
-	const partitioned = calls.filter(({host}) => hosts.includes(host));
-	const others = calls.filter(({host}) => !isCutElsewhere(host));
-	return isUnequal(partitioned, others)
+/** A period in which a fault concerns some hosts only. */
+type HostsPeriod = Interval & {hosts: readonly number[]};
+
+/** Finds periods, of one kind, in which the hosts concerned served their callers far less than the others did theirs. */
+const checkServedAlike = (periods: readonly HostsPeriod[], settlingTime: Milliseconds, guarantee: string, observations: Observations): Violation[] => periods.flatMap(({hosts, from, to}) => {
+	const isConcerned = (host: number): boolean => periods.some(other => other.hosts.includes(host) && overlaps(other, from, to));
+	const calls = getCallsOfUndisturbed({from: from + settlingTime, to}, observations);
+	const concerned = calls.filter(({host}) => hosts.includes(host));
+	const others = calls.filter(({host}) => !isConcerned(host));
+	return isUnequal(concerned, others)
 		? [{
-			guarantee: 'partitioned hosts serve their callers',
-			attempt: partitioned.find(call => !isServed(call))?.attempt ?? '',
-			detail: `hosts ${hosts.join(', ')} served ${describeServed(partitioned)} calls, the others ${describeServed(others)}`,
+			guarantee,
+			attempt: concerned.find(call => !isServed(call))?.attempt ?? '',
+			detail: `hosts ${hosts.join(', ')} served ${describeServed(concerned)} calls, the others ${describeServed(others)}`,
 		}]
 		: [];
 });
 
+/** Finds partitions in which the partitioned hosts served their callers far less than the others did theirs. */
+export const checkPartitions = (observations: Observations): Violation[] =>
+	checkServedAlike(observations.partitions, stableTime, 'partitioned hosts serve their callers', observations);
+
+/** Finds hosts that served their callers far less than the others did, while odd callers sent them large or unfinished bodies. */
+export const checkOddBodies = (observations: Observations): Violation[] =>
+	checkServedAlike(observations.oddBodies, 0, 'hosts with odd callers serve the others', observations);
+
 /** Time from an answer that asks for rest on in which requests may have been under way, and how many may come until the rest ends. */
 const restSlack: Milliseconds = 500;
 const maxRestArrivals = 2;
--- a/packages/soak/src/guarantees.test.ts
+++ b/packages/soak/src/guarantees.test.ts
@@ -14,7 +14,7 @@
 });
 
 const find = (changes: Partial<Observations>): string[] => findViolations({
-	calls: [], executions: [], shutdowns: [], disturbances: [], outages: [], partCrashes: [], limitedArrivals: [], partitions: [], boundArrivals: [], ...changes,
+	calls: [], executions: [], shutdowns: [], disturbances: [], outages: [], partCrashes: [], limitedArrivals: [], partitions: [], oddBodies: [], boundArrivals: [], ...changes,
 }).map(({guarantee}) => guarantee);
 
 test('a request that was executed once and answered violates no guarantee', () => {
@@ -118,6 +118,17 @@
 	expect(faults.every(({fault}) => !('host' in fault) || (fault.host >= 0 && fault.host < 5))).toBe(true);
 });
 
+// Guards against: hosts whose sound callers are turned away while odd ones hold all places.
+test('finds hosts that serve their callers less than others do while odd callers are there', () => {
+	const send = (host: number, count: number, status: number): Call[] => Array.from({length: count}, (_, index) =>
+		call({attempt: `o${host}-${status}-${index}`, host, outcome: {kind: 'answered', status, isOwn: status === 200}}));
+	const oddBodies = [{hosts: [0], from: 9000, to: 15_000}];
+	const others = send(1, 100, 200);
+	expect(find({oddBodies, calls: [...others, ...send(0, 20, 503), ...send(0, 30, 200)]})).toEqual(['hosts with odd callers serve the others']);
+	expect(find({oddBodies, calls: [...others, ...send(0, 20, 503), ...send(0, 60, 200)]})).toEqual([]);
+	expect(find({oddBodies: [], calls: [...others, ...send(0, 20, 503)]})).toEqual([]);
+});
+
 test('finds partitioned hosts that serve far less than the others, but not single failures', () => {
 	const send = (host: number, count: number, status: number): Call[] => Array.from({length: count}, (_, index) => ({
 		...call(), attempt: `p${host}-${status}-${index}`, host, startedAt: 4000, endedAt: 4010, outcome: {kind: 'answered', status, isOwn: status === 200},
--- a/packages/soak/src/guarantees.ts
+++ b/packages/soak/src/guarantees.ts
@@ -1,6 +1,6 @@
 import type {Milliseconds} from '@gentianlift/types';
 import {
-	checkBounds, checkLimits, checkPartCrashes, checkPartitions,
+	checkBounds, checkLimits, checkOddBodies, checkPartCrashes, checkPartitions,
 } from './fleet-guarantees.js';
 
 /** Kinds of requests that a soak's callers send. Callers resume a `resumable` stream when it breaks. */
@@ -64,6 +64,8 @@
 	boundArrivals: BoundArrival[];
 	/** Periods in which the links of hosts to all upstreams were cut. */
 	partitions: Array<Interval & {hosts: readonly number[]}>;
+	/** Periods in which odd callers sent large or unfinished bodies to hosts. */
+	oddBodies: Array<Interval & {hosts: readonly number[]}>;
 	/** Arrivals at upstreams that name a limit, by the time in which one does. */
 	limitedArrivals: Array<{episode: string; at: Milliseconds}>;
 };
@@ -167,5 +169,5 @@
 		...checkCall(call, executionsByAttempt.get(call.attempt) ?? [], observations).map(violation => ({attempt: call.attempt, ...violation})),
 		...checkResumptions(call, executionsByAttempt),
 	]);
-	return [...violations, ...checkPartCrashes(observations), ...checkLimits(observations), ...checkPartitions(observations), ...checkBounds(observations)];
+	return [...violations, ...checkPartCrashes(observations), ...checkLimits(observations), ...checkPartitions(observations), ...checkOddBodies(observations), ...checkBounds(observations)];
 };
--- a/packages/soak/src/injector.ts
+++ b/packages/soak/src/injector.ts
@@ -1,15 +1,16 @@
 import type {Clock} from '@gentianlift/clock';
 import type {Milliseconds} from '@gentianlift/types';
-import type {Deployment, HostEndpoint} from './deployment.js';
+import type {Callers, Deployment} from './deployment.js';
+import {createExclusiveFaultRunner, startupTime} from './exclusive-faults.js';
 import {crashingPartPrefix} from './fake-upstream.js';
 import type {Fleet, SoakHost} from './fleet.js';
 import type {CutMode} from './host-links.js';
 import type {Link, LinkState} from './link.js';
 import type {Observations} from './guarantees.js';
 import type {HostProcess, OutputState} from './host-process.js';
+import type {OddBodies} from './odd-bodies.js';
 import {describeProcessFailure} from './process-failure.js';
-import {isExclusive, type ExclusiveFault, type Fault} from './schedule.js';
-import {takeAddress} from './taken-address.js';
+import {isExclusive, type Fault} from './schedule.js';
 
 /** Injects faults into a fleet. */
 export type Injector = {
@@ -28,19 +29,14 @@
 };
 
 /** Dependencies of an injector. */
-export type InjectorOptions = {fleet: Fleet; deployment: Deployment; clock: Clock; observations: Observations};
+export type InjectorOptions = {fleet: Fleet; deployment: Deployment; callers: Callers; clock: Clock; observations: Observations};
 
 /** Time between two new versions of the configuration in one fault. */
 const configurationInterval: Milliseconds = 150;
 /** Time for which upstreams that a part has crashed may be away after its last request. */
 const crashAftermath: Milliseconds = 3000;
-/** Time after its start in which a host may not be ready yet. */
-const startupTime: Milliseconds = 3000;
-/** Time beyond the grace period that is allowed until the exit of a process is observed. */
-const exitDetectionMargin: Milliseconds = 500;
-
 /** Creates an injector for a fleet whose configuration has version 1. */
-export const createInjector = ({fleet, deployment, clock, observations}: InjectorOptions): Injector => {
+export const createInjector = ({fleet, deployment, callers, clock, observations}: InjectorOptions): Injector => {
 	const activeFaults = new Set<Promise<void>>();
 	const partitioned = new Set<number>();
 	let version = 1;
@@ -53,6 +49,10 @@
 		observations.disturbances.push({from, to: from + duration});
 	};
 
+	const runExclusive = createExclusiveFaultRunner({
+		deployment, clock, observations, recordDisturbance,
+	});
+
 	/** Runs a fault that stops, kills or pauses a host; skips it if the host already has such a fault. */
 	const runHostFault = async (index: number, run: (host: SoakHost) => Promise<void>): Promise<void> => {
 		const host = fleet.hosts[index];
@@ -68,37 +68,6 @@
 		outage.to = clock.monotonic() + startupTime;
 	};
 
-	/** Stops a host gracefully and records the shutdown. */
-	const stopHost = async (index: number, {options, hostProcess}: SoakHost): Promise<void> => {
-		const shutdown = {host: index, from: clock.monotonic(), to: Number.POSITIVE_INFINITY};
-		observations.shutdowns.push(shutdown);
-		await hostProcess.stop(options.grace + exitDetectionMargin);
-		shutdown.to = clock.monotonic();
-	};
-
-	const restartHostGracefully = async (index: number, host: SoakHost): Promise<void> => {
-		await stopHost(index, host);
-		host.hostProcess.start();
-	};
-
-	/** Starts the next process of a host while the one before may still be stopping. */
-	const overlapProcesses = async (index: number, host: SoakHost, overlap: Milliseconds): Promise<void> => {
-		const stopped = stopHost(index, host);
-		await clock.sleep(overlap);
-		host.hostProcess.start();
-		await stopped;
-	};
-
-	/** Kills a host and starts it again while a foreign socket holds one of its addresses. */
-	const restartWithTakenAddress = async ({options, hostProcess}: SoakHost, endpoint: HostEndpoint, duration: Milliseconds): Promise<void> => {
-		recordDisturbance(duration + startupTime);
-		await hostProcess.kill();
-		const release = await takeAddress(deployment.getEndpointAddress(options.ip, endpoint));
-		hostProcess.start();
-		await clock.sleep(duration);
-		release();
-	};
-
 	/** Lets a host's output go unread, or closes it, and reads it again. */
 	const disturbOutput = async (hostProcess: HostProcess, state: OutputState, duration: Milliseconds): Promise<void> => {
 		hostProcess.setOutput(state);
@@ -156,12 +125,19 @@
 		}
 	};
 
-	/** Kills a host and starts it again after the time `down`. */
-	const restartKilledHost = async ({hostProcess}: SoakHost, down: Milliseconds): Promise<void> => {
-		recordDisturbance(down + startupTime);
-		await hostProcess.kill();
-		await clock.sleep(down);
-		hostProcess.start();
+	/** Lets odd callers send bodies to a host. */
+	const sendOddBodies = async (index: number, bodies: OddBodies, duration: Milliseconds): Promise<void> => {
+		const host = fleet.hosts[index];
+		if (host === undefined) {
+			return;
+		}
+
+		const period = {hosts: [index], from: clock.monotonic(), to: Number.POSITIVE_INFINITY};
+		observations.oddBodies.push(period);
+		const stop = callers.sendOddBodies(host.callerAddress, bodies, `odd-${Math.round(period.from)}`);
+		await clock.sleep(duration);
+		period.to = clock.monotonic();
+		stop();
 	};
 
 	const reloadHost = (host: SoakHost | undefined, isSignalled: boolean): void => {
@@ -191,33 +167,9 @@
 		crashingPart = crashingPart === part ? undefined : crashingPart;
 	};
 
-	const runExclusiveFault = async (fault: ExclusiveFault, host: SoakHost): Promise<void> => {
-		switch (fault.kind) {
-			case 'host-stop': {
-				return restartHostGracefully(fault.host, host);
-			}
-
-			case 'host-kill': {
-				return restartKilledHost(host, fault.down);
-			}
-
-			case 'host-pause': {
-				return applyFor(fault.duration, host.hostProcess.pause, host.hostProcess.resume);
-			}
-
-			case 'host-overlap': {
-				return overlapProcesses(fault.host, host, fault.overlap);
-			}
-
-			case 'taken-address': {
-				return restartWithTakenAddress(host, fault.endpoint, fault.duration);
-			}
-		}
-	};
-
 	const runFault = async (fault: Fault): Promise<void> => {
 		if (isExclusive(fault)) {
-			return runHostFault(fault.host, async host => runExclusiveFault(fault, host));
+			return runHostFault(fault.host, async host => runExclusive(fault, host));
 		}
 
 		const {hosts, upstreams, store} = fleet;
@@ -227,6 +179,10 @@
 				return hostProcess && disturbOutput(hostProcess, fault.state, fault.duration);
 			}
 
+			case 'odd-bodies': {
+				return sendOddBodies(fault.host, fault.bodies, fault.duration);
+			}
+
 			case 'host-reload': {
 				reloadHost(hosts[fault.host], fault.isSignalled);
 				return;
--- a/packages/soak/src/kept-cases.ts
+++ b/packages/soak/src/kept-cases.ts
@@ -196,4 +196,25 @@
 			},
 		],
 	},
+	{
+		seed: 7402,
+		cause: 'Large bodies, whole or unfinished, took a host past its memory; many unfinished ones took all places of its other callers',
+		schedule: [
+			{
+				at: 300, fault: {
+					kind: 'odd-bodies', host: 0, bodies: {count: 100, size: 4_000_000, isWhole: true}, duration: 5000,
+				},
+			},
+			{
+				at: 300, fault: {
+					kind: 'odd-bodies', host: 1, bodies: {count: 100, size: 4_000_000, isWhole: false}, duration: 5000,
+				},
+			},
+			{
+				at: 300, fault: {
+					kind: 'odd-bodies', host: 2, bodies: {count: 2000, size: 20_000, isWhole: false}, duration: 7000,
+				},
+			},
+		],
+	},
 ];
--- a/packages/soak/src/run-seed.ts
+++ b/packages/soak/src/run-seed.ts
@@ -45,7 +45,7 @@
 const lookupTimeout: Milliseconds = 1500;
 
 const createObservations = (): Observations => ({
-	calls: [], executions: [], shutdowns: [], disturbances: [], outages: [], partCrashes: [], limitedArrivals: [], partitions: [], boundArrivals: [],
+	calls: [], executions: [], shutdowns: [], disturbances: [], outages: [], partCrashes: [], limitedArrivals: [], partitions: [], oddBodies: [], boundArrivals: [],
 });
 
 /** Returns whether a host answers requests and serves the newest version of the configuration but not the one before it. */
@@ -126,7 +126,7 @@
 		deployment.configure(fleet.store, 1);
 		const startFailures = await waitForFleet(fleet, callers, options, () => 1);
 		const injector = createInjector({
-			fleet, deployment, clock, observations,
+			fleet, deployment, callers, clock, observations,
 		});
 		const traffic = startTraffic({
 			fleet, deployment, callers, clock, random: createRandom(seed + 1), attemptPrefix: `a${seed}`,
--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -4,6 +4,7 @@
 import {hostEndpoints, type HostEndpoint} from './deployment.js';
 import type {OutputState} from './host-process.js';
 import type {LinkState} from './link.js';
+import {oddBodies, type OddBodies} from './odd-bodies.js';
 
 /** Failure modes of the key-value service; `forgetful` loses the history of changes, `restored` goes on and then comes back from a copy of when the fault began. */
 export const storeFailureModes = ['slow', 'refusing', 'losing-answers', 'silent', 'forgetful', 'restored'] as const;
@@ -38,6 +39,8 @@
 		| {kind: 'taken-address'; host: number; endpoint: HostEndpoint; duration: Milliseconds}
 		/** A host's output that isn't read for the duration, or whose reader is gone. */
 		| {kind: 'host-output'; host: number; state: OutputState; duration: Milliseconds}
+		/** Callers of one host that send large or unfinished bodies for the duration, beside those that always come. */
+		| {kind: 'odd-bodies'; host: number; bodies: OddBodies; duration: Milliseconds}
 		/** The settings file written again, with or without a signal to reload it. */
 		| {kind: 'host-reload'; host: number; isSignalled: boolean}
 		/** A fault of the link between a host and the key-value service. */
@@ -76,6 +79,7 @@
 const limitedTime: Milliseconds = 6000;
 const crashingPartTime: Milliseconds = 4000;
 const partitionTime: Milliseconds = 5000;
+const oddBodiesTime: Milliseconds = 5000;
 
 /** Failure modes that are judged only some seconds after they have begun. */
 const longModes = new Set<UpstreamFailureMode>(['limited', 'announcing']);
@@ -178,6 +182,9 @@
 		() => ({kind: 'host-stop', host}),
 		() => ({kind: 'host-kill', host, down: duration}),
 		() => ({kind: 'host-reload', host, isSignalled: true}),
+		() => ({
+			kind: 'odd-bodies', host, bodies: pickItem(random, oddBodies), duration: duration + oddBodiesTime,
+		}),
 		() => ({kind: 'host-overlap', host, overlap: Math.round(random.next() * maxOverlap)}),
 		() => ({
 			kind: 'taken-address', host, endpoint: pickItem(random, hostEndpoints), duration,
