Play a very large and an endless store in the soak

The soak's store had a dozen entries and sound answers. What a host does with a page of many MB, or one that never ends, was never played.

The history is lost when they begin and end, so that all hosts that follow the store read it.

--- a/packages/soak/src/kept-cases.ts
+++ b/packages/soak/src/kept-cases.ts
@@ -217,4 +217,12 @@
 			},
 		],
 	},
+	{
+		seed: 7403,
+		cause: 'A very large or endless page of the store ended all hosts at once, or took them past their memory',
+		schedule: [
+			{at: 300, fault: {kind: 'store', mode: 'endless', duration: 3000}},
+			{at: 4500, fault: {kind: 'store', mode: 'large', duration: 3000}},
+		],
+	},
 ];
--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -8,8 +8,10 @@
 
 /** Failure modes of the key-value service; `forgetful` loses the history of changes, `restored` goes on and then comes back from a copy of when the fault began. */
 export const storeFailureModes = ['slow', 'refusing', 'losing-answers', 'silent', 'forgetful', 'restored'] as const;
-/** One of `storeFailureModes`. */
-export type StoreFailureMode = typeof storeFailureModes[number];
+/** Failure modes of the key-value service that only schedules of processes have; the history is lost at their beginning and end, so that hosts read all entries: `large` answers with very many entries at once, `endless` with a page that doesn't end. */
+export const oversizedStoreModes = ['large', 'endless'] as const;
+/** One of `storeFailureModes` or `oversizedStoreModes`. */
+export type StoreFailureMode = typeof storeFailureModes[number] | typeof oversizedStoreModes[number];
 
 /** Failure modes of an upstream. After `return-as-other` it restarts under another id, after `crash` under the same one; `mute` executes requests without answering, `extra-bytes` sends an unsolicited answer, `unframed` answers without length or chunks and breaks off half of its streams inside an event, `limited` names a limit on its requests, `resting` turns all away and asks for rest, `announcing` says in its answers that it leaves while its entry says nothing, and is back under another id. */
 export const upstreamFailureModes = [
@@ -185,6 +187,7 @@
 		() => ({
 			kind: 'odd-bodies', host, bodies: pickItem(random, oddBodies), duration: duration + oddBodiesTime,
 		}),
+		() => ({kind: 'store', mode: pickItem(random, oversizedStoreModes), duration}),
 		() => ({kind: 'host-overlap', host, overlap: Math.round(random.next() * maxOverlap)}),
 		() => ({
 			kind: 'taken-address', host, endpoint: pickItem(random, hostEndpoints), duration,
--- a/packages/soak/src/store-contents.test.ts
+++ b/packages/soak/src/store-contents.test.ts
@@ -14,6 +14,19 @@
 	expect(await contents.watch(3, 1000)).toMatchObject({events: [{item: {key: 'b'}}], revision: 4});
 });
 
+// Guards against: hosts that never read a very large store, as they watch for changes only.
+test('an oversized mode discards the history when it begins and when it ends', async () => {
+	const contents = createStoreContents();
+	onTestFinished(contents.close);
+	contents.put('a', '1');
+	const revision = contents.getRevision();
+	contents.setFailureMode('large');
+	expect(await contents.watch(revision, 100)).toBeUndefined();
+	const newest = contents.getRevision();
+	contents.setFailureMode(undefined);
+	expect(await contents.watch(newest, 100)).toBeUndefined();
+});
+
 test('a restore gives revisions and leases out again, and loses what hosts have written since the copy', async () => {
 	const contents = createStoreContents();
 	onTestFinished(contents.close);
--- a/packages/soak/src/store-contents.ts
+++ b/packages/soak/src/store-contents.ts
@@ -1,6 +1,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Milliseconds} from '@gentianlift/types';
-import type {StoreFailureMode} from './schedule.js';
+import {oversizedStoreModes, type StoreFailureMode} from './schedule.js';
 
 /** An item of the key-value service; `created` is the revision that created it, a `lease` of 0 means none. */
 export type StoredItem = {key: string; value: string; revision: number; created: number; lease: number};
@@ -33,7 +33,7 @@
 	endLease: (lease: number) => void;
 	/** Number of restores from a copy, from 1. */
 	getEra: () => number;
-	/** Begins a failure mode that concerns the contents, or ends it: `forgetful` discards the history, so that a watch from an earlier revision gets undefined; the end of `restored` restores the copy of its beginning. */
+	/** Begins a failure mode that concerns the contents, or ends it: `forgetful` discards the history, so that a watch from an earlier revision gets undefined, as do the beginning and the end of the oversized modes; the end of `restored` restores the copy of its beginning. */
 	setFailureMode: (mode: StoreFailureMode | undefined) => void;
 	close: () => void;
 };
@@ -46,6 +46,8 @@
 /** Interval at which expired leases are ended. */
 const leaseCheckInterval: Milliseconds = 100;
 
+const isOversized = (mode: StoreFailureMode | undefined): boolean => (oversizedStoreModes as ReadonlyArray<typeof mode>).includes(mode);
+
 const getEventRevision = (event: StoredEvent): number => event.kind === 'written' ? event.item.revision : event.revision;
 
 /** Creates empty contents at revision 1. */
@@ -60,6 +62,7 @@
 	let lastLease = 0;
 	let era = 1;
 	let copy: ContentsCopy | undefined;
+	let failureMode: StoreFailureMode | undefined;
 
 	const notifyWatchers = (): void => {
 		for (const resolve of watchers) {
@@ -69,6 +72,13 @@
 		watchers.clear();
 	};
 
+	/** Discards the history, so that whoever watches has to read all entries. */
+	const discardHistory = (): void => {
+		compactedRevision = revision;
+		events = [];
+		notifyWatchers();
+	};
+
 	const put = (key: string, value: string, lease = 0): void => {
 		revision += 1;
 		const item = {
@@ -181,12 +191,16 @@
 		},
 		getEra: () => era,
 		setFailureMode(mode) {
-			if (mode === 'forgetful') {
-				compactedRevision = revision;
-				events = [];
-				notifyWatchers();
+			if (isOversized(mode) || isOversized(failureMode)) {
+				// A change that nobody can read any more, so that hosts that have read everything are behind, too.
+				revision += 1;
+				discardHistory();
+			} else if (mode === 'forgetful') {
+				discardHistory();
 			}
 
+			failureMode = mode;
+
 			if (mode === undefined && copy !== undefined) {
 				restore(copy);
 			}
