Write odd bodies a chunk at a time in the soak

A body that is written at once is held by the soak as a whole for each caller, and a burst of connections delays the soak's other callers. Bodies are written a chunk at a time, and ten callers begin at a time.

--- a/packages/soak/src/odd-bodies.ts
+++ b/packages/soak/src/odd-bodies.ts
@@ -18,8 +18,10 @@
 /** Time after which a caller whose connection was closed sends its body again. */
 const resendInterval: Milliseconds = 1000;
 /** Connections that are opened at a time, and the time between two such groups. */
-const connectionsAtOnce = 20;
-const connectInterval: Milliseconds = 2;
+const connectionsAtOnce = 10;
+const connectInterval: Milliseconds = 10;
+/** Bytes that are written at a time, so that sending leaves time for what else the soak does. */
+const chunkSize = 65_536;
 
 /** Options of odd callers. */
 export type OddCallersOptions = {
@@ -30,6 +32,15 @@
 	buildHead: (caller: number) => string;
 };
 
+/** Writes a body a chunk at a time, as fast as it is read. */
+const writeChunks = (socket: Socket, body: Uint8Array, from = 0): void => {
+	if (from < body.length && !socket.destroyed) {
+		socket.write(body.subarray(from, from + chunkSize), () => {
+			writeChunks(socket, body, from + chunkSize);
+		});
+	}
+};
+
 /** Starts callers that send odd bodies, and send them again when their connection is closed; returns a function that ends them. */
 export const startOddCallers = ({address, bodies: {count, size, isWhole}, buildHead}: OddCallersOptions): () => void => {
 	const body = Buffer.alloc(isWhole ? size : size - missingBytes, 'b');
@@ -60,7 +71,7 @@
 		});
 		socket.resume();
 		socket.write(buildHead(caller));
-		socket.write(body);
+		writeChunks(socket, body);
 	};
 
 	for (let caller = 0; caller < count; caller++) {
