--- a/packages/soak/src/deployment.ts
+++ b/packages/soak/src/deployment.ts
@@ -3,6 +3,7 @@
 	BoundArrival, Call, RequestKind, Execution,
 } from './guarantees.js';
 import type {Command} from './host-process.js';
+import type {OddBodies} from './odd-bodies.js';
 import type {StoreFailureMode, UpstreamFailureMode} from './schedule.js';
 
 /** A fake of the key-value service. */
@@ -63,6 +64,8 @@
 	knownPeers: string[];
 	/** Time that the host has for a graceful shutdown. */
 	grace: Milliseconds;
+	/** Resident memory that the host may have, in megabytes; its settings name it. */
+	memory: number;
 	/** Addresses of the upstreams, and of the links that the host connects to in their place. */
 	links: LinkAddresses;
 	/** Directory for settings and logs. */
@@ -71,6 +74,11 @@
 	program?: string | undefined;
 };
 
+/** Endpoints of a host whose addresses a foreign socket may hold when the host starts. */
+export const hostEndpoints = ['readiness', 'metrics'] as const;
+/** One of `hostEndpoints`. */
+export type HostEndpoint = typeof hostEndpoints[number];
+
 /** A request that a caller sends. */
 export type CallOptions = {
 	/** Unique id of the request. */
@@ -96,6 +104,8 @@
 	probe: (address: Address, version: number) => Promise<number | undefined>;
 	/** Returns the addresses of hosts that a host tells callers to connect to; empty without an answer. */
 	resolve: (hostIp: string) => Promise<Address[]>;
+	/** Starts callers that send odd bodies to a host; returns a function that ends them. `attempt` is the prefix of their requests' ids. */
+	sendOddBodies: (address: Address, bodies: OddBodies, attempt: string) => () => void;
 	close: () => void;
 };
 
@@ -112,6 +122,7 @@
 	getCommand: (options: HostOptions) => Command;
 	/** Returns the address on which the host with this IP address listens for callers. */
 	getCallerAddress: (hostIp: string) => Address;
+	getEndpointAddress: (hostIp: string, endpoint: HostEndpoint) => Address;
 	/** Creates the client that all callers of a run share. */
 	createCallers: () => Callers;
 };
--- a/packages/soak/src/injector.ts
+++ b/packages/soak/src/injector.ts
@@ -1,12 +1,16 @@
 import type {Clock} from '@gentianlift/clock';
 import type {Milliseconds} from '@gentianlift/types';
-import type {Deployment} from './deployment.js';
+import type {Callers, Deployment} from './deployment.js';
+import {createExclusiveFaultRunner, startupTime} from './exclusive-faults.js';
 import {crashingPartPrefix} from './fake-upstream.js';
 import type {Fleet, SoakHost} from './fleet.js';
 import type {CutMode} from './host-links.js';
 import type {Link, LinkState} from './link.js';
 import type {Observations} from './guarantees.js';
-import type {Fault} from './schedule.js';
+import type {HostProcess, OutputState} from './host-process.js';
+import type {OddBodies} from './odd-bodies.js';
+import {describeProcessFailure} from './process-failure.js';
+import {isExclusive, type Fault} from './schedule.js';
 
 /** Injects faults into a fleet. */
 export type Injector = {
@@ -20,26 +24,20 @@
 	getVersion: () => number;
 	/** Resolves when all faults have ended. */
 	waitForFaults: () => Promise<void>;
-	/** Returns the host processes' late and unexpected exits. */
+	/** Returns what the hosts' processes have done wrong: exits and memory. */
 	getFailures: () => string[];
 };
 
 /** Dependencies of an injector. */
-export type InjectorOptions = {fleet: Fleet; deployment: Deployment; clock: Clock; observations: Observations};
+export type InjectorOptions = {fleet: Fleet; deployment: Deployment; callers: Callers; clock: Clock; observations: Observations};
 
 /** Time between two new versions of the configuration in one fault. */
 const configurationInterval: Milliseconds = 150;
 /** Time for which upstreams that a part has crashed may be away after its last request. */
 const crashAftermath: Milliseconds = 3000;
-/** Time after its start in which a host may not be ready yet. */
-const startupTime: Milliseconds = 3000;
-/** Time beyond the grace period that is allowed until the exit of a process is observed. */
-const exitDetectionMargin: Milliseconds = 500;
-
 /** Creates an injector for a fleet whose configuration has version 1. */
-export const createInjector = ({fleet, deployment, clock, observations}: InjectorOptions): Injector => {
+export const createInjector = ({fleet, deployment, callers, clock, observations}: InjectorOptions): Injector => {
 	const activeFaults = new Set<Promise<void>>();
-	const failures: string[] = [];
 	const partitioned = new Set<number>();
 	let version = 1;
 	let rateFactor = 1;
@@ -51,6 +49,10 @@
 		observations.disturbances.push({from, to: from + duration});
 	};
 
+	const runExclusive = createExclusiveFaultRunner({
+		deployment, clock, observations, recordDisturbance,
+	});
+
 	/** Runs a fault that stops, kills or pauses a host; skips it if the host already has such a fault. */
 	const runHostFault = async (index: number, run: (host: SoakHost) => Promise<void>): Promise<void> => {
 		const host = fleet.hosts[index];
@@ -66,17 +68,13 @@
 		outage.to = clock.monotonic() + startupTime;
 	};
 
-	/** Stops a host gracefully, records the shutdown and starts the host again. */
-	const restartHostGracefully = async (index: number, {options, hostProcess}: SoakHost): Promise<void> => {
-		const shutdown = {host: index, from: clock.monotonic(), to: Number.POSITIVE_INFINITY};
-		observations.shutdowns.push(shutdown);
-		const isInTime = await hostProcess.stop(options.grace + exitDetectionMargin);
-		shutdown.to = clock.monotonic();
-		if (!isInTime) {
-			failures.push(`${options.name} didn't exit within its grace period; killed at ${Math.round(shutdown.to)}`);
+	/** Lets a host's output go unread, or closes it, and reads it again. */
+	const disturbOutput = async (hostProcess: HostProcess, state: OutputState, duration: Milliseconds): Promise<void> => {
+		hostProcess.setOutput(state);
+		await clock.sleep(duration);
+		if (state === 'unread') {
+			hostProcess.setOutput('read');
 		}
-
-		hostProcess.start();
 	};
 
 	const publishConfigurations = async (count: number): Promise<void> => {
@@ -127,12 +125,19 @@
 		}
 	};
 
-	/** Kills a host and starts it again after the time `down`. */
-	const restartKilledHost = async ({hostProcess}: SoakHost, down: Milliseconds): Promise<void> => {
-		recordDisturbance(down + startupTime);
-		await hostProcess.kill();
-		await clock.sleep(down);
-		hostProcess.start();
+	/** Lets odd callers send bodies to a host. */
+	const sendOddBodies = async (index: number, bodies: OddBodies, duration: Milliseconds): Promise<void> => {
+		const host = fleet.hosts[index];
+		if (host === undefined) {
+			return;
+		}
+
+		const period = {hosts: [index], from: clock.monotonic(), to: Number.POSITIVE_INFINITY};
+		observations.oddBodies.push(period);
+		const stop = callers.sendOddBodies(host.callerAddress, bodies, `odd-${Math.round(period.from)}`);
+		await clock.sleep(duration);
+		period.to = clock.monotonic();
+		stop();
 	};
 
 	const reloadHost = (host: SoakHost | undefined, isSignalled: boolean): void => {
@@ -163,18 +168,19 @@
 	};
 
 	const runFault = async (fault: Fault): Promise<void> => {
+		if (isExclusive(fault)) {
+			return runHostFault(fault.host, async host => runExclusive(fault, host));
+		}
+
 		const {hosts, upstreams, store} = fleet;
 		switch (fault.kind) {
-			case 'host-stop': {
-				return runHostFault(fault.host, async host => restartHostGracefully(fault.host, host));
-			}
-
-			case 'host-kill': {
-				return runHostFault(fault.host, async host => restartKilledHost(host, fault.down));
+			case 'host-output': {
+				const hostProcess = hosts[fault.host]?.hostProcess;
+				return hostProcess && disturbOutput(hostProcess, fault.state, fault.duration);
 			}
 
-			case 'host-pause': {
-				return runHostFault(fault.host, async ({hostProcess}) => applyFor(fault.duration, hostProcess.pause, hostProcess.resume));
+			case 'odd-bodies': {
+				return sendOddBodies(fault.host, fault.bodies, fault.duration);
 			}
 
 			case 'host-reload': {
@@ -235,9 +241,6 @@
 		async waitForFaults() {
 			await Promise.all(activeFaults);
 		},
-		getFailures: () => [
-			...failures,
-			...fleet.hosts.flatMap(({options, hostProcess}) => hostProcess.getUnexpectedExits().map(exit => `${options.name} exited unexpectedly: ${exit}`)),
-		],
+		getFailures: () => fleet.hosts.flatMap(({options, hostProcess}) => hostProcess.getFailures().map(failure => `${options.name} ${describeProcessFailure(failure)}`)),
 	};
 };
--- a/packages/soak/src/kept-cases.ts
+++ b/packages/soak/src/kept-cases.ts
@@ -161,4 +161,68 @@
 			},
 		],
 	},
+	{
+		seed: 7400,
+		cause: 'A host whose output had no reader any more did not exit after SIGTERM',
+		schedule: [
+			{
+				at: 300, fault: {
+					kind: 'host-output', host: 1, state: 'closed', duration: 0,
+				},
+			},
+			{
+				at: 300, fault: {
+					kind: 'host-output', host: 2, state: 'unread', duration: 10_000,
+				},
+			},
+			{at: 1500, fault: {kind: 'host-stop', host: 1}},
+			{at: 1500, fault: {kind: 'host-stop', host: 2}},
+		],
+	},
+	{
+		seed: 7401,
+		cause: 'A process that started while the one before it held its addresses, or a foreign socket one of them, exited at once',
+		schedule: [
+			{at: 300, fault: {kind: 'host-overlap', host: 0, overlap: 200}},
+			{
+				at: 600, fault: {
+					kind: 'taken-address', host: 1, endpoint: 'metrics', duration: 4000,
+				},
+			},
+			{
+				at: 900, fault: {
+					kind: 'taken-address', host: 2, endpoint: 'readiness', duration: 3000,
+				},
+			},
+		],
+	},
+	{
+		seed: 7402,
+		cause: 'Large bodies, whole or unfinished, took a host past its memory; many unfinished ones took all places of its other callers',
+		schedule: [
+			{
+				at: 300, fault: {
+					kind: 'odd-bodies', host: 0, bodies: {count: 100, size: 4_000_000, isWhole: true}, duration: 5000,
+				},
+			},
+			{
+				at: 300, fault: {
+					kind: 'odd-bodies', host: 1, bodies: {count: 100, size: 4_000_000, isWhole: false}, duration: 5000,
+				},
+			},
+			{
+				at: 300, fault: {
+					kind: 'odd-bodies', host: 2, bodies: {count: 2000, size: 20_000, isWhole: false}, duration: 7000,
+				},
+			},
+		],
+	},
+	{
+		seed: 7403,
+		cause: 'A very large or endless page of the store ended all hosts at once, or took them past their memory',
+		schedule: [
+			{at: 300, fault: {kind: 'store', mode: 'endless', duration: 3000}},
+			{at: 4500, fault: {kind: 'store', mode: 'large', duration: 3000}},
+		],
+	},
 ];
--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -1,12 +1,17 @@
 import {createRandom, type Random} from '@gentianlift/clock';
 import type {Milliseconds} from '@gentianlift/types';
 import {cutModes, type CutMode} from './host-links.js';
+import {hostEndpoints, type HostEndpoint} from './deployment.js';
+import type {OutputState} from './host-process.js';
 import type {LinkState} from './link.js';
+import {oddBodies, type OddBodies} from './odd-bodies.js';
 
 /** Failure modes of the key-value service; `forgetful` loses the history of changes, `restored` goes on and then comes back from a copy of when the fault began. */
 export const storeFailureModes = ['slow', 'refusing', 'losing-answers', 'silent', 'forgetful', 'restored'] as const;
-/** One of `storeFailureModes`. */
-export type StoreFailureMode = typeof storeFailureModes[number];
+/** Failure modes of the key-value service that only schedules of processes have; the history is lost at their beginning and end, so that hosts read all entries: `large` answers with very many entries at once, `endless` with a page that doesn't end. */
+export const oversizedStoreModes = ['large', 'endless'] as const;
+/** One of `storeFailureModes` or `oversizedStoreModes`. */
+export type StoreFailureMode = typeof storeFailureModes[number] | typeof oversizedStoreModes[number];
 
 /** Failure modes of an upstream. After `return-as-other` it restarts under another id, after `crash` under the same one; `mute` executes requests without answering, `extra-bytes` sends an unsolicited answer, `unframed` answers without length or chunks and breaks off half of its streams inside an event, `limited` names a limit on its requests, `resting` turns all away and asks for rest, `announcing` says in its answers that it leaves while its entry says nothing, and is back under another id. */
 export const upstreamFailureModes = [
@@ -17,8 +22,8 @@
 /** One of `upstreamFailureModes` or `streamFailureModes`. */
 export type UpstreamFailureMode = typeof upstreamFailureModes[number] | typeof streamFailureModes[number];
 
-/** Which faults are drawn: any, or those that break streams off and hide from a host which versions serve. */
-export const faultSets = ['any', 'streams'] as const;
+/** Which faults are drawn: `any`; `streams` for those that break streams off and hide from a host which versions serve; `processes` for those that strain a host's process, its start, its end and its output. */
+export const faultSets = ['any', 'streams', 'processes'] as const;
 /** One of `faultSets`. */
 export type FaultSet = typeof faultSets[number];
 
@@ -30,6 +35,14 @@
 		| {kind: 'host-kill'; host: number; down: Milliseconds}
 		/** SIGSTOP, and SIGCONT after the duration. */
 		| {kind: 'host-pause'; host: number; duration: Milliseconds}
+		/** SIGTERM, and a new process that starts after the time `overlap`, while the one before may still hold its addresses. */
+		| {kind: 'host-overlap'; host: number; overlap: Milliseconds}
+		/** SIGKILL, and a restart while a foreign socket holds one of the host's addresses for the duration. */
+		| {kind: 'taken-address'; host: number; endpoint: HostEndpoint; duration: Milliseconds}
+		/** A host's output that isn't read for the duration, or whose reader is gone. */
+		| {kind: 'host-output'; host: number; state: OutputState; duration: Milliseconds}
+		/** Callers of one host that send large or unfinished bodies for the duration, beside those that always come. */
+		| {kind: 'odd-bodies'; host: number; bodies: OddBodies; duration: Milliseconds}
 		/** The settings file written again, with or without a signal to reload it. */
 		| {kind: 'host-reload'; host: number; isSignalled: boolean}
 		/** A fault of the link between a host and the key-value service. */
@@ -47,6 +60,13 @@
 		/** A request rate that is raised by a factor. */
 		| {kind: 'burst'; factor: number; duration: Milliseconds};
 
+/** A fault that stops, kills or pauses a host's process; a host has one of them at a time. */
+export type ExclusiveFault = Extract<Fault, {kind: typeof exclusiveKinds[number]}>;
+const exclusiveKinds = ['host-stop', 'host-kill', 'host-pause', 'host-overlap', 'taken-address'] as const satisfies ReadonlyArray<Fault['kind']>;
+
+/** Whether a host has at most one such fault at a time. */
+export const isExclusive = (fault: Fault): fault is ExclusiveFault => (exclusiveKinds as ReadonlyArray<Fault['kind']>).includes(fault.kind);
+
 /** A fault and the time at which it begins, from the start of the schedule. */
 export type ScheduledFault = {at: Milliseconds; fault: Fault};
 
@@ -61,6 +81,7 @@
 const limitedTime: Milliseconds = 6000;
 const crashingPartTime: Milliseconds = 4000;
 const partitionTime: Milliseconds = 5000;
+const oddBodiesTime: Milliseconds = 5000;
 
 /** Failure modes that are judged only some seconds after they have begun. */
 const longModes = new Set<UpstreamFailureMode>(['limited', 'announcing']);
@@ -151,7 +172,34 @@
 	])();
 };
 
-const drawers: Record<FaultSet, typeof drawFault> = {any: drawFault, streams: drawStreamFault};
+/** Longest time from SIGTERM to the start of the next process. */
+const maxOverlap: Milliseconds = 1500;
+
+/** Draws a fault that strains a host's process, its start, its end or its output. */
+const drawProcessFault = (random: Random, size: FleetSize): Fault => {
+	const host = Math.floor(random.next() * size.hosts);
+	const duration = drawDuration(random);
+	return pickItem<() => Fault>(random, [
+		() => ({kind: 'host-stop', host}),
+		() => ({kind: 'host-stop', host}),
+		() => ({kind: 'host-kill', host, down: duration}),
+		() => ({kind: 'host-reload', host, isSignalled: true}),
+		() => ({
+			kind: 'odd-bodies', host, bodies: pickItem(random, oddBodies), duration: duration + oddBodiesTime,
+		}),
+		() => ({kind: 'store', mode: pickItem(random, oversizedStoreModes), duration}),
+		() => ({kind: 'host-overlap', host, overlap: Math.round(random.next() * maxOverlap)}),
+		() => ({
+			kind: 'taken-address', host, endpoint: pickItem(random, hostEndpoints), duration,
+		}),
+		() => ({
+			kind: 'host-output', host, state: pickItem<OutputState>(random, ['unread', 'closed']), duration,
+		}),
+		() => ({kind: 'burst', factor: 2 + Math.floor(random.next() * 4), duration}),
+	])();
+};
+
+const drawers: Record<FaultSet, typeof drawFault> = {any: drawFault, streams: drawStreamFault, processes: drawProcessFault};
 
 /** Draws the faults of a seed within the fault period; the same seed and set give the same faults. */
 export const drawSchedule = (seed: number, size: FleetSize, faultPeriod: Milliseconds, faultSet: FaultSet = 'any'): ScheduledFault[] => {
