--- a/packages/forwarder/src/queue/simulated-host.ts
+++ b/packages/forwarder/src/queue/simulated-host.ts
@@ -52,6 +52,7 @@
 		headersSent: false,
 		writableFinished: false,
 		once: () => undefined,
+		off: () => undefined,
 		writeHead(status: number, headers: string[]) {
 			const retryAfter = headers[headers.indexOf('Retry-After') + 1];
 			response.headersSent = true;
