Keep nothing of load that has ended, and bound the hosts of reports

Cause, found by reading: the sums of loads kept an entry for each upstream that a report named after its removal, and each host's loads one for each upstream it ever named; statuses and times of datagrams kept one for each host ever heard. They grow with replacements of upstreams and hosts, and without bound with datagrams that name ever new ones.

Change: a load of zero isn't kept, up to 2,000 hosts and 4,000 upstreams of each are, of statuses and times the 2,000 last. dropOldest and setLast move from crash-suspects.ts to a file of their own.

The three tests failed before: 100 upstreams were kept of 100 that had no load, 10,000 hosts of 10,000, and 10,001 statuses.

--- a/packages/discovery/src/host-status.ts
+++ b/packages/discovery/src/host-status.ts
@@ -1,3 +1,4 @@
+import {dropOldest, setLast} from '@gentianlift/routing';
 import type {HostId, Incarnation, Milliseconds} from '@gentianlift/types';
 import type {LoadReport} from './load-report.js';
 
@@ -24,6 +25,9 @@
 const isOutdated = (report: LoadReport, known: HostStatus): boolean =>
 	report.incarnation === known.incarnation ? report.sequence <= known.sequence : report.incarnation === known.supersededIncarnation;
 
+/** Number of hosts whose status is kept; those that have reported longest ago are forgotten first. */
+const maxHosts = 2000;
+
 /** Creates a tracker that knows no hosts. */
 export const createHostStatusTracker = (): HostStatusTracker => {
 	const statuses = new Map<HostId, HostStatus>();
@@ -38,9 +42,10 @@
 				incarnation, sequence, revision, isStopping, configurationVersion,
 			} = report;
 			const supersededIncarnation = known?.incarnation === incarnation ? known.supersededIncarnation : known?.incarnation;
-			statuses.set(report.host, {
+			setLast(statuses, report.host, {
 				incarnation, sequence, revision, isStopping, configurationVersion, reportedAt: now, supersededIncarnation,
 			});
+			dropOldest(statuses, maxHosts);
 			return true;
 		},
 		get: host => statuses.get(host),
--- a/packages/discovery/src/load-tracker.ts
+++ b/packages/discovery/src/load-tracker.ts
@@ -26,6 +26,8 @@
 	getTotalLoad: (upstream: UpstreamKey) => UpstreamLoad;
 	/** Removes all load of an upstream that is no longer listed. */
 	removeUpstream: (upstream: UpstreamKey) => void;
+	/** Returns the number of upstreams that have load, and of other hosts that report some. */
+	countTracked: () => {upstreams: number; hosts: number};
 };
 
 type ReportingHost = {incarnation: Incarnation; reportedAt: Milliseconds; loads: Map<UpstreamKey, LoadContribution>};
@@ -54,6 +56,12 @@
 	queuedTokens,
 });
 
+const isZero = ({running, unreadTokens, latencySensitiveStreams, queuedTokens}: LoadContribution): boolean =>
+	running === 0 && unreadTokens === 0 && latencySensitiveStreams === 0 && queuedTokens.size === 0;
+
+/** Most hosts whose loads are kept, and most upstreams of each: more than a fleet has. */
+const limits = {hosts: 2000, upstreamsPerHost: 4000} as const;
+
 /** Creates a tracker without any load. */
 export const createLoadTracker = (): LoadTracker => {
 	const ownLoads = new Map<UpstreamKey, LoadContribution>();
@@ -64,13 +72,18 @@
 		const known = totals.get(upstream) ?? zeroTotal;
 		// Fewer unread tokens mean that a prefill has finished; the first ones mean that a prefill starts.
 		const hasProgress = after.unreadTokens < before.unreadTokens || known.unreadTokens === 0;
-		totals.set(upstream, {
+		const total: UpstreamLoad = {
 			running: known.running + after.running - before.running,
 			unreadTokens: known.unreadTokens + after.unreadTokens - before.unreadTokens,
 			latencySensitiveStreams: known.latencySensitiveStreams + after.latencySensitiveStreams - before.latencySensitiveStreams,
 			queuedTokens: addRankTokens(addRankTokens(known.queuedTokens, before.queuedTokens, -1), after.queuedTokens),
 			progressAt: hasProgress ? now : known.progressAt,
-		});
+		};
+		if (isZero(total)) {
+			totals.delete(upstream);
+		} else {
+			totals.set(upstream, total);
+		}
 	};
 
 	const removeLoads = ({loads}: ReportingHost, now: Milliseconds): void => {
@@ -79,6 +92,21 @@
 		}
 	};
 
+	/** Records the load that a host puts on an upstream; one of zero is as none, so that what hosts report of upstreams that are gone isn't kept. */
+	const setLoad = ({loads}: ReportingHost, {upstream, ...load}: ReportedLoad, now: Milliseconds): void => {
+		const before = loads.get(upstream);
+		if (before === undefined && loads.size >= limits.upstreamsPerHost) {
+			return;
+		}
+
+		updateTotal(upstream, before ?? zeroLoad, load, now);
+		if (isZero(load)) {
+			loads.delete(upstream);
+		} else {
+			loads.set(upstream, load);
+		}
+	};
+
 	return {
 		addOwnLoad(upstream, change, now) {
 			const before = ownLoads.get(upstream) ?? zeroLoad;
@@ -89,6 +117,10 @@
 		getOwnLoads: () => [...ownLoads].map(([upstream, load]) => ({upstream, ...load})),
 		setReported(host, incarnation, loads, now) {
 			const known = reportingHosts.get(host);
+			if (known === undefined && reportingHosts.size >= limits.hosts) {
+				return;
+			}
+
 			if (known !== undefined && known.incarnation !== incarnation) {
 				removeLoads(known, now);
 			}
@@ -96,8 +128,7 @@
 			const record = known?.incarnation === incarnation ? known : {incarnation, reportedAt: now, loads: new Map<UpstreamKey, LoadContribution>()};
 			record.reportedAt = now;
 			for (const load of loads) {
-				updateTotal(load.upstream, record.loads.get(load.upstream) ?? zeroLoad, load, now);
-				record.loads.set(load.upstream, load);
+				setLoad(record, load, now);
 			}
 
 			reportingHosts.set(host, record);
@@ -113,6 +144,7 @@
 		getOwnQueuedTokens: upstream => ownLoads.get(upstream)?.queuedTokens ?? noRankTokens,
 		getOwnRunning: upstream => ownLoads.get(upstream)?.running ?? 0,
 		getTotalLoad: upstream => totals.get(upstream) ?? zeroTotal,
+		countTracked: () => ({upstreams: totals.size, hosts: reportingHosts.size}),
 		removeUpstream(upstream) {
 			ownLoads.delete(upstream);
 			totals.delete(upstream);
--- a/packages/discovery/src/load.test.ts
+++ b/packages/discovery/src/load.test.ts
@@ -41,6 +41,33 @@
 	expect(tracker.getTotalLoad('u').running).toBe(0);
 });
 
+// Guards against: a host grows for as long as it runs, by an entry for each upstream that was ever replaced, as late reports name it again after its removal.
+test('nothing is kept of a load that has ended', () => {
+	const tracker = createLoadTracker();
+	for (let index = 0; index < 100; index++) {
+		tracker.setReported('h', 1, [{upstream: `u@${index}`, ...load({running: 1})}], 0);
+		tracker.removeUpstream(`u@${index}`);
+		tracker.setReported('h', 1, [{upstream: `u@${index}`, ...load({})}], 1);
+	}
+
+	expect(tracker.countTracked()).toEqual({upstreams: 0, hosts: 1});
+});
+
+// Guards against: datagrams that name ever new hosts and upstreams make a host grow until its heap limit ends it.
+test('the hosts and upstreams of load reports are bounded, and their loads end with them', () => {
+	const tracker = createLoadTracker();
+	for (let index = 0; index < 10_000; index++) {
+		tracker.setReported(`h${index}`, 1, [{upstream: 'u', ...load({running: 1})}], 0);
+		tracker.setReported('h0', 1, [{upstream: `u@${index}`, ...load({running: 1})}], 0);
+	}
+
+	const {hosts, upstreams} = tracker.countTracked();
+	expect(hosts).toBeLessThan(5000);
+	expect(upstreams).toBeLessThan(5000);
+	tracker.dropSilentHosts(5000);
+	expect(tracker.countTracked()).toEqual({upstreams: 0, hosts: 0});
+});
+
 /** Longest payload of a datagram over IPv4. */
 const maxDatagramBytes = 65_507;
 
@@ -127,6 +154,19 @@
 	expect(statuses.get('h')).toMatchObject({incarnation: 90, reportedAt: 2});
 });
 
+// Guards against: a host grows by a status for each host that was ever replaced, or that a datagram names.
+test('the statuses of hosts are bounded, and those that have reported last are kept', () => {
+	const statuses = createHostStatusTracker();
+	for (let index = 0; index < 10_000; index++) {
+		statuses.apply({...report, host: `h${index}`}, index);
+		statuses.apply({...report, host: 'kept', sequence: index}, index);
+	}
+
+	expect(statuses.getAll().length).toBeLessThan(5000);
+	expect(statuses.get('kept')?.sequence).toBe(9999);
+	expect(statuses.get('h9999')?.reportedAt).toBe(9999);
+});
+
 const host = (name: string, isStopping = false): HostRecord => ({
 	host: name, incarnation: 1, zone: 'a', callers: `${name}:1`, peers: `${name}:2`, notes: `${name}:3`, strength: 1, isStopping,
 });
--- a/packages/discovery/src/relay-liveness.ts
+++ b/packages/discovery/src/relay-liveness.ts
@@ -1,3 +1,4 @@
+import {dropOldest, setLast} from '@gentianlift/routing';
 import type {HostId, Milliseconds} from '@gentianlift/types';
 
 /** Detects relays that have stopped sending datagrams. */
@@ -17,6 +18,9 @@
 /** Time without a datagram after which a silent relay is tried again. */
 const avoidancePeriod: Milliseconds = 6000;
 
+/** Number of hosts that are remembered; those that were heard or expected longest ago are forgotten first. */
+const maxHosts = 2000;
+
 /** Creates a detector that expects no relay yet. */
 export const createRelayLiveness = (): RelayLiveness => {
 	const expectedSince = new Map<HostId, Milliseconds>();
@@ -26,11 +30,13 @@
 	return {
 		expectReports(host, now) {
 			if (!expectedSince.has(host) || getSilence(host, now) > avoidancePeriod) {
-				expectedSince.set(host, now);
+				setLast(expectedSince, host, now);
+				dropOldest(expectedSince, maxHosts);
 			}
 		},
 		markHeard(host, now) {
-			lastHeardAt.set(host, now);
+			setLast(lastHeardAt, host, now);
+			dropOldest(lastHeardAt, maxHosts);
 		},
 		isSilent(host, now) {
 			const silence = getSilence(host, now);
--- a/packages/routing/src/crash-suspects.ts
+++ b/packages/routing/src/crash-suspects.ts
@@ -1,4 +1,5 @@
 import type {Milliseconds} from '@gentianlift/types';
+import {dropOldest, setLast} from './recent-keys.js';
 import {
 	createCrashEvidence, getTrialTime, hasUnexplainedCrash, isBlockedBy, isProven, isSharedBy, type CrashEvidence, type GoodEnd, type SuspectedCrash, type SuspectId,
 } from './crash-evidence.js';
@@ -55,23 +56,6 @@
 
 const unknownGoodEnd: Readonly<KnownGoodEnd> = {at: Number.NEGATIVE_INFINITY, ownAt: Number.NEGATIVE_INFINITY, toldAt: Number.NEGATIVE_INFINITY};
 
-/** Removes the entries of a map that were set first, down to a size. */
-const dropOldest = (map: Map<string, unknown>, size: number): void => {
-	for (const key of map.keys()) {
-		if (map.size <= size) {
-			return;
-		}
-
-		map.delete(key);
-	}
-};
-
-/** Moves an entry of a map to its end. */
-const setLast = <Value>(map: Map<string, Value>, key: string, value: Value): void => {
-	map.delete(key);
-	map.set(key, value);
-};
-
 /** Creates an empty registry. */
 export const createCrashSuspects = (): CrashSuspects => {
 	const suspects = new Map<SuspectId, Suspect>();
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -22,4 +22,5 @@
 export * from './rank-tokens.js';
 export * from './dispatch-share.js';
 export * from './stream-origins.js';
+export * from './recent-keys.js';
 export * from './version-history.js';
