Refuse requests with more than 200 header fields

What callers saw: a process that ends by SIGABRT at its heap limit.

Cause: a field takes many times its bytes as strings in several lists, for as long as its request waits in the queue. Node also drops fields beyond 1,000 without a word, so that a request was forwarded without them.

--- a/packages/forwarder/src/callers/serve-callers.ts
+++ b/packages/forwarder/src/callers/serve-callers.ts
@@ -16,6 +16,7 @@
 import {retryAfterDelays, writeErrorAnswer, type ErrorAnswer} from './error-answer.js';
 import {createAdmission, type Admission} from './admission.js';
 import {createOpenRequests} from './open-requests.js';
+import {exceedsHeaderLimits, maxHeaderBytes} from './header-limits.js';
 import {createRequestTurns} from './request-turns.js';
 import {createCallerConnections, type ConnectionError} from './caller-connections.js';
 
@@ -48,8 +49,6 @@
 /** Errors that come from the state of this host, not from the request. */
 const hostFaults = new Set<ErrorKind>(['not-configured', 'host-overloaded', 'host-stopping']);
 
-/** Size of headers above which Node rejects a request before the configured limit applies. */
-const maxHeaderBytes = 64 * 1024;
 /** Time for which a connection is kept open beyond the configured idle timeout. */
 const keepAliveMargin: Milliseconds = 2000;
 /** Interval at which Node checks connections for exceeded timeouts. */
@@ -57,9 +56,6 @@
 /** Longest time to receive a request with its body. */
 const requestTimeout: Milliseconds = 30_000;
 
-/** Returns the size of raw headers, with two separator bytes for each name and value. */
-const getHeaderBytes = (headers: readonly string[]): number => headers.reduce((sum, text) => sum + text.length + 2, 0);
-
 /** Creates the server; it doesn't listen yet. */
 export const createCallerServer = ({context, forwarder}: CallerServerOptions): CallerServer => {
 	const {
@@ -98,7 +94,7 @@
 			return {kind: 'body-too-large'};
 		}
 
-		if (getHeaderBytes(headers) > (limits?.maxHeaderBytes ?? maxHeaderBytes)) {
+		if (exceedsHeaderLimits(headers, limits)) {
 			return {kind: 'headers-too-large'};
 		}
 
