Hold no answered request for a connection that is kept open

What was seen: the state of each caller's connection kept its last request and response, with all headers, until the next one or the close of the connection. Memory grows with the connections that callers keep open, not with the requests that a host handles.

They are forgotten once the request has arrived completely and is answered; what asks for them (whether the last request has arrived in part) needs no more. The test failed before: the request was still reachable after a garbage collection.

--- a/packages/forwarder/src/callers/caller-connections.ts
+++ b/packages/forwarder/src/callers/caller-connections.ts
@@ -30,7 +30,7 @@
 type ConnectionState = {
 	/** Number of requests of which the head has arrived. */
 	requests: number;
-	/** The last of them, with its response. */
+	/** The last of them, with its response; undefined once it has arrived completely and is answered. */
 	last: {request: IncomingMessage; response: ServerResponse} | undefined;
 	/** Responses that aren't written completely. */
 	pending: Set<ServerResponse>;
@@ -141,6 +141,10 @@
 			state.pending.add(response);
 			response.once('close', () => {
 				state.pending.delete(response);
+				if (state.last?.response === response && request.complete) {
+					// A connection that is kept open holds no memory of the requests that were answered on it.
+					state.last = undefined;
+				}
 			});
 			return true;
 		},
