--- a/packages/forwarder/src/callers/find-refusal.ts
+++ b/packages/forwarder/src/callers/find-refusal.ts
@@ -3,6 +3,7 @@
 import type {Body} from '../deliver/read-body.js';
 import type {Admission} from './admission.js';
 import {retryAfterDelays, type ErrorAnswer} from './error-answer.js';
+import {exceedsHeaderLimits} from './header-limits.js';
 
 /** A request that was received or refused, and what decides whether it is forwarded. */
 export type Reception = {
@@ -16,12 +17,6 @@
 	isFull: boolean;
 };
 
-/** Size of headers above which Node rejects a request before the configured limit applies. */
-export const maxHeaderBytes = 64 * 1024;
-
-/** Returns the size of raw headers, with two separator bytes for each name and value. */
-const getHeaderBytes = (headers: readonly string[]): number => headers.reduce((sum, text) => sum + text.length + 2, 0);
-
 /** Returns the answer for an error kind, with the delay after which a retry is useful. */
 const createErrorAnswer = (kind: ErrorKind): ErrorAnswer => {
 	const retryAfter = retryAfterDelays[kind];
@@ -40,7 +35,7 @@
 		return createErrorAnswer('host-overloaded');
 	}
 
-	if (getHeaderBytes(headers) > (limits?.maxHeaderBytes ?? maxHeaderBytes)) {
+	if (exceedsHeaderLimits(headers, limits)) {
 		return {kind: 'headers-too-large'};
 	}
 
--- a/packages/forwarder/src/callers/serve-callers.ts
+++ b/packages/forwarder/src/callers/serve-callers.ts
@@ -16,9 +16,10 @@
 import {
 	retryAfterDelays, writeEarlyErrorAnswer, writeErrorAnswer, type ErrorAnswer,
 } from './error-answer.js';
-import {findRefusal, maxHeaderBytes} from './find-refusal.js';
+import {findRefusal} from './find-refusal.js';
 import {createAdmission, maxOpenRequests, type Admission} from './admission.js';
 import {createOpenRequests} from './open-requests.js';
+import {maxHeaderBytes} from './header-limits.js';
 import {getDeclaredBytes, getMaxBodyBytes, receiveRequestBody} from './receive-request-body.js';
 import {createRequestTurns} from './request-turns.js';
 import {createCallerConnections, type ConnectionError} from './caller-connections.js';
