--- a/packages/soak/src/odd-bodies.ts
+++ b/packages/soak/src/odd-bodies.ts
@@ -36,7 +36,10 @@
 const writeChunks = (socket: Socket, body: Uint8Array, from = 0): void => {
 	if (from < body.length && !socket.destroyed) {
 		socket.write(body.subarray(from, from + chunkSize), () => {
-			writeChunks(socket, body, from + chunkSize);
+			// A write that completes at once calls back before the event loop goes on.
+			setImmediate(() => {
+				writeChunks(socket, body, from + chunkSize);
+			});
 		});
 	}
 };
