Don't decode entries of the store that find no room

Cause: an entry is decoded before it is known whether there is room for it, as a configuration is taken in any case, and one that is left out isn't known at the next reading, so that each reading decodes all of them.

Change: once a configuration is known, an entry without room isn't decoded.

The test failed before: a second reading decoded 10,000 entries.

--- a/packages/discovery/src/checked-entries.ts
+++ b/packages/discovery/src/checked-entries.ts
@@ -18,3 +18,6 @@
 /** Whether a value from another host is a state of the store, all of whose entries can be read. */
 export const isSnapshot = (value: unknown): value is Snapshot =>
 	isJsonObject(value) && Number.isSafeInteger(value.revision) && Array.isArray(value.entries) && value.entries.every(entry => isEntry(entry));
+
+/** Returns the revision of a change. */
+export const getChangeRevision = (change: Change): number => change.kind === 'written' ? change.entry.revision : change.revision;
--- a/packages/discovery/src/entry-decoder.ts
+++ b/packages/discovery/src/entry-decoder.ts
@@ -9,9 +9,6 @@
 /** Whether an entry is longer than any that the store accepts. */
 export const isTooLong = ({key, value}: Entry): boolean => key.length + value.length > maxEntryLength;
 
-/** Whether the key of an entry is longer than any that the store accepts. */
-export const hasLongKey = ({key}: Entry): boolean => key.length > maxKeyLength;
-
 /** Makes a decoder of entries one for which no entry fails: an entry that can't be decoded costs no other. */
 export const createSafeDecoder = (decode: (entry: Entry) => DecodedEntry) => (entry: Entry): DecodedEntry => {
 	if (isTooLong(entry)) {
--- a/packages/discovery/src/fleet-view.test.ts
+++ b/packages/discovery/src/fleet-view.test.ts
@@ -268,3 +268,20 @@
 	expect(view.countInvalidEntries()).toBe(1);
 	expect(view.getUpstreams('s')).toEqual([]);
 });
+
+// Guards against: a host has no time for calls, as it decodes all that finds no room at each reading of the state.
+test('entries that find no room are not decoded again', () => {
+	let decoded = 0;
+	const view = createFleetView({
+		decode(other) {
+			decoded += 1;
+			return decode(other);
+		},
+		logger: createLogger('error', () => undefined),
+	});
+	const entries = [entry('op', 'c:7', 1), ...Array.from({length: tooMany}, (_, index) => entry(`x${index}`, 'u:1:ready', 2))];
+	view.applySnapshot({entries, revision: 3}, 0);
+	decoded = 0;
+	view.applySnapshot({entries, revision: 4}, 0);
+	expect(decoded).toBe(0);
+});
--- a/packages/discovery/src/fleet-view.ts
+++ b/packages/discovery/src/fleet-view.ts
@@ -4,15 +4,15 @@
 	getUpstreamKey, type RouteTable, type RoutingConfiguration, type Service, type Upstream, type UpstreamKey,
 } from '@gentianlift/routing';
 import type {
-	Change, Entry, HostId, Milliseconds, Snapshot,
+	Change, Entry, Milliseconds, Snapshot,
 } from '@gentianlift/types';
+import {getChangeRevision} from './checked-entries.js';
 import type {DecodedEntry} from './decoded-entry.js';
-import {hostPrefix, parseHostRecord, type HostRecord} from './host-record.js';
+import {hostPrefix, type HostRecord} from './host-record.js';
+import {createListedHosts} from './listed-hosts.js';
 import {createListedUpstreams, type ListedUpstreamsOptions} from './listed-upstreams.js';
 import {createNewestConfiguration} from './newest-configuration.js';
-import {
-	createSafeDecoder, hasLongKey, isTooLong, maxKeyLength,
-} from './entry-decoder.js';
+import {createSafeDecoder, isTooLong, maxKeyLength} from './entry-decoder.js';
 import {createHeldEntries} from './held-entries.js';
 import {createInvalidEntries} from './invalid-entries.js';
 import {createStoreContact, type Interval} from './store-contact.js';
@@ -81,18 +81,16 @@
 /** The same after a restore from an older copy, for hosts, too: they notice it when they renew their leases. */
 const restoreGrace: Milliseconds = 4000;
 
-const getChangeRevision = (change: Change): number => change.kind === 'written' ? change.entry.revision : change.revision;
-
 /** Creates an empty view. */
 export const createFleetView = ({
 	decode, logger, onGap, onConfiguration, ...listeners
 }: FleetViewOptions): FleetView => {
 	const decodeSafely = createSafeDecoder(decode);
 	const entries = createHeldEntries();
-	const hosts = new Map<HostId, HostRecord>();
 	const deferredRemovals = new Set<string>();
 	const upstreams = createListedUpstreams({logger, getRevision: () => revision, ...listeners});
 	const invalidEntries = createInvalidEntries(logger);
+	const hosts = createListedHosts(invalidEntries);
 	const contact = createStoreContact(logger, () => revision);
 	const configuration = createNewestConfiguration(logger, onConfiguration);
 	let revision = 0;
@@ -111,19 +109,14 @@
 		isIncomplete = true;
 	};
 
-	const applyHost = (entry: Entry): void => {
-		const record = parseHostRecord(entry.value);
-		if (record === undefined) {
-			invalidEntries.add(entry.key, 'not a host record');
-			return;
-		}
-
-		invalidEntries.remove(entry.key);
-		hosts.set(entry.key, record);
-	};
+	/** Applies an entry that is held; one of a host isn't decoded before. */
+	const applyHeldEntry = (entry: Entry, decoded: Exclude<DecodedEntry, {kind: 'configuration'}> | undefined): void => {
+		switch (decoded?.kind) {
+			case undefined: {
+				hosts.apply(entry);
+				break;
+			}
 
-	const applyDecodedEntry = (entry: Entry, decoded: Exclude<DecodedEntry, {kind: 'configuration'}>): void => {
-		switch (decoded.kind) {
 			case 'upstream': {
 				invalidEntries.remove(entry.key);
 				upstreams.apply(entry.key, decoded.upstream);
@@ -150,7 +143,7 @@
 	};
 
 	const applyEntry = (entry: Entry): void => {
-		if (hasLongKey(entry)) {
+		if (entry.key.length > maxKeyLength) {
 			logger.warn('entry-unreadable', {key: entry.key.slice(0, maxKeyLength), reason: 'key too long'});
 			return;
 		}
@@ -166,23 +159,30 @@
 			return;
 		}
 
+		const held = isTooLong(entry) ? {...entry, value: ''} : entry;
+		const hasRoom = entries.canHold(held);
+		// Decoding all that finds no room at each reading of the state would keep the host busy.
+		if (!hasRoom && configuration.getRoutes() !== undefined) {
+			leaveOut(entry);
+			return;
+		}
+
 		const isHost = entry.key.startsWith(hostPrefix);
 		const decoded = isHost ? undefined : decodeSafely(entry);
 		if (decoded?.kind === 'configuration') {
 			applyConfiguration(entry, decoded);
-		} else if (!entries.set(isTooLong(entry) ? {...entry, value: ''} : entry)) {
-			leaveOut(entry);
-		} else if (decoded === undefined) {
-			applyHost(entry);
+		} else if (hasRoom) {
+			entries.set(held);
+			applyHeldEntry(entry, decoded);
 		} else {
-			applyDecodedEntry(entry, decoded);
+			leaveOut(entry);
 		}
 	};
 
 	const removeNow = (storeKey: string, reason: string): void => {
 		deferredRemovals.delete(storeKey);
 		entries.delete(storeKey);
-		hosts.delete(storeKey);
+		hosts.remove(storeKey);
 		invalidEntries.remove(storeKey);
 		upstreams.remove(storeKey, reason);
 	};
@@ -291,7 +291,7 @@
 			return listed === undefined ? undefined : configuration.getRoutes()?.services.get(listed.service);
 		},
 		isUsable: upstreamKey => upstreams.getAll().some(upstream => getUpstreamKey(upstream) === upstreamKey && !upstream.isLeaving),
-		getHosts: () => [...hosts.values()],
+		getHosts: hosts.getAll,
 		countInvalidEntries: invalidEntries.count,
 		countEntries: entries.count,
 		isIncomplete: () => isIncomplete,
--- a/packages/discovery/src/held-entries.ts
+++ b/packages/discovery/src/held-entries.ts
@@ -3,8 +3,10 @@
 /** The entries of the store that a host holds, by key, up to a limit that the state of a large fleet doesn't reach. */
 export type HeldEntries = {
 	get: (key: string) => Entry | undefined;
-	/** Holds an entry in place of the one with its key; returns false, and holds what it held, if there is no room for it. */
-	set: (entry: Entry) => boolean;
+	/** Whether there is room for an entry in place of the one with its key. */
+	canHold: (entry: Entry) => boolean;
+	/** Holds an entry in place of the one with its key, for which there must be room. */
+	set: (entry: Entry) => void;
 	delete: (key: string) => void;
 	keys: () => Iterable<string>;
 	values: () => Iterable<Entry>;
@@ -26,18 +28,15 @@
 	let length = 0;
 	return {
 		get: key => entries.get(key),
-		set(entry) {
+		canHold(entry) {
 			const known = entries.get(entry.key);
-			const nextLength = length + getLength(entry) - getLength(known);
-			const nextCount = entries.size + (known === undefined ? 1 : 0);
-			const isLarger = nextLength > length || nextCount > entries.size;
-			if (isLarger && (nextLength > limits.length || nextCount > limits.entries)) {
-				return false;
-			}
-
+			const added = getLength(entry) - getLength(known);
+			const hasPlace = known !== undefined || entries.size < limits.entries;
+			return hasPlace && (added <= 0 || length + added <= limits.length);
+		},
+		set(entry) {
+			length += getLength(entry) - getLength(entries.get(entry.key));
 			entries.set(entry.key, entry);
-			length = nextLength;
-			return true;
 		},
 		delete(key) {
 			length -= getLength(entries.get(key));
--- a/packages/discovery/src/packet.ts
+++ b/packages/discovery/src/packet.ts
@@ -1,5 +1,5 @@
 import {isJsonObject, type Change, type HostId} from '@gentianlift/types';
-import {isChange} from './checked-entries.js';
+import {getChangeRevision, isChange} from './checked-entries.js';
 import {
 	packLoadReport, unpackLoadReport, type LoadReport, type PackedLoadReport,
 } from './load-report.js';
@@ -109,12 +109,9 @@
 const splitIntoChunks = <Item>(items: readonly Item[], size: number): Item[][] =>
 	Array.from({length: Math.ceil(items.length / size)}, (_, index) => items.slice(index * size, (index + 1) * size));
 
-const getChangeRevision = (change: Change | undefined, fallback: number): number => {
-	if (change === undefined) {
-		return fallback;
-	}
-
-	return change.kind === 'written' ? change.entry.revision : change.revision;
+const getLastRevision = (changes: readonly Change[], fallback: number): number => {
+	const last = changes.at(-1);
+	return last === undefined ? fallback : getChangeRevision(last);
 };
 
 /** Splits a batch that is too large for one datagram; each part starts at the revision where the previous one ends. */
@@ -126,7 +123,7 @@
 
 	let {after} = batch;
 	return parts.map((changes, index) => {
-		const revision = index === parts.length - 1 ? batch.revision : getChangeRevision(changes.at(-1), after);
+		const revision = index === parts.length - 1 ? batch.revision : getLastRevision(changes, after);
 		const part = {after, revision, changes};
 		after = revision;
 		return part;
