--- a/packages/forwarder/src/callers/serve-callers.ts
+++ b/packages/forwarder/src/callers/serve-callers.ts
@@ -1,10 +1,7 @@
-import {
-	createServer, type RequestListener, type Server,
-} from 'node:http';
+import type {RequestListener, Server} from 'node:http';
 import type {Socket} from 'node:net';
-import type {RequestLimits, Route} from '@gentianlift/routing';
+import type {Route} from '@gentianlift/routing';
 import {cutResponse, type ErrorKind} from '@gentianlift/errors';
-import type {Milliseconds} from '@gentianlift/types';
 import {createCall} from '../call.js';
 import type {Forwarder} from '../forward.js';
 import {decodeForwardedCall} from '../links/forwarded-call.js';
@@ -19,7 +16,7 @@
 import {findRefusal} from './find-refusal.js';
 import {createAdmission, maxOpenRequests, type Admission} from './admission.js';
 import {createOpenRequests} from './open-requests.js';
-import {maxHeaderBytes} from './header-limits.js';
+import {applyLimits, createHttpServer} from './http-server.js';
 import {getDeclaredBytes, getMaxBodyBytes, receiveRequestBody} from './receive-request-body.js';
 import {createRequestTurns} from './request-turns.js';
 import {createCallerConnections, type ConnectionError} from './caller-connections.js';
@@ -53,13 +50,6 @@
 /** Errors that come from the state of this host, not from the request. */
 const hostFaults = new Set<ErrorKind>(['not-configured', 'host-overloaded', 'host-stopping']);
 
-/** Time for which a connection is kept open beyond the configured idle timeout. */
-const keepAliveMargin: Milliseconds = 2000;
-/** Interval at which Node checks connections for exceeded timeouts. */
-const connectionsCheckInterval: Milliseconds = 1000;
-/** Longest time to receive a request with its body. */
-const requestTimeout: Milliseconds = 30_000;
-
 /** Creates the server; it doesn't listen yet. */
 export const createCallerServer = ({context, forwarder}: CallerServerOptions): CallerServer => {
 	const {
@@ -99,11 +89,6 @@
 		}
 	};
 
-	const applyLimits = (server: Server, limits: RequestLimits): void => {
-		server.headersTimeout = limits.headerTimeout;
-		server.keepAliveTimeout = limits.idleTimeout + keepAliveMargin;
-	};
-
 	/** Returns the origin of the stream that a request resumes, as the host that has forwarded it says or as it is known in the fleet. */
 	const resolveOrigin = async ({forwarded}: ReceivedRequest, head: CallerHead, route: Route): Promise<Resumption> =>
 		forwarded?.resumption === undefined
@@ -255,14 +240,11 @@
 		}
 	};
 
-	const server = createServer({
-		maxHeaderSize: maxHeaderBytes, connectionsCheckingInterval: connectionsCheckInterval, requestTimeout, noDelay: true,
-	}, (request, response) => {
+	const server = createHttpServer((request, response) => {
 		accept({
 			request, response, target: request.url ?? '/', arrivedAt: clock.monotonic(), forwarded: undefined,
 		});
 	});
-	server.keepAliveTimeout = 60_000;
 	server.on('clientError', (error: ConnectionError, socket) => {
 		connections.handleError(error, socket as Socket);
 	});
