--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -9,6 +9,7 @@
 export * from './kept-cases.js';
 export * from './link.js';
 export * from './odd-bodies.js';
+export * from './oversized-replies.js';
 export * from './resumable-stream.js';
 export * from './run-seed.js';
 export * from './host-process.js';
--- a/packages/soak/src/store-contents.ts
+++ b/packages/soak/src/store-contents.ts
@@ -1,6 +1,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Milliseconds} from '@gentianlift/types';
-import {oversizedStoreModes, type StoreFailureMode} from './schedule.js';
+import {isOversized} from './oversized-replies.js';
+import type {StoreFailureMode} from './schedule.js';
 
 /** An item of the key-value service; `created` is the revision that created it, a `lease` of 0 means none. */
 export type StoredItem = {key: string; value: string; revision: number; created: number; lease: number};
@@ -46,8 +47,6 @@
 /** Interval at which expired leases are ended. */
 const leaseCheckInterval: Milliseconds = 100;
 
-const isOversized = (mode: StoreFailureMode | undefined): boolean => (oversizedStoreModes as ReadonlyArray<typeof mode>).includes(mode);
-
 const getEventRevision = (event: StoredEvent): number => event.kind === 'written' ? event.item.revision : event.revision;
 
 /** Creates empty contents at revision 1. */
