--- a/packages/soak/src/fake-upstream.ts
+++ b/packages/soak/src/fake-upstream.ts
@@ -35,7 +35,8 @@
 /** Whether a request is one of the half whose streams are broken off. */
 const isEvenAttempt = (attempt: string): boolean => (attempt.codePointAt(attempt.length - 1) ?? 0) % 2 === 0;
 
-const listen = async (server: Server, ip: string, port: number): Promise<number> => {
+/** Listens on an address, on a free port for port 0; resolves with the port. */
+export const listen = async (server: Server, ip: string, port: number): Promise<number> => {
 	await new Promise<void>(resolve => {
 		server.listen(port, ip, resolve);
 	});
