Let go of a request whose caller leaves within its body

Cause: the caller's close within a body makes the parser fail, and the host answers 400. Node detaches a request that has been answered: it emits neither 'end' nor 'error' nor 'close', so that its reading never ends, and its place, its room and its head stay. The same after a body that takes too long (408).

Change: when a connection closes, its last request is destroyed, which ends the reading as broken.

--- a/packages/forwarder/src/callers/caller-connections.ts
+++ b/packages/forwarder/src/callers/caller-connections.ts
@@ -67,6 +67,10 @@
 			requests: 0, last: undefined, pending: new Set(), isGivenUp: false,
 		};
 		states.set(socket, state);
+		socket.once('close', () => {
+			// Node detaches a request that is answered before it has arrived, and says nothing of its end.
+			state.last?.request.destroy();
+		});
 		return state;
 	};
 
