Take no large bodies while the process is short of memory

Suspected: each body leaves twice its size as garbage, which is collected late where processor time is short; no account counts it.

Change: a body over 64 KB is taken only while the process has less than three quarters of the host's memory by the operating system's count, which is asked for such bodies alone. It is refused as not run, before it is read.

The test can't fail by the old code, which has no such count.

--- a/packages/forwarder/src/host/create-context.ts
+++ b/packages/forwarder/src/host/create-context.ts
@@ -18,6 +18,7 @@
 import {createUpstreamRests} from '../statements/upstream-rests.js';
 import {createBodyBudget} from '../memory/body-budget.js';
 import {createMemoryBudget} from '../memory/memory-budget.js';
+import {createResidentMemory} from '../memory/resident-memory.js';
 import {createUpstreamTracker} from '../queue/upstream-tracker.js';
 import {watchVersionBreaks} from '../resume/version-breaks.js';
 import {createViewFreshness} from '../resume/view-freshness.js';
@@ -190,7 +191,7 @@
 		getHostAddresses: () => [...fleet.getAvailableOthers(), ...fleet.getStoppingOthers()].map(({peers}) => peers),
 		memory: createMemoryBudget({limit: settings.memory * answersPart, logger, metrics}),
 		bodies: createBodyBudget({
-			limit: settings.memory * bodiesPart, clock, logger, metrics,
+			limit: settings.memory * bodiesPart, residentMemory: createResidentMemory(settings.memory), clock, logger, metrics,
 		}),
 		suspects,
 		crashDetector: createCrashDetector(clock, links.isAwayForOthers),
--- a/packages/forwarder/src/memory/body-budget.test.ts
+++ b/packages/forwarder/src/memory/body-budget.test.ts
@@ -4,6 +4,7 @@
 import fc from 'fast-check';
 import {expect, test} from 'vitest';
 import {createBodyBudget, type BodyBudget, type HeldBody} from './body-budget.js';
+import {createResidentMemory, type ResidentMemory} from './resident-memory.js';
 
 const limit = 1_000_000;
 /** A body of a usual size, and one that is larger. */
@@ -11,10 +12,13 @@
 /** Time after which an unfinished body gives way to a large one. */
 const lateAfter = 1001;
 
-const createBudget = (clock = createManualClock()): {budget: BodyBudget; clock: ManualClock} => ({
+/** Memory of a process that has enough. */
+const ample: ResidentMemory = {isShort: () => false};
+
+const createBudget = (clock = createManualClock(), residentMemory = ample): {budget: BodyBudget; clock: ManualClock} => ({
 	clock,
 	budget: createBodyBudget({
-		limit, clock, logger: createSilentLogger(), metrics: createMetrics(),
+		limit, residentMemory, clock, logger: createSilentLogger(), metrics: createMetrics(),
 	}),
 });
 
@@ -53,6 +57,19 @@
 	expect(open(budget, usual).held).toBeDefined();
 });
 
+// Guards against: large bodies come faster than the memory of those before them is collected, and the process passes its limit.
+test('while the process is short of memory only bodies of a usual size are taken', () => {
+	let resident = 700_000;
+	const {budget} = createBudget(createManualClock(), createResidentMemory(1_000_000, () => resident));
+	const taken = open(budget, large);
+	resident = 800_000;
+	expect(open(budget, large).held).toBeUndefined();
+	expect(open(budget, usual).held).toBeDefined();
+	expect(taken.isReleased()).toBe(false);
+	resident = 700_000;
+	expect(open(budget, large).held).toBeDefined();
+});
+
 // Guards against: callers that never finish their bodies take the room of those that do.
 test('an unfinished body gives way to a usual one at once, and to a large one when it is late', () => {
 	const {budget, clock} = createBudget();
@@ -117,7 +134,7 @@
 	const lines: string[] = [];
 	const metrics = createMetrics();
 	const budget = createBodyBudget({
-		limit, clock: createManualClock(), metrics, logger: createLogger('info', line => {
+		limit, residentMemory: ample, clock: createManualClock(), metrics, logger: createLogger('info', line => {
 			lines.push(line);
 		}),
 	});
--- a/packages/forwarder/src/memory/body-budget.ts
+++ b/packages/forwarder/src/memory/body-budget.ts
@@ -3,6 +3,7 @@
 import type {Metrics} from '@gentianlift/metrics';
 import type {Milliseconds} from '@gentianlift/types';
 import type {HeldBytes} from './memory-budget.js';
+import type {ResidentMemory} from './resident-memory.js';
 
 /** Bytes that the body of one request holds, or may hold by its declared length. */
 export type HeldBody = HeldBytes & {
@@ -35,13 +36,14 @@
 export type BodyBudgetOptions = {
 	/** Most bytes that may be held. */
 	limit: number;
+	residentMemory: ResidentMemory;
 	clock: Clock;
 	logger: Logger;
 	metrics: Metrics;
 };
 
-/** Why there is no room for a body: its bytes, or the number of unfinished ones. */
-export type Shortage = 'bytes' | 'unfinished';
+/** Why there is no room for a body: its bytes, the memory of the process, or the number of unfinished ones. */
+export type Shortage = 'bytes' | 'memory' | 'unfinished';
 
 /** The account of a body. */
 type Account = ExpectedBody & {openedAt: Milliseconds; release: () => void};
@@ -59,7 +61,7 @@
 
 /** Creates a budget of which nothing is held. */
 export const createBodyBudget = ({
-	limit, clock, logger, metrics,
+	limit, residentMemory, clock, logger, metrics,
 }: BodyBudgetOptions): BodyBudget => {
 	/** Accounts of unfinished bodies, from the oldest. */
 	const unfinished = new Set<Account>();
@@ -84,6 +86,10 @@
 			return 'bytes';
 		}
 
+		if (!isUsual(bytes) && residentMemory.isShort()) {
+			return 'memory';
+		}
+
 		return unfinished.has(account) || unfinished.size < maxUnfinished ? undefined : 'unfinished';
 	};
 
@@ -93,7 +99,7 @@
 	/** Returns the oldest unfinished body that gives way to another one of `bytes` bytes. */
 	const findYielding = (account: Account, bytes: number, shortage: Shortage): Account | undefined => {
 		const [oldest] = unfinished;
-		if (oldest === undefined || oldest === account) {
+		if (oldest === undefined || oldest === account || shortage === 'memory') {
 			return undefined;
 		}
 
--- a/packages/forwarder/src/testing.ts
+++ b/packages/forwarder/src/testing.ts
@@ -175,7 +175,7 @@
 		}),
 		memory: createMemoryBudget({limit: memoryLimit, logger, metrics}),
 		bodies: createBodyBudget({
-			limit: memoryLimit, clock, logger, metrics,
+			limit: memoryLimit, residentMemory: {isShort: () => false}, clock, logger, metrics,
 		}),
 		suspects: createCrashSuspects(),
 		crashDetector: createCrashDetector(clock, links.isAwayForOthers),
