Ask that a stopping host has written its answer when it ends

With the number of open requests, which counts an answer until it is written, it is as strict as before.

--- a/packages/forwarder/src/host/stopping-host.test.ts
+++ b/packages/forwarder/src/host/stopping-host.test.ts
@@ -113,6 +113,7 @@
 	const stopped = (async () => {
 		await host!.host.stop();
 		order.push('stopped');
+		expect(host!.host.getMetricsPage()).toContain('gentianlift_requests_open 0');
 	})();
 	await Promise.all([received, stopped]);
 	expect(order).toEqual(['read', 'stopped']);
