Refuse a request by its head before its body has come

Callers saw the host end: 3,600 requests of 990 header fields each whose bodies were not sent ended a process with a heap of 160 MB (found by a review), as the limit on fields was checked only after the body.

The head is now checked as soon as it has come, before the request waits for its turn and before its body is counted. The answer is 431, the headers are freed at once, and nothing that follows on the connection is handled.

--- a/packages/forwarder/src/callers/caller-connections.ts
+++ b/packages/forwarder/src/callers/caller-connections.ts
@@ -13,6 +13,8 @@
 export type CallerConnections = {
 	/** Takes a request that has arrived; returns false if its connection was given up, so that it must not be handled. */
 	accept: (request: IncomingMessage, response: ServerResponse) => boolean;
+	/** Handles no request that follows a refused one on its connection, which is closed after the answers. */
+	endAfter: (request: IncomingMessage) => void;
 	/** Handles an error of a connection (`clientError` of the server). */
 	handleError: (error: ConnectionError, socket: Socket) => void;
 };
@@ -139,6 +141,9 @@
 			state.requests += 1;
 			state.last = {request, response};
 			state.pending.add(response);
+			response.on('error', error => {
+				logger.debug('caller-write-failed', {reason: error.message});
+			});
 			response.once('close', () => {
 				state.pending.delete(response);
 				if (state.last?.response === response && request.complete) {
@@ -148,6 +153,11 @@
 			});
 			return true;
 		},
+		endAfter({socket}) {
+			const state = getState(socket);
+			state.isGivenUp = true;
+			endAfterAnswers(socket, state);
+		},
 		handleError(error, socket) {
 			const state = getState(socket);
 			if (!socket.writable || error.code === 'ECONNRESET') {
--- a/packages/forwarder/src/callers/find-refusal.ts
+++ b/packages/forwarder/src/callers/find-refusal.ts
@@ -3,14 +3,11 @@
 import type {Body} from '../deliver/read-body.js';
 import type {Admission} from './admission.js';
 import {retryAfterDelays, type ErrorAnswer} from './error-answer.js';
-import {exceedsHeaderLimits} from './header-limits.js';
 
 /** A request that was received or refused, and what decides whether it is forwarded. */
 export type Reception = {
 	body: Body;
 	admission: Admission;
-	/** Raw headers. */
-	headers: readonly string[];
 	/** Limits of the configuration; undefined without one. */
 	limits: RequestLimits | undefined;
 	/** Whether the host has as many requests as it may have. */
@@ -25,7 +22,7 @@
 
 /** Returns the error of a request that isn't admitted, exceeds a limit or has no room, else undefined. Without a configuration, a body that is too large may be sent again. */
 export const findRefusal = ({
-	body, admission, headers, limits, isFull,
+	body, admission, limits, isFull,
 }: Reception): ErrorAnswer | undefined => {
 	if (body.kind === 'too-large') {
 		return createErrorAnswer(limits === undefined ? 'not-configured' : 'body-too-large');
@@ -35,9 +32,5 @@
 		return createErrorAnswer('host-overloaded');
 	}
 
-	if (exceedsHeaderLimits(headers, limits)) {
-		return {kind: 'headers-too-large'};
-	}
-
 	return admission.kind === 'admitted' ? undefined : createErrorAnswer(admission.error);
 };
--- a/packages/forwarder/src/callers/header-limits.ts
+++ b/packages/forwarder/src/callers/header-limits.ts
@@ -1,3 +1,4 @@
+import type {IncomingMessage} from 'node:http';
 import type {RequestLimits} from '@gentianlift/routing';
 
 /** Size of headers above which Node rejects a request before the configured limit applies. */
@@ -11,3 +12,9 @@
 /** Whether the raw headers of a request, names and values in turn, are too large or too many; without configured limits those of the server apply. */
 export const exceedsHeaderLimits = (headers: readonly string[], limits: RequestLimits | undefined): boolean =>
 	headers.length / 2 > maxHeaderFields || getHeaderBytes(headers) > (limits?.maxHeaderBytes ?? maxHeaderBytes);
+
+/** Frees the headers of a request that was answered without them. */
+export const dropHeaders = (request: IncomingMessage): void => {
+	request.rawHeaders = [];
+	request.headers = {};
+};
--- a/packages/forwarder/src/callers/serve-callers.ts
+++ b/packages/forwarder/src/callers/serve-callers.ts
@@ -14,6 +14,7 @@
 	retryAfterDelays, writeEarlyErrorAnswer, writeErrorAnswer, type ErrorAnswer,
 } from './error-answer.js';
 import {findRefusal} from './find-refusal.js';
+import {dropHeaders, exceedsHeaderLimits} from './header-limits.js';
 import {createAdmission, maxOpenRequests, type Admission} from './admission.js';
 import {createOpenRequests} from './open-requests.js';
 import {applyLimits, createHttpServer} from './http-server.js';
@@ -127,7 +128,7 @@
 		}
 
 		const refusal = findRefusal({
-			body, admission, headers: request.rawHeaders, limits, isFull: openRequests.countWhole() > maxOpenRequests,
+			body, admission, limits, isFull: openRequests.countWhole() > maxOpenRequests,
 		});
 		if (refusal !== undefined || body.kind !== 'whole' || admission.kind !== 'admitted') {
 			refuse(received, head, refusal ?? {kind: 'internal'});
@@ -212,11 +213,7 @@
 	};
 
 	const handleSafely = async (received: ReceivedRequest): Promise<void> => {
-		const {request, response} = received;
 		openRequests.add(received);
-		response.on('error', error => {
-			logger.debug('caller-write-failed', {reason: error.message});
-		});
 		try {
 			const limits = view.getRoutes()?.configuration.limits;
 			if (limits !== undefined) {
@@ -225,7 +222,7 @@
 
 			await handleWithBody(received);
 		} catch (error) {
-			logger.error('call-failed', {target: request.url, reason: (error as Error).stack ?? String(error)});
+			logger.error('call-failed', {target: received.request.url, reason: (error as Error).stack ?? String(error)});
 			answerFailure(received);
 		} finally {
 			openRequests.end(received);
@@ -234,8 +231,22 @@
 
 	const turns = createRequestTurns({logger, metrics, handle: handleSafely});
 
+	/** Refuses a request by its head, none of which is held afterwards; what follows on its connection is dropped. */
+	const refuseHead = (received: ReceivedRequest): void => {
+		connections.endAfter(received.request);
+		refuse(received, readHead(received), {kind: 'headers-too-large'});
+		dropHeaders(received.request);
+	};
+
 	const accept = (received: ReceivedRequest): void => {
-		if (connections.accept(received.request, received.response)) {
+		const {request, response} = received;
+		if (!connections.accept(request, response)) {
+			return;
+		}
+
+		if (exceedsHeaderLimits(request.rawHeaders, view.getRoutes()?.configuration.limits)) {
+			refuseHead(received);
+		} else {
 			turns.add(received);
 		}
 	};
