Bound the connections on which a part of a head has arrived

Callers saw the host end: 2,500 connections with unfinished heads of 950 fields (55 KB) on the port for callers, or on the one for other hosts, ended a process with a heap of 160 MB by SIGABRT, as nothing counts them until the head is whole.

While a server has more than 256 connections between requests, those on which bytes of a next head have arrived are counted each 250 ms, and the oldest beyond 256 are closed. A head comes whole in nearly all cases, and a connection that waits for its next request has received nothing since, so neither is touched. Bytes of a next head that come before the last answer is written aren't counted.

--- a/packages/forwarder/src/host/start-host.ts
+++ b/packages/forwarder/src/host/start-host.ts
@@ -7,6 +7,7 @@
 import {findStreamOrigin} from '../resume/resumption.js';
 import type {ConnectionError} from '../callers/caller-connections.js';
 import {createCallerServer} from '../callers/serve-callers.js';
+import {limitUnfinishedHeads} from '../callers/unfinished-heads.js';
 import type {HostDependencies, HostSettings} from './host-settings.js';
 import {createContext, type Shutdown} from './create-context.js';
 import {watchEventLoopDelay} from './event-loop-delay.js';
@@ -74,6 +75,10 @@
 		callers.handleConnectionError(error, socket as Socket);
 	});
 
+	for (const server of [callers.server, peers]) {
+		limitUnfinishedHeads(server, {clock, logger, metrics: context.metrics});
+	}
+
 	const isStopping = (): boolean => shutdown.since !== undefined;
 	const openServer = async (listener: Listener): Promise<void> => openListener(listener, {clock, logger, isCancelled: isStopping});
 	const open = async (): Promise<void> => {
