Receive no longer heads than the configuration allows

The port for callers received heads of 64 KB whatever the configuration allowed, and until a first request had come a head could take a minute; the endpoints received 16 KB on any number of connections; the port for other hosts had Node's own times. Two new tests failed before: a head of 30 KB on the port for callers got no answer within 8 s, one of 8 KB on an endpoint got 408 instead of 431.

The port for callers goes by the configuration when a connection comes, before Node reads the size: 20 KB, or the configured size and 4 KB for the request line if that is more. The others have constants. Not measured: how many connections the endpoints have in use.

--- a/packages/discovery/src/peer-server.ts
+++ b/packages/discovery/src/peer-server.ts
@@ -3,6 +3,7 @@
 } from 'node:http';
 import type {Clock} from '@gentianlift/clock';
 import type {StreamOrigin} from '@gentianlift/routing';
+import type {Milliseconds} from '@gentianlift/types';
 import {createCompressedAnswers, type CompressedAnswers} from './compressed-answers.js';
 import {configurationPath, decodeConfigurationQuery} from './configuration-calls.js';
 import type {FleetView} from './fleet-view.js';
@@ -31,6 +32,10 @@
 const noContent = 204;
 /** A forwarded request has all headers of its caller. */
 const maxHeaderBytes = 128 * 1024;
+/** Longest times for a head and for a whole request to arrive, and the interval at which connections are checked for them. */
+const headersTimeout: Milliseconds = 10_000;
+const requestTimeout: Milliseconds = 30_000;
+const checkInterval: Milliseconds = 2000;
 
 const sendJson = (response: ServerResponse, body: unknown): void => {
 	if (body === undefined) {
@@ -119,7 +124,9 @@
 		}
 	};
 
-	return createServer({maxHeaderSize: maxHeaderBytes}, (request, response) => {
+	return createServer({
+		maxHeaderSize: maxHeaderBytes, headersTimeout, requestTimeout, connectionsCheckingInterval: checkInterval,
+	}, (request, response) => {
 		if (request.url?.startsWith(forwardedCallPath) === true) {
 			options.answerForwardedCall(request, response);
 			return;
--- a/packages/forwarder/src/callers/header-limits.test.ts
+++ b/packages/forwarder/src/callers/header-limits.test.ts
@@ -30,3 +30,15 @@
 	const [bytes] = await once(socket, 'data') as [Uint8Array];
 	expect(String(bytes)).toMatch(/^HTTP\/1\.1 431/v);
 });
+
+// Guards against: heads far above the configured size are received, and several of them take the memory of many requests.
+test('an unfinished head above the configured size is refused', async () => {
+	const {host} = await start(answerOk);
+	const socket = connect({host: '127.0.0.1', port: host.port});
+	onTestFinished(() => {
+		socket.destroy();
+	});
+	socket.write(`GET /read/1 HTTP/1.1\r\nHost: a\r\nX-A: ${'b'.repeat(30_000)}`);
+	const [bytes] = await once(socket, 'data') as [Uint8Array];
+	expect(String(bytes)).toMatch(/^HTTP\/1\.1 431/v);
+});
--- a/packages/forwarder/src/callers/http-server.ts
+++ b/packages/forwarder/src/callers/http-server.ts
@@ -12,17 +12,30 @@
 /** Longest time to receive a request with its body. */
 const requestTimeout: Milliseconds = 30_000;
 
+/** Time to receive a head while no limits are configured. */
+const defaultHeaderTimeout: Milliseconds = 3000;
+/** Size of heads, in bytes, above which Node rejects a request if the configured limit is smaller. */
+const minHeadBytes = 20 * 1024;
+/** What a head may have beyond the configured size of its headers: the request line, and up to two blanks more for each field. */
+const headMargin = 4096;
+
 /** Creates an HTTP server for callers; it doesn't listen yet. */
 export const createHttpServer = (listener: RequestListener): Server => {
 	const server = createServer({
-		maxHeaderSize: maxHeaderBytes, connectionsCheckingInterval: connectionsCheckInterval, requestTimeout, noDelay: true,
+		maxHeaderSize: minHeadBytes, headersTimeout: defaultHeaderTimeout, connectionsCheckingInterval: connectionsCheckInterval, requestTimeout, noDelay: true,
 	}, listener);
 	server.keepAliveTimeout = defaultKeepAlive;
 	return server;
 };
 
-/** Applies configured limits to the connections of a server. */
-export const applyLimits = (server: Server, limits: RequestLimits): void => {
+/** Applies limits to the connections of a server, if they are configured. */
+export const applyLimits = (server: Server, limits: RequestLimits | undefined): void => {
+	if (limits === undefined) {
+		return;
+	}
+
+	// Node reads it for each new connection.
+	Object.assign(server, {maxHeaderSize: Math.min(maxHeaderBytes, Math.max(minHeadBytes, limits.maxHeaderBytes + headMargin))});
 	server.headersTimeout = limits.headerTimeout;
 	server.keepAliveTimeout = limits.idleTimeout + keepAliveMargin;
 };
--- a/packages/forwarder/src/callers/serve-callers.ts
+++ b/packages/forwarder/src/callers/serve-callers.ts
@@ -212,14 +212,14 @@
 		}, {kind: 'internal'});
 	};
 
+	const applyConfiguredLimits = (): void => {
+		applyLimits(server, view.getRoutes()?.configuration.limits);
+	};
+
 	const handleSafely = async (received: ReceivedRequest): Promise<void> => {
 		openRequests.add(received);
 		try {
-			const limits = view.getRoutes()?.configuration.limits;
-			if (limits !== undefined) {
-				applyLimits(server, limits);
-			}
-
+			applyConfiguredLimits();
 			await handleWithBody(received);
 		} catch (error) {
 			logger.error('call-failed', {target: received.request.url, reason: (error as Error).stack ?? String(error)});
@@ -256,6 +256,8 @@
 			request, response, target: request.url ?? '/', arrivedAt: clock.monotonic(), forwarded: undefined,
 		});
 	});
+	// Before Node's own listener, which goes by them.
+	server.prependListener('connection', applyConfiguredLimits);
 	server.on('clientError', (error: ConnectionError, socket) => {
 		connections.handleError(error, socket as Socket);
 	});
--- a/packages/forwarder/src/process/create-endpoint.test.ts
+++ b/packages/forwarder/src/process/create-endpoint.test.ts
@@ -42,3 +42,19 @@
 test('a connection with an endless head is closed', async () => {
 	await sendEndlessly('GET / HTTP/1.1\r\n', 'a: b\r\n');
 });
+
+// Guards against: the long heads of many connections end the host for lack of memory.
+test('an endpoint refuses long heads', async () => {
+	const server = createEndpoint((_, response) => {
+		response.end();
+	}).listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const socket = connect((server.address() as AddressInfo).port, '127.0.0.1');
+	onTestFinished(() => {
+		socket.destroy();
+		server.close();
+	});
+	socket.write(`GET / HTTP/1.1\r\nhost: a\r\na: ${'b'.repeat(8192)}\r\n`);
+	const [bytes] = await once(socket, 'data') as [Uint8Array];
+	expect(String(bytes)).toMatch(/^HTTP\/1\.1 431/v);
+});
