Discard the body of a request that arrives after its refusal

When admission failed while the body still arrived, the account was closed, but the body went on being held and grew the closed account. A closed account now releases what is held and counts nothing.

The new test failed before: the body wasn't released (0 releases).

--- a/packages/forwarder/src/memory/body-budget.test.ts
+++ b/packages/forwarder/src/memory/body-budget.test.ts
@@ -173,3 +173,18 @@
 		}
 	}), {seed: 1, numRuns: 300});
 });
+
+// Guards against: the body of a request that was refused goes on arriving, and is counted for ever or not at all.
+test('a body that arrives after its end is released and counts nothing', () => {
+	const {budget} = createBudget();
+	const held = budget.open({callerRequestId: 'r', bytes: 0})!;
+	held.end();
+	let releases = 0;
+	held.hold(usual, () => {
+		releases += 1;
+	});
+	held.keep(usual);
+	expect(releases).toBe(1);
+	expect(budget.getHeldBytes()).toBe(0);
+	expect(fill(budget, large)).toHaveLength(5);
+});
--- a/packages/forwarder/src/memory/body-budget.ts
+++ b/packages/forwarder/src/memory/body-budget.ts
@@ -44,7 +44,7 @@
 export type Shortage = 'bytes' | 'unfinished';
 
 /** The account of a body. */
-type Account = ExpectedBody & {openedAt: Milliseconds; release: () => void};
+type Account = ExpectedBody & {openedAt: Milliseconds; release: () => void; isClosed: boolean};
 
 /** Largest body of a usual size; larger ones leave a part of the limit to those. */
 const usualBodyBytes = 64 * 1024;
@@ -72,6 +72,7 @@
 	};
 
 	const close = (account: Account): void => {
+		account.isClosed = true;
 		unfinished.delete(account);
 		setBytes(account, 0);
 	};
@@ -135,7 +136,7 @@
 	return {
 		open(expected) {
 			const account: Account = {
-				...expected, bytes: 0, openedAt: clock.monotonic(), release: () => undefined,
+				...expected, bytes: 0, openedAt: clock.monotonic(), release: () => undefined, isClosed: false,
 			};
 			if (!grow(account, expected.bytes)) {
 				return undefined;
@@ -145,12 +146,22 @@
 			return {
 				hold(bytes, release) {
 					account.release = release;
+					if (account.isClosed) {
+						// The request was refused while its body still arrives.
+						release();
+						return;
+					}
+
 					if (bytes > account.bytes && !grow(account, bytes)) {
 						close(account);
 						release();
 					}
 				},
 				keep(bytes) {
+					if (account.isClosed) {
+						return;
+					}
+
 					unfinished.delete(account);
 					setBytes(account, bytes);
 					wholeBytes += bytes;
