Catch errors of responses whose requests wait for their turn

The listener for errors of a response was attached when its handling began, but the host answers waiting requests at its stop, and partial ones before their turn. It is now attached when a request is accepted.

The new test failed before: the error of a waiting response was thrown.

--- a/packages/forwarder/src/callers/request-turns.test.ts
+++ b/packages/forwarder/src/callers/request-turns.test.ts
@@ -1,10 +1,14 @@
 import {once} from 'node:events';
+import type {ServerResponse} from 'node:http';
 import {connect, type Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {buildConfiguration, buildRoute} from '@gentianlift/routing/testing';
 import {expect, onTestFinished, test} from 'vitest';
 import {answerOk, type AnswerHandler} from '../test-deployment.js';
-import {sendRequest, startTestHost, startUpstream} from '../testing.js';
+import {
+	listenOnAnyPort, sendRequest, startTestHost, startUpstream,
+} from '../testing.js';
+import {createCallerServer} from './serve-callers.js';
 
 const configuration = buildConfiguration({
 	routes: [buildRoute({
@@ -187,3 +191,22 @@
 	expect(host.logLines.join('\n')).toMatch(/event=call-ended request=a1 .*sends=0 outcome=timeout/v);
 	expect(host.logLines.join('\n')).not.toMatch(/event=call-ended request=a1 .*upstream=/v);
 });
+
+// Guards against: an error of a response whose request still waits, as when the host answers it at its stop, is an uncaught one.
+test('an error of the response of a waiting request is caught', async () => {
+	const {host} = await startHost(neverAnswer);
+	const {server} = createCallerServer({context: host.context, forwarder: host.forwarder});
+	const responses: ServerResponse[] = [];
+	server.on('request', (_request, response: ServerResponse) => {
+		responses.push(response);
+	});
+	const port = await listenOnAnyPort(server);
+	onTestFinished(() => {
+		server.close();
+		server.closeAllConnections();
+	});
+	const {socket} = await openConnection(port);
+	socket.write(buildRequests(2).join(''));
+	await expect.poll(() => responses.length).toBe(2);
+	expect(() => responses[1]!.emit('error', new Error('write after destroy'))).not.toThrow();
+});
--- a/packages/forwarder/src/callers/serve-callers.ts
+++ b/packages/forwarder/src/callers/serve-callers.ts
@@ -212,11 +212,8 @@
 	};
 
 	const handleSafely = async (received: ReceivedRequest): Promise<void> => {
-		const {request, response} = received;
+		const {request} = received;
 		openRequests.add(received);
-		response.on('error', error => {
-			logger.debug('caller-write-failed', {reason: error.message});
-		});
 		try {
 			const limits = view.getRoutes()?.configuration.limits;
 			if (limits !== undefined) {
@@ -235,6 +232,9 @@
 	const turns = createRequestTurns({logger, metrics, handle: handleSafely});
 
 	const accept = (received: ReceivedRequest): void => {
+		received.response.on('error', error => {
+			logger.debug('caller-write-failed', {reason: error.message});
+		});
 		if (connections.accept(received.request, received.response)) {
 			turns.add(received);
 		}
--- a/packages/forwarder/src/testing.ts
+++ b/packages/forwarder/src/testing.ts
@@ -45,7 +45,8 @@
 /** An answer as received by a caller. */
 export type TestAnswer = {status: number; headers: IncomingMessage['headers']; body: string; isComplete: boolean};
 
-const listenOnAnyPort = async (server: Server): Promise<number> => {
+/** Makes a server listen on a free port of 127.0.0.1; returns the port. */
+export const listenOnAnyPort = async (server: Server): Promise<number> => {
 	await new Promise<void>(resolve => {
 		server.listen(0, '127.0.0.1', resolve);
 	});
