Bound the memory of requests that wait for their turn

Requests that wait for those before them on their connections were limited by number only (10,000, and 16 of a connection), whatever their heads and bodies take, so that large heads on some hundred connections filled a host's memory. Each now counts by an estimate of its objects, header fields, characters and of what may arrive of its body; all may take a tenth of the host's memory. Beyond it, the connection whose waiting requests take most is closed, none of which has run; its request that runs is cut with it, as with the limit on their number. A connection is read no further while its waiting requests take more than 128 KB.

--- a/packages/forwarder/src/callers/request-turns.ts
+++ b/packages/forwarder/src/callers/request-turns.ts
@@ -2,6 +2,7 @@
 import type {Logger} from '@gentianlift/logger';
 import type {Metrics} from '@gentianlift/metrics';
 import type {ReceivedRequest} from './received-request.js';
+import {estimateWaitingBytes} from './waiting-bytes.js';
 
 /** Order in which the requests of each connection are handled: one at a time. HTTP/1.1 returns answers in the order of the requests, so that a caller gains nothing from handling a pipelined request earlier. */
 export type RequestTurns = {
@@ -17,15 +18,22 @@
 export type RequestTurnsOptions = {
 	logger: Logger;
 	metrics: Metrics;
+	/** Most memory, in bytes, that the waiting requests of all connections may take. */
+	maxWaitingBytes: number;
 	/** Handles a request, and never rejects; its turn ends when its response closes. */
 	handle: (received: ReceivedRequest) => Promise<void>;
 };
 
+/** A request that waits, with the memory, in bytes, that it is estimated to take. */
+type WaitingRequest = {received: ReceivedRequest; bytes: number};
+
 /** Requests of a connection. */
 type Pipeline = {
 	socket: Socket;
 	/** Those that wait, in order of arrival. */
-	waiting: ReceivedRequest[];
+	waiting: WaitingRequest[];
+	/** Memory, in bytes, that those are estimated to take. */
+	waitingBytes: number;
 	/** Whether a request of the connection is being handled. */
 	isBusy: boolean;
 	/** Whether reading is paused because enough requests wait. */
@@ -36,24 +44,40 @@
 
 /** Waiting requests of a connection above which nothing more is read from it. While a connection isn't read, a close by its caller goes unnoticed. */
 const maxReadAhead = 16;
+/** Memory, in bytes, of waiting requests of a connection above which nothing more is read from it, either. */
+const maxReadAheadBytes = 128 * 1024;
 
-/** Limit on waiting requests of all connections; a connection with most of them is closed above it. One read of 64 KB may deliver more than a thousand. */
+/** Limit on waiting requests of all connections, however small they are; the connection whose requests take most memory is closed above it. One read of 64 KB may deliver more than a thousand. */
 const maxWaitingRequests = 10_000;
 /** Requests that have waited of which the handling begins in one turn of the event loop, so that the requests of other connections are read between them. */
 const startsPerLoop = 4;
 
 /** Creates it without requests. */
-export const createRequestTurns = ({logger, metrics, handle}: RequestTurnsOptions): RequestTurns => {
+export const createRequestTurns = ({
+	logger, metrics, maxWaitingBytes, handle,
+}: RequestTurnsOptions): RequestTurns => {
 	const pipelines = new Map<Socket, Pipeline>();
 	/** Connections on which the next request may be handled, in the order in which they became free. */
 	const free: Pipeline[] = [];
 	let isScheduled = false;
 	let waitingRequests = 0;
+	let waitingBytes = 0;
+
+	/** Counts requests that begin to wait, or, with negative numbers, that no longer do. */
+	const count = (pipeline: Pipeline, requests: number, bytes: number): void => {
+		waitingRequests += requests;
+		waitingBytes += bytes;
+		pipeline.waitingBytes += bytes;
+	};
+
+	const hasEnough = ({waiting, waitingBytes}: Pipeline): boolean => waiting.length > maxReadAhead || waitingBytes > maxReadAheadBytes;
+
+	const isExceeded = (): boolean => waitingRequests > maxWaitingRequests || waitingBytes > maxWaitingBytes;
 
 	/** Pauses a connection of which enough requests wait. Node's server resumes it at each end of a message. */
 	const limitReading = (pipeline: Pipeline): void => {
 		const {socket, waiting} = pipeline;
-		if (waiting.length <= maxReadAhead) {
+		if (!hasEnough(pipeline)) {
 			return;
 		}
 
@@ -61,44 +85,60 @@
 		socket.pause();
 		if (!pipeline.wasPaused) {
 			pipeline.wasPaused = true;
-			logger.info('connection-paused', {waiting: waiting.length});
+			logger.info('connection-paused', {waiting: waiting.length, bytes: pipeline.waitingBytes});
 		}
 	};
 
 	const resumeReading = (pipeline: Pipeline): void => {
-		if (pipeline.isPaused && pipeline.waiting.length <= maxReadAhead) {
+		if (pipeline.isPaused && !hasEnough(pipeline)) {
 			pipeline.isPaused = false;
 			pipeline.socket.resume();
 		}
 	};
 
 	const takeAll = (pipeline: Pipeline): ReceivedRequest[] => {
-		waitingRequests -= pipeline.waiting.length;
-		return pipeline.waiting.splice(0);
+		count(pipeline, -pipeline.waiting.length, -pipeline.waitingBytes);
+		return pipeline.waiting.splice(0).map(({received}) => received);
 	};
 
-	/** Closes the connection with the most waiting requests, none of which has run. */
-	const closeLongest = (): void => {
-		let longest: Pipeline | undefined;
+	/** Returns the connection whose waiting requests take most memory. */
+	const findLargest = (): Pipeline | undefined => {
+		let largest: Pipeline | undefined;
 		for (const pipeline of pipelines.values()) {
-			longest = pipeline.waiting.length > (longest?.waiting.length ?? 0) ? pipeline : longest;
+			largest = pipeline.waitingBytes > (largest?.waitingBytes ?? 0) ? pipeline : largest;
 		}
 
-		if (longest !== undefined) {
-			metrics.count('connections_given_up_total', {reason: 'read-ahead'});
-			logger.warn('pipeline-closed', {waiting: longest.waiting.length, all: waitingRequests});
-			for (const {request} of takeAll(longest)) {
-				// Node creates an error with a stack for each request that isn't destroyed when its connection is.
-				request.destroy();
+		return largest;
+	};
+
+	/** Closes a connection, none of whose waiting requests has run. */
+	const close = (pipeline: Pipeline): void => {
+		metrics.count('connections_given_up_total', {reason: 'read-ahead'});
+		logger.warn('pipeline-closed', {
+			waiting: pipeline.waiting.length, bytes: pipeline.waitingBytes, all: waitingRequests, allBytes: waitingBytes,
+		});
+		for (const {request} of takeAll(pipeline)) {
+			// Node creates an error with a stack for each request that isn't destroyed when its connection is.
+			request.destroy();
+		}
+
+		pipeline.socket.destroy();
+	};
+
+	const closeBeyondLimit = (): void => {
+		while (isExceeded()) {
+			const largest = findLargest();
+			if (largest === undefined) {
+				return;
 			}
 
-			longest.socket.destroy();
+			close(largest);
 		}
 	};
 
 	const addPipeline = (socket: Socket): Pipeline => {
 		const pipeline: Pipeline = {
-			socket, waiting: [], isBusy: false, isPaused: false, wasPaused: false,
+			socket, waiting: [], waitingBytes: 0, isBusy: false, isPaused: false, wasPaused: false,
 		};
 		pipelines.set(socket, pipeline);
 		socket.on('resume', () => {
@@ -127,14 +167,15 @@
 
 	const startNext = (pipeline: Pipeline): void => {
 		const next = pipeline.waiting.shift();
-		resumeReading(pipeline);
 		if (next === undefined) {
+			resumeReading(pipeline);
 			pipeline.isBusy = false;
 			return;
 		}
 
-		waitingRequests -= 1;
-		start(pipeline, next);
+		count(pipeline, -1, -next.bytes);
+		resumeReading(pipeline);
+		start(pipeline, next.received);
 	};
 
 	const startSome = (): void => {
@@ -179,12 +220,11 @@
 				return;
 			}
 
-			pipeline.waiting.push(received);
-			waitingRequests += 1;
+			const bytes = estimateWaitingBytes(received.request);
+			pipeline.waiting.push({received, bytes});
+			count(pipeline, 1, bytes);
 			limitReading(pipeline);
-			if (waitingRequests > maxWaitingRequests) {
-				closeLongest();
-			}
+			closeBeyondLimit();
 		},
 		countWaiting: () => waitingRequests,
 		takeWaiting: () => [...pipelines.values()].flatMap(pipeline => takeAll(pipeline)),
--- a/packages/forwarder/src/callers/serve-callers.ts
+++ b/packages/forwarder/src/callers/serve-callers.ts
@@ -229,7 +229,9 @@
 		}
 	};
 
-	const turns = createRequestTurns({logger, metrics, handle: handleSafely});
+	const turns = createRequestTurns({
+		logger, metrics, maxWaitingBytes: context.maxWaitingBytes, handle: handleSafely,
+	});
 
 	const accept = (received: ReceivedRequest): void => {
 		received.response.on('error', error => {
--- a/packages/forwarder/src/context.ts
+++ b/packages/forwarder/src/context.ts
@@ -50,6 +50,8 @@
 	memory: MemoryBudget;
 	/** Limit on the bytes of request bodies that this host holds. */
 	bodies: BodyBudget;
+	/** Most memory, in bytes, that requests may take which wait for those before them on their connections. */
+	maxWaitingBytes: number;
 	/** What may crash the upstreams that run it. */
 	suspects: CrashSuspects;
 	crashDetector: CrashDetector;
--- a/packages/forwarder/src/host/create-context.ts
+++ b/packages/forwarder/src/host/create-context.ts
@@ -41,6 +41,8 @@
 const answersPart = 1 / 10;
 /** Part of a host's memory that request bodies may take. */
 const bodiesPart = 1 / 8;
+/** Part of a host's memory that requests may take which wait for those before them on their connections. */
+const waitingPart = 1 / 10;
 /** Longest time to establish a connection that tests a link. */
 const linkProbeTimeout: Milliseconds = 400;
 
@@ -192,6 +194,7 @@
 		bodies: createBodyBudget({
 			limit: settings.memory * bodiesPart, clock, logger, metrics,
 		}),
+		maxWaitingBytes: settings.memory * waitingPart,
 		suspects,
 		crashDetector: createCrashDetector(clock, links.isAwayForOthers),
 		streamOrigins,
--- a/packages/forwarder/src/testing.ts
+++ b/packages/forwarder/src/testing.ts
@@ -178,6 +178,7 @@
 		bodies: createBodyBudget({
 			limit: memoryLimit, clock, logger, metrics,
 		}),
+		maxWaitingBytes: memoryLimit,
 		suspects: createCrashSuspects(),
 		crashDetector: createCrashDetector(clock, links.isAwayForOthers),
 		streamOrigins: createStreamOrigins(),
