--- a/packages/forwarder/src/callers/error-answer.ts
+++ b/packages/forwarder/src/callers/error-answer.ts
@@ -1,12 +1,13 @@
 import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
 import {
-	createFailure, errorTable, getErrorBody, type ErrorKind,
+	createFailure, cutResponse, errorTable, getErrorBody, type ErrorKind,
 } from '@gentianlift/errors';
 import type {Clock} from '@gentianlift/clock';
 import type {Milliseconds, RunState} from '@gentianlift/types';
 import type {CallerHead, Protocol} from '../protocol.js';
 import {discardRequest} from './discard-request.js';
+import type {ReceivedRequest} from './received-request.js';
 
 /** An error answer that the router generates itself. */
 export type ErrorAnswer = {
@@ -66,3 +67,15 @@
 		response.end();
 	});
 };
+
+/** Answers a request whose handling has failed, which may have run it; closes the connection if an answer has begun. */
+export const answerFailure = ({request, response}: Pick<ReceivedRequest, 'request' | 'response'>, protocol: Protocol): void => {
+	if (response.headersSent || response.destroyed) {
+		cutResponse(response);
+		return;
+	}
+
+	writeErrorAnswer({
+		response, protocol, caller: protocol.readCallerHead(request.rawHeaders), isClosing: true,
+	}, {kind: 'internal'});
+};
--- a/packages/forwarder/src/callers/serve-callers.ts
+++ b/packages/forwarder/src/callers/serve-callers.ts
@@ -1,7 +1,7 @@
 import type {RequestListener, Server} from 'node:http';
 import type {Socket} from 'node:net';
 import type {Route} from '@gentianlift/routing';
-import {cutResponse, type ErrorKind} from '@gentianlift/errors';
+import type {ErrorKind} from '@gentianlift/errors';
 import {createCall} from '../call.js';
 import type {Forwarder} from '../forward.js';
 import {decodeForwardedCall} from '../links/forwarded-call.js';
@@ -11,7 +11,7 @@
 import {createResumptionResolver, type Resumption} from '../resume/resumption.js';
 import {getForwardedResumption, getForwardedService, type ReceivedRequest} from './received-request.js';
 import {
-	retryAfterDelays, writeEarlyErrorAnswer, writeErrorAnswer, type ErrorAnswer,
+	answerFailure, retryAfterDelays, writeEarlyErrorAnswer, writeErrorAnswer, type ErrorAnswer,
 } from './error-answer.js';
 import {findRefusal} from './find-refusal.js';
 import {dropHeaders, exceedsHeaderLimits} from './header-limits.js';
@@ -200,18 +200,6 @@
 		},
 	});
 
-	/** Answers a request whose handling has failed, which may have run it; closes the connection if an answer has begun. */
-	const answerFailure = ({request, response}: ReceivedRequest): void => {
-		if (response.headersSent || response.destroyed) {
-			cutResponse(response);
-			return;
-		}
-
-		writeErrorAnswer({
-			response, protocol, caller: protocol.readCallerHead(request.rawHeaders), isClosing: true,
-		}, {kind: 'internal'});
-	};
-
 	const applyConfiguredLimits = (): void => {
 		applyLimits(server, view.getRoutes()?.configuration.limits);
 	};
@@ -223,13 +211,15 @@
 			await handleWithBody(received);
 		} catch (error) {
 			logger.error('call-failed', {target: received.request.url, reason: (error as Error).stack ?? String(error)});
-			answerFailure(received);
+			answerFailure(received, protocol);
 		} finally {
 			openRequests.end(received);
 		}
 	};
 
-	const turns = createRequestTurns({logger, metrics, handle: handleSafely});
+	const turns = createRequestTurns({
+		logger, metrics, maxWaitingBytes: context.maxWaitingBytes, handle: handleSafely,
+	});
 
 	/** Refuses a request by its head, none of which is held afterwards; what follows on its connection is dropped. */
 	const refuseHead = (received: ReceivedRequest): void => {
