Log each request that is sent, the decision to end, and the calls that are open then

Now attempt-sent says that a request goes to an upstream, and for how long its host has been stopping; ending says when a host decides to end; call-open names what is open as it does. The logic is unchanged.

--- a/packages/forwarder/src/call-end.ts
+++ b/packages/forwarder/src/call-end.ts
@@ -75,6 +75,22 @@
 	}
 };
 
+/** Logs a call that is open as the process ends: what is known of it, and whether an upstream may run it. */
+export const reportOpen = (call: Call, progress: Progress, {clock, logger, metrics}: ForwarderContext): void => {
+	metrics.count('calls_open_at_end_total', {route: call.route.name, sent: String(progress.isSent)});
+	logger.warn('call-open', {
+		request: call.head.callerRequestId,
+		route: call.route.name,
+		kind: call.route.kind,
+		upstream: [...progress.tried].at(-1),
+		over: [...progress.triedHosts].at(-1),
+		executions: progress.possibleExecutions,
+		sent: progress.isSent,
+		answer: getReceivedAnswer(call.response),
+		age: Math.round(clock.monotonic() - call.arrivedAt),
+	});
+};
+
 /** Logs the end of a call and counts it in the metrics. */
 export const reportEnd = (call: Call, progress: Progress, end: CallEnd, {clock, logger, metrics}: ForwarderContext): void => {
 	const duration = clock.monotonic() - call.arrivedAt;
--- a/packages/forwarder/src/callers/serve-callers.ts
+++ b/packages/forwarder/src/callers/serve-callers.ts
@@ -2,6 +2,7 @@
 import type {Socket} from 'node:net';
 import type {Route} from '@gentianlift/routing';
 import type {ErrorKind} from '@gentianlift/errors';
+import type {Milliseconds} from '@gentianlift/types';
 import {createCall} from '../call.js';
 import type {Forwarder} from '../forward.js';
 import {decodeForwardedCall} from '../links/forwarded-call.js';
@@ -37,6 +38,10 @@
 	answerRequests: () => void;
 	/** Cuts the answers that have begun, as this host stops. */
 	cutRequests: () => void;
+	/** Logs the calls that are open, as the process is about to end over them. */
+	reportOpenCalls: () => void;
+	/** Returns the time since the last request arrived; undefined if none has. */
+	getTimeSinceRequest: () => Milliseconds | undefined;
 };
 
 /** Dependencies of the server for callers. */
@@ -228,8 +233,10 @@
 		dropHeaders(received.request);
 	};
 
+	let lastRequestAt: Milliseconds | undefined;
 	const accept = (received: ReceivedRequest): void => {
 		const {request, response} = received;
+		lastRequestAt = clock.monotonic();
 		if (!connections.accept(request, response)) {
 			return;
 		}
@@ -285,5 +292,7 @@
 			forwarder.cutCalls();
 			openRequests.cut();
 		},
+		reportOpenCalls: forwarder.reportOpenCalls,
+		getTimeSinceRequest: () => lastRequestAt === undefined ? undefined : clock.monotonic() - lastRequestAt,
 	};
 };
--- a/packages/forwarder/src/context.ts
+++ b/packages/forwarder/src/context.ts
@@ -69,6 +69,8 @@
 	isTrialHost: (suspect: SuspectId) => boolean;
 	/** Whether the host is in a graceful shutdown. */
 	isStopping: () => boolean;
+	/** Returns for how long the host has been in a graceful shutdown; undefined if it isn't. */
+	getTimeSinceStop: () => Milliseconds | undefined;
 	/** Returns when the host ends the requests that it still has, as it is in a graceful shutdown; infinity if it isn't. */
 	getServingEnd: () => Milliseconds;
 	/** Whether the host accepts a request that may last for `timeout`. */
--- a/packages/forwarder/src/forward.ts
+++ b/packages/forwarder/src/forward.ts
@@ -4,7 +4,7 @@
 import {createAttemptMaker} from './send/make-attempt.js';
 import {createRetryBudgets} from './send/retry-budgets.js';
 import {createCallAnswers} from './call-answers.js';
-import {reportEnd, type CallEnd} from './call-end.js';
+import {reportEnd, reportOpen, type CallEnd} from './call-end.js';
 import type {ForwardOutcome} from './deliver/forward-outcome.js';
 import {
 	createProgress, isAbandoned, type Call, type Progress,
@@ -26,6 +26,8 @@
 	answerCalls: () => void;
 	/** Cuts the answers that have begun, as this host stops. */
 	cutCalls: () => void;
+	/** Logs the calls that are open, as the process is about to end over them. */
+	reportOpenCalls: () => void;
 };
 
 /** Time that a caller has to read an answer that was written for it. */
@@ -221,6 +223,11 @@
 				stopCall(call, progress);
 			}
 		},
+		reportOpenCalls() {
+			for (const [call, progress] of openCalls) {
+				reportOpen(call, progress, context);
+			}
+		},
 		async forward(call) {
 			const progress = createProgress(context.memory.open(call.head.callerRequestId));
 			progress.lastEventId = call.head.lastEventId;
--- a/packages/forwarder/src/host/create-context.ts
+++ b/packages/forwarder/src/host/create-context.ts
@@ -205,6 +205,7 @@
 		countHosts: fleet.countHosts,
 		isTrialHost: suspect => fleet.isAmongChosenHosts(suspect, 1),
 		isStopping,
+		getTimeSinceStop: () => shutdown.since === undefined ? undefined : clock.monotonic() - shutdown.since,
 		getServingEnd: () => shutdown.since === undefined ? Number.POSITIVE_INFINITY : shutdown.since + getServingTime(shutdown.gracePeriod),
 		canAccept: timeout => shutdown.since === undefined || canAcceptRequest(clock.monotonic() - shutdown.since, shutdown.gracePeriod, timeout),
 	};
--- a/packages/forwarder/src/host/start-host.ts
+++ b/packages/forwarder/src/host/start-host.ts
@@ -105,6 +105,7 @@
 		await stopHost({
 			clock, logger, getGracePeriod: () => shutdown.gracePeriod, maxAddressUse: isOpen ? addressListTtl * staleUseFactor : 0,
 			countOpenRequests: callers.countOpenRequests, answerRequests: callers.answerRequests, cutRequests: callers.cutRequests, announce, release: fleet.registration.end,
+			getTimeSinceRequest: callers.getTimeSinceRequest, reportOpenCalls: callers.reportOpenCalls,
 		});
 	};
 
--- a/packages/forwarder/src/host/stop-host.test.ts
+++ b/packages/forwarder/src/host/stop-host.test.ts
@@ -25,6 +25,8 @@
 			async release() {
 				state.calls.push('release');
 			},
+			getTimeSinceRequest: () => undefined,
+			reportOpenCalls: () => undefined,
 			...steps,
 		});
 		state.isStopped = true;
--- a/packages/forwarder/src/host/stop-host.ts
+++ b/packages/forwarder/src/host/stop-host.ts
@@ -20,6 +20,10 @@
 	cutRequests: () => void;
 	/** Ends the registration of the host. */
 	release: () => Promise<void>;
+	/** Returns the time since the last request arrived; undefined if none has. */
+	getTimeSinceRequest: () => Milliseconds | undefined;
+	/** Logs the calls that are open, as the process is about to end over them. */
+	reportOpenCalls: () => void;
 };
 
 /** Part of the grace period that is reserved for the release and for the exit of the process. */
@@ -47,7 +51,7 @@
 
 /** Serves until callers no longer use the address and all requests are answered, or the grace period is almost over; then ends what is still open, and releases. */
 export const stopHost = async ({
-	clock, logger, getGracePeriod, maxAddressUse, countOpenRequests, announce, answerRequests, cutRequests, release,
+	clock, logger, getGracePeriod, maxAddressUse, countOpenRequests, announce, answerRequests, cutRequests, release, getTimeSinceRequest, reportOpenCalls,
 }: StopOptions): Promise<void> => {
 	const startedAt = clock.monotonic();
 	const getElapsed = (): Milliseconds => clock.monotonic() - startedAt;
@@ -70,17 +74,25 @@
 		}
 	};
 
+	/** Logs a step of the end, with what tells whether requests still come. */
+	const report = (event: 'ending' | 'stopped', fields: Record<string, number>): void => {
+		const sinceRequest = getTimeSinceRequest();
+		logger.info(event, {
+			...fields, open: countOpenRequests(), sinceRequest: sinceRequest === undefined ? undefined : Math.round(sinceRequest), after: Math.round(getElapsed()),
+		});
+	};
+
 	logger.info('stopping', {open: countOpenRequests(), grace: getGracePeriod()});
 	const announcement = runStep('announce', announce);
 	await waitForRequests(getTimeToServe, maxAddressUse);
 	const unanswered = countOpenRequests();
+	report('ending', {});
 	await runStep('answer', answerRequests);
 	await waitForRequests(() => getTimeToServe() + answerMargin, 0);
 	const cut = countOpenRequests();
 	await runStep('cut', cutRequests);
 	await Promise.race([announcement, clock.sleep(callWait)]);
 	await Promise.race([runStep('release', release), clock.sleep(callWait)]);
-	logger.info('stopped', {
-		unanswered, cut, open: countOpenRequests(), after: Math.round(getElapsed()),
-	});
+	reportOpenCalls();
+	report('stopped', {unanswered, cut});
 };
--- a/packages/forwarder/src/queue/simulated-host.ts
+++ b/packages/forwarder/src/queue/simulated-host.ts
@@ -111,6 +111,7 @@
 		retryLimit: {ratio: 0.2, minimum: 54, window: 10_000},
 		countHosts: () => 1,
 		isStopping: () => false,
+		getTimeSinceStop: () => undefined,
 		getServingEnd: () => Number.POSITIVE_INFINITY,
 	} as unknown as ForwarderContext;
 	const forwarder = createForwarder(context);
--- a/packages/forwarder/src/send/attempt-over-host.ts
+++ b/packages/forwarder/src/send/attempt-over-host.ts
@@ -10,7 +10,9 @@
 import {send, type SendOutcome} from './send.js';
 import type {RetryBudgets} from './retry-budgets.js';
 import {createSilenceDecision} from './successor.js';
-import {isConnectionLoss, misdirectedStatus, recordChunk} from './attempt-record.js';
+import {
+	isConnectionLoss, misdirectedStatus, recordChunk, reportSent,
+} from './attempt-record.js';
 
 /** Returns what the other host has to know of a stream that it is to resume; undefined if the call begins one, or isn't a stream. */
 const describeResumption = ({streamVersion, lastEventId = 0, hasBegun}: Progress): ForwardedCall['resumption'] =>
@@ -99,6 +101,7 @@
 		clock,
 		onSent() {
 			progress.isSent = true;
+			reportSent(call, progress, {over: host.host}, context);
 		},
 	});
 	progress.cancel = cancel;
--- a/packages/forwarder/src/send/attempt-record.ts
+++ b/packages/forwarder/src/send/attempt-record.ts
@@ -1,5 +1,7 @@
-import {getUpstreamKey, isResumableStream, type Upstream} from '@gentianlift/routing';
-import type {Milliseconds} from '@gentianlift/types';
+import {
+	getUpstreamKey, isResumableStream, type Upstream, type UpstreamKey,
+} from '@gentianlift/routing';
+import type {HostId, Milliseconds} from '@gentianlift/types';
 import type {CutReason} from '../deliver/body-end.js';
 import type {Call, Progress} from '../call.js';
 import type {ForwarderContext} from '../context.js';
@@ -71,6 +73,21 @@
 	}
 };
 
+/** Logs that a call is written to the connection of an upstream or of another host, from which on it may run: a process that ends over it leaves no other line of it. */
+export const reportSent = ({head, route, arrivedAt}: Call, {attempts}: Progress, target: {upstream?: UpstreamKey; over?: HostId}, {clock, logger, metrics, getTimeSinceStop}: ForwarderContext): void => {
+	const stoppingFor = getTimeSinceStop();
+	metrics.count('attempts_sent_total', {route: route.name, stopping: String(stoppingFor !== undefined)});
+	logger.info('attempt-sent', {
+		request: head.callerRequestId,
+		route: route.name,
+		kind: route.kind,
+		...target,
+		attempt: attempts + 1,
+		age: Math.round(clock.monotonic() - arrivedAt),
+		stoppingFor: stoppingFor === undefined ? undefined : Math.round(stoppingFor),
+	});
+};
+
 /** Records how long the request has waited for a connection. */
 export const recordConnectionWait = ({call, progress, context, startedAt}: Attempt): void => {
 	progress.connectionWait = context.clock.monotonic() - startedAt;
--- a/packages/forwarder/src/send/attempt.ts
+++ b/packages/forwarder/src/send/attempt.ts
@@ -10,7 +10,7 @@
 import {watchSilence} from '../deliver/watch-silence.js';
 import {send, type SendOutcome} from './send.js';
 import {
-	isConnectionLoss, observeStatements, recordChunk, recordConnectionWait, recordFirstToken, recordOutcome, recordStart, type Attempt,
+	isConnectionLoss, observeStatements, recordChunk, recordConnectionWait, recordFirstToken, recordOutcome, recordStart, reportSent, type Attempt,
 } from './attempt-record.js';
 import {buildUpstreamRequest} from './build-upstream-request.js';
 import type {RetryBudgets} from './retry-budgets.js';
@@ -110,6 +110,7 @@
 			attempt.getProcessAge = getProcessAge;
 			attempt.sentAt = context.clock.monotonic();
 			recordConnectionWait(attempt);
+			reportSent(call, progress, {upstream: getUpstreamKey(upstream)}, context);
 		},
 		onHead(head) {
 			progress.statements = head.statements;
--- a/packages/forwarder/src/testing.ts
+++ b/packages/forwarder/src/testing.ts
@@ -188,6 +188,7 @@
 		countHosts: () => 1,
 		isTrialHost: () => true,
 		isStopping: () => isStopping,
+		getTimeSinceStop: () => undefined,
 		getServingEnd: () => Number.POSITIVE_INFINITY,
 		canAccept: () => !isStopping,
 	};
