End a host in one step with its last look at open requests

Cause: a host decided to end when no request was open, and then waited for the announcement, the release and its log before it exited. All that time it accepted requests, by the time alone, and passed them on; those that were open at the exit were cut.

Now what takes time comes first, while the host serves: it announces and releases, waits until no request is open, and ends admission in that same step. From then on a request is refused as not run, with Connection: close, for 100 ms at least; then new connections are refused, the log is written, and the process exits in the step in which it sees that no answer is open.

--- a/packages/forwarder/src/callers/http-server.ts
+++ b/packages/forwarder/src/callers/http-server.ts
@@ -1,4 +1,5 @@
 import {createServer, type RequestListener, type Server} from 'node:http';
+import {Server as SocketServer} from 'node:net';
 import type {RequestLimits} from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
 import {maxHeaderBytes} from './header-limits.js';
@@ -39,3 +40,10 @@
 	server.headersTimeout = limits.headerTimeout;
 	server.keepAliveTimeout = limits.idleTimeout + keepAliveMargin;
 };
+
+/** Refuses new connections and keeps all open ones; `close` of an HTTP server would reset idle ones on which a request is under way. */
+export const closeListener = (server: Server): void => {
+	if (server.listening) {
+		SocketServer.prototype.close.call(server);
+	}
+};
--- a/packages/forwarder/src/callers/serve-callers.ts
+++ b/packages/forwarder/src/callers/serve-callers.ts
@@ -1,7 +1,6 @@
 import type {RequestListener, Server} from 'node:http';
 import type {Socket} from 'node:net';
 import type {Route} from '@gentianlift/routing';
-import type {ErrorKind} from '@gentianlift/errors';
 import type {Milliseconds} from '@gentianlift/types';
 import {createCall} from '../call.js';
 import type {Forwarder} from '../forward.js';
@@ -11,15 +10,14 @@
 import type {ForwarderContext} from '../context.js';
 import {createResumptionResolver, type Resumption} from '../resume/resumption.js';
 import {getForwardedResumption, getForwardedService, type ReceivedRequest} from './received-request.js';
-import {
-	answerFailure, retryAfterDelays, writeEarlyErrorAnswer, writeErrorAnswer, type ErrorAnswer,
-} from './error-answer.js';
+import {answerFailure, writeErrorAnswer} from './error-answer.js';
 import {findRefusal} from './find-refusal.js';
 import {dropHeaders, exceedsHeaderLimits} from './header-limits.js';
 import {createAdmission, maxOpenRequests, type Admission} from './admission.js';
 import {createOpenRequests} from './open-requests.js';
-import {applyLimits, createHttpServer} from './http-server.js';
+import {applyLimits, closeListener, createHttpServer} from './http-server.js';
 import {getDeclaredBytes, getMaxBodyBytes, receiveRequestBody} from './receive-request-body.js';
+import {createRefusal, stoppingAnswer} from './refusal.js';
 import {createRequestTurns} from './request-turns.js';
 import {createCallerConnections, type ConnectionError} from './caller-connections.js';
 
@@ -34,6 +32,10 @@
 	countOpenRequests: () => number;
 	/** Returns the number of these that wait until the requests before them on their connections are answered. */
 	countReadAhead: () => number;
+	/** Accepts no request from now on, as this host ends: those that still come are refused as not run. */
+	endAdmission: () => void;
+	/** Refuses new connections from now on, as the process is about to end. */
+	closeListener: () => void;
 	/** Answers the requests whose answers haven't begun, as this host stops. */
 	answerRequests: () => void;
 	/** Cuts the answers that have begun, as this host stops. */
@@ -53,15 +55,13 @@
 /** A request that has arrived completely, with what it was admitted to. */
 type AdmittedRequest = {admission: Extract<Admission, {kind: 'admitted'}>; bytes: Uint8Array};
 
-/** Errors that come from the state of this host, not from the request. */
-const hostFaults = new Set<ErrorKind>(['not-configured', 'host-overloaded', 'host-stopping']);
-
 /** Creates the server; it doesn't listen yet. */
 export const createCallerServer = ({context, forwarder}: CallerServerOptions): CallerServer => {
 	const {
-		clock, view, protocol, logger, metrics, reportExchange,
+		clock, view, protocol, logger, metrics,
 	} = context;
 	const openRequests = createOpenRequests();
+	const refuse = createRefusal(context);
 	const resolveResumption = createResumptionResolver(context);
 	const admit = createAdmission(context, openRequests.countWhole);
 
@@ -70,31 +70,6 @@
 		return forwarded?.resumption === undefined ? head : {...head, lastEventId: forwarded.resumption.lastEventId};
 	};
 
-	/** Refuses a request; the host that has forwarded one is told to ask another host, where this one's state is the reason. */
-	const refuse = ({request, response, forwarded}: ReceivedRequest, head: CallerHead, errorAnswer: ErrorAnswer): void => {
-		const isHostsFault = forwarded !== undefined && hostFaults.has(errorAnswer.kind);
-		metrics.count('refusals_total', {reason: errorAnswer.kind});
-		logger.info('call-refused', {
-			request: head.callerRequestId,
-			reason: errorAnswer.kind,
-			target: request.url,
-			version: view.getRoutes()?.configuration.version,
-			newest: reportExchange.getNewestConfigurationVersion(),
-			revision: view.getRevision(),
-			age: Math.round(view.getTimeSinceStoreContact(clock.monotonic())),
-		});
-		const isClosing = context.isStopping() || errorAnswer.kind === 'body-too-large';
-		const answer: ErrorAnswer = isHostsFault ? {kind: 'misdirected'} : errorAnswer;
-		const target = {
-			response, protocol, caller: head, isClosing,
-		};
-		if (request.complete || context.isStopping()) {
-			writeErrorAnswer(target, answer);
-		} else {
-			writeEarlyErrorAnswer(target, answer, clock);
-		}
-	};
-
 	/** Returns the origin of the stream that a request resumes, as the host that has forwarded it says or as it is known in the fleet. */
 	const resolveOrigin = async ({forwarded}: ReceivedRequest, head: CallerHead, route: Route): Promise<Resumption> =>
 		forwarded?.resumption === undefined
@@ -233,6 +208,14 @@
 		dropHeaders(received.request);
 	};
 
+	/** Refuses a request that comes after the end of admission; it is open until its answer is written. */
+	const refuseLate = (received: ReceivedRequest): void => {
+		openRequests.add(received);
+		refuse(received, readHead(received), stoppingAnswer);
+		openRequests.end(received);
+	};
+
+	let isAdmitting = true;
 	let lastRequestAt: Milliseconds | undefined;
 	const accept = (received: ReceivedRequest): void => {
 		const {request, response} = received;
@@ -241,6 +224,11 @@
 			return;
 		}
 
+		if (!isAdmitting) {
+			refuseLate(received);
+			return;
+		}
+
 		if (exceedsHeaderLimits(request.rawHeaders, view.getRoutes()?.configuration.limits)) {
 			refuseHead(received);
 		} else {
@@ -277,6 +265,12 @@
 		handleConnectionError: connections.handleError,
 		countOpenRequests: () => openRequests.count() + turns.countWaiting(),
 		countReadAhead: turns.countWaiting,
+		endAdmission() {
+			isAdmitting = false;
+		},
+		closeListener() {
+			closeListener(server);
+		},
 		answerRequests() {
 			forwarder.answerCalls();
 			for (const received of turns.takeWaiting()) {
@@ -285,7 +279,7 @@
 			}
 
 			for (const received of openRequests.getUnanswered()) {
-				refuse(received, readHead(received), {kind: 'host-stopping', retryAfter: retryAfterDelays['host-stopping']!});
+				refuse(received, readHead(received), stoppingAnswer);
 			}
 		},
 		cutRequests() {
--- a/packages/forwarder/src/host/start-host.ts
+++ b/packages/forwarder/src/host/start-host.ts
@@ -29,8 +29,12 @@
 	reload: (settings: HostSettings) => void;
 	/** Returns the time from the signal to stop until the process is killed. */
 	getGracePeriod: () => Milliseconds;
-	/** Shuts the host down gracefully, once; resolves when its process may end. */
+	/** Shuts the host down gracefully, once; from when it resolves on, the host passes no request on, and its process may end as soon as none is open. */
 	stop: () => Promise<void>;
+	/** Returns the number of requests that are being handled or whose answers aren't written completely. */
+	countOpenRequests: () => number;
+	/** Refuses new connections of callers from now on, as the process is about to end. */
+	closeListener: () => void;
 };
 
 /** Longest time to live of a list of addresses; short, so that callers stop using a stopping host soon. */
@@ -104,8 +108,7 @@
 		shutdown.since = clock.monotonic();
 		await stopHost({
 			clock, logger, getGracePeriod: () => shutdown.gracePeriod, maxAddressUse: isOpen ? addressListTtl * staleUseFactor : 0,
-			countOpenRequests: callers.countOpenRequests, answerRequests: callers.answerRequests, cutRequests: callers.cutRequests, announce, release: fleet.registration.end,
-			getTimeSinceRequest: callers.getTimeSinceRequest, reportOpenCalls: callers.reportOpenCalls,
+			announce, release: fleet.registration.end, ...callers,
 		});
 	};
 
@@ -152,6 +155,8 @@
 			stopped ??= shutDown();
 			await stopped;
 		},
+		countOpenRequests: callers.countOpenRequests,
+		closeListener: callers.closeListener,
 	};
 };
 
--- a/packages/forwarder/src/host/stop-host.test.ts
+++ b/packages/forwarder/src/host/stop-host.test.ts
@@ -25,6 +25,9 @@
 			async release() {
 				state.calls.push('release');
 			},
+			endAdmission() {
+				state.calls.push(`end admission at ${clock.monotonic()}`);
+			},
 			getTimeSinceRequest: () => undefined,
 			reportOpenCalls: () => undefined,
 			...steps,
@@ -63,7 +66,7 @@
 test('a stop with an open request answers it, and cuts it if that does not end it', async () => {
 	const {clock, state} = beginStop();
 	await clock.advance(gracePeriod);
-	expect(state.calls).toEqual(['announce', 'answer at 7500', 'cut at 7700', 'release']);
+	expect(state.calls).toEqual(['announce', 'release', 'end admission at 7500', 'answer at 7500', 'cut at 7700']);
 });
 
 // Guards against: a host goes on serving by the grace period that it had when the stop began, and is killed.
@@ -76,6 +79,23 @@
 	expect(state.calls).toContain('answer at 3500');
 });
 
+// Guards against: requests that are accepted while an ending host waits for the store are passed on and cut by its end.
+test('a stopping host ends admission only once what came during its release is answered', async () => {
+	const {clock, state} = beginStop({
+		async release() {
+			state.calls.push('release');
+			state.open = 1;
+		},
+	});
+	state.open = 0;
+	await clock.advance(4000);
+	expect(state.calls).toEqual(['announce', 'release']);
+	state.open = 0;
+	await clock.advance(200);
+	expect(state.calls.slice(2)).toEqual([expect.stringMatching(/^end admission/v), expect.stringMatching(/^answer/v), expect.stringMatching(/^cut/v)]);
+	expect(state.isStopped).toBe(true);
+});
+
 // Guards against: an error in one step of a stop prevents the steps after it and the exit.
 test('a stop ends although its announcement and its answers fail', async () => {
 	const {clock, state} = beginStop({
@@ -87,7 +107,7 @@
 		},
 	});
 	await clock.advance(gracePeriod);
-	expect(state.calls).toEqual(['cut at 7700', 'release']);
+	expect(state.calls).toEqual(['release', 'end admission at 7500', 'cut at 7700']);
 	expect(state.isStopped).toBe(true);
 });
 
--- a/packages/forwarder/src/host/stop-host.ts
+++ b/packages/forwarder/src/host/stop-host.ts
@@ -14,24 +14,28 @@
 	countOpenRequests: () => number;
 	/** Notifies the other hosts and the key-value service. */
 	announce: () => Promise<void>;
+	/** Ends the registration of the host. */
+	release: () => Promise<void>;
+	/** Accepts no request from now on: those that still come are refused as not run. */
+	endAdmission: () => void;
 	/** Answers the requests whose answers haven't begun. */
 	answerRequests: () => void;
 	/** Cuts the answers that have begun. */
 	cutRequests: () => void;
-	/** Ends the registration of the host. */
-	release: () => Promise<void>;
 	/** Returns the time since the last request arrived; undefined if none has. */
 	getTimeSinceRequest: () => Milliseconds | undefined;
 	/** Logs the calls that are open, as the process is about to end over them. */
 	reportOpenCalls: () => void;
 };
 
-/** Part of the grace period that is reserved for the release and for the exit of the process. */
-const releaseMargin: Milliseconds = 300;
-/** Longest wait for the announcement once no request is open, and after that for the release; together less than the time that is reserved. */
+/** Part of the grace period that is reserved for the last log lines and for the exit of the process. */
+const exitMargin: Milliseconds = 300;
+/** Longest wait for the announcement once no request is open, and after that for the release. */
 const callWait: Milliseconds = 100;
-/** Part of the grace period before the release in which requests that are still open are answered, and no more are served. */
+/** Part of the grace period before its end in which requests that are still open are answered, and no more are served. */
 const answerMargin: Milliseconds = 200;
+/** Time after the end of admission in which requests that are under way on open connections are still read and refused, as the end of the process would reset them. */
+const refusalPeriod: Milliseconds = 100;
 /** Interval at which the number of open requests is polled. */
 const checkInterval: Milliseconds = 50;
 
@@ -40,7 +44,7 @@
 const noticePart = 1 / 3;
 
 /** Returns the time after the signal to stop for which a host serves requests. */
-export const getServingTime = (gracePeriod: Milliseconds): Milliseconds => Math.max(0, gracePeriod - releaseMargin - answerMargin);
+export const getServingTime = (gracePeriod: Milliseconds): Milliseconds => Math.max(0, gracePeriod - exitMargin - answerMargin);
 
 /**
  * Whether a host that began to stop `elapsed` ago accepts a request that may last for `timeout`. A late caller is better
@@ -49,9 +53,13 @@
 export const canAcceptRequest = (elapsed: Milliseconds, gracePeriod: Milliseconds, timeout: Milliseconds): boolean =>
 	elapsed <= Math.min(maxNoticePeriod, getServingTime(gracePeriod) * noticePart) || timeout <= getServingTime(gracePeriod) - elapsed;
 
-/** Serves until callers no longer use the address and all requests are answered, or the grace period is almost over; then ends what is still open, and releases. */
+/**
+ * Serves until callers no longer use the address and all requests are answered, or the grace period is almost over.
+ * What takes time comes before the end of admission, as requests are accepted meanwhile; after it, every request that was
+ * accepted is answered or cut, and none is accepted any more.
+ */
 export const stopHost = async ({
-	clock, logger, getGracePeriod, maxAddressUse, countOpenRequests, announce, answerRequests, cutRequests, release, getTimeSinceRequest, reportOpenCalls,
+	clock, logger, getGracePeriod, maxAddressUse, countOpenRequests, announce, release, endAdmission, answerRequests, cutRequests, getTimeSinceRequest, reportOpenCalls,
 }: StopOptions): Promise<void> => {
 	const startedAt = clock.monotonic();
 	const getElapsed = (): Milliseconds => clock.monotonic() - startedAt;
@@ -84,15 +92,18 @@
 
 	logger.info('stopping', {open: countOpenRequests(), grace: getGracePeriod()});
 	const announcement = runStep('announce', announce);
-	await waitForRequests(getTimeToServe, maxAddressUse);
+	await waitForRequests(() => getTimeToServe() - (2 * callWait), maxAddressUse);
+	await Promise.race([announcement, clock.sleep(callWait)]);
+	await Promise.race([runStep('release', release), clock.sleep(callWait)]);
+	await waitForRequests(getTimeToServe, 0);
+	endAdmission();
+	const endedAt = getElapsed();
 	const unanswered = countOpenRequests();
 	report('ending', {});
 	await runStep('answer', answerRequests);
-	await waitForRequests(() => getTimeToServe() + answerMargin, 0);
+	await waitForRequests(() => getTimeToServe() + answerMargin, endedAt + refusalPeriod);
 	const cut = countOpenRequests();
 	await runStep('cut', cutRequests);
-	await Promise.race([announcement, clock.sleep(callWait)]);
-	await Promise.race([runStep('release', release), clock.sleep(callWait)]);
 	reportOpenCalls();
 	report('stopped', {unanswered, cut});
 };
--- a/packages/forwarder/src/process/start-process.ts
+++ b/packages/forwarder/src/process/start-process.ts
@@ -3,7 +3,7 @@
 import {exitProcess, exitStatus, type ProcessEndOptions} from './stop-process.js';
 
 /** Options of a process's start. */
-export type ProcessStartOptions = Pick<ProcessEndOptions, 'clock' | 'logger' | 'output' | 'exit'> & {
+export type ProcessStartOptions = Pick<ProcessEndOptions, 'clock' | 'logger' | 'output' | 'countOpenRequests' | 'closeListener' | 'exit'> & {
 	metrics: Metrics;
 	/** Opens the host; resolves when it listens on all addresses that it needs, or stops. */
 	open: () => Promise<void>;
--- a/packages/forwarder/src/process/stop-process.test.ts
+++ b/packages/forwarder/src/process/stop-process.test.ts
@@ -7,7 +7,9 @@
 
 const createProcess = (options: Partial<Pick<ProcessEndOptions, 'stop' | 'output'>>) => {
 	const clock = createManualClock();
-	const state = {gracePeriod, stops: 0, ends: [] as string[]};
+	const state = {
+		gracePeriod, open: 0, stops: 0, ends: [] as string[],
+	};
 	const stop = createStopHandler({
 		clock,
 		logger: createSilentLogger(),
@@ -16,6 +18,8 @@
 			flush: async () => undefined,
 		},
 		getGracePeriod: () => state.gracePeriod,
+		countOpenRequests: () => state.open,
+		closeListener: () => undefined,
 		async stop() {
 			state.stops += 1;
 		},
@@ -50,6 +54,24 @@
 	expect(state.ends).toEqual(['status 0 at 50']);
 });
 
+// Guards against: a process ends over requests that came while its last log lines were written.
+test('a process exits only once no request is open', async () => {
+	const {clock, state, stop} = createProcess({
+		output: {
+			write: () => undefined,
+			async flush() {
+				state.open = 1;
+			},
+		},
+	});
+	stop();
+	await clock.advance(200);
+	expect(state.ends).toEqual([]);
+	state.open = 0;
+	await clock.advance(10);
+	expect(state.ends).toEqual(['status 0 at 210']);
+});
+
 // Guards against: an error in the shutdown prevents the exit.
 test('a process exits with status 1 if the shutdown fails', async () => {
 	const {clock, state, stop} = createProcess({
--- a/packages/forwarder/src/process/stop-process.ts
+++ b/packages/forwarder/src/process/stop-process.ts
@@ -21,8 +21,12 @@
 	output: BufferedOutput;
 	/** Returns the time from the signal to stop until the process must have ended; a reload may shorten it. */
 	getGracePeriod: () => Milliseconds;
-	/** Shuts the host down gracefully. */
+	/** Shuts the host down gracefully; from when it resolves on, requests are only refused. */
 	stop: () => Promise<void>;
+	/** Returns the number of requests without a complete answer. */
+	countOpenRequests: () => number;
+	/** Refuses new connections, on which requests would be reset by the end of the process. */
+	closeListener: () => void;
 	/** Ends the process with a status. */
 	exit?: (status: ExitStatus) => void;
 	/** Ends the process even if a thread is blocked, for which `exit` would wait. */
@@ -33,12 +37,21 @@
 const outputWait: Milliseconds = 50;
 /** Part of the grace period before its end in which a process that hasn't exited kills itself. */
 const killMargin: Milliseconds = 25;
-/** Interval at which it is checked whether the grace period is almost over. */
+/** Interval at which it is checked whether the grace period is almost over, and whether requests are open at the exit. */
 const checkInterval: Milliseconds = 10;
 
-/** Writes the last log lines, unless nobody reads them, and ends the process. */
-export const exitProcess = async (status: ExitStatus, {clock, output, exit = process.exit}: Pick<ProcessEndOptions, 'clock' | 'output' | 'exit'>): Promise<void> => {
+/** What the exit of a process needs. */
+export type ProcessExitOptions = Pick<ProcessEndOptions, 'clock' | 'output' | 'countOpenRequests' | 'closeListener' | 'exit'>;
+
+/** Writes the last log lines, unless nobody reads them, and ends the process once no request is open: nothing is awaited between the last look at them and the exit. */
+export const exitProcess = async (status: ExitStatus, {clock, output, countOpenRequests, closeListener, exit = process.exit}: ProcessExitOptions): Promise<void> => {
+	closeListener();
 	await Promise.race([output.flush(), clock.sleep(outputWait)]);
+	while (countOpenRequests() > 0) {
+		// eslint-disable-next-line no-await-in-loop -- Polls the number of open requests.
+		await clock.sleep(checkInterval);
+	}
+
 	exit(status);
 };
 
