Answer what is open when the grace period is shortened to one that is almost over

Now the waits for the two steps end with the time to serve, the answers have as long to be written as late requests have to be refused, and the process kills itself at the earliest 250 ms after its grace period was changed. The kill at the end of a grace period that stays is as before.

--- a/packages/forwarder/src/host/stop-host.ts
+++ b/packages/forwarder/src/host/stop-host.ts
@@ -73,6 +73,12 @@
 		}
 	};
 
+	/** Waits for a step for a time that ends with the time to serve. */
+	const waitForStep = async (step: Promise<void>): Promise<void> => {
+		const left = Math.max(0, getTimeToServe() - getElapsed());
+		await Promise.race([step, clock.sleep(Math.min(callWait, left))]);
+	};
+
 	/** Runs a step, the failure of which is logged, as the steps after it must follow all the same. */
 	const runStep = async (step: string, run: () => Promise<void> | void): Promise<void> => {
 		try {
@@ -93,15 +99,15 @@
 	logger.info('stopping', {open: countOpenRequests(), grace: getGracePeriod()});
 	const announcement = runStep('announce', announce);
 	await waitForRequests(() => getTimeToServe() - (2 * callWait), maxAddressUse);
-	await Promise.race([announcement, clock.sleep(callWait)]);
-	await Promise.race([runStep('release', release), clock.sleep(callWait)]);
+	await waitForStep(announcement);
+	await waitForStep(runStep('release', release));
 	await waitForRequests(getTimeToServe, 0);
 	endAdmission();
-	const endedAt = getElapsed();
+	const refusedUntil = getElapsed() + refusalPeriod;
 	const unanswered = countOpenRequests();
 	report('ending', {});
 	await runStep('answer', answerRequests);
-	await waitForRequests(() => getTimeToServe() + answerMargin, endedAt + refusalPeriod);
+	await waitForRequests(() => Math.max(getTimeToServe() + answerMargin, refusedUntil), refusedUntil);
 	const cut = countOpenRequests();
 	await runStep('cut', cutRequests);
 	reportOpenCalls();
--- a/packages/forwarder/src/process/stop-process.ts
+++ b/packages/forwarder/src/process/stop-process.ts
@@ -37,6 +37,8 @@
 const outputWait: Milliseconds = 50;
 /** Part of the grace period before its end in which a process that hasn't exited kills itself. */
 const killMargin: Milliseconds = 25;
+/** Time that a process has, before it kills itself, to answer what is open if its grace period is shortened to one that is almost over. */
+const shortenedEndTime: Milliseconds = 250;
 /** Interval at which it is checked whether the grace period is almost over, and whether requests are open at the exit. */
 const checkInterval: Milliseconds = 10;
 
@@ -87,8 +89,16 @@
 	};
 
 	const killWhenOverdue = (since: Milliseconds): void => {
+		let gracePeriod = getGracePeriod();
+		let earliestKill = since;
 		every(checkInterval, () => {
-			if (clock.monotonic() - since >= getGracePeriod() - killMargin) {
+			const now = clock.monotonic();
+			if (getGracePeriod() !== gracePeriod) {
+				gracePeriod = getGracePeriod();
+				earliestKill = now + shortenedEndTime;
+			}
+
+			if (now - since >= gracePeriod - killMargin && now >= earliestKill) {
 				kill();
 			}
 		});
