--- a/packages/forwarder/src/process/start-process.test.ts
+++ b/packages/forwarder/src/process/start-process.test.ts
@@ -4,6 +4,8 @@
 import {expect, test} from 'vitest';
 import {startProcess} from './start-process.js';
 
+const gracePeriod = 2000;
+
 const beginStart = (open: () => Promise<void>) => {
 	const clock = createManualClock();
 	const state = {open: 1, steps: [] as string[]};
@@ -16,6 +18,7 @@
 		async stop() {
 			state.steps.push('stop');
 		},
+		getGracePeriod: () => gracePeriod,
 		countOpenRequests: () => state.open,
 		closeListener() {
 			state.steps.push('close');
@@ -44,3 +47,12 @@
 	await clock.advance(10);
 	expect(state.steps).toEqual(['stop', 'close', 'status 1']);
 });
+
+// Guards against: a process whose start has failed goes on without a listener as long as requests come on the connections that it has.
+test.fails('a process whose start has failed ends although a request stays open', async () => {
+	const {clock, state} = beginStart(async () => {
+		throw new Error('forbidden address');
+	});
+	await clock.advance(gracePeriod);
+	expect(state.steps).toEqual(['stop', 'close', 'status 1']);
+});
