--- a/packages/soak/src/deployment.ts
+++ b/packages/soak/src/deployment.ts
@@ -1,6 +1,6 @@
 import type {Address, Milliseconds} from '@gentianlift/types';
 import type {
-	BoundArrival, Call, RequestKind, Execution,
+	BoundArrival, Call, Exchange, RequestKind, Execution,
 } from './guarantees.js';
 import type {Command} from './host-process.js';
 import type {OddBodies} from './odd-bodies.js';
@@ -94,8 +94,11 @@
 	pickAddress: () => Address | undefined;
 };
 
+/** A request as it was sent to an address. */
+export type SentRequest = Omit<Exchange, 'host'> & {address: Address};
+
 /** What a caller received. */
-export type CallResult = Pick<Call, 'outcome' | 'versions' | 'resumptions'>;
+export type CallResult = Pick<Call, 'outcome' | 'versions'> & {requests: readonly SentRequest[]};
 
 /** Client of the hosts that keeps its connections open. */
 export type Callers = {
--- a/packages/soak/src/exchange.ts
+++ b/packages/soak/src/exchange.ts
@@ -30,6 +30,7 @@
 /** Sends a request and reads its answer; resolves with an outcome instead if no complete answer arrives within the timeout. `onText` is called with each piece of the body, also of one that isn't completed. */
 export const sendAndReceive = async (options: RequestOptions, body: string, timeout: Milliseconds, onText: TextListener = () => undefined): Promise<ExchangeResult> => new Promise(resolve => {
 	let isConnected = false;
+	let sentAt: Milliseconds | undefined;
 	const outgoing: ClientRequest = request(options);
 	const timer = setTimeout(() => {
 		resolve({kind: 'given-up'});
@@ -48,14 +49,26 @@
 			});
 		}
 	});
+	outgoing.once('finish', () => {
+		sentAt = performance.now();
+	});
+	const breakOff = (error: Error): void => {
+		const now = performance.now();
+		finish({kind: 'broken', reason: getReason(error), sentFor: now - (sentAt ?? now)});
+	};
+
 	outgoing.once('error', error => {
-		finish({kind: isConnected ? 'broken' : 'unsent', reason: getReason(error)});
+		if (isConnected) {
+			breakOff(error);
+		} else {
+			finish({kind: 'unsent', reason: getReason(error)});
+		}
 	});
 	const readResponse = async (message: IncomingMessage): Promise<void> => {
 		try {
 			finish({status: message.statusCode ?? 0, text: await readText(message, onText)});
 		} catch (error) {
-			finish({kind: 'broken', reason: getReason(error as Error)});
+			breakOff(error as Error);
 		}
 	};
 
--- a/packages/soak/src/exclusive-faults.ts
+++ b/packages/soak/src/exclusive-faults.ts
@@ -2,7 +2,7 @@
 import type {Milliseconds} from '@gentianlift/types';
 import type {Deployment, HostEndpoint} from './deployment.js';
 import type {SoakHost} from './fleet.js';
-import type {Observations} from './guarantees.js';
+import type {Disturbance, Observations} from './guarantees.js';
 import type {ExclusiveFault} from './schedule.js';
 import {takeAddress} from './taken-address.js';
 
@@ -11,25 +11,20 @@
 	deployment: Deployment;
 	clock: Clock;
 	observations: Observations;
-	/** Records an unplanned fault that begins now. */
-	recordDisturbance: (duration: Milliseconds) => void;
+	/** Runs an unplanned fault and records its time. */
+	disturb: (kind: Disturbance['kind'], run: () => Promise<void>) => Promise<void>;
 };
 
 /** Runs a fault of a host; resolves when it has ended and the host's next process has been started. */
 export type ExclusiveFaultRunner = (fault: ExclusiveFault, host: SoakHost) => Promise<void>;
 
-/** Time after its start in which a host may not be ready yet. */
-export const startupTime: Milliseconds = 3000;
-/** Time beyond the grace period that is allowed until the exit of a process is observed. */
-const exitDetectionMargin: Milliseconds = 500;
-
 /** Creates the runner of faults that stop, kill or pause a host. */
-export const createExclusiveFaultRunner = ({deployment, clock, observations, recordDisturbance}: ExclusiveFaultOptions): ExclusiveFaultRunner => {
+export const createExclusiveFaultRunner = ({deployment, clock, observations, disturb}: ExclusiveFaultOptions): ExclusiveFaultRunner => {
 	/** Stops a host gracefully and records the shutdown. */
 	const stopHost = async (index: number, {options, hostProcess}: SoakHost): Promise<void> => {
 		const shutdown = {host: index, from: clock.monotonic(), to: Number.POSITIVE_INFINITY};
 		observations.shutdowns.push(shutdown);
-		await hostProcess.stop(options.grace + exitDetectionMargin);
+		await hostProcess.stop(options.grace);
 		shutdown.to = clock.monotonic();
 	};
 
@@ -48,7 +43,6 @@
 
 	/** Kills a host and starts it again while a foreign socket holds one of its addresses. */
 	const restartWithTakenAddress = async ({options, hostProcess}: SoakHost, endpoint: HostEndpoint, duration: Milliseconds): Promise<void> => {
-		recordDisturbance(duration + startupTime);
 		await hostProcess.kill();
 		const release = await takeAddress(deployment.getEndpointAddress(options.ip, endpoint));
 		hostProcess.start();
@@ -58,14 +52,12 @@
 
 	/** Kills a host and starts it again after the time `down`. */
 	const restartKilledHost = async ({hostProcess}: SoakHost, down: Milliseconds): Promise<void> => {
-		recordDisturbance(down + startupTime);
 		await hostProcess.kill();
 		await clock.sleep(down);
 		hostProcess.start();
 	};
 
 	const pauseHost = async ({hostProcess}: SoakHost, duration: Milliseconds): Promise<void> => {
-		recordDisturbance(duration);
 		hostProcess.pause();
 		await clock.sleep(duration);
 		hostProcess.resume();
@@ -78,11 +70,11 @@
 			}
 
 			case 'host-kill': {
-				return restartKilledHost(host, fault.down);
+				return disturb(fault.kind, async () => restartKilledHost(host, fault.down));
 			}
 
 			case 'host-pause': {
-				return pauseHost(host, fault.duration);
+				return disturb(fault.kind, async () => pauseHost(host, fault.duration));
 			}
 
 			case 'host-overlap': {
@@ -90,7 +82,7 @@
 			}
 
 			case 'taken-address': {
-				return restartWithTakenAddress(host, fault.endpoint, fault.duration);
+				return disturb(fault.kind, async () => restartWithTakenAddress(host, fault.endpoint, fault.duration));
 			}
 		}
 	};
--- a/packages/soak/src/fleet-guarantees.ts
+++ b/packages/soak/src/fleet-guarantees.ts
@@ -14,14 +14,13 @@
 const limitTolerance = 1.5;
 const limitSlack = 5;
 
-/** Whether a host, or any if it isn't known, was stopping, paused, away or starting at a time or shortly before it. */
+/** Whether a host, or any if it isn't known, was stopping, paused or away at a time or shortly before it. */
 const isDisturbed = (host: number | undefined, at: Milliseconds, {outages}: Observations): boolean =>
 	outages.some(interval => (host === undefined || interval.host === host) && overlaps(interval, at - disturbanceAftermath, at));
 
-/** Returns the hosts to which requests with a part were sent, by request; it isn't known for those that resume a stream. */
-const getHostsOfRequests = (part: string, {calls}: Observations): Map<string, number | undefined> =>
-	new Map(calls.filter(call => call.part === part).flatMap(({attempt, host, resumptions}): Array<[string, number | undefined]> =>
-		[[attempt, host], ...resumptions.map((resumption): [string, undefined] => [resumption.attempt, undefined])]));
+/** Returns the hosts to which requests were sent, by request. */
+const getHostsOfRequests = (calls: readonly Call[]): Map<string, number> =>
+	new Map(calls.flatMap(({exchanges}) => exchanges.map(({attempt, host}): [string, number] => [attempt, host])));
 
 /** Finds parts that reached upstreams too often after they had crashed several, sent by hosts that had been undisturbed. */
 export const checkPartCrashes = (observations: Observations): Violation[] => {
@@ -32,7 +31,7 @@
 			return [];
 		}
 
-		const hosts = getHostsOfRequests(part, observations);
+		const hosts = getHostsOfRequests(observations.calls.filter(call => call.part === part));
 		const late = observations.executions.filter(({attempt, at}) =>
 			hosts.has(attempt) && at > judgedCrash.at + stableTime && !isDisturbed(hosts.get(attempt), at, observations));
 		return late.length > maxLateExecutions
@@ -128,10 +127,14 @@
 
 /** Finds upstreams that a host which had been undisturbed didn't leave alone, although they had told it to. */
 export const checkBounds = (observations: Observations): Violation[] => {
-	const hosts = new Map(observations.calls.map(({attempt, host}) => [attempt, host]));
+	const hosts = getHostsOfRequests(observations.calls);
 	const getHost = ({attempt}: BoundArrival): number | undefined => hosts.get(attempt);
-	const isIndirect = ({at}: BoundArrival): boolean => observations.partitions.some(partition => overlaps(partition, at - stableTime, at));
-	const judged = observations.boundArrivals.filter(arrival => getHost(arrival) !== undefined && !isIndirect(arrival) && !isDisturbed(getHost(arrival), arrival.at, observations));
+	/** Whether another host may have sent a request on for its own, which was partitioned. */
+	const isIndirect = (host: number, at: Milliseconds): boolean => observations.partitions.some(partition => partition.hosts.includes(host) && overlaps(partition, at - stableTime, at));
+	const judged = observations.boundArrivals.filter(arrival => {
+		const host = getHost(arrival);
+		return host !== undefined && !isIndirect(host, arrival.at) && !isDisturbed(host, arrival.at, observations);
+	});
 	return judged.flatMap(first => {
 		const {from, to, most} = countAllowed[first.kind];
 		const late = judged.filter(other => other.episode === first.episode && getHost(other) === getHost(first) && other.at > first.at + from && other.at < first.at + to);
--- a/packages/soak/src/fleet.ts
+++ b/packages/soak/src/fleet.ts
@@ -43,7 +43,8 @@
 const storeLinkOctet = 3;
 const firstLinkOctet = 130;
 const maxOctet = 254;
-const shutdownGracePeriod: Milliseconds = 8000;
+/** Time from SIGTERM after which a host is killed. */
+export const shutdownGracePeriod: Milliseconds = 8000;
 /** Memory of the hosts in turn, in megabytes. */
 const memories = [350, 250];
 const bytesPerMegabyte = 1_000_000;
--- a/packages/soak/src/guarantees.test.ts
+++ b/packages/soak/src/guarantees.test.ts
@@ -1,14 +1,25 @@
 import {expect, test} from 'vitest';
 import {
-	findViolations, type BoundArrival, type Call, type Execution, type Observations,
+	findViolations, type BoundArrival, type Call, type Exchange, type Execution, type Observations,
 } from './guarantees.js';
 import {drawSchedule} from './schedule.js';
 
-const call = (changes: Partial<Call> = {}): Call => ({
-	attempt: 'a', kind: 'booking', service: 's', host: 0, startedAt: 10_000, endedAt: 10_100, timeout: 1000,
-	outcome: {kind: 'answered', status: 200, isOwn: true}, versions: [], resumptions: [], ...changes,
+const broken = {kind: 'broken', reason: 'reset', sentFor: 90} as const;
+
+const exchange = (changes: Partial<Exchange> = {}): Exchange => ({
+	attempt: 'a', host: 0, startedAt: 10_000, endedAt: 10_100, timeout: 1000, outcome: {kind: 'answered', status: 200, isOwn: true}, ...changes,
 });
 
+/** Returns a call with one request, as observed by its caller, unless others are given. */
+const call = (changes: Partial<Call> = {}): Call => {
+	const {attempt, host, startedAt, endedAt, outcome} = {...exchange(), ...changes};
+	return {
+		attempt, kind: 'booking', service: 's', host, startedAt, endedAt, outcome, versions: [], exchanges: [exchange({
+			attempt, host, startedAt, endedAt, outcome,
+		})], ...changes,
+	};
+};
+
 const execution = (changes: Partial<Execution> = {}): Execution => ({
 	attempt: 'a', service: 's', upstream: 'u', at: 10_050, ...changes,
 });
@@ -45,27 +56,36 @@
 
 test('reports a resumption that was executed although its answer denies it', () => {
 	const outcome = {kind: 'answered', status: 503, isOwn: false} as const;
-	const resumed = call({kind: 'resumable', resumptions: [{attempt: 'a.1', outcome}]});
+	const resumed = call({kind: 'resumable', exchanges: [exchange(), exchange({attempt: 'a.1', outcome})]});
 	expect(find({calls: [resumed], executions: [execution({attempt: 'a.1'})]})).toEqual(['what is said not to have run has not']);
+	const refusedFirst = call({kind: 'resumable', exchanges: [exchange({outcome}), exchange({attempt: 'a.1'})]});
+	expect(find({calls: [refusedFirst], executions: [execution()]})).toEqual(['what is said not to have run has not']);
 	expect(find({calls: [resumed], executions: [execution()]})).toEqual([]);
 });
 
 test('reports a part that reaches upstreams in more than three requests, three seconds after its fifth crash', () => {
 	const partCrashes = [1, 2, 3, 4, 5].map(index => ({part: 'bad1', at: index * 100}));
+	const disturbances = [{kind: 'crashing-part' as const, from: 0, to: 12_000}];
+	const findInCrashes = (changes: Partial<Observations>): string[] => find({disturbances, ...changes});
 	const attempts = ['p1', 'p2', 'p3', 'p4'];
 	const calls = attempts.map(attempt => call({
-		attempt, part: 'bad1', kind: 'stream', outcome: {kind: 'broken', reason: 'reset'},
+		attempt, part: 'bad1', kind: 'stream', outcome: broken,
 	}));
 	const executions = attempts.map(attempt => execution({attempt, at: 3600}));
-	expect(find({calls, executions, partCrashes})).toEqual(['a part that crashes upstreams is blocked']);
+	expect(findInCrashes({calls, executions, partCrashes})).toEqual(['a part that crashes upstreams is blocked']);
 	const resumed = [...calls.slice(1), call({
-		attempt: 'p1', part: 'bad1', kind: 'resumable', resumptions: [{attempt: 'p1.1', outcome: {kind: 'broken', reason: 'reset'}}],
+		attempt: 'p1', part: 'bad1', kind: 'resumable', exchanges: [exchange({attempt: 'p1', outcome: broken}), exchange({attempt: 'p1.1', host: 1})],
 	})];
-	expect(find({calls: resumed, executions: [...executions.slice(1), execution({attempt: 'p1.1', at: 3600})], partCrashes})).toEqual(['a part that crashes upstreams is blocked']);
-	expect(find({calls, executions: executions.slice(1), partCrashes})).toEqual([]);
-	expect(find({calls, executions, partCrashes: partCrashes.slice(1)})).toEqual([]);
-	expect(find({calls, executions: executions.map(item => ({...item, at: 3400})), partCrashes})).toEqual([]);
-	expect(find({
+	const resumedExecutions = [...executions.slice(1), execution({attempt: 'p1.1', at: 3600})];
+	expect(findInCrashes({calls: resumed, executions: resumedExecutions, partCrashes})).toEqual(['a part that crashes upstreams is blocked']);
+	// An outage excuses only the requests that were sent to its host.
+	expect(findInCrashes({
+		calls: resumed, executions: resumedExecutions, partCrashes, outages: [{host: 2, from: 1000, to: 2000}],
+	})).toEqual(['a part that crashes upstreams is blocked']);
+	expect(findInCrashes({calls, executions: executions.slice(1), partCrashes})).toEqual([]);
+	expect(findInCrashes({calls, executions, partCrashes: partCrashes.slice(1)})).toEqual([]);
+	expect(findInCrashes({calls, executions: executions.map(item => ({...item, at: 3400})), partCrashes})).toEqual([]);
+	expect(findInCrashes({
 		calls, executions, partCrashes, outages: [{host: 0, from: 1000, to: 2000}],
 	})).toEqual([]);
 });
@@ -80,13 +100,15 @@
 });
 
 test('reports a stream with events of two software versions, also if it broke', () => {
-	const outcome = {kind: 'broken', reason: 'reset'} as const;
-	expect(find({calls: [call({kind: 'resumable', versions: ['v1', 'v2'], outcome})]})).toEqual(['a stream has events of one software version']);
-	expect(find({calls: [call({kind: 'resumable', versions: ['v1', 'v1'], outcome})]})).toEqual([]);
+	const calls = (versions: string[]): Call[] => [call({kind: 'resumable', versions, outcome: broken})];
+	expect(find({calls: calls(['v1', 'v2'])})).toEqual(['a stream has events of one software version']);
+	expect(find({calls: calls(['v1', 'v1'])})).toEqual([]);
 });
 
 test('reports an execution at another service', () => {
 	expect(find({calls: [call()], executions: [execution({service: 't'})]})).toEqual(['a request runs at its own service']);
+	const resumed = call({kind: 'resumable', exchanges: [exchange(), exchange({attempt: 'a.1'})]});
+	expect(find({calls: [resumed], executions: [execution(), execution({attempt: 'a.1', service: 't'})]})).toEqual(['a request runs at its own service']);
 });
 
 test('reports a missing answer unless the host had an outage', () => {
@@ -96,13 +118,15 @@
 	expect(find({calls: [unanswered], outages: [{host: 0, from: 9000, to: 11_000}]})).toEqual([]);
 });
 
-test('reports a request lost in a graceful shutdown that no fault overlaps', () => {
-	const lost = call({outcome: {kind: 'broken', reason: 'reset'}});
-	const shutdowns = [{host: 0, from: 9900, to: 12_000}];
-	expect(find({calls: [lost]})).toEqual([]);
-	expect(find({calls: [lost], shutdowns})).toEqual(['a graceful shutdown loses no request']);
-	expect(find({calls: [lost], shutdowns, disturbances: [{from: 5000, to: 7500}]})).toEqual([]);
-	expect(find({calls: [call({outcome: {kind: 'unsent', reason: 'refused'}})], shutdowns})).toEqual([]);
+// Guards against: a resumption whose caller gave up on a host that works, as only a call's last outcome was judged.
+test('reports a missing answer to a request that resumes a stream', () => {
+	const exchanges = [exchange({outcome: broken}), exchange({
+		attempt: 'a.1', host: 1, endedAt: 13_000, outcome: {kind: 'given-up'},
+	})];
+	const calls = [call({kind: 'resumable', outcome: broken, exchanges})];
+	expect(find({calls})).toEqual(['a host that works answers in time']);
+	expect(find({calls, outages: [{host: 0, from: 9000, to: 11_000}]})).toEqual(['a host that works answers in time']);
+	expect(find({calls, outages: [{host: 1, from: 9000, to: 11_000}]})).toEqual([]);
 });
 
 test('draws the same faults for the same seed and others for another seed', () => {
@@ -157,4 +181,8 @@
 	expect(find({calls, boundArrivals: arrive('announcing', 0, 1900)})).toEqual([]);
 	expect(find({calls, boundArrivals: arrive('announcing', 0, 2100)})).toEqual(['an upstream that says that it leaves gets no requests']);
 	expect(find({calls, boundArrivals: arrive('announcing', 0, 2100), outages: [{host: 1, from: 500, to: 600}]})).toEqual([]);
+	// Only the requests of a partitioned host may have been sent by another one.
+	const findWithPartition = (host: number): string[] => find({calls, boundArrivals: arrive('announcing', 0, 2100), partitions: [{hosts: [host], from: 0, to: 3000}]});
+	expect(findWithPartition(1)).toEqual([]);
+	expect(findWithPartition(0)).toEqual(['an upstream that says that it leaves gets no requests']);
 });
--- a/packages/soak/src/guarantees.ts
+++ b/packages/soak/src/guarantees.ts
@@ -2,6 +2,8 @@
 import {
 	checkBounds, checkLimits, checkOddBodies, checkPartCrashes, checkPartitions,
 } from './fleet-guarantees.js';
+import {checkLosses} from './loss-guarantees.js';
+import type {Fault} from './schedule.js';
 
 /** Kinds of requests that a soak's callers send. Callers resume a `resumable` stream when it breaks. */
 export const requestKinds = ['booking', 'lookup', 'stream', 'resumable'] as const;
@@ -12,19 +14,17 @@
 export type Outcome
 	/** The caller received a complete answer; `isOwn` if its body is the one that the upstream sent for this request. */
 	= | {kind: 'answered'; status: number; isOwn: boolean}
-		/** The connection broke, or the answer was truncated. */
-		| {kind: 'broken'; reason: string}
+		/** The connection broke, or the answer was truncated, `sentFor` after the whole request was sent; 0 if it wasn't. */
+		| {kind: 'broken'; reason: string; sentFor: Milliseconds}
 		/** No connection was established, so that no host received the request. */
 		| {kind: 'unsent'; reason: string}
 		/** The caller gave up at its timeout before the answer was complete. */
 		| {kind: 'given-up'};
 
-/** A request as its caller observed it. Times are of the soak's monotonic clock. */
-export type Call = {
+/** One request on the wire, as its caller observed it. Times are of the soak's monotonic clock. */
+export type Exchange = {
 	/** Unique id of the request. */
 	attempt: string;
-	kind: RequestKind;
-	service: string;
 	/** Index of the host that the request was sent to. */
 	host: number;
 	startedAt: Milliseconds;
@@ -32,10 +32,24 @@
 	/** Time after which the caller gives up. */
 	timeout: Milliseconds;
 	outcome: Outcome;
+};
+
+/** What a caller wanted, and how that ended. */
+export type Call = {
+	/** Id of its first request. */
+	attempt: string;
+	kind: RequestKind;
+	service: string;
+	/** Index of the host that its first request was sent to. */
+	host: number;
+	startedAt: Milliseconds;
+	endedAt: Milliseconds;
+	/** Outcome of its last request if that was served, or else of the first. */
+	outcome: Outcome;
 	/** The part of the request's prompt that crashes upstreams, if it has one. */
 	part?: string | undefined;
-	/** Requests with which the caller of a resumable stream resumed it, by their own ids. */
-	resumptions: ReadonlyArray<{attempt: string; outcome: Outcome}>;
+	/** Its requests: the first, and those with which the caller of a resumable stream resumed it. */
+	exchanges: readonly Exchange[];
 	/** Software versions of the upstreams whose events the caller of a resumable stream received. */
 	versions: readonly string[];
 };
@@ -49,6 +63,9 @@
 /** A request that arrived while its upstream asked for rest or said that it leaves; `episode` tells the times apart in which one does. */
 export type BoundArrival = {kind: 'resting' | 'announcing'; episode: string; attempt: string; at: Milliseconds};
 
+/** A period of an unplanned fault. */
+export type Disturbance = Interval & {kind: Fault['kind']};
+
 /** Everything recorded in one run, from which violations are found. */
 export type Observations = {
 	calls: Call[];
@@ -56,8 +73,8 @@
 	/** Periods from SIGTERM to the exit of a host's process. */
 	shutdowns: Array<Interval & {host: number}>;
 	/** Periods of unplanned faults: a killed host with its restart, a paused host, and faults of links, upstreams and the key-value service. */
-	disturbances: Interval[];
-	/** Periods in which a host's process was shutting down, paused, killed or starting. */
+	disturbances: Disturbance[];
+	/** Periods in which a host's process was shutting down, paused or killed. */
 	outages: Array<Interval & {host: number}>;
 	/** Crashes of upstreams on a part of a prompt. */
 	partCrashes: Array<{part: string; at: Milliseconds}>;
@@ -79,10 +96,6 @@
 const answerGracePeriod: Milliseconds = 1000;
 /** Time after a fault during which requests still count as affected by it. */
 export const disturbanceAftermath: Milliseconds = 3000;
-/** Time after SIGTERM in which a host still accepts requests and must serve them. */
-const shutdownServingPeriod: Milliseconds = 2500;
-/** A request sent within this time before the process exits may arrive too late. */
-const exitMargin: Milliseconds = 100;
 
 /** Whether a period has a moment from `from` to `to`. */
 export const overlaps = (interval: Interval, from: Milliseconds, to: Milliseconds): boolean => interval.from <= to && interval.to >= from;
@@ -96,38 +109,41 @@
 	return groups;
 };
 
-const describeCall = ({kind, host, startedAt, endedAt, outcome}: Call): string =>
-	`${kind} at host ${host} from ${Math.round(startedAt)} to ${Math.round(endedAt)}: ${JSON.stringify(outcome)}`;
+const roundNumber = (_key: string, value: unknown): unknown => typeof value === 'number' ? Math.round(value) : value;
 
-/** Returns whether a request's connection broke during a graceful shutdown that no other fault overlapped. */
-const isLostInShutdown = (call: Call, {shutdowns, disturbances}: Observations): boolean => {
-	const {host, startedAt, endedAt, outcome} = call;
-	if (outcome.kind !== 'broken') {
-		return false;
-	}
+/** Describes a request for a report. */
+export const describeExchange = ({host, startedAt, endedAt, outcome}: Exchange): string =>
+	`host ${host} from ${Math.round(startedAt)} to ${Math.round(endedAt)}: ${JSON.stringify(outcome, roundNumber)}`;
 
-	const shutdown = shutdowns.find(interval => interval.host === host && overlaps(interval, startedAt, endedAt)
-		&& startedAt <= interval.from + shutdownServingPeriod && startedAt < interval.to - exitMargin);
-	return shutdown !== undefined && !disturbances.some(interval => overlaps(interval, Math.min(startedAt, shutdown.from) - disturbanceAftermath, endedAt));
-};
+const describeCall = ({kind, outcome, exchanges}: Call): string =>
+	`${kind} at ${exchanges.map(exchange => describeExchange(exchange)).join(', ')}; in all ${JSON.stringify(outcome, roundNumber)}`;
 
 /** Returns whether a caller gave up, beyond its timeout, on a host whose process was running normally. */
-const isUnanswered = ({host, startedAt, endedAt, timeout, outcome}: Call, {outages}: Observations): boolean =>
+const isUnanswered = ({host, startedAt, endedAt, timeout, outcome}: Exchange, {outages}: Observations): boolean =>
 	outcome.kind === 'given-up'
 	&& endedAt - startedAt > timeout + answerGracePeriod
 	&& !outages.some(interval => interval.host === host && overlaps(interval, startedAt - disturbanceAftermath, endedAt));
 
-const notRunGuarantee = 'what is said not to have run has not';
-
 /** Whether an answer states that its request was not executed. */
 const isDenied = (outcome: Outcome): boolean => outcome.kind === 'answered' && notExecutedStatuses.has(outcome.status);
 
-/** Finds the requests that resumed a call's stream and were executed although their answers deny it. */
-const checkResumptions = ({resumptions}: Call, executionsByAttempt: ReadonlyMap<string, Execution[]>): Violation[] => resumptions
-	.filter(({attempt, outcome}) => isDenied(outcome) && executionsByAttempt.has(attempt))
-	.map(({attempt, outcome}) => ({attempt, guarantee: notRunGuarantee, detail: JSON.stringify(outcome)}));
+/** Finds what was broken for single requests of a call. */
+const checkExchanges = ({kind, exchanges}: Call, executionsByAttempt: ReadonlyMap<string, Execution[]>, observations: Observations): Violation[] => exchanges.flatMap(exchange => {
+	const {attempt, outcome} = exchange;
+	const detail = `${kind} at ${describeExchange(exchange)}`;
+	const violations: Violation[] = [];
+	if (isDenied(outcome) && executionsByAttempt.has(attempt)) {
+		violations.push({guarantee: 'what is said not to have run has not', attempt, detail});
+	}
+
+	if (isUnanswered(exchange, observations)) {
+		violations.push({guarantee: 'a host that works answers in time', attempt, detail});
+	}
+
+	return violations;
+});
 
-const checkCall = (call: Call, executions: readonly Execution[], observations: Observations): Array<Omit<Violation, 'attempt'>> => {
+const checkCall = (call: Call, executions: readonly Execution[]): Array<Omit<Violation, 'attempt'>> => {
 	const detail = describeCall(call);
 	const executedAt = executions.map(({upstream, at}) => `${upstream}@${Math.round(at)}`).join(', ');
 	const violations: Array<Omit<Violation, 'attempt'>> = [];
@@ -135,10 +151,6 @@
 		violations.push({guarantee: 'a booking or a stream runs at most once', detail: `${detail}; ran at ${executedAt}`});
 	}
 
-	if (isDenied(call.outcome) && executions.length > 0) {
-		violations.push({guarantee: notRunGuarantee, detail: `${detail}; ran at ${executedAt}`});
-	}
-
 	if (call.outcome.kind === 'answered' && call.outcome.status < 300 && !call.outcome.isOwn) {
 		violations.push({guarantee: 'an answer is whole and belongs to its request', detail});
 	}
@@ -151,14 +163,6 @@
 		violations.push({guarantee: 'a request runs at its own service', detail: `${detail}; ran at ${executedAt}`});
 	}
 
-	if (isUnanswered(call, observations)) {
-		violations.push({guarantee: 'a host that works answers in time', detail});
-	}
-
-	if (isLostInShutdown(call, observations)) {
-		violations.push({guarantee: 'a graceful shutdown loses no request', detail});
-	}
-
 	return violations;
 };
 
@@ -166,8 +170,9 @@
 export const findViolations = (observations: Observations): Violation[] => {
 	const executionsByAttempt = groupByAttempt(observations.executions);
 	const violations = observations.calls.flatMap(call => [
-		...checkCall(call, executionsByAttempt.get(call.attempt) ?? [], observations).map(violation => ({attempt: call.attempt, ...violation})),
-		...checkResumptions(call, executionsByAttempt),
+		...checkCall(call, call.exchanges.flatMap(({attempt}) => executionsByAttempt.get(attempt) ?? [])).map(violation => ({attempt: call.attempt, ...violation})),
+		...checkExchanges(call, executionsByAttempt, observations),
 	]);
-	return [...violations, ...checkPartCrashes(observations), ...checkLimits(observations), ...checkPartitions(observations), ...checkOddBodies(observations), ...checkBounds(observations)];
+	const checks = [checkLosses, checkPartCrashes, checkLimits, checkPartitions, checkOddBodies, checkBounds];
+	return [...violations, ...checks.flatMap(check => check(observations))];
 };
--- a/packages/soak/src/host-process.ts
+++ b/packages/soak/src/host-process.ts
@@ -159,9 +159,9 @@
 			instance.isExitExpected = true;
 			child.kill('SIGTERM');
 			await Promise.race([waitForExit(child), sleep(gracePeriod)]);
-			if (!hasExited(child)) {
+			await kill(instance);
+			if (child.signalCode === 'SIGKILL') {
 				failures.push({kind: 'late-exit', gracePeriod});
-				await kill(instance);
 			} else if (canHandle && child.exitCode !== 0) {
 				failures.push({kind: 'failed-exit', exit: describeExit(child)});
 			}
--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -9,6 +9,7 @@
 export * from './kept-cases.js';
 export * from './known-failure.js';
 export * from './link.js';
+export * from './loss-guarantees.js';
 export * from './odd-bodies.js';
 export * from './oversized-pages.js';
 export * from './resumable-stream.js';
--- a/packages/soak/src/injector.ts
+++ b/packages/soak/src/injector.ts
@@ -1,12 +1,12 @@
 import type {Clock} from '@gentianlift/clock';
 import type {Milliseconds} from '@gentianlift/types';
 import type {Callers, Deployment} from './deployment.js';
-import {createExclusiveFaultRunner, startupTime} from './exclusive-faults.js';
+import {createExclusiveFaultRunner} from './exclusive-faults.js';
 import {crashingPartPrefix} from './fake-upstream.js';
 import type {Fleet, SoakHost} from './fleet.js';
 import type {CutMode} from './host-links.js';
-import type {Link, LinkState} from './link.js';
-import type {Observations} from './guarantees.js';
+import type {Link} from './link.js';
+import type {Disturbance, Observations} from './guarantees.js';
 import type {HostProcess, OutputState} from './host-process.js';
 import type {OddBodies} from './odd-bodies.js';
 import {describeProcessFailure} from './process-failure.js';
@@ -44,13 +44,16 @@
 	let crashingPart: string | undefined;
 	let crashingParts = 0;
 
-	const recordDisturbance = (duration: Milliseconds): void => {
-		const from = clock.monotonic();
-		observations.disturbances.push({from, to: from + duration});
+	/** Records an unplanned fault from now until it has run. */
+	const disturb = async (kind: Disturbance['kind'], run: () => Promise<void>): Promise<void> => {
+		const disturbance = {kind, from: clock.monotonic(), to: Number.POSITIVE_INFINITY};
+		observations.disturbances.push(disturbance);
+		await run();
+		disturbance.to = clock.monotonic();
 	};
 
 	const runExclusive = createExclusiveFaultRunner({
-		deployment, clock, observations, recordDisturbance,
+		deployment, clock, observations, disturb,
 	});
 
 	/** Runs a fault that stops, kills or pauses a host; skips it if the host already has such a fault. */
@@ -65,7 +68,7 @@
 		observations.outages.push(outage);
 		await run(host);
 		host.hasActiveFault = false;
-		outage.to = clock.monotonic() + startupTime;
+		outage.to = clock.monotonic();
 	};
 
 	/** Lets a host's output go unread, or closes it, and reads it again. */
@@ -87,14 +90,16 @@
 	};
 
 	/** Records a disturbance, begins a fault and ends it after the duration. */
-	const applyFor = async (duration: Milliseconds, begin: () => void, end: () => void): Promise<void> => {
-		recordDisturbance(duration);
-		begin();
-		await clock.sleep(duration);
-		end();
+	const applyFor = async (kind: Disturbance['kind'], duration: Milliseconds, begin: () => void, end: () => void): Promise<void> => {
+		await disturb(kind, async () => {
+			begin();
+			await clock.sleep(duration);
+			end();
+		});
 	};
 
-	const impairLink = async (link: Link | undefined, state: LinkState, duration: Milliseconds): Promise<void> => applyFor(
+	const impairLink = async (link: Link | undefined, {kind, state, duration}: Extract<Fault, {kind: 'store-link' | 'upstream-link'}>): Promise<void> => applyFor(
+		kind,
 		duration,
 		() => link?.setState(state),
 		() => link?.setState({kind: 'open'}),
@@ -114,7 +119,7 @@
 			partitioned.add(host);
 		}
 
-		await applyFor(duration, () => {
+		await applyFor('partition', duration, () => {
 			cut(mode);
 		}, () => {
 			cut(undefined);
@@ -159,7 +164,8 @@
 
 	/** Lets requests with a new part that crashes upstreams come for a time; the upstreams are back some seconds after it. */
 	const sendCrashingPart = async (duration: Milliseconds): Promise<void> => {
-		recordDisturbance(duration + crashAftermath);
+		const from = clock.monotonic();
+		observations.disturbances.push({kind: 'crashing-part', from, to: from + duration + crashAftermath});
 		crashingParts += 1;
 		const part = `${crashingPartPrefix}${crashingParts}`;
 		crashingPart = part;
@@ -189,7 +195,7 @@
 			}
 
 			case 'store-link': {
-				return impairLink(hosts[fault.host]?.storeLink, fault.state, fault.duration);
+				return impairLink(hosts[fault.host]?.storeLink, fault);
 			}
 
 			case 'partition': {
@@ -197,11 +203,11 @@
 			}
 
 			case 'upstream-link': {
-				return impairLink(upstreams[fault.upstream]?.link, fault.state, fault.duration);
+				return impairLink(upstreams[fault.upstream]?.link, fault);
 			}
 
 			case 'store': {
-				return applyFor(fault.duration, () => {
+				return applyFor(fault.kind, fault.duration, () => {
 					store.setFailureMode(fault.mode);
 				}, () => {
 					store.setFailureMode(undefined);
@@ -210,7 +216,7 @@
 
 			case 'upstream': {
 				const fake = upstreams[fault.upstream]?.fake;
-				return applyFor(fault.duration, () => fake?.setFailureMode(fault.mode), () => fake?.setFailureMode(undefined));
+				return applyFor(fault.kind, fault.duration, () => fake?.setFailureMode(fault.mode), () => fake?.setFailureMode(undefined));
 			}
 
 			case 'configurations': {
--- a/packages/soak/src/resumable-stream.ts
+++ b/packages/soak/src/resumable-stream.ts
@@ -1,7 +1,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Milliseconds} from '@gentianlift/types';
 import {isWholeStream, readVersionedEvents, type ReceivedEvents} from './answers.js';
-import type {CallOptions, CallResult} from './deployment.js';
+import type {CallOptions, CallResult, SentRequest} from './deployment.js';
 import {isCompleteResponse, type ExchangeResult, type TextListener} from './exchange.js';
 import type {Outcome} from './guarantees.js';
 
@@ -21,7 +21,9 @@
 	firstRequest: string | undefined;
 };
 
-const receive = async (call: CallOptions, state: StreamState, send: StreamSender): Promise<Outcome> => {
+const receive = async (call: CallOptions, state: StreamState, send: StreamSender): Promise<SentRequest> => {
+	const {attempt, address, timeout} = call;
+	const startedAt = performance.now();
 	let text = '';
 	const result = await send({call, resumes: state.firstRequest, after: state.numbers.at(-1) ?? 0}, piece => {
 		text += piece;
@@ -30,7 +32,10 @@
 	state.firstRequest ??= numbers.length === 0 ? undefined : call.attempt;
 	state.numbers.push(...numbers);
 	state.versions.push(...versions);
-	return isCompleteResponse(result) ? {kind: 'answered', status: result.status, isOwn: isWholeStream(state)} : result;
+	const outcome: Outcome = isCompleteResponse(result) ? {kind: 'answered', status: result.status, isOwn: isWholeStream(state)} : result;
+	return {
+		attempt, address, timeout, startedAt, endedAt: performance.now(), outcome,
+	};
 };
 
 const isServed = (outcome: Outcome): boolean => outcome.kind === 'answered' && outcome.status < 300;
@@ -40,9 +45,9 @@
 	const state: StreamState = {firstRequest: undefined, numbers: [], versions: []};
 	const deadline = performance.now() + call.timeout;
 	const first = await receive(call, state, send);
-	const resumptions: Array<{attempt: string; outcome: Outcome}> = [];
-	let last = first;
-	for (let requests = 1; requests < maxRequests && !isServed(last) && last.kind !== 'given-up'; requests++) {
+	const requests = [first];
+	let last = first.outcome;
+	while (requests.length < maxRequests && !isServed(last) && last.kind !== 'given-up') {
 		// eslint-disable-next-line no-await-in-loop -- One request at a time.
 		await sleep(retryDelay);
 		const address = call.pickAddress();
@@ -51,13 +56,14 @@
 			break;
 		}
 
-		const attempt = `${call.attempt}.${requests}`;
+		const attempt = `${call.attempt}.${requests.length}`;
 		// eslint-disable-next-line no-await-in-loop -- As above.
-		last = await receive({
+		const request = await receive({
 			...call, attempt, address, timeout,
 		}, state, send);
-		resumptions.push({attempt, outcome: last});
+		requests.push(request);
+		last = request.outcome;
 	}
 
-	return {outcome: isServed(last) ? last : first, versions: state.versions, resumptions};
+	return {outcome: isServed(last) ? last : first.outcome, versions: state.versions, requests};
 };
--- a/packages/soak/src/traffic.ts
+++ b/packages/soak/src/traffic.ts
@@ -71,22 +71,31 @@
 	let sent = 0;
 	const state = {isStopped: false};
 
+	const getHost = (address: Address): number => fleet.hosts.findIndex(({callerAddress}) => callerAddress === address);
+
 	const sendOne = async (part?: string): Promise<void> => {
 		const address = pickAddress();
 		const kind = part === undefined ? random.pick(requestKinds) : random.pick(streamKinds);
-		const host = fleet.hosts.findIndex(candidate => candidate.callerAddress === address);
-		if (address === undefined || kind === undefined || host === -1) {
+		if (address === undefined || kind === undefined || getHost(address) === -1) {
 			return;
 		}
 
 		sent += 1;
 		const attempt = part === undefined ? `${attemptPrefix}-${sent}` : `${attemptPrefix}-${part}-${sent}`;
 		const startedAt = clock.monotonic();
-		const result = await callers.send({
+		const {requests, ...result} = await callers.send({
 			attempt, kind, address, timeout: requestTimeouts[kind], pickAddress, ...(part !== undefined && {part}),
 		});
 		onCall({
-			attempt, kind, service: deployment.services[kind], host, startedAt, endedAt: clock.monotonic(), timeout: requestTimeouts[kind], part, ...result,
+			attempt,
+			kind,
+			service: deployment.services[kind],
+			host: getHost(address),
+			startedAt,
+			endedAt: clock.monotonic(),
+			part,
+			...result,
+			exchanges: requests.map(({address: sentTo, ...exchange}) => ({...exchange, host: getHost(sentTo)})),
 		});
 	};
 
