Let a third of the soak's callers keep to a host that stops, and reload it then

A third of the requests now comes from callers that keep to one host and its open connections as long as a process listens there, nearly all of them short, as long streams keep a host from ending. A burst may name a host, whose callers it concerns alone. The number of requests with a part that crashes upstreams stays what it was. SIGHUP goes to a stopping process, too.

--- a/packages/soak/src/guarantees.test.ts
+++ b/packages/soak/src/guarantees.test.ts
@@ -139,7 +139,7 @@
 	const faults = Array.from({length: 40}, (_, seed) => drawSchedule(seed, {hosts: 5, upstreams: 6}, 12_000)).flat();
 	expect(new Set(faults.map(({fault}) => fault.kind)).size).toBe(12);
 	expect(faults.every(({at}) => at < 12_000)).toBe(true);
-	expect(faults.every(({fault}) => !('host' in fault) || (fault.host >= 0 && fault.host < 5))).toBe(true);
+	expect(faults.every(({fault}) => !('host' in fault) || (fault.host !== undefined && fault.host >= 0 && fault.host < 5))).toBe(true);
 });
 
 // Guards against: hosts whose sound callers are turned away while odd ones hold all places.
--- a/packages/soak/src/injector.test.ts
+++ b/packages/soak/src/injector.test.ts
@@ -45,6 +45,16 @@
 	};
 };
 
+// Guards against: hosts that handle SIGHUP wrongly while they stop, when the soak sent none.
+test('a host that stops is reloaded, too', async () => {
+	const {clock, actions, injector} = start();
+	injector.inject({kind: 'host-stop', host: 0});
+	await clock.advance(1000);
+	injector.inject({kind: 'host-reload', host: 0, isSignalled: true});
+	await clock.advance(stopTime);
+	expect(actions).toEqual([`stop within ${grace}`, 'reload', 'start']);
+});
+
 // Guards against: calls that are excused for a start twice, by the time of the start and by that after an outage.
 test('an outage and a disturbance by a kill end with the start of the next process', async () => {
 	const {clock, observations, injector} = start();
@@ -54,3 +64,14 @@
 	expect(observations.outages).toEqual([{host: 0, from, to: from + 500}]);
 	expect(observations.disturbances).toEqual([{kind: 'host-kill', from, to: from + 500}]);
 });
+
+test('the rate of callers that keep to a host is raised by its bursts and by those of all', async () => {
+	const {clock, injector} = start();
+	injector.inject({
+		kind: 'burst', host: 0, factor: 10, duration: 1000,
+	});
+	injector.inject({kind: 'burst', factor: 2, duration: 2000});
+	expect([injector.getRateFactor(), injector.getRateFactor(0), injector.getRateFactor(1)]).toEqual([2, 20, 2]);
+	await clock.advance(1500);
+	expect([injector.getRateFactor(), injector.getRateFactor(0)]).toEqual([2, 2]);
+});
--- a/packages/soak/src/injector.ts
+++ b/packages/soak/src/injector.ts
@@ -16,8 +16,8 @@
 export type Injector = {
 	/** Starts a fault, which ends after its duration. */
 	inject: (fault: Fault) => void;
-	/** Returns the current factor on the rate of requests. */
-	getRateFactor: () => number;
+	/** Returns the current factor on the rate of requests: of those that go where hosts tell them to, or of those that keep to a host. */
+	getRateFactor: (host?: number) => number;
 	/** Returns the part that crashes upstreams and comes with additional requests; undefined at other times. */
 	getCrashingPart: () => string | undefined;
 	/** Returns the newest version of the configuration. */
@@ -40,7 +40,8 @@
 	const activeFaults = new Set<Promise<void>>();
 	const partitioned = new Set<number>();
 	let version = 1;
-	let rateFactor = 1;
+	/** Factors on the rate of all requests (undefined), and of those that keep to a host. */
+	const rateFactors = new Map<number | undefined, number>();
 	let crashingPart: string | undefined;
 	let crashingParts = 0;
 
@@ -151,15 +152,15 @@
 		}
 
 		deployment.writeSettings(host.options);
-		if (isSignalled && !host.hasActiveFault) {
+		if (isSignalled) {
 			host.hostProcess.reload();
 		}
 	};
 
-	const raiseRate = async (burstFactor: number, duration: Milliseconds): Promise<void> => {
-		rateFactor = burstFactor;
+	const raiseRate = async ({host, factor, duration}: Extract<Fault, {kind: 'burst'}>): Promise<void> => {
+		rateFactors.set(host, factor);
 		await clock.sleep(duration);
-		rateFactor = 1;
+		rateFactors.delete(host);
 	};
 
 	/** Lets requests with a new part that crashes upstreams come for a time; the upstreams are back some seconds after it. */
@@ -228,7 +229,7 @@
 			}
 
 			case 'burst': {
-				return raiseRate(fault.factor, fault.duration);
+				return raiseRate(fault);
 			}
 		}
 	};
@@ -241,7 +242,7 @@
 				activeFaults.delete(task);
 			});
 		},
-		getRateFactor: () => rateFactor,
+		getRateFactor: host => (rateFactors.get(undefined) ?? 1) * (host === undefined ? 1 : rateFactors.get(host) ?? 1),
 		getCrashingPart: () => crashingPart,
 		getVersion: () => version,
 		async waitForFaults() {
--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -57,8 +57,8 @@
 		| {kind: 'configurations'; count: number}
 		/** Additional requests, no two alike, that share a part of their prompts which crashes each upstream that begins to answer them. */
 		| {kind: 'crashing-part'; duration: Milliseconds}
-		/** A request rate that is raised by a factor. */
-		| {kind: 'burst'; factor: number; duration: Milliseconds};
+		/** A request rate that is raised by a factor: of all callers, or of those that keep to a host. */
+		| {kind: 'burst'; host?: number; factor: number; duration: Milliseconds};
 
 /** A fault that stops, kills or pauses a host's process; a host has one of them at a time. */
 export type ExclusiveFault = Extract<Fault, {kind: typeof exclusiveKinds[number]}>;
--- a/packages/soak/src/traffic.ts
+++ b/packages/soak/src/traffic.ts
@@ -19,8 +19,8 @@
 	random: Random;
 	/** Prefix of the request ids of this run. */
 	attemptPrefix: string;
-	/** Returns the current factor on the rate of requests. */
-	getRateFactor: () => number;
+	/** Returns the current factor on the rate of requests: of those that go where hosts tell them to, or of those that keep to a host. */
+	getRateFactor: (host?: number) => number;
 	/** Returns the part of additional requests that crashes upstreams; undefined while there are none. */
 	getCrashingPart: () => string | undefined;
 	/** Called with each request once it has ended. */
@@ -29,10 +29,14 @@
 
 /** Mean time between two requests at rate factor 1, over all callers. */
 const meanSendInterval: Milliseconds = 8;
-/** Number of requests with a crashing part for each other one, while they come. */
-const crashingPartRatio = 0.05;
+/** Number of requests with a crashing part for each request of callers that go where hosts tell them to, while they come. */
+const crashingPartRatio = 0.075;
 /** Kinds of requests with prompts. */
 const streamKinds = ['stream', 'resumable'] as const;
+/** Part of the requests whose callers keep to one host and its open connections, whatever hosts name to callers. */
+const holdingRatio = 1 / 3;
+/** Kinds of their requests, of which long ones are rare, as these keep a stopping host from ending. */
+const holdingKinds: readonly RequestKind[] = [...Array.from({length: 6}, (): RequestKind[] => ['booking', 'lookup']).flat(), 'stream', 'resumable'];
 /** Number of open requests at which no more are sent. */
 const maxOpenRequests = 400;
 /** Time after which callers ask again which hosts to connect to. */
@@ -73,9 +77,7 @@
 
 	const getHost = (address: Address): number => fleet.hosts.findIndex(({callerAddress}) => callerAddress === address);
 
-	const sendOne = async (part?: string): Promise<void> => {
-		const address = pickAddress();
-		const kind = part === undefined ? random.pick(requestKinds) : random.pick(streamKinds);
+	const sendOne = async (address: Address | undefined, kind: RequestKind | undefined, part?: string): Promise<void> => {
 		if (address === undefined || kind === undefined || getHost(address) === -1) {
 			return;
 		}
@@ -99,9 +101,9 @@
 		});
 	};
 
-	const send = (part?: string): void => {
+	const send = (...request: Parameters<typeof sendOne>): void => {
 		if (openRequests.size < maxOpenRequests) {
-			const call = sendOne(part);
+			const call = sendOne(...request);
 			openRequests.add(call);
 			void call.finally(() => {
 				openRequests.delete(call);
@@ -109,20 +111,29 @@
 		}
 	};
 
-	const sendUntilStopped = async (): Promise<void> => {
+	/** Sends requests at exponentially distributed intervals with this mean at rate factor 1. */
+	const repeat = async (interval: Milliseconds, getFactor: () => number, sendNext: () => void): Promise<void> => {
 		while (!state.isStopped) {
-			send();
-			const crashingPart = getCrashingPart();
-			if (crashingPart !== undefined && random.next() < crashingPartRatio) {
-				send(crashingPart);
-			}
-
+			sendNext();
 			// eslint-disable-next-line no-await-in-loop -- The interval between two requests.
-			await clock.sleep(-Math.log(1 - random.next()) * meanSendInterval / getRateFactor());
+			await clock.sleep(-Math.log(1 - random.next()) * interval / getFactor());
+		}
+	};
+
+	const sendWhereTold = (): void => {
+		send(pickAddress(), random.pick(requestKinds));
+		const crashingPart = getCrashingPart();
+		if (crashingPart !== undefined && random.next() < crashingPartRatio) {
+			send(pickAddress(), random.pick(streamKinds), crashingPart);
 		}
 	};
 
-	const sending = sendUntilStopped();
+	const sending = Promise.all([
+		repeat(meanSendInterval / (1 - holdingRatio), () => getRateFactor(), sendWhereTold),
+		...fleet.hosts.map(async ({callerAddress}, host) => repeat(meanSendInterval * fleet.hosts.length / holdingRatio, () => getRateFactor(host), () => {
+			send(callerAddress, random.pick(holdingKinds));
+		})),
+	]);
 	return {
 		async stop() {
 			state.isStopped = true;
