Keep the case of requests that are lost as hosts end, and draw shutdowns in series

Case 7500 stops four of five hosts 0.4 s apart, twice, with SIGHUP to each 0.7 s after its SIGTERM, configurations in series, and from 1.5 s on a store that two of them don't reach and an output that nobody reads at the others; the callers that keep to a host send ten times as much from 2.5 s on.

--- a/packages/soak/src/command.ts
+++ b/packages/soak/src/command.ts
@@ -7,7 +7,7 @@
 import type {Deployment} from './deployment.js';
 import {killAllHosts} from './host-process.js';
 import {isKnownFailure, parseKnownFailure} from './known-failure.js';
-import {regressionCases} from './kept-cases.js';
+import {regressionCases, type RegressionCase} from './kept-cases.js';
 import {runSeed, type SeedRunOptions, type SeedRunReport} from './run-seed.js';
 import {faultSets, type FaultSet} from './schedule.js';
 
@@ -70,6 +70,15 @@
 	return found;
 };
 
+const findCase = (text: string): RegressionCase => {
+	const found = regressionCases.find(({seed}) => seed === Number(text));
+	if (found === undefined) {
+		throw new TypeError(`--case must be one of ${regressionCases.map(({seed}) => seed).join(', ')}, not ${text}`);
+	}
+
+	return found;
+};
+
 const soakArguments = {
 	seeds: {type: 'string', default: '10', description: 'How many seeds to play'},
 	first: {type: 'string', description: 'First seed; drawn from the time of day if absent'},
@@ -79,6 +88,7 @@
 	seconds: {type: 'string', default: '12', description: 'Time in which faults begin'},
 	faults: {type: 'string', default: 'any', description: `Faults to draw: ${faultSets.join(' or ')}`},
 	earlier: {type: 'string', description: 'Program of an earlier build, which every second host runs'},
+	case: {type: 'string', description: 'Plays only the case with this seed of those that once failed'},
 	kept: {type: 'boolean', default: false, description: 'Plays the cases that once failed before the seeds'},
 	known: {type: 'string', description: 'SEED=GUARANTEE: a failure that is listed in KNOWN-RED.txt; it is printed, and the soak passes'},
 	keep: {type: 'boolean', default: false, description: 'Keeps all logs, not only those of seeds that failed'},
@@ -94,7 +104,7 @@
 		const folder = mkdtempSync(join(tmpdir(), 'gentianlift-soak-'));
 		const first = args.first === undefined ? clock.now() % drawnSeedLimit : parseCount(args.first, 'first');
 		const seeds = Array.from({length: parseCount(args.seeds, 'seeds')}, (_, index): SeedRun => ({seed: first + index}));
-		const pending = [...(args.kept ? regressionCases : []), ...seeds];
+		const pending = args.case === undefined ? [...(args.kept ? regressionCases : []), ...seeds] : [findCase(args.case)];
 		const known = args.known === undefined ? undefined : parseKnownFailure(args.known);
 		let failed = 0;
 		const runPending = async (job: number): Promise<void> => {
--- a/packages/soak/src/guarantees.test.ts
+++ b/packages/soak/src/guarantees.test.ts
@@ -142,6 +142,12 @@
 	expect(faults.every(({fault}) => !('host' in fault) || (fault.host !== undefined && fault.host >= 0 && fault.host < 5))).toBe(true);
 });
 
+// Guards against: losses in shutdowns that another fault excuses in most runs.
+test('draws only planned work and faults of the store beside shutdowns', () => {
+	const faults = Array.from({length: 30}, (_, seed) => drawSchedule(seed, {hosts: 5, upstreams: 6}, 10_000, 'shutdowns')).flat();
+	expect(new Set(faults.map(({fault}) => fault.kind))).toEqual(new Set(['host-stop', 'host-reload', 'configurations', 'store-link', 'store', 'host-output', 'burst']));
+});
+
 // Guards against: hosts whose sound callers are turned away while odd ones hold all places.
 test('finds hosts that serve their callers less than others do while odd callers are there', () => {
 	const send = (host: number, count: number, status: number): Call[] => Array.from({length: count}, (_, index) =>
--- a/packages/soak/src/kept-cases.ts
+++ b/packages/soak/src/kept-cases.ts
@@ -1,8 +1,38 @@
-import type {ScheduledFault} from './schedule.js';
+import type {Milliseconds} from '@gentianlift/types';
+import type {Fault, ScheduledFault} from './schedule.js';
 
 /** A fault schedule that once caused a violation or failure, with the seed that first produced it. */
 export type RegressionCase = {seed: number; cause: string; schedule: ScheduledFault[]};
 
+/** Time between two stops in a series, from a stop to the reloads, and from it to the silence of the store. */
+const stopInterval: Milliseconds = 400;
+const reloadDelay: Milliseconds = 700;
+const silenceDelay: Milliseconds = 1500;
+/** Time from a stop to many requests of callers that keep to the host, when that is about to end. */
+const burstDelay: Milliseconds = 2500;
+
+/** Stops four hosts one after the other; while they stop, they are reloaded, two don't reach the store, and nobody reads the output of the others. */
+const stopInSeries = (from: Milliseconds): ScheduledFault[] => [0, 1, 2, 3].flatMap((host): ScheduledFault[] => {
+	const at = from + (host * stopInterval);
+	const fault: Fault = host % 2 === 0
+		? {
+			kind: 'store-link', host, state: {kind: 'silent'}, duration: 2500,
+		}
+		: {
+			kind: 'host-output', host, state: 'unread', duration: 2500,
+		};
+	return [
+		{at, fault: {kind: 'host-stop', host}},
+		{at: at + reloadDelay, fault: {kind: 'host-reload', host, isSignalled: true}},
+		{at: at + silenceDelay, fault},
+		{
+			at: at + burstDelay, fault: {
+				kind: 'burst', host, factor: 10, duration: 1500,
+			},
+		},
+	];
+}).toSorted((one, other) => one.at - other.at);
+
 /** Regression cases that the `kept` option runs before the seeds. */
 export const regressionCases: readonly RegressionCase[] = [
 	{
@@ -225,4 +255,13 @@
 			{at: 4500, fault: {kind: 'store', mode: 'large', duration: 3000}},
 		],
 	},
+	{
+		seed: 7500,
+		cause: 'A host that had decided to end accepted requests until its process was gone, and left them without an answer',
+		schedule: [
+			...stopInSeries(500),
+			{at: 1000, fault: {kind: 'configurations', count: 3}},
+			...stopInSeries(5000),
+		],
+	},
 ];
--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -22,8 +22,8 @@
 /** One of `upstreamFailureModes` or `streamFailureModes`. */
 export type UpstreamFailureMode = typeof upstreamFailureModes[number] | typeof streamFailureModes[number];
 
-/** Which faults are drawn: `any`; `streams` for those that break streams off and hide from a host which versions serve; `processes` for those that strain a host's process, its start, its end and its output. */
-export const faultSets = ['any', 'streams', 'processes'] as const;
+/** Which faults are drawn: `any`; `streams` for those that break streams off and hide from a host which versions serve; `processes` for those that strain a host's process, its start, its end and its output; `shutdowns` for planned work in series, beside faults of the store only. */
+export const faultSets = ['any', 'streams', 'processes', 'shutdowns'] as const;
 /** One of `faultSets`. */
 export type FaultSet = typeof faultSets[number];
 
@@ -199,7 +199,36 @@
 	])();
 };
 
-const drawers: Record<FaultSet, typeof drawFault> = {any: drawFault, streams: drawStreamFault, processes: drawProcessFault};
+/** Draws planned work on a host, or what may lengthen a stop without excusing that it loses requests. */
+const drawShutdownFault = (random: Random, size: FleetSize): Fault => {
+	const host = Math.floor(random.next() * size.hosts);
+	const duration = drawDuration(random);
+	const stop = (): Fault => ({kind: 'host-stop', host});
+	return pickItem<() => Fault>(random, [
+		stop,
+		stop,
+		stop,
+		stop,
+		() => ({kind: 'host-reload', host, isSignalled: true}),
+		() => ({kind: 'host-reload', host, isSignalled: true}),
+		() => ({kind: 'configurations', count: 1 + Math.floor(random.next() * 4)}),
+		() => ({
+			kind: 'store-link', host, state: drawLinkState(random), duration,
+		}),
+		() => ({kind: 'store', mode: pickItem(random, storeFailureModes), duration}),
+		() => ({
+			kind: 'host-output', host, state: 'unread', duration,
+		}),
+		() => ({
+			kind: 'burst', host, factor: 10, duration,
+		}),
+		() => ({kind: 'burst', factor: 2 + Math.floor(random.next() * 4), duration}),
+	])();
+};
+
+const drawers: Record<FaultSet, typeof drawFault> = {
+	any: drawFault, streams: drawStreamFault, processes: drawProcessFault, shutdowns: drawShutdownFault,
+};
 
 /** Draws the faults of a seed within the fault period; the same seed and set give the same faults. */
 export const drawSchedule = (seed: number, size: FleetSize, faultPeriod: Milliseconds, faultSet: FaultSet = 'any'): ScheduledFault[] => {
