Give up a lease that is granted after the end of its host

A host that ended while it was registering stayed in the list of hosts that callers are given for the 6 s of its lease.

Cause: end() looked whether a lease was held, and a grant that was under way went on after it: it wrote the record under a lease that nobody ended. The same came of a write whose reply was lost, as its lease was forgotten though the record was under it.

Change: end() ends the lease that was granted last, whether the record is known to be written or not, and waits for a registration under way, which gives up a lease that it gets after the end. A renewal that crosses the end no longer logs a lost lease.

It works because each await of a registration is followed by a look at whether the host has ended.

--- a/packages/discovery/src/register-host.ts
+++ b/packages/discovery/src/register-host.ts
@@ -34,13 +34,23 @@
 }: HostRegistrationOptions): HostRegistration => {
 	const key = getHostKey(record.host);
 	let current = record;
+	/** The lease that was granted last, unless it has ended. */
 	let lease: string | undefined;
+	/** Whether the record is written under the lease. */
+	let isWritten = false;
+	let isEnded = false;
 	let expected = 0;
+	/** Resolves when the registration under way has ended, successful or not. */
+	let registering: Promise<boolean> = Promise.resolve(false);
 
-	/** Writes the record. If an earlier process of this host has left one, the first attempt is rejected and the second overwrites it. */
+	/** Writes the record under the lease. If an earlier process of this host has left one, the first attempt is rejected and the second overwrites it. */
 	const writeRecord = async (): Promise<boolean> => {
+		if (lease === undefined) {
+			return false;
+		}
+
 		const outcome = await store.compareAndSwap({
-			key, value: JSON.stringify(current), expected, ...(lease !== undefined && {lease}),
+			key, value: JSON.stringify(current), expected, lease,
 		});
 		switch (outcome.kind) {
 			case 'applied': {
@@ -61,7 +71,16 @@
 		}
 	};
 
-	/** Acquires a lease and writes the record under it. */
+	/** Ends the lease, which removes the record if it is written. */
+	const endLease = async (): Promise<void> => {
+		const held = lease;
+		lease = undefined;
+		if (held !== undefined) {
+			await store.endLease(held);
+		}
+	};
+
+	/** Acquires a lease and writes the record under it; gives up a lease that is granted after the end. */
 	const register = async (): Promise<boolean> => {
 		const outcome = await store.grantLease(leaseDuration);
 		if (outcome.kind !== 'held') {
@@ -69,9 +88,13 @@
 		}
 
 		lease = outcome.lease;
+		if (isEnded) {
+			await endLease();
+			return false;
+		}
+
 		// A rejected write returns the revision that the next one must expect.
-		const isWritten = await writeRecord() || await writeRecord();
-		lease = isWritten ? lease : undefined;
+		isWritten = await writeRecord() || await writeRecord();
 		if (isWritten) {
 			logger.info('host-registered', {host: record.host, incarnation: record.incarnation, lease});
 		}
@@ -81,9 +104,10 @@
 
 	const renewLease = async (held: string): Promise<boolean> => {
 		const outcome = await store.renewLease(held);
-		if (outcome.kind === 'lost') {
+		if (outcome.kind === 'lost' && lease === held) {
 			logger.warn('lease-lost', {lease: held});
 			lease = undefined;
+			isWritten = false;
 			expected = 0;
 		}
 
@@ -92,23 +116,30 @@
 
 	const maintainRegistration = async (): Promise<Milliseconds> => {
 		await opened;
-		const isDone = await (lease === undefined ? register() : renewLease(lease));
-		return isDone ? renewInterval : retryDelay;
+		if (isEnded) {
+			return retryDelay;
+		}
+
+		if (isWritten && lease !== undefined) {
+			return await renewLease(lease) ? renewInterval : retryDelay;
+		}
+
+		const registration = register();
+		// The loop logs the failure.
+		registering = registration.catch(() => false);
+		return await registration ? renewInterval : retryDelay;
 	};
 
 	const {stop} = startLoop('register', maintainRegistration, {clock, logger, onFailure});
 	return {
 		async markStopping() {
 			current = {...current, isStopping: true};
-			if (lease !== undefined) {
-				await writeRecord();
-			}
+			await writeRecord();
 		},
 		async end() {
+			isEnded = true;
 			stop();
-			if (lease !== undefined) {
-				await store.endLease(lease);
-			}
+			await Promise.all([endLease(), registering]);
 		},
 	};
 };
