Mark a host as stopping in the store even while its record is being written

The other hosts hear of a stop from reports at once, but a host that knows of another only from the store went on to list it to callers until its release.

Cause: two writes of the record could be under way at once, each with the revision that it expected when it began. The store applied the one without the mark and rejected the one with it, which nobody repeated.

Change: a write waits for the one before it, and is made once more if it is rejected, whoever asks for it.

Before: the record of the test said isStopping=false to the end of the lease. After: it says true. It works because a write takes the revision that it expects after the answer to the write before it.

--- a/packages/discovery/src/register-host.test.ts
+++ b/packages/discovery/src/register-host.test.ts
@@ -53,3 +53,16 @@
 	await ended;
 	expect(readRecord()).toBeUndefined();
 });
+
+// Guards against: a stopping host that the store names as available until its release, as its record was being written when the stop began.
+test('a host that begins to stop while its record is being written is marked in it', async () => {
+	const {
+		clock, registration, readRecord,
+	} = createRegistration();
+	await clock.advance(latency + 10);
+	expect(readRecord()).toMatchObject({isStopping: false});
+	const marked = registration.markStopping();
+	await clock.advance(4 * latency);
+	await marked;
+	expect(readRecord()).toMatchObject({isStopping: true});
+});
--- a/packages/discovery/src/register-host.ts
+++ b/packages/discovery/src/register-host.ts
@@ -40,11 +40,13 @@
 	let isWritten = false;
 	let isEnded = false;
 	let expected = 0;
+	/** Resolves when the last write of the record has ended. */
+	let writing: Promise<boolean> = Promise.resolve(false);
 	/** Resolves when the registration under way has ended, successful or not. */
 	let registering: Promise<boolean> = Promise.resolve(false);
 
-	/** Writes the record under the lease. If an earlier process of this host has left one, the first attempt is rejected and the second overwrites it. */
-	const writeRecord = async (): Promise<boolean> => {
+	/** Makes one attempt to write the record under the lease. */
+	const attemptWrite = async (): Promise<boolean> => {
 		if (lease === undefined) {
 			return false;
 		}
@@ -71,6 +73,16 @@
 		}
 	};
 
+	/**
+	 * Writes the record, after the write under way, which changes the revision that this one must expect. If an earlier
+	 * process of this host has left a record, the first attempt is rejected with its revision, and the second overwrites it.
+	 */
+	const writeRecord = async (): Promise<boolean> => {
+		const write = async (): Promise<boolean> => await attemptWrite() || attemptWrite();
+		writing = writing.then(write, write);
+		return writing;
+	};
+
 	/** Ends the lease, which removes the record if it is written. */
 	const endLease = async (): Promise<void> => {
 		const held = lease;
@@ -93,8 +105,7 @@
 			return false;
 		}
 
-		// A rejected write returns the revision that the next one must expect.
-		isWritten = await writeRecord() || await writeRecord();
+		isWritten = await writeRecord();
 		if (isWritten) {
 			logger.info('host-registered', {host: record.host, incarnation: record.incarnation, lease});
 		}
