Give a granted retry that is not sent back to the retry budget

What callers saw: where the budget was small, a request whose upstream was silent waited for that upstream to the end, though the budget allowed a retry: an earlier one had been granted and never sent.

Cause: a retry is taken from the budget before the silent attempt is given up. Whether another upstream can be reached shows only later; if none could, the retry stayed taken, and each further try that found no connection took one more.

Change: a grant holds until an attempt is sent, and goes back to the budget at the end of a call that has not used it.

Before: of two requests with a budget of one retry, the first one's was lost, and the second stayed with its silent upstream (decision=budget). After: the second is granted one (decision=resend). The limit holds, since it counts what arrives at upstreams: a grant is used up when its attempt is written.

--- a/packages/forwarder/src/call.ts
+++ b/packages/forwarder/src/call.ts
@@ -72,7 +72,7 @@
 	hasBegun: boolean;
 	/** Whether the caller has events of the stream without a number, so that no upstream can be told where it is. */
 	hasUnnumberedEvents: boolean;
-	/** Whether the attempt that follows the one in progress is granted, and taken from the retry budget. */
+	/** Whether the next attempt to be sent is granted, and taken from the retry budget. */
 	isRetryGranted: boolean;
 	/** Software version that began the stream, once its caller has events of it; only upstreams of this version can resume it. Undefined if it isn't known for certain. */
 	streamVersion: string | undefined;
@@ -165,3 +165,9 @@
 
 /** Whether nobody waits for an attempt of the call any more: it was ended, or its caller is gone. */
 export const isAbandoned = ({endedFor, isCallerGone}: Progress): boolean => endedFor !== undefined || isCallerGone;
+
+/** Records that an attempt is sent: it may execute the request, and the retry that was granted for it is used. */
+export const markSent = (progress: Progress): void => {
+	progress.isSent = true;
+	progress.isRetryGranted = false;
+};
--- a/packages/forwarder/src/forward.ts
+++ b/packages/forwarder/src/forward.ts
@@ -2,7 +2,7 @@
 import {decideRetry} from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
 import {createAttemptMaker} from './send/make-attempt.js';
-import {createRetryBudgets} from './send/retry-budgets.js';
+import {createRetryBudgets, grantRetry, restoreUnusedRetry} from './send/retry-budgets.js';
 import {createCallAnswers} from './call-answers.js';
 import {reportEnd, reportOpen, type CallEnd} from './call-end.js';
 import type {ForwardOutcome} from './deliver/forward-outcome.js';
@@ -84,8 +84,7 @@
 			remainingTime: call.deadline - clock.monotonic(),
 			mayCrashUpstream,
 		});
-		const isAllowed = decision.kind === 'resend' && (progress.attempts === 0 || progress.isRetryGranted || retries.take(call.service));
-		progress.isRetryGranted = false;
+		const isAllowed = decision.kind === 'resend' && (progress.attempts === 0 || grantRetry(call, progress, retries));
 		const outcome = decision.kind === 'stop' ? decision.reason : (isAllowed ? 'resend' : 'budget');
 		metrics.count('resend_decisions_total', {outcome});
 		logger.info('attempt-failed', {
@@ -255,6 +254,7 @@
 			}
 
 			const end = await endCall(call, progress);
+			restoreUnusedRetry(call, progress, retries);
 			cancelTimer();
 			// The listener would keep the request's body until the caller has read the answer.
 			call.response.off('close', onClose);
--- a/packages/forwarder/src/send/attempt-over-host.ts
+++ b/packages/forwarder/src/send/attempt-over-host.ts
@@ -1,5 +1,5 @@
 import {getMeanReportDelay, hostSilenceTimeout, type HostRecord} from '@gentianlift/discovery';
-import type {Call, Progress} from '../call.js';
+import {markSent, type Call, type Progress} from '../call.js';
 import type {ForwarderContext} from '../context.js';
 import {isSuspected, reportDelaysOfExchange} from '../crashes/crash-blame.js';
 import {deliverAnswer} from '../deliver/deliver-answer.js';
@@ -100,7 +100,7 @@
 		protocol,
 		clock,
 		onSent() {
-			progress.isSent = true;
+			markSent(progress);
 			reportSent(call, progress, {over: host.host}, context);
 		},
 	});
--- a/packages/forwarder/src/send/attempt.ts
+++ b/packages/forwarder/src/send/attempt.ts
@@ -1,7 +1,9 @@
 import {getUpstreamKey, sumRankTokens} from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
 import type {AnsweredOutcome, ForwardOutcome} from '../deliver/forward-outcome.js';
-import {isAbandoned, type Call, type Progress} from '../call.js';
+import {
+	isAbandoned, markSent, type Call, type Progress,
+} from '../call.js';
 import {deliverAnswer} from '../deliver/deliver-answer.js';
 import {deliverBuffered} from '../deliver/deliver-buffered.js';
 import {reportCrash} from '../crashes/report-crash.js';
@@ -106,7 +108,7 @@
 		protocol: context.protocol,
 		clock: context.clock,
 		onSent(getProcessAge) {
-			progress.isSent = true;
+			markSent(progress);
 			attempt.getProcessAge = getProcessAge;
 			attempt.sentAt = context.clock.monotonic();
 			recordConnectionWait(attempt);
--- a/packages/forwarder/src/send/silent-last-attempt.test.ts
+++ b/packages/forwarder/src/send/silent-last-attempt.test.ts
@@ -3,7 +3,9 @@
 import {
 	answerOk, configuration, createHostStarter, sum, upstreamMark, type AnswerHandler,
 } from '../test-deployment.js';
-import {sendRequest, waitForEnd, type TestHost} from '../testing.js';
+import {
+	sendRequest, startUpstream, waitForEnd, type TestHost,
+} from '../testing.js';
 
 const start = createHostStarter(onTestFinished);
 
@@ -82,3 +84,21 @@
 	expect(await waitForEnd(host, 'a1')).toContain('sends=1');
 	expect(sum(counts)).toBe(1);
 });
+
+// Guards against: a silent attempt that isn't given up though the budget allows a retry, as one was granted before and lost when it could not be sent.
+test('a retry that was granted to a silent attempt and not sent goes back to the budget', async () => {
+	const {host, upstreams: [late, sound], counts} = await start((request, response) => {
+		host.setUpstreams([late!, counts[0] === 1 ? refusing.upstream : sound!]);
+		answerLate(request, response);
+	}, answerOk);
+	const refusing = await startUpstream('refusing', () => undefined);
+	refusing.server.close();
+	Object.assign(host.context.retryLimit, {ratio: 0, minimum: 2});
+	host.setUpstreams([late!]);
+	await sendRequest(host.port, {path: '/read/1', headers: {attempt: 'a1'}});
+	expect(await waitForEnd(host, 'a1')).toContain('sends=1 ');
+	host.setUpstreams([late!]);
+	expect(await sendRequest(host.port, {path: '/read/1', headers: {attempt: 'a2'}})).toMatchObject({status: 200, body: 'ok'});
+	expect(host.logLines.filter(line => line.includes('event=attempt-silent')).map(line => /decision=\w+/v.exec(line)?.[0])).toEqual(['decision=resend', 'decision=resend']);
+	expect(counts).toEqual([2, 1]);
+});
--- a/packages/forwarder/src/send/successor.ts
+++ b/packages/forwarder/src/send/successor.ts
@@ -4,7 +4,7 @@
 import {canContinue} from '../deliver/continuation.js';
 import type {CallPath} from '../links/upstream-links.js';
 import {isVersionUncertain} from '../resume/resume-obstacle.js';
-import type {RetryBudgets} from './retry-budgets.js';
+import {grantRetry, type RetryBudgets} from './retry-budgets.js';
 
 /** Whether there is another upstream for a call than those it was sent to. */
 export const hasOtherUpstream = ({service}: Call, {tried, streamVersion}: Progress, {view}: ForwarderContext): boolean => {
@@ -65,8 +65,7 @@
 export const createSilenceDecision = (call: Call, progress: Progress, retries: RetryBudgets, context: ForwarderContext): (() => boolean) => {
 	let logged: string | undefined;
 	return () => {
-		const obstacle = findObstacle(call, progress, context) ?? (progress.isRetryGranted || retries.take(call.service) ? undefined : 'budget');
-		progress.isRetryGranted = obstacle === undefined;
+		const obstacle = findObstacle(call, progress, context) ?? (grantRetry(call, progress, retries) ? undefined : 'budget');
 		const decision = obstacle ?? 'resend';
 		if (decision !== logged) {
 			logged = decision;
@@ -76,6 +75,6 @@
 			});
 		}
 
-		return progress.isRetryGranted;
+		return obstacle === undefined;
 	};
 };
--- a/packages/routing/src/retry-budget.ts
+++ b/packages/routing/src/retry-budget.ts
@@ -15,6 +15,8 @@
 	addRequest: (now: Milliseconds) => void;
 	/** Takes one retry from the budget; returns false if none is left. `hostCount` hosts share the limit. */
 	take: (now: Milliseconds, hostCount: number) => boolean;
+	/** Gives back a retry that was taken and not used. */
+	restore: () => void;
 };
 
 /** Fraction of the limit that hosts use, as they notice a change of the number of hosts at different times. */
@@ -61,5 +63,11 @@
 			slice.retries += 1;
 			return true;
 		},
+		restore() {
+			const slice = slices.findLast(({retries}) => retries > 0);
+			if (slice !== undefined) {
+				slice.retries -= 1;
+			}
+		},
 	};
 };
--- a/packages/routing/src/retry.test.ts
+++ b/packages/routing/src/retry.test.ts
@@ -66,6 +66,16 @@
 	expect(budget.take(2, 1)).toBe(true);
 });
 
+test('a retry that was taken and is given back can be taken again', () => {
+	const budget = createRetryBudget({ratio: 0, minimum: 2, window: 10_000});
+	budget.restore();
+	expect(budget.take(0, 1)).toBe(true);
+	expect(budget.take(5000, 1)).toBe(false);
+	budget.restore();
+	expect(budget.take(6000, 1)).toBe(true);
+	expect(budget.take(6000, 1)).toBe(false);
+});
+
 test('a request is blocked after crashes of three different upstreams', () => {
 	const suspects = createCrashSuspects();
 	expect(suspects.isSuspected('f', 0)).toBe(false);
