Decide on "Connection: close" when the head of an answer is written

Cause: whether the host stops was looked up when the head came from the upstream. The body was awaited after that, or the first event of a stream, and the answer was written as if the host still ran on.

Change: the delivery asks when it writes the head to the caller.

Before: both answers of the test, whose heads came before the stop, kept their connections. After: both close them.

--- a/packages/forwarder/src/deliver/deliver-answer.ts
+++ b/packages/forwarder/src/deliver/deliver-answer.ts
@@ -6,7 +6,7 @@
 /** An answer that is to be delivered. */
 export type AnswerDelivery = EventDelivery & {
 	/** Delivers an answer that isn't a stream. */
-	deliverBody: (call: Call, progress: Progress, outcome: AnsweredOutcome, isClosing: boolean) => Promise<ForwardOutcome>;
+	deliverBody: (call: Call, progress: Progress, outcome: AnsweredOutcome, isClosing: () => boolean) => Promise<ForwardOutcome>;
 };
 
 /** Delivers an answer of an upstream or of another host, unless its caller has a part of a stream that it can't go on with. */
--- a/packages/forwarder/src/deliver/deliver-buffered.ts
+++ b/packages/forwarder/src/deliver/deliver-buffered.ts
@@ -25,7 +25,7 @@
 };
 
 /** Buffers an answer until it is complete, and delivers it unless the request may be retried after a server error. */
-export const deliverBuffered = async (call: Call, progress: Progress, {head, answer}: AnsweredOutcome, isClosing: boolean): Promise<ForwardOutcome> => {
+export const deliverBuffered = async (call: Call, progress: Progress, {head, answer}: AnsweredOutcome, isClosing: () => boolean): Promise<ForwardOutcome> => {
 	const body = await receiveBuffered(answer, progress);
 	if (body.kind === 'failed') {
 		return body;
@@ -41,18 +41,18 @@
 		return {kind: 'failed', reason: `status-${head.status}`, buffered: bufferedAnswer};
 	}
 
-	writeBufferedAnswer(call, bufferedAnswer, isClosing);
+	writeBufferedAnswer(call, bufferedAnswer, isClosing());
 	return {kind: 'delivered', status: head.status};
 };
 
 /** Buffers an answer until it is complete, and delivers it whatever its status. */
-export const deliverUnchanged = async (call: Call, progress: Progress, {head, answer}: AnsweredOutcome, isClosing: boolean): Promise<ForwardOutcome> => {
+export const deliverUnchanged = async (call: Call, progress: Progress, {head, answer}: AnsweredOutcome, isClosing: () => boolean): Promise<ForwardOutcome> => {
 	const body = await receiveBuffered(answer, progress);
 	if (body.kind === 'failed') {
 		return body;
 	}
 
-	writeBufferedAnswer(call, {head, bytes: body.bytes}, isClosing);
+	writeBufferedAnswer(call, {head, bytes: body.bytes}, isClosing());
 	return {kind: 'delivered', status: head.status};
 };
 
--- a/packages/forwarder/src/deliver/deliver-events.ts
+++ b/packages/forwarder/src/deliver/deliver-events.ts
@@ -8,8 +8,8 @@
 	call: Call;
 	progress: Progress;
 	outcome: AnsweredOutcome;
-	/** Whether the connection is closed after the answer. */
-	isClosing: boolean;
+	/** Whether the connection is closed after the answer; asked when the head is written, as the host may begin to stop while the answer arrives. */
+	isClosing: () => boolean;
 	/** Called with each chunk. */
 	onChunk: () => void;
 	/** Called once, when the first bytes arrive. */
@@ -29,7 +29,7 @@
 	switch (delivery.kind) {
 		case 'complete': {
 			if (!call.response.headersSent) {
-				writeAnswerHead(call.response, head, isClosing);
+				writeAnswerHead(call.response, head, isClosing());
 			}
 
 			call.response.end();
--- a/packages/forwarder/src/deliver/deliver.ts
+++ b/packages/forwarder/src/deliver/deliver.ts
@@ -20,8 +20,8 @@
 	progress: Progress;
 	/** Whether another upstream can continue the stream; then the numbers of its events are checked. */
 	isResumable: boolean;
-	/** Whether the connection is closed after the answer. */
-	isClosing: boolean;
+	/** Whether the connection is closed after the answer; asked when the head is written, as the host may begin to stop while the answer arrives. */
+	isClosing: () => boolean;
 	/** Called once, when the first bytes arrive. */
 	onFirstBytes: () => void;
 	/** Called once, when the first bytes of this upstream are about to be written to the caller. */
@@ -68,7 +68,7 @@
 		}
 
 		if (!response.headersSent) {
-			writeAnswerHead(response, head, delivery.isClosing);
+			writeAnswerHead(response, head, delivery.isClosing());
 		}
 
 		if (!response.write(bytes)) {
--- a/packages/forwarder/src/send/attempt-over-host.ts
+++ b/packages/forwarder/src/send/attempt-over-host.ts
@@ -55,7 +55,7 @@
 			}
 
 			return deliverAnswer({
-				call, progress, outcome, isClosing: isStopping(), deliverBody: deliverUnchanged,
+				call, progress, outcome, isClosing: isStopping, deliverBody: deliverUnchanged,
 				onChunk() {
 					recordChunk(progress, clock.monotonic());
 				},
