Forward calls over a host that has begun to stop only if no other one is left

What callers saw: where links to upstreams are cut, a call that can't be repeated could be answered 502 with an unknown outcome, as the host that it was forwarded to ended meanwhile.

Cause: hosts that reach the upstreams are asked about once a second, and those that stop are left out then. A host that began to stop after its answer went on to be chosen like the others, though its reports said so at once.

Change: the choice of the path asks which hosts are stopping.

--- a/packages/forwarder/src/links/upstream-links.test.ts
+++ b/packages/forwarder/src/links/upstream-links.test.ts
@@ -1,100 +1,11 @@
-import {createManualClock, createRandom, type ManualClock} from '@gentianlift/clock';
 import type {ReachQuery} from '@gentianlift/discovery';
-import {createLogger} from '@gentianlift/logger';
-import {getUpstreamKey, type Upstream} from '@gentianlift/routing';
+import {getUpstreamKey} from '@gentianlift/routing';
 import {buildUpstream} from '@gentianlift/routing/testing';
-import type {HostId, Milliseconds} from '@gentianlift/types';
+import type {HostId} from '@gentianlift/types';
 import {expect, test} from 'vitest';
-import type {ReachingHost} from './forwarding-hosts.js';
-import {createUpstreamLinks, type UpstreamLinks} from './upstream-links.js';
-
-/** A host's links to five upstreams, with what its probes and the other hosts say. */
-type LinkDay = {
-	clock: ManualClock;
-	links: UpstreamLinks;
-	logLines: string[];
-	/** Ids of the upstreams that accept connections of this host; those in `hanging` neither accept nor refuse them. */
-	reached: Set<string>;
-	hanging: Set<string>;
-	/** Hosts that say that they reach the upstreams. */
-	hosts: ReachingHost[];
-	silentHosts: Set<HostId>;
-	/** Whether most of the hosts that are asked answer. */
-	answers: {areMost: boolean};
-	/** Whether asking the other hosts fails with an error. */
-	errors: {areThrown: boolean};
-	probes: string[];
-};
-
-const connectTimeout: Milliseconds = 400;
-const ids = ['u0', 'u1', 'u2', 'u3', 'u4'];
-
-const buildHost = (host: HostId, openRequests = 0, zone = 'a'): ReachingHost => ({
-	record: {
-		host, incarnation: 1, zone, callers: '', peers: '', notes: '', strength: 1, isStopping: false,
-	},
-	openRequests,
-});
-
-const createDay = (): LinkDay => {
-	const clock = createManualClock();
-	const logLines: string[] = [];
-	const upstreams = ids.map(id => buildUpstream({id}));
-	const state = {
-		reached: new Set<string>(),
-		hanging: new Set<string>(),
-		hosts: [] as ReachingHost[],
-		silentHosts: new Set<HostId>(),
-		answers: {areMost: true},
-		errors: {areThrown: false},
-		probes: [] as string[],
-	};
-	const probe = async ({id}: Upstream): Promise<boolean> => {
-		state.probes.push(id);
-		if (state.hanging.has(id)) {
-			await clock.sleep(connectTimeout);
-			return false;
-		}
-
-		return state.reached.has(id);
-	};
-
-	const links = createUpstreamLinks({
-		clock,
-		random: createRandom(1),
-		logger: createLogger('info', line => {
-			logLines.push(line);
-		}),
-		zone: 'a',
-		getUpstreams: () => upstreams,
-		probe,
-		async findReachingHosts() {
-			if (state.errors.areThrown) {
-				throw new RangeError('test');
-			}
-
-			return {reaching: [...state.hosts], isAnswered: state.answers.areMost};
-		},
-		isSilent: host => state.silentHosts.has(host),
-		onChange: () => undefined,
-		onReached: () => undefined,
-	});
-	return {
-		clock, links, logLines, ...state,
-	};
-};
-
-/** Gives a sign of a cut, and lets a time pass. */
-const check = async ({links, clock}: LinkDay, time: Milliseconds): Promise<void> => {
-	links.check('s');
-	await clock.advance(time);
-};
-
-const cut = async (day: LinkDay): Promise<void> => {
-	day.hosts.push(buildHost('h1'), buildHost('h2'));
-	await check(day, 10);
-	expect(day.links.isCut('s')).toBe(true);
-};
+import {
+	buildHost, check, connectTimeout, createDay, cut, ids,
+} from './testing-link-day.js';
 
 // Guards against: an engine that is silent or away for a moment moves all traffic to other hosts.
 test('links are open while one of the upstreams accepts a connection', async () => {
--- a/packages/forwarder/src/links/upstream-links.ts
+++ b/packages/forwarder/src/links/upstream-links.ts
@@ -29,8 +29,8 @@
 	countCut: () => number;
 	/** Asks again which hosts reach a service to which the links are cut, unless they were asked just now. */
 	renewHosts: (service: string) => Promise<void>;
-	/** Returns the path of a call of a service that was forwarded to the hosts `tried` already. */
-	choosePath: (service: string, tried: ReadonlySet<HostId>) => CallPath;
+	/** Returns the path of a call of a service that was forwarded to the hosts `tried` already; it leads over a host that is stopping only if no other one is left. */
+	choosePath: (service: string, tried: ReadonlySet<HostId>, isStopping?: (host: HostId) => boolean) => CallPath;
 	/** Records that a call is forwarded to a host; returns a function that records its end. */
 	beginForwarding: (host: HostId) => () => void;
 	/** Whether this host reaches an upstream of a service, or the one that the query names. */
@@ -224,7 +224,7 @@
 		},
 		isCut: service => services.get(service)?.isCut ?? false,
 		countCut: () => [...services.values()].filter(({isCut}) => isCut).length,
-		choosePath(service, tried) {
+		choosePath(service, tried, isStopping = () => false) {
 			const links = services.get(service);
 			const known = links?.isCut === true ? links.hosts.get() : [];
 			if (known.length === 0) {
@@ -232,7 +232,8 @@
 			}
 
 			const hosts = known.filter(({record: {host}}) => !tried.has(host) && !isSilent(host));
-			const host = chooseForwardingHost(hosts, {loads, random, zone});
+			const remaining = hosts.filter(({record: {host}}) => !isStopping(host));
+			const host = chooseForwardingHost(remaining.length === 0 ? hosts : remaining, {loads, random, zone});
 			return host === undefined ? {kind: 'none'} : {kind: 'over-host', host};
 		},
 		async renewHosts(service) {
--- a/packages/forwarder/src/send/successor.ts
+++ b/packages/forwarder/src/send/successor.ts
@@ -14,8 +14,8 @@
 };
 
 /** Returns the path of a call; one that another host has forwarded isn't forwarded again. */
-export const choosePath = ({forwarded, service}: Call, {triedHosts}: Progress, {links}: ForwarderContext): CallPath =>
-	forwarded === undefined ? links.choosePath(service, triedHosts) : {kind: 'direct'};
+export const choosePath = ({forwarded, service}: Call, {triedHosts}: Progress, {links, reportExchange}: ForwarderContext): CallPath =>
+	forwarded === undefined ? links.choosePath(service, triedHosts, reportExchange.isStopping) : {kind: 'direct'};
 
 /** Whether another upstream can be reached for a call, or another host that reaches one. */
 const hasOtherWay = (call: Call, progress: Progress, context: ForwarderContext): boolean => {
