Look again before links count as cut if an upstream has answered meanwhile

What callers saw: after upstreams of a service were all away for a moment, their calls took the way over other hosts for 1.2 s and more, though the host reached the upstreams itself.

Cause: a check tries connections, waits for up to 800 ms, asks the other hosts, and then acts on its first look: what was away at its beginning and is reached by others at its end counts as cut.

Change: if an upstream has sent bytes since the check began, connections are tried once more before the links count as cut.

Before: the links of the test counted as cut after all upstreams had come back. After: they don't. Links whose open connections live on while no new one is established still count as cut, which has a test of its own.

--- a/packages/forwarder/src/links/testing-link-day.ts
+++ b/packages/forwarder/src/links/testing-link-day.ts
@@ -86,6 +86,20 @@
 	};
 };
 
+/** Lets all upstreams accept connections. */
+export const reachAll = ({reached}: LinkDay): void => {
+	for (const id of ids) {
+		reached.add(id);
+	}
+};
+
+/** Lets connections to all upstreams hang. */
+export const hangAll = ({hanging}: LinkDay): void => {
+	for (const id of ids) {
+		hanging.add(id);
+	}
+};
+
 /** Gives a sign of a cut, and lets a time pass. */
 export const check = async ({links, clock}: LinkDay, time: Milliseconds): Promise<void> => {
 	links.check('s');
--- a/packages/forwarder/src/links/upstream-links.test.ts
+++ b/packages/forwarder/src/links/upstream-links.test.ts
@@ -4,7 +4,7 @@
 import type {HostId} from '@gentianlift/types';
 import {expect, test} from 'vitest';
 import {
-	buildHost, check, connectTimeout, createDay, cut, ids,
+	buildHost, check, connectTimeout, createDay, cut, hangAll, ids, reachAll,
 } from './testing-link-day.js';
 
 // Guards against: an engine that is silent or away for a moment moves all traffic to other hosts.
@@ -29,10 +29,7 @@
 
 test('links are cut when connections to all upstreams hang, and another host reaches one', async () => {
 	const day = createDay();
-	for (const id of ids) {
-		day.hanging.add(id);
-	}
-
+	hangAll(day);
 	day.hosts.push(buildHost('h1'));
 	await check(day, connectTimeout);
 	expect(day.links.isCut('s')).toBe(false);
@@ -40,21 +37,41 @@
 	expect(day.links.choosePath('s', new Set())).toMatchObject({kind: 'over-host', host: {host: 'h1'}});
 });
 
+// Guards against: calls take the way over other hosts for a second and more, as upstreams that were away for a moment came back while their links were checked.
+test('links are not cut when an upstream has answered during the check and accepts connections again', async () => {
+	const day = createDay();
+	hangAll(day);
+	day.hosts.push(buildHost('h1'));
+	await check(day, connectTimeout);
+	day.hanging.clear();
+	reachAll(day);
+	day.links.recordContact('s');
+	await day.clock.advance(2 * connectTimeout);
+	expect(day.links.isCut('s')).toBe(false);
+});
+
+// Guards against: links whose open connections live on count as open though no new one is established.
+test('links are cut when upstreams answer on open connections but accept no new ones', async () => {
+	const day = createDay();
+	hangAll(day);
+	day.hosts.push(buildHost('h1'));
+	await check(day, connectTimeout);
+	day.links.recordContact('s');
+	await day.clock.advance(2 * connectTimeout);
+	expect(day.links.isCut('s')).toBe(true);
+});
+
 // Guards against: traffic goes to and fro while a link comes back.
 test('links are open again once connections have succeeded for a time', async () => {
 	const day = createDay();
 	await cut(day);
-	for (const id of ids) {
-		day.reached.add(id);
-	}
+	reachAll(day);
 
 	await day.clock.advance(800);
 	day.reached.clear();
 	await day.clock.advance(800);
 	expect(day.links.isCut('s')).toBe(true);
-	for (const id of ids) {
-		day.reached.add(id);
-	}
+	reachAll(day);
 
 	await day.clock.advance(800);
 	expect(day.links.isCut('s')).toBe(true);
@@ -193,9 +210,7 @@
 	day.errors.areThrown = true;
 	await day.clock.advance(3000);
 	day.errors.areThrown = false;
-	for (const id of ids) {
-		day.reached.add(id);
-	}
+	reachAll(day);
 
 	await day.clock.advance(3000);
 	expect(day.links.isCut('s')).toBe(false);
--- a/packages/forwarder/src/links/upstream-links.ts
+++ b/packages/forwarder/src/links/upstream-links.ts
@@ -173,6 +173,10 @@
 		open(service, links, cutAt);
 	};
 
+	/** Whether an upstream has sent bytes since a check began and accepts connections by now, so that what the check has found is out of date. */
+	const isReachedAgain = async ({contactAt}: ServiceLinks, upstreams: readonly Upstream[], startedAt: Milliseconds): Promise<boolean> =>
+		contactAt >= startedAt && reachesAny(upstreams.slice(0, firstProbes));
+
 	const runCheck = async (service: string, links: ServiceLinks): Promise<void> => {
 		const startedAt = clock.monotonic();
 		const upstreams = random.sample(getUpstreams(service), maxProbes);
@@ -189,6 +193,10 @@
 			return;
 		}
 
+		if (await isReachedAgain(links, upstreams, startedAt)) {
+			return;
+		}
+
 		links.isCut = true;
 		links.hosts.set(hosts);
 		onChange(getUpstreams(service));
