Forget an upstream for good that is removed while requests are in flight

What operators saw: upstreams_avoided and the line upstream-avoided counted upstreams that were gone, and each upstream whose last requests ended after its removal left its state, with two connection pools, in the memory of the host.

Cause: the outcome of a request is recorded after the request was awaited, in the state of its upstream, which was made anew where it had been removed in the meantime.

Change: outcomes, first tokens and failed connections are recorded only in the state of upstreams that are listed or still known.

Before: after the removal, the upstream of the test counted as avoided (1) with two lines in the log. After: 0 and none.

--- a/packages/forwarder/src/queue/upstream-tracker.ts
+++ b/packages/forwarder/src/queue/upstream-tracker.ts
@@ -2,23 +2,22 @@
 import type {LoadTracker} from '@gentianlift/discovery';
 import type {Logger} from '@gentianlift/logger';
 import {
-	addResult, chooseReservedUpstreams, createFailureCounts, createPromptCacheEstimate, createPrefillRateEstimate, defaultPrefillRate,
+	addResult, chooseReservedUpstreams, createPromptCacheEstimate, defaultPrefillRate,
 	getFailureRatio, getUpstreamKey, updateReservation,
-	type Candidate, type FailureCounts, type Prompt, type PromptCacheEstimate, type PrefillRateEstimate, type RankTokens,
+	type Candidate, type Prompt, type PromptCacheEstimate, type RankTokens,
 	type RouteKind, type Reservation, type Service, type Upstream, type UpstreamKey,
 } from '@gentianlift/routing';
 import type {Milliseconds} from '@gentianlift/types';
 import type {FragileUpstreams} from '../statements/fragile-upstreams.js';
 import type {UpstreamLimits} from '../statements/upstream-limits.js';
 import type {UpstreamRests} from '../statements/upstream-rests.js';
-import {idleTimeouts, UpstreamAgent} from '../send/upstream-agent.js';
+import type {UpstreamAgent} from '../send/upstream-agent.js';
 import {getMedian, getRelativeLatency} from './relative-latency.js';
-import {
-	isDoubted, noDoubt, updateDoubt, type RestartDoubt,
-} from './restart-doubt.js';
+import {isDoubted, updateDoubt} from './restart-doubt.js';
 import {
 	buildCandidates, getQueuedElsewhere, type CandidateQuery, type ObservedService,
 } from './observed-service.js';
+import {createUpstreamState, type UpstreamState} from './upstream-state.js';
 
 /** Tracks the state that this host observes for each incarnation of an upstream: connections, failures, latencies and cached prefixes. */
 export type UpstreamTracker = {
@@ -74,28 +73,6 @@
 	getService: (upstream: UpstreamKey) => Service | undefined;
 };
 
-type UpstreamState = {
-	agent: UpstreamAgent;
-	nonIdempotentAgent: UpstreamAgent;
-	cache: PromptCacheEstimate | undefined;
-	/** Whether the estimate of the prompt cache has the capacity that the service configures. */
-	hasCacheCapacity: boolean;
-	prefillRate: PrefillRateEstimate;
-	failures: FailureCounts;
-	/** Exponential moving average of the durations of answers. */
-	meanDuration: Milliseconds | undefined;
-	/** Time on the monotonic clock before which the upstream gets no requests. */
-	avoidedUntil: Milliseconds;
-	/** Whether it may have started again, with another software version than its entry says. */
-	doubt: RestartDoubt;
-	/** Connection failures in a row. */
-	connectFailures: number;
-	/** Number of requests of this host in flight. */
-	openRequests: number;
-	/** When the upstream last sent a byte, or when the first request in flight was sent to the idle upstream. */
-	lastByteAt: Milliseconds;
-};
-
 /** Silence after which an upstream gets no new requests while others are available; requests that it runs already stay there. */
 const avoidanceSilence: Milliseconds = 700;
 
@@ -120,24 +97,17 @@
 			return existing;
 		}
 
-		const state: UpstreamState = {
-			agent: new UpstreamAgent(),
-			nonIdempotentAgent: new UpstreamAgent({idleTimeout: idleTimeouts.short}),
-			cache: undefined,
-			hasCacheCapacity: false,
-			prefillRate: createPrefillRateEstimate(),
-			failures: createFailureCounts(clock.monotonic()),
-			meanDuration: undefined,
-			avoidedUntil: 0,
-			doubt: noDoubt,
-			connectFailures: 0,
-			openRequests: 0,
-			lastByteAt: 0,
-		};
+		const state = createUpstreamState(clock.monotonic());
 		states.set(key, state);
 		return state;
 	};
 
+	/** Returns the state of an upstream; undefined if that was removed, as it may have been while a request was in flight there. */
+	const findState = (upstream: Upstream): UpstreamState | undefined => {
+		const key = getUpstreamKey(upstream);
+		return getService(key) === undefined ? states.get(key) : getState(key);
+	};
+
 	const getStateSilence = (state: UpstreamState | undefined, now: Milliseconds): Milliseconds =>
 		state === undefined || state.openRequests === 0 ? 0 : now - state.lastByteAt;
 
@@ -185,7 +155,7 @@
 	return {
 		getReportedQueuedTokens: loads.getOwnQueuedTokens,
 		recordFirstToken(upstream, tokens, duration) {
-			getState(getUpstreamKey(upstream)).prefillRate.addSample(tokens, duration);
+			findState(upstream)?.prefillRate.addSample(tokens, duration);
 		},
 		getAgent(upstream, kind, connections) {
 			const state = getState(getUpstreamKey(upstream));
@@ -229,11 +199,16 @@
 			getCache(upstream).add(prompt);
 		},
 		recordUnreachable(upstream, reason) {
-			const state = getState(getUpstreamKey(upstream));
+			const state = findState(upstream);
+			if (state === undefined) {
+				return;
+			}
+
+			const now = clock.monotonic();
 			const backoff = Math.min(maxBackoff, minBackoff * (2 ** state.connectFailures));
 			state.connectFailures += 1;
-			state.avoidedUntil = clock.monotonic() + backoff;
-			state.doubt = {kind: 'lost', since: clock.monotonic()};
+			state.avoidedUntil = now + backoff;
+			state.doubt = {kind: 'lost', since: now};
 			logger.info('upstream-avoided', {upstream: getUpstreamKey(upstream), reason, for: backoff});
 		},
 		recordCrash(key, age) {
@@ -242,9 +217,11 @@
 			}
 		},
 		recordReachable(upstream) {
-			const state = getState(getUpstreamKey(upstream));
-			state.connectFailures = 0;
-			state.avoidedUntil = 0;
+			const state = findState(upstream);
+			if (state !== undefined) {
+				state.connectFailures = 0;
+				state.avoidedUntil = 0;
+			}
 		},
 		closeIdleConnections(upstream) {
 			const state = states.get(getUpstreamKey(upstream));
@@ -270,7 +247,11 @@
 		},
 		getSilence: upstream => getStateSilence(states.get(getUpstreamKey(upstream)), clock.monotonic()),
 		recordResult(upstream, hasFailed, duration) {
-			const state = getState(getUpstreamKey(upstream));
+			const state = findState(upstream);
+			if (state === undefined) {
+				return;
+			}
+
 			state.connectFailures = 0;
 			state.failures = addResult(state.failures, hasFailed, clock.monotonic());
 			if (duration !== undefined) {
