Ask again when a request is sent whether its host ends before the answer would

What callers saw: 502 with an unknown outcome, or a cut answer, for a request that can't be repeated, around a SIGTERM of their host, though a moment before they could have been told that it had not run.

Cause: whether a request can still be answered before the host ends is asked when its upstream is chosen. It may wait for a connection after that, for two fifths of its remaining time or all of it, and was sent then whatever was left.

Change: the same is asked when the request is about to be written, to an upstream or to another host. It isn't sent then, and ends as the others that come too late.

Before: a request that got its connection at the end of the serving time was sent to its upstream. After: it isn't, and its caller gets 503, not run.

--- a/packages/forwarder/src/send/attempt-over-host.ts
+++ b/packages/forwarder/src/send/attempt-over-host.ts
@@ -7,6 +7,7 @@
 import {encodeForwardedCall, type ForwardedCall} from '../links/forwarded-call.js';
 import type {ForwardOutcome} from '../deliver/forward-outcome.js';
 import {watchSilence} from '../deliver/watch-silence.js';
+import {isTooLateToStart} from '../queue/serving-end.js';
 import {send, type SendOutcome} from './send.js';
 import type {RetryBudgets} from './retry-budgets.js';
 import {createSilenceDecision} from './successor.js';
@@ -94,7 +95,9 @@
 		body,
 		callerRequestId: head.callerRequestId,
 		connectionWait: Math.max(1, call.deadline - clock.monotonic()),
-		buildHead: () => ({headers: protocol.buildHostHeaders(head, body.length), headTimeout: undefined}),
+		buildHead: () => isTooLateToStart(call, progress, clock.monotonic(), context)
+			? 'host-stopping'
+			: {headers: protocol.buildHostHeaders(head, body.length), headTimeout: undefined},
 	}, {
 		agent: context.hostAgents.get(host.peers, route.kind, context.getHostAddresses()),
 		protocol,
--- a/packages/forwarder/src/send/build-upstream-request.test.ts
+++ b/packages/forwarder/src/send/build-upstream-request.test.ts
@@ -34,7 +34,7 @@
 	const clock = createManualClock(0);
 	const context: Partial<ForwarderContext> = {
 		clock, view, suspects: createCrashSuspects(), protocol: {buildUpstreamHeaders: () => []} as unknown as ForwarderContext['protocol'],
-		rests: createUpstreamRests({clock, random: createRandom(1), logger: createSilentLogger()}),
+		rests: createUpstreamRests({clock, random: createRandom(1), logger: createSilentLogger()}), getServingEnd: () => Number.POSITIVE_INFINITY,
 	};
 	const call = buildTestCall({route: buildRoute({kind: 'idempotent', maxUpstreams: 2, timeout: remaining}), arrivedAt: 0, prompt: buildTestPrompt('p', 10)});
 	const request = buildUpstreamRequest(call, {...createProgress(), possibleExecutions}, {upstream, permit: {take: () => true, release: () => undefined}}, context as ForwarderContext);
@@ -64,7 +64,7 @@
 	};
 	const view = createTestView(createSilentLogger(), buildConfiguration({routes: rankedRoutes, customers: rankedCustomers}), [upstream]);
 	const context = {
-		clock: createManualClock(0), view, protocol, suspects: createCrashSuspects(), rests: {isResting: () => false},
+		clock: createManualClock(0), view, protocol, suspects: createCrashSuspects(), rests: {isResting: () => false}, getServingEnd: () => Number.POSITIVE_INFINITY,
 	} as unknown as ForwarderContext;
 	return rankedCustomers.map(customer => rankedRoutes.map(ranked => {
 		const call = buildTestCall({
--- a/packages/forwarder/src/send/build-upstream-request.ts
+++ b/packages/forwarder/src/send/build-upstream-request.ts
@@ -4,6 +4,7 @@
 import type {ForwarderContext} from '../context.js';
 import {findBlockingSuspect} from '../crashes/crash-blame.js';
 import type {PermitClaim} from '../statements/upstream-limits.js';
+import {isTooLateToStart} from '../queue/serving-end.js';
 import {getUpstreamRanks, lowestUpstreamRank} from '../queue/upstream-ranks.js';
 import {hasOtherUpstream} from './successor.js';
 import type {RequestHead, UnsentReason, UpstreamRequest} from './send.js';
@@ -61,6 +62,10 @@
 		return 'upstream-removed';
 	}
 
+	if (isTooLateToStart(call, progress, context.clock.monotonic(), context)) {
+		return 'host-stopping';
+	}
+
 	if (findBlockingSuspect(call, progress, context) !== undefined) {
 		return 'suspected-of-crashes';
 	}
--- a/packages/forwarder/src/send/connection-wait.test.ts
+++ b/packages/forwarder/src/send/connection-wait.test.ts
@@ -160,3 +160,19 @@
 	expect(await pending).toMatchObject({status: 200});
 	expect(counts).toEqual([connectionCount, 1]);
 });
+
+// Guards against: a booking is sent as its host is about to end, and its caller is told that the outcome is unknown, as it had waited for a connection.
+test('a request that gets a connection only when its host is about to end is answered as not executed', async () => {
+	const {answer, release} = createBusyUpstream();
+	const {host, counts} = await start(answer);
+	await useAllConnections(host, counts);
+	const pending = sendRequest(host.port, {path: '/book/1', headers: {attempt: 'a1'}});
+	await expect.poll(() => getRunning(host)).toBe(connectionCount + 1);
+	const servingEnd = host.context.clock.monotonic();
+	host.context.getServingEnd = () => servingEnd;
+	release();
+	const received = await pending;
+	expect(received).toMatchObject({status: 503});
+	expect(received.body).toContain('"ran":"not-run"');
+	expect(sum(counts)).toBe(connectionCount);
+});
--- a/packages/forwarder/src/send/send.ts
+++ b/packages/forwarder/src/send/send.ts
@@ -17,8 +17,8 @@
 	headTimeout: Milliseconds | undefined;
 };
 
-/** Why a request isn't sent once it has a connection: its upstream takes no more requests, it is suspected of crashes by now, or its upstream has asked for rest or named a limit that leaves no room for it. */
-export type UnsentReason = 'upstream-removed' | 'suspected-of-crashes' | 'upstream-resting' | 'upstream-limited';
+/** Why a request isn't sent once it has a connection: its upstream takes no more requests, this host ends before the answer would, it is suspected of crashes by now, or its upstream has asked for rest or named a limit that leaves no room for it. */
+export type UnsentReason = 'upstream-removed' | 'host-stopping' | 'suspected-of-crashes' | 'upstream-resting' | 'upstream-limited';
 
 /** A request as it is sent to one upstream. */
 export type UpstreamRequest = {
