--- a/packages/forwarder/src/links/upstream-links.test.ts
+++ b/packages/forwarder/src/links/upstream-links.test.ts
@@ -1,100 +1,11 @@
-import {createManualClock, createRandom, type ManualClock} from '@gentianlift/clock';
 import type {ReachQuery} from '@gentianlift/discovery';
-import {createLogger} from '@gentianlift/logger';
-import {getUpstreamKey, type Upstream} from '@gentianlift/routing';
+import {getUpstreamKey} from '@gentianlift/routing';
 import {buildUpstream} from '@gentianlift/routing/testing';
-import type {HostId, Milliseconds} from '@gentianlift/types';
+import type {HostId} from '@gentianlift/types';
 import {expect, test} from 'vitest';
-import type {ReachingHost} from './forwarding-hosts.js';
-import {createUpstreamLinks, type UpstreamLinks} from './upstream-links.js';
-
-/** A host's links to five upstreams, with what its probes and the other hosts say. */
-type LinkDay = {
-	clock: ManualClock;
-	links: UpstreamLinks;
-	logLines: string[];
-	/** Ids of the upstreams that accept connections of this host; those in `hanging` neither accept nor refuse them. */
-	reached: Set<string>;
-	hanging: Set<string>;
-	/** Hosts that say that they reach the upstreams. */
-	hosts: ReachingHost[];
-	silentHosts: Set<HostId>;
-	/** Whether most of the hosts that are asked answer. */
-	answers: {areMost: boolean};
-	/** Whether asking the other hosts fails with an error. */
-	errors: {areThrown: boolean};
-	probes: string[];
-};
-
-const connectTimeout: Milliseconds = 400;
-const ids = ['u0', 'u1', 'u2', 'u3', 'u4'];
-
-const buildHost = (host: HostId, openRequests = 0, zone = 'a'): ReachingHost => ({
-	record: {
-		host, incarnation: 1, zone, callers: '', peers: '', notes: '', strength: 1, isStopping: false,
-	},
-	openRequests,
-});
-
-const createDay = (): LinkDay => {
-	const clock = createManualClock();
-	const logLines: string[] = [];
-	const upstreams = ids.map(id => buildUpstream({id}));
-	const state = {
-		reached: new Set<string>(),
-		hanging: new Set<string>(),
-		hosts: [] as ReachingHost[],
-		silentHosts: new Set<HostId>(),
-		answers: {areMost: true},
-		errors: {areThrown: false},
-		probes: [] as string[],
-	};
-	const probe = async ({id}: Upstream): Promise<boolean> => {
-		state.probes.push(id);
-		if (state.hanging.has(id)) {
-			await clock.sleep(connectTimeout);
-			return false;
-		}
-
-		return state.reached.has(id);
-	};
-
-	const links = createUpstreamLinks({
-		clock,
-		random: createRandom(1),
-		logger: createLogger('info', line => {
-			logLines.push(line);
-		}),
-		zone: 'a',
-		getUpstreams: () => upstreams,
-		probe,
-		async findReachingHosts() {
-			if (state.errors.areThrown) {
-				throw new RangeError('test');
-			}
-
-			return {reaching: [...state.hosts], isAnswered: state.answers.areMost};
-		},
-		isSilent: host => state.silentHosts.has(host),
-		onChange: () => undefined,
-		onReached: () => undefined,
-	});
-	return {
-		clock, links, logLines, ...state,
-	};
-};
-
-/** Gives a sign of a cut, and lets a time pass. */
-const check = async ({links, clock}: LinkDay, time: Milliseconds): Promise<void> => {
-	links.check('s');
-	await clock.advance(time);
-};
-
-const cut = async (day: LinkDay): Promise<void> => {
-	day.hosts.push(buildHost('h1'), buildHost('h2'));
-	await check(day, 10);
-	expect(day.links.isCut('s')).toBe(true);
-};
+import {
+	buildHost, check, connectTimeout, createDay, cut, hangAll, ids, reachAll,
+} from './testing-link-day.js';
 
 // Guards against: an engine that is silent or away for a moment moves all traffic to other hosts.
 test('links are open while one of the upstreams accepts a connection', async () => {
@@ -118,10 +29,7 @@
 
 test('links are cut when connections to all upstreams hang, and another host reaches one', async () => {
 	const day = createDay();
-	for (const id of ids) {
-		day.hanging.add(id);
-	}
-
+	hangAll(day);
 	day.hosts.push(buildHost('h1'));
 	await check(day, connectTimeout);
 	expect(day.links.isCut('s')).toBe(false);
@@ -129,21 +37,41 @@
 	expect(day.links.choosePath('s', new Set())).toMatchObject({kind: 'over-host', host: {host: 'h1'}});
 });
 
+// Guards against: calls take the way over other hosts for a second and more, as upstreams that were away for a moment came back while their links were checked.
+test('links are not cut when an upstream has answered during the check and accepts connections again', async () => {
+	const day = createDay();
+	hangAll(day);
+	day.hosts.push(buildHost('h1'));
+	await check(day, connectTimeout);
+	day.hanging.clear();
+	reachAll(day);
+	day.links.recordContact('s');
+	await day.clock.advance(2 * connectTimeout);
+	expect(day.links.isCut('s')).toBe(false);
+});
+
+// Guards against: links whose open connections live on count as open though no new one is established.
+test('links are cut when upstreams answer on open connections but accept no new ones', async () => {
+	const day = createDay();
+	hangAll(day);
+	day.hosts.push(buildHost('h1'));
+	await check(day, connectTimeout);
+	day.links.recordContact('s');
+	await day.clock.advance(2 * connectTimeout);
+	expect(day.links.isCut('s')).toBe(true);
+});
+
 // Guards against: traffic goes to and fro while a link comes back.
 test('links are open again once connections have succeeded for a time', async () => {
 	const day = createDay();
 	await cut(day);
-	for (const id of ids) {
-		day.reached.add(id);
-	}
+	reachAll(day);
 
 	await day.clock.advance(800);
 	day.reached.clear();
 	await day.clock.advance(800);
 	expect(day.links.isCut('s')).toBe(true);
-	for (const id of ids) {
-		day.reached.add(id);
-	}
+	reachAll(day);
 
 	await day.clock.advance(800);
 	expect(day.links.isCut('s')).toBe(true);
@@ -282,9 +210,7 @@
 	day.errors.areThrown = true;
 	await day.clock.advance(3000);
 	day.errors.areThrown = false;
-	for (const id of ids) {
-		day.reached.add(id);
-	}
+	reachAll(day);
 
 	await day.clock.advance(3000);
 	expect(day.links.isCut('s')).toBe(false);
--- a/packages/forwarder/src/send/attempt-over-host.ts
+++ b/packages/forwarder/src/send/attempt-over-host.ts
@@ -1,5 +1,5 @@
 import {getMeanReportDelay, hostSilenceTimeout, type HostRecord} from '@gentianlift/discovery';
-import type {Call, Progress} from '../call.js';
+import {markSent, type Call, type Progress} from '../call.js';
 import type {ForwarderContext} from '../context.js';
 import {isSuspected, reportDelaysOfExchange} from '../crashes/crash-blame.js';
 import {deliverAnswer} from '../deliver/deliver-answer.js';
@@ -7,6 +7,7 @@
 import {encodeForwardedCall, type ForwardedCall} from '../links/forwarded-call.js';
 import type {ForwardOutcome} from '../deliver/forward-outcome.js';
 import {watchSilence} from '../deliver/watch-silence.js';
+import {isTooLateToStart} from '../queue/serving-end.js';
 import {send, type SendOutcome} from './send.js';
 import type {RetryBudgets} from './retry-budgets.js';
 import {createSilenceDecision} from './successor.js';
@@ -55,7 +56,7 @@
 			}
 
 			return deliverAnswer({
-				call, progress, outcome, isClosing: isStopping(), deliverBody: deliverUnchanged,
+				call, progress, outcome, isClosing: isStopping, deliverBody: deliverUnchanged,
 				onChunk() {
 					recordChunk(progress, clock.monotonic());
 				},
@@ -94,13 +95,15 @@
 		body,
 		callerRequestId: head.callerRequestId,
 		connectionWait: Math.max(1, call.deadline - clock.monotonic()),
-		buildHead: () => ({headers: protocol.buildHostHeaders(head, body.length), headTimeout: undefined}),
+		buildHead: () => isTooLateToStart(call, progress, clock.monotonic(), context)
+			? 'host-stopping'
+			: {headers: protocol.buildHostHeaders(head, body.length), headTimeout: undefined},
 	}, {
 		agent: context.hostAgents.get(host.peers, route.kind, context.getHostAddresses()),
 		protocol,
 		clock,
 		onSent() {
-			progress.isSent = true;
+			markSent(progress);
 			reportSent(call, progress, {over: host.host}, context);
 		},
 	});
