Pass no request on behind an answer that closes its connection

Callers that send requests ahead on a connection saw the second one run and the connection close without its answer, around a SIGTERM of the host and behind a request that is refused with `Connection: close` (a body that is too large).

Cause: the turn of the next request began when the response before it closed, and went by whether the socket was destroyed. After an answer that announces the close, Node ends the socket at once, but destroys it only once the end was written, a turn of the event loop later. In between, the next request was started: passed on, run, and its answer had nowhere to go.

Change: a request starts only while its connection can still be written to. Node ends the writing side before the response closes, so that there is no time between an answer that closes and this check.

--- a/packages/forwarder/src/callers/request-turns.ts
+++ b/packages/forwarder/src/callers/request-turns.ts
@@ -6,7 +6,7 @@
 
 /** Order in which the requests of each connection are handled: one at a time. HTTP/1.1 returns answers in the order of the requests, so that a caller gains nothing from handling a pipelined request earlier. */
 export type RequestTurns = {
-	/** Handles a request as soon as those before it on its connection are answered. */
+	/** Handles a request as soon as those before it on its connection are answered, unless that closes the connection. */
 	add: (received: ReceivedRequest) => void;
 	/** Returns the number of requests that wait for their turn, on all connections. */
 	countWaiting: () => number;
@@ -166,6 +166,11 @@
 	};
 
 	const startNext = (pipeline: Pipeline): void => {
+		if (!pipeline.socket.writable) {
+			// The last answer has announced the close of the connection, and no other can be written.
+			return;
+		}
+
 		const next = pipeline.waiting.shift();
 		if (next === undefined) {
 			resumeReading(pipeline);
@@ -209,8 +214,8 @@
 	return {
 		add(received) {
 			const {socket} = received.request;
-			if (socket.destroyed) {
-				// The rest of the read that has led to the close.
+			if (!socket.writable) {
+				// The rest of the read that has led to the close, or what was sent before its announcement has arrived.
 				return;
 			}
 
