Refuse requests without a Host header like other malformed ones

A request behind one without a `Host` header was passed on and run, and its connection closed without its answer.

Cause: Node's HTTP server answers a request without the header by itself, with 400 and the close of the connection, before the host sees it, and goes on to hand over what follows. The first closing answer was so none of the host's, and the turn of the next request began at once.

Evidence: 20 connections with such a request and a booking behind it: the booking ran on 20.

Change: Node no longer checks the header; the host refuses the request in the way of one with too many fields, after which nothing on the connection is handled. The answer gets the error body and the request's id.

After: 0 of 20.

--- a/packages/forwarder/src/callers/behind-closing-answer.test.ts
+++ b/packages/forwarder/src/callers/behind-closing-answer.test.ts
@@ -56,6 +56,7 @@
 const largeBody = 'b'.repeat(2_000_000);
 /** Requests that are answered by the host itself, which closes their connections. */
 const refused: ReadonlyArray<[name: string, build: (path: string) => string]> = [
+	['without a host', path => buildRequest(path, {host: '', body: ''})],
 	['with a large body', path => buildRequest(path, {body: largeBody})],
 	['with many fields', path => buildRequest(path, {host: 'Host: a\r\n' + 'F: v\r\n'.repeat(300)})],
 ];
--- a/packages/forwarder/src/callers/header-limits.ts
+++ b/packages/forwarder/src/callers/header-limits.ts
@@ -13,6 +13,9 @@
 export const exceedsHeaderLimits = (headers: readonly string[], limits: RequestLimits | undefined): boolean =>
 	headers.length / 2 > maxHeaderFields || getHeaderBytes(headers) > (limits?.maxHeaderBytes ?? maxHeaderBytes);
 
+/** Whether a request lacks the `Host` header, which HTTP/1.1 requires. */
+export const lacksHost = ({httpVersion, headers}: IncomingMessage): boolean => httpVersion === '1.1' && headers.host === undefined;
+
 /** Frees the headers of a request that was answered without them. */
 export const dropHeaders = (request: IncomingMessage): void => {
 	request.rawHeaders = [];
--- a/packages/forwarder/src/callers/http-server.ts
+++ b/packages/forwarder/src/callers/http-server.ts
@@ -22,7 +22,13 @@
 /** Creates an HTTP server for callers; it doesn't listen yet. */
 export const createHttpServer = (listener: RequestListener): Server => {
 	const server = createServer({
-		maxHeaderSize: minHeadBytes, headersTimeout: defaultHeaderTimeout, connectionsCheckingInterval: connectionsCheckInterval, requestTimeout, noDelay: true,
+		maxHeaderSize: minHeadBytes,
+		headersTimeout: defaultHeaderTimeout,
+		connectionsCheckingInterval: connectionsCheckInterval,
+		requestTimeout,
+		noDelay: true,
+		// Node would refuse a request without one by itself, close the connection, and yet hand over what follows on it.
+		requireHostHeader: false,
 	}, listener);
 	server.keepAliveTimeout = defaultKeepAlive;
 	return server;
--- a/packages/forwarder/src/callers/serve-callers.ts
+++ b/packages/forwarder/src/callers/serve-callers.ts
@@ -15,7 +15,7 @@
 	answerFailure, retryAfterDelays, writeEarlyErrorAnswer, writeErrorAnswer, type ErrorAnswer,
 } from './error-answer.js';
 import {findRefusal} from './find-refusal.js';
-import {dropHeaders, exceedsHeaderLimits} from './header-limits.js';
+import {dropHeaders, exceedsHeaderLimits, lacksHost} from './header-limits.js';
 import {createAdmission, maxOpenRequests, type Admission} from './admission.js';
 import {createOpenRequests} from './open-requests.js';
 import {applyLimits, createHttpServer} from './http-server.js';
@@ -227,9 +227,9 @@
 	});
 
 	/** Refuses a request by its head, none of which is held afterwards; what follows on its connection is dropped. */
-	const refuseHead = (received: ReceivedRequest): void => {
+	const refuseHead = (received: ReceivedRequest, kind: ErrorKind): void => {
 		connections.endAfter(received.request);
-		refuse(received, readHead(received), {kind: 'headers-too-large'});
+		refuse(received, readHead(received), {kind});
 		dropHeaders(received.request);
 	};
 
@@ -242,7 +242,9 @@
 		}
 
 		if (exceedsHeaderLimits(request.rawHeaders, view.getRoutes()?.configuration.limits)) {
-			refuseHead(received);
+			refuseHead(received, 'headers-too-large');
+		} else if (lacksHost(request)) {
+			refuseHead(received, 'bad-request');
 		} else {
 			turns.add(received);
 		}
