Read a connection on after its last answer until its caller closes it

Callers that had sent bytes behind a request lost its answer, or its rest, to a reset of the connection, if they had not received it yet. After a SIGTERM every answer of a host closes its connection.

Cause: after an answer with `Connection: close`, Node closes the connection at once. If bytes wait unread then, or come later, the system resets it and drops what its caller has not received.

Change: instead, the host ends its side of the connection, and discards what arrives without parsing it until the caller closes its side, for 2 s at most, and on 256 connections at most; beyond it the one that was ended first is closed. Requests that wait behind the last answer aren't handled, don't count as open, and take their part of the limits until the close.

--- a/packages/forwarder/src/callers/caller-connections.ts
+++ b/packages/forwarder/src/callers/caller-connections.ts
@@ -1,10 +1,10 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
-import type {Cancel, Clock} from '@gentianlift/clock';
+import type {Clock} from '@gentianlift/clock';
 import type {ErrorKind} from '@gentianlift/errors';
 import type {Logger} from '@gentianlift/logger';
 import type {Metrics} from '@gentianlift/metrics';
-import type {Milliseconds} from '@gentianlift/types';
+import {createClosingConnections} from './closing-connections.js';
 import {dropHeaders} from './header-limits.js';
 
 /** An error of Node's HTTP server for a connection. */
@@ -18,6 +18,8 @@
 	endAfter: (request: IncomingMessage) => void;
 	/** Handles an error of a connection (`clientError` of the server). */
 	handleError: (error: ConnectionError, socket: Socket) => void;
+	/** Returns the number of connections of which the last answer was written, and that their callers haven't closed. */
+	countClosing: () => number;
 };
 
 /** Dependencies of `createCallerConnections`. */
@@ -26,7 +28,7 @@
 	logger: Logger;
 	metrics: Metrics;
 	/** Answers a request of which only a part has arrived, unless its answer has begun, and closes the connection. */
-	answerPartial: (request: IncomingMessage, response: ServerResponse, kind: ErrorKind) => void;
+	answerPartial: (response: ServerResponse, kind: ErrorKind) => void;
 };
 
 /** What is known of a connection. */
@@ -50,15 +52,13 @@
 };
 const malformedAnswer = {kind: 'bad-request', statusLine: '400 Bad Request'} as const;
 
-/** Time for which a connection that was given up is read and its bytes are discarded, so that its caller gets the last answer: a close with unread bytes would reset the connection. */
-const lingerTime: Milliseconds = 1000;
-
 /** Whether the last request of a connection has arrived in part. */
 const isPartial = ({last}: ConnectionState): boolean => last !== undefined && !last.request.complete;
 
 /** Creates the connections of a server. */
 export const createCallerConnections = ({clock, logger, metrics, answerPartial}: CallerConnectionsOptions): CallerConnections => {
 	const states = new WeakMap<Socket, ConnectionState>();
+	const closing = createClosingConnections({clock, metrics});
 
 	const getState = (socket: Socket): ConnectionState => {
 		const existing = states.get(socket);
@@ -70,6 +70,11 @@
 			requests: 0, last: undefined, pending: new Set(), isGivenUp: false,
 		};
 		states.set(socket, state);
+		// Node's HTTP server calls it after an answer that announces the close, and would close the connection at once.
+		socket.destroySoon = () => {
+			closing.end(socket);
+		};
+
 		socket.once('close', () => {
 			// Node detaches a request that is answered before it has arrived, and says nothing of its end.
 			state.last?.request.destroy();
@@ -77,15 +82,6 @@
 		return state;
 	};
 
-	/** Ends a connection, and closes it when its caller has closed its side or after a time. */
-	const endSocket = (socket: Socket): void => {
-		const cancelTimer: Cancel = clock.after(lingerTime, () => {
-			socket.destroy();
-		});
-		socket.once('close', cancelTimer);
-		socket.end();
-	};
-
 	/** Ends a connection as soon as the requests that it has delivered are answered. */
 	const endAfterAnswers = (socket: Socket, {pending}: ConnectionState): void => {
 		const last = [...pending].at(-1);
@@ -97,7 +93,7 @@
 		for (const response of pending) {
 			response.once('close', () => {
 				if (pending.size === 0) {
-					endSocket(socket);
+					closing.end(socket);
 				}
 			});
 		}
@@ -112,13 +108,13 @@
 		});
 		if (state.pending.size === 0) {
 			socket.write(`HTTP/1.1 ${statusLine}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
-			endSocket(socket);
+			closing.end(socket);
 			return;
 		}
 
 		endAfterAnswers(socket, state);
 		if (state.last !== undefined && isPartial(state)) {
-			answerPartial(state.last.request, state.last.response, kind);
+			answerPartial(state.last.response, kind);
 		}
 	};
 
@@ -137,7 +133,7 @@
 	return {
 		accept(request, response) {
 			const state = getState(request.socket);
-			if (state.isGivenUp) {
+			if (state.isGivenUp || !request.socket.writable) {
 				logger.info('request-dropped', {target: request.url, reason: 'connection-given-up'});
 				dropHeaders(request);
 				request.resume();
@@ -164,6 +160,7 @@
 			state.isGivenUp = true;
 			endAfterAnswers(socket, state);
 		},
+		countClosing: closing.count,
 		handleError(error, socket) {
 			const state = getState(socket);
 			if (!socket.writable || error.code === 'ECONNRESET') {
--- a/packages/forwarder/src/callers/error-answer.ts
+++ b/packages/forwarder/src/callers/error-answer.ts
@@ -79,3 +79,12 @@
 		response, protocol, caller: protocol.readCallerHead(request.rawHeaders), isClosing: true,
 	}, {kind: 'internal'});
 };
+
+/** Answers a request of which only a part has arrived, unless its answer has begun; closes the connection. */
+export const answerPartial = (response: ServerResponse, protocol: Protocol, kind: ErrorKind): void => {
+	if (!response.headersSent) {
+		writeErrorAnswer({
+			response, protocol, caller: protocol.readCallerHead(response.req.rawHeaders), isClosing: true,
+		}, {kind});
+	}
+};
--- a/packages/forwarder/src/callers/request-turns.ts
+++ b/packages/forwarder/src/callers/request-turns.ts
@@ -70,6 +70,9 @@
 		pipeline.waitingBytes += bytes;
 	};
 
+	/** Whether requests of a connection can be answered; those that wait when it ends take their memory until it is closed. */
+	const isOpen = ({socket}: Pipeline): boolean => socket.writable;
+
 	const hasEnough = ({waiting, waitingBytes}: Pipeline): boolean => waiting.length > maxReadAhead || waitingBytes > maxReadAheadBytes;
 
 	const isExceeded = (): boolean => waitingRequests > maxWaitingRequests || waitingBytes > maxWaitingBytes;
@@ -77,7 +80,7 @@
 	/** Pauses a connection of which enough requests wait. Node's server resumes it at each end of a message. */
 	const limitReading = (pipeline: Pipeline): void => {
 		const {socket, waiting} = pipeline;
-		if (!hasEnough(pipeline)) {
+		if (!isOpen(pipeline) || !hasEnough(pipeline)) {
 			return;
 		}
 
@@ -136,6 +139,8 @@
 		}
 	};
 
+	const getOpen = (): Pipeline[] => [...pipelines.values()].filter(pipeline => isOpen(pipeline));
+
 	const addPipeline = (socket: Socket): Pipeline => {
 		const pipeline: Pipeline = {
 			socket, waiting: [], waitingBytes: 0, isBusy: false, isPaused: false, wasPaused: false,
@@ -166,7 +171,7 @@
 	};
 
 	const startNext = (pipeline: Pipeline): void => {
-		if (!pipeline.socket.writable) {
+		if (!isOpen(pipeline)) {
 			// The last answer has announced the close of the connection, and no other can be written.
 			return;
 		}
@@ -231,7 +236,7 @@
 			limitReading(pipeline);
 			closeBeyondLimit();
 		},
-		countWaiting: () => waitingRequests,
-		takeWaiting: () => [...pipelines.values()].flatMap(pipeline => takeAll(pipeline)),
+		countWaiting: () => getOpen().reduce((sum, {waiting}) => sum + waiting.length, 0),
+		takeWaiting: () => getOpen().flatMap(pipeline => takeAll(pipeline)),
 	};
 };
--- a/packages/forwarder/src/callers/serve-callers.ts
+++ b/packages/forwarder/src/callers/serve-callers.ts
@@ -12,7 +12,7 @@
 import {createResumptionResolver, type Resumption} from '../resume/resumption.js';
 import {getForwardedResumption, getForwardedService, type ReceivedRequest} from './received-request.js';
 import {
-	answerFailure, retryAfterDelays, writeEarlyErrorAnswer, writeErrorAnswer, type ErrorAnswer,
+	answerFailure, answerPartial, retryAfterDelays, writeEarlyErrorAnswer, writeErrorAnswer, type ErrorAnswer,
 } from './error-answer.js';
 import {findRefusal} from './find-refusal.js';
 import {dropHeaders, exceedsHeaderLimits, lacksHost} from './header-limits.js';
@@ -34,6 +34,8 @@
 	countOpenRequests: () => number;
 	/** Returns the number of these that wait until the requests before them on their connections are answered. */
 	countReadAhead: () => number;
+	/** Returns the number of connections of which the last answer was written, and that their callers haven't closed. A process that ends before may reset them. */
+	countClosingConnections: () => number;
 	/** Answers the requests whose answers haven't begun, as this host stops. */
 	answerRequests: () => void;
 	/** Cuts the answers that have begun, as this host stops. */
@@ -196,12 +198,8 @@
 		clock,
 		logger,
 		metrics,
-		answerPartial(request, response, kind) {
-			if (!response.headersSent) {
-				writeErrorAnswer({
-					response, protocol, caller: protocol.readCallerHead(request.rawHeaders), isClosing: true,
-				}, {kind});
-			}
+		answerPartial(response, kind) {
+			answerPartial(response, protocol, kind);
 		},
 	});
 
@@ -279,6 +277,7 @@
 		handleConnectionError: connections.handleError,
 		countOpenRequests: () => openRequests.count() + turns.countWaiting(),
 		countReadAhead: turns.countWaiting,
+		countClosingConnections: connections.countClosing,
 		answerRequests() {
 			forwarder.answerCalls();
 			for (const received of turns.takeWaiting()) {
--- a/packages/forwarder/src/callers/unfinished-heads.ts
+++ b/packages/forwarder/src/callers/unfinished-heads.ts
@@ -60,7 +60,7 @@
 	server.on('request', ({socket}, response) => {
 		received.delete(socket);
 		response.once('close', () => {
-			if (!socket.destroyed) {
+			if (socket.writable) {
 				add(socket);
 			}
 		});
