--- a/packages/router/src/callers/handle-request.ts
+++ b/packages/router/src/callers/handle-request.ts
@@ -6,6 +6,7 @@
 import {handleService} from './commands/service.js';
 import type {Exchange} from './exchange.js';
 import {handleHosts, handleModels, handleRequestQuery} from './queries/index.js';
+import {readBody} from './read-body.js';
 import {checkHeaders} from './read-headers.js';
 
 const route = async (context: HostContext, exchange: Exchange): Promise<void> => {
@@ -53,6 +54,12 @@
 	});
 };
 
+/** Refuses a request that has arrived on an open connection of a stopping host. Its body is read first, as bytes that are unread when the connection closes would reset it and lose the answer. */
+const refuseAsStopping = async ({settings, clock}: HostContext, request: IncomingMessage): Promise<never> => {
+	await readBody(request, settings.callerLimits, clock);
+	throw createFailure('host-stopping');
+};
+
 /** Handles one request of a caller. Never throws. */
 export const handleRequest = async (context: HostContext, request: IncomingMessage, response: ServerResponse): Promise<void> => {
 	const exchange: Exchange = {
@@ -64,9 +71,10 @@
 		response.setHeader('connection', 'close');
 	}
 
-	const endRequest = context.inFlightRequests.begin();
+	// The request counts as open from the step in which it is accepted, so that the host can't end in between.
+	const endRequest = context.inFlightRequests.begin(response);
 	try {
-		await route(context, exchange);
+		await (context.isStopping() ? refuseAsStopping(context, request) : route(context, exchange));
 	} catch (error) {
 		const failure = toRequestFailure(error);
 		recordFailure(context, exchange, failure);
--- a/packages/router/src/host-context.ts
+++ b/packages/router/src/host-context.ts
@@ -31,6 +31,8 @@
 	getRankLimit: () => Rank | undefined;
 	/** Whether the host closes callers' connections after each response, so that their next request goes to another host. */
 	isDraining: () => boolean;
+	/** Whether the host refuses new requests, because it ends once those in flight have ended. */
+	isStopping: () => boolean;
 	inFlightRequests: InFlightRequests;
 	grants: GrantClient;
 	limits: Limits;
--- a/packages/router/src/host/start-host.ts
+++ b/packages/router/src/host/start-host.ts
@@ -61,6 +61,7 @@
 	recordObservation: requestHandling.upstreamMonitor.recordObservation,
 	getRankLimit: overloadMonitor.getRankLimit,
 	isDraining: () => getShutdown().getState().kind !== 'serving',
+	isStopping: () => getShutdown().getState().kind === 'stopping',
 });
 
 const createShutdownSteps = (infrastructure: Infrastructure, network: Network, requestHandling: RequestHandling, {closeListener, closeInternalListeners, exit}: ShutdownActions): ShutdownSteps => ({
@@ -68,7 +69,7 @@
 	closeListener() {
 		void closeListener();
 	},
-	getInFlightCount: infrastructure.inFlightRequests.getCount,
+	getOpenCount: infrastructure.inFlightRequests.getOpenCount,
 	abortRequests() {
 		infrastructure.inFlightRequests.abortController.abort();
 	},
--- a/packages/router/src/shutdown.test.ts
+++ b/packages/router/src/shutdown.test.ts
@@ -1,11 +1,18 @@
 import {expect, test} from 'vitest';
-import {startFleet} from './testing/start-fleet.js';
+import {openPreparedConnection, type CallerRequest} from './testing/prepared-connection.js';
+import {startFleet, type TestFleet} from './testing/start-fleet.js';
 
 const readStatus = async (url: string): Promise<number> => {
 	const {status} = await fetch(url);
 	return status;
 };
 
+const createBooking = ({key}: TestFleet, idempotencyKey: string): CallerRequest => ({
+	method: 'POST', path: '/v1/services/orders/cut-orders', body: '{"bar":1}', headers: {authorization: `Bearer ${key}`, 'idempotency-key': idempotencyKey},
+});
+
+const getExecutedKeys = ({fakes}: TestFleet): string[] => [...fakes.services.values()].flatMap(({calls}) => calls.map(({idempotencyKey}) => idempotencyKey));
+
 test('a draining host is no longer listed for callers, completes its streams and exits with status 0', async () => {
 	const fleet = await startFleet(2);
 	const [leaving, staying] = fleet.hosts;
@@ -61,3 +68,34 @@
 	expect(await readStatus(`${operators}/ready`)).toBe(200);
 	await fleet.close();
 });
+
+// Guards against: requests on connections that stay open after the listener has closed are passed on while the host ends.
+test('a stopping host refuses requests on open connections as not run, and completes its streams', async () => {
+	const fleet = await startFleet(1);
+	const [host] = fleet.hosts;
+	const callers = host?.settings.callerAddress ?? '';
+	const [unused, kept] = [await openPreparedConnection(callers), await openPreparedConnection(callers)];
+	expect(await kept.send({method: 'GET', path: '/v1/hosts', headers: {}})).toMatchObject({status: 200, connection: 'keep-alive'});
+	const stream = await fetch(`http://${callers}/v1/chat/completions`, {
+		method: 'POST',
+		headers: {authorization: `Bearer ${fleet.key}`},
+		body: JSON.stringify({
+			model: 'counter-8b', max_tokens: 400, stream: true, messages: [{role: 'user', content: 'long answer #tokens=400'}],
+		}),
+	});
+	host?.stop('test');
+	const readReason = async (): Promise<string> => {
+		const answer = await fetch(`http://${host?.settings.operatorAddress}/ready`);
+		return (await answer.json() as {reason: string}).reason;
+	};
+
+	await expect.poll(readReason).toBe('stopping');
+	expect(await unused.send(createBooking(fleet, 'late'))).toMatchObject({
+		status: 503, ran: 'not-run', errorKind: 'host-stopping', connection: 'close',
+	});
+	expect(await kept.send(createBooking(fleet, 'later'))).toEqual({kind: 'closed'});
+	expect(await stream.text()).toContain('data: [DONE]');
+	expect(await host?.ended).toBe(0);
+	expect(getExecutedKeys(fleet)).toEqual([]);
+	await fleet.fakes.close();
+});
--- a/packages/router/src/testing/start-fleet.ts
+++ b/packages/router/src/testing/start-fleet.ts
@@ -1,7 +1,7 @@
 import {createSystemClock} from '@gentianlift/clock';
 import {parseSettings} from '@gentianlift/config';
 import {
-	countPorts, findPorts, getFleetSettings, getTrialConfiguration, publishConfiguration, readExample, startFakes, type Fakes,
+	countPorts, findPorts, getFleetSettings, getTrialConfiguration, publishConfiguration, readExample, startFakes, type Fakes, type SettingsDocument,
 } from '@gentianlift/trial';
 import type {Configuration, Settings} from '@gentianlift/types';
 import {startHost, type RunningHost} from '../host/start-host.js';
@@ -13,15 +13,20 @@
 	ended: Promise<number>;
 };
 
-/** Fake platform services, fake upstreams and hosts that run in the process of the test. */
-export type TestFleet = {
+/** Fake platform services and fake upstreams, with the settings of hosts that aren't started yet. */
+export type TestPlatform = {
 	fakes: Fakes;
 	configuration: Configuration;
-	hosts: TestHost[];
+	settings: SettingsDocument[];
 	/** API key of a customer that may use all classes of the Kopi example. */
 	key: string;
 	/** API key of another customer. */
 	otherKey: string;
+};
+
+/** Fake platform services, fake upstreams and hosts that run in the process of the test. */
+export type TestFleet = TestPlatform & {
+	hosts: TestHost[];
 	close: () => Promise<void>;
 };
 
@@ -45,32 +50,41 @@
 	return {...host, settings, ended};
 };
 
-/** Starts the Kopi example with `count` hosts; the `extra` settings apply to each of them. */
-export const startFleet = async (count: number, extra: Partial<Settings> = {}): Promise<TestFleet> => {
+/** Starts the fakes of the Kopi example, and creates the settings of `count` hosts; the `extra` settings apply to each of them. */
+export const startPlatform = async (count: number, extra: Partial<Settings> = {}): Promise<TestPlatform> => {
 	const {configuration: example, keys} = await readExample('kopi');
 	const fakes = await startFakes(example.inventory, {stepTime: 5, meanTokens: 20, eventLossProbability: 0});
 	const configuration = getTrialConfiguration(example, fakes.addresses);
 	publishConfiguration(fakes.keyValue, configuration, createSystemClock().now());
-	const settingsDocuments = getFleetSettings({
+	const settings = getFleetSettings({
 		zones: ['attica-a', 'attica-b', 'attica-c'],
 		keyValueUrl: fakes.keyValue.listener.url,
 		hostListUrl: fakes.hostList.listener.url,
 		weightStoreUrl: fakes.weightStore.listener.url,
 		ports: await findPorts(countPorts(count)),
 	}, {addressTimeToLive: 100, logLevel: 'error', ...extra});
-	const hosts = await Promise.all(settingsDocuments.map(async document => start(parse(document))));
 	return {
 		fakes,
 		configuration,
-		hosts,
+		settings,
 		key: keys.get('faros-steel') ?? '',
 		otherKey: [...keys].find(([customer]) => customer !== 'faros-steel')?.[1] ?? '',
+	};
+};
+
+/** Starts the Kopi example with `count` hosts; the `extra` settings apply to each of them. */
+export const startFleet = async (count: number, extra: Partial<Settings> = {}): Promise<TestFleet> => {
+	const platform = await startPlatform(count, extra);
+	const hosts = await Promise.all(platform.settings.map(async document => start(parse(document))));
+	return {
+		...platform,
+		hosts,
 		async close() {
 			await Promise.all(hosts.map(async ({settings, ended}) => {
 				await fetch(`http://${settings.operatorAddress}/operator/drain`, {method: 'POST', body: '{"force":true}'}).catch(() => undefined);
 				await ended;
 			}));
-			await fakes.close();
+			await platform.fakes.close();
 		},
 	};
 };
