Deliver the answers of requests that go on after a forced stop

What callers saw: a booking that ran while an operator forced the stop of its host was answered with status 200, without headers and with an empty body. A non-idempotent completion goes the same way.

Cause: the response stream takes the abort of a forced stop for the disconnection of the caller and writes nothing from then on, while a non-idempotent request runs to its end and its response is ended.

Change: writing stops only if the caller is gone; the abort of a forced stop cancels idempotent requests as before.

--- a/packages/router/src/callers/caller-stream.ts
+++ b/packages/router/src/callers/caller-stream.ts
@@ -16,7 +16,7 @@
 	begin: (status: number, headers: OutgoingHttpHeaders) => void;
 	end: () => void;
 	hasBegun: () => boolean;
-	/** Aborted when the caller has disconnected, or has read nothing for the idle timeout, or when an operator forces the host to stop. */
+	/** Aborted when the caller has disconnected, or has read nothing for the idle timeout, or when an operator forces the host to stop. In the last case the caller still reads, and gets what is written. */
 	callerDisconnectedSignal: AbortSignal;
 };
 
@@ -25,13 +25,20 @@
 	clock: Clock;
 	/** Time after which a caller that reads nothing is disconnected. */
 	idleTimeout: Milliseconds;
-	/** Aborted when an operator aborts all requests in flight; the caller then counts as disconnected. */
+	/** Aborted when an operator aborts all requests in flight. */
 	abortSignal: AbortSignal;
 };
 
 /** Creates the response stream to a caller. */
 export const createCallerStream = (response: ServerResponse, {clock, idleTimeout, abortSignal}: CallerStreamOptions): CallerStream => {
 	const disconnection = new AbortController();
+	let hasDisconnected = false;
+
+	const disconnect = (): void => {
+		hasDisconnected = true;
+		disconnection.abort();
+	};
+
 	const onAbort = (): void => {
 		disconnection.abort();
 	};
@@ -40,7 +47,7 @@
 	response.once('close', () => {
 		abortSignal.removeEventListener('abort', onAbort);
 		if (!response.writableFinished) {
-			disconnection.abort();
+			disconnect();
 		}
 	});
 
@@ -62,7 +69,7 @@
 
 		const cancel = clock.after(idleTimeout, () => {
 			response.destroy();
-			disconnection.abort();
+			disconnect();
 		});
 		response.once('drain', onDrain);
 		disconnection.signal.addEventListener('abort', onDisconnect);
@@ -72,7 +79,7 @@
 		callerDisconnectedSignal: disconnection.signal,
 		hasBegun: () => response.headersSent,
 		begin(status, headers) {
-			if (!response.headersSent && !disconnection.signal.aborted) {
+			if (!response.headersSent && !hasDisconnected) {
 				response.statusCode = status;
 				for (const [name, value] of Object.entries(headers)) {
 					if (value !== undefined) {
@@ -83,7 +90,7 @@
 				response.flushHeaders();
 			}
 		},
-		write: bytes => !disconnection.signal.aborted && response.write(bytes),
+		write: bytes => !hasDisconnected && response.write(bytes),
 		waitUntilWritable: async () => disconnection.signal.aborted ? false : waitForDrainEvent(),
 		end() {
 			response.end();
--- a/packages/router/src/shutdown.test.ts
+++ b/packages/router/src/shutdown.test.ts
@@ -13,6 +13,12 @@
 
 const getExecutedKeys = ({fakes}: TestFleet): string[] => [...fakes.services.values()].flatMap(({calls}) => calls.map(({idempotencyKey}) => idempotencyKey));
 
+const slowServices = ({fakes}: TestFleet, stallMs: number): void => {
+	for (const {faults} of fakes.services.values()) {
+		Object.assign(faults, {stallMs});
+	}
+};
+
 test('a draining host is no longer listed for callers, completes its streams and exits with status 0', async () => {
 	const fleet = await startFleet(2);
 	const [leaving, staying] = fleet.hosts;
@@ -99,3 +105,19 @@
 	expect(getExecutedKeys(fleet)).toEqual([]);
 	await fleet.fakes.close();
 });
+
+// Guards against: a booking that goes on after a forced stop is answered with an empty 200 in place of its answer.
+test('a forced stop delivers the answer of a booking that was sent', async () => {
+	const fleet = await startFleet(1);
+	slowServices(fleet, 500);
+	const [host] = fleet.hosts;
+	const connection = await openPreparedConnection(host?.settings.callerAddress ?? '');
+	const pending = connection.send(createBooking(fleet, 'running'));
+	await expect.poll(() => getExecutedKeys(fleet)).toEqual(['running']);
+	await fetch(`http://${host?.settings.operatorAddress}/operator/drain`, {method: 'POST', body: '{"force":true}'});
+	const result = await pending;
+	expect(result).toMatchObject({status: 200, ran: 'ran'});
+	expect(result.kind === 'answered' ? result.body : '').toContain('"idempotencyKey":"running"');
+	expect(await host?.ended).toBe(1);
+	await fleet.fakes.close();
+});
