Refuse a request that is still being received when the stop is forced

What callers saw: nothing wrong, but a stop that an operator had forced waited for a completion that began after it.

Cause: a forced stop aborts the requests that are open by a signal. A request whose body is still arriving listens to it only later, and an abort that has happened isn't seen again, so the request was queued and run.

Change: the signal is checked in the step in which the request is admitted, after its body, in which it also begins to listen to the signal.

--- a/packages/router/src/callers/admission.ts
+++ b/packages/router/src/callers/admission.ts
@@ -47,6 +47,11 @@
 
 /** Classifies a request, opens its account and stores its id and classification in the exchange; throws the failure of a refused request. */
 export const admitRequest = (context: HostContext, {customer, configuration}: Caller, exchange: Exchange, incoming: IncomingRequest): ClassifiedRequest => {
+	// The stop may have been forced while the body was being received.
+	if (context.inFlightRequests.abortController.signal.aborted) {
+		throw createFailure('forced-stop', {ran: 'not-run'});
+	}
+
 	const declaredClass = getDeclaredClass(exchange.request);
 	const idempotencyKey = getIdempotencyKey(exchange.request);
 	const classification = classifyRequest(configuration, {
--- a/packages/router/src/shutdown.test.ts
+++ b/packages/router/src/shutdown.test.ts
@@ -1,3 +1,5 @@
+import {once} from 'node:events';
+import {request, type IncomingMessage} from 'node:http';
 import {expect, test} from 'vitest';
 import {openPreparedConnection, type CallerRequest} from './testing/prepared-connection.js';
 import {startFleet, type TestFleet} from './testing/start-fleet.js';
@@ -121,3 +123,28 @@
 	expect(await host?.ended).toBe(1);
 	await fleet.fakes.close();
 });
+
+// Guards against: a request whose body arrives after a forced stop has aborted the others is passed on, and the host waits for it.
+test('a request that is still being received when the stop is forced does not run', async () => {
+	const fleet = await startFleet(1);
+	const [host] = fleet.hosts;
+	const body = JSON.stringify({model: 'counter-8b', max_tokens: 2000, messages: [{role: 'user', content: 'endless #tokens=2000'}]});
+	const sending = request(`http://${host?.settings.callerAddress}/v1/chat/completions`, {
+		method: 'POST', headers: {authorization: `Bearer ${fleet.key}`, 'content-length': body.length},
+	});
+	const answered = once(sending, 'response');
+	sending.write(body.slice(0, 10));
+	const readRunning = async (): Promise<number> => {
+		const status = await fetch(`http://${host?.settings.operatorAddress}/operator/status`);
+		return (await status.json() as {requests: {running: number}}).requests.running;
+	};
+
+	await expect.poll(readRunning).toBe(1);
+	await fetch(`http://${host?.settings.operatorAddress}/operator/drain`, {method: 'POST', body: '{"force":true}'});
+	sending.end(body.slice(10));
+	const [response] = await answered as [IncomingMessage];
+	expect([response.statusCode, response.headers['x-error-kind'], response.headers['x-ran']]).toEqual([503, 'forced-stop', 'not-run']);
+	expect(await host?.ended).toBe(1);
+	expect([...fleet.fakes.engines.values()].map(engine => engine.getState().received)).toEqual([...fleet.fakes.engines].map(() => 0));
+	await fleet.fakes.close();
+});
