Tell operators that a drain can no longer be cancelled

What operators saw: `undrain` of a host that had already begun to end was answered with 200, the command line said "accepted", and the host ended.

Cause: the command answered with the state after it, whatever that was, and a cancellation has no effect once the host is stopping.

--- a/packages/router/src/host/operator-actions.ts
+++ b/packages/router/src/host/operator-actions.ts
@@ -123,7 +123,14 @@
 		const {force} = parse(drainBody, body);
 		return {state: (force === true ? shutdown.force() : shutdown.begin('operator')).kind};
 	},
-	undrain: () => ({state: shutdown.cancel().kind}),
+	undrain() {
+		const {kind} = shutdown.cancel();
+		if (kind === 'stopping') {
+			throw createFailure('host-stopping', {detail: 'The drain can no longer be cancelled.'});
+		}
+
+		return {state: kind};
+	},
 	setUpstreamDrain(upstream, isDraining) {
 		if (!getDirectory().byId.has(upstream)) {
 			throw createFailure('bad-request', {detail: `No upstream is named ${upstream}.`});
--- a/packages/router/src/shutdown.test.ts
+++ b/packages/router/src/shutdown.test.ts
@@ -77,6 +77,23 @@
 	await fleet.close();
 });
 
+// Guards against: an operator is told that a host is back in service while it ends.
+test('a drain that can no longer be cancelled is reported as such', async () => {
+	const fleet = await startFleet(1);
+	const [host] = fleet.hosts;
+	slowServices(fleet, 800);
+	const connection = await openPreparedConnection(host?.settings.callerAddress ?? '');
+	const pending = connection.send(createBooking(fleet, 'slow'));
+	const operators = `http://${host?.settings.operatorAddress}/operator`;
+	await expect.poll(() => getExecutedKeys(fleet)).toEqual(['slow']);
+	await fetch(`${operators}/drain`, {method: 'POST', body: '{"force":true}'});
+	const answer = await fetch(`${operators}/undrain`, {method: 'POST'});
+	expect([answer.status, answer.headers.get('x-error-kind')]).toEqual([503, 'host-stopping']);
+	expect(await pending).toMatchObject({status: 200});
+	expect(await host?.ended).toBe(1);
+	await fleet.fakes.close();
+});
+
 // Guards against: requests on connections that stay open after the listener has closed are passed on while the host ends.
 test('a stopping host refuses requests on open connections as not run, and completes its streams', async () => {
 	const fleet = await startFleet(1);
