Join the fleet only after listening on all addresses

What callers saw: a host whose address for callers was in use was named in the other hosts' answers, although it never took a connection there and its process had ended.

Cause: the host joined the membership before it listened for callers, and a failed start ends the process without a word to the others.

Requests that come meanwhile are refused as without a configuration, as before.

--- a/packages/router/src/host/start-host.ts
+++ b/packages/router/src/host/start-host.ts
@@ -96,7 +96,11 @@
 	});
 };
 
-/** Starts a host with the given settings; rejects if it can't listen on one of its addresses. `exit` ends the process after a shutdown. */
+/**
+Starts a host with the given settings. `exit` ends the process after a shutdown.
+
+Rejects if it can't listen on one of its addresses. It joins the fleet only after it listens on all of them, as the other hosts then give callers its address.
+*/
 export const startHost = async (settings: Settings, exit: Exit): Promise<RunningHost> => {
 	const infrastructure = createInfrastructure(settings);
 	const network = createNetwork(infrastructure);
@@ -127,8 +131,8 @@
 		self: settings.host, address: settings.peerAddress, keys: settings.peerKeys, clock, metrics,
 		handlers: createPeerHandlers({...network, ...requestHandling, claimStore: requestHandling.claims.owner}),
 	});
-	await network.membership.start();
 	await listen(callerServer, settings.callerAddress);
+	await network.membership.start();
 	startLoadUpdates(infrastructure, network, overloadMonitor);
 	await network.follower.start();
 	logger.info('started', {host: settings.host, callers: settings.callerAddress, ready: getReadiness({...network, shutdown}).ready});
--- a/packages/router/src/stopping-process.test.ts
+++ b/packages/router/src/stopping-process.test.ts
@@ -1,10 +1,7 @@
-import {mkdtemp, rm} from 'node:fs/promises';
-import {tmpdir} from 'node:os';
-import path from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect, onTestFinished, test} from 'vitest';
 import type {Milliseconds} from '@gentianlift/types';
-import {startHostProcess, type HostProcess} from './testing/host-process.js';
+import {readStatus, startHostProcess, type HostProcess} from './testing/host-process.js';
 import {openPreparedConnection, type CallerResult} from './testing/prepared-connection.js';
 import {startPlatform, type TestPlatform} from './testing/start-fleet.js';
 
@@ -20,24 +17,12 @@
 const connectionsPerHost = 16;
 const stopInterval: Milliseconds = 300;
 
-const readStatus = async (url: string): Promise<number> => {
-	try {
-		const {status} = await fetch(url);
-		return status;
-	} catch {
-		return 0;
-	}
-};
-
 const startHosts = async ({settings}: TestPlatform): Promise<HostProcess[]> => {
-	const folder = await mkdtemp(path.join(tmpdir(), 'gentianlift-stop-'));
-	const hosts = await Promise.all(settings.map(async document => startHostProcess(document, folder)));
-	onTestFinished(async () => {
-		for (const host of hosts) {
-			host.sendSignal('SIGKILL');
+	const hosts = await Promise.all(settings.map(async document => startHostProcess(document)));
+	onTestFinished(() => {
+		for (const {sendSignal} of hosts) {
+			sendSignal('SIGKILL');
 		}
-
-		await rm(folder, {recursive: true});
 	});
 	await Promise.all(hosts.map(async ({settings: {operatorAddress}}) => {
 		await expect.poll(async () => readStatus(`http://${operatorAddress}/ready`)).toBe(200);
--- a/packages/router/src/testing/host-process.ts
+++ b/packages/router/src/testing/host-process.ts
@@ -1,5 +1,7 @@
 import {spawn} from 'node:child_process';
-import {writeFile} from 'node:fs/promises';
+import {once} from 'node:events';
+import {mkdtemp, rm, writeFile} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
 import {fileURLToPath} from 'node:url';
@@ -13,14 +15,17 @@
 	settings: SettingsDocument;
 	/** Resolves once the process has exited. */
 	exited: Promise<HostExit>;
+	/** Returns what the process has logged so far. */
+	getLog: () => string;
 	sendSignal: (name: NodeJS.Signals) => void;
 };
 
 const program = fileURLToPath(new URL('../main.ts', import.meta.url));
 
-/** Starts a host's process from the sources. Its settings file is written into `folder`. */
-export const startHostProcess = async (settings: SettingsDocument, folder: string): Promise<HostProcess> => {
-	const settingsFile = path.join(folder, `${settings.host}.json`);
+/** Starts a host's process from the sources. */
+export const startHostProcess = async (settings: SettingsDocument): Promise<HostProcess> => {
+	const folder = await mkdtemp(path.join(tmpdir(), 'gentianlift-host-'));
+	const settingsFile = path.join(folder, 'settings.json');
 	await writeFile(settingsFile, JSON.stringify(settings));
 	const child = spawn(process.execPath, ['--conditions=source', '--import', 'tsx', program, '--settings', settingsFile], {stdio: ['ignore', 'ignore', 'pipe']});
 	let log = '';
@@ -28,16 +33,28 @@
 	child.stderr.on('data', (text: string) => {
 		log += text;
 	});
-	const exited = new Promise<HostExit>(resolve => {
-		child.once('close', (code, signal) => {
-			resolve({outcome: code ?? signal ?? 'unknown', log});
-		});
-	});
+	const waitForExit = async (): Promise<HostExit> => {
+		const [code, signal] = await once(child, 'close') as [number | undefined, NodeJS.Signals];
+		await rm(folder, {recursive: true});
+		return {outcome: code ?? signal, log};
+	};
+
 	return {
 		settings,
-		exited,
+		exited: waitForExit(),
+		getLog: () => log,
 		sendSignal(name) {
 			child.kill(name);
 		},
 	};
 };
+
+/** Returns the status that a URL is answered with; 0 if it isn't answered. */
+export const readStatus = async (url: string): Promise<number> => {
+	try {
+		const {status} = await fetch(url);
+		return status;
+	} catch {
+		return 0;
+	}
+};
