Handle signals to stop from the start of a router's process on

What callers saw: a host that got SIGTERM before it had read its configuration closed their connections at once, exited by the signal and told the other hosts nothing. SIGHUP did that at any time.

Cause: the handlers of signals were installed only after the start, which includes the first read of the configuration, and SIGHUP had none.

Change: the signals are received from the first step of the program on and kept until the host listens; the configuration is read after that. A signal while the modules load still ends the process, which has opened nothing then.

--- a/packages/router/src/host/start-host.ts
+++ b/packages/router/src/host/start-host.ts
@@ -17,6 +17,8 @@
 
 /** Running host. */
 export type RunningHost = {
+	/** Resolves after the first attempt to obtain the configuration, without which the host refuses requests. */
+	started: Promise<void>;
 	/** Begins a graceful shutdown; a second call is refused and logged. */
 	stop: (reason: string) => void;
 	/** Logs and counts an unhandled error. The process continues, because one failed task must not abort all other requests. */
@@ -134,9 +136,14 @@
 	await listen(callerServer, settings.callerAddress);
 	await network.membership.start();
 	startLoadUpdates(infrastructure, network, overloadMonitor);
-	await network.follower.start();
-	logger.info('started', {host: settings.host, callers: settings.callerAddress, ready: getReadiness({...network, shutdown}).ready});
+	logger.info('listening', {host: settings.host, callers: settings.callerAddress});
+	const configure = async (): Promise<void> => {
+		await network.follower.start();
+		logger.info('started', {host: settings.host, callers: settings.callerAddress, ready: getReadiness({...network, shutdown}).ready});
+	};
+
 	return {
+		started: configure(),
 		stop(reason) {
 			shutdown.begin(reason);
 		},
--- a/packages/router/src/main.ts
+++ b/packages/router/src/main.ts
@@ -47,20 +47,45 @@
 	}
 };
 
+/** Signals that begin a graceful shutdown; by default, each of them would end the process at once. */
+const stopSignals = ['SIGTERM', 'SIGINT', 'SIGHUP'] as const;
+
+/** Begins to receive the signals that stop the host. Those that arrive while it starts are handled once it can stop. */
+const createStopRequests = () => {
+	const early: string[] = [];
+	let stop = (signal: string): void => {
+		early.push(signal);
+	};
+
+	const onSignal = (signal: string): void => {
+		stop(signal);
+	};
+
+	for (const signal of stopSignals) {
+		process.on(signal, onSignal);
+	}
+
+	return {
+		handleWith(stopHost: (signal: string) => void): void {
+			stop = stopHost;
+			for (const signal of early) {
+				stopHost(signal);
+			}
+		},
+	};
+};
+
 const main = defineCommand({
 	meta: {name: 'gentianlift-router', version: '0.1.0', description: 'The process of an entry host.'},
 	args: commandArguments,
 	async run({args}) {
 		checkFlags(Object.keys(args));
+		const stopRequests = createStopRequests();
 		const host = await start(await readSettings(args.settings));
 		process.on('unhandledRejection', reason => {
 			host.reportFault(reason);
 		});
-		for (const signal of ['SIGTERM', 'SIGINT'] as const) {
-			process.on(signal, () => {
-				host.stop(signal);
-			});
-		}
+		stopRequests.handleWith(host.stop);
 	},
 });
 
--- a/packages/router/src/starting-process.test.ts
+++ b/packages/router/src/starting-process.test.ts
@@ -7,6 +7,8 @@
 import {readStatus, startHostProcess, type HostProcess} from './testing/host-process.js';
 import {startPlatform, type TestPlatform} from './testing/start-fleet.js';
 
+/** Longer than the start of a host takes without it, so that signals arrive before the configuration. */
+const storeLatency: Milliseconds = 1500;
 /** Longer than a new member takes to reach another host. */
 const joinTime: Milliseconds = 3000;
 
@@ -40,6 +42,24 @@
 	return hosts.map(({host}) => host);
 };
 
+// Guards against: a signal that arrives before the host has its configuration ends the process over the requests that it already takes.
+test.each(['SIGTERM', 'SIGHUP'] as const)('a host that gets %s while it starts stops gracefully', async signal => {
+	const {fakes, settings: [settings]} = await startServices(1);
+	if (settings === undefined) {
+		throw new TypeError('There are no settings.');
+	}
+
+	fakes.keyValue.faults.latencyMs = storeLatency;
+	const {exited, getLog, sendSignal} = await startProcess(settings);
+	await expect.poll(getLog, {interval: 10}).toContain('event=listening');
+	expect(await readHostNames(settings.callerAddress)).toEqual([settings.host]);
+	sendSignal(signal);
+	const {outcome, log} = await exited;
+	expect(outcome).toBe(0);
+	expect(log.split('\n')[1]).toContain(`event=draining reason=${signal}`);
+	expect(log).toContain('event=stopped open=0');
+});
+
 // Guards against: a host that can't listen on its address for callers is named to callers for seconds after its process has ended.
 test('a host that fails to start is not named to callers', async () => {
 	const {settings: [running, failing]} = await startServices(2);
--- a/packages/router/src/testing/start-fleet.ts
+++ b/packages/router/src/testing/start-fleet.ts
@@ -47,6 +47,7 @@
 	const host = await startHost(settings, status => {
 		exitListeners[0]?.(status);
 	});
+	await host.started;
 	return {...host, settings, ended};
 };
 
