--- a/packages/router/src/host/start-host.ts
+++ b/packages/router/src/host/start-host.ts
@@ -17,6 +17,8 @@
 
 /** Running host. */
 export type RunningHost = {
+	/** Resolves after the first attempt to obtain the configuration, without which the host refuses requests. */
+	started: Promise<void>;
 	/** Begins a graceful shutdown; a second call is refused and logged. */
 	stop: (reason: string) => void;
 	/** Logs and counts an unhandled error. The process continues, because one failed task must not abort all other requests. */
@@ -61,6 +63,7 @@
 	recordObservation: requestHandling.upstreamMonitor.recordObservation,
 	getRankLimit: overloadMonitor.getRankLimit,
 	isDraining: () => getShutdown().getState().kind !== 'serving',
+	isStopping: () => getShutdown().getState().kind === 'stopping',
 });
 
 const createShutdownSteps = (infrastructure: Infrastructure, network: Network, requestHandling: RequestHandling, {closeListener, closeInternalListeners, exit}: ShutdownActions): ShutdownSteps => ({
@@ -68,7 +71,7 @@
 	closeListener() {
 		void closeListener();
 	},
-	getInFlightCount: infrastructure.inFlightRequests.getCount,
+	getOpenCount: infrastructure.inFlightRequests.getOpenCount,
 	abortRequests() {
 		infrastructure.inFlightRequests.abortController.abort();
 	},
@@ -95,7 +98,11 @@
 	});
 };
 
-/** Starts a host with the given settings; rejects if it can't listen on one of its addresses. `exit` ends the process after a shutdown. */
+/**
+Starts a host with the given settings. `exit` ends the process after a shutdown.
+
+Rejects if it can't listen on one of its addresses. It joins the fleet only after it listens on all of them, as the other hosts then give callers its address.
+*/
 export const startHost = async (settings: Settings, exit: Exit): Promise<RunningHost> => {
 	const infrastructure = createInfrastructure(settings);
 	const network = createNetwork(infrastructure);
@@ -126,12 +133,17 @@
 		self: settings.host, address: settings.peerAddress, keys: settings.peerKeys, clock, metrics,
 		handlers: createPeerHandlers({...network, ...requestHandling, claimStore: requestHandling.claims.owner}),
 	});
-	await network.membership.start();
 	await listen(callerServer, settings.callerAddress);
+	await network.membership.start();
 	startLoadUpdates(infrastructure, network, overloadMonitor);
-	await network.follower.start();
-	logger.info('started', {host: settings.host, callers: settings.callerAddress, ready: getReadiness({...network, shutdown}).ready});
+	logger.info('listening', {host: settings.host, callers: settings.callerAddress});
+	const configure = async (): Promise<void> => {
+		await network.follower.start();
+		logger.info('started', {host: settings.host, callers: settings.callerAddress, ready: getReadiness({...network, shutdown}).ready});
+	};
+
 	return {
+		started: configure(),
 		stop(reason) {
 			shutdown.begin(reason);
 		},
--- a/packages/router/src/shutdown.test.ts
+++ b/packages/router/src/shutdown.test.ts
@@ -1,11 +1,26 @@
+import {once} from 'node:events';
+import {request, type IncomingMessage} from 'node:http';
 import {expect, test} from 'vitest';
-import {startFleet} from './testing/start-fleet.js';
+import {openPreparedConnection, type CallerRequest} from './testing/prepared-connection.js';
+import {startFleet, type TestFleet} from './testing/start-fleet.js';
 
 const readStatus = async (url: string): Promise<number> => {
 	const {status} = await fetch(url);
 	return status;
 };
 
+const createBooking = ({key}: TestFleet, idempotencyKey: string): CallerRequest => ({
+	method: 'POST', path: '/v1/services/orders/cut-orders', body: '{"bar":1}', headers: {authorization: `Bearer ${key}`, 'idempotency-key': idempotencyKey},
+});
+
+const getExecutedKeys = ({fakes}: TestFleet): string[] => [...fakes.services.values()].flatMap(({calls}) => calls.map(({idempotencyKey}) => idempotencyKey));
+
+const slowServices = ({fakes}: TestFleet, stallMs: number): void => {
+	for (const {faults} of fakes.services.values()) {
+		Object.assign(faults, {stallMs});
+	}
+};
+
 test('a draining host is no longer listed for callers, completes its streams and exits with status 0', async () => {
 	const fleet = await startFleet(2);
 	const [leaving, staying] = fleet.hosts;
@@ -61,3 +76,92 @@
 	expect(await readStatus(`${operators}/ready`)).toBe(200);
 	await fleet.close();
 });
+
+// Guards against: an operator is told that a host is back in service while it ends.
+test('a drain that can no longer be cancelled is reported as such', async () => {
+	const fleet = await startFleet(1);
+	const [host] = fleet.hosts;
+	slowServices(fleet, 800);
+	const connection = await openPreparedConnection(host?.settings.callerAddress ?? '');
+	const pending = connection.send(createBooking(fleet, 'slow'));
+	const operators = `http://${host?.settings.operatorAddress}/operator`;
+	await expect.poll(() => getExecutedKeys(fleet)).toEqual(['slow']);
+	await fetch(`${operators}/drain`, {method: 'POST', body: '{"force":true}'});
+	const answer = await fetch(`${operators}/undrain`, {method: 'POST'});
+	expect([answer.status, answer.headers.get('x-error-kind')]).toEqual([503, 'host-stopping']);
+	expect(await pending).toMatchObject({status: 200});
+	expect(await host?.ended).toBe(1);
+	await fleet.fakes.close();
+});
+
+// Guards against: requests on connections that stay open after the listener has closed are passed on while the host ends.
+test('a stopping host refuses requests on open connections as not run, and completes its streams', async () => {
+	const fleet = await startFleet(1);
+	const [host] = fleet.hosts;
+	const callers = host?.settings.callerAddress ?? '';
+	const [unused, kept] = [await openPreparedConnection(callers), await openPreparedConnection(callers)];
+	expect(await kept.send({method: 'GET', path: '/v1/hosts', headers: {}})).toMatchObject({status: 200, connection: 'keep-alive'});
+	const stream = await fetch(`http://${callers}/v1/chat/completions`, {
+		method: 'POST',
+		headers: {authorization: `Bearer ${fleet.key}`},
+		body: JSON.stringify({
+			model: 'counter-8b', max_tokens: 400, stream: true, messages: [{role: 'user', content: 'long answer #tokens=400'}],
+		}),
+	});
+	host?.stop('test');
+	const readReason = async (): Promise<string> => {
+		const answer = await fetch(`http://${host?.settings.operatorAddress}/ready`);
+		return (await answer.json() as {reason: string}).reason;
+	};
+
+	await expect.poll(readReason).toBe('stopping');
+	expect(await unused.send(createBooking(fleet, 'late'))).toMatchObject({
+		status: 503, ran: 'not-run', errorKind: 'host-stopping', connection: 'close',
+	});
+	expect(await kept.send(createBooking(fleet, 'later'))).toEqual({kind: 'closed'});
+	expect(await stream.text()).toContain('data: [DONE]');
+	expect(await host?.ended).toBe(0);
+	expect(getExecutedKeys(fleet)).toEqual([]);
+	await fleet.fakes.close();
+});
+
+// Guards against: a booking that goes on after a forced stop is answered with an empty 200 in place of its answer.
+test('a forced stop delivers the answer of a booking that was sent', async () => {
+	const fleet = await startFleet(1);
+	slowServices(fleet, 500);
+	const [host] = fleet.hosts;
+	const connection = await openPreparedConnection(host?.settings.callerAddress ?? '');
+	const pending = connection.send(createBooking(fleet, 'running'));
+	await expect.poll(() => getExecutedKeys(fleet)).toEqual(['running']);
+	await fetch(`http://${host?.settings.operatorAddress}/operator/drain`, {method: 'POST', body: '{"force":true}'});
+	const result = await pending;
+	expect(result).toMatchObject({status: 200, ran: 'ran'});
+	expect(result.kind === 'answered' ? result.body : '').toContain('"idempotencyKey":"running"');
+	expect(await host?.ended).toBe(1);
+	await fleet.fakes.close();
+});
+
+// Guards against: a request whose body arrives after a forced stop has aborted the others is passed on, and the host waits for it.
+test('a request that is still being received when the stop is forced does not run', async () => {
+	const fleet = await startFleet(1);
+	const [host] = fleet.hosts;
+	const body = JSON.stringify({model: 'counter-8b', max_tokens: 2000, messages: [{role: 'user', content: 'endless #tokens=2000'}]});
+	const sending = request(`http://${host?.settings.callerAddress}/v1/chat/completions`, {
+		method: 'POST', headers: {authorization: `Bearer ${fleet.key}`, 'content-length': body.length},
+	});
+	const answered = once(sending, 'response');
+	sending.write(body.slice(0, 10));
+	const readRunning = async (): Promise<number> => {
+		const status = await fetch(`http://${host?.settings.operatorAddress}/operator/status`);
+		return (await status.json() as {requests: {running: number}}).requests.running;
+	};
+
+	await expect.poll(readRunning).toBe(1);
+	await fetch(`http://${host?.settings.operatorAddress}/operator/drain`, {method: 'POST', body: '{"force":true}'});
+	sending.end(body.slice(10));
+	const [response] = await answered as [IncomingMessage];
+	expect([response.statusCode, response.headers['x-error-kind'], response.headers['x-ran']]).toEqual([503, 'forced-stop', 'not-run']);
+	expect(await host?.ended).toBe(1);
+	expect([...fleet.fakes.engines.values()].map(engine => engine.getState().received)).toEqual([...fleet.fakes.engines].map(() => 0));
+	await fleet.fakes.close();
+});
