Announce the close of a stopping host's connections with their last answer

A caller that had sent requests ahead on a connection got the first answer of a stopping host, and no other: the connection closed behind it, though the host had read the requests long before.

Cause: after SIGTERM each answer announced the close, also one behind which requests waited for their turn.

Evidence: 20 connections with two bookings each, SIGTERM while the first runs, 300 ms of work: each got one answer.

Change: an answer announces the close only if no request behind it waits for its own. A call asks its connection when its answer begins, in place of the state of the host.

After: two answers on each of the 20, the second with the announcement. What comes after the announcement still isn't passed on: tested with answers of 8 MB that are being written when the next request comes.

--- a/packages/forwarder/src/call-answers.ts
+++ b/packages/forwarder/src/call-answers.ts
@@ -46,7 +46,7 @@
 		}
 
 		writeErrorAnswer({
-			response, protocol: context.protocol, caller: head, isClosing: context.isStopping(),
+			response, protocol: context.protocol, caller: head, isClosing: call.isClosing(),
 		}, errorAnswer);
 		return {outcome: 'own-answer', reason: errorAnswer.kind};
 	};
@@ -63,7 +63,7 @@
 
 	const giveUp = (call: Call, progress: Progress, lastOutcome: ForwardOutcome | undefined): CallEnd => {
 		if (lastOutcome?.kind === 'failed' && lastOutcome.buffered !== undefined && !call.response.headersSent) {
-			writeBufferedAnswer(call, lastOutcome.buffered, context.isStopping());
+			writeBufferedAnswer(call, lastOutcome.buffered, call.isClosing());
 			return {outcome: 'upstream-failure', reason: lastOutcome.reason};
 		}
 
--- a/packages/forwarder/src/call.ts
+++ b/packages/forwarder/src/call.ts
@@ -25,6 +25,8 @@
 	/** Whether another upstream may run the request again, or resume its stream, after one may have executed it; a request that is known not to have executed is retried anyway. */
 	mayExecuteAgain: boolean;
 	response: ServerResponse;
+	/** Whether the connection is closed after the answer, as its host stops. */
+	isClosing: () => boolean;
 	/** Software version that began the stream which the request resumes; undefined if it resumes none. */
 	streamVersion: string | undefined;
 	/** What another host tells of the call that it has forwarded; undefined for a call of this host's own callers. */
--- a/packages/forwarder/src/callers/caller-connections.ts
+++ b/packages/forwarder/src/callers/caller-connections.ts
@@ -16,6 +16,8 @@
 	accept: (request: IncomingMessage, response: ServerResponse) => boolean;
 	/** Handles no request that follows a refused one on its connection, which is closed after the answers. */
 	endAfter: (request: IncomingMessage) => void;
+	/** Whether the connection is to be closed after an answer: this host stops, and no request behind waits for its own. */
+	closesAfter: (response: ServerResponse) => boolean;
 	/** Handles an error of a connection (`clientError` of the server). */
 	handleError: (error: ConnectionError, socket: Socket) => void;
 	/** Returns the number of connections of which the last answer was written, and that their callers haven't closed. */
@@ -27,6 +29,7 @@
 	clock: Clock;
 	logger: Logger;
 	metrics: Metrics;
+	isStopping: () => boolean;
 	/** Answers a request of which only a part has arrived, unless its answer has begun, and closes the connection. */
 	answerPartial: (response: ServerResponse, kind: ErrorKind) => void;
 };
@@ -56,7 +59,9 @@
 const isPartial = ({last}: ConnectionState): boolean => last !== undefined && !last.request.complete;
 
 /** Creates the connections of a server. */
-export const createCallerConnections = ({clock, logger, metrics, answerPartial}: CallerConnectionsOptions): CallerConnections => {
+export const createCallerConnections = ({
+	clock, logger, metrics, isStopping, answerPartial,
+}: CallerConnectionsOptions): CallerConnections => {
 	const states = new WeakMap<Socket, ConnectionState>();
 	const closing = createClosingConnections({clock, metrics});
 
@@ -160,6 +165,7 @@
 			state.isGivenUp = true;
 			endAfterAnswers(socket, state);
 		},
+		closesAfter: response => isStopping() && getState(response.req.socket).last?.response === response,
 		countClosing: closing.count,
 		handleError(error, socket) {
 			const state = getState(socket);
--- a/packages/forwarder/src/callers/serve-callers.ts
+++ b/packages/forwarder/src/callers/serve-callers.ts
@@ -85,7 +85,7 @@
 			revision: view.getRevision(),
 			age: Math.round(view.getTimeSinceStoreContact(clock.monotonic())),
 		});
-		const isClosing = context.isStopping() || errorAnswer.kind === 'body-too-large';
+		const isClosing = connections.closesAfter(response) || errorAnswer.kind === 'body-too-large';
 		const answer: ErrorAnswer = isHostsFault ? {kind: 'misdirected'} : errorAnswer;
 		const target = {
 			response, protocol, caller: head, isClosing,
@@ -176,6 +176,7 @@
 			forwarded,
 			customer,
 			response,
+			isClosing: () => connections.closesAfter(response),
 			streamVersion: origin?.softwareVersion,
 			version: table.configuration.version,
 			arrivedAt,
@@ -195,9 +196,7 @@
 	};
 
 	const connections = createCallerConnections({
-		clock,
-		logger,
-		metrics,
+		clock, logger, metrics, isStopping: context.isStopping,
 		answerPartial(response, kind) {
 			answerPartial(response, protocol, kind);
 		},
--- a/packages/forwarder/src/send/attempt-over-host.ts
+++ b/packages/forwarder/src/send/attempt-over-host.ts
@@ -28,7 +28,7 @@
 });
 
 /** Delivers the other host's answer, if there is one. What it answers itself is final, too, unless it can't take the call at all. */
-const handleOutcome = async (call: Call, progress: Progress, outcome: SendOutcome, {clock, isStopping}: ForwarderContext): Promise<ForwardOutcome> => {
+const handleOutcome = async (call: Call, progress: Progress, outcome: SendOutcome, {clock}: ForwarderContext): Promise<ForwardOutcome> => {
 	switch (outcome.kind) {
 		case 'unsent':
 		case 'unreachable': {
@@ -55,7 +55,7 @@
 			}
 
 			return deliverAnswer({
-				call, progress, outcome, isClosing: isStopping(), deliverBody: deliverUnchanged,
+				call, progress, outcome, isClosing: call.isClosing(), deliverBody: deliverUnchanged,
 				onChunk() {
 					recordChunk(progress, clock.monotonic());
 				},
--- a/packages/forwarder/src/send/attempt.ts
+++ b/packages/forwarder/src/send/attempt.ts
@@ -26,7 +26,7 @@
 	const {call, progress, context, activity} = attempt;
 	activity.recordBytes();
 	return deliverAnswer({
-		call, progress, outcome, isClosing: context.isStopping(), deliverBody: deliverBuffered,
+		call, progress, outcome, isClosing: call.isClosing(), deliverBody: deliverBuffered,
 		onChunk() {
 			activity.recordBytes();
 			recordChunk(progress, context.clock.monotonic());
--- a/packages/forwarder/src/testing-call.ts
+++ b/packages/forwarder/src/testing-call.ts
@@ -29,6 +29,7 @@
 	service: 's',
 	customer,
 	response: response!,
+	isClosing: () => false,
 	version: 1, streamVersion: undefined, forwarded: undefined,
 	arrivedAt,
 });
