--- a/packages/forwarder/src/callers/refusal.ts
+++ b/packages/forwarder/src/callers/refusal.ts
@@ -1,3 +1,4 @@
+import type {ServerResponse} from 'node:http';
 import type {ErrorKind} from '@gentianlift/errors';
 import type {ForwarderContext} from '../context.js';
 import type {CallerHead} from '../protocol.js';
@@ -15,8 +16,8 @@
 /** Answer to requests that this host no longer handles, as it stops. */
 export const stoppingAnswer: ErrorAnswer = {kind: 'host-stopping', retryAfter: retryAfterDelays['host-stopping']!};
 
-/** Creates the refusal; a host that has forwarded a request is told to ask another host, where this one's state is the reason. */
-export const createRefusal = (context: ForwarderContext): Refusal => {
+/** Creates the refusal; `closesAfter` returns whether an answer closes its connection. A host that has forwarded a request is told to ask another host, where this one's state is the reason. */
+export const createRefusal = (context: ForwarderContext, closesAfter: (response: ServerResponse) => boolean): Refusal => {
 	const {
 		clock, view, protocol, logger, metrics, reportExchange,
 	} = context;
@@ -32,7 +33,7 @@
 			revision: view.getRevision(),
 			age: Math.round(view.getTimeSinceStoreContact(clock.monotonic())),
 		});
-		const isClosing = context.isStopping() || errorAnswer.kind === 'body-too-large';
+		const isClosing = closesAfter(response) || errorAnswer.kind === 'body-too-large';
 		const answer: ErrorAnswer = isHostsFault ? {kind: 'misdirected'} : errorAnswer;
 		const target = {
 			response, protocol, caller: head, isClosing,
--- a/packages/forwarder/src/callers/serve-callers.ts
+++ b/packages/forwarder/src/callers/serve-callers.ts
@@ -66,7 +66,7 @@
 		clock, view, protocol, logger, metrics,
 	} = context;
 	const openRequests = createOpenRequests();
-	const refuse = createRefusal(context);
+	const refuse = createRefusal(context, response => connections.closesAfter(response));
 	const resolveResumption = createResumptionResolver(context);
 	const admit = createAdmission(context, openRequests.countWhole);
 
@@ -154,6 +154,7 @@
 			forwarded,
 			customer,
 			response,
+			isClosing: () => connections.closesAfter(response),
 			streamVersion: origin?.softwareVersion,
 			version: table.configuration.version,
 			arrivedAt,
@@ -173,9 +174,7 @@
 	};
 
 	const connections = createCallerConnections({
-		clock,
-		logger,
-		metrics,
+		clock, logger, metrics, isStopping: context.isStopping,
 		answerPartial(response, kind) {
 			answerPartial(response, protocol, kind);
 		},
