Release a stopping host only after it has ended admission

Nothing is accepted after the end of admission, so that what takes time is safe behind it: the release now runs while late requests are refused, for 100 ms at most, and one moment without an open request is enough. Lines of answers that end while the process waits at its exit are written, too.

--- a/packages/forwarder/src/host/stop-host.test.ts
+++ b/packages/forwarder/src/host/stop-host.test.ts
@@ -66,7 +66,7 @@
 test('a stop with an open request answers it, and cuts it if that does not end it', async () => {
 	const {clock, state} = beginStop();
 	await clock.advance(gracePeriod);
-	expect(state.calls).toEqual(['announce', 'release', 'end admission at 7500', 'answer at 7500', 'cut at 7700']);
+	expect(state.calls).toEqual(['announce', 'end admission at 7500', 'answer at 7500', 'release', 'cut at 7700']);
 });
 
 // Guards against: a host goes on serving by the grace period that it had when the stop began, and is killed.
@@ -80,19 +80,14 @@
 });
 
 // Guards against: requests that are accepted while an ending host waits for the store are passed on and cut by its end.
-test('a stopping host ends admission only once what came during its release is answered', async () => {
-	const {clock, state} = beginStop({
-		async release() {
-			state.calls.push('release');
-			state.open = 1;
-		},
-	});
-	state.open = 0;
-	await clock.advance(4000);
-	expect(state.calls).toEqual(['announce', 'release']);
+test('a stopping host ends admission in the step in which it sees no open request, and before anything that takes time', async () => {
+	const {clock, state} = beginStop();
 	state.open = 0;
-	await clock.advance(200);
-	expect(state.calls.slice(2)).toEqual([expect.stringMatching(/^end admission/v), expect.stringMatching(/^answer/v), expect.stringMatching(/^cut/v)]);
+	await clock.advance(3000);
+	expect(state.calls).toEqual(['announce', 'end admission at 3000', 'answer at 3000', 'release']);
+	expect(state.isStopped).toBe(false);
+	await clock.advance(100);
+	expect(state.calls.at(-1)).toBe('cut at 3100');
 	expect(state.isStopped).toBe(true);
 });
 
@@ -107,7 +102,7 @@
 		},
 	});
 	await clock.advance(gracePeriod);
-	expect(state.calls).toEqual(['release', 'end admission at 7500', 'cut at 7700']);
+	expect(state.calls).toEqual(['end admission at 7500', 'release', 'cut at 7700']);
 	expect(state.isStopped).toBe(true);
 });
 
--- a/packages/forwarder/src/host/stop-host.ts
+++ b/packages/forwarder/src/host/stop-host.ts
@@ -30,11 +30,9 @@
 
 /** Part of the grace period that is reserved for the last log lines and for the exit of the process. */
 const exitMargin: Milliseconds = 300;
-/** Longest wait for the announcement once no request is open, and after that for the release. */
-const callWait: Milliseconds = 100;
 /** Part of the grace period before its end in which requests that are still open are answered, and no more are served. */
 const answerMargin: Milliseconds = 200;
-/** Time after the end of admission in which requests that are under way on open connections are still read and refused, as the end of the process would reset them. */
+/** Time after the end of admission in which requests that are under way on open connections are still read and refused, as the end of the process would reset them; also the longest wait for the announcement and the release. */
 const refusalPeriod: Milliseconds = 100;
 /** Interval at which the number of open requests is polled. */
 const checkInterval: Milliseconds = 50;
@@ -54,9 +52,9 @@
 	elapsed <= Math.min(maxNoticePeriod, getServingTime(gracePeriod) * noticePart) || timeout <= getServingTime(gracePeriod) - elapsed;
 
 /**
- * Serves until callers no longer use the address and all requests are answered, or the grace period is almost over.
- * What takes time comes before the end of admission, as requests are accepted meanwhile; after it, every request that was
- * accepted is answered or cut, and none is accepted any more.
+ * Serves until callers no longer use the address and all requests are answered, or the grace period is almost over, and ends
+ * admission in that same step: whatever takes time comes after it, when no request is accepted any more. Those that are
+ * still open are answered or cut.
  */
 export const stopHost = async ({
 	clock, logger, getGracePeriod, maxAddressUse, countOpenRequests, announce, release, endAdmission, answerRequests, cutRequests, getTimeSinceRequest, reportOpenCalls,
@@ -73,12 +71,6 @@
 		}
 	};
 
-	/** Waits for a step for a time that ends with the time to serve. */
-	const waitForStep = async (step: Promise<void>): Promise<void> => {
-		const left = Math.max(0, getTimeToServe() - getElapsed());
-		await Promise.race([step, clock.sleep(Math.min(callWait, left))]);
-	};
-
 	/** Runs a step, the failure of which is logged, as the steps after it must follow all the same. */
 	const runStep = async (step: string, run: () => Promise<void> | void): Promise<void> => {
 		try {
@@ -96,18 +88,24 @@
 		});
 	};
 
+	/** Releases the host after its announcement; until then, the others count it among those that share fleet-wide limits. */
+	const endMembership = async (): Promise<void> => {
+		await announcement;
+		await runStep('release', release);
+	};
+
 	logger.info('stopping', {open: countOpenRequests(), grace: getGracePeriod()});
 	const announcement = runStep('announce', announce);
-	await waitForRequests(() => getTimeToServe() - (2 * callWait), maxAddressUse);
-	await waitForStep(announcement);
-	await waitForStep(runStep('release', release));
-	await waitForRequests(getTimeToServe, 0);
+	await waitForRequests(getTimeToServe, maxAddressUse);
 	endAdmission();
 	const refusedUntil = getElapsed() + refusalPeriod;
 	const unanswered = countOpenRequests();
 	report('ending', {});
 	await runStep('answer', answerRequests);
-	await waitForRequests(() => Math.max(getTimeToServe() + answerMargin, refusedUntil), refusedUntil);
+	await Promise.all([
+		waitForRequests(() => Math.max(getTimeToServe() + answerMargin, refusedUntil), refusedUntil),
+		Promise.race([endMembership(), clock.sleep(refusalPeriod)]),
+	]);
 	const cut = countOpenRequests();
 	await runStep('cut', cutRequests);
 	reportOpenCalls();
--- a/packages/forwarder/src/process/stop-process.test.ts
+++ b/packages/forwarder/src/process/stop-process.test.ts
@@ -56,11 +56,13 @@
 
 // Guards against: a process ends over requests that came while its last log lines were written.
 test('a process exits only once no request is open', async () => {
+	let flushes = 0;
 	const {clock, state, stop} = createProcess({
 		output: {
 			write: () => undefined,
 			async flush() {
-				state.open = 1;
+				flushes += 1;
+				state.open = flushes === 1 ? 1 : state.open;
 			},
 		},
 	});
--- a/packages/forwarder/src/process/stop-process.ts
+++ b/packages/forwarder/src/process/stop-process.ts
@@ -54,11 +54,14 @@
 export const exitProcess = async (status: ExitStatus, since: Milliseconds, {
 	clock, output, countPendingAnswers, closeListener, getGracePeriod, exit = process.exit,
 }: ProcessExitOptions): Promise<void> => {
+	const writeLog = async (): Promise<void> => Promise.race([output.flush(), clock.sleep(outputWait)]);
 	closeListener();
-	await Promise.race([output.flush(), clock.sleep(outputWait)]);
+	await writeLog();
 	while (countPendingAnswers() > 0 && clock.monotonic() - since < getGracePeriod() - exitMargin) {
 		// eslint-disable-next-line no-await-in-loop -- Polls the number of answers.
 		await clock.sleep(checkInterval);
+		// eslint-disable-next-line no-await-in-loop -- The answers have lines of their own.
+		await writeLog();
 	}
 
 	exit(status);
