Log the calls that are open before a process kills itself

Now stop-overdue and a call-open line for each are written 50 ms before the kill. The test failed before.

--- a/packages/forwarder/src/host/start-host.ts
+++ b/packages/forwarder/src/host/start-host.ts
@@ -37,6 +37,8 @@
 	countPendingAnswers: () => number;
 	/** Refuses new connections of callers from now on, as the process is about to end. */
 	closeListener: () => void;
+	/** Logs the calls that are open, as the process is about to end over them. */
+	reportOpenCalls: () => void;
 };
 
 /** Longest time to live of a list of addresses; short, so that callers stop using a stopping host soon. */
@@ -160,6 +162,7 @@
 		countOpenRequests: callers.countOpenRequests,
 		countPendingAnswers: callers.countPendingAnswers,
 		closeListener: callers.closeListener,
+		reportOpenCalls: callers.reportOpenCalls,
 	};
 };
 
--- a/packages/forwarder/src/host/stop-order.test.ts
+++ b/packages/forwarder/src/host/stop-order.test.ts
@@ -93,6 +93,7 @@
 		stop,
 		countPendingAnswers: countOpenRequests,
 		closeListener: () => undefined,
+		reportOpenCalls: () => undefined,
 		exit,
 		kill: exit,
 	});
--- a/packages/forwarder/src/process/stop-process.test.ts
+++ b/packages/forwarder/src/process/stop-process.test.ts
@@ -20,6 +20,9 @@
 		getGracePeriod: () => state.gracePeriod,
 		countPendingAnswers: () => state.open,
 		closeListener: () => undefined,
+		reportOpenCalls() {
+			state.ends.push(`report at ${clock.monotonic()}`);
+		},
 		async stop() {
 			state.stops += 1;
 		},
@@ -95,12 +98,13 @@
 	expect(state.ends).toEqual(['status 1 at 0']);
 });
 
-// Guards against: a shutdown that waits for something for ever keeps the process.
+// Guards against: a shutdown that waits for something for ever keeps the process, or ends it without a word of the calls that it has.
 test('a process whose shutdown hangs ends within the grace period, also if that is shortened', async () => {
 	const {clock, state, stop} = createProcess({stop: hang});
 	stop();
 	await clock.advance(500);
 	state.gracePeriod = 1000;
 	await clock.advance(600);
-	expect(state.ends[0]).toMatch(/^kill at 9[789]\d$/v);
+	expect(state.ends[0]).toMatch(/^report at 9[23]\d$/v);
+	expect(state.ends[1]).toMatch(/^kill at 9[789]\d$/v);
 });
--- a/packages/forwarder/src/process/stop-process.ts
+++ b/packages/forwarder/src/process/stop-process.ts
@@ -27,6 +27,8 @@
 	countPendingAnswers: () => number;
 	/** Refuses new connections, on which requests would be reset by the end of the process. */
 	closeListener: () => void;
+	/** Logs the calls that are open, as the process is about to end over them. */
+	reportOpenCalls: () => void;
 	/** Ends the process with a status. */
 	exit?: (status: ExitStatus) => void;
 	/** Ends the process even if a thread is blocked, for which `exit` would wait. */
@@ -77,7 +79,7 @@
  */
 export const createStopHandler = (options: ProcessEndOptions): (() => void) => {
 	const {
-		clock, logger, getGracePeriod, stop: stopHost, kill = killProcess,
+		clock, logger, output, getGracePeriod, stop: stopHost, reportOpenCalls, kill = killProcess,
 	} = options;
 	const {every} = clock;
 	let stoppedAt: Milliseconds | undefined;
@@ -98,9 +100,17 @@
 		await exitProcess(status, since, options);
 	};
 
+	/** Writes what a kill would leave without a line. */
+	const reportOverdue = (elapsed: Milliseconds): void => {
+		logger.error('stop-overdue', {after: Math.round(elapsed)});
+		reportOpenCalls();
+		void output.flush();
+	};
+
 	const killWhenOverdue = (since: Milliseconds): void => {
 		let gracePeriod = getGracePeriod();
 		let earliestKill = since;
+		let isReported = false;
 		every(checkInterval, () => {
 			const now = clock.monotonic();
 			if (getGracePeriod() !== gracePeriod) {
@@ -108,7 +118,13 @@
 				earliestKill = now + shortenedEndTime;
 			}
 
-			if (now - since >= gracePeriod - killMargin && now >= earliestKill) {
+			const killAt = Math.max(since + gracePeriod - killMargin, earliestKill);
+			if (!isReported && now >= killAt - outputWait) {
+				isReported = true;
+				reportOverdue(now - since);
+			}
+
+			if (now >= killAt) {
 				kill();
 			}
 		});
