Confirm an upstream once more after a suspension before it is passed over

What callers saw: a stream that broke off was cut, though sound upstreams of its version were there, on hosts that had no processor time for some 300 ms while they connected to them.

Cause: before a stream goes on over a new connection, the host asks whether the upstream still is the one that it believes. Right after a suspension nothing counts as known for 500 ms, so that the question failed at once, and the upstream counted as tried; the next ones went the same way.

Change: if the view isn't current when the question has failed, the host waits for it, as it does before it chooses an upstream, and asks once more. Where the view is current and the store doesn't answer, nothing is asked again.

Seen in continued-stream.test.ts beside 12 busy processes: 7 of 31 cut streams had an attempt that ended as unconfirmed.

--- a/packages/forwarder/src/send/build-upstream-request.test.ts
+++ b/packages/forwarder/src/send/build-upstream-request.test.ts
@@ -89,3 +89,22 @@
 	const ranks = getToldRanks().flat();
 	expect(ranks.every(rank => Number.isInteger(rank) && rank >= 0 && rank <= 9), ranks.join(' ')).toBe(true);
 });
+
+/** Returns whether the incarnation of an upstream is confirmed for a stream that resumes, by the answers to both questions and by whether the host's view is current between them and gets so. */
+const isConfirmed = async (confirmations: boolean[], isCurrent: boolean, isCurrentAgain: boolean): Promise<boolean | undefined> => {
+	const view = createTestView(createSilentLogger(), buildConfiguration(), [upstream]);
+	const freshness = {isCurrent: () => isCurrent, confirm: async () => confirmations.shift() ?? false, ensureCurrent: async () => isCurrentAgain};
+	const context = {clock: createManualClock(0), view, freshness} as unknown as ForwarderContext;
+	const call = buildTestCall({route, arrivedAt: 0, prompt: buildTestPrompt('p', 10)});
+	const progress = {...createProgress(), streamVersion: 'v1'};
+	return buildUpstreamRequest(call, progress, {upstream, permit: {take: () => true, release: () => undefined}}, context).confirm?.();
+};
+
+// Guards against: a stream is cut though upstreams can continue it, as its host was suspended for a moment while it connected to each of them.
+test('an incarnation is confirmed once the view is current again', async () => {
+	expect(await isConfirmed([true], false, false)).toBe(true);
+	expect(await isConfirmed([false, true], false, true)).toBe(true);
+	expect(await isConfirmed([false, false], false, true)).toBe(false);
+	expect(await isConfirmed([false, true], false, false)).toBe(false);
+	expect(await isConfirmed([false, true], true, true)).toBe(false);
+});
--- a/packages/forwarder/src/send/build-upstream-request.ts
+++ b/packages/forwarder/src/send/build-upstream-request.ts
@@ -77,6 +77,10 @@
 	return permit.take() ? undefined : 'upstream-limited';
 };
 
+/** Confirms that an upstream still is the incarnation that its entry names; once more if this host was suspended meanwhile, as soon as its view is current again. */
+const confirmIncarnation = async ({freshness}: ForwarderContext): Promise<boolean> =>
+	await freshness.confirm() || (!freshness.isCurrent() && await freshness.ensureCurrent() && freshness.confirm());
+
 /** Builds the request to an upstream; `mayGiveUp` decides on an answer that doesn't begin in time. Its head is built when it is sent, as the remaining time goes into it, and not at all if it must no longer be sent then. */
 export const buildUpstreamRequest = (call: Call, progress: Progress, {mayGiveUp, ...target}: SendTarget & Pick<UpstreamRequest, 'mayGiveUp'>, context: ForwarderContext): UpstreamRequest => ({
 	address: target.upstream.address,
@@ -85,7 +89,7 @@
 	body: call.body,
 	callerRequestId: call.head.callerRequestId,
 	connectionWait: getConnectionWait(call, progress, context, getRemainingTime(call, context)),
-	confirm: progress.streamVersion === undefined ? undefined : async () => context.freshness.confirm(),
+	confirm: progress.streamVersion === undefined ? undefined : async () => confirmIncarnation(context),
 	mayGiveUp,
 	buildHead: () => getUnsentReason(call, progress, target, context) ?? buildRequestHead(call, progress, target.upstream, context),
 });
