Break the streams of a test off once their version is certain

Listed in KNOWN-RED.txt: "an answer that can't continue a stream that has begun is passed over: a third upstream goes on" failed twice beside much other work.

Cause: the upstream of the test broke its stream off 20 ms after event 2. Where the test's process, with eight hosts in it, had no processor time for 300 ms before that, its host wasn't certain yet which software version had begun the stream, and may not go on then: 24 of 31 cut streams, resume-prevented with version-uncertain.

Change: the upstream breaks the stream off as soon as the host has recorded the version, a condition in place of a fixed time. What is asserted is as before. That such a stream isn't resumed before is asserted in stream-version.test.ts.

--- a/packages/forwarder/src/deliver/continued-stream.test.ts
+++ b/packages/forwarder/src/deliver/continued-stream.test.ts
@@ -6,7 +6,7 @@
 import {answerInTurn} from '../testing-turns.js';
 import {answerRaw, type RawAnswer} from './testing-answers.js';
 import {
-	breakOffStream, finishStream, streamBody, wholeStream, writeEvents,
+	createBreakOff, finishStream, streamBody, wholeStream, writeEvents,
 } from './testing-streams.js';
 
 const start = createHostStarter(onTestFinished);
@@ -27,9 +27,12 @@
 	return {body, isComplete, ends: host.logLines.filter(line => line.includes('event=call-ended request=a1 ')).length};
 };
 
+/** Whether a host is certain which version began the stream of the request `a1`; right after it had no processor time, it isn't, and the stream couldn't go on. */
+const isVersionKnown = ({context: {streamOrigins, clock}}: TestHost): boolean => streamOrigins.get('a1', clock.monotonic()) !== undefined;
+
 /** Returns what the caller of a stream sees that breaks off after event 2, whose second upstream gives an answer, and whose third one others. */
 const getSeen = async (second: AnswerHandler, third: AnswerHandler): Promise<Seen> => {
-	const host = await startInTurn(breakOffStream, second, third);
+	const host: TestHost = await startInTurn(createBreakOff(() => isVersionKnown(host)), second, third);
 	return describe(host, await sendRequest(host.port, {path: '/thrice/1', headers: {attempt: 'a1'}}));
 };
 
--- a/packages/forwarder/src/deliver/testing-streams.ts
+++ b/packages/forwarder/src/deliver/testing-streams.ts
@@ -14,16 +14,24 @@
 /** The whole test stream. */
 export const wholeStream = writeEvents(1, streamLength);
 
-/** Resets the connection of a stream after event 2. */
-export const breakOffStream: AnswerHandler = (request, response) => {
+/** Creates a handler that resets the connection of a stream after event 2, as soon as it may. */
+export const createBreakOff = (mayBreakOff: () => boolean): AnswerHandler => (request, response) => {
 	response.writeHead(200, streamHead);
 	response.write(writeEvents(1, 2), () => {
-		setTimeout(() => {
-			request.socket.resetAndDestroy();
+		const timer = setInterval(() => {
+			if (mayBreakOff()) {
+				request.socket.resetAndDestroy();
+			}
 		}, resetDelay);
+		request.socket.once('close', () => {
+			clearInterval(timer);
+		});
 	});
 };
 
+/** Resets the connection of a stream after event 2. */
+export const breakOffStream: AnswerHandler = createBreakOff(() => true);
+
 /** Writes the events after the last one that the caller has. */
 export const finishStream: AnswerHandler = (request, response) => {
 	response.writeHead(200, streamHead);
