Hold the connections of a test for as long as it takes

Cause: the test holds all connections to one upstream, and then sends a request that is to wait for them. Where 700 ms pass in between, the busy upstream counts as silent, so that the other one may be chosen at once; after 1,500 ms the requests that hold the connections reach their deadlines and give them free.

Change: these requests have a route with a timeout of 20 s, and the other upstream rests until the request waits for the busy one, a condition in place of the time. The time that the waiting request has, and what is asserted, are as before.

With a pause of 1 s between the two (a trial): before, 3 of 3 runs failed; after, 3 of 3 passed. Beside 12 busy processes the failure did not come by itself: 3 of 3 runs of the file passed before, 3 of 3 after, at load averages of 18 to 28.

--- a/packages/forwarder/src/send/connection-wait.test.ts
+++ b/packages/forwarder/src/send/connection-wait.test.ts
@@ -1,4 +1,5 @@
 import {request, type ServerResponse} from 'node:http';
+import {getUpstreamKey} from '@gentianlift/routing';
 import {
 	expect, onTestFinished, test, vi,
 } from 'vitest';
@@ -33,11 +34,11 @@
 	};
 };
 
-/** Sends requests that their upstream holds, so that they use all connections to it. */
+/** Sends requests that their upstream holds, so that they use all connections to it; their deadlines are far beyond those of the tests. */
 const useAllConnections = async (host: TestHost, counts: readonly number[]): Promise<void> => {
 	host.context.countHosts = () => hostCount;
 	for (let count = 0; count < connectionCount; count++) {
-		void sendRequest(host.port, {path: '/book/1', headers: {attempt: `held${count}`}}).catch(() => undefined);
+		void sendRequest(host.port, {path: '/slow-book/1', headers: {attempt: `held${count}`}}).catch(() => undefined);
 	}
 
 	await expect.poll(() => sum(counts)).toBe(connectionCount);
@@ -56,7 +57,13 @@
 		host.context.tracker.recordUnreachable(free!, 'test');
 	}
 
-	expect(await sendRequest(host.port, {path: '/book/1', headers: {attempt: 'a1'}})).toMatchObject({status: 200});
+	// The busy one may count as silent by now, and then the free one could be chosen as well.
+	let isChosen = false;
+	host.context.rests.isResting = upstream => upstream === getUpstreamKey(free!) && !isChosen;
+	const pending = sendRequest(host.port, {path: '/book/1', headers: {attempt: 'a1'}});
+	await expect.poll(() => getRunning(host)).toBe(connectionCount + 1);
+	isChosen = true;
+	expect(await pending).toMatchObject({status: 200});
 	expect(counts).toEqual([connectionCount, 1]);
 	expect(host.logLines.filter(line => line.includes('kind=unsent reason=pool-timeout'))).toHaveLength(1);
 	expect(host.logLines.filter(line => line.includes('event=upstream-avoided') && line.includes(busy!.id))).toEqual([]);
--- a/packages/forwarder/src/test-deployment.ts
+++ b/packages/forwarder/src/test-deployment.ts
@@ -3,13 +3,16 @@
 import {buildConfiguration, buildRoute} from '@gentianlift/routing/testing';
 import {startTestHost, startUpstream, type TestHost} from './testing.js';
 
-/** Configuration with one route of each kind and one of a lower rank to one service, one whose requests may run on three upstreams, and one whose streams go to that or to another, which has no upstreams. */
+/** Configuration with one route of each kind, one for requests that take long and one of a lower rank to one service, one whose requests may run on three upstreams, and one whose streams go to that or to another, which has no upstreams. */
 export const configuration = buildConfiguration({
 	routes: [
 		buildRoute({name: 'read', pathPrefix: '/read/', timeout: 1500}),
 		buildRoute({
 			name: 'book', pathPrefix: '/book/', kind: 'non-idempotent', maxUpstreams: 1, timeout: 1500,
 		}),
+		buildRoute({
+			name: 'slow-book', pathPrefix: '/slow-book/', kind: 'non-idempotent', maxUpstreams: 1, timeout: 20_000,
+		}),
 		buildRoute({
 			name: 'stream', pathPrefix: '/stream/', kind: 'streaming', isResumable: true, timeout: 5000,
 		}),
