Test that requests which wait as a host ends are refused

Of three requests that were sent ahead on a connection and were open as their host ended, the first one got 502, the others no answer: 20 of 20 connections on. Since the close is announced with the last answer, all are answered, 502, 503 and 503, on 20 of 20.

--- a/packages/forwarder/src/callers/behind-closing-answer.test.ts
+++ b/packages/forwarder/src/callers/behind-closing-answer.test.ts
@@ -10,7 +10,8 @@
 } from '../test-deployment.js';
 
 const testTimeout = 20_000;
-const gracePeriod = 8000;
+const longGracePeriod = 8000;
+const shortGracePeriod = 1500;
 const connections = 20;
 /** Time that the upstream works on a request, and time by which the answers of a pipeline have arrived. */
 const workTime = 300;
@@ -28,7 +29,7 @@
 };
 
 /** Starts a host with upstreams for all connections of a test; `ran` has the paths that they have begun to work on. */
-const startHost = async (answerRequest: AnswerHandler = answerOk) => {
+const startHost = async (answerRequest: AnswerHandler = answerOk, gracePeriod = longGracePeriod) => {
 	const ran: string[] = [];
 	const answer: AnswerHandler = (request, response) => {
 		ran.push(request.url ?? '');
@@ -90,6 +91,20 @@
 	expect(ran.length).toBe(2 * connections);
 }, testTimeout);
 
+// Guards against: of the requests of a connection that are open as their host ends, only the first one is answered.
+test('the requests that wait as a host ends are refused as not run', async () => {
+	const {host, ran} = await startHost(() => undefined, shortGracePeriod);
+	const received = await Promise.all(Array.from({length: connections}, async (_, index) =>
+		sendBytes(host.callers, Array.from({length: 3}, (_, place) => buildRequest(`/book/${index}-${place}`)).join(''))));
+	await expect.poll(() => ran.length).toBe(connections);
+	await host.host.stop();
+	await sleep(workTime);
+	const statuses = received.map(({text}) => [...text.matchAll(/HTTP\/1\.1 (\d+)/gv)].map(([, status]) => Number(status)));
+	expect(statuses).toEqual(received.map(() => [502, 503, 503]));
+	expect(received.map(({text}) => countBeforeClose(text))).toEqual(received.map(() => 3));
+	expect(ran.length).toBe(connections);
+}, testTimeout);
+
 // Guards against: a request that comes after the announcement of the close is passed on before the connection is closed, and its answer is lost.
 test('no request runs that comes while the answer that announces the close is being written', async () => {
 	const {host, ran} = await startHost(answerLarge);
