Bound closing connections above the limit on unfinished heads

Cause: both limits were 256, and a connection that is given up over its head counts for both.

Change: 1,024 connections may wait for their callers to close them. A flood of heads meets its own limit first. A stopping host closes as many connections as it has requests, each for a round trip to its caller.

--- a/packages/forwarder/src/callers/closing-connections.ts
+++ b/packages/forwarder/src/callers/closing-connections.ts
@@ -16,8 +16,8 @@
 
 /** Longest time for which a connection is read after its last answer was written. */
 export const lingerTime: Milliseconds = 2000;
-/** Most connections that are read in this way; beyond it the one that was ended first is closed. */
-export const maxClosingConnections = 256;
+/** Most connections that are read in this way; beyond it the one that was ended first is closed. Those that were given up over an unfinished head are limited before, with the other unfinished heads. */
+export const maxClosingConnections = 1024;
 
 const discard = (): void => undefined;
 
