Close the connections of callers that don't read their answers

What callers and operators saw: nothing yet. Since a host ends only when every answer is written, a caller that never reads the rest of its answer would keep it from ending; before, its answer was cut at the exit, and its connection stayed for as long as the system resent.

Change: after its handler has ended, an answer has the silence limit of callers to make progress; then its connection is closed, with a log line that names the request. The socket's own timer counts bytes that are taken as activity, so that a slow caller gets its whole answer.

Evidence: with real connections and an answer of 32 MB, a caller that reads nothing is closed and no longer counted; one that pauses 100 ms each 2 MB, longer in all than the limit of 1 s, gets all of it.

--- a/packages/router/src/host/infrastructure.ts
+++ b/packages/router/src/host/infrastructure.ts
@@ -10,6 +10,7 @@
 export const createInfrastructure = (settings: Settings) => {
 	const clock = createSystemClock();
 	const incarnation = clock.now();
+	const logger = createLogger(settings.logLevel);
 	const platform = {clock, timeout: settings.silenceLimits.platform};
 	return {
 		settings,
@@ -17,12 +18,17 @@
 		clock,
 		random: createRandom(settings.seed ?? incarnation),
 		metrics: createMetrics(),
-		logger: createLogger(settings.logLevel),
+		logger,
 		keyValue: createKeyValueClient({...platform, url: settings.keyValueUrl}),
 		hostList: createHostListClient({...platform, url: settings.hostListUrl}),
 		weightStore: createWeightStoreClient({...platform, url: settings.weightStoreUrl}),
 		upstreams: createUpstreamClient({clock, silenceLimits: settings.silenceLimits}),
-		inFlightRequests: createInFlightRequests(),
+		inFlightRequests: createInFlightRequests({
+			unreadTimeout: settings.silenceLimits.caller,
+			onUnread(response) {
+				logger.warn('answer-unread', {request: String(response.getHeader('x-request-id') ?? ''), status: response.statusCode});
+			},
+		}),
 	};
 };
 
--- a/packages/router/src/in-flight-requests.test.ts
+++ b/packages/router/src/in-flight-requests.test.ts
@@ -4,12 +4,27 @@
 } from 'node:http';
 import {connect, type AddressInfo, type Socket} from 'node:net';
 import {buffer} from 'node:stream/consumers';
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {Milliseconds} from '@gentianlift/types';
 import {expect, onTestFinished, test} from 'vitest';
 import {createInFlightRequests} from './in-flight-requests.js';
 
 const head = 'GET / HTTP/1.1\r\nhost: a\r\n\r\n';
 /** Larger than what the buffers of a loopback connection hold. */
 const largeAnswer = 'x'.repeat(32 * 1024 * 1024);
+/** Bytes after which a slow caller pauses. */
+const pauseBytes = 2 * 1024 * 1024;
+
+const createRequests = (unreadTimeout: Milliseconds = 60_000) => {
+	const unreadStatuses: number[] = [];
+	const requests = createInFlightRequests({
+		unreadTimeout,
+		onUnread({statusCode}) {
+			unreadStatuses.push(statusCode);
+		},
+	});
+	return {...requests, unreadStatuses};
+};
 
 const startServer = async (handle: (request: IncomingMessage, response: ServerResponse) => void): Promise<number> => {
 	const server = createServer(handle);
@@ -31,7 +46,7 @@
 
 // Guards against: a host ends when all handlers have ended, while the rest of an answer waits for a caller that reads slowly.
 test('a request is open until its answer is written', async () => {
-	const requests = createInFlightRequests();
+	const requests = createRequests();
 	const port = await startServer((_request, response) => {
 		const end = requests.begin(response);
 		response.setHeader('connection', 'close');
@@ -49,7 +64,7 @@
 });
 
 test('a request whose answer is written at once is no longer open when its handler ends', async () => {
-	const requests = createInFlightRequests();
+	const requests = createRequests();
 	const counts: number[] = [];
 	const port = await startServer((_request, response) => {
 		const end = requests.begin(response);
@@ -65,7 +80,7 @@
 
 // Guards against: answers that wait behind another one of the same connection are counted for ever once the connection is gone.
 test('requests of a connection that is gone are open only while their handlers run', async () => {
-	const requests = createInFlightRequests();
+	const requests = createRequests();
 	const ends: Array<() => void> = [];
 	const port = await startServer((_request, response) => {
 		ends.push(requests.begin(response));
@@ -81,3 +96,42 @@
 	ends[0]?.();
 	expect(requests.getOpenCount()).toBe(0);
 });
+
+// Guards against: a caller that never reads its answer keeps a host from ending.
+test('the connection of a caller that does not read its answer is closed', async () => {
+	const requests = createRequests(200);
+	const port = await startServer((_request, response) => {
+		const end = requests.begin(response);
+		response.end(largeAnswer);
+		end();
+	});
+	const caller = await openCaller(port);
+	caller.on('error', () => undefined);
+	caller.write(head);
+	await expect.poll(requests.getOpenCount).toBe(1);
+	await expect.poll(requests.getOpenCount).toBe(0);
+	expect(requests.unreadStatuses).toEqual([200]);
+	caller.destroy();
+});
+
+test('a caller that reads its answer slowly keeps its connection', async () => {
+	const requests = createRequests(1000);
+	const port = await startServer((_request, response) => {
+		const end = requests.begin(response);
+		response.setHeader('connection', 'close');
+		response.end(largeAnswer);
+		end();
+	});
+	const caller = await openCaller(port);
+	caller.write(head);
+	let read = 0;
+	for await (const chunk of caller) {
+		const {length} = chunk as Uint8Array;
+		const isPause = Math.floor((read + length) / pauseBytes) > Math.floor(read / pauseBytes);
+		read += length;
+		await (isPause ? sleep(100) : undefined);
+	}
+
+	expect(read).toBeGreaterThan(largeAnswer.length);
+	expect(requests.unreadStatuses).toEqual([]);
+});
--- a/packages/router/src/in-flight-requests.ts
+++ b/packages/router/src/in-flight-requests.ts
@@ -1,4 +1,5 @@
 import type {ServerResponse} from 'node:http';
+import type {Milliseconds} from '@gentianlift/types';
 
 /** Counts the requests of callers that are in flight, so that a host knows when it may stop. */
 export type InFlightRequests = {
@@ -12,11 +13,19 @@
 	abortController: AbortController;
 };
 
+/** Options of the counter. */
+export type InFlightRequestsOptions = {
+	/** Time without a byte taken after which the connection of a caller that doesn't read the rest of its answer is closed. */
+	unreadTimeout: Milliseconds;
+	/** Called before such a connection is closed. */
+	onUnread: (response: ServerResponse) => void;
+};
+
 /** Whether a response is with the operating system, or its connection is gone. */
 const hasLeft = (response: ServerResponse): boolean => response.writableFinished || response.req.socket.destroyed;
 
 /** Creates a counter without requests. */
-export const createInFlightRequests = (): InFlightRequests => {
+export const createInFlightRequests = ({unreadTimeout, onUnread}: InFlightRequestsOptions): InFlightRequests => {
 	let count = 0;
 	/** Responses whose handlers have ended before they were written. */
 	const unwritten = new Set<ServerResponse>();
@@ -32,6 +41,10 @@
 		unwritten.add(response);
 		response.once('finish', remove);
 		socket.once('close', remove);
+		response.setTimeout(unreadTimeout, () => {
+			onUnread(response);
+			response.destroy();
+		});
 	};
 
 	return {
