Release a lease that is acquired while a host stops

What operators saw: after a host had stopped, models were placed by no host until the lease had lapsed.

Cause: the stop released the lease only if the host held it at that moment. An acquisition in flight noticed the stop and released its lease, but nothing waited for that, so that the process ended first.

Change: the stop waits for the step in flight.

--- a/packages/placement/src/lease/leader-election.ts
+++ b/packages/placement/src/lease/leader-election.ts
@@ -11,7 +11,7 @@
 	/** Ends the term, for example after an engine has seen a higher fencing number. */
 	stepDown: (reason: string) => Promise<void>;
 	start: () => void;
-	/** Stops and releases the lease. */
+	/** Stops and releases the lease, also one that is being acquired. */
 	stop: () => Promise<void>;
 };
 
@@ -32,6 +32,7 @@
 	let term: Term | undefined;
 	let cancel: Cancel | undefined;
 	let isRunning = false;
+	let currentRun: Promise<void> = Promise.resolve();
 
 	const updateTerm = (next: Term | undefined): void => {
 		term = next;
@@ -100,7 +101,7 @@
 
 		const interval: Milliseconds = term === undefined ? timing.pollInterval : timing.renewalInterval;
 		cancel = clock.after(interval * (1 - (jitterFraction * random.next())), () => {
-			void run();
+			currentRun = run();
 		});
 	};
 
@@ -117,12 +118,14 @@
 		stepDown,
 		start() {
 			isRunning = true;
-			void run();
+			currentRun = run();
 		},
 		async stop() {
 			isRunning = false;
 			cancel?.();
 			await stepDown('stopped');
+			// An acquisition in flight releases the lease that it gets.
+			await currentRun;
 		},
 	};
 };
--- a/packages/placement/src/lease/lease.test.ts
+++ b/packages/placement/src/lease/lease.test.ts
@@ -3,7 +3,7 @@
 import {createMetrics} from '@gentianlift/metrics';
 import {createMemoryKeyValue} from '@gentianlift/platform';
 import {
-	acquireTerm, createLeaderElection, defaultTiming, isOrderAllowed, type AcquireOptions,
+	acquireTerm, createLeaderElection, defaultTiming, holderKey, isOrderAllowed, type AcquireOptions,
 } from '../index.js';
 
 const createFleet = () => {
@@ -12,8 +12,8 @@
 	const getOptions = (host: string): AcquireOptions => ({
 		keyValue, clock, timing: defaultTiming, self: {host, incarnation: 1},
 	});
-	const createElection = (host: string) => createLeaderElection({
-		...getOptions(host), random: createRandom(2), metrics: createMetrics(), isCandidate: () => true,
+	const createElection = (host: string, usedKeyValue: AcquireOptions['keyValue'] = keyValue) => createLeaderElection({
+		...getOptions(host), keyValue: usedKeyValue, random: createRandom(2), metrics: createMetrics(), isCandidate: () => true,
 	});
 	return {
 		clock, keyValue, getOptions, createElection,
@@ -77,3 +77,25 @@
 	expect([isAllowed('checked', 0), isAllowed('checked', 8999), isAllowed('checked', 9000)]).toEqual([true, true, false]);
 	expect([isAllowed('ignored', 7999), isAllowed('ignored', 8000), isAllowed('ignored', 8600)]).toEqual([false, true, false]);
 });
+
+// Guards against: a host ends while it acquires the lease, which then has no holder until it lapses.
+test('a host that stops while it acquires the lease leaves it free', async () => {
+	const {clock, keyValue, createElection} = createFleet();
+	const callTime = 400;
+	const slowKeyValue: AcquireOptions['keyValue'] = {
+		...keyValue,
+		async compareAndSwap(write) {
+			const outcome = await keyValue.compareAndSwap(write);
+			await clock.sleep(callTime);
+			return outcome;
+		},
+	};
+	const election = createElection('a', slowKeyValue);
+	election.start();
+	await clock.advance(callTime / 2);
+	expect(await keyValue.read(holderKey)).toMatchObject({kind: 'found'});
+	const holderAtEnd = election.stop().then(async () => keyValue.read(holderKey));
+	await clock.advance(2 * callTime);
+	expect(await holderAtEnd).toMatchObject({kind: 'absent'});
+	expect(election.getTerm()).toBeUndefined();
+});
