Don't begin to follow the configuration after the stop

What callers saw: nothing. A host that was stopped while it obtained its first version went on watching the key-value service and asking its peers until its process ended; since signals are handled during the start, that can happen.

Cause: the stop ended the loops that ran. The step in flight then started the others without asking whether the follower had been stopped.

--- a/packages/distribution/src/follower.test.ts
+++ b/packages/distribution/src/follower.test.ts
@@ -178,3 +178,14 @@
 		expect([...fleet.hosts.values()].every(({follower}) => follower.isConfirmed())).toBe(true);
 	}), {seed: 7, numRuns: 60});
 });
+
+// Guards against: a host that stops before it has its first version goes on reading the service and its peers.
+test('a follower that is stopped while it obtains its first version follows no further', async () => {
+	const {clock, service, startHost} = await startFleet(3);
+	const {follower} = startHost('h2');
+	follower.stop();
+	await clock.advance(1000);
+	await writeVersion(service, 2, 'second');
+	await clock.advance(20_000);
+	expect(follower.getCurrent()?.version).toBe(1);
+});
--- a/packages/distribution/src/follower.ts
+++ b/packages/distribution/src/follower.ts
@@ -167,10 +167,15 @@
 		clock, random, metrics, activeVersion, timings, readPeer, getPeers: () => getPeers(getMembers(), self),
 	});
 	let isStarted = false;
+	let isStopped = false;
 	let hasHadPeers = false;
 
 	const bootstrapLoop = createBootstrapLoop(options, components, () => {
 		bootstrapLoop.stop();
+		if (isStopped) {
+			return;
+		}
+
 		isStarted = true;
 		for (const loop of followLoops) {
 			loop.start(0);
@@ -195,6 +200,7 @@
 	return {
 		start: async () => bootstrapLoop.run(),
 		stop() {
+			isStopped = true;
 			bootstrapLoop.stop();
 			versionFetcher.stop();
 			for (const loop of followLoops) {
@@ -204,7 +210,7 @@
 		getCurrent: () => activeVersion.getState().current,
 		onChange: activeVersion.onChange,
 		recordAdvertisedVersion(host, version) {
-			if (isStarted && host !== self) {
+			if (isStarted && !isStopped && host !== self) {
 				versionFetcher.requestVersion(host, version);
 			}
 		},
