Take connections until the addresses given by other hosts have aged

What callers saw: an address that another host had just given them was refused before the time to live that came with it was over.

Cause: a stopping host closed its listener 0.5 s after the time to live, counted from its own decision. Other hosts give its address until they learn that it is draining, and the answers of these moments age later.

Change: a host takes connections for 2 s more, within which each other host knows that it is draining; the new test of the membership holds that for 7 and 40 hosts. A planned stop takes 2 s longer. Tests that waited for the end of the listener wait longer, and are otherwise as they were.

--- a/packages/membership/src/membership.test.ts
+++ b/packages/membership/src/membership.test.ts
@@ -63,6 +63,14 @@
 	expectState(fleet, 'h3', 'gone');
 });
 
+// Guards against: a host closes its listener while others still give callers its address.
+test.each([7, 40])('every host knows within 2 s that one is draining, in a fleet of %i', async size => {
+	const {clock, fleet} = await startFleet(size);
+	fleet.getMembership('h3').setDraining(true);
+	await clock.advance(2000);
+	expectState(fleet, 'h3', 'draining');
+});
+
 test('a new process of a host is not mistaken for the old one', async () => {
 	const {clock, fleet} = await startFleet(7);
 	const before = fleet.getMembership('h0').getMembers().find(({host}) => host === 'h3');
--- a/packages/router/src/host/graceful-shutdown.test.ts
+++ b/packages/router/src/host/graceful-shutdown.test.ts
@@ -21,11 +21,11 @@
 
 const timeToLive: Milliseconds = 100;
 /** From the begin of a shutdown to the end of accepting. */
-const drainTime: Milliseconds = timeToLive + 500;
+const drainTime: Milliseconds = 2000 + timeToLive + 500;
 const abortTime: Milliseconds = 5;
 /** Longer than any schedule takes. */
 const maxTime: Milliseconds = 20_000;
-const times = integer({min: 0, max: 2000});
+const times = integer({min: 0, max: 4000});
 const scheduleArbitrary = record<Schedule>({
 	events: array(oneof(
 		record({kind: oneof(constant('signal' as const), constant('cancel' as const), constant('force' as const)), at: times, isLate: boolean()}),
--- a/packages/router/src/host/graceful-shutdown.ts
+++ b/packages/router/src/host/graceful-shutdown.ts
@@ -39,6 +39,8 @@
 export type GracefulShutdownOptions = {clock: Clock; logger: Logger; timeToLive: Milliseconds; steps: ShutdownSteps};
 
 const openCheckInterval: Milliseconds = 20;
+/** Time after which every host knows that this one is draining, and no longer gives callers its address. */
+const announcementTime: Milliseconds = 2000;
 /** Margin beyond the time to live of addresses, for callers with late clocks or delayed requests. */
 const lateCallerMargin: Milliseconds = 500;
 const exitStatuses = {graceful: 0, forced: 1};
@@ -94,7 +96,7 @@
 	};
 
 	const drain = async (ownRun: number): Promise<void> => {
-		await clock.sleep(timeToLive + lateCallerMargin);
+		await clock.sleep(announcementTime + timeToLive + lateCallerMargin);
 		if (ownRun === shutdownRun) {
 			beginStopping(false);
 		}
--- a/packages/router/src/shutdown.test.ts
+++ b/packages/router/src/shutdown.test.ts
@@ -105,7 +105,7 @@
 		method: 'POST',
 		headers: {authorization: `Bearer ${fleet.key}`},
 		body: JSON.stringify({
-			model: 'counter-8b', max_tokens: 400, stream: true, messages: [{role: 'user', content: 'long answer #tokens=400'}],
+			model: 'counter-8b', max_tokens: 800, stream: true, messages: [{role: 'user', content: 'long answer #tokens=800'}],
 		}),
 	});
 	host?.stop('test');
--- a/packages/router/src/stopping-process.test.ts
+++ b/packages/router/src/stopping-process.test.ts
@@ -11,8 +11,8 @@
 const hostCount = 8;
 /** Factor of the services' usual time, so that a host has moments without an open booking. */
 const slowFactor = 0.1;
-/** Time after SIGTERM at which the bookings begin; the listener closes at 600 ms. */
-const bookingsFrom: Milliseconds = 500;
+/** Time after SIGTERM at which the bookings begin; the listener closes at 2600 ms. */
+const bookingsFrom: Milliseconds = 2500;
 const bookingInterval: Milliseconds = 100;
 const connectionsPerHost = 16;
 const stopInterval: Milliseconds = 300;
