--- a/packages/router/src/stopping-process.test.ts
+++ b/packages/router/src/stopping-process.test.ts
@@ -78,9 +78,10 @@
 };
 
 // Guards against: a booking that arrives on an open connection after the host has decided to end is passed on and cut as the process exits.
-test('a host that stops under bookings answers each that ran, and refuses the others as not run', async () => {
+test.each([0, 150])('a host that stops under bookings answers each that ran, and refuses the others as not run, with a store that takes %i ms', async storeLatency => {
 	const platform = await startServices(hostCount);
 	const hosts = await startHosts(platform);
+	platform.fakes.keyValue.faults.latencyMs = storeLatency;
 	const bookings = await stopAll(platform, hosts);
 	const exits = await Promise.all(hosts.map(async ({exited}) => exited));
 	expect(exits.map(({outcome}) => outcome)).toEqual(hosts.map(() => 0));
