--- a/packages/placement/src/lease/lease.test.ts
+++ b/packages/placement/src/lease/lease.test.ts
@@ -3,7 +3,7 @@
 import {createMetrics} from '@gentianlift/metrics';
 import {createMemoryKeyValue} from '@gentianlift/platform';
 import {
-	acquireTerm, createLeaderElection, defaultTiming, isOrderAllowed, type AcquireOptions,
+	acquireTerm, createLeaderElection, defaultTiming, holderKey, isOrderAllowed, type AcquireOptions,
 } from '../index.js';
 
 const createFleet = () => {
@@ -12,8 +12,8 @@
 	const getOptions = (host: string): AcquireOptions => ({
 		keyValue, clock, timing: defaultTiming, self: {host, incarnation: 1},
 	});
-	const createElection = (host: string) => createLeaderElection({
-		...getOptions(host), random: createRandom(2), metrics: createMetrics(), isCandidate: () => true,
+	const createElection = (host: string, usedKeyValue: AcquireOptions['keyValue'] = keyValue) => createLeaderElection({
+		...getOptions(host), keyValue: usedKeyValue, random: createRandom(2), metrics: createMetrics(), isCandidate: () => true,
 	});
 	return {
 		clock, keyValue, getOptions, createElection,
@@ -77,3 +77,32 @@
 	expect([isAllowed('checked', 0), isAllowed('checked', 8999), isAllowed('checked', 9000)]).toEqual([true, true, false]);
 	expect([isAllowed('ignored', 7999), isAllowed('ignored', 8000), isAllowed('ignored', 8600)]).toEqual([false, true, false]);
 });
+
+// Guards against: a host ends while it acquires the lease, which then has no holder until it lapses.
+test.each([1, 2, 3, 4, 5])('a host that stops during call %i of the acquisition of the lease leaves it free, after one more call at most', async calls => {
+	const {clock, keyValue, createElection} = createFleet();
+	const callTime = 400;
+	const delay = async <Outcome>(call: Promise<Outcome>): Promise<Outcome> => {
+		const outcome = await call;
+		await clock.sleep(callTime);
+		return outcome;
+	};
+
+	const slowKeyValue: AcquireOptions['keyValue'] = {
+		...keyValue,
+		read: async key => delay(keyValue.read(key)),
+		grantLease: async duration => delay(keyValue.grantLease(duration)),
+		compareAndSwap: async write => delay(keyValue.compareAndSwap(write)),
+		endLease: async lease => delay(keyValue.endLease(lease)),
+	};
+	const election = createElection('a', slowKeyValue);
+	election.start();
+	await clock.advance((calls - 0.5) * callTime);
+	const stoppedAt = clock.monotonic();
+	const end = election.stop().then(async () => ({holder: await keyValue.read(holderKey), after: clock.monotonic() - stoppedAt}));
+	await clock.advance(10 * callTime);
+	const {holder, after} = await end;
+	expect(holder).toMatchObject({kind: 'absent'});
+	expect(after).toBeLessThanOrEqual(2 * callTime);
+	expect(election.getTerm()).toBeUndefined();
+});
