Answer a request before what is malformed behind it

What callers saw: a booking that ran was answered with 400 and `x-ran: not-run`, if malformed bytes followed it on its connection; its own answer was lost.

Cause: the refusal of bytes that can't be parsed is written to the connection at once, whether or not an earlier request still waits for its answer there.

Change: if a whole request of the connection is unanswered, nothing is written for what follows it; no more is read, and the connection is closed after the last answer. A request that is itself malformed or late is refused as before, since its handler still waits for its body.

--- a/packages/router/src/callers/caller-server.ts
+++ b/packages/router/src/callers/caller-server.ts
@@ -7,6 +7,7 @@
 } from '@gentianlift/errors';
 import type {Metrics} from '@gentianlift/metrics';
 import type {Settings} from '@gentianlift/types';
+import {createOpenResponses, type OpenResponses} from './open-responses.js';
 
 /** Handles one request of a caller. */
 export type CallerHandler = (request: IncomingMessage, response: ServerResponse) => void;
@@ -19,8 +20,12 @@
 	ERR_HTTP_REQUEST_TIMEOUT: 'body-timeout',
 };
 
-/** Writes the error response to the socket, because a request that can't be parsed has no response object. */
-const answerParserError = (error: NodeJS.ErrnoException, socket: Duplex, metrics: Metrics): void => {
+/**
+Writes the error response to the socket, because a request that can't be parsed has no response object.
+
+While an earlier request of the connection is without its answer, nothing is written, as the caller would take it for that answer; the connection is closed after it.
+*/
+const answerParserError = (error: NodeJS.ErrnoException, socket: Duplex, metrics: Metrics, openResponses: OpenResponses): void => {
 	if (error.code === 'ECONNRESET' || !socket.writable) {
 		socket.destroy();
 		return;
@@ -28,6 +33,11 @@
 
 	const kind = errorKindsByCode[error.code ?? ''] ?? 'bad-request';
 	metrics.count('refusals_total', {reason: kind});
+	if (openResponses.hasUnanswered(socket)) {
+		openResponses.closeAfterAnswers(socket);
+		return;
+	}
+
 	const body = JSON.stringify(getErrorBody(createFailure(kind), ''));
 	socket.end([
 		`HTTP/1.1 ${errorTable[kind].status} Refused`,
@@ -44,6 +54,7 @@
 /** Creates the HTTP server for callers with the limits of the settings. It isn't listening yet. */
 export const createCallerServer = (settings: Settings, metrics: Metrics, handle: CallerHandler): Server => {
 	const {callerLimits} = settings;
+	const openResponses = createOpenResponses();
 	const server = createServer({
 		maxHeaderSize: callerLimits.headerBytes,
 		headersTimeout: callerLimits.headerTimeout,
@@ -51,10 +62,13 @@
 		connectionsCheckingInterval: timeoutCheckMilliseconds,
 		keepAlive: true,
 		noDelay: true,
-	}, handle);
+	}, (request, response) => {
+		openResponses.add(response);
+		handle(request, response);
+	});
 	server.maxConnections = callerLimits.connections;
 	server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-		answerParserError(error, socket, metrics);
+		answerParserError(error, socket, metrics, openResponses);
 	});
 	server.on('drop', () => {
 		metrics.count('refusals_total', {reason: 'connections'});
--- a/packages/router/src/host.test.ts
+++ b/packages/router/src/host.test.ts
@@ -1,8 +1,9 @@
 import {connect} from 'node:net';
+import {text} from 'node:stream/consumers';
 import {
 	afterAll, beforeAll, expect, test,
 } from 'vitest';
-import type {Account} from '@gentianlift/types';
+import {splitAddress, type Account} from '@gentianlift/types';
 import {getStreamedText} from './testing/get-streamed-text.js';
 import {startFleet, type TestFleet} from './testing/start-fleet.js';
 
@@ -188,3 +189,17 @@
 	expect(repeated.headers.get('x-ran')).toBe('unknown');
 	expect(getServiceCalls().filter(({idempotencyKey}) => idempotencyKey === 'reset')).toHaveLength(1);
 });
+
+// Guards against: the refusal of what follows a booking on its connection is taken for the booking's answer, and says that it didn't run.
+test('a booking that is followed by malformed bytes gets its answer, and nothing else', async () => {
+	const socket = connect(splitAddress(fleet.hosts[0]?.settings.callerAddress ?? ''));
+	const head = ['POST /v1/services/orders/cut-orders HTTP/1.1', 'host: a', `authorization: Bearer ${fleet.key}`, 'idempotency-key: followed', 'content-length: 2'];
+	const malformed = 'malformed\r\n\r\n';
+	socket.write(`${head.join('\r\n')}\r\n\r\n{}${malformed}`);
+	await expect.poll(() => getServiceCalls().filter(({idempotencyKey}) => idempotencyKey === 'followed')).toHaveLength(1);
+	socket.write(malformed);
+	const answer = await text(socket);
+	expect(answer.match(/HTTP\/1\.1 \d+/gv)).toEqual(['HTTP/1.1 200']);
+	expect(answer).toContain('x-ran: ran');
+	expect(answer).toContain('"idempotencyKey":"followed"');
+});
