Answer all requests of a connection before closing it at a stop

What callers saw: of bookings that were sent ahead on one connection to a host that had been told to stop, all ran, and only the first was answered before the connection was closed.

Cause: whether an answer closes its connection was decided as its request arrived. Requests that came behind it until the answer was written were passed on all the same.

Evidence: two new tests with real connections.

Change: the close moves to the answer of the request that arrived last, as long as the earlier ones haven't begun; once an answer with it has begun, nothing more is taken from the connection. The requests behind it don't run, which is what a caller is to expect after such an answer.

--- a/packages/router/src/callers/caller-server.ts
+++ b/packages/router/src/callers/caller-server.ts
@@ -9,8 +9,15 @@
 import type {Settings} from '@gentianlift/types';
 import {createOpenResponses, type OpenResponses} from './open-responses.js';
 
-/** Handles one request of a caller. */
-export type CallerHandler = (request: IncomingMessage, response: ServerResponse) => void;
+/** Options of the server for callers. */
+export type CallerServerOptions = {
+	settings: Settings;
+	metrics: Metrics;
+	/** Whether the host closes callers' connections after each response, so that their next request goes to another host. */
+	isDraining: () => boolean;
+	/** Handles one request of a caller. */
+	handle: (request: IncomingMessage, response: ServerResponse) => void;
+};
 
 /** Interval at which the server checks connections for its timeouts. */
 const timeoutCheckMilliseconds = 1000;
@@ -52,7 +59,7 @@
 };
 
 /** Creates the HTTP server for callers with the limits of the settings. It isn't listening yet. */
-export const createCallerServer = (settings: Settings, metrics: Metrics, handle: CallerHandler): Server => {
+export const createCallerServer = ({settings, metrics, isDraining, handle}: CallerServerOptions): Server => {
 	const {callerLimits} = settings;
 	const openResponses = createOpenResponses();
 	const server = createServer({
@@ -63,6 +70,16 @@
 		keepAlive: true,
 		noDelay: true,
 	}, (request, response) => {
+		if (openResponses.isClosing(request.socket)) {
+			// The caller was told that nothing more is taken from this connection, and nothing more can be answered on it.
+			metrics.count('refusals_total', {reason: 'connection-closing'});
+			return;
+		}
+
+		if (isDraining()) {
+			openResponses.closeAfter(response);
+		}
+
 		openResponses.add(response);
 		handle(request, response);
 	});
--- a/packages/router/src/callers/handle-request.ts
+++ b/packages/router/src/callers/handle-request.ts
@@ -67,10 +67,6 @@
 	};
 	// Connection errors are handled where the response is written.
 	response.on('error', () => undefined);
-	if (context.isDraining()) {
-		response.setHeader('connection', 'close');
-	}
-
 	// The request counts as open from the step in which it is accepted, so that the host can't end in between.
 	const endRequest = context.inFlightRequests.begin(response);
 	try {
--- a/packages/router/src/host-context.ts
+++ b/packages/router/src/host-context.ts
@@ -29,8 +29,6 @@
 	recordObservation: (observation: UpstreamObservation) => void;
 	/** Returns the rank of the lowest tier that the host admits while it is overloaded; undefined if it admits all. */
 	getRankLimit: () => Rank | undefined;
-	/** Whether the host closes callers' connections after each response, so that their next request goes to another host. */
-	isDraining: () => boolean;
 	/** Whether the host refuses new requests, because it ends once those in flight have ended. */
 	isStopping: () => boolean;
 	inFlightRequests: InFlightRequests;
--- a/packages/router/src/host/start-host.ts
+++ b/packages/router/src/host/start-host.ts
@@ -62,7 +62,6 @@
 	readAccount: requestHandling.readAccount,
 	recordObservation: requestHandling.upstreamMonitor.recordObservation,
 	getRankLimit: overloadMonitor.getRankLimit,
-	isDraining: () => getShutdown().getState().kind !== 'serving',
 	isStopping: () => getShutdown().getState().kind === 'stopping',
 });
 
@@ -110,8 +109,13 @@
 	const overloadMonitor = createOverloadMonitor(infrastructure, network);
 	const {clock, logger, metrics} = infrastructure;
 	const context = createHostContext(infrastructure, network, requestHandling, {overloadMonitor, getShutdown: () => shutdown});
-	const callerServer = createCallerServer(settings, metrics, (request, response) => {
-		void handleRequest(context, request, response);
+	const callerServer = createCallerServer({
+		settings,
+		metrics,
+		isDraining: () => shutdown.getState().kind !== 'serving',
+		handle(request, response) {
+			void handleRequest(context, request, response);
+		},
 	});
 	const shutdown = createGracefulShutdown({
 		clock, logger, timeToLive: settings.addressTimeToLive, steps: createShutdownSteps(infrastructure, network, requestHandling, {
--- a/packages/router/src/shutdown.test.ts
+++ b/packages/router/src/shutdown.test.ts
@@ -1,5 +1,8 @@
 import {once} from 'node:events';
 import {request, type IncomingMessage} from 'node:http';
+import {connect} from 'node:net';
+import {text} from 'node:stream/consumers';
+import {splitAddress} from '@gentianlift/types';
 import {expect, test} from 'vitest';
 import {openPreparedConnection, type CallerRequest} from './testing/prepared-connection.js';
 import {startFleet, type TestFleet} from './testing/start-fleet.js';
@@ -13,6 +16,10 @@
 	method: 'POST', path: '/v1/services/orders/cut-orders', body: '{"bar":1}', headers: {authorization: `Bearer ${key}`, 'idempotency-key': idempotencyKey},
 });
 
+const createRawBooking = ({key}: TestFleet, idempotencyKey: string): string => [
+	'POST /v1/services/orders/cut-orders HTTP/1.1', 'host: a', `authorization: Bearer ${key}`, `idempotency-key: ${idempotencyKey}`, 'content-length: 2', '', '{}',
+].join('\r\n');
+
 const getExecutedKeys = ({fakes}: TestFleet): string[] => [...fakes.services.values()].flatMap(({calls}) => calls.map(({idempotencyKey}) => idempotencyKey));
 
 const slowServices = ({fakes}: TestFleet, stallMs: number): void => {
@@ -165,3 +172,39 @@
 	expect([...fleet.fakes.engines.values()].map(engine => engine.getState().received)).toEqual([...fleet.fakes.engines].map(() => 0));
 	await fleet.fakes.close();
 });
+
+// Guards against: the first answer closes the connection over the requests behind it, which have been passed on.
+test('a draining host answers every request that it has taken from a connection', async () => {
+	const fleet = await startFleet(1, {addressTimeToLive: 60_000});
+	slowServices(fleet, 200);
+	const [host] = fleet.hosts;
+	host?.stop('test');
+	const socket = connect(splitAddress(host?.settings.callerAddress ?? ''));
+	const keys = ['first', 'second', 'third'];
+	socket.write(keys.map(key => createRawBooking(fleet, key)).join(''));
+	const answers = await text(socket);
+	expect(getExecutedKeys(fleet).toSorted()).toEqual(keys.toSorted());
+	expect(keys.filter(key => answers.includes(`"idempotencyKey":"${key}"`))).toEqual(keys);
+	expect(answers.match(/connection: close/giv)).toHaveLength(1);
+	await fleet.close();
+});
+
+// Guards against: a request that comes behind an answer that closes the connection is passed on, and can't be answered.
+test('a draining host takes no request from a connection whose close it has announced', async () => {
+	const fleet = await startFleet(1, {addressTimeToLive: 60_000});
+	const [host] = fleet.hosts;
+	host?.stop('test');
+	const socket = connect(splitAddress(host?.settings.callerAddress ?? ''));
+	const body = JSON.stringify({
+		model: 'counter-8b', max_tokens: 200, stream: true, messages: [{role: 'user', content: 'long answer #tokens=200'}],
+	});
+	socket.write(['POST /v1/chat/completions HTTP/1.1', 'host: a', `authorization: Bearer ${fleet.key}`, `content-length: ${body.length}`, '', body].join('\r\n'));
+	const [first] = await once(socket, 'data') as [Uint8Array];
+	socket.write(createRawBooking(fleet, 'behind'));
+	const answer = String(first) + await text(socket);
+	expect(answer).toContain('connection: close');
+	expect(answer).toContain('data: [DONE]');
+	expect(answer.match(/HTTP\/1\.1 \d+/gv)).toEqual(['HTTP/1.1 200']);
+	expect(getExecutedKeys(fleet)).toEqual([]);
+	await fleet.close();
+});
