Let an ending process wait for answers that are on their way, also after a suspension

A process that ended while the last answers of connections were on their way reset those on which bytes waited: 0 of 60 answers arrived over a link with a delay of 300 ms, in three trials.

The tests of both failed before.

--- a/packages/forwarder/src/callers/caller-connections.ts
+++ b/packages/forwarder/src/callers/caller-connections.ts
@@ -22,6 +22,8 @@
 	handleError: (error: ConnectionError, socket: Socket) => void;
 	/** Returns the number of connections of which the last answer was written, and that their callers haven't closed. */
 	countClosing: () => number;
+	/** Returns the number of these whose callers may still be receiving the last answer. */
+	countDelivering: () => number;
 };
 
 /** Dependencies of `createCallerConnections`. */
@@ -167,6 +169,7 @@
 		},
 		closesAfter: response => isStopping() && getState(response.req.socket).last?.response === response,
 		countClosing: closing.count,
+		countDelivering: closing.countDelivering,
 		handleError(error, socket) {
 			const state = getState(socket);
 			if (!socket.writable || error.code === 'ECONNRESET') {
--- a/packages/forwarder/src/callers/closing-connections.test.ts
+++ b/packages/forwarder/src/callers/closing-connections.test.ts
@@ -11,7 +11,9 @@
 } from '../test-deployment.js';
 import {listenOnAnyPort} from '../testing.js';
 import {createCallerConnections} from './caller-connections.js';
-import {lingerTime, maxClosingConnections} from './closing-connections.js';
+import {
+	createClosingConnections, deliveryTime, lingerTime, maxClosingConnections,
+} from './closing-connections.js';
 import {createHttpServer} from './http-server.js';
 import {openSlowLink} from './testing-slow-link.js';
 
@@ -224,3 +226,28 @@
 	socket.end();
 	await expect.poll(() => callers.countClosing()).toBe(0);
 });
+
+// Guards against: a process ends while the last answer of a connection is on its way, and the end resets the connection.
+test('a connection counts as delivering for a time after its end', async () => {
+	const {host: {port}} = await startHost(answerOk);
+	const sockets = await openConnections(port, 2);
+	const clock = createManualClock();
+	const closing = createClosingConnections({clock, metrics: createMetrics()});
+	for (const socket of sockets) {
+		closing.end(socket);
+	}
+
+	expect(closing.countDelivering()).toBe(2);
+	await clock.advance(deliveryTime);
+	expect(closing.countDelivering()).toBe(0);
+});
+
+test('a connection that its caller has closed is delivering no more', async () => {
+	const {host: {port}} = await startHost(answerOk);
+	const [socket] = await openConnections(port, 1);
+	const closing = createClosingConnections({clock: createManualClock(), metrics: createMetrics()});
+	closing.end(socket!);
+	expect(closing.countDelivering()).toBe(1);
+	socket!.destroy();
+	await expect.poll(closing.countDelivering).toBe(0);
+});
--- a/packages/forwarder/src/callers/closing-connections.ts
+++ b/packages/forwarder/src/callers/closing-connections.ts
@@ -9,6 +9,8 @@
 	end: (socket: Socket) => void;
 	/** Returns the number of connections that their callers haven't closed. */
 	count: () => number;
+	/** Returns the number of these whose last answers may still be on their way, as they were ended less than `deliveryTime` ago. */
+	countDelivering: () => number;
 };
 
 /** Dependencies of `createClosingConnections`. */
@@ -16,6 +18,8 @@
 
 /** Longest time for which a connection is read after its last answer was written. */
 export const lingerTime: Milliseconds = 2000;
+/** Time after the end of a connection in which its caller may still be receiving its last answer. */
+export const deliveryTime: Milliseconds = 500;
 /** Most connections that are read in this way; beyond it the one that was ended first is closed. Those that were given up over an unfinished head are limited before, with the other unfinished heads. */
 export const maxClosingConnections = 1024;
 
@@ -30,7 +34,8 @@
 
 /** Creates it without connections. */
 export const createClosingConnections = ({clock, metrics}: ClosingConnectionsOptions): ClosingConnections => {
-	const closing = new Set<Socket>();
+	/** Connections, in the order in which they were ended, and when. */
+	const closing = new Map<Socket, Milliseconds>();
 
 	const close = (socket: Socket, reason: 'not-closed' | 'too-many-closing'): void => {
 		metrics.count('connections_given_up_total', {reason});
@@ -38,7 +43,7 @@
 	};
 
 	const closeBeyondLimit = (): void => {
-		const [first] = closing;
+		const [first] = closing.keys();
 		if (first !== undefined && closing.size > maxClosingConnections) {
 			closing.delete(first);
 			close(first, 'too-many-closing');
@@ -54,7 +59,7 @@
 			const cancelTimer = clock.after(lingerTime, () => {
 				close(socket, 'not-closed');
 			});
-			closing.add(socket);
+			closing.set(socket, clock.monotonic());
 			socket.once('close', () => {
 				cancelTimer();
 				closing.delete(socket);
@@ -64,5 +69,6 @@
 			closeBeyondLimit();
 		},
 		count: () => closing.size,
+		countDelivering: () => [...closing.values()].filter(endedAt => clock.monotonic() - endedAt < deliveryTime).length,
 	};
 };
--- a/packages/forwarder/src/callers/serve-callers.ts
+++ b/packages/forwarder/src/callers/serve-callers.ts
@@ -31,7 +31,7 @@
 	handleConnectionError: (error: ConnectionError, socket: Socket) => void;
 	/** Returns the number of requests that are being handled or whose answers aren't written completely, including attempts that go on after the caller disconnected. */
 	countOpenRequests: () => number;
-	/** Returns the number of requests whose answers can still be written, in part or whole; those that wait for their turn are left out. */
+	/** Returns the number of answers that can still be written or are on their way; requests that wait for their turn are left out. */
 	countPendingAnswers: () => number;
 	/** Returns the number of these that wait until the requests before them on their connections are answered. */
 	countReadAhead: () => number;
@@ -258,7 +258,7 @@
 		},
 		handleConnectionError: connections.handleError,
 		countOpenRequests: () => openRequests.count() + turns.countWaiting(),
-		countPendingAnswers: openRequests.countPendingAnswers,
+		countPendingAnswers: () => openRequests.countPendingAnswers() + connections.countDelivering(),
 		countReadAhead: turns.countWaiting,
 		endAdmission() {
 			isAdmitting = false;
--- a/packages/forwarder/src/host/start-host.ts
+++ b/packages/forwarder/src/host/start-host.ts
@@ -33,7 +33,7 @@
 	stop: () => Promise<void>;
 	/** Returns the number of requests that are being handled or whose answers aren't written completely. */
 	countOpenRequests: () => number;
-	/** Returns the number of answers that are still to be written. */
+	/** Returns the number of answers that are still to be written, or may be on their way to their callers. */
 	countPendingAnswers: () => number;
 	/** Refuses new connections of callers from now on, as the process is about to end. */
 	closeListener: () => void;
--- a/packages/forwarder/src/process/stop-process.test.ts
+++ b/packages/forwarder/src/process/stop-process.test.ts
@@ -5,7 +5,7 @@
 
 const gracePeriod = 2000;
 
-const createProcess = (options: Partial<Pick<ProcessEndOptions, 'stop' | 'output'>>) => {
+const createProcess = (options: Partial<Pick<ProcessEndOptions, 'stop' | 'output' | 'kill'>>) => {
 	const clock = createManualClock();
 	const state = {
 		gracePeriod, open: 0, stops: 0, ends: [] as string[],
@@ -108,3 +108,22 @@
 	expect(state.ends[0]).toMatch(/^report at 9[23]\d$/v);
 	expect(state.ends[1]).toMatch(/^kill at 9[789]\d$/v);
 });
+
+// Guards against: a process that was suspended over the end of its grace period kills itself before the timers that have waited answer what is open.
+test('an overdue process handles what has waited before it kills itself', async () => {
+	const ends: string[] = [];
+	const {clock, stop} = createProcess({
+		async stop() {
+			await clock.sleep(500);
+			ends.push('answered');
+			await hang();
+		},
+		kill() {
+			ends.push('killed');
+		},
+	});
+	stop();
+	clock.pause(2 * gracePeriod);
+	await clock.advance(100);
+	expect(ends).toEqual(['answered', 'killed']);
+});
--- a/packages/forwarder/src/process/stop-process.ts
+++ b/packages/forwarder/src/process/stop-process.ts
@@ -23,7 +23,7 @@
 	getGracePeriod: () => Milliseconds;
 	/** Shuts the host down gracefully; from when it resolves on, requests are only refused. */
 	stop: () => Promise<void>;
-	/** Returns the number of answers that are still to be written. */
+	/** Returns the number of answers that are still to be written, or may be on their way to their callers. */
 	countPendingAnswers: () => number;
 	/** Refuses new connections, on which requests would be reset by the end of the process. */
 	closeListener: () => void;
@@ -43,6 +43,8 @@
 const killMargin: Milliseconds = 25;
 /** Time that a process has, before it kills itself, to answer what is open if its grace period is shortened to one that is almost over. */
 const shortenedEndTime: Milliseconds = 250;
+/** Time that a process which was suspended over the end of its grace period has for what has waited: it answers the requests that are open, and refuses those that have arrived. */
+const lastTurn: Milliseconds = 20;
 /** Interval at which it is checked whether the grace period is almost over, and whether answers are still to be written at the exit. */
 const checkInterval: Milliseconds = 10;
 
@@ -100,18 +102,19 @@
 		await exitProcess(status, since, options);
 	};
 
-	/** Writes what a kill would leave without a line. */
-	const reportOverdue = (elapsed: Milliseconds): void => {
-		logger.error('stop-overdue', {after: Math.round(elapsed)});
+	/** Writes what a kill would leave without a line, and kills the process at a time, or once it has handled what has waited while it was suspended. */
+	const endOverdue = async (since: Milliseconds, killAt: Milliseconds): Promise<void> => {
+		logger.error('stop-overdue', {after: Math.round(clock.monotonic() - since)});
 		reportOpenCalls();
 		void output.flush();
+		await clock.sleep(Math.max(lastTurn, killAt - clock.monotonic()));
+		kill();
 	};
 
 	const killWhenOverdue = (since: Milliseconds): void => {
 		let gracePeriod = getGracePeriod();
 		let earliestKill = since;
-		let isReported = false;
-		every(checkInterval, () => {
+		const cancel = every(checkInterval, () => {
 			const now = clock.monotonic();
 			if (getGracePeriod() !== gracePeriod) {
 				gracePeriod = getGracePeriod();
@@ -119,13 +122,9 @@
 			}
 
 			const killAt = Math.max(since + gracePeriod - killMargin, earliestKill);
-			if (!isReported && now >= killAt - outputWait) {
-				isReported = true;
-				reportOverdue(now - since);
-			}
-
-			if (now >= killAt) {
-				kill();
+			if (now >= killAt - outputWait) {
+				cancel();
+				void endOverdue(since, killAt);
 			}
 		});
 	};
