Cut the streams of a test once they can go on, not after a fixed time

Cause: the links were cut 450 and 700 ms after the request. Where the process had no processor time for 300 ms before that, the stream had fewer events than the test expects, or its host wasn't certain yet which software version had begun it, and may not go on with it then.

Change: the links are cut once the caller has three events and the host says by its own interface that it knows the version. The streams have 20 events, for time enough; asserted are the whole stream, two requests at the upstreams, and that the second begins no earlier than where the caller was at the cut.

--- a/packages/forwarder/src/links/forwarded-call.test.ts
+++ b/packages/forwarder/src/links/forwarded-call.test.ts
@@ -1,5 +1,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {request as openRequest} from 'node:http';
+import {streamOriginPath} from '@gentianlift/discovery';
 import {buildConfiguration, buildRoute} from '@gentianlift/routing/testing';
 import {splitAddress} from '@gentianlift/types';
 import {expect, onTestFinished, test} from 'vitest';
@@ -140,35 +141,54 @@
 	expect(performance.now() - startedAt).toBeLessThan(1000);
 });
 
+/** Number of events of the streams that are cut, 100 ms apart, and of those that their caller has before. */
+const streamLength = 20;
+const eventsBeforeCut = 3;
+const wholeStream = Array.from({length: streamLength}, (_, index) => `id: ${index + 1}\ndata: x\n\n`).join('');
+
+/** Sends a request for a stream to a host; resolves once the stream may be cut, as its caller has some events and the host knows which version began it, with its whole answer to be awaited. */
+const startStream = async ({callers, peers}: LinkedHost): Promise<{answer: Promise<TestAnswer>; countEvents: () => number}> => {
+	let events = 0;
+	const answer = sendRequest(callers, {
+		path: '/stream/1',
+		headers: {attempt: 'running'},
+		onText(text) {
+			events = text.split('\n\n').length - 1;
+		},
+	});
+	await expect.poll(() => events).toBeGreaterThanOrEqual(eventsBeforeCut);
+	await expect.poll(async () => {
+		const {status} = await sendRequest(peers, {path: `${streamOriginPath}?request=running&service=s&maxAge=0`, method: 'GET'});
+		return status;
+	}).toBe(200);
+	return {answer, countEvents: () => events};
+};
+
 // Guards against: a stream that runs when the links are cut ends without its last events, or has some twice.
 test('a stream that runs when the links are cut goes on over another host', async () => {
 	const resumedAfter: Array<string | string[] | undefined> = [];
 	const stream: AnswerHandler = (request, response) => {
 		resumedAfter.push(request.headers['last-event']);
-		createStream(12, 100)(request, response);
+		createStream(streamLength, 100)(request, response);
 	};
 
 	const fleet = await start([stream, stream]);
-	const answer = sendRequest(fleet.hosts[cutHost]!.callers, {path: '/stream/1', headers: {attempt: 'running'}});
-	await sleep(450);
+	const {answer, countEvents} = await startStream(fleet.hosts[cutHost]!);
+	const received = countEvents();
 	fleet.setLinks([cutHost], 'reset');
-	const {status, body, isComplete} = await answer;
-	expect({status, isComplete}).toEqual({status: 200, isComplete: true});
-	expect(body).toBe(Array.from({length: 12}, (_, index) => `id: ${index + 1}\ndata: x\n\n`).join(''));
-	expect(resumedAfter).toEqual([undefined, expect.stringMatching(/^[3-5]$/v)]);
+	expect(await answer).toMatchObject({status: 200, isComplete: true, body: wholeStream});
+	expect(resumedAfter).toEqual([undefined, expect.stringMatching(/^\d+$/v)]);
+	expect(Number(resumedAfter[1])).toBeGreaterThanOrEqual(received);
 	await waitForLine(fleet.hosts[otherHost]!, 'from=h0');
 });
 
 // Guards against: a stream that another host cuts ends there, although its caller's host could go on.
 test('a stream that began over one host goes on over another', async () => {
-	const fleet = await startCut([createStream(15, 100), createStream(15, 100)], 3);
-	const answer = sendRequest(fleet.hosts[cutHost]!.callers, {path: '/stream/1', headers: {attempt: 'running'}});
-	await sleep(700);
+	const fleet = await startCut([createStream(streamLength, 100), createStream(streamLength, 100)], 3);
+	const {answer} = await startStream(fleet.hosts[cutHost]!);
 	const serving = [1, 2].find(index => fleet.hosts[cutHost]!.logLines.some(line => line.includes(`event=call-forwarded request=running host=h${index}`)))!;
 	fleet.setLinks([serving], 'reset');
-	const {status, body, isComplete} = await answer;
-	expect({status, isComplete}).toEqual({status: 200, isComplete: true});
-	expect(body).toBe(Array.from({length: 15}, (_, index) => `id: ${index + 1}\ndata: x\n\n`).join(''));
+	expect(await answer).toMatchObject({status: 200, isComplete: true, body: wholeStream});
 });
 
 // Guards against: the last host that reaches the upstreams takes no calls of others from the signal to stop on, although it serves for seconds (soak seed 9230).
--- a/packages/forwarder/src/testing.ts
+++ b/packages/forwarder/src/testing.ts
@@ -219,9 +219,9 @@
 	};
 };
 
-/** Sends a request to an address, or a port of 127.0.0.1, as a caller; resolves with its answer, which may be incomplete. */
-export const sendRequest = async (target: number | Address, {path, method = 'POST', headers = {}, body = ''}: {
-	path: string; method?: string; headers?: Record<string, string>; body?: string;
+/** Sends a request to an address, or a port of 127.0.0.1, as a caller; resolves with its answer, which may be incomplete. `onText` is called with the body so far. */
+export const sendRequest = async (target: number | Address, {path, method = 'POST', headers = {}, body = '', onText}: {
+	path: string; method?: string; headers?: Record<string, string>; body?: string; onText?: (text: string) => void;
 }): Promise<TestAnswer> => new Promise((resolve, reject) => {
 	const outgoing = request({
 		...(typeof target === 'number' ? {host: '127.0.0.1', port: target} : splitAddress(target)), path, method, headers, agent: false,
@@ -230,6 +230,7 @@
 		message.setEncoding('utf8');
 		message.on('data', (chunk: string) => {
 			text += chunk;
+			onText?.(text);
 		});
 		message.on('error', () => undefined);
 		message.on('close', () => {
