Refuse a CONNECT without ending its connection over the requests before it

Node destroys a connection at a CONNECT for which there is no listener. Now it is handled as other bytes that are no request: the requests before it keep their answers, and alone it gets 400.

--- a/packages/forwarder/src/callers/caller-connections.ts
+++ b/packages/forwarder/src/callers/caller-connections.ts
@@ -20,6 +20,8 @@
 	closesAfter: (response: ServerResponse) => boolean;
 	/** Handles an error of a connection (`clientError` of the server). */
 	handleError: (error: ConnectionError, socket: Socket) => void;
+	/** Handles a CONNECT request, which this server doesn't take, as other bytes that are no request. */
+	refuseConnect: (socket: Socket) => void;
 	/** Returns the number of connections of which the last answer was written, and that their callers haven't closed. */
 	countClosing: () => number;
 	/** Returns the number of these whose callers may still be receiving the last answer. */
@@ -168,6 +170,12 @@
 			endAfterAnswers(socket, state);
 		},
 		closesAfter: response => isStopping() && getState(response.req.socket).last?.response === response,
+		refuseConnect(socket) {
+			const state = getState(socket);
+			if (!state.isGivenUp) {
+				giveUp(socket, state, 'CONNECT');
+			}
+		},
 		countClosing: closing.count,
 		countDelivering: closing.countDelivering,
 		handleError(error, socket) {
--- a/packages/forwarder/src/callers/late-request.test.ts
+++ b/packages/forwarder/src/callers/late-request.test.ts
@@ -123,3 +123,25 @@
 	expect(getStatuses(received.text)).toEqual([400]);
 	expect(ran).toEqual([]);
 });
+
+// Guards against: a CONNECT behind a booking ends the connection over it, and the booking runs without an answer.
+test('a request is answered although a CONNECT follows it on its connection', async () => {
+	const {host, ran} = await startHost((request, response) => {
+		setTimeout(() => {
+			answerOk(request, response);
+		}, headerTimeout);
+	});
+	const {socket, received} = await openConnection(host.port);
+	socket.write(`${head}bodyCONNECT a:1 HTTP/1.1\r\nHost: a:1\r\n\r\n`);
+	await expect.poll(() => received.isClosed).toBe(true);
+	expect(received.text).toMatch(/^HTTP\/1\.1 200 /v);
+	expect(ran).toEqual(['/book/1']);
+});
+
+test('a CONNECT alone is refused', async () => {
+	const {host} = await startHost();
+	const {socket, received} = await openConnection(host.port);
+	socket.write('CONNECT a:1 HTTP/1.1\r\nHost: a:1\r\n\r\n');
+	await expect.poll(() => received.isClosed).toBe(true);
+	expect(received.text).toMatch(/^HTTP\/1\.1 400 Bad Request\r\nConnection: close/v);
+});
--- a/packages/forwarder/src/callers/serve-callers.ts
+++ b/packages/forwarder/src/callers/serve-callers.ts
@@ -237,6 +237,10 @@
 	});
 	// Before Node's own listener, which goes by them.
 	server.prependListener('connection', applyConfiguredLimits);
+	// Without a listener, Node destroys the connection over the requests before this one.
+	server.on('connect', (_, socket) => {
+		connections.refuseConnect(socket as Socket);
+	});
 	server.on('clientError', (error: ConnectionError, socket) => {
 		connections.handleError(error, socket as Socket);
 	});
