Watch each connection once for the requests that wait on it

A stopping host with more than ten requests that wait on one connection made Node warn on standard error, outside its log: each answer added a listener to the connection. Now a connection has one. The test failed before, with MaxListenersExceededWarning.

--- a/packages/forwarder/src/callers/open-requests.ts
+++ b/packages/forwarder/src/callers/open-requests.ts
@@ -1,3 +1,4 @@
+import type {Socket} from 'node:net';
 import {cutResponse} from '@gentianlift/errors';
 import type {ReceivedRequest} from './received-request.js';
 
@@ -26,10 +27,32 @@
 export const createOpenRequests = (): OpenRequests => {
 	const requests = new Set<ReceivedRequest>();
 	const whole = new Set<ReceivedRequest>();
+	/** Requests that are removed with their connections, if not before. */
+	const byConnection = new Map<Socket, Set<ReceivedRequest>>();
 
 	const remove = (received: ReceivedRequest): void => {
 		requests.delete(received);
 		whole.delete(received);
+		byConnection.get(received.request.socket)?.delete(received);
+	};
+
+	/** Removes a request when its connection closes: a response that waits for those before it isn't closed with that. */
+	const removeWithConnection = (received: ReceivedRequest): void => {
+		const {socket} = received.request;
+		const watched = byConnection.get(socket);
+		if (watched !== undefined) {
+			watched.add(received);
+			return;
+		}
+
+		byConnection.set(socket, new Set([received]));
+		socket.once('close', () => {
+			for (const other of byConnection.get(socket) ?? []) {
+				remove(other);
+			}
+
+			byConnection.delete(socket);
+		});
 	};
 
 	return {
@@ -45,16 +68,10 @@
 				return;
 			}
 
-			const {request: {socket}, response} = received;
-			const onClose = (): void => {
-				response.off('close', onClose);
-				socket.off('close', onClose);
+			received.response.once('close', () => {
 				remove(received);
-			};
-
-			response.once('close', onClose);
-			// A response that waits for those before it on its connection isn't closed with that.
-			socket.once('close', onClose);
+			});
+			removeWithConnection(received);
 		},
 		count: () => requests.size,
 		countWhole: () => whole.size,
--- a/packages/forwarder/src/host/requests-sent-ahead.test.ts
+++ b/packages/forwarder/src/host/requests-sent-ahead.test.ts
@@ -1,10 +1,11 @@
 import {once} from 'node:events';
+import process from 'node:process';
 import {connect, type Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {splitAddress, type Milliseconds} from '@gentianlift/types';
 import {expect, onTestFinished, test} from 'vitest';
 import {startLinkedFleet, type LinkedHost} from '../links/testing-partition.js';
-import {answerOk, configuration} from '../test-deployment.js';
+import {answerOk, configuration, type AnswerHandler} from '../test-deployment.js';
 
 const shortGracePeriod: Milliseconds = 1000;
 /** Grace period of which the part in which all requests are accepted is long enough for a request. */
@@ -13,9 +14,14 @@
 /** Time in which a request that is passed on reaches its upstream. */
 const settleTime: Milliseconds = 300;
 
-const startStoppableHost = async (gracePeriod: Milliseconds): Promise<{host: LinkedHost; counts: number[]}> => {
+/** Never answers. */
+const hang: AnswerHandler = incoming => {
+	incoming.resume();
+};
+
+const startStoppableHost = async (gracePeriod: Milliseconds, answer = answerOk): Promise<{host: LinkedHost; counts: number[]}> => {
 	const {hosts: [host], counts} = await startLinkedFleet({
-		hosts: 1, upstreams: [answerOk], configuration, gracePeriod, onFinished: onTestFinished,
+		hosts: 1, upstreams: [answer], configuration, gracePeriod, onFinished: onTestFinished,
 	});
 	return {host: host!, counts};
 };
@@ -62,3 +68,26 @@
 	expect(received.text).toMatch(/^HTTP\/1\.1 503/v);
 	expect(host.host.countOpenRequests()).toBe(0);
 });
+
+// Guards against: each request that waits on a connection adds a listener to it, of which the process warns outside its log.
+test('a stopping host answers many requests that wait on one connection without a warning', async () => {
+	const warnings: string[] = [];
+	const listener = ({name}: Error): void => {
+		warnings.push(name);
+	};
+
+	process.on('warning', listener);
+	onTestFinished(() => {
+		process.off('warning', listener);
+	});
+	const {host} = await startStoppableHost(shortGracePeriod, hang);
+	const {socket, received} = await openConnection(host);
+	const closed = once(socket, 'close');
+	socket.write(Array.from({length: 16}, (_, index) => getBooking(`a${index}`)).join(''));
+	await sleep(settleTime);
+	await host.host.stop();
+	await closed;
+	expect(received.text.split('HTTP/1.1 ')).toHaveLength(17);
+	expect(host.host.countOpenRequests()).toBe(0);
+	expect(warnings).toEqual([]);
+});
