Give the answers of a stop time to be written, however long they took

The time in which answers are written before they are cut began before the answers were made. Sixty of them took longer than that time, and all that waited for the first one of their connection were cut in the same step. Now it begins after them.

--- a/packages/forwarder/src/host/stop-host.test.ts
+++ b/packages/forwarder/src/host/stop-host.test.ts
@@ -91,6 +91,23 @@
 	expect(state.isStopped).toBe(true);
 });
 
+// Guards against: a busy host needs so long to answer many requests that it cuts these answers before they are written.
+test('a stop leaves answers time to be written, however long they took', async () => {
+	const {clock, state} = beginStop({
+		answerRequests() {
+			clock.pause(400);
+		},
+	});
+	await clock.advance(7500);
+	expect(state.calls.at(-1)).not.toMatch(/^cut/v);
+	await clock.advance(50);
+	expect(state.calls.at(-1)).not.toMatch(/^cut/v);
+	state.open = 0;
+	await clock.advance(100);
+	expect(state.calls.at(-1)).toMatch(/^cut/v);
+	expect(state.isStopped).toBe(true);
+});
+
 // Guards against: an error in one step of a stop prevents the steps after it and the exit.
 test('a stop ends although its announcement and its answers fail', async () => {
 	const {clock, state} = beginStop({
--- a/packages/forwarder/src/host/stop-host.ts
+++ b/packages/forwarder/src/host/stop-host.ts
@@ -98,10 +98,11 @@
 	const announcement = runStep('announce', announce);
 	await waitForRequests(getTimeToServe, maxAddressUse);
 	endAdmission();
-	const refusedUntil = getElapsed() + refusalPeriod;
 	const unanswered = countOpenRequests();
 	report('ending', {});
 	await runStep('answer', answerRequests);
+	// After the answers, as those of many requests take a while, and each has to be written before it may be cut.
+	const refusedUntil = getElapsed() + refusalPeriod;
 	await Promise.all([
 		waitForRequests(() => Math.max(getTimeToServe() + answerMargin, refusedUntil), refusedUntil),
 		Promise.race([endMembership(), clock.sleep(refusalPeriod)]),
