Take no answer whose head isn't HTTP

Callers saw: an answer of an engine whose head had a byte 10 or 13 before a name as a success, with the mark of the engine and the rest of its head as the body ("X-A: odd\r\n\r\n{}", or the first bytes of that up to the length). A blank in or behind a name, or a line without a name, ended the call with 500 `internal`: a safe call got no second attempt, a stream was not gone on with.

Cause: Node's parser (llhttp 8.1.2 in Node 20.19.0, in its strict mode) takes a blank for a part of a name, an empty name for one, and a lone byte 10, or byte 13 with whatever follows it, at the start of a line for the end of the head. Nothing looked at the bytes itself; a name with a blank was noticed only when Node refused to write it.

Change: `http/checkAnswer` reads the bytes of an answer's head before the parser gets them and matches them with the grammar of RFC 9112; what the parser reports as a head while that has none is `head-malformed`. The outcome is that of a lost answer: unknown for a booking, whatever the head states, another attempt for what may run twice. Statements of such a head (limits, leaving, rest, not run) aren't believed.

Why it works: both read the same bytes, so that the parser can't report a head of which the reader hasn't seen the end by the grammar.

--- a/packages/forwarder/src/send/classify-answer.ts
+++ b/packages/forwarder/src/send/classify-answer.ts
@@ -1,3 +1,4 @@
+import type {HeadFault} from '@gentianlift/http';
 import type {AnswerHead} from '../protocol.js';
 import type {Incoming} from './incoming.js';
 import type {SendOutcome} from './send.js';
@@ -10,11 +11,15 @@
 export const isMismatched = (head: AnswerHead, callerRequestId: string | undefined): boolean =>
 	head.callerRequestId !== undefined && callerRequestId !== undefined && head.callerRequestId !== callerRequestId;
 
-/** What speaks against an answer as that of a request: its caller's id, and whether earlier answers on the connection named theirs. */
-type AnswerContext = {callerRequestId: string | undefined; hasNamedRequests: boolean};
+/** What speaks against an answer as that of a request: what is wrong with its head, its caller's id, and whether earlier answers on the connection named theirs. */
+type AnswerContext = {fault: HeadFault | undefined; callerRequestId: string | undefined; hasNamedRequests: boolean};
 
 /** Returns why an answer isn't taken for that of a request; undefined if it is. */
-const getDoubt = (head: AnswerHead, {callerRequestId, hasNamedRequests}: AnswerContext): string | undefined => {
+const getDoubt = (head: AnswerHead, {fault, callerRequestId, hasNamedRequests}: AnswerContext): string | undefined => {
+	if (fault !== undefined) {
+		return fault;
+	}
+
 	if (isMismatched(head, callerRequestId)) {
 		return 'answer-of-another-request';
 	}
@@ -23,7 +28,7 @@
 };
 
 /**
- * Classifies an answer by its head; closes the connection of one that isn't taken for that of the request, of one
+ * Classifies an answer by its head; closes the connection of one that is malformed or isn't taken for that of the request, of one
  * with an invalid status, of a success without the mark of an upstream, and of a rejection: written once more, it would look like that of the next request.
  */
 export const classifyAnswer = (answer: Incoming, head: AnswerHead, context: AnswerContext): SendOutcome => {
--- a/packages/forwarder/src/send/send.ts
+++ b/packages/forwarder/src/send/send.ts
@@ -1,6 +1,7 @@
 import {request, type ClientRequest} from 'node:http';
 import type {Socket} from 'node:net';
 import {startTimeLimit, type Cancel, type Clock} from '@gentianlift/clock';
+import {checkAnswer} from '@gentianlift/http';
 import {splitAddress, type Address, type Milliseconds} from '@gentianlift/types';
 import type {AnswerHead, Protocol, RawHeaders} from '../protocol.js';
 import {maxEntryDelay} from '../queue/restart-doubt.js';
@@ -60,7 +61,7 @@
 	cancel: () => void;
 };
 
-/** Dependencies of `send`, and listeners: one is called when a connection is established and the request is sent on it, with a function that returns for how long the process at its other end has run at least, the other with the head of an answer to the request, also of one that isn't accepted. */
+/** Dependencies of `send`, and listeners: one is called when a connection is established and the request is sent on it, with a function that returns for how long the process at its other end has run at least, the other with the head of an answer to the request, also of one that isn't accepted for another reason than its syntax. */
 export type SendOptions = {agent: UpstreamAgent; protocol: Protocol; clock: Clock; onSent?: (getProcessAge: () => Milliseconds) => void; onHead?: (head: AnswerHead) => void};
 
 /** Longest time to establish a connection within a region. */
@@ -126,6 +127,7 @@
 		return {outcome: Promise.resolve({kind: 'unreachable', reason: clientRequest}), cancel: () => undefined};
 	}
 
+	const check = checkAnswer(clientRequest);
 	const {promise: outcome, resolve} = createDeferred<SendOutcome>();
 	let phase: SendPhase = 'waiting';
 	let hasFailed = false;
@@ -226,7 +228,8 @@
 		const {socket} = message;
 		const answer = {message, hasFailed: () => hasFailed || agent.wasReset(socket)};
 		const head = protocol.readAnswerHead(message.statusCode ?? 0, message.rawHeaders);
-		if (!isMismatched(head, callerRequestId)) {
+		const fault = check.getHeadFault();
+		if (fault === undefined && !isMismatched(head, callerRequestId)) {
 			onHead?.(head);
 		}
 
@@ -235,7 +238,7 @@
 			agent.recordNamedRequest(socket);
 		}
 
-		finish(classifyAnswer(answer, head, {callerRequestId, hasNamedRequests}));
+		finish(classifyAnswer(answer, head, {fault, callerRequestId, hasNamedRequests}));
 	});
 	clientRequest.on('error', error => {
 		hasFailed = true;
--- /dev/null
+++ b/packages/http/src/check-answer.ts
@@ -0,0 +1,40 @@
+import type {ClientRequest} from 'node:http';
+import type {Socket} from 'node:net';
+import {createHeadReader, type HeadProgress} from './head-reader.js';
+
+/** Why an answer whose head has come is none: `head-malformed` if a part of the head isn't HTTP. */
+export type HeadFault = 'head-malformed';
+
+/** What Node's parser, which is more lenient, doesn't tell of the answer to a request. */
+export type AnswerCheck = {
+	/** Returns why the answer whose head has just come is none; undefined if it is one. */
+	getHeadFault: () => HeadFault | undefined;
+};
+
+/**
+Checks the answer to a request as its bytes arrive. Call it before the request has a connection.
+
+Node's parser takes a name with a blank for that of a field, and a byte 10 or 13 at the start of a line for the end of the head, so that the rest of it passes for a body.
+*/
+export const checkAnswer = (request: ClientRequest): AnswerCheck => {
+	const reader = createHeadReader();
+	let progress: HeadProgress = {kind: 'open'};
+
+	request.once('socket', (socket: Socket) => {
+		const read = (chunk: Uint8Array): void => {
+			progress = reader.read(chunk);
+			if (progress.kind !== 'open') {
+				socket.off('data', read);
+			}
+		};
+
+		// The bytes are read before Node's parser gets them, so that a head is known when the parser reports it.
+		socket.prependListener('data', read);
+		request.once('close', () => {
+			socket.off('data', read);
+		});
+	});
+	return {
+		getHeadFault: () => progress.kind === 'ended' ? undefined : 'head-malformed',
+	};
+};
--- /dev/null
+++ b/packages/http/src/index.ts
@@ -0,0 +1,1 @@
+export {checkAnswer, type AnswerCheck, type HeadFault} from './check-answer.js';
