Take no response of a service or an engine whose head isn't HTTP

Callers of the router without the platform saw: a booking answered with 200, `x-ran: ran` and the rest of its service's head as the body ("X-A: odd\r\n\r\n{}") when a byte 10 or 13 stood before a name; for an answer without length or chunks a repeat with the key got that body again as `x-replayed`. A blank in a name, or no name, gave 500 `internal` from Node's check of names. Engines' orders, cancellations, exports, load reports, cache events and health checks counted as answered.

Change: an exchange whose response has a malformed head fails as a reset, `head-malformed`, whatever the head states.

Why it works: all calls to upstreams go through `exchange`, and what a lost answer means for each of them was decided before.

--- /dev/null
+++ b/packages/router/src/broken-answers.test.ts
@@ -0,0 +1,59 @@
+import {
+	answerText, buildOddAnswers, malformedLines, type OddAnswer, type RawHandler,
+} from '@gentianlift/http/testing';
+import {expect, onTestFinished, test} from 'vitest';
+import {startRawBookings, type RawBookings} from './testing/raw-bookings.js';
+
+const start = async (handle: RawHandler): Promise<RawBookings> => {
+	const bookings = await startRawBookings(handle);
+	onTestFinished(bookings.close);
+	return bookings;
+};
+
+/** Starts services that answer each booking under a key, and each safe call, with the current answer. */
+const startAnswering = async () => {
+	let answer: Pick<OddAnswer, 'text' | 'endsWithConnection'> = {text: '', endsWithConnection: false};
+	const bookings = await start(socket => {
+		answerText(answer)(socket);
+	});
+	return {
+		bookings,
+		setAnswer(next: Pick<OddAnswer, 'text' | 'endsWithConnection'>) {
+			answer = next;
+		},
+	};
+};
+
+/** Sends a booking, and another with its key; returns what speaks against an unknown outcome of which nothing is kept. */
+const findKept = async ({book, getBookings}: RawBookings, key: string): Promise<string[]> => {
+	const before = getBookings().length;
+	const first = await book(key);
+	const second = await book(key);
+	return [
+		...(first.status === '502' && first.fields.includes('x-ran: unknown') ? [] : [`first: ${first.fields}`]),
+		...(second.status === '502' && second.fields.includes('x-error-kind: outcome-unknown') ? [] : [`second: ${second.fields}`]),
+		...(getBookings().length === before + 1 ? [] : ['sent again']),
+		...((first.fields + first.body + second.fields + second.body).includes('odd') ? ['passed on'] : []),
+	];
+};
+
+const oddAnswers = Object.entries(malformedLines).flatMap(([name, line]) => buildOddAnswers(name, line, 'Content-Type: application/json\r\n'));
+
+// Guards against: a line of a service's head that is no field, or the rest of the head as a body, reaches the caller of a booking and is kept as its result (issue 56).
+test('a malformed head leaves the outcome of a booking unknown, and a sound one is kept', async () => {
+	const {bookings, setAnswer} = await startAnswering();
+	for (const [index, odd] of oddAnswers.entries()) {
+		setAnswer(odd);
+		// eslint-disable-next-line no-await-in-loop -- One booking after the other.
+		expect([odd.name, await findKept(bookings, `odd-${index}`)]).toEqual([odd.name, []]);
+	}
+
+	for (const [index, sound] of buildOddAnswers('a sound line', 'X-A: sound', '').entries()) {
+		setAnswer(sound);
+		// eslint-disable-next-line no-await-in-loop -- One booking after the other.
+		const first = await bookings.book(`sound-${index}`);
+		// eslint-disable-next-line no-await-in-loop -- As above.
+		const second = await bookings.book(`sound-${index}`);
+		expect([first.status, first.fields.includes('x-a: sound'), second.status, second.fields.includes('x-replayed: true'), second.body]).toEqual(['200', true, '200', true, '{}']);
+	}
+});
--- a/packages/router/src/testing/start-fleet.ts
+++ b/packages/router/src/testing/start-fleet.ts
@@ -3,7 +3,7 @@
 import {
 	countPorts, findPorts, getFleetSettings, getTrialConfiguration, publishConfiguration, readExample, startFakes, type Fakes, type SettingsDocument,
 } from '@gentianlift/trial';
-import type {Configuration, Settings} from '@gentianlift/types';
+import type {Address, Configuration, Settings} from '@gentianlift/types';
 import {startHost, type RunningHost} from '../host/start-host.js';
 
 /** Host that runs in the process of the test. */
@@ -51,11 +51,13 @@
 	return {...host, settings, ended};
 };
 
-/** Starts the fakes of the Kopi example, and creates the settings of `count` hosts; the `extra` settings apply to each of them. */
-export const startPlatform = async (count: number, extra: Partial<Settings> = {}): Promise<TestPlatform> => {
+/** Starts the fakes of the Kopi example, and creates the settings of `count` hosts; the `extra` settings apply to each of them. Services at `serviceAddresses` take the place of the first fake ones. */
+export const startPlatform = async (count: number, extra: Partial<Settings> = {}, serviceAddresses: readonly Address[] = []): Promise<TestPlatform> => {
 	const {configuration: example, keys} = await readExample('kopi');
 	const fakes = await startFakes(example.inventory, {stepTime: 5, meanTokens: 20, eventLossProbability: 0});
-	const configuration = getTrialConfiguration(example, fakes.addresses);
+	const services = [...fakes.services.keys()];
+	const replaced = serviceAddresses.map((address, index) => [services[index]!, address] as const);
+	const configuration = getTrialConfiguration(example, new Map([...fakes.addresses, ...replaced]));
 	publishConfiguration(fakes.keyValue, configuration, createSystemClock().now());
 	const settings = getFleetSettings({
 		zones: ['attica-a', 'attica-b', 'attica-c'],
@@ -73,9 +75,9 @@
 	};
 };
 
-/** Starts the Kopi example with `count` hosts; the `extra` settings apply to each of them. */
-export const startFleet = async (count: number, extra: Partial<Settings> = {}): Promise<TestFleet> => {
-	const platform = await startPlatform(count, extra);
+/** Starts the Kopi example with `count` hosts; the `extra` settings apply to each of them. Services at `serviceAddresses` take the place of the first fake ones. */
+export const startFleet = async (count: number, extra: Partial<Settings> = {}, serviceAddresses: readonly Address[] = []): Promise<TestFleet> => {
+	const platform = await startPlatform(count, extra, serviceAddresses);
 	const hosts = await Promise.all(platform.settings.map(async document => start(parse(document))));
 	return {
 		...platform,
--- a/packages/upstream/src/wire/exchange.ts
+++ b/packages/upstream/src/wire/exchange.ts
@@ -4,6 +4,7 @@
 } from 'node:http';
 import type {Socket} from 'node:net';
 import type {Clock} from '@gentianlift/clock';
+import {checkAnswer} from '@gentianlift/http';
 import {splitAddress, type Address, type Milliseconds} from '@gentianlift/types';
 import type {ConnectionPool} from './connection-pool.js';
 import {createSilenceTimer, type SilenceTimer} from './silence-timer.js';
@@ -20,7 +21,7 @@
 };
 
 /**
-Why an exchange failed. After `unsent` and `unreachable` the request is known not to have executed; after `reset` and `silent` it may have.
+Why an exchange failed. After `unsent` and `unreachable` the request is known not to have executed; after `reset` and `silent` it may have. A response that isn't HTTP counts as a reset.
 `unsent` means that no connection of this host's pool was free, which says nothing about the upstream.
 */
 export type ExchangeFailure
@@ -128,6 +129,7 @@
 	let phase: ExchangePhase = 'waiting';
 	let failure: ExchangeFailure | undefined;
 	const request = openRequest(context, options);
+	const check = checkAnswer(request);
 	const fail = (newFailure: ExchangeFailure): void => {
 		failure ??= newFailure;
 		request.destroy();
@@ -173,6 +175,12 @@
 		silenceTimer.recordActivity();
 		// The body's reader learns of a lost connection from the end of the stream; an error event without a listener would end the process.
 		message.on('error', ignoreError);
+		const fault = check.getHeadFault();
+		if (fault !== undefined) {
+			fail({kind: 'reset', reason: fault});
+			return;
+		}
+
 		resolve({
 			kind: 'answered', message, silenceTimer, release, abort: fail, getFailure: () => failure,
 		});
