Take no reply of the store or of another host whose head isn't HTTP

What was seen: a write whose reply had a blank or a byte 10 or 13 in the name of a field counted as applied, rejected or without effect, by the status of that reply.

Change: the client checks the head and abandons a call whose reply is none: `unknown`, `head-malformed`, as for a reply that was lost.

Why it works: all calls of these clients go through one function, and `unknown` is what its callers already read back or wait out.

--- a/packages/platform/src/json-client.ts
+++ b/packages/platform/src/json-client.ts
@@ -3,6 +3,7 @@
 	Agent, request, type ClientRequest, type IncomingHttpHeaders, type IncomingMessage,
 } from 'node:http';
 import {startTimeLimit, type Cancel, type Clock} from '@gentianlift/clock';
+import {checkAnswer} from '@gentianlift/http';
 import type {Metrics} from '@gentianlift/metrics';
 import type {Milliseconds} from '@gentianlift/types';
 import {readReply} from './read-reply.js';
@@ -20,7 +21,7 @@
 	timeoutExtension?: Milliseconds;
 };
 
-/** Outcome of a call: `unavailable` if no byte of the request was sent, `unknown` if the service may have executed it; `isOversized` says that its reply was larger than one may be. */
+/** Outcome of a call: `unavailable` if no byte of the request was sent, `unknown` if the service may have executed it, also if its reply isn't HTTP; `isOversized` says that its reply was larger than one may be. */
 export type JsonOutcome
 	= | {kind: 'answered'; status: number; headers: IncomingHttpHeaders; body: unknown; size: ReplySize}
 		| {kind: 'unavailable'; reason: string}
@@ -95,6 +96,15 @@
 	outgoing.on('error', reject);
 });
 
+/** Abandons a request whose reply is none, and throws why. */
+const refuseFault = (fault: string | undefined, abandon: (error: Error) => void): void => {
+	if (fault !== undefined) {
+		const error = new Error(fault);
+		abandon(error);
+		throw error;
+	}
+};
+
 /** A timeout of a request: a promise that rejects when it has passed, and a function that ends it before. */
 type Timeout = {expired: Promise<never>; cancel: Cancel};
 
@@ -176,6 +186,7 @@
 		const writeProgress: WriteProgress = {isWritten: false};
 		const outgoing = startRequest(call);
 		trackRequestWritten(outgoing, writeProgress);
+		const check = checkAnswer(outgoing);
 		const abandon = (error: Error): void => {
 			abandonRequest(outgoing, error);
 		};
@@ -186,6 +197,7 @@
 		try {
 			const message = await Promise.race([waitForReply(outgoing), forHead.expired]);
 			forHead.cancel();
+			refuseFault(check.getHeadFault(), abandon);
 			forBody = startTimeout(abandon, {clock, timeout: Math.max(endsAt - clock.monotonic(), bodyTimeout), signal});
 			const reply = await Promise.race([readReply(message), forBody.expired]);
 			return {
