Tell operators of a host's answer that isn't HTTP

What operators saw: an answer with a blank or a byte 10 or 13 in the name of a field passed for the host's, and one that Node's parser refuses for a host that can't be reached, though it may have carried out the command.

Change: the client checks the head; what isn't HTTP is `unreadable`, and the message says that the command may have been carried out. A failed call to any host is described in one place.

Why it works: there is one function that reads hosts' answers.

--- /dev/null
+++ b/packages/cli/src/broken-answers.test.ts
@@ -0,0 +1,27 @@
+import {
+	answerText, buildOddAnswers, malformedLines, startRawServer, type RawHandler,
+} from '@gentianlift/http/testing';
+import {expect, onTestFinished, test} from 'vitest';
+import {callOperator, type OperatorOutcome} from './operator-client.js';
+
+const call = async (handle: RawHandler, body?: unknown): Promise<OperatorOutcome> => {
+	const server = await startRawServer(handle);
+	onTestFinished(server.close);
+	return callOperator({host: 'h', address: server.address}, {method: 'POST', path: '/operator/drain', body});
+};
+
+const oddAnswers = Object.entries(malformedLines).flatMap(([name, line]) => buildOddAnswers(name, line, 'Content-Type: application/json\r\n'));
+
+// Guards against: an operator is told that a command was carried out by an answer that isn't one (issue 56).
+test('an answer whose head has a line that is no field is none, and a sound one is read', async () => {
+	for (const odd of oddAnswers) {
+		// eslint-disable-next-line no-await-in-loop -- One host at a time.
+		const {kind} = await call(answerText(odd));
+		expect([odd.name, kind]).toEqual([odd.name, 'unreadable']);
+	}
+
+	for (const sound of buildOddAnswers('a sound line', 'X-A: sound', '')) {
+		// eslint-disable-next-line no-await-in-loop -- One host at a time.
+		expect([sound.name, await call(answerText(sound))]).toEqual([sound.name, {kind: 'answered', status: 200, body: {}}]);
+	}
+});
--- a/packages/cli/src/call-host.ts
+++ b/packages/cli/src/call-host.ts
@@ -20,17 +20,28 @@
 const createRefusal = ({host}: OperatorEndpoint, status: number, body: unknown): Result =>
 	createFailure(exitCodes.failed, `${host} answered ${status}: ${getErrorMessage(body)}`, {host, status});
 
-/** Calls one host. */
-export const callHost = async (session: Session, endpoint: OperatorEndpoint, call: OperatorCall): Promise<HostAnswer> => {
-	const outcome = await session.call(endpoint, call);
-	if (outcome.kind === 'unreachable') {
-		return {kind: 'failed', result: createFailure(exitCodes.unavailable, `${endpoint.host} can't be reached: ${outcome.reason}`)};
-	}
+/** Returns the answer of a host, or the result of the command if there is none. */
+const readOutcome = (endpoint: OperatorEndpoint, outcome: OperatorOutcome): HostAnswer => {
+	switch (outcome.kind) {
+		case 'answered': {
+			const {status, body} = outcome;
+			return status === okStatus ? {kind: 'answered', endpoint, body} : {kind: 'failed', result: createRefusal(endpoint, status, body)};
+		}
+
+		case 'unreadable': {
+			return {kind: 'failed', result: createFailure(exitCodes.unavailable, `${endpoint.host} gave no answer that can be read: ${outcome.reason}. What it was asked may have been done.`)};
+		}
 
-	const {status, body} = outcome;
-	return status === okStatus ? {kind: 'answered', endpoint, body} : {kind: 'failed', result: createRefusal(endpoint, status, body)};
+		case 'unreachable': {
+			return {kind: 'failed', result: createFailure(exitCodes.unavailable, `${endpoint.host} can't be reached: ${outcome.reason}`)};
+		}
+	}
 };
 
+/** Calls one host. */
+export const callHost = async (session: Session, endpoint: OperatorEndpoint, call: OperatorCall): Promise<HostAnswer> =>
+	readOutcome(endpoint, await session.call(endpoint, call));
+
 const isFinal = (outcome: OperatorOutcome): boolean => outcome.kind === 'answered' && outcome.status !== notFoundStatus;
 
 /** Calls one host after another until one gives an answer other than 404. If none does, returns the last failure, where a 404 outweighs an unreachable host. */
@@ -39,11 +50,8 @@
 	for (const endpoint of session.operators) {
 		// eslint-disable-next-line no-await-in-loop -- The next host is called only if this one has no final answer.
 		const outcome = await session.call(endpoint, call);
-		if (outcome.kind === 'answered') {
-			const {status, body} = outcome;
-			answer = status === okStatus ? {kind: 'answered', endpoint, body} : {kind: 'failed', result: createRefusal(endpoint, status, body)};
-		} else if (answer.kind === 'failed' && answer.result.exitCode !== exitCodes.failed) {
-			answer = {kind: 'failed', result: createFailure(exitCodes.unavailable, `${endpoint.host} can't be reached: ${outcome.reason}`)};
+		if (outcome.kind === 'answered' || (answer.kind === 'failed' && answer.result.exitCode !== exitCodes.failed)) {
+			answer = readOutcome(endpoint, outcome);
 		}
 
 		if (isFinal(outcome)) {
--- a/packages/cli/src/host-status.ts
+++ b/packages/cli/src/host-status.ts
@@ -30,8 +30,8 @@
 /** Reads the status of a host from its operator listener. */
 export const readHostStatus = async ({call}: Session, endpoint: OperatorEndpoint): Promise<HostStatus> => {
 	const outcome = await call(endpoint, {method: 'GET', path: '/operator/status'});
-	if (outcome.kind === 'unreachable') {
-		return {host: endpoint.host, state: 'unreachable'};
+	if (outcome.kind !== 'answered') {
+		return {host: endpoint.host, state: outcome.kind};
 	}
 
 	const parsed = statusSchema.safeParse(outcome.body);
