Take no answer with a status that no final answer has

What was seen, with answers of status 000, 001, 099, 101, 600 and 999:

- Router without the platform: a booking's caller got 600 or 999 with `x-ran: ran`, and again as `x-replayed`; 000 to 099 gave 500 `internal` from Node's check.
A generation's 000 counted as not run, an order's as refused, a cancellation's as confirmed, a health check's as success.
- Host program: the status reached no caller, as before, but an answer that also stated that it hadn't run the request was believed: a booking was sent to a second engine and answered 200.
What such an answer said of its engine (leaving, limits) was believed, too.
- Store: a lease counted as ended by 000, 099 and 101; a list of hosts and a rate were read from any status.
- Operators: it was a refusal of the host.

Cause: `statusCode ?? 0` was taken as it came, and compared with bounds on one side; the one place that had both came after the statement of not having run.

Change: `http/checkAnswer`, through which all answers go, refuses a status below 200 or above 599 (`status-invalid`) before anything of the head is used; the check of the host program goes.

Why it works: informational answers other than 101 never come as an answer, and no reader sees another status any more.

--- a/packages/cli/src/broken-answers.test.ts
+++ b/packages/cli/src/broken-answers.test.ts
@@ -1,5 +1,5 @@
 import {
-	answerText, buildOddAnswers, malformedLines, startRawServer, type RawHandler,
+	answerText, buildOddAnswers, malformedLines, startRawServer, type RawHandler, unknownStatuses, writeRaw,
 } from '@gentianlift/http/testing';
 import {expect, onTestFinished, test} from 'vitest';
 import {callOperator, type OperatorOutcome} from './operator-client.js';
@@ -25,3 +25,13 @@
 		expect([sound.name, await call(answerText(sound))]).toEqual([sound.name, {kind: 'answered', status: 200, body: {}}]);
 	}
 });
+
+// Guards against: a status that is none passes for a host's refusal, and no other host is asked.
+test('an answer whose status is none can\'t be read', async () => {
+	for (const status of unknownStatuses) {
+		// eslint-disable-next-line no-await-in-loop -- One host at a time.
+		expect([status, await call(socket => {
+			writeRaw(socket, `HTTP/1.1 ${status} X\r\nContent-Length: 2\r\n\r\n{}`);
+		})]).toEqual([status, {kind: 'unreadable', reason: 'status-invalid'}]);
+	}
+});
--- a/packages/cli/src/operator-client.ts
+++ b/packages/cli/src/operator-client.ts
@@ -6,7 +6,7 @@
 /** Call to the operator listener of a host. */
 export type OperatorCall = {method: 'GET' | 'POST'; path: string; body?: unknown};
 
-/** Outcome of a call to an operator listener; the body is text if it isn't JSON. After `unreadable`, which isn't HTTP, the host may have carried out the call. */
+/** Outcome of a call to an operator listener; the body is text if it isn't JSON. After `unreadable`, which isn't a final answer of HTTP, the host may have carried out the call. */
 export type OperatorOutcome
 	= | {kind: 'answered'; status: number; body: unknown}
 		| {kind: 'unreadable'; reason: string}
@@ -46,7 +46,7 @@
 	};
 
 	const resolveResponse = async (response: IncomingMessage): Promise<void> => {
-		const fault = check.getHeadFault();
+		const fault = check.getHeadFault(response);
 		if (fault !== undefined) {
 			resolve({kind: 'unreadable', reason: fault});
 			clientRequest.destroy();
--- a/packages/forwarder/src/send/classify-answer.ts
+++ b/packages/forwarder/src/send/classify-answer.ts
@@ -3,10 +3,6 @@
 import type {Incoming} from './incoming.js';
 import type {SendOutcome} from './send.js';
 
-/** Bounds of the statuses of final answers. */
-const minStatus = 200;
-const maxStatus = 599;
-
 /** Whether an answer names another request than the one that it would answer. */
 export const isMismatched = (head: AnswerHead, callerRequestId: string | undefined): boolean =>
 	head.callerRequestId !== undefined && callerRequestId !== undefined && head.callerRequestId !== callerRequestId;
@@ -28,8 +24,8 @@
 };
 
 /**
- * Classifies an answer by its head; closes the connection of one that is malformed or isn't taken for that of the request, of one
- * with an invalid status, of a success without the mark of an upstream, and of a rejection: written once more, it would look like that of the next request.
+ * Classifies an answer by its head; closes the connection of one that is malformed or has an invalid status, of one that isn't taken for that of the request,
+ * of a success without the mark of an upstream, and of a rejection: written once more, it would look like that of the next request.
  */
 export const classifyAnswer = (answer: Incoming, head: AnswerHead, context: AnswerContext): SendOutcome => {
 	const {message} = answer;
@@ -44,11 +40,6 @@
 		return {kind: 'rejected', status: head.status};
 	}
 
-	if (head.status < minStatus || head.status > maxStatus) {
-		message.destroy();
-		return {kind: 'broken', reason: 'status-invalid'};
-	}
-
 	const isSuccess = head.status >= 200 && head.status < 300;
 	if (isSuccess && !head.hasUpstreamMark) {
 		message.destroy();
--- a/packages/forwarder/src/send/send.ts
+++ b/packages/forwarder/src/send/send.ts
@@ -61,7 +61,7 @@
 	cancel: () => void;
 };
 
-/** Dependencies of `send`, and listeners: one is called when a connection is established and the request is sent on it, with a function that returns for how long the process at its other end has run at least, the other with the head of an answer to the request, also of one that isn't accepted for another reason than its syntax. */
+/** Dependencies of `send`, and listeners: one is called when a connection is established and the request is sent on it, with a function that returns for how long the process at its other end has run at least, the other with the head of an answer to the request, also of one that isn't accepted for another reason than its syntax or its status. */
 export type SendOptions = {agent: UpstreamAgent; protocol: Protocol; clock: Clock; onSent?: (getProcessAge: () => Milliseconds) => void; onHead?: (head: AnswerHead) => void};
 
 /** Longest time to establish a connection within a region. */
@@ -228,7 +228,7 @@
 		const {socket} = message;
 		const answer = {message, hasFailed: () => hasFailed || agent.wasReset(socket)};
 		const head = protocol.readAnswerHead(message.statusCode ?? 0, message.rawHeaders);
-		const fault = check.getHeadFault();
+		const fault = check.getHeadFault(message);
 		if (fault === undefined && !isMismatched(head, callerRequestId)) {
 			onHead?.(head);
 		}
--- a/packages/http/src/check-answer.ts
+++ b/packages/http/src/check-answer.ts
@@ -1,16 +1,23 @@
-import type {ClientRequest} from 'node:http';
+import type {ClientRequest, IncomingMessage} from 'node:http';
 import type {Socket} from 'node:net';
 import {createHeadReader, type HeadProgress} from './head-reader.js';
 
-/** Why an answer whose head has come is none: `head-malformed` if a part of the head isn't HTTP. */
-export type HeadFault = 'head-malformed';
+/** Why an answer whose head has come is none: `head-malformed` if a part of the head isn't HTTP, `status-invalid` if no final answer has its status. */
+export type HeadFault = 'head-malformed' | 'status-invalid';
 
 /** What Node's parser, which is more lenient, doesn't tell of the answer to a request. */
 export type AnswerCheck = {
 	/** Returns why the answer whose head has just come is none; undefined if it is one. */
-	getHeadFault: () => HeadFault | undefined;
+	getHeadFault: (message: IncomingMessage) => HeadFault | undefined;
 };
 
+/** Bounds of the statuses of final answers (RFC 9110, section 15). */
+const minStatus = 200;
+const maxStatus = 599;
+
+/** Whether a final answer may have a status; Node reports an answer with 101, after which the connection speaks another protocol. */
+const isFinalStatus = (status: number): boolean => status >= minStatus && status <= maxStatus;
+
 /**
 Checks the answer to a request as its bytes arrive. Call it before the request has a connection.
 
@@ -35,6 +42,12 @@
 		});
 	});
 	return {
-		getHeadFault: () => progress.kind === 'ended' ? undefined : 'head-malformed',
+		getHeadFault({statusCode = 0}) {
+			if (progress.kind !== 'ended') {
+				return 'head-malformed';
+			}
+
+			return isFinalStatus(statusCode) ? undefined : 'status-invalid';
+		},
 	};
 };
--- a/packages/http/src/testing.ts
+++ b/packages/http/src/testing.ts
@@ -99,6 +99,9 @@
 	'byte 13 in a value': 'X-A: o\rd',
 };
 
+/** Statuses that no final answer has. */
+export const unknownStatuses = ['000', '001', '099', '101', '600', '999'] as const;
+
 /** Where a line stands in a head: before or behind the fields that are named. */
 const positions = ['before', 'behind'] as const;
 
--- a/packages/platform/src/json-client.ts
+++ b/packages/platform/src/json-client.ts
@@ -21,7 +21,7 @@
 	timeoutExtension?: Milliseconds;
 };
 
-/** Outcome of a call: `unavailable` if no byte of the request was sent, `unknown` if the service may have executed it, also if its reply isn't HTTP; `isOversized` says that its reply was larger than one may be. */
+/** Outcome of a call: `unavailable` if no byte of the request was sent, `unknown` if the service may have executed it, also if its reply isn't HTTP or has a status that no final one has; `isOversized` says that its reply was larger than one may be. */
 export type JsonOutcome
 	= | {kind: 'answered'; status: number; headers: IncomingHttpHeaders; body: unknown; size: ReplySize}
 		| {kind: 'unavailable'; reason: string}
@@ -197,7 +197,7 @@
 		try {
 			const message = await Promise.race([waitForReply(outgoing), forHead.expired]);
 			forHead.cancel();
-			refuseFault(check.getHeadFault(), abandon);
+			refuseFault(check.getHeadFault(message), abandon);
 			forBody = startTimeout(abandon, {clock, timeout: Math.max(endsAt - clock.monotonic(), bodyTimeout), signal});
 			const reply = await Promise.race([readReply(message), forBody.expired]);
 			return {
--- a/packages/router/src/broken-answers.test.ts
+++ b/packages/router/src/broken-answers.test.ts
@@ -1,5 +1,5 @@
 import {
-	answerText, buildOddAnswers, malformedLines, type OddAnswer, type RawHandler,
+	answerText, buildOddAnswers, malformedLines, type OddAnswer, type RawHandler, unknownStatuses,
 } from '@gentianlift/http/testing';
 import {expect, onTestFinished, test} from 'vitest';
 import {startRawBookings, type RawBookings} from './testing/raw-bookings.js';
@@ -57,3 +57,22 @@
 		expect([first.status, first.fields.includes('x-a: sound'), second.status, second.fields.includes('x-replayed: true'), second.body]).toEqual(['200', true, '200', true, '{}']);
 	}
 });
+
+// Guards against: an answer with a status that is none reaches the caller of a booking, and is kept as its result (issue 56).
+test('a status that is none leaves the outcome of a booking unknown, and that of a safe call fails', async () => {
+	const {bookings, setAnswer} = await startAnswering();
+	for (const status of unknownStatuses) {
+		setAnswer({text: `HTTP/1.1 ${status} X\r\nContent-Length: 3\r\n\r\nodd`, endsWithConnection: false});
+		// eslint-disable-next-line no-await-in-loop -- One booking after the other.
+		expect([status, await findKept(bookings, `status-${status}`)]).toEqual([status, []]);
+		// eslint-disable-next-line no-await-in-loop -- As above.
+		const look = await bookings.look();
+		expect([status, look.status, look.body.includes('odd')]).toEqual([status, '502', false]);
+	}
+
+	setAnswer({text: 'HTTP/1.1 299 X\r\nContent-Length: 2\r\n\r\n{}', endsWithConnection: false});
+	expect(await bookings.look()).toMatchObject({status: '299', body: '{}'});
+	expect(await bookings.book('sound')).toMatchObject({status: '299', body: '{}'});
+	expect(await bookings.book('sound')).toMatchObject({status: '299', body: '{}'});
+	expect(bookings.getBookings()).toHaveLength(unknownStatuses.length + 1);
+});
--- a/packages/upstream/src/wire/exchange.ts
+++ b/packages/upstream/src/wire/exchange.ts
@@ -21,7 +21,7 @@
 };
 
 /**
-Why an exchange failed. After `unsent` and `unreachable` the request is known not to have executed; after `reset` and `silent` it may have. A response that isn't HTTP counts as a reset.
+Why an exchange failed. After `unsent` and `unreachable` the request is known not to have executed; after `reset` and `silent` it may have. A response that isn't HTTP, or has a status that no final one has, counts as a reset.
 `unsent` means that no connection of this host's pool was free, which says nothing about the upstream.
 */
 export type ExchangeFailure
@@ -175,7 +175,7 @@
 		silenceTimer.recordActivity();
 		// The body's reader learns of a lost connection from the end of the stream; an error event without a listener would end the process.
 		message.on('error', ignoreError);
-		const fault = check.getHeadFault();
+		const fault = check.getHeadFault(message);
 		if (fault !== undefined) {
 			fail({kind: 'reset', reason: fault});
 			return;
