Count a lease as ended only if the service says so

Why it works: an end is now what the protocol names as one; all else is `unknown`, or `unavailable` for 429 and 503, as for other calls.

--- a/packages/platform/src/key-value-client.ts
+++ b/packages/platform/src/key-value-client.ts
@@ -106,7 +106,7 @@
 		},
 		async endLease(lease) {
 			const outcome = await call({method: 'DELETE', path: `/v1/leases/${encodeURIComponent(lease)}`});
-			const hasEnded = outcome.kind === 'answered' && !notAppliedStatuses.has(outcome.status);
+			const hasEnded = hasStatus(outcome, httpStatus.ok) || hasStatus(outcome, httpStatus.absent);
 			return hasEnded ? {kind: 'lost'} : getFailure(outcome);
 		},
 	};
--- a/packages/platform/src/unknown-status.test.ts
+++ b/packages/platform/src/unknown-status.test.ts
@@ -41,3 +41,15 @@
 		expect([status, ...read.map(value => value !== undefined)]).toEqual([status, status === '200', status === '200']);
 	}
 });
+
+// Guards against: a lease counts as ended by an answer that doesn't say so.
+test('a lease has ended if the service says so', async () => {
+	for (const [status, expected] of [['200', 'lost'], ['404', 'lost'], ['302', 'unknown'], ['500', 'unknown'], ['503', 'unavailable']]) {
+		// eslint-disable-next-line no-await-in-loop -- One service at a time.
+		const client = createKeyValueClient(await startOptions(status!, ''));
+		onTestFinished(client.close);
+		// eslint-disable-next-line no-await-in-loop -- As above.
+		const {kind} = await client.endLease('1');
+		expect([status, kind]).toEqual([status, expected]);
+	}
+});
