Open no connection to another host by a head that isn't HTTP

What was seen: a host that answered a handshake with a head in which the name of a field held a blank was taken for one that had opened the connection, and was sent calls.

Cause: as for engines' answers, Node's parser takes such a head; `ws` looks at the status and the fields that it needs.

Evidence: peers/broken-handshake.test, a relay that changes the head of a real host's handshake, failed on the code before at the first odd line (`answered`) and passes now: 20 odd lines `unreachable`, no call received, a sound line `answered`. The eight other statuses were refused before.

Change: the handshake's answer is checked as other answers are, in the hook of `ws` for its request; a malformed one ends the connection before it counts as open.

Why it works: `ws` asks after the listener whether the connection still is being opened.

--- a/packages/http/src/check-answer.ts
+++ b/packages/http/src/check-answer.ts
@@ -7,6 +7,8 @@
 
 /** What Node's parser, which is more lenient, doesn't tell of the answer to a request. */
 export type AnswerCheck = {
+	/** Whether a part of the head that has just come isn't HTTP, for answers that open a connection of another protocol. */
+	isHeadMalformed: () => boolean;
 	/** Returns why the answer whose head has just come is none; undefined if it is one. */
 	getHeadFault: (message: IncomingMessage) => HeadFault | undefined;
 };
@@ -41,9 +43,12 @@
 			socket.off('data', read);
 		});
 	});
+	const isHeadMalformed = (): boolean => progress.kind !== 'ended';
+
 	return {
+		isHeadMalformed,
 		getHeadFault({statusCode = 0}) {
-			if (progress.kind !== 'ended') {
+			if (isHeadMalformed()) {
 				return 'head-malformed';
 			}
 
--- a/packages/peers/src/peer-connection.ts
+++ b/packages/peers/src/peer-connection.ts
@@ -1,5 +1,7 @@
+import type {ClientRequest} from 'node:http';
 import {WebSocket} from 'ws';
 import {createTRPCClient, createWSClient, wsLink} from '@trpc/client';
+import {checkAnswer} from '@gentianlift/http';
 import type {Address, HostId, Milliseconds} from '@gentianlift/types';
 import {compactCodec} from './compact.js';
 import type {Credentials} from './credentials.js';
@@ -26,13 +28,31 @@
 	silenceTimeout: Milliseconds;
 };
 
+/** Sends the request that opens a connection, and gives the connection up if the answer's head isn't HTTP. */
+const sendHandshake = (request: ClientRequest, socket: WebSocket): void => {
+	const check = checkAnswer(request);
+	socket.once('upgrade', () => {
+		if (check.isHeadMalformed()) {
+			socket.terminate();
+		}
+	});
+	request.end();
+};
+
+/** Connection of the library's client, whose handshake is checked. */
+class CheckedWebSocket extends WebSocket {
+	constructor(url: string) {
+		super(url, {finishRequest: sendHandshake});
+	}
+}
+
 /** Opens a connection to another host. It doesn't reconnect once the connection is lost. */
 export const openPeerConnection = ({to, address, getCredentials, silenceTimeout}: PeerConnectionOptions): PeerConnection => {
 	const lost = new AbortController();
 	let isOpened = false;
 	const socketClient = createWSClient({
 		url: `ws://${address}`,
-		WebSocket: WebSocket as unknown as typeof globalThis.WebSocket,
+		WebSocket: CheckedWebSocket as unknown as typeof globalThis.WebSocket,
 		connectionParams: () => ({...getCredentials()}),
 		keepAlive: {enabled: true, intervalMs: silenceTimeout, pongTimeoutMs: silenceTimeout},
 		onOpen() {
