Take no answer in chunks for whole whose end isn't HTTP

What callers saw: an answer in chunks as whole though other bytes stood where a chunk's line end is due, the body ended with one byte 10 or with a byte 13 and another one, or a trailer had a blank in a name, no name, or a byte 10 or 13 before one. Bookings so answered were kept and replayed; store, hosts and operators' client read such replies.

Cause: as with heads, Node's parser takes these for chunks; whether a body is whole was decided by its report alone.

Change: `http/checkAnswer` reads chunks and trailers by the grammar of RFC 9112, passing over the bytes in chunks; a body of which it hasn't seen the end, or that it can't read, is `malformed` (forwarder, where only `deliver/body-end` decides it) or a reset with `end-malformed`. Such an end is no sign of a crash, so that no upstream is asked for one.

Why it works: the reader sees the bytes that the parser sees, and takes nothing that the parser doesn't.

--- a/packages/cli/src/broken-answers.test.ts
+++ b/packages/cli/src/broken-answers.test.ts
@@ -1,5 +1,5 @@
 import {
-	answerText, buildOddAnswers, malformedLines, startRawServer, type RawHandler, unknownStatuses, writeRaw,
+	answerText, buildOddAnswers, malformedChunks, malformedLines, soundChunks, startRawServer, type RawHandler, unknownStatuses, writeRaw,
 } from '@gentianlift/http/testing';
 import {expect, onTestFinished, test} from 'vitest';
 import {callOperator, type OperatorOutcome} from './operator-client.js';
@@ -35,3 +35,16 @@
 		})]).toEqual([status, {kind: 'unreadable', reason: 'status-invalid'}]);
 	}
 });
+
+test('an answer in chunks with a malformed end can\'t be read, and a sound one can', async () => {
+	const callChunked = async (chunks: string): Promise<OperatorOutcome> => call(socket => {
+		writeRaw(socket, `HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n${chunks}`);
+	});
+	for (const [name, chunks] of Object.entries(malformedChunks)) {
+		// eslint-disable-next-line no-await-in-loop -- One host at a time.
+		const {kind} = await callChunked(chunks);
+		expect([name, kind === 'answered']).toEqual([name, false]);
+	}
+
+	expect(await callChunked(soundChunks)).toMatchObject({kind: 'answered', body: {}});
+});
--- a/packages/cli/src/operator-client.ts
+++ b/packages/cli/src/operator-client.ts
@@ -54,7 +54,10 @@
 		}
 
 		try {
-			resolve({kind: 'answered', status: response.statusCode ?? 0, body: await readBody(response)});
+			const answer = await readBody(response);
+			resolve(check.isBodyMalformed()
+				? {kind: 'unreadable', reason: 'end-malformed'}
+				: {kind: 'answered', status: response.statusCode ?? 0, body: answer});
 		} catch (error) {
 			fail(error);
 		}
--- a/packages/forwarder/src/deliver/body-end.ts
+++ b/packages/forwarder/src/deliver/body-end.ts
@@ -6,8 +6,9 @@
  * - `closed`: its connection closed without an error, which ends a body without length or chunks
  * - `reset`: its connection failed, and Node reported the end of a body without length or chunks
  * - `lost`: its connection ended, or was closed by this host, before the end of its length or its last chunk
+ * - `malformed`: its chunks or its trailer aren't HTTP, also if Node has reported its end
  */
-export type BodyEnding = 'framed' | 'closed' | 'reset' | 'lost';
+export type BodyEnding = 'framed' | 'closed' | 'reset' | 'lost' | 'malformed';
 
 /** What the bytes of a body tell of its end, beside its framing. */
 export type BodyContent
@@ -19,10 +20,11 @@
 /**
  * Why a body isn't whole:
  * - `reset`, `lost`: as in `BodyEnding`
+ * - `end-malformed`: as `malformed` in `BodyEnding`
  * - `inside-event`: a stream ended before its last event was complete
  * - `no-event`: a stream without length or chunks ended before its first event
  */
-export type CutReason = 'reset' | 'lost' | 'inside-event' | 'no-event';
+export type CutReason = 'reset' | 'lost' | 'end-malformed' | 'inside-event' | 'no-event';
 
 /** Whether a body that has ended is whole. */
 export type BodyVerdict = {kind: 'whole'} | {kind: 'cut'; reason: CutReason};
@@ -30,7 +32,11 @@
 /** End of a body: what was seen of it, and whether the body is whole. */
 export type BodyEnd = {framing: Framing; ending: BodyEnding; content: BodyContent; verdict: BodyVerdict};
 
-const getEnding = ({message, hasFailed}: Incoming, framing: Framing): BodyEnding => {
+const getEnding = ({message, hasFailed, isBodyMalformed}: Incoming, framing: Framing): BodyEnding => {
+	if (isBodyMalformed()) {
+		return 'malformed';
+	}
+
 	if (!message.complete) {
 		return 'lost';
 	}
@@ -52,11 +58,21 @@
 };
 
 const judge = (ending: BodyEnding, framing: Framing, content: BodyContent): BodyVerdict => {
-	if (ending === 'reset' || ending === 'lost') {
-		return {kind: 'cut', reason: ending};
-	}
+	switch (ending) {
+		case 'reset':
+		case 'lost': {
+			return {kind: 'cut', reason: ending};
+		}
 
-	return content.kind === 'events' ? judgeEvents(content, framing) : {kind: 'whole'};
+		case 'malformed': {
+			return {kind: 'cut', reason: 'end-malformed'};
+		}
+
+		case 'framed':
+		case 'closed': {
+			return content.kind === 'events' ? judgeEvents(content, framing) : {kind: 'whole'};
+		}
+	}
 };
 
 /** Describes and judges the end of a body, once it has ended or its connection is lost. Whether a body is whole is decided here only. */
--- a/packages/forwarder/src/deliver/receive-body.ts
+++ b/packages/forwarder/src/deliver/receive-body.ts
@@ -8,14 +8,15 @@
 	getContent: () => BodyContent;
 };
 
-/** How a body was received: its end, or the error with which its connection was lost before. */
+/** How a body was received: its end, and the error with which its connection was lost before, unless the body itself was the reason. */
 export type ReceivedBody = {end: BodyEnd; error: string | undefined};
 
 /** Receives a body; resolves at its end, or when its connection is lost. */
 export const receiveBody = async (incoming: Incoming, {read, getContent}: BodyReader): Promise<ReceivedBody> => new Promise(resolve => {
 	const {message} = incoming;
 	const finish = (error?: string): void => {
-		resolve({end: getBodyEnd(incoming, getContent()), error});
+		const end = getBodyEnd(incoming, getContent());
+		resolve({end, error: end.ending === 'malformed' ? undefined : error});
 	};
 
 	message.on('data', (chunk: Uint8Array) => {
--- a/packages/forwarder/src/send/incoming.ts
+++ b/packages/forwarder/src/send/incoming.ts
@@ -5,6 +5,8 @@
 	message: IncomingMessage;
 	/** Whether the connection has failed. */
 	hasFailed: () => boolean;
+	/** Whether the chunks or the trailer aren't HTTP; asked once the message has ended or its connection is lost. */
+	isBodyMalformed: () => boolean;
 };
 
 /** What marks the end of a message's body: its declared length, its last chunk, or the close of its connection. */
--- a/packages/forwarder/src/send/send.ts
+++ b/packages/forwarder/src/send/send.ts
@@ -226,7 +226,7 @@
 	clientRequest.once('response', message => {
 		agent.recordAnswer(message.socket, message);
 		const {socket} = message;
-		const answer = {message, hasFailed: () => hasFailed || agent.wasReset(socket)};
+		const answer = {message, hasFailed: () => hasFailed || agent.wasReset(socket), isBodyMalformed: check.isBodyMalformed};
 		const head = protocol.readAnswerHead(message.statusCode ?? 0, message.rawHeaders);
 		const fault = check.getHeadFault(message);
 		if (fault === undefined && !isMismatched(head, callerRequestId)) {
--- a/packages/http/src/check-answer.ts
+++ b/packages/http/src/check-answer.ts
@@ -1,5 +1,6 @@
 import type {ClientRequest, IncomingMessage} from 'node:http';
 import type {Socket} from 'node:net';
+import {createChunkReader, type ChunkReader} from './chunk-reader.js';
 import {createHeadReader, type HeadProgress} from './head-reader.js';
 
 /** Why an answer whose head has come is none: `head-malformed` if a part of the head isn't HTTP, `status-invalid` if no final answer has its status. */
@@ -11,6 +12,8 @@
 	isHeadMalformed: () => boolean;
 	/** Returns why the answer whose head has just come is none; undefined if it is one. */
 	getHeadFault: (message: IncomingMessage) => HeadFault | undefined;
+	/** Whether the chunks or the trailer of the body aren't HTTP; asked once the body has ended or its connection is lost. */
+	isBodyMalformed: () => boolean;
 };
 
 /** Bounds of the statuses of final answers (RFC 9110, section 15). */
@@ -20,31 +23,56 @@
 /** Whether a final answer may have a status; Node reports an answer with 101, after which the connection speaks another protocol. */
 const isFinalStatus = (status: number): boolean => status >= minStatus && status <= maxStatus;
 
+const isInChunks = ({headers}: IncomingMessage): boolean => headers['transfer-encoding']?.toLowerCase() === 'chunked';
+
 /**
 Checks the answer to a request as its bytes arrive. Call it before the request has a connection.
 
-Node's parser takes a name with a blank for that of a field, and a byte 10 or 13 at the start of a line for the end of the head, so that the rest of it passes for a body.
+Node's parser takes a name with a blank for that of a field, and a byte 10 or 13 at the start of a line for the end of the head, so that the rest of it passes for a body. Behind chunks it takes any bytes for a line end.
 */
 export const checkAnswer = (request: ClientRequest): AnswerCheck => {
-	const reader = createHeadReader();
-	let progress: HeadProgress = {kind: 'open'};
+	const headReader = createHeadReader();
+	let head: HeadProgress = {kind: 'open'};
+	let answer: IncomingMessage | undefined;
+	let chunkReader: ChunkReader | undefined;
+
+	const isHeadMalformed = (): boolean => head.kind !== 'ended';
+
+	/** Reads bytes; returns whether what follows matters. */
+	const read = (bytes: Uint8Array): boolean => {
+		if (chunkReader !== undefined) {
+			chunkReader.read(bytes);
+			return !chunkReader.hasEnded() && !chunkReader.isMalformed();
+		}
+
+		if (head.kind !== 'open') {
+			return false;
+		}
+
+		head = headReader.read(bytes);
+		return head.kind !== 'malformed';
+	};
 
 	request.once('socket', (socket: Socket) => {
-		const read = (chunk: Uint8Array): void => {
-			progress = reader.read(chunk);
-			if (progress.kind !== 'open') {
-				socket.off('data', read);
+		const onData = (bytes: Uint8Array): void => {
+			if (!read(bytes)) {
+				socket.off('data', onData);
 			}
 		};
 
 		// The bytes are read before Node's parser gets them, so that a head is known when the parser reports it.
-		socket.prependListener('data', read);
+		socket.prependListener('data', onData);
 		request.once('close', () => {
-			socket.off('data', read);
+			socket.off('data', onData);
 		});
 	});
-	const isHeadMalformed = (): boolean => progress.kind !== 'ended';
-
+	request.once('response', message => {
+		answer = message;
+		if (head.kind === 'ended' && isInChunks(message)) {
+			chunkReader = createChunkReader();
+			chunkReader.read(head.rest);
+		}
+	});
 	return {
 		isHeadMalformed,
 		getHeadFault({statusCode = 0}) {
@@ -54,5 +82,6 @@
 
 			return isFinalStatus(statusCode) ? undefined : 'status-invalid';
 		},
+		isBodyMalformed: () => chunkReader?.isMalformed() === true || (answer?.complete === true && chunkReader?.hasEnded() === false),
 	};
 };
--- a/packages/http/src/head-reader.test.ts
+++ b/packages/http/src/head-reader.test.ts
@@ -14,7 +14,7 @@
 	return progress;
 };
 
-const getRest = (progress: HeadProgress): string | undefined => progress.kind === 'ended' ? progress.rest : undefined;
+const getRest = (progress: HeadProgress): string | undefined => progress.kind === 'ended' ? String(progress.rest) : undefined;
 
 const head = 'HTTP/1.1 200 OK\r\nA: 1\r\nB-C:\r\nD: \u00E4\t!\r\n\r\n';
 
--- a/packages/http/src/head-reader.ts
+++ b/packages/http/src/head-reader.ts
@@ -4,10 +4,10 @@
 /**
 What was read of an answer's head:
 - `open`: a part of it
-- `ended`: all of it; `rest` are the bytes behind it, one character for each
+- `ended`: all of it; `rest` are the bytes behind it
 - `malformed`: bytes that no head has
 */
-export type HeadProgress = {kind: 'open'} | {kind: 'ended'; rest: string} | {kind: 'malformed'};
+export type HeadProgress = {kind: 'open'} | {kind: 'ended'; rest: Uint8Array} | {kind: 'malformed'};
 
 /** Reads the head of an answer, with the informational answers before it. */
 export type HeadReader = {read: (chunk: Uint8Array) => HeadProgress};
@@ -48,7 +48,7 @@
 				}
 
 				if (!isInformational(Number(status))) {
-					return {kind: 'ended', rest: text};
+					return {kind: 'ended', rest: chunk.subarray(chunk.length - text.length)};
 				}
 			}
 
--- a/packages/http/src/testing.ts
+++ b/packages/http/src/testing.ts
@@ -99,6 +99,19 @@
 	'byte 13 in a value': 'X-A: o\rd',
 };
 
+/** Bodies of two bytes, `{}`, in chunks whose end HTTP doesn't have. */
+export const malformedChunks: Readonly<Record<string, string>> = {
+	'other bytes behind a chunk': '2\r\n{}XX0\r\n\r\n',
+	'another second byte behind a chunk': '2\r\n{}\rX0\r\n\r\n',
+	'another second byte behind a size': '2\rX{}\r\n0\r\n\r\n',
+	'a line end of one byte': '2\r\n{}\r\n0\r\n\n',
+	'another last byte': '2\r\n{}\r\n0\r\n\rX',
+	...Object.fromEntries(Object.entries(malformedLines).map(([name, line]) => [`a trailer with ${name}`, `2\r\n{}\r\n0\r\n${line}\r\n\r\n`])),
+};
+
+/** The same body in chunks with a sound trailer. */
+export const soundChunks = '2\r\n{}\r\n0\r\nX-A: sound\r\n\r\n';
+
 /** Statuses that no final answer has. */
 export const unknownStatuses = ['000', '001', '099', '101', '600', '999'] as const;
 
--- a/packages/router/src/broken-answers.test.ts
+++ b/packages/router/src/broken-answers.test.ts
@@ -1,5 +1,5 @@
 import {
-	answerText, buildOddAnswers, malformedLines, type OddAnswer, type RawHandler, unknownStatuses,
+	answerText, buildOddAnswers, malformedChunks, malformedLines, soundChunks, type OddAnswer, type RawHandler, unknownStatuses,
 } from '@gentianlift/http/testing';
 import {expect, onTestFinished, test} from 'vitest';
 import {startRawBookings, type RawBookings} from './testing/raw-bookings.js';
@@ -76,3 +76,25 @@
 	expect(await bookings.book('sound')).toMatchObject({status: '299', body: '{}'});
 	expect(bookings.getBookings()).toHaveLength(unknownStatuses.length + 1);
 });
+
+// Guards against: an answer in chunks whose end isn't one is kept as a booking's result (issue 56).
+test('a malformed end cuts the answer to a booking, of which nothing is kept, and a sound one is kept', async () => {
+	const {bookings, setAnswer} = await startAnswering();
+	const setChunks = (chunks: string): void => {
+		setAnswer({text: `HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n${chunks}`, endsWithConnection: false});
+	};
+
+	for (const [index, [name, chunks]] of Object.entries(malformedChunks).entries()) {
+		setChunks(chunks);
+		// eslint-disable-next-line no-await-in-loop -- One booking after the other.
+		const first = await bookings.book(`end-${index}`);
+		// eslint-disable-next-line no-await-in-loop -- As above.
+		const second = await bookings.book(`end-${index}`);
+		expect([name, first.body.endsWith('0\r\n\r\n'), second.status, second.fields.includes('x-replayed')]).toEqual([name, false, '502', false]);
+	}
+
+	setChunks(soundChunks);
+	const first = await bookings.book('sound');
+	const second = await bookings.book('sound');
+	expect([first.status, first.body.endsWith('0\r\n\r\n'), second.status, second.body]).toEqual(['200', true, '200', '{}']);
+});
--- a/packages/upstream/src/wire/exchange.ts
+++ b/packages/upstream/src/wire/exchange.ts
@@ -36,7 +36,7 @@
 	kind: 'answered';
 	message: IncomingMessage;
 	silenceTimer: SilenceTimer;
-	/** Returns why the connection was lost; undefined if it wasn't. */
+	/** Returns why the connection was lost or the body isn't HTTP; undefined if neither is so. */
 	getFailure: () => ExchangeFailure | undefined;
 	/** Closes the connection for the given reason. */
 	abort: (failure: ExchangeFailure) => void;
@@ -181,8 +181,9 @@
 			return;
 		}
 
+		const getFailure = (): ExchangeFailure | undefined => check.isBodyMalformed() ? {kind: 'reset', reason: 'end-malformed'} : failure;
 		resolve({
-			kind: 'answered', message, silenceTimer, release, abort: fail, getFailure: () => failure,
+			kind: 'answered', message, silenceTimer, release, abort: fail, getFailure,
 		});
 	});
 	request.on('error', (error: NodeJS.ErrnoException) => {
