Read the plain sizes and line ends of chunks without patterns

Cause: the check of chunks took 1.2 us for each, of which a stream has one for each event. Change: a size of up to 8 digits and the line end behind a chunk are read byte by byte if all of them are there; anything else goes the way of before. Measured: 0.1 to 0.2 us for a chunk, in the same loop.

--- a/packages/http/src/chunk-reader.ts
+++ b/packages/http/src/chunk-reader.ts
@@ -14,11 +14,43 @@
 };
 
 const lineFeed = 0x0A;
+const carriageReturn = 0x0D;
 const lineEnd = '\r\n';
 const hexadecimal = 16;
 /** Largest size of a line, in bytes; Node's parser takes no longer ones. */
 const maxLineBytes = 16 * 1024;
 
+/** Whether a line end stands at a position. */
+const isLineEnd = (bytes: Uint8Array, position: number): boolean => bytes[position] === carriageReturn && bytes[position + 1] === lineFeed;
+
+/** Value of each byte as a hexadecimal digit; that of other bytes is `notDigit`. */
+const notDigit = 255;
+const digitValues = Uint8Array.from({length: 256}, (_, byte) => {
+	const value = Number.parseInt(String.fromCodePoint(byte), hexadecimal);
+	return Number.isNaN(value) ? notDigit : value;
+});
+
+/** Size of a chunk, and the position behind the line that names it. */
+type SizeLine = {size: number; next: number};
+
+/** Most digits of a size that are read without a pattern. */
+const maxPlainDigits = 8;
+
+/** Returns the size that a line of digits names; undefined for a line that has more or isn't all there. */
+const readPlainSize = (bytes: Uint8Array, start: number): SizeLine | undefined => {
+	let size = 0;
+	for (let position = start; position < start + maxPlainDigits; position++) {
+		const value = digitValues[bytes[position] ?? notDigit]!;
+		if (value === notDigit) {
+			return position > start && isLineEnd(bytes, position) ? {size, next: position + lineEnd.length} : undefined;
+		}
+
+		size = (size * hexadecimal) + value;
+	}
+
+	return undefined;
+};
+
 /** Creates a reader at the start of a body. */
 export const createChunkReader = (): ChunkReader => {
 	let state: ChunkState = 'size';
@@ -35,15 +67,15 @@
 		return next;
 	};
 
-	/** Returns the state after a line with a size. */
-	const startChunk = (): ChunkState => {
-		const size = sizeLinePattern.exec(line)?.groups?.size;
-		if (size === undefined) {
-			return 'malformed';
-		}
+	/** Returns the state after a size. */
+	const startChunk = (size: number): ChunkState => {
+		remaining = size;
+		return size === 0 ? 'trailer' : 'data';
+	};
 
-		remaining = Number.parseInt(size, hexadecimal);
-		return remaining === 0 ? 'trailer' : 'data';
+	const endSizeLine = (): ChunkState => {
+		const size = sizeLinePattern.exec(line)?.groups?.size;
+		return size === undefined ? 'malformed' : startChunk(Number.parseInt(size, hexadecimal));
 	};
 
 	const endTrailerLine = (): ChunkState => {
@@ -58,7 +90,7 @@
 	const endLine = (current: 'size' | 'data-end' | 'trailer'): ChunkState => {
 		switch (current) {
 			case 'size': {
-				return startChunk();
+				return endSizeLine();
 			}
 
 			case 'data-end': {
@@ -71,6 +103,21 @@
 		}
 	};
 
+	/** Reads what stands between the bytes of most chunks; returns the position behind it, or undefined if something else stands there. */
+	const readPlain = (bytes: Uint8Array, position: number): number | undefined => {
+		if (state === 'data-end' && isLineEnd(bytes, position)) {
+			state = 'size';
+			return position + lineEnd.length;
+		}
+
+		const plain = state === 'size' ? readPlainSize(bytes, position) : undefined;
+		if (plain !== undefined) {
+			state = startChunk(plain.size);
+		}
+
+		return plain?.next;
+	};
+
 	/** Reads from a position on, up to the next change of the state; returns the position behind that. */
 	const readNext = (bytes: Uint8Array, position: number): number => {
 		if (state === 'data') {
@@ -84,6 +131,11 @@
 			return bytes.length;
 		}
 
+		const plain = line === '' ? readPlain(bytes, position) : undefined;
+		if (plain !== undefined) {
+			return plain;
+		}
+
 		const next = readLine(bytes, position);
 		if (line.endsWith('\n')) {
 			state = endLine(state);
