Hold an answer without length until its request is written

What callers saw: a part of an answer as a complete one. An engine answered a long upload at once with a 200 without length, wrote a part of the body, ended its side of the connection and reset it 5 or 100 ms later, with the upload unread.

Cause: the end of the engine's side was taken for the end of the answer while the request was still being written. The reset came after the verdict, and nobody was there to see it: Node destroys a connection as soon as its other side ends, which also broke off the upload that the engine may have wanted to read.

Change: `http/request-end` keeps the connection when the other side ends an answer without length before the request is written, and tells when it is written or lost; `deliver/receive-body` waits for that before the verdict (`deliver/body-end`: `closed` or `reset`). The wait ends with the call's own limits: its deadline, or the silence of a stream.

Why it works: RFC 9112, section 8: such an answer is complete unless an error was indicated by the connection, and while the request is being written one still can be.

--- a/packages/forwarder/src/callers/receive-request-body.ts
+++ b/packages/forwarder/src/callers/receive-request-body.ts
@@ -22,7 +22,9 @@
 		return {kind: 'released'};
 	}
 
-	const body = await readBody({message: request, hasFailed: () => false, isBodyMalformed: () => false}, maxBytes, held);
+	const body = await readBody({
+		message: request, hasFailed: () => false, isBodyMalformed: () => false, waitForEnd: async () => undefined,
+	}, maxBytes, held);
 	if (body.kind === 'whole') {
 		held.keep(body.bytes.length);
 	}
--- a/packages/forwarder/src/deliver/body-end.ts
+++ b/packages/forwarder/src/deliver/body-end.ts
@@ -1,4 +1,5 @@
-import {getFraming, type Framing, type Incoming} from '../send/incoming.js';
+import {getFraming, type Framing} from '@gentianlift/http';
+import type {Incoming} from '../send/incoming.js';
 
 /**
  * What was seen of the end of a body:
--- a/packages/forwarder/src/deliver/receive-body.ts
+++ b/packages/forwarder/src/deliver/receive-body.ts
@@ -1,3 +1,4 @@
+import {endsWithConnection} from '@gentianlift/http';
 import type {Incoming} from '../send/incoming.js';
 import {getBodyEnd, type BodyContent, type BodyEnd} from './body-end.js';
 
@@ -11,7 +12,7 @@
 /** How a body was received: its end, and the error with which its connection was lost before, unless the body itself was the reason. */
 export type ReceivedBody = {end: BodyEnd; error: string | undefined};
 
-/** Receives a body; resolves at its end, or when its connection is lost. */
+/** Receives a body; resolves at its end, or when its connection is lost. One that ends with its connection is held until it is known whether that has failed. */
 export const receiveBody = async (incoming: Incoming, {read, getContent}: BodyReader): Promise<ReceivedBody> => new Promise(resolve => {
 	const {message} = incoming;
 	const finish = (error?: string): void => {
@@ -19,6 +20,14 @@
 		resolve({end, error: end.ending === 'malformed' ? undefined : error});
 	};
 
+	const finishAtEnd = async (): Promise<void> => {
+		if (message.complete && endsWithConnection(message)) {
+			await incoming.waitForEnd();
+		}
+
+		finish();
+	};
+
 	message.on('data', (chunk: Uint8Array) => {
 		try {
 			read(chunk);
@@ -27,12 +36,12 @@
 		}
 	});
 	message.once('end', () => {
-		finish();
+		void finishAtEnd();
 	});
 	message.once('error', (error: Error & {code?: string}) => {
 		finish(error.code ?? error.message);
 	});
 	message.once('close', () => {
-		finish();
+		void finishAtEnd();
 	});
 });
--- a/packages/forwarder/src/deliver/testing-answers.ts
+++ b/packages/forwarder/src/deliver/testing-answers.ts
@@ -1,5 +1,5 @@
 import {Buffer} from 'node:buffer';
-import type {Framing} from '../send/incoming.js';
+import type {Framing} from '@gentianlift/http';
 import type {AnswerHandler} from '../test-deployment.js';
 
 /** An answer that a stub upstream writes as raw bytes. */
--- a/packages/forwarder/src/send/incoming.ts
+++ b/packages/forwarder/src/send/incoming.ts
@@ -7,16 +7,6 @@
 	hasFailed: () => boolean;
 	/** Whether the chunks or the trailer aren't HTTP; asked once the message has ended or its connection is lost. */
 	isBodyMalformed: () => boolean;
-};
-
-/** What marks the end of a message's body: its declared length, its last chunk, or the close of its connection. */
-export type Framing = 'length' | 'chunks' | 'close';
-
-/** Returns the framing of a message's body. */
-export const getFraming = ({headers}: IncomingMessage): Framing => {
-	if (headers['transfer-encoding'] !== undefined) {
-		return 'chunks';
-	}
-
-	return headers['content-length'] === undefined ? 'close' : 'length';
+	/** Resolves once a message that ends with its connection is known to be whole or not; an answer is not before its request is written, or can't be any more. */
+	waitForEnd: () => Promise<void>;
 };
--- a/packages/forwarder/src/send/send.ts
+++ b/packages/forwarder/src/send/send.ts
@@ -226,7 +226,12 @@
 	clientRequest.once('response', message => {
 		agent.recordAnswer(message.socket, message);
 		const {socket} = message;
-		const answer = {message, hasFailed: () => hasFailed || agent.wasReset(socket), isBodyMalformed: check.isBodyMalformed};
+		const answer: Incoming = {
+			message,
+			hasFailed: () => hasFailed || agent.wasReset(socket) || check.isRequestLost(),
+			isBodyMalformed: check.isBodyMalformed,
+			waitForEnd: async () => check.requestEnd,
+		};
 		const head = protocol.readAnswerHead(message.statusCode ?? 0, message.rawHeaders);
 		const fault = check.getHeadFault(message);
 		if (fault === undefined && !isMismatched(head, callerRequestId)) {
--- a/packages/http/src/check-answer.ts
+++ b/packages/http/src/check-answer.ts
@@ -2,12 +2,13 @@
 import type {Socket} from 'node:net';
 import {createChunkReader, type ChunkReader} from './chunk-reader.js';
 import {createHeadReader, type HeadProgress} from './head-reader.js';
+import {watchRequestEnd, type RequestEnd} from './request-end.js';
 
 /** Why an answer whose head has come is none: `head-malformed` if a part of the head isn't HTTP, `status-invalid` if no final answer has its status. */
 export type HeadFault = 'head-malformed' | 'status-invalid';
 
 /** What Node's parser, which is more lenient, doesn't tell of the answer to a request. */
-export type AnswerCheck = {
+export type AnswerCheck = RequestEnd & {
 	/** Whether a part of the head that has just come isn't HTTP, for answers that open a connection of another protocol. */
 	isHeadMalformed: () => boolean;
 	/** Returns why the answer whose head has just come is none; undefined if it is one. */
@@ -74,6 +75,7 @@
 		}
 	});
 	return {
+		...watchRequestEnd(request),
 		isHeadMalformed,
 		getHeadFault({statusCode = 0}) {
 			if (isHeadMalformed()) {
--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -1,1 +1,2 @@
 export {checkAnswer, type AnswerCheck, type HeadFault} from './check-answer.js';
+export {endsWithConnection, getFraming, type Framing} from './framing.js';
