Hold responses without length of services and of the store, too

Callers of the router without the platform saw: the part of an answer that a service sent before it ended its side and reset the connection, with the booking's body unread, as the booking's whole answer, and again under its key. In the same way a write to the store counted as applied and an operator's command as carried out.

A service that reads its booking after the end is replayed as before; one that does neither is silent.

Change: `http/checkAnswer` tells why a body isn't whole (`findEndFault`) and waits for the end of the request where that matters. The three readers of bodies in `upstream` share one function for the end; the limits of silence and of time of each call go on until then.

--- a/packages/cli/src/broken-answers.test.ts
+++ b/packages/cli/src/broken-answers.test.ts
@@ -1,3 +1,4 @@
+import type {Socket} from 'node:net';
 import {
 	answerText, buildOddAnswers, malformedChunks, malformedLines, soundChunks, startRawServer, type RawHandler, unknownStatuses, writeRaw,
 } from '@gentianlift/http/testing';
@@ -48,3 +49,36 @@
 
 	expect(await callChunked(soundChunks)).toMatchObject({kind: 'answered', body: {}});
 });
+
+/** Body of a call, in bytes: more than a connection takes whose other end doesn't read. */
+const bodyBytes = 12_000_000;
+const unframed = 'HTTP/1.1 200 OK\r\n\r\n{}';
+
+// Guards against: a command counts as carried out by an answer whose connection was reset before the command was sent (issue 56).
+test('an answer without length counts if its connection ends in order and the call was read', async () => {
+	const callWith = async (act: (socket: Socket) => void, body: unknown): Promise<string> => {
+		const {kind} = await call(socket => {
+			act(socket.pause());
+		}, body);
+		return kind;
+	};
+
+	const endThen = (action: (socket: Socket) => void) => (socket: Socket): void => {
+		socket.end(unframed, () => {
+			setTimeout(action, 20, socket);
+		});
+	};
+
+	const reset = (socket: Socket): void => {
+		socket.resetAndDestroy();
+	};
+
+	const large = 'b'.repeat(bodyBytes);
+	expect(await callWith(endThen(reset), large)).not.toBe('answered');
+	expect(await callWith(endThen(socket => {
+		socket.resume();
+	}), large)).toBe('answered');
+	expect(await callWith(socket => {
+		socket.end(unframed);
+	}, 'small')).toBe('answered');
+});
--- a/packages/cli/src/operator-client.ts
+++ b/packages/cli/src/operator-client.ts
@@ -55,9 +55,10 @@
 
 		try {
 			const answer = await readBody(response);
-			resolve(check.isBodyMalformed()
-				? {kind: 'unreadable', reason: 'end-malformed'}
-				: {kind: 'answered', status: response.statusCode ?? 0, body: answer});
+			const endFault = await check.findEndFault();
+			resolve(endFault === undefined
+				? {kind: 'answered', status: response.statusCode ?? 0, body: answer}
+				: {kind: 'unreadable', reason: endFault});
 		} catch (error) {
 			fail(error);
 		}
--- a/packages/http/src/check-answer.ts
+++ b/packages/http/src/check-answer.ts
@@ -1,12 +1,16 @@
 import type {ClientRequest, IncomingMessage} from 'node:http';
 import type {Socket} from 'node:net';
 import {createChunkReader, type ChunkReader} from './chunk-reader.js';
+import {endsWithConnection} from './framing.js';
 import {createHeadReader, type HeadProgress} from './head-reader.js';
 import {watchRequestEnd, type RequestEnd} from './request-end.js';
 
 /** Why an answer whose head has come is none: `head-malformed` if a part of the head isn't HTTP, `status-invalid` if no final answer has its status. */
 export type HeadFault = 'head-malformed' | 'status-invalid';
 
+/** Why a body that Node reports as ended isn't whole: `end-malformed` if its chunks or its trailer aren't HTTP, `reset` if it ends with its connection, and that has failed before its request was written. */
+export type EndFault = 'end-malformed' | 'reset';
+
 /** What Node's parser, which is more lenient, doesn't tell of the answer to a request. */
 export type AnswerCheck = RequestEnd & {
 	/** Whether a part of the head that has just come isn't HTTP, for answers that open a connection of another protocol. */
@@ -15,6 +19,8 @@
 	getHeadFault: (message: IncomingMessage) => HeadFault | undefined;
 	/** Whether the chunks or the trailer of the body aren't HTTP; asked once the body has ended or its connection is lost. */
 	isBodyMalformed: () => boolean;
+	/** Resolves with why the body, of which Node has reported the end, isn't whole; undefined if it is. Waits for the end of the request where the body ends with the connection. */
+	findEndFault: () => Promise<EndFault | undefined>;
 };
 
 /** Bounds of the statuses of final answers (RFC 9110, section 15). */
@@ -74,8 +80,11 @@
 			chunkReader.read(head.rest);
 		}
 	});
+	const isBodyMalformed = (): boolean => chunkReader?.isMalformed() === true || (answer?.complete === true && chunkReader?.hasEnded() === false);
+
+	const end = watchRequestEnd(request);
 	return {
-		...watchRequestEnd(request),
+		...end,
 		isHeadMalformed,
 		getHeadFault({statusCode = 0}) {
 			if (isHeadMalformed()) {
@@ -84,6 +93,18 @@
 
 			return isFinalStatus(statusCode) ? undefined : 'status-invalid';
 		},
-		isBodyMalformed: () => chunkReader?.isMalformed() === true || (answer?.complete === true && chunkReader?.hasEnded() === false),
+		isBodyMalformed,
+		async findEndFault() {
+			if (isBodyMalformed()) {
+				return 'end-malformed';
+			}
+
+			if (answer === undefined || !endsWithConnection(answer)) {
+				return undefined;
+			}
+
+			await end.requestEnd;
+			return end.isRequestLost() ? 'reset' : undefined;
+		},
 	};
 };
--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -1,2 +1,4 @@
-export {checkAnswer, type AnswerCheck, type HeadFault} from './check-answer.js';
+export {
+	checkAnswer, type AnswerCheck, type EndFault, type HeadFault,
+} from './check-answer.js';
 export {endsWithConnection, getFraming, type Framing} from './framing.js';
--- a/packages/http/src/request-end.test.ts
+++ b/packages/http/src/request-end.test.ts
@@ -2,8 +2,8 @@
 import type {Socket} from 'node:net';
 import {splitAddress} from '@gentianlift/types';
 import {expect, onTestFinished, test} from 'vitest';
-import {checkAnswer} from './index.js';
 import {startRawServer, writeRaw} from './testing.js';
+import {checkAnswer} from './index.js';
 
 const requestCount = 30;
 
--- a/packages/platform/src/json-client.ts
+++ b/packages/platform/src/json-client.ts
@@ -200,7 +200,7 @@
 			refuseFault(check.getHeadFault(message), abandon);
 			forBody = startTimeout(abandon, {clock, timeout: Math.max(endsAt - clock.monotonic(), bodyTimeout), signal});
 			const reply = await Promise.race([readReply(message), forBody.expired]);
-			refuseFault(check.isBodyMalformed() ? 'end-malformed' : undefined, abandon);
+			refuseFault(await Promise.race([check.findEndFault(), forBody.expired]), abandon);
 			return {
 				kind: 'answered', status: message.statusCode ?? 0, headers: message.headers, ...reply,
 			};
--- a/packages/router/src/broken-answers.test.ts
+++ b/packages/router/src/broken-answers.test.ts
@@ -1,11 +1,13 @@
+import type {Socket} from 'node:net';
 import {
 	answerText, buildOddAnswers, malformedChunks, malformedLines, soundChunks, type OddAnswer, type RawHandler, unknownStatuses,
 } from '@gentianlift/http/testing';
+import type {Settings} from '@gentianlift/types';
 import {expect, onTestFinished, test} from 'vitest';
 import {startRawBookings, type RawBookings} from './testing/raw-bookings.js';
 
-const start = async (handle: RawHandler): Promise<RawBookings> => {
-	const bookings = await startRawBookings(handle);
+const start = async (handle: RawHandler, extra: Partial<Settings> = {}): Promise<RawBookings> => {
+	const bookings = await startRawBookings(handle, extra);
 	onTestFinished(bookings.close);
 	return bookings;
 };
@@ -98,3 +100,44 @@
 	const second = await bookings.book('sound');
 	expect([first.status, first.body.endsWith('0\r\n\r\n'), second.status, second.body]).toEqual(['200', true, '200', '{}']);
 });
+
+/** Body of a booking, in bytes: more than a connection takes whose other end doesn't read. */
+const uploadBytes = 12_000_000;
+const endDelays = [5, 100];
+
+// Guards against: a part of a service's answer, which ends its side and then resets the connection, is kept as a booking's result (issue 56).
+test('an answer without length that ends before its booking is written is kept only if the booking was read', async () => {
+	let act: (socket: Socket) => void = () => undefined;
+	const bookings = await start(socket => {
+		socket.pause().end('HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\npart', () => {
+			act(socket);
+		});
+	}, {
+		callerLimits: {
+			headerBytes: 16_384, bodyBytes: 16_000_000, headerTimeout: 5000, bodyTimeout: 5000, connections: 1000,
+		},
+	});
+	const upload = 'b'.repeat(uploadBytes);
+	for (const delay of endDelays) {
+		act = socket => {
+			setTimeout(() => {
+				socket.resetAndDestroy();
+			}, delay);
+		};
+
+		// eslint-disable-next-line no-await-in-loop -- One booking after the other.
+		const first = await bookings.book(`cut-${delay}`, upload);
+		// eslint-disable-next-line no-await-in-loop -- As above.
+		const second = await bookings.book(`cut-${delay}`, upload);
+		expect([delay, first.body.endsWith('0\r\n\r\n'), second.status, second.fields.includes('x-error-kind: outcome-unknown')]).toEqual([delay, false, '502', true]);
+	}
+
+	act = socket => {
+		socket.resume();
+	};
+
+	const first = await bookings.book('read', upload);
+	const second = await bookings.book('read', upload);
+	expect([first.status, first.body.endsWith('0\r\n\r\n'), second.status, second.body]).toEqual(['200', true, '200', 'part']);
+	expect(bookings.getBookings()).toHaveLength(endDelays.length + 1);
+});
--- a/packages/upstream/src/commands/call-service.ts
+++ b/packages/upstream/src/commands/call-service.ts
@@ -1,8 +1,7 @@
-import {finished} from 'node:stream';
 import type {OutgoingHttpHeaders} from 'node:http';
 import type {SilenceTimeouts} from '@gentianlift/types';
 import type {CallFailure} from '../call-failure.js';
-import {getBodyFailure} from '../wire/body-failure.js';
+import {waitForBodyEnd} from '../wire/body-end.js';
 import {createResponseStream} from '../wire/response-stream.js';
 import type {StreamChunk, ChunkStream} from '../wire/chunk-stream.js';
 import {
@@ -25,18 +24,17 @@
 	outcome: Promise<ServiceOutcome>;
 };
 
-const streamBody = async (response: UpstreamResponse, stream: ChunkStream): Promise<ServiceOutcome> => new Promise(resolve => {
+const streamBody = async (response: UpstreamResponse, stream: ChunkStream): Promise<ServiceOutcome> => {
 	const {message, silenceTimer} = response;
 	message.on('data', (piece: Uint8Array) => {
 		silenceTimer.recordActivity();
 		stream.push(piece, 0);
 	});
-	finished(message, error => {
-		response.release();
-		stream.end();
-		resolve(getBodyFailure(response, error, 'mid-answer') ?? {kind: 'finished'});
-	});
-});
+	const failure = await waitForBodyEnd(response, 'mid-answer');
+	response.release();
+	stream.end();
+	return failure ?? {kind: 'finished'};
+};
 
 /** Calls a service. Resolves when the head of the response arrives, or with the reason why there is none. Never retries and never throws. */
 export const callService = async (context: ExchangeContext, limits: SilenceTimeouts, call: UpstreamRequest): Promise<ServiceResponse | CallFailure> => {
--- a/packages/upstream/src/commands/generate.ts
+++ b/packages/upstream/src/commands/generate.ts
@@ -1,9 +1,8 @@
-import {finished} from 'node:stream';
 import type {OutgoingHttpHeaders} from 'node:http';
 import type {Cancel} from '@gentianlift/clock';
 import type {Address, Milliseconds, SilenceTimeouts} from '@gentianlift/types';
 import type {CallFailure} from '../call-failure.js';
-import {getBodyFailure} from '../wire/body-failure.js';
+import {waitForBodyEnd} from '../wire/body-end.js';
 import {createResponseStream} from '../wire/response-stream.js';
 import type {StreamChunk, ChunkStream} from '../wire/chunk-stream.js';
 import {createEventReader, type EventReader, type GenerationEnd} from '../wire/event-reader.js';
@@ -51,33 +50,28 @@
 /** Time that the response may take to end after the terminal event; only then can the connection be reused. */
 const closeTimeout: Milliseconds = 1000;
 
-const getOutcome = (isFinished: boolean, error: unknown, response: UpstreamResponse, reader: EventReader): GenerationOutcome => {
-	if (isFinished) {
-		return {kind: 'finished', ...reader.getEnd()};
-	}
-
-	return getBodyFailure(response, error, 'mid-answer') ?? {kind: 'incomplete'};
-};
-
 const streamGeneration = async (context: ExchangeContext, response: UpstreamResponse, generationStream: GenerationStream): Promise<GenerationOutcome> => {
 	const {message, silenceTimer} = response;
 	const {reader, stream, limits} = generationStream;
 	let cancelCloseTimer: Cancel | undefined;
 	return new Promise(resolve => {
-		const onResponseEnd = (error?: unknown): void => {
-			cancelCloseTimer?.();
+		const finish = (outcome: GenerationOutcome): void => {
 			response.release();
 			stream.end();
-			resolve(getOutcome(cancelCloseTimer !== undefined, error, response, reader));
+			resolve(outcome);
+		};
+
+		const finishAtEnd = async (): Promise<void> => {
+			const failure = await waitForBodyEnd(response, 'mid-answer');
+			cancelCloseTimer?.();
+			finish(failure ?? {kind: 'incomplete'});
 		};
 
 		const onTerminalEvent = (): void => {
 			cancelCloseTimer = context.clock.after(closeTimeout, () => {
 				response.abort({kind: 'reset', reason: 'open-after-end'});
 			});
-			response.release();
-			stream.end();
-			resolve(getOutcome(true, undefined, response, reader));
+			finish({kind: 'finished', ...reader.getEnd()});
 		};
 
 		message.on('data', (piece: Uint8Array) => {
@@ -95,7 +89,7 @@
 				response.abort({kind: 'reset', reason: 'event-too-long'});
 			}
 		});
-		finished(message, onResponseEnd);
+		void finishAtEnd();
 	});
 };
 
--- a/packages/upstream/src/wire/exchange.ts
+++ b/packages/upstream/src/wire/exchange.ts
@@ -4,7 +4,7 @@
 } from 'node:http';
 import type {Socket} from 'node:net';
 import type {Clock} from '@gentianlift/clock';
-import {checkAnswer} from '@gentianlift/http';
+import {checkAnswer, type AnswerCheck} from '@gentianlift/http';
 import {splitAddress, type Address, type Milliseconds} from '@gentianlift/types';
 import type {ConnectionPool} from './connection-pool.js';
 import {createSilenceTimer, type SilenceTimer} from './silence-timer.js';
@@ -31,13 +31,15 @@
 		| {kind: 'silent'; after: Milliseconds}
 		| {kind: 'cancelled'};
 
-/** A response whose body has not been read yet. Whoever reads the body calls `release` at its end, and `getFailure` if it ended early. */
+/** A response whose body has not been read yet. Whoever reads the body waits for its end with `waitForBodyEnd`, and calls `release` then. */
 export type UpstreamResponse = {
 	kind: 'answered';
 	message: IncomingMessage;
 	silenceTimer: SilenceTimer;
-	/** Returns why the connection was lost or the body isn't HTTP; undefined if neither is so. */
+	/** Returns why the connection was lost; undefined if it wasn't. */
 	getFailure: () => ExchangeFailure | undefined;
+	/** Resolves with why a body that Node reports as ended isn't whole; undefined if it is. The silence timer goes on meanwhile. */
+	findEndFault: AnswerCheck['findEndFault'];
 	/** Closes the connection for the given reason. */
 	abort: (failure: ExchangeFailure) => void;
 	/** Stops the silence timer and detaches the abort signal after the body has been read. */
@@ -181,9 +183,8 @@
 			return;
 		}
 
-		const getFailure = (): ExchangeFailure | undefined => check.isBodyMalformed() ? {kind: 'reset', reason: 'end-malformed'} : failure;
 		resolve({
-			kind: 'answered', message, silenceTimer, release, abort: fail, getFailure,
+			kind: 'answered', message, silenceTimer, release, abort: fail, getFailure: () => failure, findEndFault: check.findEndFault,
 		});
 	});
 	request.on('error', (error: NodeJS.ErrnoException) => {
--- a/packages/upstream/src/wire/read-body.ts
+++ b/packages/upstream/src/wire/read-body.ts
@@ -1,5 +1,4 @@
-import {finished} from 'node:stream';
-import {getBodyFailure} from './body-failure.js';
+import {waitForBodyEnd} from './body-end.js';
 import {decodeText, joinBytes} from './bytes.js';
 import type {UpstreamResponse, ExchangeFailure} from './exchange.js';
 
@@ -10,7 +9,8 @@
 const maxBodyBytes = 1_048_576;
 
 /** Reads a short response body to its end. */
-export const readBody = async ({message, silenceTimer, abort, getFailure, release}: UpstreamResponse): Promise<BodyOutcome> => new Promise(resolve => {
+export const readBody = async (response: UpstreamResponse): Promise<BodyOutcome> => {
+	const {message, silenceTimer, abort, release} = response;
 	const pieces: Uint8Array[] = [];
 	let length = 0;
 	message.on('data', (piece: Uint8Array) => {
@@ -21,8 +21,7 @@
 			abort({kind: 'reset', reason: 'body-too-long'});
 		}
 	});
-	finished(message, error => {
-		release();
-		resolve(getBodyFailure({getFailure}, error, 'body') ?? {kind: 'read', text: decodeText(joinBytes(pieces))});
-	});
-});
+	const failure = await waitForBodyEnd(response, 'body');
+	release();
+	return failure ?? {kind: 'read', text: decodeText(joinBytes(pieces))};
+};
