See the reset of a response without length on every path

What was seen: a service's response without length as finished, though its connection was reset together with its last bytes; a reply of the store, of another host or to an operator as answered, also when the reset came 20 ms after them.

Cause: Node reports the end of such a body as an orderly one and the reset to the request alone, or to nobody if it comes with data. The first was looked at in `forwarder` and `upstream`, the second in `forwarder` alone, neither in the JSON client and the operators' client.

Evidence, on the code before: the two cases of upstream/early-end.test that are reset right after the last byte, two of platform/early-end.test (0 and 20 ms) and the one of cli/broken-answers.test failed; all pass now, an end in order beside each.

Change: the connection pool's check for a reset that comes with data moves to `http/watch-reset`, which all paths ask.

Why it works: both signs of a reset are there before the reader of the body learns of its end.

--- a/packages/cli/src/broken-answers.test.ts
+++ b/packages/cli/src/broken-answers.test.ts
@@ -54,7 +54,7 @@
 const bodyBytes = 12_000_000;
 const unframed = 'HTTP/1.1 200 OK\r\n\r\n{}';
 
-// Guards against: a command counts as carried out by an answer whose connection was reset before the command was sent (issue 56).
+// Guards against: a command counts as carried out by an answer whose connection was reset before the command was sent, or on the way (issue 56).
 test('an answer without length counts if its connection ends in order and the call was read', async () => {
 	const callWith = async (act: (socket: Socket) => void, body: unknown): Promise<string> => {
 		const {kind} = await call(socket => {
@@ -75,6 +75,16 @@
 
 	const large = 'b'.repeat(bodyBytes);
 	expect(await callWith(endThen(reset), large)).not.toBe('answered');
+	expect(await callWith(socket => {
+		socket.write(unframed, () => {
+			setTimeout(reset, 20, socket);
+		});
+	}, 'small')).not.toBe('answered');
+	expect(await callWith(socket => {
+		socket.write(unframed, () => {
+			socket.resetAndDestroy();
+		});
+	}, 'small')).not.toBe('answered');
 	expect(await callWith(endThen(socket => {
 		socket.resume();
 	}), large)).toBe('answered');
--- a/packages/forwarder/src/send/send.ts
+++ b/packages/forwarder/src/send/send.ts
@@ -130,7 +130,7 @@
 	const check = checkAnswer(clientRequest);
 	const {promise: outcome, resolve} = createDeferred<SendOutcome>();
 	let phase: SendPhase = 'waiting';
-	let hasFailed = false;
+	let isCancelled = false;
 	let isFinished = false;
 	let cancelTimer: Cancel | undefined;
 
@@ -228,7 +228,7 @@
 		const {socket} = message;
 		const answer: Incoming = {
 			message,
-			hasFailed: () => hasFailed || agent.wasReset(socket) || check.isRequestLost(),
+			hasFailed: () => isCancelled || check.hasConnectionFailed(),
 			isBodyMalformed: check.isBodyMalformed,
 			waitForEnd: async () => check.requestEnd,
 		};
@@ -246,7 +246,6 @@
 		finish(classifyAnswer(answer, head, {fault, callerRequestId, hasNamedRequests}));
 	});
 	clientRequest.on('error', error => {
-		hasFailed = true;
 		finish(getFailure(phase, getErrorReason(error)));
 	});
 	clientRequest.once('close', () => {
@@ -261,7 +260,7 @@
 			}
 
 			// Node reports the end of a body without length or chunks, as if its upstream had closed the connection.
-			hasFailed = true;
+			isCancelled = true;
 			clientRequest.destroy();
 		},
 	};
--- a/packages/forwarder/src/send/upstream-agent.ts
+++ b/packages/forwarder/src/send/upstream-agent.ts
@@ -28,8 +28,6 @@
 	idleTimer: NodeJS.Timeout | undefined;
 	/** Bytes received since the request was sent, up to those with the end of the answer's head. */
 	headBytes: number;
-	/** Whether the connection ended with a reset. */
-	isReset: boolean;
 	/** Whether an answer on it has named the request that it answers. */
 	hasNamedRequests: boolean;
 };
@@ -114,15 +112,10 @@
 		return performance.now() - Math.min(openedAt, ...witnesses.map(witness => witness.openedAt));
 	}
 
-	/** Whether a connection that has ended was reset. */
-	wasReset(socket: Socket): boolean {
-		return this.#states.get(socket)?.isReset ?? false;
-	}
-
 	override createConnection(options: NetConnectOpts): Socket {
 		const socket = connect({...options, noDelay: true, allowHalfOpen: true});
 		const state: ConnectionState = {
-			message: undefined, isIdle: false, openedAt: performance.now(), readAt: Number.NEGATIVE_INFINITY, idleTimer: undefined, headBytes: 0, isReset: false, hasNamedRequests: false,
+			message: undefined, isIdle: false, openedAt: performance.now(), readAt: Number.NEGATIVE_INFINITY, idleTimer: undefined, headBytes: 0, hasNamedRequests: false,
 		};
 		this.#states.set(socket, state);
 		this.#open.add(state);
@@ -140,11 +133,7 @@
 				socket.destroy(new Error('head-too-long'));
 			}
 		});
-		socket.once('end', () => {
-			// A reset that arrives together with data is reported as an orderly end, but leaves the socket without a remote address.
-			state.isReset = socket.remoteAddress === undefined;
-			closeIfUnused();
-		});
+		socket.once('end', closeIfUnused);
 		socket.once('close', () => {
 			clearTimeout(state.idleTimer);
 			this.#open.delete(state);
--- a/packages/http/src/check-answer.ts
+++ b/packages/http/src/check-answer.ts
@@ -4,21 +4,24 @@
 import {endsWithConnection} from './framing.js';
 import {createHeadReader, type HeadProgress} from './head-reader.js';
 import {watchRequestEnd, type RequestEnd} from './request-end.js';
+import {watchReset} from './watch-reset.js';
 
 /** Why an answer whose head has come is none: `head-malformed` if a part of the head isn't HTTP, `status-invalid` if no final answer has its status. */
 export type HeadFault = 'head-malformed' | 'status-invalid';
 
-/** Why a body that Node reports as ended isn't whole: `end-malformed` if its chunks or its trailer aren't HTTP, `reset` if it ends with its connection, and that has failed before its request was written. */
+/** Why a body that Node reports as ended isn't whole: `end-malformed` if its chunks or its trailer aren't HTTP, `reset` if it ends with its connection, and that has failed. */
 export type EndFault = 'end-malformed' | 'reset';
 
 /** What Node's parser, which is more lenient, doesn't tell of the answer to a request. */
-export type AnswerCheck = RequestEnd & {
+export type AnswerCheck = Pick<RequestEnd, 'requestEnd'> & {
 	/** Whether a part of the head that has just come isn't HTTP, for answers that open a connection of another protocol. */
 	isHeadMalformed: () => boolean;
 	/** Returns why the answer whose head has just come is none; undefined if it is one. */
 	getHeadFault: (message: IncomingMessage) => HeadFault | undefined;
 	/** Whether the chunks or the trailer of the body aren't HTTP; asked once the body has ended or its connection is lost. */
 	isBodyMalformed: () => boolean;
+	/** Whether the connection has failed, which matters for a body that ends with it. */
+	hasConnectionFailed: () => boolean;
 	/** Resolves with why the body, of which Node has reported the end, isn't whole; undefined if it is. Waits for the end of the request where the body ends with the connection. */
 	findEndFault: () => Promise<EndFault | undefined>;
 };
@@ -82,9 +85,13 @@
 	});
 	const isBodyMalformed = (): boolean => chunkReader?.isMalformed() === true || (answer?.complete === true && chunkReader?.hasEnded() === false);
 
-	const end = watchRequestEnd(request);
+	const {requestEnd, isRequestLost} = watchRequestEnd(request);
+	const wasReset = watchReset(request);
+	const hasConnectionFailed = (): boolean => wasReset() || isRequestLost();
+
 	return {
-		...end,
+		requestEnd,
+		hasConnectionFailed,
 		isHeadMalformed,
 		getHeadFault({statusCode = 0}) {
 			if (isHeadMalformed()) {
@@ -103,8 +110,8 @@
 				return undefined;
 			}
 
-			await end.requestEnd;
-			return end.isRequestLost() ? 'reset' : undefined;
+			await requestEnd;
+			return hasConnectionFailed() ? 'reset' : undefined;
 		},
 	};
 };
--- a/packages/http/src/request-end.test.ts
+++ b/packages/http/src/request-end.test.ts
@@ -31,7 +31,7 @@
 			message.resume();
 		});
 		outgoing.once('close', () => {
-			expect([check.isBodyMalformed(), check.isRequestLost()]).toEqual([false, false]);
+			expect([check.isBodyMalformed(), check.hasConnectionFailed()]).toEqual([false, false]);
 			setImmediate(() => {
 				resolve(Object.fromEntries(['data', 'end', 'close', 'error'].map(name => [name, socket.listenerCount(name)])));
 			});
--- a/packages/platform/src/early-end.test.ts
+++ b/packages/platform/src/early-end.test.ts
@@ -33,6 +33,12 @@
 	socket.resetAndDestroy();
 };
 
+const writeAndReset = (delay: number) => (socket: Socket): void => {
+	socket.write(reply, () => {
+		setTimeout(reset, delay, socket);
+	});
+};
+
 // Guards against: a write counts as applied by a reply whose connection was reset before the write was sent (issue 56).
 test.each([5, 100])('a reply without length that ends before the call is written, and is reset %i ms later, leaves it unknown', async delay => {
 	expect(await call(endThen(reset, delay), large)).toBe('unknown');
@@ -49,3 +55,11 @@
 		socket.end(reply);
 	}, large)).toBe('unknown');
 });
+
+// Guards against: a reply without length counts although its connection is reset.
+test.each([0, 20])('a reply without length that is reset after %i ms leaves its call unknown, and one that ends in order is read', async delay => {
+	expect(await call(writeAndReset(delay), {})).toBe('unknown');
+	expect(await call(socket => {
+		socket.end(reply);
+	}, {})).toBe('answered');
+});
--- a/packages/upstream/src/early-end.test.ts
+++ b/packages/upstream/src/early-end.test.ts
@@ -53,3 +53,12 @@
 		socket.write('HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nwell');
 	})).toBe('finished');
 });
+
+// Guards against: a reset that arrives together with the last bytes is taken for an end in order.
+test.each(['{}', upload])('a response without length that is reset right after its last byte is not finished', async body => {
+	expect(await getOutcome(socket => {
+		socket.write(answer, () => {
+			socket.resetAndDestroy();
+		});
+	}, body)).toBe('reset');
+});
