Take no answer in another transfer coding than chunks

What callers saw: the encoded bytes of an answer ("f\r\nid: 1...", sizes and line ends included) as its body, without the field that names the coding, as whole whenever the connection ended.

Cause: Node reads a body in another coding than chunks up to the end of its connection; the router drops `Transfer-Encoding`, which concerns one connection, and took such a body for one in chunks.

Why it works: `http/checkAnswer` refuses every coding but `chunked` alone, which is the one that this side takes off; it asks for no other.

--- a/packages/http/src/check-answer.ts
+++ b/packages/http/src/check-answer.ts
@@ -6,8 +6,8 @@
 import {watchRequestEnd, type RequestEnd} from './request-end.js';
 import {watchReset} from './watch-reset.js';
 
-/** Why an answer whose head has come is none: `head-malformed` if a part of the head isn't HTTP, `status-invalid` if no final answer has its status. */
-export type HeadFault = 'head-malformed' | 'status-invalid';
+/** Why an answer whose head has come is none: `head-malformed` if a part of the head isn't HTTP, `status-invalid` if no final answer has its status, `coding-unknown` if its body is in another transfer coding than chunks. */
+export type HeadFault = 'head-malformed' | 'status-invalid' | 'coding-unknown';
 
 /** Why a body that Node reports as ended isn't whole: `end-malformed` if its chunks or its trailer aren't HTTP, `reset` if it ends with its connection, and that has failed. */
 export type EndFault = 'end-malformed' | 'reset';
@@ -35,6 +35,9 @@
 
 const isInChunks = ({headers}: IncomingMessage): boolean => headers['transfer-encoding']?.toLowerCase() === 'chunked';
 
+/** Whether a body is in a coding that isn't taken off here; Node reads one up to the end of its connection. */
+const isInUnknownCoding = (message: IncomingMessage): boolean => message.headers['transfer-encoding'] !== undefined && !isInChunks(message);
+
 /**
 Checks the answer to a request as its bytes arrive. Call it before the request has a connection.
 
@@ -93,12 +96,16 @@
 		requestEnd,
 		hasConnectionFailed,
 		isHeadMalformed,
-		getHeadFault({statusCode = 0}) {
+		getHeadFault(message) {
 			if (isHeadMalformed()) {
 				return 'head-malformed';
 			}
 
-			return isFinalStatus(statusCode) ? undefined : 'status-invalid';
+			if (!isFinalStatus(message.statusCode ?? 0)) {
+				return 'status-invalid';
+			}
+
+			return isInUnknownCoding(message) ? 'coding-unknown' : undefined;
 		},
 		isBodyMalformed,
 		async findEndFault() {
--- a/packages/http/src/testing.ts
+++ b/packages/http/src/testing.ts
@@ -115,6 +115,9 @@
 /** Statuses that no final answer has. */
 export const unknownStatuses = ['000', '001', '099', '101', '600', '999'] as const;
 
+/** Transfer codings that aren't chunks alone. */
+export const unknownCodings = ['gzip', 'identity', 'xchunked', 'chunked, gzip', 'gzip, chunked', 'chunked, chunked', ''] as const;
+
 /** Where a line stands in a head: before or behind the fields that are named. */
 const positions = ['before', 'behind'] as const;
 
