Log why an attempt failed in the router without the platform

What operators saw: a booking's `upstream-reset` and nothing that tells a lost connection from a response that isn't HTTP; the reason ended in the upstream client.

Change: `attempt-failed` with the request, the upstream, the attempt, its outcome, whether it ran and the reason (an error code, `head-malformed`, `status-invalid`, `coding-unknown`, `end-malformed`, a status, a refusal's code).

--- a/packages/router/src/dispatch/attempt-failure.test.ts
+++ b/packages/router/src/dispatch/attempt-failure.test.ts
@@ -18,3 +18,11 @@
 test('a request that was not sent says nothing about its upstream', () => {
 	expect(describeCallFailure({kind: 'unsent'})).toMatchObject({error: 'host-overloaded', ran: 'not-run', observation: undefined});
 });
+
+// Guards against: no line tells a response that isn't HTTP from a lost connection.
+test('a failure says why, as far as that is known', () => {
+	expect(describeCallFailure({kind: 'reset', reason: 'head-malformed'})).toMatchObject({error: 'upstream-reset', reason: 'head-malformed', ran: 'unknown'});
+	expect(describeCallFailure({kind: 'refused', code: 'busy'}).reason).toBe('busy');
+	expect(describeCallFailure({kind: 'failed', status: 500, text: ''}).reason).toBe('status-500');
+	expect(describeCallFailure({kind: 'silent', after: 5}).reason).toBe(undefined);
+});
--- a/packages/router/src/dispatch/attempt-failure.ts
+++ b/packages/router/src/dispatch/attempt-failure.ts
@@ -10,6 +10,8 @@
 	kind: 'lost';
 	error: ErrorKind;
 	outcome: AttemptOutcome;
+	/** Details for the log: an error code, what isn't HTTP in the response, its status, or the code of a refusal. */
+	reason: string | undefined;
 	/** What the failure says about the health of the upstream; undefined if nothing. */
 	observation: UpstreamObservation['kind'] | undefined;
 	/** Whether the upstream executed the request, as far as the router knows. */
@@ -42,6 +44,29 @@
 	}
 };
 
+const getReason = (failure: CallFailure): string | undefined => {
+	switch (failure.kind) {
+		case 'unreachable':
+		case 'reset': {
+			return failure.reason;
+		}
+
+		case 'refused': {
+			return failure.code;
+		}
+
+		case 'failed': {
+			return `status-${failure.status}`;
+		}
+
+		case 'silent':
+		case 'unsent':
+		case 'cancelled': {
+			return undefined;
+		}
+	}
+};
+
 const errorKinds = {
 	refused: 'upstream-refused',
 	unsent: 'host-overloaded',
@@ -68,6 +93,7 @@
 		kind: 'lost',
 		error: rejection === undefined ? errorKinds[failure.kind] : 'upstream-rejected',
 		outcome: failure.kind,
+		reason: getReason(failure),
 		observation: getObservationKind(failure),
 		ran: getRunState(failure),
 		...(rejection !== undefined && {rejection}),
--- a/packages/router/src/dispatch/generation-attempt.ts
+++ b/packages/router/src/dispatch/generation-attempt.ts
@@ -47,7 +47,7 @@
 const getFailure = (outcome: Exclude<GenerationOutcome, {kind: 'finished'}>): AttemptFailure => {
 	if (outcome.kind === 'incomplete') {
 		return {
-			kind: 'lost', error: 'answer-incomplete', outcome: 'failed', observation: 'reset', ran: 'ran',
+			kind: 'lost', error: 'answer-incomplete', outcome: 'failed', reason: 'incomplete', observation: 'reset', ran: 'ran',
 		};
 	}
 
--- a/packages/router/src/dispatch/grants.ts
+++ b/packages/router/src/dispatch/grants.ts
@@ -51,7 +51,7 @@
 	finished: 'finished', failed: 'failed', cancelled: 'cancelled', preempted: 'preempted', withdrawn: 'cancelled',
 } as const;
 
-/** Releases the slot of an attempt and records its outcome in the account of the request and the health record of the upstream. */
+/** Releases the slot of an attempt and records its outcome in the account of the request and the health record of the upstream; logs a failure. */
 export const finishAttempt = (context: HostContext, record: AttemptRecord): void => {
 	const {request, upstream, failure, tokens} = record;
 	context.grants.reportEnd({
@@ -66,6 +66,12 @@
 	context.accounts.apply({
 		kind: 'attempt-ended', request: request.id, upstream, outcome: failure?.outcome ?? outcomesByEndKind[record.kind], tokens, ran: record.ran,
 	});
+	if (failure !== undefined) {
+		context.logger.info('attempt-failed', {
+			request: request.id, upstream, attempt: record.attempt, outcome: failure.outcome, reason: failure.reason, ran: record.ran,
+		});
+	}
+
 	const observedKind = record.kind === 'finished' ? 'success' : failure?.observation;
 	if (observedKind !== undefined) {
 		context.recordObservation({upstream, at: context.clock.now(), kind: observedKind});
