--- a/packages/forwarder/src/send/unknown-status.test.ts
+++ b/packages/forwarder/src/send/unknown-status.test.ts
@@ -38,6 +38,14 @@
 	}
 });
 
+test('an answer that switches the protocol reaches no caller', async () => {
+	const {host} = await start(socket => {
+		writeRaw(socket, getAnswer('101', 'Connection: upgrade\r\nUpgrade: x\r\n'));
+	});
+	expect(await sendToAll(host.port)).toEqual(refused);
+	expect(await waitForEnd(host, 'a1')).toContain(' lastFailure=closed ');
+});
+
 test('an answer with a status that is none reaches no caller over another host', async () => {
 	for (const status of [...unknownStatuses, '200']) {
 		// eslint-disable-next-line no-await-in-loop -- One host at a time.
--- a/packages/http/src/check-answer.ts
+++ b/packages/http/src/check-answer.ts
@@ -26,6 +26,8 @@
 	findEndFault: () => Promise<EndFault | undefined>;
 };
 
+const noBytes = new Uint8Array();
+
 /** Bounds of the statuses of final answers (RFC 9110, section 15). */
 const minStatus = 200;
 const maxStatus = 599;
@@ -81,10 +83,17 @@
 	});
 	request.once('response', message => {
 		answer = message;
-		if (head.kind === 'ended' && isInChunks(message)) {
+		if (head.kind !== 'ended') {
+			return;
+		}
+
+		if (isInChunks(message)) {
 			chunkReader = createChunkReader();
 			chunkReader.read(head.rest);
 		}
+
+		// What was read with the head isn't kept while the body is received.
+		head = {kind: 'ended', rest: noBytes};
 	});
 	const isBodyMalformed = (): boolean => chunkReader?.isMalformed() === true || (answer?.complete === true && chunkReader?.hasEnded() === false);
 
--- a/packages/http/src/request-end.ts
+++ b/packages/http/src/request-end.ts
@@ -29,7 +29,9 @@
 	};
 
 	const release = (): void => {
-		Reflect.deleteProperty(socket, 'destroy');
+		if (socket.destroy === ignoreDestroy) {
+			Reflect.deleteProperty(socket, 'destroy');
+		}
 	};
 
 	// Node's listener, which destroys the connection, runs between the two.
