Take answers without a body that name chunks

Cause: the reader of chunks waited for chunks that such an answer names but doesn't have (RFC 9112, section 6.1).

Why it works: chunks are read only where the answer has a body.

--- a/packages/http/src/check-answer.ts
+++ b/packages/http/src/check-answer.ts
@@ -1,7 +1,7 @@
 import type {ClientRequest, IncomingMessage} from 'node:http';
 import type {Socket} from 'node:net';
 import {createChunkReader, type ChunkReader} from './chunk-reader.js';
-import {endsWithConnection} from './framing.js';
+import {endsWithConnection, hasBody} from './framing.js';
 import {createHeadReader, type HeadProgress} from './head-reader.js';
 import {watchRequestEnd, type RequestEnd} from './request-end.js';
 import {watchReset} from './watch-reset.js';
@@ -87,7 +87,7 @@
 			return;
 		}
 
-		if (isInChunks(message)) {
+		if (isInChunks(message) && hasBody(message, request.method)) {
 			chunkReader = createChunkReader();
 			chunkReader.read(head.rest);
 		}
--- a/packages/http/src/framing.ts
+++ b/packages/http/src/framing.ts
@@ -15,6 +15,10 @@
 /** Statuses of answers without a body, which end with their heads (RFC 9112, section 6.3). */
 const bodilessStatuses = new Set([204, 304]);
 
+/** Whether an answer to a request of a method has a body; one without may name the length or the chunks that it would have. */
+export const hasBody = ({statusCode = 0}: Pick<IncomingMessage, 'statusCode'>, method: string): boolean =>
+	method !== 'HEAD' && !bodilessStatuses.has(statusCode);
+
 /** Whether an answer has a body that ends with its connection. */
 export const endsWithConnection = (answer: IncomingMessage): boolean =>
 	getFraming(answer) === 'close' && !bodilessStatuses.has(answer.statusCode ?? 0);
