Review: format the scripts of the second review

The linter found errors of layout in the scripts and their stand-ins. They are formatted; what they do is as before.

--- a/review/support-2/lab.mjs
+++ b/review/support-2/lab.mjs
@@ -1,12 +1,15 @@
+/* eslint-disable no-await-in-loop -- A script whose steps follow each other, and whose exit status is its result. */
 // Stand-ins for a small deployment, for the cases of the second review: a store, engines, an operator, callers,
 // and the project's own program as separate processes on loopback addresses.
 import {spawn} from 'node:child_process';
 import {Buffer} from 'node:buffer';
-import {appendFileSync, mkdtempSync, rmSync, writeFileSync, openSync, closeSync} from 'node:fs';
+import {
+	appendFileSync, mkdtempSync, rmSync, writeFileSync, openSync, closeSync,
+} from 'node:fs';
 import http from 'node:http';
 import net from 'node:net';
 import {tmpdir} from 'node:os';
-import {join} from 'node:path';
+import path from 'node:path';
 import {fileURLToPath} from 'node:url';
 import process from 'node:process';
 
@@ -55,7 +58,7 @@
 			const chunks = [];
 			request.on('data', chunk => chunks.push(chunk));
 			request.on('end', () => {
-				void this.handle(request, response, Buffer.concat(chunks).toString());
+				this.handle(request, response, Buffer.concat(chunks).toString());
 			});
 		});
 		this.server.keepAliveTimeout = 60_000;
@@ -83,7 +86,7 @@
 
 	change(event) {
 		this.history.push(event);
-		for (const wake of [...this.waiting]) {
+		for (const wake of this.waiting) {
 			wake();
 		}
 	}
@@ -108,7 +111,7 @@
 
 	endLease(id) {
 		this.leases.delete(id);
-		for (const item of [...this.items.values()]) {
+		for (const item of this.items.values()) {
 			if (item.leaseId === id) {
 				this.remove(item.key);
 			}
@@ -116,7 +119,7 @@
 	}
 
 	expire() {
-		for (const [id, lease] of [...this.leases]) {
+		for (const [id, lease] of this.leases) {
 			if (performance.now() > lease.until) {
 				this.endLease(id);
 			}
@@ -125,7 +128,9 @@
 
 	/** Takes a copy from which the store can be restored. */
 	copy() {
-		return {items: new Map(this.items), revision: this.revision, leases: new Map([...this.leases].map(([id, lease]) => [id, {...lease}])), nextLease: this.nextLease};
+		return {
+			items: new Map(this.items), revision: this.revision, leases: new Map([...this.leases].map(([id, lease]) => [id, {...lease}])), nextLease: this.nextLease,
+		};
 	}
 
 	/** Comes back from a copy: revisions go back, and the era rises. */
@@ -137,7 +142,7 @@
 		this.era += 1;
 		this.history = [];
 		this.historyFrom = copy.revision;
-		for (const wake of [...this.waiting]) {
+		for (const wake of this.waiting) {
 			wake();
 		}
 	}
@@ -145,7 +150,9 @@
 	async handle(request, response, body) {
 		const url = new URL(request.url, 'http://store');
 		const [call = '', id = ''] = url.pathname.split('/').slice(2);
-		const gated = await this.gate?.({call, id, method: request.method, body, url, from: request.socket.remoteAddress, socket: request.socket});
+		const gated = await this.gate?.({
+			call, id, method: request.method, body, url, from: request.socket.remoteAddress, socket: request.socket,
+		});
 		if (gated === false) {
 			return;
 		}
@@ -161,10 +168,9 @@
 		}
 
 		const sleepUntilChange = async after => {
-			const era = this.era;
+			const {era} = this;
 			const end = performance.now() + Number(url.searchParams.get('waitMs'));
 			while (era === this.era && after >= this.revision && performance.now() < end && !response.destroyed) {
-				// eslint-disable-next-line no-await-in-loop
 				await new Promise(resolve => {
 					const timer = setTimeout(resolve, Math.max(1, end - performance.now()));
 					const wake = () => {
@@ -259,15 +265,15 @@
 	}
 }
 
-const statusTexts = http.STATUS_CODES;
-
 /** An engine; `answer` decides what becomes of a request, by default a whole answer with its id and its mark. */
 export class Engine {
 	runs = [];
 	sockets = new Set();
 
 	constructor({id, service, zone = 'z', store, answer, version = 'v1', slots = 64}) {
-		Object.assign(this, {id, service, zone, store, slots, version, born: Date.now()});
+		Object.assign(this, {
+			id, service, zone, store, slots, version, born: Date.now(),
+		});
 		this.answer = answer;
 	}
 
@@ -356,7 +362,7 @@
 	constructor({store, settings = {}, logs}) {
 		this.store = store;
 		this.settings = settings;
-		this.folder = mkdtempSync(join(tmpdir(), 'review-'));
+		this.folder = mkdtempSync(path.join(tmpdir(), 'review-'));
 		this.logs = logs ?? this.folder;
 	}
 
@@ -371,7 +377,7 @@
 			callers: host.callers, readiness: host.readiness, directory: host.directory, peers: host.peers, ip, notesPort: await port(), metricsPort: await port(),
 			knownPeers: seeds, store: this.store.address, grace: 8, addressLife: 5, retryRatio: 0.2, retryMinimum: 54, retryWindow: 10, ...this.settings, ...settings,
 		};
-		host.path = join(this.folder, `${name}.json`);
+		host.path = path.join(this.folder, `${name}.json`);
 		writeFileSync(host.path, JSON.stringify(host.settings));
 		this.hosts.push(host);
 		this.start(host);
@@ -379,7 +385,7 @@
 	}
 
 	start(host) {
-		const log = openSync(join(this.logs, `${host.name}.log`), 'a');
+		const log = openSync(path.join(this.logs, `${host.name}.log`), 'a');
 		host.process = spawn(process.execPath, ['--max-old-space-size=160', '--max-semi-space-size=4', 'target/gentianlift.mjs', 'run'], {
 			cwd: root, stdio: ['ignore', log, log], env: {PATH: process.env.PATH, HOME: process.env.HOME, GENTIANLIFT_SETTINGS: host.path},
 		});
@@ -396,13 +402,11 @@
 	async waitUntilReady(timeout = 15_000) {
 		const end = performance.now() + timeout;
 		for (const host of this.hosts) {
-			// eslint-disable-next-line no-await-in-loop
 			while (!await isReady(host)) {
 				if (performance.now() > end) {
 					throw new Error(`${host.name} isn't ready`);
 				}
 
-				// eslint-disable-next-line no-await-in-loop
 				await sleep(50);
 			}
 		}
@@ -473,16 +477,32 @@
 export const createConfiguration = (version, changes = {}) => ({
 	version,
 	routes: [
-		{name: 'r-once', host: 'a.example', prefix: '/once/', type: 'non_idempotent', service: 'app', timeoutMs: 3000, targetLatencyMs: 300, priority: 2, maxAttempts: 2, public: false, sticky: false, resumable: false},
-		{name: 'r-read', host: 'a.example', prefix: '/read/', type: 'idempotent', service: 'app', timeoutMs: 3000, targetLatencyMs: 300, priority: 2, maxAttempts: 3, public: false, sticky: false, resumable: false},
-		{name: 'r-stream', host: 'a.example', prefix: '/stream/', type: 'streaming', service: 'llm', timeoutMs: 8000, targetLatencyMs: 1000, itlTargetMs: 600, priority: 1, maxAttempts: 2, public: false, sticky: true, resumable: true},
-		{name: 'r-plain', host: 'a.example', prefix: '/plain/', type: 'streaming', service: 'llm', timeoutMs: 8000, targetLatencyMs: 1000, itlTargetMs: 600, priority: 1, maxAttempts: 1, public: false, sticky: true, resumable: false},
+		{
+			name: 'r-once', host: 'a.example', prefix: '/once/', type: 'non_idempotent', service: 'app', timeoutMs: 3000, targetLatencyMs: 300, priority: 2, maxAttempts: 2, public: false, sticky: false, resumable: false,
+		},
+		{
+			name: 'r-read', host: 'a.example', prefix: '/read/', type: 'idempotent', service: 'app', timeoutMs: 3000, targetLatencyMs: 300, priority: 2, maxAttempts: 3, public: false, sticky: false, resumable: false,
+		},
+		{
+			name: 'r-stream', host: 'a.example', prefix: '/stream/', type: 'streaming', service: 'llm', timeoutMs: 8000, targetLatencyMs: 1000, itlTargetMs: 600, priority: 1, maxAttempts: 2, public: false, sticky: true, resumable: true,
+		},
+		{
+			name: 'r-plain', host: 'a.example', prefix: '/plain/', type: 'streaming', service: 'llm', timeoutMs: 8000, targetLatencyMs: 1000, itlTargetMs: 600, priority: 1, maxAttempts: 1, public: false, sticky: true, resumable: false,
+		},
 	],
 	services: [
-		{name: 'app', healthPath: '/healthz', maxConnections: 100, protocol: 'h1', tls: false},
-		{name: 'llm', healthPath: '/healthz', maxConnections: 360, protocol: 'h1', tls: false, engine: {batchSlots: 64, kvCapacity: 480_559, kvBytes: 18_432, linkMbps: 180_000, stride: 3, most: 12, pinMs: 4000, holdMs: 2000, handleTtlS: 5, models: [{name: 'm'}]}},
+		{
+			name: 'app', healthPath: '/healthz', maxConnections: 100, protocol: 'h1', tls: false,
+		},
+		{
+			name: 'llm', healthPath: '/healthz', maxConnections: 360, protocol: 'h1', tls: false, engine: {
+				batchSlots: 64, kvCapacity: 480_559, kvBytes: 18_432, linkMbps: 180_000, stride: 3, most: 12, pinMs: 4000, holdMs: 2000, handleTtlS: 5, models: [{name: 'm'}],
+			},
+		},
 	],
-	limits: {maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000},
+	limits: {
+		maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
+	},
 	tenants: [{name: 'ten-a', apiKeys: ['key-a'], priority: 1}, {name: 'ten-b', apiKeys: ['key-b'], priority: 2}],
 	...changes,
 });
