--- a/review/support-2/lab.mjs
+++ b/review/support-2/lab.mjs
@@ -1,4 +1,4 @@
-/* eslint-disable no-await-in-loop -- A script whose steps follow each other, and whose exit status is its result. */
+/* eslint-disable no-await-in-loop, unicorn/no-process-exit -- A script whose steps follow each other, and whose exit status is its result. */
 // Stand-ins for a small deployment, for the cases of the second review: a store, engines, an operator, callers,
 // and the project's own program as separate processes on loopback addresses.
 import {spawn} from 'node:child_process';
@@ -14,6 +14,27 @@
 import process from 'node:process';
 
 const root = fileURLToPath(new URL('../..', import.meta.url));
+/** Exit status of a script that has seen the rule broken; any other but 0 says that it couldn't run. */
+export const brokenStatus = 10;
+const failedStatus = 2;
+/** Longest time of a script, in milliseconds. */
+const maxDuration = 118_000;
+
+process.on('uncaughtException', error => {
+	console.error(error);
+	process.exit(failedStatus);
+});
+for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) {
+	process.on(signal, () => {
+		process.exit(failedStatus);
+	});
+}
+
+setTimeout(() => {
+	console.error('the case takes too long');
+	process.exit(failedStatus);
+}, maxDuration).unref();
+
 export const sleep = async ms => new Promise(resolve => {
 	setTimeout(resolve, ms);
 });
@@ -364,6 +385,9 @@
 		this.settings = settings;
 		this.folder = mkdtempSync(path.join(tmpdir(), 'review-'));
 		this.logs = logs ?? this.folder;
+		process.once('exit', () => {
+			this.kill();
+		});
 	}
 
 	async add(name, {ip, zone = 'z', settings = {}, knownPeers} = {}) {
@@ -412,14 +436,19 @@
 		}
 	}
 
-	async stop() {
+	/** Ends all hosts at once, however the script ends. */
+	kill() {
 		for (const {process: child, exit} of this.hosts) {
 			if (exit === undefined) {
-				child.kill('SIGCONT');
 				child.kill('SIGKILL');
 			}
 		}
 
+		rmSync(this.folder, {recursive: true, force: true});
+	}
+
+	async stop() {
+		this.kill();
 		await Promise.all(this.hosts.map(async ({ended}) => ended));
 		rmSync(this.folder, {recursive: true, force: true});
 	}
