Read the store item by item and drop what names nothing

With 21,000 entries of 100 bytes, or sizes that fill the room to the last, the engines that registered later were left out.

Cause: what names nothing was counted and held like what is used. One reply, and all pages of a reading together, could have 8 MB and 200,000 values, so that the reading failed for ever; the room of the view was for whoever came first.

Change: the scanner of replies cuts the items out of the store's lists as their bytes arrive, and the view says at once what it needs of each. Only that counts towards the limits, which stay as they were, and only that is held or passed on by a relay. A reply that can't be read in time is replaced by the state, which comes in pages. invalid-entries becomes foreign-entries, with a line and four gauges that name what takes the room, for 1,000 keys.

Why it works: whatever is left there takes the memory of one item at a time.

--- a/packages/discovery/src/fleet-view.ts
+++ b/packages/discovery/src/fleet-view.ts
@@ -4,23 +4,29 @@
 	getUpstreamKey, type RouteTable, type RoutingConfiguration, type Service, type Upstream, type UpstreamKey,
 } from '@gentianlift/routing';
 import type {
-	Change, Entry, Milliseconds, Snapshot,
+	Change, Entry, Milliseconds, Select, Snapshot,
 } from '@gentianlift/types';
 import {getChangeRevision} from './checked-entries.js';
 import type {DecodedEntry} from './decoded-entry.js';
-import {hostPrefix, type HostRecord} from './host-record.js';
+import type {EntryClassifierOptions} from './entry-classifier.js';
+import type {ForeignTotals} from './foreign-entries.js';
+import type {HostRecord} from './host-record.js';
 import {createListedHosts} from './listed-hosts.js';
 import {createListedUpstreams, type ListedUpstreamsOptions} from './listed-upstreams.js';
 import {createNewestConfiguration} from './newest-configuration.js';
-import {createSafeDecoder, isTooLong, maxKeyLength} from './entry-decoder.js';
-import {createHeldEntries} from './held-entries.js';
-import {createInvalidEntries} from './invalid-entries.js';
+import {createSafeDecoder} from './entry-decoder.js';
+import {createKnownEntries} from './known-entries.js';
+import type {ViewReading} from './state-reading.js';
 import {createStoreContact, type Interval} from './store-contact.js';
 
 /** This host's copy of the configuration, upstreams and hosts in the key-value service, here called the store; it may lag behind. */
 export type FleetView = {
-	/** Replaces all entries; ones that the snapshot lacks are removed, after a grace period if the store was restored from an older copy. */
-	applySnapshot: (snapshot: Snapshot, now: Milliseconds) => void;
+	/** Begins a reading of the whole state, which keeps what this view would hold. */
+	createReading: () => ViewReading;
+	/** Creates what selects of a reply with changes those that this view needs. */
+	createChangeSelector: () => Select<Change>;
+	/** Replaces all entries; ones that the snapshot lacks are removed, after a grace period if the store was restored from an older copy. `reading` is the one by which the snapshot was read, if it was. */
+	applySnapshot: (snapshot: Snapshot, now: Milliseconds, reading?: ViewReading) => void;
 	/** Applies changes that lead up to the revision; ones up to the known revision are ignored. */
 	applyChanges: (changes: readonly Change[], revision: number, now: Milliseconds) => void;
 	/** Records whether the store answered the last call; a change batch that a relay has sent counts as an answer. */
@@ -59,8 +65,10 @@
 	isUsable: (upstreamKey: UpstreamKey) => boolean;
 	/** Returns the records of all listed hosts, this one included. */
 	getHosts: () => readonly HostRecord[];
-	/** Returns the number of entries that can't be read. */
+	/** Returns the number of entries that can't be read; see `ForeignEntries`. */
 	countInvalidEntries: () => number;
+	/** Returns what the entries that name nothing come to. */
+	getForeignTotals: () => ForeignTotals;
 	/** Returns the number of entries that are held, without the configuration. */
 	countEntries: () => number;
 	/** Whether entries of the store were left out, as there was no room for them. */
@@ -73,6 +81,8 @@
 export type FleetViewOptions = Pick<ListedUpstreamsOptions, 'onListed' | 'onRemoved' | 'onLeaving'> & {
 	/** Decodes an entry that isn't a host record. */
 	decode: (entry: Entry) => DecodedEntry;
+	/** Classifies an entry that neither the operators nor an upstream have written; each is a readable record if absent. */
+	classifyRecord?: EntryClassifierOptions['classifyRecord'];
 	logger: Logger;
 	/** Called when the state is read whole instead of being followed change by change, so that upstreams may have come and gone unnoticed. */
 	onGap?: () => void;
@@ -85,107 +95,29 @@
 
 /** Creates an empty view. */
 export const createFleetView = ({
-	decode, logger, onGap, onConfiguration, ...listeners
+	decode, classifyRecord = () => 'readable', logger, onGap, onConfiguration, ...listeners
 }: FleetViewOptions): FleetView => {
 	const decodeSafely = createSafeDecoder(decode);
-	const entries = createHeldEntries();
 	const deferredRemovals = new Set<string>();
 	const upstreams = createListedUpstreams({logger, getRevision: () => revision, ...listeners});
-	const invalidEntries = createInvalidEntries(logger);
-	const hosts = createListedHosts(invalidEntries);
+	const hosts = createListedHosts();
 	const contact = createStoreContact(logger, () => revision);
 	const configuration = createNewestConfiguration(logger, onConfiguration);
+	const entries = createKnownEntries({
+		decode: decodeSafely, classifyRecord, upstreams, hosts, configuration, logger, getRevision: () => revision,
+	});
 	let revision = 0;
-	/** Whether entries of the store were left out, as there was no room for them. */
-	let isIncomplete = false;
 	/** Times until which the removal of upstreams and of hosts is deferred. */
 	let [upstreamsKeptUntil, hostsKeptUntil] = [Number.NEGATIVE_INFINITY, Number.NEGATIVE_INFINITY];
 
-	/** Records that there is no room for an entry. */
-	const leaveOut = ({key}: Entry): void => {
-		if (!isIncomplete) {
-			logger.warn('view-full', {key, held: entries.count(), revision});
-		}
-
-		isIncomplete = true;
-	};
-
-	/** Applies an entry that is held; one of a host isn't decoded before. */
-	const applyHeldEntry = (entry: Entry, decoded: Exclude<DecodedEntry, {kind: 'configuration'}> | undefined): void => {
-		switch (decoded?.kind) {
-			case undefined: {
-				hosts.apply(entry);
-				break;
-			}
-
-			case 'upstream': {
-				invalidEntries.remove(entry.key);
-				upstreams.apply(entry.key, decoded.upstream);
-				break;
-			}
-
-			case 'unreadable': {
-				invalidEntries.add(entry.key, decoded.reason);
-				upstreams.remove(entry.key, 'unreadable');
-				break;
-			}
-
-			case 'other': {
-				break;
-			}
-		}
-	};
-
-	/** Applies the first configuration, or one under another key; there is always room for it. */
-	const applyConfiguration = (entry: Entry, decoded: DecodedEntry): void => {
-		entries.delete(entry.key);
-		invalidEntries.remove(entry.key);
-		configuration.apply(entry, () => decoded);
+	const removeNow = (storeKey: string, reason: string): void => {
+		deferredRemovals.delete(storeKey);
+		entries.remove(storeKey, reason);
 	};
 
 	const applyEntry = (entry: Entry): void => {
-		if (entry.key.length > maxKeyLength) {
-			logger.warn('entry-unreadable', {key: entry.key.slice(0, maxKeyLength), reason: 'key too long'});
-			return;
-		}
-
-		if (configuration.isKey(entry.key)) {
-			configuration.apply(entry, decodeSafely);
-			return;
-		}
-
-		const known = entries.get(entry.key);
 		deferredRemovals.delete(entry.key);
-		if (known !== undefined && known.revision >= entry.revision) {
-			return;
-		}
-
-		const held = isTooLong(entry) ? {...entry, value: ''} : entry;
-		const hasRoom = entries.canHold(held);
-		// Decoding all that finds no room at each reading of the state would keep the host busy.
-		if (!hasRoom && configuration.getRoutes() !== undefined) {
-			leaveOut(entry);
-			return;
-		}
-
-		const isHost = entry.key.startsWith(hostPrefix);
-		const decoded = isHost ? undefined : decodeSafely(entry);
-		if (decoded?.kind === 'configuration') {
-			applyConfiguration(entry, decoded);
-		} else if (hasRoom) {
-			entries.set(held);
-			applyHeldEntry(entry, decoded);
-		} else {
-			leaveOut(entry);
-		}
-	};
-
-	const removeNow = (storeKey: string, reason: string): void => {
-		deferredRemovals.delete(storeKey);
-		entries.delete(storeKey);
-		hosts.remove(storeKey);
-		invalidEntries.remove(storeKey);
-		upstreams.remove(storeKey, reason);
+		entries.apply(entry);
 	};
 
 	/** Removes an entry. Shortly after an outage of the store that of an upstream is deferred, as its lease may have expired only because it could not be renewed; after a restore that of a host, too. */
@@ -216,8 +148,22 @@
 		return known !== undefined && decoded?.kind === 'upstream' && decoded.upstream.startedAt < known.startedAt;
 	};
 
+	/** Removes the entries that are held and weren't read, or name nothing any more. */
+	const removeUnread = (reading: ViewReading, now: Milliseconds): void => {
+		for (const storeKey of entries.keys()) {
+			if (reading.isUnsound(storeKey)) {
+				deferredRemovals.delete(storeKey);
+				entries.applyUnsound(storeKey);
+			} else if (!reading.has(storeKey)) {
+				removeEntry(storeKey, now);
+			}
+		}
+	};
+
 	return {
-		applySnapshot(snapshot, now) {
+		createReading: entries.createReading,
+		createChangeSelector: entries.createChangeSelector,
+		applySnapshot(snapshot, now, reading = entries.createReading()) {
 			const isRestored = revision > 0 && getEra(snapshot.revision) > getEra(revision);
 			if (isRestored) {
 				prepareForRestore(now, snapshot.revision);
@@ -229,19 +175,21 @@
 			}
 
 			revision = snapshot.revision;
-			isIncomplete = false;
-			const present = new Set(snapshot.entries.map(({key}) => key));
-			for (const storeKey of entries.keys()) {
-				if (!present.has(storeKey)) {
-					removeEntry(storeKey, now);
-				}
+			for (const entry of snapshot.entries) {
+				reading.add(entry);
 			}
 
-			for (const entry of snapshot.entries) {
+			entries.endReading();
+			removeUnread(reading, now);
+			for (const entry of reading.getEntries()) {
 				if (!isRestored || !isOlderIncarnation(entry)) {
 					applyEntry(entry);
 				}
 			}
+
+			if (reading.isIncomplete()) {
+				entries.noteIncomplete();
+			}
 		},
 		applyChanges(changes, next, now) {
 			const known = revision;
@@ -279,7 +227,7 @@
 		applyConfigurationEntry(entry) {
 			const decoded = decodeSafely(entry);
 			if (decoded.kind === 'configuration') {
-				applyConfiguration(entry, decoded);
+				entries.applyConfiguration(entry, decoded);
 			}
 		},
 		markLeaving: upstreams.markLeaving,
@@ -292,9 +240,10 @@
 		},
 		isUsable: upstreams.isAccepting,
 		getHosts: hosts.getAll,
-		countInvalidEntries: invalidEntries.count,
+		countInvalidEntries: entries.countUnreadable,
+		getForeignTotals: entries.getTotals,
 		countEntries: entries.count,
-		isIncomplete: () => isIncomplete,
-		canBeCompleted: () => isIncomplete && entries.hasRoom(),
+		isIncomplete: entries.isIncomplete,
+		canBeCompleted: entries.canBeCompleted,
 	};
 };
--- a/packages/discovery/src/follow-fleet.ts
+++ b/packages/discovery/src/follow-fleet.ts
@@ -5,6 +5,7 @@
 import {createFreshReads} from './fresh-reads.js';
 import {startLoop, type LoopOptions} from './loop.js';
 import type {ChangeBatch} from './packet.js';
+import type {ViewReading} from './state-reading.js';
 
 /** Keeps a view of the fleet up to date. */
 export type FleetFollower = {
@@ -62,17 +63,19 @@
 		logger.warn('store-too-large', {reply, known: view.getRevision()});
 	};
 
-	const applySnapshot = (snapshot: Snapshot): void => {
-		view.applySnapshot(snapshot, clock.monotonic());
-	};
+	/** The reading of the whole state that is under way. */
+	let reading: ViewReading | undefined;
+	/** Resolves when the reading under way has ended or failed. */
+	let readingEnd: Promise<boolean> | undefined;
 
-	const readAll = async (): Promise<boolean> => {
-		const outcome = await feed.readAll();
+	const continueReading = async (current: ViewReading): Promise<boolean> => {
+		const outcome = await feed.readAll(current);
 		view.recordContact(outcome.kind === 'found', clock.monotonic());
 		switch (outcome.kind) {
 			case 'found': {
+				reading = undefined;
 				if (outcome.snapshot.revision >= view.getRevision()) {
-					applySnapshot(outcome.snapshot);
+					view.applySnapshot(outcome.snapshot, clock.monotonic(), current);
 				}
 
 				needsSnapshot = false;
@@ -80,6 +83,7 @@
 			}
 
 			case 'oversized': {
+				reading = undefined;
 				recordOversized('snapshot');
 				backoff = oversizedBackoff;
 				return false;
@@ -87,15 +91,25 @@
 
 			case 'unavailable': {
 				logger.debug('store-read-failed', {reason: outcome.reason});
+				reading = undefined;
 				return false;
 			}
 		}
 	};
 
+	/** Reads the whole state, together with those who have asked for it before; returns whether the store has answered. */
+	const readAll = async (): Promise<boolean> => {
+		reading ??= view.createReading();
+		readingEnd ??= continueReading(reading).finally(() => {
+			readingEnd = undefined;
+		});
+		return readingEnd;
+	};
+
 	/** Reads the changes since the last known one, and waits for one up to the limit if there is none; returns them unless the call failed, or everything has to be read as the history is lost or too long. */
 	const readChanges = async (limit: Milliseconds): Promise<ChangeBatch | 'unavailable' | 'compacted' | 'oversized'> => {
 		const after = view.getRevision();
-		const outcome = await feed.waitForChanges(after, limit);
+		const outcome = await feed.waitForChanges(after, limit, view.createChangeSelector());
 		switch (outcome.kind) {
 			case 'changed': {
 				view.recordContact(true, clock.monotonic());
@@ -135,7 +149,14 @@
 
 	/** Reads what has changed until now, and everything only if the changes aren't known any more; returns whether the store has answered. */
 	const readNewest = async (): Promise<boolean> => {
-		const batch = needsSnapshot ? 'compacted' : await readChanges(noWait);
+		const [needed, isBegun] = [needsSnapshot, reading !== undefined];
+		const isRead = !needsSnapshot || await readAll();
+		if (!isRead || (needed && !isBegun)) {
+			return isRead;
+		}
+
+		// A reading that had begun before doesn't show the changes since.
+		const batch = await readChanges(noWait);
 		return batch === 'compacted' || batch === 'oversized' ? readAll() : batch !== 'unavailable';
 	};
 
@@ -156,7 +177,7 @@
 		const snapshot = await fetchFromPeer(view.getRevision());
 		if (snapshot !== undefined && snapshot.revision > view.getRevision()) {
 			logger.info('view-from-peer', {revision: snapshot.revision, known: view.getRevision()});
-			applySnapshot(snapshot);
+			view.applySnapshot(snapshot, clock.monotonic());
 		}
 	};
 
--- a/packages/discovery/src/host-record.ts
+++ b/packages/discovery/src/host-record.ts
@@ -35,8 +35,15 @@
 		&& Number.isFinite(incarnation) && typeof strength === 'number' && strength > 0 && strength <= maxStrength && typeof isStopping === 'boolean';
 };
 
-/** Parses a host record; returns undefined if the text is malformed, or an address that nothing can be sent to. */
+/** Parses a host record and leaves out the fields that this version doesn't know; returns undefined if the text is malformed, or an address that nothing can be sent to. */
 export const parseHostRecord = (text: string): HostRecord | undefined => {
 	const value = parseJsonObject(text);
-	return isHostRecord(value) ? value : undefined;
+	if (!isHostRecord(value)) {
+		return undefined;
+	}
+
+	const {host, incarnation, zone, callers, peers, notes, strength, isStopping} = value;
+	return {
+		host, incarnation, zone, callers, peers, notes, strength, isStopping,
+	};
 };
--- a/packages/discovery/src/join-fleet.ts
+++ b/packages/discovery/src/join-fleet.ts
@@ -7,6 +7,7 @@
 	Address, ChangeFeed, Entry, HostId, KeyValueService, Zone,
 } from '@gentianlift/types';
 import type {DecodedEntry} from './decoded-entry.js';
+import type {RecordClass} from './entry-classifier.js';
 import {exchangeReports, type LoadReportExchange, type ReportArrival} from './exchange-reports.js';
 import {createFleetView, type FleetView} from './fleet-view.js';
 import {createConfigurationClient} from './configuration-calls.js';
@@ -73,6 +74,8 @@
 	store: FleetStore;
 	/** Decodes an entry that the operators or an upstream have written. */
 	decode: (entry: Entry) => DecodedEntry;
+	/** Classifies an entry that neither of them has written. */
+	classifyRecord: (entry: Entry) => RecordClass;
 	clock: Clock;
 	random: Random;
 	logger: Logger;
@@ -168,6 +171,7 @@
 	} = options;
 	const view = createFleetView({
 		decode: options.decode,
+		classifyRecord: options.classifyRecord,
 		logger,
 		onGap: options.onGap,
 		onConfiguration: options.onConfiguration,
--- a/packages/discovery/src/listed-hosts.ts
+++ b/packages/discovery/src/listed-hosts.ts
@@ -1,11 +1,9 @@
-import type {Entry} from '@gentianlift/types';
-import {parseHostRecord, type HostRecord} from './host-record.js';
-import type {InvalidEntries} from './invalid-entries.js';
+import type {HostRecord} from './host-record.js';
 
 /** The hosts that the store lists, by the keys of their entries. */
 export type ListedHosts = {
-	/** Lists the host of an entry, unless that is no host record. */
-	apply: (entry: Entry) => void;
+	/** Lists a host. */
+	apply: (storeKey: string, record: HostRecord) => void;
 	remove: (storeKey: string) => void;
 	has: (storeKey: string) => boolean;
 	/** Returns all records; the same list until one changes. */
@@ -13,20 +11,13 @@
 };
 
 /** Creates an empty list. */
-export const createListedHosts = (invalidEntries: InvalidEntries): ListedHosts => {
+export const createListedHosts = (): ListedHosts => {
 	const hosts = new Map<string, HostRecord>();
 	/** Undefined after a change. */
 	let list: readonly HostRecord[] | undefined;
 	return {
-		apply({key, value}) {
-			const record = parseHostRecord(value);
-			if (record === undefined) {
-				invalidEntries.add(key, 'not a host record');
-				return;
-			}
-
-			invalidEntries.remove(key);
-			hosts.set(key, record);
+		apply(storeKey, record) {
+			hosts.set(storeKey, record);
 			list = undefined;
 		},
 		remove(storeKey) {
--- a/packages/forwarder/src/host/create-context.ts
+++ b/packages/forwarder/src/host/create-context.ts
@@ -29,6 +29,7 @@
 import {createHostDuties} from './host-duties.js';
 import {createHostUsage} from './host-usage.js';
 import type {HostDependencies, HostSettings} from './host-settings.js';
+import {classifyRecord} from './store-records.js';
 
 /** State of a graceful shutdown; `since` is undefined until it begins. */
 export type Shutdown = {since: Milliseconds | undefined; gracePeriod: Milliseconds};
@@ -138,6 +139,7 @@
 		opened,
 		store,
 		decode,
+		classifyRecord,
 		clock,
 		random,
 		logger,
--- a/packages/forwarder/src/host/start-host.ts
+++ b/packages/forwarder/src/host/start-host.ts
@@ -1,5 +1,5 @@
 import type {Socket} from 'node:net';
-import {createPeerServer, getEra, type HostRecord} from '@gentianlift/discovery';
+import {createPeerServer, type HostRecord} from '@gentianlift/discovery';
 import type {Milliseconds, Zone} from '@gentianlift/types';
 import {createForwarder} from '../forward.js';
 import {openListener, type Listener} from '../process/open-listener.js';
@@ -15,6 +15,7 @@
 import {createContext, type Shutdown} from './create-context.js';
 import {watchEventLoopDelay} from './event-loop-delay.js';
 import {stopHost} from './stop-host.js';
+import {recordStoreState} from './store-metrics.js';
 
 /** A host. */
 export type Host = {
@@ -152,11 +153,7 @@
 			context.metrics.setGauge('services_cut', context.links.countCut());
 			context.metrics.setGauge('configuration_version', fleet.view.getRoutes()?.configuration.version ?? 0);
 			context.metrics.setGauge('configuration_version_elsewhere', fleet.reportExchange.getNewestConfigurationVersion() ?? 0);
-			context.metrics.setGauge('entries_unreadable', fleet.view.countInvalidEntries());
-			context.metrics.setGauge('entries_held', fleet.view.countEntries());
-			context.metrics.setGauge('view_incomplete', fleet.view.isIncomplete() ? 1 : 0);
-			context.metrics.setGauge('store_replies_oversized_total', fleet.countOversizedReplies());
-			context.metrics.setGauge('store_era', getEra(fleet.view.getRevision()));
+			recordStoreState(context.metrics, fleet);
 			context.metrics.setGauge('upstreams_avoided', context.tracker.countAvoided());
 			return context.metrics.renderPrometheusText();
 		},
--- a/packages/platform/src/json-client.ts
+++ b/packages/platform/src/json-client.ts
@@ -6,8 +6,8 @@
 import {checkAnswer} from '@gentianlift/http';
 import type {Metrics} from '@gentianlift/metrics';
 import type {Milliseconds} from '@gentianlift/types';
-import {readReply} from './read-reply.js';
-import {OversizedReplyError, type ReplySize} from './reply-size.js';
+import {readReply, type ReplyList, type ReplyProgress} from './read-reply.js';
+import {maxReplySize, OversizedReplyError, type ReplySize} from './reply-size.js';
 
 /** A request to a service with a JSON API over HTTP. */
 export type JsonCall = {
@@ -19,9 +19,11 @@
 	signal?: AbortSignal;
 	/** Time by which both timeouts are extended, for calls that the service holds open, such as a watch. */
 	timeoutExtension?: Milliseconds;
+	/** List of the reply whose items are read one at a time; the body has those of them that are kept. */
+	list?: ReplyList;
 };
 
-/** Outcome of a call: `unavailable` if no byte of the request was sent, `unknown` if the service may have executed it, also if its reply isn't HTTP or has a status that no final one has; `isOversized` says that its reply was larger than one may be. */
+/** Outcome of a call: `unavailable` if no byte of the request was sent, `unknown` if the service may have executed it, also if its reply isn't HTTP or has a status that no final one has; `isOversized` says that its reply was larger than one may be, or than could be read in time. */
 export type JsonOutcome
 	= | {kind: 'answered'; status: number; headers: IncomingHttpHeaders; body: unknown; size: ReplySize}
 		| {kind: 'unavailable'; reason: string}
@@ -193,20 +195,21 @@
 
 		const endsAt = clock.monotonic() + timeout + (call.timeoutExtension ?? 0);
 		const forHead = startTimeout(abandon, {clock, timeout: endsAt - clock.monotonic(), signal});
+		const progress: ReplyProgress = {bytes: 0};
 		let forBody: Timeout | undefined;
 		try {
 			const message = await Promise.race([waitForReply(outgoing), forHead.expired]);
 			forHead.cancel();
 			refuseFault(check.getHeadFault(message), abandon);
 			forBody = startTimeout(abandon, {clock, timeout: Math.max(endsAt - clock.monotonic(), bodyTimeout), signal});
-			const reply = await Promise.race([readReply(message), forBody.expired]);
+			const reply = await Promise.race([readReply(message, {list: call.list, progress}), forBody.expired]);
 			refuseFault(await Promise.race([check.findEndFault(), forBody.expired]), abandon);
 			return {
 				kind: 'answered', status: message.statusCode ?? 0, headers: message.headers, ...reply,
 			};
 		} catch (error) {
 			closeIdleConnections(agent);
-			return error instanceof OversizedReplyError
+			return error instanceof OversizedReplyError || progress.bytes > maxReplySize.bytes
 				? {kind: 'unknown', reason: getErrorReason(error), isOversized: true}
 				: {kind: writeProgress.isWritten ? 'unknown' : 'unavailable', reason: getErrorReason(error)};
 		} finally {
--- a/packages/platform/src/store-era.ts
+++ b/packages/platform/src/store-era.ts
@@ -1,4 +1,6 @@
+import type {IncomingHttpHeaders} from 'node:http';
 import type {JsonCall, JsonClient, JsonOutcome} from './json-client.js';
+import type {ItemReader} from './reply-scanner.js';
 
 /**
 A store that is restored from an older copy loses what was written since, and gives out revisions and leases a second time. Its era rises with each restore. Revisions that carry their era are never given out twice, and those of a later era compare as greater.
@@ -39,9 +41,12 @@
 /** Answer of a store, and the era in which it was given. */
 export type EraOutcome = {outcome: JsonOutcome; era: Era};
 
+/** A call of a store; what reads the items of its list knows the era of the answer. */
+export type EraCall = Omit<JsonCall, 'list'> & {list?: {field: string; open: (era: Era) => ItemReader}};
+
 /** Calls of a store that notice its restores. */
 export type EraCalls = {
-	call: (call: JsonCall) => Promise<EraOutcome>;
+	call: (call: EraCall) => Promise<EraOutcome>;
 	/** Whether the store has been restored since an era. */
 	isPast: (era: Era) => boolean;
 };
@@ -49,10 +54,14 @@
 /** Makes calls by a client of a store whose answers name the era in a header; one that names none is taken for an answer of the newest known era. */
 export const createEraCalls = (client: JsonClient, header: string): EraCalls => {
 	let newest: Era = 0;
+
+	/** Returns the era that a head names. */
+	const readEra = (headers: IncomingHttpHeaders): Era => parseEra(headers[header]) ?? newest;
+
 	return {
-		async call(call) {
-			const outcome = await client.call(call);
-			const era = parseEra(outcome.kind === 'answered' ? outcome.headers[header] : undefined) ?? newest;
+		async call({list, ...call}) {
+			const outcome = await client.call({...call, ...(list !== undefined && {list: {field: list.field, open: headers => list.open(readEra(headers))}})});
+			const era = outcome.kind === 'answered' ? readEra(outcome.headers) : newest;
 			newest = Math.max(newest, era);
 			return {outcome, era};
 		},
--- a/packages/types/src/key-value.ts
+++ b/packages/types/src/key-value.ts
@@ -77,9 +77,26 @@
 		| {kind: 'oversized'}
 		| {kind: 'unavailable'; reason: string};
 
+/** Returns what is kept of a value while a reply arrives: all of it, a shorter form or, if it is of no use, nothing. */
+export type Select<Value> = (value: Value) => Value | undefined;
+
+/** Reading of all entries, page by page, that decides what is kept of them. It can be continued after a failed call. */
+export type StateReading = {
+	/** Where the next page begins, and the revision at which the first one was read. */
+	position: {after: string; revision: number | undefined};
+	select: Select<Entry>;
+	/** Takes an entry that `select` has returned, once its page has been read whole. */
+	add: (entry: Entry) => void;
+	/** Returns the entries that are kept. */
+	getEntries: () => Entry[];
+	/** Whether the entries that are to be kept are more than may be. */
+	isOversized: () => boolean;
+};
+
 /** Port of a key-value service for following the changes of all entries. No call throws. */
 export type ChangeFeed = {
-	readAll: () => Promise<SnapshotOutcome>;
-	/** Resolves when there are changes after `revision`, or without changes when `limit` has elapsed. */
-	waitForChanges: (revision: number, limit: Milliseconds) => Promise<ChangesOutcome>;
+	/** Reads all entries; those that the reading selects, if there is one. */
+	readAll: (reading?: StateReading) => Promise<SnapshotOutcome>;
+	/** Resolves when there are changes after `revision`, or without changes when `limit` has elapsed; with those that are selected. */
+	waitForChanges: (revision: number, limit: Milliseconds, select?: Select<Change>) => Promise<ChangesOutcome>;
 };
--- a/packages/usage/src/index.ts
+++ b/packages/usage/src/index.ts
@@ -1,2 +1,3 @@
+export {reportRecordKey} from './report-record.js';
 export * from './usage-reports.js';
 export type * from './usage-counter.js';
