Go on with a reading of the state at the page that failed

Cause: a failed page failed the whole reading, and the next one began at the first page. Some hundred pages are never read without one refusal.

--- a/packages/discovery/src/follow-fleet.ts
+++ b/packages/discovery/src/follow-fleet.ts
@@ -63,7 +63,7 @@
 		logger.warn('store-too-large', {reply, known: view.getRevision()});
 	};
 
-	/** The reading of the whole state that is under way. */
+	/** The reading of the whole state that is under way or, after a failed call, to be continued. */
 	let reading: ViewReading | undefined;
 	/** Resolves when the reading under way has ended or failed. */
 	let readingEnd: Promise<boolean> | undefined;
@@ -90,8 +90,8 @@
 			}
 
 			case 'unavailable': {
-				logger.debug('store-read-failed', {reason: outcome.reason});
-				reading = undefined;
+				logger.debug('store-read-failed', {reason: outcome.reason, after: current.position.after});
+				reading = current.position.after === '' ? undefined : current;
 				return false;
 			}
 		}
