Let engines of unnamed services make room for those in use

Cause: the room of the view was for whoever came first, whatever it named. Such entries can be read, and may be needed by the next configuration.

Change: entries are used or spare; a used one makes spare ones yield. The state is read again when a newer configuration names other services, and the reading goes by the configuration that it finds.

Why it works: the limits of the room are the old ones, and what another writer leaves can't count as used unless it names an engine.

--- a/packages/discovery/src/entry-classifier.ts
+++ b/packages/discovery/src/entry-classifier.ts
@@ -13,6 +13,9 @@
 		| {kind: 'record'; entry: Entry; isReadable: boolean}
 		| {kind: 'foreign'; reason: string | undefined};
 
+/** An entry that takes room. */
+export type RoomedEntry = Exclude<ClassifiedEntry, {kind: 'configuration' | 'foreign'}>;
+
 /** What an entry that neither the operators nor an upstream have written is to the parts of this program that read entries by their keys: `none` of theirs, or one of them. */
 export type RecordClass = 'readable' | 'unreadable' | 'none';
 
--- a/packages/discovery/src/fleet-view.ts
+++ b/packages/discovery/src/fleet-view.ts
@@ -102,7 +102,10 @@
 	const upstreams = createListedUpstreams({logger, getRevision: () => revision, ...listeners});
 	const hosts = createListedHosts();
 	const contact = createStoreContact(logger, () => revision);
-	const configuration = createNewestConfiguration(logger, onConfiguration);
+	const configuration = createNewestConfiguration(logger, newer => {
+		entries.applyServices(newer);
+		onConfiguration?.(newer);
+	});
 	const entries = createKnownEntries({
 		decode: decodeSafely, classifyRecord, upstreams, hosts, configuration, logger, getRevision: () => revision,
 	});
--- a/packages/discovery/src/held-entries.ts
+++ b/packages/discovery/src/held-entries.ts
@@ -1,12 +1,20 @@
 import type {Entry} from '@gentianlift/types';
 
+/** Whether a host uses an entry, or might later: a `spare` one makes room for one that is used. */
+export type EntryRank = 'used' | 'spare';
+
+/** Outcome of putting an entry in: whether it is held, and the keys of spare ones that made room for it. */
+export type PutOutcome = {isHeld: boolean; displaced: readonly string[]};
+
 /** The entries of the store that a host holds, by key, up to a limit that the state of a large fleet doesn't reach. */
 export type HeldEntries = {
 	get: (key: string) => Entry | undefined;
-	/** Whether there is room for an entry in place of the one with its key. */
-	canHold: (entry: Entry) => boolean;
-	/** Holds an entry in place of the one with its key, for which there must be room. */
-	set: (entry: Entry) => void;
+	/** Holds an entry in place of the one with its key, if there is room or spare entries can make it; else that one stays. */
+	put: (entry: Entry, rank: EntryRank) => PutOutcome;
+	/** Returns the rank of the entry with a key; undefined if there is none. */
+	getRank: (key: string) => EntryRank | undefined;
+	/** Changes the rank of the entry with a key, if there is one. */
+	setRank: (key: string, rank: EntryRank) => void;
 	delete: (key: string) => void;
 	keys: () => Iterable<string>;
 	values: () => Iterable<Entry>;
@@ -20,31 +28,107 @@
 /** Room for more entries and characters, the longest one included, with which those that found none are read again. */
 const roomForMore = {entries: 2000, length: 2_500_000} as const;
 
-const getLength = (entry: Entry | undefined): number => entry === undefined ? 0 : entry.key.length + entry.value.length;
+type HeldEntry = {entry: Entry; length: number; rank: EntryRank};
+type Size = {entries: number; length: number};
+
+const getLength = ({key, value}: Entry): number => key.length + value.length;
+
+const isWithinLimits = ({entries, length}: Size): boolean => entries <= limits.entries && length <= limits.length;
 
 /** Creates it without entries. */
 export const createHeldEntries = (): HeldEntries => {
-	const entries = new Map<string, Entry>();
-	let length = 0;
+	const held = new Map<string, HeldEntry>();
+	/** Keys of spare entries, in the order in which they make room. */
+	const spareKeys = new Set<string>();
+	let [length, spareLength] = [0, 0];
+
+	const remove = (key: string): void => {
+		const known = held.get(key);
+		length -= known?.length ?? 0;
+		spareLength -= spareKeys.delete(key) ? known?.length ?? 0 : 0;
+		held.delete(key);
+	};
+
+	const add = (added: HeldEntry): void => {
+		const {key} = added.entry;
+		held.set(key, added);
+		length += added.length;
+		if (added.rank === 'spare') {
+			spareKeys.add(key);
+			spareLength += added.length;
+		}
+	};
+
+	/** Size with an entry in place of the one with its key. */
+	const getSizeWith = ({entry, length: added}: HeldEntry): Size => {
+		const known = held.get(entry.key);
+		return {entries: held.size + (known === undefined ? 1 : 0), length: length + added - (known?.length ?? 0)};
+	};
+
+	/** Size with an entry and without any spare one. */
+	const getLeastSizeWith = (added: HeldEntry): Size => {
+		const {entries, length: total} = getSizeWith(added);
+		const replaced = spareKeys.has(added.entry.key) ? held.get(added.entry.key) : undefined;
+		return {entries: entries - spareKeys.size + (replaced === undefined ? 0 : 1), length: total - spareLength + (replaced?.length ?? 0)};
+	};
+
+	/** Removes spare entries until there is room for one that is used; returns their keys. */
+	const makeRoom = (added: HeldEntry): string[] => {
+		const displaced: string[] = [];
+		for (const key of spareKeys) {
+			if (isWithinLimits(getSizeWith(added))) {
+				break;
+			}
+
+			if (key !== added.entry.key) {
+				remove(key);
+				displaced.push(key);
+			}
+		}
+
+		return displaced;
+	};
+
 	return {
-		get: key => entries.get(key),
-		canHold(entry) {
-			const known = entries.get(entry.key);
-			const added = getLength(entry) - getLength(known);
-			const hasPlace = known !== undefined || entries.size < limits.entries;
-			return hasPlace && (added <= 0 || length + added <= limits.length);
+		get: key => held.get(key)?.entry,
+		put(entry, rank) {
+			const added = {entry, length: getLength(entry), rank};
+			const hasRoom = isWithinLimits(getSizeWith(added));
+			const canMakeRoom = rank === 'used' && isWithinLimits(getLeastSizeWith(added));
+			if (!hasRoom && !canMakeRoom) {
+				return {isHeld: false, displaced: []};
+			}
+
+			const displaced = hasRoom ? [] : makeRoom(added);
+			const known = held.get(entry.key);
+			if (known?.rank === rank) {
+				// Keeps its place in the order.
+				length += added.length - known.length;
+				spareLength += rank === 'spare' ? added.length - known.length : 0;
+				held.set(entry.key, added);
+			} else {
+				remove(entry.key);
+				add(added);
+			}
+
+			return {isHeld: true, displaced};
 		},
-		set(entry) {
-			length += getLength(entry) - getLength(entries.get(entry.key));
-			entries.set(entry.key, entry);
+		getRank: key => held.get(key)?.rank,
+		setRank(key, rank) {
+			const known = held.get(key);
+			if (known !== undefined && known.rank !== rank) {
+				remove(key);
+				add({...known, rank});
+			}
 		},
-		delete(key) {
-			length -= getLength(entries.get(key));
-			entries.delete(key);
+		delete: remove,
+		keys: () => held.keys(),
+		* values() {
+			for (const {entry} of held.values()) {
+				yield entry;
+			}
 		},
-		keys: () => entries.keys(),
-		values: () => entries.values(),
-		count: () => entries.size,
-		hasRoom: () => entries.size <= limits.entries - roomForMore.entries && length <= limits.length - roomForMore.length,
+		count: () => held.size,
+		hasRoom: () => held.size <= limits.entries - roomForMore.entries && length <= limits.length - roomForMore.length,
 	};
 };
--- a/packages/discovery/src/known-entries.ts
+++ b/packages/discovery/src/known-entries.ts
@@ -1,21 +1,27 @@
 import type {Logger} from '@gentianlift/logger';
+import type {RoutingConfiguration} from '@gentianlift/routing';
 import type {Change, Entry, Select} from '@gentianlift/types';
 import {createChangeSelector} from './change-selector.js';
 import type {DecodedEntry} from './decoded-entry.js';
-import {createEntryClassifier, type ClassifiedEntry, type EntryClassifierOptions} from './entry-classifier.js';
+import {
+	createEntryClassifier, type ClassifiedEntry, type EntryClassifierOptions, type RoomedEntry,
+} from './entry-classifier.js';
+import {createEntryRoom, type EntryRoom} from './entry-room.js';
 import {createForeignEntries, type ForeignEntries} from './foreign-entries.js';
-import {createHeldEntries, type HeldEntries} from './held-entries.js';
 import type {ListedHosts} from './listed-hosts.js';
 import type {ListedUpstreams} from './listed-upstreams.js';
+import {createNamedServices} from './named-services.js';
 import type {NewestConfiguration} from './newest-configuration.js';
 import {createViewReading, type ViewReading} from './state-reading.js';
 
 /** The entries of the store that a view knows, and what they name. */
-export type KnownEntries = Pick<HeldEntries, 'get' | 'keys' | 'values' | 'count'> & Pick<ForeignEntries, 'countUnreadable' | 'getTotals'> & {
+export type KnownEntries = Pick<EntryRoom, 'get' | 'keys' | 'values' | 'count'> & Pick<ForeignEntries, 'countUnreadable' | 'getTotals'> & {
 	/** Applies an entry, unless a newer one is known under its key. */
 	apply: (entry: Entry) => void;
 	/** Applies an entry that holds a configuration; there is always room for it. */
 	applyConfiguration: (entry: Entry, decoded: DecodedEntry) => void;
+	/** Takes the services of a newer configuration over: engines that none names make room for those that it names. */
+	applyServices: (configuration: RoutingConfiguration) => void;
 	/** Removes an entry for a reason, for the log. */
 	remove: (storeKey: string, reason: string) => void;
 	/** Applies that an entry names nothing any more. */
@@ -28,7 +34,7 @@
 	noteIncomplete: (storeKey?: string) => void;
 	/** Whether entries of the store were left out, as there was no room for them. */
 	isIncomplete: () => boolean;
-	/** Whether entries were left out for which there is room by now. */
+	/** Whether entries were left out for which there may be room by now, as others are gone or a newer configuration names other services. */
 	canBeCompleted: () => boolean;
 };
 
@@ -42,21 +48,22 @@
 	getRevision: () => number;
 };
 
-/** An entry that takes room. */
-type RoomedEntry = Exclude<ClassifiedEntry, {kind: 'configuration' | 'foreign'}>;
-
 /** Creates it without entries. */
 export const createKnownEntries = ({
 	decode, classifyRecord, upstreams, hosts, configuration, logger, getRevision,
 }: KnownEntriesOptions): KnownEntries => {
 	const classify = createEntryClassifier({decode, classifyRecord});
-	const entries = createHeldEntries();
+	const services = createNamedServices();
+	const entries = createEntryRoom(services);
 	const foreign = createForeignEntries(logger);
 	let isIncomplete = false;
+	/** Whether the services have changed since entries were left out. */
+	let haveServicesChanged = false;
 
 	const noteIncomplete = (storeKey?: string): void => {
 		if (!isIncomplete) {
 			logger.warn('view-full', {key: storeKey, held: entries.count(), revision: getRevision()});
+			haveServicesChanged = false;
 		}
 
 		isIncomplete = true;
@@ -106,8 +113,13 @@
 	const applySound = (classified: RoomedEntry): void => {
 		const {entry} = classified;
 		foreign.remove(entry.key);
-		if (entries.canHold(entry)) {
-			entries.set(entry);
+		const {isHeld: hasRoom, displaced} = entries.put(classified);
+		for (const storeKey of displaced) {
+			upstreams.remove(storeKey, 'no-room');
+			noteIncomplete(storeKey);
+		}
+
+		if (hasRoom) {
 			list(classified);
 		} else {
 			noteIncomplete(entry.key);
@@ -148,16 +160,24 @@
 			}
 		},
 		applyConfiguration,
+		applyServices(newer) {
+			services.update(newer);
+			entries.rankAgain();
+			haveServicesChanged = true;
+		},
 		remove,
 		applyUnsound,
-		createReading: () => createViewReading({classify, foreign, isHeld}),
+		createReading: () => createViewReading({
+			classify, foreign, isHeld, services,
+		}),
 		createChangeSelector: () => createChangeSelector({classify, foreign, isHeld: storeKey => isHeld(storeKey) || configuration.isKey(storeKey)}),
 		endReading() {
 			foreign.endReading();
 			isIncomplete = false;
+			haveServicesChanged = false;
 		},
 		noteIncomplete,
 		isIncomplete: () => isIncomplete,
-		canBeCompleted: () => isIncomplete && entries.hasRoom(),
+		canBeCompleted: () => isIncomplete && (haveServicesChanged || entries.hasRoom()),
 	};
 };
--- a/packages/discovery/src/state-reading.ts
+++ b/packages/discovery/src/state-reading.ts
@@ -1,7 +1,8 @@
 import type {Entry, StateReading} from '@gentianlift/types';
-import type {ClassifiedEntry} from './entry-classifier.js';
+import type {ClassifiedEntry, RoomedEntry} from './entry-classifier.js';
 import type {ForeignEntries} from './foreign-entries.js';
-import {createHeldEntries} from './held-entries.js';
+import {createEntryRoom} from './entry-room.js';
+import type {NamedServices} from './named-services.js';
 
 /** Reading of the whole state for a view: keeps as much as a view holds, and none of what names nothing. */
 export type ViewReading = StateReading & {
@@ -19,11 +20,14 @@
 	foreign: ForeignEntries;
 	/** Whether the view holds an entry under a key. */
 	isHeld: (storeKey: string) => boolean;
+	/** The services that the view knows as named. */
+	services: NamedServices;
 };
 
 /** Begins a reading. */
-export const createViewReading = ({classify, foreign, isHeld}: ViewReadingOptions): ViewReading => {
-	const room = createHeldEntries();
+export const createViewReading = ({classify, foreign, isHeld, services: known}: ViewReadingOptions): ViewReading => {
+	const services = known.copy();
+	const room = createEntryRoom(services);
 	const configurations = new Map<string, Entry>();
 	/** Entries under keys that the view holds, for which the reading has no room; the view has. */
 	const held = new Map<string, Entry>();
@@ -37,15 +41,15 @@
 		}
 	};
 
-	const keep = (entry: Entry): void => {
+	const keep = (classified: RoomedEntry): void => {
+		const {entry} = classified;
 		unsound.delete(entry.key);
-		if (room.canHold(entry)) {
-			room.set(entry);
-		} else if (isHeld(entry.key)) {
+		const {isHeld: hasRoom, displaced} = room.put(classified);
+		if (!hasRoom && isHeld(entry.key)) {
 			held.set(entry.key, entry);
-		} else {
-			isIncomplete = true;
 		}
+
+		isIncomplete ||= displaced.length > 0 || (!hasRoom && !isHeld(entry.key));
 	};
 
 	foreign.beginReading();
@@ -70,13 +74,15 @@
 
 				case 'configuration': {
 					configurations.set(entry.key, entry);
+					services.update(classified.configuration);
+					room.rankAgain();
 					break;
 				}
 
 				case 'upstream':
 				case 'host':
 				case 'record': {
-					keep(classified.entry);
+					keep(classified);
 					break;
 				}
 			}
