Hold only the known fields of long entries

Cause: the view held the text of an entry as it was written, 5 million characters of all together.

Change: of an entry of more than 4,096 characters the known fields are encoded again and held, for hosts' own records, too; a record of a duty that can't be read is held without its text.

Why it works: the known fields have bounds of their own, so that no entry of an engine or a host takes more than some thousand characters of the room.

--- a/packages/discovery/src/entry-classifier.ts
+++ b/packages/discovery/src/entry-classifier.ts
@@ -26,15 +26,15 @@
 	classifyRecord: (entry: Entry) => RecordClass;
 };
 
-/** Longest value that is held of a record that can't be read, in characters. */
-const maxUnreadableLength = 4096;
+/** Longest value that is held as it is of a host's entry, or of a record that can't be read, in characters. */
+const maxWholeLength = 4096;
 
-const shortenRecord = (entry: Entry): ClassifiedEntry =>
-	({kind: 'record', entry: entry.value.length > maxUnreadableLength ? {...entry, value: ''} : entry, isReadable: false});
+/** Returns an entry with a short text in place of a long value. */
+const shorten = (entry: Entry, getText: () => string): Entry => entry.value.length > maxWholeLength ? {...entry, value: getText()} : entry;
 
 const classifyHost = (entry: Entry): ClassifiedEntry => {
 	const record = isTooLong(entry) ? undefined : parseHostRecord(entry.value);
-	return record === undefined ? {kind: 'foreign', reason: 'not a host record'} : {kind: 'host', entry, record};
+	return record === undefined ? {kind: 'foreign', reason: 'not a host record'} : {kind: 'host', entry: shorten(entry, () => JSON.stringify(record)), record};
 };
 
 /** Creates a function that classifies an entry, each once: it is asked for while the entry arrives and again when it is applied. */
@@ -48,7 +48,7 @@
 			}
 
 			case 'unreadable': {
-				return shortenRecord(entry);
+				return {kind: 'record', entry: shorten(entry, () => ''), isReadable: false};
 			}
 
 			case 'none': {
@@ -65,7 +65,7 @@
 			}
 
 			case 'upstream': {
-				return {kind: 'upstream', entry, upstream: decoded.upstream};
+				return {kind: 'upstream', entry: {...entry, value: decoded.text ?? entry.value}, upstream: decoded.upstream};
 			}
 
 			case 'unreadable': {
