Count the room of a view in the bytes of its copy

Cause: the room counted characters, but what others read is limited in bytes.

Change: an entry counts with its bytes as a reply has them.

Why it works: 5 million bytes and the largest configuration, escaped, are less than what is read.

--- a/packages/discovery/src/entry-room.test.ts
+++ b/packages/discovery/src/entry-room.test.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import {createLogger} from '@gentianlift/logger';
 import type {Change, Entry} from '@gentianlift/types';
 import fc from 'fast-check';
@@ -116,6 +117,20 @@
 	expect(lines.filter(line => line.includes('event=upstream-removed') && line.includes('reason=no-room'))).toHaveLength(2);
 });
 
+/** Most bytes of another host's reply that is read. */
+const maxReplyBytes = 8 * 1024 * 1024;
+
+// Guards against: a host that starts beside a store that is away can't read the state of any other, as names of many bytes make it too large.
+test.each(['\u6F22', '"', '\\', '\u0001', 'x'])('whatever characters entries have, other hosts can read the whole view: %j', character => {
+	const {view} = createView();
+	ways.changes(view, [
+		// The largest configuration, all of it characters that are escaped.
+		entry('op', `c:1:${'"'.repeat(1_048_576)}`),
+		...Array.from({length: 9000}, (_, index) => entry(`e/x${index}`, `u:other:${character.repeat(600)}`)),
+	]);
+	expect(Buffer.byteLength(JSON.stringify(view.getSnapshot()))).toBeLessThan(maxReplyBytes);
+});
+
 test('whatever is put in, ranked and deleted, what is held fits, and used entries are left out only if they don\'t fit without the spare ones', () => {
 	const step = fc.record({
 		key: fc.integer({min: 0, max: 12}).map(String), length: fc.integer({min: 0, max: 2_000_000}), rank: fc.constantFrom<EntryRank>('used', 'spare'), action: fc.constantFrom('put', 'put', 'put', 'rank', 'delete'),
--- a/packages/discovery/src/held-entries.ts
+++ b/packages/discovery/src/held-entries.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import type {Entry} from '@gentianlift/types';
 
 /** Whether a host uses an entry, or might later: a `spare` one makes room for one that is used. */
@@ -23,15 +24,16 @@
 	hasRoom: () => boolean;
 };
 
-/** Most entries, and most characters of their keys and values together. */
+/** Most entries, and most bytes of all together in a reply, which another host must be able to read. */
 const limits = {entries: 20_000, length: 5_000_000} as const;
-/** Room for more entries and characters, the longest one included, with which those that found none are read again. */
+/** Room for more entries and bytes, the longest one included, with which those that found none are read again. */
 const roomForMore = {entries: 2000, length: 2_500_000} as const;
 
 type HeldEntry = {entry: Entry; length: number; rank: EntryRank};
 type Size = {entries: number; length: number};
 
-const getLength = ({key, value}: Entry): number => key.length + value.length;
+/** Returns the bytes that an entry takes in a reply: escaped and encoded, characters have up to three, and some six. */
+const getLength = (entry: Entry): number => Buffer.byteLength(JSON.stringify(entry));
 
 const isWithinLimits = ({entries, length}: Size): boolean => entries <= limits.entries && length <= limits.length;
 
