Apply a state that was read while other hosts sent changes

Cause: a state counted as older than what the host knew if a change had come while its pages arrived, and was thrown away. A reading of many pages takes longer than the pause between two changes of a large fleet.

Change: the reading takes in the changes that the view learns of meanwhile, removals and spoiled entries too, whatever the pages say; a view taken from another host ends that.

Why it works: each change is applied once, by the view and by the reading, and the revision of the state is that of the last change.

--- a/packages/discovery/src/fleet-view.ts
+++ b/packages/discovery/src/fleet-view.ts
@@ -25,6 +25,8 @@
 	createReading: () => ViewReading;
 	/** Creates what selects of a reply with changes those that this view needs. */
 	createChangeSelector: () => Select<Change>;
+	/** Whether a snapshot that was read by a reading isn't older than what is known, or the reading has taken in what came meanwhile. */
+	canApply: (snapshot: Snapshot, reading: ViewReading) => boolean;
 	/** Replaces all entries; ones that the snapshot lacks are removed, after a grace period if the store was restored from an older copy. `reading` is the one by which the snapshot was read, if it was. */
 	applySnapshot: (snapshot: Snapshot, now: Milliseconds, reading?: ViewReading) => void;
 	/** Applies changes that lead up to the revision; ones up to the known revision are ignored. */
@@ -110,6 +112,8 @@
 		decode: decodeSafely, classifyRecord, upstreams, hosts, configuration, logger, getRevision: () => revision,
 	});
 	let revision = 0;
+	/** The reading that takes in what changes meanwhile; undefined if the view hasn't gone on change by change since it began. */
+	let openReading: ViewReading | undefined;
 	/** Times until which the removal of upstreams and of hosts is deferred. */
 	let [upstreamsKeptUntil, hostsKeptUntil] = [Number.NEGATIVE_INFINITY, Number.NEGATIVE_INFINITY];
 
@@ -163,21 +167,31 @@
 		}
 	};
 
+	/** Whether a reading has read pages, and has taken in all changes since. */
+	const isFollowed = (reading: ViewReading): boolean =>
+		reading === openReading && reading.position.revision !== undefined && getEra(reading.position.revision) === getEra(revision);
+
 	return {
-		createReading: entries.createReading,
+		createReading() {
+			openReading = entries.createReading();
+			return openReading;
+		},
+		canApply: (snapshot, reading) => snapshot.revision >= revision || isFollowed(reading),
 		createChangeSelector: entries.createChangeSelector,
 		applySnapshot(snapshot, now, reading = entries.createReading()) {
-			const isRestored = revision > 0 && getEra(snapshot.revision) > getEra(revision);
+			const next = isFollowed(reading) ? Math.max(snapshot.revision, revision) : snapshot.revision;
+			openReading = undefined;
+			const isRestored = revision > 0 && getEra(next) > getEra(revision);
 			if (isRestored) {
-				prepareForRestore(now, snapshot.revision);
+				prepareForRestore(now, next);
 			}
 
-			if (revision > 0 && snapshot.revision !== revision) {
-				logger.info('changes-skipped', {known: revision, revision: snapshot.revision});
+			if (revision > 0 && next !== revision) {
+				logger.info('changes-skipped', {known: revision, revision: next});
 				onGap?.();
 			}
 
-			revision = snapshot.revision;
+			revision = next;
 			for (const entry of snapshot.entries) {
 				reading.add(entry);
 			}
@@ -198,6 +212,7 @@
 			const known = revision;
 			revision = Math.max(revision, next);
 			for (const change of changes.filter(other => getChangeRevision(other) > known)) {
+				openReading?.follow(change);
 				if (change.kind === 'written') {
 					applyEntry(change.entry);
 				} else if ((entries.get(change.key)?.revision ?? 0) < change.revision) {
--- a/packages/discovery/src/follow-fleet.ts
+++ b/packages/discovery/src/follow-fleet.ts
@@ -74,7 +74,7 @@
 		switch (outcome.kind) {
 			case 'found': {
 				reading = undefined;
-				if (outcome.snapshot.revision >= view.getRevision()) {
+				if (view.canApply(outcome.snapshot, current)) {
 					view.applySnapshot(outcome.snapshot, clock.monotonic(), current);
 				}
 
--- /dev/null
+++ b/packages/discovery/src/state-reading.test.ts
@@ -0,0 +1,78 @@
+import {createManualClock} from '@gentianlift/clock';
+import {createSilentLogger} from '@gentianlift/logger';
+import type {ChangeFeed, Entry} from '@gentianlift/types';
+import {expect, test} from 'vitest';
+import {createFleetView, type FleetView} from './fleet-view.js';
+import {followFleet} from './follow-fleet.js';
+
+const entry = (key: string, revision: number): Entry => ({key, value: '', revision});
+
+const createView = (): FleetView => createFleetView({decode: () => ({kind: 'other'}), logger: createSilentLogger()});
+
+const getEntries = (view: FleetView): Entry[] => view.getSnapshot().entries.toSorted((one, other) => one.key < other.key ? -1 : 1);
+
+// Guards against: a host reads the whole state again and again, as others tell it of changes while the pages arrive.
+test('a state during whose reading another host sends changes is applied', async () => {
+	const clock = createManualClock();
+	const view = createView();
+	let reads = 0;
+	const feed: ChangeFeed = {
+		async readAll(reading) {
+			reads += 1;
+			reading!.position.revision = 10;
+			for (const read of [entry('a', 1), entry('b', 2)]) {
+				reading!.add(read);
+			}
+
+			await clock.sleep(1000);
+			return {kind: 'found', snapshot: {entries: reading!.getEntries(), revision: 10}};
+		},
+		async waitForChanges(revision, limit) {
+			await clock.sleep(limit);
+			return {kind: 'changed', changes: [], revision};
+		},
+	};
+	view.applyChanges([{kind: 'written', entry: entry('a', 1)}], 5, 0);
+	const follower = followFleet({
+		feed, view, clock, logger: createSilentLogger(), fetchFromPeer: async () => undefined, getNewestRevision: () => 0, hasRelayFeed: () => true, onChanges: () => undefined,
+	});
+	for (let revision = 6; revision < 16; revision++) {
+		// eslint-disable-next-line no-await-in-loop -- One change after the other.
+		await clock.advance(90);
+		view.applyChanges([{kind: 'written', entry: entry('c', revision)}], revision, 0);
+	}
+
+	await clock.advance(200);
+	expect(getEntries(view)).toEqual([entry('a', 1), entry('b', 2), entry('c', 15)]);
+	expect([view.getRevision(), reads]).toEqual([15, 1]);
+	follower.stop();
+});
+
+test('what is written, removed or spoiled while the state is read is part of it, whatever the pages have', () => {
+	const view = createFleetView({
+		decode: ({value}) => value === 'odd' ? {kind: 'unreadable', reason: 'test'} : {kind: 'other'}, logger: createSilentLogger(),
+	});
+	view.applyChanges([{kind: 'written', entry: entry('a', 2)}, {kind: 'written', entry: entry('b', 3)}, {kind: 'written', entry: entry('f', 3)}], 3, 0);
+	const reading = view.createReading();
+	reading.position.revision = 4;
+	reading.add(entry('a', 2));
+	reading.add(entry('f', 3));
+	view.applyChanges([
+		{kind: 'written', entry: entry('c', 5)}, {kind: 'removed', key: 'a', revision: 6}, {kind: 'written', entry: {...entry('f', 7), value: 'odd'}},
+	], 7, 0);
+	for (const read of [entry('a', 2), entry('b', 3), entry('c', 4), entry('e', 1), entry('f', 3)]) {
+		reading.add(read);
+	}
+
+	view.applySnapshot({entries: reading.getEntries(), revision: 4}, 0, reading);
+	expect(getEntries(view)).toEqual([entry('b', 3), entry('c', 5), entry('e', 1)]);
+	expect(view.getRevision()).toBe(7);
+});
+
+test('a state is not applied if the view of another host came during its reading', () => {
+	const view = createView();
+	const reading = view.createReading();
+	reading.position.revision = 4;
+	view.applySnapshot({entries: [entry('a', 5)], revision: 5}, 0);
+	expect(view.canApply({entries: [], revision: 4}, reading)).toBe(false);
+});
--- a/packages/discovery/src/state-reading.ts
+++ b/packages/discovery/src/state-reading.ts
@@ -1,4 +1,5 @@
-import type {Entry, StateReading} from '@gentianlift/types';
+import type {Change, Entry, StateReading} from '@gentianlift/types';
+import {getChangeRevision} from './checked-entries.js';
 import type {ClassifiedEntry, RoomedEntry} from './entry-classifier.js';
 import type {ForeignEntries} from './foreign-entries.js';
 import {createEntryRoom} from './entry-room.js';
@@ -6,6 +7,8 @@
 
 /** Reading of the whole state for a view: keeps as much as a view holds, and none of what names nothing. */
 export type ViewReading = StateReading & {
+	/** Takes in a change that the view learns of while the state is read. */
+	follow: (change: Change) => void;
 	/** Whether an entry was read under a key, though it may have found no room. */
 	has: (storeKey: string) => boolean;
 	/** Whether what was read last under a key that the view holds names nothing any more. */
@@ -32,8 +35,19 @@
 	/** Entries under keys that the view holds, for which the reading has no room; the view has. */
 	const held = new Map<string, Entry>();
 	const unsound = new Set<string>();
+	/** Revisions of changes after which nothing is left under a key; pages that were read before may still have it. */
+	const removals = new Map<string, number>();
 	let isIncomplete = false;
 
+	const forget = (storeKey: string): void => {
+		room.delete(storeKey);
+		held.delete(storeKey);
+	};
+
+	/** Whether something newer than an entry is known under its key. */
+	const isOutdated = ({key, revision}: Entry): boolean =>
+		Math.max(room.get(key)?.revision ?? 0, held.get(key)?.revision ?? 0, removals.get(key) ?? 0) > revision;
+
 	const noteForeign = (entry: Entry, reason: string | undefined): void => {
 		foreign.add(entry, reason);
 		if (isHeld(entry.key)) {
@@ -52,6 +66,34 @@
 		isIncomplete ||= displaced.length > 0 || (!hasRoom && !isHeld(entry.key));
 	};
 
+	const add = (entry: Entry): void => {
+		const classified = classify(entry);
+		if (isOutdated(entry)) {
+			return;
+		}
+
+		switch (classified.kind) {
+			case 'foreign': {
+				noteForeign(entry, classified.reason);
+				break;
+			}
+
+			case 'configuration': {
+				configurations.set(entry.key, entry);
+				services.update(classified.configuration);
+				room.rankAgain();
+				break;
+			}
+
+			case 'upstream':
+			case 'host':
+			case 'record': {
+				keep(classified);
+				break;
+			}
+		}
+	};
+
 	foreign.beginReading();
 	return {
 		position: {after: '', revision: undefined},
@@ -64,27 +106,18 @@
 
 			return classified.entry;
 		},
-		add(entry) {
-			const classified = classify(entry);
-			switch (classified.kind) {
-				case 'foreign': {
-					noteForeign(entry, classified.reason);
-					break;
-				}
-
-				case 'configuration': {
-					configurations.set(entry.key, entry);
-					services.update(classified.configuration);
-					room.rankAgain();
-					break;
-				}
+		add,
+		follow(change) {
+			if (change.kind === 'written' && classify(change.entry).kind !== 'foreign') {
+				add(change.entry);
+				return;
+			}
 
-				case 'upstream':
-				case 'host':
-				case 'record': {
-					keep(classified);
-					break;
-				}
+			const {key} = change.kind === 'written' ? change.entry : change;
+			forget(key);
+			removals.set(key, getChangeRevision(change));
+			if (change.kind === 'written') {
+				add(change.entry);
 			}
 		},
 		getEntries: () => [...configurations.values(), ...room.values(), ...held.values()],
