Name answers that aren't HTTP alike whichever parser refuses them

Seen: three tests of the untouched code fail on this machine, whose Node 20.20.2 has llhttp 9.3.1: broken-answers and malformed-head wait for the reason head-malformed, malformed-end for end-malformed. Callers got what they should in each case; the reasons in the log were others.

Cause: the newer parser refuses some heads that the older one took, so that the request fails with the parser's code before this program's check is asked. It also refuses a byte 13 with another than 10 behind it at the end of chunks, where the reader of chunks was waiting for the end of that line, and the answer counted as lost with its connection (ECONNRESET).

Change: the parser's codes for what isn't HTTP are logged as head-malformed; a byte 13 without byte 10 is malformed at once. No test is changed but that of the reader of chunks, which has four more texts; it failed before.

Measured: the three tests and all of http, send, deliver and resume pass.

--- a/packages/forwarder/src/send/send.ts
+++ b/packages/forwarder/src/send/send.ts
@@ -69,8 +69,15 @@
 /** Interval at which it is checked whether a request may be given up whose answer hasn't begun in time. */
 const silenceCheckInterval: Milliseconds = 100;
 
+/** Begins the codes of Node's parser for what isn't HTTP. Which heads it refuses itself depends on its version. */
+const parserFaultPrefix = 'HPE_INVALID_';
+
 const getErrorReason = (error: Error & {code?: string}): string => error.code ?? error.message;
 
+/** Returns why a request failed before its answer's head was reported: one that the parser refuses is malformed, as one is that is refused here. */
+const getHeadErrorReason = (error: Error & {code?: string}): string =>
+	error.code?.startsWith(parserFaultPrefix) === true ? 'head-malformed' : getErrorReason(error);
+
 const openRequest = ({address, method, target}: UpstreamRequest, agent: UpstreamAgent): ClientRequest =>
 	request({
 		...splitAddress(address), agent, method, path: target, setHost: false,
@@ -246,7 +253,7 @@
 		finish(classifyAnswer(answer, head, {fault, callerRequestId, hasNamedRequests}));
 	});
 	clientRequest.on('error', error => {
-		finish(getFailure(phase, getErrorReason(error)));
+		finish(getFailure(phase, getHeadErrorReason(error)));
 	});
 	clientRequest.once('close', () => {
 		finish(getFailure(phase, 'closed'));
--- a/packages/http/src/chunk-reader.test.ts
+++ b/packages/http/src/chunk-reader.test.ts
@@ -35,6 +35,11 @@
 		expect([text, read(text)]).toEqual([text, 'malformed']);
 	}
 
+	// What follows may never come.
+	for (const text of ['1\rX', '1\r\na\rX', '0\r\n\rX', '0\r\nX-A: b\rX']) {
+		expect([text, read(text), read(...text)]).toEqual([text, 'malformed', 'malformed']);
+	}
+
 	expect(read('1'.repeat(20_000))).toBe('malformed');
 });
 
--- a/packages/http/src/chunk-reader.ts
+++ b/packages/http/src/chunk-reader.ts
@@ -20,6 +20,9 @@
 /** Largest size of a line, in bytes; Node's parser takes no longer ones. */
 const maxLineBytes = 16 * 1024;
 
+/** A byte 13 that begins no line end. */
+const bareReturnPattern = /\r[^\n]/v;
+
 /** Whether a line end stands at a position. */
 const isLineEnd = (bytes: Uint8Array, position: number): boolean => bytes[position] === carriageReturn && bytes[position + 1] === lineFeed;
 
@@ -140,7 +143,7 @@
 		if (line.endsWith('\n')) {
 			state = endLine(state);
 			line = '';
-		} else if (line.length > maxLineBytes) {
+		} else if (line.length > maxLineBytes || bareReturnPattern.test(line)) {
 			state = 'malformed';
 		}
 
