Play lists without end, and bound the buffer of a reply by what is kept

Adds the bounds that stay to the tests of replies: a list without end, of items that are dropped, of blanks, or of one item, is given up and its connection closed, and three lists of 30 MB of which nothing is kept arrive side by side, within 8 MiB at each moment of the first three.

The buffer of a reply could exceed the limit by what was kept before (8,388,618 bytes were seen); it is now drawn from the same limit. The search for the end of a text no longer looks at bytes of earlier items.

--- a/packages/platform/src/read-reply.test.ts
+++ b/packages/platform/src/read-reply.test.ts
@@ -2,13 +2,19 @@
 import type {AddressInfo} from 'node:net';
 import {gzipSync} from 'node:zlib';
 import {createSystemClock} from '@gentianlift/clock';
+import type {Milliseconds} from '@gentianlift/types';
 import {expect, onTestFinished, test} from 'vitest';
 import {createJsonClient} from './json-client.js';
+import type {ReplyList} from './read-reply.js';
+import {processReplyMemory} from './reply-memory.js';
 
 const megabyte = 1024 * 1024;
 
+/** A list whose items are all dropped. */
+const droppedItems: ReplyList = {field: 'items', open: () => () => ({kind: 'dropped'})};
+
 /** Starts a service that answers by a function, and a client of it. */
-const startService = async (answer: (response: ServerResponse) => void) => {
+const startService = async (answer: (response: ServerResponse) => void, {timeout = 10_000, list}: {timeout?: Milliseconds; list?: ReplyList} = {}) => {
 	const server = createServer((_, response) => {
 		answer(response);
 	});
@@ -17,14 +23,14 @@
 	});
 	const {port} = server.address() as AddressInfo;
 	const client = createJsonClient({
-		url: `http://127.0.0.1:${port}`, clock: createSystemClock(), timeout: 10_000, acceptsCompression: true,
+		url: `http://127.0.0.1:${port}`, clock: createSystemClock(), timeout, acceptsCompression: true,
 	});
 	onTestFinished(() => {
 		client.close();
 		server.close();
 		server.closeAllConnections();
 	});
-	return async () => client.call({method: 'GET', path: '/'});
+	return async () => client.call({method: 'GET', path: '/', ...(list !== undefined && {list})});
 };
 
 const oversized = {kind: 'unknown', reason: 'reply-too-large', isOversized: true};
@@ -133,3 +139,48 @@
 	expect(new Set(reasons)).toEqual(new Set(['reply-memory-exceeded']));
 	expect(outcomes.filter(({kind}) => kind === 'answered').length).toBeGreaterThan(0);
 });
+
+/** Writes a text again and again until the connection is closed; resolves then. */
+const writeEndlessly = async (response: ServerResponse, text: string): Promise<void> => new Promise(resolve => {
+	const write = (): void => {
+		if (!response.destroyed) {
+			response.write(text, write);
+		}
+	};
+
+	response.once('close', resolve);
+	write();
+});
+
+// Guards against: a list without end holds the connection for ever, or the memory of the host, as what is dropped of it doesn't count.
+test.each([
+	['items that are dropped', `"${'x'.repeat(megabyte)}",`],
+	['blanks', ' '.repeat(megabyte)],
+	['one item', 'x'.repeat(megabyte)],
+])('a list without end is given up, and its connection closed: %s', async (_, text) => {
+	let ended: Promise<void> | undefined;
+	let maxHeld = 0;
+	const call = await startService(response => {
+		response.write('{"items":["');
+		response.write('",');
+		ended = writeEndlessly(response, text);
+	}, {timeout: 500, list: droppedItems});
+	const timer = setInterval(() => {
+		maxHeld = Math.max(maxHeld, processReplyMemory.getHeldBytes());
+	}, 5);
+	onTestFinished(() => {
+		clearInterval(timer);
+	});
+	expect(await call()).toMatchObject({kind: 'unknown', isOversized: true});
+	await ended;
+	expect(maxHeld).toBeLessThanOrEqual(8 * megabyte);
+});
+
+// Guards against: two large lists that arrive side by side give each other up, though nothing of them is kept.
+test('large lists of which nothing is kept arrive side by side', async () => {
+	const call = await startService(response => {
+		response.end(JSON.stringify({items: Array.from({length: 30}, () => 'x'.repeat(megabyte))}));
+	}, {list: droppedItems});
+	const outcomes = await Promise.all([call(), call(), call()]);
+	expect(outcomes).toEqual(outcomes.map(() => expect.objectContaining({kind: 'answered', body: {items: []}}) as unknown));
+});
--- a/packages/platform/src/reply-scanner.ts
+++ b/packages/platform/src/reply-scanner.ts
@@ -41,13 +41,10 @@
 /** Depth of the fields of the reply's object, and that of the items of a list in it. */
 const depths = {fields: 1, items: 2} as const;
 
-/** Part of a buffer: a string that began at `start`, has been searched up to `from`, and continues up to `length` at the most. */
-type StringRange = {start: number; from: number; length: number};
-
-/** Returns the index of the quote that ends a string; -1 if its end hasn't come. */
-const findStringEnd = (bytes: Uint8Array, {start, from, length}: StringRange): number => {
+/** Returns the index of the quote that ends a string which began at `start` and has been searched up to `from`; -1 if its end hasn't come. */
+const findStringEnd = (bytes: Uint8Array, start: number, from: number): number => {
 	let end = bytes.indexOf(syntax.quote, from);
-	while (end !== -1 && end < length) {
+	while (end !== -1) {
 		let beforeEscapes = end - 1;
 		while (beforeEscapes >= start && bytes[beforeEscapes] === syntax.backslash) {
 			beforeEscapes--;
@@ -73,6 +70,8 @@
 	/** Holds the bytes from `start`, that of the current item or of the text around the list, to `length`; those before `index` are scanned. */
 	let buffer = Buffer.alloc(0);
 	let [start, index, length] = [0, 0, 0];
+	/** The part of the buffer that holds bytes. */
+	let filled = buffer;
 	let depth = 0;
 	/** Start of the string in which the next byte lies. */
 	let stringStart: number | undefined;
@@ -104,7 +103,7 @@
 	/** Moves the bytes that are still needed to the beginning, in a larger buffer if they leave no room for so many more. */
 	const makeRoom = (added: number): void => {
 		const needed = length - start + added;
-		const target = needed > buffer.length ? Buffer.allocUnsafeSlow(Math.min(maxReplySize.bytes, Math.max(initialRoom, needed, 2 * buffer.length))) : buffer;
+		const target = needed > buffer.length ? Buffer.allocUnsafeSlow(Math.min(maxReplySize.bytes - held.bytes, Math.max(initialRoom, needed, 2 * buffer.length))) : buffer;
 		buffer.copy(target, 0, start, length);
 		buffer = target;
 		[index, length] = [index - start, length - start];
@@ -184,7 +183,7 @@
 
 	/** Scans a string up to its end, or to that of the bytes that have come. */
 	const scanString = (from: number): void => {
-		const end = findStringEnd(buffer, {start: from, from: index, length});
+		const end = findStringEnd(filled, from, index);
 		if (end === -1) {
 			index = length;
 			return;
@@ -257,6 +256,7 @@
 
 			buffer.set(chunk, length);
 			length += chunk.length;
+			filled = buffer.subarray(0, length);
 			scan();
 			refuseOversized();
 		},
