--- a/packages/discovery/src/foreign-entries.ts
+++ b/packages/discovery/src/foreign-entries.ts
@@ -40,12 +40,17 @@
 /** Entries and characters read after which the first summary is logged; each further one when they have doubled. */
 const firstSummary = {entries: 64, length: 4 * 1024 * 1024} as const;
 
+/** Sums of entries beyond those whose keys are remembered. */
+type OtherEntries = {entries: number; length: number; unreadable: number};
+
+const nothing: Readonly<OtherEntries> = {entries: 0, length: 0, unreadable: 0};
+
 /** Creates an empty record. */
 export const createForeignEntries = (logger: Logger): ForeignEntries => {
 	const known = new Map<string, KnownEntry>();
 	/** Entries beyond those whose keys are remembered. */
-	let others = {entries: 0, length: 0};
-	let othersOfReading = {entries: 0, length: 0};
+	let others: OtherEntries = {...nothing};
+	let othersOfReading: OtherEntries = {...nothing};
 	let reading = 0;
 	let loggedKeys = 0;
 	const read = {entries: 0, length: 0};
@@ -82,10 +87,11 @@
 		}
 	};
 
-	const countOther = ({value}: Entry): void => {
+	const countOther = ({value}: Entry, isUnreadable: boolean): void => {
 		for (const sum of [others, othersOfReading]) {
 			sum.entries += 1;
 			sum.length += value.length;
+			sum.unreadable += isUnreadable ? 1 : 0;
 		}
 	};
 
@@ -98,7 +104,7 @@
 			}
 
 			if (earlier === undefined && known.size >= limits.keys) {
-				countOther(entry);
+				countOther(entry, reason !== undefined);
 			} else {
 				known.set(entry.key, {
 					length: entry.value.length, revision: entry.revision, isUnreadable: reason !== undefined, reading,
@@ -116,7 +122,7 @@
 		},
 		beginReading() {
 			reading += 1;
-			othersOfReading = {entries: 0, length: 0};
+			othersOfReading = {...nothing};
 		},
 		endReading() {
 			others = {...othersOfReading};
@@ -126,9 +132,10 @@
 				}
 			}
 
+			// Keys that are gone leave their lines to others.
 			loggedKeys = Math.min(loggedKeys, known.size);
 		},
-		countUnreadable: () => [...known.values()].filter(({isUnreadable}) => isUnreadable).length + others.entries,
+		countUnreadable: () => [...known.values()].filter(({isUnreadable}) => isUnreadable).length + others.unreadable,
 		getTotals,
 	};
 };
--- a/packages/discovery/src/state-reading.test.ts
+++ b/packages/discovery/src/state-reading.test.ts
@@ -60,8 +60,11 @@
 	view.applyChanges([
 		{kind: 'written', entry: entry('c', 5)}, {kind: 'removed', key: 'a', revision: 6}, {kind: 'written', entry: {...entry('f', 7), value: 'odd'}},
 	], 7, 0);
-	for (const read of [entry('a', 2), entry('b', 3), entry('c', 4), entry('e', 1), entry('f', 3)]) {
-		reading.add(read);
+	for (const read of [entry('a', 2), entry('b', 3), {...entry('c', 4), value: 'odd'}, entry('e', 1), entry('f', 3)]) {
+		const selected = reading.select(read);
+		if (selected !== undefined) {
+			reading.add(selected);
+		}
 	}
 
 	view.applySnapshot({entries: reading.getEntries(), revision: 4}, 0, reading);
