Decode no record of very many values

Cause: values were counted in a reply, but not in the value of an entry, which is a text in the reply and is parsed by itself.

The configuration and the record of usage reports have one key each and aren't limited so.

--- a/packages/discovery/src/host-record.ts
+++ b/packages/discovery/src/host-record.ts
@@ -1,5 +1,5 @@
 import {
-	isAddress, isName, parseJsonObject, type Address, type HostId, type Incarnation, type JsonObject, type Zone,
+	isAddress, isName, maxRecordValues, parseJsonObject, type Address, type HostId, type Incarnation, type JsonObject, type Zone,
 } from '@gentianlift/types';
 
 /** Record that a host publishes about itself in the store, the key-value service. */
@@ -37,7 +37,7 @@
 
 /** Parses a host record and leaves out the fields that this version doesn't know; returns undefined if the text is malformed, or an address that nothing can be sent to. */
 export const parseHostRecord = (text: string): HostRecord | undefined => {
-	const value = parseJsonObject(text);
+	const value = parseJsonObject(text, maxRecordValues);
 	if (!isHostRecord(value)) {
 		return undefined;
 	}
--- a/packages/duties/src/subject-key.ts
+++ b/packages/duties/src/subject-key.ts
@@ -1,5 +1,5 @@
 import {
-	parseJsonObject, type Entry, type HostId, type Incarnation,
+	maxRecordValues, parseJsonObject, type Entry, type HostId, type Incarnation,
 } from '@gentianlift/types';
 import type {DutySubject} from './duty.js';
 
@@ -40,7 +40,7 @@
 
 /** Parses the value of a holder's entry; undefined if it is malformed. */
 export const parseDutyRecord = ({value}: Pick<Entry, 'value'>): DutyRecord | undefined => {
-	const record = parseJsonObject(value);
+	const record = parseJsonObject(value, maxRecordValues);
 	const {host, incarnation, lease} = record ?? {};
 	return typeof host === 'string' && typeof incarnation === 'number' && typeof lease === 'string' ? {host, incarnation, lease} : undefined;
 };
--- a/packages/types/src/json-fields.ts
+++ b/packages/types/src/json-fields.ts
@@ -48,8 +48,56 @@
 /** Whether a value is a name: a text that is neither empty nor too long. */
 export const isName = (value: unknown): value is string => typeof value === 'string' && value !== '' && value.length <= maxNameLength;
 
-/** Parses a JSON object; undefined if the text is none. */
-export const parseJsonObject = (text: string): JsonObject | undefined => {
+/** Most values in a record that an upstream, a host or a duty's holder has written; what a text takes when it is parsed depends on their number. */
+export const maxRecordValues = 131_072;
+
+/** Bytes of the JSON syntax. */
+const syntax = {
+	quote: 0x22, comma: 0x2C, openBracket: 0x5B, backslash: 0x5C, openBrace: 0x7B,
+} as const;
+
+/** Returns the index of the quote that ends a string; that of the end of the text without one. */
+const findStringEnd = (text: string, start: number): number => {
+	for (let end = text.indexOf('"', start); end !== -1; end = text.indexOf('"', end + 1)) {
+		let beforeEscapes = end - 1;
+		while (text.codePointAt(beforeEscapes) === syntax.backslash) {
+			beforeEscapes--;
+		}
+
+		const isEscaped = (end - beforeEscapes) % 2 === 0;
+		if (!isEscaped) {
+			return end;
+		}
+	}
+
+	return text.length;
+};
+
+/** Whether a JSON text may have more values than a limit: each but the first follows a comma or opens a list or an object. */
+const hasMoreValues = (text: string, limit: number): boolean => {
+	if (text.length < limit) {
+		return false;
+	}
+
+	let values = 1;
+	for (let index = 0; index < text.length && values <= limit; index++) {
+		const character = text.codePointAt(index);
+		if (character === syntax.quote) {
+			index = findStringEnd(text, index + 1);
+		} else if (character === syntax.comma || character === syntax.openBracket || character === syntax.openBrace) {
+			values++;
+		}
+	}
+
+	return values > limit;
+};
+
+/** Parses a JSON object; undefined if the text is none, or has more values than may be. */
+export const parseJsonObject = (text: string, maxValues = Number.POSITIVE_INFINITY): JsonObject | undefined => {
+	if (hasMoreValues(text, maxValues)) {
+		return undefined;
+	}
+
 	try {
 		const value: unknown = JSON.parse(text);
 		return isJsonObject(value) ? value : undefined;
