--- a/packages/types/src/json-fields.ts
+++ b/packages/types/src/json-fields.ts
@@ -92,9 +92,12 @@
 	return values > limit;
 };
 
+/** What the text of an object begins with; it tells most other texts without reading them. */
+const objectStart = /^\s*\{/v;
+
 /** Parses a JSON object; undefined if the text is none, or has more values than may be. */
 export const parseJsonObject = (text: string, maxValues = Number.POSITIVE_INFINITY): JsonObject | undefined => {
-	if (hasMoreValues(text, maxValues)) {
+	if (!objectStart.test(text) || hasMoreValues(text, maxValues)) {
 		return undefined;
 	}
 
