Keep the adapter small, and refuse a list under an escaped name

A list whose field is spelled with an escape isn't read item by item, and passed for one that was; such a reply is none now. The test of the scanner has it.

--- a/packages/discovery/src/entry-classifier.ts
+++ b/packages/discovery/src/entry-classifier.ts
@@ -1,6 +1,6 @@
 import type {RoutingConfiguration, Upstream} from '@gentianlift/routing';
 import type {Entry} from '@gentianlift/types';
-import type {DecodedEntry} from './decoded-entry.js';
+import {maxWholeLength, type DecodedEntry} from './decoded-entry.js';
 import {isTooLong, maxKeyLength} from './entry-decoder.js';
 import {hostPrefix, parseHostRecord, type HostRecord} from './host-record.js';
 
@@ -26,9 +26,6 @@
 	classifyRecord: (entry: Entry) => RecordClass;
 };
 
-/** Longest value that is held as it is of a host's entry, or of a record that can't be read, in characters. */
-const maxWholeLength = 4096;
-
 /** Returns an entry with a short text in place of a long value. */
 const shorten = (entry: Entry, getText: () => string): Entry => entry.value.length > maxWholeLength ? {...entry, value: getText()} : entry;
 
@@ -65,7 +62,8 @@
 			}
 
 			case 'upstream': {
-				return {kind: 'upstream', entry: {...entry, value: decoded.text ?? entry.value}, upstream: decoded.upstream};
+				const {upstream, text} = decoded;
+				return {kind: 'upstream', entry: shorten(entry, () => text ?? entry.value), upstream};
 			}
 
 			case 'unreadable': {
--- a/packages/discovery/src/entry-room.test.ts
+++ b/packages/discovery/src/entry-room.test.ts
@@ -8,7 +8,7 @@
 import {createHeldEntries, type EntryRank} from './held-entries.js';
 import {getHostKey} from './host-record.js';
 
-/** Decodes the entries of these tests: `c:VERSION:SERVICES` and `u:SERVICE`; anything else is unreadable under `servers/`, and of no known kind elsewhere. */
+/** Decodes the entries of these tests: `c:VERSION:SERVICES` and `u:SERVICE`; anything else is unreadable under `e/`, and of no known kind elsewhere. */
 const decode = ({key, value}: Entry): DecodedEntry => {
 	const [kind, name = '', services = ''] = value.split(':');
 	if (kind === 'c') {
--- a/packages/discovery/src/index.ts
+++ b/packages/discovery/src/index.ts
@@ -1,5 +1,5 @@
 export {addEra, getEra} from '@gentianlift/platform';
-export type * from './decoded-entry.js';
+export * from './decoded-entry.js';
 export type {RecordClass} from './entry-classifier.js';
 export type {ForeignTotals} from './foreign-entries.js';
 export * from './exchange-reports.js';
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -7,6 +7,7 @@
 export * from './memory-key-value/index.js';
 export {readPages, type Page, type PageReply} from './read-pages.js';
 export type {ItemOutcome, ItemReader} from './reply-scanner.js';
+export {selectItem} from './select-item.js';
 export type {ReplySize} from './reply-size.js';
 export * from './store-era.js';
 export {createWeightStoreClient, type WeightStoreClient} from './weight-store-client.js';
--- a/packages/platform/src/reply-scanner.test.ts
+++ b/packages/platform/src/reply-scanner.test.ts
@@ -27,7 +27,8 @@
 
 test('whatever the reply and its chunks, a body whose items are all kept is what the parser returns', () => {
 	const list = fc.array(fc.jsonValue(), {maxLength: 8});
-	fc.assert(fc.property(fc.dictionary(fc.string(), fc.jsonValue()), list, fc.dictionary(fc.string(), fc.jsonValue()), fc.integer({min: 1, max: 40}), fc.boolean(), (before, items, after, chunk, isSpaced) => {
+	const fields = fc.dictionary(fc.string(), fc.jsonValue());
+	fc.assert(fc.property(fields, list, fields, fc.integer({min: 1, max: 40}), fc.boolean(), (before, items, after, chunk, isSpaced) => {
 		const text = JSON.stringify({...before, items, ...after}, undefined, isSpaced ? 1 : 0);
 		const expected = JSON.parse(text) as unknown;
 		expect(readText(text, {chunk, read: keepAll}).body).toEqual(expected);
@@ -49,7 +50,7 @@
 });
 
 test('a reply that isn\'t JSON fails, wherever it is none', () => {
-	for (const text of ['{"items":[1,]}', '{"items":[,1]}', '{"items":[1}', '{"items":[1]', '{"items":[1 2]}', '{"items":[{"a":]}]}', '{"items":[1]]}', '{"items":["a]}', 'x', '{"items":[]}x']) {
+	for (const text of ['{"items":[1,]}', '{"items":[,1]}', '{"items":[1}', '{"items":[1]', '{"items":[1 2]}', '{"items":[{"a":]}]}', '{"items":[1]]}', '{"items":["a]}', 'x', '{"items":[]}x', String.raw`{"it\u0065ms":[1]}`]) {
 		for (const read of [keepAll, dropAll]) {
 			expect(() => readText(text, {read})).toThrow(SyntaxError);
 		}
--- a/packages/platform/src/reply-scanner.ts
+++ b/packages/platform/src/reply-scanner.ts
@@ -1,4 +1,5 @@
 import {Buffer} from 'node:buffer';
+import {isJsonObject} from '@gentianlift/types';
 import {
 	isOversized, maxReplySize, OversizedReplyError, type ReplySize,
 } from './reply-size.js';
@@ -77,7 +78,7 @@
 	let stringStart: number | undefined;
 	/** Whether the last string among the fields is the name of the list, and whether the value that follows is the list's. */
 	let [isNamed, isListNext] = [false, false];
-	let [isInList, hasItems] = [false, false];
+	let [isInList, hasList, hasItems] = [false, false, false];
 	/** Values of the current item, or of the text around the list since its last part. */
 	let values = 1;
 	let totalBytes = 0;
@@ -154,7 +155,7 @@
 		depth += 1;
 		if (byte === syntax.openBracket && depth === depths.items && isListNext) {
 			endOuterText(index + 1);
-			isInList = true;
+			[isInList, hasList] = [true, true];
 			values = 1;
 		}
 	};
@@ -232,6 +233,19 @@
 		index += 1;
 	};
 
+	/** Returns the body with the items that are kept. A list under another spelling of the name has been read by nobody. */
+	const insertItems = (body: unknown, field: string): unknown => {
+		if (hasList) {
+			return {...body as Record<string, unknown>, [field]: items};
+		}
+
+		if (isJsonObject(body) && Array.isArray(body[field])) {
+			throw new SyntaxError('list under an escaped name');
+		}
+
+		return body;
+	};
+
 	const scan = (): void => {
 		// eslint-disable-next-line no-unmodified-loop-condition -- The calls modify the index.
 		while (index < length) {
@@ -265,7 +279,7 @@
 			endOuterText(length);
 			const text = outerText.join('');
 			const body = text === '' ? undefined : JSON.parse(text) as unknown;
-			return {body: list !== undefined && items.length > 0 ? {...body as Record<string, unknown>, [list.field]: items} : body, size};
+			return {body: list === undefined ? body : insertItems(body, list.field), size};
 		},
 	};
 };
