Remember no key that is longer than any of the store

A faulty store could name keys of megabytes, of which a host would have kept a thousand to name them to an operator. They are counted, not remembered; the new test of foreign-entries has one, and what it logs stays short.

--- a/packages/discovery/src/foreign-entries.test.ts
+++ b/packages/discovery/src/foreign-entries.test.ts
@@ -52,6 +52,14 @@
 	expect(lines.length).toBeLessThan(70);
 });
 
+test('a key longer than any of the store is counted without being remembered', () => {
+	const {foreign, lines} = createRecorded();
+	foreign.add(entry('k'.repeat(1_000_000), 1), 'test');
+	foreign.add(entry('k'.repeat(1_000_000), 2), 'test');
+	expect(foreign.getTotals().entries).toBe(2);
+	expect(lines.join('').length).toBeLessThan(1000);
+});
+
 test('a summary names the last key and the largest, each time that what was read has doubled', () => {
 	const {foreign, lines} = createRecorded();
 	foreign.add(entry('small', 1), undefined);
--- a/packages/discovery/src/foreign-entries.ts
+++ b/packages/discovery/src/foreign-entries.ts
@@ -1,5 +1,6 @@
 import type {Logger} from '@gentianlift/logger';
 import type {Entry} from '@gentianlift/types';
+import {maxKeyLength} from './entry-decoder.js';
 
 /** What the entries of the store that name nothing come to. */
 export type ForeignTotals = {
@@ -103,12 +104,13 @@
 				return;
 			}
 
-			if (earlier === undefined && known.size >= limits.keys) {
-				countOther(entry, reason !== undefined);
-			} else {
+			const isRemembered = earlier !== undefined || (known.size < limits.keys && entry.key.length <= maxKeyLength);
+			if (isRemembered) {
 				known.set(entry.key, {
 					length: entry.value.length, revision: entry.revision, isUnreadable: reason !== undefined, reading,
 				});
+			} else {
+				countOther(entry, reason !== undefined);
 			}
 
 			if (reason !== undefined && earlier === undefined) {
