--- a/packages/usage/src/index.ts
+++ b/packages/usage/src/index.ts
@@ -1,3 +1,3 @@
-export {reportRecordKey} from './report-record.js';
+export {parseRecord as parseReportRecord, reportRecordKey} from './report-record.js';
 export * from './usage-reports.js';
 export type * from './usage-counter.js';
