Forget that an entry was spoiled once it is removed during a reading

Cause: its entry was spoiled in a page that was read before it was removed, and a spoiled entry keeps its host listed.

--- a/packages/discovery/src/state-reading.test.ts
+++ b/packages/discovery/src/state-reading.test.ts
@@ -1,9 +1,11 @@
 import {createManualClock} from '@gentianlift/clock';
 import {createSilentLogger} from '@gentianlift/logger';
+import {addEra} from '@gentianlift/platform';
 import type {ChangeFeed, Entry} from '@gentianlift/types';
 import {expect, test} from 'vitest';
 import {createFleetView, type FleetView} from './fleet-view.js';
 import {followFleet} from './follow-fleet.js';
+import {getHostKey} from './host-record.js';
 
 const entry = (key: string, revision: number): Entry => ({key, value: '', revision});
 
@@ -72,6 +74,25 @@
 	expect(view.getRevision()).toBe(7);
 });
 
+// Guards against: a host that is gone stays listed, as its entry was spoiled in a page that was read before it was removed.
+test('an entry that was spoiled and then removed while the state is read is removed', () => {
+	const view = createView();
+	const key = getHostKey('h');
+	const record = {
+		host: 'h', incarnation: 1, zone: 'a', callers: '127.0.0.1:1', peers: '127.0.0.1:2', notes: '127.0.0.1:3', strength: 1, isStopping: false,
+	};
+	// After a restore of the store, the removal of a host is deferred.
+	view.applyChanges([{kind: 'written', entry: {key, value: JSON.stringify(record), revision: addEra(1, 3)}}], addEra(1, 3), 0);
+	view.applySnapshot({entries: [{key, value: JSON.stringify(record), revision: addEra(2, 3)}], revision: addEra(2, 3)}, 0);
+	const reading = view.createReading();
+	reading.position.revision = addEra(2, 4);
+	reading.select({key, value: 'odd', revision: addEra(2, 4)});
+	view.applyChanges([{kind: 'removed', key, revision: addEra(2, 5)}], addEra(2, 5), 100);
+	view.applySnapshot({entries: reading.getEntries(), revision: addEra(2, 4)}, 200, reading);
+	view.applyDeferredRemovals(10_000);
+	expect(view.getHosts()).toEqual([]);
+});
+
 test('a state is not applied if the view of another host came during its reading', () => {
 	const view = createView();
 	const reading = view.createReading();
--- a/packages/discovery/src/state-reading.ts
+++ b/packages/discovery/src/state-reading.ts
@@ -115,6 +115,7 @@
 
 			const {key} = change.kind === 'written' ? change.entry : change;
 			forget(key);
+			unsound.delete(key);
 			removals.set(key, getChangeRevision(change));
 			if (change.kind === 'written') {
 				add(change.entry);
