Pass on what becomes of entries that a view has left out

Cause: changes were selected by what the view holds, also where it has left entries out that another host, or a reading under way, may hold.

Change: a view that has left entries out keeps all removals and spoiled entries; they count towards the limits of a reply as before, beyond which the state is read.

--- a/packages/discovery/src/change-selector.ts
+++ b/packages/discovery/src/change-selector.ts
@@ -6,14 +6,14 @@
 export type ChangeSelectorOptions = {
 	classify: (entry: Entry) => ClassifiedEntry;
 	foreign: ForeignEntries;
-	/** Whether the view holds an entry under a key. */
-	isHeld: (storeKey: string) => boolean;
+	/** Whether the view holds an entry under a key, or another host or a reading under way may hold one that it has left out. */
+	mayBeKnown: (storeKey: string) => boolean;
 };
 
-/** Creates what selects the changes of one reply while it arrives: those of entries that name something, or that the view holds or will hold by an earlier change. An entry that names nothing any more is kept without its value. */
-export const createChangeSelector = ({classify, foreign, isHeld}: ChangeSelectorOptions): Select<Change> => {
+/** Creates what selects the changes of one reply while it arrives: those of entries that name something, or that are known or will be by an earlier change. An entry that names nothing any more is kept without its value. */
+export const createChangeSelector = ({classify, foreign, mayBeKnown}: ChangeSelectorOptions): Select<Change> => {
 	const selectedKeys = new Set<string>();
-	const isKnown = (storeKey: string): boolean => selectedKeys.has(storeKey) || isHeld(storeKey);
+	const isKnown = (storeKey: string): boolean => selectedKeys.has(storeKey) || mayBeKnown(storeKey);
 	return change => {
 		if (change.kind === 'removed') {
 			foreign.remove(change.key);
--- a/packages/discovery/src/entry-room.test.ts
+++ b/packages/discovery/src/entry-room.test.ts
@@ -107,6 +107,16 @@
 	expect([getIds(view, 'new'), view.isIncomplete(), view.canBeCompleted()]).toEqual([['e/z'], true, false]);
 });
 
+// Guards against: an engine that is gone stays listed at a host that reads the state, as the relay of its changes had left the engine out.
+test('a view that has left entries out passes on what becomes of them, and a whole one only what it knows', () => {
+	const {view} = createView();
+	const [removal, spoiled] = [{kind: 'removed', key: 'e/none', revision: 7}, {kind: 'written', entry: {key: 'e/none', value: 'odd', revision: 8}}] as const satisfies Change[];
+	const getSelected = () => [removal, spoiled].map(change => view.createChangeSelector()(change)?.kind);
+	expect(getSelected()).toEqual([undefined, undefined]);
+	ways.changes(view, [entry('op', 'c:1:s'), ...buildMany('e/x', 'u:other')]);
+	expect(getSelected()).toEqual(['removed', 'written']);
+});
+
 test('what has found no room names no upstream any more, and is reported once', () => {
 	const {view, lines} = createView();
 	ways.changes(view, [entry('op', 'c:1:s'), ...buildMany('e/x', 'u:other')]);
--- a/packages/discovery/src/known-entries.ts
+++ b/packages/discovery/src/known-entries.ts
@@ -170,7 +170,7 @@
 		createReading: () => createViewReading({
 			classify, foreign, isHeld, services,
 		}),
-		createChangeSelector: () => createChangeSelector({classify, foreign, isHeld: storeKey => isHeld(storeKey) || configuration.isKey(storeKey)}),
+		createChangeSelector: () => createChangeSelector({classify, foreign, mayBeKnown: storeKey => isIncomplete || isHeld(storeKey) || configuration.isKey(storeKey)}),
 		endReading() {
 			foreign.endReading();
 			isIncomplete = false;
