Parse only the known fields of a record of very many values

Cause: what costs much to parse was refused, though its known fields are sound.

Evidence: invalid-entry.test, six kinds of values before and behind the known fields; on the commit before, each such entry names no engine. A known field of very many values, and brackets that don't match, still name none.

Change: the known fields are cut out of the text, whose strings are skipped, and parsed. The search for the end of a string stood twice, for texts and for bytes; it is one now, in json-syntax.

--- a/packages/discovery/src/host-record.ts
+++ b/packages/discovery/src/host-record.ts
@@ -1,5 +1,5 @@
 import {
-	isAddress, isName, maxRecordValues, parseJsonObject, type Address, type HostId, type Incarnation, type JsonObject, type Zone,
+	isAddress, isName, parseRecordFields, type Address, type HostId, type Incarnation, type JsonObject, type Zone,
 } from '@gentianlift/types';
 
 /** Record that a host publishes about itself in the store, the key-value service. */
@@ -28,6 +28,8 @@
 /** Highest processing capacity of a host. */
 const maxStrength = 10_000;
 
+const recordFields: ReadonlySet<string> = new Set(['host', 'incarnation', 'zone', 'callers', 'peers', 'notes', 'strength', 'isStopping'] satisfies Array<keyof HostRecord>);
+
 const isHostRecord = (value: JsonObject | undefined): value is HostRecord => {
 	const {host, incarnation, zone, callers, peers, notes, strength, isStopping} = value ?? {};
 	const addresses = [callers, peers, notes];
@@ -37,7 +39,7 @@
 
 /** Parses a host record and leaves out the fields that this version doesn't know; returns undefined if the text is malformed, or an address that nothing can be sent to. */
 export const parseHostRecord = (text: string): HostRecord | undefined => {
-	const value = parseJsonObject(text, maxRecordValues);
+	const value = parseRecordFields(text, recordFields);
 	if (!isHostRecord(value)) {
 		return undefined;
 	}
--- a/packages/duties/src/subject-key.ts
+++ b/packages/duties/src/subject-key.ts
@@ -1,5 +1,5 @@
 import {
-	maxRecordValues, parseJsonObject, type Entry, type HostId, type Incarnation,
+	parseRecordFields, type Entry, type HostId, type Incarnation,
 } from '@gentianlift/types';
 import type {DutySubject} from './duty.js';
 
@@ -38,9 +38,11 @@
 /** The value of a holder's entry. The lease tells two processes of a host apart, and two terms of a process. */
 export type DutyRecord = {host: HostId; incarnation: Incarnation; lease: string};
 
+const recordFields: ReadonlySet<string> = new Set(['host', 'incarnation', 'lease'] satisfies Array<keyof DutyRecord>);
+
 /** Parses the value of a holder's entry; undefined if it is malformed. */
 export const parseDutyRecord = ({value}: Pick<Entry, 'value'>): DutyRecord | undefined => {
-	const record = parseJsonObject(value, maxRecordValues);
+	const record = parseRecordFields(value, recordFields);
 	const {host, incarnation, lease} = record ?? {};
 	return typeof host === 'string' && typeof incarnation === 'number' && typeof lease === 'string' ? {host, incarnation, lease} : undefined;
 };
--- a/packages/platform/src/reply-scanner.ts
+++ b/packages/platform/src/reply-scanner.ts
@@ -1,5 +1,5 @@
 import {Buffer} from 'node:buffer';
-import {isJsonObject} from '@gentianlift/types';
+import {findStringEnd, isJsonObject, jsonSyntax} from '@gentianlift/types';
 import {
 	isOversized, maxReplySize, OversizedReplyError, type ReplySize,
 } from './reply-size.js';
@@ -32,36 +32,14 @@
 	onHeld: (bytes: number) => void;
 };
 
-/** Bytes of the JSON syntax. */
-const syntax = {
-	quote: 0x22, comma: 0x2C, colon: 0x3A, openBracket: 0x5B, backslash: 0x5C, closeBracket: 0x5D, openBrace: 0x7B, closeBrace: 0x7D,
-} as const;
+/** Read for each byte. */
+const syntax = jsonSyntax;
 
 /** Room for a reply before its first bytes. */
 const initialRoom = 16 * 1024;
 /** Depth of the fields of the reply's object, and that of the items of a list in it. */
 const depths = {fields: 1, items: 2} as const;
 
-/** Returns the index of the quote that ends a string which began at `start` and has been searched up to `from`; -1 if its end hasn't come. */
-const findStringEnd = (bytes: Uint8Array, start: number, from: number): number => {
-	let end = bytes.indexOf(syntax.quote, from);
-	while (end !== -1) {
-		let beforeEscapes = end - 1;
-		while (beforeEscapes >= start && bytes[beforeEscapes] === syntax.backslash) {
-			beforeEscapes--;
-		}
-
-		const isEscaped = (end - beforeEscapes) % 2 === 0;
-		if (!isEscaped) {
-			return end;
-		}
-
-		end = bytes.indexOf(syntax.quote, end + 1);
-	}
-
-	return -1;
-};
-
 /**
 Creates a scanner of one reply. It holds the bytes of one item at a time, what is kept of the items before, and the text around the list, which together may have the size of a reply.
 
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -1,5 +1,6 @@
 export * from './address.js';
 export * from './json-fields.js';
+export {findStringEnd, jsonSyntax} from './json-syntax.js';
 export type * from './ids.js';
 export * from './inventory.js';
 export * from './request.js';
--- a/packages/types/src/json-fields.ts
+++ b/packages/types/src/json-fields.ts
@@ -1,3 +1,5 @@
+import {cutFields, hasMoreValues} from './json-syntax.js';
+
 /** An object as JSON gives it, whose fields are checked when they are read. */
 export type JsonObject = Record<string, unknown>;
 
@@ -48,56 +50,15 @@
 /** Whether a value is a name: a text that is neither empty nor too long. */
 export const isName = (value: unknown): value is string => typeof value === 'string' && value !== '' && value.length <= maxNameLength;
 
-/** Most values in a record that an upstream, a host or a duty's holder has written; what a text takes when it is parsed depends on their number. */
+/** Most values in the text of a record that is parsed whole; what a text takes when it is parsed depends on their number. */
 export const maxRecordValues = 131_072;
 
-/** Bytes of the JSON syntax. */
-const syntax = {
-	quote: 0x22, comma: 0x2C, openBracket: 0x5B, backslash: 0x5C, openBrace: 0x7B,
-} as const;
-
-/** Returns the index of the quote that ends a string; that of the end of the text without one. */
-const findStringEnd = (text: string, start: number): number => {
-	for (let end = text.indexOf('"', start); end !== -1; end = text.indexOf('"', end + 1)) {
-		let beforeEscapes = end - 1;
-		while (text.codePointAt(beforeEscapes) === syntax.backslash) {
-			beforeEscapes--;
-		}
-
-		const isEscaped = (end - beforeEscapes) % 2 === 0;
-		if (!isEscaped) {
-			return end;
-		}
-	}
-
-	return text.length;
-};
-
-/** Whether a JSON text may have more values than a limit: each but the first follows a comma or opens a list or an object. */
-const hasMoreValues = (text: string, limit: number): boolean => {
-	if (text.length < limit) {
-		return false;
-	}
-
-	let values = 1;
-	for (let index = 0; index < text.length && values <= limit; index++) {
-		const character = text.codePointAt(index);
-		if (character === syntax.quote) {
-			index = findStringEnd(text, index + 1);
-		} else if (character === syntax.comma || character === syntax.openBracket || character === syntax.openBrace) {
-			values++;
-		}
-	}
-
-	return values > limit;
-};
-
 /** What the text of an object begins with; it tells most other texts without reading them. */
 const objectStart = /^\s*\{/v;
 
-/** Parses a JSON object; undefined if the text is none, or has more values than may be. */
-export const parseJsonObject = (text: string, maxValues = Number.POSITIVE_INFINITY): JsonObject | undefined => {
-	if (!objectStart.test(text) || hasMoreValues(text, maxValues)) {
+/** Parses a JSON object; undefined if the text is none. */
+export const parseJsonObject = (text: string): JsonObject | undefined => {
+	if (!objectStart.test(text)) {
 		return undefined;
 	}
 
@@ -108,3 +69,9 @@
 		return undefined;
 	}
 };
+
+/** Parses a record, an object with known fields; undefined if the text is none. Of one with more than `maxRecordValues` values, the others aren't parsed. */
+export const parseRecordFields = (text: string, names: ReadonlySet<string>): JsonObject | undefined => {
+	const known = objectStart.test(text) && hasMoreValues(text, maxRecordValues) ? cutFields(text, names) : text;
+	return hasMoreValues(known, maxRecordValues) ? undefined : parseJsonObject(known);
+};
