--- a/packages/discovery/src/entry-room.test.ts
+++ b/packages/discovery/src/entry-room.test.ts
@@ -74,8 +74,8 @@
 });
 
 for (const [way, give] of Object.entries(ways)) {
-	// Guards against: entries of a service that isn't named leave no room for the engines, so that every request gets 503 (beside review/7).
-	test(`engines of services that aren't named make room for engines, hosts and records, by ${way}`, () => {
+	// Guards against: entries of a service that isn't named leave no room for the upstreams, so that every request gets 503 (beside review/7).
+	test(`upstreams of services that aren't named make room for upstreams, hosts and records, by ${way}`, () => {
 		const {view} = createView();
 		give(view, [entry('op', 'c:1:s'), ...buildMany('e/x', 'u:other'), entry('e/a', 'u:s'), entry(getHostKey('h'), host), entry('own/a', 'sound')]);
 		expect(getIds(view, 's')).toEqual(['e/a']);
@@ -85,7 +85,7 @@
 		expect(getIds(view, 'other')).toHaveLength(view.countEntries() - 3);
 	});
 
-	test(`of records that can't be read or are too many, none takes the room of an engine, by ${way}`, () => {
+	test(`of records that can't be read or are too many, none takes the room of an upstream, by ${way}`, () => {
 		const {view} = createView();
 		give(view, [entry('op', 'c:1:s'), ...buildMany('own/x', 'sound'), ...buildMany('own/y', 'odd'), entry('e/a', 'u:s'), entry('own/x5', 'odd')]);
 		expect(getIds(view, 's')).toEqual(['e/a']);
@@ -93,21 +93,21 @@
 	});
 }
 
-// Guards against: an engine that registered before its service was named stays left out.
-test('engines left out are read again once a configuration names their service', () => {
+// Guards against: an upstream that registered before its service was named stays left out.
+test('upstreams left out are read again once a configuration names their service', () => {
 	const {view} = createView();
 	const many = buildMany('e/x', 'u:other');
-	const engine = entry('e/z', 'u:new');
-	ways.snapshot(view, [entry('op', 'c:1:s'), ...many, engine]);
+	const upstream = entry('e/z', 'u:new');
+	ways.snapshot(view, [entry('op', 'c:1:s'), ...many, upstream]);
 	expect([getIds(view, 'new'), view.isIncomplete(), view.canBeCompleted()]).toEqual([[], true, false]);
 	const newer = entry('op', 'c:2:s,new');
 	ways.changes(view, [newer]);
 	expect(view.canBeCompleted()).toBe(true);
-	ways.snapshot(view, [...many, engine, newer]);
+	ways.snapshot(view, [...many, upstream, newer]);
 	expect([getIds(view, 'new'), view.isIncomplete(), view.canBeCompleted()]).toEqual([['e/z'], true, false]);
 });
 
-// Guards against: an engine that is gone stays listed at a host that reads the state, as the relay of its changes had left the engine out.
+// Guards against: an upstream that is gone stays listed at a host that reads the state, as the relay of its changes had left the upstream out.
 test('a view that has left entries out passes on what becomes of them, and a whole one only what it knows', () => {
 	const {view} = createView();
 	const [removal, spoiled] = [{kind: 'removed', key: 'e/none', revision: 7}, {kind: 'written', entry: {key: 'e/none', value: 'odd', revision: 8}}] as const satisfies Change[];
--- a/packages/discovery/src/entry-room.ts
+++ b/packages/discovery/src/entry-room.ts
@@ -7,7 +7,7 @@
 /** Room for entries that name something, in which those that a host doesn't use now make room for those that it does. */
 export type EntryRoom = Pick<HeldEntries, 'get' | 'delete' | 'keys' | 'values' | 'count' | 'hasRoom'> & {
 	put: (classified: RoomedEntry) => PutOutcome;
-	/** Ranks the engines that are held anew, after the services have changed. */
+	/** Ranks the upstreams that are held anew, after the services have changed. */
 	rankAgain: () => void;
 };
 
@@ -17,12 +17,12 @@
 /** Creates it without entries. */
 export const createEntryRoom = (services: Pick<NamedServices, 'has'>): EntryRoom => {
 	const entries = createHeldEntries();
-	/** Services of the engines that are held, by the keys of their entries. */
-	const engineServices = new Map<string, string>();
+	/** Services of the upstreams that are held, by the keys of their entries. */
+	const upstreamServices = new Map<string, string>();
 	/** Keys of the records that are held and used. */
 	const usedRecords = new Set<string>();
 
-	const rankEngine = (service: string): EntryRank => services.has(service) ? 'used' : 'spare';
+	const rankUpstream = (service: string): EntryRank => services.has(service) ? 'used' : 'spare';
 
 	/** A record that can't be read is spare, unless it was one that could. */
 	const rankRecord = (key: string, isReadable: boolean): EntryRank =>
@@ -35,7 +35,7 @@
 			}
 
 			case 'upstream': {
-				return rankEngine(classified.upstream.service);
+				return rankUpstream(classified.upstream.service);
 			}
 
 			case 'record': {
@@ -45,7 +45,7 @@
 	};
 
 	const forget = (key: string): void => {
-		engineServices.delete(key);
+		upstreamServices.delete(key);
 		usedRecords.delete(key);
 	};
 
@@ -53,7 +53,7 @@
 		const {key} = classified.entry;
 		forget(key);
 		if (classified.kind === 'upstream') {
-			engineServices.set(key, classified.upstream.service);
+			upstreamServices.set(key, classified.upstream.service);
 		} else if (classified.kind === 'record' && rank === 'used') {
 			usedRecords.add(key);
 		}
@@ -79,8 +79,8 @@
 			entries.delete(key);
 		},
 		rankAgain() {
-			for (const [key, service] of engineServices) {
-				entries.setRank(key, rankEngine(service));
+			for (const [key, service] of upstreamServices) {
+				entries.setRank(key, rankUpstream(service));
 			}
 		},
 	};
--- a/packages/discovery/src/known-entries.ts
+++ b/packages/discovery/src/known-entries.ts
@@ -20,7 +20,7 @@
 	apply: (entry: Entry) => void;
 	/** Applies an entry that holds a configuration; there is always room for it. */
 	applyConfiguration: (entry: Entry, decoded: DecodedEntry) => void;
-	/** Takes the services of a newer configuration over: engines that none names make room for those that it names. */
+	/** Takes the services of a newer configuration over: upstreams of services that none names make room for those of services that it names. */
 	applyServices: (configuration: RoutingConfiguration) => void;
 	/** Removes an entry for a reason, for the log. */
 	remove: (storeKey: string, reason: string) => void;
--- a/packages/forwarder/src/host/store-records.test.ts
+++ b/packages/forwarder/src/host/store-records.test.ts
@@ -24,7 +24,7 @@
 	expect(view.getSnapshot().entries.map(({key}) => key)).toEqual(['gentianlift/duties/usage', usageKey]);
 });
 
-// Guards against: records that look like those of duties, with a megabyte of other fields, take the room of all engines.
+// Guards against: records that look like those of duties, with a megabyte of other fields, take the room of all upstreams.
 test('long entries under the keys of duties take no room', () => {
 	const long = JSON.stringify({...duty, other: 'x'.repeat(megabyte - 100)});
 	const view = read([...Array.from({length: 20}, (_, index) => ({key: `gentianlift/duties/x-${index}`, value: long})), {key: usageKey, value: usage}]);
