--- a/packages/discovery/src/state-reading.ts
+++ b/packages/discovery/src/state-reading.ts
@@ -50,7 +50,7 @@
 
 	const noteForeign = (entry: Entry, reason: string | undefined): void => {
 		foreign.add(entry, reason);
-		if (isHeld(entry.key) && !isOutdated(entry)) {
+		if (isHeld(entry.key)) {
 			unsound.add(entry.key);
 		}
 	};
