Say in one line which file and field of the settings ends a start

A host whose settings file is missing, isn't JSON or has a wrong field ended with a bare stack on standard error. It named neither the file nor, for JSON, the place, and operators read structured logs.

Cause: the settings are read before anything that logs an error. One line, start-failed, has the file and either the field with what was expected and found, or the line and column at which the text stops to be JSON (by momoa, only once JSON.parse has refused it).

--- a/packages/forwarder/src/host/parse-host-settings.ts
+++ b/packages/forwarder/src/host/parse-host-settings.ts
@@ -1,4 +1,5 @@
 import type {DutyName, DutySettings} from '@gentianlift/duties';
+import {createFieldFailure} from '@gentianlift/errors';
 import {isJsonObject, type JsonObject} from '@gentianlift/types';
 import type {HostSettings} from './host-settings.js';
 
@@ -12,21 +13,21 @@
 const defaultUsageWindow = 5;
 const defaultUsageDelay = 10;
 
-/** Returns a text that the settings must have; throws a TypeError that names the field. */
+/** Returns a text that the settings must have; throws a failure that names the field. */
 export const requireString = (raw: JsonObject, name: string): string => {
 	const value = raw[name];
 	if (typeof value !== 'string' || value === '') {
-		throw new TypeError(`settings: ${name} must be a text, not ${JSON.stringify(value)}`);
+		throw createFieldFailure(name, value, 'a text');
 	}
 
 	return value;
 };
 
-/** Returns a number of 0 or more that the settings must have, unless there is a fallback; throws a TypeError that names the field. */
+/** Returns a number of 0 or more that the settings must have, unless there is a fallback; throws a failure that names the field. */
 export const requireNumber = (raw: JsonObject, name: string, fallback?: number): number => {
 	const value = raw[name] ?? fallback;
 	if (typeof value !== 'number' || !Number.isFinite(value) || value < 0) {
-		throw new TypeError(`settings: ${name} must be a number of 0 or more, not ${JSON.stringify(value)}`);
+		throw createFieldFailure(name, value, 'a number of 0 or more');
 	}
 
 	return value;
@@ -35,7 +36,7 @@
 const readStrings = (raw: JsonObject, name: string): string[] => {
 	const value = raw[name] ?? [];
 	if (!Array.isArray(value) || value.some(item => typeof item !== 'string')) {
-		throw new TypeError(`settings: ${name} must be a list of texts`);
+		throw createFieldFailure(name, value, 'a list of texts');
 	}
 
 	return value as string[];
@@ -54,7 +55,7 @@
 
 	const usageWindow = requireNumber(raw, 'usageWindow', defaultUsageWindow) * millisecondsPerSecond;
 	if (usageWindow === 0) {
-		throw new TypeError('settings: usageWindow must be more than 0');
+		throw createFieldFailure('usageWindow', raw.usageWindow, 'more than 0');
 	}
 
 	return {
@@ -67,7 +68,7 @@
 	};
 };
 
-/** Parses the settings of a host; throws a TypeError that names the invalid field. Unknown fields are ignored. */
+/** Parses the settings of a host; throws a failure that names the invalid field. Unknown fields are ignored. */
 export const parseHostSettings = (raw: JsonObject, decodeDuty: DutyDecoder): HostSettings => ({
 	host: requireString(raw, 'host'),
 	zone: requireString(raw, 'availabilityZone'),
--- a/packages/forwarder/src/process/reload-on-changes.ts
+++ b/packages/forwarder/src/process/reload-on-changes.ts
@@ -1,6 +1,7 @@
 import {watchFile} from 'node:fs';
 import type {Logger} from '@gentianlift/logger';
 import type {Milliseconds} from '@gentianlift/types';
+import {describeStartError} from './start-error.js';
 
 /** Options of reloading settings. */
 export type ReloadOptions = {
@@ -24,7 +25,7 @@
 		try {
 			apply();
 		} catch (error) {
-			logger.warn('reload-failed', {reason: (error as Error).message});
+			logger.warn('reload-failed', describeStartError(error, path));
 		}
 	};
 
