Give the cases of the review the settings that came after it

The settings template gained limits.memoryMb and limits.maxFds and a section for cloudApi.address after the review. Its frame, review/support/host.mjs, knew neither and wrote `"memory": undefined` and the section's marks into the settings, so that no host of cases 1 to 5 started: review/4 ended with code 2 on, with and without the trouble (hosts exit with status 1 after 0.25 s).

The frame renders a section as DEPLOY.md says, left out where there is no value, and gives the limits of the site that claim.txt names: 350 MB and 4,100 descriptors (its site file: memory_mb = 350, fds = 4100). Claim, trouble, checks and bounds are as they were.

--- a/review/support/host.mjs
+++ b/review/support/host.mjs
@@ -23,7 +23,10 @@
 	return value;
 };
 
-const render = fields => template.replaceAll(/\{\{([\w.]+)\|json\}\}/gv, (_, names) => JSON.stringify(lookUp(fields, names)));
+/** Renders the template; a section `{{#name}} .. {{/name}}` is left out where there is no value. */
+const render = fields => template
+	.replaceAll(/\{\{#([\w.]+)\}\}(.*?)\{\{\/\1\}\}/gsv, (_, names, section) => lookUp(fields, names) === undefined ? '' : section)
+	.replaceAll(/\{\{([\w.]+)\|json\}\}/gv, (_, names) => JSON.stringify(lookUp(fields, names)));
 
 /** Bounds of the site, as in its settings. */
 export const bounds = {
@@ -58,7 +61,9 @@
 		nodeName: name,
 		zone,
 		ip,
-		limits: {cpuQuota: 0.675, cpuCores: 1},
+		limits: {
+			cpuQuota: 0.675, cpuCores: 1, memoryMb: 350, maxFds: 4100,
+		},
 		listen: {
 			frontend: `${ip}:${ports.callers}`, readiness: `${ip}:${ports.readiness}`, registry: `${ip}:${ports.registry}`, controlPlane: `${ip}:${ports.controlPlane}`,
 		},
