--- a/packages/forwarder/src/host/stop-order.test.ts
+++ b/packages/forwarder/src/host/stop-order.test.ts
@@ -120,7 +120,7 @@
 		switch (event.kind) {
 			case 'signal': {
 				state.stoppedAt ??= clock.monotonic();
-				handleSignal();
+				handleSignal('SIGTERM');
 				break;
 			}
 
--- a/packages/forwarder/src/process/hold-signal.ts
+++ b/packages/forwarder/src/process/hold-signal.ts
@@ -1,23 +1,30 @@
 import process from 'node:process';
 
 /** Called with each signal. */
-type SignalHandler = () => void;
+export type SignalHandler = (signal: NodeJS.Signals) => void;
 
 /**
- * Holds a signal from now on; returns a function that sets its handler, which is called at once if the signal arrived before.
+ * Holds signals from now on; returns a function that sets their handler, which is called at once with the last one that arrived before.
  * Called while modules are loaded, as these signals end a process that has no handler; `main.ts` imports only a few modules before.
  */
-export const holdSignal = (signal: NodeJS.Signals): ((handler: SignalHandler) => void) => {
-	const state: {handle: SignalHandler | undefined; isPending: boolean} = {handle: undefined, isPending: false};
-	process.on(signal, () => {
-		state.isPending = state.handle === undefined;
-		state.handle?.();
-	});
+export const holdSignal = (...signals: NodeJS.Signals[]): ((handler: SignalHandler) => void) => {
+	const state: {handle: SignalHandler | undefined; pending: NodeJS.Signals | undefined} = {handle: undefined, pending: undefined};
+	for (const signal of signals) {
+		process.on(signal, () => {
+			if (state.handle === undefined) {
+				state.pending = signal;
+			} else {
+				state.handle(signal);
+			}
+		});
+	}
+
 	return handler => {
+		const {pending} = state;
 		state.handle = handler;
-		if (state.isPending) {
-			state.isPending = false;
-			handler();
+		state.pending = undefined;
+		if (pending !== undefined) {
+			handler(pending);
 		}
 	};
 };
--- a/packages/forwarder/src/process/run-process.ts
+++ b/packages/forwarder/src/process/run-process.ts
@@ -4,6 +4,7 @@
 import {createBufferedOutput, createLogger, type Logger} from '@gentianlift/logger';
 import {createMetrics, type Metrics} from '@gentianlift/metrics';
 import {reloadOnChanges} from './reload-on-changes.js';
+import type {SignalHandler} from './hold-signal.js';
 import {describeStartError} from './start-error.js';
 import {startProcess, type ProcessStartOptions} from './start-process.js';
 import {
@@ -19,8 +20,8 @@
 	reload: (settings: Settings) => void;
 };
 
-/** Sets what is called with a signal. */
-type SetHandler = (handler: () => void) => void;
+/** Sets what is called with each signal. */
+type SetHandler = (handler: SignalHandler) => void;
 
 /** What the process of a host runs. */
 export type ProcessOptions<Settings> = {
--- a/packages/forwarder/src/process/stop-process.test.ts
+++ b/packages/forwarder/src/process/stop-process.test.ts
@@ -43,8 +43,8 @@
 
 test('a process exits when its host has stopped, and stops it once', async () => {
 	const {clock, state, stop} = createProcess({});
-	stop();
-	stop();
+	stop('SIGTERM');
+	stop('SIGTERM');
 	await clock.advance(100);
 	expect(state).toMatchObject({stops: 1, ends: ['status 0 at 0']});
 });
@@ -52,7 +52,7 @@
 // Guards against: the process stays, with its addresses, as nobody reads its last log lines.
 test('a process exits although its output is not read', async () => {
 	const {clock, state, stop} = createProcess({output: {write: () => undefined, flush: hang}});
-	stop();
+	stop('SIGTERM');
 	await clock.advance(100);
 	expect(state.ends).toEqual(['status 0 at 50']);
 });
@@ -69,7 +69,7 @@
 			},
 		},
 	});
-	stop();
+	stop('SIGTERM');
 	await clock.advance(200);
 	expect(state.ends).toEqual([]);
 	state.open = 0;
@@ -81,7 +81,7 @@
 test('a process exits with its status although a request that was cut stays open', async () => {
 	const {clock, state, stop} = createProcess({});
 	state.open = 1;
-	stop();
+	stop('SIGTERM');
 	await clock.advance(gracePeriod);
 	expect(state.ends[0]).toMatch(/^status 0/v);
 });
@@ -93,7 +93,7 @@
 			throw new Error('broken');
 		},
 	});
-	stop();
+	stop('SIGTERM');
 	await clock.advance(100);
 	expect(state.ends).toEqual(['status 1 at 0']);
 });
@@ -101,7 +101,7 @@
 // Guards against: a shutdown that waits for something for ever keeps the process, or ends it without a word of the calls that it has.
 test('a process whose shutdown hangs ends within the grace period, also if that is shortened', async () => {
 	const {clock, state, stop} = createProcess({stop: hang});
-	stop();
+	stop('SIGTERM');
 	await clock.advance(500);
 	state.gracePeriod = 1000;
 	await clock.advance(600);
@@ -122,7 +122,7 @@
 			ends.push('killed');
 		},
 	});
-	stop();
+	stop('SIGTERM');
 	clock.pause(2 * gracePeriod);
 	await clock.advance(100);
 	expect(ends).toEqual(['answered', 'killed']);
--- a/packages/forwarder/src/process/stop-process.ts
+++ b/packages/forwarder/src/process/stop-process.ts
@@ -2,6 +2,7 @@
 import type {Clock} from '@gentianlift/clock';
 import type {BufferedOutput, Logger} from '@gentianlift/logger';
 import type {Milliseconds} from '@gentianlift/types';
+import type {SignalHandler} from './hold-signal.js';
 
 /** Exit statuses of a host's process. */
 export const exitStatus = {
@@ -76,10 +77,10 @@
 };
 
 /**
- * Returns the handler of the signal to stop, which shuts the host down and ends the process within the grace period,
+ * Returns the handler of the signals to stop, which shuts the host down and ends the process within the grace period,
  * whatever fails or hangs meanwhile. Further signals are only logged.
  */
-export const createStopHandler = (options: ProcessEndOptions): (() => void) => {
+export const createStopHandler = (options: ProcessEndOptions): SignalHandler => {
 	const {
 		clock, logger, output, getGracePeriod, stop: stopHost, reportOpenCalls, kill = killProcess,
 	} = options;
@@ -129,8 +130,8 @@
 		});
 	};
 
-	return () => {
-		logger.info('signal', {signal: 'SIGTERM', isRepeated: stoppedAt !== undefined});
+	return signal => {
+		logger.info('signal', {signal, isRepeated: stoppedAt !== undefined});
 		if (stoppedAt === undefined) {
 			stoppedAt = clock.monotonic();
 			killWhenOverdue(stoppedAt);
