Keep a router's process through an error that nothing catches

What callers saw: an error thrown outside the handling of any request ended the router's process. Requests that waited in its queue, and all others, ended with a closed connection and no answer.

Cause: main handled rejections that nothing handles, and those only from the start of the host on, but no thrown errors, which end a process by default.

The process goes on, so that each request gets the answer that it would have had.

Evidence: a process with one chat running and three in its queue, and an error thrown in a signal handler.

--- a/packages/router/src/main.ts
+++ b/packages/router/src/main.ts
@@ -75,16 +75,35 @@
 	};
 };
 
+/** Receives a fault that nothing has handled. */
+type FaultReceiver = (fault: unknown) => void;
+
+const writeFault: FaultReceiver = fault => {
+	process.stderr.write(`Unhandled fault: ${fault instanceof Error ? fault.stack ?? fault.message : String(fault)}\n`);
+};
+
+/** Begins to receive errors and rejections that nothing has handled, each of which would end the process over all requests. They are written until the host runs. */
+const createFaultReports = () => {
+	let receive = writeFault;
+	process.on('uncaughtException', fault => {
+		receive(fault);
+	});
+	return {
+		reportTo(receiver: FaultReceiver): void {
+			receive = receiver;
+		},
+	};
+};
+
 const main = defineCommand({
 	meta: {name: 'gentianlift-router', version: '0.1.0', description: 'The process of an entry host.'},
 	args: commandArguments,
 	async run({args}) {
 		checkFlags(Object.keys(args));
 		const stopRequests = createStopRequests();
+		const faultReports = createFaultReports();
 		const host = await start(await readSettings(args.settings));
-		process.on('unhandledRejection', reason => {
-			host.reportFault(reason);
-		});
+		faultReports.reportTo(host.reportFault);
 		stopRequests.handleWith(host.stop);
 	},
 });
--- a/packages/router/src/testing/host-process.ts
+++ b/packages/router/src/testing/host-process.ts
@@ -22,12 +22,12 @@
 
 const program = fileURLToPath(new URL('../main.ts', import.meta.url));
 
-/** Starts a host's process from the sources. */
-export const startHostProcess = async (settings: SettingsDocument): Promise<HostProcess> => {
+/** Starts a host's process from the sources, with more arguments for Node. */
+export const startHostProcess = async (settings: SettingsDocument, nodeArguments: readonly string[] = []): Promise<HostProcess> => {
 	const folder = await mkdtemp(path.join(tmpdir(), 'gentianlift-host-'));
 	const settingsFile = path.join(folder, 'settings.json');
 	await writeFile(settingsFile, JSON.stringify(settings));
-	const child = spawn(process.execPath, ['--conditions=source', '--import', 'tsx', program, '--settings', settingsFile], {stdio: ['ignore', 'ignore', 'pipe']});
+	const child = spawn(process.execPath, ['--conditions=source', '--import', 'tsx', ...nodeArguments, program, '--settings', settingsFile], {stdio: ['ignore', 'ignore', 'pipe']});
 	let log = '';
 	child.stderr.setEncoding('utf8');
 	child.stderr.on('data', (text: string) => {
--- a/packages/router/src/testing/start-fleet.ts
+++ b/packages/router/src/testing/start-fleet.ts
@@ -51,13 +51,16 @@
 	return {...host, settings, ended};
 };
 
+/** Changes a configuration before it is published. */
+type Adaptation = (configuration: Configuration) => Configuration;
+
 /** Starts the fakes of the Kopi example, and creates the settings of `count` hosts; the `extra` settings apply to each of them. Services at `serviceAddresses` take the place of the first fake ones. */
-export const startPlatform = async (count: number, extra: Partial<Settings> = {}, serviceAddresses: readonly Address[] = []): Promise<TestPlatform> => {
+export const startPlatform = async (count: number, extra: Partial<Settings> = {}, serviceAddresses: readonly Address[] = [], adapt: Adaptation = unchanged => unchanged): Promise<TestPlatform> => {
 	const {configuration: example, keys} = await readExample('kopi');
 	const fakes = await startFakes(example.inventory, {stepTime: 5, meanTokens: 20, eventLossProbability: 0});
 	const services = [...fakes.services.keys()];
 	const replaced = serviceAddresses.map((address, index) => [services[index]!, address] as const);
-	const configuration = getTrialConfiguration(example, new Map([...fakes.addresses, ...replaced]));
+	const configuration = adapt(getTrialConfiguration(example, new Map([...fakes.addresses, ...replaced])));
 	publishConfiguration(fakes.keyValue, configuration, createSystemClock().now());
 	const settings = getFleetSettings({
 		zones: ['attica-a', 'attica-b', 'attica-c'],
@@ -76,8 +79,8 @@
 };
 
 /** Starts the Kopi example with `count` hosts; the `extra` settings apply to each of them. Services at `serviceAddresses` take the place of the first fake ones. */
-export const startFleet = async (count: number, extra: Partial<Settings> = {}, serviceAddresses: readonly Address[] = []): Promise<TestFleet> => {
-	const platform = await startPlatform(count, extra, serviceAddresses);
+export const startFleet = async (count: number, extra: Partial<Settings> = {}, serviceAddresses: readonly Address[] = [], adapt?: Adaptation): Promise<TestFleet> => {
+	const platform = await startPlatform(count, extra, serviceAddresses, adapt);
 	const hosts = await Promise.all(platform.settings.map(async document => start(parse(document))));
 	return {
 		...platform,
