Open a router for callers after all that can fail in its start

What callers saw: a host whose UDP address for membership is in use, as beside a predecessor that hasn't ended, listened for callers before it found out, and exited with status 1. A request that was arriving then ended with a closed connection and no answer (complete ones get 503, as there is no configuration).

Cause: the address for membership was bound in the step that joins the fleet, which has to follow the listener for callers, since the other hosts give callers its address from then on.

The binding is a step of its own (membership.listen), before the listener for callers; what comes there is dropped until the host joins. After the listener for callers nothing in the start can fail.

Evidence: with the address taken, the test connects to the callers' address after the start has been rejected. How often a caller met the time in between is not known.

--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -20,6 +20,8 @@
 
 /** Membership of the fleet as this host sees it. */
 export type Membership = {
+	/** Takes the address of the transport, without joining the fleet or answering anyone; rejects if it can't be bound. */
+	listen: () => Promise<void>;
 	/** Starts receiving and joining the fleet; resolves once the transport listens. */
 	start: () => Promise<void>;
 	/** Notifies the other hosts that this host is gone, and stops. */
@@ -122,9 +124,22 @@
 	const components = createComponents(options);
 	const {view, disseminator, announcementChannel, transport, receiver} = components;
 	let timers: Cancel[] = [];
+	let listening: Promise<void> | undefined;
+	let isStarted = false;
+	const listen = async (): Promise<void> => {
+		listening ??= transport.start(datagram => {
+			if (isStarted) {
+				receiver.receive(datagram);
+			}
+		});
+		await listening;
+	};
+
 	return {
+		listen,
 		async start() {
-			await transport.start(receiver.receive);
+			await listen();
+			isStarted = true;
 			timers = startTimers(components);
 		},
 		stop() {
--- a/packages/router/src/host/start-host.ts
+++ b/packages/router/src/host/start-host.ts
@@ -100,7 +100,7 @@
 /**
 Starts a host with the given settings. `exit` ends the process after a shutdown.
 
-Rejects if it can't listen on one of its addresses. It joins the fleet only after it listens on all of them, as the other hosts then give callers its address.
+Rejects if it can't listen on one of its addresses. That for callers comes last, as a start that fails later would end requests that it has read. It joins the fleet only after it listens on all of them, as the other hosts then give callers its address.
 */
 export const startHost = async (settings: Settings, exit: Exit): Promise<RunningHost> => {
 	const infrastructure = createInfrastructure(settings);
@@ -137,6 +137,7 @@
 		self: settings.host, address: settings.peerAddress, keys: settings.peerKeys, clock, metrics,
 		handlers: createPeerHandlers({...network, ...requestHandling, claimStore: requestHandling.claims.owner}),
 	});
+	await network.membership.listen();
 	await listen(callerServer, settings.callerAddress);
 	await network.membership.start();
 	startLoadUpdates(infrastructure, network, overloadMonitor);
--- a/packages/router/src/starting-process.test.ts
+++ b/packages/router/src/starting-process.test.ts
@@ -1,11 +1,13 @@
+import {createSocket} from 'node:dgram';
 import {once} from 'node:events';
-import {createServer, type Server} from 'node:net';
+import {connect, createServer, type Server} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {SettingsDocument} from '@gentianlift/trial';
 import {splitAddress, type Address, type Milliseconds} from '@gentianlift/types';
 import {expect, onTestFinished, test} from 'vitest';
 import {readStatus, startHostProcess, type HostProcess} from './testing/host-process.js';
-import {startPlatform, type TestPlatform} from './testing/start-fleet.js';
+import {startHost} from './host/start-host.js';
+import {parseHostSettings, startPlatform, type TestPlatform} from './testing/start-fleet.js';
 
 /** Longer than the start of a host takes without it, so that signals arrive before the configuration. */
 const storeLatency: Milliseconds = 1500;
@@ -75,3 +77,21 @@
 	await sleep(joinTime);
 	expect(await readHostNames(running.callerAddress)).toEqual([running.host]);
 });
+
+// Guards against: a start that fails after the address for callers is open ends the process over requests that it has read.
+test('a host that cannot take its address for membership takes no request', async () => {
+	const {settings: [settings]} = await startServices(1);
+	const {host, port} = splitAddress(settings!.gossipAddress);
+	const predecessor = createSocket('udp4');
+	onTestFinished(() => {
+		predecessor.close();
+	});
+	predecessor.bind(port, host);
+	await once(predecessor, 'listening');
+	await expect(startHost(parseHostSettings(settings!), () => undefined)).rejects.toThrow('EADDRINUSE');
+	const caller = connect(splitAddress(settings!.callerAddress));
+	onTestFinished(() => {
+		caller.destroy();
+	});
+	await expect(once(caller, 'connect')).rejects.toThrow('ECONNREFUSED');
+});
--- a/packages/router/src/testing/start-fleet.ts
+++ b/packages/router/src/testing/start-fleet.ts
@@ -30,7 +30,8 @@
 	close: () => Promise<void>;
 };
 
-const parse = (document: unknown): Settings => {
+/** Parses the settings of a host, with their defaults. */
+export const parseHostSettings = (document: SettingsDocument): Settings => {
 	const parsed = parseSettings(document);
 	if (parsed.kind === 'invalid') {
 		throw new TypeError(JSON.stringify(parsed.faults));
@@ -81,7 +82,7 @@
 /** Starts the Kopi example with `count` hosts; the `extra` settings apply to each of them. Services at `serviceAddresses` take the place of the first fake ones. */
 export const startFleet = async (count: number, extra: Partial<Settings> = {}, serviceAddresses: readonly Address[] = [], adapt?: Adaptation): Promise<TestFleet> => {
 	const platform = await startPlatform(count, extra, serviceAddresses, adapt);
-	const hosts = await Promise.all(platform.settings.map(async document => start(parse(document))));
+	const hosts = await Promise.all(platform.settings.map(async document => start(parseHostSettings(document))));
 	return {
 		...platform,
 		hosts,
