Answer what a router has before its process is killed

What callers saw: a router that was told to stop waited for its last request, however long; a supervisor that kills the process some time after the signal cut all that it had. Requests in the queue, known not to have run, ended with a closed connection and no answer, as did streams, bookings and half-read bodies.

The program for the users' platform knows its grace period; the router knew none.

The setting gracePeriod names it. From the first signal on, also after a drain by an operator, the host accepts requests for a third of the time, aborts them 1 s before the end as a forced stop does (what waits in the queue is refused as not run), answers 400 ms before the end whatever is still in flight (not run if it wasn't admitted, else unknown), and exits 150 ms before the end at the latest. Each answer is written in the step in which it is decided, and the handler of a request that was answered so writes nothing more. Without the setting a host waits as before, since nothing may be going to kill it.

Evidence: a process with a chat running, three in the queue, a booking at its service and half a body; SIGTERM, and SIGKILL after 4 s. Now the three get 503 not-run, the stream its error event, the booking 502 unknown, the half body 503 not-run, and the process exits with status 1.

--- a/packages/config/src/settings-schema.ts
+++ b/packages/config/src/settings-schema.ts
@@ -48,6 +48,7 @@
 	weightStoreUrl: urlField,
 	logLevel: z.enum(['trace', 'debug', 'info', 'warn', 'error']).default('info'),
 	addressTimeToLive: durationField.default(5000),
+	gracePeriod: durationField.optional(),
 	callerLimits: callerLimitsSchema.prefault({}),
 	silenceLimits: silenceLimitsSchema.prefault({}),
 	seed: z.int().optional(),
--- a/packages/errors/src/kinds.ts
+++ b/packages/errors/src/kinds.ts
@@ -119,7 +119,7 @@
 		status: 503, ran: 'not-run', retry: 'same-key', type: 'server_error', message: 'The claim could not be stored.',
 	},
 	'forced-stop': {
-		status: 503, ran: 'unknown', retry: 'later', type: 'server_error', message: 'An operator stopped the host.',
+		status: 503, ran: 'unknown', retry: 'later', type: 'server_error', message: 'The host had to stop before the request was complete.',
 	},
 	internal: {
 		status: 500, ran: 'unknown', retry: 'later', type: 'server_error', message: 'An internal fault.',
--- a/packages/router/src/callers/handle-request.ts
+++ b/packages/router/src/callers/handle-request.ts
@@ -60,6 +60,14 @@
 	throw createFailure('host-stopping');
 };
 
+/** Answers a request whose handler can't be waited for, as the process is about to end. One that wasn't admitted has not run; of the others that isn't known here. */
+const answerAtEnd = (context: HostContext, exchange: Exchange): void => {
+	const failure = createFailure(exchange.classified === undefined ? 'host-stopping' : 'outcome-unknown');
+	recordFailure(context, exchange, failure);
+	context.logger.warn('answered-at-the-end', {request: exchange.id, kind: failure.kind, ran: failure.ran});
+	sendFailure(exchange.response, failure, exchange.id);
+};
+
 /** Handles one request of a caller. Never throws. */
 export const handleRequest = async (context: HostContext, request: IncomingMessage, response: ServerResponse): Promise<void> => {
 	const exchange: Exchange = {
@@ -68,7 +76,9 @@
 	// Connection errors are handled where the response is written.
 	response.on('error', () => undefined);
 	// The request counts as open from the step in which it is accepted, so that the host can't end in between.
-	const endRequest = context.inFlightRequests.begin(response);
+	const endRequest = context.inFlightRequests.begin(response, () => {
+		answerAtEnd(context, exchange);
+	});
 	try {
 		await (context.isStopping() ? refuseAsStopping(context, request) : route(context, exchange));
 	} catch (error) {
--- a/packages/router/src/callers/send-response.ts
+++ b/packages/router/src/callers/send-response.ts
@@ -33,9 +33,13 @@
 /**
 Reports a failure to the caller.
 
-Before the response has begun, this is a complete error response. After that, it is a last event with the error and without the terminal event or, if the body isn't an event stream, a closed connection.
+Before the response has begun, this is a complete error response. After that, it is a last event with the error and without the terminal event or, if the body isn't an event stream, a closed connection; nothing, if the response has been written to its end.
 */
 export const sendFailure = (response: ServerResponse, failure: RequestFailure, request: RequestId): void => {
+	if (response.writableEnded) {
+		return;
+	}
+
 	const body = getErrorBody(failure, request);
 	if (!response.headersSent) {
 		sendJson(response, errorTable[failure.kind].status, body, {
--- a/packages/router/src/host/graceful-shutdown.test.ts
+++ b/packages/router/src/host/graceful-shutdown.test.ts
@@ -38,13 +38,13 @@
 	isFinishFailing: boolean(),
 });
 
-/** Creates a host whose requests, answers and settlements take the times of a schedule. */
-const createHost = ({settlingTime, refusalTime, isFinishFailing}: Schedule) => {
+/** Creates a host whose requests, answers and settlements take the times of a schedule, with a grace period if one is given. */
+const createHost = ({settlingTime, refusalTime, isFinishFailing}: Schedule, gracePeriod?: Milliseconds) => {
 	const clock = createManualClock();
 	const exits: Exit[] = [];
 	const open = new Map<number, {isIdempotent: boolean}>();
 	const counts = {
-		accepted: 0, refused: 0, finishes: 0, unsettled: 0, listenerCloses: 0,
+		accepted: 0, refused: 0, finishes: 0, unsettled: 0, listenerCloses: 0, answered: 0,
 	};
 	let lastRequest = 0;
 	let isAborted = false;
@@ -67,6 +67,7 @@
 		clock,
 		logger: createSilentLogger(),
 		timeToLive,
+		gracePeriod,
 		steps: {
 			setDraining: () => undefined,
 			closeListener() {
@@ -81,6 +82,12 @@
 					}
 				}
 			},
+			answerRequests() {
+				counts.answered += open.size;
+				for (const request of open.keys()) {
+					endAfter(request, 0);
+				}
+			},
 			async finish() {
 				counts.finishes++;
 				counts.unsettled = 0;
@@ -191,3 +198,81 @@
 		at: drainTime, status: 0, open: 0, unsettled: 0,
 	}]);
 });
+
+const gracePeriod: Milliseconds = 4000;
+/** When requests are aborted, those that are left are answered, and the process exits. */
+const abortAt: Milliseconds = 3000;
+const answerAt: Milliseconds = 3600;
+const lastExitAt: Milliseconds = 3850;
+const noDelays = {
+	events: [], settlingTime: 0, refusalTime: 0, isFinishFailing: false,
+};
+
+// Guards against: a host goes on waiting for a request until its process is killed, and all that it has ends without an answer.
+test('a host whose process will be killed aborts what is open, and answers the rest before that', async () => {
+	const {clock, shutdown, counts, exits, receive, isAborted} = createHost(noDelays, gracePeriod);
+	receive(60_000, true);
+	receive(60_000, false);
+	shutdown.terminate('SIGTERM');
+	await clock.advance(abortAt - 1);
+	expect([isAborted(), counts.answered]).toEqual([false, 0]);
+	await clock.advance(1 + abortTime);
+	expect([isAborted(), counts.answered]).toEqual([true, 0]);
+	await clock.advance(answerAt - abortAt - abortTime);
+	expect(counts.answered).toBe(1);
+	await clock.advance(gracePeriod - answerAt);
+	expect(exits).toMatchObject([{status: 1, open: 0}]);
+	expect(exits[0]!.at).toBeLessThan(lastExitAt);
+});
+
+// Guards against: what can't be ended holds a process until it is killed.
+test('a host whose process will be killed exits before that, whatever is open', async () => {
+	const {clock, shutdown, exits, receive} = createHost({...noDelays, settlingTime: 60_000}, gracePeriod);
+	receive(60_000, false);
+	shutdown.terminate('SIGTERM');
+	await clock.advance(gracePeriod);
+	expect(exits).toMatchObject([{at: lastExitAt, status: 1}]);
+	await clock.advance(maxTime);
+	expect(exits).toHaveLength(1);
+});
+
+test('a host whose process will be killed stops to accept requests in the first part of that time', async () => {
+	const {clock, shutdown, counts, receive} = createHost(noDelays, gracePeriod);
+	receive(60_000, true);
+	shutdown.terminate('SIGTERM');
+	await clock.advance(abortAt / 3);
+	receive(10, true);
+	expect(counts).toMatchObject({accepted: 1, refused: 1});
+});
+
+test('a host without open requests exits with status 0 within its grace period', async () => {
+	const {clock, shutdown, exits, isAborted} = createHost(noDelays, gracePeriod);
+	shutdown.terminate('SIGTERM');
+	await clock.advance(gracePeriod);
+	expect(exits).toMatchObject([{at: abortAt / 3, status: 0}]);
+	expect(isAborted()).toBe(false);
+});
+
+test('the grace period begins with the first signal, after a drain by an operator, too, which it makes final', async () => {
+	const {clock, shutdown, exits, receive} = createHost(noDelays, gracePeriod);
+	receive(60_000, true);
+	shutdown.begin('operator');
+	await clock.advance(1000);
+	shutdown.terminate('SIGTERM');
+	await clock.advance(500);
+	shutdown.terminate('SIGTERM');
+	expect(shutdown.cancel().kind).toBe('draining');
+	await clock.advance(gracePeriod - 500);
+	expect(exits).toHaveLength(1);
+	expect(exits[0]!.at).toBeGreaterThanOrEqual(1000 + abortAt);
+});
+
+test('a host whose process is not killed waits for its last request', async () => {
+	const {clock, shutdown, exits, receive, isAborted} = createHost(noDelays);
+	receive(maxTime - 1000, true);
+	shutdown.terminate('SIGTERM');
+	await clock.advance(maxTime - 1001);
+	expect([exits.length, isAborted()]).toEqual([0, false]);
+	await clock.advance(1001);
+	expect(exits).toMatchObject([{status: 0}]);
+});
--- a/packages/router/src/host/start-host.ts
+++ b/packages/router/src/host/start-host.ts
@@ -19,7 +19,7 @@
 export type RunningHost = {
 	/** Resolves after the first attempt to obtain the configuration, without which the host refuses requests. */
 	started: Promise<void>;
-	/** Begins a graceful shutdown; a second call is refused and logged. */
+	/** Begins a graceful shutdown, which ends before the grace period of the settings; a second call is refused and logged. */
 	stop: (reason: string) => void;
 	/** Logs and counts an unhandled error. The process continues, because one failed task must not abort all other requests. */
 	reportFault: (fault: unknown) => void;
@@ -74,6 +74,7 @@
 	abortRequests() {
 		infrastructure.inFlightRequests.abortController.abort();
 	},
+	answerRequests: infrastructure.inFlightRequests.answerAll,
 	async finish() {
 		const left = await requestHandling.claims.client.drain();
 		if (left > 0) {
@@ -118,7 +119,7 @@
 		},
 	});
 	const shutdown = createGracefulShutdown({
-		clock, logger, timeToLive: settings.addressTimeToLive, steps: createShutdownSteps(infrastructure, network, requestHandling, {
+		clock, logger, timeToLive: settings.addressTimeToLive, gracePeriod: settings.gracePeriod, steps: createShutdownSteps(infrastructure, network, requestHandling, {
 			closeListener: async () => closeServer(callerServer),
 			async closeInternalListeners() {
 				operatorServer.close();
@@ -150,7 +151,7 @@
 	return {
 		started: configure(),
 		stop(reason) {
-			shutdown.begin(reason);
+			shutdown.terminate(reason);
 		},
 		reportFault(fault) {
 			metrics.count('unhandled_faults_total');
--- a/packages/router/src/in-flight-requests.test.ts
+++ b/packages/router/src/in-flight-requests.test.ts
@@ -48,7 +48,7 @@
 test('a request is open until its answer is written', async () => {
 	const requests = createRequests();
 	const port = await startServer((_request, response) => {
-		const end = requests.begin(response);
+		const end = requests.begin(response, () => undefined);
 		response.setHeader('connection', 'close');
 		response.end(largeAnswer);
 		end();
@@ -67,7 +67,7 @@
 	const requests = createRequests();
 	const counts: number[] = [];
 	const port = await startServer((_request, response) => {
-		const end = requests.begin(response);
+		const end = requests.begin(response, () => undefined);
 		counts.push(requests.getCount(), requests.getOpenCount());
 		response.end('a');
 		end();
@@ -83,7 +83,7 @@
 	const requests = createRequests();
 	const ends: Array<() => void> = [];
 	const port = await startServer((_request, response) => {
-		ends.push(requests.begin(response));
+		ends.push(requests.begin(response, () => undefined));
 		response.end(largeAnswer);
 	});
 	const caller = await openCaller(port);
@@ -101,7 +101,7 @@
 test('the connection of a caller that does not read its answer is closed', async () => {
 	const requests = createRequests(200);
 	const port = await startServer((_request, response) => {
-		const end = requests.begin(response);
+		const end = requests.begin(response, () => undefined);
 		response.end(largeAnswer);
 		end();
 	});
@@ -117,7 +117,7 @@
 test('a caller that reads its answer slowly keeps its connection', async () => {
 	const requests = createRequests(1000);
 	const port = await startServer((_request, response) => {
-		const end = requests.begin(response);
+		const end = requests.begin(response, () => undefined);
 		response.setHeader('connection', 'close');
 		response.end(largeAnswer);
 		end();
--- a/packages/router/src/in-flight-requests.ts
+++ b/packages/router/src/in-flight-requests.ts
@@ -3,13 +3,15 @@
 
 /** Counts the requests of callers that are in flight, so that a host knows when it may stop. */
 export type InFlightRequests = {
-	/** Counts a request; call the returned function when its handler has ended. */
-	begin: (response: ServerResponse) => () => void;
+	/** Counts a request; call the returned function when its handler has ended. `answer` answers it if that can't be waited for. */
+	begin: (response: ServerResponse, answer: () => void) => () => void;
 	/** Returns the number of requests whose handlers run. */
 	getCount: () => number;
 	/** Returns the number of requests whose handlers run or whose answers aren't written to their connections yet. */
 	getOpenCount: () => number;
-	/** Aborted when an operator forces the host to stop. */
+	/** Answers the requests whose handlers run, as the process is about to end. */
+	answerAll: () => void;
+	/** Aborted when an operator forces the host to stop, or the process is about to end. */
 	abortController: AbortController;
 };
 
@@ -26,7 +28,8 @@
 
 /** Creates a counter without requests. */
 export const createInFlightRequests = ({unreadTimeout, onUnread}: InFlightRequestsOptions): InFlightRequests => {
-	let count = 0;
+	/** What answers each request whose handler runs. */
+	const handled = new Map<ServerResponse, () => void>();
 	/** Responses whose handlers have ended before they were written. */
 	const unwritten = new Set<ServerResponse>();
 
@@ -48,23 +51,21 @@
 	};
 
 	return {
-		begin(response) {
-			count++;
-			let isHandled = false;
+		begin(response, answer) {
+			handled.set(response, answer);
 			return () => {
-				if (isHandled) {
-					return;
-				}
-
-				isHandled = true;
-				count--;
-				if (!hasLeft(response)) {
+				if (handled.delete(response) && !hasLeft(response)) {
 					keepUntilWritten(response);
 				}
 			};
 		},
-		getCount: () => count,
-		getOpenCount: () => count + [...unwritten].filter(response => !hasLeft(response)).length,
+		getCount: () => handled.size,
+		getOpenCount: () => handled.size + [...unwritten].filter(response => !hasLeft(response)).length,
+		answerAll() {
+			for (const answer of handled.values()) {
+				answer();
+			}
+		},
 		abortController: new AbortController(),
 	};
 };
--- a/packages/router/src/testing/waiting-chats.ts
+++ b/packages/router/src/testing/waiting-chats.ts
@@ -1,4 +1,6 @@
-import type {Address, Configuration} from '@gentianlift/types';
+import {once} from 'node:events';
+import {request, type IncomingMessage} from 'node:http';
+import {splitAddress, type Address, type Configuration} from '@gentianlift/types';
 
 /** Model of the class whose requests wait longest. */
 const model = 'reader-14b';
@@ -37,3 +39,18 @@
 export const forceStop = async ({operatorAddress}: Pick<ChatTarget, 'operatorAddress'>): Promise<void> => {
 	await fetch(`http://${operatorAddress}/operator/drain`, {method: 'POST', body: '{"force":true}'});
 };
+
+/** Sends a booking. */
+export const sendBooking = async ({callerAddress, key}: Pick<ChatTarget, 'callerAddress' | 'key'>): Promise<Response> => fetch(`http://${callerAddress}/v1/services/orders/cut-orders`, {
+	method: 'POST', headers: {authorization: `Bearer ${key}`, 'idempotency-key': 'a'}, body: '{"bar":1}',
+});
+
+/** Sends the first half of a chat; resolves with what is answered to that. */
+export const sendHalfChat = async ({callerAddress, key}: Pick<ChatTarget, 'callerAddress' | 'key'>): Promise<string> => {
+	const sending = request({
+		...splitAddress(callerAddress), path: '/v1/chat/completions', method: 'POST', headers: {authorization: `Bearer ${key}`, 'content-length': 100},
+	});
+	sending.write('{"model":');
+	const [{statusCode, headers}] = await once(sending, 'response') as [IncomingMessage];
+	return `${statusCode} ${String(headers['x-error-kind'])} ${String(headers['x-ran'])}`;
+};
--- a/packages/router/src/waiting-requests.test.ts
+++ b/packages/router/src/waiting-requests.test.ts
@@ -1,8 +1,9 @@
+import type {Milliseconds} from '@gentianlift/types';
 import {expect, onTestFinished, test} from 'vitest';
 import {readStatus, startHostProcess} from './testing/host-process.js';
 import {startFleet, startPlatform} from './testing/start-fleet.js';
 import {
-	forceStop, leaveOneSlot, readQueueLength, sendLongChat, type ChatTarget,
+	forceStop, leaveOneSlot, readQueueLength, sendBooking, sendHalfChat, sendLongChat, type ChatTarget,
 } from './testing/waiting-chats.js';
 
 const waitingCount = 3;
@@ -55,3 +56,33 @@
 	expect(await running.text()).toContain('"code":"forced-stop"');
 	expect(await host.exited).toMatchObject({outcome: 1});
 });
+
+/** Time from the signal to stop until the process is killed. */
+const gracePeriod: Milliseconds = 4000;
+
+// Guards against: a host that waits for its last request is killed by its platform, and all that it has ends without an answer.
+test('a host that will be killed answers what it has before that', async () => {
+	const platform = await startPlatform(1, {logLevel: 'info', gracePeriod}, [], leaveOneSlot);
+	onTestFinished(platform.fakes.close);
+	for (const {faults} of platform.fakes.services.values()) {
+		Object.assign(faults, {stallMs: 60_000});
+	}
+
+	const host = await startHostProcess(platform.settings[0]!);
+	const target = {...host.settings, key: platform.key};
+	await expect.poll(async () => readStatus(`http://${target.operatorAddress}/ready`)).toBe(200);
+	const {running, waiting} = await fillQueue(target);
+	const booking = sendBooking(target);
+	await expect.poll(() => [...platform.fakes.services.values()].flatMap(({calls}) => calls)).toHaveLength(1);
+	const arriving = sendHalfChat(target);
+	host.sendSignal('SIGTERM');
+	const kill = setTimeout(host.sendSignal, gracePeriod, 'SIGKILL');
+	onTestFinished(() => {
+		clearTimeout(kill);
+	});
+	expect(await Promise.all(waiting)).toEqual(waiting.map(() => notRun));
+	expect(await running.text()).toContain('"code":"forced-stop"');
+	expect(describeAnswer(await booking)).toBe('502 outcome-unknown unknown');
+	expect(await arriving).toBe('503 host-stopping not-run');
+	expect(await host.exited).toMatchObject({outcome: 1});
+});
--- a/packages/types/src/settings.ts
+++ b/packages/types/src/settings.ts
@@ -43,6 +43,8 @@
 	logLevel: 'trace' | 'debug' | 'info' | 'warn' | 'error';
 	/** Time for which callers may cache a response of `GET /v1/hosts`. */
 	addressTimeToLive: Milliseconds;
+	/** Time from the signal to stop until the process is killed; if absent, a host that stops waits for its last request. */
+	gracePeriod?: Milliseconds;
 	callerLimits: CallerLimits;
 	silenceLimits: SilenceTimeouts;
 	/** Seed of the random number generator; derived from the clock if absent. */
