Test alone each guard that answers the queue of a stopping host

The new ones let the others pass: the queue of their host isn't told when serving ends, or waits for what no prediction sees, and the step of the stop that isn't tested does nothing.

--- a/packages/forwarder/src/host/stopping-host.test.ts
+++ b/packages/forwarder/src/host/stopping-host.test.ts
@@ -1,12 +1,15 @@
 import {Agent, request} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {createSystemClock} from '@gentianlift/clock';
+import {createSilentLogger} from '@gentianlift/logger';
 import {splitAddress, type Address} from '@gentianlift/types';
 import {expect, onTestFinished, test} from 'vitest';
 import {startLinkedFleet, type LinkedFleet} from '../links/testing-partition.js';
 import {
-	answerOk, configuration, upstreamMark, type AnswerHandler,
+	answerOk, configuration, createHostStarter, upstreamMark, type AnswerHandler,
 } from '../test-deployment.js';
 import {sendRequest, type TestAnswer} from '../testing.js';
+import {stopHost} from './stop-host.js';
 
 const gracePeriod = 1500;
 /** Time in which answers that were written before a stop had ended arrive. */
@@ -22,7 +25,7 @@
 };
 
 /** Sends a request with a prompt that takes an upstream some seconds, on a route of a low rank. */
-const sendLong = async (callers: Address, name: string): Promise<TestAnswer | 'lost'> =>
+const sendLong = async (callers: Address | number, name: string): Promise<TestAnswer | 'lost'> =>
 	sendRequest(callers, {path: `/background/${name}`, headers: {attempt: name, 'prompt-tokens': '100000', parts: name}}).catch(() => 'lost' as const);
 
 /** Returns the status of each answer that has arrived by now, or `none`. */
@@ -46,6 +49,27 @@
 	expect(body).toContain('"ran":"not-run"');
 });
 
+// Guards against: a request that waits in the queue until its host ends, as nothing there takes it for too late, ends without an answer.
+test.each(['answerRequests', 'cutRequests'] as const)('a stopping host answers a request whose wait in the queue nothing else has ended, by %s alone', async step => {
+	// The queue of this host is never told when serving ends.
+	const {host, counts} = await createHostStarter(onTestFinished)(hang);
+	const running = sendLong(host.port, 'running');
+	await expect.poll(() => counts).toEqual([1]);
+	const queued = ['a', 'b', 'c'].map(async name => sendLong(host.port, name));
+	await expect.poll(() => host.forwarder.getQueueLength()).toBe(3);
+	const nothing = async (): Promise<void> => undefined;
+	await stopHost({
+		...host.callers, answerRequests: () => undefined, cutRequests: () => undefined, [step]: host.callers[step],
+		clock: createSystemClock(), logger: createSilentLogger(), getGracePeriod: () => gracePeriod, maxAddressUse: 0, announce: nothing, release: nothing,
+	});
+	expect(await getStatuses([running, ...queued])).toEqual([502, 503, 503, 503]);
+	expect(counts).toEqual([1]);
+	expect(host.forwarder.getQueueLength()).toBe(0);
+	const {headers, body} = await queued[0] as TestAnswer;
+	expect(headers).toMatchObject({'retry-after': '0.020'});
+	expect(body).toContain('"ran":"not-run"');
+});
+
 // Guards against: a booking that an application server is still at work on when its host ends is cut without an answer.
 test.each(['/book/1', '/read/1', '/stream/1', '/once/1'])('a request that has been sent and not answered when its host ends is told that nobody knows whether it ran: %s', async path => {
 	const {hosts: [host], counts} = await startFleet(1, hang);
--- a/packages/forwarder/src/queue/simulated-host.ts
+++ b/packages/forwarder/src/queue/simulated-host.ts
@@ -33,6 +33,10 @@
 	createCall: (request: SimulatedRequest) => Call;
 	/** Sends a request as a caller; the returned answer is filled in when the host writes it. */
 	send: (request: SimulatedRequest) => SimulatedAnswer;
+	/** Lets the host serve until a time on the clock. */
+	setServingEnd: (end: Milliseconds) => void;
+	/** Answers the calls that are open, as at the end of the host. */
+	answerCalls: () => void;
 };
 
 /** Options of a simulated host; hosts of one fleet share a clock and have different seeds. */
@@ -90,6 +94,7 @@
 		clock, logger, loads, countHosts: () => 1, isAmongChosenHosts: () => true,
 	});
 	const rests = createUpstreamRests({clock, random: createRandom(1), logger});
+	let servingEnd = Number.POSITIVE_INFINITY;
 	const context = {
 		clock,
 		random: createRandom(seed),
@@ -112,7 +117,7 @@
 		countHosts: () => 1,
 		isStopping: () => false,
 		getTimeSinceStop: () => undefined,
-		getServingEnd: () => Number.POSITIVE_INFINITY,
+		getServingEnd: () => servingEnd,
 	} as unknown as ForwarderContext;
 	const forwarder = createForwarder(context);
 	const createSimulatedCall = ({route, name, tokens, clientTimeout}: SimulatedRequest, response: ServerResponse): Call => buildTestCall({
@@ -130,5 +135,9 @@
 			void forwarder.forward(createSimulatedCall(request, createResponse(clock, answer)));
 			return answer;
 		},
+		setServingEnd(end) {
+			servingEnd = end;
+		},
+		answerCalls: forwarder.answerCalls,
 	};
 };
--- a/packages/forwarder/src/testing.ts
+++ b/packages/forwarder/src/testing.ts
@@ -15,7 +15,7 @@
 import {splitAddress, type Address} from '@gentianlift/types';
 import {createCrashDetector} from './crashes/crash-detector.js';
 import {createForwarder, type Forwarder} from './forward.js';
-import {createCallerServer} from './callers/serve-callers.js';
+import {createCallerServer, type CallerServer} from './callers/serve-callers.js';
 import type {ForwarderContext} from './context.js';
 import {createHostAgents} from './send/host-agents.js';
 import {protocol} from './testing-protocol.js';
@@ -36,6 +36,7 @@
 	logLines: string[];
 	loads: LoadTracker;
 	forwarder: Forwarder;
+	callers: CallerServer;
 	/** Replaces the upstreams that are listed at the host. */
 	setUpstreams: (upstreams: readonly Upstream[]) => void;
 	setStopping: (isStopping: boolean) => void;
@@ -194,7 +195,8 @@
 		canAccept: () => !isStopping,
 	};
 	const forwarder = createForwarder(context);
-	const {server} = createCallerServer({context, forwarder});
+	const callers = createCallerServer({context, forwarder});
+	const {server} = callers;
 	const port = await listenOnAnyPort(server);
 	return {
 		port,
@@ -202,6 +204,7 @@
 		logLines,
 		loads,
 		forwarder,
+		callers,
 		setUpstreams(next) {
 			upstreams.clear();
 			for (const upstream of next) {
