Withdraw chats that may not be repeated while they wait in the queue

What callers saw: when an operator forces a host to stop, a chat of a class that isn't idempotent stayed in the queue, though it was known not to have run, until its deadline or until an engine took it, which ran it after the stop. At the end of a grace period it would have been told that nobody knows.

Cause: such a request is never aborted, since it can't be repeated once it was sent; the same signal withdraws it from the queue. Calls to services have a signal of their own for that.

Until an attempt was sent, the signal of the caller's connection and of the abort withdraws it now; from then on it goes on as before.

Evidence: one running, two in the queue, a forced stop. On the two got 503 deadline-unreachable after 60 s; now 503 forced-stop, not-run, at once, the engine has got one request, and the running one isn't aborted.

--- a/packages/router/src/callers/commands/chat.ts
+++ b/packages/router/src/callers/commands/chat.ts
@@ -63,6 +63,7 @@
 		body,
 		bytes,
 		stopSignal: request.idempotent ? stream.callerDisconnectedSignal : new AbortController().signal,
+		withdrawalSignal: stream.callerDisconnectedSignal,
 		writer: body.stream === true ? createStreamWriter(request, stream, latencyRecorder.recordOutput) : createBufferedWriter(latencyRecorder.recordOutput),
 	});
 	latencyRecorder.recordEnd(result.kind === 'finished');
--- a/packages/router/src/dispatch/run-generation.ts
+++ b/packages/router/src/dispatch/run-generation.ts
@@ -16,8 +16,10 @@
 	body: Record<string, unknown>;
 	/** Memory that the request occupies while it is queued, in bytes. */
 	bytes: number;
-	/** Aborted when the caller has disconnected, or when an operator forces the host to stop; never for a non-idempotent request. */
+	/** Aborted when the caller has disconnected, or when the host aborts its requests; never for a non-idempotent request. */
 	stopSignal: AbortSignal;
+	/** Aborted in the same cases, for every request: one that has not been sent can be withdrawn. */
+	withdrawalSignal: AbortSignal;
 	writer: ResponseWriter;
 };
 
@@ -159,7 +161,7 @@
 	for (;;) {
 		progress = {...progress, attempts: progress.attempts + 1, countedAttempts: progress.countedAttempts + 1};
 		// eslint-disable-next-line no-await-in-loop -- Attempts run one after another.
-		const grant = await acquireUpstream(context, run.request, run.stopSignal, {
+		const grant = await acquireUpstream(context, run.request, progress.ran === 'not-run' ? run.withdrawalSignal : run.stopSignal, {
 			attempt: progress.attempts, avoid: progress.avoid, preemptions: progress.preemptions, resumed: progress.tokens > 0, bytes: run.bytes,
 		});
 		switch (grant.kind) {
--- a/packages/router/src/testing/waiting-chats.ts
+++ b/packages/router/src/testing/waiting-chats.ts
@@ -17,6 +17,12 @@
 	};
 };
 
+/** The same, where chats of the model may not be repeated. */
+export const leaveOneSlotForBookings = (configuration: Configuration): Configuration => {
+	const {rules, ...others} = leaveOneSlot(configuration);
+	return {...others, rules: {...rules, classes: rules.classes.map(requestClass => requestClass.match.models?.includes(model) === true ? {...requestClass, idempotent: false} : requestClass)}};
+};
+
 /** A host, and the key of a customer. */
 export type ChatTarget = {callerAddress: Address; operatorAddress: Address; key: string};
 
--- a/packages/router/src/waiting-requests.test.ts
+++ b/packages/router/src/waiting-requests.test.ts
@@ -3,7 +3,7 @@
 import {readStatus, startHostProcess} from './testing/host-process.js';
 import {startFleet, startPlatform} from './testing/start-fleet.js';
 import {
-	forceStop, leaveOneSlot, readQueueLength, sendBooking, sendHalfChat, sendLongChat, type ChatTarget,
+	forceStop, leaveOneSlot, leaveOneSlotForBookings, readQueueLength, sendBooking, sendHalfChat, sendLongChat, type ChatTarget,
 } from './testing/waiting-chats.js';
 
 const waitingCount = 3;
@@ -38,6 +38,22 @@
 	expect(await host!.ended).toBe(1);
 });
 
+// Guards against: a chat that may not be repeated stays in the queue of a host whose stop is forced, and is sent from there.
+test('a forced stop withdraws chats in the queue that may not be repeated, and lets the running one end', async () => {
+	const fleet = await startFleet(1, {}, [], leaveOneSlotForBookings);
+	const [host] = fleet.hosts;
+	const target = {...host!.settings, key: fleet.key};
+	const send = async (key: string): Promise<Response> => sendLongChat(target, {'idempotency-key': key});
+	const running = await send('running');
+	const waiting = ['a', 'b'].map(async key => describeAnswer(await send(key)));
+	await expect.poll(async () => readQueueLength(target)).toBe(waiting.length);
+	await forceStop(target);
+	expect(await Promise.all(waiting)).toEqual(waiting.map(() => notRun));
+	expect([...fleet.fakes.engines.values()].reduce((sum, engine) => sum + engine.getState().received, 0)).toBe(1);
+	await fleet.fakes.close();
+	expect(await running.text()).not.toContain('forced-stop');
+});
+
 // Guards against: an error outside the handling of any request ends the process over all that it has read.
 test.each(['throw new Error("odd")', 'Promise.reject(new Error("odd"))'])('a host goes on after an error that nothing catches: %s', async statement => {
 	const platform = await startPlatform(1, {logLevel: 'info'}, [], leaveOneSlot);
