Test what becomes of calls over another host as their own ends

A call that would go over another host is refused as not run once its answer would come too late; both checks of that, before it is forwarded and before it is sent, stood without a test: with either taken out, all of host, queue, send and links passed. Each has one now that fails without it alone.

A call in the queue of another host, both of which stop at once or 0.4 s apart, is answered: played with real queues, 503 not run or 502 unknown, never lost.

--- a/packages/forwarder/src/host/stopping-host.test.ts
+++ b/packages/forwarder/src/host/stopping-host.test.ts
@@ -144,9 +144,8 @@
 	expect(isWhole).toBe(true);
 });
 
-// Guards against: a call in the queue of another host that stops is lost there, or answered as if nobody knew whether it ran.
-test('a stopping host gives a queued call that another host has forwarded back to it', async () => {
-	const fleet = await startFleet(2, hang);
+/** Lets a call wait in the queue of a second host, which got it from the first; another one runs there. */
+const queueOverHost = async (fleet: LinkedFleet): Promise<Record<'running' | 'queued', Promise<TestAnswer | 'lost'>> & {runs: number}> => {
 	const [first, second] = fleet.hosts;
 	fleet.setLinks([0], 'reset');
 	await expect.poll(async () => {
@@ -155,15 +154,40 @@
 	}, {timeout: 5000, interval: 200}).toBe(true);
 	const running = sendLong(second!.callers, 'running');
 	await sleep(200);
-	const runs = fleet.counts[0];
+	const runs = fleet.counts[0]!;
 	const queued = sendLong(first!.callers, 'queued');
 	await sleep(300);
+	return {running, queued, runs};
+};
+
+// Guards against: a call in the queue of another host that stops is lost there, or answered as if nobody knew whether it ran.
+test('a stopping host gives a queued call that another host has forwarded back to it', async () => {
+	const fleet = await startFleet(2, hang);
+	const [, second] = fleet.hosts;
+	const {running, queued, runs} = await queueOverHost(fleet);
 	await second!.host.stop();
 	expect(await getStatuses([running, queued])).toEqual([502, 503]);
 	expect(second!.logLines.some(line => line.includes('event=call-ended request=queued') && line.includes('reason=misdirected'))).toBe(true);
 	expect(fleet.counts[0]).toBe(runs);
 });
 
+// Guards against: a call that waits for another host ends without an answer as both hosts stop.
+test.each([[0, 0], [0, 400], [400, 0]])('a call in the queue of another host is answered as both stop, after %i and %i ms', async (firstDelay, secondDelay) => {
+	const fleet = await startFleet(2, hang);
+	const {running, queued, runs} = await queueOverHost(fleet);
+	await Promise.all(fleet.hosts.map(async ({host}, index) => {
+		await sleep(index === 0 ? firstDelay : secondDelay);
+		await host.stop();
+	}));
+	const [runningStatus, queuedStatus] = await getStatuses([running, queued]);
+	expect(runningStatus).toBe(502);
+	// The first host may have to end before it learns that the call hasn't run.
+	expect([502, 503]).toContain(queuedStatus);
+	const {body} = await queued as TestAnswer;
+	expect(body).toContain(queuedStatus === 503 ? '"ran":"not-run"' : '"ran":"unknown"');
+	expect(fleet.counts[0]).toBe(runs);
+});
+
 // Guards against: a second signal to stop ends the process at once, with all requests that it has.
 test('a second request to stop waits for the first', async () => {
 	const {hosts: [host], counts} = await startFleet(1, hang);
--- a/packages/forwarder/src/send/attempt-over-host.test.ts
+++ b/packages/forwarder/src/send/attempt-over-host.test.ts
@@ -57,6 +57,30 @@
 	expect(received).toEqual(['h0', 'h1']);
 });
 
+// Guards against: a stopping host forwards a call whose answer it can't wait for, and can't say any more whether it ran.
+test('a call that comes too late to be answered before its host ends is not forwarded, and refused as not run', async () => {
+	const {deployment: {host}, received} = await start(answerOk, answerOk);
+	const {context} = host;
+	context.getServingEnd = () => context.clock.monotonic() + 1;
+	const {status, headers, body} = await sendRequest(host.port, {path: '/read/1', headers: {attempt: 'a'}});
+	expect([status, headers['retry-after']]).toEqual([503, '0.020']);
+	expect(body).toContain('"ran":"not-run"');
+	expect(received).toEqual([]);
+	expect(host.logLines.some(line => line.includes('event=call-forwarded'))).toBe(false);
+});
+
+// Guards against: a call that waits for a connection to another host is sent when its own host has no time left for the answer.
+test('a call that gets a connection to another host too late to be answered is not sent, and refused as not run', async () => {
+	const {deployment: {host}, received} = await start(answerOk, answerOk);
+	const {context, logLines} = host;
+	const isForwarded = (): boolean => logLines.some(line => line.includes('event=call-forwarded'));
+	context.getServingEnd = () => isForwarded() ? context.clock.monotonic() + 1 : Number.POSITIVE_INFINITY;
+	const {status, body} = await sendRequest(host.port, {path: '/read/1', headers: {attempt: 'a'}});
+	expect(status).toBe(503);
+	expect(body).toContain('"ran":"not-run"');
+	expect(received).toEqual([]);
+});
+
 // Guards against: engines work for callers that have left while their hosts were looking for a way.
 test('a call whose caller leaves while hosts are asked is not forwarded', async () => {
 	const {deployment: {host}, received} = await start(answerOk);
