Answer what comes to a router between its last answers and its exit

A request whose body was still arriving 150 ms before the end of the grace period, on a connection that its caller had kept, was cut by the exit if it had come after the host answered what it had, 250 ms earlier. What has no answer is answered once more in the step of the exit; what has one is left alone.

--- a/packages/router/src/callers/handle-request.ts
+++ b/packages/router/src/callers/handle-request.ts
@@ -60,8 +60,12 @@
 	throw createFailure('host-stopping');
 };
 
-/** Answers a request whose handler can't be waited for, as the process is about to end. One that wasn't admitted has not run; of the others that isn't known here. */
+/** Answers a request whose handler can't be waited for, as the process is about to end, unless it was answered. One that wasn't admitted has not run; of the others that isn't known here. */
 const answerAtEnd = (context: HostContext, exchange: Exchange): void => {
+	if (exchange.response.writableEnded) {
+		return;
+	}
+
 	const failure = createFailure(exchange.classified === undefined ? 'host-stopping' : 'outcome-unknown');
 	recordFailure(context, exchange, failure);
 	context.logger.warn('answered-at-the-end', {request: exchange.id, kind: failure.kind, ran: failure.ran});
--- a/packages/router/src/host/graceful-shutdown.ts
+++ b/packages/router/src/host/graceful-shutdown.ts
@@ -177,6 +177,8 @@
 		clock.after(servingTime, abortOpenRequests);
 		clock.after(Math.max(servingTime, limit - answerMargin), steps.answerRequests);
 		clock.after(Math.max(servingTime, limit - exitMargin), () => {
+			// For those that have come since.
+			steps.answerRequests();
 			exit(since);
 		});
 	};
