Keep a router that will be killed listening until it ends

What callers saw: a host with a grace period ends its drain after a third of the time, when callers may still use its address, and closed its listener in that step. Requests on connections that it hadn't accepted yet were reset, and their callers couldn't tell whether a booking ran.

Cause: the listener is closed with the drain, which is right only once no caller uses the address any more.

With a grace period the listener stays open until the last step; what comes meanwhile is refused as not run.

--- a/packages/router/src/host/graceful-shutdown.ts
+++ b/packages/router/src/host/graceful-shutdown.ts
@@ -60,8 +60,8 @@
 const lateCallerMargin: Milliseconds = 500;
 /** Parts of the grace period before its end in which requests are aborted, those that still have no answer get one, and the process exits whatever is open. */
 const abortMargin: Milliseconds = 1000;
-const answerMargin: Milliseconds = 400;
-const exitMargin: Milliseconds = 150;
+const answerMargin: Milliseconds = 500;
+const exitMargin: Milliseconds = 250;
 /** Part of the time in which requests are served during which a host that will be killed accepts new ones. */
 const acceptingPart = 1 / 3;
 const exitStatuses = {graceful: 0, forced: 1};
@@ -69,13 +69,14 @@
 /**
 Creates the graceful shutdown of a host.
 
-From the state `stopping` on, no request is accepted. All that takes time comes before a last check that nothing is open, and the process ends in the step of that check. Only the end of a grace period ends it before that.
+From the state `stopping` on, no request is accepted. Callers may still use the address of a host that had to end its drain early, so that its listener stays open until the last step, and what comes is refused. All that takes time comes before a last check that nothing is open, and the process ends in the step of that check. Only the end of a grace period ends it before that.
 */
 export const createGracefulShutdown = ({clock, logger, timeToLive, gracePeriod, steps}: GracefulShutdownOptions): GracefulShutdown => {
 	let state: ShutdownState = {kind: 'serving'};
 	let shutdownRun = 0;
 	let isTerminated = false;
 	let hasExited = false;
+	let hasClosedListener = false;
 
 	const finish = async (): Promise<void> => {
 		try {
@@ -95,12 +96,20 @@
 		await run();
 	};
 
+	const closeListener = (): void => {
+		if (!hasClosedListener) {
+			hasClosedListener = true;
+			steps.closeListener();
+		}
+	};
+
 	const exit = (since: Milliseconds): void => {
 		if (hasExited) {
 			return;
 		}
 
 		hasExited = true;
+		closeListener();
 		const isForced = state.kind === 'stopping' && state.isForced;
 		logger.info('stopped', {open: steps.getOpenCount(), after: Math.round(clock.monotonic() - since), forced: isForced});
 		steps.exit(isForced ? exitStatuses.forced : exitStatuses.graceful);
@@ -108,6 +117,7 @@
 
 	const stop = async (since: Milliseconds): Promise<void> => {
 		await runOnceNothingIsOpen(finish);
+		closeListener();
 		// Requests that are refused meanwhile are open until their answers are written.
 		await runOnceNothingIsOpen(() => {
 			exit(since);
@@ -119,7 +129,10 @@
 		shutdownRun++;
 		state = {kind: 'stopping', since, isForced};
 		logger.info('stopping', {open: steps.getOpenCount()});
-		steps.closeListener();
+		if (!isTerminated) {
+			closeListener();
+		}
+
 		void stop(since);
 	};
 
--- a/packages/router/src/testing/simulated-shutdown.ts
+++ b/packages/router/src/testing/simulated-shutdown.ts
@@ -28,7 +28,7 @@
 	const exits: Exit[] = [];
 	const open = new Map<number, {isIdempotent: boolean}>();
 	const counts = {
-		accepted: 0, refused: 0, finishes: 0, unsettled: 0, listenerCloses: 0, answered: 0,
+		accepted: 0, refused: 0, finishes: 0, unsettled: 0, listenerCloses: 0, listenerClosedAt: 0, answered: 0,
 	};
 	let lastRequest = 0;
 	let isAborted = false;
@@ -55,6 +55,7 @@
 		steps: {
 			setDraining: () => undefined,
 			closeListener() {
+				counts.listenerClosedAt = clock.monotonic();
 				counts.listenerCloses++;
 			},
 			getOpenCount: () => open.size,
