Format found values in one place, and name the limit of a shutdown

The text of a value in a diagnostic stood in config and, since the errors of settings are typed, in errors; it stands in errors alone now. The shutdown's flag says what it means, that the shutdown has a limit, not who asked for it, and the line `stopped` counts from `stopping` also when the grace period ends. No behaviour is changed otherwise.

--- a/packages/config/src/diagnostic.ts
+++ b/packages/config/src/diagnostic.ts
@@ -1,3 +1,5 @@
+import {formatFound} from '@gentianlift/errors';
+
 /** A validation error in a document. */
 export type Diagnostic = {
 	/** JSON path of the invalid value, such as `$.rules.classes[2].hours`. */
@@ -16,8 +18,6 @@
 /** Field names and list indexes that lead from the root of a document to a value in it. */
 export type Path = ReadonlyArray<string | number>;
 
-/** Number of characters after which a value in a diagnostic is truncated. */
-const maxFoundLength = 60;
 const identifierPattern = /^[A-Za-z_]\w*$/v;
 
 const formatSegment = (segment: string | number): string => {
@@ -31,16 +31,6 @@
 /** Formats a path as JSON path text. */
 export const formatPath = (path: Path): string => `$${path.map(segment => formatSegment(segment)).join('')}`;
 
-/** Formats a value of a document for a diagnostic, truncated. */
-export const formatFound = (value: unknown): string => {
-	if (value === undefined) {
-		return 'nothing';
-	}
-
-	const text = JSON.stringify(value);
-	return text.length > maxFoundLength ? `${text.slice(0, maxFoundLength)}...` : text;
-};
-
 /** Creates a diagnostic for the value at a path. */
 export const createDiagnostic = (path: Path, found: unknown, expected: string): Diagnostic =>
 	({path: formatPath(path), found: formatFound(found), expected});
--- a/packages/config/src/difference.ts
+++ b/packages/config/src/difference.ts
@@ -1,4 +1,5 @@
-import {formatFound, formatPath, type Path} from './diagnostic.js';
+import {formatFound} from '@gentianlift/errors';
+import {formatPath, type Path} from './diagnostic.js';
 
 /** A difference between two documents; a missing value is undefined. */
 export type FieldChange = {
--- a/packages/errors/src/index.ts
+++ b/packages/errors/src/index.ts
@@ -1,3 +1,4 @@
+export * from './format-found.js';
 export * from './kinds.js';
 export * from './request-error.js';
 export * from './settings-error.js';
--- a/packages/errors/src/settings-error.ts
+++ b/packages/errors/src/settings-error.ts
@@ -1,3 +1,4 @@
+import {formatFound} from './format-found.js';
 import {BaseError} from './request-error.js';
 
 /** What is wrong with a settings file. */
@@ -12,16 +13,8 @@
 /** Error of settings that can't be used. */
 export type SettingsFailure = Error & {fault: SettingsFault};
 
-/** Number of characters after which a value in a message is truncated. */
-const maxFoundLength = 60;
-
 const SettingsError = BaseError.subclass('SettingsError');
 
-const formatFound = (value: unknown): string => {
-	const text = value === undefined ? 'nothing' : JSON.stringify(value);
-	return text.length > maxFoundLength ? `${text.slice(0, maxFoundLength)}...` : text;
-};
-
 const formatFault = (fault: SettingsFault): string => {
 	switch (fault.kind) {
 		case 'unreadable': {
--- a/packages/router/src/host/graceful-shutdown.ts
+++ b/packages/router/src/host/graceful-shutdown.ts
@@ -74,7 +74,8 @@
 export const createGracefulShutdown = ({clock, logger, timeToLive, gracePeriod, steps}: GracefulShutdownOptions): GracefulShutdown => {
 	let state: ShutdownState = {kind: 'serving'};
 	let shutdownRun = 0;
-	let isTerminated = false;
+	/** Whether the shutdown ends before the process is killed. */
+	let isLimited = false;
 	let hasExited = false;
 	let hasClosedListener = false;
 
@@ -103,37 +104,34 @@
 		}
 	};
 
-	const exit = (since: Milliseconds): void => {
+	const exit = (): void => {
 		if (hasExited) {
 			return;
 		}
 
 		hasExited = true;
 		closeListener();
-		const isForced = state.kind === 'stopping' && state.isForced;
+		const {since, isForced} = state.kind === 'stopping' ? state : {since: clock.monotonic(), isForced: false};
 		logger.info('stopped', {open: steps.getOpenCount(), after: Math.round(clock.monotonic() - since), forced: isForced});
 		steps.exit(isForced ? exitStatuses.forced : exitStatuses.graceful);
 	};
 
-	const stop = async (since: Milliseconds): Promise<void> => {
+	const stop = async (): Promise<void> => {
 		await runOnceNothingIsOpen(finish);
 		closeListener();
 		// Requests that are refused meanwhile are open until their answers are written.
-		await runOnceNothingIsOpen(() => {
-			exit(since);
-		});
+		await runOnceNothingIsOpen(exit);
 	};
 
 	const beginStopping = (isForced: boolean): void => {
-		const since = clock.monotonic();
 		shutdownRun++;
-		state = {kind: 'stopping', since, isForced};
+		state = {kind: 'stopping', since: clock.monotonic(), isForced};
 		logger.info('stopping', {open: steps.getOpenCount()});
-		if (!isTerminated) {
+		if (!isLimited) {
 			closeListener();
 		}
 
-		void stop(since);
+		void stop();
 	};
 
 	const drain = async (ownRun: number): Promise<void> => {
@@ -184,7 +182,6 @@
 
 	/** Ends the shutdown before the process is killed, whatever is open. */
 	const limitShutdown = (limit: Milliseconds): void => {
-		const since = clock.monotonic();
 		const servingTime = Math.max(0, limit - abortMargin);
 		clock.after(servingTime * acceptingPart, endDrain);
 		clock.after(servingTime, abortOpenRequests);
@@ -192,7 +189,7 @@
 		clock.after(Math.max(servingTime, limit - exitMargin), () => {
 			// For those that have come since.
 			steps.answerRequests();
-			exit(since);
+			exit();
 		});
 	};
 
@@ -200,15 +197,15 @@
 		begin,
 		terminate(reason) {
 			begin(reason);
-			if (gracePeriod !== undefined && !isTerminated) {
-				isTerminated = true;
+			if (gracePeriod !== undefined && !isLimited) {
+				isLimited = true;
 				limitShutdown(gracePeriod);
 			}
 
 			return state;
 		},
 		cancel() {
-			if (state.kind === 'draining' && !isTerminated) {
+			if (state.kind === 'draining' && !isLimited) {
 				shutdownRun++;
 				state = {kind: 'serving'};
 				steps.setDraining(false);
