Test that a stream which waits to be taken up is cut visibly at the end

The stream begins at one upstream, breaks off, and waits at another one, which is silent, when its host ends: its caller sees the event and an incomplete answer. It held; no test said so.

--- a/packages/forwarder/src/host/stopping-host.test.ts
+++ b/packages/forwarder/src/host/stopping-host.test.ts
@@ -8,6 +8,7 @@
 import {
 	answerOk, configuration, createHostStarter, upstreamMark, type AnswerHandler,
 } from '../test-deployment.js';
+import type {CallerServer} from '../callers/serve-callers.js';
 import {sendRequest, type TestAnswer} from '../testing.js';
 import {stopHost} from './stop-host.js';
 
@@ -24,6 +25,14 @@
 	incoming.resume();
 };
 
+/** Stops a host that is in no fleet. */
+const stopTestHost = async (callers: CallerServer): Promise<void> => {
+	const nothing = async (): Promise<void> => undefined;
+	await stopHost({
+		...callers, clock: createSystemClock(), logger: createSilentLogger(), getGracePeriod: () => gracePeriod, maxAddressUse: 0, announce: nothing, release: nothing,
+	});
+};
+
 /** Sends a request with a prompt that takes an upstream some seconds, on a route of a low rank. */
 const sendLong = async (callers: Address | number, name: string): Promise<TestAnswer | 'lost'> =>
 	sendRequest(callers, {path: `/background/${name}`, headers: {attempt: name, 'prompt-tokens': '100000', parts: name}}).catch(() => 'lost' as const);
@@ -57,10 +66,8 @@
 	await expect.poll(() => counts).toEqual([1]);
 	const queued = ['a', 'b', 'c'].map(async name => sendLong(host.port, name));
 	await expect.poll(() => host.forwarder.getQueueLength()).toBe(3);
-	const nothing = async (): Promise<void> => undefined;
-	await stopHost({
+	await stopTestHost({
 		...host.callers, answerRequests: () => undefined, cutRequests: () => undefined, [step]: host.callers[step],
-		clock: createSystemClock(), logger: createSilentLogger(), getGracePeriod: () => gracePeriod, maxAddressUse: 0, announce: nothing, release: nothing,
 	});
 	expect(await getStatuses([running, ...queued])).toEqual([502, 503, 503, 503]);
 	expect(counts).toEqual([1]);
@@ -82,6 +89,28 @@
 	expect(body).toContain('"ran":"unknown"');
 });
 
+// Guards against: a stream that waits to be taken up at another upstream when its host ends passes for a whole one.
+test('a stream that has begun and waits for another upstream is cut visibly when its host ends', async () => {
+	let attempts = 0;
+	const breakOffOnce: AnswerHandler = (incoming, response) => {
+		incoming.resume();
+		attempts += 1;
+		if (attempts === 1) {
+			response.writeHead(200, {...upstreamMark, 'content-type': 'text/event-stream', attempt: 'a1'});
+			response.write('id: 1\ndata: x\n\n');
+			setTimeout(() => {
+				response.destroy();
+			}, arrivalTime);
+		}
+	};
+
+	const {host, counts} = await createHostStarter(onTestFinished)(breakOffOnce, breakOffOnce);
+	const answer = sendRequest(host.port, {path: '/stream/1', headers: {attempt: 'a1'}});
+	await expect.poll(() => counts).toEqual([1, 1]);
+	await stopTestHost(host.callers);
+	expect(await answer).toMatchObject({status: 200, body: 'id: 1\ndata: x\n\n', isComplete: false});
+});
+
 // Guards against: a request whose body is still arriving when its host ends gets no answer.
 test('a request that has not arrived completely when its host ends is refused', async () => {
 	const {hosts: [host], counts} = await startFleet(1, answerOk);
