--- a/packages/router/src/host/graceful-shutdown.ts
+++ b/packages/router/src/host/graceful-shutdown.ts
@@ -7,7 +7,7 @@
 	= | {kind: 'serving'}
 	/** No longer among the addresses that callers are given, but still accepts requests. */
 		| {kind: 'draining'; since: Milliseconds}
-	/** Refuses new requests, and completes those in flight unless an operator has forced the stop. */
+	/** Refuses new requests, and completes those in flight unless the stop is forced, by an operator or by the end of the grace period. */
 		| {kind: 'stopping'; since: Milliseconds; isForced: boolean};
 
 /** Why requests in flight are aborted. */
--- a/packages/router/src/testing/simulated-shutdown.ts
+++ b/packages/router/src/testing/simulated-shutdown.ts
@@ -22,6 +22,7 @@
 export const abortTime: Milliseconds = 5;
 /** Longer than any schedule takes. */
 export const maxTime: Milliseconds = 20_000;
+
 /** Creates a host whose requests, answers and settlements take the times of a schedule, with a grace period if one is given. */
 export const createSimulatedShutdown = ({settlingTime, refusalTime, isFinishFailing}: Schedule, gracePeriod?: Milliseconds) => {
 	const clock = createManualClock();
--- a/packages/router/src/testing/waiting-chats.ts
+++ b/packages/router/src/testing/waiting-chats.ts
@@ -5,7 +5,7 @@
 /** Model of the class whose requests wait longest. */
 const model = 'reader-14b';
 
-/** Leaves the model to one engine that runs one request at a time. */
+/** Changes a configuration so that one engine alone has the model and runs one request at a time. */
 export const leaveOneSlot = ({inventory, ...configuration}: Configuration): Configuration => {
 	const engine = inventory.engines.find(({models}) => models.includes(model));
 	return {
@@ -17,8 +17,8 @@
 	};
 };
 
-/** The same, where chats of the model may not be repeated. */
-export const leaveOneSlotForBookings = (configuration: Configuration): Configuration => {
+/** Does the same, and has chats of the model run at most once. */
+export const leaveOneSlotAtMostOnce = (configuration: Configuration): Configuration => {
 	const {rules, ...others} = leaveOneSlot(configuration);
 	return {...others, rules: {...rules, classes: rules.classes.map(requestClass => requestClass.match.models?.includes(model) === true ? {...requestClass, idempotent: false} : requestClass)}};
 };
--- a/packages/router/src/waiting-requests.test.ts
+++ b/packages/router/src/waiting-requests.test.ts
@@ -3,7 +3,7 @@
 import {readStatus, startHostProcess} from './testing/host-process.js';
 import {startFleet, startPlatform} from './testing/start-fleet.js';
 import {
-	forceStop, leaveOneSlot, leaveOneSlotForBookings, readQueueLength, sendBooking, sendHalfChat, sendLongChat, type ChatTarget,
+	forceStop, leaveOneSlot, leaveOneSlotAtMostOnce, readQueueLength, sendBooking, sendHalfChat, sendLongChat, type ChatTarget,
 } from './testing/waiting-chats.js';
 
 const waitingCount = 3;
@@ -40,7 +40,7 @@
 
 // Guards against: a chat that may not be repeated stays in the queue of a host whose stop is forced, and is sent from there.
 test('a forced stop withdraws chats in the queue that may not be repeated, and lets the running one end', async () => {
-	const fleet = await startFleet(1, {}, [], leaveOneSlotForBookings);
+	const fleet = await startFleet(1, {}, [], leaveOneSlotAtMostOnce);
 	const [host] = fleet.hosts;
 	const target = {...host!.settings, key: fleet.key};
 	const send = async (key: string): Promise<Response> => sendLongChat(target, {'idempotency-key': key});
